Start: build, checks, event and effect types, wire messages

Cause: an empty repository. The contract between the modules (events, effects, messages, log records) comes first, so that the modules can be written apart.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# The project's commands. `make demo` and `make check` do everything that they
+# need on a fresh machine.
+
+# Compilers running at once.
+JOBS ?= $(shell nproc)
+
+.PHONY: packages build check demo format format-check lint sanitize wire
+
+packages:
+	scripts/install-packages
+
+build:
+	cmake --preset release
+	cmake --build build/release -j $(JOBS)
+
+check: packages build
+	scripts/run-tests build/release
+
+demo: packages build
+	scripts/demo
+
+sanitize:
+	cmake --preset sanitize
+	cmake --build build/sanitize -j $(JOBS)
+	scripts/run-tests build/sanitize
+
+format:
+	scripts/own-sources | xargs clang-format -i
+
+format-check:
+	scripts/own-sources | xargs clang-format --dry-run --Werror
+
+lint:
+	cmake --preset release
+	scripts/lint build/release
+
+wire:
+	cd wire && thrift --gen cpp:no_skeleton,moveable_types -out gen wire.thrift
--- /dev/null
+++ b/monsoonreel/effect.h
@@ -0,0 +1,166 @@
+// Effects: everything that a node's reducer can ask for.
+//
+// An effect is a value. The daemons carry it out; tests compare it. Nothing is
+// promised about an effect's success: what comes of it arrives as an event, or
+// never.
+
+#ifndef MONSOONREEL_EFFECT_H
+#define MONSOONREEL_EFFECT_H
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "monsoonreel/types.h"
+#include "monsoonreel/wire.h"
+
+namespace monsoonreel {
+
+// ------------------------------------------------------------------ callers
+
+struct begin_answer {
+  request_id Request;
+  int Status = 200;
+  std::string ContentType;
+  bool Stream = false; // the body's length is not known yet
+  upstream_name Upstream;
+};
+
+struct write_answer {
+  request_id Request;
+  std::string Data;
+};
+
+// The answer is complete.
+struct finish_answer {
+  request_id Request;
+};
+
+// The answer can't be completed: close the connection, so that the caller does
+// not take the part that it has for the whole.
+struct abort_answer {
+  request_id Request;
+  std::string Reason;
+};
+
+// The whole answer of a request that the router gives up.
+struct refuse_request {
+  request_id Request;
+  int Status = 503;
+  std::string Code; // stable and machine readable, such as "target-unreachable"
+  std::string Message;
+  run_knowledge Outcome = run_knowledge::NotRun;
+  duration RetryAfter{}; // zero: coming back is of no use
+};
+
+// ---------------------------------------------------------------- upstreams
+
+struct dispatch_attempt {
+  attempt_number Attempt;
+  request_id Request;
+  upstream_name Upstream;
+  address Address;
+  int Priority = 0;          // for the engine's scheduler, 0 is the highest
+  int ResumeAfterTokens = 0; // tokens that the caller has already
+  bool FreshConnection = false;
+};
+
+// Close the attempt's connection; events about it that come later are dropped.
+struct cancel_attempt {
+  attempt_number Attempt;
+};
+
+struct poll_load {
+  upstream_name Upstream;
+  address Address;
+};
+
+// -------------------------------------------------------------------- peers
+
+struct send_message {
+  node_name To;
+  address ToAddress;
+  wire::peer_message Message;
+};
+
+// The connection went silent: close it and open another for the next message.
+struct reset_link {
+  address ToAddress;
+};
+
+// ----------------------------------------------------------------- platform
+
+struct append_record {
+  call_id Call;
+  std::string Stream;
+  wire::log_record Record;
+};
+
+struct read_log {
+  std::string Stream;
+  log_offset From;
+};
+
+struct send_usage_report {
+  int64_t Window = 0;
+  int64_t Fence = 0;
+  std::vector<wire::usage_increment> Figures;
+};
+
+struct send_order {
+  wire::order_intent Intent;
+};
+
+struct read_vm_list {};
+
+// ------------------------------------------------------------------ process
+
+// An invariant was broken. The action concerned has been stopped.
+struct report_breach {
+  std::string Invariant;
+  std::string Detail;
+};
+
+enum class log_level { Debug, Info, Warning, Error };
+
+// A structured log line. Never holds a key.
+struct log_line {
+  log_level Level = log_level::Info;
+  std::string Text;
+};
+
+// Adds to a metric. The I/O layer owns the registry.
+struct count_metric {
+  std::string Name;
+  std::vector<std::pair<std::string, std::string>> Labels;
+  double Add = 1.0;
+};
+
+struct observe_metric {
+  std::string Name;
+  std::vector<std::pair<std::string, std::string>> Labels;
+  double Value = 0.0;
+};
+
+struct set_gauge {
+  std::string Name;
+  std::vector<std::pair<std::string, std::string>> Labels;
+  double Value = 0.0;
+};
+
+// Everything that runs has ended after a drain: the process may exit.
+struct drain_finished {};
+
+using effect =
+    std::variant<begin_answer, write_answer, finish_answer, abort_answer,
+                 refuse_request, dispatch_attempt, cancel_attempt, poll_load,
+                 send_message, reset_link, append_record, read_log,
+                 send_usage_report, send_order, read_vm_list, report_breach,
+                 log_line, count_metric, observe_metric, set_gauge,
+                 drain_finished>;
+
+using effect_list = std::vector<effect>;
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_EFFECT_H
--- /dev/null
+++ b/monsoonreel/finding.cc
@@ -0,0 +1,23 @@
+#include "monsoonreel/finding.h"
+
+#include <utility>
+
+namespace monsoonreel {
+
+void finding_list::add(input_place Place, std::string Message) {
+  Findings.push_back({std::move(Place), std::move(Message)});
+}
+
+std::string finding_list::toString() const {
+  std::string Text;
+  for (const finding &F : Findings) {
+    Text += F.Place.File + ":" + std::to_string(F.Place.Line) + ":" +
+            std::to_string(F.Place.Column) + ": ";
+    if (!F.Place.Path.empty())
+      Text += F.Place.Path + ": ";
+    Text += F.Message + "\n";
+  }
+  return Text;
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/monsoonreel/mechanism.h
@@ -0,0 +1,51 @@
+// Switches that take a safety mechanism away, for tests only.
+//
+//   if (isEnabled(mechanism::LeaseMargin))
+//     Wait += drift_margin;
+//
+// A test that disables a mechanism has to see a failure; otherwise nothing
+// shows that the mechanism is needed or that the tests watch it. Daemons never
+// disable one.
+
+#ifndef MONSOONREEL_MECHANISM_H
+#define MONSOONREEL_MECHANISM_H
+
+namespace monsoonreel {
+
+enum class mechanism {
+  ClaimBeforeDispatch,   // a keyed request is claimed in the log first
+  ClaimReadBack,         // the claim is read back before it counts
+  LeaseMargin,           // a successor waits out the drift margin
+  LeaseCheckBeforeWrite, // the holder checks its lease right before a write
+  Fencing,               // records of an old fencing number are void
+  VersionCheck,          // an edit names the document that it replaces
+  OffsetOnlyGrows,       // a replica never goes back to an older state
+  WriterSequence,        // a record that is appended twice counts once
+  UsageSequence,         // a usage batch that comes twice counts once
+  UsageHold,             // a batch is held at a second VM until it is logged
+  RetryOnlyIdempotent,   // a non-idempotent request is never sent again
+  TierOrder,             // shedding takes the lowest tier first
+  MinimumShare,          // every class gets its share of grants
+  DrainWaits,            // a draining process ends what it runs
+  LeavingStopsGrants,    // a leaving upstream gets no new work
+  WithdrawalCancels,     // running requests of a withdrawn key are cancelled
+  AttemptFilter,         // late events of a cancelled attempt are dropped
+};
+
+bool isEnabled(mechanism Mechanism);
+
+// Takes one mechanism away for its lifetime. For test files.
+class disabled_mechanism {
+public:
+  explicit disabled_mechanism(mechanism Mechanism);
+  ~disabled_mechanism();
+  disabled_mechanism(const disabled_mechanism &) = delete;
+  disabled_mechanism &operator=(const disabled_mechanism &) = delete;
+
+private:
+  mechanism Mechanism;
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_MECHANISM_H
--- /dev/null
+++ b/monsoonreel/testing/test_main.cc
@@ -0,0 +1,11 @@
+// The test program's entry point: a broken invariant ends it.
+
+#include <gtest/gtest.h>
+
+#include "monsoonreel/invariant.h"
+
+int main(int Argc, char **Argv) {
+  ::testing::InitGoogleTest(&Argc, Argv);
+  monsoonreel::abortOnBreach(true);
+  return RUN_ALL_TESTS();
+}
--- /dev/null
+++ b/wire/wire.thrift
@@ -0,0 +1,402 @@
+// Messages between monsoonreel's own processes, and the records that they
+// append to the platform's log.
+//
+// Struct and field names follow the C++ style of the library, because the
+// generated code is used as the message types. Durations are microseconds and
+// relative: no message carries a reading of a clock that another machine would
+// compare with its own, except where a field says "wall clock".
+//
+// Regenerate wire/gen with `make wire` after a change. Fields are only added,
+// never renumbered: old and new processes talk to each other during an upgrade.
+
+namespace cpp monsoonreel.wire
+
+// ---------------------------------------------------------------- membership
+
+enum member_role { Entry = 1, Steward = 2 }
+enum member_state { Alive = 1, Suspect = 2, Leaving = 3, Dead = 4 }
+
+struct member {
+  1: string Name
+  2: member_role Role
+  3: string Zone
+  4: string Address            // ip:port of the peer listener
+  5: i64 Incarnation           // grows with every start of the process
+  6: i32 Refutation            // grows when the member denies a suspicion
+  7: member_state State
+}
+
+// One pool's queue as its owner sees it; spread so that askers can choose.
+struct pool_load {
+  1: string Pool
+  2: string Owner
+  3: i64 QueueWaitMicros
+  4: i32 FreeSlots
+}
+
+struct heartbeat {
+  1: i64 Nonce
+  2: member Sender
+  3: i64 LedgerOffset          // highest applied offset of the operator stream
+  4: list<member> Gossip
+  5: list<pool_load> Loads
+}
+
+struct heartbeat_ack {
+  1: i64 Nonce
+  2: member Sender
+  3: i64 LedgerOffset
+  4: list<member> Gossip
+  5: list<pool_load> Loads
+  6: string OnBehalfOf         // empty, or the member that an indirect probe reached
+}
+
+// Asks another member to probe Target and to pass the answer on.
+struct probe_request {
+  1: i64 Nonce
+  2: member Sender
+  3: member Target
+}
+
+// ---------------------------------------------------------------- state sync
+
+struct stored_record {
+  1: i64 Offset
+  2: binary Bytes              // a log_record in compact form
+}
+
+struct state_pull {
+  1: string Stream
+  2: i64 FromOffset            // first offset that is wanted
+}
+
+struct state_push {
+  1: string Stream
+  2: list<stored_record> Records
+  3: optional stored_record Snapshot  // when FromOffset is no longer kept
+  4: i64 HighestOffset
+}
+
+// ---------------------------------------------------------------- claims
+
+struct claim_key {
+  1: string Organisation
+  2: binary KeyHash            // 16 bytes of XXH3-128 of the idempotency key
+}
+
+// One try of one entry to run a claimed request.
+struct attempt_id {
+  1: i64 Incarnation
+  2: i64 Sequence
+}
+
+enum claim_verdict { Won = 1, InProgress = 2, Finished = 3, OutcomeUnknown = 4, Unavailable = 5, Mismatch = 6 }
+enum run_outcome { NotRun = 1, Run = 2, Unknown = 3 }
+
+struct claim_ask {
+  1: claim_key Key
+  2: attempt_id Attempt
+  3: i64 BodyHash              // XXH3-64 of method, path and body
+}
+
+struct recorded_answer {
+  1: i32 Status
+  2: string ContentType
+  3: binary Body               // bounded; empty when too large to keep
+  4: bool BodyKept
+}
+
+struct claim_answer {
+  1: attempt_id Attempt
+  2: claim_verdict Verdict
+  3: optional recorded_answer Answer
+  4: i64 RetryAfterMicros
+}
+
+struct claim_settle {
+  1: claim_key Key
+  2: attempt_id Attempt
+  3: run_outcome Outcome
+  4: optional recorded_answer Answer
+}
+
+struct claim_settled {
+  1: attempt_id Attempt
+}
+
+// ---------------------------------------------------------------- usage
+
+struct usage_increment {
+  1: string Organisation
+  2: string ServiceClass
+  3: i64 Requests
+  4: i64 PromptTokens
+  5: i64 OutputTokens
+}
+
+struct usage_batch {
+  1: i64 Incarnation           // of the entry that metered it
+  2: i64 Sequence              // from 1, without gaps, per incarnation
+  3: list<usage_increment> Increments
+}
+
+// An entry hands a batch to a steward, which appends it to the log.
+struct usage_offer {
+  1: usage_batch Batch
+}
+
+// The batch is in the log and was read back.
+struct usage_accepted {
+  1: i64 Incarnation
+  2: i64 Sequence
+}
+
+// Held by an entry on another VM until the log has the batch.
+struct usage_hold {
+  1: usage_batch Batch
+  2: string Source
+}
+
+struct usage_held {
+  1: i64 Incarnation
+  2: i64 Sequence
+}
+
+struct usage_release {
+  1: i64 Incarnation
+  2: i64 UpToSequence
+}
+
+// ---------------------------------------------------------------- slots
+
+struct slot_ask {
+  1: i64 Ask                   // unique for the asking incarnation
+  2: string Pool
+  3: string ServiceClass
+  4: i32 Tier                  // 0 is the highest
+  5: string Organisation
+  6: i64 TimeLeftMicros        // until the target would be missed
+  7: i32 PromptTokens
+  8: i32 ExpectedOutputTokens
+  9: i64 PrefixHash
+  10: bool Idempotent
+  11: list<string> Excluded    // upstreams that already failed this request
+  12: i64 GiveUpMicros         // until the caller's own deadline
+  13: i64 Incarnation          // of the asking entry
+}
+
+struct slot_grant {
+  1: i64 Ask
+  2: string Upstream
+  3: i64 Slot                  // unique for the owner's incarnation
+  4: i32 Priority              // for the engine's own scheduler
+  5: i64 OwnerIncarnation
+}
+
+enum refusal_reason { QueueFull = 1, TargetUnreachable = 2, NoUpstream = 3, OrganisationLimit = 4, NotOwner = 5, ShuttingDown = 6, DeadlinePassed = 7 }
+
+struct slot_refuse {
+  1: i64 Ask
+  2: refusal_reason Reason
+  3: i64 RetryAfterMicros
+}
+
+enum slot_result { Completed = 1, Failed = 2, Silent = 3, Cancelled = 4, NeverSent = 5 }
+
+struct slot_release {
+  1: i64 Slot
+  2: slot_result Result
+  3: i64 FirstTokenMicros      // 0 when none came
+  4: i64 TotalMicros
+  5: i32 OutputTokens
+  6: i64 OwnerIncarnation
+}
+
+// The asker no longer waits.
+struct slot_cancel {
+  1: i64 Ask
+}
+
+// The owner takes a running slot back for a higher tier.
+struct slot_preempt {
+  1: i64 Slot
+  2: i64 Ask
+}
+
+// Progress of running slots, so that an owner keeps slots of live askers and
+// frees those of dead ones.
+struct slot_renew {
+  1: i64 Incarnation
+  2: i64 OwnerIncarnation
+  3: list<i64> Slots
+}
+
+// ---------------------------------------------------------------- log records
+
+// Replaces the configuration document. Valid when Base is the offset of the
+// document in force.
+struct config_edit {
+  1: i64 Base
+  2: string Document           // YAML
+  3: string Author
+}
+
+struct key_give {
+  1: string KeyId
+  2: string Organisation
+  3: binary KeyHash            // SHA-256 of the key
+}
+
+struct key_withdraw {
+  1: string KeyId
+}
+
+// Valid when Previous is the offset of the lease's current claim, or 0 when
+// there was none. The record's own offset is the fencing number.
+struct lease_claim {
+  1: string Lease
+  2: i64 Previous
+  3: string Holder
+  4: i64 Incarnation
+  5: i64 DurationMicros
+  6: bool Released             // the holder gives it up early
+}
+
+struct usage_append {
+  1: list<usage_batch> Batches
+}
+
+// Valid when Window is one more than the last closed window and Fence is the
+// current claim of the reporter's lease. The figures are those of all batches
+// between the last close and this record.
+struct usage_close {
+  1: i64 Window
+  2: i64 Fence
+  3: list<usage_increment> Figures
+  4: i64 UpToOffset            // the figures cover records up to this offset
+}
+
+struct usage_reported {
+  1: i64 Window
+}
+
+enum order_kind { StartUpstream = 1, StopUpstream = 2, LoadModel = 3 }
+
+// Valid when Fence is the current claim of the zone's order lease.
+struct order_intent {
+  1: string OrderId
+  2: string Zone
+  3: i64 Fence
+  4: order_kind Kind
+  5: string Target
+  6: i32 Count
+}
+
+struct order_done {
+  1: string OrderId
+  2: bool Accepted
+}
+
+struct claim_entry {
+  1: claim_key Key
+  2: attempt_id Attempt
+  3: i64 BodyHash
+  4: i64 CreatedWallMicros     // wall clock of the appending steward
+}
+
+struct claim_outcome {
+  1: claim_key Key
+  2: attempt_id Attempt
+  3: run_outcome Outcome
+  4: optional recorded_answer Answer
+}
+
+struct claim_batch {
+  1: list<claim_entry> Claims
+  2: list<claim_outcome> Outcomes
+}
+
+// The state of a stream's replay after all records up to CoversOffset.
+struct snapshot {
+  1: i64 CoversOffset
+  2: binary State              // ledger_state or claims_state
+}
+
+// Every record carries its writer and sequence, so that an append that is sent
+// again after a lost answer takes effect once.
+struct log_record {
+  1: i64 Incarnation
+  2: i64 Sequence
+  3: optional config_edit ConfigEdit
+  4: optional key_give KeyGive
+  5: optional key_withdraw KeyWithdraw
+  6: optional lease_claim LeaseClaim
+  7: optional usage_append UsageAppend
+  8: optional usage_close UsageClose
+  9: optional usage_reported UsageReported
+  10: optional order_intent OrderIntent
+  11: optional order_done OrderDone
+  12: optional claim_batch ClaimBatch
+  13: optional snapshot Snapshot
+}
+
+// ---------------------------------------------------------------- snapshots
+
+struct key_state {
+  1: string KeyId
+  2: string Organisation
+  3: binary KeyHash
+  4: bool Withdrawn
+}
+
+struct lease_state {
+  1: string Lease
+  2: i64 Fence
+  3: string Holder
+  4: i64 Incarnation
+  5: i64 DurationMicros
+  6: bool Released
+}
+
+struct writer_state {
+  1: i64 Incarnation
+  2: i64 Sequence
+  3: i64 LastOffset
+}
+
+struct closed_window {
+  1: i64 Window
+  2: list<usage_increment> Figures
+  3: bool Reported
+}
+
+struct order_state {
+  1: order_intent Intent
+  2: i64 Offset
+}
+
+struct ledger_state {
+  1: i64 ConfigOffset
+  2: string Document
+  3: list<key_state> Keys
+  4: list<lease_state> Leases
+  5: list<writer_state> Writers
+  6: list<writer_state> UsageSources
+  7: list<usage_increment> OpenUsage
+  8: list<closed_window> Windows
+  9: list<order_state> Orders
+  10: i64 LastClosedWindow
+}
+
+struct claim_state {
+  1: claim_entry Entry
+  2: i64 Offset
+  3: run_outcome Outcome
+  4: bool Settled
+  5: optional recorded_answer Answer
+}
+
+struct claims_state {
+  1: list<claim_state> Claims
+  2: list<writer_state> Writers
+}
