--- /dev/null
+++ b/monsoonreel/yaml_reader.cc
@@ -0,0 +1,249 @@
+#include "monsoonreel/yaml_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "monsoonreel/address.h"
+
+namespace monsoonreel {
+
+namespace {
+
+struct time_unit {
+  const char *Suffix;
+  duration Length;
+};
+
+constexpr std::array<time_unit, 5> TimeUnits = {{
+    {"us", std::chrono::microseconds(1)},
+    {"ms", std::chrono::milliseconds(1)},
+    {"min", std::chrono::minutes(1)},
+    {"s", std::chrono::seconds(1)},
+    {"h", std::chrono::hours(1)},
+}};
+
+std::optional<double> parseNumber(const std::string &Text) {
+  double Value = 0;
+  auto Result = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Result.ec != std::errc() || Result.ptr != Text.data() + Text.size() ||
+      !std::isfinite(Value))
+    return std::nullopt;
+  return Value;
+}
+
+std::optional<duration> parseTime(const std::string &Text) {
+  size_t UnitStart = Text.find_first_not_of("0123456789.");
+  if (UnitStart == std::string::npos)
+    return std::nullopt;
+  auto Number = parseNumber(Text.substr(0, UnitStart));
+  std::string Suffix = Text.substr(UnitStart);
+  const auto *Unit =
+      std::find_if(TimeUnits.begin(), TimeUnits.end(),
+                   [&](const time_unit &U) { return Suffix == U.Suffix; });
+  if (!Number || Unit == TimeUnits.end())
+    return std::nullopt;
+  double Micros = *Number * static_cast<double>(Unit->Length.count());
+  // A longer time than this can't be meant and would overflow in sums.
+  constexpr double max_micros = 1e15;
+  if (Micros > max_micros)
+    return std::nullopt;
+  return duration(static_cast<int64_t>(Micros));
+}
+
+std::string describe(duration Value) {
+  if (Value % std::chrono::seconds(1) == duration::zero())
+    return std::to_string(Value / std::chrono::seconds(1)) + "s";
+  if (Value % std::chrono::milliseconds(1) == duration::zero())
+    return std::to_string(Value / std::chrono::milliseconds(1)) + "ms";
+  return std::to_string(Value.count()) + "us";
+}
+
+std::string describe(double Value) {
+  std::string Text = std::to_string(Value);
+  Text.erase(Text.find_last_not_of('0') + 1);
+  if (Text.back() == '.')
+    Text.pop_back();
+  return Text;
+}
+
+} // namespace
+
+std::optional<YAML::Node> loadYaml(const std::string &Text,
+                                   const std::string &File,
+                                   finding_list &Findings) {
+  try {
+    return YAML::Load(Text);
+  } catch (const YAML::Exception &E) {
+    Findings.add({File, E.mark.line + 1, E.mark.column + 1, ""}, E.msg);
+    return std::nullopt;
+  }
+}
+
+yaml_map::yaml_map(const YAML::Node &Node, std::string File, std::string Path,
+                   finding_list &Findings)
+    : Node(Node), File(std::move(File)), Path(std::move(Path)),
+      Findings(Findings) {
+  if (Node.IsDefined() && !Node.IsNull() && !Node.IsMap())
+    Findings.add(placeOf(Node, this->Path), "must be a map");
+}
+
+bool yaml_map::has(const std::string &Key) const {
+  return Node.IsMap() && Node[Key].IsDefined();
+}
+
+std::string yaml_map::text(const std::string &Key,
+                           const std::optional<std::string> &Default) {
+  auto Value = scalar(Key, Default.has_value());
+  if (!Value)
+    return Default.value_or("");
+  if (Value->empty())
+    reject(Key, "must not be empty");
+  return *Value;
+}
+
+int yaml_map::integer(const std::string &Key, int Least, int Most,
+                      std::optional<int> Default) {
+  auto Text = scalar(Key, Default.has_value());
+  if (!Text)
+    return Default.value_or(Least);
+  auto Value = parseNumber(*Text);
+  if (Value && *Value == std::floor(*Value) && *Value >= Least &&
+      *Value <= Most)
+    return static_cast<int>(*Value);
+  reject(Key, "must be a whole number from " + std::to_string(Least) + " to " +
+                  std::to_string(Most));
+  return Default.value_or(Least);
+}
+
+double yaml_map::number(const std::string &Key, double Least, double Most,
+                        std::optional<double> Default) {
+  auto Text = scalar(Key, Default.has_value());
+  if (!Text)
+    return Default.value_or(Least);
+  auto Value = parseNumber(*Text);
+  if (Value && *Value >= Least && *Value <= Most)
+    return *Value;
+  reject(Key,
+         "must be a number from " + describe(Least) + " to " + describe(Most));
+  return Default.value_or(Least);
+}
+
+bool yaml_map::flag(const std::string &Key, std::optional<bool> Default) {
+  auto Text = scalar(Key, Default.has_value());
+  if (!Text)
+    return Default.value_or(false);
+  if (*Text == "true" || *Text == "false")
+    return *Text == "true";
+  reject(Key, "must be true or false");
+  return Default.value_or(false);
+}
+
+duration yaml_map::time(const std::string &Key, duration Least, duration Most,
+                        std::optional<duration> Default) {
+  auto Text = scalar(Key, Default.has_value());
+  if (!Text)
+    return Default.value_or(Least);
+  auto Value = parseTime(*Text);
+  if (Value && *Value >= Least && *Value <= Most)
+    return *Value;
+  reject(Key, "must be a time from " + describe(Least) + " to " +
+                  describe(Most) + ", such as 350ms or 2s");
+  return Default.value_or(Least);
+}
+
+address yaml_map::endpoint(const std::string &Key,
+                           const std::optional<address> &Default) {
+  auto Text = scalar(Key, Default.has_value());
+  if (!Text)
+    return Default.value_or(address());
+  if (!isAddress(*Text))
+    reject(Key, "must be an IP address and a port, such as 127.0.0.1:7400");
+  return address(*Text);
+}
+
+std::vector<std::string> yaml_map::texts(const std::string &Key) {
+  Read.push_back(Key);
+  std::vector<std::string> Values;
+  if (!has(Key))
+    return Values;
+  if (!Node[Key].IsSequence()) {
+    reject(Key, "must be a list");
+    return Values;
+  }
+  for (const auto &Item : Node[Key]) {
+    if (Item.IsScalar() && !Item.Scalar().empty())
+      Values.push_back(Item.Scalar());
+    else
+      Findings.add(placeOf(Item, pathOf(Key)), "must be a list of texts");
+  }
+  return Values;
+}
+
+void yaml_map::maps(const std::string &Key,
+                    const std::function<void(yaml_map &)> &Visit) {
+  Read.push_back(Key);
+  if (!has(Key))
+    return;
+  if (!Node[Key].IsSequence()) {
+    reject(Key, "must be a list");
+    return;
+  }
+  int Index = 0;
+  for (const auto &Item : Node[Key]) {
+    yaml_map Map(Item, File, pathOf(Key) + "[" + std::to_string(Index++) + "]",
+                 Findings);
+    Visit(Map);
+    Map.rejectUnknown();
+  }
+}
+
+yaml_map yaml_map::map(const std::string &Key) {
+  Read.push_back(Key);
+  YAML::Node Below = has(Key) ? Node[Key] : YAML::Node(YAML::NodeType::Map);
+  return {Below, File, pathOf(Key), Findings};
+}
+
+void yaml_map::reject(const std::string &Key, const std::string &Message) {
+  Findings.add(placeOf(has(Key) ? Node[Key] : Node, pathOf(Key)), Message);
+}
+
+void yaml_map::rejectUnknown() {
+  if (!Node.IsMap())
+    return;
+  for (const auto &Entry : Node) {
+    std::string Key = Entry.first.IsScalar() ? Entry.first.Scalar() : "?";
+    if (std::find(Read.begin(), Read.end(), Key) == Read.end())
+      Findings.add(placeOf(Entry.first, pathOf(Key)), "unknown key");
+  }
+}
+
+input_place yaml_map::placeOf(const YAML::Node &Where,
+                              const std::string &WherePath) const {
+  YAML::Mark Mark = Where.IsDefined() ? Where.Mark() : YAML::Mark();
+  return {File, Mark.line + 1, Mark.column + 1, WherePath};
+}
+
+std::string yaml_map::pathOf(const std::string &Key) const {
+  if (Path.empty() || Key.empty())
+    return Path + Key;
+  return Path + "." + Key;
+}
+
+std::optional<std::string> yaml_map::scalar(const std::string &Key,
+                                            bool HasDefault) {
+  Read.push_back(Key);
+  if (!has(Key)) {
+    if (!HasDefault)
+      reject(Key, "is missing");
+    return std::nullopt;
+  }
+  if (Node[Key].IsScalar())
+    return Node[Key].Scalar();
+  reject(Key, "must be a single value");
+  return std::nullopt;
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/monsoonreel/yaml_reader.h
@@ -0,0 +1,82 @@
+// Reads values out of a YAML map and collects everything that is wrong.
+//
+//   finding_list Findings;
+//   yaml_map Root(Document, "site.yaml", "", Findings);
+//   std::string Name = Root.text("name");
+//   int Tier = Root.integer("tier", 0, max_tier);
+//   Root.rejectUnknown();
+//
+// A reader returns the default value when the value is missing or wrong, and
+// adds a finding with its line, column and dotted path, so that one run reports
+// all findings.
+
+#ifndef MONSOONREEL_YAML_READER_H
+#define MONSOONREEL_YAML_READER_H
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <yaml-cpp/yaml.h>
+
+#include "monsoonreel/finding.h"
+#include "monsoonreel/types.h"
+
+namespace monsoonreel {
+
+// Parses Text; a syntax error becomes a finding and an empty result.
+std::optional<YAML::Node> loadYaml(const std::string &Text,
+                                   const std::string &File,
+                                   finding_list &Findings);
+
+class yaml_map {
+public:
+  yaml_map(const YAML::Node &Node, std::string File, std::string Path,
+           finding_list &Findings);
+
+  bool has(const std::string &Key) const;
+
+  // Without a default the key must be present.
+  std::string text(const std::string &Key,
+                   const std::optional<std::string> &Default = std::nullopt);
+  int integer(const std::string &Key, int Least, int Most,
+              std::optional<int> Default = std::nullopt);
+  double number(const std::string &Key, double Least, double Most,
+                std::optional<double> Default = std::nullopt);
+  bool flag(const std::string &Key, std::optional<bool> Default = std::nullopt);
+  // A number with a unit: us, ms, s, min or h, such as "350ms".
+  duration time(const std::string &Key, duration Least, duration Most,
+                std::optional<duration> Default = std::nullopt);
+  // ip:port
+  address endpoint(const std::string &Key,
+                   const std::optional<address> &Default = std::nullopt);
+  // A missing list is empty.
+  std::vector<std::string> texts(const std::string &Key);
+  // Calls Visit for each map of a list; a missing list is empty.
+  void maps(const std::string &Key,
+            const std::function<void(yaml_map &)> &Visit);
+  // The map below Key; empty when it is missing.
+  yaml_map map(const std::string &Key);
+
+  // Adds a finding at the value of Key, or at the map itself.
+  void reject(const std::string &Key, const std::string &Message);
+  // Adds a finding for each key that nobody has read. Call it last.
+  void rejectUnknown();
+
+private:
+  input_place placeOf(const YAML::Node &Node, const std::string &Path) const;
+  std::string pathOf(const std::string &Key) const;
+  // The scalar of Key. Adds a finding when it is missing without a default.
+  std::optional<std::string> scalar(const std::string &Key, bool HasDefault);
+
+  YAML::Node Node;
+  std::string File;
+  std::string Path;
+  finding_list &Findings;
+  std::vector<std::string> Read;
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_YAML_READER_H
