Declare the ledger: replay of the operator and the usage stream

One class replays either stream. Usage has a stream of its own, so that the entries, which need the configuration and the keys only, don't get every usage batch.

The figures of a window are what the replay has before the close record.

--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -7361,6 +7361,10 @@
 void key_state::__set_Withdrawn(const bool val) {
   this->Withdrawn = val;
 }
+
+void key_state::__set_Offset(const int64_t val) {
+  this->Offset = val;
+}
 std::ostream& operator<<(std::ostream& out, const key_state& obj)
 {
   obj.printTo(out);
@@ -7421,6 +7425,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Offset);
+          this->__isset.Offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7454,6 +7466,10 @@
   xfer += oprot->writeBool(this->Withdrawn);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Offset", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->Offset);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7465,6 +7481,7 @@
   swap(a.Organisation, b.Organisation);
   swap(a.KeyHash, b.KeyHash);
   swap(a.Withdrawn, b.Withdrawn);
+  swap(a.Offset, b.Offset);
   swap(a.__isset, b.__isset);
 }
 
@@ -7473,6 +7490,7 @@
   Organisation = other252.Organisation;
   KeyHash = other252.KeyHash;
   Withdrawn = other252.Withdrawn;
+  Offset = other252.Offset;
   __isset = other252.__isset;
 }
 key_state::key_state(key_state&& other253) noexcept {
@@ -7480,6 +7498,7 @@
   Organisation = std::move(other253.Organisation);
   KeyHash = std::move(other253.KeyHash);
   Withdrawn = other253.Withdrawn;
+  Offset = other253.Offset;
   __isset = other253.__isset;
 }
 key_state& key_state::operator=(const key_state& other254) {
@@ -7487,6 +7506,7 @@
   Organisation = other254.Organisation;
   KeyHash = other254.KeyHash;
   Withdrawn = other254.Withdrawn;
+  Offset = other254.Offset;
   __isset = other254.__isset;
   return *this;
 }
@@ -7495,6 +7515,7 @@
   Organisation = std::move(other255.Organisation);
   KeyHash = std::move(other255.KeyHash);
   Withdrawn = other255.Withdrawn;
+  Offset = other255.Offset;
   __isset = other255.__isset;
   return *this;
 }
@@ -7505,6 +7526,7 @@
   out << ", " << "Organisation=" << to_string(Organisation);
   out << ", " << "KeyHash=" << to_string(KeyHash);
   out << ", " << "Withdrawn=" << to_string(Withdrawn);
+  out << ", " << "Offset=" << to_string(Offset);
   out << ")";
 }
 
@@ -7735,6 +7757,10 @@
 void writer_state::__set_LastOffset(const int64_t val) {
   this->LastOffset = val;
 }
+
+void writer_state::__set_Ahead(const int64_t val) {
+  this->Ahead = val;
+}
 std::ostream& operator<<(std::ostream& out, const writer_state& obj)
 {
   obj.printTo(out);
@@ -7787,6 +7813,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Ahead);
+          this->__isset.Ahead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7816,6 +7850,10 @@
   xfer += oprot->writeI64(this->LastOffset);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Ahead", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->Ahead);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7826,6 +7864,7 @@
   swap(a.Incarnation, b.Incarnation);
   swap(a.Sequence, b.Sequence);
   swap(a.LastOffset, b.LastOffset);
+  swap(a.Ahead, b.Ahead);
   swap(a.__isset, b.__isset);
 }
 
@@ -7833,18 +7872,21 @@
   Incarnation = other260.Incarnation;
   Sequence = other260.Sequence;
   LastOffset = other260.LastOffset;
+  Ahead = other260.Ahead;
   __isset = other260.__isset;
 }
 writer_state::writer_state(writer_state&& other261) noexcept {
   Incarnation = other261.Incarnation;
   Sequence = other261.Sequence;
   LastOffset = other261.LastOffset;
+  Ahead = other261.Ahead;
   __isset = other261.__isset;
 }
 writer_state& writer_state::operator=(const writer_state& other262) noexcept {
   Incarnation = other262.Incarnation;
   Sequence = other262.Sequence;
   LastOffset = other262.LastOffset;
+  Ahead = other262.Ahead;
   __isset = other262.__isset;
   return *this;
 }
@@ -7852,6 +7894,7 @@
   Incarnation = other263.Incarnation;
   Sequence = other263.Sequence;
   LastOffset = other263.LastOffset;
+  Ahead = other263.Ahead;
   __isset = other263.__isset;
   return *this;
 }
@@ -7861,6 +7904,7 @@
   out << "Incarnation=" << to_string(Incarnation);
   out << ", " << "Sequence=" << to_string(Sequence);
   out << ", " << "LastOffset=" << to_string(LastOffset);
+  out << ", " << "Ahead=" << to_string(Ahead);
   out << ")";
 }
 
@@ -8196,6 +8240,10 @@
 void ledger_state::__set_LastClosedWindow(const int64_t val) {
   this->LastClosedWindow = val;
 }
+
+void ledger_state::__set_LastSnapshot(const int64_t val) {
+  this->LastSnapshot = val;
+}
 std::ostream& operator<<(std::ostream& out, const ledger_state& obj)
 {
   obj.printTo(out);
@@ -8388,6 +8436,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LastSnapshot);
+          this->__isset.LastSnapshot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8501,6 +8557,10 @@
   xfer += oprot->writeI64(this->LastClosedWindow);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("LastSnapshot", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->LastSnapshot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8518,6 +8578,7 @@
   swap(a.Windows, b.Windows);
   swap(a.Orders, b.Orders);
   swap(a.LastClosedWindow, b.LastClosedWindow);
+  swap(a.LastSnapshot, b.LastSnapshot);
   swap(a.__isset, b.__isset);
 }
 
@@ -8532,6 +8593,7 @@
   Windows = other320.Windows;
   Orders = other320.Orders;
   LastClosedWindow = other320.LastClosedWindow;
+  LastSnapshot = other320.LastSnapshot;
   __isset = other320.__isset;
 }
 ledger_state::ledger_state(ledger_state&& other321) noexcept {
@@ -8545,6 +8607,7 @@
   Windows = std::move(other321.Windows);
   Orders = std::move(other321.Orders);
   LastClosedWindow = other321.LastClosedWindow;
+  LastSnapshot = other321.LastSnapshot;
   __isset = other321.__isset;
 }
 ledger_state& ledger_state::operator=(const ledger_state& other322) {
@@ -8558,6 +8621,7 @@
   Windows = other322.Windows;
   Orders = other322.Orders;
   LastClosedWindow = other322.LastClosedWindow;
+  LastSnapshot = other322.LastSnapshot;
   __isset = other322.__isset;
   return *this;
 }
@@ -8572,6 +8636,7 @@
   Windows = std::move(other323.Windows);
   Orders = std::move(other323.Orders);
   LastClosedWindow = other323.LastClosedWindow;
+  LastSnapshot = other323.LastSnapshot;
   __isset = other323.__isset;
   return *this;
 }
@@ -8588,6 +8653,7 @@
   out << ", " << "Windows=" << to_string(Windows);
   out << ", " << "Orders=" << to_string(Orders);
   out << ", " << "LastClosedWindow=" << to_string(LastClosedWindow);
+  out << ", " << "LastSnapshot=" << to_string(LastSnapshot);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -2969,11 +2969,12 @@
 std::ostream& operator<<(std::ostream& out, const log_record& obj);
 
 typedef struct _key_state__isset {
-  _key_state__isset() : KeyId(false), Organisation(false), KeyHash(false), Withdrawn(false) {}
+  _key_state__isset() : KeyId(false), Organisation(false), KeyHash(false), Withdrawn(false), Offset(false) {}
   bool KeyId :1;
   bool Organisation :1;
   bool KeyHash :1;
   bool Withdrawn :1;
+  bool Offset :1;
 } _key_state__isset;
 
 class key_state : public virtual ::apache::thrift::TBase {
@@ -2987,7 +2988,8 @@
             : KeyId(),
               Organisation(),
               KeyHash(),
-              Withdrawn(0) {
+              Withdrawn(0),
+              Offset(0) {
   }
 
   virtual ~key_state() noexcept;
@@ -2995,6 +2997,7 @@
   std::string Organisation;
   std::string KeyHash;
   bool Withdrawn;
+  int64_t Offset;
 
   _key_state__isset __isset;
 
@@ -3006,6 +3009,8 @@
 
   void __set_Withdrawn(const bool val);
 
+  void __set_Offset(const int64_t val);
+
   bool operator == (const key_state & rhs) const
   {
     if (!(KeyId == rhs.KeyId))
@@ -3016,6 +3021,8 @@
       return false;
     if (!(Withdrawn == rhs.Withdrawn))
       return false;
+    if (!(Offset == rhs.Offset))
+      return false;
     return true;
   }
   bool operator != (const key_state &rhs) const {
@@ -3115,10 +3122,11 @@
 std::ostream& operator<<(std::ostream& out, const lease_state& obj);
 
 typedef struct _writer_state__isset {
-  _writer_state__isset() : Incarnation(false), Sequence(false), LastOffset(false) {}
+  _writer_state__isset() : Incarnation(false), Sequence(false), LastOffset(false), Ahead(false) {}
   bool Incarnation :1;
   bool Sequence :1;
   bool LastOffset :1;
+  bool Ahead :1;
 } _writer_state__isset;
 
 class writer_state : public virtual ::apache::thrift::TBase {
@@ -3131,13 +3139,15 @@
   writer_state() noexcept
                : Incarnation(0),
                  Sequence(0),
-                 LastOffset(0) {
+                 LastOffset(0),
+                 Ahead(0) {
   }
 
   virtual ~writer_state() noexcept;
   int64_t Incarnation;
   int64_t Sequence;
   int64_t LastOffset;
+  int64_t Ahead;
 
   _writer_state__isset __isset;
 
@@ -3147,6 +3157,8 @@
 
   void __set_LastOffset(const int64_t val);
 
+  void __set_Ahead(const int64_t val);
+
   bool operator == (const writer_state & rhs) const
   {
     if (!(Incarnation == rhs.Incarnation))
@@ -3155,6 +3167,8 @@
       return false;
     if (!(LastOffset == rhs.LastOffset))
       return false;
+    if (!(Ahead == rhs.Ahead))
+      return false;
     return true;
   }
   bool operator != (const writer_state &rhs) const {
@@ -3283,7 +3297,7 @@
 std::ostream& operator<<(std::ostream& out, const order_state& obj);
 
 typedef struct _ledger_state__isset {
-  _ledger_state__isset() : ConfigOffset(false), Document(false), Keys(false), Leases(false), Writers(false), UsageSources(false), OpenUsage(false), Windows(false), Orders(false), LastClosedWindow(false) {}
+  _ledger_state__isset() : ConfigOffset(false), Document(false), Keys(false), Leases(false), Writers(false), UsageSources(false), OpenUsage(false), Windows(false), Orders(false), LastClosedWindow(false), LastSnapshot(false) {}
   bool ConfigOffset :1;
   bool Document :1;
   bool Keys :1;
@@ -3294,6 +3308,7 @@
   bool Windows :1;
   bool Orders :1;
   bool LastClosedWindow :1;
+  bool LastSnapshot :1;
 } _ledger_state__isset;
 
 class ledger_state : public virtual ::apache::thrift::TBase {
@@ -3306,7 +3321,8 @@
   ledger_state() noexcept
                : ConfigOffset(0),
                  Document(),
-                 LastClosedWindow(0) {
+                 LastClosedWindow(0),
+                 LastSnapshot(0) {
   }
 
   virtual ~ledger_state() noexcept;
@@ -3320,6 +3336,7 @@
   std::vector<closed_window>  Windows;
   std::vector<order_state>  Orders;
   int64_t LastClosedWindow;
+  int64_t LastSnapshot;
 
   _ledger_state__isset __isset;
 
@@ -3343,6 +3360,8 @@
 
   void __set_LastClosedWindow(const int64_t val);
 
+  void __set_LastSnapshot(const int64_t val);
+
   bool operator == (const ledger_state & rhs) const
   {
     if (!(ConfigOffset == rhs.ConfigOffset))
@@ -3365,6 +3384,8 @@
       return false;
     if (!(LastClosedWindow == rhs.LastClosedWindow))
       return false;
+    if (!(LastSnapshot == rhs.LastSnapshot))
+      return false;
     return true;
   }
   bool operator != (const ledger_state &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -267,13 +267,14 @@
 }
 
 // Valid when Window is one more than the last closed window and Fence is the
-// current claim of the reporter's lease. The figures are those of all batches
-// between the last close and this record.
+// current claim of the reporter's lease. The window's figures are those of all
+// batches between the last close and this record, as replayed; a batch with a
+// higher offset counts in the next window.
 struct usage_close {
   1: i64 Window
   2: i64 Fence
-  3: list<usage_increment> Figures
-  4: i64 UpToOffset            // the figures cover records up to this offset
+  3: list<usage_increment> Figures  // not used
+  4: i64 UpToOffset                 // not used
 }
 
 struct usage_reported {
@@ -347,6 +348,7 @@
   2: string Organisation
   3: binary KeyHash
   4: bool Withdrawn
+  5: i64 Offset                // of the giving or the withdrawing record
 }
 
 struct lease_state {
@@ -358,10 +360,14 @@
   6: bool Released
 }
 
+// What was replayed of one writer, or of one source of usage batches: all up to
+// Sequence, and those beyond it that Ahead marks. Bit 0 stands for Sequence + 2,
+// since Sequence + 1 is missing.
 struct writer_state {
   1: i64 Incarnation
   2: i64 Sequence
   3: i64 LastOffset
+  4: i64 Ahead
 }
 
 struct closed_window {
@@ -386,6 +392,7 @@
   8: list<closed_window> Windows
   9: list<order_state> Orders
   10: i64 LastClosedWindow
+  11: i64 LastSnapshot         // offset of the newest snapshot record
 }
 
 struct claim_state {
