--- a/monsoonreel/effect.h
+++ b/monsoonreel/effect.h
@@ -101,14 +101,19 @@
   log_offset From;
 };
 
+// NotAfter is the last moment on this machine's steady clock at which the call
+// may begin. The daemon reads the clock again right before it writes and drops
+// the call when the moment has passed.
 struct send_usage_report {
   int64_t Window = 0;
   int64_t Fence = 0;
   std::vector<wire::usage_increment> Figures;
+  steady_time NotAfter = steady_time::max();
 };
 
 struct send_order {
   wire::order_intent Intent;
+  steady_time NotAfter = steady_time::max();
 };
 
 struct read_vm_list {};
--- a/monsoonreel/ledger.h
+++ b/monsoonreel/ledger.h
@@ -32,6 +32,7 @@
 #include <vector>
 
 #include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include "monsoonreel/configuration.h"
 #include "monsoonreel/effect.h"
@@ -67,6 +68,8 @@
 constexpr size_t max_unreported_windows = 30;
 constexpr size_t max_open_orders = 256;
 constexpr size_t max_name_bytes = 256;
+// SHA-256.
+constexpr size_t key_hash_bytes = 32;
 
 enum class record_verdict {
   Valid,
@@ -188,6 +191,7 @@
 
   // Each replays one kind of record and returns why it is void, or nothing.
   using rejection = std::optional<std::string>;
+  void replayBytes(const std::string &Bytes, ledger_change &Change);
   rejection replay(const wire::log_record &Record, ledger_change &Change);
   rejection replayEdit(const wire::config_edit &Edit, ledger_change &Change);
   rejection replayGive(const wire::key_give &Give, ledger_change &Change);
@@ -209,8 +213,12 @@
   bool isCurrentFence(std::string_view Lease, int64_t Fence) const;
   bool isRepeated(const wire::log_record &Record) const;
   void rememberWriter(const wire::log_record &Record, log_offset Offset);
+  static void forgetSilent(writer_map &Map, size_t Bound);
+  void indexKey(const key_entry &Entry);
+  void unindexKey(const key_entry &Entry);
   void forgetOldWithdrawals();
-  void indexKeys();
+  bool load(const wire::ledger_state &Snapshot);
+  bool loadKeys(const std::vector<wire::key_state> &States);
 
   std::string Stream;
   log_offset Applied;
@@ -222,6 +230,8 @@
   absl::btree_map<key_id, key_entry> Keys;
   // Live keys by the first bytes of their hash.
   absl::btree_multimap<uint64_t, key_id> KeyIdByPrefix;
+  // Of live and withdrawn keys: a withdrawn key can't come back under a new id.
+  absl::flat_hash_set<key_hash> HashesEverGiven;
   // Withdrawn keys in the order of their withdrawal.
   absl::btree_map<log_offset, key_id> Withdrawals;
 
--- /dev/null
+++ b/monsoonreel/log_follower.cc
@@ -0,0 +1,170 @@
+#include "monsoonreel/log_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace monsoonreel {
+
+namespace {
+
+// Between two reads while the log has nothing new and the platform does not
+// hold the answer back.
+constexpr duration idle_read_interval = std::chrono::milliseconds(20);
+
+// The doubling stops here; every maximum is reached before.
+constexpr int max_doublings = 16;
+
+uint64_t rank(const node_name &Node) {
+  return XXH3_64bits(Node.Value.data(), Node.Value.size());
+}
+
+} // namespace
+
+log_follower::log_follower(std::string Stream, log_replica &Replica)
+    : Stream(std::move(Stream)), Replica(Replica) {}
+
+void log_follower::setFollowing(bool Follow) {
+  if (Following == Follow)
+    return;
+  Following = Follow;
+  CaughtUp = false;
+  stopSearch();
+}
+
+log_offset log_follower::wanted() const {
+  return log_offset{Replica.applied().Value + 1};
+}
+
+void log_follower::onTick(steady_time Now, uint64_t Random,
+                          effect_list &Effects) {
+  if (ReadSent && Now - *ReadSent > read_timeout)
+    noteFailure(Now, Random);
+  if (!Following || ReadSent || Now < NextRead)
+    return;
+  ReadSent = Now;
+  Effects.push_back(read_log{Stream, Searching ? SearchNext : wanted()});
+}
+
+void log_follower::onRecords(const log_records_read &Read, steady_time Now,
+                             uint64_t Random, effect_list &Effects) {
+  if (Read.Stream != Stream)
+    return;
+  ReadSent.reset();
+  Failures = 0;
+  LastAnswer = Now;
+  NextRead = Read.Records.empty() ? Now + idle_read_interval : Now;
+  if (!Following)
+    return;
+  if (Read.Horizon > wanted())
+    search(Read, Now, Effects);
+  else
+    feedAll(Read.Records, Now, Effects);
+  CaughtUp = !Searching && wanted() >= Read.End;
+  if (Read.End < wanted())
+    Effects.push_back(
+        log_line{log_level::Error,
+                 "stream " + Stream + " ends before what was replayed of it"});
+  onTick(Now, Random, Effects);
+}
+
+void log_follower::feedAll(const std::vector<wire::stored_record> &Records,
+                           steady_time Now, effect_list &Effects) {
+  stopSearch();
+  for (const wire::stored_record &Record : Records)
+    if (Record.Offset == wanted().Value)
+      Replica.applyRecord(log_offset{Record.Offset}, Record.Bytes, Now,
+                          Effects);
+}
+
+void log_follower::search(const log_records_read &Read, steady_time Now,
+                          effect_list &Effects) {
+  if (!Searching || SearchNext < Read.Horizon) {
+    stopSearch();
+    Searching = true;
+    SearchNext = Read.Horizon;
+    Effects.push_back(
+        log_line{log_level::Info, "stream " + Stream + " starts at " +
+                                      std::to_string(Read.Horizon.Value) +
+                                      ": looking for a snapshot"});
+  }
+  for (const wire::stored_record &Record : Read.Records) {
+    if (Record.Offset != SearchNext.Value)
+      continue;
+    ++SearchNext.Value;
+    Skipped.push_back(Record);
+    if (Skipped.size() > max_skipped_records)
+      Skipped.pop_front();
+    if (tryRestore(Record, Now, Effects))
+      return;
+  }
+}
+
+bool log_follower::tryRestore(const wire::stored_record &Record,
+                              steady_time Now, effect_list &Effects) {
+  auto Decoded = decodeRecord(Record.Bytes);
+  if (!Decoded || !Decoded->__isset.Snapshot)
+    return false;
+  const wire::snapshot &Snapshot = Decoded->Snapshot;
+  // All records between the state and the snapshot record are needed.
+  if (Snapshot.CoversOffset + 1 < Skipped.front().Offset ||
+      Snapshot.CoversOffset >= Record.Offset)
+    return false;
+  if (!Replica.restoreSnapshot(log_offset{Snapshot.CoversOffset},
+                               Snapshot.State, Now, Effects))
+    return false;
+  std::deque<wire::stored_record> Tail = std::move(Skipped);
+  stopSearch();
+  for (const wire::stored_record &Next : Tail)
+    if (Next.Offset == wanted().Value)
+      Replica.applyRecord(log_offset{Next.Offset}, Next.Bytes, Now, Effects);
+  return true;
+}
+
+void log_follower::stopSearch() {
+  Searching = false;
+  Skipped.clear();
+}
+
+void log_follower::onFailure(const log_read_failed &Failure, steady_time Now,
+                             uint64_t Random) {
+  if (Failure.Stream == Stream)
+    noteFailure(Now, Random);
+}
+
+void log_follower::noteFailure(steady_time Now, uint64_t Random) {
+  ReadSent.reset();
+  CaughtUp = false;
+  ++Failures;
+  NextRead =
+      Now + backoffAfter(Failures, read_backoff_min, read_backoff_max, Random);
+}
+
+std::vector<node_name> chooseFollowers(std::vector<node_name> Candidates) {
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const node_name &Left, const node_name &Right) {
+              return std::pair(rank(Left), Left) >
+                     std::pair(rank(Right), Right);
+            });
+  if (Candidates.size() > followers_per_zone)
+    Candidates.resize(followers_per_zone);
+  return Candidates;
+}
+
+bool shouldFollow(const node_name &Self,
+                  const std::vector<node_name> &Candidates) {
+  std::vector<node_name> Followers = chooseFollowers(Candidates);
+  return std::find(Followers.begin(), Followers.end(), Self) != Followers.end();
+}
+
+duration backoffAfter(int Failures, duration Min, duration Max,
+                      uint64_t Random) {
+  int Doublings = std::clamp(Failures - 1, 0, max_doublings);
+  duration Full = std::min(Max, Min * (int64_t{1} << Doublings));
+  duration Half = Full / 2;
+  auto Span = static_cast<uint64_t>(Half.count()) + 1;
+  return Half + duration(static_cast<int64_t>(Random % Span));
+}
+
+} // namespace monsoonreel
