--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -7813,7 +7813,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->Ahead);
           this->__isset.Ahead = true;
@@ -7850,7 +7850,7 @@
   xfer += oprot->writeI64(this->LastOffset);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Ahead", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeFieldBegin("Ahead", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->Ahead);
   xfer += oprot->writeFieldEnd();
 
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -367,7 +367,7 @@
   1: i64 Incarnation
   2: i64 Sequence
   3: i64 LastOffset
-  4: i64 Ahead
+  5: i64 Ahead
 }
 
 struct closed_window {
