Wire: fields for membership retries, log freshness and claim retention

Heartbeats mark a retry and ask for all members; answers carry the age of the sender's knowledge of the log. Claim batches carry the writer's wall clock and the window, so that forgetting keys is a pure function of the stream.

--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -676,6 +676,14 @@
 void heartbeat::__set_Loads(const std::vector<pool_load> & val) {
   this->Loads = val;
 }
+
+void heartbeat::__set_Retry(const bool val) {
+  this->Retry = val;
+}
+
+void heartbeat::__set_WantsMembers(const bool val) {
+  this->WantsMembers = val;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -768,6 +776,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Retry);
+          this->__isset.Retry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->WantsMembers);
+          this->__isset.WantsMembers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -821,6 +845,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Retry", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->Retry);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("WantsMembers", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->WantsMembers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -833,6 +865,8 @@
   swap(a.LedgerOffset, b.LedgerOffset);
   swap(a.Gossip, b.Gossip);
   swap(a.Loads, b.Loads);
+  swap(a.Retry, b.Retry);
+  swap(a.WantsMembers, b.WantsMembers);
   swap(a.__isset, b.__isset);
 }
 
@@ -842,6 +876,8 @@
   LedgerOffset = other22.LedgerOffset;
   Gossip = other22.Gossip;
   Loads = other22.Loads;
+  Retry = other22.Retry;
+  WantsMembers = other22.WantsMembers;
   __isset = other22.__isset;
 }
 heartbeat::heartbeat(heartbeat&& other23) noexcept {
@@ -850,6 +886,8 @@
   LedgerOffset = other23.LedgerOffset;
   Gossip = std::move(other23.Gossip);
   Loads = std::move(other23.Loads);
+  Retry = other23.Retry;
+  WantsMembers = other23.WantsMembers;
   __isset = other23.__isset;
 }
 heartbeat& heartbeat::operator=(const heartbeat& other24) {
@@ -858,6 +896,8 @@
   LedgerOffset = other24.LedgerOffset;
   Gossip = other24.Gossip;
   Loads = other24.Loads;
+  Retry = other24.Retry;
+  WantsMembers = other24.WantsMembers;
   __isset = other24.__isset;
   return *this;
 }
@@ -867,6 +907,8 @@
   LedgerOffset = other25.LedgerOffset;
   Gossip = std::move(other25.Gossip);
   Loads = std::move(other25.Loads);
+  Retry = other25.Retry;
+  WantsMembers = other25.WantsMembers;
   __isset = other25.__isset;
   return *this;
 }
@@ -878,6 +920,8 @@
   out << ", " << "LedgerOffset=" << to_string(LedgerOffset);
   out << ", " << "Gossip=" << to_string(Gossip);
   out << ", " << "Loads=" << to_string(Loads);
+  out << ", " << "Retry=" << to_string(Retry);
+  out << ", " << "WantsMembers=" << to_string(WantsMembers);
   out << ")";
 }
 
@@ -909,6 +953,11 @@
 void heartbeat_ack::__set_OnBehalfOf(const std::string& val) {
   this->OnBehalfOf = val;
 }
+
+void heartbeat_ack::__set_LogAgeMicros(const int64_t val) {
+  this->LogAgeMicros = val;
+__isset.LogAgeMicros = true;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat_ack& obj)
 {
   obj.printTo(out);
@@ -1009,6 +1058,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LogAgeMicros);
+          this->__isset.LogAgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1066,6 +1123,11 @@
   xfer += oprot->writeString(this->OnBehalfOf);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.LogAgeMicros) {
+    xfer += oprot->writeFieldBegin("LogAgeMicros", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->LogAgeMicros);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1079,6 +1141,7 @@
   swap(a.Gossip, b.Gossip);
   swap(a.Loads, b.Loads);
   swap(a.OnBehalfOf, b.OnBehalfOf);
+  swap(a.LogAgeMicros, b.LogAgeMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -1089,6 +1152,7 @@
   Gossip = other38.Gossip;
   Loads = other38.Loads;
   OnBehalfOf = other38.OnBehalfOf;
+  LogAgeMicros = other38.LogAgeMicros;
   __isset = other38.__isset;
 }
 heartbeat_ack::heartbeat_ack(heartbeat_ack&& other39) noexcept {
@@ -1098,6 +1162,7 @@
   Gossip = std::move(other39.Gossip);
   Loads = std::move(other39.Loads);
   OnBehalfOf = std::move(other39.OnBehalfOf);
+  LogAgeMicros = other39.LogAgeMicros;
   __isset = other39.__isset;
 }
 heartbeat_ack& heartbeat_ack::operator=(const heartbeat_ack& other40) {
@@ -1107,6 +1172,7 @@
   Gossip = other40.Gossip;
   Loads = other40.Loads;
   OnBehalfOf = other40.OnBehalfOf;
+  LogAgeMicros = other40.LogAgeMicros;
   __isset = other40.__isset;
   return *this;
 }
@@ -1117,6 +1183,7 @@
   Gossip = std::move(other41.Gossip);
   Loads = std::move(other41.Loads);
   OnBehalfOf = std::move(other41.OnBehalfOf);
+  LogAgeMicros = other41.LogAgeMicros;
   __isset = other41.__isset;
   return *this;
 }
@@ -1129,6 +1196,7 @@
   out << ", " << "Gossip=" << to_string(Gossip);
   out << ", " << "Loads=" << to_string(Loads);
   out << ", " << "OnBehalfOf=" << to_string(OnBehalfOf);
+  out << ", " << "LogAgeMicros="; (__isset.LogAgeMicros ? (out << to_string(LogAgeMicros)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1974,6 +2042,10 @@
 void claim_ask::__set_BodyHash(const int64_t val) {
   this->BodyHash = val;
 }
+
+void claim_ask::__set_KeyMicros(const int64_t val) {
+  this->KeyMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const claim_ask& obj)
 {
   obj.printTo(out);
@@ -2026,6 +2098,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->KeyMicros);
+          this->__isset.KeyMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2055,6 +2135,10 @@
   xfer += oprot->writeI64(this->BodyHash);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("KeyMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->KeyMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2065,6 +2149,7 @@
   swap(a.Key, b.Key);
   swap(a.Attempt, b.Attempt);
   swap(a.BodyHash, b.BodyHash);
+  swap(a.KeyMicros, b.KeyMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -2072,18 +2157,21 @@
   Key = other72.Key;
   Attempt = other72.Attempt;
   BodyHash = other72.BodyHash;
+  KeyMicros = other72.KeyMicros;
   __isset = other72.__isset;
 }
 claim_ask::claim_ask(claim_ask&& other73) noexcept {
   Key = std::move(other73.Key);
   Attempt = std::move(other73.Attempt);
   BodyHash = other73.BodyHash;
+  KeyMicros = other73.KeyMicros;
   __isset = other73.__isset;
 }
 claim_ask& claim_ask::operator=(const claim_ask& other74) {
   Key = other74.Key;
   Attempt = other74.Attempt;
   BodyHash = other74.BodyHash;
+  KeyMicros = other74.KeyMicros;
   __isset = other74.__isset;
   return *this;
 }
@@ -2091,6 +2179,7 @@
   Key = std::move(other75.Key);
   Attempt = std::move(other75.Attempt);
   BodyHash = other75.BodyHash;
+  KeyMicros = other75.KeyMicros;
   __isset = other75.__isset;
   return *this;
 }
@@ -2100,6 +2189,7 @@
   out << "Key=" << to_string(Key);
   out << ", " << "Attempt=" << to_string(Attempt);
   out << ", " << "BodyHash=" << to_string(BodyHash);
+  out << ", " << "KeyMicros=" << to_string(KeyMicros);
   out << ")";
 }
 
@@ -6350,6 +6440,10 @@
 void claim_entry::__set_CreatedWallMicros(const int64_t val) {
   this->CreatedWallMicros = val;
 }
+
+void claim_entry::__set_KeyMicros(const int64_t val) {
+  this->KeyMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const claim_entry& obj)
 {
   obj.printTo(out);
@@ -6410,6 +6504,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->KeyMicros);
+          this->__isset.KeyMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6443,6 +6545,10 @@
   xfer += oprot->writeI64(this->CreatedWallMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("KeyMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->KeyMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6454,6 +6560,7 @@
   swap(a.Attempt, b.Attempt);
   swap(a.BodyHash, b.BodyHash);
   swap(a.CreatedWallMicros, b.CreatedWallMicros);
+  swap(a.KeyMicros, b.KeyMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -6462,6 +6569,7 @@
   Attempt = other219.Attempt;
   BodyHash = other219.BodyHash;
   CreatedWallMicros = other219.CreatedWallMicros;
+  KeyMicros = other219.KeyMicros;
   __isset = other219.__isset;
 }
 claim_entry::claim_entry(claim_entry&& other220) noexcept {
@@ -6469,6 +6577,7 @@
   Attempt = std::move(other220.Attempt);
   BodyHash = other220.BodyHash;
   CreatedWallMicros = other220.CreatedWallMicros;
+  KeyMicros = other220.KeyMicros;
   __isset = other220.__isset;
 }
 claim_entry& claim_entry::operator=(const claim_entry& other221) {
@@ -6476,6 +6585,7 @@
   Attempt = other221.Attempt;
   BodyHash = other221.BodyHash;
   CreatedWallMicros = other221.CreatedWallMicros;
+  KeyMicros = other221.KeyMicros;
   __isset = other221.__isset;
   return *this;
 }
@@ -6484,6 +6594,7 @@
   Attempt = std::move(other222.Attempt);
   BodyHash = other222.BodyHash;
   CreatedWallMicros = other222.CreatedWallMicros;
+  KeyMicros = other222.KeyMicros;
   __isset = other222.__isset;
   return *this;
 }
@@ -6494,6 +6605,7 @@
   out << ", " << "Attempt=" << to_string(Attempt);
   out << ", " << "BodyHash=" << to_string(BodyHash);
   out << ", " << "CreatedWallMicros=" << to_string(CreatedWallMicros);
+  out << ", " << "KeyMicros=" << to_string(KeyMicros);
   out << ")";
 }
 
@@ -6680,6 +6792,14 @@
 void claim_batch::__set_Outcomes(const std::vector<claim_outcome> & val) {
   this->Outcomes = val;
 }
+
+void claim_batch::__set_WallMicros(const int64_t val) {
+  this->WallMicros = val;
+}
+
+void claim_batch::__set_WindowMicros(const int64_t val) {
+  this->WindowMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const claim_batch& obj)
 {
   obj.printTo(out);
@@ -6748,6 +6868,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WallMicros);
+          this->__isset.WallMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WindowMicros);
+          this->__isset.WindowMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6789,6 +6925,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("WallMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->WallMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("WindowMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->WindowMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6798,28 +6942,38 @@
   using ::std::swap;
   swap(a.Claims, b.Claims);
   swap(a.Outcomes, b.Outcomes);
+  swap(a.WallMicros, b.WallMicros);
+  swap(a.WindowMicros, b.WindowMicros);
   swap(a.__isset, b.__isset);
 }
 
 claim_batch::claim_batch(const claim_batch& other240) {
   Claims = other240.Claims;
   Outcomes = other240.Outcomes;
+  WallMicros = other240.WallMicros;
+  WindowMicros = other240.WindowMicros;
   __isset = other240.__isset;
 }
 claim_batch::claim_batch(claim_batch&& other241) noexcept {
   Claims = std::move(other241.Claims);
   Outcomes = std::move(other241.Outcomes);
+  WallMicros = other241.WallMicros;
+  WindowMicros = other241.WindowMicros;
   __isset = other241.__isset;
 }
 claim_batch& claim_batch::operator=(const claim_batch& other242) {
   Claims = other242.Claims;
   Outcomes = other242.Outcomes;
+  WallMicros = other242.WallMicros;
+  WindowMicros = other242.WindowMicros;
   __isset = other242.__isset;
   return *this;
 }
 claim_batch& claim_batch::operator=(claim_batch&& other243) noexcept {
   Claims = std::move(other243.Claims);
   Outcomes = std::move(other243.Outcomes);
+  WallMicros = other243.WallMicros;
+  WindowMicros = other243.WindowMicros;
   __isset = other243.__isset;
   return *this;
 }
@@ -6828,6 +6982,8 @@
   out << "claim_batch(";
   out << "Claims=" << to_string(Claims);
   out << ", " << "Outcomes=" << to_string(Outcomes);
+  out << ", " << "WallMicros=" << to_string(WallMicros);
+  out << ", " << "WindowMicros=" << to_string(WindowMicros);
   out << ")";
 }
 
@@ -7735,6 +7891,10 @@
 void writer_state::__set_LastOffset(const int64_t val) {
   this->LastOffset = val;
 }
+
+void writer_state::__set_WallMicros(const int64_t val) {
+  this->WallMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const writer_state& obj)
 {
   obj.printTo(out);
@@ -7787,6 +7947,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WallMicros);
+          this->__isset.WallMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7816,6 +7984,10 @@
   xfer += oprot->writeI64(this->LastOffset);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("WallMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->WallMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7826,6 +7998,7 @@
   swap(a.Incarnation, b.Incarnation);
   swap(a.Sequence, b.Sequence);
   swap(a.LastOffset, b.LastOffset);
+  swap(a.WallMicros, b.WallMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -7833,18 +8006,21 @@
   Incarnation = other260.Incarnation;
   Sequence = other260.Sequence;
   LastOffset = other260.LastOffset;
+  WallMicros = other260.WallMicros;
   __isset = other260.__isset;
 }
 writer_state::writer_state(writer_state&& other261) noexcept {
   Incarnation = other261.Incarnation;
   Sequence = other261.Sequence;
   LastOffset = other261.LastOffset;
+  WallMicros = other261.WallMicros;
   __isset = other261.__isset;
 }
 writer_state& writer_state::operator=(const writer_state& other262) noexcept {
   Incarnation = other262.Incarnation;
   Sequence = other262.Sequence;
   LastOffset = other262.LastOffset;
+  WallMicros = other262.WallMicros;
   __isset = other262.__isset;
   return *this;
 }
@@ -7852,6 +8028,7 @@
   Incarnation = other263.Incarnation;
   Sequence = other263.Sequence;
   LastOffset = other263.LastOffset;
+  WallMicros = other263.WallMicros;
   __isset = other263.__isset;
   return *this;
 }
@@ -7861,6 +8038,7 @@
   out << "Incarnation=" << to_string(Incarnation);
   out << ", " << "Sequence=" << to_string(Sequence);
   out << ", " << "LastOffset=" << to_string(LastOffset);
+  out << ", " << "WallMicros=" << to_string(WallMicros);
   out << ")";
 }
 
@@ -8616,6 +8794,18 @@
   this->Answer = val;
 __isset.Answer = true;
 }
+
+void claim_state::__set_RetainMicros(const int64_t val) {
+  this->RetainMicros = val;
+}
+
+void claim_state::__set_Held(const bool val) {
+  this->Held = val;
+}
+
+void claim_state::__set_Released(const std::vector<attempt_id> & val) {
+  this->Released = val;
+}
 std::ostream& operator<<(std::ostream& out, const claim_state& obj)
 {
   obj.printTo(out);
@@ -8686,6 +8876,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->RetainMicros);
+          this->__isset.RetainMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Held);
+          this->__isset.Held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Released.clear();
+            uint32_t _size325;
+            ::apache::thrift::protocol::TType _etype328;
+            xfer += iprot->readListBegin(_etype328, _size325);
+            this->Released.resize(_size325);
+            uint32_t _i329;
+            for (_i329 = 0; _i329 < _size325; ++_i329)
+            {
+              xfer += this->Released[_i329].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8724,6 +8950,26 @@
     xfer += this->Answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("RetainMicros", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->RetainMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Held", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->Held);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Released.size()));
+    std::vector<attempt_id> ::const_iterator _iter330;
+    for (_iter330 = this->Released.begin(); _iter330 != this->Released.end(); ++_iter330)
+    {
+      xfer += (*_iter330).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8736,41 +8982,56 @@
   swap(a.Outcome, b.Outcome);
   swap(a.Settled, b.Settled);
   swap(a.Answer, b.Answer);
+  swap(a.RetainMicros, b.RetainMicros);
+  swap(a.Held, b.Held);
+  swap(a.Released, b.Released);
   swap(a.__isset, b.__isset);
 }
 
-claim_state::claim_state(const claim_state& other325) {
-  Entry = other325.Entry;
-  Offset = other325.Offset;
-  Outcome = other325.Outcome;
-  Settled = other325.Settled;
-  Answer = other325.Answer;
-  __isset = other325.__isset;
-}
-claim_state::claim_state(claim_state&& other326) noexcept {
-  Entry = std::move(other326.Entry);
-  Offset = other326.Offset;
-  Outcome = other326.Outcome;
-  Settled = other326.Settled;
-  Answer = std::move(other326.Answer);
-  __isset = other326.__isset;
-}
-claim_state& claim_state::operator=(const claim_state& other327) {
-  Entry = other327.Entry;
-  Offset = other327.Offset;
-  Outcome = other327.Outcome;
-  Settled = other327.Settled;
-  Answer = other327.Answer;
-  __isset = other327.__isset;
+claim_state::claim_state(const claim_state& other331) {
+  Entry = other331.Entry;
+  Offset = other331.Offset;
+  Outcome = other331.Outcome;
+  Settled = other331.Settled;
+  Answer = other331.Answer;
+  RetainMicros = other331.RetainMicros;
+  Held = other331.Held;
+  Released = other331.Released;
+  __isset = other331.__isset;
+}
+claim_state::claim_state(claim_state&& other332) noexcept {
+  Entry = std::move(other332.Entry);
+  Offset = other332.Offset;
+  Outcome = other332.Outcome;
+  Settled = other332.Settled;
+  Answer = std::move(other332.Answer);
+  RetainMicros = other332.RetainMicros;
+  Held = other332.Held;
+  Released = std::move(other332.Released);
+  __isset = other332.__isset;
+}
+claim_state& claim_state::operator=(const claim_state& other333) {
+  Entry = other333.Entry;
+  Offset = other333.Offset;
+  Outcome = other333.Outcome;
+  Settled = other333.Settled;
+  Answer = other333.Answer;
+  RetainMicros = other333.RetainMicros;
+  Held = other333.Held;
+  Released = other333.Released;
+  __isset = other333.__isset;
   return *this;
 }
-claim_state& claim_state::operator=(claim_state&& other328) noexcept {
-  Entry = std::move(other328.Entry);
-  Offset = other328.Offset;
-  Outcome = other328.Outcome;
-  Settled = other328.Settled;
-  Answer = std::move(other328.Answer);
-  __isset = other328.__isset;
+claim_state& claim_state::operator=(claim_state&& other334) noexcept {
+  Entry = std::move(other334.Entry);
+  Offset = other334.Offset;
+  Outcome = other334.Outcome;
+  Settled = other334.Settled;
+  Answer = std::move(other334.Answer);
+  RetainMicros = other334.RetainMicros;
+  Held = other334.Held;
+  Released = std::move(other334.Released);
+  __isset = other334.__isset;
   return *this;
 }
 void claim_state::printTo(std::ostream& out) const {
@@ -8781,6 +9042,9 @@
   out << ", " << "Outcome=" << to_string(Outcome);
   out << ", " << "Settled=" << to_string(Settled);
   out << ", " << "Answer="; (__isset.Answer ? (out << to_string(Answer)) : (out << "<null>"));
+  out << ", " << "RetainMicros=" << to_string(RetainMicros);
+  out << ", " << "Held=" << to_string(Held);
+  out << ", " << "Released=" << to_string(Released);
   out << ")";
 }
 
@@ -8796,6 +9060,14 @@
 void claims_state::__set_Writers(const std::vector<writer_state> & val) {
   this->Writers = val;
 }
+
+void claims_state::__set_TimeMicros(const int64_t val) {
+  this->TimeMicros = val;
+}
+
+void claims_state::__set_HorizonMicros(const int64_t val) {
+  this->HorizonMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const claims_state& obj)
 {
   obj.printTo(out);
@@ -8828,14 +9100,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size329;
-            ::apache::thrift::protocol::TType _etype332;
-            xfer += iprot->readListBegin(_etype332, _size329);
-            this->Claims.resize(_size329);
-            uint32_t _i333;
-            for (_i333 = 0; _i333 < _size329; ++_i333)
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->Claims.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
             {
-              xfer += this->Claims[_i333].read(iprot);
+              xfer += this->Claims[_i339].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8848,14 +9120,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Writers.clear();
-            uint32_t _size334;
-            ::apache::thrift::protocol::TType _etype337;
-            xfer += iprot->readListBegin(_etype337, _size334);
-            this->Writers.resize(_size334);
-            uint32_t _i338;
-            for (_i338 = 0; _i338 < _size334; ++_i338)
+            uint32_t _size340;
+            ::apache::thrift::protocol::TType _etype343;
+            xfer += iprot->readListBegin(_etype343, _size340);
+            this->Writers.resize(_size340);
+            uint32_t _i344;
+            for (_i344 = 0; _i344 < _size340; ++_i344)
             {
-              xfer += this->Writers[_i338].read(iprot);
+              xfer += this->Writers[_i344].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8864,6 +9136,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->TimeMicros);
+          this->__isset.TimeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->HorizonMicros);
+          this->__isset.HorizonMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8884,10 +9172,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<claim_state> ::const_iterator _iter339;
-    for (_iter339 = this->Claims.begin(); _iter339 != this->Claims.end(); ++_iter339)
+    std::vector<claim_state> ::const_iterator _iter345;
+    for (_iter345 = this->Claims.begin(); _iter345 != this->Claims.end(); ++_iter345)
     {
-      xfer += (*_iter339).write(oprot);
+      xfer += (*_iter345).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8896,15 +9184,23 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter340;
-    for (_iter340 = this->Writers.begin(); _iter340 != this->Writers.end(); ++_iter340)
+    std::vector<writer_state> ::const_iterator _iter346;
+    for (_iter346 = this->Writers.begin(); _iter346 != this->Writers.end(); ++_iter346)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter346).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("TimeMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->TimeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("HorizonMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->HorizonMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8914,29 +9210,39 @@
   using ::std::swap;
   swap(a.Claims, b.Claims);
   swap(a.Writers, b.Writers);
+  swap(a.TimeMicros, b.TimeMicros);
+  swap(a.HorizonMicros, b.HorizonMicros);
   swap(a.__isset, b.__isset);
 }
 
-claims_state::claims_state(const claims_state& other341) {
-  Claims = other341.Claims;
-  Writers = other341.Writers;
-  __isset = other341.__isset;
-}
-claims_state::claims_state(claims_state&& other342) noexcept {
-  Claims = std::move(other342.Claims);
-  Writers = std::move(other342.Writers);
-  __isset = other342.__isset;
-}
-claims_state& claims_state::operator=(const claims_state& other343) {
-  Claims = other343.Claims;
-  Writers = other343.Writers;
-  __isset = other343.__isset;
+claims_state::claims_state(const claims_state& other347) {
+  Claims = other347.Claims;
+  Writers = other347.Writers;
+  TimeMicros = other347.TimeMicros;
+  HorizonMicros = other347.HorizonMicros;
+  __isset = other347.__isset;
+}
+claims_state::claims_state(claims_state&& other348) noexcept {
+  Claims = std::move(other348.Claims);
+  Writers = std::move(other348.Writers);
+  TimeMicros = other348.TimeMicros;
+  HorizonMicros = other348.HorizonMicros;
+  __isset = other348.__isset;
+}
+claims_state& claims_state::operator=(const claims_state& other349) {
+  Claims = other349.Claims;
+  Writers = other349.Writers;
+  TimeMicros = other349.TimeMicros;
+  HorizonMicros = other349.HorizonMicros;
+  __isset = other349.__isset;
   return *this;
 }
-claims_state& claims_state::operator=(claims_state&& other344) noexcept {
-  Claims = std::move(other344.Claims);
-  Writers = std::move(other344.Writers);
-  __isset = other344.__isset;
+claims_state& claims_state::operator=(claims_state&& other350) noexcept {
+  Claims = std::move(other350.Claims);
+  Writers = std::move(other350.Writers);
+  TimeMicros = other350.TimeMicros;
+  HorizonMicros = other350.HorizonMicros;
+  __isset = other350.__isset;
   return *this;
 }
 void claims_state::printTo(std::ostream& out) const {
@@ -8944,6 +9250,8 @@
   out << "claims_state(";
   out << "Claims=" << to_string(Claims);
   out << ", " << "Writers=" << to_string(Writers);
+  out << ", " << "TimeMicros=" << to_string(TimeMicros);
+  out << ", " << "HorizonMicros=" << to_string(HorizonMicros);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -392,12 +392,14 @@
 std::ostream& operator<<(std::ostream& out, const pool_load& obj);
 
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false) {}
+  _heartbeat__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), Retry(false), WantsMembers(false) {}
   bool Nonce :1;
   bool Sender :1;
   bool LedgerOffset :1;
   bool Gossip :1;
   bool Loads :1;
+  bool Retry :1;
+  bool WantsMembers :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -409,7 +411,9 @@
   heartbeat& operator=(heartbeat&&) noexcept;
   heartbeat() noexcept
             : Nonce(0),
-              LedgerOffset(0) {
+              LedgerOffset(0),
+              Retry(0),
+              WantsMembers(0) {
   }
 
   virtual ~heartbeat() noexcept;
@@ -418,6 +422,8 @@
   int64_t LedgerOffset;
   std::vector<member>  Gossip;
   std::vector<pool_load>  Loads;
+  bool Retry;
+  bool WantsMembers;
 
   _heartbeat__isset __isset;
 
@@ -431,6 +437,10 @@
 
   void __set_Loads(const std::vector<pool_load> & val);
 
+  void __set_Retry(const bool val);
+
+  void __set_WantsMembers(const bool val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
@@ -443,6 +453,10 @@
       return false;
     if (!(Loads == rhs.Loads))
       return false;
+    if (!(Retry == rhs.Retry))
+      return false;
+    if (!(WantsMembers == rhs.WantsMembers))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
@@ -462,13 +476,14 @@
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj);
 
 typedef struct _heartbeat_ack__isset {
-  _heartbeat_ack__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), OnBehalfOf(false) {}
+  _heartbeat_ack__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), OnBehalfOf(false), LogAgeMicros(false) {}
   bool Nonce :1;
   bool Sender :1;
   bool LedgerOffset :1;
   bool Gossip :1;
   bool Loads :1;
   bool OnBehalfOf :1;
+  bool LogAgeMicros :1;
 } _heartbeat_ack__isset;
 
 class heartbeat_ack : public virtual ::apache::thrift::TBase {
@@ -481,7 +496,8 @@
   heartbeat_ack() noexcept
                 : Nonce(0),
                   LedgerOffset(0),
-                  OnBehalfOf() {
+                  OnBehalfOf(),
+                  LogAgeMicros(0) {
   }
 
   virtual ~heartbeat_ack() noexcept;
@@ -491,6 +507,7 @@
   std::vector<member>  Gossip;
   std::vector<pool_load>  Loads;
   std::string OnBehalfOf;
+  int64_t LogAgeMicros;
 
   _heartbeat_ack__isset __isset;
 
@@ -506,6 +523,8 @@
 
   void __set_OnBehalfOf(const std::string& val);
 
+  void __set_LogAgeMicros(const int64_t val);
+
   bool operator == (const heartbeat_ack & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
@@ -520,6 +539,10 @@
       return false;
     if (!(OnBehalfOf == rhs.OnBehalfOf))
       return false;
+    if (__isset.LogAgeMicros != rhs.__isset.LogAgeMicros)
+      return false;
+    else if (__isset.LogAgeMicros && !(LogAgeMicros == rhs.LogAgeMicros))
+      return false;
     return true;
   }
   bool operator != (const heartbeat_ack &rhs) const {
@@ -870,10 +893,11 @@
 std::ostream& operator<<(std::ostream& out, const attempt_id& obj);
 
 typedef struct _claim_ask__isset {
-  _claim_ask__isset() : Key(false), Attempt(false), BodyHash(false) {}
+  _claim_ask__isset() : Key(false), Attempt(false), BodyHash(false), KeyMicros(false) {}
   bool Key :1;
   bool Attempt :1;
   bool BodyHash :1;
+  bool KeyMicros :1;
 } _claim_ask__isset;
 
 class claim_ask : public virtual ::apache::thrift::TBase {
@@ -884,13 +908,15 @@
   claim_ask& operator=(const claim_ask&);
   claim_ask& operator=(claim_ask&&) noexcept;
   claim_ask() noexcept
-            : BodyHash(0) {
+            : BodyHash(0),
+              KeyMicros(0) {
   }
 
   virtual ~claim_ask() noexcept;
   claim_key Key;
   attempt_id Attempt;
   int64_t BodyHash;
+  int64_t KeyMicros;
 
   _claim_ask__isset __isset;
 
@@ -900,6 +926,8 @@
 
   void __set_BodyHash(const int64_t val);
 
+  void __set_KeyMicros(const int64_t val);
+
   bool operator == (const claim_ask & rhs) const
   {
     if (!(Key == rhs.Key))
@@ -908,6 +936,8 @@
       return false;
     if (!(BodyHash == rhs.BodyHash))
       return false;
+    if (!(KeyMicros == rhs.KeyMicros))
+      return false;
     return true;
   }
   bool operator != (const claim_ask &rhs) const {
@@ -2594,11 +2624,12 @@
 std::ostream& operator<<(std::ostream& out, const order_done& obj);
 
 typedef struct _claim_entry__isset {
-  _claim_entry__isset() : Key(false), Attempt(false), BodyHash(false), CreatedWallMicros(false) {}
+  _claim_entry__isset() : Key(false), Attempt(false), BodyHash(false), CreatedWallMicros(false), KeyMicros(false) {}
   bool Key :1;
   bool Attempt :1;
   bool BodyHash :1;
   bool CreatedWallMicros :1;
+  bool KeyMicros :1;
 } _claim_entry__isset;
 
 class claim_entry : public virtual ::apache::thrift::TBase {
@@ -2610,7 +2641,8 @@
   claim_entry& operator=(claim_entry&&) noexcept;
   claim_entry() noexcept
               : BodyHash(0),
-                CreatedWallMicros(0) {
+                CreatedWallMicros(0),
+                KeyMicros(0) {
   }
 
   virtual ~claim_entry() noexcept;
@@ -2618,6 +2650,7 @@
   attempt_id Attempt;
   int64_t BodyHash;
   int64_t CreatedWallMicros;
+  int64_t KeyMicros;
 
   _claim_entry__isset __isset;
 
@@ -2629,6 +2662,8 @@
 
   void __set_CreatedWallMicros(const int64_t val);
 
+  void __set_KeyMicros(const int64_t val);
+
   bool operator == (const claim_entry & rhs) const
   {
     if (!(Key == rhs.Key))
@@ -2639,6 +2674,8 @@
       return false;
     if (!(CreatedWallMicros == rhs.CreatedWallMicros))
       return false;
+    if (!(KeyMicros == rhs.KeyMicros))
+      return false;
     return true;
   }
   bool operator != (const claim_entry &rhs) const {
@@ -2727,9 +2764,11 @@
 std::ostream& operator<<(std::ostream& out, const claim_outcome& obj);
 
 typedef struct _claim_batch__isset {
-  _claim_batch__isset() : Claims(false), Outcomes(false) {}
+  _claim_batch__isset() : Claims(false), Outcomes(false), WallMicros(false), WindowMicros(false) {}
   bool Claims :1;
   bool Outcomes :1;
+  bool WallMicros :1;
+  bool WindowMicros :1;
 } _claim_batch__isset;
 
 class claim_batch : public virtual ::apache::thrift::TBase {
@@ -2739,12 +2778,16 @@
   claim_batch(claim_batch&&) noexcept;
   claim_batch& operator=(const claim_batch&);
   claim_batch& operator=(claim_batch&&) noexcept;
-  claim_batch() noexcept {
+  claim_batch() noexcept
+              : WallMicros(0),
+                WindowMicros(0) {
   }
 
   virtual ~claim_batch() noexcept;
   std::vector<claim_entry>  Claims;
   std::vector<claim_outcome>  Outcomes;
+  int64_t WallMicros;
+  int64_t WindowMicros;
 
   _claim_batch__isset __isset;
 
@@ -2752,12 +2795,20 @@
 
   void __set_Outcomes(const std::vector<claim_outcome> & val);
 
+  void __set_WallMicros(const int64_t val);
+
+  void __set_WindowMicros(const int64_t val);
+
   bool operator == (const claim_batch & rhs) const
   {
     if (!(Claims == rhs.Claims))
       return false;
     if (!(Outcomes == rhs.Outcomes))
       return false;
+    if (!(WallMicros == rhs.WallMicros))
+      return false;
+    if (!(WindowMicros == rhs.WindowMicros))
+      return false;
     return true;
   }
   bool operator != (const claim_batch &rhs) const {
@@ -3115,10 +3166,11 @@
 std::ostream& operator<<(std::ostream& out, const lease_state& obj);
 
 typedef struct _writer_state__isset {
-  _writer_state__isset() : Incarnation(false), Sequence(false), LastOffset(false) {}
+  _writer_state__isset() : Incarnation(false), Sequence(false), LastOffset(false), WallMicros(false) {}
   bool Incarnation :1;
   bool Sequence :1;
   bool LastOffset :1;
+  bool WallMicros :1;
 } _writer_state__isset;
 
 class writer_state : public virtual ::apache::thrift::TBase {
@@ -3131,13 +3183,15 @@
   writer_state() noexcept
                : Incarnation(0),
                  Sequence(0),
-                 LastOffset(0) {
+                 LastOffset(0),
+                 WallMicros(0) {
   }
 
   virtual ~writer_state() noexcept;
   int64_t Incarnation;
   int64_t Sequence;
   int64_t LastOffset;
+  int64_t WallMicros;
 
   _writer_state__isset __isset;
 
@@ -3147,6 +3201,8 @@
 
   void __set_LastOffset(const int64_t val);
 
+  void __set_WallMicros(const int64_t val);
+
   bool operator == (const writer_state & rhs) const
   {
     if (!(Incarnation == rhs.Incarnation))
@@ -3155,6 +3211,8 @@
       return false;
     if (!(LastOffset == rhs.LastOffset))
       return false;
+    if (!(WallMicros == rhs.WallMicros))
+      return false;
     return true;
   }
   bool operator != (const writer_state &rhs) const {
@@ -3384,12 +3442,15 @@
 std::ostream& operator<<(std::ostream& out, const ledger_state& obj);
 
 typedef struct _claim_state__isset {
-  _claim_state__isset() : Entry(false), Offset(false), Outcome(false), Settled(false), Answer(false) {}
+  _claim_state__isset() : Entry(false), Offset(false), Outcome(false), Settled(false), Answer(false), RetainMicros(false), Held(false), Released(false) {}
   bool Entry :1;
   bool Offset :1;
   bool Outcome :1;
   bool Settled :1;
   bool Answer :1;
+  bool RetainMicros :1;
+  bool Held :1;
+  bool Released :1;
 } _claim_state__isset;
 
 class claim_state : public virtual ::apache::thrift::TBase {
@@ -3402,7 +3463,9 @@
   claim_state() noexcept
               : Offset(0),
                 Outcome(static_cast<run_outcome::type>(0)),
-                Settled(0) {
+                Settled(0),
+                RetainMicros(0),
+                Held(0) {
   }
 
   virtual ~claim_state() noexcept;
@@ -3415,6 +3478,9 @@
   run_outcome::type Outcome;
   bool Settled;
   recorded_answer Answer;
+  int64_t RetainMicros;
+  bool Held;
+  std::vector<attempt_id>  Released;
 
   _claim_state__isset __isset;
 
@@ -3428,6 +3494,12 @@
 
   void __set_Answer(const recorded_answer& val);
 
+  void __set_RetainMicros(const int64_t val);
+
+  void __set_Held(const bool val);
+
+  void __set_Released(const std::vector<attempt_id> & val);
+
   bool operator == (const claim_state & rhs) const
   {
     if (!(Entry == rhs.Entry))
@@ -3442,6 +3514,12 @@
       return false;
     else if (__isset.Answer && !(Answer == rhs.Answer))
       return false;
+    if (!(RetainMicros == rhs.RetainMicros))
+      return false;
+    if (!(Held == rhs.Held))
+      return false;
+    if (!(Released == rhs.Released))
+      return false;
     return true;
   }
   bool operator != (const claim_state &rhs) const {
@@ -3461,9 +3539,11 @@
 std::ostream& operator<<(std::ostream& out, const claim_state& obj);
 
 typedef struct _claims_state__isset {
-  _claims_state__isset() : Claims(false), Writers(false) {}
+  _claims_state__isset() : Claims(false), Writers(false), TimeMicros(false), HorizonMicros(false) {}
   bool Claims :1;
   bool Writers :1;
+  bool TimeMicros :1;
+  bool HorizonMicros :1;
 } _claims_state__isset;
 
 class claims_state : public virtual ::apache::thrift::TBase {
@@ -3473,12 +3553,16 @@
   claims_state(claims_state&&) noexcept;
   claims_state& operator=(const claims_state&);
   claims_state& operator=(claims_state&&) noexcept;
-  claims_state() noexcept {
+  claims_state() noexcept
+               : TimeMicros(0),
+                 HorizonMicros(0) {
   }
 
   virtual ~claims_state() noexcept;
   std::vector<claim_state>  Claims;
   std::vector<writer_state>  Writers;
+  int64_t TimeMicros;
+  int64_t HorizonMicros;
 
   _claims_state__isset __isset;
 
@@ -3486,12 +3570,20 @@
 
   void __set_Writers(const std::vector<writer_state> & val);
 
+  void __set_TimeMicros(const int64_t val);
+
+  void __set_HorizonMicros(const int64_t val);
+
   bool operator == (const claims_state & rhs) const
   {
     if (!(Claims == rhs.Claims))
       return false;
     if (!(Writers == rhs.Writers))
       return false;
+    if (!(TimeMicros == rhs.TimeMicros))
+      return false;
+    if (!(HorizonMicros == rhs.HorizonMicros))
+      return false;
     return true;
   }
   bool operator != (const claims_state &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -40,6 +40,8 @@
   3: i64 LedgerOffset          // highest applied offset of the operator stream
   4: list<member> Gossip
   5: list<pool_load> Loads
+  6: bool Retry                // an earlier one was not answered
+  7: bool WantsMembers         // the sender knows few members: send all
 }
 
 struct heartbeat_ack {
@@ -49,6 +51,8 @@
   4: list<member> Gossip
   5: list<pool_load> Loads
   6: string OnBehalfOf         // empty, or the member that an indirect probe reached
+  7: optional i64 LogAgeMicros // since the log's end was read, by whoever the
+                               // sender has LedgerOffset from; unset: never
 }
 
 // Asks another member to probe Target and to pass the answer on.
@@ -97,6 +101,7 @@
   1: claim_key Key
   2: attempt_id Attempt
   3: i64 BodyHash              // XXH3-64 of method, path and body
+  4: i64 KeyMicros             // wall clock in a UUIDv7 key; 0 for other keys
 }
 
 struct recorded_answer {
@@ -302,6 +307,7 @@
   2: attempt_id Attempt
   3: i64 BodyHash
   4: i64 CreatedWallMicros     // wall clock of the appending steward
+  5: i64 KeyMicros             // wall clock in a UUIDv7 key; 0 for other keys
 }
 
 struct claim_outcome {
@@ -314,6 +320,8 @@
 struct claim_batch {
   1: list<claim_entry> Claims
   2: list<claim_outcome> Outcomes
+  3: i64 WallMicros            // wall clock of the appending steward
+  4: i64 WindowMicros          // for how long keys are to be remembered
 }
 
 // The state of a stream's replay after all records up to CoversOffset.
@@ -362,6 +370,7 @@
   1: i64 Incarnation
   2: i64 Sequence
   3: i64 LastOffset
+  4: i64 WallMicros            // wall clock in its last record, claims only
 }
 
 struct closed_window {
@@ -394,9 +403,14 @@
   3: run_outcome Outcome
   4: bool Settled
   5: optional recorded_answer Answer
+  6: i64 RetainMicros          // forgotten once the horizon is later
+  7: bool Held                 // false: free, only Released is remembered
+  8: list<attempt_id> Released // attempts that can't win any more
 }
 
 struct claims_state {
   1: list<claim_state> Claims
   2: list<writer_state> Writers
+  3: i64 TimeMicros            // wall clock that two writers vouched for
+  4: i64 HorizonMicros         // keys from before it are expired
 }
