--- /dev/null
+++ b/monsoonreel/membership.h
@@ -0,0 +1,224 @@
+// Which entries and stewards are alive, without a coordination service.
+//
+//   membership Members(Self, wire::member_role::Entry, Settings.Seeds);
+//   Members.onTick(Event.Now, Event.Random, Ledger.applied(), Effects);
+//   if (Members.onMessage(Received, Event.Now, Effects))
+//     return; // it was one of its messages
+//   for (const wire::member &M : Members.alive(Role, Self.Zone))
+//     use(M);
+//
+// A SWIM protocol. Each period a node sends a heartbeat to one member of its
+// zone, and less often to one of another zone, in a shuffled round-robin
+// order. Silence is met, in this order, by a heartbeat on a new connection and
+// indirect probes through two others, by suspicion, which the suspect may
+// refute, and by death. A dead member is still probed now and then, so that a
+// healed partition is found. Changes spread in a bounded list with each
+// heartbeat and each answer, so the bytes a second of a node do not depend on
+// the number of members.
+//
+// Heartbeats also carry the sender's offset of the operator stream, the age of
+// its knowledge of the log (see `log_freshness`), and the loads of pools.
+
+#ifndef MONSOONREEL_MEMBERSHIP_H
+#define MONSOONREEL_MEMBERSHIP_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include "monsoonreel/effect.h"
+#include "monsoonreel/event.h"
+#include "monsoonreel/key_trust.h"
+#include "monsoonreel/node.h"
+#include "monsoonreel/pool_load_table.h"
+#include "monsoonreel/probe_schedule.h"
+#include "monsoonreel/types.h"
+#include "monsoonreel/wire.h"
+
+namespace monsoonreel {
+
+// Between two heartbeats to members of the own zone.
+constexpr duration heartbeat_period = std::chrono::seconds(1);
+// Between two heartbeats to members of other zones.
+constexpr duration far_heartbeat_period = std::chrono::seconds(4);
+// Between two heartbeats to a dead member, a seed or an address of the
+// platform's VM list.
+constexpr duration reconnect_period = std::chrono::seconds(5);
+// Without an answer for so long, the link is reset and others are asked.
+constexpr duration direct_probe_timeout = std::chrono::milliseconds(300);
+// Without an answer for so long, the member is suspected.
+constexpr duration probe_timeout = std::chrono::milliseconds(900);
+// A suspicion that is not refuted for so long becomes death.
+constexpr duration suspicion_timeout = std::chrono::seconds(4);
+// How long a dead member is remembered, so that it is probed again.
+constexpr duration dead_member_retention = std::chrono::hours(1);
+// How long a mark of the platform's VM list counts without a newer list.
+constexpr duration vm_mark_retention = std::chrono::minutes(1);
+
+constexpr size_t indirect_probe_count = 2;
+constexpr size_t max_members = 2048;
+constexpr size_t max_gossip_members = 4;
+constexpr size_t max_gossip_loads = 3;
+constexpr size_t max_member_name_bytes = 128;
+
+// A peer that has a higher offset of the operator stream.
+struct ledger_peer {
+  node_name Name;
+  address Address;
+  log_offset Offset;
+};
+
+class membership {
+public:
+  membership(node_identity Self, wire::member_role Role,
+             std::vector<address> Seeds);
+
+  // Sends what is due. Ledger is the applied offset of the operator stream.
+  void onTick(steady_time Now, uint64_t Random, log_offset Ledger,
+              effect_list &Effects);
+
+  // True when the message was a heartbeat, an answer to one or a probe
+  // request.
+  bool onMessage(const peer_message_received &Received, steady_time Now,
+                 effect_list &Effects);
+
+  // The platform's list is a hint: its addresses are probed, and members on
+  // VMs that it calls leaving are passed over by `alive`. It never declares a
+  // member dead.
+  void onVmList(const vm_list_read &List, steady_time Now);
+
+  // The members of Role in Zone that new work may go to, sorted by name, this
+  // node included. Suspects are among them; leaving and dead members are not.
+  // Marks of the VM list are ignored when they would leave nobody.
+  std::vector<wire::member> alive(wire::member_role Role,
+                                  const zone_name &Zone) const;
+  // The same over all zones.
+  std::vector<wire::member> alive(wire::member_role Role) const;
+  // A member in any state, this node included; nullptr when unknown.
+  const wire::member *find(const node_name &Name) const;
+  // Whether the process of this incarnation may still run: it is known and was
+  // not declared dead.
+  bool mayRun(incarnation Incarnation) const;
+
+  // This node takes no new work from now on. Spread to all members.
+  void announceLeaving();
+  bool isLeaving() const { return Self.State == wire::member_state::Leaving; }
+
+  // Loads of pools whose queue this node owns, spread with the heartbeats.
+  void setOwnLoads(std::vector<wire::pool_load> Loads, steady_time Now);
+  // The newest load of each pool by each owner, own ones excluded.
+  std::vector<wire::pool_load> heardLoads(steady_time Now) const;
+
+  // The peer that told the highest offset of the operator stream, when that is
+  // higher than this node's.
+  std::optional<ledger_peer> highestLedgerOffset() const;
+
+  // How recent this node's knowledge of the log is. A node that reads the log
+  // itself calls `freshness().onLogRead`.
+  log_freshness &freshness() { return Freshness; }
+  const log_freshness &freshness() const { return Freshness; }
+
+  const wire::member &self() const { return Self; }
+  // Members in any state but dead, this node included.
+  size_t liveCount() const;
+
+private:
+  struct known_member {
+    wire::member Member;
+    steady_time ChangedAt; // of its state
+    int Spread = 0;        // how often the newest state was sent
+    log_offset Ledger;
+  };
+  struct open_probe {
+    node_name Target; // empty: an address that no member is known at
+    address TargetAddress;
+    steady_time SentAt;
+    bool Escalated = false; // the link was reset and others were asked
+    // The earlier nonce of the same probe, which an answer may also name.
+    int64_t FirstNonce = 0;
+  };
+  struct relayed_probe {
+    int64_t Nonce = 0; // of the member that asked
+    node_name Asker;
+    address AskerAddress;
+    steady_time SentAt;
+  };
+
+  void beginProbe(const node_name &Target, const address &TargetAddress,
+                  steady_time Now, effect_list &Effects);
+  void probeUnknown(steady_time Now, effect_list &Effects);
+  void checkProbes(steady_time Now, effect_list &Effects);
+  void escalate(int64_t Nonce, steady_time Now, effect_list &Effects);
+  void expireMembers(steady_time Now, effect_list &Effects);
+  void forgetProbesAfterPause(steady_time Now);
+
+  void onHeartbeat(const peer_message_received &Received,
+                   const wire::heartbeat &Beat, steady_time Now,
+                   effect_list &Effects);
+  void onAck(const wire::heartbeat_ack &Ack, steady_time Now,
+             effect_list &Effects);
+  void onProbeRequest(const peer_message_received &Received,
+                      const wire::probe_request &Request, steady_time Now,
+                      effect_list &Effects);
+  void relayAck(const wire::heartbeat_ack &Ack, const relayed_probe &Relay,
+                effect_list &Effects);
+
+  // Merges what a message told about a member.
+  void learn(const wire::member &Heard, steady_time Now, effect_list &Effects);
+  void learnAll(const wire::member &Sender, log_offset Ledger,
+                const std::vector<wire::member> &Gossip, steady_time Now,
+                effect_list &Effects);
+  void refute(const wire::member &Heard);
+  void suspect(known_member &Known, steady_time Now, effect_list &Effects);
+  void declareDead(known_member &Known, steady_time Now, effect_list &Effects);
+  bool makeRoom();
+
+  int64_t sendHeartbeat(const node_name &To, const address &ToAddress,
+                        bool Retry, steady_time Now, effect_list &Effects);
+  // At most max_gossip_members changes, the least spread first, and one more
+  // member in turn. First is told in any case.
+  std::vector<wire::member> pickGossip(const node_name &First);
+  std::vector<wire::member> allMembers() const;
+  size_t spreadLimit() const;
+  uint64_t draw();
+  bool isMarkedLeaving(const wire::member &Member) const;
+  std::vector<wire::member> aliveIf(wire::member_role Role,
+                                    const zone_name *Zone) const;
+  known_member *findKnown(const std::string &Name);
+
+  wire::member Self;
+  std::vector<address> Seeds;
+  std::map<std::string, known_member> Members;
+  std::map<int64_t, open_probe> Probes;
+  std::map<int64_t, relayed_probe> Relays;
+  probe_schedule Near;
+  probe_schedule Far;
+  // Hosts that the VM list calls leaving, and addresses of the list that no
+  // member is known at.
+  absl::flat_hash_set<std::string> LeavingHosts;
+  std::vector<address> ListedAddresses;
+  steady_time VmListAt;
+
+  steady_time LastTick;
+  bool Started = false;
+  steady_time NextNear;
+  steady_time NextFar;
+  steady_time NextReconnect;
+  steady_time LastFullList;
+  uint64_t RandomState = 0;
+  int64_t NextNonce = 1;
+  std::string GossipCursor;
+  int SelfSpread = 0;
+  log_offset Ledger;
+  pool_load_table Loads;
+  log_freshness Freshness;
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_MEMBERSHIP_H
--- /dev/null
+++ b/monsoonreel/pool_load_table.h
@@ -0,0 +1,52 @@
+// The loads of pools that members tell each other in heartbeats.
+//
+//   Table.setOwn(Loads, Now);
+//   Beat.Loads = Table.pick(max_gossip_loads);
+//   Table.merge(Answer.Loads, Now);
+//
+// A load is a hint: it is forgotten when its owner no longer tells it.
+
+#ifndef MONSOONREEL_POOL_LOAD_TABLE_H
+#define MONSOONREEL_POOL_LOAD_TABLE_H
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "monsoonreel/types.h"
+#include "monsoonreel/wire.h"
+
+namespace monsoonreel {
+
+// How long a load counts after it was heard.
+constexpr duration pool_load_retention = std::chrono::seconds(10);
+constexpr size_t max_pool_loads = 512;
+
+class pool_load_table {
+public:
+  explicit pool_load_table(std::string Self) : Self(std::move(Self)) {}
+
+  void setOwn(std::vector<wire::pool_load> Loads, steady_time Now);
+  void merge(const std::vector<wire::pool_load> &Loads, steady_time Now);
+  // Own loads and those that were told least often, Limit at most.
+  std::vector<wire::pool_load> pick(size_t Limit, steady_time Now);
+  // What others told, not older than pool_load_retention.
+  std::vector<wire::pool_load> heard(steady_time Now) const;
+
+private:
+  using load_key = std::pair<std::string, std::string>; // pool, owner
+  struct known_load {
+    wire::pool_load Load;
+    steady_time HeardAt;
+    int Told = 0;
+  };
+  void forgetOld(steady_time Now);
+
+  std::string Self;
+  std::map<load_key, known_load> Loads;
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_POOL_LOAD_TABLE_H
--- /dev/null
+++ b/monsoonreel/rendezvous.h
@@ -0,0 +1,28 @@
+// Rendezvous hashing: which of the members is responsible for a key.
+//
+//   auto Order = rendezvousOrder("pool/chat-small",
+//                                Members.alive(wire::member_role::Entry,
+//                                Zone));
+//   const wire::member &Owner = Order.front(); // when there is any
+//
+// Every node that knows the same members finds the same order. When a member
+// leaves, only its keys move, each to the next member of its order.
+
+#ifndef MONSOONREEL_RENDEZVOUS_H
+#define MONSOONREEL_RENDEZVOUS_H
+
+#include <string_view>
+#include <vector>
+
+#include "monsoonreel/wire.h"
+
+namespace monsoonreel {
+
+// Members in falling order of their weight for Key. The weight depends on the
+// key and the member's name alone, so a restarted member keeps its place.
+std::vector<wire::member> rendezvousOrder(std::string_view Key,
+                                          std::vector<wire::member> Members);
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_RENDEZVOUS_H
