Engine stand-in: test preemption with both places taken

The test submitted all three requests before the first step ended, so the third started ahead of the second and nobody had to give way.

--- a/standins/testing/engine_model_test.cc
+++ b/standins/testing/engine_model_test.cc
@@ -65,6 +65,8 @@
 TEST_F(engine_model_test, HigherPriority_BatchFull_TakesThePlace) {
   Engine.submit(job(1, 2, 50), Now);
   Engine.submit(job(2, 3, 50), Now);
+  Now = *Engine.nextStep();
+  Engine.advance(Now); // both run from here on
   Engine.submit(job(3, 0, 5), Now);
   auto Tokens = runToEnd();
   EXPECT_EQ(Engine.totals().Preempted, 1);
