Bounded HTTP server: a gate before Qt's server

Qt's server has no bounds and answers pipelined requests crossed. A socket handed to bind() now stands between it and each connection: it collects one request within the bounds, parses the head strictly, and leaves further bytes in the connection until the answer is complete.

--- /dev/null
+++ b/io/clock.h
@@ -0,0 +1,26 @@
+// The clock readings that go into events.
+//
+//   event Event{steadyNow(), wallNow(), Random(), tick{}};
+//
+// Only the I/O layer reads clocks; the library gets the readings with events.
+
+#ifndef IO_CLOCK_H
+#define IO_CLOCK_H
+
+#include "monsoonreel/types.h"
+
+namespace monsoonreel {
+
+inline steady_time steadyNow() {
+  return std::chrono::time_point_cast<duration>(
+      std::chrono::steady_clock::now());
+}
+
+inline wall_time wallNow() {
+  return std::chrono::time_point_cast<duration>(
+      std::chrono::system_clock::now());
+}
+
+} // namespace monsoonreel
+
+#endif // IO_CLOCK_H
--- /dev/null
+++ b/io/gated_socket.h
@@ -0,0 +1,92 @@
+// A socket that lets only complete and bounded requests through.
+//
+//   auto *Gate = new gated_socket(std::move(Wire), Bounds);
+//   addPendingConnection(Gate);    // for QAbstractHttpServer
+//   ...
+//   Gate->finishRequest();         // the answer has been written
+//
+// QAbstractHttpServer has no bounds of its own, and it hands a pipelined
+// request on while the one before it is still being answered. This socket
+// stands between it and the connection: it collects one request within the
+// bounds, makes it readable as a whole, and leaves all further bytes in the
+// connection until that request's answer is complete. Input that breaks a
+// bound is answered here and never reaches the server.
+
+#ifndef IO_GATED_SOCKET_H
+#define IO_GATED_SOCKET_H
+
+#include <functional>
+#include <memory>
+
+#include <QByteArray>
+#include <QTcpSocket>
+
+#include "io/http_head.h"
+#include "monsoonreel/types.h"
+
+namespace monsoonreel {
+
+// Bounds on what callers may send and for how long they may take.
+struct http_bounds {
+  int HeadBytes = 32 << 10;
+  int64_t BodyBytes = int64_t{8} << 20;
+  duration HeadTime = std::chrono::seconds(10);  // for a whole head
+  duration BodyTime = std::chrono::seconds(60);  // for a whole body
+  duration IdleTime = std::chrono::seconds(120); // between two requests
+  duration StallTime = std::chrono::seconds(60); // without reading an answer
+  int Connections = 4096;
+  int ConnectionsPerAddress = 1024;
+};
+
+class gated_socket : public QTcpSocket {
+public:
+  gated_socket(std::unique_ptr<QTcpSocket> Wire, const http_bounds &Bounds);
+  ~gated_socket() override;
+
+  // The request that is being answered.
+  const http_head &head() const { return Head; }
+  // The answer is complete; the next request may come in.
+  void finishRequest();
+  // Closes the connection in a way that the caller can tell from an end.
+  void breakOff();
+  // Ends the connection when it has taken longer than the bounds allow.
+  void checkTimes(steady_time Now);
+
+  qint64 bytesAvailable() const override;
+  qint64 bytesToWrite() const override;
+  bool canReadLine() const override;
+  void disconnectFromHost() override;
+  void close() override;
+
+protected:
+  qint64 readData(char *Data, qint64 MaxSize) override;
+  qint64 writeData(const char *Data, qint64 Size) override;
+
+private:
+  enum class phase { Idle, Head, Body, Answering, Discarding };
+
+  void onInput();
+  void readHead();
+  void readBody();
+  void release();
+  void refuse(int Status);
+  void closeWhenWritten();
+  void endOutput();
+  void onWireClosed();
+  void enter(phase Next);
+
+  std::unique_ptr<QTcpSocket> Wire;
+  http_bounds Bounds;
+  phase Phase = phase::Idle;
+  steady_time PhaseStart;
+  steady_time LastWriteProgress;
+  QByteArray HeadBytes;
+  QByteArray BodyBytes;
+  http_head Head;
+  QByteArray Readable; // what the server may read
+  qint64 ReadPosition = 0;
+};
+
+} // namespace monsoonreel
+
+#endif // IO_GATED_SOCKET_H
--- /dev/null
+++ b/io/http_server.cc
@@ -0,0 +1,243 @@
+#include "io/http_server.h"
+
+#include <utility>
+
+#include <QAbstractHttpServer>
+#include <QHttpServerRequest>
+#include <QHttpServerResponder>
+#include <QTcpServer>
+#include <QTimer>
+#include <QUrl>
+#include <QUrlQuery>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "spdlog/fmt/fmt.h"
+
+#include "io/clock.h"
+
+namespace monsoonreel {
+
+namespace {
+
+constexpr std::chrono::milliseconds watchdog_period(250);
+constexpr int listen_backlog = 512;
+
+bool hasNoBody(int Status) { return Status == 204 || Status == 304; }
+
+QByteArray toBytes(std::string_view Text) {
+  return {Text.data(), static_cast<qsizetype>(Text.size())};
+}
+
+} // namespace
+
+std::string http_request::parameter(std::string_view Name,
+                                    std::string Otherwise) const {
+  QUrlQuery Parsed(QString::fromStdString(Query));
+  QString Key = QString::fromUtf8(Name.data(), Name.size());
+  if (!Parsed.hasQueryItem(Key))
+    return Otherwise;
+  return Parsed.queryItemValue(Key, QUrl::FullyDecoded).toStdString();
+}
+
+// ---------------------------------------------------------------- exchange
+
+http_exchange::http_exchange(QHttpServerResponder &&Answer,
+                             gated_socket *Connection)
+    : Responder(std::make_unique<QHttpServerResponder>(std::move(Answer))),
+      Socket(Connection), HeadOnly(Connection->head().Method == "HEAD") {
+  connect(Connection, &QTcpSocket::disconnected, this, [this] {
+    Socket.clear();
+    if (!std::exchange(Done, true) && OnGone)
+      OnGone();
+  });
+  connect(Connection, &QTcpSocket::bytesWritten, this, [this] {
+    if (!Done && OnRoom)
+      OnRoom();
+  });
+}
+
+http_exchange::~http_exchange() { abort(); }
+
+bool http_exchange::isOpen() const { return !Done && Socket; }
+
+void http_exchange::setOnGone(std::function<void()> Callback) {
+  OnGone = std::move(Callback);
+}
+
+void http_exchange::setOnRoom(std::function<void()> Callback) {
+  OnRoom = std::move(Callback);
+}
+
+int64_t http_exchange::bytesToWrite() const {
+  return Socket ? Socket->bytesToWrite() : 0;
+}
+
+void http_exchange::writeHead(int Status, const http_header_list &Headers) {
+  Begun = true;
+  Responder->writeStatusLine(
+      static_cast<QHttpServerResponder::StatusCode>(Status));
+  for (const http_header &Header : Headers)
+    Responder->writeHeader(toBytes(Header.Name), toBytes(Header.Value));
+  if (!Socket->head().KeepAlive)
+    Responder->writeHeader("Connection", "close");
+}
+
+void http_exchange::answer(int Status, const http_header_list &Headers,
+                           std::string_view Body) {
+  if (!isOpen() || Begun)
+    return;
+  writeHead(Status, Headers);
+  if (!hasNoBody(Status))
+    Responder->writeHeader("Content-Length",
+                           QByteArray::number(qint64(Body.size())));
+  // The first writeBody ends the head.
+  bool WithoutBody = HeadOnly || hasNoBody(Status);
+  Responder->writeBody(WithoutBody ? QByteArray() : toBytes(Body));
+  complete();
+}
+
+void http_exchange::begin(int Status, const http_header_list &Headers) {
+  if (!isOpen() || Begun)
+    return;
+  writeHead(Status, Headers);
+  HeadOnly = HeadOnly || hasNoBody(Status);
+  Chunked = Socket->head().KeepAlive && !hasNoBody(Status);
+  // Without chunks the end of the connection is the end of the body.
+  if (Chunked)
+    Responder->writeHeader("Transfer-Encoding", "chunked");
+  Responder->writeBody(QByteArray());
+}
+
+void http_exchange::write(std::string_view Data) {
+  if (!isOpen() || !Begun || HeadOnly || Data.empty())
+    return;
+  if (!Chunked) {
+    Responder->writeBody(toBytes(Data));
+    return;
+  }
+  std::string Frame = fmt::format("{:x}\r\n{}\r\n", Data.size(), Data);
+  Responder->writeBody(toBytes(Frame));
+}
+
+void http_exchange::finish() {
+  if (!isOpen() || !Begun)
+    return;
+  if (Chunked && !HeadOnly)
+    Responder->writeBody(QByteArray("0\r\n\r\n"));
+  complete();
+}
+
+void http_exchange::complete() {
+  Done = true;
+  Socket->finishRequest();
+}
+
+void http_exchange::abort() {
+  if (!isOpen())
+    return;
+  Done = true;
+  Socket->breakOff();
+}
+
+// ---------------------------------------------------------------- listener
+
+// Accepts connections within the bounds and puts a gate before each.
+class http_server::listener : public QTcpServer {
+public:
+  listener(const http_bounds &Limits, QObject *Parent)
+      : QTcpServer(Parent), Bounds(Limits) {
+    setListenBacklogSize(listen_backlog);
+    connect(&Watchdog, &QTimer::timeout, this, [this] { checkTimes(); });
+    Watchdog.start(watchdog_period);
+  }
+
+  int connections() const { return static_cast<int>(Open.size()); }
+
+protected:
+  void incomingConnection(qintptr Descriptor) override {
+    auto Wire = std::make_unique<QTcpSocket>();
+    if (!Wire->setSocketDescriptor(Descriptor))
+      return;
+    std::string Peer = Wire->peerAddress().toString().toStdString();
+    if (connections() >= Bounds.Connections ||
+        PerAddress[Peer] >= Bounds.ConnectionsPerAddress)
+      return Wire->abort();
+    Wire->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    auto *Gate = new gated_socket(std::move(Wire), Bounds);
+    Open.insert(Gate);
+    ++PerAddress[Peer];
+    connect(Gate, &QObject::destroyed, this, [this, Gate, Peer] {
+      Open.erase(Gate);
+      if (--PerAddress[Peer] == 0)
+        PerAddress.erase(Peer);
+    });
+    connect(Gate, &QTcpSocket::disconnected, Gate, &QObject::deleteLater);
+    addPendingConnection(Gate);
+  }
+
+private:
+  void checkTimes() {
+    steady_time Now = steadyNow();
+    // A copy, because ending a connection changes the set.
+    auto Sockets = Open;
+    for (gated_socket *Gate : Sockets)
+      Gate->checkTimes(Now);
+  }
+
+  http_bounds Bounds;
+  QTimer Watchdog;
+  absl::flat_hash_set<gated_socket *> Open;
+  absl::flat_hash_map<std::string, int> PerAddress;
+};
+
+// -------------------------------------------------------------- dispatcher
+
+class http_server::dispatcher : public QAbstractHttpServer {
+public:
+  explicit dispatcher(http_handler &Target) : Handler(Target) {}
+
+protected:
+  bool handleRequest(const QHttpServerRequest &Request,
+                     QTcpSocket *Socket) override {
+    auto *Gate = static_cast<gated_socket *>(Socket);
+    const http_head &Head = Gate->head();
+    http_request Whole{Head.Method,
+                       Head.Path,
+                       Head.Query,
+                       Head.Headers,
+                       Request.body().toStdString(),
+                       Gate->peerAddress().toString().toStdString()};
+    auto Exchange =
+        std::make_shared<http_exchange>(makeResponder(Request, Socket), Gate);
+    Handler.handleRequest(Whole, Exchange);
+    return true;
+  }
+
+  void missingHandler(const QHttpServerRequest & /*Request*/,
+                      QTcpSocket * /*Socket*/) override {}
+
+private:
+  http_handler &Handler;
+};
+
+http_server::http_server(http_handler &Handler, const http_bounds &Bounds)
+    : Dispatcher(std::make_unique<dispatcher>(Handler)),
+      Listener(new listener(Bounds, Dispatcher.get())) {}
+
+http_server::~http_server() = default;
+
+bool http_server::listen(const QHostAddress &Address, uint16_t Port) {
+  if (!Listener->listen(Address, Port))
+    return false;
+  Dispatcher->bind(Listener);
+  return true;
+}
+
+uint16_t http_server::port() const { return Listener->serverPort(); }
+
+void http_server::stopListening() { Listener->close(); }
+
+int http_server::connections() const { return Listener->connections(); }
+
+} // namespace monsoonreel
