--- /dev/null
+++ b/monsoonreel/stream_replica.h
@@ -0,0 +1,73 @@
+// One node's copy of a stream: its ledger, what feeds it, and what appends.
+//
+//   stream_replica Usage(usage_stream, Self, Calls);
+//   Usage.addLease(UsageLease);
+//   Usage.follower().setFollowing(true);
+//   Usage.onTick(Now, Random, Effects);
+//   Usage.onEvent(Event, Effects);
+//   for (const ledger_change &Change : Usage.takeChanges()) ...
+//
+// Records come from the log by the follower, or from a peer by `applyRecord`
+// and `restoreSnapshot`. Each goes to the ledger, to the leases, and then to
+// the writer, so that a lease still finds when its claim was sent.
+
+#ifndef MONSOONREEL_STREAM_REPLICA_H
+#define MONSOONREEL_STREAM_REPLICA_H
+
+#include <string_view>
+#include <vector>
+
+#include "monsoonreel/lease_holder.h"
+#include "monsoonreel/ledger.h"
+#include "monsoonreel/log_follower.h"
+#include "monsoonreel/node.h"
+#include "monsoonreel/record_writer.h"
+
+namespace monsoonreel {
+
+class stream_replica : public log_replica {
+public:
+  stream_replica(std::string_view Stream, const node_identity &Self,
+                 call_counter &Calls);
+  stream_replica(const stream_replica &) = delete;
+  stream_replica &operator=(const stream_replica &) = delete;
+
+  // Lease is told of its claims and ticked from now on. It must outlive this.
+  void addLease(lease_holder &Lease);
+
+  const ledger &state() const { return Ledger; }
+  log_follower &follower() { return Follower; }
+  const log_follower &follower() const { return Follower; }
+  record_writer &writer() { return Writer; }
+
+  void onTick(steady_time Now, uint64_t Random, effect_list &Effects);
+  // Reads and appends that were answered or failed; other events are ignored.
+  void onEvent(const event &Event, effect_list &Effects);
+
+  log_offset applied() const override { return Ledger.applied(); }
+  void applyRecord(log_offset Offset, const std::string &Bytes, steady_time Now,
+                   effect_list &Effects) override;
+  bool restoreSnapshot(log_offset Covers, const std::string &State,
+                       steady_time Now, effect_list &Effects) override;
+
+  // What was replayed since the last call.
+  std::vector<ledger_change> takeChanges();
+  // Whether a snapshot was restored since the last call.
+  bool takeRestored();
+  // Records that were applied since the last call, for handing on.
+  std::vector<wire::stored_record> takeRecords();
+
+private:
+  ledger Ledger;
+  log_follower Follower;
+  record_writer Writer;
+  incarnation Self;
+  std::vector<lease_holder *> Leases;
+  std::vector<ledger_change> Changes;
+  std::vector<wire::stored_record> Records;
+  bool Restored = false;
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_STREAM_REPLICA_H
--- /dev/null
+++ b/monsoonreel/usage_meter.h
@@ -0,0 +1,111 @@
+// Meters what an entry's requests used, and gets it into the log.
+//
+//   usage_meter Meter(Self);
+//   Meter.add(Organisation, Class, {1, PromptTokens, OutputTokens});
+//   Meter.setPeers(Stewards, Holders);
+//   Meter.onTick(Now, Random, Effects);
+//   if (Meter.onMessage(Received, Effects)) ...
+//
+// Increments gather in a bucket for `cut_interval`. Then they become a batch
+// with the next sequence of this process, which never changes any more. A batch
+// is held at an entry on another VM, and offered to stewards until one of them
+// has read it back from the log. If this process dies, the holder offers it
+// (`usage_keeper`). The replay counts each (incarnation, sequence) once,
+// whoever offered it.
+//
+// What is lost with a VM that dies without a drain: the bucket, so at most what
+// ended in the last `cut_interval` and the hold's way to its holder. Too little
+// is billed then, never too much.
+//
+// Memory is bounded by `max_open_increments`. From half of it on, while the
+// platform is out for long, batches are cut more rarely, so that they merge
+// more; at the bound, none is cut and the bucket grows, which is bounded by
+// the number of organisations times classes.
+
+#ifndef MONSOONREEL_USAGE_METER_H
+#define MONSOONREEL_USAGE_METER_H
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+
+#include "monsoonreel/effect.h"
+#include "monsoonreel/event.h"
+#include "monsoonreel/node.h"
+#include "monsoonreel/types.h"
+#include "monsoonreel/usage_offers.h"
+
+namespace monsoonreel {
+
+constexpr duration cut_interval = std::chrono::seconds(1);
+// While more than half of the memory for open batches is used.
+constexpr duration crowded_cut_interval = std::chrono::seconds(30);
+constexpr size_t max_open_increments = 65536;
+constexpr duration hold_timeout = std::chrono::milliseconds(500);
+constexpr duration release_interval = std::chrono::seconds(1);
+
+struct usage_figures {
+  int64_t Requests = 0;
+  int64_t PromptTokens = 0;
+  int64_t OutputTokens = 0;
+};
+
+class usage_meter {
+public:
+  explicit usage_meter(const node_identity &Self);
+
+  void add(const organisation_name &Organisation, const class_name &Class,
+           const usage_figures &Figures);
+
+  // Stewards of the zone, those that follow the log first. Holders are entries
+  // on other VMs, in order of preference.
+  void setPeers(std::vector<wire::member> Stewards,
+                const std::vector<wire::member> &Holders);
+
+  void onTick(steady_time Now, uint64_t Random, effect_list &Effects);
+
+  // True when the message was meant for this meter.
+  bool onMessage(const peer_message_received &Received);
+
+  // Cuts a batch now; for a drain.
+  void flush();
+  // Whether everything metered is in the log.
+  bool isLogged() const { return Bucket.empty() && Offers.empty(); }
+  // Whether everything metered is in the log or at a holder.
+  bool isSafe() const { return Bucket.empty() && Unheld.empty(); }
+
+private:
+  struct bucket_key {
+    organisation_name Organisation;
+    class_name Class;
+    auto operator<=>(const bucket_key &) const = default;
+  };
+  struct waiting_hold {
+    steady_time NextSend = steady_time::min();
+  };
+
+  void cut();
+  void sendHolds(steady_time Now, effect_list &Effects);
+  void sendRelease(steady_time Now, effect_list &Effects);
+  void holdAllAnew();
+
+  node_identity Self;
+  std::vector<wire::member> Stewards;
+  wire::member Holder; // without a name: none
+  absl::btree_map<bucket_key, usage_figures> Bucket;
+  int64_t LastSequence = 0;
+  usage_offers Offers;
+  // Open batches that no holder has.
+  absl::btree_map<int64_t, waiting_hold> Unheld;
+  steady_time NextCut = steady_time::min();
+  steady_time NextRelease = steady_time::min();
+  int64_t ReleasedUpTo = 0;
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_USAGE_METER_H
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -3516,6 +3516,10 @@
 void usage_held::__set_Sequence(const int64_t val) {
   this->Sequence = val;
 }
+
+void usage_held::__set_Holder(const int64_t val) {
+  this->Holder = val;
+}
 std::ostream& operator<<(std::ostream& out, const usage_held& obj)
 {
   obj.printTo(out);
@@ -3560,6 +3564,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Holder);
+          this->__isset.Holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3585,6 +3597,10 @@
   xfer += oprot->writeI64(this->Sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Holder", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->Holder);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3594,28 +3610,33 @@
   using ::std::swap;
   swap(a.Incarnation, b.Incarnation);
   swap(a.Sequence, b.Sequence);
+  swap(a.Holder, b.Holder);
   swap(a.__isset, b.__isset);
 }
 
 usage_held::usage_held(const usage_held& other120) noexcept {
   Incarnation = other120.Incarnation;
   Sequence = other120.Sequence;
+  Holder = other120.Holder;
   __isset = other120.__isset;
 }
 usage_held::usage_held(usage_held&& other121) noexcept {
   Incarnation = other121.Incarnation;
   Sequence = other121.Sequence;
+  Holder = other121.Holder;
   __isset = other121.__isset;
 }
 usage_held& usage_held::operator=(const usage_held& other122) noexcept {
   Incarnation = other122.Incarnation;
   Sequence = other122.Sequence;
+  Holder = other122.Holder;
   __isset = other122.__isset;
   return *this;
 }
 usage_held& usage_held::operator=(usage_held&& other123) noexcept {
   Incarnation = other123.Incarnation;
   Sequence = other123.Sequence;
+  Holder = other123.Holder;
   __isset = other123.__isset;
   return *this;
 }
@@ -3624,6 +3645,7 @@
   out << "usage_held(";
   out << "Incarnation=" << to_string(Incarnation);
   out << ", " << "Sequence=" << to_string(Sequence);
+  out << ", " << "Holder=" << to_string(Holder);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -1484,9 +1484,10 @@
 std::ostream& operator<<(std::ostream& out, const usage_hold& obj);
 
 typedef struct _usage_held__isset {
-  _usage_held__isset() : Incarnation(false), Sequence(false) {}
+  _usage_held__isset() : Incarnation(false), Sequence(false), Holder(false) {}
   bool Incarnation :1;
   bool Sequence :1;
+  bool Holder :1;
 } _usage_held__isset;
 
 class usage_held : public virtual ::apache::thrift::TBase {
@@ -1498,12 +1499,14 @@
   usage_held& operator=(usage_held&&) noexcept;
   usage_held() noexcept
              : Incarnation(0),
-               Sequence(0) {
+               Sequence(0),
+               Holder(0) {
   }
 
   virtual ~usage_held() noexcept;
   int64_t Incarnation;
   int64_t Sequence;
+  int64_t Holder;
 
   _usage_held__isset __isset;
 
@@ -1511,12 +1514,16 @@
 
   void __set_Sequence(const int64_t val);
 
+  void __set_Holder(const int64_t val);
+
   bool operator == (const usage_held & rhs) const
   {
     if (!(Incarnation == rhs.Incarnation))
       return false;
     if (!(Sequence == rhs.Sequence))
       return false;
+    if (!(Holder == rhs.Holder))
+      return false;
     return true;
   }
   bool operator != (const usage_held &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -165,6 +165,7 @@
 struct usage_held {
   1: i64 Incarnation
   2: i64 Sequence
+  3: i64 Holder                // incarnation of the process that holds it
 }
 
 struct usage_release {
