--- /dev/null
+++ b/monsoonreel/key_trust.cc
@@ -0,0 +1,61 @@
+#include "monsoonreel/key_trust.h"
+
+#include <algorithm>
+
+#include "monsoonreel/mechanism.h"
+
+namespace monsoonreel {
+
+void log_freshness::onLogRead(log_offset Offset, steady_time RequestedAt) {
+  onApplied(Offset);
+  FreshAt = std::max(FreshAt.value_or(RequestedAt), RequestedAt);
+}
+
+void log_freshness::onPeer(log_offset Offset, duration Age,
+                           steady_time AskedAt) {
+  // A negative age is hostile or a fault of the peer.
+  steady_time At = AskedAt - std::max(Age, duration::zero());
+  if (FreshAt && At <= *FreshAt)
+    return;
+  bool Applies =
+      Offset <= Applied || !isEnabled(mechanism::FreshnessNeedsOffset);
+  if (Applies) {
+    FreshAt = At;
+    return;
+  }
+  // While records keep coming, the oldest entries are those that this node
+  // will reach first, so a new one is dropped when there is no room.
+  if (Waiting.size() < max_waiting_freshness)
+    Waiting.push_back({Offset, At});
+}
+
+void log_freshness::onApplied(log_offset Offset) {
+  Applied = std::max(Applied, Offset);
+  auto Reached = [&](const waiting_freshness &Entry) {
+    return Entry.Offset <= Applied;
+  };
+  for (const waiting_freshness &Entry : Waiting)
+    if (Reached(Entry))
+      FreshAt = std::max(FreshAt.value_or(Entry.At), Entry.At);
+  std::erase_if(Waiting, Reached);
+}
+
+std::optional<duration> log_freshness::age(steady_time Now) const {
+  if (!FreshAt)
+    return std::nullopt;
+  return std::max(Now - *FreshAt, duration::zero());
+}
+
+bool mayTrustKeys(const policy_limits &Limits, bool Idempotent,
+                  const log_freshness &Freshness, steady_time Now) {
+  if (!isEnabled(mechanism::KeyTrustExpires))
+    return true;
+  std::optional<duration> Age = Freshness.age(Now);
+  if (!Age)
+    return false;
+  duration Limit =
+      Idempotent ? Limits.StaleKeyTrust : Limits.StaleKeyTrustNonIdempotent;
+  return *Age <= Limit;
+}
+
+} // namespace monsoonreel
--- a/monsoonreel/key_trust.h
+++ b/monsoonreel/key_trust.h
@@ -1,6 +1,7 @@
 // How long a node that is cut off trusts the keys that it knows.
 //
-//   Members.freshness().onLogRead(Event.Now); // a follower read the log's end
+//   // A follower read the log's end and applied everything before it:
+//   Members.freshness().onLogRead(Ledger.applied(), RequestedAt);
 //   if (!mayTrustKeys(Config.Limits, Idempotent, Members.freshness(), Now))
 //     refuse("keys-stale");
 //
@@ -18,6 +19,7 @@
 #ifndef MONSOONREEL_KEY_TRUST_H
 #define MONSOONREEL_KEY_TRUST_H
 
+#include <cstddef>
 #include <deque>
 #include <optional>
 
@@ -26,11 +28,13 @@
 
 namespace monsoonreel {
 
+constexpr size_t max_waiting_freshness = 16;
+
 class log_freshness {
 public:
-  // The log's end was read by this node, and everything before it is applied.
-  // RequestedAt is the time before the read was sent.
-  void onLogRead(steady_time RequestedAt);
+  // This node read the log's end, and has applied everything before it, which
+  // ends with Offset. RequestedAt is the time before the read was sent.
+  void onLogRead(log_offset Offset, steady_time RequestedAt);
 
   // A peer that has applied Offset answered a question sent at AskedAt, and
   // its own freshness had this age.
@@ -39,6 +43,9 @@
   // This node has applied everything up to Offset.
   void onApplied(log_offset Offset);
 
+  // The offset that `age` is about.
+  log_offset applied() const { return Applied; }
+
   // The time since the log was known to hold nothing newer; empty when it
   // never was.
   std::optional<duration> age(steady_time Now) const;
@@ -48,11 +55,11 @@
     log_offset Offset;
     steady_time At;
   };
-  void raise(steady_time At);
 
   log_offset Applied;
   std::optional<steady_time> FreshAt;
-  // Told by peers, for offsets that this node has not applied yet.
+  // Told by peers, for offsets that this node has not applied yet; at most
+  // max_waiting_freshness.
   std::deque<waiting_freshness> Waiting;
 };
 
--- a/monsoonreel/mechanism.h
+++ b/monsoonreel/mechanism.h
@@ -30,6 +30,18 @@
   LeavingStopsGrants,    // a leaving upstream gets no new work
   WithdrawalCancels,     // running requests of a withdrawn key are cancelled
   AttemptFilter,         // late events of a cancelled attempt are dropped
+  ClaimGiveUp,           // an attempt that was given up is never dispatched
+  ClaimReleaseVoids,     // a released attempt can't win its key again
+  ClaimSameAttempt,      // another steward is asked under the same attempt id
+  ClaimHorizon,          // a key from before the horizon can't be claimed
+  ClaimTimeVouched,      // one writer's clock alone does not expire keys
+  SuspicionBeforeDeath,  // a silent member has time to refute its death
+  IndirectProbe,         // others are asked before a member is suspected
+  SilentLinkReset,       // a silent connection is replaced by a new one
+  ReconnectProbe,        // dead members are probed now and then
+  EagerPush,             // new records are pushed to peers at once
+  FreshnessNeedsOffset,  // freshness counts once the offset is applied
+  KeyTrustExpires,       // a node that is cut off stops trusting its keys
 };
 
 bool isEnabled(mechanism Mechanism);
--- /dev/null
+++ b/monsoonreel/membership.cc
@@ -0,0 +1,316 @@
+#include "monsoonreel/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+#include "monsoonreel/host.h"
+#include "monsoonreel/mechanism.h"
+
+namespace monsoonreel {
+
+membership::membership(node_identity Identity, wire::member_role::type Role,
+                       std::vector<address> Seeds)
+    : Seeds(std::move(Seeds)), Loads(Identity.Name.Value) {
+  Self.Name = std::move(Identity.Name.Value);
+  Self.Role = Role;
+  Self.Zone = std::move(Identity.Zone.Value);
+  Self.Address = std::move(Identity.Address.Value);
+  Self.Incarnation = Identity.Incarnation.Value;
+  Self.State = wire::member_state::Alive;
+  // An answer to an earlier run of this node must not match a nonce of this
+  // one.
+  NextNonce += (Identity.Incarnation.Value & 0xffffff) << 24;
+}
+
+void membership::onTick(steady_time Now, uint64_t Random, log_offset Applied,
+                        effect_list &Effects) {
+  RandomSeed ^= Random;
+  Ledger = std::max(Ledger, Applied);
+  Freshness.onApplied(Ledger);
+  forgetProbesAfterPause(Now);
+  checkProbes(Now, Effects);
+  expireMembers(Now, Effects);
+  if (LeavingUntold)
+    tellLeaving(Now, Effects);
+  if (Now >= NextNear) {
+    NextNear = Now + heartbeat_period;
+    probeNext(Near, true, Now, Effects);
+  }
+  if (Now >= NextFar) {
+    NextFar = Now + far_heartbeat_period;
+    probeNext(Far, false, Now, Effects);
+  }
+  if (Now >= NextReconnect) {
+    // A node that knows nobody looks for others as often as it can.
+    NextReconnect =
+        Now + (liveCount() > 1 ? reconnect_period : heartbeat_period);
+    probeUnknown(Now, Effects);
+  }
+  LastTick = Now;
+  Started = true;
+}
+
+void membership::forgetProbesAfterPause(steady_time Now) {
+  if (!Started || Now - LastTick < heartbeat_period)
+    return;
+  // This process did not run, so it could not hear any answer: nobody else is
+  // to be suspected for that, and suspects get their whole time again.
+  Probes.clear();
+  for (auto &[Name, Known] : Members)
+    if (Known.Member.State == wire::member_state::Suspect)
+      Known.ChangedAt = Now;
+}
+
+void membership::probeNext(probe_schedule &Schedule, bool InOwnZone,
+                           steady_time Now, effect_list &Effects) {
+  std::vector<node_name> Candidates;
+  for (const auto &[Name, Known] : Members) {
+    bool Near = Known.Member.Zone == Self.Zone;
+    if (Near == InOwnZone && Known.Member.State != wire::member_state::Dead)
+      Candidates.emplace_back(Name);
+  }
+  std::optional<node_name> Next = Schedule.next(Candidates, draw());
+  if (!Next)
+    return;
+  const wire::member &Target = Members.find(Next->Value)->second.Member;
+  beginProbe(*Next, address(Target.Address), Now, Effects);
+}
+
+void membership::beginProbe(const node_name &Target,
+                            const address &TargetAddress, steady_time Now,
+                            effect_list &Effects) {
+  int64_t Nonce = NextNonce++;
+  Probes[Nonce] = open_probe{Target, TargetAddress, Now};
+  sendHeartbeat(Nonce, Target, TargetAddress, false, Now, Effects);
+}
+
+// Looks for members that are not known to live: at the seeds, at the addresses
+// of the VM list, and at those of dead members.
+void membership::probeUnknown(steady_time Now, effect_list &Effects) {
+  if (!isEnabled(mechanism::ReconnectProbe) && liveCount() > 1)
+    return;
+  std::vector<std::pair<node_name, address>> Candidates;
+  absl::flat_hash_set<std::string> LiveAddresses = {Self.Address};
+  for (const auto &[Name, Known] : Members)
+    if (Known.Member.State != wire::member_state::Dead)
+      LiveAddresses.insert(Known.Member.Address);
+  for (const auto &[Name, Known] : Members)
+    if (Known.Member.State == wire::member_state::Dead &&
+        !LiveAddresses.contains(Known.Member.Address))
+      Candidates.emplace_back(node_name(Name), address(Known.Member.Address));
+  for (const std::vector<address> *List : {&Seeds, &ListedAddresses})
+    for (const address &Address : *List)
+      if (!LiveAddresses.contains(Address.Value))
+        Candidates.emplace_back(node_name(), Address);
+  if (Candidates.empty())
+    return;
+  const auto &[Name, Address] = Candidates[draw() % Candidates.size()];
+  beginProbe(Name, Address, Now, Effects);
+}
+
+void membership::checkProbes(steady_time Now, effect_list &Effects) {
+  std::vector<int64_t> Late;
+  std::vector<int64_t> Unanswered;
+  for (const auto &[Nonce, Probe] : Probes) {
+    if (Now - Probe.SentAt >= probe_timeout)
+      Unanswered.push_back(Nonce);
+    else if (Now - Probe.SentAt >= direct_probe_timeout && !Probe.Escalated)
+      Late.push_back(Nonce);
+  }
+  for (int64_t Nonce : Late)
+    escalate(Nonce, Now, Effects);
+  for (int64_t Nonce : Unanswered) {
+    open_probe Probe = Probes[Nonce];
+    Probes.erase(Nonce);
+    if (known_member *Known = findKnown(Probe.Target.Value))
+      suspect(*Known, Now, Effects);
+  }
+  std::erase_if(Relays, [&](const auto &Entry) {
+    return Now - Entry.second.SentAt >= probe_timeout;
+  });
+}
+
+// The connection may have gone silent while the member lives: tries a new one,
+// and asks others to try theirs.
+void membership::escalate(int64_t Nonce, steady_time Now,
+                          effect_list &Effects) {
+  open_probe &Probe = Probes[Nonce];
+  Probe.Escalated = true;
+  if (isEnabled(mechanism::SilentLinkReset)) {
+    Effects.push_back(reset_link{Probe.TargetAddress});
+    sendHeartbeat(Nonce, Probe.Target, Probe.TargetAddress, true, Now, Effects);
+  }
+  known_member *Target = findKnown(Probe.Target.Value);
+  if (!Target || !isEnabled(mechanism::IndirectProbe))
+    return;
+  std::vector<const wire::member *> Others;
+  for (const auto &[Name, Known] : Members)
+    if (Known.Member.State == wire::member_state::Alive &&
+        Name != Probe.Target.Value)
+      Others.push_back(&Known.Member);
+  for (size_t Asked = 0; Asked < indirect_probe_count && !Others.empty();
+       ++Asked) {
+    size_t Chosen = draw() % Others.size();
+    wire::probe_request Request;
+    Request.Nonce = Nonce;
+    Request.Sender = Self;
+    Request.Target = Target->Member;
+    Effects.push_back(send_message{node_name(Others[Chosen]->Name),
+                                   address(Others[Chosen]->Address), Request});
+    Others.erase(Others.begin() + static_cast<ptrdiff_t>(Chosen));
+  }
+}
+
+void membership::expireMembers(steady_time Now, effect_list &Effects) {
+  for (auto &[Name, Known] : Members)
+    if (Known.Member.State == wire::member_state::Suspect &&
+        Now - Known.ChangedAt >= suspicion_timeout)
+      declareDead(Known, Now, Effects);
+  std::erase_if(Members, [&](const auto &Entry) {
+    return Entry.second.Member.State == wire::member_state::Dead &&
+           Now - Entry.second.ChangedAt >= dead_member_retention;
+  });
+  if (Now - VmListAt >= vm_mark_retention)
+    LeavingMarks.clear();
+}
+
+void membership::onVmList(const vm_list_read &List, steady_time Now) {
+  VmListAt = Now;
+  LeavingMarks.clear();
+  ListedAddresses.clear();
+  for (const vm_entry &Vm : List.Vms) {
+    if (ListedAddresses.size() >= max_members)
+      break;
+    if (hasPort(Vm.Address))
+      ListedAddresses.push_back(Vm.Address);
+    else
+      ListedAddresses.push_back(withPortOf(Vm.Address, address(Self.Address)));
+    if (!Vm.Leaving)
+      continue;
+    LeavingMarks.insert(Vm.Name.Value);
+    LeavingMarks.insert(Vm.Address.Value);
+  }
+}
+
+bool membership::isMarkedLeaving(const wire::member &Member) const {
+  if (LeavingMarks.empty())
+    return false;
+  return LeavingMarks.contains(Member.Name) ||
+         LeavingMarks.contains(Member.Address) ||
+         LeavingMarks.contains(hostOf(address(Member.Address)));
+}
+
+void membership::announceLeaving() {
+  LeavingUntold = Self.State != wire::member_state::Leaving;
+  Self.State = wire::member_state::Leaving;
+}
+
+// Gossip takes the news on; the first few are told at once.
+void membership::tellLeaving(steady_time Now, effect_list &Effects) {
+  LeavingUntold = false;
+  for (size_t Told = 0; Told < leaving_fanout; ++Told)
+    probeNext(Near, true, Now, Effects);
+}
+
+std::vector<wire::member> membership::aliveIf(wire::member_role::type Role,
+                                              const zone_name *Zone) const {
+  std::vector<wire::member> Unmarked;
+  std::vector<wire::member> All;
+  auto Consider = [&](const wire::member &Member) {
+    bool TakesWork = Member.State == wire::member_state::Alive ||
+                     Member.State == wire::member_state::Suspect;
+    if (!TakesWork || Member.Role != Role ||
+        (Zone && Member.Zone != Zone->Value))
+      return;
+    All.push_back(Member);
+    if (!isMarkedLeaving(Member))
+      Unmarked.push_back(Member);
+  };
+  Consider(Self);
+  for (const auto &[Name, Known] : Members)
+    Consider(Known.Member);
+  std::vector<wire::member> &Result = Unmarked.empty() ? All : Unmarked;
+  std::sort(Result.begin(), Result.end(),
+            [](const wire::member &Left, const wire::member &Right) {
+              return Left.Name < Right.Name;
+            });
+  return std::move(Result);
+}
+
+std::vector<wire::member> membership::alive(wire::member_role::type Role,
+                                            const zone_name &Zone) const {
+  return aliveIf(Role, &Zone);
+}
+
+std::vector<wire::member>
+membership::alive(wire::member_role::type Role) const {
+  return aliveIf(Role, nullptr);
+}
+
+const wire::member *membership::find(const node_name &Name) const {
+  if (Name.Value == Self.Name)
+    return &Self;
+  auto Found = Members.find(Name.Value);
+  return Found == Members.end() ? nullptr : &Found->second.Member;
+}
+
+bool membership::mayRun(incarnation Incarnation) const {
+  if (Incarnation.Value == Self.Incarnation)
+    return true;
+  return std::any_of(Members.begin(), Members.end(), [&](const auto &Entry) {
+    const wire::member &Member = Entry.second.Member;
+    return Member.Incarnation == Incarnation.Value &&
+           Member.State != wire::member_state::Dead;
+  });
+}
+
+size_t membership::liveCount() const {
+  return 1 + static_cast<size_t>(std::count_if(
+                 Members.begin(), Members.end(), [](const auto &Entry) {
+                   return Entry.second.Member.State != wire::member_state::Dead;
+                 }));
+}
+
+std::vector<ledger_peer> membership::highestLedgerOffset() const {
+  std::vector<const known_member *> Ahead;
+  for (const auto &[Name, Known] : Members)
+    if (Known.Ledger > Ledger && Known.Member.State != wire::member_state::Dead)
+      Ahead.push_back(&Known);
+  std::stable_sort(Ahead.begin(), Ahead.end(),
+                   [&](const known_member *Left, const known_member *Right) {
+                     if (Left->Ledger != Right->Ledger)
+                       return Left->Ledger > Right->Ledger;
+                     return Left->Member.Zone == Self.Zone &&
+                            Right->Member.Zone != Self.Zone;
+                   });
+  if (Ahead.size() > max_ledger_peers)
+    Ahead.resize(max_ledger_peers);
+  std::vector<ledger_peer> Peers;
+  for (const known_member *Known : Ahead)
+    Peers.push_back({node_name(Known->Member.Name),
+                     address(Known->Member.Address), Known->Ledger});
+  return Peers;
+}
+
+void membership::setOwnLoads(std::vector<wire::pool_load> Own,
+                             steady_time Now) {
+  Loads.setOwn(std::move(Own), Now);
+}
+
+std::vector<wire::pool_load> membership::heardLoads(steady_time Now) const {
+  return Loads.heard(Now);
+}
+
+uint64_t membership::draw() {
+  ++Draws;
+  return XXH3_64bits_withSeed(&Draws, sizeof(Draws), RandomSeed);
+}
+
+membership::known_member *membership::findKnown(const std::string &Name) {
+  auto Found = Members.find(Name);
+  return Found == Members.end() ? nullptr : &Found->second;
+}
+
+} // namespace monsoonreel
--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -28,7 +28,6 @@
 #include <string>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include "monsoonreel/effect.h"
@@ -64,6 +63,12 @@
 constexpr size_t max_members = 2048;
 constexpr size_t max_gossip_members = 4;
 constexpr size_t max_gossip_loads = 3;
+constexpr size_t max_ledger_peers = 4;
+constexpr size_t max_relayed_probes = 64;
+// Members that a node tells at once that it is leaving.
+constexpr size_t leaving_fanout = 4;
+// Answers with all members that a starting node asks for.
+constexpr int wanted_member_lists = 3;
 constexpr size_t max_member_name_bytes = 128;
 
 // A peer that has a higher offset of the operator stream.
@@ -75,7 +80,7 @@
 
 class membership {
 public:
-  membership(node_identity Self, wire::member_role Role,
+  membership(node_identity Self, wire::member_role::type Role,
              std::vector<address> Seeds);
 
   // Sends what is due. Ledger is the applied offset of the operator stream.
@@ -95,10 +100,10 @@
   // The members of Role in Zone that new work may go to, sorted by name, this
   // node included. Suspects are among them; leaving and dead members are not.
   // Marks of the VM list are ignored when they would leave nobody.
-  std::vector<wire::member> alive(wire::member_role Role,
+  std::vector<wire::member> alive(wire::member_role::type Role,
                                   const zone_name &Zone) const;
   // The same over all zones.
-  std::vector<wire::member> alive(wire::member_role Role) const;
+  std::vector<wire::member> alive(wire::member_role::type Role) const;
   // A member in any state, this node included; nullptr when unknown.
   const wire::member *find(const node_name &Name) const;
   // Whether the process of this incarnation may still run: it is known and was
@@ -114,9 +119,10 @@
   // The newest load of each pool by each owner, own ones excluded.
   std::vector<wire::pool_load> heardLoads(steady_time Now) const;
 
-  // The peer that told the highest offset of the operator stream, when that is
-  // higher than this node's.
-  std::optional<ledger_peer> highestLedgerOffset() const;
+  // Live peers that told a higher offset of the operator stream than this
+  // node's: the highest first, then those of the own zone. At most
+  // max_ledger_peers.
+  std::vector<ledger_peer> highestLedgerOffset() const;
 
   // How recent this node's knowledge of the log is. A node that reads the log
   // itself calls `freshness().onLogRead`.
@@ -139,8 +145,6 @@
     address TargetAddress;
     steady_time SentAt;
     bool Escalated = false; // the link was reset and others were asked
-    // The earlier nonce of the same probe, which an answer may also name.
-    int64_t FirstNonce = 0;
   };
   struct relayed_probe {
     int64_t Nonce = 0; // of the member that asked
@@ -154,16 +158,17 @@
   void probeUnknown(steady_time Now, effect_list &Effects);
   void checkProbes(steady_time Now, effect_list &Effects);
   void escalate(int64_t Nonce, steady_time Now, effect_list &Effects);
+  void probeNext(probe_schedule &Schedule, bool InOwnZone, steady_time Now,
+                 effect_list &Effects);
+  void tellLeaving(steady_time Now, effect_list &Effects);
   void expireMembers(steady_time Now, effect_list &Effects);
   void forgetProbesAfterPause(steady_time Now);
 
-  void onHeartbeat(const peer_message_received &Received,
-                   const wire::heartbeat &Beat, steady_time Now,
+  void onHeartbeat(const wire::heartbeat &Beat, steady_time Now,
                    effect_list &Effects);
   void onAck(const wire::heartbeat_ack &Ack, steady_time Now,
              effect_list &Effects);
-  void onProbeRequest(const peer_message_received &Received,
-                      const wire::probe_request &Request, steady_time Now,
+  void onProbeRequest(const wire::probe_request &Request, steady_time Now,
                       effect_list &Effects);
   void relayAck(const wire::heartbeat_ack &Ack, const relayed_probe &Relay,
                 effect_list &Effects);
@@ -178,16 +183,19 @@
   void declareDead(known_member &Known, steady_time Now, effect_list &Effects);
   bool makeRoom();
 
-  int64_t sendHeartbeat(const node_name &To, const address &ToAddress,
-                        bool Retry, steady_time Now, effect_list &Effects);
-  // At most max_gossip_members changes, the least spread first, and one more
-  // member in turn. First is told in any case.
-  std::vector<wire::member> pickGossip(const node_name &First);
+  void sendHeartbeat(int64_t Nonce, const node_name &To,
+                     const address &ToAddress, bool Retry, steady_time Now,
+                     effect_list &Effects);
+  log_offset ledgerOffset() const;
+  // At most max_gossip_members changes, the least spread first, or one member
+  // in turn when there are fewer. To hears of itself unless it is held alive.
+  std::vector<wire::member> pickGossip(const node_name &To);
+  void addNextInTurn(const node_name &To, std::vector<wire::member> &Picked);
   std::vector<wire::member> allMembers() const;
   size_t spreadLimit() const;
   uint64_t draw();
   bool isMarkedLeaving(const wire::member &Member) const;
-  std::vector<wire::member> aliveIf(wire::member_role Role,
+  std::vector<wire::member> aliveIf(wire::member_role::type Role,
                                     const zone_name *Zone) const;
   known_member *findKnown(const std::string &Name);
 
@@ -198,9 +206,9 @@
   std::map<int64_t, relayed_probe> Relays;
   probe_schedule Near;
   probe_schedule Far;
-  // Hosts that the VM list calls leaving, and addresses of the list that no
-  // member is known at.
-  absl::flat_hash_set<std::string> LeavingHosts;
+  // Names, addresses and hosts of VMs that the list calls leaving.
+  absl::flat_hash_set<std::string> LeavingMarks;
+  // Listener addresses in the list.
   std::vector<address> ListedAddresses;
   steady_time VmListAt;
 
@@ -210,10 +218,12 @@
   steady_time NextFar;
   steady_time NextReconnect;
   steady_time LastFullList;
-  uint64_t RandomState = 0;
+  uint64_t RandomSeed = 0;
+  uint64_t Draws = 0;
   int64_t NextNonce = 1;
   std::string GossipCursor;
-  int SelfSpread = 0;
+  int ListsWanted = wanted_member_lists;
+  bool LeavingUntold = false;
   log_offset Ledger;
   pool_load_table Loads;
   log_freshness Freshness;
--- /dev/null
+++ b/monsoonreel/membership_messages.cc
@@ -0,0 +1,323 @@
+// The messages of membership, and what is learned from them.
+
+#include "monsoonreel/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+#include <utility>
+
+#include "monsoonreel/mechanism.h"
+
+namespace monsoonreel {
+
+namespace {
+
+// How much a state says: of two claims about the same life of a member, the
+// one that says more holds.
+int rankOf(wire::member_state::type State) {
+  switch (State) {
+  case wire::member_state::Alive:
+    return 0;
+  case wire::member_state::Suspect:
+    return 1;
+  case wire::member_state::Leaving:
+    return 2;
+  case wire::member_state::Dead:
+    return 3;
+  }
+  return 0;
+}
+
+bool isNewer(const wire::member &Heard, const wire::member &Known) {
+  auto Order = [](const wire::member &Member) {
+    return std::tuple(Member.Incarnation, Member.Refutation,
+                      rankOf(Member.State));
+  };
+  return Order(Heard) > Order(Known);
+}
+
+// Whether the fields are within their bounds. Peers are not trusted with this.
+bool isPlausible(const wire::member &Member) {
+  bool Role = Member.Role == wire::member_role::Entry ||
+              Member.Role == wire::member_role::Steward;
+  bool State = Member.State >= wire::member_state::Alive &&
+               Member.State <= wire::member_state::Dead;
+  return Role && State && !Member.Name.empty() && !Member.Address.empty() &&
+         Member.Name.size() <= max_member_name_bytes &&
+         Member.Zone.size() <= max_member_name_bytes &&
+         Member.Address.size() <= max_member_name_bytes;
+}
+
+} // namespace
+
+bool membership::onMessage(const peer_message_received &Received,
+                           steady_time Now, effect_list &Effects) {
+  if (const auto *Beat = std::get_if<wire::heartbeat>(&Received.Message)) {
+    onHeartbeat(*Beat, Now, Effects);
+    return true;
+  }
+  if (const auto *Ack = std::get_if<wire::heartbeat_ack>(&Received.Message)) {
+    onAck(*Ack, Now, Effects);
+    return true;
+  }
+  if (const auto *Request =
+          std::get_if<wire::probe_request>(&Received.Message)) {
+    onProbeRequest(*Request, Now, Effects);
+    return true;
+  }
+  return false;
+}
+
+void membership::onHeartbeat(const wire::heartbeat &Beat, steady_time Now,
+                             effect_list &Effects) {
+  if (!isPlausible(Beat.Sender) || Beat.Sender.Name == Self.Name)
+    return;
+  learnAll(Beat.Sender, log_offset(Beat.LedgerOffset), Beat.Gossip, Now,
+           Effects);
+  Loads.merge(Beat.Loads, Now);
+  node_name To(Beat.Sender.Name);
+  address ToAddress(Beat.Sender.Address);
+  // The sender missed an answer, which may have been lost on this node's
+  // connection to it.
+  if (Beat.Retry && isEnabled(mechanism::SilentLinkReset))
+    Effects.push_back(reset_link{ToAddress});
+  wire::heartbeat_ack Ack;
+  Ack.Nonce = Beat.Nonce;
+  Ack.Sender = Self;
+  Ack.LedgerOffset = ledgerOffset().Value;
+  bool SendAll = Beat.WantsMembers && Now - LastFullList >= heartbeat_period;
+  if (SendAll)
+    LastFullList = Now;
+  Ack.Gossip = SendAll ? allMembers() : pickGossip(To);
+  Ack.Loads = Loads.pick(max_gossip_loads, Now);
+  if (std::optional<duration> Age = Freshness.age(Now))
+    Ack.__set_LogAgeMicros(toMicros(*Age));
+  Effects.push_back(send_message{To, ToAddress, std::move(Ack)});
+}
+
+void membership::onAck(const wire::heartbeat_ack &Ack, steady_time Now,
+                       effect_list &Effects) {
+  if (!isPlausible(Ack.Sender) || Ack.Sender.Name == Self.Name)
+    return;
+  learnAll(Ack.Sender, log_offset(Ack.LedgerOffset), Ack.Gossip, Now, Effects);
+  Loads.merge(Ack.Loads, Now);
+  if (auto Relay = Relays.find(Ack.Nonce); Relay != Relays.end()) {
+    relayAck(Ack, Relay->second, Effects);
+    Relays.erase(Relay);
+    return;
+  }
+  auto Found = Probes.find(Ack.Nonce);
+  if (Found == Probes.end())
+    return;
+  const open_probe &Probe = Found->second;
+  bool Direct = Ack.OnBehalfOf.empty();
+  const std::string &Reached = Direct ? Ack.Sender.Name : Ack.OnBehalfOf;
+  if (Direct && Ack.__isset.LogAgeMicros)
+    Freshness.onPeer(log_offset(Ack.LedgerOffset), fromMicros(Ack.LogAgeMicros),
+                     Probe.SentAt);
+  if (Direct && ListsWanted > 0)
+    --ListsWanted;
+  // Another process may have taken over the address of a member that is gone.
+  if (Probe.Target.empty() || Reached == Probe.Target.Value)
+    Probes.erase(Found);
+}
+
+void membership::onProbeRequest(const wire::probe_request &Request,
+                                steady_time Now, effect_list &Effects) {
+  if (!isPlausible(Request.Sender) || !isPlausible(Request.Target) ||
+      Relays.size() >= max_relayed_probes || Request.Target.Name == Self.Name)
+    return;
+  int64_t Nonce = NextNonce++;
+  Relays[Nonce] = relayed_probe{Request.Nonce, node_name(Request.Sender.Name),
+                                address(Request.Sender.Address), Now};
+  sendHeartbeat(Nonce, node_name(Request.Target.Name),
+                address(Request.Target.Address), false, Now, Effects);
+}
+
+void membership::relayAck(const wire::heartbeat_ack &Ack,
+                          const relayed_probe &Relay, effect_list &Effects) {
+  wire::heartbeat_ack Answer;
+  Answer.Nonce = Relay.Nonce;
+  Answer.Sender = Self;
+  Answer.LedgerOffset = ledgerOffset().Value;
+  Answer.OnBehalfOf = Ack.Sender.Name;
+  Answer.Gossip = {Ack.Sender};
+  Effects.push_back(
+      send_message{Relay.Asker, Relay.AskerAddress, std::move(Answer)});
+}
+
+void membership::learnAll(const wire::member &Sender, log_offset Offset,
+                          const std::vector<wire::member> &Gossip,
+                          steady_time Now, effect_list &Effects) {
+  learn(Sender, Now, Effects);
+  known_member *Known = findKnown(Sender.Name);
+  if (Known && Known->Member.Incarnation == Sender.Incarnation)
+    Known->Ledger = std::max(Known->Ledger, Offset);
+  for (const wire::member &Member : Gossip)
+    learn(Member, Now, Effects);
+}
+
+void membership::learn(const wire::member &Heard, steady_time Now,
+                       effect_list &Effects) {
+  if (!isPlausible(Heard))
+    return;
+  if (Heard.Name == Self.Name) {
+    refute(Heard);
+    return;
+  }
+  known_member *Known = findKnown(Heard.Name);
+  if (!Known) {
+    // An unknown dead member is not remembered: it would go round for ever.
+    if (Heard.State == wire::member_state::Dead || !makeRoom())
+      return;
+    Members[Heard.Name] = known_member{Heard, Now, 0, log_offset()};
+    Effects.push_back(
+        log_line{log_level::Info,
+                 "member " + Heard.Name + " joined at " + Heard.Address});
+    return;
+  }
+  if (!isNewer(Heard, Known->Member))
+    return;
+  if (Heard.State == wire::member_state::Dead) {
+    declareDead(*Known, Now, Effects);
+  } else if (Heard.State != Known->Member.State) {
+    Known->ChangedAt = Now;
+  }
+  // A restarted process has its own knowledge of the log.
+  if (Heard.Incarnation != Known->Member.Incarnation)
+    Known->Ledger = log_offset();
+  Known->Member = Heard;
+  Known->Spread = 0;
+}
+
+void membership::refute(const wire::member &Heard) {
+  bool Accused = Heard.State == wire::member_state::Suspect ||
+                 Heard.State == wire::member_state::Dead;
+  if (!Accused || Heard.Incarnation != Self.Incarnation ||
+      Heard.Refutation < Self.Refutation)
+    return;
+  Self.Refutation = Heard.Refutation + 1;
+}
+
+void membership::suspect(known_member &Known, steady_time Now,
+                         effect_list &Effects) {
+  wire::member_state::type &State = Known.Member.State;
+  if (State == wire::member_state::Dead || State == wire::member_state::Suspect)
+    return;
+  // A member that said that it leaves is not expected back.
+  if (State == wire::member_state::Leaving ||
+      !isEnabled(mechanism::SuspicionBeforeDeath)) {
+    declareDead(Known, Now, Effects);
+    return;
+  }
+  State = wire::member_state::Suspect;
+  Known.ChangedAt = Now;
+  Known.Spread = 0;
+  Effects.push_back(
+      log_line{log_level::Warning, "member " + Known.Member.Name +
+                                       " does not answer and is suspected"});
+  // Tells the suspect itself, which refutes if it lives.
+  beginProbe(node_name(Known.Member.Name), address(Known.Member.Address), Now,
+             Effects);
+}
+
+void membership::declareDead(known_member &Known, steady_time Now,
+                             effect_list &Effects) {
+  Known.Member.State = wire::member_state::Dead;
+  Known.ChangedAt = Now;
+  Known.Spread = 0;
+  Effects.push_back(
+      log_line{log_level::Warning, "member " + Known.Member.Name + " is dead"});
+  Effects.push_back(count_metric{"monsoonreel_members_died_total", {}, 1.0});
+}
+
+// False when there is no room for another member.
+bool membership::makeRoom() {
+  if (Members.size() < max_members)
+    return true;
+  auto Oldest = Members.end();
+  for (auto It = Members.begin(); It != Members.end(); ++It) {
+    bool Dead = It->second.Member.State == wire::member_state::Dead;
+    if (Dead && (Oldest == Members.end() ||
+                 It->second.ChangedAt < Oldest->second.ChangedAt))
+      Oldest = It;
+  }
+  if (Oldest == Members.end())
+    return false;
+  Members.erase(Oldest);
+  return true;
+}
+
+void membership::sendHeartbeat(int64_t Nonce, const node_name &To,
+                               const address &ToAddress, bool Retry,
+                               steady_time Now, effect_list &Effects) {
+  wire::heartbeat Beat;
+  Beat.Nonce = Nonce;
+  Beat.Sender = Self;
+  Beat.LedgerOffset = ledgerOffset().Value;
+  Beat.Gossip = pickGossip(To);
+  Beat.Loads = Loads.pick(max_gossip_loads, Now);
+  Beat.Retry = Retry;
+  Beat.WantsMembers = ListsWanted > 0;
+  Effects.push_back(send_message{To, ToAddress, std::move(Beat)});
+}
+
+log_offset membership::ledgerOffset() const {
+  return std::max(Ledger, Freshness.applied());
+}
+
+// How often a change is told to others before it counts as known everywhere.
+size_t membership::spreadLimit() const {
+  return std::bit_width(Members.size() + 1) + size_t{2};
+}
+
+std::vector<wire::member> membership::pickGossip(const node_name &To) {
+  std::vector<wire::member> Picked;
+  // Whoever is suspected or held dead has to hear it, to refute it.
+  known_member *Receiver = findKnown(To.Value);
+  if (Receiver && Receiver->Member.State != wire::member_state::Alive)
+    Picked.push_back(Receiver->Member);
+  std::vector<known_member *> Changes;
+  size_t Limit = spreadLimit();
+  for (auto &[Name, Known] : Members)
+    if (static_cast<size_t>(Known.Spread) < Limit && Name != To.Value)
+      Changes.push_back(&Known);
+  size_t Room = std::min(Changes.size(), max_gossip_members);
+  std::partial_sort(
+      Changes.begin(), Changes.begin() + static_cast<ptrdiff_t>(Room),
+      Changes.end(), [](const known_member *Left, const known_member *Right) {
+        return Left->Spread < Right->Spread;
+      });
+  Changes.resize(Room);
+  for (known_member *Known : Changes) {
+    ++Known->Spread;
+    Picked.push_back(Known->Member);
+  }
+  if (Room < max_gossip_members)
+    addNextInTurn(To, Picked);
+  return Picked;
+}
+
+// Tells one more member in turn, so that whoever missed a change hears of it
+// in time.
+void membership::addNextInTurn(const node_name &To,
+                               std::vector<wire::member> &Picked) {
+  auto Next = Members.upper_bound(GossipCursor);
+  if (Next == Members.end())
+    Next = Members.begin();
+  if (Next == Members.end())
+    return;
+  GossipCursor = Next->first;
+  if (Next->first != To.Value)
+    Picked.push_back(Next->second.Member);
+}
+
+std::vector<wire::member> membership::allMembers() const {
+  std::vector<wire::member> All;
+  for (const auto &[Name, Known] : Members)
+    All.push_back(Known.Member);
+  return All;
+}
+
+} // namespace monsoonreel
--- a/monsoonreel/pool_load_table.h
+++ b/monsoonreel/pool_load_table.h
@@ -1,10 +1,11 @@
 // The loads of pools that members tell each other in heartbeats.
 //
 //   Table.setOwn(Loads, Now);
-//   Beat.Loads = Table.pick(max_gossip_loads);
+//   Beat.Loads = Table.pick(max_gossip_loads, Now);
 //   Table.merge(Answer.Loads, Now);
 //
-// A load is a hint: it is forgotten when its owner no longer tells it.
+// Loads are passed on with their age, so that one is forgotten everywhere when
+// its owner no longer tells it.
 
 #ifndef MONSOONREEL_POOL_LOAD_TABLE_H
 #define MONSOONREEL_POOL_LOAD_TABLE_H
@@ -19,7 +20,7 @@
 
 namespace monsoonreel {
 
-// How long a load counts after it was heard.
+// How long a load counts after its owner told it.
 constexpr duration pool_load_retention = std::chrono::seconds(10);
 constexpr size_t max_pool_loads = 512;
 
@@ -29,7 +30,7 @@
 
   void setOwn(std::vector<wire::pool_load> Loads, steady_time Now);
   void merge(const std::vector<wire::pool_load> &Loads, steady_time Now);
-  // Own loads and those that were told least often, Limit at most.
+  // Those that this node told least often, the newest first, Limit at most.
   std::vector<wire::pool_load> pick(size_t Limit, steady_time Now);
   // What others told, not older than pool_load_retention.
   std::vector<wire::pool_load> heard(steady_time Now) const;
@@ -38,7 +39,7 @@
   using load_key = std::pair<std::string, std::string>; // pool, owner
   struct known_load {
     wire::pool_load Load;
-    steady_time HeardAt;
+    steady_time At; // when its owner told it
     int Told = 0;
   };
   void forgetOld(steady_time Now);
--- a/monsoonreel/state_sync.h
+++ b/monsoonreel/state_sync.h
@@ -80,8 +80,8 @@
                  const std::vector<wire::member> &Peers, uint64_t Random,
                  stream_delivery &Delivery, effect_list &Effects);
 
-  // Pulls from Ahead, a peer with a higher offset, when there is one.
-  void onTick(steady_time Now, const std::optional<ledger_peer> &Ahead,
+  // Pulls from one of Ahead, the peers with a higher offset, best first.
+  void onTick(steady_time Now, const std::vector<ledger_peer> &Ahead,
               effect_list &Effects);
 
   // The highest offset that this node has.
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -505,6 +505,10 @@
 void pool_load::__set_FreeSlots(const int32_t val) {
   this->FreeSlots = val;
 }
+
+void pool_load::__set_AgeMicros(const int64_t val) {
+  this->AgeMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const pool_load& obj)
 {
   obj.printTo(out);
@@ -565,6 +569,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AgeMicros);
+          this->__isset.AgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -598,6 +610,10 @@
   xfer += oprot->writeI32(this->FreeSlots);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->AgeMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -609,6 +625,7 @@
   swap(a.Owner, b.Owner);
   swap(a.QueueWaitMicros, b.QueueWaitMicros);
   swap(a.FreeSlots, b.FreeSlots);
+  swap(a.AgeMicros, b.AgeMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -617,6 +634,7 @@
   Owner = other6.Owner;
   QueueWaitMicros = other6.QueueWaitMicros;
   FreeSlots = other6.FreeSlots;
+  AgeMicros = other6.AgeMicros;
   __isset = other6.__isset;
 }
 pool_load::pool_load(pool_load&& other7) noexcept {
@@ -624,6 +642,7 @@
   Owner = std::move(other7.Owner);
   QueueWaitMicros = other7.QueueWaitMicros;
   FreeSlots = other7.FreeSlots;
+  AgeMicros = other7.AgeMicros;
   __isset = other7.__isset;
 }
 pool_load& pool_load::operator=(const pool_load& other8) {
@@ -631,6 +650,7 @@
   Owner = other8.Owner;
   QueueWaitMicros = other8.QueueWaitMicros;
   FreeSlots = other8.FreeSlots;
+  AgeMicros = other8.AgeMicros;
   __isset = other8.__isset;
   return *this;
 }
@@ -639,6 +659,7 @@
   Owner = std::move(other9.Owner);
   QueueWaitMicros = other9.QueueWaitMicros;
   FreeSlots = other9.FreeSlots;
+  AgeMicros = other9.AgeMicros;
   __isset = other9.__isset;
   return *this;
 }
@@ -649,6 +670,7 @@
   out << ", " << "Owner=" << to_string(Owner);
   out << ", " << "QueueWaitMicros=" << to_string(QueueWaitMicros);
   out << ", " << "FreeSlots=" << to_string(FreeSlots);
+  out << ", " << "AgeMicros=" << to_string(AgeMicros);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -326,11 +326,12 @@
 std::ostream& operator<<(std::ostream& out, const member& obj);
 
 typedef struct _pool_load__isset {
-  _pool_load__isset() : Pool(false), Owner(false), QueueWaitMicros(false), FreeSlots(false) {}
+  _pool_load__isset() : Pool(false), Owner(false), QueueWaitMicros(false), FreeSlots(false), AgeMicros(false) {}
   bool Pool :1;
   bool Owner :1;
   bool QueueWaitMicros :1;
   bool FreeSlots :1;
+  bool AgeMicros :1;
 } _pool_load__isset;
 
 class pool_load : public virtual ::apache::thrift::TBase {
@@ -344,7 +345,8 @@
             : Pool(),
               Owner(),
               QueueWaitMicros(0),
-              FreeSlots(0) {
+              FreeSlots(0),
+              AgeMicros(0) {
   }
 
   virtual ~pool_load() noexcept;
@@ -352,6 +354,7 @@
   std::string Owner;
   int64_t QueueWaitMicros;
   int32_t FreeSlots;
+  int64_t AgeMicros;
 
   _pool_load__isset __isset;
 
@@ -363,6 +366,8 @@
 
   void __set_FreeSlots(const int32_t val);
 
+  void __set_AgeMicros(const int64_t val);
+
   bool operator == (const pool_load & rhs) const
   {
     if (!(Pool == rhs.Pool))
@@ -373,6 +378,8 @@
       return false;
     if (!(FreeSlots == rhs.FreeSlots))
       return false;
+    if (!(AgeMicros == rhs.AgeMicros))
+      return false;
     return true;
   }
   bool operator != (const pool_load &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -32,6 +32,7 @@
   2: string Owner
   3: i64 QueueWaitMicros
   4: i32 FreeSlots
+  5: i64 AgeMicros             // since its owner told it
 }
 
 struct heartbeat {
