--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -7539,6 +7539,10 @@
 void key_state::__set_Withdrawn(const bool val) {
   this->Withdrawn = val;
 }
+
+void key_state::__set_Offset(const int64_t val) {
+  this->Offset = val;
+}
 std::ostream& operator<<(std::ostream& out, const key_state& obj)
 {
   obj.printTo(out);
@@ -7599,6 +7603,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Offset);
+          this->__isset.Offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7632,6 +7644,10 @@
   xfer += oprot->writeBool(this->Withdrawn);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Offset", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->Offset);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7643,6 +7659,7 @@
   swap(a.Organisation, b.Organisation);
   swap(a.KeyHash, b.KeyHash);
   swap(a.Withdrawn, b.Withdrawn);
+  swap(a.Offset, b.Offset);
   swap(a.__isset, b.__isset);
 }
 
@@ -7651,6 +7668,7 @@
   Organisation = other252.Organisation;
   KeyHash = other252.KeyHash;
   Withdrawn = other252.Withdrawn;
+  Offset = other252.Offset;
   __isset = other252.__isset;
 }
 key_state::key_state(key_state&& other253) noexcept {
@@ -7658,6 +7676,7 @@
   Organisation = std::move(other253.Organisation);
   KeyHash = std::move(other253.KeyHash);
   Withdrawn = other253.Withdrawn;
+  Offset = other253.Offset;
   __isset = other253.__isset;
 }
 key_state& key_state::operator=(const key_state& other254) {
@@ -7665,6 +7684,7 @@
   Organisation = other254.Organisation;
   KeyHash = other254.KeyHash;
   Withdrawn = other254.Withdrawn;
+  Offset = other254.Offset;
   __isset = other254.__isset;
   return *this;
 }
@@ -7673,6 +7693,7 @@
   Organisation = std::move(other255.Organisation);
   KeyHash = std::move(other255.KeyHash);
   Withdrawn = other255.Withdrawn;
+  Offset = other255.Offset;
   __isset = other255.__isset;
   return *this;
 }
@@ -7683,6 +7704,7 @@
   out << ", " << "Organisation=" << to_string(Organisation);
   out << ", " << "KeyHash=" << to_string(KeyHash);
   out << ", " << "Withdrawn=" << to_string(Withdrawn);
+  out << ", " << "Offset=" << to_string(Offset);
   out << ")";
 }
 
@@ -7917,6 +7939,10 @@
 void writer_state::__set_WallMicros(const int64_t val) {
   this->WallMicros = val;
 }
+
+void writer_state::__set_Ahead(const int64_t val) {
+  this->Ahead = val;
+}
 std::ostream& operator<<(std::ostream& out, const writer_state& obj)
 {
   obj.printTo(out);
@@ -7977,6 +8003,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Ahead);
+          this->__isset.Ahead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8010,6 +8044,10 @@
   xfer += oprot->writeI64(this->WallMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Ahead", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->Ahead);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8021,6 +8059,7 @@
   swap(a.Sequence, b.Sequence);
   swap(a.LastOffset, b.LastOffset);
   swap(a.WallMicros, b.WallMicros);
+  swap(a.Ahead, b.Ahead);
   swap(a.__isset, b.__isset);
 }
 
@@ -8029,6 +8068,7 @@
   Sequence = other260.Sequence;
   LastOffset = other260.LastOffset;
   WallMicros = other260.WallMicros;
+  Ahead = other260.Ahead;
   __isset = other260.__isset;
 }
 writer_state::writer_state(writer_state&& other261) noexcept {
@@ -8036,6 +8076,7 @@
   Sequence = other261.Sequence;
   LastOffset = other261.LastOffset;
   WallMicros = other261.WallMicros;
+  Ahead = other261.Ahead;
   __isset = other261.__isset;
 }
 writer_state& writer_state::operator=(const writer_state& other262) noexcept {
@@ -8043,6 +8084,7 @@
   Sequence = other262.Sequence;
   LastOffset = other262.LastOffset;
   WallMicros = other262.WallMicros;
+  Ahead = other262.Ahead;
   __isset = other262.__isset;
   return *this;
 }
@@ -8051,6 +8093,7 @@
   Sequence = other263.Sequence;
   LastOffset = other263.LastOffset;
   WallMicros = other263.WallMicros;
+  Ahead = other263.Ahead;
   __isset = other263.__isset;
   return *this;
 }
@@ -8061,6 +8104,7 @@
   out << ", " << "Sequence=" << to_string(Sequence);
   out << ", " << "LastOffset=" << to_string(LastOffset);
   out << ", " << "WallMicros=" << to_string(WallMicros);
+  out << ", " << "Ahead=" << to_string(Ahead);
   out << ")";
 }
 
@@ -8396,6 +8440,10 @@
 void ledger_state::__set_LastClosedWindow(const int64_t val) {
   this->LastClosedWindow = val;
 }
+
+void ledger_state::__set_LastSnapshot(const int64_t val) {
+  this->LastSnapshot = val;
+}
 std::ostream& operator<<(std::ostream& out, const ledger_state& obj)
 {
   obj.printTo(out);
@@ -8588,6 +8636,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LastSnapshot);
+          this->__isset.LastSnapshot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8701,6 +8757,10 @@
   xfer += oprot->writeI64(this->LastClosedWindow);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("LastSnapshot", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->LastSnapshot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8718,6 +8778,7 @@
   swap(a.Windows, b.Windows);
   swap(a.Orders, b.Orders);
   swap(a.LastClosedWindow, b.LastClosedWindow);
+  swap(a.LastSnapshot, b.LastSnapshot);
   swap(a.__isset, b.__isset);
 }
 
@@ -8732,6 +8793,7 @@
   Windows = other320.Windows;
   Orders = other320.Orders;
   LastClosedWindow = other320.LastClosedWindow;
+  LastSnapshot = other320.LastSnapshot;
   __isset = other320.__isset;
 }
 ledger_state::ledger_state(ledger_state&& other321) noexcept {
@@ -8745,6 +8807,7 @@
   Windows = std::move(other321.Windows);
   Orders = std::move(other321.Orders);
   LastClosedWindow = other321.LastClosedWindow;
+  LastSnapshot = other321.LastSnapshot;
   __isset = other321.__isset;
 }
 ledger_state& ledger_state::operator=(const ledger_state& other322) {
@@ -8758,6 +8821,7 @@
   Windows = other322.Windows;
   Orders = other322.Orders;
   LastClosedWindow = other322.LastClosedWindow;
+  LastSnapshot = other322.LastSnapshot;
   __isset = other322.__isset;
   return *this;
 }
@@ -8772,6 +8836,7 @@
   Windows = std::move(other323.Windows);
   Orders = std::move(other323.Orders);
   LastClosedWindow = other323.LastClosedWindow;
+  LastSnapshot = other323.LastSnapshot;
   __isset = other323.__isset;
   return *this;
 }
@@ -8788,6 +8853,7 @@
   out << ", " << "Windows=" << to_string(Windows);
   out << ", " << "Orders=" << to_string(Orders);
   out << ", " << "LastClosedWindow=" << to_string(LastClosedWindow);
+  out << ", " << "LastSnapshot=" << to_string(LastSnapshot);
   out << ")";
 }
 
