--- /dev/null
+++ b/monsoonreel/order_desk.cc
@@ -0,0 +1,107 @@
+#include "monsoonreel/order_desk.h"
+
+#include <utility>
+
+#include "monsoonreel/invariant.h"
+
+namespace monsoonreel {
+
+order_desk::order_desk(zone_name Zone, lease_holder &Lease)
+    : Zone(std::move(Zone)), Lease(Lease) {}
+
+bool order_desk::request(order_request Request) {
+  if (Requests.size() >= max_order_requests)
+    return false;
+  std::string Id = Request.Id;
+  Requests.emplace(std::move(Id), std::move(Request));
+  return true;
+}
+
+bool order_desk::hasOpenOrders(const ledger &Operator) const {
+  for (const auto &[Id, Order] : Operator.openOrders())
+    if (Order.Intent.Zone == Zone.Value)
+      return true;
+  return false;
+}
+
+void order_desk::onTick(steady_time Now, uint64_t Random,
+                        stream_replica &Operator, effect_list &Effects) {
+  Lease.setWanted(!Requests.empty() || hasOpenOrders(Operator.state()));
+  if (!Lease.mayAct(Now, order_flight))
+    return;
+  if (Intent && !Operator.writer().isQueued(*Intent))
+    Intent.reset();
+  if (!Intent && !Lease.isClaiming())
+    appendIntent(Operator.writer());
+  sendOpen(Now, Random, Operator.state(), Effects);
+}
+
+void order_desk::appendIntent(record_writer &Writer) {
+  if (Requests.empty())
+    return;
+  const order_request &Request = Requests.begin()->second;
+  wire::order_intent Wanted;
+  Wanted.OrderId = Request.Id;
+  Wanted.Zone = Zone.Value;
+  Wanted.Fence = Lease.fence()->Value;
+  Wanted.Kind = Request.Kind;
+  Wanted.Target = Request.Target;
+  Wanted.Count = Request.Count;
+  wire::log_record Record;
+  Record.__set_OrderIntent(Wanted);
+  Intent = Writer.enqueue(std::move(Record));
+}
+
+void order_desk::onChange(const ledger_change &Change) {
+  if (!Change.OrdersChanged)
+    return;
+  if (Change.Record->__isset.OrderIntent)
+    Requests.erase(Change.Record->OrderIntent.OrderId);
+  if (Change.Record->__isset.OrderDone) {
+    Requests.erase(Change.Record->OrderDone.OrderId);
+    Sent.erase(Change.Record->OrderDone.OrderId);
+  }
+}
+
+void order_desk::sendOpen(steady_time Now, uint64_t Random,
+                          const ledger &Operator, effect_list &Effects) {
+  for (const auto &[Id, Order] : Operator.openOrders()) {
+    if (Order.Intent.Zone != Zone.Value)
+      continue;
+    sent_order &State = Sent[Id];
+    if (!State.Done && Now >= State.NextSend)
+      send(Order.Intent, State, Now, Random, Effects);
+  }
+}
+
+void order_desk::send(const wire::order_intent &Logged, sent_order &Order,
+                      steady_time Now, uint64_t Random, effect_list &Effects) {
+  if (!invariantHolds(Effects, Lease.coversWrite(Now, order_flight),
+                      "order-under-lease", Logged.OrderId))
+    return;
+  ++Order.Tries;
+  // Sent again when no answer comes at all.
+  Order.NextSend = Now + backoffAfter(Order.Tries + 1, order_backoff_min,
+                                      order_backoff_max, Random);
+  wire::order_intent Intent = Logged;
+  // The intent of a predecessor goes out under the present claim.
+  Intent.Fence = Lease.fence()->Value;
+  Effects.push_back(send_order{Intent, Lease.notAfter(order_flight)});
+}
+
+void order_desk::onAnswer(const order_answered &Answer, record_writer &Writer) {
+  auto Found = Sent.find(Answer.OrderId);
+  if (Found == Sent.end() || Found->second.Done)
+    return;
+  bool Refused = Answer.Error == platform_error::Refused;
+  if (Answer.Error && !Refused)
+    return;
+  wire::order_done Done;
+  Done.OrderId = Answer.OrderId;
+  Done.Accepted = !Refused;
+  wire::log_record Record;
+  Record.__set_OrderDone(Done);
+  Found->second.Done = Writer.enqueue(std::move(Record));
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/monsoonreel/usage_desk.h
@@ -0,0 +1,65 @@
+// Takes usage batches at a steward and gets them into the log.
+//
+//   usage_desk Desk;
+//   if (Desk.onMessage(Received, Usage.state(), Effects)) ...
+//   Desk.onTick(Now, Usage.writer());
+//   Desk.onUsageChanged(Usage.state(), Effects);  // after each replayed record
+//
+// A batch is answered with `usage_accepted` once the replay has counted it.
+// One that the replay does not count, because an earlier one of its source is
+// missing, is dropped unanswered; its holder offers it again.
+
+#ifndef MONSOONREEL_USAGE_DESK_H
+#define MONSOONREEL_USAGE_DESK_H
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+
+#include "monsoonreel/effect.h"
+#include "monsoonreel/event.h"
+#include "monsoonreel/ledger.h"
+#include "monsoonreel/record_writer.h"
+
+namespace monsoonreel {
+
+// Batches gather for this long, so that one append carries many.
+constexpr duration usage_append_interval = std::chrono::milliseconds(200);
+constexpr size_t max_batches_per_append = 512;
+constexpr size_t max_increments_per_append = 16384;
+constexpr size_t max_waiting_batches = 8192;
+
+class usage_desk {
+public:
+  // True when the message was an offer.
+  bool onMessage(const peer_message_received &Received, const ledger &Usage,
+                 effect_list &Effects);
+
+  // Appends the batches that wait, one record at a time.
+  void onTick(steady_time Now, record_writer &Writer);
+
+  // Answers the batches that are counted now.
+  void onUsageChanged(const ledger &Usage, effect_list &Effects);
+
+private:
+  using batch_key = std::pair<incarnation, int64_t>;
+  struct waiting_batch {
+    wire::usage_batch Batch;
+    node_name From;
+    address FromAddress;
+    bool Appended = false;
+  };
+
+  void dropAppended();
+
+  absl::btree_map<batch_key, waiting_batch> Waiting;
+  std::optional<writer_ticket> Pending;
+  steady_time NextAppend = steady_time::min();
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_USAGE_DESK_H
