--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -81,7 +81,8 @@
   claim_verdict::Finished,
   claim_verdict::OutcomeUnknown,
   claim_verdict::Unavailable,
-  claim_verdict::Mismatch
+  claim_verdict::Mismatch,
+  claim_verdict::Expired
 };
 const char* _kclaim_verdictNames[] = {
   "Won",
@@ -89,9 +90,10 @@
   "Finished",
   "OutcomeUnknown",
   "Unavailable",
-  "Mismatch"
+  "Mismatch",
+  "Expired"
 };
-const std::map<int, const char*> _claim_verdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kclaim_verdictValues, _kclaim_verdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _claim_verdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(7, _kclaim_verdictValues, _kclaim_verdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const claim_verdict::type& val) {
   std::map<int, const char*>::const_iterator it = _claim_verdict_VALUES_TO_NAMES.find(val);
@@ -8858,50 +8860,60 @@
 }
 
 
-claim_state::~claim_state() noexcept {
+kept_claim::~kept_claim() noexcept {
 }
 
 
-void claim_state::__set_Entry(const claim_entry& val) {
-  this->Entry = val;
+void kept_claim::__set_KeyHash(const std::string& val) {
+  this->KeyHash = val;
 }
 
-void claim_state::__set_Offset(const int64_t val) {
-  this->Offset = val;
+void kept_claim::__set_Organisation(const int32_t val) {
+  this->Organisation = val;
 }
 
-void claim_state::__set_Outcome(const run_outcome::type val) {
-  this->Outcome = val;
+void kept_claim::__set_Holder(const attempt_id& val) {
+  this->Holder = val;
 }
 
-void claim_state::__set_Settled(const bool val) {
-  this->Settled = val;
+void kept_claim::__set_BodyHash(const int64_t val) {
+  this->BodyHash = val;
 }
 
-void claim_state::__set_Answer(const recorded_answer& val) {
-  this->Answer = val;
-__isset.Answer = true;
+void kept_claim::__set_RetainMicros(const int64_t val) {
+  this->RetainMicros = val;
 }
 
-void claim_state::__set_RetainMicros(const int64_t val) {
-  this->RetainMicros = val;
+void kept_claim::__set_TimedKey(const bool val) {
+  this->TimedKey = val;
 }
 
-void claim_state::__set_Held(const bool val) {
+void kept_claim::__set_Held(const bool val) {
   this->Held = val;
 }
 
-void claim_state::__set_Released(const std::vector<attempt_id> & val) {
+void kept_claim::__set_Outcome(const run_outcome::type val) {
+  this->Outcome = val;
+__isset.Outcome = true;
+}
+
+void kept_claim::__set_Released(const std::vector<attempt_id> & val) {
   this->Released = val;
+__isset.Released = true;
 }
-std::ostream& operator<<(std::ostream& out, const claim_state& obj)
+
+void kept_claim::__set_Answer(const recorded_answer& val) {
+  this->Answer = val;
+__isset.Answer = true;
+}
+std::ostream& operator<<(std::ostream& out, const kept_claim& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t claim_state::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t kept_claim::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8923,51 +8935,49 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->Entry.read(iprot);
-          this->__isset.Entry = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->KeyHash);
+          this->__isset.KeyHash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Offset);
-          this->__isset.Offset = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Organisation);
+          this->__isset.Organisation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast324;
-          xfer += iprot->readI32(ecast324);
-          this->Outcome = static_cast<run_outcome::type>(ecast324);
-          this->__isset.Outcome = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Holder.read(iprot);
+          this->__isset.Holder = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->Settled);
-          this->__isset.Settled = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->BodyHash);
+          this->__isset.BodyHash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->Answer.read(iprot);
-          this->__isset.Answer = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->RetainMicros);
+          this->__isset.RetainMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->RetainMicros);
-          this->__isset.RetainMicros = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->TimedKey);
+          this->__isset.TimedKey = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8981,6 +8991,16 @@
         }
         break;
       case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast324;
+          xfer += iprot->readI32(ecast324);
+          this->Outcome = static_cast<run_outcome::type>(ecast324);
+          this->__isset.Outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Released.clear();
@@ -9000,6 +9020,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Answer.read(iprot);
+          this->__isset.Answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9012,127 +9040,149 @@
   return xfer;
 }
 
-uint32_t claim_state::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t kept_claim::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("claim_state");
+  xfer += oprot->writeStructBegin("kept_claim");
 
-  xfer += oprot->writeFieldBegin("Entry", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->Entry.write(oprot);
+  xfer += oprot->writeFieldBegin("KeyHash", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->KeyHash);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Offset", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->Offset);
+  xfer += oprot->writeFieldBegin("Organisation", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Organisation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Outcome", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->Outcome));
+  xfer += oprot->writeFieldBegin("Holder", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->Holder.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Settled", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->Settled);
+  xfer += oprot->writeFieldBegin("BodyHash", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->BodyHash);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.Answer) {
-    xfer += oprot->writeFieldBegin("Answer", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->Answer.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("RetainMicros", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeFieldBegin("RetainMicros", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->RetainMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("TimedKey", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->TimedKey);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldBegin("Held", ::apache::thrift::protocol::T_BOOL, 7);
   xfer += oprot->writeBool(this->Held);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_LIST, 8);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Released.size()));
-    std::vector<attempt_id> ::const_iterator _iter330;
-    for (_iter330 = this->Released.begin(); _iter330 != this->Released.end(); ++_iter330)
+  if (this->__isset.Outcome) {
+    xfer += oprot->writeFieldBegin("Outcome", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(static_cast<int32_t>(this->Outcome));
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Released) {
+    xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_LIST, 9);
     {
-      xfer += (*_iter330).write(oprot);
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Released.size()));
+      std::vector<attempt_id> ::const_iterator _iter330;
+      for (_iter330 = this->Released.begin(); _iter330 != this->Released.end(); ++_iter330)
+      {
+        xfer += (*_iter330).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
     }
-    xfer += oprot->writeListEnd();
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Answer) {
+    xfer += oprot->writeFieldBegin("Answer", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->Answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(claim_state &a, claim_state &b) {
+void swap(kept_claim &a, kept_claim &b) {
   using ::std::swap;
-  swap(a.Entry, b.Entry);
-  swap(a.Offset, b.Offset);
-  swap(a.Outcome, b.Outcome);
-  swap(a.Settled, b.Settled);
-  swap(a.Answer, b.Answer);
+  swap(a.KeyHash, b.KeyHash);
+  swap(a.Organisation, b.Organisation);
+  swap(a.Holder, b.Holder);
+  swap(a.BodyHash, b.BodyHash);
   swap(a.RetainMicros, b.RetainMicros);
+  swap(a.TimedKey, b.TimedKey);
   swap(a.Held, b.Held);
+  swap(a.Outcome, b.Outcome);
   swap(a.Released, b.Released);
+  swap(a.Answer, b.Answer);
   swap(a.__isset, b.__isset);
 }
 
-claim_state::claim_state(const claim_state& other331) {
-  Entry = other331.Entry;
-  Offset = other331.Offset;
-  Outcome = other331.Outcome;
-  Settled = other331.Settled;
-  Answer = other331.Answer;
+kept_claim::kept_claim(const kept_claim& other331) {
+  KeyHash = other331.KeyHash;
+  Organisation = other331.Organisation;
+  Holder = other331.Holder;
+  BodyHash = other331.BodyHash;
   RetainMicros = other331.RetainMicros;
+  TimedKey = other331.TimedKey;
   Held = other331.Held;
+  Outcome = other331.Outcome;
   Released = other331.Released;
+  Answer = other331.Answer;
   __isset = other331.__isset;
 }
-claim_state::claim_state(claim_state&& other332) noexcept {
-  Entry = std::move(other332.Entry);
-  Offset = other332.Offset;
-  Outcome = other332.Outcome;
-  Settled = other332.Settled;
-  Answer = std::move(other332.Answer);
+kept_claim::kept_claim(kept_claim&& other332) noexcept {
+  KeyHash = std::move(other332.KeyHash);
+  Organisation = other332.Organisation;
+  Holder = std::move(other332.Holder);
+  BodyHash = other332.BodyHash;
   RetainMicros = other332.RetainMicros;
+  TimedKey = other332.TimedKey;
   Held = other332.Held;
+  Outcome = other332.Outcome;
   Released = std::move(other332.Released);
+  Answer = std::move(other332.Answer);
   __isset = other332.__isset;
 }
-claim_state& claim_state::operator=(const claim_state& other333) {
-  Entry = other333.Entry;
-  Offset = other333.Offset;
-  Outcome = other333.Outcome;
-  Settled = other333.Settled;
-  Answer = other333.Answer;
+kept_claim& kept_claim::operator=(const kept_claim& other333) {
+  KeyHash = other333.KeyHash;
+  Organisation = other333.Organisation;
+  Holder = other333.Holder;
+  BodyHash = other333.BodyHash;
   RetainMicros = other333.RetainMicros;
+  TimedKey = other333.TimedKey;
   Held = other333.Held;
+  Outcome = other333.Outcome;
   Released = other333.Released;
+  Answer = other333.Answer;
   __isset = other333.__isset;
   return *this;
 }
-claim_state& claim_state::operator=(claim_state&& other334) noexcept {
-  Entry = std::move(other334.Entry);
-  Offset = other334.Offset;
-  Outcome = other334.Outcome;
-  Settled = other334.Settled;
-  Answer = std::move(other334.Answer);
+kept_claim& kept_claim::operator=(kept_claim&& other334) noexcept {
+  KeyHash = std::move(other334.KeyHash);
+  Organisation = other334.Organisation;
+  Holder = std::move(other334.Holder);
+  BodyHash = other334.BodyHash;
   RetainMicros = other334.RetainMicros;
+  TimedKey = other334.TimedKey;
   Held = other334.Held;
+  Outcome = other334.Outcome;
   Released = std::move(other334.Released);
+  Answer = std::move(other334.Answer);
   __isset = other334.__isset;
   return *this;
 }
-void claim_state::printTo(std::ostream& out) const {
+void kept_claim::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "claim_state(";
-  out << "Entry=" << to_string(Entry);
-  out << ", " << "Offset=" << to_string(Offset);
-  out << ", " << "Outcome=" << to_string(Outcome);
-  out << ", " << "Settled=" << to_string(Settled);
-  out << ", " << "Answer="; (__isset.Answer ? (out << to_string(Answer)) : (out << "<null>"));
+  out << "kept_claim(";
+  out << "KeyHash=" << to_string(KeyHash);
+  out << ", " << "Organisation=" << to_string(Organisation);
+  out << ", " << "Holder=" << to_string(Holder);
+  out << ", " << "BodyHash=" << to_string(BodyHash);
   out << ", " << "RetainMicros=" << to_string(RetainMicros);
+  out << ", " << "TimedKey=" << to_string(TimedKey);
   out << ", " << "Held=" << to_string(Held);
-  out << ", " << "Released=" << to_string(Released);
+  out << ", " << "Outcome="; (__isset.Outcome ? (out << to_string(Outcome)) : (out << "<null>"));
+  out << ", " << "Released="; (__isset.Released ? (out << to_string(Released)) : (out << "<null>"));
+  out << ", " << "Answer="; (__isset.Answer ? (out << to_string(Answer)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9141,7 +9191,7 @@
 }
 
 
-void claims_state::__set_Claims(const std::vector<claim_state> & val) {
+void claims_state::__set_Claims(const std::vector<kept_claim> & val) {
   this->Claims = val;
 }
 
@@ -9153,8 +9203,16 @@
   this->TimeMicros = val;
 }
 
-void claims_state::__set_HorizonMicros(const int64_t val) {
-  this->HorizonMicros = val;
+void claims_state::__set_KeyHorizonMicros(const int64_t val) {
+  this->KeyHorizonMicros = val;
+}
+
+void claims_state::__set_OpaqueHorizonMicros(const int64_t val) {
+  this->OpaqueHorizonMicros = val;
+}
+
+void claims_state::__set_Organisations(const std::vector<std::string> & val) {
+  this->Organisations = val;
 }
 std::ostream& operator<<(std::ostream& out, const claims_state& obj)
 {
@@ -9234,8 +9292,36 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->HorizonMicros);
-          this->__isset.HorizonMicros = true;
+          xfer += iprot->readI64(this->KeyHorizonMicros);
+          this->__isset.KeyHorizonMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->OpaqueHorizonMicros);
+          this->__isset.OpaqueHorizonMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Organisations.clear();
+            uint32_t _size345;
+            ::apache::thrift::protocol::TType _etype348;
+            xfer += iprot->readListBegin(_etype348, _size345);
+            this->Organisations.resize(_size345);
+            uint32_t _i349;
+            for (_i349 = 0; _i349 < _size345; ++_i349)
+            {
+              xfer += iprot->readString(this->Organisations[_i349]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Organisations = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9260,10 +9346,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<claim_state> ::const_iterator _iter345;
-    for (_iter345 = this->Claims.begin(); _iter345 != this->Claims.end(); ++_iter345)
+    std::vector<kept_claim> ::const_iterator _iter350;
+    for (_iter350 = this->Claims.begin(); _iter350 != this->Claims.end(); ++_iter350)
     {
-      xfer += (*_iter345).write(oprot);
+      xfer += (*_iter350).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9272,10 +9358,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter346;
-    for (_iter346 = this->Writers.begin(); _iter346 != this->Writers.end(); ++_iter346)
+    std::vector<writer_state> ::const_iterator _iter351;
+    for (_iter351 = this->Writers.begin(); _iter351 != this->Writers.end(); ++_iter351)
     {
-      xfer += (*_iter346).write(oprot);
+      xfer += (*_iter351).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9285,8 +9371,24 @@
   xfer += oprot->writeI64(this->TimeMicros);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("HorizonMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->HorizonMicros);
+  xfer += oprot->writeFieldBegin("KeyHorizonMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->KeyHorizonMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("OpaqueHorizonMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->OpaqueHorizonMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Organisations", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Organisations.size()));
+    std::vector<std::string> ::const_iterator _iter352;
+    for (_iter352 = this->Organisations.begin(); _iter352 != this->Organisations.end(); ++_iter352)
+    {
+      xfer += oprot->writeString((*_iter352));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9299,38 +9401,48 @@
   swap(a.Claims, b.Claims);
   swap(a.Writers, b.Writers);
   swap(a.TimeMicros, b.TimeMicros);
-  swap(a.HorizonMicros, b.HorizonMicros);
+  swap(a.KeyHorizonMicros, b.KeyHorizonMicros);
+  swap(a.OpaqueHorizonMicros, b.OpaqueHorizonMicros);
+  swap(a.Organisations, b.Organisations);
   swap(a.__isset, b.__isset);
 }
 
-claims_state::claims_state(const claims_state& other347) {
-  Claims = other347.Claims;
-  Writers = other347.Writers;
-  TimeMicros = other347.TimeMicros;
-  HorizonMicros = other347.HorizonMicros;
-  __isset = other347.__isset;
-}
-claims_state::claims_state(claims_state&& other348) noexcept {
-  Claims = std::move(other348.Claims);
-  Writers = std::move(other348.Writers);
-  TimeMicros = other348.TimeMicros;
-  HorizonMicros = other348.HorizonMicros;
-  __isset = other348.__isset;
-}
-claims_state& claims_state::operator=(const claims_state& other349) {
-  Claims = other349.Claims;
-  Writers = other349.Writers;
-  TimeMicros = other349.TimeMicros;
-  HorizonMicros = other349.HorizonMicros;
-  __isset = other349.__isset;
+claims_state::claims_state(const claims_state& other353) {
+  Claims = other353.Claims;
+  Writers = other353.Writers;
+  TimeMicros = other353.TimeMicros;
+  KeyHorizonMicros = other353.KeyHorizonMicros;
+  OpaqueHorizonMicros = other353.OpaqueHorizonMicros;
+  Organisations = other353.Organisations;
+  __isset = other353.__isset;
+}
+claims_state::claims_state(claims_state&& other354) noexcept {
+  Claims = std::move(other354.Claims);
+  Writers = std::move(other354.Writers);
+  TimeMicros = other354.TimeMicros;
+  KeyHorizonMicros = other354.KeyHorizonMicros;
+  OpaqueHorizonMicros = other354.OpaqueHorizonMicros;
+  Organisations = std::move(other354.Organisations);
+  __isset = other354.__isset;
+}
+claims_state& claims_state::operator=(const claims_state& other355) {
+  Claims = other355.Claims;
+  Writers = other355.Writers;
+  TimeMicros = other355.TimeMicros;
+  KeyHorizonMicros = other355.KeyHorizonMicros;
+  OpaqueHorizonMicros = other355.OpaqueHorizonMicros;
+  Organisations = other355.Organisations;
+  __isset = other355.__isset;
   return *this;
 }
-claims_state& claims_state::operator=(claims_state&& other350) noexcept {
-  Claims = std::move(other350.Claims);
-  Writers = std::move(other350.Writers);
-  TimeMicros = other350.TimeMicros;
-  HorizonMicros = other350.HorizonMicros;
-  __isset = other350.__isset;
+claims_state& claims_state::operator=(claims_state&& other356) noexcept {
+  Claims = std::move(other356.Claims);
+  Writers = std::move(other356.Writers);
+  TimeMicros = other356.TimeMicros;
+  KeyHorizonMicros = other356.KeyHorizonMicros;
+  OpaqueHorizonMicros = other356.OpaqueHorizonMicros;
+  Organisations = std::move(other356.Organisations);
+  __isset = other356.__isset;
   return *this;
 }
 void claims_state::printTo(std::ostream& out) const {
@@ -9339,7 +9451,9 @@
   out << "Claims=" << to_string(Claims);
   out << ", " << "Writers=" << to_string(Writers);
   out << ", " << "TimeMicros=" << to_string(TimeMicros);
-  out << ", " << "HorizonMicros=" << to_string(HorizonMicros);
+  out << ", " << "KeyHorizonMicros=" << to_string(KeyHorizonMicros);
+  out << ", " << "OpaqueHorizonMicros=" << to_string(OpaqueHorizonMicros);
+  out << ", " << "Organisations=" << to_string(Organisations);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -56,7 +56,8 @@
     Finished = 3,
     OutcomeUnknown = 4,
     Unavailable = 5,
-    Mismatch = 6
+    Mismatch = 6,
+    Expired = 7
   };
 };
 
@@ -226,7 +227,7 @@
 
 class ledger_state;
 
-class claim_state;
+class kept_claim;
 
 class claims_state;
 
@@ -3469,92 +3470,110 @@
 
 std::ostream& operator<<(std::ostream& out, const ledger_state& obj);
 
-typedef struct _claim_state__isset {
-  _claim_state__isset() : Entry(false), Offset(false), Outcome(false), Settled(false), Answer(false), RetainMicros(false), Held(false), Released(false) {}
-  bool Entry :1;
-  bool Offset :1;
-  bool Outcome :1;
-  bool Settled :1;
-  bool Answer :1;
+typedef struct _kept_claim__isset {
+  _kept_claim__isset() : KeyHash(false), Organisation(false), Holder(false), BodyHash(false), RetainMicros(false), TimedKey(false), Held(false), Outcome(false), Released(false), Answer(false) {}
+  bool KeyHash :1;
+  bool Organisation :1;
+  bool Holder :1;
+  bool BodyHash :1;
   bool RetainMicros :1;
+  bool TimedKey :1;
   bool Held :1;
+  bool Outcome :1;
   bool Released :1;
-} _claim_state__isset;
+  bool Answer :1;
+} _kept_claim__isset;
 
-class claim_state : public virtual ::apache::thrift::TBase {
+class kept_claim : public virtual ::apache::thrift::TBase {
  public:
 
-  claim_state(const claim_state&);
-  claim_state(claim_state&&) noexcept;
-  claim_state& operator=(const claim_state&);
-  claim_state& operator=(claim_state&&) noexcept;
-  claim_state() noexcept
-              : Offset(0),
-                Outcome(static_cast<run_outcome::type>(0)),
-                Settled(0),
-                RetainMicros(0),
-                Held(0) {
-  }
-
-  virtual ~claim_state() noexcept;
-  claim_entry Entry;
-  int64_t Offset;
+  kept_claim(const kept_claim&);
+  kept_claim(kept_claim&&) noexcept;
+  kept_claim& operator=(const kept_claim&);
+  kept_claim& operator=(kept_claim&&) noexcept;
+  kept_claim() noexcept
+             : KeyHash(),
+               Organisation(0),
+               BodyHash(0),
+               RetainMicros(0),
+               TimedKey(0),
+               Held(0),
+               Outcome(static_cast<run_outcome::type>(0)) {
+  }
+
+  virtual ~kept_claim() noexcept;
+  std::string KeyHash;
+  int32_t Organisation;
+  attempt_id Holder;
+  int64_t BodyHash;
+  int64_t RetainMicros;
+  bool TimedKey;
+  bool Held;
   /**
    * 
    * @see run_outcome
    */
   run_outcome::type Outcome;
-  bool Settled;
-  recorded_answer Answer;
-  int64_t RetainMicros;
-  bool Held;
   std::vector<attempt_id>  Released;
+  recorded_answer Answer;
 
-  _claim_state__isset __isset;
-
-  void __set_Entry(const claim_entry& val);
+  _kept_claim__isset __isset;
 
-  void __set_Offset(const int64_t val);
+  void __set_KeyHash(const std::string& val);
 
-  void __set_Outcome(const run_outcome::type val);
+  void __set_Organisation(const int32_t val);
 
-  void __set_Settled(const bool val);
+  void __set_Holder(const attempt_id& val);
 
-  void __set_Answer(const recorded_answer& val);
+  void __set_BodyHash(const int64_t val);
 
   void __set_RetainMicros(const int64_t val);
 
+  void __set_TimedKey(const bool val);
+
   void __set_Held(const bool val);
 
+  void __set_Outcome(const run_outcome::type val);
+
   void __set_Released(const std::vector<attempt_id> & val);
 
-  bool operator == (const claim_state & rhs) const
+  void __set_Answer(const recorded_answer& val);
+
+  bool operator == (const kept_claim & rhs) const
   {
-    if (!(Entry == rhs.Entry))
-      return false;
-    if (!(Offset == rhs.Offset))
-      return false;
-    if (!(Outcome == rhs.Outcome))
+    if (!(KeyHash == rhs.KeyHash))
       return false;
-    if (!(Settled == rhs.Settled))
+    if (!(Organisation == rhs.Organisation))
       return false;
-    if (__isset.Answer != rhs.__isset.Answer)
+    if (!(Holder == rhs.Holder))
       return false;
-    else if (__isset.Answer && !(Answer == rhs.Answer))
+    if (!(BodyHash == rhs.BodyHash))
       return false;
     if (!(RetainMicros == rhs.RetainMicros))
       return false;
+    if (!(TimedKey == rhs.TimedKey))
+      return false;
     if (!(Held == rhs.Held))
       return false;
-    if (!(Released == rhs.Released))
+    if (__isset.Outcome != rhs.__isset.Outcome)
+      return false;
+    else if (__isset.Outcome && !(Outcome == rhs.Outcome))
+      return false;
+    if (__isset.Released != rhs.__isset.Released)
+      return false;
+    else if (__isset.Released && !(Released == rhs.Released))
+      return false;
+    if (__isset.Answer != rhs.__isset.Answer)
+      return false;
+    else if (__isset.Answer && !(Answer == rhs.Answer))
       return false;
     return true;
   }
-  bool operator != (const claim_state &rhs) const {
+  bool operator != (const kept_claim &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const claim_state & ) const;
+  bool operator < (const kept_claim & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -3562,16 +3581,18 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(claim_state &a, claim_state &b);
+void swap(kept_claim &a, kept_claim &b);
 
-std::ostream& operator<<(std::ostream& out, const claim_state& obj);
+std::ostream& operator<<(std::ostream& out, const kept_claim& obj);
 
 typedef struct _claims_state__isset {
-  _claims_state__isset() : Claims(false), Writers(false), TimeMicros(false), HorizonMicros(false) {}
+  _claims_state__isset() : Claims(false), Writers(false), TimeMicros(false), KeyHorizonMicros(false), OpaqueHorizonMicros(false), Organisations(false) {}
   bool Claims :1;
   bool Writers :1;
   bool TimeMicros :1;
-  bool HorizonMicros :1;
+  bool KeyHorizonMicros :1;
+  bool OpaqueHorizonMicros :1;
+  bool Organisations :1;
 } _claims_state__isset;
 
 class claims_state : public virtual ::apache::thrift::TBase {
@@ -3583,24 +3604,31 @@
   claims_state& operator=(claims_state&&) noexcept;
   claims_state() noexcept
                : TimeMicros(0),
-                 HorizonMicros(0) {
+                 KeyHorizonMicros(0),
+                 OpaqueHorizonMicros(0) {
   }
 
   virtual ~claims_state() noexcept;
-  std::vector<claim_state>  Claims;
+  std::vector<kept_claim>  Claims;
   std::vector<writer_state>  Writers;
   int64_t TimeMicros;
-  int64_t HorizonMicros;
+  int64_t KeyHorizonMicros;
+  int64_t OpaqueHorizonMicros;
+  std::vector<std::string>  Organisations;
 
   _claims_state__isset __isset;
 
-  void __set_Claims(const std::vector<claim_state> & val);
+  void __set_Claims(const std::vector<kept_claim> & val);
 
   void __set_Writers(const std::vector<writer_state> & val);
 
   void __set_TimeMicros(const int64_t val);
 
-  void __set_HorizonMicros(const int64_t val);
+  void __set_KeyHorizonMicros(const int64_t val);
+
+  void __set_OpaqueHorizonMicros(const int64_t val);
+
+  void __set_Organisations(const std::vector<std::string> & val);
 
   bool operator == (const claims_state & rhs) const
   {
@@ -3610,7 +3638,11 @@
       return false;
     if (!(TimeMicros == rhs.TimeMicros))
       return false;
-    if (!(HorizonMicros == rhs.HorizonMicros))
+    if (!(KeyHorizonMicros == rhs.KeyHorizonMicros))
+      return false;
+    if (!(OpaqueHorizonMicros == rhs.OpaqueHorizonMicros))
+      return false;
+    if (!(Organisations == rhs.Organisations))
       return false;
     return true;
   }
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -95,7 +95,7 @@
   2: i64 Sequence
 }
 
-enum claim_verdict { Won = 1, InProgress = 2, Finished = 3, OutcomeUnknown = 4, Unavailable = 5, Mismatch = 6 }
+enum claim_verdict { Won = 1, InProgress = 2, Finished = 3, OutcomeUnknown = 4, Unavailable = 5, Mismatch = 6, Expired = 7 }
 enum run_outcome { NotRun = 1, Run = 2, Unknown = 3 }
 
 struct claim_ask {
@@ -405,20 +405,25 @@
   11: i64 LastSnapshot         // offset of the newest snapshot record
 }
 
-struct claim_state {
-  1: claim_entry Entry
-  2: i64 Offset
-  3: run_outcome Outcome
-  4: bool Settled
-  5: optional recorded_answer Answer
-  6: i64 RetainMicros          // forgotten once the horizon is later
+// A claim as a snapshot keeps it; small, because one record holds all.
+struct kept_claim {
+  1: binary KeyHash
+  2: i32 Organisation          // place in claims_state.Organisations
+  3: attempt_id Holder
+  4: i64 BodyHash
+  5: i64 RetainMicros          // forgotten once its horizon is later
+  6: bool TimedKey             // the key is a UUIDv7
   7: bool Held                 // false: free, only Released is remembered
-  8: list<attempt_id> Released // attempts that can't win any more
+  8: optional run_outcome Outcome // set once it is settled
+  9: optional list<attempt_id> Released // attempts that can't win any more
+  10: optional recorded_answer Answer
 }
 
 struct claims_state {
-  1: list<claim_state> Claims
+  1: list<kept_claim> Claims
   2: list<writer_state> Writers
   3: i64 TimeMicros            // wall clock that two writers vouched for
-  4: i64 HorizonMicros         // keys from before it are expired
+  4: i64 KeyHorizonMicros      // UUIDv7 keys from before it are expired
+  5: i64 OpaqueHorizonMicros   // claims of other keys from before are forgotten
+  6: list<string> Organisations
 }
