--- a/monsoonreel/log_follower.cc
+++ b/monsoonreel/log_follower.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <xxhash.h>
+#include "monsoonreel/rendezvous.h"
 
 namespace monsoonreel {
 
@@ -16,10 +16,6 @@
 // The doubling stops here; every maximum is reached before.
 constexpr int max_doublings = 16;
 
-uint64_t rank(const node_name &Node) {
-  return XXH3_64bits(Node.Value.data(), Node.Value.size());
-}
-
 } // namespace
 
 log_follower::log_follower(std::string Stream, log_replica &Replica)
@@ -51,9 +47,8 @@
                              uint64_t Random, effect_list &Effects) {
   if (Read.Stream != Stream)
     return;
-  ReadSent.reset();
+  std::optional<steady_time> Sent = std::exchange(ReadSent, std::nullopt);
   Failures = 0;
-  LastAnswer = Now;
   NextRead = Read.Records.empty() ? Now + idle_read_interval : Now;
   if (!Following)
     return;
@@ -62,6 +57,8 @@
   else
     feedAll(Read.Records, Now, Effects);
   CaughtUp = !Searching && wanted() >= Read.End;
+  if (CaughtUp && Sent)
+    FreshAt = Sent;
   if (Read.End < wanted())
     Effects.push_back(
         log_line{log_level::Error,
@@ -141,21 +138,18 @@
       Now + backoffAfter(Failures, read_backoff_min, read_backoff_max, Random);
 }
 
-std::vector<node_name> chooseFollowers(std::vector<node_name> Candidates) {
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const node_name &Left, const node_name &Right) {
-              return std::pair(rank(Left), Left) >
-                     std::pair(rank(Right), Right);
-            });
-  if (Candidates.size() > followers_per_zone)
-    Candidates.resize(followers_per_zone);
-  return Candidates;
+std::vector<wire::member>
+followingOrder(std::vector<wire::member> StewardsOfZone) {
+  return rendezvousOrder("log", std::move(StewardsOfZone));
 }
 
 bool shouldFollow(const node_name &Self,
-                  const std::vector<node_name> &Candidates) {
-  std::vector<node_name> Followers = chooseFollowers(Candidates);
-  return std::find(Followers.begin(), Followers.end(), Self) != Followers.end();
+                  std::vector<wire::member> StewardsOfZone) {
+  std::vector<wire::member> Order = followingOrder(std::move(StewardsOfZone));
+  size_t Count = std::min(Order.size(), followers_per_zone);
+  return std::any_of(
+      Order.begin(), Order.begin() + static_cast<std::ptrdiff_t>(Count),
+      [&](const wire::member &M) { return M.Name == Self.Value; });
 }
 
 duration backoffAfter(int Failures, duration Min, duration Max,
--- a/monsoonreel/log_follower.h
+++ b/monsoonreel/log_follower.h
@@ -65,8 +65,9 @@
   // Whether all records up to the end that the platform last named are
   // replayed.
   bool isCaughtUp() const { return CaughtUp; }
-  // When the platform last answered a read.
-  std::optional<steady_time> lastAnswer() const { return LastAnswer; }
+  // A moment at which the log held nothing beyond what is replayed: before the
+  // sending of the last read that reached the end. Nothing until then.
+  std::optional<steady_time> freshAt() const { return FreshAt; }
 
 private:
   // Replays those of Records that come next.
@@ -90,7 +91,7 @@
   std::optional<steady_time> ReadSent;
   steady_time NextRead = steady_time::min();
   int Failures = 0;
-  std::optional<steady_time> LastAnswer;
+  std::optional<steady_time> FreshAt;
 
   // While a snapshot is looked for: the last records since the horizon, without
   // gaps.
@@ -102,14 +103,15 @@
 // Followers of the log in each zone. The other nodes get the records from them.
 constexpr size_t followers_per_zone = 2;
 
-// Whether Self is one of the nodes of Candidates that have to follow the log:
-// those with the highest rendezvous hash. Candidates are the live stewards of
-// Self's zone, in any order.
-bool shouldFollow(const node_name &Self,
-                  const std::vector<node_name> &Candidates);
+// The stewards of a zone in the order in which they follow the log: the first
+// `followers_per_zone` do. Every node that knows the same stewards finds the
+// same order.
+std::vector<wire::member>
+followingOrder(std::vector<wire::member> StewardsOfZone);
 
-// The nodes of Candidates that have to follow the log, the first one first.
-std::vector<node_name> chooseFollowers(std::vector<node_name> Candidates);
+// Whether Self is one of the stewards of its zone that have to follow the log.
+bool shouldFollow(const node_name &Self,
+                  std::vector<wire::member> StewardsOfZone);
 
 // A doubling backoff with jitter, from half of it to the whole.
 duration backoffAfter(int Failures, duration Min, duration Max,
