Scheduling: interfaces of the slot client, the queue owner and the cells

The entry is composed from slot_client, which holds the entry's own slot_owner, so that all slot messages pass one place and an owner that is the entry itself costs no message.

--- /dev/null
+++ b/monsoonreel/pool_map.h
@@ -0,0 +1,66 @@
+// The cells that each pool of upstreams is cut into.
+//
+//   pool_map Map = pool_map::fromConfiguration(Configuration);
+//   for (const cell *Cell : Map.cellsOf(pool_name("small-model"),
+//                                       zone_name("norte")))
+//     ask(Cell->Name);
+//
+// A cell is a few upstreams of one pool in one zone that share a queue with one
+// owner. Small cells bound the messages that one owner handles. The cut is a
+// pure function of the configuration, so every node names the same cells.
+
+#ifndef MONSOONREEL_POOL_MAP_H
+#define MONSOONREEL_POOL_MAP_H
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "monsoonreel/configuration.h"
+#include "monsoonreel/types.h"
+
+namespace monsoonreel {
+
+// "pool@zone#number"; travels as `slot_ask.Pool` and `pool_load.Pool`.
+using cell_name = strong_name<struct cell_name_tag>;
+
+// Upper bound of the upstreams in one cell.
+constexpr int max_cell_upstreams = 4;
+
+struct cell {
+  cell_name Name;
+  pool_name Pool;
+  zone_name Zone;
+  std::vector<upstream> Upstreams; // by name
+  // Requests that all upstreams together serve at once.
+  int concurrency() const;
+  // Whether it has an upstream that can't be reclaimed at short notice.
+  bool hasReliable() const;
+};
+
+class pool_map {
+public:
+  static pool_map fromConfiguration(const configuration &Configuration);
+
+  // The cells of Pool in Zone, by number. Empty when there are none.
+  std::vector<const cell *> cellsOf(const pool_name &Pool,
+                                    const zone_name &Zone) const;
+  // The cells of Pool in all zones but Zone.
+  std::vector<const cell *> cellsOutside(const pool_name &Pool,
+                                         const zone_name &Zone) const;
+  const cell *find(const cell_name &Name) const;
+  const std::map<cell_name, cell> &all() const { return Cells; }
+
+private:
+  std::map<cell_name, cell> Cells;
+};
+
+// The entries that may own Cell's queue, the owner first, then those that are
+// asked when it is silent: highest random weight (rendezvous) order of Names.
+// Every node with the same Names gets the same order.
+std::vector<node_name> ownersInOrder(const cell_name &Cell,
+                                     const std::vector<node_name> &Names);
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_POOL_MAP_H
--- /dev/null
+++ b/monsoonreel/slot_client.h
@@ -0,0 +1,177 @@
+// The asking entry's side: chooses a cell, asks its queue's owner for a slot
+// and hands the answer to the request's state machine.
+//
+//   slot_client Client = slot_client::builder().self(Identity).build();
+//   Client.setConfiguration(Configuration, Now, Effects, Outcomes);
+//   Client.setPeers(LivePeers, Now, Effects);
+//   Client.ask(Request, Now, Random, Effects, Outcomes);
+//   ...
+//   Client.onMessage(From, FromAddress, Message, Now, Effects, Outcomes);
+//   for (const slot_outcome &Outcome : Outcomes)
+//     ...
+//   Client.release(Request.Request, Report, Now, Effects, Outcomes);
+//
+// The client holds the entry's own `slot_owner`. All slot messages of the entry
+// go through `onMessage`, those to its owner part as well; when the owner that
+// a request needs is the entry itself, no message is sent.
+//
+// A request has at most one ask or one slot at a time. An owner that does not
+// answer in `ask_silence` is passed over for the next in rendezvous order, and
+// the entry itself is asked when no other is left. A grant that nobody waits
+// for is released at once with `NeverSent`.
+
+#ifndef MONSOONREEL_SLOT_CLIENT_H
+#define MONSOONREEL_SLOT_CLIENT_H
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+
+#include "monsoonreel/configuration.h"
+#include "monsoonreel/effect.h"
+#include "monsoonreel/event.h"
+#include "monsoonreel/node.h"
+#include "monsoonreel/pool_map.h"
+#include "monsoonreel/slot_messages.h"
+#include "monsoonreel/slot_owner.h"
+
+namespace monsoonreel {
+
+// An owner that has not answered an ask for so long is passed over.
+constexpr duration ask_silence = std::chrono::milliseconds(300);
+// Asks for one request before it is refused with `NoUpstream`.
+constexpr int max_asks_per_request = 4;
+
+class slot_client {
+public:
+  class builder;
+
+  slot_client(slot_client &&) = default;
+
+  // Also given on to the owner part. Call it before the first ask.
+  void setConfiguration(const configuration &Configuration, steady_time Now,
+                        effect_list &Effects, slot_outcome_list &Outcomes);
+  // The entries that are alive, this one included or not, of all zones.
+  void setPeers(std::vector<slot_peer> Peers);
+  // Loads of cells as their owners gossip them. Later ones replace earlier
+  // ones of the same cell and owner.
+  void onLoads(const std::vector<wire::pool_load> &Loads, steady_time Now);
+  // This node's own cells, for gossip.
+  std::vector<wire::pool_load> loads(steady_time Now) const;
+
+  // Asks for a slot. The outcome comes now or with a later event.
+  void ask(const slot_request &Request, steady_time Now, uint64_t Random,
+           effect_list &Effects, slot_outcome_list &Outcomes);
+  // The request no longer wants a slot. Does nothing when it has no ask.
+  void cancel(request_id Request, steady_time Now, effect_list &Effects,
+              slot_outcome_list &Outcomes);
+  // The work in the request's slot has ended. Does nothing without a slot.
+  void release(request_id Request, const slot_report &Report, steady_time Now,
+               effect_list &Effects, slot_outcome_list &Outcomes);
+
+  // Takes slot_ask, slot_cancel, slot_release, slot_renew, slot_grant,
+  // slot_refuse and slot_preempt. False: the message is none of these.
+  bool onMessage(const node_name &From, const address &FromAddress,
+                 const wire::peer_message &Message, steady_time Now,
+                 effect_list &Effects, slot_outcome_list &Outcomes);
+  void onLoadReport(const load_report &Report, steady_time Now,
+                    effect_list &Effects, slot_outcome_list &Outcomes);
+  void onLoadReportFailed(const load_report_failed &Report, steady_time Now);
+  void onTick(steady_time Now, uint64_t Random, effect_list &Effects,
+              slot_outcome_list &Outcomes);
+  // The owner part takes nothing more; own requests go to other owners.
+  void drain(steady_time Now, effect_list &Effects,
+             slot_outcome_list &Outcomes);
+
+  // The upstream's address in the configuration, or nullptr.
+  const upstream *findUpstream(const upstream_name &Name) const;
+  size_t waitingCount() const { return Asks.size(); }
+  size_t heldCount() const { return Held.size(); }
+  const slot_owner &owner() const { return Owner; }
+
+private:
+  friend class builder;
+
+  struct pending_ask {
+    slot_request Request;
+    cell_name Cell;
+    slot_peer Owner;
+    steady_time SentAt;
+    bool Acknowledged = false;
+    std::vector<node_name> Tried; // owners of Cell that were silent
+    std::vector<cell_name> Left;  // cells that refused or have no owner
+    int Count = 0;
+  };
+  struct held_slot {
+    request_id Request;
+    int64_t Slot = 0;
+    int64_t OwnerIncarnation = 0;
+    slot_peer Owner;
+  };
+  struct cell_load {
+    duration QueueWait{};
+    int FreeSlots = 0;
+    steady_time SeenAt;
+  };
+
+  slot_client(node_identity Self, slot_owner Owner);
+
+  std::optional<cell_name> chooseCell(const pending_ask &Ask,
+                                      uint64_t Random, steady_time Now) const;
+  double expectedWait(const cell &Cell, steady_time Now) const;
+  std::optional<slot_peer> chooseOwner(const pending_ask &Ask) const;
+  void send(pending_ask Ask, steady_time Now, uint64_t Random,
+            effect_list &Effects, slot_outcome_list &Outcomes);
+  void sendTo(const slot_peer &To, const wire::peer_message &Message,
+              steady_time Now, effect_list &Effects,
+              slot_outcome_list &Outcomes);
+  bool toOwner(const slot_peer &From, const wire::peer_message &Message,
+               steady_time Now, effect_list &Effects,
+               slot_outcome_list &Outcomes);
+  void deliver(slot_reply_list Replies, steady_time Now, effect_list &Effects,
+               slot_outcome_list &Outcomes);
+  bool fromOwner(const slot_peer &From, const wire::peer_message &Message,
+                 steady_time Now, effect_list &Effects,
+                 slot_outcome_list &Outcomes);
+  void onGrant(const slot_peer &From, const wire::slot_grant &Grant,
+               steady_time Now, effect_list &Effects,
+               slot_outcome_list &Outcomes);
+  void onRefuse(const wire::slot_refuse &Refuse, steady_time Now,
+                effect_list &Effects, slot_outcome_list &Outcomes);
+  void onPreempt(const wire::slot_preempt &Preempt,
+                 slot_outcome_list &Outcomes);
+  void renewSlots(steady_time Now, effect_list &Effects,
+                  slot_outcome_list &Outcomes);
+
+  node_identity Self;
+  slot_owner Owner;
+  pool_map Map;
+  std::map<upstream_name, upstream> Upstreams;
+  std::map<node_name, slot_peer> Peers;
+  absl::flat_hash_map<cell_name, cell_load> Loads;
+  absl::flat_hash_map<int64_t, pending_ask> Asks;
+  absl::flat_hash_map<request_id, int64_t> AskOf;
+  absl::flat_hash_map<request_id, held_slot> Held;
+  int64_t LastAsk = 0;
+  steady_time NextRenewal;
+};
+
+class slot_client::builder {
+public:
+  builder &self(node_identity Value);
+  // Name of the scheduling policy of the owner part; default "tiered".
+  builder &policy(std::string Value);
+  slot_client build();
+
+private:
+  node_identity Self;
+  std::string Policy = "tiered";
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_SLOT_CLIENT_H
