--- a/monsoonreel/mechanism.h
+++ b/monsoonreel/mechanism.h
@@ -30,6 +30,12 @@
   LeavingStopsGrants,    // a leaving upstream gets no new work
   WithdrawalCancels,     // running requests of a withdrawn key are cancelled
   AttemptFilter,         // late events of a cancelled attempt are dropped
+  OrganisationFairness,  // organisations share a queue by weight
+  Preemption,            // a slot is taken back for a higher tier
+  TargetAdmission,       // what can't meet its target is refused at once
+  UpstreamEjection,      // a failing or slow upstream loses its work
+  SlotExpiry,            // slots of dead askers come free
+  StaleGrantRelease,     // a grant that nobody waits for is given back
 };
 
 bool isEnabled(mechanism Mechanism);
--- a/monsoonreel/wire.h
+++ b/monsoonreel/wire.h
@@ -30,7 +30,8 @@
                  state_push, claim_ask, claim_answer, claim_settle,
                  claim_settled, usage_offer, usage_accepted, usage_hold,
                  usage_held, usage_release, slot_ask, slot_grant, slot_refuse,
-                 slot_release, slot_cancel, slot_preempt, slot_renew>;
+                 slot_release, slot_cancel, slot_preempt, slot_renew,
+                 slot_queued>;
 
 } // namespace wire
 
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -4069,6 +4069,10 @@
 void slot_grant::__set_OwnerIncarnation(const int64_t val) {
   this->OwnerIncarnation = val;
 }
+
+void slot_grant::__set_FreshConnection(const bool val) {
+  this->FreshConnection = val;
+}
 std::ostream& operator<<(std::ostream& out, const slot_grant& obj)
 {
   obj.printTo(out);
@@ -4137,6 +4141,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->FreshConnection);
+          this->__isset.FreshConnection = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4174,6 +4186,10 @@
   xfer += oprot->writeI64(this->OwnerIncarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("FreshConnection", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->FreshConnection);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4186,6 +4202,7 @@
   swap(a.Slot, b.Slot);
   swap(a.Priority, b.Priority);
   swap(a.OwnerIncarnation, b.OwnerIncarnation);
+  swap(a.FreshConnection, b.FreshConnection);
   swap(a.__isset, b.__isset);
 }
 
@@ -4195,6 +4212,7 @@
   Slot = other138.Slot;
   Priority = other138.Priority;
   OwnerIncarnation = other138.OwnerIncarnation;
+  FreshConnection = other138.FreshConnection;
   __isset = other138.__isset;
 }
 slot_grant::slot_grant(slot_grant&& other139) noexcept {
@@ -4203,6 +4221,7 @@
   Slot = other139.Slot;
   Priority = other139.Priority;
   OwnerIncarnation = other139.OwnerIncarnation;
+  FreshConnection = other139.FreshConnection;
   __isset = other139.__isset;
 }
 slot_grant& slot_grant::operator=(const slot_grant& other140) {
@@ -4211,6 +4230,7 @@
   Slot = other140.Slot;
   Priority = other140.Priority;
   OwnerIncarnation = other140.OwnerIncarnation;
+  FreshConnection = other140.FreshConnection;
   __isset = other140.__isset;
   return *this;
 }
@@ -4220,6 +4240,7 @@
   Slot = other141.Slot;
   Priority = other141.Priority;
   OwnerIncarnation = other141.OwnerIncarnation;
+  FreshConnection = other141.FreshConnection;
   __isset = other141.__isset;
   return *this;
 }
@@ -4231,6 +4252,130 @@
   out << ", " << "Slot=" << to_string(Slot);
   out << ", " << "Priority=" << to_string(Priority);
   out << ", " << "OwnerIncarnation=" << to_string(OwnerIncarnation);
+  out << ", " << "FreshConnection=" << to_string(FreshConnection);
+  out << ")";
+}
+
+
+slot_queued::~slot_queued() noexcept {
+}
+
+
+void slot_queued::__set_Ask(const int64_t val) {
+  this->Ask = val;
+}
+
+void slot_queued::__set_ExpectedWaitMicros(const int64_t val) {
+  this->ExpectedWaitMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const slot_queued& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t slot_queued::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Ask);
+          this->__isset.Ask = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ExpectedWaitMicros);
+          this->__isset.ExpectedWaitMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t slot_queued::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("slot_queued");
+
+  xfer += oprot->writeFieldBegin("Ask", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Ask);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ExpectedWaitMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ExpectedWaitMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(slot_queued &a, slot_queued &b) {
+  using ::std::swap;
+  swap(a.Ask, b.Ask);
+  swap(a.ExpectedWaitMicros, b.ExpectedWaitMicros);
+  swap(a.__isset, b.__isset);
+}
+
+slot_queued::slot_queued(const slot_queued& other142) noexcept {
+  Ask = other142.Ask;
+  ExpectedWaitMicros = other142.ExpectedWaitMicros;
+  __isset = other142.__isset;
+}
+slot_queued::slot_queued(slot_queued&& other143) noexcept {
+  Ask = other143.Ask;
+  ExpectedWaitMicros = other143.ExpectedWaitMicros;
+  __isset = other143.__isset;
+}
+slot_queued& slot_queued::operator=(const slot_queued& other144) noexcept {
+  Ask = other144.Ask;
+  ExpectedWaitMicros = other144.ExpectedWaitMicros;
+  __isset = other144.__isset;
+  return *this;
+}
+slot_queued& slot_queued::operator=(slot_queued&& other145) noexcept {
+  Ask = other145.Ask;
+  ExpectedWaitMicros = other145.ExpectedWaitMicros;
+  __isset = other145.__isset;
+  return *this;
+}
+void slot_queued::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "slot_queued(";
+  out << "Ask=" << to_string(Ask);
+  out << ", " << "ExpectedWaitMicros=" << to_string(ExpectedWaitMicros);
   out << ")";
 }
 
@@ -4288,9 +4433,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast142;
-          xfer += iprot->readI32(ecast142);
-          this->Reason = static_cast<refusal_reason::type>(ecast142);
+          int32_t ecast146;
+          xfer += iprot->readI32(ecast146);
+          this->Reason = static_cast<refusal_reason::type>(ecast146);
           this->__isset.Reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4346,30 +4491,30 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_refuse::slot_refuse(const slot_refuse& other143) noexcept {
-  Ask = other143.Ask;
-  Reason = other143.Reason;
-  RetryAfterMicros = other143.RetryAfterMicros;
-  __isset = other143.__isset;
+slot_refuse::slot_refuse(const slot_refuse& other147) noexcept {
+  Ask = other147.Ask;
+  Reason = other147.Reason;
+  RetryAfterMicros = other147.RetryAfterMicros;
+  __isset = other147.__isset;
 }
-slot_refuse::slot_refuse(slot_refuse&& other144) noexcept {
-  Ask = other144.Ask;
-  Reason = other144.Reason;
-  RetryAfterMicros = other144.RetryAfterMicros;
-  __isset = other144.__isset;
+slot_refuse::slot_refuse(slot_refuse&& other148) noexcept {
+  Ask = other148.Ask;
+  Reason = other148.Reason;
+  RetryAfterMicros = other148.RetryAfterMicros;
+  __isset = other148.__isset;
 }
-slot_refuse& slot_refuse::operator=(const slot_refuse& other145) noexcept {
-  Ask = other145.Ask;
-  Reason = other145.Reason;
-  RetryAfterMicros = other145.RetryAfterMicros;
-  __isset = other145.__isset;
+slot_refuse& slot_refuse::operator=(const slot_refuse& other149) noexcept {
+  Ask = other149.Ask;
+  Reason = other149.Reason;
+  RetryAfterMicros = other149.RetryAfterMicros;
+  __isset = other149.__isset;
   return *this;
 }
-slot_refuse& slot_refuse::operator=(slot_refuse&& other146) noexcept {
-  Ask = other146.Ask;
-  Reason = other146.Reason;
-  RetryAfterMicros = other146.RetryAfterMicros;
-  __isset = other146.__isset;
+slot_refuse& slot_refuse::operator=(slot_refuse&& other150) noexcept {
+  Ask = other150.Ask;
+  Reason = other150.Reason;
+  RetryAfterMicros = other150.RetryAfterMicros;
+  __isset = other150.__isset;
   return *this;
 }
 void slot_refuse::printTo(std::ostream& out) const {
@@ -4447,9 +4592,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast147;
-          xfer += iprot->readI32(ecast147);
-          this->Result = static_cast<slot_result::type>(ecast147);
+          int32_t ecast151;
+          xfer += iprot->readI32(ecast151);
+          this->Result = static_cast<slot_result::type>(ecast151);
           this->__isset.Result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4544,42 +4689,42 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_release::slot_release(const slot_release& other148) noexcept {
-  Slot = other148.Slot;
-  Result = other148.Result;
-  FirstTokenMicros = other148.FirstTokenMicros;
-  TotalMicros = other148.TotalMicros;
-  OutputTokens = other148.OutputTokens;
-  OwnerIncarnation = other148.OwnerIncarnation;
-  __isset = other148.__isset;
+slot_release::slot_release(const slot_release& other152) noexcept {
+  Slot = other152.Slot;
+  Result = other152.Result;
+  FirstTokenMicros = other152.FirstTokenMicros;
+  TotalMicros = other152.TotalMicros;
+  OutputTokens = other152.OutputTokens;
+  OwnerIncarnation = other152.OwnerIncarnation;
+  __isset = other152.__isset;
 }
-slot_release::slot_release(slot_release&& other149) noexcept {
-  Slot = other149.Slot;
-  Result = other149.Result;
-  FirstTokenMicros = other149.FirstTokenMicros;
-  TotalMicros = other149.TotalMicros;
-  OutputTokens = other149.OutputTokens;
-  OwnerIncarnation = other149.OwnerIncarnation;
-  __isset = other149.__isset;
+slot_release::slot_release(slot_release&& other153) noexcept {
+  Slot = other153.Slot;
+  Result = other153.Result;
+  FirstTokenMicros = other153.FirstTokenMicros;
+  TotalMicros = other153.TotalMicros;
+  OutputTokens = other153.OutputTokens;
+  OwnerIncarnation = other153.OwnerIncarnation;
+  __isset = other153.__isset;
 }
-slot_release& slot_release::operator=(const slot_release& other150) noexcept {
-  Slot = other150.Slot;
-  Result = other150.Result;
-  FirstTokenMicros = other150.FirstTokenMicros;
-  TotalMicros = other150.TotalMicros;
-  OutputTokens = other150.OutputTokens;
-  OwnerIncarnation = other150.OwnerIncarnation;
-  __isset = other150.__isset;
+slot_release& slot_release::operator=(const slot_release& other154) noexcept {
+  Slot = other154.Slot;
+  Result = other154.Result;
+  FirstTokenMicros = other154.FirstTokenMicros;
+  TotalMicros = other154.TotalMicros;
+  OutputTokens = other154.OutputTokens;
+  OwnerIncarnation = other154.OwnerIncarnation;
+  __isset = other154.__isset;
   return *this;
 }
-slot_release& slot_release::operator=(slot_release&& other151) noexcept {
-  Slot = other151.Slot;
-  Result = other151.Result;
-  FirstTokenMicros = other151.FirstTokenMicros;
-  TotalMicros = other151.TotalMicros;
-  OutputTokens = other151.OutputTokens;
-  OwnerIncarnation = other151.OwnerIncarnation;
-  __isset = other151.__isset;
+slot_release& slot_release::operator=(slot_release&& other155) noexcept {
+  Slot = other155.Slot;
+  Result = other155.Result;
+  FirstTokenMicros = other155.FirstTokenMicros;
+  TotalMicros = other155.TotalMicros;
+  OutputTokens = other155.OutputTokens;
+  OwnerIncarnation = other155.OwnerIncarnation;
+  __isset = other155.__isset;
   return *this;
 }
 void slot_release::printTo(std::ostream& out) const {
@@ -4670,22 +4815,22 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_cancel::slot_cancel(const slot_cancel& other152) noexcept {
-  Ask = other152.Ask;
-  __isset = other152.__isset;
+slot_cancel::slot_cancel(const slot_cancel& other156) noexcept {
+  Ask = other156.Ask;
+  __isset = other156.__isset;
 }
-slot_cancel::slot_cancel(slot_cancel&& other153) noexcept {
-  Ask = other153.Ask;
-  __isset = other153.__isset;
+slot_cancel::slot_cancel(slot_cancel&& other157) noexcept {
+  Ask = other157.Ask;
+  __isset = other157.__isset;
 }
-slot_cancel& slot_cancel::operator=(const slot_cancel& other154) noexcept {
-  Ask = other154.Ask;
-  __isset = other154.__isset;
+slot_cancel& slot_cancel::operator=(const slot_cancel& other158) noexcept {
+  Ask = other158.Ask;
+  __isset = other158.__isset;
   return *this;
 }
-slot_cancel& slot_cancel::operator=(slot_cancel&& other155) noexcept {
-  Ask = other155.Ask;
-  __isset = other155.__isset;
+slot_cancel& slot_cancel::operator=(slot_cancel&& other159) noexcept {
+  Ask = other159.Ask;
+  __isset = other159.__isset;
   return *this;
 }
 void slot_cancel::printTo(std::ostream& out) const {
@@ -4788,26 +4933,26 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_preempt::slot_preempt(const slot_preempt& other156) noexcept {
-  Slot = other156.Slot;
-  Ask = other156.Ask;
-  __isset = other156.__isset;
+slot_preempt::slot_preempt(const slot_preempt& other160) noexcept {
+  Slot = other160.Slot;
+  Ask = other160.Ask;
+  __isset = other160.__isset;
 }
-slot_preempt::slot_preempt(slot_preempt&& other157) noexcept {
-  Slot = other157.Slot;
-  Ask = other157.Ask;
-  __isset = other157.__isset;
+slot_preempt::slot_preempt(slot_preempt&& other161) noexcept {
+  Slot = other161.Slot;
+  Ask = other161.Ask;
+  __isset = other161.__isset;
 }
-slot_preempt& slot_preempt::operator=(const slot_preempt& other158) noexcept {
-  Slot = other158.Slot;
-  Ask = other158.Ask;
-  __isset = other158.__isset;
+slot_preempt& slot_preempt::operator=(const slot_preempt& other162) noexcept {
+  Slot = other162.Slot;
+  Ask = other162.Ask;
+  __isset = other162.__isset;
   return *this;
 }
-slot_preempt& slot_preempt::operator=(slot_preempt&& other159) noexcept {
-  Slot = other159.Slot;
-  Ask = other159.Ask;
-  __isset = other159.__isset;
+slot_preempt& slot_preempt::operator=(slot_preempt&& other163) noexcept {
+  Slot = other163.Slot;
+  Ask = other163.Ask;
+  __isset = other163.__isset;
   return *this;
 }
 void slot_preempt::printTo(std::ostream& out) const {
@@ -4882,14 +5027,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Slots.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->Slots.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->Slots.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += iprot->readI64(this->Slots[_i164]);
+              xfer += iprot->readI64(this->Slots[_i168]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4926,10 +5071,10 @@
   xfer += oprot->writeFieldBegin("Slots", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Slots.size()));
-    std::vector<int64_t> ::const_iterator _iter165;
-    for (_iter165 = this->Slots.begin(); _iter165 != this->Slots.end(); ++_iter165)
+    std::vector<int64_t> ::const_iterator _iter169;
+    for (_iter169 = this->Slots.begin(); _iter169 != this->Slots.end(); ++_iter169)
     {
-      xfer += oprot->writeI64((*_iter165));
+      xfer += oprot->writeI64((*_iter169));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4948,30 +5093,30 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_renew::slot_renew(const slot_renew& other166) {
-  Incarnation = other166.Incarnation;
-  OwnerIncarnation = other166.OwnerIncarnation;
-  Slots = other166.Slots;
-  __isset = other166.__isset;
+slot_renew::slot_renew(const slot_renew& other170) {
+  Incarnation = other170.Incarnation;
+  OwnerIncarnation = other170.OwnerIncarnation;
+  Slots = other170.Slots;
+  __isset = other170.__isset;
 }
-slot_renew::slot_renew(slot_renew&& other167) noexcept {
-  Incarnation = other167.Incarnation;
-  OwnerIncarnation = other167.OwnerIncarnation;
-  Slots = std::move(other167.Slots);
-  __isset = other167.__isset;
+slot_renew::slot_renew(slot_renew&& other171) noexcept {
+  Incarnation = other171.Incarnation;
+  OwnerIncarnation = other171.OwnerIncarnation;
+  Slots = std::move(other171.Slots);
+  __isset = other171.__isset;
 }
-slot_renew& slot_renew::operator=(const slot_renew& other168) {
-  Incarnation = other168.Incarnation;
-  OwnerIncarnation = other168.OwnerIncarnation;
-  Slots = other168.Slots;
-  __isset = other168.__isset;
+slot_renew& slot_renew::operator=(const slot_renew& other172) {
+  Incarnation = other172.Incarnation;
+  OwnerIncarnation = other172.OwnerIncarnation;
+  Slots = other172.Slots;
+  __isset = other172.__isset;
   return *this;
 }
-slot_renew& slot_renew::operator=(slot_renew&& other169) noexcept {
-  Incarnation = other169.Incarnation;
-  OwnerIncarnation = other169.OwnerIncarnation;
-  Slots = std::move(other169.Slots);
-  __isset = other169.__isset;
+slot_renew& slot_renew::operator=(slot_renew&& other173) noexcept {
+  Incarnation = other173.Incarnation;
+  OwnerIncarnation = other173.OwnerIncarnation;
+  Slots = std::move(other173.Slots);
+  __isset = other173.__isset;
   return *this;
 }
 void slot_renew::printTo(std::ostream& out) const {
@@ -5093,30 +5238,30 @@
   swap(a.__isset, b.__isset);
 }
 
-config_edit::config_edit(const config_edit& other170) {
-  Base = other170.Base;
-  Document = other170.Document;
-  Author = other170.Author;
-  __isset = other170.__isset;
+config_edit::config_edit(const config_edit& other174) {
+  Base = other174.Base;
+  Document = other174.Document;
+  Author = other174.Author;
+  __isset = other174.__isset;
 }
-config_edit::config_edit(config_edit&& other171) noexcept {
-  Base = other171.Base;
-  Document = std::move(other171.Document);
-  Author = std::move(other171.Author);
-  __isset = other171.__isset;
+config_edit::config_edit(config_edit&& other175) noexcept {
+  Base = other175.Base;
+  Document = std::move(other175.Document);
+  Author = std::move(other175.Author);
+  __isset = other175.__isset;
 }
-config_edit& config_edit::operator=(const config_edit& other172) {
-  Base = other172.Base;
-  Document = other172.Document;
-  Author = other172.Author;
-  __isset = other172.__isset;
+config_edit& config_edit::operator=(const config_edit& other176) {
+  Base = other176.Base;
+  Document = other176.Document;
+  Author = other176.Author;
+  __isset = other176.__isset;
   return *this;
 }
-config_edit& config_edit::operator=(config_edit&& other173) noexcept {
-  Base = other173.Base;
-  Document = std::move(other173.Document);
-  Author = std::move(other173.Author);
-  __isset = other173.__isset;
+config_edit& config_edit::operator=(config_edit&& other177) noexcept {
+  Base = other177.Base;
+  Document = std::move(other177.Document);
+  Author = std::move(other177.Author);
+  __isset = other177.__isset;
   return *this;
 }
 void config_edit::printTo(std::ostream& out) const {
@@ -5238,30 +5383,30 @@
   swap(a.__isset, b.__isset);
 }
 
-key_give::key_give(const key_give& other174) {
-  KeyId = other174.KeyId;
-  Organisation = other174.Organisation;
-  KeyHash = other174.KeyHash;
-  __isset = other174.__isset;
+key_give::key_give(const key_give& other178) {
+  KeyId = other178.KeyId;
+  Organisation = other178.Organisation;
+  KeyHash = other178.KeyHash;
+  __isset = other178.__isset;
 }
-key_give::key_give(key_give&& other175) noexcept {
-  KeyId = std::move(other175.KeyId);
-  Organisation = std::move(other175.Organisation);
-  KeyHash = std::move(other175.KeyHash);
-  __isset = other175.__isset;
+key_give::key_give(key_give&& other179) noexcept {
+  KeyId = std::move(other179.KeyId);
+  Organisation = std::move(other179.Organisation);
+  KeyHash = std::move(other179.KeyHash);
+  __isset = other179.__isset;
 }
-key_give& key_give::operator=(const key_give& other176) {
-  KeyId = other176.KeyId;
-  Organisation = other176.Organisation;
-  KeyHash = other176.KeyHash;
-  __isset = other176.__isset;
+key_give& key_give::operator=(const key_give& other180) {
+  KeyId = other180.KeyId;
+  Organisation = other180.Organisation;
+  KeyHash = other180.KeyHash;
+  __isset = other180.__isset;
   return *this;
 }
-key_give& key_give::operator=(key_give&& other177) noexcept {
-  KeyId = std::move(other177.KeyId);
-  Organisation = std::move(other177.Organisation);
-  KeyHash = std::move(other177.KeyHash);
-  __isset = other177.__isset;
+key_give& key_give::operator=(key_give&& other181) noexcept {
+  KeyId = std::move(other181.KeyId);
+  Organisation = std::move(other181.Organisation);
+  KeyHash = std::move(other181.KeyHash);
+  __isset = other181.__isset;
   return *this;
 }
 void key_give::printTo(std::ostream& out) const {
@@ -5349,22 +5494,22 @@
   swap(a.__isset, b.__isset);
 }
 
-key_withdraw::key_withdraw(const key_withdraw& other178) {
-  KeyId = other178.KeyId;
-  __isset = other178.__isset;
+key_withdraw::key_withdraw(const key_withdraw& other182) {
+  KeyId = other182.KeyId;
+  __isset = other182.__isset;
 }
-key_withdraw::key_withdraw(key_withdraw&& other179) noexcept {
-  KeyId = std::move(other179.KeyId);
-  __isset = other179.__isset;
+key_withdraw::key_withdraw(key_withdraw&& other183) noexcept {
+  KeyId = std::move(other183.KeyId);
+  __isset = other183.__isset;
 }
-key_withdraw& key_withdraw::operator=(const key_withdraw& other180) {
-  KeyId = other180.KeyId;
-  __isset = other180.__isset;
+key_withdraw& key_withdraw::operator=(const key_withdraw& other184) {
+  KeyId = other184.KeyId;
+  __isset = other184.__isset;
   return *this;
 }
-key_withdraw& key_withdraw::operator=(key_withdraw&& other181) noexcept {
-  KeyId = std::move(other181.KeyId);
-  __isset = other181.__isset;
+key_withdraw& key_withdraw::operator=(key_withdraw&& other185) noexcept {
+  KeyId = std::move(other185.KeyId);
+  __isset = other185.__isset;
   return *this;
 }
 void key_withdraw::printTo(std::ostream& out) const {
@@ -5535,42 +5680,42 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_claim::lease_claim(const lease_claim& other182) {
-  Lease = other182.Lease;
-  Previous = other182.Previous;
-  Holder = other182.Holder;
-  Incarnation = other182.Incarnation;
-  DurationMicros = other182.DurationMicros;
-  Released = other182.Released;
-  __isset = other182.__isset;
-}
-lease_claim::lease_claim(lease_claim&& other183) noexcept {
-  Lease = std::move(other183.Lease);
-  Previous = other183.Previous;
-  Holder = std::move(other183.Holder);
-  Incarnation = other183.Incarnation;
-  DurationMicros = other183.DurationMicros;
-  Released = other183.Released;
-  __isset = other183.__isset;
-}
-lease_claim& lease_claim::operator=(const lease_claim& other184) {
-  Lease = other184.Lease;
-  Previous = other184.Previous;
-  Holder = other184.Holder;
-  Incarnation = other184.Incarnation;
-  DurationMicros = other184.DurationMicros;
-  Released = other184.Released;
-  __isset = other184.__isset;
+lease_claim::lease_claim(const lease_claim& other186) {
+  Lease = other186.Lease;
+  Previous = other186.Previous;
+  Holder = other186.Holder;
+  Incarnation = other186.Incarnation;
+  DurationMicros = other186.DurationMicros;
+  Released = other186.Released;
+  __isset = other186.__isset;
+}
+lease_claim::lease_claim(lease_claim&& other187) noexcept {
+  Lease = std::move(other187.Lease);
+  Previous = other187.Previous;
+  Holder = std::move(other187.Holder);
+  Incarnation = other187.Incarnation;
+  DurationMicros = other187.DurationMicros;
+  Released = other187.Released;
+  __isset = other187.__isset;
+}
+lease_claim& lease_claim::operator=(const lease_claim& other188) {
+  Lease = other188.Lease;
+  Previous = other188.Previous;
+  Holder = other188.Holder;
+  Incarnation = other188.Incarnation;
+  DurationMicros = other188.DurationMicros;
+  Released = other188.Released;
+  __isset = other188.__isset;
   return *this;
 }
-lease_claim& lease_claim::operator=(lease_claim&& other185) noexcept {
-  Lease = std::move(other185.Lease);
-  Previous = other185.Previous;
-  Holder = std::move(other185.Holder);
-  Incarnation = other185.Incarnation;
-  DurationMicros = other185.DurationMicros;
-  Released = other185.Released;
-  __isset = other185.__isset;
+lease_claim& lease_claim::operator=(lease_claim&& other189) noexcept {
+  Lease = std::move(other189.Lease);
+  Previous = other189.Previous;
+  Holder = std::move(other189.Holder);
+  Incarnation = other189.Incarnation;
+  DurationMicros = other189.DurationMicros;
+  Released = other189.Released;
+  __isset = other189.__isset;
   return *this;
 }
 void lease_claim::printTo(std::ostream& out) const {
@@ -5625,14 +5770,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Batches.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->Batches.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->Batches.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
             {
-              xfer += this->Batches[_i190].read(iprot);
+              xfer += this->Batches[_i194].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5661,10 +5806,10 @@
   xfer += oprot->writeFieldBegin("Batches", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Batches.size()));
-    std::vector<usage_batch> ::const_iterator _iter191;
-    for (_iter191 = this->Batches.begin(); _iter191 != this->Batches.end(); ++_iter191)
+    std::vector<usage_batch> ::const_iterator _iter195;
+    for (_iter195 = this->Batches.begin(); _iter195 != this->Batches.end(); ++_iter195)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter195).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5681,22 +5826,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_append::usage_append(const usage_append& other192) {
-  Batches = other192.Batches;
-  __isset = other192.__isset;
+usage_append::usage_append(const usage_append& other196) {
+  Batches = other196.Batches;
+  __isset = other196.__isset;
 }
-usage_append::usage_append(usage_append&& other193) noexcept {
-  Batches = std::move(other193.Batches);
-  __isset = other193.__isset;
+usage_append::usage_append(usage_append&& other197) noexcept {
+  Batches = std::move(other197.Batches);
+  __isset = other197.__isset;
 }
-usage_append& usage_append::operator=(const usage_append& other194) {
-  Batches = other194.Batches;
-  __isset = other194.__isset;
+usage_append& usage_append::operator=(const usage_append& other198) {
+  Batches = other198.Batches;
+  __isset = other198.__isset;
   return *this;
 }
-usage_append& usage_append::operator=(usage_append&& other195) noexcept {
-  Batches = std::move(other195.Batches);
-  __isset = other195.__isset;
+usage_append& usage_append::operator=(usage_append&& other199) noexcept {
+  Batches = std::move(other199.Batches);
+  __isset = other199.__isset;
   return *this;
 }
 void usage_append::printTo(std::ostream& out) const {
@@ -5774,14 +5919,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Figures.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->Figures.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
+            uint32_t _size200;
+            ::apache::thrift::protocol::TType _etype203;
+            xfer += iprot->readListBegin(_etype203, _size200);
+            this->Figures.resize(_size200);
+            uint32_t _i204;
+            for (_i204 = 0; _i204 < _size200; ++_i204)
             {
-              xfer += this->Figures[_i200].read(iprot);
+              xfer += this->Figures[_i204].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5826,10 +5971,10 @@
   xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
-    std::vector<usage_increment> ::const_iterator _iter201;
-    for (_iter201 = this->Figures.begin(); _iter201 != this->Figures.end(); ++_iter201)
+    std::vector<usage_increment> ::const_iterator _iter205;
+    for (_iter205 = this->Figures.begin(); _iter205 != this->Figures.end(); ++_iter205)
     {
-      xfer += (*_iter201).write(oprot);
+      xfer += (*_iter205).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5853,34 +5998,34 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_close::usage_close(const usage_close& other202) {
-  Window = other202.Window;
-  Fence = other202.Fence;
-  Figures = other202.Figures;
-  UpToOffset = other202.UpToOffset;
-  __isset = other202.__isset;
-}
-usage_close::usage_close(usage_close&& other203) noexcept {
-  Window = other203.Window;
-  Fence = other203.Fence;
-  Figures = std::move(other203.Figures);
-  UpToOffset = other203.UpToOffset;
-  __isset = other203.__isset;
-}
-usage_close& usage_close::operator=(const usage_close& other204) {
-  Window = other204.Window;
-  Fence = other204.Fence;
-  Figures = other204.Figures;
-  UpToOffset = other204.UpToOffset;
-  __isset = other204.__isset;
+usage_close::usage_close(const usage_close& other206) {
+  Window = other206.Window;
+  Fence = other206.Fence;
+  Figures = other206.Figures;
+  UpToOffset = other206.UpToOffset;
+  __isset = other206.__isset;
+}
+usage_close::usage_close(usage_close&& other207) noexcept {
+  Window = other207.Window;
+  Fence = other207.Fence;
+  Figures = std::move(other207.Figures);
+  UpToOffset = other207.UpToOffset;
+  __isset = other207.__isset;
+}
+usage_close& usage_close::operator=(const usage_close& other208) {
+  Window = other208.Window;
+  Fence = other208.Fence;
+  Figures = other208.Figures;
+  UpToOffset = other208.UpToOffset;
+  __isset = other208.__isset;
   return *this;
 }
-usage_close& usage_close::operator=(usage_close&& other205) noexcept {
-  Window = other205.Window;
-  Fence = other205.Fence;
-  Figures = std::move(other205.Figures);
-  UpToOffset = other205.UpToOffset;
-  __isset = other205.__isset;
+usage_close& usage_close::operator=(usage_close&& other209) noexcept {
+  Window = other209.Window;
+  Fence = other209.Fence;
+  Figures = std::move(other209.Figures);
+  UpToOffset = other209.UpToOffset;
+  __isset = other209.__isset;
   return *this;
 }
 void usage_close::printTo(std::ostream& out) const {
@@ -5969,22 +6114,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_reported::usage_reported(const usage_reported& other206) noexcept {
-  Window = other206.Window;
-  __isset = other206.__isset;
+usage_reported::usage_reported(const usage_reported& other210) noexcept {
+  Window = other210.Window;
+  __isset = other210.__isset;
 }
-usage_reported::usage_reported(usage_reported&& other207) noexcept {
-  Window = other207.Window;
-  __isset = other207.__isset;
+usage_reported::usage_reported(usage_reported&& other211) noexcept {
+  Window = other211.Window;
+  __isset = other211.__isset;
 }
-usage_reported& usage_reported::operator=(const usage_reported& other208) noexcept {
-  Window = other208.Window;
-  __isset = other208.__isset;
+usage_reported& usage_reported::operator=(const usage_reported& other212) noexcept {
+  Window = other212.Window;
+  __isset = other212.__isset;
   return *this;
 }
-usage_reported& usage_reported::operator=(usage_reported&& other209) noexcept {
-  Window = other209.Window;
-  __isset = other209.__isset;
+usage_reported& usage_reported::operator=(usage_reported&& other213) noexcept {
+  Window = other213.Window;
+  __isset = other213.__isset;
   return *this;
 }
 void usage_reported::printTo(std::ostream& out) const {
@@ -6076,9 +6221,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast210;
-          xfer += iprot->readI32(ecast210);
-          this->Kind = static_cast<order_kind::type>(ecast210);
+          int32_t ecast214;
+          xfer += iprot->readI32(ecast214);
+          this->Kind = static_cast<order_kind::type>(ecast214);
           this->__isset.Kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6157,42 +6302,42 @@
   swap(a.__isset, b.__isset);
 }
 
-order_intent::order_intent(const order_intent& other211) {
-  OrderId = other211.OrderId;
-  Zone = other211.Zone;
-  Fence = other211.Fence;
-  Kind = other211.Kind;
-  Target = other211.Target;
-  Count = other211.Count;
-  __isset = other211.__isset;
+order_intent::order_intent(const order_intent& other215) {
+  OrderId = other215.OrderId;
+  Zone = other215.Zone;
+  Fence = other215.Fence;
+  Kind = other215.Kind;
+  Target = other215.Target;
+  Count = other215.Count;
+  __isset = other215.__isset;
 }
-order_intent::order_intent(order_intent&& other212) noexcept {
-  OrderId = std::move(other212.OrderId);
-  Zone = std::move(other212.Zone);
-  Fence = other212.Fence;
-  Kind = other212.Kind;
-  Target = std::move(other212.Target);
-  Count = other212.Count;
-  __isset = other212.__isset;
+order_intent::order_intent(order_intent&& other216) noexcept {
+  OrderId = std::move(other216.OrderId);
+  Zone = std::move(other216.Zone);
+  Fence = other216.Fence;
+  Kind = other216.Kind;
+  Target = std::move(other216.Target);
+  Count = other216.Count;
+  __isset = other216.__isset;
 }
-order_intent& order_intent::operator=(const order_intent& other213) {
-  OrderId = other213.OrderId;
-  Zone = other213.Zone;
-  Fence = other213.Fence;
-  Kind = other213.Kind;
-  Target = other213.Target;
-  Count = other213.Count;
-  __isset = other213.__isset;
+order_intent& order_intent::operator=(const order_intent& other217) {
+  OrderId = other217.OrderId;
+  Zone = other217.Zone;
+  Fence = other217.Fence;
+  Kind = other217.Kind;
+  Target = other217.Target;
+  Count = other217.Count;
+  __isset = other217.__isset;
   return *this;
 }
-order_intent& order_intent::operator=(order_intent&& other214) noexcept {
-  OrderId = std::move(other214.OrderId);
-  Zone = std::move(other214.Zone);
-  Fence = other214.Fence;
-  Kind = other214.Kind;
-  Target = std::move(other214.Target);
-  Count = other214.Count;
-  __isset = other214.__isset;
+order_intent& order_intent::operator=(order_intent&& other218) noexcept {
+  OrderId = std::move(other218.OrderId);
+  Zone = std::move(other218.Zone);
+  Fence = other218.Fence;
+  Kind = other218.Kind;
+  Target = std::move(other218.Target);
+  Count = other218.Count;
+  __isset = other218.__isset;
   return *this;
 }
 void order_intent::printTo(std::ostream& out) const {
@@ -6300,26 +6445,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_done::order_done(const order_done& other215) {
-  OrderId = other215.OrderId;
-  Accepted = other215.Accepted;
-  __isset = other215.__isset;
+order_done::order_done(const order_done& other219) {
+  OrderId = other219.OrderId;
+  Accepted = other219.Accepted;
+  __isset = other219.__isset;
 }
-order_done::order_done(order_done&& other216) noexcept {
-  OrderId = std::move(other216.OrderId);
-  Accepted = other216.Accepted;
-  __isset = other216.__isset;
+order_done::order_done(order_done&& other220) noexcept {
+  OrderId = std::move(other220.OrderId);
+  Accepted = other220.Accepted;
+  __isset = other220.__isset;
 }
-order_done& order_done::operator=(const order_done& other217) {
-  OrderId = other217.OrderId;
-  Accepted = other217.Accepted;
-  __isset = other217.__isset;
+order_done& order_done::operator=(const order_done& other221) {
+  OrderId = other221.OrderId;
+  Accepted = other221.Accepted;
+  __isset = other221.__isset;
   return *this;
 }
-order_done& order_done::operator=(order_done&& other218) noexcept {
-  OrderId = std::move(other218.OrderId);
-  Accepted = other218.Accepted;
-  __isset = other218.__isset;
+order_done& order_done::operator=(order_done&& other222) noexcept {
+  OrderId = std::move(other222.OrderId);
+  Accepted = other222.Accepted;
+  __isset = other222.__isset;
   return *this;
 }
 void order_done::printTo(std::ostream& out) const {
@@ -6457,34 +6602,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_entry::claim_entry(const claim_entry& other219) {
-  Key = other219.Key;
-  Attempt = other219.Attempt;
-  BodyHash = other219.BodyHash;
-  CreatedWallMicros = other219.CreatedWallMicros;
-  __isset = other219.__isset;
+claim_entry::claim_entry(const claim_entry& other223) {
+  Key = other223.Key;
+  Attempt = other223.Attempt;
+  BodyHash = other223.BodyHash;
+  CreatedWallMicros = other223.CreatedWallMicros;
+  __isset = other223.__isset;
 }
-claim_entry::claim_entry(claim_entry&& other220) noexcept {
-  Key = std::move(other220.Key);
-  Attempt = std::move(other220.Attempt);
-  BodyHash = other220.BodyHash;
-  CreatedWallMicros = other220.CreatedWallMicros;
-  __isset = other220.__isset;
+claim_entry::claim_entry(claim_entry&& other224) noexcept {
+  Key = std::move(other224.Key);
+  Attempt = std::move(other224.Attempt);
+  BodyHash = other224.BodyHash;
+  CreatedWallMicros = other224.CreatedWallMicros;
+  __isset = other224.__isset;
 }
-claim_entry& claim_entry::operator=(const claim_entry& other221) {
-  Key = other221.Key;
-  Attempt = other221.Attempt;
-  BodyHash = other221.BodyHash;
-  CreatedWallMicros = other221.CreatedWallMicros;
-  __isset = other221.__isset;
+claim_entry& claim_entry::operator=(const claim_entry& other225) {
+  Key = other225.Key;
+  Attempt = other225.Attempt;
+  BodyHash = other225.BodyHash;
+  CreatedWallMicros = other225.CreatedWallMicros;
+  __isset = other225.__isset;
   return *this;
 }
-claim_entry& claim_entry::operator=(claim_entry&& other222) noexcept {
-  Key = std::move(other222.Key);
-  Attempt = std::move(other222.Attempt);
-  BodyHash = other222.BodyHash;
-  CreatedWallMicros = other222.CreatedWallMicros;
-  __isset = other222.__isset;
+claim_entry& claim_entry::operator=(claim_entry&& other226) noexcept {
+  Key = std::move(other226.Key);
+  Attempt = std::move(other226.Attempt);
+  BodyHash = other226.BodyHash;
+  CreatedWallMicros = other226.CreatedWallMicros;
+  __isset = other226.__isset;
   return *this;
 }
 void claim_entry::printTo(std::ostream& out) const {
@@ -6564,9 +6709,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast223;
-          xfer += iprot->readI32(ecast223);
-          this->Outcome = static_cast<run_outcome::type>(ecast223);
+          int32_t ecast227;
+          xfer += iprot->readI32(ecast227);
+          this->Outcome = static_cast<run_outcome::type>(ecast227);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6628,34 +6773,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_outcome::claim_outcome(const claim_outcome& other224) {
-  Key = other224.Key;
-  Attempt = other224.Attempt;
-  Outcome = other224.Outcome;
-  Answer = other224.Answer;
-  __isset = other224.__isset;
-}
-claim_outcome::claim_outcome(claim_outcome&& other225) noexcept {
-  Key = std::move(other225.Key);
-  Attempt = std::move(other225.Attempt);
-  Outcome = other225.Outcome;
-  Answer = std::move(other225.Answer);
-  __isset = other225.__isset;
-}
-claim_outcome& claim_outcome::operator=(const claim_outcome& other226) {
-  Key = other226.Key;
-  Attempt = other226.Attempt;
-  Outcome = other226.Outcome;
-  Answer = other226.Answer;
-  __isset = other226.__isset;
+claim_outcome::claim_outcome(const claim_outcome& other228) {
+  Key = other228.Key;
+  Attempt = other228.Attempt;
+  Outcome = other228.Outcome;
+  Answer = other228.Answer;
+  __isset = other228.__isset;
+}
+claim_outcome::claim_outcome(claim_outcome&& other229) noexcept {
+  Key = std::move(other229.Key);
+  Attempt = std::move(other229.Attempt);
+  Outcome = other229.Outcome;
+  Answer = std::move(other229.Answer);
+  __isset = other229.__isset;
+}
+claim_outcome& claim_outcome::operator=(const claim_outcome& other230) {
+  Key = other230.Key;
+  Attempt = other230.Attempt;
+  Outcome = other230.Outcome;
+  Answer = other230.Answer;
+  __isset = other230.__isset;
   return *this;
 }
-claim_outcome& claim_outcome::operator=(claim_outcome&& other227) noexcept {
-  Key = std::move(other227.Key);
-  Attempt = std::move(other227.Attempt);
-  Outcome = other227.Outcome;
-  Answer = std::move(other227.Answer);
-  __isset = other227.__isset;
+claim_outcome& claim_outcome::operator=(claim_outcome&& other231) noexcept {
+  Key = std::move(other231.Key);
+  Attempt = std::move(other231.Attempt);
+  Outcome = other231.Outcome;
+  Answer = std::move(other231.Answer);
+  __isset = other231.__isset;
   return *this;
 }
 void claim_outcome::printTo(std::ostream& out) const {
@@ -6712,14 +6857,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->Claims.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->Claims.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->Claims[_i232].read(iprot);
+              xfer += this->Claims[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6732,14 +6877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Outcomes.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->Outcomes.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->Outcomes.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
             {
-              xfer += this->Outcomes[_i237].read(iprot);
+              xfer += this->Outcomes[_i241].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6768,10 +6913,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<claim_entry> ::const_iterator _iter238;
-    for (_iter238 = this->Claims.begin(); _iter238 != this->Claims.end(); ++_iter238)
+    std::vector<claim_entry> ::const_iterator _iter242;
+    for (_iter242 = this->Claims.begin(); _iter242 != this->Claims.end(); ++_iter242)
     {
-      xfer += (*_iter238).write(oprot);
+      xfer += (*_iter242).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6780,10 +6925,10 @@
   xfer += oprot->writeFieldBegin("Outcomes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Outcomes.size()));
-    std::vector<claim_outcome> ::const_iterator _iter239;
-    for (_iter239 = this->Outcomes.begin(); _iter239 != this->Outcomes.end(); ++_iter239)
+    std::vector<claim_outcome> ::const_iterator _iter243;
+    for (_iter243 = this->Outcomes.begin(); _iter243 != this->Outcomes.end(); ++_iter243)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter243).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6801,26 +6946,26 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_batch::claim_batch(const claim_batch& other240) {
-  Claims = other240.Claims;
-  Outcomes = other240.Outcomes;
-  __isset = other240.__isset;
+claim_batch::claim_batch(const claim_batch& other244) {
+  Claims = other244.Claims;
+  Outcomes = other244.Outcomes;
+  __isset = other244.__isset;
 }
-claim_batch::claim_batch(claim_batch&& other241) noexcept {
-  Claims = std::move(other241.Claims);
-  Outcomes = std::move(other241.Outcomes);
-  __isset = other241.__isset;
+claim_batch::claim_batch(claim_batch&& other245) noexcept {
+  Claims = std::move(other245.Claims);
+  Outcomes = std::move(other245.Outcomes);
+  __isset = other245.__isset;
 }
-claim_batch& claim_batch::operator=(const claim_batch& other242) {
-  Claims = other242.Claims;
-  Outcomes = other242.Outcomes;
-  __isset = other242.__isset;
+claim_batch& claim_batch::operator=(const claim_batch& other246) {
+  Claims = other246.Claims;
+  Outcomes = other246.Outcomes;
+  __isset = other246.__isset;
   return *this;
 }
-claim_batch& claim_batch::operator=(claim_batch&& other243) noexcept {
-  Claims = std::move(other243.Claims);
-  Outcomes = std::move(other243.Outcomes);
-  __isset = other243.__isset;
+claim_batch& claim_batch::operator=(claim_batch&& other247) noexcept {
+  Claims = std::move(other247.Claims);
+  Outcomes = std::move(other247.Outcomes);
+  __isset = other247.__isset;
   return *this;
 }
 void claim_batch::printTo(std::ostream& out) const {
@@ -6924,26 +7069,26 @@
   swap(a.__isset, b.__isset);
 }
 
-snapshot::snapshot(const snapshot& other244) {
-  CoversOffset = other244.CoversOffset;
-  State = other244.State;
-  __isset = other244.__isset;
+snapshot::snapshot(const snapshot& other248) {
+  CoversOffset = other248.CoversOffset;
+  State = other248.State;
+  __isset = other248.__isset;
 }
-snapshot::snapshot(snapshot&& other245) noexcept {
-  CoversOffset = other245.CoversOffset;
-  State = std::move(other245.State);
-  __isset = other245.__isset;
+snapshot::snapshot(snapshot&& other249) noexcept {
+  CoversOffset = other249.CoversOffset;
+  State = std::move(other249.State);
+  __isset = other249.__isset;
 }
-snapshot& snapshot::operator=(const snapshot& other246) {
-  CoversOffset = other246.CoversOffset;
-  State = other246.State;
-  __isset = other246.__isset;
+snapshot& snapshot::operator=(const snapshot& other250) {
+  CoversOffset = other250.CoversOffset;
+  State = other250.State;
+  __isset = other250.__isset;
   return *this;
 }
-snapshot& snapshot::operator=(snapshot&& other247) noexcept {
-  CoversOffset = other247.CoversOffset;
-  State = std::move(other247.State);
-  __isset = other247.__isset;
+snapshot& snapshot::operator=(snapshot&& other251) noexcept {
+  CoversOffset = other251.CoversOffset;
+  State = std::move(other251.State);
+  __isset = other251.__isset;
   return *this;
 }
 void snapshot::printTo(std::ostream& out) const {
@@ -7256,70 +7401,70 @@
   swap(a.__isset, b.__isset);
 }
 
-log_record::log_record(const log_record& other248) {
-  Incarnation = other248.Incarnation;
-  Sequence = other248.Sequence;
-  ConfigEdit = other248.ConfigEdit;
-  KeyGive = other248.KeyGive;
-  KeyWithdraw = other248.KeyWithdraw;
-  LeaseClaim = other248.LeaseClaim;
-  UsageAppend = other248.UsageAppend;
-  UsageClose = other248.UsageClose;
-  UsageReported = other248.UsageReported;
-  OrderIntent = other248.OrderIntent;
-  OrderDone = other248.OrderDone;
-  ClaimBatch = other248.ClaimBatch;
-  Snapshot = other248.Snapshot;
-  __isset = other248.__isset;
+log_record::log_record(const log_record& other252) {
+  Incarnation = other252.Incarnation;
+  Sequence = other252.Sequence;
+  ConfigEdit = other252.ConfigEdit;
+  KeyGive = other252.KeyGive;
+  KeyWithdraw = other252.KeyWithdraw;
+  LeaseClaim = other252.LeaseClaim;
+  UsageAppend = other252.UsageAppend;
+  UsageClose = other252.UsageClose;
+  UsageReported = other252.UsageReported;
+  OrderIntent = other252.OrderIntent;
+  OrderDone = other252.OrderDone;
+  ClaimBatch = other252.ClaimBatch;
+  Snapshot = other252.Snapshot;
+  __isset = other252.__isset;
 }
-log_record::log_record(log_record&& other249) noexcept {
-  Incarnation = other249.Incarnation;
-  Sequence = other249.Sequence;
-  ConfigEdit = std::move(other249.ConfigEdit);
-  KeyGive = std::move(other249.KeyGive);
-  KeyWithdraw = std::move(other249.KeyWithdraw);
-  LeaseClaim = std::move(other249.LeaseClaim);
-  UsageAppend = std::move(other249.UsageAppend);
-  UsageClose = std::move(other249.UsageClose);
-  UsageReported = std::move(other249.UsageReported);
-  OrderIntent = std::move(other249.OrderIntent);
-  OrderDone = std::move(other249.OrderDone);
-  ClaimBatch = std::move(other249.ClaimBatch);
-  Snapshot = std::move(other249.Snapshot);
-  __isset = other249.__isset;
+log_record::log_record(log_record&& other253) noexcept {
+  Incarnation = other253.Incarnation;
+  Sequence = other253.Sequence;
+  ConfigEdit = std::move(other253.ConfigEdit);
+  KeyGive = std::move(other253.KeyGive);
+  KeyWithdraw = std::move(other253.KeyWithdraw);
+  LeaseClaim = std::move(other253.LeaseClaim);
+  UsageAppend = std::move(other253.UsageAppend);
+  UsageClose = std::move(other253.UsageClose);
+  UsageReported = std::move(other253.UsageReported);
+  OrderIntent = std::move(other253.OrderIntent);
+  OrderDone = std::move(other253.OrderDone);
+  ClaimBatch = std::move(other253.ClaimBatch);
+  Snapshot = std::move(other253.Snapshot);
+  __isset = other253.__isset;
 }
-log_record& log_record::operator=(const log_record& other250) {
-  Incarnation = other250.Incarnation;
-  Sequence = other250.Sequence;
-  ConfigEdit = other250.ConfigEdit;
-  KeyGive = other250.KeyGive;
-  KeyWithdraw = other250.KeyWithdraw;
-  LeaseClaim = other250.LeaseClaim;
-  UsageAppend = other250.UsageAppend;
-  UsageClose = other250.UsageClose;
-  UsageReported = other250.UsageReported;
-  OrderIntent = other250.OrderIntent;
-  OrderDone = other250.OrderDone;
-  ClaimBatch = other250.ClaimBatch;
-  Snapshot = other250.Snapshot;
-  __isset = other250.__isset;
+log_record& log_record::operator=(const log_record& other254) {
+  Incarnation = other254.Incarnation;
+  Sequence = other254.Sequence;
+  ConfigEdit = other254.ConfigEdit;
+  KeyGive = other254.KeyGive;
+  KeyWithdraw = other254.KeyWithdraw;
+  LeaseClaim = other254.LeaseClaim;
+  UsageAppend = other254.UsageAppend;
+  UsageClose = other254.UsageClose;
+  UsageReported = other254.UsageReported;
+  OrderIntent = other254.OrderIntent;
+  OrderDone = other254.OrderDone;
+  ClaimBatch = other254.ClaimBatch;
+  Snapshot = other254.Snapshot;
+  __isset = other254.__isset;
   return *this;
 }
-log_record& log_record::operator=(log_record&& other251) noexcept {
-  Incarnation = other251.Incarnation;
-  Sequence = other251.Sequence;
-  ConfigEdit = std::move(other251.ConfigEdit);
-  KeyGive = std::move(other251.KeyGive);
-  KeyWithdraw = std::move(other251.KeyWithdraw);
-  LeaseClaim = std::move(other251.LeaseClaim);
-  UsageAppend = std::move(other251.UsageAppend);
-  UsageClose = std::move(other251.UsageClose);
-  UsageReported = std::move(other251.UsageReported);
-  OrderIntent = std::move(other251.OrderIntent);
-  OrderDone = std::move(other251.OrderDone);
-  ClaimBatch = std::move(other251.ClaimBatch);
-  Snapshot = std::move(other251.Snapshot);
-  __isset = other251.__isset;
+log_record& log_record::operator=(log_record&& other255) noexcept {
+  Incarnation = other255.Incarnation;
+  Sequence = other255.Sequence;
+  ConfigEdit = std::move(other255.ConfigEdit);
+  KeyGive = std::move(other255.KeyGive);
+  KeyWithdraw = std::move(other255.KeyWithdraw);
+  LeaseClaim = std::move(other255.LeaseClaim);
+  UsageAppend = std::move(other255.UsageAppend);
+  UsageClose = std::move(other255.UsageClose);
+  UsageReported = std::move(other255.UsageReported);
+  OrderIntent = std::move(other255.OrderIntent);
+  OrderDone = std::move(other255.OrderDone);
+  ClaimBatch = std::move(other255.ClaimBatch);
+  Snapshot = std::move(other255.Snapshot);
+  __isset = other255.__isset;
   return *this;
 }
 void log_record::printTo(std::ostream& out) const {
@@ -7468,34 +7613,34 @@
   swap(a.__isset, b.__isset);
 }
 
-key_state::key_state(const key_state& other252) {
-  KeyId = other252.KeyId;
-  Organisation = other252.Organisation;
-  KeyHash = other252.KeyHash;
-  Withdrawn = other252.Withdrawn;
-  __isset = other252.__isset;
+key_state::key_state(const key_state& other256) {
+  KeyId = other256.KeyId;
+  Organisation = other256.Organisation;
+  KeyHash = other256.KeyHash;
+  Withdrawn = other256.Withdrawn;
+  __isset = other256.__isset;
 }
-key_state::key_state(key_state&& other253) noexcept {
-  KeyId = std::move(other253.KeyId);
-  Organisation = std::move(other253.Organisation);
-  KeyHash = std::move(other253.KeyHash);
-  Withdrawn = other253.Withdrawn;
-  __isset = other253.__isset;
+key_state::key_state(key_state&& other257) noexcept {
+  KeyId = std::move(other257.KeyId);
+  Organisation = std::move(other257.Organisation);
+  KeyHash = std::move(other257.KeyHash);
+  Withdrawn = other257.Withdrawn;
+  __isset = other257.__isset;
 }
-key_state& key_state::operator=(const key_state& other254) {
-  KeyId = other254.KeyId;
-  Organisation = other254.Organisation;
-  KeyHash = other254.KeyHash;
-  Withdrawn = other254.Withdrawn;
-  __isset = other254.__isset;
+key_state& key_state::operator=(const key_state& other258) {
+  KeyId = other258.KeyId;
+  Organisation = other258.Organisation;
+  KeyHash = other258.KeyHash;
+  Withdrawn = other258.Withdrawn;
+  __isset = other258.__isset;
   return *this;
 }
-key_state& key_state::operator=(key_state&& other255) noexcept {
-  KeyId = std::move(other255.KeyId);
-  Organisation = std::move(other255.Organisation);
-  KeyHash = std::move(other255.KeyHash);
-  Withdrawn = other255.Withdrawn;
-  __isset = other255.__isset;
+key_state& key_state::operator=(key_state&& other259) noexcept {
+  KeyId = std::move(other259.KeyId);
+  Organisation = std::move(other259.Organisation);
+  KeyHash = std::move(other259.KeyHash);
+  Withdrawn = other259.Withdrawn;
+  __isset = other259.__isset;
   return *this;
 }
 void key_state::printTo(std::ostream& out) const {
@@ -7669,42 +7814,42 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_state::lease_state(const lease_state& other256) {
-  Lease = other256.Lease;
-  Fence = other256.Fence;
-  Holder = other256.Holder;
-  Incarnation = other256.Incarnation;
-  DurationMicros = other256.DurationMicros;
-  Released = other256.Released;
-  __isset = other256.__isset;
+lease_state::lease_state(const lease_state& other260) {
+  Lease = other260.Lease;
+  Fence = other260.Fence;
+  Holder = other260.Holder;
+  Incarnation = other260.Incarnation;
+  DurationMicros = other260.DurationMicros;
+  Released = other260.Released;
+  __isset = other260.__isset;
 }
-lease_state::lease_state(lease_state&& other257) noexcept {
-  Lease = std::move(other257.Lease);
-  Fence = other257.Fence;
-  Holder = std::move(other257.Holder);
-  Incarnation = other257.Incarnation;
-  DurationMicros = other257.DurationMicros;
-  Released = other257.Released;
-  __isset = other257.__isset;
+lease_state::lease_state(lease_state&& other261) noexcept {
+  Lease = std::move(other261.Lease);
+  Fence = other261.Fence;
+  Holder = std::move(other261.Holder);
+  Incarnation = other261.Incarnation;
+  DurationMicros = other261.DurationMicros;
+  Released = other261.Released;
+  __isset = other261.__isset;
 }
-lease_state& lease_state::operator=(const lease_state& other258) {
-  Lease = other258.Lease;
-  Fence = other258.Fence;
-  Holder = other258.Holder;
-  Incarnation = other258.Incarnation;
-  DurationMicros = other258.DurationMicros;
-  Released = other258.Released;
-  __isset = other258.__isset;
+lease_state& lease_state::operator=(const lease_state& other262) {
+  Lease = other262.Lease;
+  Fence = other262.Fence;
+  Holder = other262.Holder;
+  Incarnation = other262.Incarnation;
+  DurationMicros = other262.DurationMicros;
+  Released = other262.Released;
+  __isset = other262.__isset;
   return *this;
 }
-lease_state& lease_state::operator=(lease_state&& other259) noexcept {
-  Lease = std::move(other259.Lease);
-  Fence = other259.Fence;
-  Holder = std::move(other259.Holder);
-  Incarnation = other259.Incarnation;
-  DurationMicros = other259.DurationMicros;
-  Released = other259.Released;
-  __isset = other259.__isset;
+lease_state& lease_state::operator=(lease_state&& other263) noexcept {
+  Lease = std::move(other263.Lease);
+  Fence = other263.Fence;
+  Holder = std::move(other263.Holder);
+  Incarnation = other263.Incarnation;
+  DurationMicros = other263.DurationMicros;
+  Released = other263.Released;
+  __isset = other263.__isset;
   return *this;
 }
 void lease_state::printTo(std::ostream& out) const {
@@ -7829,30 +7974,30 @@
   swap(a.__isset, b.__isset);
 }
 
-writer_state::writer_state(const writer_state& other260) noexcept {
-  Incarnation = other260.Incarnation;
-  Sequence = other260.Sequence;
-  LastOffset = other260.LastOffset;
-  __isset = other260.__isset;
+writer_state::writer_state(const writer_state& other264) noexcept {
+  Incarnation = other264.Incarnation;
+  Sequence = other264.Sequence;
+  LastOffset = other264.LastOffset;
+  __isset = other264.__isset;
 }
-writer_state::writer_state(writer_state&& other261) noexcept {
-  Incarnation = other261.Incarnation;
-  Sequence = other261.Sequence;
-  LastOffset = other261.LastOffset;
-  __isset = other261.__isset;
+writer_state::writer_state(writer_state&& other265) noexcept {
+  Incarnation = other265.Incarnation;
+  Sequence = other265.Sequence;
+  LastOffset = other265.LastOffset;
+  __isset = other265.__isset;
 }
-writer_state& writer_state::operator=(const writer_state& other262) noexcept {
-  Incarnation = other262.Incarnation;
-  Sequence = other262.Sequence;
-  LastOffset = other262.LastOffset;
-  __isset = other262.__isset;
+writer_state& writer_state::operator=(const writer_state& other266) noexcept {
+  Incarnation = other266.Incarnation;
+  Sequence = other266.Sequence;
+  LastOffset = other266.LastOffset;
+  __isset = other266.__isset;
   return *this;
 }
-writer_state& writer_state::operator=(writer_state&& other263) noexcept {
-  Incarnation = other263.Incarnation;
-  Sequence = other263.Sequence;
-  LastOffset = other263.LastOffset;
-  __isset = other263.__isset;
+writer_state& writer_state::operator=(writer_state&& other267) noexcept {
+  Incarnation = other267.Incarnation;
+  Sequence = other267.Sequence;
+  LastOffset = other267.LastOffset;
+  __isset = other267.__isset;
   return *this;
 }
 void writer_state::printTo(std::ostream& out) const {
@@ -7920,14 +8065,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Figures.clear();
-            uint32_t _size264;
-            ::apache::thrift::protocol::TType _etype267;
-            xfer += iprot->readListBegin(_etype267, _size264);
-            this->Figures.resize(_size264);
-            uint32_t _i268;
-            for (_i268 = 0; _i268 < _size264; ++_i268)
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->Figures.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
             {
-              xfer += this->Figures[_i268].read(iprot);
+              xfer += this->Figures[_i272].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7968,10 +8113,10 @@
   xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
-    std::vector<usage_increment> ::const_iterator _iter269;
-    for (_iter269 = this->Figures.begin(); _iter269 != this->Figures.end(); ++_iter269)
+    std::vector<usage_increment> ::const_iterator _iter273;
+    for (_iter273 = this->Figures.begin(); _iter273 != this->Figures.end(); ++_iter273)
     {
-      xfer += (*_iter269).write(oprot);
+      xfer += (*_iter273).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7994,30 +8139,30 @@
   swap(a.__isset, b.__isset);
 }
 
-closed_window::closed_window(const closed_window& other270) {
-  Window = other270.Window;
-  Figures = other270.Figures;
-  Reported = other270.Reported;
-  __isset = other270.__isset;
+closed_window::closed_window(const closed_window& other274) {
+  Window = other274.Window;
+  Figures = other274.Figures;
+  Reported = other274.Reported;
+  __isset = other274.__isset;
 }
-closed_window::closed_window(closed_window&& other271) noexcept {
-  Window = other271.Window;
-  Figures = std::move(other271.Figures);
-  Reported = other271.Reported;
-  __isset = other271.__isset;
+closed_window::closed_window(closed_window&& other275) noexcept {
+  Window = other275.Window;
+  Figures = std::move(other275.Figures);
+  Reported = other275.Reported;
+  __isset = other275.__isset;
 }
-closed_window& closed_window::operator=(const closed_window& other272) {
-  Window = other272.Window;
-  Figures = other272.Figures;
-  Reported = other272.Reported;
-  __isset = other272.__isset;
+closed_window& closed_window::operator=(const closed_window& other276) {
+  Window = other276.Window;
+  Figures = other276.Figures;
+  Reported = other276.Reported;
+  __isset = other276.__isset;
   return *this;
 }
-closed_window& closed_window::operator=(closed_window&& other273) noexcept {
-  Window = other273.Window;
-  Figures = std::move(other273.Figures);
-  Reported = other273.Reported;
-  __isset = other273.__isset;
+closed_window& closed_window::operator=(closed_window&& other277) noexcept {
+  Window = other277.Window;
+  Figures = std::move(other277.Figures);
+  Reported = other277.Reported;
+  __isset = other277.__isset;
   return *this;
 }
 void closed_window::printTo(std::ostream& out) const {
@@ -8122,26 +8267,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_state::order_state(const order_state& other274) {
-  Intent = other274.Intent;
-  Offset = other274.Offset;
-  __isset = other274.__isset;
+order_state::order_state(const order_state& other278) {
+  Intent = other278.Intent;
+  Offset = other278.Offset;
+  __isset = other278.__isset;
 }
-order_state::order_state(order_state&& other275) noexcept {
-  Intent = std::move(other275.Intent);
-  Offset = other275.Offset;
-  __isset = other275.__isset;
+order_state::order_state(order_state&& other279) noexcept {
+  Intent = std::move(other279.Intent);
+  Offset = other279.Offset;
+  __isset = other279.__isset;
 }
-order_state& order_state::operator=(const order_state& other276) {
-  Intent = other276.Intent;
-  Offset = other276.Offset;
-  __isset = other276.__isset;
+order_state& order_state::operator=(const order_state& other280) {
+  Intent = other280.Intent;
+  Offset = other280.Offset;
+  __isset = other280.__isset;
   return *this;
 }
-order_state& order_state::operator=(order_state&& other277) noexcept {
-  Intent = std::move(other277.Intent);
-  Offset = other277.Offset;
-  __isset = other277.__isset;
+order_state& order_state::operator=(order_state&& other281) noexcept {
+  Intent = std::move(other281.Intent);
+  Offset = other281.Offset;
+  __isset = other281.__isset;
   return *this;
 }
 void order_state::printTo(std::ostream& out) const {
@@ -8244,14 +8389,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Keys.clear();
-            uint32_t _size278;
-            ::apache::thrift::protocol::TType _etype281;
-            xfer += iprot->readListBegin(_etype281, _size278);
-            this->Keys.resize(_size278);
-            uint32_t _i282;
-            for (_i282 = 0; _i282 < _size278; ++_i282)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->Keys.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += this->Keys[_i282].read(iprot);
+              xfer += this->Keys[_i286].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8264,14 +8409,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leases.clear();
-            uint32_t _size283;
-            ::apache::thrift::protocol::TType _etype286;
-            xfer += iprot->readListBegin(_etype286, _size283);
-            this->Leases.resize(_size283);
-            uint32_t _i287;
-            for (_i287 = 0; _i287 < _size283; ++_i287)
+            uint32_t _size287;
+            ::apache::thrift::protocol::TType _etype290;
+            xfer += iprot->readListBegin(_etype290, _size287);
+            this->Leases.resize(_size287);
+            uint32_t _i291;
+            for (_i291 = 0; _i291 < _size287; ++_i291)
             {
-              xfer += this->Leases[_i287].read(iprot);
+              xfer += this->Leases[_i291].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8284,14 +8429,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Writers.clear();
-            uint32_t _size288;
-            ::apache::thrift::protocol::TType _etype291;
-            xfer += iprot->readListBegin(_etype291, _size288);
-            this->Writers.resize(_size288);
-            uint32_t _i292;
-            for (_i292 = 0; _i292 < _size288; ++_i292)
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->Writers.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
             {
-              xfer += this->Writers[_i292].read(iprot);
+              xfer += this->Writers[_i296].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8304,14 +8449,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->UsageSources.clear();
-            uint32_t _size293;
-            ::apache::thrift::protocol::TType _etype296;
-            xfer += iprot->readListBegin(_etype296, _size293);
-            this->UsageSources.resize(_size293);
-            uint32_t _i297;
-            for (_i297 = 0; _i297 < _size293; ++_i297)
+            uint32_t _size297;
+            ::apache::thrift::protocol::TType _etype300;
+            xfer += iprot->readListBegin(_etype300, _size297);
+            this->UsageSources.resize(_size297);
+            uint32_t _i301;
+            for (_i301 = 0; _i301 < _size297; ++_i301)
             {
-              xfer += this->UsageSources[_i297].read(iprot);
+              xfer += this->UsageSources[_i301].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8324,14 +8469,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->OpenUsage.clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _etype301;
-            xfer += iprot->readListBegin(_etype301, _size298);
-            this->OpenUsage.resize(_size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
+            uint32_t _size302;
+            ::apache::thrift::protocol::TType _etype305;
+            xfer += iprot->readListBegin(_etype305, _size302);
+            this->OpenUsage.resize(_size302);
+            uint32_t _i306;
+            for (_i306 = 0; _i306 < _size302; ++_i306)
             {
-              xfer += this->OpenUsage[_i302].read(iprot);
+              xfer += this->OpenUsage[_i306].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8344,14 +8489,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Windows.clear();
-            uint32_t _size303;
-            ::apache::thrift::protocol::TType _etype306;
-            xfer += iprot->readListBegin(_etype306, _size303);
-            this->Windows.resize(_size303);
-            uint32_t _i307;
-            for (_i307 = 0; _i307 < _size303; ++_i307)
+            uint32_t _size307;
+            ::apache::thrift::protocol::TType _etype310;
+            xfer += iprot->readListBegin(_etype310, _size307);
+            this->Windows.resize(_size307);
+            uint32_t _i311;
+            for (_i311 = 0; _i311 < _size307; ++_i311)
             {
-              xfer += this->Windows[_i307].read(iprot);
+              xfer += this->Windows[_i311].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8364,14 +8509,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Orders.clear();
-            uint32_t _size308;
-            ::apache::thrift::protocol::TType _etype311;
-            xfer += iprot->readListBegin(_etype311, _size308);
-            this->Orders.resize(_size308);
-            uint32_t _i312;
-            for (_i312 = 0; _i312 < _size308; ++_i312)
+            uint32_t _size312;
+            ::apache::thrift::protocol::TType _etype315;
+            xfer += iprot->readListBegin(_etype315, _size312);
+            this->Orders.resize(_size312);
+            uint32_t _i316;
+            for (_i316 = 0; _i316 < _size312; ++_i316)
             {
-              xfer += this->Orders[_i312].read(iprot);
+              xfer += this->Orders[_i316].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8416,10 +8561,10 @@
   xfer += oprot->writeFieldBegin("Keys", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Keys.size()));
-    std::vector<key_state> ::const_iterator _iter313;
-    for (_iter313 = this->Keys.begin(); _iter313 != this->Keys.end(); ++_iter313)
+    std::vector<key_state> ::const_iterator _iter317;
+    for (_iter317 = this->Keys.begin(); _iter317 != this->Keys.end(); ++_iter317)
     {
-      xfer += (*_iter313).write(oprot);
+      xfer += (*_iter317).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8428,10 +8573,10 @@
   xfer += oprot->writeFieldBegin("Leases", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leases.size()));
-    std::vector<lease_state> ::const_iterator _iter314;
-    for (_iter314 = this->Leases.begin(); _iter314 != this->Leases.end(); ++_iter314)
+    std::vector<lease_state> ::const_iterator _iter318;
+    for (_iter318 = this->Leases.begin(); _iter318 != this->Leases.end(); ++_iter318)
     {
-      xfer += (*_iter314).write(oprot);
+      xfer += (*_iter318).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8440,10 +8585,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter315;
-    for (_iter315 = this->Writers.begin(); _iter315 != this->Writers.end(); ++_iter315)
+    std::vector<writer_state> ::const_iterator _iter319;
+    for (_iter319 = this->Writers.begin(); _iter319 != this->Writers.end(); ++_iter319)
     {
-      xfer += (*_iter315).write(oprot);
+      xfer += (*_iter319).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8452,10 +8597,10 @@
   xfer += oprot->writeFieldBegin("UsageSources", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->UsageSources.size()));
-    std::vector<writer_state> ::const_iterator _iter316;
-    for (_iter316 = this->UsageSources.begin(); _iter316 != this->UsageSources.end(); ++_iter316)
+    std::vector<writer_state> ::const_iterator _iter320;
+    for (_iter320 = this->UsageSources.begin(); _iter320 != this->UsageSources.end(); ++_iter320)
     {
-      xfer += (*_iter316).write(oprot);
+      xfer += (*_iter320).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8464,10 +8609,10 @@
   xfer += oprot->writeFieldBegin("OpenUsage", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->OpenUsage.size()));
-    std::vector<usage_increment> ::const_iterator _iter317;
-    for (_iter317 = this->OpenUsage.begin(); _iter317 != this->OpenUsage.end(); ++_iter317)
+    std::vector<usage_increment> ::const_iterator _iter321;
+    for (_iter321 = this->OpenUsage.begin(); _iter321 != this->OpenUsage.end(); ++_iter321)
     {
-      xfer += (*_iter317).write(oprot);
+      xfer += (*_iter321).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8476,10 +8621,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<closed_window> ::const_iterator _iter318;
-    for (_iter318 = this->Windows.begin(); _iter318 != this->Windows.end(); ++_iter318)
+    std::vector<closed_window> ::const_iterator _iter322;
+    for (_iter322 = this->Windows.begin(); _iter322 != this->Windows.end(); ++_iter322)
     {
-      xfer += (*_iter318).write(oprot);
+      xfer += (*_iter322).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8488,10 +8633,10 @@
   xfer += oprot->writeFieldBegin("Orders", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Orders.size()));
-    std::vector<order_state> ::const_iterator _iter319;
-    for (_iter319 = this->Orders.begin(); _iter319 != this->Orders.end(); ++_iter319)
+    std::vector<order_state> ::const_iterator _iter323;
+    for (_iter323 = this->Orders.begin(); _iter323 != this->Orders.end(); ++_iter323)
     {
-      xfer += (*_iter319).write(oprot);
+      xfer += (*_iter323).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8521,58 +8666,58 @@
   swap(a.__isset, b.__isset);
 }
 
-ledger_state::ledger_state(const ledger_state& other320) {
-  ConfigOffset = other320.ConfigOffset;
-  Document = other320.Document;
-  Keys = other320.Keys;
-  Leases = other320.Leases;
-  Writers = other320.Writers;
-  UsageSources = other320.UsageSources;
-  OpenUsage = other320.OpenUsage;
-  Windows = other320.Windows;
-  Orders = other320.Orders;
-  LastClosedWindow = other320.LastClosedWindow;
-  __isset = other320.__isset;
-}
-ledger_state::ledger_state(ledger_state&& other321) noexcept {
-  ConfigOffset = other321.ConfigOffset;
-  Document = std::move(other321.Document);
-  Keys = std::move(other321.Keys);
-  Leases = std::move(other321.Leases);
-  Writers = std::move(other321.Writers);
-  UsageSources = std::move(other321.UsageSources);
-  OpenUsage = std::move(other321.OpenUsage);
-  Windows = std::move(other321.Windows);
-  Orders = std::move(other321.Orders);
-  LastClosedWindow = other321.LastClosedWindow;
-  __isset = other321.__isset;
-}
-ledger_state& ledger_state::operator=(const ledger_state& other322) {
-  ConfigOffset = other322.ConfigOffset;
-  Document = other322.Document;
-  Keys = other322.Keys;
-  Leases = other322.Leases;
-  Writers = other322.Writers;
-  UsageSources = other322.UsageSources;
-  OpenUsage = other322.OpenUsage;
-  Windows = other322.Windows;
-  Orders = other322.Orders;
-  LastClosedWindow = other322.LastClosedWindow;
-  __isset = other322.__isset;
+ledger_state::ledger_state(const ledger_state& other324) {
+  ConfigOffset = other324.ConfigOffset;
+  Document = other324.Document;
+  Keys = other324.Keys;
+  Leases = other324.Leases;
+  Writers = other324.Writers;
+  UsageSources = other324.UsageSources;
+  OpenUsage = other324.OpenUsage;
+  Windows = other324.Windows;
+  Orders = other324.Orders;
+  LastClosedWindow = other324.LastClosedWindow;
+  __isset = other324.__isset;
+}
+ledger_state::ledger_state(ledger_state&& other325) noexcept {
+  ConfigOffset = other325.ConfigOffset;
+  Document = std::move(other325.Document);
+  Keys = std::move(other325.Keys);
+  Leases = std::move(other325.Leases);
+  Writers = std::move(other325.Writers);
+  UsageSources = std::move(other325.UsageSources);
+  OpenUsage = std::move(other325.OpenUsage);
+  Windows = std::move(other325.Windows);
+  Orders = std::move(other325.Orders);
+  LastClosedWindow = other325.LastClosedWindow;
+  __isset = other325.__isset;
+}
+ledger_state& ledger_state::operator=(const ledger_state& other326) {
+  ConfigOffset = other326.ConfigOffset;
+  Document = other326.Document;
+  Keys = other326.Keys;
+  Leases = other326.Leases;
+  Writers = other326.Writers;
+  UsageSources = other326.UsageSources;
+  OpenUsage = other326.OpenUsage;
+  Windows = other326.Windows;
+  Orders = other326.Orders;
+  LastClosedWindow = other326.LastClosedWindow;
+  __isset = other326.__isset;
   return *this;
 }
-ledger_state& ledger_state::operator=(ledger_state&& other323) noexcept {
-  ConfigOffset = other323.ConfigOffset;
-  Document = std::move(other323.Document);
-  Keys = std::move(other323.Keys);
-  Leases = std::move(other323.Leases);
-  Writers = std::move(other323.Writers);
-  UsageSources = std::move(other323.UsageSources);
-  OpenUsage = std::move(other323.OpenUsage);
-  Windows = std::move(other323.Windows);
-  Orders = std::move(other323.Orders);
-  LastClosedWindow = other323.LastClosedWindow;
-  __isset = other323.__isset;
+ledger_state& ledger_state::operator=(ledger_state&& other327) noexcept {
+  ConfigOffset = other327.ConfigOffset;
+  Document = std::move(other327.Document);
+  Keys = std::move(other327.Keys);
+  Leases = std::move(other327.Leases);
+  Writers = std::move(other327.Writers);
+  UsageSources = std::move(other327.UsageSources);
+  OpenUsage = std::move(other327.OpenUsage);
+  Windows = std::move(other327.Windows);
+  Orders = std::move(other327.Orders);
+  LastClosedWindow = other327.LastClosedWindow;
+  __isset = other327.__isset;
   return *this;
 }
 void ledger_state::printTo(std::ostream& out) const {
@@ -8662,9 +8807,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast324;
-          xfer += iprot->readI32(ecast324);
-          this->Outcome = static_cast<run_outcome::type>(ecast324);
+          int32_t ecast328;
+          xfer += iprot->readI32(ecast328);
+          this->Outcome = static_cast<run_outcome::type>(ecast328);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8739,38 +8884,38 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_state::claim_state(const claim_state& other325) {
-  Entry = other325.Entry;
-  Offset = other325.Offset;
-  Outcome = other325.Outcome;
-  Settled = other325.Settled;
-  Answer = other325.Answer;
-  __isset = other325.__isset;
-}
-claim_state::claim_state(claim_state&& other326) noexcept {
-  Entry = std::move(other326.Entry);
-  Offset = other326.Offset;
-  Outcome = other326.Outcome;
-  Settled = other326.Settled;
-  Answer = std::move(other326.Answer);
-  __isset = other326.__isset;
-}
-claim_state& claim_state::operator=(const claim_state& other327) {
-  Entry = other327.Entry;
-  Offset = other327.Offset;
-  Outcome = other327.Outcome;
-  Settled = other327.Settled;
-  Answer = other327.Answer;
-  __isset = other327.__isset;
+claim_state::claim_state(const claim_state& other329) {
+  Entry = other329.Entry;
+  Offset = other329.Offset;
+  Outcome = other329.Outcome;
+  Settled = other329.Settled;
+  Answer = other329.Answer;
+  __isset = other329.__isset;
+}
+claim_state::claim_state(claim_state&& other330) noexcept {
+  Entry = std::move(other330.Entry);
+  Offset = other330.Offset;
+  Outcome = other330.Outcome;
+  Settled = other330.Settled;
+  Answer = std::move(other330.Answer);
+  __isset = other330.__isset;
+}
+claim_state& claim_state::operator=(const claim_state& other331) {
+  Entry = other331.Entry;
+  Offset = other331.Offset;
+  Outcome = other331.Outcome;
+  Settled = other331.Settled;
+  Answer = other331.Answer;
+  __isset = other331.__isset;
   return *this;
 }
-claim_state& claim_state::operator=(claim_state&& other328) noexcept {
-  Entry = std::move(other328.Entry);
-  Offset = other328.Offset;
-  Outcome = other328.Outcome;
-  Settled = other328.Settled;
-  Answer = std::move(other328.Answer);
-  __isset = other328.__isset;
+claim_state& claim_state::operator=(claim_state&& other332) noexcept {
+  Entry = std::move(other332.Entry);
+  Offset = other332.Offset;
+  Outcome = other332.Outcome;
+  Settled = other332.Settled;
+  Answer = std::move(other332.Answer);
+  __isset = other332.__isset;
   return *this;
 }
 void claim_state::printTo(std::ostream& out) const {
@@ -8828,14 +8973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size329;
-            ::apache::thrift::protocol::TType _etype332;
-            xfer += iprot->readListBegin(_etype332, _size329);
-            this->Claims.resize(_size329);
-            uint32_t _i333;
-            for (_i333 = 0; _i333 < _size329; ++_i333)
+            uint32_t _size333;
+            ::apache::thrift::protocol::TType _etype336;
+            xfer += iprot->readListBegin(_etype336, _size333);
+            this->Claims.resize(_size333);
+            uint32_t _i337;
+            for (_i337 = 0; _i337 < _size333; ++_i337)
             {
-              xfer += this->Claims[_i333].read(iprot);
+              xfer += this->Claims[_i337].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8848,14 +8993,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Writers.clear();
-            uint32_t _size334;
-            ::apache::thrift::protocol::TType _etype337;
-            xfer += iprot->readListBegin(_etype337, _size334);
-            this->Writers.resize(_size334);
-            uint32_t _i338;
-            for (_i338 = 0; _i338 < _size334; ++_i338)
+            uint32_t _size338;
+            ::apache::thrift::protocol::TType _etype341;
+            xfer += iprot->readListBegin(_etype341, _size338);
+            this->Writers.resize(_size338);
+            uint32_t _i342;
+            for (_i342 = 0; _i342 < _size338; ++_i342)
             {
-              xfer += this->Writers[_i338].read(iprot);
+              xfer += this->Writers[_i342].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8884,10 +9029,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<claim_state> ::const_iterator _iter339;
-    for (_iter339 = this->Claims.begin(); _iter339 != this->Claims.end(); ++_iter339)
+    std::vector<claim_state> ::const_iterator _iter343;
+    for (_iter343 = this->Claims.begin(); _iter343 != this->Claims.end(); ++_iter343)
     {
-      xfer += (*_iter339).write(oprot);
+      xfer += (*_iter343).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8896,10 +9041,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter340;
-    for (_iter340 = this->Writers.begin(); _iter340 != this->Writers.end(); ++_iter340)
+    std::vector<writer_state> ::const_iterator _iter344;
+    for (_iter344 = this->Writers.begin(); _iter344 != this->Writers.end(); ++_iter344)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter344).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8917,26 +9062,26 @@
   swap(a.__isset, b.__isset);
 }
 
-claims_state::claims_state(const claims_state& other341) {
-  Claims = other341.Claims;
-  Writers = other341.Writers;
-  __isset = other341.__isset;
+claims_state::claims_state(const claims_state& other345) {
+  Claims = other345.Claims;
+  Writers = other345.Writers;
+  __isset = other345.__isset;
 }
-claims_state::claims_state(claims_state&& other342) noexcept {
-  Claims = std::move(other342.Claims);
-  Writers = std::move(other342.Writers);
-  __isset = other342.__isset;
+claims_state::claims_state(claims_state&& other346) noexcept {
+  Claims = std::move(other346.Claims);
+  Writers = std::move(other346.Writers);
+  __isset = other346.__isset;
 }
-claims_state& claims_state::operator=(const claims_state& other343) {
-  Claims = other343.Claims;
-  Writers = other343.Writers;
-  __isset = other343.__isset;
+claims_state& claims_state::operator=(const claims_state& other347) {
+  Claims = other347.Claims;
+  Writers = other347.Writers;
+  __isset = other347.__isset;
   return *this;
 }
-claims_state& claims_state::operator=(claims_state&& other344) noexcept {
-  Claims = std::move(other344.Claims);
-  Writers = std::move(other344.Writers);
-  __isset = other344.__isset;
+claims_state& claims_state::operator=(claims_state&& other348) noexcept {
+  Claims = std::move(other348.Claims);
+  Writers = std::move(other348.Writers);
+  __isset = other348.__isset;
   return *this;
 }
 void claims_state::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -176,6 +176,8 @@
 
 class slot_grant;
 
+class slot_queued;
+
 class slot_refuse;
 
 class slot_release;
@@ -1686,12 +1688,13 @@
 std::ostream& operator<<(std::ostream& out, const slot_ask& obj);
 
 typedef struct _slot_grant__isset {
-  _slot_grant__isset() : Ask(false), Upstream(false), Slot(false), Priority(false), OwnerIncarnation(false) {}
+  _slot_grant__isset() : Ask(false), Upstream(false), Slot(false), Priority(false), OwnerIncarnation(false), FreshConnection(false) {}
   bool Ask :1;
   bool Upstream :1;
   bool Slot :1;
   bool Priority :1;
   bool OwnerIncarnation :1;
+  bool FreshConnection :1;
 } _slot_grant__isset;
 
 class slot_grant : public virtual ::apache::thrift::TBase {
@@ -1706,7 +1709,8 @@
                Upstream(),
                Slot(0),
                Priority(0),
-               OwnerIncarnation(0) {
+               OwnerIncarnation(0),
+               FreshConnection(0) {
   }
 
   virtual ~slot_grant() noexcept;
@@ -1715,6 +1719,7 @@
   int64_t Slot;
   int32_t Priority;
   int64_t OwnerIncarnation;
+  bool FreshConnection;
 
   _slot_grant__isset __isset;
 
@@ -1728,6 +1733,8 @@
 
   void __set_OwnerIncarnation(const int64_t val);
 
+  void __set_FreshConnection(const bool val);
+
   bool operator == (const slot_grant & rhs) const
   {
     if (!(Ask == rhs.Ask))
@@ -1740,6 +1747,8 @@
       return false;
     if (!(OwnerIncarnation == rhs.OwnerIncarnation))
       return false;
+    if (!(FreshConnection == rhs.FreshConnection))
+      return false;
     return true;
   }
   bool operator != (const slot_grant &rhs) const {
@@ -1758,6 +1767,58 @@
 
 std::ostream& operator<<(std::ostream& out, const slot_grant& obj);
 
+typedef struct _slot_queued__isset {
+  _slot_queued__isset() : Ask(false), ExpectedWaitMicros(false) {}
+  bool Ask :1;
+  bool ExpectedWaitMicros :1;
+} _slot_queued__isset;
+
+class slot_queued : public virtual ::apache::thrift::TBase {
+ public:
+
+  slot_queued(const slot_queued&) noexcept;
+  slot_queued(slot_queued&&) noexcept;
+  slot_queued& operator=(const slot_queued&) noexcept;
+  slot_queued& operator=(slot_queued&&) noexcept;
+  slot_queued() noexcept
+              : Ask(0),
+                ExpectedWaitMicros(0) {
+  }
+
+  virtual ~slot_queued() noexcept;
+  int64_t Ask;
+  int64_t ExpectedWaitMicros;
+
+  _slot_queued__isset __isset;
+
+  void __set_Ask(const int64_t val);
+
+  void __set_ExpectedWaitMicros(const int64_t val);
+
+  bool operator == (const slot_queued & rhs) const
+  {
+    if (!(Ask == rhs.Ask))
+      return false;
+    if (!(ExpectedWaitMicros == rhs.ExpectedWaitMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const slot_queued &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const slot_queued & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(slot_queued &a, slot_queued &b);
+
+std::ostream& operator<<(std::ostream& out, const slot_queued& obj);
+
 typedef struct _slot_refuse__isset {
   _slot_refuse__isset() : Ask(false), Reason(false), RetryAfterMicros(false) {}
   bool Ask :1;
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -191,6 +191,14 @@
   3: i64 Slot                  // unique for the owner's incarnation
   4: i32 Priority              // for the engine's own scheduler
   5: i64 OwnerIncarnation
+  6: bool FreshConnection      // a probe: dispatch on a new connection
+}
+
+// The ask waits. Tells the asker that its owner is alive; a repeated ask is
+// answered again.
+struct slot_queued {
+  1: i64 Ask
+  2: i64 ExpectedWaitMicros
 }
 
 enum refusal_reason { QueueFull = 1, TargetUnreachable = 2, NoUpstream = 3, OrganisationLimit = 4, NotOwner = 5, ShuttingDown = 6, DeadlinePassed = 7 }
