--- /dev/null
+++ b/monsoonreel/admission.cc
@@ -0,0 +1,96 @@
+#include "monsoonreel/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "monsoonreel/mechanism.h"
+
+namespace monsoonreel {
+
+namespace {
+
+// Mean time between two slots coming free.
+duration gapOf(const admission_view &View) {
+  return View.MeanHold / std::max(1, View.Slots);
+}
+
+duration expectedWait(const admission_view &View) {
+  if (View.Slots <= 0)
+    return longest_retry_after;
+  duration Gap = gapOf(View);
+  duration Wait =
+      View.WorkAhead / View.Slots + Gap - Gap * std::max(0, View.FreeSlots);
+  return std::min(std::max(Wait, duration{}), View.ShareWait);
+}
+
+duration retryAfter(duration ExpectedWait, duration Left) {
+  return std::clamp(ExpectedWait - std::max(Left, duration{}),
+                    shortest_retry_after, longest_retry_after);
+}
+
+class open_admission : public admission_policy {
+public:
+  admission_verdict judge(const admission_view &View) const override {
+    return {true, expectedWait(View), duration{}};
+  }
+};
+
+class deadline_admission : public admission_policy {
+public:
+  admission_verdict judge(const admission_view &View) const override {
+    admission_verdict Verdict;
+    Verdict.ExpectedWait = expectedWait(View);
+    check(View, View.GiveUpLeft - View.FirstToken, Verdict);
+    return Verdict;
+  }
+
+protected:
+  static void check(const admission_view &View, duration Left,
+                    admission_verdict &Verdict) {
+    if (Verdict.ExpectedWait <= duration{})
+      return;
+    if (chanceWithin(Left, Verdict.ExpectedWait, gapOf(View)) >= least_chance)
+      return;
+    Verdict.Admit = false;
+    Verdict.RetryAfter = retryAfter(Verdict.ExpectedWait, Left);
+  }
+};
+
+class target_admission : public deadline_admission {
+public:
+  admission_verdict judge(const admission_view &View) const override {
+    admission_verdict Verdict = deadline_admission::judge(View);
+    duration Left = View.TargetLeft - View.FirstToken;
+    bool Reachable = Left > duration{};
+    if (Verdict.Admit && Reachable && isEnabled(mechanism::TargetAdmission))
+      check(View, Left, Verdict);
+    return Verdict;
+  }
+};
+
+} // namespace
+
+double chanceWithin(duration Left, duration ExpectedWait, duration Gap) {
+  if (ExpectedWait <= duration{})
+    return Left >= duration{} ? 1.0 : 0.0;
+  auto Wait = static_cast<double>(toMicros(ExpectedWait));
+  // The sum of n independent waits of one Gap has n times their variance.
+  double Deviation =
+      std::sqrt(Wait * std::max<double>(1.0, static_cast<double>(Gap.count())));
+  double Score = (static_cast<double>(toMicros(Left)) - Wait) / Deviation;
+  return 0.5 * std::erfc(-Score / std::sqrt(2.0));
+}
+
+std::unique_ptr<admission_policy> makeTargetAdmission() {
+  return std::make_unique<target_admission>();
+}
+
+std::unique_ptr<admission_policy> makeDeadlineAdmission() {
+  return std::make_unique<deadline_admission>();
+}
+
+std::unique_ptr<admission_policy> makeOpenAdmission() {
+  return std::make_unique<open_admission>();
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/monsoonreel/admission.h
@@ -0,0 +1,74 @@
+// Decides at once whether a request has a chance to be served in time.
+//
+//   auto Admission = makeTargetAdmission();
+//   admission_verdict Verdict = Admission->judge(View);
+//   if (!Verdict.Admit)
+//     refuse(Verdict.RetryAfter);
+//
+// The wait is foreseen from the expected time in slots of the work ahead and
+// the rate at which slots come free; its spread is taken as that of
+// independent departures. A request is refused when the chance falls below
+// `least_chance`. A target that could not be met even without a queue does not
+// count, because refusing would not help: such a request is judged by its
+// deadline alone.
+
+#ifndef MONSOONREEL_ADMISSION_H
+#define MONSOONREEL_ADMISSION_H
+
+#include <memory>
+
+#include "monsoonreel/types.h"
+
+namespace monsoonreel {
+
+// A request with a smaller chance to be in time is refused.
+constexpr double least_chance = 0.2;
+// Shortest time to come back that a refusal names.
+constexpr duration shortest_retry_after = std::chrono::milliseconds(100);
+constexpr duration longest_retry_after = std::chrono::seconds(60);
+
+// What is known about a request's way to a slot.
+struct admission_view {
+  // Expected time in slots of the requests that would be granted before it.
+  duration WorkAhead{};
+  // Slots that are free or could be taken back for it.
+  int FreeSlots = 0;
+  // Slots of all upstreams that could serve it.
+  int Slots = 0;
+  // Mean time in a slot.
+  duration MeanHold{};
+  // Usual time from a grant to the first token.
+  duration FirstToken{};
+  duration TargetLeft{};
+  duration GiveUpLeft{};
+  // Longest wait by the class's minimum share, whatever is ahead.
+  duration ShareWait = duration::max();
+};
+
+struct admission_verdict {
+  bool Admit = true;
+  duration ExpectedWait{};
+  // Until a request like this one would probably be admitted.
+  duration RetryAfter{};
+};
+
+class admission_policy {
+public:
+  virtual ~admission_policy() = default;
+  virtual admission_verdict judge(const admission_view &View) const = 0;
+};
+
+// Refuses what will probably miss its target.
+std::unique_ptr<admission_policy> makeTargetAdmission();
+// Refuses only what will probably miss the caller's own deadline.
+std::unique_ptr<admission_policy> makeDeadlineAdmission();
+// Refuses nothing.
+std::unique_ptr<admission_policy> makeOpenAdmission();
+
+// The chance that a wait of ExpectedWait ends within Left, when slots come free
+// one Gap after the other.
+double chanceWithin(duration Left, duration ExpectedWait, duration Gap);
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_ADMISSION_H
--- /dev/null
+++ b/monsoonreel/cell_preemption.cc
@@ -0,0 +1,100 @@
+// Taking running slots of a cell back for higher tiers.
+
+#include "monsoonreel/cell_queue.h"
+
+#include <algorithm>
+
+#include "monsoonreel/invariant.h"
+#include "monsoonreel/mechanism.h"
+
+namespace monsoonreel {
+
+int cell_queue::preemptible(tier Above, bool Cheap) const {
+  if (!UsesTiers || !isEnabled(mechanism::Preemption))
+    return 0;
+  int Count = 0;
+  for (const auto &[Id, Slot] : Running) {
+    if (Slot.Guaranteed || Slot.Preempting || !Slot.Request.Idempotent ||
+        Slot.Request.Tier <= Above)
+      continue;
+    std::optional<size_t> Index = Upstreams.find(Slot.Upstream);
+    if (Index && (Cheap || !Upstreams.at(*Index).Cheap))
+      ++Count;
+  }
+  return Count;
+}
+
+bool cell_queue::isUrgent(const waiting_request &Request,
+                          steady_time Now) const {
+  duration Slack =
+      Request.Target - Now - Latencies.firstToken(Request.Class);
+  if (Slack < duration{})
+    return false; // taking a slot back would not save the target
+  // Two slots coming free by themselves are awaited, no more.
+  duration Gap =
+      Latencies.meanHold() / std::max(1, Upstreams.slots(true, Now));
+  return Slack < Gap * 2;
+}
+
+cell_queue::running_slot *
+cell_queue::victimFor(const waiting_request &Request, int64_t &Id,
+                      steady_time Now) {
+  running_slot *Victim = nullptr;
+  for (auto &[Candidate, Slot] : Running) {
+    if (Slot.Guaranteed || Slot.Preempting || !Slot.Request.Idempotent ||
+        Slot.Request.Tier <= Request.Tier)
+      continue;
+    std::optional<size_t> Index = Upstreams.find(Slot.Upstream);
+    if (!Index || !Upstreams.suits(*Index, Request, Now))
+      continue;
+    // The lowest tier, and of it what has run for the shortest time.
+    bool Better =
+        !Victim || Slot.Request.Tier > Victim->Request.Tier ||
+        (Slot.Request.Tier == Victim->Request.Tier &&
+         std::pair(Slot.StartedAt, Candidate) >
+             std::pair(Victim->StartedAt, Id));
+    if (!Better)
+      continue;
+    Victim = &Slot;
+    Id = Candidate;
+  }
+  return Victim;
+}
+
+void cell_queue::preempt(cell_step &Step) {
+  if (!UsesTiers || !isEnabled(mechanism::Preemption) || Queue->size() == 0)
+    return;
+  tier Lowest{};
+  for (const auto &[Name, Class] : Classes)
+    Lowest = std::max(Lowest, Class.Tier);
+  auto Urgent = [&](const waiting_request &Request) {
+    return isUrgent(Request, Step.Now);
+  };
+  for (int Count = 0; Count < max_preemptions_per_step; ++Count) {
+    const waiting_request *Next = Queue->peekAbove(Lowest, Urgent, Step.Now);
+    if (!Next || static_cast<size_t>(Preempting) >= Queue->size())
+      return;
+    // Slots on their way back already serve the first of those that wait.
+    size_t WaitingAbove = 0;
+    for (const auto &[Name, Class] : Classes)
+      if (Class.Tier <= Next->Tier)
+        WaitingAbove += Queue->waitingOf(Name);
+    if (static_cast<size_t>(Preempting) >= WaitingAbove)
+      return;
+    int64_t Id = 0;
+    running_slot *Victim = victimFor(*Next, Id, Step.Now);
+    if (!Victim)
+      return;
+    if (!invariantHolds(Step.Effects, Victim->Request.Tier > Next->Tier,
+                        "no-higher-tier-preempted", describe(*Next)))
+      return;
+    Victim->Preempting = true;
+    ++Preempting;
+    wire::slot_preempt Preempt;
+    Preempt.Slot = Id;
+    Preempt.Ask = Victim->Request.Key.Ask;
+    Step.Replies.push_back({Victim->Request.From, Preempt});
+  }
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/monsoonreel/fair_queue.cc
@@ -0,0 +1,270 @@
+#include "monsoonreel/fair_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "monsoonreel/mechanism.h"
+
+namespace monsoonreel {
+
+namespace {
+
+double inSeconds(duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+// Without fairness all requests count as those of one organisation.
+organisation_name shareName(const organisation_name &Organisation) {
+  return isEnabled(mechanism::OrganisationFairness) ? Organisation
+                                                    : organisation_name();
+}
+
+} // namespace
+
+void fair_queue::moveShare(tier_state &State,
+                           const organisation_name &Organisation, share &Share,
+                           double VirtualTime) {
+  for (auto &[Key, Lane] : State.Lanes)
+    if (Lane.Backlogged.erase({Share.VirtualTime, Organisation}) > 0)
+      Lane.Backlogged.insert({VirtualTime, Organisation});
+  Share.VirtualTime = VirtualTime;
+}
+
+void fair_queue::forgetIdle(tier_state &State) {
+  if (State.Shares.size() <= max_idle_organisations)
+    return;
+  absl::erase_if(State.Shares, [&](const auto &Entry) {
+    return Entry.second.Waiting == 0 &&
+           Entry.second.VirtualTime <= State.Clock;
+  });
+}
+
+void fair_queue::push(waiting_request Request) {
+  tier_state &State = Tiers[Request.Tier];
+  forgetIdle(State);
+  organisation_name Name = shareName(Request.Organisation);
+  share &Share = State.Shares[Name];
+  Share.Weight = Request.Weight;
+  if (Share.Waiting == 0)
+    moveShare(State, Name, Share, std::max(Share.VirtualTime, State.Clock));
+  ++Share.Waiting;
+  Share.Work += Request.ExpectedHold;
+  ++State.Waiting;
+  State.Work += Request.ExpectedHold;
+  ++WaitingByClass[Request.Class];
+
+  auto Stored = std::make_unique<stored>();
+  Stored->Request = std::move(Request);
+  Stored->Sequence = ++LastSequence;
+  const waiting_request &Kept = Stored->Request;
+  lane &Lane = State.Lanes[{Kept.Class, Kept.CheapAllowed}];
+  request_order &Order = Lane.ByOrganisation[Name];
+  if (Order.empty())
+    Lane.Backlogged.insert({Share.VirtualTime, Name});
+  Order.emplace(deadline_key(Kept.Target, Stored->Sequence), &Kept);
+  ask_key Key = Kept.Key;
+  Requests[Key] = std::move(Stored);
+}
+
+fair_queue::choice fair_queue::nextInLane(const lane &Lane,
+                                          const request_filter &Fits,
+                                          steady_time Now) {
+  int Tries = 0;
+  for (const auto &[VirtualTime, Organisation] : Lane.Backlogged) {
+    const request_order &Order = Lane.ByOrganisation.at(Organisation);
+    auto OnTime = Order.lower_bound(deadline_key(Now, 0));
+    auto It = OnTime == Order.end() ? Order.begin() : OnTime;
+    for (; It != Order.end() && Tries < max_fit_tries; ++It, ++Tries)
+      if (Fits(*It->second))
+        return {VirtualTime, It->second->Target, It->second};
+    if (Tries >= max_fit_tries)
+      break;
+  }
+  return {};
+}
+
+const waiting_request *fair_queue::nextInTier(const tier_state &State,
+                                              const class_name *Class,
+                                              const request_filter &Fits,
+                                              steady_time Now) {
+  choice Best;
+  for (const auto &[Key, Lane] : State.Lanes) {
+    if (Class && Key.first != *Class)
+      continue;
+    choice Next = nextInLane(Lane, Fits, Now);
+    if (!Next.Request)
+      continue;
+    if (!Best.Request || std::tie(Next.VirtualTime, Next.Target) <
+                             std::tie(Best.VirtualTime, Best.Target))
+      Best = Next;
+  }
+  return Best.Request;
+}
+
+std::optional<waiting_request> fair_queue::grant(const waiting_request *Next) {
+  if (!Next)
+    return std::nullopt;
+  tier_state &State = Tiers[Next->Tier];
+  organisation_name Name = shareName(Next->Organisation);
+  share &Share = State.Shares[Name];
+  State.Clock = std::max(State.Clock, Share.VirtualTime);
+  moveShare(State, Name, Share,
+            Share.VirtualTime + inSeconds(Next->ExpectedHold) / Share.Weight);
+  return remove(Next->Key);
+}
+
+std::optional<waiting_request> fair_queue::take(const request_filter &Fits,
+                                                steady_time Now) {
+  const waiting_request *Next = nullptr;
+  if (isEnabled(mechanism::TierOrder)) {
+    for (auto It = Tiers.begin(); It != Tiers.end() && !Next; ++It)
+      Next = nextInTier(It->second, nullptr, Fits, Now);
+  } else {
+    for (auto It = Tiers.rbegin(); It != Tiers.rend() && !Next; ++It)
+      Next = nextInTier(It->second, nullptr, Fits, Now);
+  }
+  return grant(Next);
+}
+
+std::optional<waiting_request>
+fair_queue::takeOfClass(const class_name &Class, const request_filter &Fits,
+                        steady_time Now) {
+  const waiting_request *Next = nullptr;
+  for (auto It = Tiers.begin(); It != Tiers.end() && !Next; ++It)
+    Next = nextInTier(It->second, &Class, Fits, Now);
+  return grant(Next);
+}
+
+const waiting_request *fair_queue::peekAbove(tier Below,
+                                             const request_filter &Fits,
+                                             steady_time Now) const {
+  for (const auto &[Tier, State] : Tiers) {
+    if (Tier >= Below)
+      return nullptr;
+    if (const waiting_request *Next = nextInTier(State, nullptr, Fits, Now))
+      return Next;
+  }
+  return nullptr;
+}
+
+std::optional<waiting_request> fair_queue::remove(const ask_key &Key) {
+  auto Found = Requests.find(Key);
+  if (Found == Requests.end())
+    return std::nullopt;
+  std::unique_ptr<stored> Stored = std::move(Found->second);
+  Requests.erase(Found);
+  waiting_request &Request = Stored->Request;
+  organisation_name Name = shareName(Request.Organisation);
+  tier_state &State = Tiers[Request.Tier];
+  share &Share = State.Shares[Name];
+  --Share.Waiting;
+  Share.Work -= Request.ExpectedHold;
+  --State.Waiting;
+  State.Work -= Request.ExpectedHold;
+  auto OfClass = WaitingByClass.find(Request.Class);
+  if (--OfClass->second == 0)
+    WaitingByClass.erase(OfClass);
+
+  auto Lane = State.Lanes.find({Request.Class, Request.CheapAllowed});
+  auto Order = Lane->second.ByOrganisation.find(Name);
+  Order->second.erase(deadline_key(Request.Target, Stored->Sequence));
+  if (Order->second.empty()) {
+    Lane->second.Backlogged.erase({Share.VirtualTime, Name});
+    Lane->second.ByOrganisation.erase(Order);
+    if (Lane->second.ByOrganisation.empty())
+      State.Lanes.erase(Lane);
+  }
+  return std::move(Request);
+}
+
+const waiting_request *fair_queue::find(const ask_key &Key) const {
+  auto Found = Requests.find(Key);
+  return Found == Requests.end() ? nullptr : &Found->second->Request;
+}
+
+const waiting_request *fair_queue::shedCandidate(
+    const std::function<bool(const class_name &)> &Sheds) const {
+  bool LowestFirst = isEnabled(mechanism::TierOrder);
+  const waiting_request *Worst = nullptr;
+  for (const auto &[Tier, State] : Tiers) {
+    if (Worst && !LowestFirst)
+      break;
+    double TierBacklog = 0;
+    for (const auto &[Key, Lane] : State.Lanes) {
+      if (!Sheds(Key.first))
+        continue;
+      for (const auto &[Name, Order] : Lane.ByOrganisation) {
+        double Backlog = static_cast<double>(Order.size()) /
+                         State.Shares.at(Name).Weight;
+        if (Backlog <= TierBacklog)
+          continue;
+        TierBacklog = Backlog;
+        Worst = Order.rbegin()->second;
+      }
+    }
+  }
+  return Worst;
+}
+
+void fair_queue::charge(const class_name & /*Class*/, tier Tier,
+                        const organisation_name &Organisation, double Weight,
+                        duration Used) {
+  auto State = Tiers.find(Tier);
+  if (State == Tiers.end())
+    return;
+  organisation_name Name = shareName(Organisation);
+  auto Share = State->second.Shares.find(Name);
+  if (Share == State->second.Shares.end())
+    return;
+  moveShare(State->second, Name, Share->second,
+            Share->second.VirtualTime + inSeconds(Used) / Weight);
+}
+
+size_t fair_queue::waitingOf(const class_name &Class) const {
+  auto Found = WaitingByClass.find(Class);
+  return Found == WaitingByClass.end() ? 0 : Found->second;
+}
+
+duration fair_queue::workAhead(tier Tier,
+                               const organisation_name &Organisation,
+                               double Weight) const {
+  duration Ahead{};
+  auto It = Tiers.begin();
+  for (; It != Tiers.end() && It->first < Tier; ++It)
+    Ahead += It->second.Work;
+  if (It == Tiers.end() || It->first != Tier || It->second.Waiting == 0)
+    return Ahead;
+  const tier_state &State = It->second;
+  organisation_name Name = shareName(Organisation);
+  auto Own = State.Shares.find(Name);
+  duration OwnWork = Own == State.Shares.end() ? duration{} : Own->second.Work;
+  duration Mean = State.Work / static_cast<int64_t>(State.Waiting);
+  // While the own requests are served, each other organisation gets its share.
+  double Rounds = inSeconds(OwnWork + Mean) / Weight;
+  Ahead += OwnWork;
+  for (const auto &[Other, Share] : State.Shares) {
+    if (Other == Name || Share.Waiting == 0)
+      continue;
+    auto Part = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(Rounds * Share.Weight));
+    Ahead += std::min(Share.Work, Part);
+  }
+  return Ahead;
+}
+
+void fair_queue::forEach(
+    const std::function<void(const waiting_request &)> &Visit) const {
+  for (const auto &[Key, Stored] : Requests)
+    Visit(Stored->Request);
+}
+
+std::string describe(const waiting_request &Request) {
+  return "class " + Request.Class.Value + " tier " +
+         std::to_string(Request.Tier.Value);
+}
+
+std::unique_ptr<request_queue> makeFairQueue() {
+  return std::make_unique<fair_queue>();
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/monsoonreel/fair_queue.h
@@ -0,0 +1,123 @@
+// The queue of the tiered policy: tiers strictly, then organisations by weight,
+// then deadlines.
+//
+//   std::unique_ptr<request_queue> Queue = makeFairQueue();
+//
+// Between the organisations of a tier it is start-time fair queuing: each
+// organisation has a virtual time that a grant moves on by the expected time in
+// the slot, divided by its weight, and the organisation with the least virtual
+// time is next. What a burst has used is remembered, so a small organisation's
+// request goes before the rest of the burst. An organisation that was idle
+// starts at the queue's virtual time and gains nothing by having been idle.
+//
+// Within an organisation the earliest target is first, but requests that have
+// already missed theirs come after those that can still meet it.
+//
+// A class's requests stand in two lanes, those that may run on reclaimable
+// upstreams and those that may not, because often only one kind has room. All
+// operations cost O(log n) in the waiting requests; `workAhead` and
+// `shedCandidate` are linear in the organisations that wait.
+
+#ifndef MONSOONREEL_FAIR_QUEUE_H
+#define MONSOONREEL_FAIR_QUEUE_H
+
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
+#include "absl/container/flat_hash_map.h"
+
+#include "monsoonreel/request_queue.h"
+
+namespace monsoonreel {
+
+// Requests of one organisation, or organisations of one lane, that are looked
+// at for one that fits the free upstreams.
+constexpr int max_fit_tries = 4;
+// Idle organisations whose use is remembered in a tier.
+constexpr size_t max_idle_organisations = 1024;
+
+class fair_queue : public request_queue {
+public:
+  void push(waiting_request Request) override;
+  std::optional<waiting_request> take(const request_filter &Fits,
+                                      steady_time Now) override;
+  std::optional<waiting_request> takeOfClass(const class_name &Class,
+                                             const request_filter &Fits,
+                                             steady_time Now) override;
+  const waiting_request *peekAbove(tier Below, const request_filter &Fits,
+                                   steady_time Now) const override;
+  std::optional<waiting_request> remove(const ask_key &Key) override;
+  const waiting_request *find(const ask_key &Key) const override;
+  const waiting_request *shedCandidate(
+      const std::function<bool(const class_name &)> &Sheds) const override;
+  void charge(const class_name &Class, tier Tier,
+              const organisation_name &Organisation, double Weight,
+              duration Used) override;
+  size_t size() const override { return Requests.size(); }
+  size_t waitingOf(const class_name &Class) const override;
+  duration workAhead(tier Tier, const organisation_name &Organisation,
+                     double Weight) const override;
+  void forEach(const std::function<void(const waiting_request &)> &Visit)
+      const override;
+
+private:
+  // Requests of one organisation in a lane, by target and arrival.
+  using deadline_key = std::pair<steady_time, uint64_t>;
+  using request_order =
+      absl::btree_map<deadline_key, const waiting_request *>;
+
+  struct lane {
+    absl::flat_hash_map<organisation_name, request_order> ByOrganisation;
+    // Organisations with waiting requests by virtual time.
+    absl::btree_set<std::pair<double, organisation_name>> Backlogged;
+  };
+  using lane_key = std::pair<class_name, bool>; // class, cheap allowed
+
+  struct share {
+    double VirtualTime = 0; // seconds of slot time over weight
+    double Weight = 1;
+    size_t Waiting = 0;
+    duration Work{}; // expected time in slots of what waits
+  };
+  struct tier_state {
+    absl::flat_hash_map<organisation_name, share> Shares;
+    std::map<lane_key, lane> Lanes;
+    double Clock = 0; // virtual time of the latest grant
+    size_t Waiting = 0;
+    duration Work{};
+  };
+  struct stored {
+    waiting_request Request;
+    uint64_t Sequence = 0;
+  };
+  struct choice {
+    double VirtualTime = 0;
+    steady_time Target;
+    const waiting_request *Request = nullptr;
+  };
+
+  static choice nextInLane(const lane &Lane, const request_filter &Fits,
+                           steady_time Now);
+  // Class nullptr: any class.
+  static const waiting_request *nextInTier(const tier_state &State,
+                                           const class_name *Class,
+                                           const request_filter &Fits,
+                                           steady_time Now);
+  std::optional<waiting_request> grant(const waiting_request *Next);
+  static void moveShare(tier_state &State,
+                        const organisation_name &Organisation, share &Share,
+                        double VirtualTime);
+  static void forgetIdle(tier_state &State);
+
+  std::map<tier, tier_state> Tiers;
+  absl::flat_hash_map<ask_key, std::unique_ptr<stored>> Requests;
+  absl::flat_hash_map<class_name, size_t> WaitingByClass;
+  uint64_t LastSequence = 0;
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_FAIR_QUEUE_H
--- /dev/null
+++ b/monsoonreel/placement.cc
@@ -0,0 +1,89 @@
+#include "monsoonreel/placement.h"
+
+#include <algorithm>
+
+namespace monsoonreel {
+
+namespace {
+
+// The score's unit is the time to read one prompt token on an idle engine.
+// What a completely busy engine costs a new request, in prompt tokens.
+constexpr double full_load_tokens = 512;
+// The part of a prompt that has to be read in spite of a cached prefix.
+constexpr double uncached_part = 0.2;
+// Price of one unit of cost, in prompt tokens.
+constexpr double cost_tokens = 64;
+
+class least_work_placement : public placement_policy {
+public:
+  std::optional<size_t>
+  choose(const placement_work &Work,
+         const std::vector<placement_candidate> &Candidates) override {
+    auto Best = std::min_element(
+        Candidates.begin(), Candidates.end(),
+        [&](const placement_candidate &A, const placement_candidate &B) {
+          return score(Work, A) < score(Work, B);
+        });
+    if (Best == Candidates.end())
+      return std::nullopt;
+    return Best->Index;
+  }
+
+private:
+  static double score(const placement_work &Work,
+                      const placement_candidate &C) {
+    double Own = Work.PromptTokens * (C.HasPrefix ? uncached_part : 1.0);
+    double Load = full_load_tokens * C.InFlight / std::max(1, C.Concurrency);
+    return C.Slowness * (C.PrefillTokens + Own + Load) + cost_tokens * C.Cost;
+  }
+};
+
+class least_in_flight_placement : public placement_policy {
+public:
+  std::optional<size_t>
+  choose(const placement_work & /*Work*/,
+         const std::vector<placement_candidate> &Candidates) override {
+    auto Best = std::min_element(
+        Candidates.begin(), Candidates.end(),
+        [](const placement_candidate &A, const placement_candidate &B) {
+          return A.InFlight < B.InFlight;
+        });
+    if (Best == Candidates.end())
+      return std::nullopt;
+    return Best->Index;
+  }
+};
+
+class round_robin_placement : public placement_policy {
+public:
+  std::optional<size_t>
+  choose(const placement_work & /*Work*/,
+         const std::vector<placement_candidate> &Candidates) override {
+    if (Candidates.empty())
+      return std::nullopt;
+    auto Next = std::find_if(
+        Candidates.begin(), Candidates.end(),
+        [this](const placement_candidate &C) { return C.Index > Last; });
+    Last = Next == Candidates.end() ? Candidates.front().Index : Next->Index;
+    return Last;
+  }
+
+private:
+  size_t Last = 0;
+};
+
+} // namespace
+
+std::unique_ptr<placement_policy> makeLeastWorkPlacement() {
+  return std::make_unique<least_work_placement>();
+}
+
+std::unique_ptr<placement_policy> makeLeastInFlightPlacement() {
+  return std::make_unique<least_in_flight_placement>();
+}
+
+std::unique_ptr<placement_policy> makeRoundRobinPlacement() {
+  return std::make_unique<round_robin_placement>();
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/monsoonreel/pool_map.cc
@@ -0,0 +1,114 @@
+#include "monsoonreel/pool_map.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace monsoonreel {
+
+namespace {
+
+using pool_in_zone = std::pair<pool_name, zone_name>;
+
+cell_name nameOf(const pool_in_zone &Place, size_t Number) {
+  return cell_name(Place.first.Value + "@" + Place.second.Value + "#" +
+                   std::to_string(Number));
+}
+
+// Cuts Members into the least number of cells and deals them out in turn, so
+// that the cells differ by at most one upstream, and cheap ones are spread.
+void addCells(const pool_in_zone &Place, std::vector<upstream> Members,
+              std::map<cell_name, cell> &Cells) {
+  std::stable_sort(
+      Members.begin(), Members.end(),
+      [](const upstream &A, const upstream &B) { return A.Cheap < B.Cheap; });
+  size_t Count =
+      (Members.size() + max_cell_upstreams - 1) / max_cell_upstreams;
+  for (size_t Number = 0; Number < Count; ++Number) {
+    cell Cell;
+    Cell.Name = nameOf(Place, Number);
+    Cell.Pool = Place.first;
+    Cell.Zone = Place.second;
+    for (size_t I = Number; I < Members.size(); I += Count)
+      Cell.Upstreams.push_back(Members[I]);
+    std::sort(Cell.Upstreams.begin(), Cell.Upstreams.end(),
+              [](const upstream &A, const upstream &B) {
+                return A.Name < B.Name;
+              });
+    cell_name Name = Cell.Name;
+    Cells.emplace(std::move(Name), std::move(Cell));
+  }
+}
+
+uint64_t weightOf(const cell_name &Cell, const node_name &Node) {
+  uint64_t Seed = XXH3_64bits(Cell.Value.data(), Cell.Value.size());
+  return XXH3_64bits_withSeed(Node.Value.data(), Node.Value.size(), Seed);
+}
+
+} // namespace
+
+int cell::concurrency() const {
+  int Sum = 0;
+  for (const upstream &Member : Upstreams)
+    Sum += Member.Concurrency;
+  return Sum;
+}
+
+bool cell::hasReliable() const {
+  return std::any_of(Upstreams.begin(), Upstreams.end(),
+                     [](const upstream &Member) { return !Member.Cheap; });
+}
+
+pool_map pool_map::fromConfiguration(const configuration &Configuration) {
+  std::map<pool_in_zone, std::vector<upstream>> Members;
+  for (const auto &[Name, Member] : Configuration.Upstreams)
+    Members[{Member.Pool, Member.Zone}].push_back(Member);
+  pool_map Map;
+  for (auto &[Place, InPlace] : Members)
+    addCells(Place, std::move(InPlace), Map.Cells);
+  return Map;
+}
+
+std::vector<const cell *> pool_map::cellsOf(const pool_name &Pool,
+                                            const zone_name &Zone) const {
+  std::vector<const cell *> Found;
+  for (size_t Number = 0;; ++Number) {
+    const cell *Next = find(nameOf({Pool, Zone}, Number));
+    if (!Next)
+      return Found;
+    Found.push_back(Next);
+  }
+}
+
+std::vector<const cell *> pool_map::cellsOutside(const pool_name &Pool,
+                                                 const zone_name &Zone) const {
+  std::vector<const cell *> Found;
+  for (const auto &[Name, Cell] : Cells)
+    if (Cell.Pool == Pool && Cell.Zone != Zone)
+      Found.push_back(&Cell);
+  return Found;
+}
+
+const cell *pool_map::find(const cell_name &Name) const {
+  auto Found = Cells.find(Name);
+  return Found == Cells.end() ? nullptr : &Found->second;
+}
+
+std::vector<node_name> ownersInOrder(const cell_name &Cell,
+                                     const std::vector<node_name> &Names) {
+  std::vector<std::pair<uint64_t, node_name>> Weighted;
+  Weighted.reserve(Names.size());
+  for (const node_name &Name : Names)
+    Weighted.emplace_back(weightOf(Cell, Name), Name);
+  std::sort(Weighted.rbegin(), Weighted.rend());
+  std::vector<node_name> Ordered;
+  Ordered.reserve(Names.size());
+  for (auto &[Weight, Name] : Weighted)
+    Ordered.push_back(std::move(Name));
+  return Ordered;
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/monsoonreel/slot_client.cc
@@ -0,0 +1,539 @@
+#include "monsoonreel/slot_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "monsoonreel/mechanism.h"
+
+namespace monsoonreel {
+
+namespace {
+
+// How often pending asks are looked through.
+constexpr duration ask_review_period = std::chrono::milliseconds(50);
+// Asks of one process start where those of its earlier runs can't be, so that
+// a late answer to an earlier run is no answer to this one.
+constexpr int asks_per_run_bits = 24;
+constexpr int64_t run_mask = (int64_t{1} << 20) - 1;
+
+template <typename T> bool contains(const std::vector<T> &List, const T &Item) {
+  return std::find(List.begin(), List.end(), Item) != List.end();
+}
+
+wire::slot_ask makeAsk(int64_t Id, const node_identity &Self,
+                       const cell_name &Cell, const slot_request &Request,
+                       steady_time Now) {
+  wire::slot_ask Ask;
+  Ask.Ask = Id;
+  Ask.Incarnation = Self.Incarnation.Value;
+  Ask.Pool = Cell.Value;
+  Ask.ServiceClass = Request.Class.Value;
+  Ask.Tier = static_cast<int32_t>(Request.Tier.Value);
+  Ask.Organisation = Request.Organisation.Value;
+  Ask.TimeLeftMicros = toMicros(Request.Target - Now);
+  Ask.GiveUpMicros = toMicros(Request.GiveUp - Now);
+  Ask.PromptTokens = Request.PromptTokens;
+  Ask.ExpectedOutputTokens = Request.MaxTokens;
+  Ask.PrefixHash = static_cast<int64_t>(Request.PrefixHash);
+  Ask.Idempotent = Request.Idempotent;
+  for (const upstream_name &Name : Request.Excluded)
+    Ask.Excluded.push_back(Name.Value);
+  return Ask;
+}
+
+} // namespace
+
+slot_client::slot_client(node_identity Self, slot_owner Owner)
+    : Self(std::move(Self)), Owner(std::move(Owner)),
+      LastAsk((this->Self.Incarnation.Value & run_mask) << asks_per_run_bits) {}
+
+// ------------------------------------------------------------ configuration
+
+void slot_client::setConfiguration(const configuration &Configuration,
+                                   steady_time Now, effect_list &Effects,
+                                   slot_outcome_list &Outcomes) {
+  Map = pool_map::fromConfiguration(Configuration);
+  Upstreams = Configuration.Upstreams;
+  client_step Step{Now, Effects, Outcomes};
+  slot_reply_list Replies;
+  Owner.setConfiguration(Configuration, Map, Now, Replies, Effects);
+  deliver(std::move(Replies), Step);
+}
+
+void slot_client::setPeers(std::vector<slot_peer> Live) {
+  Peers.clear();
+  for (slot_peer &Peer : Live) {
+    node_name Name = Peer.Name;
+    Peers[std::move(Name)] = std::move(Peer);
+  }
+  Peers[Self.Name] = {Self.Name, Self.Address, Self.Zone};
+}
+
+void slot_client::onLoads(const std::vector<wire::pool_load> &Heard,
+                          steady_time Now) {
+  for (const wire::pool_load &Load : Heard) {
+    cell_name Name(Load.Pool);
+    // Only cells of the configuration, which bounds the table.
+    if (Map.find(Name))
+      Loads[Name] = {fromMicros(Load.QueueWaitMicros), Load.FreeSlots, Now};
+  }
+}
+
+std::vector<wire::pool_load> slot_client::loads(steady_time Now) const {
+  return Owner.loads(Now);
+}
+
+const upstream *slot_client::findUpstream(const upstream_name &Name) const {
+  auto Found = Upstreams.find(Name);
+  return Found == Upstreams.end() ? nullptr : &Found->second;
+}
+
+// ------------------------------------------------------------ choosing a cell
+
+std::vector<const cell *>
+slot_client::usable(const std::vector<const cell *> &Cells,
+                    const pending_ask &Ask) const {
+  std::vector<const cell *> Usable;
+  for (const cell *Cell : Cells) {
+    if (contains(Ask.Left, Cell->Name))
+      continue;
+    if (!Ask.Request.Idempotent && !Cell->hasReliable())
+      continue;
+    Usable.push_back(Cell);
+  }
+  return Usable;
+}
+
+duration slot_client::expectedWait(const cell &Cell, steady_time Now) const {
+  auto Load = Loads.find(Cell.Name);
+  if (Load == Loads.end() || Now - Load->second.SeenAt > load_lifetime)
+    return duration{};
+  if (Load->second.FreeSlots > 0)
+    return -fromMicros(Load->second.FreeSlots);
+  return Load->second.QueueWait;
+}
+
+bool slot_client::hasKnownRoom(const cell &Cell, steady_time Now) const {
+  return expectedWait(Cell, Now) < duration{};
+}
+
+const cell *slot_client::chooseOutside(const pending_ask &Ask, uint64_t Random,
+                                       steady_time Now) const {
+  std::vector<const cell *> Reachable;
+  for (const cell *Cell :
+       usable(Map.cellsOutside(Ask.Request.Pool, Self.Zone), Ask))
+    if (!entriesOf(Cell->Zone).empty())
+      Reachable.push_back(Cell);
+  if (Reachable.empty())
+    return nullptr;
+  const cell *First = Reachable[Random % Reachable.size()];
+  const cell *Second = Reachable[(Random >> 32) % Reachable.size()];
+  return expectedWait(*First, Now) <= expectedWait(*Second, Now) ? First
+                                                                 : Second;
+}
+
+const cell *slot_client::chooseCell(const pending_ask &Ask, uint64_t Random,
+                                    steady_time Now) const {
+  std::vector<const cell *> Home = Map.cellsOf(Ask.Request.Pool, Self.Zone);
+  // A non-idempotent request leaves its zone only when nothing in it could
+  // ever serve it.
+  bool MaySpill = Ask.Request.Idempotent || Home.empty();
+  Home = usable(Home, Ask);
+  if (Home.empty())
+    return MaySpill ? chooseOutside(Ask, Random, Now) : nullptr;
+  // The prefix chooses the first, so that it is read by one cell only.
+  uint64_t Start = Ask.Request.PrefixHash ? Ask.Request.PrefixHash : Random;
+  duration Slack = Ask.Request.PrefixHash ? affinity_slack : duration{};
+  size_t First = Start % Home.size();
+  const cell *Chosen = Home[First];
+  if (Home.size() > 1) {
+    size_t Step = 1 + (Random >> 32) % (Home.size() - 1);
+    const cell *Other = Home[(First + Step) % Home.size()];
+    if (expectedWait(*Chosen, Now) > expectedWait(*Other, Now) + Slack)
+      Chosen = Other;
+  }
+  duration Wait = expectedWait(*Chosen, Now);
+  if (!MaySpill || Wait < spill_wait)
+    return Chosen;
+  const cell *Outside = chooseOutside(Ask, Random, Now);
+  bool Better = Outside && expectedWait(*Outside, Now) * 2 < Wait;
+  return Better ? Outside : Chosen;
+}
+
+std::vector<node_name> slot_client::entriesOf(const zone_name &Zone) const {
+  std::vector<node_name> Names;
+  for (const auto &[Name, Peer] : Peers)
+    if (Peer.Zone == Zone)
+      Names.push_back(Name);
+  return Names;
+}
+
+bool slot_client::chooseOwner(const cell &Cell, pending_ask &Ask) const {
+  for (const node_name &Name :
+       ownersInOrder(Cell.Name, entriesOf(Cell.Zone))) {
+    if (contains(Ask.Tried, Name))
+      continue;
+    Ask.Owner = Peers.at(Name);
+    return true;
+  }
+  // Nobody of the cell's zone answers: this entry serves it as well as it can.
+  if (Cell.Zone != Self.Zone || contains(Ask.Tried, Self.Name))
+    return false;
+  Ask.Owner = {Self.Name, Self.Address, Self.Zone};
+  return true;
+}
+
+// --------------------------------------------------------------------- asking
+
+void slot_client::ask(const slot_request &Request, steady_time Now,
+                      uint64_t Random, effect_list &Effects,
+                      slot_outcome_list &Outcomes) {
+  client_step Step{Now, Effects, Outcomes};
+  cancel(Request.Request, Now, Effects, Outcomes);
+  pending_ask Ask;
+  Ask.Request = Request;
+  Ask.Refusal = {Request.Request, wire::refusal_reason::NoUpstream,
+                 first_pause};
+  proceed(std::move(Ask), Random, Step);
+}
+
+void slot_client::proceed(pending_ask Ask, uint64_t Random,
+                          client_step &Step) {
+  while (Ask.Count < max_asks_per_request) {
+    const cell *Cell = Map.find(Ask.Cell);
+    if (!Cell || contains(Ask.Left, Ask.Cell)) {
+      Cell = chooseCell(Ask, Random, Step.Now);
+      if (!Cell)
+        break;
+      Ask.Cell = Cell->Name;
+      Ask.Tried.clear();
+    }
+    if (chooseOwner(*Cell, Ask)) {
+      send(std::move(Ask), Step);
+      return;
+    }
+    Ask.Left.push_back(Ask.Cell);
+  }
+  Step.Outcomes.emplace_back(Ask.Refusal);
+}
+
+void slot_client::send(pending_ask Ask, client_step &Step) {
+  ++Ask.Count;
+  Ask.SentAt = Step.Now;
+  Ask.Queued = false;
+  int64_t Id = ++LastAsk;
+  auto Load = Loads.find(Ask.Cell);
+  if (Load != Loads.end() && Load->second.FreeSlots > 0)
+    --Load->second.FreeSlots;
+  slot_peer To = Ask.Owner;
+  wire::slot_ask Message =
+      makeAsk(Id, Self, Ask.Cell, Ask.Request, Step.Now);
+  AskOf[Ask.Request.Request] = Id;
+  Asks[Id] = std::move(Ask);
+  sendTo(To, Message, Step);
+}
+
+std::optional<slot_client::pending_ask> slot_client::takeAsk(int64_t Id) {
+  auto Found = Asks.find(Id);
+  if (Found == Asks.end())
+    return std::nullopt;
+  pending_ask Ask = std::move(Found->second);
+  Asks.erase(Found);
+  AskOf.erase(Ask.Request.Request);
+  return Ask;
+}
+
+void slot_client::withdraw(int64_t Id, const pending_ask &Ask,
+                           client_step &Step) {
+  wire::slot_cancel Cancel;
+  Cancel.Ask = Id;
+  Cancel.Incarnation = Self.Incarnation.Value;
+  sendTo(Ask.Owner, Cancel, Step);
+}
+
+void slot_client::cancel(request_id Request, steady_time Now,
+                         effect_list &Effects, slot_outcome_list &Outcomes) {
+  auto Id = AskOf.find(Request);
+  if (Id == AskOf.end())
+    return;
+  client_step Step{Now, Effects, Outcomes};
+  int64_t AskId = Id->second;
+  if (std::optional<pending_ask> Ask = takeAsk(AskId))
+    withdraw(AskId, *Ask, Step);
+}
+
+void slot_client::release(request_id Request, const slot_report &Report,
+                          steady_time Now, effect_list &Effects,
+                          slot_outcome_list &Outcomes) {
+  auto Found = Held.find(Request);
+  if (Found == Held.end())
+    return;
+  held_slot Slot = std::move(Found->second);
+  Held.erase(Found);
+  wire::slot_release Release;
+  Release.Slot = Slot.Slot;
+  Release.OwnerIncarnation = Slot.OwnerIncarnation;
+  Release.Result = Report.Result;
+  Release.FirstTokenMicros = toMicros(Report.FirstToken);
+  Release.TotalMicros = toMicros(Report.Total);
+  Release.OutputTokens = Report.OutputTokens;
+  client_step Step{Now, Effects, Outcomes};
+  sendTo(Slot.Owner, Release, Step);
+}
+
+// ------------------------------------------------------------------- messages
+
+void slot_client::sendTo(const slot_peer &To,
+                         const wire::peer_message &Message,
+                         client_step &Step) {
+  if (To.Name == Self.Name)
+    toOwner(To, Message, Step);
+  else
+    Step.Effects.push_back(send_message{To.Name, To.Address, Message});
+}
+
+void slot_client::deliver(slot_reply_list Replies, client_step &Step) {
+  for (const slot_reply &Reply : Replies) {
+    if (Reply.To.Name == Self.Name)
+      fromOwner(Reply.To, Reply.Message, Step);
+    else
+      Step.Effects.push_back(
+          send_message{Reply.To.Name, Reply.To.Address, Reply.Message});
+  }
+}
+
+bool slot_client::toOwner(const slot_peer &From,
+                          const wire::peer_message &Message,
+                          client_step &Step) {
+  slot_reply_list Replies;
+  if (const auto *Ask = std::get_if<wire::slot_ask>(&Message))
+    Owner.onAsk(From, *Ask, Step.Now, Replies, Step.Effects);
+  else if (const auto *Cancel = std::get_if<wire::slot_cancel>(&Message))
+    Owner.onCancel(*Cancel, Step.Now, Replies, Step.Effects);
+  else if (const auto *Release = std::get_if<wire::slot_release>(&Message))
+    Owner.onRelease(*Release, Step.Now, Replies, Step.Effects);
+  else if (const auto *Renew = std::get_if<wire::slot_renew>(&Message))
+    Owner.onRenew(*Renew, Step.Now);
+  else
+    return false;
+  deliver(std::move(Replies), Step);
+  return true;
+}
+
+bool slot_client::fromOwner(const slot_peer &From,
+                            const wire::peer_message &Message,
+                            client_step &Step) {
+  if (const auto *Grant = std::get_if<wire::slot_grant>(&Message))
+    onGrant(From, *Grant, Step);
+  else if (const auto *Refuse = std::get_if<wire::slot_refuse>(&Message))
+    onRefuse(*Refuse, Step);
+  else if (const auto *Queued = std::get_if<wire::slot_queued>(&Message))
+    onQueued(*Queued, Step);
+  else if (const auto *Preempt = std::get_if<wire::slot_preempt>(&Message))
+    onPreempt(From, *Preempt, Step);
+  else
+    return false;
+  return true;
+}
+
+bool slot_client::onMessage(const node_name &From, const address &FromAddress,
+                            const wire::peer_message &Message,
+                            steady_time Now, effect_list &Effects,
+                            slot_outcome_list &Outcomes) {
+  client_step Step{Now, Effects, Outcomes};
+  auto Known = Peers.find(From);
+  slot_peer Sender = Known != Peers.end()
+                         ? Known->second
+                         : slot_peer{From, FromAddress, zone_name()};
+  return toOwner(Sender, Message, Step) || fromOwner(Sender, Message, Step);
+}
+
+void slot_client::onGrant(const slot_peer &From, const wire::slot_grant &Grant,
+                          client_step &Step) {
+  std::optional<pending_ask> Ask = takeAsk(Grant.Ask);
+  if (Ask) {
+    request_id Request = Ask->Request.Request;
+    Held[Request] = {Grant.Slot, Grant.OwnerIncarnation, From};
+    Step.Outcomes.emplace_back(slot_granted{Request,
+                                            upstream_name(Grant.Upstream),
+                                            Grant.Priority,
+                                            Grant.FreshConnection});
+    return;
+  }
+  if (!isEnabled(mechanism::StaleGrantRelease))
+    return;
+  // The grant of a slot that is held already was doubled on its way.
+  for (const auto &[Request, Slot] : Held)
+    if (Slot.Slot == Grant.Slot &&
+        Slot.OwnerIncarnation == Grant.OwnerIncarnation)
+      return;
+  wire::slot_release Release;
+  Release.Slot = Grant.Slot;
+  Release.OwnerIncarnation = Grant.OwnerIncarnation;
+  Release.Result = wire::slot_result::NeverSent;
+  sendTo(From, Release, Step);
+}
+
+void slot_client::onRefuse(const wire::slot_refuse &Refuse,
+                           client_step &Step) {
+  std::optional<pending_ask> Ask = takeAsk(Refuse.Ask);
+  if (!Ask)
+    return;
+  Ask->Refusal = {Ask->Request.Request, Refuse.Reason,
+                  fromMicros(Refuse.RetryAfterMicros)};
+  switch (Refuse.Reason) {
+  case wire::refusal_reason::NotOwner:
+  case wire::refusal_reason::ShuttingDown:
+    Ask->Tried.push_back(Ask->Owner.Name);
+    break;
+  case wire::refusal_reason::NoUpstream:
+    Ask->Left.push_back(Ask->Cell);
+    break;
+  case wire::refusal_reason::QueueFull:
+  case wire::refusal_reason::TargetUnreachable: {
+    // Another cell is worth a message only when it is known to have room.
+    Ask->Left.push_back(Ask->Cell);
+    const cell *Other = chooseCell(*Ask, static_cast<uint64_t>(Refuse.Ask),
+                                   Step.Now);
+    if (Other && hasKnownRoom(*Other, Step.Now))
+      break;
+    Step.Outcomes.emplace_back(Ask->Refusal);
+    return;
+  }
+  case wire::refusal_reason::OrganisationLimit:
+  case wire::refusal_reason::DeadlinePassed:
+    Step.Outcomes.emplace_back(Ask->Refusal);
+    return;
+  }
+  uint64_t Spread = static_cast<uint64_t>(Refuse.Ask) * 0x9E3779B97F4A7C15U;
+  proceed(std::move(*Ask), Spread, Step);
+}
+
+void slot_client::onQueued(const wire::slot_queued &Queued,
+                           client_step &Step) {
+  auto Found = Asks.find(Queued.Ask);
+  if (Found == Asks.end())
+    return;
+  Found->second.Queued = true;
+  Found->second.SentAt = Step.Now;
+}
+
+void slot_client::onPreempt(const slot_peer &From,
+                            const wire::slot_preempt &Preempt,
+                            client_step &Step) {
+  for (const auto &[Request, Slot] : Held)
+    if (Slot.Slot == Preempt.Slot && Slot.Owner.Name == From.Name) {
+      Step.Outcomes.emplace_back(slot_preempted{Request});
+      return;
+    }
+}
+
+// ----------------------------------------------------------------------- time
+
+void slot_client::onTick(steady_time Now, uint64_t Random,
+                         effect_list &Effects, slot_outcome_list &Outcomes) {
+  client_step Step{Now, Effects, Outcomes};
+  slot_reply_list Replies;
+  Owner.onTick(Now, Replies, Effects);
+  deliver(std::move(Replies), Step);
+  if (Now >= NextReview) {
+    NextReview = Now + ask_review_period;
+    onLoads(Owner.loads(Now), Now);
+    reviewAsks(Random, Step);
+  }
+  if (Now >= NextRenewal) {
+    NextRenewal = Now + renewal_period;
+    renewSlots(Step);
+  }
+}
+
+void slot_client::reviewAsks(uint64_t Random, client_step &Step) {
+  std::vector<int64_t> Expired;
+  std::vector<int64_t> Silent;
+  std::vector<int64_t> Repeated;
+  for (const auto &[Id, Ask] : Asks) {
+    duration Age = Step.Now - Ask.SentAt;
+    if (Step.Now >= Ask.Request.GiveUp)
+      Expired.push_back(Id);
+    else if (Ask.Owner.Name == Self.Name)
+      continue;
+    else if (!Peers.contains(Ask.Owner.Name) ||
+             (!Ask.Queued && Age >= ask_silence))
+      Silent.push_back(Id);
+    else if (Ask.Queued && Age >= ask_repeat)
+      Repeated.push_back(Id);
+  }
+  for (int64_t Id : Expired) {
+    std::optional<pending_ask> Ask = takeAsk(Id);
+    withdraw(Id, *Ask, Step);
+    Step.Outcomes.emplace_back(
+        slot_refused{Ask->Request.Request, wire::refusal_reason::DeadlinePassed,
+                     Ask->Refusal.RetryAfter});
+  }
+  for (int64_t Id : Silent) {
+    std::optional<pending_ask> Ask = takeAsk(Id);
+    withdraw(Id, *Ask, Step);
+    Ask->Tried.push_back(Ask->Owner.Name);
+    proceed(std::move(*Ask), Random, Step);
+  }
+  for (int64_t Id : Repeated) {
+    pending_ask &Ask = Asks.at(Id);
+    Ask.SentAt = Step.Now;
+    Ask.Queued = false;
+    sendTo(Ask.Owner, makeAsk(Id, Self, Ask.Cell, Ask.Request, Step.Now), Step);
+  }
+}
+
+void slot_client::renewSlots(client_step &Step) {
+  std::map<std::pair<node_name, int64_t>, std::pair<slot_peer, wire::slot_renew>>
+      ByOwner;
+  for (const auto &[Request, Slot] : Held) {
+    auto &[Peer, Renew] = ByOwner[{Slot.Owner.Name, Slot.OwnerIncarnation}];
+    Peer = Slot.Owner;
+    Renew.Incarnation = Self.Incarnation.Value;
+    Renew.OwnerIncarnation = Slot.OwnerIncarnation;
+    Renew.Slots.push_back(Slot.Slot);
+  }
+  for (const auto &[Key, Entry] : ByOwner)
+    sendTo(Entry.first, Entry.second, Step);
+}
+
+void slot_client::onLoadReport(const load_report &Report, steady_time Now,
+                               effect_list &Effects,
+                               slot_outcome_list &Outcomes) {
+  client_step Step{Now, Effects, Outcomes};
+  slot_reply_list Replies;
+  Owner.onLoadReport(Report, Now, Replies, Effects);
+  deliver(std::move(Replies), Step);
+}
+
+void slot_client::drain(steady_time Now, effect_list &Effects,
+                        slot_outcome_list &Outcomes) {
+  client_step Step{Now, Effects, Outcomes};
+  slot_reply_list Replies;
+  Owner.drain(Now, Replies, Effects);
+  deliver(std::move(Replies), Step);
+}
+
+slot_client::builder &slot_client::builder::self(node_identity Value) {
+  Self = std::move(Value);
+  return *this;
+}
+
+slot_client::builder &slot_client::builder::policy(std::string Value) {
+  Policy = std::move(Value);
+  return *this;
+}
+
+slot_client slot_client::builder::build() {
+  slot_owner Owner = slot_owner::builder()
+                         .name(Self.Name)
+                         .incarnation(Self.Incarnation)
+                         .policy(makeSchedulingPolicy(Policy))
+                         .build();
+  slot_client Client(Self, std::move(Owner));
+  Client.setPeers({});
+  return Client;
+}
+
+} // namespace monsoonreel
--- a/monsoonreel/slot_client.h
+++ b/monsoonreel/slot_client.h
@@ -43,8 +43,19 @@
 
 // An owner that has not answered an ask for so long is passed over.
 constexpr duration ask_silence = std::chrono::milliseconds(300);
-// Asks for one request before it is refused with `NoUpstream`.
-constexpr int max_asks_per_request = 4;
+// A waiting ask is repeated so often, which shows whether its owner lives.
+constexpr duration ask_repeat = std::chrono::seconds(2);
+// Asks for one request before it is refused.
+constexpr int max_asks_per_request = 6;
+// How often the slots that are held are renewed at their owners.
+constexpr duration renewal_period = std::chrono::seconds(2);
+// Loads of cells that were heard longer ago are not used.
+constexpr duration load_lifetime = std::chrono::seconds(5);
+// A request goes to the cell that has its prefix unless it waits there so much
+// longer than elsewhere.
+constexpr duration affinity_slack = std::chrono::milliseconds(50);
+// Expected wait in the own zone before another zone is considered.
+constexpr duration spill_wait = std::chrono::milliseconds(200);
 
 class slot_client {
 public:
@@ -80,7 +91,6 @@
                  effect_list &Effects, slot_outcome_list &Outcomes);
   void onLoadReport(const load_report &Report, steady_time Now,
                     effect_list &Effects, slot_outcome_list &Outcomes);
-  void onLoadReportFailed(const load_report_failed &Report, steady_time Now);
   void onTick(steady_time Now, uint64_t Random, effect_list &Effects,
               slot_outcome_list &Outcomes);
   // The owner part takes nothing more; own requests go to other owners.
@@ -96,18 +106,20 @@
 private:
   friend class builder;
 
+  // A request on its way to a slot: what was tried for it.
   struct pending_ask {
     slot_request Request;
     cell_name Cell;
     slot_peer Owner;
     steady_time SentAt;
-    bool Acknowledged = false;
-    std::vector<node_name> Tried; // owners of Cell that were silent
-    std::vector<cell_name> Left;  // cells that refused or have no owner
+    bool Queued = false;          // the owner has said that it waits
+    std::vector<node_name> Tried; // owners of Cell that did not answer
+    std::vector<cell_name> Left;  // cells that gave no slot
     int Count = 0;
+    // The latest refusal, for the case that no cell is left.
+    slot_refused Refusal;
   };
   struct held_slot {
-    request_id Request;
     int64_t Slot = 0;
     int64_t OwnerIncarnation = 0;
     slot_peer Owner;
@@ -117,35 +129,47 @@
     int FreeSlots = 0;
     steady_time SeenAt;
   };
+  // The surroundings of one call.
+  struct client_step {
+    steady_time Now;
+    effect_list &Effects;
+    slot_outcome_list &Outcomes;
+  };
 
   slot_client(node_identity Self, slot_owner Owner);
 
-  std::optional<cell_name> chooseCell(const pending_ask &Ask,
-                                      uint64_t Random, steady_time Now) const;
-  double expectedWait(const cell &Cell, steady_time Now) const;
-  std::optional<slot_peer> chooseOwner(const pending_ask &Ask) const;
-  void send(pending_ask Ask, steady_time Now, uint64_t Random,
-            effect_list &Effects, slot_outcome_list &Outcomes);
+  std::vector<const cell *> usable(const std::vector<const cell *> &Cells,
+                                   const pending_ask &Ask) const;
+  const cell *chooseCell(const pending_ask &Ask, uint64_t Random,
+                         steady_time Now) const;
+  const cell *chooseOutside(const pending_ask &Ask, uint64_t Random,
+                            steady_time Now) const;
+  duration expectedWait(const cell &Cell, steady_time Now) const;
+  bool hasKnownRoom(const cell &Cell, steady_time Now) const;
+  std::vector<node_name> entriesOf(const zone_name &Zone) const;
+  // False: every owner has been tried.
+  bool chooseOwner(const cell &Cell, pending_ask &Ask) const;
+
+  // Takes the request's next step: a cell, an owner, or the refusal.
+  void proceed(pending_ask Ask, uint64_t Random, client_step &Step);
+  void send(pending_ask Ask, client_step &Step);
+  std::optional<pending_ask> takeAsk(int64_t Id);
+  void withdraw(int64_t Id, const pending_ask &Ask, client_step &Step);
   void sendTo(const slot_peer &To, const wire::peer_message &Message,
-              steady_time Now, effect_list &Effects,
-              slot_outcome_list &Outcomes);
+              client_step &Step);
+  void deliver(slot_reply_list Replies, client_step &Step);
   bool toOwner(const slot_peer &From, const wire::peer_message &Message,
-               steady_time Now, effect_list &Effects,
-               slot_outcome_list &Outcomes);
-  void deliver(slot_reply_list Replies, steady_time Now, effect_list &Effects,
-               slot_outcome_list &Outcomes);
+               client_step &Step);
   bool fromOwner(const slot_peer &From, const wire::peer_message &Message,
-                 steady_time Now, effect_list &Effects,
-                 slot_outcome_list &Outcomes);
+                 client_step &Step);
   void onGrant(const slot_peer &From, const wire::slot_grant &Grant,
-               steady_time Now, effect_list &Effects,
-               slot_outcome_list &Outcomes);
-  void onRefuse(const wire::slot_refuse &Refuse, steady_time Now,
-                effect_list &Effects, slot_outcome_list &Outcomes);
-  void onPreempt(const wire::slot_preempt &Preempt,
-                 slot_outcome_list &Outcomes);
-  void renewSlots(steady_time Now, effect_list &Effects,
-                  slot_outcome_list &Outcomes);
+               client_step &Step);
+  void onRefuse(const wire::slot_refuse &Refuse, client_step &Step);
+  void onQueued(const wire::slot_queued &Queued, client_step &Step);
+  void onPreempt(const slot_peer &From, const wire::slot_preempt &Preempt,
+                 client_step &Step);
+  void reviewAsks(uint64_t Random, client_step &Step);
+  void renewSlots(client_step &Step);
 
   node_identity Self;
   slot_owner Owner;
@@ -157,6 +181,7 @@
   absl::flat_hash_map<request_id, int64_t> AskOf;
   absl::flat_hash_map<request_id, held_slot> Held;
   int64_t LastAsk = 0;
+  steady_time NextReview;
   steady_time NextRenewal;
 };
 
--- a/monsoonreel/slot_owner.h
+++ b/monsoonreel/slot_owner.h
@@ -19,7 +19,6 @@
 
 #include <map>
 #include <memory>
-#include <string>
 #include <vector>
 
 #include "monsoonreel/cell_queue.h"
@@ -32,6 +31,20 @@
 
 namespace monsoonreel {
 
+// What operators are shown of one cell that this node owns.
+struct upstream_status {
+  upstream_name Upstream;
+  int InFlight = 0;
+  admission_state State = admission_state::Closed;
+};
+struct owned_cell_status {
+  cell_name Cell;
+  size_t Waiting = 0;
+  size_t Running = 0;
+  duration ExpectedWait{};
+  std::vector<upstream_status> Upstreams;
+};
+
 class slot_owner {
 public:
   class builder;
@@ -46,17 +59,13 @@
 
   void onAsk(const slot_peer &From, const wire::slot_ask &Ask, steady_time Now,
              slot_reply_list &Replies, effect_list &Effects);
-  void onCancel(const slot_peer &From, const wire::slot_cancel &Cancel,
-                steady_time Now, slot_reply_list &Replies,
-                effect_list &Effects);
-  void onRelease(const slot_peer &From, const wire::slot_release &Release,
-                 steady_time Now, slot_reply_list &Replies,
-                 effect_list &Effects);
-  void onRenew(const slot_peer &From, const wire::slot_renew &Renew,
-               steady_time Now);
+  void onCancel(const wire::slot_cancel &Cancel, steady_time Now,
+                slot_reply_list &Replies, effect_list &Effects);
+  void onRelease(const wire::slot_release &Release, steady_time Now,
+                 slot_reply_list &Replies, effect_list &Effects);
+  void onRenew(const wire::slot_renew &Renew, steady_time Now);
   void onLoadReport(const load_report &Report, steady_time Now,
                     slot_reply_list &Replies, effect_list &Effects);
-  void onLoadReportFailed(const load_report_failed &Report, steady_time Now);
   // Expires slots and deadlines, polls the load of the upstreams whose cells
   // have been asked for, grants and preempts.
   void onTick(steady_time Now, slot_reply_list &Replies, effect_list &Effects);
@@ -70,23 +79,30 @@
   // Slots and waiting requests over all cells.
   size_t runningCount() const;
   size_t waitingCount() const;
-  // For operators, as a JSON object.
-  std::string statusJson(steady_time Now) const;
+  // For operators.
+  std::vector<owned_cell_status> status(steady_time Now) const;
 
 private:
   friend class builder;
-  slot_owner(node_name Name, incarnation Incarnation,
+  slot_owner(node_name Name, monsoonreel::incarnation Incarnation,
              std::shared_ptr<const scheduling_policy> Policy);
 
+  struct owned_cell {
+    cell_queue Queue;
+    steady_time AskedAt;
+  };
+
+  cell_step step(steady_time Now, slot_reply_list &Replies,
+                 effect_list &Effects);
   cell_queue *queueFor(const cell_name &Name, steady_time Now);
   void pollLoads(steady_time Now, effect_list &Effects);
 
   node_name Name;
-  incarnation Incarnation;
+  monsoonreel::incarnation Incarnation;
   std::shared_ptr<const scheduling_policy> Policy;
   configuration Configuration;
   pool_map Map;
-  std::map<cell_name, cell_queue> Queues;
+  std::map<cell_name, owned_cell> Queues;
   std::map<upstream_name, cell_name> CellOfUpstream;
   steady_time NextPoll;
   int64_t LastSlot = 0;
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -4264,10 +4264,6 @@
 void slot_queued::__set_Ask(const int64_t val) {
   this->Ask = val;
 }
-
-void slot_queued::__set_ExpectedWaitMicros(const int64_t val) {
-  this->ExpectedWaitMicros = val;
-}
 std::ostream& operator<<(std::ostream& out, const slot_queued& obj)
 {
   obj.printTo(out);
@@ -4304,14 +4300,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ExpectedWaitMicros);
-          this->__isset.ExpectedWaitMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4333,10 +4321,6 @@
   xfer += oprot->writeI64(this->Ask);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ExpectedWaitMicros", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->ExpectedWaitMicros);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4345,29 +4329,24 @@
 void swap(slot_queued &a, slot_queued &b) {
   using ::std::swap;
   swap(a.Ask, b.Ask);
-  swap(a.ExpectedWaitMicros, b.ExpectedWaitMicros);
   swap(a.__isset, b.__isset);
 }
 
 slot_queued::slot_queued(const slot_queued& other142) noexcept {
   Ask = other142.Ask;
-  ExpectedWaitMicros = other142.ExpectedWaitMicros;
   __isset = other142.__isset;
 }
 slot_queued::slot_queued(slot_queued&& other143) noexcept {
   Ask = other143.Ask;
-  ExpectedWaitMicros = other143.ExpectedWaitMicros;
   __isset = other143.__isset;
 }
 slot_queued& slot_queued::operator=(const slot_queued& other144) noexcept {
   Ask = other144.Ask;
-  ExpectedWaitMicros = other144.ExpectedWaitMicros;
   __isset = other144.__isset;
   return *this;
 }
 slot_queued& slot_queued::operator=(slot_queued&& other145) noexcept {
   Ask = other145.Ask;
-  ExpectedWaitMicros = other145.ExpectedWaitMicros;
   __isset = other145.__isset;
   return *this;
 }
@@ -4375,7 +4354,6 @@
   using ::apache::thrift::to_string;
   out << "slot_queued(";
   out << "Ask=" << to_string(Ask);
-  out << ", " << "ExpectedWaitMicros=" << to_string(ExpectedWaitMicros);
   out << ")";
 }
 
@@ -4747,6 +4725,10 @@
 void slot_cancel::__set_Ask(const int64_t val) {
   this->Ask = val;
 }
+
+void slot_cancel::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const slot_cancel& obj)
 {
   obj.printTo(out);
@@ -4783,6 +4765,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4804,6 +4794,10 @@
   xfer += oprot->writeI64(this->Ask);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4812,24 +4806,29 @@
 void swap(slot_cancel &a, slot_cancel &b) {
   using ::std::swap;
   swap(a.Ask, b.Ask);
+  swap(a.Incarnation, b.Incarnation);
   swap(a.__isset, b.__isset);
 }
 
 slot_cancel::slot_cancel(const slot_cancel& other156) noexcept {
   Ask = other156.Ask;
+  Incarnation = other156.Incarnation;
   __isset = other156.__isset;
 }
 slot_cancel::slot_cancel(slot_cancel&& other157) noexcept {
   Ask = other157.Ask;
+  Incarnation = other157.Incarnation;
   __isset = other157.__isset;
 }
 slot_cancel& slot_cancel::operator=(const slot_cancel& other158) noexcept {
   Ask = other158.Ask;
+  Incarnation = other158.Incarnation;
   __isset = other158.__isset;
   return *this;
 }
 slot_cancel& slot_cancel::operator=(slot_cancel&& other159) noexcept {
   Ask = other159.Ask;
+  Incarnation = other159.Incarnation;
   __isset = other159.__isset;
   return *this;
 }
@@ -4837,6 +4836,7 @@
   using ::apache::thrift::to_string;
   out << "slot_cancel(";
   out << "Ask=" << to_string(Ask);
+  out << ", " << "Incarnation=" << to_string(Incarnation);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -1768,9 +1768,8 @@
 std::ostream& operator<<(std::ostream& out, const slot_grant& obj);
 
 typedef struct _slot_queued__isset {
-  _slot_queued__isset() : Ask(false), ExpectedWaitMicros(false) {}
+  _slot_queued__isset() : Ask(false) {}
   bool Ask :1;
-  bool ExpectedWaitMicros :1;
 } _slot_queued__isset;
 
 class slot_queued : public virtual ::apache::thrift::TBase {
@@ -1781,26 +1780,20 @@
   slot_queued& operator=(const slot_queued&) noexcept;
   slot_queued& operator=(slot_queued&&) noexcept;
   slot_queued() noexcept
-              : Ask(0),
-                ExpectedWaitMicros(0) {
+              : Ask(0) {
   }
 
   virtual ~slot_queued() noexcept;
   int64_t Ask;
-  int64_t ExpectedWaitMicros;
 
   _slot_queued__isset __isset;
 
   void __set_Ask(const int64_t val);
 
-  void __set_ExpectedWaitMicros(const int64_t val);
-
   bool operator == (const slot_queued & rhs) const
   {
     if (!(Ask == rhs.Ask))
       return false;
-    if (!(ExpectedWaitMicros == rhs.ExpectedWaitMicros))
-      return false;
     return true;
   }
   bool operator != (const slot_queued &rhs) const {
@@ -1967,8 +1960,9 @@
 std::ostream& operator<<(std::ostream& out, const slot_release& obj);
 
 typedef struct _slot_cancel__isset {
-  _slot_cancel__isset() : Ask(false) {}
+  _slot_cancel__isset() : Ask(false), Incarnation(false) {}
   bool Ask :1;
+  bool Incarnation :1;
 } _slot_cancel__isset;
 
 class slot_cancel : public virtual ::apache::thrift::TBase {
@@ -1979,20 +1973,26 @@
   slot_cancel& operator=(const slot_cancel&) noexcept;
   slot_cancel& operator=(slot_cancel&&) noexcept;
   slot_cancel() noexcept
-              : Ask(0) {
+              : Ask(0),
+                Incarnation(0) {
   }
 
   virtual ~slot_cancel() noexcept;
   int64_t Ask;
+  int64_t Incarnation;
 
   _slot_cancel__isset __isset;
 
   void __set_Ask(const int64_t val);
 
+  void __set_Incarnation(const int64_t val);
+
   bool operator == (const slot_cancel & rhs) const
   {
     if (!(Ask == rhs.Ask))
       return false;
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
     return true;
   }
   bool operator != (const slot_cancel &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -177,7 +177,7 @@
   5: string Organisation
   6: i64 TimeLeftMicros        // until the target would be missed
   7: i32 PromptTokens
-  8: i32 ExpectedOutputTokens
+  8: i32 ExpectedOutputTokens  // upper bound; 0 when unknown
   9: i64 PrefixHash
   10: bool Idempotent
   11: list<string> Excluded    // upstreams that already failed this request
@@ -198,7 +198,6 @@
 // answered again.
 struct slot_queued {
   1: i64 Ask
-  2: i64 ExpectedWaitMicros
 }
 
 enum refusal_reason { QueueFull = 1, TargetUnreachable = 2, NoUpstream = 3, OrganisationLimit = 4, NotOwner = 5, ShuttingDown = 6, DeadlinePassed = 7 }
@@ -223,6 +222,7 @@
 // The asker no longer waits.
 struct slot_cancel {
   1: i64 Ask
+  2: i64 Incarnation           // of the asking entry
 }
 
 // The owner takes a running slot back for a higher tier.
