--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -505,6 +505,10 @@
 void pool_load::__set_FreeSlots(const int32_t val) {
   this->FreeSlots = val;
 }
+
+void pool_load::__set_AgeMicros(const int64_t val) {
+  this->AgeMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const pool_load& obj)
 {
   obj.printTo(out);
@@ -565,6 +569,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AgeMicros);
+          this->__isset.AgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -598,6 +610,10 @@
   xfer += oprot->writeI32(this->FreeSlots);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->AgeMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -609,6 +625,7 @@
   swap(a.Owner, b.Owner);
   swap(a.QueueWaitMicros, b.QueueWaitMicros);
   swap(a.FreeSlots, b.FreeSlots);
+  swap(a.AgeMicros, b.AgeMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -617,6 +634,7 @@
   Owner = other6.Owner;
   QueueWaitMicros = other6.QueueWaitMicros;
   FreeSlots = other6.FreeSlots;
+  AgeMicros = other6.AgeMicros;
   __isset = other6.__isset;
 }
 pool_load::pool_load(pool_load&& other7) noexcept {
@@ -624,6 +642,7 @@
   Owner = std::move(other7.Owner);
   QueueWaitMicros = other7.QueueWaitMicros;
   FreeSlots = other7.FreeSlots;
+  AgeMicros = other7.AgeMicros;
   __isset = other7.__isset;
 }
 pool_load& pool_load::operator=(const pool_load& other8) {
@@ -631,6 +650,7 @@
   Owner = other8.Owner;
   QueueWaitMicros = other8.QueueWaitMicros;
   FreeSlots = other8.FreeSlots;
+  AgeMicros = other8.AgeMicros;
   __isset = other8.__isset;
   return *this;
 }
@@ -639,6 +659,7 @@
   Owner = std::move(other9.Owner);
   QueueWaitMicros = other9.QueueWaitMicros;
   FreeSlots = other9.FreeSlots;
+  AgeMicros = other9.AgeMicros;
   __isset = other9.__isset;
   return *this;
 }
@@ -649,6 +670,7 @@
   out << ", " << "Owner=" << to_string(Owner);
   out << ", " << "QueueWaitMicros=" << to_string(QueueWaitMicros);
   out << ", " << "FreeSlots=" << to_string(FreeSlots);
+  out << ", " << "AgeMicros=" << to_string(AgeMicros);
   out << ")";
 }
 
@@ -676,6 +698,14 @@
 void heartbeat::__set_Loads(const std::vector<pool_load> & val) {
   this->Loads = val;
 }
+
+void heartbeat::__set_Retry(const bool val) {
+  this->Retry = val;
+}
+
+void heartbeat::__set_WantsMembers(const bool val) {
+  this->WantsMembers = val;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -768,6 +798,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Retry);
+          this->__isset.Retry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->WantsMembers);
+          this->__isset.WantsMembers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -821,6 +867,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Retry", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->Retry);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("WantsMembers", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->WantsMembers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -833,6 +887,8 @@
   swap(a.LedgerOffset, b.LedgerOffset);
   swap(a.Gossip, b.Gossip);
   swap(a.Loads, b.Loads);
+  swap(a.Retry, b.Retry);
+  swap(a.WantsMembers, b.WantsMembers);
   swap(a.__isset, b.__isset);
 }
 
@@ -842,6 +898,8 @@
   LedgerOffset = other22.LedgerOffset;
   Gossip = other22.Gossip;
   Loads = other22.Loads;
+  Retry = other22.Retry;
+  WantsMembers = other22.WantsMembers;
   __isset = other22.__isset;
 }
 heartbeat::heartbeat(heartbeat&& other23) noexcept {
@@ -850,6 +908,8 @@
   LedgerOffset = other23.LedgerOffset;
   Gossip = std::move(other23.Gossip);
   Loads = std::move(other23.Loads);
+  Retry = other23.Retry;
+  WantsMembers = other23.WantsMembers;
   __isset = other23.__isset;
 }
 heartbeat& heartbeat::operator=(const heartbeat& other24) {
@@ -858,6 +918,8 @@
   LedgerOffset = other24.LedgerOffset;
   Gossip = other24.Gossip;
   Loads = other24.Loads;
+  Retry = other24.Retry;
+  WantsMembers = other24.WantsMembers;
   __isset = other24.__isset;
   return *this;
 }
@@ -867,6 +929,8 @@
   LedgerOffset = other25.LedgerOffset;
   Gossip = std::move(other25.Gossip);
   Loads = std::move(other25.Loads);
+  Retry = other25.Retry;
+  WantsMembers = other25.WantsMembers;
   __isset = other25.__isset;
   return *this;
 }
@@ -878,6 +942,8 @@
   out << ", " << "LedgerOffset=" << to_string(LedgerOffset);
   out << ", " << "Gossip=" << to_string(Gossip);
   out << ", " << "Loads=" << to_string(Loads);
+  out << ", " << "Retry=" << to_string(Retry);
+  out << ", " << "WantsMembers=" << to_string(WantsMembers);
   out << ")";
 }
 
@@ -909,6 +975,11 @@
 void heartbeat_ack::__set_OnBehalfOf(const std::string& val) {
   this->OnBehalfOf = val;
 }
+
+void heartbeat_ack::__set_LogAgeMicros(const int64_t val) {
+  this->LogAgeMicros = val;
+__isset.LogAgeMicros = true;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat_ack& obj)
 {
   obj.printTo(out);
@@ -1009,6 +1080,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LogAgeMicros);
+          this->__isset.LogAgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1066,6 +1145,11 @@
   xfer += oprot->writeString(this->OnBehalfOf);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.LogAgeMicros) {
+    xfer += oprot->writeFieldBegin("LogAgeMicros", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->LogAgeMicros);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1079,6 +1163,7 @@
   swap(a.Gossip, b.Gossip);
   swap(a.Loads, b.Loads);
   swap(a.OnBehalfOf, b.OnBehalfOf);
+  swap(a.LogAgeMicros, b.LogAgeMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -1089,6 +1174,7 @@
   Gossip = other38.Gossip;
   Loads = other38.Loads;
   OnBehalfOf = other38.OnBehalfOf;
+  LogAgeMicros = other38.LogAgeMicros;
   __isset = other38.__isset;
 }
 heartbeat_ack::heartbeat_ack(heartbeat_ack&& other39) noexcept {
@@ -1098,6 +1184,7 @@
   Gossip = std::move(other39.Gossip);
   Loads = std::move(other39.Loads);
   OnBehalfOf = std::move(other39.OnBehalfOf);
+  LogAgeMicros = other39.LogAgeMicros;
   __isset = other39.__isset;
 }
 heartbeat_ack& heartbeat_ack::operator=(const heartbeat_ack& other40) {
@@ -1107,6 +1194,7 @@
   Gossip = other40.Gossip;
   Loads = other40.Loads;
   OnBehalfOf = other40.OnBehalfOf;
+  LogAgeMicros = other40.LogAgeMicros;
   __isset = other40.__isset;
   return *this;
 }
@@ -1117,6 +1205,7 @@
   Gossip = std::move(other41.Gossip);
   Loads = std::move(other41.Loads);
   OnBehalfOf = std::move(other41.OnBehalfOf);
+  LogAgeMicros = other41.LogAgeMicros;
   __isset = other41.__isset;
   return *this;
 }
@@ -1129,6 +1218,7 @@
   out << ", " << "Gossip=" << to_string(Gossip);
   out << ", " << "Loads=" << to_string(Loads);
   out << ", " << "OnBehalfOf=" << to_string(OnBehalfOf);
+  out << ", " << "LogAgeMicros="; (__isset.LogAgeMicros ? (out << to_string(LogAgeMicros)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1974,6 +2064,10 @@
 void claim_ask::__set_BodyHash(const int64_t val) {
   this->BodyHash = val;
 }
+
+void claim_ask::__set_KeyMicros(const int64_t val) {
+  this->KeyMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const claim_ask& obj)
 {
   obj.printTo(out);
@@ -2026,6 +2120,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->KeyMicros);
+          this->__isset.KeyMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2055,6 +2157,10 @@
   xfer += oprot->writeI64(this->BodyHash);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("KeyMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->KeyMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2065,6 +2171,7 @@
   swap(a.Key, b.Key);
   swap(a.Attempt, b.Attempt);
   swap(a.BodyHash, b.BodyHash);
+  swap(a.KeyMicros, b.KeyMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -2072,18 +2179,21 @@
   Key = other72.Key;
   Attempt = other72.Attempt;
   BodyHash = other72.BodyHash;
+  KeyMicros = other72.KeyMicros;
   __isset = other72.__isset;
 }
 claim_ask::claim_ask(claim_ask&& other73) noexcept {
   Key = std::move(other73.Key);
   Attempt = std::move(other73.Attempt);
   BodyHash = other73.BodyHash;
+  KeyMicros = other73.KeyMicros;
   __isset = other73.__isset;
 }
 claim_ask& claim_ask::operator=(const claim_ask& other74) {
   Key = other74.Key;
   Attempt = other74.Attempt;
   BodyHash = other74.BodyHash;
+  KeyMicros = other74.KeyMicros;
   __isset = other74.__isset;
   return *this;
 }
@@ -2091,6 +2201,7 @@
   Key = std::move(other75.Key);
   Attempt = std::move(other75.Attempt);
   BodyHash = other75.BodyHash;
+  KeyMicros = other75.KeyMicros;
   __isset = other75.__isset;
   return *this;
 }
@@ -2100,6 +2211,7 @@
   out << "Key=" << to_string(Key);
   out << ", " << "Attempt=" << to_string(Attempt);
   out << ", " << "BodyHash=" << to_string(BodyHash);
+  out << ", " << "KeyMicros=" << to_string(KeyMicros);
   out << ")";
 }
 
@@ -3426,6 +3538,10 @@
 void usage_held::__set_Sequence(const int64_t val) {
   this->Sequence = val;
 }
+
+void usage_held::__set_Holder(const int64_t val) {
+  this->Holder = val;
+}
 std::ostream& operator<<(std::ostream& out, const usage_held& obj)
 {
   obj.printTo(out);
@@ -3470,6 +3586,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Holder);
+          this->__isset.Holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3495,6 +3619,10 @@
   xfer += oprot->writeI64(this->Sequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Holder", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->Holder);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3504,28 +3632,33 @@
   using ::std::swap;
   swap(a.Incarnation, b.Incarnation);
   swap(a.Sequence, b.Sequence);
+  swap(a.Holder, b.Holder);
   swap(a.__isset, b.__isset);
 }
 
 usage_held::usage_held(const usage_held& other120) noexcept {
   Incarnation = other120.Incarnation;
   Sequence = other120.Sequence;
+  Holder = other120.Holder;
   __isset = other120.__isset;
 }
 usage_held::usage_held(usage_held&& other121) noexcept {
   Incarnation = other121.Incarnation;
   Sequence = other121.Sequence;
+  Holder = other121.Holder;
   __isset = other121.__isset;
 }
 usage_held& usage_held::operator=(const usage_held& other122) noexcept {
   Incarnation = other122.Incarnation;
   Sequence = other122.Sequence;
+  Holder = other122.Holder;
   __isset = other122.__isset;
   return *this;
 }
 usage_held& usage_held::operator=(usage_held&& other123) noexcept {
   Incarnation = other123.Incarnation;
   Sequence = other123.Sequence;
+  Holder = other123.Holder;
   __isset = other123.__isset;
   return *this;
 }
@@ -3534,6 +3667,7 @@
   out << "usage_held(";
   out << "Incarnation=" << to_string(Incarnation);
   out << ", " << "Sequence=" << to_string(Sequence);
+  out << ", " << "Holder=" << to_string(Holder);
   out << ")";
 }
 
@@ -6495,6 +6629,10 @@
 void claim_entry::__set_CreatedWallMicros(const int64_t val) {
   this->CreatedWallMicros = val;
 }
+
+void claim_entry::__set_KeyMicros(const int64_t val) {
+  this->KeyMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const claim_entry& obj)
 {
   obj.printTo(out);
@@ -6555,6 +6693,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->KeyMicros);
+          this->__isset.KeyMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6588,6 +6734,10 @@
   xfer += oprot->writeI64(this->CreatedWallMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("KeyMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->KeyMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6599,6 +6749,7 @@
   swap(a.Attempt, b.Attempt);
   swap(a.BodyHash, b.BodyHash);
   swap(a.CreatedWallMicros, b.CreatedWallMicros);
+  swap(a.KeyMicros, b.KeyMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -6607,6 +6758,7 @@
   Attempt = other223.Attempt;
   BodyHash = other223.BodyHash;
   CreatedWallMicros = other223.CreatedWallMicros;
+  KeyMicros = other223.KeyMicros;
   __isset = other223.__isset;
 }
 claim_entry::claim_entry(claim_entry&& other224) noexcept {
@@ -6614,6 +6766,7 @@
   Attempt = std::move(other224.Attempt);
   BodyHash = other224.BodyHash;
   CreatedWallMicros = other224.CreatedWallMicros;
+  KeyMicros = other224.KeyMicros;
   __isset = other224.__isset;
 }
 claim_entry& claim_entry::operator=(const claim_entry& other225) {
@@ -6621,6 +6774,7 @@
   Attempt = other225.Attempt;
   BodyHash = other225.BodyHash;
   CreatedWallMicros = other225.CreatedWallMicros;
+  KeyMicros = other225.KeyMicros;
   __isset = other225.__isset;
   return *this;
 }
@@ -6629,6 +6783,7 @@
   Attempt = std::move(other226.Attempt);
   BodyHash = other226.BodyHash;
   CreatedWallMicros = other226.CreatedWallMicros;
+  KeyMicros = other226.KeyMicros;
   __isset = other226.__isset;
   return *this;
 }
@@ -6639,6 +6794,7 @@
   out << ", " << "Attempt=" << to_string(Attempt);
   out << ", " << "BodyHash=" << to_string(BodyHash);
   out << ", " << "CreatedWallMicros=" << to_string(CreatedWallMicros);
+  out << ", " << "KeyMicros=" << to_string(KeyMicros);
   out << ")";
 }
 
@@ -6825,6 +6981,14 @@
 void claim_batch::__set_Outcomes(const std::vector<claim_outcome> & val) {
   this->Outcomes = val;
 }
+
+void claim_batch::__set_WallMicros(const int64_t val) {
+  this->WallMicros = val;
+}
+
+void claim_batch::__set_WindowMicros(const int64_t val) {
+  this->WindowMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const claim_batch& obj)
 {
   obj.printTo(out);
@@ -6893,6 +7057,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WallMicros);
+          this->__isset.WallMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WindowMicros);
+          this->__isset.WindowMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6934,6 +7114,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("WallMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->WallMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("WindowMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->WindowMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6943,28 +7131,38 @@
   using ::std::swap;
   swap(a.Claims, b.Claims);
   swap(a.Outcomes, b.Outcomes);
+  swap(a.WallMicros, b.WallMicros);
+  swap(a.WindowMicros, b.WindowMicros);
   swap(a.__isset, b.__isset);
 }
 
 claim_batch::claim_batch(const claim_batch& other244) {
   Claims = other244.Claims;
   Outcomes = other244.Outcomes;
+  WallMicros = other244.WallMicros;
+  WindowMicros = other244.WindowMicros;
   __isset = other244.__isset;
 }
 claim_batch::claim_batch(claim_batch&& other245) noexcept {
   Claims = std::move(other245.Claims);
   Outcomes = std::move(other245.Outcomes);
+  WallMicros = other245.WallMicros;
+  WindowMicros = other245.WindowMicros;
   __isset = other245.__isset;
 }
 claim_batch& claim_batch::operator=(const claim_batch& other246) {
   Claims = other246.Claims;
   Outcomes = other246.Outcomes;
+  WallMicros = other246.WallMicros;
+  WindowMicros = other246.WindowMicros;
   __isset = other246.__isset;
   return *this;
 }
 claim_batch& claim_batch::operator=(claim_batch&& other247) noexcept {
   Claims = std::move(other247.Claims);
   Outcomes = std::move(other247.Outcomes);
+  WallMicros = other247.WallMicros;
+  WindowMicros = other247.WindowMicros;
   __isset = other247.__isset;
   return *this;
 }
@@ -6973,6 +7171,8 @@
   out << "claim_batch(";
   out << "Claims=" << to_string(Claims);
   out << ", " << "Outcomes=" << to_string(Outcomes);
+  out << ", " << "WallMicros=" << to_string(WallMicros);
+  out << ", " << "WindowMicros=" << to_string(WindowMicros);
   out << ")";
 }
 
@@ -7506,6 +7706,10 @@
 void key_state::__set_Withdrawn(const bool val) {
   this->Withdrawn = val;
 }
+
+void key_state::__set_Offset(const int64_t val) {
+  this->Offset = val;
+}
 std::ostream& operator<<(std::ostream& out, const key_state& obj)
 {
   obj.printTo(out);
@@ -7566,6 +7770,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Offset);
+          this->__isset.Offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7599,6 +7811,10 @@
   xfer += oprot->writeBool(this->Withdrawn);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Offset", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->Offset);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7610,6 +7826,7 @@
   swap(a.Organisation, b.Organisation);
   swap(a.KeyHash, b.KeyHash);
   swap(a.Withdrawn, b.Withdrawn);
+  swap(a.Offset, b.Offset);
   swap(a.__isset, b.__isset);
 }
 
@@ -7618,6 +7835,7 @@
   Organisation = other256.Organisation;
   KeyHash = other256.KeyHash;
   Withdrawn = other256.Withdrawn;
+  Offset = other256.Offset;
   __isset = other256.__isset;
 }
 key_state::key_state(key_state&& other257) noexcept {
@@ -7625,6 +7843,7 @@
   Organisation = std::move(other257.Organisation);
   KeyHash = std::move(other257.KeyHash);
   Withdrawn = other257.Withdrawn;
+  Offset = other257.Offset;
   __isset = other257.__isset;
 }
 key_state& key_state::operator=(const key_state& other258) {
@@ -7632,6 +7851,7 @@
   Organisation = other258.Organisation;
   KeyHash = other258.KeyHash;
   Withdrawn = other258.Withdrawn;
+  Offset = other258.Offset;
   __isset = other258.__isset;
   return *this;
 }
@@ -7640,6 +7860,7 @@
   Organisation = std::move(other259.Organisation);
   KeyHash = std::move(other259.KeyHash);
   Withdrawn = other259.Withdrawn;
+  Offset = other259.Offset;
   __isset = other259.__isset;
   return *this;
 }
@@ -7650,6 +7871,7 @@
   out << ", " << "Organisation=" << to_string(Organisation);
   out << ", " << "KeyHash=" << to_string(KeyHash);
   out << ", " << "Withdrawn=" << to_string(Withdrawn);
+  out << ", " << "Offset=" << to_string(Offset);
   out << ")";
 }
 
@@ -7880,6 +8102,14 @@
 void writer_state::__set_LastOffset(const int64_t val) {
   this->LastOffset = val;
 }
+
+void writer_state::__set_WallMicros(const int64_t val) {
+  this->WallMicros = val;
+}
+
+void writer_state::__set_Ahead(const int64_t val) {
+  this->Ahead = val;
+}
 std::ostream& operator<<(std::ostream& out, const writer_state& obj)
 {
   obj.printTo(out);
@@ -7932,6 +8162,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WallMicros);
+          this->__isset.WallMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Ahead);
+          this->__isset.Ahead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7961,6 +8207,14 @@
   xfer += oprot->writeI64(this->LastOffset);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("WallMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->WallMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Ahead", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->Ahead);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7971,6 +8225,8 @@
   swap(a.Incarnation, b.Incarnation);
   swap(a.Sequence, b.Sequence);
   swap(a.LastOffset, b.LastOffset);
+  swap(a.WallMicros, b.WallMicros);
+  swap(a.Ahead, b.Ahead);
   swap(a.__isset, b.__isset);
 }
 
@@ -7978,18 +8234,24 @@
   Incarnation = other264.Incarnation;
   Sequence = other264.Sequence;
   LastOffset = other264.LastOffset;
+  WallMicros = other264.WallMicros;
+  Ahead = other264.Ahead;
   __isset = other264.__isset;
 }
 writer_state::writer_state(writer_state&& other265) noexcept {
   Incarnation = other265.Incarnation;
   Sequence = other265.Sequence;
   LastOffset = other265.LastOffset;
+  WallMicros = other265.WallMicros;
+  Ahead = other265.Ahead;
   __isset = other265.__isset;
 }
 writer_state& writer_state::operator=(const writer_state& other266) noexcept {
   Incarnation = other266.Incarnation;
   Sequence = other266.Sequence;
   LastOffset = other266.LastOffset;
+  WallMicros = other266.WallMicros;
+  Ahead = other266.Ahead;
   __isset = other266.__isset;
   return *this;
 }
@@ -7997,6 +8259,8 @@
   Incarnation = other267.Incarnation;
   Sequence = other267.Sequence;
   LastOffset = other267.LastOffset;
+  WallMicros = other267.WallMicros;
+  Ahead = other267.Ahead;
   __isset = other267.__isset;
   return *this;
 }
@@ -8006,6 +8270,8 @@
   out << "Incarnation=" << to_string(Incarnation);
   out << ", " << "Sequence=" << to_string(Sequence);
   out << ", " << "LastOffset=" << to_string(LastOffset);
+  out << ", " << "WallMicros=" << to_string(WallMicros);
+  out << ", " << "Ahead=" << to_string(Ahead);
   out << ")";
 }
 
@@ -8341,6 +8607,10 @@
 void ledger_state::__set_LastClosedWindow(const int64_t val) {
   this->LastClosedWindow = val;
 }
+
+void ledger_state::__set_LastSnapshot(const int64_t val) {
+  this->LastSnapshot = val;
+}
 std::ostream& operator<<(std::ostream& out, const ledger_state& obj)
 {
   obj.printTo(out);
@@ -8533,6 +8803,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LastSnapshot);
+          this->__isset.LastSnapshot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8646,6 +8924,10 @@
   xfer += oprot->writeI64(this->LastClosedWindow);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("LastSnapshot", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->LastSnapshot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8663,6 +8945,7 @@
   swap(a.Windows, b.Windows);
   swap(a.Orders, b.Orders);
   swap(a.LastClosedWindow, b.LastClosedWindow);
+  swap(a.LastSnapshot, b.LastSnapshot);
   swap(a.__isset, b.__isset);
 }
 
@@ -8677,6 +8960,7 @@
   Windows = other324.Windows;
   Orders = other324.Orders;
   LastClosedWindow = other324.LastClosedWindow;
+  LastSnapshot = other324.LastSnapshot;
   __isset = other324.__isset;
 }
 ledger_state::ledger_state(ledger_state&& other325) noexcept {
@@ -8690,6 +8974,7 @@
   Windows = std::move(other325.Windows);
   Orders = std::move(other325.Orders);
   LastClosedWindow = other325.LastClosedWindow;
+  LastSnapshot = other325.LastSnapshot;
   __isset = other325.__isset;
 }
 ledger_state& ledger_state::operator=(const ledger_state& other326) {
@@ -8703,6 +8988,7 @@
   Windows = other326.Windows;
   Orders = other326.Orders;
   LastClosedWindow = other326.LastClosedWindow;
+  LastSnapshot = other326.LastSnapshot;
   __isset = other326.__isset;
   return *this;
 }
@@ -8717,6 +9003,7 @@
   Windows = std::move(other327.Windows);
   Orders = std::move(other327.Orders);
   LastClosedWindow = other327.LastClosedWindow;
+  LastSnapshot = other327.LastSnapshot;
   __isset = other327.__isset;
   return *this;
 }
@@ -8733,6 +9020,7 @@
   out << ", " << "Windows=" << to_string(Windows);
   out << ", " << "Orders=" << to_string(Orders);
   out << ", " << "LastClosedWindow=" << to_string(LastClosedWindow);
+  out << ", " << "LastSnapshot=" << to_string(LastSnapshot);
   out << ")";
 }
 
@@ -8761,6 +9049,18 @@
   this->Answer = val;
 __isset.Answer = true;
 }
+
+void claim_state::__set_RetainMicros(const int64_t val) {
+  this->RetainMicros = val;
+}
+
+void claim_state::__set_Held(const bool val) {
+  this->Held = val;
+}
+
+void claim_state::__set_Released(const std::vector<attempt_id> & val) {
+  this->Released = val;
+}
 std::ostream& operator<<(std::ostream& out, const claim_state& obj)
 {
   obj.printTo(out);
@@ -8831,6 +9131,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->RetainMicros);
+          this->__isset.RetainMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Held);
+          this->__isset.Held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Released.clear();
+            uint32_t _size329;
+            ::apache::thrift::protocol::TType _etype332;
+            xfer += iprot->readListBegin(_etype332, _size329);
+            this->Released.resize(_size329);
+            uint32_t _i333;
+            for (_i333 = 0; _i333 < _size329; ++_i333)
+            {
+              xfer += this->Released[_i333].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8869,6 +9205,26 @@
     xfer += this->Answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("RetainMicros", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->RetainMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Held", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->Held);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Released.size()));
+    std::vector<attempt_id> ::const_iterator _iter334;
+    for (_iter334 = this->Released.begin(); _iter334 != this->Released.end(); ++_iter334)
+    {
+      xfer += (*_iter334).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8881,41 +9237,56 @@
   swap(a.Outcome, b.Outcome);
   swap(a.Settled, b.Settled);
   swap(a.Answer, b.Answer);
+  swap(a.RetainMicros, b.RetainMicros);
+  swap(a.Held, b.Held);
+  swap(a.Released, b.Released);
   swap(a.__isset, b.__isset);
 }
 
-claim_state::claim_state(const claim_state& other329) {
-  Entry = other329.Entry;
-  Offset = other329.Offset;
-  Outcome = other329.Outcome;
-  Settled = other329.Settled;
-  Answer = other329.Answer;
-  __isset = other329.__isset;
-}
-claim_state::claim_state(claim_state&& other330) noexcept {
-  Entry = std::move(other330.Entry);
-  Offset = other330.Offset;
-  Outcome = other330.Outcome;
-  Settled = other330.Settled;
-  Answer = std::move(other330.Answer);
-  __isset = other330.__isset;
-}
-claim_state& claim_state::operator=(const claim_state& other331) {
-  Entry = other331.Entry;
-  Offset = other331.Offset;
-  Outcome = other331.Outcome;
-  Settled = other331.Settled;
-  Answer = other331.Answer;
-  __isset = other331.__isset;
+claim_state::claim_state(const claim_state& other335) {
+  Entry = other335.Entry;
+  Offset = other335.Offset;
+  Outcome = other335.Outcome;
+  Settled = other335.Settled;
+  Answer = other335.Answer;
+  RetainMicros = other335.RetainMicros;
+  Held = other335.Held;
+  Released = other335.Released;
+  __isset = other335.__isset;
+}
+claim_state::claim_state(claim_state&& other336) noexcept {
+  Entry = std::move(other336.Entry);
+  Offset = other336.Offset;
+  Outcome = other336.Outcome;
+  Settled = other336.Settled;
+  Answer = std::move(other336.Answer);
+  RetainMicros = other336.RetainMicros;
+  Held = other336.Held;
+  Released = std::move(other336.Released);
+  __isset = other336.__isset;
+}
+claim_state& claim_state::operator=(const claim_state& other337) {
+  Entry = other337.Entry;
+  Offset = other337.Offset;
+  Outcome = other337.Outcome;
+  Settled = other337.Settled;
+  Answer = other337.Answer;
+  RetainMicros = other337.RetainMicros;
+  Held = other337.Held;
+  Released = other337.Released;
+  __isset = other337.__isset;
   return *this;
 }
-claim_state& claim_state::operator=(claim_state&& other332) noexcept {
-  Entry = std::move(other332.Entry);
-  Offset = other332.Offset;
-  Outcome = other332.Outcome;
-  Settled = other332.Settled;
-  Answer = std::move(other332.Answer);
-  __isset = other332.__isset;
+claim_state& claim_state::operator=(claim_state&& other338) noexcept {
+  Entry = std::move(other338.Entry);
+  Offset = other338.Offset;
+  Outcome = other338.Outcome;
+  Settled = other338.Settled;
+  Answer = std::move(other338.Answer);
+  RetainMicros = other338.RetainMicros;
+  Held = other338.Held;
+  Released = std::move(other338.Released);
+  __isset = other338.__isset;
   return *this;
 }
 void claim_state::printTo(std::ostream& out) const {
@@ -8926,6 +9297,9 @@
   out << ", " << "Outcome=" << to_string(Outcome);
   out << ", " << "Settled=" << to_string(Settled);
   out << ", " << "Answer="; (__isset.Answer ? (out << to_string(Answer)) : (out << "<null>"));
+  out << ", " << "RetainMicros=" << to_string(RetainMicros);
+  out << ", " << "Held=" << to_string(Held);
+  out << ", " << "Released=" << to_string(Released);
   out << ")";
 }
 
@@ -8941,6 +9315,14 @@
 void claims_state::__set_Writers(const std::vector<writer_state> & val) {
   this->Writers = val;
 }
+
+void claims_state::__set_TimeMicros(const int64_t val) {
+  this->TimeMicros = val;
+}
+
+void claims_state::__set_HorizonMicros(const int64_t val) {
+  this->HorizonMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const claims_state& obj)
 {
   obj.printTo(out);
@@ -8973,14 +9355,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size333;
-            ::apache::thrift::protocol::TType _etype336;
-            xfer += iprot->readListBegin(_etype336, _size333);
-            this->Claims.resize(_size333);
-            uint32_t _i337;
-            for (_i337 = 0; _i337 < _size333; ++_i337)
+            uint32_t _size339;
+            ::apache::thrift::protocol::TType _etype342;
+            xfer += iprot->readListBegin(_etype342, _size339);
+            this->Claims.resize(_size339);
+            uint32_t _i343;
+            for (_i343 = 0; _i343 < _size339; ++_i343)
             {
-              xfer += this->Claims[_i337].read(iprot);
+              xfer += this->Claims[_i343].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8993,14 +9375,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Writers.clear();
-            uint32_t _size338;
-            ::apache::thrift::protocol::TType _etype341;
-            xfer += iprot->readListBegin(_etype341, _size338);
-            this->Writers.resize(_size338);
-            uint32_t _i342;
-            for (_i342 = 0; _i342 < _size338; ++_i342)
+            uint32_t _size344;
+            ::apache::thrift::protocol::TType _etype347;
+            xfer += iprot->readListBegin(_etype347, _size344);
+            this->Writers.resize(_size344);
+            uint32_t _i348;
+            for (_i348 = 0; _i348 < _size344; ++_i348)
             {
-              xfer += this->Writers[_i342].read(iprot);
+              xfer += this->Writers[_i348].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9009,6 +9391,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->TimeMicros);
+          this->__isset.TimeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->HorizonMicros);
+          this->__isset.HorizonMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9029,10 +9427,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<claim_state> ::const_iterator _iter343;
-    for (_iter343 = this->Claims.begin(); _iter343 != this->Claims.end(); ++_iter343)
+    std::vector<claim_state> ::const_iterator _iter349;
+    for (_iter349 = this->Claims.begin(); _iter349 != this->Claims.end(); ++_iter349)
     {
-      xfer += (*_iter343).write(oprot);
+      xfer += (*_iter349).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9041,15 +9439,23 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter344;
-    for (_iter344 = this->Writers.begin(); _iter344 != this->Writers.end(); ++_iter344)
+    std::vector<writer_state> ::const_iterator _iter350;
+    for (_iter350 = this->Writers.begin(); _iter350 != this->Writers.end(); ++_iter350)
     {
-      xfer += (*_iter344).write(oprot);
+      xfer += (*_iter350).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("TimeMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->TimeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("HorizonMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->HorizonMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9059,29 +9465,39 @@
   using ::std::swap;
   swap(a.Claims, b.Claims);
   swap(a.Writers, b.Writers);
+  swap(a.TimeMicros, b.TimeMicros);
+  swap(a.HorizonMicros, b.HorizonMicros);
   swap(a.__isset, b.__isset);
 }
 
-claims_state::claims_state(const claims_state& other345) {
-  Claims = other345.Claims;
-  Writers = other345.Writers;
-  __isset = other345.__isset;
-}
-claims_state::claims_state(claims_state&& other346) noexcept {
-  Claims = std::move(other346.Claims);
-  Writers = std::move(other346.Writers);
-  __isset = other346.__isset;
-}
-claims_state& claims_state::operator=(const claims_state& other347) {
-  Claims = other347.Claims;
-  Writers = other347.Writers;
-  __isset = other347.__isset;
+claims_state::claims_state(const claims_state& other351) {
+  Claims = other351.Claims;
+  Writers = other351.Writers;
+  TimeMicros = other351.TimeMicros;
+  HorizonMicros = other351.HorizonMicros;
+  __isset = other351.__isset;
+}
+claims_state::claims_state(claims_state&& other352) noexcept {
+  Claims = std::move(other352.Claims);
+  Writers = std::move(other352.Writers);
+  TimeMicros = other352.TimeMicros;
+  HorizonMicros = other352.HorizonMicros;
+  __isset = other352.__isset;
+}
+claims_state& claims_state::operator=(const claims_state& other353) {
+  Claims = other353.Claims;
+  Writers = other353.Writers;
+  TimeMicros = other353.TimeMicros;
+  HorizonMicros = other353.HorizonMicros;
+  __isset = other353.__isset;
   return *this;
 }
-claims_state& claims_state::operator=(claims_state&& other348) noexcept {
-  Claims = std::move(other348.Claims);
-  Writers = std::move(other348.Writers);
-  __isset = other348.__isset;
+claims_state& claims_state::operator=(claims_state&& other354) noexcept {
+  Claims = std::move(other354.Claims);
+  Writers = std::move(other354.Writers);
+  TimeMicros = other354.TimeMicros;
+  HorizonMicros = other354.HorizonMicros;
+  __isset = other354.__isset;
   return *this;
 }
 void claims_state::printTo(std::ostream& out) const {
@@ -9089,6 +9505,8 @@
   out << "claims_state(";
   out << "Claims=" << to_string(Claims);
   out << ", " << "Writers=" << to_string(Writers);
+  out << ", " << "TimeMicros=" << to_string(TimeMicros);
+  out << ", " << "HorizonMicros=" << to_string(HorizonMicros);
   out << ")";
 }
 
