--- a/monsoonreel/claim_client.h
+++ b/monsoonreel/claim_client.h
@@ -42,6 +42,8 @@
 // First and longest time between two tries to settle an outcome.
 constexpr duration settle_retry_period = std::chrono::milliseconds(500);
 constexpr duration max_settle_retry_period = std::chrono::seconds(10);
+// After stewards failed a request, others are refused at once for so long.
+constexpr duration unavailable_period = std::chrono::seconds(1);
 // A request that finds no steward waits no longer than this for one.
 constexpr duration claim_patience = std::chrono::seconds(3);
 // When to come back after a refusal for want of a steward or the log.
@@ -61,6 +63,7 @@
   KeyExpired,     // the key is older than what is remembered
   Unavailable,    // no steward or no log: not run, come back later
   DeadlinePassed, // given up at the request's deadline: not run
+  InvalidKey,     // not a key that can be claimed: not run
 };
 
 // What a caller may be told about whether the work of the key took place.
@@ -97,7 +100,7 @@
 
   // What became of a request whose decision was Dispatch. NotRun frees the key
   // for another request. Bodies over max_recorded_body_bytes are dropped.
-  void settle(request_id Request, wire::run_outcome Outcome,
+  void settle(request_id Request, wire::run_outcome::type Outcome,
               std::optional<wire::recorded_answer> Answer, steady_time Now,
               const membership &Members, effect_list &Effects);
 
@@ -116,11 +119,10 @@
   size_t openSettles() const { return Settles.size(); }
 
 private:
-  // A steward and when it was asked.
+  // How often stewards were asked, and when the last time.
   struct steward_try {
-    node_name Steward;
     steady_time SentAt;
-    int Tries = 0;
+    size_t Tries = 0;
   };
   struct open_ask {
     request_id Request;
@@ -138,29 +140,35 @@
     steward_try Try;
   };
 
-  bool sendAsk(open_ask &Ask, steady_time Now, const membership &Members,
-               effect_list &Effects);
-  void sendSettle(open_settle &Settle, steady_time Now,
-                  const membership &Members, effect_list &Effects);
-  std::optional<wire::member> chooseSteward(const steward_try &Try,
-                                            const membership &Members) const;
+  // Sends to the steward whose turn it is; false when there is none.
+  static bool sendNext(const wire::peer_message &Message, steward_try &Try,
+                       steady_time Now, const membership &Members,
+                       effect_list &Effects);
   void onAnswer(const wire::claim_answer &Answer, steady_time Now,
                 const membership &Members, effect_list &Effects);
-  void giveUp(const open_ask &Ask, claim_decision Decision, steady_time Now,
+  void onUnavailable(int64_t Sequence, steady_time Now,
+                     const membership &Members, effect_list &Effects);
+  void checkAsks(steady_time Now, const membership &Members,
+                 effect_list &Effects);
+  void checkSettles(steady_time Now, const membership &Members,
+                    effect_list &Effects);
+  // Ends an ask without a dispatch, and settles its attempt as not run.
+  void giveUp(int64_t Sequence, claim_decision Decision, steady_time Now,
               const membership &Members, effect_list &Effects);
+  // Ends an ask with a decision.
+  void close(int64_t Sequence, claim_result Result, effect_list &Effects);
   void beginSettle(const wire::claim_key &Key, const wire::attempt_id &Attempt,
-                   wire::run_outcome Outcome,
+                   wire::run_outcome::type Outcome,
                    std::optional<wire::recorded_answer> Answer, steady_time Now,
                    const membership &Members, effect_list &Effects);
-  void decide(request_id Request, claim_decision Decision,
-              duration RetryAfter = {},
-              std::optional<wire::recorded_answer> Answer = {});
 
   node_identity Self;
   int64_t NextSequence = 1;
   std::map<int64_t, open_ask> Asks;       // by the attempt's sequence
   std::map<int64_t, open_settle> Settles; // by the attempt's sequence
   absl::flat_hash_map<request_id, int64_t> SequenceByRequest;
+  // Until then, new asks are refused at once: all stewards failed just now.
+  steady_time UnavailableUntil;
   absl::flat_hash_map<request_id, won_claim> Won;
   std::vector<claim_result> Results;
 };
--- /dev/null
+++ b/monsoonreel/claim_routing.cc
@@ -0,0 +1,75 @@
+#include "monsoonreel/claim_routing.h"
+
+#include <algorithm>
+#include <set>
+
+#include "monsoonreel/host.h"
+#include "monsoonreel/rendezvous.h"
+
+namespace monsoonreel {
+
+namespace {
+
+std::set<std::string> zonesOf(const std::vector<wire::member> &Members) {
+  std::set<std::string> Zones;
+  for (const wire::member &Member : Members)
+    Zones.insert(Member.Zone);
+  return Zones;
+}
+
+} // namespace
+
+std::vector<wire::member> claimDesks(const membership &Members,
+                                     const zone_name &Zone) {
+  std::vector<wire::member> Desks = rendezvousOrder(
+      "claims", Members.alive(wire::member_role::Steward, Zone));
+  if (Desks.size() > claim_desks_per_zone)
+    Desks.resize(claim_desks_per_zone);
+  return Desks;
+}
+
+bool isClaimDesk(const membership &Members) {
+  const wire::member &Self = Members.self();
+  std::vector<wire::member> Desks = claimDesks(Members, zone_name(Self.Zone));
+  return std::any_of(Desks.begin(), Desks.end(), [&](const wire::member &Desk) {
+    return Desk.Name == Self.Name;
+  });
+}
+
+size_t deskRank(const membership &Members) {
+  std::vector<wire::member> All;
+  for (const std::string &Zone :
+       zonesOf(Members.alive(wire::member_role::Steward)))
+    for (wire::member &Desk : claimDesks(Members, zone_name(Zone)))
+      All.push_back(std::move(Desk));
+  All = rendezvousOrder("claims-rank", std::move(All));
+  auto Own =
+      std::find_if(All.begin(), All.end(), [&](const wire::member &Desk) {
+        return Desk.Name == Members.self().Name;
+      });
+  return static_cast<size_t>(Own - All.begin());
+}
+
+std::vector<wire::member> deskOrder(const membership &Members) {
+  const wire::member &Self = Members.self();
+  std::vector<wire::member> Order =
+      rendezvousOrder("claims", Members.alive(wire::member_role::Steward,
+                                              zone_name(Self.Zone)));
+  if (Order.size() > claim_desks_per_zone + 1)
+    Order.resize(claim_desks_per_zone + 1);
+  std::stable_partition(
+      Order.begin(), Order.end(), [&](const wire::member &Desk) {
+        return hostOf(address(Desk.Address)) == hostOf(address(Self.Address));
+      });
+  for (const std::string &Zone :
+       zonesOf(Members.alive(wire::member_role::Steward))) {
+    if (Zone == Self.Zone)
+      continue;
+    std::vector<wire::member> Desks = claimDesks(Members, zone_name(Zone));
+    if (!Desks.empty())
+      Order.push_back(std::move(Desks.front()));
+  }
+  return Order;
+}
+
+} // namespace monsoonreel
--- a/monsoonreel/mechanism.h
+++ b/monsoonreel/mechanism.h
@@ -32,7 +32,6 @@
   AttemptFilter,         // late events of a cancelled attempt are dropped
   ClaimGiveUp,           // an attempt that was given up is never dispatched
   ClaimReleaseVoids,     // a released attempt can't win its key again
-  ClaimSameAttempt,      // another steward is asked under the same attempt id
   ClaimHorizon,          // a key from before the horizon can't be claimed
   ClaimTimeVouched,      // one writer's clock alone does not expire keys
   SuspicionBeforeDeath,  // a silent member has time to refute its death
