--- a/io/testing/upstream_client_test.cc
+++ b/io/testing/upstream_client_test.cc
@@ -108,17 +108,21 @@
 
 TEST_F(upstream_client_test, Redirect_ToAnotherHost_IsTheAnswer) {
   raw_server Other;
-  Server.OnRequest = [&](QTcpSocket *Socket) {
-    Socket->write(("HTTP/1.1 307 Moved\r\nLocation: http://" +
-                   Other.at().Value + "/\r\nContent-Length: 0\r\n\r\n")
-                      .c_str());
-  };
-  upstream_request Request = request("GET");
-  Request.OwnHeaders = {{"Authorization", "Bearer own"}};
-  Client.start(Request);
-  ASSERT_TRUE(waitForEnd());
-  EXPECT_EQ(Head->Status, 307);
-  EXPECT_EQ(Finished, 1);
+  for (int Status : {302, 303, 307, 308}) {
+    Finished = 0;
+    Server.OnRequest = [&](QTcpSocket *Socket) {
+      Socket->write(("HTTP/1.1 " + std::to_string(Status) +
+                     " Moved\r\nLocation: http://" + Other.at().Value +
+                     "/\r\nContent-Length: 0\r\n\r\n")
+                        .c_str());
+    };
+    upstream_request Request = request("GET");
+    Request.OwnHeaders = {{"Authorization", "Bearer own"}};
+    Client.start(Request);
+    ASSERT_TRUE(waitForEnd());
+    EXPECT_EQ(Head->Status, Status);
+    EXPECT_EQ(Finished, 1);
+  }
   EXPECT_EQ(Other.Connections, 0);
 }
 
