--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -176,6 +176,8 @@
 
 class slot_grant;
 
+class slot_queued;
+
 class slot_refuse;
 
 class slot_release;
@@ -326,11 +328,12 @@
 std::ostream& operator<<(std::ostream& out, const member& obj);
 
 typedef struct _pool_load__isset {
-  _pool_load__isset() : Pool(false), Owner(false), QueueWaitMicros(false), FreeSlots(false) {}
+  _pool_load__isset() : Pool(false), Owner(false), QueueWaitMicros(false), FreeSlots(false), AgeMicros(false) {}
   bool Pool :1;
   bool Owner :1;
   bool QueueWaitMicros :1;
   bool FreeSlots :1;
+  bool AgeMicros :1;
 } _pool_load__isset;
 
 class pool_load : public virtual ::apache::thrift::TBase {
@@ -344,7 +347,8 @@
             : Pool(),
               Owner(),
               QueueWaitMicros(0),
-              FreeSlots(0) {
+              FreeSlots(0),
+              AgeMicros(0) {
   }
 
   virtual ~pool_load() noexcept;
@@ -352,6 +356,7 @@
   std::string Owner;
   int64_t QueueWaitMicros;
   int32_t FreeSlots;
+  int64_t AgeMicros;
 
   _pool_load__isset __isset;
 
@@ -363,6 +368,8 @@
 
   void __set_FreeSlots(const int32_t val);
 
+  void __set_AgeMicros(const int64_t val);
+
   bool operator == (const pool_load & rhs) const
   {
     if (!(Pool == rhs.Pool))
@@ -373,6 +380,8 @@
       return false;
     if (!(FreeSlots == rhs.FreeSlots))
       return false;
+    if (!(AgeMicros == rhs.AgeMicros))
+      return false;
     return true;
   }
   bool operator != (const pool_load &rhs) const {
@@ -392,12 +401,14 @@
 std::ostream& operator<<(std::ostream& out, const pool_load& obj);
 
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false) {}
+  _heartbeat__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), Retry(false), WantsMembers(false) {}
   bool Nonce :1;
   bool Sender :1;
   bool LedgerOffset :1;
   bool Gossip :1;
   bool Loads :1;
+  bool Retry :1;
+  bool WantsMembers :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -409,7 +420,9 @@
   heartbeat& operator=(heartbeat&&) noexcept;
   heartbeat() noexcept
             : Nonce(0),
-              LedgerOffset(0) {
+              LedgerOffset(0),
+              Retry(0),
+              WantsMembers(0) {
   }
 
   virtual ~heartbeat() noexcept;
@@ -418,6 +431,8 @@
   int64_t LedgerOffset;
   std::vector<member>  Gossip;
   std::vector<pool_load>  Loads;
+  bool Retry;
+  bool WantsMembers;
 
   _heartbeat__isset __isset;
 
@@ -431,6 +446,10 @@
 
   void __set_Loads(const std::vector<pool_load> & val);
 
+  void __set_Retry(const bool val);
+
+  void __set_WantsMembers(const bool val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
@@ -443,6 +462,10 @@
       return false;
     if (!(Loads == rhs.Loads))
       return false;
+    if (!(Retry == rhs.Retry))
+      return false;
+    if (!(WantsMembers == rhs.WantsMembers))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
@@ -462,13 +485,14 @@
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj);
 
 typedef struct _heartbeat_ack__isset {
-  _heartbeat_ack__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), OnBehalfOf(false) {}
+  _heartbeat_ack__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), OnBehalfOf(false), LogAgeMicros(false) {}
   bool Nonce :1;
   bool Sender :1;
   bool LedgerOffset :1;
   bool Gossip :1;
   bool Loads :1;
   bool OnBehalfOf :1;
+  bool LogAgeMicros :1;
 } _heartbeat_ack__isset;
 
 class heartbeat_ack : public virtual ::apache::thrift::TBase {
@@ -481,7 +505,8 @@
   heartbeat_ack() noexcept
                 : Nonce(0),
                   LedgerOffset(0),
-                  OnBehalfOf() {
+                  OnBehalfOf(),
+                  LogAgeMicros(0) {
   }
 
   virtual ~heartbeat_ack() noexcept;
@@ -491,6 +516,7 @@
   std::vector<member>  Gossip;
   std::vector<pool_load>  Loads;
   std::string OnBehalfOf;
+  int64_t LogAgeMicros;
 
   _heartbeat_ack__isset __isset;
 
@@ -506,6 +532,8 @@
 
   void __set_OnBehalfOf(const std::string& val);
 
+  void __set_LogAgeMicros(const int64_t val);
+
   bool operator == (const heartbeat_ack & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
@@ -520,6 +548,10 @@
       return false;
     if (!(OnBehalfOf == rhs.OnBehalfOf))
       return false;
+    if (__isset.LogAgeMicros != rhs.__isset.LogAgeMicros)
+      return false;
+    else if (__isset.LogAgeMicros && !(LogAgeMicros == rhs.LogAgeMicros))
+      return false;
     return true;
   }
   bool operator != (const heartbeat_ack &rhs) const {
@@ -870,10 +902,11 @@
 std::ostream& operator<<(std::ostream& out, const attempt_id& obj);
 
 typedef struct _claim_ask__isset {
-  _claim_ask__isset() : Key(false), Attempt(false), BodyHash(false) {}
+  _claim_ask__isset() : Key(false), Attempt(false), BodyHash(false), KeyMicros(false) {}
   bool Key :1;
   bool Attempt :1;
   bool BodyHash :1;
+  bool KeyMicros :1;
 } _claim_ask__isset;
 
 class claim_ask : public virtual ::apache::thrift::TBase {
@@ -884,13 +917,15 @@
   claim_ask& operator=(const claim_ask&);
   claim_ask& operator=(claim_ask&&) noexcept;
   claim_ask() noexcept
-            : BodyHash(0) {
+            : BodyHash(0),
+              KeyMicros(0) {
   }
 
   virtual ~claim_ask() noexcept;
   claim_key Key;
   attempt_id Attempt;
   int64_t BodyHash;
+  int64_t KeyMicros;
 
   _claim_ask__isset __isset;
 
@@ -900,6 +935,8 @@
 
   void __set_BodyHash(const int64_t val);
 
+  void __set_KeyMicros(const int64_t val);
+
   bool operator == (const claim_ask & rhs) const
   {
     if (!(Key == rhs.Key))
@@ -908,6 +945,8 @@
       return false;
     if (!(BodyHash == rhs.BodyHash))
       return false;
+    if (!(KeyMicros == rhs.KeyMicros))
+      return false;
     return true;
   }
   bool operator != (const claim_ask &rhs) const {
@@ -1454,9 +1493,10 @@
 std::ostream& operator<<(std::ostream& out, const usage_hold& obj);
 
 typedef struct _usage_held__isset {
-  _usage_held__isset() : Incarnation(false), Sequence(false) {}
+  _usage_held__isset() : Incarnation(false), Sequence(false), Holder(false) {}
   bool Incarnation :1;
   bool Sequence :1;
+  bool Holder :1;
 } _usage_held__isset;
 
 class usage_held : public virtual ::apache::thrift::TBase {
@@ -1468,12 +1508,14 @@
   usage_held& operator=(usage_held&&) noexcept;
   usage_held() noexcept
              : Incarnation(0),
-               Sequence(0) {
+               Sequence(0),
+               Holder(0) {
   }
 
   virtual ~usage_held() noexcept;
   int64_t Incarnation;
   int64_t Sequence;
+  int64_t Holder;
 
   _usage_held__isset __isset;
 
@@ -1481,12 +1523,16 @@
 
   void __set_Sequence(const int64_t val);
 
+  void __set_Holder(const int64_t val);
+
   bool operator == (const usage_held & rhs) const
   {
     if (!(Incarnation == rhs.Incarnation))
       return false;
     if (!(Sequence == rhs.Sequence))
       return false;
+    if (!(Holder == rhs.Holder))
+      return false;
     return true;
   }
   bool operator != (const usage_held &rhs) const {
@@ -1686,12 +1732,13 @@
 std::ostream& operator<<(std::ostream& out, const slot_ask& obj);
 
 typedef struct _slot_grant__isset {
-  _slot_grant__isset() : Ask(false), Upstream(false), Slot(false), Priority(false), OwnerIncarnation(false) {}
+  _slot_grant__isset() : Ask(false), Upstream(false), Slot(false), Priority(false), OwnerIncarnation(false), FreshConnection(false) {}
   bool Ask :1;
   bool Upstream :1;
   bool Slot :1;
   bool Priority :1;
   bool OwnerIncarnation :1;
+  bool FreshConnection :1;
 } _slot_grant__isset;
 
 class slot_grant : public virtual ::apache::thrift::TBase {
@@ -1706,7 +1753,8 @@
                Upstream(),
                Slot(0),
                Priority(0),
-               OwnerIncarnation(0) {
+               OwnerIncarnation(0),
+               FreshConnection(0) {
   }
 
   virtual ~slot_grant() noexcept;
@@ -1715,6 +1763,7 @@
   int64_t Slot;
   int32_t Priority;
   int64_t OwnerIncarnation;
+  bool FreshConnection;
 
   _slot_grant__isset __isset;
 
@@ -1728,6 +1777,8 @@
 
   void __set_OwnerIncarnation(const int64_t val);
 
+  void __set_FreshConnection(const bool val);
+
   bool operator == (const slot_grant & rhs) const
   {
     if (!(Ask == rhs.Ask))
@@ -1740,6 +1791,8 @@
       return false;
     if (!(OwnerIncarnation == rhs.OwnerIncarnation))
       return false;
+    if (!(FreshConnection == rhs.FreshConnection))
+      return false;
     return true;
   }
   bool operator != (const slot_grant &rhs) const {
@@ -1758,6 +1811,51 @@
 
 std::ostream& operator<<(std::ostream& out, const slot_grant& obj);
 
+typedef struct _slot_queued__isset {
+  _slot_queued__isset() : Ask(false) {}
+  bool Ask :1;
+} _slot_queued__isset;
+
+class slot_queued : public virtual ::apache::thrift::TBase {
+ public:
+
+  slot_queued(const slot_queued&) noexcept;
+  slot_queued(slot_queued&&) noexcept;
+  slot_queued& operator=(const slot_queued&) noexcept;
+  slot_queued& operator=(slot_queued&&) noexcept;
+  slot_queued() noexcept
+              : Ask(0) {
+  }
+
+  virtual ~slot_queued() noexcept;
+  int64_t Ask;
+
+  _slot_queued__isset __isset;
+
+  void __set_Ask(const int64_t val);
+
+  bool operator == (const slot_queued & rhs) const
+  {
+    if (!(Ask == rhs.Ask))
+      return false;
+    return true;
+  }
+  bool operator != (const slot_queued &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const slot_queued & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(slot_queued &a, slot_queued &b);
+
+std::ostream& operator<<(std::ostream& out, const slot_queued& obj);
+
 typedef struct _slot_refuse__isset {
   _slot_refuse__isset() : Ask(false), Reason(false), RetryAfterMicros(false) {}
   bool Ask :1;
@@ -1906,8 +2004,9 @@
 std::ostream& operator<<(std::ostream& out, const slot_release& obj);
 
 typedef struct _slot_cancel__isset {
-  _slot_cancel__isset() : Ask(false) {}
+  _slot_cancel__isset() : Ask(false), Incarnation(false) {}
   bool Ask :1;
+  bool Incarnation :1;
 } _slot_cancel__isset;
 
 class slot_cancel : public virtual ::apache::thrift::TBase {
@@ -1918,20 +2017,26 @@
   slot_cancel& operator=(const slot_cancel&) noexcept;
   slot_cancel& operator=(slot_cancel&&) noexcept;
   slot_cancel() noexcept
-              : Ask(0) {
+              : Ask(0),
+                Incarnation(0) {
   }
 
   virtual ~slot_cancel() noexcept;
   int64_t Ask;
+  int64_t Incarnation;
 
   _slot_cancel__isset __isset;
 
   void __set_Ask(const int64_t val);
 
+  void __set_Incarnation(const int64_t val);
+
   bool operator == (const slot_cancel & rhs) const
   {
     if (!(Ask == rhs.Ask))
       return false;
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
     return true;
   }
   bool operator != (const slot_cancel &rhs) const {
@@ -2594,11 +2699,12 @@
 std::ostream& operator<<(std::ostream& out, const order_done& obj);
 
 typedef struct _claim_entry__isset {
-  _claim_entry__isset() : Key(false), Attempt(false), BodyHash(false), CreatedWallMicros(false) {}
+  _claim_entry__isset() : Key(false), Attempt(false), BodyHash(false), CreatedWallMicros(false), KeyMicros(false) {}
   bool Key :1;
   bool Attempt :1;
   bool BodyHash :1;
   bool CreatedWallMicros :1;
+  bool KeyMicros :1;
 } _claim_entry__isset;
 
 class claim_entry : public virtual ::apache::thrift::TBase {
@@ -2610,7 +2716,8 @@
   claim_entry& operator=(claim_entry&&) noexcept;
   claim_entry() noexcept
               : BodyHash(0),
-                CreatedWallMicros(0) {
+                CreatedWallMicros(0),
+                KeyMicros(0) {
   }
 
   virtual ~claim_entry() noexcept;
@@ -2618,6 +2725,7 @@
   attempt_id Attempt;
   int64_t BodyHash;
   int64_t CreatedWallMicros;
+  int64_t KeyMicros;
 
   _claim_entry__isset __isset;
 
@@ -2629,6 +2737,8 @@
 
   void __set_CreatedWallMicros(const int64_t val);
 
+  void __set_KeyMicros(const int64_t val);
+
   bool operator == (const claim_entry & rhs) const
   {
     if (!(Key == rhs.Key))
@@ -2639,6 +2749,8 @@
       return false;
     if (!(CreatedWallMicros == rhs.CreatedWallMicros))
       return false;
+    if (!(KeyMicros == rhs.KeyMicros))
+      return false;
     return true;
   }
   bool operator != (const claim_entry &rhs) const {
@@ -2727,9 +2839,11 @@
 std::ostream& operator<<(std::ostream& out, const claim_outcome& obj);
 
 typedef struct _claim_batch__isset {
-  _claim_batch__isset() : Claims(false), Outcomes(false) {}
+  _claim_batch__isset() : Claims(false), Outcomes(false), WallMicros(false), WindowMicros(false) {}
   bool Claims :1;
   bool Outcomes :1;
+  bool WallMicros :1;
+  bool WindowMicros :1;
 } _claim_batch__isset;
 
 class claim_batch : public virtual ::apache::thrift::TBase {
@@ -2739,12 +2853,16 @@
   claim_batch(claim_batch&&) noexcept;
   claim_batch& operator=(const claim_batch&);
   claim_batch& operator=(claim_batch&&) noexcept;
-  claim_batch() noexcept {
+  claim_batch() noexcept
+              : WallMicros(0),
+                WindowMicros(0) {
   }
 
   virtual ~claim_batch() noexcept;
   std::vector<claim_entry>  Claims;
   std::vector<claim_outcome>  Outcomes;
+  int64_t WallMicros;
+  int64_t WindowMicros;
 
   _claim_batch__isset __isset;
 
@@ -2752,12 +2870,20 @@
 
   void __set_Outcomes(const std::vector<claim_outcome> & val);
 
+  void __set_WallMicros(const int64_t val);
+
+  void __set_WindowMicros(const int64_t val);
+
   bool operator == (const claim_batch & rhs) const
   {
     if (!(Claims == rhs.Claims))
       return false;
     if (!(Outcomes == rhs.Outcomes))
       return false;
+    if (!(WallMicros == rhs.WallMicros))
+      return false;
+    if (!(WindowMicros == rhs.WindowMicros))
+      return false;
     return true;
   }
   bool operator != (const claim_batch &rhs) const {
@@ -2969,11 +3095,12 @@
 std::ostream& operator<<(std::ostream& out, const log_record& obj);
 
 typedef struct _key_state__isset {
-  _key_state__isset() : KeyId(false), Organisation(false), KeyHash(false), Withdrawn(false) {}
+  _key_state__isset() : KeyId(false), Organisation(false), KeyHash(false), Withdrawn(false), Offset(false) {}
   bool KeyId :1;
   bool Organisation :1;
   bool KeyHash :1;
   bool Withdrawn :1;
+  bool Offset :1;
 } _key_state__isset;
 
 class key_state : public virtual ::apache::thrift::TBase {
@@ -2987,7 +3114,8 @@
             : KeyId(),
               Organisation(),
               KeyHash(),
-              Withdrawn(0) {
+              Withdrawn(0),
+              Offset(0) {
   }
 
   virtual ~key_state() noexcept;
@@ -2995,6 +3123,7 @@
   std::string Organisation;
   std::string KeyHash;
   bool Withdrawn;
+  int64_t Offset;
 
   _key_state__isset __isset;
 
@@ -3006,6 +3135,8 @@
 
   void __set_Withdrawn(const bool val);
 
+  void __set_Offset(const int64_t val);
+
   bool operator == (const key_state & rhs) const
   {
     if (!(KeyId == rhs.KeyId))
@@ -3016,6 +3147,8 @@
       return false;
     if (!(Withdrawn == rhs.Withdrawn))
       return false;
+    if (!(Offset == rhs.Offset))
+      return false;
     return true;
   }
   bool operator != (const key_state &rhs) const {
@@ -3115,10 +3248,12 @@
 std::ostream& operator<<(std::ostream& out, const lease_state& obj);
 
 typedef struct _writer_state__isset {
-  _writer_state__isset() : Incarnation(false), Sequence(false), LastOffset(false) {}
+  _writer_state__isset() : Incarnation(false), Sequence(false), LastOffset(false), WallMicros(false), Ahead(false) {}
   bool Incarnation :1;
   bool Sequence :1;
   bool LastOffset :1;
+  bool WallMicros :1;
+  bool Ahead :1;
 } _writer_state__isset;
 
 class writer_state : public virtual ::apache::thrift::TBase {
@@ -3131,13 +3266,17 @@
   writer_state() noexcept
                : Incarnation(0),
                  Sequence(0),
-                 LastOffset(0) {
+                 LastOffset(0),
+                 WallMicros(0),
+                 Ahead(0) {
   }
 
   virtual ~writer_state() noexcept;
   int64_t Incarnation;
   int64_t Sequence;
   int64_t LastOffset;
+  int64_t WallMicros;
+  int64_t Ahead;
 
   _writer_state__isset __isset;
 
@@ -3147,6 +3286,10 @@
 
   void __set_LastOffset(const int64_t val);
 
+  void __set_WallMicros(const int64_t val);
+
+  void __set_Ahead(const int64_t val);
+
   bool operator == (const writer_state & rhs) const
   {
     if (!(Incarnation == rhs.Incarnation))
@@ -3155,6 +3298,10 @@
       return false;
     if (!(LastOffset == rhs.LastOffset))
       return false;
+    if (!(WallMicros == rhs.WallMicros))
+      return false;
+    if (!(Ahead == rhs.Ahead))
+      return false;
     return true;
   }
   bool operator != (const writer_state &rhs) const {
@@ -3283,7 +3430,7 @@
 std::ostream& operator<<(std::ostream& out, const order_state& obj);
 
 typedef struct _ledger_state__isset {
-  _ledger_state__isset() : ConfigOffset(false), Document(false), Keys(false), Leases(false), Writers(false), UsageSources(false), OpenUsage(false), Windows(false), Orders(false), LastClosedWindow(false) {}
+  _ledger_state__isset() : ConfigOffset(false), Document(false), Keys(false), Leases(false), Writers(false), UsageSources(false), OpenUsage(false), Windows(false), Orders(false), LastClosedWindow(false), LastSnapshot(false) {}
   bool ConfigOffset :1;
   bool Document :1;
   bool Keys :1;
@@ -3294,6 +3441,7 @@
   bool Windows :1;
   bool Orders :1;
   bool LastClosedWindow :1;
+  bool LastSnapshot :1;
 } _ledger_state__isset;
 
 class ledger_state : public virtual ::apache::thrift::TBase {
@@ -3306,7 +3454,8 @@
   ledger_state() noexcept
                : ConfigOffset(0),
                  Document(),
-                 LastClosedWindow(0) {
+                 LastClosedWindow(0),
+                 LastSnapshot(0) {
   }
 
   virtual ~ledger_state() noexcept;
@@ -3320,6 +3469,7 @@
   std::vector<closed_window>  Windows;
   std::vector<order_state>  Orders;
   int64_t LastClosedWindow;
+  int64_t LastSnapshot;
 
   _ledger_state__isset __isset;
 
@@ -3343,6 +3493,8 @@
 
   void __set_LastClosedWindow(const int64_t val);
 
+  void __set_LastSnapshot(const int64_t val);
+
   bool operator == (const ledger_state & rhs) const
   {
     if (!(ConfigOffset == rhs.ConfigOffset))
@@ -3365,6 +3517,8 @@
       return false;
     if (!(LastClosedWindow == rhs.LastClosedWindow))
       return false;
+    if (!(LastSnapshot == rhs.LastSnapshot))
+      return false;
     return true;
   }
   bool operator != (const ledger_state &rhs) const {
@@ -3384,12 +3538,15 @@
 std::ostream& operator<<(std::ostream& out, const ledger_state& obj);
 
 typedef struct _claim_state__isset {
-  _claim_state__isset() : Entry(false), Offset(false), Outcome(false), Settled(false), Answer(false) {}
+  _claim_state__isset() : Entry(false), Offset(false), Outcome(false), Settled(false), Answer(false), RetainMicros(false), Held(false), Released(false) {}
   bool Entry :1;
   bool Offset :1;
   bool Outcome :1;
   bool Settled :1;
   bool Answer :1;
+  bool RetainMicros :1;
+  bool Held :1;
+  bool Released :1;
 } _claim_state__isset;
 
 class claim_state : public virtual ::apache::thrift::TBase {
@@ -3402,7 +3559,9 @@
   claim_state() noexcept
               : Offset(0),
                 Outcome(static_cast<run_outcome::type>(0)),
-                Settled(0) {
+                Settled(0),
+                RetainMicros(0),
+                Held(0) {
   }
 
   virtual ~claim_state() noexcept;
@@ -3415,6 +3574,9 @@
   run_outcome::type Outcome;
   bool Settled;
   recorded_answer Answer;
+  int64_t RetainMicros;
+  bool Held;
+  std::vector<attempt_id>  Released;
 
   _claim_state__isset __isset;
 
@@ -3428,6 +3590,12 @@
 
   void __set_Answer(const recorded_answer& val);
 
+  void __set_RetainMicros(const int64_t val);
+
+  void __set_Held(const bool val);
+
+  void __set_Released(const std::vector<attempt_id> & val);
+
   bool operator == (const claim_state & rhs) const
   {
     if (!(Entry == rhs.Entry))
@@ -3442,6 +3610,12 @@
       return false;
     else if (__isset.Answer && !(Answer == rhs.Answer))
       return false;
+    if (!(RetainMicros == rhs.RetainMicros))
+      return false;
+    if (!(Held == rhs.Held))
+      return false;
+    if (!(Released == rhs.Released))
+      return false;
     return true;
   }
   bool operator != (const claim_state &rhs) const {
@@ -3461,9 +3635,11 @@
 std::ostream& operator<<(std::ostream& out, const claim_state& obj);
 
 typedef struct _claims_state__isset {
-  _claims_state__isset() : Claims(false), Writers(false) {}
+  _claims_state__isset() : Claims(false), Writers(false), TimeMicros(false), HorizonMicros(false) {}
   bool Claims :1;
   bool Writers :1;
+  bool TimeMicros :1;
+  bool HorizonMicros :1;
 } _claims_state__isset;
 
 class claims_state : public virtual ::apache::thrift::TBase {
@@ -3473,12 +3649,16 @@
   claims_state(claims_state&&) noexcept;
   claims_state& operator=(const claims_state&);
   claims_state& operator=(claims_state&&) noexcept;
-  claims_state() noexcept {
+  claims_state() noexcept
+               : TimeMicros(0),
+                 HorizonMicros(0) {
   }
 
   virtual ~claims_state() noexcept;
   std::vector<claim_state>  Claims;
   std::vector<writer_state>  Writers;
+  int64_t TimeMicros;
+  int64_t HorizonMicros;
 
   _claims_state__isset __isset;
 
@@ -3486,12 +3666,20 @@
 
   void __set_Writers(const std::vector<writer_state> & val);
 
+  void __set_TimeMicros(const int64_t val);
+
+  void __set_HorizonMicros(const int64_t val);
+
   bool operator == (const claims_state & rhs) const
   {
     if (!(Claims == rhs.Claims))
       return false;
     if (!(Writers == rhs.Writers))
       return false;
+    if (!(TimeMicros == rhs.TimeMicros))
+      return false;
+    if (!(HorizonMicros == rhs.HorizonMicros))
+      return false;
     return true;
   }
   bool operator != (const claims_state &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -32,6 +32,7 @@
   2: string Owner
   3: i64 QueueWaitMicros
   4: i32 FreeSlots
+  5: i64 AgeMicros             // since its owner told it
 }
 
 struct heartbeat {
@@ -40,6 +41,8 @@
   3: i64 LedgerOffset          // highest applied offset of the operator stream
   4: list<member> Gossip
   5: list<pool_load> Loads
+  6: bool Retry                // an earlier one was not answered
+  7: bool WantsMembers         // the sender knows few members: send all
 }
 
 struct heartbeat_ack {
@@ -49,6 +52,8 @@
   4: list<member> Gossip
   5: list<pool_load> Loads
   6: string OnBehalfOf         // empty, or the member that an indirect probe reached
+  7: optional i64 LogAgeMicros // since the log's end was read, by whoever the
+                               // sender has LedgerOffset from; unset: never
 }
 
 // Asks another member to probe Target and to pass the answer on.
@@ -97,6 +102,7 @@
   1: claim_key Key
   2: attempt_id Attempt
   3: i64 BodyHash              // XXH3-64 of method, path and body
+  4: i64 KeyMicros             // wall clock in a UUIDv7 key; 0 for other keys
 }
 
 struct recorded_answer {
@@ -160,6 +166,7 @@
 struct usage_held {
   1: i64 Incarnation
   2: i64 Sequence
+  3: i64 Holder                // incarnation of the process that holds it
 }
 
 struct usage_release {
@@ -177,7 +184,7 @@
   5: string Organisation
   6: i64 TimeLeftMicros        // until the target would be missed
   7: i32 PromptTokens
-  8: i32 ExpectedOutputTokens
+  8: i32 ExpectedOutputTokens  // upper bound; 0 when unknown
   9: i64 PrefixHash
   10: bool Idempotent
   11: list<string> Excluded    // upstreams that already failed this request
@@ -191,6 +198,13 @@
   3: i64 Slot                  // unique for the owner's incarnation
   4: i32 Priority              // for the engine's own scheduler
   5: i64 OwnerIncarnation
+  6: bool FreshConnection      // a probe: dispatch on a new connection
+}
+
+// The ask waits. Tells the asker that its owner is alive; a repeated ask is
+// answered again.
+struct slot_queued {
+  1: i64 Ask
 }
 
 enum refusal_reason { QueueFull = 1, TargetUnreachable = 2, NoUpstream = 3, OrganisationLimit = 4, NotOwner = 5, ShuttingDown = 6, DeadlinePassed = 7 }
@@ -215,6 +229,7 @@
 // The asker no longer waits.
 struct slot_cancel {
   1: i64 Ask
+  2: i64 Incarnation           // of the asking entry
 }
 
 // The owner takes a running slot back for a higher tier.
@@ -267,13 +282,14 @@
 }
 
 // Valid when Window is one more than the last closed window and Fence is the
-// current claim of the reporter's lease. The figures are those of all batches
-// between the last close and this record.
+// current claim of the reporter's lease. The window's figures are those of all
+// batches between the last close and this record, as replayed; a batch with a
+// higher offset counts in the next window.
 struct usage_close {
   1: i64 Window
   2: i64 Fence
-  3: list<usage_increment> Figures
-  4: i64 UpToOffset            // the figures cover records up to this offset
+  3: list<usage_increment> Figures  // not used
+  4: i64 UpToOffset                 // not used
 }
 
 struct usage_reported {
@@ -302,6 +318,7 @@
   2: attempt_id Attempt
   3: i64 BodyHash
   4: i64 CreatedWallMicros     // wall clock of the appending steward
+  5: i64 KeyMicros             // wall clock in a UUIDv7 key; 0 for other keys
 }
 
 struct claim_outcome {
@@ -314,6 +331,8 @@
 struct claim_batch {
   1: list<claim_entry> Claims
   2: list<claim_outcome> Outcomes
+  3: i64 WallMicros            // wall clock of the appending steward
+  4: i64 WindowMicros          // for how long keys are to be remembered
 }
 
 // The state of a stream's replay after all records up to CoversOffset.
@@ -347,6 +366,7 @@
   2: string Organisation
   3: binary KeyHash
   4: bool Withdrawn
+  5: i64 Offset                // of the giving or the withdrawing record
 }
 
 struct lease_state {
@@ -358,10 +378,15 @@
   6: bool Released
 }
 
+// What was replayed of one writer, or of one source of usage batches: all up to
+// Sequence, and those beyond it that Ahead marks. Bit 0 stands for Sequence + 2,
+// since Sequence + 1 is missing.
 struct writer_state {
   1: i64 Incarnation
   2: i64 Sequence
   3: i64 LastOffset
+  4: i64 WallMicros            // wall clock in its last record, claims only
+  5: i64 Ahead
 }
 
 struct closed_window {
@@ -386,6 +411,7 @@
   8: list<closed_window> Windows
   9: list<order_state> Orders
   10: i64 LastClosedWindow
+  11: i64 LastSnapshot         // offset of the newest snapshot record
 }
 
 struct claim_state {
@@ -394,9 +420,14 @@
   3: run_outcome Outcome
   4: bool Settled
   5: optional recorded_answer Answer
+  6: i64 RetainMicros          // forgotten once the horizon is later
+  7: bool Held                 // false: free, only Released is remembered
+  8: list<attempt_id> Released // attempts that can't win any more
 }
 
 struct claims_state {
   1: list<claim_state> Claims
   2: list<writer_state> Writers
+  3: i64 TimeMicros            // wall clock that two writers vouched for
+  4: i64 HorizonMicros         // keys from before it are expired
 }
