--- a/monsoonreel/membership.cc
+++ b/monsoonreel/membership.cc
@@ -249,6 +249,14 @@
   return aliveIf(Role, nullptr);
 }
 
+std::vector<wire::member> membership::livePeers() const {
+  std::vector<wire::member> Peers;
+  for (const auto &[Name, Known] : Members)
+    if (Known.Member.State != wire::member_state::Dead)
+      Peers.push_back(Known.Member);
+  return Peers;
+}
+
 const wire::member *membership::find(const node_name &Name) const {
   if (Name.Value == Self.Name)
     return &Self;
--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -104,6 +104,8 @@
                                   const zone_name &Zone) const;
   // The same over all zones.
   std::vector<wire::member> alive(wire::member_role::type Role) const;
+  // All other members that are not dead.
+  std::vector<wire::member> livePeers() const;
   // A member in any state, this node included; nullptr when unknown.
   const wire::member *find(const node_name &Name) const;
   // Whether the process of this incarnation may still run: it is known and was
--- a/monsoonreel/state_sync.h
+++ b/monsoonreel/state_sync.h
@@ -4,9 +4,9 @@
 //   state_sync Sync(Self, std::string(operator_stream));
 //   // A follower read records from the log and applied them:
 //   Sync.onLogRecords(Records, Peers, Event.Random, Effects);
-//   // A message of a peer:
+//   // A message of a peer; Peers are Members.livePeers():
 //   stream_delivery Delivery;
-//   if (Sync.onMessage(Received, Now, Delivery, Effects))
+//   if (Sync.onMessage(Received, Now, Peers, Random, Delivery, Effects))
 //     apply(Delivery);
 //   // Pulls from the peer that has the highest offset:
 //   Sync.onTick(Now, Members.highestLedgerOffset(), Effects);
@@ -41,11 +41,13 @@
 // Bytes of records and snapshot that are kept.
 constexpr size_t max_sync_bytes = size_t{16} << 20;
 // Bytes of records in one push; the rest is pulled with the next one.
-constexpr size_t max_push_bytes = size_t{1} << 20;
+constexpr size_t max_push_bytes = size_t{512} << 10;
 // Largest push that goes out unasked; of more, only the offset is told.
 constexpr size_t max_eager_bytes = size_t{2} << 10;
 // Peers that a new record is pushed to at once.
 constexpr size_t eager_fanout = 3;
+// More records than this in an answer are a catch-up, and not passed on.
+constexpr size_t max_passed_on_records = 16;
 // Without an answer for so long, another peer is asked.
 constexpr duration pull_timeout = std::chrono::milliseconds(500);
 constexpr size_t max_snapshot_bytes = size_t{3} << 20;
@@ -84,6 +86,10 @@
   void onTick(steady_time Now, const std::vector<ledger_peer> &Ahead,
               effect_list &Effects);
 
+  // The replay could not use a delivery: forgets everything that is kept and
+  // pulls again from after Applied.
+  void restart(log_offset Applied);
+
   // The highest offset that this node has.
   log_offset highest() const { return Highest; }
   // Bytes kept.
@@ -95,20 +101,20 @@
     steady_time SentAt;
   };
 
-  void answerPull(const peer_message_received &Received,
-                  const wire::state_pull &Pull, effect_list &Effects) const;
-  void takePush(const peer_message_received &Received,
-                const wire::state_push &Push, steady_time Now,
-                stream_delivery &Delivery, effect_list &Effects);
-  bool takeSnapshot(const wire::stored_record &Stored,
-                    stream_delivery &Delivery, effect_list &Effects);
-  bool takeRecord(const wire::stored_record &Stored, effect_list &Effects);
+  void answerPull(const ledger_peer &To, const wire::state_pull &Asked,
+                  effect_list &Effects) const;
+  void takePush(const wire::state_push &Push, stream_delivery &Delivery,
+                effect_list &Effects);
+  void takeSnapshot(const wire::stored_record &Stored,
+                    stream_delivery &Delivery);
+  void keepRecord(const wire::stored_record &Stored);
+  void storeSnapshot(wire::stored_record Stored);
   void pull(const node_name &From, const address &FromAddress, steady_time Now,
             effect_list &Effects);
   void pushEagerly(log_offset After, const std::vector<wire::member> &Peers,
                    const node_name &Except, uint64_t Random,
                    effect_list &Effects) const;
-  void dropCovered();
+  void dropOld();
 
   node_identity Self;
   std::string Stream;
--- /dev/null
+++ b/monsoonreel/testing/membership_test.cc
@@ -0,0 +1,254 @@
+#include "monsoonreel/membership.h"
+
+#include <gtest/gtest.h>
+
+#include "monsoonreel/mechanism.h"
+#include "monsoonreel/rendezvous.h"
+#include "monsoonreel/testing/member_network.h"
+
+namespace monsoonreel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class membership_test : public ::testing::Test {
+protected:
+  // Zones east and west with Count nodes each, that know each other.
+  void startZones(int Count) {
+    for (int Index = 0; Index < Count; ++Index) {
+      Network.add("e" + std::to_string(Index), "east");
+      Network.add("w" + std::to_string(Index), "west");
+    }
+    Network.run(seconds(15));
+  }
+  // Whether Viewer ever held Name dead during Time.
+  bool diesDuring(duration Time, const std::string &Viewer,
+                  const std::string &Name) {
+    for (duration Passed{}; Passed < Time; Passed += milliseconds(100)) {
+      Network.run(milliseconds(100));
+      if (Network.stateOf(Viewer, Name) == wire::member_state::Dead)
+        return true;
+    }
+    return false;
+  }
+  // Cuts all links between the zones.
+  void cutZones(int Count) {
+    for (int East = 0; East < Count; ++East)
+      for (int West = 0; West < Count; ++West)
+        Network.cut("e" + std::to_string(East), "w" + std::to_string(West));
+  }
+
+  member_network Network;
+};
+
+TEST_F(membership_test, Nodes_OneSeedKnown_AllKnowAll) {
+  startZones(5);
+  for (int Index = 0; Index < 5; ++Index) {
+    membership &Node = Network.node("w" + std::to_string(Index));
+    EXPECT_EQ(Node.alive(wire::member_role::Entry).size(), 10U);
+    EXPECT_EQ(Node.alive(wire::member_role::Entry, zone_name("west")).size(),
+              5U);
+  }
+}
+
+TEST_F(membership_test, StoppedNode_AfterSuspicion_IsDeadEverywhere) {
+  startZones(4);
+  Network.stop("e2");
+  Network.run(seconds(15));
+  for (const char *Viewer : {"e0", "e1", "e3", "w0", "w1", "w2", "w3"})
+    EXPECT_EQ(Network.stateOf(Viewer, "e2"), wire::member_state::Dead);
+}
+
+TEST_F(membership_test, RestartedNode_HigherIncarnation_IsAliveAgain) {
+  startZones(4);
+  Network.stop("e2");
+  Network.run(seconds(15));
+  Network.add("e2", "east");
+  Network.run(seconds(10));
+  for (const char *Viewer : {"e0", "e1", "e3", "w0"})
+    EXPECT_EQ(Network.stateOf(Viewer, "e2"), wire::member_state::Alive);
+}
+
+// A short pause must not cost a node its place.
+TEST_F(membership_test, PausedNode_BackBeforeSuspicionEnds_NeverDies) {
+  startZones(4);
+  Network.stop("e2");
+  Network.run(seconds(3));
+  EXPECT_EQ(Network.stateOf("e0", "e2"), wire::member_state::Suspect);
+  Network.resume("e2");
+  EXPECT_FALSE(diesDuring(seconds(15), "e0", "e2"));
+  EXPECT_EQ(Network.stateOf("e0", "e2"), wire::member_state::Alive);
+  EXPECT_GT(Network.seenBy("e0", "e2")->Refutation, 0);
+}
+
+TEST_F(membership_test, PausedNode_WithoutSuspicion_IsHeldDead) {
+  startZones(4);
+  disabled_mechanism Disabled(mechanism::SuspicionBeforeDeath);
+  Network.stop("e2");
+  EXPECT_TRUE(diesDuring(seconds(3), "e0", "e2"));
+}
+
+// A node that was paused itself must not suspect all others for its silence.
+TEST_F(membership_test, PausedNode_AfterThaw_SuspectsNobody) {
+  startZones(4);
+  Network.stop("e2");
+  Network.run(seconds(60));
+  Network.resume("e2");
+  Network.run(member_network::step);
+  for (const char *Name : {"e0", "e1", "e3", "w0", "w1"})
+    EXPECT_EQ(Network.stateOf("e2", Name), wire::member_state::Alive);
+}
+
+TEST_F(membership_test, LostLinkBetweenTwo_OthersReachBoth_NobodyIsSuspected) {
+  startZones(4);
+  Network.cut("e0", "e1");
+  EXPECT_FALSE(diesDuring(seconds(60), "e0", "e1"));
+  EXPECT_EQ(Network.seenBy("e0", "e1")->Refutation, 0);
+}
+
+TEST_F(membership_test, LostLinkBetweenTwo_WithoutIndirectProbe_IsSuspected) {
+  startZones(4);
+  disabled_mechanism Disabled(mechanism::IndirectProbe);
+  Network.cut("e0", "e1");
+  Network.run(seconds(60));
+  EXPECT_GT(Network.seenBy("e2", "e1")->Refutation +
+                Network.seenBy("e2", "e0")->Refutation,
+            0);
+}
+
+TEST_F(membership_test, SilentLink_ProbeUnanswered_IsReset) {
+  startZones(4);
+  Network.silence("e0", "e1");
+  // The answers of e3 to e2 are lost, which only e3 can mend.
+  Network.silence("e3", "e2");
+  Network.run(seconds(10));
+  EXPECT_FALSE(Network.isSilent("e0", "e1"));
+  EXPECT_FALSE(Network.isSilent("e3", "e2"));
+}
+
+TEST_F(membership_test, SilentLink_WithoutReset_StaysSilent) {
+  startZones(4);
+  disabled_mechanism Disabled(mechanism::SilentLinkReset);
+  Network.silence("e0", "e1");
+  Network.run(seconds(10));
+  EXPECT_TRUE(Network.isSilent("e0", "e1"));
+}
+
+TEST_F(membership_test, ZonesCutOff_GoOnAlone_AndMergeWhenHealed) {
+  startZones(4);
+  cutZones(4);
+  Network.run(seconds(60));
+  EXPECT_EQ(Network.node("e0").alive(wire::member_role::Entry).size(), 4U);
+  EXPECT_EQ(Network.node("w0").alive(wire::member_role::Entry).size(), 4U);
+  Network.healAll();
+  Network.run(seconds(30));
+  EXPECT_EQ(Network.node("e0").alive(wire::member_role::Entry).size(), 8U);
+  EXPECT_EQ(Network.node("w3").alive(wire::member_role::Entry).size(), 8U);
+}
+
+TEST_F(membership_test, ZonesCutOff_WithoutReconnectProbe_StayApart) {
+  startZones(4);
+  disabled_mechanism Disabled(mechanism::ReconnectProbe);
+  cutZones(4);
+  Network.run(seconds(60));
+  Network.healAll();
+  Network.run(seconds(30));
+  EXPECT_EQ(Network.node("e0").alive(wire::member_role::Entry).size(), 4U);
+}
+
+TEST_F(membership_test, LeavingNode_Announced_GetsNoNewWork) {
+  startZones(4);
+  Network.node("e2").announceLeaving();
+  Network.run(seconds(4));
+  EXPECT_EQ(Network.node("e0")
+                .alive(wire::member_role::Entry, zone_name("east"))
+                .size(),
+            3U);
+  EXPECT_TRUE(Network.node("e0").mayRun(
+      incarnation(Network.seenBy("e0", "e2")->Incarnation)));
+}
+
+TEST_F(membership_test, VmList_MarksAndOmits_DeclaresNobodyDead) {
+  startZones(2);
+  membership &Node = Network.node("e0");
+  vm_list_read List;
+  List.Vms = {{node_name("vm-1"), zone_name("east"), address("e1"), true},
+              {node_name("vm-9"), zone_name("east"), address("e9"), false}};
+  Node.onVmList(List, Network.now());
+  EXPECT_EQ(Node.alive(wire::member_role::Entry, zone_name("east")).size(), 1U);
+  // Nobody else in the west is in the list, and nothing follows from that.
+  EXPECT_EQ(Node.alive(wire::member_role::Entry, zone_name("west")).size(), 2U);
+  // A node that no seed names is found by the list.
+  Network.add("e9", "east");
+  Network.run(seconds(30));
+  EXPECT_EQ(Network.stateOf("e0", "e9"), wire::member_state::Alive);
+  // The list is old by now.
+  Network.run(seconds(60));
+  EXPECT_EQ(Node.alive(wire::member_role::Entry, zone_name("east")).size(), 3U);
+}
+
+TEST_F(membership_test, HostileGossip_ManyMembers_StaysBounded) {
+  startZones(2);
+  wire::heartbeat Beat;
+  Beat.Sender = Network.node("e1").self();
+  for (size_t Index = 0; Index < 2 * max_members; ++Index) {
+    wire::member Member = Beat.Sender;
+    Member.Name = "x" + std::to_string(Index);
+    Beat.Gossip.push_back(Member);
+  }
+  Beat.Gossip.front().Name = std::string(size_t{1} << 16, 'x');
+  effect_list Effects;
+  Network.node("e0").onMessage({node_name("e1"), address("e1:7100"), Beat},
+                               Network.now(), Effects);
+  EXPECT_LE(Network.node("e0").liveCount(), max_members + 1);
+}
+
+TEST_F(membership_test, LedgerOffset_OfAPeer_IsHeardFirstFromTheOwnZone) {
+  startZones(3);
+  Network.setOffset("e1", 7);
+  Network.setOffset("w1", 7);
+  Network.run(seconds(40));
+  std::vector<ledger_peer> Ahead = Network.node("e0").highestLedgerOffset();
+  ASSERT_EQ(Ahead.size(), 2U);
+  EXPECT_EQ(Ahead[0].Name, node_name("e1"));
+  EXPECT_EQ(Ahead[0].Offset, log_offset(7));
+}
+
+TEST_F(membership_test, PoolLoad_OfAnOwner_ReachesTheZoneAndGrowsOld) {
+  startZones(6);
+  wire::pool_load Load;
+  Load.Pool = "chat";
+  Load.FreeSlots = 5;
+  Network.node("e3").setOwnLoads({Load}, Network.now());
+  Network.run(seconds(6));
+  for (const char *Viewer : {"e0", "e1", "e5"}) {
+    auto Heard = Network.node(Viewer).heardLoads(Network.now());
+    ASSERT_EQ(Heard.size(), 1U) << Viewer;
+    EXPECT_EQ(Heard[0].Owner, "e3");
+    EXPECT_GE(fromMicros(Heard[0].AgeMicros), seconds(5));
+  }
+  // The owner says no more; what the others pass on has an age.
+  Network.run(pool_load_retention);
+  EXPECT_TRUE(Network.node("e0").heardLoads(Network.now()).empty());
+}
+
+TEST_F(membership_test, RendezvousOrder_MemberLost_OnlyItsKeysMove) {
+  startZones(5);
+  auto All = Network.node("e0").alive(wire::member_role::Entry);
+  std::vector<wire::member> Fewer(All.begin() + 1, All.end());
+  int Moved = 0;
+  for (int Index = 0; Index < 200; ++Index) {
+    std::string Key = "pool-" + std::to_string(Index);
+    auto Before = rendezvousOrder(Key, All);
+    auto After = rendezvousOrder(Key, Fewer);
+    bool Lost = Before[0].Name == All[0].Name;
+    EXPECT_EQ(After[0].Name, Before[Lost ? 1 : 0].Name);
+    Moved += Lost ? 1 : 0;
+  }
+  EXPECT_GT(Moved, 5);
+  EXPECT_LT(Moved, 50);
+}
+
+} // namespace
+} // namespace monsoonreel
