--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -166,6 +166,7 @@
 struct usage_held {
   1: i64 Incarnation
   2: i64 Sequence
+  3: i64 Holder                // incarnation of the process that holds it
 }
 
 struct usage_release {
@@ -183,7 +184,7 @@
   5: string Organisation
   6: i64 TimeLeftMicros        // until the target would be missed
   7: i32 PromptTokens
-  8: i32 ExpectedOutputTokens
+  8: i32 ExpectedOutputTokens  // upper bound; 0 when unknown
   9: i64 PrefixHash
   10: bool Idempotent
   11: list<string> Excluded    // upstreams that already failed this request
@@ -197,6 +198,13 @@
   3: i64 Slot                  // unique for the owner's incarnation
   4: i32 Priority              // for the engine's own scheduler
   5: i64 OwnerIncarnation
+  6: bool FreshConnection      // a probe: dispatch on a new connection
+}
+
+// The ask waits. Tells the asker that its owner is alive; a repeated ask is
+// answered again.
+struct slot_queued {
+  1: i64 Ask
 }
 
 enum refusal_reason { QueueFull = 1, TargetUnreachable = 2, NoUpstream = 3, OrganisationLimit = 4, NotOwner = 5, ShuttingDown = 6, DeadlinePassed = 7 }
@@ -221,6 +229,7 @@
 // The asker no longer waits.
 struct slot_cancel {
   1: i64 Ask
+  2: i64 Incarnation           // of the asking entry
 }
 
 // The owner takes a running slot back for a higher tier.
