--- a/monsoonreel/cell_queue.cc
+++ b/monsoonreel/cell_queue.cc
@@ -41,7 +41,7 @@
                                         const wire::slot_ask &Ask,
                                         steady_time Now) const {
   waiting_request Request;
-  Request.Key = {Ask.Incarnation, Ask.Ask};
+  Request.Key = {From.Name, Ask.Incarnation, Ask.Ask};
   Request.From = From;
   Request.Class = class_name(Ask.ServiceClass);
   Request.Organisation = organisation_name(Ask.Organisation);
--- a/monsoonreel/pool_map.cc
+++ b/monsoonreel/pool_map.cc
@@ -1,11 +1,9 @@
 #include "monsoonreel/pool_map.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <utility>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
+#include "monsoonreel/rendezvous.h"
 
 namespace monsoonreel {
 
@@ -43,11 +41,6 @@
   }
 }
 
-uint64_t weightOf(const cell_name &Cell, const node_name &Node) {
-  uint64_t Seed = XXH3_64bits(Cell.Value.data(), Cell.Value.size());
-  return XXH3_64bits_withSeed(Node.Value.data(), Node.Value.size(), Seed);
-}
-
 } // namespace
 
 int cell::concurrency() const {
@@ -99,15 +92,13 @@
 
 std::vector<node_name> ownersInOrder(const cell_name &Cell,
                                      const std::vector<node_name> &Names) {
-  std::vector<std::pair<uint64_t, node_name>> Weighted;
-  Weighted.reserve(Names.size());
-  for (const node_name &Name : Names)
-    Weighted.emplace_back(weightOf(Cell, Name), Name);
-  std::sort(Weighted.rbegin(), Weighted.rend());
+  std::vector<wire::member> Members(Names.size());
+  for (size_t I = 0; I < Names.size(); ++I)
+    Members[I].Name = Names[I].Value;
   std::vector<node_name> Ordered;
-  Ordered.reserve(Names.size());
-  for (auto &[Weight, Name] : Weighted)
-    Ordered.push_back(std::move(Name));
+  for (const wire::member &Member :
+       rendezvousOrder(Cell.Value, std::move(Members)))
+    Ordered.emplace_back(Member.Name);
   return Ordered;
 }
 
--- a/monsoonreel/request_queue.h
+++ b/monsoonreel/request_queue.h
@@ -24,13 +24,14 @@
 
 // Names an ask among all askers.
 struct ask_key {
-  int64_t AskerIncarnation = 0;
+  node_name Asker;
+  int64_t Incarnation = 0;
   int64_t Ask = 0;
 
   auto operator<=>(const ask_key &) const = default;
   bool operator==(const ask_key &) const = default;
   template <typename H> friend H AbslHashValue(H State, const ask_key &K) {
-    return H::combine(std::move(State), K.AskerIncarnation, K.Ask);
+    return H::combine(std::move(State), K.Asker, K.Incarnation, K.Ask);
   }
 };
 
--- a/monsoonreel/slot_client.cc
+++ b/monsoonreel/slot_client.cc
@@ -74,8 +74,14 @@
   for (const wire::pool_load &Load : Heard) {
     cell_name Name(Load.Pool);
     // Only cells of the configuration, which bounds the table.
-    if (Map.find(Name))
-      Loads[Name] = {fromMicros(Load.QueueWaitMicros), Load.FreeSlots, Now};
+    if (!Map.find(Name))
+      continue;
+    cell_load &Known = Loads[Name];
+    Known.SeenAt = Now;
+    if (Known.Heard == Load)
+      continue; // told again; the own asks since then still count
+    Known.Heard = Load;
+    Known.FreeSlots = Load.FreeSlots;
   }
 }
 
@@ -110,7 +116,7 @@
     return duration{};
   if (Load->second.FreeSlots > 0)
     return -fromMicros(Load->second.FreeSlots);
-  return Load->second.QueueWait;
+  return fromMicros(Load->second.Heard.QueueWaitMicros);
 }
 
 bool slot_client::hasKnownRoom(const cell &Cell, steady_time Now) const {
@@ -309,7 +315,7 @@
   if (const auto *Ask = std::get_if<wire::slot_ask>(&Message))
     Owner.onAsk(From, *Ask, Step.Now, Replies, Step.Effects);
   else if (const auto *Cancel = std::get_if<wire::slot_cancel>(&Message))
-    Owner.onCancel(*Cancel, Step.Now, Replies, Step.Effects);
+    Owner.onCancel(From, *Cancel, Step.Now, Replies, Step.Effects);
   else if (const auto *Release = std::get_if<wire::slot_release>(&Message))
     Owner.onRelease(*Release, Step.Now, Replies, Step.Effects);
   else if (const auto *Renew = std::get_if<wire::slot_renew>(&Message))
--- a/monsoonreel/slot_client.h
+++ b/monsoonreel/slot_client.h
@@ -125,8 +125,8 @@
     slot_peer Owner;
   };
   struct cell_load {
-    duration QueueWait{};
-    int FreeSlots = 0;
+    wire::pool_load Heard;
+    int FreeSlots = 0; // as heard, less the own asks since then
     steady_time SeenAt;
   };
   // The surroundings of one call.
--- a/monsoonreel/slot_owner.cc
+++ b/monsoonreel/slot_owner.cc
@@ -92,11 +92,12 @@
   Queue->ask(From, Ask, Step);
 }
 
-void slot_owner::onCancel(const wire::slot_cancel &Cancel, steady_time Now,
+void slot_owner::onCancel(const slot_peer &From,
+                          const wire::slot_cancel &Cancel, steady_time Now,
                           slot_reply_list &Replies, effect_list &Effects) {
   cell_step Step = step(Now, Replies, Effects);
   for (auto &[CellName, Owned] : Queues)
-    Owned.Queue.cancel({Cancel.Incarnation, Cancel.Ask}, Step);
+    Owned.Queue.cancel({From.Name, Cancel.Incarnation, Cancel.Ask}, Step);
 }
 
 void slot_owner::onRelease(const wire::slot_release &Release, steady_time Now,
--- a/monsoonreel/slot_owner.h
+++ b/monsoonreel/slot_owner.h
@@ -59,8 +59,9 @@
 
   void onAsk(const slot_peer &From, const wire::slot_ask &Ask, steady_time Now,
              slot_reply_list &Replies, effect_list &Effects);
-  void onCancel(const wire::slot_cancel &Cancel, steady_time Now,
-                slot_reply_list &Replies, effect_list &Effects);
+  void onCancel(const slot_peer &From, const wire::slot_cancel &Cancel,
+                steady_time Now, slot_reply_list &Replies,
+                effect_list &Effects);
   void onRelease(const wire::slot_release &Release, steady_time Now,
                  slot_reply_list &Replies, effect_list &Effects);
   void onRenew(const wire::slot_renew &Renew, steady_time Now);
--- a/monsoonreel/upstream_health.cc
+++ b/monsoonreel/upstream_health.cc
@@ -70,7 +70,7 @@
 
 void upstream_health::onProbeGranted(steady_time Now) {
   Probing = true;
-  ProbeEnd = Now + probe_timeout;
+  ProbeEnd = Now + upstream_probe_timeout;
 }
 
 admission_state upstream_health::admits(steady_time Now) const {
--- a/monsoonreel/upstream_health.h
+++ b/monsoonreel/upstream_health.h
@@ -26,7 +26,7 @@
 constexpr duration first_pause = std::chrono::seconds(1);
 constexpr duration longest_pause = std::chrono::seconds(60);
 // A probe that has no result for so long has failed.
-constexpr duration probe_timeout = std::chrono::seconds(10);
+constexpr duration upstream_probe_timeout = std::chrono::seconds(10);
 
 enum class admission_state { Open, ProbeOnly, Closed, Leaving };
 
