--- a/standins/service_server.cc
+++ b/standins/service_server.cc
@@ -3,9 +3,16 @@
 #include <algorithm>
 
 #include "standins/answer_text.h"
+#include "standins/steady_clock.h"
 
 namespace monsoonreel::standin {
 
+namespace {
+
+constexpr std::chrono::milliseconds end_check_period{5};
+
+} // namespace
+
 service_server::service_server(service_costs Costs)
     : Costs(Costs), Http(
                         [this](const http_request &Request,
@@ -17,6 +24,9 @@
     if (Fault.Kind == fault_kind::Crash)
       Waiting.clear();
   });
+  QObject::connect(&EndTimer, &QTimer::timeout, [this] { endDue(); });
+  EndTimer.setTimerType(Qt::PreciseTimer);
+  EndTimer.start(end_check_period);
 }
 
 bool service_server::listen(const std::string &Ip, quint16 Port,
@@ -27,7 +37,7 @@
 void service_server::handle(const http_request &Request,
                             std::shared_ptr<http_reply> Reply) {
   if (Request.Path == "/load") {
-    Reply->sendJson(200, {{"running", Running},
+    Reply->sendJson(200, {{"running", int(Running.size())},
                           {"waiting", int(Waiting.size())},
                           {"cache_use", 0.0},
                           {"age_ms", 0},
@@ -59,26 +69,30 @@
 void service_server::startWaiting() {
   // A request whose caller left before it began does not run.
   std::erase_if(Waiting, [](const auto &Job) { return Job->Gone; });
-  while (Running < Costs.Workers && !Waiting.empty()) {
-    auto Job = std::move(Waiting.front());
+  while (static_cast<int>(Running.size()) < Costs.Workers && !Waiting.empty()) {
+    execute(Waiting.front());
     Waiting.pop_front();
-    execute(Job);
   }
 }
 
 void service_server::execute(const std::shared_ptr<job> &Job) {
-  ++Running;
   ++Executions[Job->Receipt];
   if (!Job->IdempotencyKey.empty())
     ++ExecutionsByKey[Job->IdempotencyKey];
-  auto Time = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Costs.ServiceTime * Http.faults().slowFactor());
+  auto Time = std::chrono::duration_cast<duration>(Costs.ServiceTime *
+                                                   Http.faults().slowFactor());
   Busy += Time;
-  QTimer::singleShot(Time, [this, Job] {
-    --Running;
+  Running.emplace(steadyNow() + Time, Job);
+}
+
+void service_server::endDue() {
+  steady_time Now = steadyNow();
+  while (!Running.empty() && Running.begin()->first <= Now) {
+    auto Job = Running.begin()->second;
+    Running.erase(Running.begin());
     Job->Reply->send(200, "application/json", Job->Answer);
-    startWaiting();
-  });
+  }
+  startWaiting();
 }
 
 QJsonObject service_server::records() const {
--- a/standins/service_server.h
+++ b/standins/service_server.h
@@ -41,17 +41,19 @@
 
   void handle(const http_request &Request, std::shared_ptr<http_reply> Reply);
   void startWaiting();
+  void endDue();
   void execute(const std::shared_ptr<job> &Job);
   QJsonObject records() const;
 
   service_costs Costs;
-  int Running = 0;
+  std::multimap<steady_time, std::shared_ptr<job>> Running; // by their end
   std::deque<std::shared_ptr<job>> Waiting;
   std::map<std::string, int> Executions;      // by receipt
   std::map<std::string, int> ExecutionsByKey; // by idempotency key
   int64_t Refused = 0;
   int64_t CallerKeysSeen = 0;
   duration Busy{};
+  QTimer EndTimer;
   http_standin Http;
 };
 
