--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -56,7 +56,8 @@
     Finished = 3,
     OutcomeUnknown = 4,
     Unavailable = 5,
-    Mismatch = 6
+    Mismatch = 6,
+    Expired = 7
   };
 };
 
@@ -176,6 +177,8 @@
 
 class slot_grant;
 
+class slot_queued;
+
 class slot_refuse;
 
 class slot_release;
@@ -226,7 +229,7 @@
 
 class ledger_state;
 
-class claim_state;
+class kept_claim;
 
 class claims_state;
 
@@ -326,11 +329,12 @@
 std::ostream& operator<<(std::ostream& out, const member& obj);
 
 typedef struct _pool_load__isset {
-  _pool_load__isset() : Pool(false), Owner(false), QueueWaitMicros(false), FreeSlots(false) {}
+  _pool_load__isset() : Pool(false), Owner(false), QueueWaitMicros(false), FreeSlots(false), AgeMicros(false) {}
   bool Pool :1;
   bool Owner :1;
   bool QueueWaitMicros :1;
   bool FreeSlots :1;
+  bool AgeMicros :1;
 } _pool_load__isset;
 
 class pool_load : public virtual ::apache::thrift::TBase {
@@ -344,7 +348,8 @@
             : Pool(),
               Owner(),
               QueueWaitMicros(0),
-              FreeSlots(0) {
+              FreeSlots(0),
+              AgeMicros(0) {
   }
 
   virtual ~pool_load() noexcept;
@@ -352,6 +357,7 @@
   std::string Owner;
   int64_t QueueWaitMicros;
   int32_t FreeSlots;
+  int64_t AgeMicros;
 
   _pool_load__isset __isset;
 
@@ -363,6 +369,8 @@
 
   void __set_FreeSlots(const int32_t val);
 
+  void __set_AgeMicros(const int64_t val);
+
   bool operator == (const pool_load & rhs) const
   {
     if (!(Pool == rhs.Pool))
@@ -373,6 +381,8 @@
       return false;
     if (!(FreeSlots == rhs.FreeSlots))
       return false;
+    if (!(AgeMicros == rhs.AgeMicros))
+      return false;
     return true;
   }
   bool operator != (const pool_load &rhs) const {
@@ -1484,9 +1494,10 @@
 std::ostream& operator<<(std::ostream& out, const usage_hold& obj);
 
 typedef struct _usage_held__isset {
-  _usage_held__isset() : Incarnation(false), Sequence(false) {}
+  _usage_held__isset() : Incarnation(false), Sequence(false), Holder(false) {}
   bool Incarnation :1;
   bool Sequence :1;
+  bool Holder :1;
 } _usage_held__isset;
 
 class usage_held : public virtual ::apache::thrift::TBase {
@@ -1498,12 +1509,14 @@
   usage_held& operator=(usage_held&&) noexcept;
   usage_held() noexcept
              : Incarnation(0),
-               Sequence(0) {
+               Sequence(0),
+               Holder(0) {
   }
 
   virtual ~usage_held() noexcept;
   int64_t Incarnation;
   int64_t Sequence;
+  int64_t Holder;
 
   _usage_held__isset __isset;
 
@@ -1511,12 +1524,16 @@
 
   void __set_Sequence(const int64_t val);
 
+  void __set_Holder(const int64_t val);
+
   bool operator == (const usage_held & rhs) const
   {
     if (!(Incarnation == rhs.Incarnation))
       return false;
     if (!(Sequence == rhs.Sequence))
       return false;
+    if (!(Holder == rhs.Holder))
+      return false;
     return true;
   }
   bool operator != (const usage_held &rhs) const {
@@ -1716,12 +1733,13 @@
 std::ostream& operator<<(std::ostream& out, const slot_ask& obj);
 
 typedef struct _slot_grant__isset {
-  _slot_grant__isset() : Ask(false), Upstream(false), Slot(false), Priority(false), OwnerIncarnation(false) {}
+  _slot_grant__isset() : Ask(false), Upstream(false), Slot(false), Priority(false), OwnerIncarnation(false), FreshConnection(false) {}
   bool Ask :1;
   bool Upstream :1;
   bool Slot :1;
   bool Priority :1;
   bool OwnerIncarnation :1;
+  bool FreshConnection :1;
 } _slot_grant__isset;
 
 class slot_grant : public virtual ::apache::thrift::TBase {
@@ -1736,7 +1754,8 @@
                Upstream(),
                Slot(0),
                Priority(0),
-               OwnerIncarnation(0) {
+               OwnerIncarnation(0),
+               FreshConnection(0) {
   }
 
   virtual ~slot_grant() noexcept;
@@ -1745,6 +1764,7 @@
   int64_t Slot;
   int32_t Priority;
   int64_t OwnerIncarnation;
+  bool FreshConnection;
 
   _slot_grant__isset __isset;
 
@@ -1758,6 +1778,8 @@
 
   void __set_OwnerIncarnation(const int64_t val);
 
+  void __set_FreshConnection(const bool val);
+
   bool operator == (const slot_grant & rhs) const
   {
     if (!(Ask == rhs.Ask))
@@ -1770,6 +1792,8 @@
       return false;
     if (!(OwnerIncarnation == rhs.OwnerIncarnation))
       return false;
+    if (!(FreshConnection == rhs.FreshConnection))
+      return false;
     return true;
   }
   bool operator != (const slot_grant &rhs) const {
@@ -1788,6 +1812,51 @@
 
 std::ostream& operator<<(std::ostream& out, const slot_grant& obj);
 
+typedef struct _slot_queued__isset {
+  _slot_queued__isset() : Ask(false) {}
+  bool Ask :1;
+} _slot_queued__isset;
+
+class slot_queued : public virtual ::apache::thrift::TBase {
+ public:
+
+  slot_queued(const slot_queued&) noexcept;
+  slot_queued(slot_queued&&) noexcept;
+  slot_queued& operator=(const slot_queued&) noexcept;
+  slot_queued& operator=(slot_queued&&) noexcept;
+  slot_queued() noexcept
+              : Ask(0) {
+  }
+
+  virtual ~slot_queued() noexcept;
+  int64_t Ask;
+
+  _slot_queued__isset __isset;
+
+  void __set_Ask(const int64_t val);
+
+  bool operator == (const slot_queued & rhs) const
+  {
+    if (!(Ask == rhs.Ask))
+      return false;
+    return true;
+  }
+  bool operator != (const slot_queued &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const slot_queued & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(slot_queued &a, slot_queued &b);
+
+std::ostream& operator<<(std::ostream& out, const slot_queued& obj);
+
 typedef struct _slot_refuse__isset {
   _slot_refuse__isset() : Ask(false), Reason(false), RetryAfterMicros(false) {}
   bool Ask :1;
@@ -1936,8 +2005,9 @@
 std::ostream& operator<<(std::ostream& out, const slot_release& obj);
 
 typedef struct _slot_cancel__isset {
-  _slot_cancel__isset() : Ask(false) {}
+  _slot_cancel__isset() : Ask(false), Incarnation(false) {}
   bool Ask :1;
+  bool Incarnation :1;
 } _slot_cancel__isset;
 
 class slot_cancel : public virtual ::apache::thrift::TBase {
@@ -1948,20 +2018,26 @@
   slot_cancel& operator=(const slot_cancel&) noexcept;
   slot_cancel& operator=(slot_cancel&&) noexcept;
   slot_cancel() noexcept
-              : Ask(0) {
+              : Ask(0),
+                Incarnation(0) {
   }
 
   virtual ~slot_cancel() noexcept;
   int64_t Ask;
+  int64_t Incarnation;
 
   _slot_cancel__isset __isset;
 
   void __set_Ask(const int64_t val);
 
+  void __set_Incarnation(const int64_t val);
+
   bool operator == (const slot_cancel & rhs) const
   {
     if (!(Ask == rhs.Ask))
       return false;
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
     return true;
   }
   bool operator != (const slot_cancel &rhs) const {
@@ -3462,92 +3538,110 @@
 
 std::ostream& operator<<(std::ostream& out, const ledger_state& obj);
 
-typedef struct _claim_state__isset {
-  _claim_state__isset() : Entry(false), Offset(false), Outcome(false), Settled(false), Answer(false), RetainMicros(false), Held(false), Released(false) {}
-  bool Entry :1;
-  bool Offset :1;
-  bool Outcome :1;
-  bool Settled :1;
-  bool Answer :1;
+typedef struct _kept_claim__isset {
+  _kept_claim__isset() : KeyHash(false), Organisation(false), Holder(false), BodyHash(false), RetainMicros(false), TimedKey(false), Held(false), Outcome(false), Released(false), Answer(false) {}
+  bool KeyHash :1;
+  bool Organisation :1;
+  bool Holder :1;
+  bool BodyHash :1;
   bool RetainMicros :1;
+  bool TimedKey :1;
   bool Held :1;
+  bool Outcome :1;
   bool Released :1;
-} _claim_state__isset;
+  bool Answer :1;
+} _kept_claim__isset;
 
-class claim_state : public virtual ::apache::thrift::TBase {
+class kept_claim : public virtual ::apache::thrift::TBase {
  public:
 
-  claim_state(const claim_state&);
-  claim_state(claim_state&&) noexcept;
-  claim_state& operator=(const claim_state&);
-  claim_state& operator=(claim_state&&) noexcept;
-  claim_state() noexcept
-              : Offset(0),
-                Outcome(static_cast<run_outcome::type>(0)),
-                Settled(0),
-                RetainMicros(0),
-                Held(0) {
-  }
-
-  virtual ~claim_state() noexcept;
-  claim_entry Entry;
-  int64_t Offset;
+  kept_claim(const kept_claim&);
+  kept_claim(kept_claim&&) noexcept;
+  kept_claim& operator=(const kept_claim&);
+  kept_claim& operator=(kept_claim&&) noexcept;
+  kept_claim() noexcept
+             : KeyHash(),
+               Organisation(0),
+               BodyHash(0),
+               RetainMicros(0),
+               TimedKey(0),
+               Held(0),
+               Outcome(static_cast<run_outcome::type>(0)) {
+  }
+
+  virtual ~kept_claim() noexcept;
+  std::string KeyHash;
+  int32_t Organisation;
+  attempt_id Holder;
+  int64_t BodyHash;
+  int64_t RetainMicros;
+  bool TimedKey;
+  bool Held;
   /**
    * 
    * @see run_outcome
    */
   run_outcome::type Outcome;
-  bool Settled;
-  recorded_answer Answer;
-  int64_t RetainMicros;
-  bool Held;
   std::vector<attempt_id>  Released;
+  recorded_answer Answer;
 
-  _claim_state__isset __isset;
+  _kept_claim__isset __isset;
 
-  void __set_Entry(const claim_entry& val);
+  void __set_KeyHash(const std::string& val);
 
-  void __set_Offset(const int64_t val);
+  void __set_Organisation(const int32_t val);
 
-  void __set_Outcome(const run_outcome::type val);
+  void __set_Holder(const attempt_id& val);
 
-  void __set_Settled(const bool val);
-
-  void __set_Answer(const recorded_answer& val);
+  void __set_BodyHash(const int64_t val);
 
   void __set_RetainMicros(const int64_t val);
 
+  void __set_TimedKey(const bool val);
+
   void __set_Held(const bool val);
 
+  void __set_Outcome(const run_outcome::type val);
+
   void __set_Released(const std::vector<attempt_id> & val);
 
-  bool operator == (const claim_state & rhs) const
+  void __set_Answer(const recorded_answer& val);
+
+  bool operator == (const kept_claim & rhs) const
   {
-    if (!(Entry == rhs.Entry))
-      return false;
-    if (!(Offset == rhs.Offset))
-      return false;
-    if (!(Outcome == rhs.Outcome))
+    if (!(KeyHash == rhs.KeyHash))
       return false;
-    if (!(Settled == rhs.Settled))
+    if (!(Organisation == rhs.Organisation))
       return false;
-    if (__isset.Answer != rhs.__isset.Answer)
+    if (!(Holder == rhs.Holder))
       return false;
-    else if (__isset.Answer && !(Answer == rhs.Answer))
+    if (!(BodyHash == rhs.BodyHash))
       return false;
     if (!(RetainMicros == rhs.RetainMicros))
       return false;
+    if (!(TimedKey == rhs.TimedKey))
+      return false;
     if (!(Held == rhs.Held))
       return false;
-    if (!(Released == rhs.Released))
+    if (__isset.Outcome != rhs.__isset.Outcome)
+      return false;
+    else if (__isset.Outcome && !(Outcome == rhs.Outcome))
+      return false;
+    if (__isset.Released != rhs.__isset.Released)
+      return false;
+    else if (__isset.Released && !(Released == rhs.Released))
+      return false;
+    if (__isset.Answer != rhs.__isset.Answer)
+      return false;
+    else if (__isset.Answer && !(Answer == rhs.Answer))
       return false;
     return true;
   }
-  bool operator != (const claim_state &rhs) const {
+  bool operator != (const kept_claim &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const claim_state & ) const;
+  bool operator < (const kept_claim & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -3555,16 +3649,18 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(claim_state &a, claim_state &b);
+void swap(kept_claim &a, kept_claim &b);
 
-std::ostream& operator<<(std::ostream& out, const claim_state& obj);
+std::ostream& operator<<(std::ostream& out, const kept_claim& obj);
 
 typedef struct _claims_state__isset {
-  _claims_state__isset() : Claims(false), Writers(false), TimeMicros(false), HorizonMicros(false) {}
+  _claims_state__isset() : Claims(false), Writers(false), TimeMicros(false), KeyHorizonMicros(false), OpaqueHorizonMicros(false), Organisations(false) {}
   bool Claims :1;
   bool Writers :1;
   bool TimeMicros :1;
-  bool HorizonMicros :1;
+  bool KeyHorizonMicros :1;
+  bool OpaqueHorizonMicros :1;
+  bool Organisations :1;
 } _claims_state__isset;
 
 class claims_state : public virtual ::apache::thrift::TBase {
@@ -3576,24 +3672,31 @@
   claims_state& operator=(claims_state&&) noexcept;
   claims_state() noexcept
                : TimeMicros(0),
-                 HorizonMicros(0) {
+                 KeyHorizonMicros(0),
+                 OpaqueHorizonMicros(0) {
   }
 
   virtual ~claims_state() noexcept;
-  std::vector<claim_state>  Claims;
+  std::vector<kept_claim>  Claims;
   std::vector<writer_state>  Writers;
   int64_t TimeMicros;
-  int64_t HorizonMicros;
+  int64_t KeyHorizonMicros;
+  int64_t OpaqueHorizonMicros;
+  std::vector<std::string>  Organisations;
 
   _claims_state__isset __isset;
 
-  void __set_Claims(const std::vector<claim_state> & val);
+  void __set_Claims(const std::vector<kept_claim> & val);
 
   void __set_Writers(const std::vector<writer_state> & val);
 
   void __set_TimeMicros(const int64_t val);
 
-  void __set_HorizonMicros(const int64_t val);
+  void __set_KeyHorizonMicros(const int64_t val);
+
+  void __set_OpaqueHorizonMicros(const int64_t val);
+
+  void __set_Organisations(const std::vector<std::string> & val);
 
   bool operator == (const claims_state & rhs) const
   {
@@ -3603,7 +3706,11 @@
       return false;
     if (!(TimeMicros == rhs.TimeMicros))
       return false;
-    if (!(HorizonMicros == rhs.HorizonMicros))
+    if (!(KeyHorizonMicros == rhs.KeyHorizonMicros))
+      return false;
+    if (!(OpaqueHorizonMicros == rhs.OpaqueHorizonMicros))
+      return false;
+    if (!(Organisations == rhs.Organisations))
       return false;
     return true;
   }
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -32,6 +32,7 @@
   2: string Owner
   3: i64 QueueWaitMicros
   4: i32 FreeSlots
+  5: i64 AgeMicros             // since its owner told it
 }
 
 struct heartbeat {
@@ -94,7 +95,7 @@
   2: i64 Sequence
 }
 
-enum claim_verdict { Won = 1, InProgress = 2, Finished = 3, OutcomeUnknown = 4, Unavailable = 5, Mismatch = 6 }
+enum claim_verdict { Won = 1, InProgress = 2, Finished = 3, OutcomeUnknown = 4, Unavailable = 5, Mismatch = 6, Expired = 7 }
 enum run_outcome { NotRun = 1, Run = 2, Unknown = 3 }
 
 struct claim_ask {
@@ -165,6 +166,7 @@
 struct usage_held {
   1: i64 Incarnation
   2: i64 Sequence
+  3: i64 Holder                // incarnation of the process that holds it
 }
 
 struct usage_release {
@@ -182,7 +184,7 @@
   5: string Organisation
   6: i64 TimeLeftMicros        // until the target would be missed
   7: i32 PromptTokens
-  8: i32 ExpectedOutputTokens
+  8: i32 ExpectedOutputTokens  // upper bound; 0 when unknown
   9: i64 PrefixHash
   10: bool Idempotent
   11: list<string> Excluded    // upstreams that already failed this request
@@ -196,6 +198,13 @@
   3: i64 Slot                  // unique for the owner's incarnation
   4: i32 Priority              // for the engine's own scheduler
   5: i64 OwnerIncarnation
+  6: bool FreshConnection      // a probe: dispatch on a new connection
+}
+
+// The ask waits. Tells the asker that its owner is alive; a repeated ask is
+// answered again.
+struct slot_queued {
+  1: i64 Ask
 }
 
 enum refusal_reason { QueueFull = 1, TargetUnreachable = 2, NoUpstream = 3, OrganisationLimit = 4, NotOwner = 5, ShuttingDown = 6, DeadlinePassed = 7 }
@@ -220,6 +229,7 @@
 // The asker no longer waits.
 struct slot_cancel {
   1: i64 Ask
+  2: i64 Incarnation           // of the asking entry
 }
 
 // The owner takes a running slot back for a higher tier.
@@ -404,20 +414,25 @@
   11: i64 LastSnapshot         // offset of the newest snapshot record
 }
 
-struct claim_state {
-  1: claim_entry Entry
-  2: i64 Offset
-  3: run_outcome Outcome
-  4: bool Settled
-  5: optional recorded_answer Answer
-  6: i64 RetainMicros          // forgotten once the horizon is later
+// A claim as a snapshot keeps it; small, because one record holds all.
+struct kept_claim {
+  1: binary KeyHash
+  2: i32 Organisation          // place in claims_state.Organisations
+  3: attempt_id Holder
+  4: i64 BodyHash
+  5: i64 RetainMicros          // forgotten once its horizon is later
+  6: bool TimedKey             // the key is a UUIDv7
   7: bool Held                 // false: free, only Released is remembered
-  8: list<attempt_id> Released // attempts that can't win any more
+  8: optional run_outcome Outcome // set once it is settled
+  9: optional list<attempt_id> Released // attempts that can't win any more
+  10: optional recorded_answer Answer
 }
 
 struct claims_state {
-  1: list<claim_state> Claims
+  1: list<kept_claim> Claims
   2: list<writer_state> Writers
   3: i64 TimeMicros            // wall clock that two writers vouched for
-  4: i64 HorizonMicros         // keys from before it are expired
+  4: i64 KeyHorizonMicros      // UUIDv7 keys from before it are expired
+  5: i64 OpaqueHorizonMicros   // claims of other keys from before are forgotten
+  6: list<string> Organisations
 }
