Entry node, request state machine and the fault matrix' site

Cause: the modules need the path that joins them, and a place where every fault strikes every step. Change: requests go claim, slot, attempt, answer in one table; the matrix runs the real reducers over small fakes in virtual time.

--- /dev/null
+++ b/fault_matrix/fake_platform.h
@@ -0,0 +1,54 @@
+// The platform as nodes see it: a log, usage reports and upstream orders.
+//
+// It believes every caller and checks no fencing number, which is the harder
+// case. What it receives is judged by `findings`.
+
+#ifndef MONSOONREEL_FAULT_MATRIX_FAKE_PLATFORM_H
+#define MONSOONREEL_FAULT_MATRIX_FAKE_PLATFORM_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "monsoonreel/effect.h"
+#include "monsoonreel/event.h"
+#include "monsoonreel/types.h"
+
+namespace monsoonreel::fault_matrix {
+
+class fake_platform {
+public:
+  // Records per read.
+  static constexpr size_t max_records_per_read = 200;
+  // A reader that is at the end is answered after this time.
+  static constexpr duration long_poll = std::chrono::milliseconds(500);
+
+  log_offset append(const std::string &Stream, const wire::log_record &Record);
+  log_records_read read(const read_log &Call) const;
+  bool hasNews(const read_log &Call) const;
+
+  void report(const send_usage_report &Report);
+  void order(const wire::order_intent &Intent);
+
+  const std::map<int64_t, std::vector<wire::usage_increment>> &reports() const {
+    return Reports;
+  }
+  size_t orderCount() const { return OrderIds.size(); }
+  log_offset end(const std::string &Stream) const;
+  // Each of the brief's promises on reports and orders that was broken.
+  const std::vector<std::string> &findings() const { return Findings; }
+
+private:
+  std::map<std::string, std::vector<wire::stored_record>> Streams;
+  std::map<int64_t, std::vector<wire::usage_increment>> Reports;
+  int64_t HighestReportFence = 0;
+  std::map<std::string, int64_t> HighestOrderFence; // by zone
+  std::set<std::string> OrderIds;
+  std::vector<std::string> Findings;
+};
+
+} // namespace monsoonreel::fault_matrix
+
+#endif // MONSOONREEL_FAULT_MATRIX_FAKE_PLATFORM_H
--- /dev/null
+++ b/fault_matrix/main.cc
@@ -0,0 +1,75 @@
+// fault-matrix: every fault at every step, or long runs with random faults.
+//
+//   fault-matrix                          all single faults
+//   fault-matrix --pairs=5000             random pairs, drawn from --seed
+//   fault-matrix --random=1000 --minutes=10
+//   fault-matrix --step=append/usage_close --fault=answer-lost
+//
+// Exit status 1 when a cell failed.
+
+#include <iostream>
+#include <thread>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include "fault_matrix/matrix.h"
+
+ABSL_FLAG(int, pairs, 0, "Number of pairs of faults to run");
+ABSL_FLAG(int, random, 0, "Number of seeds to run with random faults");
+ABSL_FLAG(int, minutes, 10, "Virtual minutes of each random run");
+ABSL_FLAG(int, fault_seconds, 20, "Mean seconds between two random faults");
+ABSL_FLAG(uint64_t, seed, 1, "First seed");
+ABSL_FLAG(int, threads, 0, "Threads; 0 for one for each core");
+ABSL_FLAG(std::string, step, "", "Run only this step");
+ABSL_FLAG(std::string, fault, "", "Run only this fault");
+
+namespace {
+
+using namespace monsoonreel;
+using namespace monsoonreel::fault_matrix;
+
+int threadCount() {
+  int Wanted = absl::GetFlag(FLAGS_threads);
+  return Wanted > 0 ? Wanted
+                    : static_cast<int>(std::thread::hardware_concurrency());
+}
+
+std::vector<matrix_cell> selectedCells() {
+  std::vector<matrix_cell> Cells;
+  std::string Step = absl::GetFlag(FLAGS_step);
+  std::string Fault = absl::GetFlag(FLAGS_fault);
+  for (matrix_cell &Cell : singleCells()) {
+    const planned_fault &Planned = Cell.Faults[0];
+    if (!Step.empty() && Planned.Step != Step)
+      continue;
+    if (!Fault.empty() && toText(Planned.Fault) != Fault)
+      continue;
+    Cell.Seed = absl::GetFlag(FLAGS_seed);
+    Cells.push_back(std::move(Cell));
+  }
+  return Cells;
+}
+
+matrix_report runSelected() {
+  int Threads = threadCount();
+  uint64_t Seed = absl::GetFlag(FLAGS_seed);
+  if (int Count = absl::GetFlag(FLAGS_random))
+    return runRandom(
+        Seed, Count, std::chrono::minutes(absl::GetFlag(FLAGS_minutes)),
+        std::chrono::seconds(absl::GetFlag(FLAGS_fault_seconds)), Threads);
+  if (int Count = absl::GetFlag(FLAGS_pairs))
+    return runMatrix(pairCells(static_cast<size_t>(Count), Seed), Threads);
+  return runMatrix(selectedCells(), Threads);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  absl::SetProgramUsageMessage("Runs the fault matrix.");
+  absl::ParseCommandLine(Argc, Argv);
+  matrix_report Report = runSelected();
+  std::cout << Report.toString();
+  return Report.Failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/fault_matrix/world.cc
@@ -0,0 +1,188 @@
+#include "fault_matrix/world.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "monsoonreel/entry_node.h"
+#include "monsoonreel/steward_node.h"
+
+namespace monsoonreel::fault_matrix {
+
+namespace {
+
+constexpr duration tick_interval = std::chrono::milliseconds(50);
+constexpr int64_t wall_epoch_micros = 1'800'000'000'000'000;
+
+std::string processName(bool IsEntry, int Zone, int Number) {
+  return (IsEntry ? "entry-" : "steward-") + std::to_string(Zone) + "-" +
+         std::to_string(Number);
+}
+
+// One machine for each entry and its steward.
+address processAddress(bool IsEntry, int Zone, int Number) {
+  return address("10." + std::to_string(Zone) + ".0." +
+                 std::to_string(Number + 1) + (IsEntry ? ":7100" : ":7101"));
+}
+
+} // namespace
+
+world::world(world_options Options) : Options(Options), Random(Options.Seed) {
+  for (int Zone = 0; Zone < Options.Zones; ++Zone) {
+    for (int Number = 0; Number < Options.NodesPerZone; ++Number) {
+      addProcess(true, Zone, Number);
+      addProcess(false, Zone, Number);
+    }
+    for (const char *Kind : {"engine", "cheap", "service"}) {
+      std::string Name = std::string(Kind) + "-" + std::to_string(Zone);
+      Upstreams[Name].Cheap = std::string(Kind) == "cheap";
+      ZoneOfUpstream[Name] = Zone;
+    }
+  }
+}
+
+world::~world() = default;
+
+void world::addProcess(bool IsEntry, int Zone, int Number) {
+  process Process;
+  Process.IsEntry = IsEntry;
+  Process.Zone = Zone;
+  Process.Identity.Name = node_name(processName(IsEntry, Zone, Number));
+  Process.Identity.Zone = zone_name("zone-" + std::to_string(Zone));
+  Process.Identity.Address = processAddress(IsEntry, Zone, Number);
+  Process.SteadyOffset = std::chrono::hours(1) + jitter(std::chrono::hours(9));
+  Process.WallOffset = jitter(std::chrono::milliseconds(200));
+  Processes[Process.Identity.Name.Value] = std::move(Process);
+}
+
+void world::run() {
+  for (auto &[Name, Process] : Processes)
+    start(Process);
+  scheduleTraffic();
+  if (Options.RandomFaultPeriod > duration::zero())
+    Time.after(start_time, [this] { strikeRandomly(); });
+  Time.runUntil(start_time + Options.Length);
+  healEverything();
+  Time.runUntil(start_time + Options.Length + settling_time);
+  judge();
+}
+
+// ---------------------------------------------------------------- processes
+
+void world::start(process &Process) {
+  ++Process.Life;
+  Process.Up = true;
+  Process.FrozenUntil = duration::zero();
+  Process.Backlog.clear();
+  Process.CallerOf.clear();
+  Process.Attempts.clear();
+  Process.ConfigOffset = 0;
+  Process.Identity.Incarnation.Value = wall_epoch_micros +
+                                       toMicros(Time.now()) +
+                                       static_cast<int64_t>(draw() % 1000);
+  std::vector<address> Seeds;
+  for (int Zone = 0; Zone < Options.Zones; ++Zone) {
+    Seeds.push_back(processAddress(true, Zone, 0));
+    Seeds.push_back(processAddress(false, Zone, 1));
+  }
+  if (Process.IsEntry)
+    Process.Node =
+        entry_node::builder().identity(Process.Identity).seeds(Seeds).build();
+  else
+    Process.Node = steward_node_builder(Process.Identity).seeds(Seeds).build();
+  scheduleTick(Process, Process.Life);
+}
+
+void world::kill(process &Process) {
+  if (!Process.Up)
+    return;
+  Disturbed = true;
+  UsageMayBeLost = true;
+  Process.Up = false;
+  ++Process.Life;
+  for (const auto &[Request, Number] : Process.CallerOf)
+    Callers.at(Number).EntryDied = true;
+  Time.after(restart_time, [this, &Process] {
+    if (!Process.Up)
+      start(Process);
+  });
+}
+
+void world::freeze(process &Process) {
+  Disturbed = true;
+  Process.FrozenUntil = Time.now() + freeze_time;
+}
+
+void world::scheduleTick(process &Process, int Life) {
+  Time.after(tick_interval, [this, &Process, Life] {
+    if (Process.Life != Life)
+      return;
+    deliver(Process, tick{});
+    scheduleTick(Process, Life);
+  });
+}
+
+// A frozen process gets everything at once when it thaws, as sockets do; of
+// its ticks only the last counts.
+void world::deliver(process &Process, event_body Body) {
+  if (!Process.Up)
+    return;
+  if (Time.now() < Process.FrozenUntil) {
+    if (!std::holds_alternative<tick>(Body))
+      Process.Backlog.push_back(std::move(Body));
+    return;
+  }
+  while (!Process.Backlog.empty() && Process.Up) {
+    event_body Next = std::move(Process.Backlog.front());
+    Process.Backlog.pop_front();
+    handle(Process, std::move(Next));
+  }
+  if (Process.Up)
+    handle(Process, std::move(Body));
+}
+
+void world::handle(process &Process, event_body Body) {
+  event Event;
+  Event.Now = steady_time(Time.now() + Process.SteadyOffset);
+  Event.Wall =
+      wall_time(duration(wall_epoch_micros) + Time.now() + Process.WallOffset);
+  Event.Random = draw();
+  Event.Body = std::move(Body);
+  effect_list Effects;
+  Process.Node->handle(Event, Effects);
+  int Life = Process.Life;
+  for (const effect &Effect : Effects) {
+    // The process may die, or freeze, between two of its effects.
+    if (Process.Life != Life)
+      return;
+    carryOut(Process, Effect);
+  }
+}
+
+void world::carryOut(process &Process, const effect &Effect) {
+  std::visit([&](const auto &E) { carryOut(Process, E); }, Effect);
+}
+
+world::process *world::findByAddress(const address &Address) {
+  for (auto &[Name, Process] : Processes)
+    if (Process.Identity.Address == Address)
+      return &Process;
+  return nullptr;
+}
+
+std::map<std::string, int> world::outcomes() const {
+  std::map<std::string, int> Counts;
+  for (const caller_request &Request : Callers.all()) {
+    std::string Name = "entry-died";
+    if (Request.Finished)
+      Name = "answered";
+    else if (Request.Refusal)
+      Name = "refused/" + Request.Refusal->Code;
+    else if (Request.Aborted)
+      Name = "aborted";
+    ++Counts[Name];
+  }
+  return Counts;
+}
+
+} // namespace monsoonreel::fault_matrix
--- /dev/null
+++ b/fault_matrix/world.h
@@ -0,0 +1,227 @@
+// A small site in virtual time: the real reducers of entries and stewards over
+// fakes of everything outside.
+//
+//   world World(world_options{.Seed = 7});
+//   World.plan({"append/usage_close", fault::AnswerLost, 1});
+//   World.run();
+//   for (const std::string &Finding : World.findings())
+//     std::cout << Finding << "\n";
+//
+// Each process has clocks of its own, so that a comparison of two machines'
+// clocks shows. Faults strike the n-th transmission of a step after the site
+// has settled; a random run draws them from the seed instead.
+
+#ifndef MONSOONREEL_FAULT_MATRIX_WORLD_H
+#define MONSOONREEL_FAULT_MATRIX_WORLD_H
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fault_matrix/caller_record.h"
+#include "fault_matrix/fake_platform.h"
+#include "fault_matrix/fake_upstreams.h"
+#include "fault_matrix/steps.h"
+#include "fault_matrix/virtual_time.h"
+#include "monsoonreel/node.h"
+
+namespace monsoonreel::fault_matrix {
+
+struct world_options {
+  uint64_t Seed = 1;
+  int Zones = 2;
+  int NodesPerZone = 2; // of each role
+  // Traffic and planned faults last so long; then everything heals, and the
+  // site has `settling_time` to come to rest.
+  duration Length = std::chrono::seconds(50);
+  // Mean time between two random faults; zero: only planned ones.
+  duration RandomFaultPeriod{};
+};
+
+// Strikes the Occurrence-th transmission of Step, counted from 1 once the site
+// has settled.
+struct planned_fault {
+  step_name Step;
+  fault Fault = fault::Lost;
+  int Occurrence = 1;
+};
+
+constexpr duration start_time = std::chrono::seconds(6);
+constexpr duration settling_time = std::chrono::seconds(75);
+// Longer than a lease, its margin and the time a successor waits.
+constexpr duration freeze_time = std::chrono::seconds(25);
+constexpr duration cut_time = std::chrono::seconds(20);
+constexpr duration restart_time = std::chrono::seconds(5);
+constexpr duration long_delay = std::chrono::milliseconds(1500);
+// An accepted configuration is in force everywhere within this time.
+constexpr duration in_force_bound = std::chrono::seconds(9);
+
+class world {
+public:
+  explicit world(world_options Options);
+  ~world();
+
+  void plan(planned_fault Fault) { Plan.push_back(std::move(Fault)); }
+  void run();
+
+  // What was broken; empty after a run without a fault in the system.
+  const std::vector<std::string> &findings() const { return Findings; }
+  // Steps that occurred after the site had settled, with their counts.
+  const std::map<step_name, int> &occurred() const { return Occurred; }
+  // Planned faults that struck.
+  int struck() const { return Struck; }
+  // Requests by how they ended, for the report of a run.
+  std::map<std::string, int> outcomes() const;
+
+private:
+  struct process {
+    node_identity Identity;
+    bool IsEntry = false;
+    int Zone = 0;
+    std::unique_ptr<node> Node;
+    bool Up = false;
+    int Life = 0; // grows with every start, so that old timers stop
+    duration FrozenUntil{};
+    std::deque<event_body> Backlog; // while it is frozen
+    duration SteadyOffset{};
+    duration WallOffset{};
+    int64_t ConfigOffset = 0;
+    std::map<request_id, size_t> CallerOf;
+    // Attempts with a live connection, and their upstreams.
+    std::map<attempt_number, std::string> Attempts;
+    int64_t LastRequest = 0;
+  };
+  // One transmission, as faults see it.
+  struct transmission {
+    step_name Step;
+    process *Sender = nullptr;
+    process *Receiver = nullptr;
+    duration Delay{};
+  };
+  struct fault_effect {
+    bool Lost = false;
+    bool Doubled = false;
+    bool AnswerLost = false;
+    duration ExtraDelay{};
+  };
+
+  // world.cc: processes and effects
+  void addProcess(bool IsEntry, int Zone, int Number);
+  void start(process &Process);
+  void kill(process &Process);
+  void freeze(process &Process);
+  void scheduleTick(process &Process, int Life);
+  void deliver(process &Process, event_body Body);
+  void handle(process &Process, event_body Body);
+  void carryOut(process &Process, const effect &Effect);
+  process *findByAddress(const address &Address);
+
+  // world_effects.cc: one function for each kind of effect
+  void carryOut(process &Process, const send_message &Effect);
+  void carryOut(process &Process, const append_record &Effect);
+  void carryOut(process &Process, const read_log &Effect);
+  void carryOut(process &Process, const send_usage_report &Effect);
+  void carryOut(process &Process, const send_order &Effect);
+  void carryOut(process &Process, const dispatch_attempt &Effect);
+  void carryOut(process &Process, const cancel_attempt &Effect);
+  void carryOut(process &Process, const poll_load &Effect);
+  void carryOut(process &Process, const read_vm_list &Effect);
+  void carryOut(process &Process, const begin_answer &Effect);
+  void carryOut(process &Process, const write_answer &Effect);
+  void carryOut(process &Process, const finish_answer &Effect);
+  void carryOut(process &Process, const abort_answer &Effect);
+  void carryOut(process &Process, const refuse_request &Effect);
+  void carryOut(process &Process, const report_breach &Effect);
+  void carryOut(process &Process, const drain_finished &Effect);
+  template <typename Other> void carryOut(process &, const Other &) {}
+  void answerRead(process &Process, const read_log &Effect, int Life);
+  void runAttempt(process &Process, const dispatch_attempt &Effect, int Life);
+  void sendChunk(process &Process, const dispatch_attempt &Effect, int Life,
+                 int Generation, int Index);
+  void toAttempt(process &Process, int Life, attempt_number Attempt,
+                 const step_name &Step, event_body Body);
+  void checkKey(process &Process, request_id Request);
+  address upstreamAddress(const std::string &Name) const;
+  caller_request *callerOf(process &Process, request_id Request);
+
+  // world_faults.cc
+  fault_effect strike(const transmission &Transmission);
+  void apply(fault Fault, const transmission &Transmission,
+             fault_effect &Effect);
+  // Runs Deliver as the faults of the transmission will have it. Returns what
+  // struck, for callers that send an answer.
+  fault_effect transmit(const transmission &Transmission,
+                        const virtual_time::action &Deliver);
+  bool isCutFromPlatform(const process &Process) const;
+  bool areCut(const process &A, const process &B) const;
+  void cutZone(int Zone, bool Peers, bool Platform);
+  void strikeRandomly();
+  void crashUpstream();
+  void silenceUpstreams();
+  void reclaimZone(int Zone);
+  void healEverything();
+
+  // world_traffic.cc
+  void scheduleTraffic();
+  void scheduleOperators();
+  void sendRequests();
+  void sendRequest(caller_request Request);
+  caller_request makeRequest();
+  process *pickEntry();
+  log_offset operate(wire::log_record Record);
+  void raceOperators();
+  void editConfiguration(const std::string &Author);
+  void giveKey(const std::string &Id, const std::string &Organisation);
+  void withdrawKey(const std::string &Id);
+  void checkInForce(log_offset Offset);
+  std::string document() const;
+
+  // world_judge.cc
+  void judge();
+  void judgeUsage();
+  void judgeNodes();
+
+  uint64_t draw() { return Random(); }
+  duration jitter(duration Most) {
+    return duration(
+        static_cast<int64_t>(draw() % static_cast<uint64_t>(Most.count() + 1)));
+  }
+
+  world_options Options;
+  std::mt19937_64 Random;
+  virtual_time Time;
+  std::map<std::string, process> Processes;
+  fake_platform Platform;
+  std::map<std::string, fake_upstream> Upstreams;
+  std::map<std::string, int> ZoneOfUpstream;
+  execution_record Executions;
+  caller_record Callers;
+
+  std::vector<planned_fault> Plan;
+  std::map<step_name, int> Occurred;
+  int Struck = 0;
+  bool Healed = false;
+  std::set<int> PeersCut;    // zones
+  std::set<int> PlatformCut; // zones
+  duration PlatformOutUntil{};
+  duration PlatformSlowUntil{};
+  // A cut, a kill, a freeze or an outage happened: bounds on time don't hold.
+  bool Disturbed = false;
+  bool UsageMayBeLost = false;
+
+  int64_t OperatorSequence = 0;
+  int64_t ConfigBase = 0; // as the operators know it
+  int DocumentVersion = 0;
+  // Key id to the time of its withdrawal.
+  std::map<std::string, duration> Withdrawn;
+  int CallersGone = 0;
+  std::vector<std::string> Findings;
+};
+
+} // namespace monsoonreel::fault_matrix
+
+#endif // MONSOONREEL_FAULT_MATRIX_WORLD_H
--- /dev/null
+++ b/fault_matrix/world_effects.cc
@@ -0,0 +1,355 @@
+// What the fakes do about each effect of a node.
+
+#include <utility>
+
+#include "fault_matrix/world.h"
+
+namespace monsoonreel::fault_matrix {
+
+namespace {
+
+constexpr duration near_delay = std::chrono::microseconds(500);
+constexpr duration far_delay = std::chrono::microseconds(1500);
+constexpr duration platform_delay = std::chrono::milliseconds(3);
+constexpr duration slow_platform_delay = std::chrono::milliseconds(1200);
+constexpr duration delay_jitter = std::chrono::milliseconds(1);
+constexpr duration token_interval = std::chrono::milliseconds(60);
+constexpr duration first_token_delay = std::chrono::milliseconds(150);
+// After this time without an answer a call to the platform has failed.
+constexpr duration platform_timeout = std::chrono::seconds(2);
+constexpr duration read_answer_timeout = std::chrono::seconds(4);
+
+} // namespace
+
+// -------------------------------------------------------------------- peers
+
+void world::carryOut(process &Process, const send_message &Effect) {
+  process *Receiver = findByAddress(Effect.ToAddress);
+  if (!Receiver)
+    return;
+  transmission Transmission{
+      stepOf(Effect.Message), &Process, Receiver,
+      (Receiver->Zone == Process.Zone ? near_delay : far_delay) +
+          jitter(delay_jitter)};
+  if (areCut(Process, *Receiver))
+    return;
+  peer_message_received Received{Process.Identity.Name,
+                                 Process.Identity.Address, Effect.Message};
+  transmit(Transmission,
+           [this, Receiver, Received] { deliver(*Receiver, Received); });
+}
+
+// ----------------------------------------------------------------- platform
+
+void world::carryOut(process &Process, const append_record &Effect) {
+  int Life = Process.Life;
+  call_id Call = Effect.Call;
+  auto Fail = [this, &Process, Life, Call] {
+    if (Process.Life == Life)
+      deliver(Process, append_failed{Call, platform_error::Unreachable});
+  };
+  if (isCutFromPlatform(Process)) {
+    Time.after(platform_timeout, Fail);
+    return;
+  }
+  bool Slow = Time.now() < PlatformSlowUntil;
+  transmission Request{stepOf("append", Effect.Record), &Process, nullptr,
+                       (Slow ? slow_platform_delay : platform_delay) +
+                           jitter(delay_jitter)};
+  step_name AnswerStep = stepOf("append-answer", Effect.Record);
+  auto Answered = std::make_shared<bool>(false);
+  fault_effect Struck = transmit(
+      Request, [this, &Process, Life, Call, Effect, AnswerStep, Answered] {
+        log_offset Offset = Platform.append(Effect.Stream, Effect.Record);
+        if (*Answered)
+          return;
+        *Answered = true;
+        transmission Answer{AnswerStep, nullptr, &Process,
+                            platform_delay + jitter(delay_jitter)};
+        transmit(Answer, [this, &Process, Life, Call, Offset] {
+          if (Process.Life == Life && !isCutFromPlatform(Process))
+            deliver(Process, append_answered{Call, Offset});
+        });
+      });
+  if (Struck.AnswerLost)
+    *Answered = true;
+  if (Struck.Lost || Struck.AnswerLost)
+    Time.after(platform_timeout, Fail);
+}
+
+void world::carryOut(process &Process, const read_log &Effect) {
+  int Life = Process.Life;
+  if (isCutFromPlatform(Process)) {
+    Time.after(platform_timeout, [this, &Process, Life, Effect] {
+      if (Process.Life == Life)
+        deliver(Process,
+                log_read_failed{Effect.Stream, platform_error::Unreachable});
+    });
+    return;
+  }
+  transmission Request{"read/call", &Process, nullptr,
+                       platform_delay + jitter(delay_jitter)};
+  transmit(Request, [this, &Process, Effect, Life] {
+    answerRead(Process, Effect, Life);
+  });
+}
+
+void world::answerRead(process &Process, const read_log &Effect, int Life) {
+  if (Process.Life != Life)
+    return;
+  duration Delay =
+      Platform.hasNews(Effect) ? platform_delay : fake_platform::long_poll;
+  if (Time.now() < PlatformSlowUntil)
+    Delay += slow_platform_delay;
+  Time.after(Delay, [this, &Process, Effect, Life] {
+    if (Process.Life != Life || isCutFromPlatform(Process))
+      return;
+    transmission Answer{"read/answer", nullptr, &Process,
+                        platform_delay + jitter(delay_jitter)};
+    log_records_read Read = Platform.read(Effect);
+    transmit(Answer, [this, &Process, Read, Life] {
+      if (Process.Life == Life)
+        deliver(Process, Read);
+    });
+  });
+}
+
+void world::carryOut(process &Process, const send_usage_report &Effect) {
+  if (isCutFromPlatform(Process))
+    return;
+  int Life = Process.Life;
+  transmission Request{"report/call", &Process, nullptr,
+                       platform_delay + jitter(delay_jitter)};
+  auto Silent = std::make_shared<bool>(false);
+  fault_effect Struck =
+      transmit(Request, [this, &Process, Effect, Life, Silent] {
+        Platform.report(Effect);
+        if (*Silent)
+          return;
+        transmission Answer{"report/answer", nullptr, &Process, platform_delay};
+        transmit(Answer, [this, &Process, Effect, Life] {
+          if (Process.Life == Life)
+            deliver(Process, usage_report_answered{Effect.Window, {}});
+        });
+      });
+  *Silent = Struck.AnswerLost;
+}
+
+void world::carryOut(process &Process, const send_order &Effect) {
+  if (isCutFromPlatform(Process))
+    return;
+  int Life = Process.Life;
+  transmission Request{"order/call", &Process, nullptr,
+                       platform_delay + jitter(delay_jitter)};
+  auto Silent = std::make_shared<bool>(false);
+  fault_effect Struck =
+      transmit(Request, [this, &Process, Effect, Life, Silent] {
+        Platform.order(Effect.Intent);
+        if (*Silent)
+          return;
+        transmission Answer{"order/answer", nullptr, &Process, platform_delay};
+        transmit(Answer, [this, &Process, Effect, Life] {
+          if (Process.Life == Life)
+            deliver(Process, order_answered{Effect.Intent.OrderId, {}});
+        });
+      });
+  *Silent = Struck.AnswerLost;
+}
+
+// ---------------------------------------------------------------- upstreams
+
+void world::carryOut(process &Process, const dispatch_attempt &Effect) {
+  Process.Attempts[Effect.Attempt] = Effect.Upstream.Value;
+  int Life = Process.Life;
+  fake_upstream &Upstream = Upstreams[Effect.Upstream.Value];
+  if (Time.now() < Upstream.RefusesUntil) {
+    toAttempt(Process, Life, Effect.Attempt, "dispatch/end",
+              attempt_failed{Effect.Attempt, attempt_failure::NeverSent,
+                             "connection refused"});
+    return;
+  }
+  transmission Request{"dispatch/request", &Process, nullptr,
+                       near_delay + jitter(delay_jitter)};
+  checkKey(Process, Effect.Request);
+  fault_effect Struck = transmit(Request, [this, &Process, Effect, Life] {
+    runAttempt(Process, Effect, Life);
+  });
+  // The connection went silent for good.
+  if (Struck.Lost || Struck.AnswerLost)
+    Process.Attempts.erase(Effect.Attempt);
+}
+
+// A key that was withdrawn is in force nowhere after the bound, unless a cut
+// kept the withdrawal from the entry.
+void world::checkKey(process &Process, request_id Request) {
+  const caller_request *Caller = callerOf(Process, Request);
+  if (!Caller || Disturbed)
+    return;
+  auto Found = Withdrawn.find(Caller->KeyId);
+  if (Found != Withdrawn.end() && Time.now() - Found->second > in_force_bound)
+    Findings.push_back("a request ran with a withdrawn key");
+}
+
+void world::runAttempt(process &Process, const dispatch_attempt &Effect,
+                       int Life) {
+  fake_upstream &Upstream = Upstreams[Effect.Upstream.Value];
+  auto Number = Process.CallerOf.find(Effect.Request);
+  if (Process.Life != Life || Number == Process.CallerOf.end())
+    return;
+  Executions.begin(Callers.at(Number->second).BodyHash, Number->second);
+  int Generation = Upstream.Generation;
+  Time.after(first_token_delay + jitter(first_token_delay),
+             [this, &Process, Effect, Life, Generation] {
+               if (Upstreams[Effect.Upstream.Value].Generation != Generation)
+                 return;
+               toAttempt(Process, Life, Effect.Attempt, "dispatch/headers",
+                         attempt_headers{Effect.Attempt, 200, "text/plain",
+                                         false, duration::zero()});
+               sendChunk(Process, Effect, Life, Generation,
+                         Effect.ResumeAfterTokens);
+             });
+}
+
+void world::sendChunk(process &Process, const dispatch_attempt &Effect,
+                      int Life, int Generation, int Index) {
+  auto Number = Process.CallerOf.find(Effect.Request);
+  if (Process.Life != Life || Number == Process.CallerOf.end() ||
+      !Process.Attempts.contains(Effect.Attempt) ||
+      Upstreams[Effect.Upstream.Value].Generation != Generation)
+    return;
+  const caller_request &Request = Callers.at(Number->second);
+  if (Index >= Request.Tokens) {
+    toAttempt(Process, Life, Effect.Attempt, "dispatch/end",
+              attempt_finished{Effect.Attempt});
+    return;
+  }
+  toAttempt(
+      Process, Life, Effect.Attempt, "dispatch/chunk",
+      attempt_chunk{Effect.Attempt, tokenText(Request.BodyHash, Index), 1});
+  Time.after(token_interval, [this, &Process, Effect, Life, Generation, Index] {
+    sendChunk(Process, Effect, Life, Generation, Index + 1);
+  });
+}
+
+// An answer comes on one connection, in order: a lost part means that nothing
+// comes after it, and no part comes twice.
+void world::toAttempt(process &Process, int Life, attempt_number Attempt,
+                      const step_name &Step, event_body Body) {
+  if (!Process.Attempts.contains(Attempt))
+    return;
+  transmission Answer{Step, nullptr, &Process, near_delay};
+  fault_effect Struck = strike(Answer);
+  if (Struck.Lost || Struck.AnswerLost) {
+    // The connection went silent for good.
+    Process.Attempts.erase(Attempt);
+    return;
+  }
+  Time.after(near_delay, [this, &Process, Life, Attempt, Body] {
+    // Cancelled attempts still deliver what was under way.
+    if (Process.Life == Life)
+      deliver(Process, Body);
+  });
+}
+
+void world::carryOut(process &Process, const cancel_attempt &Effect) {
+  Process.Attempts.erase(Effect.Attempt);
+}
+
+void world::carryOut(process &Process, const poll_load &Effect) {
+  const fake_upstream &Upstream = Upstreams[Effect.Upstream.Value];
+  if (Time.now() < Upstream.RefusesUntil) {
+    deliver(Process, load_report_failed{Effect.Upstream});
+    return;
+  }
+  load_report Report;
+  Report.Upstream = Effect.Upstream;
+  Report.Leaving = Upstream.Leaving;
+  int Life = Process.Life;
+  Time.after(near_delay, [this, &Process, Report, Life] {
+    if (Process.Life == Life)
+      deliver(Process, Report);
+  });
+}
+
+// The list lags by nothing here: only its marks matter to the nodes.
+void world::carryOut(process &Process, const read_vm_list &) {
+  if (isCutFromPlatform(Process))
+    return;
+  vm_list_read List;
+  for (const auto &[Name, Upstream] : Upstreams)
+    List.Vms.push_back(
+        {node_name(Name),
+         zone_name("zone-" + std::to_string(ZoneOfUpstream[Name])),
+         upstreamAddress(Name), Upstream.Leaving});
+  int Life = Process.Life;
+  Time.after(platform_delay, [this, &Process, List, Life] {
+    if (Process.Life == Life)
+      deliver(Process, List);
+  });
+}
+
+// ------------------------------------------------------------------ callers
+
+caller_request *world::callerOf(process &Process, request_id Request) {
+  auto Found = Process.CallerOf.find(Request);
+  return Found == Process.CallerOf.end() ? nullptr : &Callers.at(Found->second);
+}
+
+void world::carryOut(process &Process, const begin_answer &Effect) {
+  if (caller_request *Caller = callerOf(Process, Effect.Request)) {
+    if (Caller->Begun)
+      Findings.push_back("an answer was begun twice");
+    Caller->Begun = true;
+  }
+}
+
+void world::carryOut(process &Process, const write_answer &Effect) {
+  if (caller_request *Caller = callerOf(Process, Effect.Request))
+    Caller->Received += Effect.Data;
+}
+
+void world::carryOut(process &Process, const finish_answer &Effect) {
+  if (caller_request *Caller = callerOf(Process, Effect.Request)) {
+    Caller->Finished = true;
+    ++Caller->FinalAnswers;
+    Process.CallerOf.erase(Effect.Request);
+  }
+}
+
+void world::carryOut(process &Process, const abort_answer &Effect) {
+  if (caller_request *Caller = callerOf(Process, Effect.Request)) {
+    Caller->Aborted = true;
+    ++Caller->FinalAnswers;
+    Process.CallerOf.erase(Effect.Request);
+  }
+}
+
+void world::carryOut(process &Process, const refuse_request &Effect) {
+  if (caller_request *Caller = callerOf(Process, Effect.Request)) {
+    Caller->Refusal = Effect;
+    ++Caller->FinalAnswers;
+    Process.CallerOf.erase(Effect.Request);
+  }
+}
+
+// ------------------------------------------------------------------ process
+
+void world::carryOut(process &Process, const report_breach &Effect) {
+  Findings.push_back(Process.Identity.Name.Value + " broke " +
+                     Effect.Invariant + ": " + Effect.Detail);
+}
+
+void world::carryOut(process &Process, const drain_finished &) {
+  if (!Process.CallerOf.empty())
+    Findings.push_back(Process.Identity.Name.Value + " ended its drain with " +
+                       std::to_string(Process.CallerOf.size()) +
+                       " requests running");
+  Process.Up = false;
+  ++Process.Life;
+  Time.after(restart_time, [this, &Process] {
+    if (!Process.Up)
+      start(Process);
+  });
+}
+
+} // namespace monsoonreel::fault_matrix
--- /dev/null
+++ b/fault_matrix/world_judge.cc
@@ -0,0 +1,56 @@
+// What must hold once a run has ended and everything has healed.
+
+#include <nlohmann/json.hpp>
+
+#include "fault_matrix/world.h"
+
+namespace monsoonreel::fault_matrix {
+
+void world::judge() {
+  Callers.judge(Executions, Findings);
+  for (const std::string &Finding : Platform.findings())
+    Findings.push_back(Finding);
+  judgeNodes();
+  judgeUsage();
+}
+
+// Everybody has what was accepted, and only that.
+void world::judgeNodes() {
+  int64_t Last = Platform.end("operator").Value - 1;
+  for (auto &[Name, Process] : Processes) {
+    if (!Process.Up) {
+      Findings.push_back(Name + " is not running at the end");
+      continue;
+    }
+    auto Status = nlohmann::json::parse(Process.Node->statusJson());
+    if (Status["ledger_offset"] != Last)
+      Findings.push_back(Name + " has ledger offset " +
+                         Status["ledger_offset"].dump() + " of " +
+                         std::to_string(Last));
+    if (Status["configuration_offset"] != ConfigBase)
+      Findings.push_back(Name + " has configuration " +
+                         Status["configuration_offset"].dump() + " and not " +
+                         std::to_string(ConfigBase));
+  }
+}
+
+// Each answered request is reported once. One that ran for a caller who had
+// left may be reported too; those of a killed entry's last moment may be lost.
+void world::judgeUsage() {
+  int64_t Reported = 0;
+  for (const auto &[Window, Figures] : Platform.reports())
+    for (const wire::usage_increment &Increment : Figures)
+      Reported += Increment.Requests;
+  int64_t Answered = 0;
+  for (size_t Number = 0; Number < Callers.all().size(); ++Number)
+    if (Callers.at(Number).Finished && Executions.countOfCaller(Number) > 0)
+      ++Answered;
+  std::string Figures = std::to_string(Reported) + " requests reported, " +
+                        std::to_string(Answered) + " answered";
+  if (Reported > Answered + CallersGone)
+    Findings.push_back("usage was counted twice: " + Figures);
+  if (Reported < Answered && !UsageMayBeLost)
+    Findings.push_back("usage was lost: " + Figures);
+}
+
+} // namespace monsoonreel::fault_matrix
--- /dev/null
+++ b/fault_matrix/world_traffic.cc
@@ -0,0 +1,243 @@
+// What callers and operators do.
+
+#include <array>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "fault_matrix/world.h"
+
+namespace monsoonreel::fault_matrix {
+
+namespace {
+
+constexpr duration request_period = std::chrono::milliseconds(180);
+constexpr duration request_timeout = std::chrono::seconds(12);
+constexpr duration longest_repeat_delay = std::chrono::seconds(4);
+constexpr int64_t operator_incarnation = 42;
+constexpr size_t key_hash_bytes = 32;
+
+struct traffic_kind {
+  const char *Path;
+  const char *Class;
+  bool Idempotent;
+  bool Keyed;
+  int Tokens;
+};
+
+constexpr std::array<traffic_kind, 5> Kinds = {{
+    {"/v1/chat/completions", "draft", true, false, 30},
+    {"/v1/chat/completions", "quick", true, false, 8},
+    {"/orders", "booking", false, true, 1},
+    {"/orders", "booking", false, false, 1},
+    {"/quotes", "booking", true, false, 1},
+}};
+
+key_hash hashOf(const std::string &KeyId) {
+  std::string Hash = KeyId;
+  Hash.resize(key_hash_bytes, '.');
+  return key_hash(std::move(Hash));
+}
+
+} // namespace
+
+address world::upstreamAddress(const std::string &Name) const {
+  auto Place = Upstreams.find(Name);
+  auto Number = std::distance(Upstreams.begin(), Place);
+  return address("10.200.0." + std::to_string(Number + 1) + ":8000");
+}
+
+std::string world::document() const {
+  std::string Text = R"(
+classes:
+  - {name: draft, tier: 0, first_token: 800ms, between_tokens: 100ms, minimum_share: 0.1}
+  - {name: quick, tier: 2, first_token: 2s, between_tokens: 200ms, minimum_share: 0.1, cheap_allowed: true}
+  - {name: booking, tier: 1, first_token: 3s}
+organisations:
+  - {name: large, weight: 2}
+  - {name: small}
+routes:
+  - {path: /v1/chat/completions, class: quick, idempotent: true}
+  - {path: /orders, pool: desk, class: booking}
+  - {path: /quotes, pool: desk, class: booking, idempotent: true}
+limits: {usage_window: 10s, claim_window: 1h, max_queue_wait: )";
+  Text += std::to_string(20 + DocumentVersion) + "s}\nupstreams:\n";
+  for (const auto &[Name, Upstream] : Upstreams) {
+    bool Service = Name.starts_with("service");
+    Text += "  - {name: " + Name;
+    Text += Service ? ", kind: service, pool: desk" : ", pool: model";
+    Text += ", zone: zone-" + std::to_string(ZoneOfUpstream.at(Name));
+    Text += ", address: \"" + upstreamAddress(Name).Value + "\"";
+    Text += Upstream.Cheap ? ", cheap: true}\n" : "}\n";
+  }
+  return Text;
+}
+
+// ---------------------------------------------------------------- operators
+
+log_offset world::operate(wire::log_record Record) {
+  Record.Incarnation = operator_incarnation;
+  Record.Sequence = ++OperatorSequence;
+  log_offset Offset = Platform.append("operator", Record);
+  checkInForce(Offset);
+  return Offset;
+}
+
+void world::editConfiguration(const std::string &Author) {
+  wire::config_edit Edit;
+  Edit.Base = ConfigBase;
+  ++DocumentVersion;
+  Edit.Document = document();
+  Edit.Author = Author;
+  wire::log_record Record;
+  Record.__set_ConfigEdit(Edit);
+  ConfigBase = operate(Record).Value;
+}
+
+// Both name the same version; the log's order decides, and the other is void.
+void world::raceOperators() {
+  int64_t Base = ConfigBase;
+  editConfiguration("first");
+  int64_t Winner = ConfigBase;
+  ConfigBase = Base;
+  editConfiguration("second");
+  ConfigBase = Winner;
+}
+
+void world::giveKey(const std::string &Id, const std::string &Organisation) {
+  wire::key_give Give;
+  Give.KeyId = Id;
+  Give.Organisation = Organisation;
+  Give.KeyHash = hashOf(Id).Value;
+  wire::log_record Record;
+  Record.__set_KeyGive(Give);
+  operate(Record);
+}
+
+void world::withdrawKey(const std::string &Id) {
+  wire::key_withdraw Withdraw;
+  Withdraw.KeyId = Id;
+  wire::log_record Record;
+  Record.__set_KeyWithdraw(Withdraw);
+  operate(Record);
+  Withdrawn[Id] = Time.now();
+}
+
+void world::checkInForce(log_offset Offset) {
+  Time.after(in_force_bound, [this, Offset] {
+    if (Disturbed)
+      return;
+    for (auto &[Name, Process] : Processes) {
+      if (!Process.Up)
+        continue;
+      auto Status = nlohmann::json::parse(Process.Node->statusJson());
+      if (Status["ledger_offset"] < Offset.Value)
+        Findings.push_back(Name + " lacks offset " +
+                           std::to_string(Offset.Value) + " after 9 s");
+    }
+  });
+}
+
+void world::scheduleOperators() {
+  Time.after(std::chrono::milliseconds(500), [this] {
+    editConfiguration("first");
+    giveKey("key-large", "large");
+    giveKey("key-small", "small");
+    giveKey("key-spare", "small");
+  });
+  auto At = [this](int Seconds, virtual_time::action Action) {
+    Time.after(start_time + std::chrono::seconds(Seconds), std::move(Action));
+  };
+  At(3, [this] { editConfiguration("second"); });
+  At(8, [this] { withdrawKey("key-spare"); });
+  At(12, [this] { giveKey("key-late", "small"); });
+  At(16, [this] { reclaimZone(0); });
+  At(24, [this] { editConfiguration("third"); });
+  At(30, [this] {
+    process &Drained = Processes.at("entry-1-1");
+    deliver(Drained, drain_requested{});
+  });
+}
+
+// ------------------------------------------------------------------ callers
+
+void world::scheduleTraffic() {
+  scheduleOperators();
+  Time.after(start_time - std::chrono::seconds(1), [this] { sendRequests(); });
+}
+
+void world::sendRequests() {
+  if (Time.now() > start_time + Options.Length)
+    return;
+  sendRequest(makeRequest());
+  Time.after(request_period / 2 + jitter(request_period),
+             [this] { sendRequests(); });
+}
+
+caller_request world::makeRequest() {
+  const traffic_kind &Kind = Kinds[draw() % Kinds.size()];
+  caller_request Request;
+  Request.BodyHash = draw();
+  Request.Tokens = Kind.Tokens;
+  Request.Idempotent = Kind.Idempotent;
+  Request.Path = Kind.Path;
+  Request.Class = Kind.Class;
+  constexpr std::array<const char *, 3> Keys = {"key-large", "key-small",
+                                                "key-spare"};
+  Request.KeyId = Keys[draw() % Keys.size()];
+  if (Kind.Keyed)
+    Request.IdempotencyKey = "booking-" + std::to_string(Request.BodyHash);
+  return Request;
+}
+
+world::process *world::pickEntry() {
+  std::vector<process *> Entries;
+  for (auto &[Name, Process] : Processes)
+    if (Process.IsEntry && Process.Up && Time.now() >= Process.FrozenUntil)
+      Entries.push_back(&Process);
+  return Entries.empty() ? nullptr : Entries[draw() % Entries.size()];
+}
+
+void world::sendRequest(caller_request Request) {
+  process *Entry = pickEntry();
+  if (!Entry)
+    return;
+  Request.SentAt = Time.now();
+  Request.Received.clear();
+  size_t Number = Callers.add(Request);
+  request_arrived Arrived;
+  Arrived.Request.Value = ++Entry->LastRequest;
+  Arrived.Method = "POST";
+  Arrived.Path = Request.Path;
+  bool IsModel = Request.Path.starts_with("/v1");
+  Arrived.Model = IsModel ? "model" : "";
+  Arrived.Stream = IsModel;
+  Arrived.Key = hashOf(Request.KeyId);
+  Arrived.Class = class_name(Request.Class);
+  if (!Request.IdempotencyKey.empty())
+    Arrived.IdempotencyKey = Request.IdempotencyKey;
+  Arrived.Timeout = request_timeout;
+  Arrived.BodyHash = Request.BodyHash;
+  Arrived.PromptTokens = 100;
+  Arrived.MaxTokens = Request.Tokens;
+  Entry->CallerOf[Arrived.Request] = Number;
+  strike({"caller/request", nullptr, Entry, duration::zero()});
+  deliver(*Entry, Arrived);
+  // Some callers repeat a keyed request, at any entry.
+  if (!Request.IdempotencyKey.empty() && draw() % 2 == 0)
+    Time.after(jitter(longest_repeat_delay),
+               [this, Request] { sendRequest(Request); });
+  // And some leave.
+  if (draw() % 16 == 0) {
+    int Life = Entry->Life;
+    Time.after(jitter(std::chrono::seconds(1)), [=, this] {
+      if (Entry->Life != Life || !Entry->CallerOf.contains(Arrived.Request))
+        return;
+      ++CallersGone;
+      Callers.at(Number).EntryDied = true;
+      deliver(*Entry, caller_gone{Arrived.Request});
+    });
+  }
+}
+
+} // namespace monsoonreel::fault_matrix
--- /dev/null
+++ b/monsoonreel/entry_node.h
@@ -0,0 +1,125 @@
+// The reducer of an entry: callers' requests, the queues of the cells that it
+// owns, and its part in what the nodes do together.
+//
+//   std::unique_ptr<node> Node = entry_node::builder()
+//                                    .identity(Identity)
+//                                    .seeds(Settings.Seeds)
+//                                    .policy(Settings.Policy)
+//                                    .build();
+//   Node->handle(Event, Effects);
+//
+// It replays the operator stream from what stewards and other entries pass on,
+// and never reads the log itself.
+
+#ifndef MONSOONREEL_ENTRY_NODE_H
+#define MONSOONREEL_ENTRY_NODE_H
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "monsoonreel/claim_client.h"
+#include "monsoonreel/ledger.h"
+#include "monsoonreel/membership.h"
+#include "monsoonreel/node.h"
+#include "monsoonreel/organisation_limit.h"
+#include "monsoonreel/request_table.h"
+#include "monsoonreel/retry_budget.h"
+#include "monsoonreel/slot_client.h"
+#include "monsoonreel/state_sync.h"
+#include "monsoonreel/usage_keeper.h"
+#include "monsoonreel/usage_meter.h"
+
+namespace monsoonreel {
+
+// How often the lists of live peers are given to the modules.
+constexpr duration peer_refresh_period = std::chrono::milliseconds(200);
+// How often gauges are set.
+constexpr duration gauge_period = std::chrono::seconds(1);
+// When a caller may come back to another entry while this one ends.
+constexpr duration drain_retry_after = std::chrono::seconds(1);
+// A draining entry waits no longer than this for its usage to be logged, once
+// it has no request left and a second VM holds the usage.
+constexpr duration drain_usage_patience = std::chrono::seconds(5);
+
+class entry_node : public node {
+public:
+  class builder;
+
+  void handle(const event &Event, effect_list &Effects) override;
+  std::string statusJson() const override;
+
+private:
+  friend class builder;
+  entry_node(node_identity Identity, const std::vector<address> &Seeds,
+             const std::string &Policy);
+
+  void onEvent(const tick &Tick, const event &Event, effect_list &Effects);
+  void onEvent(const request_arrived &Arrived, const event &Event,
+               effect_list &Effects);
+  void onEvent(const caller_gone &Gone, const event &Event,
+               effect_list &Effects);
+  void onEvent(const attempt_headers &Headers, const event &Event,
+               effect_list &Effects);
+  void onEvent(const attempt_chunk &Chunk, const event &Event,
+               effect_list &Effects);
+  void onEvent(const attempt_finished &Finished, const event &Event,
+               effect_list &Effects);
+  void onEvent(const attempt_failed &Failed, const event &Event,
+               effect_list &Effects);
+  void onEvent(const load_report &Report, const event &Event,
+               effect_list &Effects);
+  void onEvent(const peer_message_received &Received, const event &Event,
+               effect_list &Effects);
+  void onEvent(const vm_list_read &List, const event &Event,
+               effect_list &Effects);
+  void onEvent(const drain_requested &Drain, const event &Event,
+               effect_list &Effects);
+  // Events that an entry does nothing about.
+  template <typename Body>
+  void onEvent(const Body &, const event &, effect_list &) {}
+
+  void apply(const stream_delivery &Delivery, const event &Event,
+             effect_list &Effects);
+  void onLedgerChange(const ledger_change &Change, const event &Event,
+                      effect_list &Effects);
+  void useConfiguration(const event &Event, effect_list &Effects);
+  void refreshPeers(const event &Event, effect_list &Effects);
+  void setGauges(const event &Event, effect_list &Effects);
+  void checkDrain(const event &Event, effect_list &Effects);
+
+  node_identity Identity;
+  membership Members;
+  ledger Ledger;
+  state_sync Sync;
+  slot_client Slots;
+  claim_client Claims;
+  usage_meter Usage;
+  usage_keeper Keeper;
+  retry_budget Retries;
+  organisation_limit Limits;
+  request_table Requests;
+  steady_time NextPeerRefresh;
+  steady_time NextGauges;
+  bool Draining = false;
+  bool DrainReported = false;
+  steady_time DrainIdleSince;
+};
+
+class entry_node::builder {
+public:
+  builder &identity(node_identity Value);
+  builder &seeds(std::vector<address> Value);
+  // tiered, least-in-flight or round-robin-fifo; default tiered.
+  builder &policy(std::string Value);
+  std::unique_ptr<node> build();
+
+private:
+  node_identity Identity;
+  std::vector<address> Seeds;
+  std::string Policy = "tiered";
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_ENTRY_NODE_H
