--- a/load/answer_reader.cc
+++ b/load/answer_reader.cc
@@ -17,7 +17,7 @@
 constexpr std::string_view head_end = "\r\n\r\n";
 constexpr std::string_view event_end = "\n\n";
 constexpr std::string_view event_prefix = "data: ";
-constexpr size_t max_head_bytes = 64 * 1024;
+constexpr size_t max_head_bytes = 65536;
 
 QJsonObject parseObject(std::string_view Json) {
   QByteArray Bytes =
--- a/load/arrival_schedule.cc
+++ b/load/arrival_schedule.cc
@@ -87,7 +87,8 @@
     boost::random::exponential_distribution<double> Gap(Highest);
     boost::random::uniform_int_distribution<uint32_t> Draw;
     double Seconds = std::chrono::duration<double>(Length).count();
-    for (double At = Gap(Random); At < Seconds; At += Gap(Random)) {
+    double At = 0;
+    while ((At += Gap(Random)) < Seconds) {
       double Keep = rateAt(Scenario, Traffic, At / Seconds) / Highest;
       if (Draw(Random) <= Keep * static_cast<double>(UINT32_MAX))
         add(Index, At, Random);
--- a/load/load_client.cc
+++ b/load/load_client.cc
@@ -1,5 +1,7 @@
 #include "load/load_client.h"
 
+#include <utility>
+
 #include <QHostAddress>
 
 #include "standins/steady_clock.h"
@@ -16,6 +18,44 @@
   return {Bytes.data(), static_cast<size_t>(Bytes.size())};
 }
 
+// One small request outside the load.
+class control_call : public QObject {
+public:
+  explicit control_call(std::function<void(std::string)> Callback)
+      : Callback(std::move(Callback)) {
+    connect(&Socket, &QTcpSocket::readyRead, this, [this] { read(); });
+    connect(&Socket, &QTcpSocket::errorOccurred, this, [this] { finish(); });
+    connect(&Timer, &QTimer::timeout, this, [this] { finish(); });
+    Timer.setSingleShot(true);
+    Timer.start(control_timeout);
+  }
+
+  void start(const entry_endpoint &To, const std::string &Wire) {
+    Socket.connectToHost(QHostAddress(QString::fromStdString(To.Ip)), To.Port);
+    Socket.write(Wire.data(), static_cast<qint64>(Wire.size()));
+  }
+
+private:
+  void read() {
+    Reader.feed(view(Socket.readAll()), steadyNow());
+    if (Reader.state() == answer_reader::progress::Complete)
+      finish();
+  }
+
+  void finish() {
+    if (std::exchange(Finished, true))
+      return;
+    Callback(Reader.body());
+    deleteLater();
+  }
+
+  std::function<void(std::string)> Callback;
+  QTcpSocket Socket;
+  QTimer Timer;
+  answer_reader Reader;
+  bool Finished = false;
+};
+
 } // namespace
 
 // One connection and the request that it carries.
@@ -82,7 +122,7 @@
     if (End != exchange_end::Answered ||
         Result.Answer.header("connection") == "close")
       Socket.abort();
-    Owner.ended(this, std::move(Result));
+    Owner.ended(this, Result);
   }
 
   load_client &Owner;
@@ -114,38 +154,21 @@
   Exchange->start(Request, Wire, Timeout);
 }
 
-void load_client::ended(exchange *Exchange, exchange_result Result) {
+void load_client::ended(exchange *Exchange, const exchange_result &Result) {
   --Running;
   Idle[Exchange->entry()].push_back(Exchange);
-  OnEnd(std::move(Result));
+  OnEnd(Result);
 }
 
 void callControl(const entry_endpoint &Endpoint, const std::string &Method,
                  const std::string &Path, const std::string &Body,
                  std::function<void(std::string)> Callback) {
-  auto *Socket = new QTcpSocket();
-  auto Reader = std::make_shared<answer_reader>();
-  auto Called = std::make_shared<bool>(false);
-  auto Finish = [Socket, Reader, Called, Callback = std::move(Callback)] {
-    if (std::exchange(*Called, true))
-      return;
-    Callback(Reader->body());
-    Socket->deleteLater();
-  };
-  QObject::connect(Socket, &QTcpSocket::readyRead, Socket,
-                   [Socket, Reader, Finish] {
-                     Reader->feed(view(Socket->readAll()), steadyNow());
-                     if (Reader->state() == answer_reader::progress::Complete)
-                       Finish();
-                   });
-  QObject::connect(Socket, &QTcpSocket::errorOccurred, Socket, Finish);
-  QTimer::singleShot(control_timeout, Socket, Finish);
-  Socket->connectToHost(QHostAddress(QString::fromStdString(Endpoint.Ip)),
-                        Endpoint.Port);
+  // Deletes itself once it has called back.
+  auto *Call = new control_call(std::move(Callback));
   std::string Wire = Method + " " + Path + " HTTP/1.1\r\nHost: " + Endpoint.Ip +
                      "\r\nContent-Length: " + std::to_string(Body.size()) +
                      "\r\n\r\n" + Body;
-  Socket->write(Wire.data(), static_cast<qint64>(Wire.size()));
+  Call->start(Endpoint, Wire);
 }
 
 } // namespace monsoonreel::load
--- a/load/load_client.h
+++ b/load/load_client.h
@@ -40,7 +40,7 @@
 
 class load_client {
 public:
-  using callback = std::function<void(exchange_result)>;
+  using callback = std::function<void(const exchange_result &)>;
 
   load_client(std::vector<entry_endpoint> Entries, callback OnEnd);
   ~load_client();
@@ -52,7 +52,7 @@
 private:
   class exchange;
 
-  void ended(exchange *Exchange, exchange_result Result);
+  void ended(exchange *Exchange, const exchange_result &Result);
 
   std::vector<entry_endpoint> Entries;
   callback OnEnd;
--- a/load/load_run.cc
+++ b/load/load_run.cc
@@ -48,7 +48,7 @@
       Plan(planArrivals(Scenario, Settings.Length, Settings.Seed)),
       Outcomes(Plan.size()),
       Client(Settings.Entries,
-             [this](exchange_result Result) { finished(std::move(Result)); }) {
+             [this](const exchange_result &Result) { finished(Result); }) {
   SendTimer.setSingleShot(true);
   SendTimer.setTimerType(Qt::PreciseTimer);
   QObject::connect(&SendTimer, &QTimer::timeout, [this] { sendDue(); });
@@ -99,7 +99,7 @@
 
 // ------------------------------------------------------------------ answers
 
-void load_run::finished(exchange_result Result) {
+void load_run::finished(const exchange_result &Result) {
   Outcomes[Result.Request] = judge(Result);
   ++Ended;
   finishIfDone();
--- a/load/load_run.h
+++ b/load/load_run.h
@@ -47,7 +47,7 @@
   void sendDue();
   void send(size_t Index);
   std::string wireFor(const planned_request &Request) const;
-  void finished(exchange_result Result);
+  void finished(const exchange_result &Result);
   request_outcome judge(const exchange_result &Result) const;
   void judgeAnswer(const exchange_result &Result,
                    request_outcome &Outcome) const;
--- a/load/report_writer.cc
+++ b/load/report_writer.cc
@@ -57,6 +57,7 @@
 constexpr double margin = 56;
 constexpr double least_ms = 1;
 constexpr double most_ms = 100000;
+constexpr int decades = 5; // between the two
 constexpr std::array<const char *, 6> colours = {
     "#1f77b4", "#d62728", "#2ca02c", "#9467bd", "#ff7f0e", "#17becf"};
 
@@ -160,7 +161,8 @@
       "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 0 %.0f %.0f\">\n"
       "<rect width=\"100%%\" height=\"100%%\" fill=\"white\"/>\n",
       width, height);
-  for (double Millis = least_ms; Millis <= most_ms; Millis *= 10) {
+  for (int Power = 0; Power <= decades; ++Power) {
+    double Millis = std::pow(10, Power);
     Text += line(xOf(Millis), yOf(0), xOf(Millis), yOf(1), Grid);
     Text += label(xOf(Millis) - 10, height - margin + 18,
                   absl::StrFormat("%.0f", Millis), "#333");
