--- a/load/load_run.cc
+++ b/load/load_run.cc
@@ -52,6 +52,8 @@
   SendTimer.setSingleShot(true);
   SendTimer.setTimerType(Qt::PreciseTimer);
   QObject::connect(&SendTimer, &QTimer::timeout, [this] { sendDue(); });
+  SettleTimer.setSingleShot(true);
+  QObject::connect(&SettleTimer, &QTimer::timeout, [this] { collect(); });
 }
 
 void load_run::start(callback Callback) {
@@ -169,8 +171,12 @@
 void load_run::planFaults() {
   for (const planned_fault &Fault : Scenario.Faults) {
     auto At = std::chrono::duration_cast<duration>(Settings.Length * Fault.At);
-    QTimer::singleShot(ceilMillis(At), &SendTimer,
-                       [this, &Fault] { applyFault(Fault); });
+    FaultTimers.push_back(std::make_unique<QTimer>());
+    QTimer &Timer = *FaultTimers.back();
+    Timer.setSingleShot(true);
+    QObject::connect(&Timer, &QTimer::timeout,
+                     [this, &Fault] { applyFault(Fault); });
+    Timer.start(ceilMillis(At));
   }
 }
 
@@ -194,8 +200,7 @@
   if (Next < Plan.size() || Ended < Plan.size())
     return;
   duration Rest = Settings.Length - (steadyNow() - Start);
-  QTimer::singleShot(ceilMillis(Rest) + ceilMillis(Settings.Settle), &SendTimer,
-                     [this] { collect(); });
+  SettleTimer.start(ceilMillis(Rest) + ceilMillis(Settings.Settle));
 }
 
 void load_run::collect() {
--- a/load/load_run.h
+++ b/load/load_run.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,8 @@
   size_t Ended = 0;
   steady_time Start;
   QTimer SendTimer;
+  QTimer SettleTimer;
+  std::vector<std::unique_ptr<QTimer>> FaultTimers;
   load_client Client;
   std::vector<upstream_records> Upstreams;
   QJsonObject Platform;
