--- a/load/load_run.h
+++ b/load/load_run.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,7 @@
   void sendDue();
   void send(size_t Index);
   std::string wireFor(const planned_request &Request) const;
-  void finished(exchange_result Result);
+  void finished(const exchange_result &Result);
   request_outcome judge(const exchange_result &Result) const;
   void judgeAnswer(const exchange_result &Result,
                    request_outcome &Outcome) const;
@@ -67,6 +68,8 @@
   size_t Ended = 0;
   steady_time Start;
   QTimer SendTimer;
+  QTimer SettleTimer;
+  std::vector<std::unique_ptr<QTimer>> FaultTimers;
   load_client Client;
   std::vector<upstream_records> Upstreams;
   QJsonObject Platform;
