--- a/io/gated_socket.cc
+++ b/io/gated_socket.cc
@@ -160,7 +160,7 @@
     return;
   Readable.clear();
   ReadPosition = 0;
-  if (!Head.KeepAlive)
+  if (closesAfterAnswer())
     return closeWhenWritten();
   enter(phase::Idle);
   // Not from within the server's own handling of the request before.
--- a/io/gated_socket.h
+++ b/io/gated_socket.h
@@ -47,6 +47,9 @@
   const http_head &head() const { return Head; }
   // The answer is complete; the next request may come in.
   void finishRequest();
+  // The connection ends with the next answer.
+  void closeAfterAnswer() { Closing = true; }
+  bool closesAfterAnswer() const { return Closing || !Head.KeepAlive; }
   // Closes the connection in a way that the caller can tell from an end.
   void breakOff();
   // Ends the connection when it has taken longer than the bounds allow.
@@ -78,6 +81,7 @@
   std::unique_ptr<QTcpSocket> Wire;
   http_bounds Bounds;
   phase Phase = phase::Idle;
+  bool Closing = false;
   steady_time PhaseStart;
   steady_time LastWriteProgress;
   QByteArray HeadBytes;
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -79,7 +79,7 @@
       static_cast<QHttpServerResponder::StatusCode>(Status));
   for (const http_header &Header : Headers)
     Responder->writeHeader(toBytes(Header.Name), toBytes(Header.Value));
-  if (!Socket->head().KeepAlive)
+  if (Socket->closesAfterAnswer())
     Responder->writeHeader("Connection", "close");
 }
 
@@ -102,7 +102,7 @@
     return;
   writeHead(Status, Headers);
   HeadOnly = HeadOnly || hasNoBody(Status);
-  Chunked = Socket->head().KeepAlive && !hasNoBody(Status);
+  Chunked = !Socket->head().Http10 && !hasNoBody(Status);
   // Without chunks the end of the connection is the end of the body.
   if (Chunked)
     Responder->writeHeader("Transfer-Encoding", "chunked");
@@ -154,6 +154,12 @@
 
   int connections() const { return static_cast<int>(Open.size()); }
 
+  void startDraining() {
+    Draining = true;
+    for (gated_socket *Gate : Open)
+      Gate->closeAfterAnswer();
+  }
+
 protected:
   void incomingConnection(qintptr Descriptor) override {
     auto Wire = std::make_unique<QTcpSocket>();
@@ -165,6 +171,8 @@
       return Wire->abort();
     Wire->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     auto *Gate = new gated_socket(std::move(Wire), Bounds);
+    if (Draining)
+      Gate->closeAfterAnswer();
     Open.insert(Gate);
     ++PerAddress[Peer];
     connect(Gate, &QObject::destroyed, this, [this, Gate, Peer] {
@@ -186,6 +194,7 @@
   }
 
   http_bounds Bounds;
+  bool Draining = false;
   QTimer Watchdog;
   absl::flat_hash_set<gated_socket *> Open;
   absl::flat_hash_map<std::string, int> PerAddress;
@@ -238,6 +247,8 @@
 
 void http_server::stopListening() { Listener->close(); }
 
+void http_server::startDraining() { Listener->startDraining(); }
+
 int http_server::connections() const { return Listener->connections(); }
 
 } // namespace monsoonreel
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -130,6 +130,8 @@
   uint16_t port() const;
   // Takes no new connections; the open ones go on.
   void stopListening();
+  // From now on every answer asks its caller to close the connection.
+  void startDraining();
   int connections() const;
 
 private:
--- a/monsoonreel/cell_queue.cc
+++ b/monsoonreel/cell_queue.cc
@@ -55,10 +55,9 @@
   Request.Idempotent = Ask.Idempotent;
   auto Class = Classes.find(Request.Class);
   // The tier is the class's; a message can't raise it.
-  Request.Tier =
-      Class == Classes.end() ? tier{Ask.Tier} : Class->second.Tier;
-  Request.CheapAllowed = Ask.Idempotent && Class != Classes.end() &&
-                         Class->second.CheapAllowed;
+  Request.Tier = Class == Classes.end() ? tier{Ask.Tier} : Class->second.Tier;
+  Request.CheapAllowed =
+      Ask.Idempotent && Class != Classes.end() && Class->second.CheapAllowed;
   auto Weight = Weights.find(Request.Organisation);
   Request.Weight = Weight == Weights.end() ? 1 : Weight->second;
   for (size_t I = 0; I < std::min(Ask.Excluded.size(), max_excluded); ++I)
@@ -70,8 +69,8 @@
 duration cell_queue::expectedHold(const waiting_request &Request) const {
   if (TokenGap.weight() <= 0 || Request.PromptTokens == 0)
     return Latencies.hold(Request.Class);
-  double Tokens = Outputs.expected(Request.Class, Request.Organisation,
-                                   Request.MaxTokens);
+  double Tokens =
+      Outputs.expected(Request.Class, Request.Organisation, Request.MaxTokens);
   return Latencies.firstToken(Request.Class) +
          fromMicros(static_cast<int64_t>(Tokens * TokenGap.mean()));
 }
@@ -153,9 +152,8 @@
 
 void cell_queue::grant(waiting_request Request, bool Guaranteed,
                        cell_step &Step) {
-  std::optional<size_t> Index =
-      Placement->choose({Request.PromptTokens},
-                        Upstreams.candidates(Request, Step.Now));
+  std::optional<size_t> Index = Placement->choose(
+      {Request.PromptTokens}, Upstreams.candidates(Request, Step.Now));
   if (!invariantHolds(Step.Effects, Index.has_value(), "grant-has-upstream",
                       describe(Request)))
     return;
--- a/monsoonreel/cell_queue.h
+++ b/monsoonreel/cell_queue.h
@@ -121,9 +121,8 @@
 
   void shed(const ask_key &Key, wire::refusal_reason::type Reason,
             duration RetryAfter, cell_step &Step);
-  void refuse(const waiting_request &Request,
-              wire::refusal_reason::type Reason, duration RetryAfter,
-              cell_step &Step);
+  void refuse(const waiting_request &Request, wire::refusal_reason::type Reason,
+              duration RetryAfter, cell_step &Step);
   void checkShed(const waiting_request &Request, cell_step &Step);
   void expireWaiting(cell_step &Step);
   void expireSlots(cell_step &Step);
--- a/monsoonreel/cell_shedding.cc
+++ b/monsoonreel/cell_shedding.cc
@@ -52,8 +52,7 @@
 }
 
 bool cell_queue::makePlace(const waiting_request &Request, cell_step &Step) {
-  const waiting_request *Lower =
-      UsesTiers ? spareBelow(Request.Tier) : nullptr;
+  const waiting_request *Lower = UsesTiers ? spareBelow(Request.Tier) : nullptr;
   duration Wait = Admission->judge(viewOf(Request, Step.Now)).ExpectedWait;
   if (Lower) {
     shed(Lower->Key, wire::refusal_reason::QueueFull, retryAfter(Wait, Step),
@@ -107,7 +106,6 @@
                     shortest_retry_after, longest_retry_after);
 }
 
-
 void cell_queue::checkShed(const waiting_request &Request, cell_step &Step) {
   if (!UsesTiers)
     return;
@@ -118,8 +116,8 @@
 }
 
 void cell_queue::refuse(const waiting_request &Request,
-                        wire::refusal_reason::type Reason,
-                        duration RetryAfter, cell_step &Step) {
+                        wire::refusal_reason::type Reason, duration RetryAfter,
+                        cell_step &Step) {
   wire::slot_refuse Refuse;
   Refuse.Ask = Request.Key.Ask;
   Refuse.Reason = Reason;
@@ -143,8 +141,7 @@
   refuse(*Request, Reason, RetryAfter, Step);
 }
 
-void cell_queue::refuseAll(wire::refusal_reason::type Reason,
-                           cell_step &Step) {
+void cell_queue::refuseAll(wire::refusal_reason::type Reason, cell_step &Step) {
   while (!GiveUps.empty()) {
     std::optional<waiting_request> Request =
         removeWaiting(GiveUps.begin()->second);
@@ -172,8 +169,7 @@
         [&](const class_name &Class) { return holdsSpare(Class); });
     if (!Last || !isHopeless(*Last, Step.Now))
       return;
-    duration Wait =
-        Admission->judge(viewOf(*Last, Step.Now)).ExpectedWait;
+    duration Wait = Admission->judge(viewOf(*Last, Step.Now)).ExpectedWait;
     shed(Last->Key, wire::refusal_reason::TargetUnreachable,
          retryAfter(Wait, Step), Step);
   }
--- a/monsoonreel/fair_queue.cc
+++ b/monsoonreel/fair_queue.cc
@@ -34,8 +34,7 @@
   if (State.Shares.size() <= max_idle_organisations)
     return;
   absl::erase_if(State.Shares, [&](const auto &Entry) {
-    return Entry.second.Waiting == 0 &&
-           Entry.second.VirtualTime <= State.Clock;
+    return Entry.second.Waiting == 0 && Entry.second.VirtualTime <= State.Clock;
   });
 }
 
@@ -194,8 +193,8 @@
       if (!Sheds(Key.first))
         continue;
       for (const auto &[Name, Order] : Lane.ByOrganisation) {
-        double Backlog = static_cast<double>(Order.size()) /
-                         State.Shares.at(Name).Weight;
+        double Backlog =
+            static_cast<double>(Order.size()) / State.Shares.at(Name).Weight;
         if (Backlog <= TierBacklog)
           continue;
         TierBacklog = Backlog;
@@ -225,8 +224,7 @@
   return Found == WaitingByClass.end() ? 0 : Found->second;
 }
 
-duration fair_queue::workAhead(tier Tier,
-                               const organisation_name &Organisation,
+duration fair_queue::workAhead(tier Tier, const organisation_name &Organisation,
                                double Weight) const {
   duration Ahead{};
   auto It = Tiers.begin();
--- a/monsoonreel/fair_queue.h
+++ b/monsoonreel/fair_queue.h
@@ -60,14 +60,13 @@
   size_t waitingOf(const class_name &Class) const override;
   duration workAhead(tier Tier, const organisation_name &Organisation,
                      double Weight) const override;
-  void forEach(const std::function<void(const waiting_request &)> &Visit)
-      const override;
+  void forEach(
+      const std::function<void(const waiting_request &)> &Visit) const override;
 
 private:
   // Requests of one organisation in a lane, by target and arrival.
   using deadline_key = std::pair<steady_time, uint64_t>;
-  using request_order =
-      absl::btree_map<deadline_key, const waiting_request *>;
+  using request_order = absl::btree_map<deadline_key, const waiting_request *>;
 
   struct lane {
     absl::flat_hash_map<organisation_name, request_order> ByOrganisation;
--- a/monsoonreel/request_queue.h
+++ b/monsoonreel/request_queue.h
@@ -70,13 +70,12 @@
   virtual std::optional<waiting_request> take(const request_filter &Fits,
                                               steady_time Now) = 0;
   // The same among the requests of one class.
-  virtual std::optional<waiting_request>
-  takeOfClass(const class_name &Class, const request_filter &Fits,
-              steady_time Now) = 0;
+  virtual std::optional<waiting_request> takeOfClass(const class_name &Class,
+                                                     const request_filter &Fits,
+                                                     steady_time Now) = 0;
   // The next request of any tier above Below that Fits, left in its place.
-  virtual const waiting_request *peekAbove(tier Below,
-                                           const request_filter &Fits,
-                                           steady_time Now) const = 0;
+  virtual const waiting_request *
+  peekAbove(tier Below, const request_filter &Fits, steady_time Now) const = 0;
   virtual std::optional<waiting_request> remove(const ask_key &Key) = 0;
   virtual const waiting_request *find(const ask_key &Key) const = 0;
   // The request to shed first: of the lowest tier among the classes that Sheds
--- a/monsoonreel/testing/fake_site.h
+++ b/monsoonreel/testing/fake_site.h
@@ -52,9 +52,9 @@
 
 struct served_count {
   int Offered = 0;
-  int Met = 0;     // first token within the target
-  int Served = 0;  // whole answer before the caller's deadline
-  int Refused = 0; // answered as not run
+  int Met = 0;               // first token within the target
+  int Served = 0;            // whole answer before the caller's deadline
+  int Refused = 0;           // answered as not run
   int64_t RefusalMicros = 0; // from arrival to the refusal, summed
   double attainment() const { return Offered ? double(Met) / Offered : 1.0; }
 };
