--- a/monsoonreel/steward_status.cc
+++ b/monsoonreel/steward_status.cc
@@ -1,6 +1,6 @@
 // A steward's state for operators.
 
-#include <yaml-cpp/yaml.h>
+#include <nlohmann/json.hpp>
 
 #include "monsoonreel/steward_node.h"
 
@@ -8,65 +8,45 @@
 
 namespace {
 
-// In the flow style with quoted strings, YAML is JSON.
-void beginJson(YAML::Emitter &Out) {
-  Out.SetMapFormat(YAML::Flow);
-  Out.SetSeqFormat(YAML::Flow);
-  Out.SetStringFormat(YAML::DoubleQuoted);
+nlohmann::json streamStatus(const stream_replica &Replica) {
+  return {{"applied", Replica.applied().Value},
+          {"following", Replica.follower().isFollowing()},
+          {"caught_up", Replica.follower().isCaughtUp()},
+          {"last_snapshot", Replica.state().lastSnapshot().Value}};
 }
 
-template <typename T>
-void put(YAML::Emitter &Out, const char *Name, const T &Value) {
-  Out << YAML::Key << Name << YAML::Value << Value;
-}
-
-void putStream(YAML::Emitter &Out, const stream_replica &Replica) {
-  Out << YAML::Key << Replica.state().stream() << YAML::Value << YAML::BeginMap;
-  put(Out, "applied", Replica.applied().Value);
-  put(Out, "following", Replica.follower().isFollowing());
-  put(Out, "caught_up", Replica.follower().isCaughtUp());
-  put(Out, "last_snapshot", Replica.state().lastSnapshot().Value);
-  Out << YAML::EndMap;
-}
-
-void putLease(YAML::Emitter &Out, const stream_replica &Replica,
+void addLease(nlohmann::json &Leases, const stream_replica &Replica,
               const std::string &Name) {
-  const wire::lease_state *Lease = Replica.state().findLease(Name);
-  if (!Lease)
-    return;
-  Out << YAML::Key << Name << YAML::Value << YAML::BeginMap;
-  put(Out, "holder", Lease->Holder);
-  put(Out, "fence", Lease->Fence);
-  put(Out, "released", Lease->Released);
-  Out << YAML::EndMap;
+  if (const wire::lease_state *Lease = Replica.state().findLease(Name))
+    Leases[Name] = {{"holder", Lease->Holder},
+                    {"fence", Lease->Fence},
+                    {"released", Lease->Released}};
 }
 
 } // namespace
 
 std::string steward_node::statusJson() const {
-  YAML::Emitter Out;
-  beginJson(Out);
-  Out << YAML::BeginMap;
-  put(Out, "name", Self.Name.Value);
-  put(Out, "zone", Self.Zone.Value);
-  put(Out, "role", "steward");
-  put(Out, "incarnation", Self.Incarnation.Value);
-  put(Out, "draining", DrainDeadline.has_value());
-  put(Out, "live_members", Members.liveCount());
-  put(Out, "config_version", Operator.state().configOffset().Value);
-  put(Out, "live_keys", Operator.state().liveKeyCount());
-  put(Out, "last_closed_window", Usage.state().lastClosedWindow());
-  put(Out, "unreported_windows", Usage.state().unreportedWindows().size());
-  put(Out, "open_orders", Operator.state().openOrders().size());
-  Out << YAML::Key << "streams" << YAML::Value << YAML::BeginMap;
-  putStream(Out, Operator);
-  putStream(Out, Usage);
-  Out << YAML::EndMap;
-  Out << YAML::Key << "leases" << YAML::Value << YAML::BeginMap;
-  putLease(Out, Usage, UsageLease.terms().Name);
-  putLease(Out, Operator, OrderLease.terms().Name);
-  Out << YAML::EndMap << YAML::EndMap;
-  return Out.c_str();
+  const ledger &OperatorState = Operator.state();
+  const ledger &UsageState = Usage.state();
+  nlohmann::json Status;
+  Status["name"] = Self.Name.Value;
+  Status["zone"] = Self.Zone.Value;
+  Status["role"] = "steward";
+  Status["incarnation"] = Self.Incarnation.Value;
+  Status["draining"] = DrainDeadline.has_value();
+  Status["live_members"] = Members.liveCount();
+  Status["ledger_offset"] = OperatorState.applied().Value;
+  Status["configuration_offset"] = OperatorState.configOffset().Value;
+  Status["live_keys"] = OperatorState.liveKeyCount();
+  Status["last_closed_window"] = UsageState.lastClosedWindow();
+  Status["unreported_windows"] = UsageState.unreportedWindows().size();
+  Status["open_orders"] = OperatorState.openOrders().size();
+  Status["streams"][OperatorState.stream()] = streamStatus(Operator);
+  Status["streams"][UsageState.stream()] = streamStatus(Usage);
+  Status["leases"] = nlohmann::json::object();
+  addLease(Status["leases"], Usage, UsageLease.terms().Name);
+  addLease(Status["leases"], Operator, OrderLease.terms().Name);
+  return Status.dump();
 }
 
 } // namespace monsoonreel
