--- a/monsoonreel/lease_holder.cc
+++ b/monsoonreel/lease_holder.cc
@@ -19,8 +19,8 @@
     : Terms(std::move(Terms)), Self(Self.Name), Incarnation(Self.Incarnation) {}
 
 void lease_holder::setWanted(bool Want) {
-  Wanted = Want;
-  if (!Want)
+  Wanted = Want && !Releasing;
+  if (!Wanted)
     ClaimAt.reset();
 }
 
@@ -53,7 +53,7 @@
   ReadAt = Now;
   ClaimAt.reset();
   ValidUntil = steady_time::min();
-  if (isMine() && Pending)
+  if (isMine() && Pending && !Releasing)
     if (std::optional<steady_time> Sent = Writer.firstSent(*Pending))
       ValidUntil = *Sent + fromMicros(Read.DurationMicros);
 }
@@ -68,7 +68,11 @@
                           record_writer &Writer) {
   if (Pending && !Writer.isQueued(*Pending))
     Pending.reset();
-  if (!Wanted || !Ready || Pending)
+  if (Pending)
+    return;
+  if (Releasing && isMine())
+    Pending = Writer.enqueue(makeClaim(true));
+  if (!Wanted || !Ready)
     return;
   if (isMine() ? isRenewalDue(Now) : isClaimDue(Now, Random))
     Pending = Writer.enqueue(makeClaim(false));
@@ -94,12 +98,9 @@
   return Now >= *ClaimAt;
 }
 
-void lease_holder::release(record_writer &Writer) {
+void lease_holder::release() {
   Wanted = false;
-  if (!isMine() || Pending)
-    return;
-  Pending = Writer.enqueue(makeClaim(true));
-  // Nothing may be done under a lease that is being given up.
+  Releasing = true;
   ValidUntil = steady_time::min();
 }
 
--- a/monsoonreel/lease_holder.h
+++ b/monsoonreel/lease_holder.h
@@ -74,8 +74,11 @@
   void onTick(steady_time Now, uint64_t Random, bool Ready,
               record_writer &Writer);
 
-  // Gives the lease up early, so that a successor need not wait for its end.
-  void release(record_writer &Writer);
+  // Gives the lease up for good, so that a successor need not wait for its end.
+  // Nothing may be done under it from now on; the record follows with a tick.
+  void release();
+  // Whether the release is read back, or there is nothing to release.
+  bool isReleased() const { return !isMine() && !Pending; }
 
   // Whether a write that takes effect within Flight is covered. To be asked
   // right before every write, with a reading of the clock that was taken after
@@ -110,6 +113,7 @@
   node_name Self;
   incarnation Incarnation;
   bool Wanted = false;
+  bool Releasing = false;
 
   std::optional<wire::lease_state> Current;
   // When the current claim was read.
--- a/monsoonreel/steward_node.cc
+++ b/monsoonreel/steward_node.cc
@@ -184,15 +184,16 @@
     return;
   DrainDeadline = Now + steward_drain_timeout;
   Members.announceLeaving();
-  UsageLease.release(Usage.writer());
-  OrderLease.release(Operator.writer());
+  UsageLease.release();
+  OrderLease.release();
 }
 
 void steward_node::finishDrain(steady_time Now, effect_list &Effects) {
   if (!DrainDeadline || DrainFinished)
     return;
-  size_t Queued = Operator.writer().queued() + Usage.writer().queued();
-  if (Queued > 0 && Now < *DrainDeadline)
+  bool Settled = UsageLease.isReleased() && OrderLease.isReleased() &&
+                 Operator.writer().queued() + Usage.writer().queued() == 0;
+  if (!Settled && Now < *DrainDeadline)
     return;
   DrainFinished = true;
   Effects.push_back(drain_finished{});
--- /dev/null
+++ b/monsoonreel/testing/lease_holder_test.cc
@@ -0,0 +1,188 @@
+#include "monsoonreel/lease_holder.h"
+
+#include <gtest/gtest.h>
+
+#include "monsoonreel/ledger.h"
+#include "monsoonreel/mechanism.h"
+#include "monsoonreel/testing/fake_platform.h"
+#include "monsoonreel/testing/records.h"
+
+namespace monsoonreel {
+namespace {
+
+using namespace monsoonreel::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration flight = seconds(2);
+
+// Two nodes with a replica of the usage stream each. Time and delivery are in
+// the tests' hands.
+class lease_holder_test : public ::testing::Test {
+protected:
+  struct candidate {
+    explicit candidate(int64_t Incarnation)
+        : Writer(std::string(usage_stream), incarnation{Incarnation}, Calls),
+          Lease(terms(), {node_name("s" + std::to_string(Incarnation)),
+                          zone_name("north"), address("127.0.0.1:1"),
+                          incarnation{Incarnation}}) {
+      Lease.setWanted(true);
+    }
+    call_counter Calls;
+    record_writer Writer;
+    ledger Ledger{usage_stream};
+    lease_holder Lease;
+  };
+
+  static lease_terms terms() {
+    lease_terms Terms;
+    Terms.Name = usage_lease;
+    Terms.Duration = seconds(10);
+    Terms.Margin = seconds(1);
+    Terms.LongestFlight = flight;
+    return Terms;
+  }
+
+  // Lets Node act; its appends reach the log at once.
+  void tick(candidate &Node) {
+    Node.Lease.onTick(Now, 0, true, Node.Writer);
+    effect_list Effects;
+    Node.Writer.onTick(Now, Effects);
+    for (const effect &Effect : Effects)
+      Platform.carryOut(Effect);
+  }
+  // Replays what Node has not read yet.
+  void read(candidate &Node) {
+    effect_list Effects;
+    log_offset Next{Node.Ledger.applied().Value + 1};
+    for (const wire::stored_record &Record :
+         Platform.read(std::string(usage_stream), Next).Records) {
+      ledger_change Change =
+          Node.Ledger.apply(log_offset{Record.Offset}, Record.Bytes, Effects);
+      if (Change.Lease)
+        Node.Lease.onLease(*Change.Lease, Now, Node.Writer);
+      Node.Writer.onReplayed(Change.Offset, *Change.Record, Change.isValid());
+    }
+  }
+  void claim(candidate &Node) {
+    tick(Node);
+    read(Node);
+  }
+
+  steady_time Now{seconds(1000)};
+  fake_platform Platform;
+  candidate First{1};
+  candidate Second{2};
+};
+
+TEST_F(lease_holder_test, Claim_NotReadBack_GivesNothing) {
+  tick(First);
+  EXPECT_FALSE(First.Lease.mayAct(Now, flight));
+  read(First);
+  EXPECT_TRUE(First.Lease.mayAct(Now, flight));
+}
+
+TEST_F(lease_holder_test, Holder_SlowReadBack_CountsFromTheSending) {
+  tick(First);
+  Now += seconds(7);
+  read(First);
+  EXPECT_TRUE(First.Lease.mayAct(Now, seconds(3)));
+  EXPECT_FALSE(First.Lease.mayAct(Now + milliseconds(1), seconds(3)));
+}
+
+TEST_F(lease_holder_test, Holder_AfterAPause_MayNotAct) {
+  claim(First);
+  Now += seconds(9);
+  EXPECT_FALSE(First.Lease.mayAct(Now, flight));
+  disabled_mechanism Without(mechanism::LeaseCheckBeforeWrite);
+  EXPECT_TRUE(First.Lease.mayAct(Now, flight));
+}
+
+TEST_F(lease_holder_test, Claims_Racing_OneHolderOnly) {
+  tick(First);
+  tick(Second);
+  read(First);
+  read(Second);
+  EXPECT_TRUE(First.Lease.mayAct(Now, flight));
+  EXPECT_FALSE(Second.Lease.mayAct(Now, flight));
+  EXPECT_FALSE(Second.Lease.fence());
+}
+
+TEST_F(lease_holder_test, Candidate_ClaimNotLapsed_DoesNotClaim) {
+  claim(First);
+  Now += seconds(1);
+  read(Second);
+  // Lease and margin, counted from the reading.
+  Now += seconds(11);
+  tick(Second);
+  EXPECT_EQ(Second.Writer.queued(), 0u);
+  Now += milliseconds(1);
+  tick(Second);
+  EXPECT_EQ(Second.Writer.queued(), 1u);
+}
+
+TEST_F(lease_holder_test, Successor_WaitsForThePredecessorsLastWrite) {
+  claim(First);
+  read(Second);
+  Now += seconds(11) + milliseconds(1);
+  claim(Second);
+  ASSERT_TRUE(Second.Lease.fence());
+  EXPECT_FALSE(Second.Lease.mayAct(Now, flight));
+  Now += flight;
+  EXPECT_TRUE(Second.Lease.mayAct(Now, flight));
+}
+
+// Whatever the delays, the two may never act at once, counting the flight of
+// the first one's last write.
+TEST_F(lease_holder_test, Takeover_WithoutMargin_OverlapsTheLastWrite) {
+  disabled_mechanism Without(mechanism::LeaseMargin);
+  claim(First);
+  read(Second);
+  Now += seconds(10) + milliseconds(1);
+  claim(Second);
+  steady_time LastArrival = First.Lease.notAfter(duration{}) + terms().Margin;
+  EXPECT_TRUE(Second.Lease.mayAct(Now, flight));
+  EXPECT_LT(Now, LastArrival);
+}
+
+TEST_F(lease_holder_test, Renewal_LostAgainstASuccessor_ExtendsNothing) {
+  claim(First);
+  read(Second);
+  Now += seconds(11) + milliseconds(1);
+  tick(Second);
+  tick(First);
+  read(First);
+  EXPECT_FALSE(First.Lease.mayAct(Now, duration{}));
+  EXPECT_FALSE(First.Lease.fence());
+}
+
+TEST_F(lease_holder_test, Renewal_AnswerLost_IsSentAgainAndCountsOnce) {
+  claim(First);
+  Now += seconds(4);
+  tick(First);
+  Now += append_timeout;
+  tick(First);
+  read(First);
+  EXPECT_EQ(Platform.records(std::string(usage_stream)).size(), 3u);
+  EXPECT_EQ(First.Lease.fence(), log_offset{2});
+  // Counted from the first sending.
+  EXPECT_EQ(First.Lease.notAfter(duration{}),
+            Now - append_timeout + seconds(10));
+}
+
+TEST_F(lease_holder_test, Release_Read_LetsASuccessorClaimAtOnce) {
+  claim(First);
+  read(Second);
+  First.Lease.release();
+  EXPECT_FALSE(First.Lease.mayAct(Now, duration{}));
+  tick(First);
+  read(Second);
+  Now += milliseconds(1);
+  claim(Second);
+  EXPECT_TRUE(Second.Lease.fence());
+  EXPECT_FALSE(Second.Lease.mayAct(Now, duration{}));
+  EXPECT_TRUE(Second.Lease.mayAct(Now + flight, duration{}));
+}
+
+} // namespace
+} // namespace monsoonreel
