--- a/monsoonreel/steward_node.cc
+++ b/monsoonreel/steward_node.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "monsoonreel/claim_routing.h"
+
 namespace monsoonreel {
 
 namespace {
@@ -42,7 +44,8 @@
       OrderLease(std::move(OrderTerms), Self),
       Operator(operator_stream, Self, Calls), Usage(usage_stream, Self, Calls),
       UsageCloser(UsageLease), Orders(Self.Zone, OrderLease),
-      Replacer(Self.Zone) {
+      Replacer(Self.Zone), Claims(Self, Calls),
+      ClaimsFollower(std::string(claims_stream), Claims) {
   Operator.addLease(OrderLease);
   Usage.addLease(UsageLease);
 }
@@ -63,6 +66,7 @@
     onDrain(Event.Now);
   Operator.onEvent(Event, Effects);
   Usage.onEvent(Event, Effects);
+  onClaimsEvent(Event, Effects);
   bool FromLog = std::holds_alternative<log_records_read>(Event.Body);
   passOnChanges(Event, FromLog, Effects);
 }
@@ -80,6 +84,7 @@
   UsageDesk.onTick(Now, Usage.writer());
   UsageCloser.onTick(Now, Event.Wall, Random, usageWindow(), Usage, Effects);
   Orders.onTick(Now, Random, Operator, Effects);
+  tickClaims(Event, Effects);
   readVmList(Now, Effects);
   finishDrain(Now, Effects);
 }
@@ -96,6 +101,30 @@
   Operator.follower().setFollowing(Follow || Operator.writer().queued() > 0);
   Usage.follower().setFollowing(Follow || Usage.writer().queued() > 0);
   UsageLease.setWanted(Follow);
+  ClaimsFollower.setFollowing(isClaimDesk(Members));
+}
+
+void steward_node::tickClaims(const event &Event, effect_list &Effects) {
+  ClaimsFollower.onTick(Event.Now, Event.Random, Effects);
+  claim_desk_tick Tick;
+  Tick.Now = Event.Now;
+  Tick.Wall = Event.Wall;
+  Tick.CaughtUp = ClaimsFollower.isCaughtUp();
+  Tick.Window = Operator.state().config().Limits.ClaimWindow;
+  Claims.onTick(Tick, Members, Effects);
+}
+
+void steward_node::onClaimsEvent(const event &Event, effect_list &Effects) {
+  steady_time Now = Event.Now;
+  uint64_t Random = Event.Random;
+  if (const auto *Read = std::get_if<log_records_read>(&Event.Body))
+    ClaimsFollower.onRecords(*Read, Now, Random, Effects);
+  else if (const auto *Failed = std::get_if<log_read_failed>(&Event.Body))
+    ClaimsFollower.onFailure(*Failed, Now, Random);
+  else if (const auto *Answer = std::get_if<append_answered>(&Event.Body))
+    Claims.onAppendAnswered(*Answer, Now);
+  else if (const auto *Lost = std::get_if<append_failed>(&Event.Body))
+    Claims.onAppendFailed(*Lost, Now, Random);
 }
 
 duration steward_node::usageWindow() const {
@@ -134,6 +163,8 @@
                            Effects);
     return;
   }
+  if (Claims.onMessage(Received, Event.Now, Members, Effects))
+    return;
   if (Usage.follower().isFollowing() && !DrainDeadline)
     UsageDesk.onMessage(Received, Usage.state(), Effects);
 }
--- a/monsoonreel/steward_node.h
+++ b/monsoonreel/steward_node.h
@@ -8,7 +8,8 @@
 // A steward runs on every entry VM. All of them pass the operator stream on.
 // Two in each zone follow the log (`shouldFollow`); these also take usage
 // batches, close and report windows, order upstreams and write snapshots, the
-// exclusive ones of these under a lease.
+// exclusive ones of these under a lease. `isClaimDesk` chooses those that take
+// claims.
 
 #ifndef MONSOONREEL_STEWARD_NODE_H
 #define MONSOONREEL_STEWARD_NODE_H
@@ -18,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "monsoonreel/claim_desk.h"
 #include "monsoonreel/lease_holder.h"
 #include "monsoonreel/membership.h"
 #include "monsoonreel/node.h"
@@ -43,6 +45,7 @@
 
   const ledger &operatorState() const { return Operator.state(); }
   const ledger &usageState() const { return Usage.state(); }
+  const claim_table &claims() const { return Claims.table(); }
   bool isFollowing() const { return Operator.follower().isFollowing(); }
 
 private:
@@ -57,6 +60,8 @@
   void onDrain(steady_time Now);
 
   void chooseRole(steady_time Now);
+  void tickClaims(const event &Event, effect_list &Effects);
+  void onClaimsEvent(const event &Event, effect_list &Effects);
   void readVmList(steady_time Now, effect_list &Effects);
   void finishDrain(steady_time Now, effect_list &Effects);
   // Passes on what the replicas replayed since the last call. FromLog: this
@@ -80,6 +85,8 @@
   usage_closer UsageCloser;
   order_desk Orders;
   upstream_replacer Replacer;
+  claim_desk Claims;
+  log_follower ClaimsFollower;
   snapshot_scheduler OperatorSnapshots;
   snapshot_scheduler UsageSnapshots;
 
