--- a/fault_matrix/world_traffic.cc
+++ b/fault_matrix/world_traffic.cc
@@ -14,6 +14,8 @@
 constexpr duration request_period = std::chrono::milliseconds(180);
 constexpr duration request_timeout = std::chrono::seconds(12);
 constexpr duration longest_repeat_delay = std::chrono::seconds(4);
+// More than all upstreams serve at once, so that queues form.
+constexpr int burst_requests = 300;
 constexpr int64_t operator_incarnation = 42;
 constexpr size_t key_hash_bytes = 32;
 
@@ -75,10 +77,19 @@
 
 // ---------------------------------------------------------------- operators
 
+// The command line sends an append again, with the same sequence, until it has
+// read it back.
 log_offset world::operate(wire::log_record Record) {
   Record.Incarnation = operator_incarnation;
   Record.Sequence = ++OperatorSequence;
+  process &Near = Processes.begin()->second;
+  fault_effect Call =
+      strike({stepOf("append", Record), &Near, nullptr, duration::zero()});
+  fault_effect Answer = strike(
+      {stepOf("append-answer", Record), nullptr, &Near, duration::zero()});
   log_offset Offset = Platform.append("operator", Record);
+  if (Call.Doubled || Call.AnswerLost || Answer.Lost || Answer.Doubled)
+    Platform.append("operator", Record);
   checkInForce(Offset);
   return Offset;
 }
@@ -152,6 +163,10 @@
   At(8, [this] { withdrawKey("key-spare"); });
   At(12, [this] { giveKey("key-late", "small"); });
   At(16, [this] { reclaimZone(0); });
+  At(20, [this] {
+    for (int Number = 0; Number < burst_requests; ++Number)
+      sendRequest(makeRequest());
+  });
   At(24, [this] { editConfiguration("third"); });
   At(30, [this] {
     process &Drained = Processes.at("entry-1-1");
