--- a/monsoonreel/active_request.h
+++ b/monsoonreel/active_request.h
@@ -4,6 +4,7 @@
 #define MONSOONREEL_ACTIVE_REQUEST_H
 
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -55,6 +56,8 @@
   std::optional<steady_time> FirstTokenAt;
   steady_time LastTokenAt;
   steady_time AskAgainAt; // in phase Pausing
+  // Why it was given up; empty while it was not.
+  std::string RefusalCode;
   bool ClaimWon = false;
   bool CallerGone = false;
 };
--- a/monsoonreel/request_metrics.cc
+++ b/monsoonreel/request_metrics.cc
@@ -58,6 +58,8 @@
   Text += " class=" + Request.Admitted.Class.Name.Value;
   Text += std::string(" result=") + toText(Result);
   Text += std::string(" outcome=") + toText(Request.Knowledge);
+  if (!Request.RefusalCode.empty())
+    Text += " code=" + Request.RefusalCode;
   Text += " attempts=" + std::to_string(Request.Attempts);
   Text += " micros=" + std::to_string(toMicros(Now - Request.ArrivedAt));
   Effects.push_back(log_line{log_level::Info, std::move(Text)});
--- a/monsoonreel/request_table.cc
+++ b/monsoonreel/request_table.cc
@@ -418,6 +418,7 @@
     break;
   }
   Refusal.Outcome = Request.Knowledge;
+  Request.RefusalCode = Refusal.Code;
   Request.Answer.giveUp(std::move(Refusal), Effects);
   finish(Request, Event, Effects);
 }
