--- a/load/load_run.cc
+++ b/load/load_run.cc
@@ -134,6 +134,10 @@
   const answer_reader &Answer = Result.Answer;
   if (Answer.status() != 200) {
     std::string Said = Answer.header("x-outcome");
+    Outcome.RefusalCode = parseObject(Answer.body())["error"]
+                              .toObject()["code"]
+                              .toString()
+                              .toStdString();
     Outcome.Outcome = outcome::Rejected;
     if (Said == "unknown")
       Outcome.Outcome = outcome::Unknown;
--- a/load/report_writer.cc
+++ b/load/report_writer.cc
@@ -115,9 +115,12 @@
         Class.BetweenTokensTargetMs, Class.NotRun, Class.Unknown,
         Class.Rejected, Class.Broken, Class.TimedOut, Class.Wrong,
         Class.WorstOrganisation, Class.WorstAttainment, Class.MeanAttainment);
-  Text += absl::StrFormat("tokens made %d, delivered whole %d, wasted %.1f%%\n",
-                          Report.TokensMade, Report.TokensDelivered,
-                          100 * Report.wastedPart());
+  Text += "refusals:";
+  for (const auto &[Code, Count] : Report.RefusalCodes)
+    Text += absl::StrFormat(" %s %d", Code, Count);
+  Text += absl::StrFormat(
+      "\ntokens made %d, delivered whole %d, wasted %.1f%%\n",
+      Report.TokensMade, Report.TokensDelivered, 100 * Report.wastedPart());
   Text += absl::StrFormat("cost %.1f, on cheap upstreams %.1f%%\n", Report.Cost,
                           100 * Report.CheapPart);
   Text += absl::StrFormat(
@@ -139,8 +142,12 @@
   QJsonArray Classes;
   for (const class_report &Class : Report.Classes)
     Classes.append(toJson(Class));
+  QJsonObject Codes;
+  for (const auto &[Code, Count] : Report.RefusalCodes)
+    Codes[QString::fromStdString(Code)] = Count;
   return {{"seconds", Report.Seconds},
           {"classes", Classes},
+          {"refusals", Codes},
           {"tokens_made", qint64(Report.TokensMade)},
           {"tokens_delivered", qint64(Report.TokensDelivered)},
           {"wasted_part", Report.wastedPart()},
--- a/load/run_report.cc
+++ b/load/run_report.cc
@@ -106,6 +106,8 @@
       return;
     }
     class_work &Work = workOf(Traffic.Class);
+    if (!Outcome.RefusalCode.empty())
+      ++Report.RefusalCodes[Outcome.RefusalCode];
     countOutcome(Work.Class, Outcome);
     Work.Class.TokensDelivered += Outcome.Tokens;
     Work.Gaps.insert(Work.Gaps.end(), Outcome.GapsMs.begin(),
--- a/load/run_report.h
+++ b/load/run_report.h
@@ -8,6 +8,7 @@
 #ifndef LOAD_RUN_REPORT_H
 #define LOAD_RUN_REPORT_H
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,7 @@
   double BetweenTokensMs = 0; // mean over the answer
   int Tokens = 0;
   std::vector<double> GapsMs;
+  std::string RefusalCode; // the router's own, when it refused
 };
 
 struct percentiles {
@@ -92,6 +94,7 @@
 struct run_report {
   double Seconds = 0;
   std::vector<class_report> Classes;
+  std::map<std::string, int> RefusalCodes; // of all classes
   int64_t TokensMade = 0;
   int64_t TokensDelivered = 0;
   double Cost = 0;      // busy seconds of upstreams, times their cost
