--- a/monsoonreel/snapshot_scheduler.cc
+++ b/monsoonreel/snapshot_scheduler.cc
@@ -4,6 +4,8 @@
 
 namespace monsoonreel {
 
+snapshot_scheduler::snapshot_scheduler(duration Period) : Period(Period) {}
+
 void snapshot_scheduler::onTick(steady_time Now, uint64_t Random,
                                 stream_replica &Replica, effect_list &Effects) {
   if (Pending && !Replica.writer().isQueued(*Pending))
@@ -30,7 +32,7 @@
   if (State.applied().Value == 0)
     return false;
   return State.applied().Value - Last.Value >= snapshot_records ||
-         Now - *LastReadAt >= snapshot_period;
+         Now - *LastReadAt >= Period;
 }
 
 void snapshot_scheduler::write(stream_replica &Replica, effect_list &Effects) {
--- a/monsoonreel/snapshot_scheduler.h
+++ b/monsoonreel/snapshot_scheduler.h
@@ -1,10 +1,11 @@
 // Writes snapshots of a stream, well before the platform drops its records.
 //
-//   snapshot_scheduler Snapshots;
+//   snapshot_scheduler Snapshots(Settings.SnapshotPeriod);
 //   Snapshots.onTick(Now, Random, Replica);
 //
 // A snapshot is due `snapshot_records` records after the last one, and at the
-// latest `snapshot_period` after it was read, also when nothing was appended:
+// latest a period after it was read, which has to be well under the time for
+// which the platform keeps records. It is due also when nothing was appended:
 // the record that holds the configuration would be dropped otherwise. Every
 // follower waits a random time and writes only if no other has done so
 // meanwhile. No lease is needed, because a second snapshot does no harm.
@@ -19,12 +20,14 @@
 namespace monsoonreel {
 
 constexpr int64_t snapshot_records = 2000;
-constexpr duration snapshot_period = std::chrono::minutes(10);
+constexpr duration default_snapshot_period = std::chrono::minutes(10);
 // Followers spread their snapshots over this time.
 constexpr duration snapshot_jitter = std::chrono::seconds(20);
 
 class snapshot_scheduler {
 public:
+  explicit snapshot_scheduler(duration Period);
+
   void onTick(steady_time Now, uint64_t Random, stream_replica &Replica,
               effect_list &Effects);
 
@@ -32,6 +35,7 @@
   bool isDue(steady_time Now, const ledger &State);
   void write(stream_replica &Replica, effect_list &Effects);
 
+  duration Period;
   log_offset Last;
   std::optional<steady_time> LastReadAt;
   std::optional<steady_time> WriteAt;
--- a/monsoonreel/steward_node.cc
+++ b/monsoonreel/steward_node.cc
@@ -29,14 +29,20 @@
   return *this;
 }
 
+steward_node_builder &steward_node_builder::snapshotPeriod(duration Period) {
+  SnapshotPeriod = Period;
+  return *this;
+}
+
 std::unique_ptr<steward_node> steward_node_builder::build() const {
-  return std::unique_ptr<steward_node>(
-      new steward_node(Identity, Seeds, named(Terms, std::string(usage_lease)),
-                       named(Terms, orderLeaseName(Identity.Zone))));
+  return std::unique_ptr<steward_node>(new steward_node(
+      Identity, Seeds, named(Terms, std::string(usage_lease)),
+      named(Terms, orderLeaseName(Identity.Zone)), SnapshotPeriod));
 }
 
 steward_node::steward_node(node_identity Identity, std::vector<address> Seeds,
-                           lease_terms UsageTerms, lease_terms OrderTerms)
+                           lease_terms UsageTerms, lease_terms OrderTerms,
+                           duration SnapshotPeriod)
     : Self(std::move(Identity)),
       Members(Self, wire::member_role::Steward, std::move(Seeds)),
       Sync(Self, std::string(operator_stream)),
@@ -45,7 +51,8 @@
       Operator(operator_stream, Self, Calls), Usage(usage_stream, Self, Calls),
       UsageCloser(UsageLease), Orders(Self.Zone, OrderLease),
       Replacer(Self.Zone), Claims(Self, Calls),
-      ClaimsFollower(std::string(claims_stream), Claims) {
+      ClaimsFollower(std::string(claims_stream), Claims),
+      OperatorSnapshots(SnapshotPeriod), UsageSnapshots(SnapshotPeriod) {
   Operator.addLease(OrderLease);
   Usage.addLease(UsageLease);
 }
--- a/monsoonreel/steward_node.h
+++ b/monsoonreel/steward_node.h
@@ -51,7 +51,8 @@
 private:
   friend class steward_node_builder;
   steward_node(node_identity Identity, std::vector<address> Seeds,
-               lease_terms UsageTerms, lease_terms OrderTerms);
+               lease_terms UsageTerms, lease_terms OrderTerms,
+               duration SnapshotPeriod);
 
   void onTick(const event &Event, effect_list &Effects);
   void onPeerMessage(const peer_message_received &Received, const event &Event,
@@ -104,6 +105,8 @@
   steward_node_builder &seeds(std::vector<address> Seeds);
   // The times of both leases; the names in Terms are not used.
   steward_node_builder &leases(const lease_terms &Terms);
+  // The longest time between two snapshots of a stream.
+  steward_node_builder &snapshotPeriod(duration Period);
 
   std::unique_ptr<steward_node> build() const;
 
@@ -111,6 +114,7 @@
   node_identity Identity;
   std::vector<address> Seeds;
   lease_terms Terms;
+  duration SnapshotPeriod = default_snapshot_period;
 };
 
 } // namespace monsoonreel
--- a/monsoonreel/testing/steward_site.cc
+++ b/monsoonreel/testing/steward_site.cc
@@ -15,6 +15,7 @@
 using std::chrono::seconds;
 
 constexpr duration step_length = milliseconds(50);
+constexpr duration snapshot_period = seconds(30);
 constexpr int steward_count = 3;
 constexpr int entry_count = 3;
 const zone_name Zone("north");
@@ -94,6 +95,7 @@
   if (Machine.IsSteward)
     Machine.Node = steward_node_builder(Self)
                        .seeds({address("s0"), address("s1")})
+                       .snapshotPeriod(snapshot_period)
                        .build();
   else
     Machine.Node = std::make_unique<metering_entry>(Self);
@@ -172,6 +174,8 @@
     Machine.Node.reset();
     schedule(randomTime(seconds(20)), [&] { start(Machine); });
   }
+  if (chance(0.01))
+    dropCoveredRecords();
   // From then on the last entry meters nothing, until it may be killed.
   EntryDoomed = EntryDoomed || chance(0.0005);
   if (EntryDoomed)
@@ -181,6 +185,20 @@
     Platform.Vms = {{node_name("m1"), Zone, address("m1"), chance(0.5)}};
 }
 
+void steward_site::dropCoveredRecords() {
+  for (std::string_view Stream : {operator_stream, usage_stream}) {
+    std::string Name(Stream);
+    const std::vector<std::string> &Records = Platform.records(Name);
+    for (size_t Place = Records.size(); Place-- > 0;) {
+      auto Record = decodeRecord(Records[Place]);
+      if (!Record->__isset.Snapshot)
+        continue;
+      Platform.dropBefore(Name, log_offset{Record->Snapshot.CoversOffset + 1});
+      break;
+    }
+  }
+}
+
 void steward_site::killOneEntry() {
   machine &Machine = Machines.back();
   auto *Entry = static_cast<metering_entry *>(Machine.Node.get());
@@ -228,6 +246,9 @@
 void steward_site::carryOut(machine &Machine, const effect &Effect) {
   if (const auto *Breach = std::get_if<report_breach>(&Effect))
     Violations.push_back(Breach->Invariant + ": " + Breach->Detail);
+  else if (const auto *Line = std::get_if<log_line>(&Effect))
+    SnapshotStarts +=
+        Line->Text.find("looking for a snapshot") != std::string::npos;
   else if (const auto *Message = std::get_if<send_message>(&Effect))
     sendMessage(Machine, *Message);
   else
@@ -346,6 +367,9 @@
             ? static_cast<steward_node *>(Machine.Node.get())->operatorState()
             : static_cast<metering_entry *>(Machine.Node.get())
                   ->operatorState();
+    if (Of.applied() == Operator.applied())
+      require(Of.state() == Operator.state(),
+              Machine.Name + " has another state than the replay");
     require(Of.configOffset() == Operator.configOffset(),
             Machine.Name + " has an old configuration");
   }
--- a/monsoonreel/testing/steward_site.h
+++ b/monsoonreel/testing/steward_site.h
@@ -8,8 +8,9 @@
 //
 // Faults: messages lost, doubled and reordered, answers of the platform lost
 // after the effect, outages, nodes frozen for longer than a lease, stewards
-// killed and restarted, clocks of different rates, and one entry killed for
-// good. The platform ignores fencing numbers.
+// killed and restarted, clocks of different rates, records dropped as soon as
+// a snapshot covers them, and one entry killed for good. The platform ignores
+// fencing numbers.
 
 #ifndef MONSOONREEL_TESTING_STEWARD_SITE_H
 #define MONSOONREEL_TESTING_STEWARD_SITE_H
@@ -63,6 +64,8 @@
   const std::vector<std::string> &violations() const { return Violations; }
   size_t reportCount() const { return Platform.Reports.size(); }
   size_t orderCount() const { return Platform.Orders.size(); }
+  // How often a node found its records dropped.
+  size_t snapshotStarts() const { return SnapshotStarts; }
 
 private:
   struct machine {
@@ -81,6 +84,8 @@
   void changeConfiguration();
   void meterSomething();
   void killOneEntry();
+  // Drops all records that the newest snapshot covers.
+  void dropCoveredRecords();
   void deliver(machine &Machine, const event_body &Body);
   void carryOut(machine &Machine, const effect &Effect);
   void carryOutAtPlatform(machine &Machine, const effect &Effect);
@@ -110,6 +115,7 @@
   std::vector<std::string> Violations;
   int64_t MeteredTokens = 0;
   int Edits = 0;
+  size_t SnapshotStarts = 0;
   size_t CheckedReports = 0;
   size_t CheckedOrders = 0;
   int64_t NewestReport = 0;
--- a/monsoonreel/testing/steward_site_test.cc
+++ b/monsoonreel/testing/steward_site_test.cc
@@ -47,6 +47,7 @@
 TEST_F(steward_site_test, RandomFaults_EverySeed_NoViolation) {
   size_t Reports = 0;
   size_t Orders = 0;
+  size_t SnapshotStarts = 0;
   for (int Seed = 1; Seed <= Seeds; ++Seed) {
     steward_site Site(static_cast<unsigned>(Seed));
     Site.runWithFaults(Length);
@@ -54,10 +55,15 @@
     EXPECT_EQ(Site.violations(), std::vector<std::string>()) << "seed " << Seed;
     Reports += Site.reportCount();
     Orders += Site.orderCount();
+    SnapshotStarts += Site.snapshotStarts();
   }
   // Faults that let nothing through would prove nothing.
   EXPECT_GT(Reports, static_cast<size_t>(Seeds));
   EXPECT_GT(Orders, 0u);
+  EXPECT_GT(SnapshotStarts, 0u);
+  RecordProperty("reports", static_cast<int>(Reports));
+  RecordProperty("orders", static_cast<int>(Orders));
+  RecordProperty("snapshot_starts", static_cast<int>(SnapshotStarts));
 }
 
 TEST_F(steward_site_test, RandomFaults_WithoutLeaseCheck_Violation) {
--- a/monsoonreel/usage_meter.h
+++ b/monsoonreel/usage_meter.h
@@ -71,6 +71,9 @@
   // True when the message was meant for this meter.
   bool onMessage(const peer_message_received &Received);
 
+  // Increments in batches that are not accepted yet.
+  size_t openIncrements() const { return Offers.incrementCount(); }
+
   // Cuts a batch now; for a drain.
   void flush();
   // Whether everything metered is in the log.
