Incarnations that differ between processes started in the same microsecond

Writers and usage sources are known in the log by the incarnation alone. It was the wall clock in microseconds at the start. Of 660 processes started within one second, two would share it with a probability of about 0.2, by the birthday bound (worked out, not measured), and the second one's records would be taken for repeats.

--- a/io/node_runtime.cc
+++ b/io/node_runtime.cc
@@ -14,6 +14,7 @@
 #include "spdlog/spdlog.h"
 
 #include "io/clock.h"
+#include "monsoonreel/incarnation.h"
 
 namespace monsoonreel {
 
@@ -82,7 +83,7 @@
 
 node_identity identityOf(const settings &Settings) {
   return {Settings.Name, Settings.Zone, Settings.Peer,
-          incarnation{wallNow().time_since_epoch().count()}};
+          makeIncarnation(Settings.Name, wallNow())};
 }
 
 node_runtime::node_runtime(const node_identity &Self, const settings &Chosen,
