--- a/monsoonreel/admission.cc
+++ b/monsoonreel/admission.cc
@@ -9,18 +9,30 @@
 
 namespace {
 
-// Mean time between two slots coming free.
+// The least part of the slots that is taken to be left by higher tiers; below
+// it, the minimum share bounds the wait.
+constexpr double least_left = 0.01;
+
+// Mean time between two slots coming free for the request's tier.
 duration gapOf(const admission_view &View) {
-  return View.MeanHold / std::max(1, View.Slots);
+  double Left = std::max(least_left, 1 - View.HigherDemand);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::micro>(View.MeanHold) /
+      (Left * std::max(1, View.Slots)));
 }
 
 duration expectedWait(const admission_view &View) {
   if (View.Slots <= 0)
     return longest_retry_after;
   duration Gap = gapOf(View);
-  duration Wait =
-      View.WorkAhead / View.Slots + Gap - Gap * std::max(0, View.FreeSlots);
-  return std::min(std::max(Wait, duration{}), View.ShareWait);
+  auto Hold = static_cast<double>(std::max<int64_t>(1, View.MeanHold.count()));
+  double Ahead = static_cast<double>(View.WorkAhead.count()) / Hold;
+  double Turns = Ahead + 1 - std::max(0, View.FreeSlots);
+  if (Turns <= 0)
+    return duration{};
+  auto Wait = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::micro>(Gap) * Turns);
+  return std::min(Wait, View.ShareWait);
 }
 
 duration retryAfter(duration ExpectedWait, duration Left) {
@@ -47,7 +59,7 @@
 protected:
   static void check(const admission_view &View, duration Left,
                     admission_verdict &Verdict) {
-    if (Verdict.ExpectedWait <= duration{})
+    if (Verdict.ExpectedWait <= duration{} || !isEnabled(mechanism::Admission))
       return;
     if (chanceWithin(Left, Verdict.ExpectedWait, gapOf(View)) >= least_chance)
       return;
@@ -62,7 +74,7 @@
     admission_verdict Verdict = deadline_admission::judge(View);
     duration Left = View.TargetLeft - View.FirstToken;
     bool Reachable = Left > duration{};
-    if (Verdict.Admit && Reachable && isEnabled(mechanism::TargetAdmission))
+    if (Verdict.Admit && Reachable)
       check(View, Left, Verdict);
     return Verdict;
   }
--- a/monsoonreel/admission.h
+++ b/monsoonreel/admission.h
@@ -22,7 +22,7 @@
 namespace monsoonreel {
 
 // A request with a smaller chance to be in time is refused.
-constexpr double least_chance = 0.2;
+constexpr double least_chance = 0.5;
 // Shortest time to come back that a refusal names.
 constexpr duration shortest_retry_after = std::chrono::milliseconds(100);
 constexpr duration longest_retry_after = std::chrono::seconds(60);
@@ -41,6 +41,8 @@
   duration FirstToken{};
   duration TargetLeft{};
   duration GiveUpLeft{};
+  // Part of the slots that higher tiers will ask for while it waits.
+  double HigherDemand = 0;
   // Longest wait by the class's minimum share, whatever is ahead.
   duration ShareWait = duration::max();
 };
--- a/monsoonreel/cell_preemption.cc
+++ b/monsoonreel/cell_preemption.cc
@@ -26,19 +26,16 @@
 
 bool cell_queue::isUrgent(const waiting_request &Request,
                           steady_time Now) const {
-  duration Slack =
-      Request.Target - Now - Latencies.firstToken(Request.Class);
+  duration Slack = Request.Target - Now - Latencies.firstToken(Request.Class);
   if (Slack < duration{})
     return false; // taking a slot back would not save the target
   // Two slots coming free by themselves are awaited, no more.
-  duration Gap =
-      Latencies.meanHold() / std::max(1, Upstreams.slots(true, Now));
+  duration Gap = Latencies.meanHold() / std::max(1, Upstreams.slots(true, Now));
   return Slack < Gap * 2;
 }
 
-cell_queue::running_slot *
-cell_queue::victimFor(const waiting_request &Request, int64_t &Id,
-                      steady_time Now) {
+cell_queue::running_slot *cell_queue::victimFor(const waiting_request &Request,
+                                                int64_t &Id, steady_time Now) {
   running_slot *Victim = nullptr;
   for (auto &[Candidate, Slot] : Running) {
     if (Slot.Guaranteed || Slot.Preempting || !Slot.Request.Idempotent ||
@@ -48,11 +45,10 @@
     if (!Index || !Upstreams.suits(*Index, Request, Now))
       continue;
     // The lowest tier, and of it what has run for the shortest time.
-    bool Better =
-        !Victim || Slot.Request.Tier > Victim->Request.Tier ||
-        (Slot.Request.Tier == Victim->Request.Tier &&
-         std::pair(Slot.StartedAt, Candidate) >
-             std::pair(Victim->StartedAt, Id));
+    bool Better = !Victim || Slot.Request.Tier > Victim->Request.Tier ||
+                  (Slot.Request.Tier == Victim->Request.Tier &&
+                   std::pair(Slot.StartedAt, Candidate) >
+                       std::pair(Victim->StartedAt, Id));
     if (!Better)
       continue;
     Victim = &Slot;
--- a/monsoonreel/cell_queue.cc
+++ b/monsoonreel/cell_queue.cc
@@ -53,12 +53,12 @@
   Request.MaxTokens = std::max(0, Ask.ExpectedOutputTokens);
   Request.PrefixHash = static_cast<uint64_t>(Ask.PrefixHash);
   Request.Idempotent = Ask.Idempotent;
+  Request.Resumed = Ask.Resumed;
   auto Class = Classes.find(Request.Class);
   // The tier is the class's; a message can't raise it.
-  Request.Tier =
-      Class == Classes.end() ? tier{Ask.Tier} : Class->second.Tier;
-  Request.CheapAllowed = Ask.Idempotent && Class != Classes.end() &&
-                         Class->second.CheapAllowed;
+  Request.Tier = Class == Classes.end() ? tier{Ask.Tier} : Class->second.Tier;
+  Request.CheapAllowed =
+      Ask.Idempotent && Class != Classes.end() && Class->second.CheapAllowed;
   auto Weight = Weights.find(Request.Organisation);
   Request.Weight = Weight == Weights.end() ? 1 : Weight->second;
   for (size_t I = 0; I < std::min(Ask.Excluded.size(), max_excluded); ++I)
@@ -70,8 +70,8 @@
 duration cell_queue::expectedHold(const waiting_request &Request) const {
   if (TokenGap.weight() <= 0 || Request.PromptTokens == 0)
     return Latencies.hold(Request.Class);
-  double Tokens = Outputs.expected(Request.Class, Request.Organisation,
-                                   Request.MaxTokens);
+  double Tokens =
+      Outputs.expected(Request.Class, Request.Organisation, Request.MaxTokens);
   return Latencies.firstToken(Request.Class) +
          fromMicros(static_cast<int64_t>(Tokens * TokenGap.mean()));
 }
@@ -110,6 +110,7 @@
   if (!admit(Request, Step))
     return;
   GiveUps.insert({Request.GiveUp, Key});
+  Demand.add(Request.Tier, Request.ExpectedHold, Step.Now);
   Queue->push(std::move(Request));
   grantAll(Step);
   preempt(Step);
@@ -153,9 +154,8 @@
 
 void cell_queue::grant(waiting_request Request, bool Guaranteed,
                        cell_step &Step) {
-  std::optional<size_t> Index =
-      Placement->choose({Request.PromptTokens},
-                        Upstreams.candidates(Request, Step.Now));
+  std::optional<size_t> Index = Placement->choose(
+      {Request.PromptTokens}, Upstreams.candidates(Request, Step.Now));
   if (!invariantHolds(Step.Effects, Index.has_value(), "grant-has-upstream",
                       describe(Request)))
     return;
--- a/monsoonreel/cell_queue.h
+++ b/monsoonreel/cell_queue.h
@@ -36,6 +36,7 @@
 #include "monsoonreel/pool_map.h"
 #include "monsoonreel/scheduling_policy.h"
 #include "monsoonreel/slot_messages.h"
+#include "monsoonreel/tier_demand.h"
 
 namespace monsoonreel {
 
@@ -119,11 +120,11 @@
                           steady_time Now);
   int preemptible(tier Above, bool Cheap) const;
 
-  void shed(const ask_key &Key, wire::refusal_reason::type Reason,
-            duration RetryAfter, cell_step &Step);
-  void refuse(const waiting_request &Request,
-              wire::refusal_reason::type Reason, duration RetryAfter,
-              cell_step &Step);
+  // By value: the key of a waiting request goes away with it.
+  void shed(ask_key Key, wire::refusal_reason::type Reason, duration RetryAfter,
+            cell_step &Step);
+  void refuse(const waiting_request &Request, wire::refusal_reason::type Reason,
+              duration RetryAfter, cell_step &Step);
   void checkShed(const waiting_request &Request, cell_step &Step);
   void expireWaiting(cell_step &Step);
   void expireSlots(cell_step &Step);
@@ -142,6 +143,7 @@
   std::unique_ptr<admission_policy> Admission;
   cell_upstreams Upstreams;
   minimum_share Shares;
+  tier_demand Demand;
   latency_tracker Latencies;
   output_estimator Outputs;
   decaying_histogram TokenGap; // microseconds between two tokens
--- a/monsoonreel/cell_shedding.cc
+++ b/monsoonreel/cell_shedding.cc
@@ -21,6 +21,7 @@
   View.TargetLeft = Request.Target - Now;
   View.GiveUpLeft = Request.GiveUp - Now;
   if (UsesTiers && View.Slots > 0) {
+    View.HigherDemand = Demand.above(Request.Tier, View.Slots, Now);
     double Turns = static_cast<double>(Queue->waitingOf(Request.Class) + 1) /
                    Shares.shareOf(Request.Class);
     View.ShareWait = std::chrono::duration_cast<duration>(
@@ -35,7 +36,7 @@
       !makePlace(Request, Step))
     return false;
   admission_verdict Verdict = Admission->judge(viewOf(Request, Step.Now));
-  if (Verdict.Admit)
+  if (Verdict.Admit || Request.Resumed)
     return true;
   // A lower tier that waits is to be shed first. One that will still be served
   // in time takes nothing from this request, so it stays, and so does this.
@@ -52,8 +53,7 @@
 }
 
 bool cell_queue::makePlace(const waiting_request &Request, cell_step &Step) {
-  const waiting_request *Lower =
-      UsesTiers ? spareBelow(Request.Tier) : nullptr;
+  const waiting_request *Lower = UsesTiers ? spareBelow(Request.Tier) : nullptr;
   duration Wait = Admission->judge(viewOf(Request, Step.Now)).ExpectedWait;
   if (Lower) {
     shed(Lower->Key, wire::refusal_reason::QueueFull, retryAfter(Wait, Step),
@@ -107,7 +107,6 @@
                     shortest_retry_after, longest_retry_after);
 }
 
-
 void cell_queue::checkShed(const waiting_request &Request, cell_step &Step) {
   if (!UsesTiers)
     return;
@@ -118,8 +117,8 @@
 }
 
 void cell_queue::refuse(const waiting_request &Request,
-                        wire::refusal_reason::type Reason,
-                        duration RetryAfter, cell_step &Step) {
+                        wire::refusal_reason::type Reason, duration RetryAfter,
+                        cell_step &Step) {
   wire::slot_refuse Refuse;
   Refuse.Ask = Request.Key.Ask;
   Refuse.Reason = Reason;
@@ -130,11 +129,11 @@
 std::optional<waiting_request> cell_queue::removeWaiting(const ask_key &Key) {
   std::optional<waiting_request> Request = Queue->remove(Key);
   if (Request)
-    GiveUps.erase({Request->GiveUp, Key});
+    GiveUps.erase({Request->GiveUp, Request->Key});
   return Request;
 }
 
-void cell_queue::shed(const ask_key &Key, wire::refusal_reason::type Reason,
+void cell_queue::shed(ask_key Key, wire::refusal_reason::type Reason,
                       duration RetryAfter, cell_step &Step) {
   std::optional<waiting_request> Request = removeWaiting(Key);
   if (!Request)
@@ -143,11 +142,10 @@
   refuse(*Request, Reason, RetryAfter, Step);
 }
 
-void cell_queue::refuseAll(wire::refusal_reason::type Reason,
-                           cell_step &Step) {
+void cell_queue::refuseAll(wire::refusal_reason::type Reason, cell_step &Step) {
   while (!GiveUps.empty()) {
-    std::optional<waiting_request> Request =
-        removeWaiting(GiveUps.begin()->second);
+    ask_key Key = GiveUps.begin()->second;
+    std::optional<waiting_request> Request = removeWaiting(Key);
     if (Request)
       refuse(*Request, Reason, shortest_retry_after, Step);
   }
@@ -155,8 +153,8 @@
 
 void cell_queue::expireWaiting(cell_step &Step) {
   while (!GiveUps.empty() && GiveUps.begin()->first <= Step.Now) {
-    std::optional<waiting_request> Request =
-        removeWaiting(GiveUps.begin()->second);
+    ask_key Key = GiveUps.begin()->second;
+    std::optional<waiting_request> Request = removeWaiting(Key);
     if (Request)
       refuse(*Request, wire::refusal_reason::DeadlinePassed,
              retryAfter(duration{}, Step), Step);
@@ -172,8 +170,7 @@
         [&](const class_name &Class) { return holdsSpare(Class); });
     if (!Last || !isHopeless(*Last, Step.Now))
       return;
-    duration Wait =
-        Admission->judge(viewOf(*Last, Step.Now)).ExpectedWait;
+    duration Wait = Admission->judge(viewOf(*Last, Step.Now)).ExpectedWait;
     shed(Last->Key, wire::refusal_reason::TargetUnreachable,
          retryAfter(Wait, Step), Step);
   }
--- a/monsoonreel/cell_upstreams.cc
+++ b/monsoonreel/cell_upstreams.cc
@@ -109,10 +109,9 @@
     Candidate.HasPrefix = Cached && *Cached == State.Upstream.Name;
     duration Median = medianFirstToken(Index);
     if (Median > duration{} && State.Health.samples() >= straggler_samples)
-      Candidate.Slowness =
-          std::max(1.0, std::chrono::duration<double>(
-                            State.Health.firstToken()) /
-                            std::chrono::duration<double>(Median));
+      Candidate.Slowness = std::max(
+          1.0, std::chrono::duration<double>(State.Health.firstToken()) /
+                   std::chrono::duration<double>(Median));
     bool Probe = State.Health.admits(Now) == admission_state::ProbeOnly;
     (Probe ? Probes : Normal).push_back(Candidate);
   }
--- a/monsoonreel/decaying_histogram.cc
+++ b/monsoonreel/decaying_histogram.cc
@@ -9,8 +9,7 @@
 namespace {
 
 namespace axis = boost::histogram::axis;
-using log_axis =
-    axis::regular<double, axis::transform::log, axis::null_type>;
+using log_axis = axis::regular<double, axis::transform::log, axis::null_type>;
 
 log_axis makeAxis(double Lowest, double Highest) {
   return {histogram_bins, Lowest, Highest};
--- a/monsoonreel/fair_queue.cc
+++ b/monsoonreel/fair_queue.cc
@@ -34,8 +34,7 @@
   if (State.Shares.size() <= max_idle_organisations)
     return;
   absl::erase_if(State.Shares, [&](const auto &Entry) {
-    return Entry.second.Waiting == 0 &&
-           Entry.second.VirtualTime <= State.Clock;
+    return Entry.second.Waiting == 0 && Entry.second.VirtualTime <= State.Clock;
   });
 }
 
@@ -68,12 +67,11 @@
 
 fair_queue::choice fair_queue::nextInLane(const lane &Lane,
                                           const request_filter &Fits,
-                                          steady_time Now) {
+                                          steady_time From) {
   int Tries = 0;
   for (const auto &[VirtualTime, Organisation] : Lane.Backlogged) {
     const request_order &Order = Lane.ByOrganisation.at(Organisation);
-    auto OnTime = Order.lower_bound(deadline_key(Now, 0));
-    auto It = OnTime == Order.end() ? Order.begin() : OnTime;
+    auto It = Order.lower_bound(deadline_key(From, 0));
     for (; It != Order.end() && Tries < max_fit_tries; ++It, ++Tries)
       if (Fits(*It->second))
         return {VirtualTime, It->second->Target, It->second};
@@ -83,22 +81,31 @@
   return {};
 }
 
-const waiting_request *fair_queue::nextInTier(const tier_state &State,
-                                              const class_name *Class,
-                                              const request_filter &Fits,
-                                              steady_time Now) {
+fair_queue::choice fair_queue::nextFrom(const tier_state &State,
+                                        const class_name *Class,
+                                        const request_filter &Fits,
+                                        steady_time From) {
   choice Best;
   for (const auto &[Key, Lane] : State.Lanes) {
     if (Class && Key.first != *Class)
       continue;
-    choice Next = nextInLane(Lane, Fits, Now);
+    choice Next = nextInLane(Lane, Fits, From);
     if (!Next.Request)
       continue;
     if (!Best.Request || std::tie(Next.VirtualTime, Next.Target) <
                              std::tie(Best.VirtualTime, Best.Target))
       Best = Next;
   }
-  return Best.Request;
+  return Best;
+}
+
+const waiting_request *fair_queue::nextInTier(const tier_state &State,
+                                              const class_name *Class,
+                                              const request_filter &Fits,
+                                              steady_time Now) {
+  if (const waiting_request *OnTime = nextFrom(State, Class, Fits, Now).Request)
+    return OnTime;
+  return nextFrom(State, Class, Fits, steady_time::min()).Request;
 }
 
 std::optional<waiting_request> fair_queue::grant(const waiting_request *Next) {
@@ -194,8 +201,8 @@
       if (!Sheds(Key.first))
         continue;
       for (const auto &[Name, Order] : Lane.ByOrganisation) {
-        double Backlog = static_cast<double>(Order.size()) /
-                         State.Shares.at(Name).Weight;
+        double Backlog =
+            static_cast<double>(Order.size()) / State.Shares.at(Name).Weight;
         if (Backlog <= TierBacklog)
           continue;
         TierBacklog = Backlog;
@@ -225,8 +232,7 @@
   return Found == WaitingByClass.end() ? 0 : Found->second;
 }
 
-duration fair_queue::workAhead(tier Tier,
-                               const organisation_name &Organisation,
+duration fair_queue::workAhead(tier Tier, const organisation_name &Organisation,
                                double Weight) const {
   duration Ahead{};
   auto It = Tiers.begin();
--- a/monsoonreel/fair_queue.h
+++ b/monsoonreel/fair_queue.h
@@ -10,8 +10,9 @@
 // request goes before the rest of the burst. An organisation that was idle
 // starts at the queue's virtual time and gains nothing by having been idle.
 //
-// Within an organisation the earliest target is first, but requests that have
-// already missed theirs come after those that can still meet it.
+// Within an organisation the earliest target is first. Requests of a tier that
+// have already missed theirs come after all those of the tier that can still
+// meet it, whatever the organisation: they would only make others late as well.
 //
 // A class's requests stand in two lanes, those that may run on reclaimable
 // upstreams and those that may not, because often only one kind has room. All
@@ -60,14 +61,13 @@
   size_t waitingOf(const class_name &Class) const override;
   duration workAhead(tier Tier, const organisation_name &Organisation,
                      double Weight) const override;
-  void forEach(const std::function<void(const waiting_request &)> &Visit)
-      const override;
+  void forEach(
+      const std::function<void(const waiting_request &)> &Visit) const override;
 
 private:
   // Requests of one organisation in a lane, by target and arrival.
   using deadline_key = std::pair<steady_time, uint64_t>;
-  using request_order =
-      absl::btree_map<deadline_key, const waiting_request *>;
+  using request_order = absl::btree_map<deadline_key, const waiting_request *>;
 
   struct lane {
     absl::flat_hash_map<organisation_name, request_order> ByOrganisation;
@@ -99,8 +99,11 @@
     const waiting_request *Request = nullptr;
   };
 
+  // From: the earliest target that counts.
   static choice nextInLane(const lane &Lane, const request_filter &Fits,
-                           steady_time Now);
+                           steady_time From);
+  static choice nextFrom(const tier_state &State, const class_name *Class,
+                         const request_filter &Fits, steady_time From);
   // Class nullptr: any class.
   static const waiting_request *nextInTier(const tier_state &State,
                                            const class_name *Class,
--- a/monsoonreel/fifo_queue.cc
+++ b/monsoonreel/fifo_queue.cc
@@ -69,8 +69,8 @@
     return Place == Places.end() ? nullptr : &*Place->second;
   }
 
-  const waiting_request *shedCandidate(
-      const std::function<bool(const class_name &)> & /*Sheds*/)
+  const waiting_request *
+  shedCandidate(const std::function<bool(const class_name &)> & /*Sheds*/)
       const override {
     return Order.empty() ? nullptr : &Order.back();
   }
--- a/monsoonreel/mechanism.h
+++ b/monsoonreel/mechanism.h
@@ -44,7 +44,7 @@
   KeyTrustExpires,       // a node that is cut off stops trusting its keys
   OrganisationFairness,  // organisations share a queue by weight
   Preemption,            // a slot is taken back for a higher tier
-  TargetAdmission,       // what can't meet its target is refused at once
+  Admission,             // what can't be served in time is refused at once
   UpstreamEjection,      // a failing or slow upstream loses its work
   SlotExpiry,            // slots of dead askers come free
   StaleGrantRelease,     // a grant that nobody waits for is given back
--- a/monsoonreel/organisation_limit.cc
+++ b/monsoonreel/organisation_limit.cc
@@ -8,8 +8,8 @@
 void organisation_limit::apply(account &Account) const {
   double Part = Account.Part > 0 ? Account.Part : 1.0 / Entries;
   double Rate = Account.Limit * Part;
-  double Depth = std::max(
-      1.0, Rate * std::chrono::duration<double>(limit_window).count());
+  double Depth =
+      std::max(1.0, Rate * std::chrono::duration<double>(limit_window).count());
   if (Account.Started) {
     Account.Bucket.setRate(Rate, Depth);
     return;
--- a/monsoonreel/pool_map.cc
+++ b/monsoonreel/pool_map.cc
@@ -23,8 +23,7 @@
   std::stable_sort(
       Members.begin(), Members.end(),
       [](const upstream &A, const upstream &B) { return A.Cheap < B.Cheap; });
-  size_t Count =
-      (Members.size() + max_cell_upstreams - 1) / max_cell_upstreams;
+  size_t Count = (Members.size() + max_cell_upstreams - 1) / max_cell_upstreams;
   for (size_t Number = 0; Number < Count; ++Number) {
     cell Cell;
     Cell.Name = nameOf(Place, Number);
@@ -32,10 +31,9 @@
     Cell.Zone = Place.second;
     for (size_t I = Number; I < Members.size(); I += Count)
       Cell.Upstreams.push_back(Members[I]);
-    std::sort(Cell.Upstreams.begin(), Cell.Upstreams.end(),
-              [](const upstream &A, const upstream &B) {
-                return A.Name < B.Name;
-              });
+    std::sort(
+        Cell.Upstreams.begin(), Cell.Upstreams.end(),
+        [](const upstream &A, const upstream &B) { return A.Name < B.Name; });
     cell_name Name = Cell.Name;
     Cells.emplace(std::move(Name), std::move(Cell));
   }
--- a/monsoonreel/request_queue.h
+++ b/monsoonreel/request_queue.h
@@ -49,6 +49,7 @@
   int MaxTokens = 0;
   uint64_t PrefixHash = 0;
   bool Idempotent = false;
+  bool Resumed = false;
   // It may run on an upstream that can be reclaimed.
   bool CheapAllowed = false;
   std::vector<upstream_name> Excluded;
@@ -71,13 +72,12 @@
   virtual std::optional<waiting_request> take(const request_filter &Fits,
                                               steady_time Now) = 0;
   // The same among the requests of one class.
-  virtual std::optional<waiting_request>
-  takeOfClass(const class_name &Class, const request_filter &Fits,
-              steady_time Now) = 0;
+  virtual std::optional<waiting_request> takeOfClass(const class_name &Class,
+                                                     const request_filter &Fits,
+                                                     steady_time Now) = 0;
   // The next request of any tier above Below that Fits, left in its place.
-  virtual const waiting_request *peekAbove(tier Below,
-                                           const request_filter &Fits,
-                                           steady_time Now) const = 0;
+  virtual const waiting_request *
+  peekAbove(tier Below, const request_filter &Fits, steady_time Now) const = 0;
   virtual std::optional<waiting_request> remove(const ask_key &Key) = 0;
   virtual const waiting_request *find(const ask_key &Key) const = 0;
   // The request to shed first: of the lowest tier among the classes that Sheds
--- a/monsoonreel/retry_budget.cc
+++ b/monsoonreel/retry_budget.cc
@@ -2,12 +2,10 @@
 
 namespace monsoonreel {
 
-token_bucket &
-retry_budget::budgetOf(const organisation_name &Organisation) {
+token_bucket &retry_budget::budgetOf(const organisation_name &Organisation) {
   if (ByOrganisation.size() >= max_retry_organisations)
-    absl::erase_if(ByOrganisation, [](const auto &Entry) {
-      return Entry.second.isFull();
-    });
+    absl::erase_if(ByOrganisation,
+                   [](const auto &Entry) { return Entry.second.isFull(); });
   return ByOrganisation
       .try_emplace(Organisation, token_bucket(0, retry_allowance))
       .first->second;
--- a/monsoonreel/scheduling_policy.cc
+++ b/monsoonreel/scheduling_policy.cc
@@ -13,15 +13,15 @@
     return makeLeastWorkPlacement();
   }
   std::unique_ptr<admission_policy> makeAdmission() const override {
-    return makeTargetAdmission();
+    return makeDeadlineAdmission();
   }
   bool usesTiers() const override { return true; }
 };
 
-class tiered_deadline_policy : public tiered_policy {
+class tiered_target_policy : public tiered_policy {
 public:
   std::unique_ptr<admission_policy> makeAdmission() const override {
-    return makeDeadlineAdmission();
+    return makeTargetAdmission();
   }
 };
 
@@ -52,8 +52,8 @@
 makeSchedulingPolicy(const std::string &Name) {
   if (Name == "tiered")
     return std::make_shared<tiered_policy>();
-  if (Name == "tiered-deadline")
-    return std::make_shared<tiered_deadline_policy>();
+  if (Name == "tiered-target")
+    return std::make_shared<tiered_target_policy>();
   if (Name == "least-in-flight")
     return std::make_shared<least_in_flight_policy>();
   if (Name == "round-robin-fifo")
@@ -62,7 +62,7 @@
 }
 
 std::vector<std::string> schedulingPolicyNames() {
-  return {"tiered", "tiered-deadline", "least-in-flight", "round-robin-fifo"};
+  return {"tiered", "tiered-target", "least-in-flight", "round-robin-fifo"};
 }
 
 } // namespace monsoonreel
--- a/monsoonreel/scheduling_policy.h
+++ b/monsoonreel/scheduling_policy.h
@@ -6,12 +6,13 @@
 //     ... no such policy ...
 //
 //   tiered            tiers, fairness between organisations, minimum shares,
-//                     admission by target, preemption, least work placement
-//   tiered-deadline   the same with admission by the caller's deadline only
+//                     admission by the caller's deadline, preemption, least
+//                     work placement
+//   tiered-target     the same with admission by the class's target as well
 //   least-in-flight   arrival order, the upstream with the fewest requests
 //   round-robin-fifo  arrival order, one upstream after the other
 //
-// The last two are baselines for measurements.
+// The last three are baselines for measurements.
 
 #ifndef MONSOONREEL_SCHEDULING_POLICY_H
 #define MONSOONREEL_SCHEDULING_POLICY_H
--- a/monsoonreel/slot_client.cc
+++ b/monsoonreel/slot_client.cc
@@ -36,6 +36,7 @@
   Ask.ExpectedOutputTokens = Request.MaxTokens;
   Ask.PrefixHash = static_cast<int64_t>(Request.PrefixHash);
   Ask.Idempotent = Request.Idempotent;
+  Ask.Resumed = Request.Resumed;
   for (const upstream_name &Name : Request.Excluded)
     Ask.Excluded.push_back(Name.Value);
   return Ask;
@@ -175,8 +176,7 @@
 }
 
 bool slot_client::chooseOwner(const cell &Cell, pending_ask &Ask) const {
-  for (const node_name &Name :
-       ownersInOrder(Cell.Name, entriesOf(Cell.Zone))) {
+  for (const node_name &Name : ownersInOrder(Cell.Name, entriesOf(Cell.Zone))) {
     if (contains(Ask.Tried, Name))
       continue;
     Ask.Owner = Peers.at(Name);
@@ -203,8 +203,7 @@
   proceed(std::move(Ask), Random, Step);
 }
 
-void slot_client::proceed(pending_ask Ask, uint64_t Random,
-                          client_step &Step) {
+void slot_client::proceed(pending_ask Ask, uint64_t Random, client_step &Step) {
   while (Ask.Count < max_asks_per_request) {
     const cell *Cell = Map.find(Ask.Cell);
     if (!Cell || contains(Ask.Left, Ask.Cell)) {
@@ -232,8 +231,7 @@
   if (Load != Loads.end() && Load->second.FreeSlots > 0)
     --Load->second.FreeSlots;
   slot_peer To = Ask.Owner;
-  wire::slot_ask Message =
-      makeAsk(Id, Self, Ask.Cell, Ask.Request, Step.Now);
+  wire::slot_ask Message = makeAsk(Id, Self, Ask.Cell, Ask.Request, Step.Now);
   AskOf[Ask.Request.Request] = Id;
   Asks[Id] = std::move(Ask);
   sendTo(To, Message, Step);
@@ -289,8 +287,7 @@
 
 // ------------------------------------------------------------------- messages
 
-void slot_client::sendTo(const slot_peer &To,
-                         const wire::peer_message &Message,
+void slot_client::sendTo(const slot_peer &To, const wire::peer_message &Message,
                          client_step &Step) {
   if (To.Name == Self.Name)
     toOwner(To, Message, Step);
@@ -343,9 +340,8 @@
 }
 
 bool slot_client::onMessage(const node_name &From, const address &FromAddress,
-                            const wire::peer_message &Message,
-                            steady_time Now, effect_list &Effects,
-                            slot_outcome_list &Outcomes) {
+                            const wire::peer_message &Message, steady_time Now,
+                            effect_list &Effects, slot_outcome_list &Outcomes) {
   client_step Step{Now, Effects, Outcomes};
   auto Known = Peers.find(From);
   slot_peer Sender = Known != Peers.end()
@@ -360,10 +356,9 @@
   if (Ask) {
     request_id Request = Ask->Request.Request;
     Held[Request] = {Grant.Slot, Grant.OwnerIncarnation, From};
-    Step.Outcomes.emplace_back(slot_granted{Request,
-                                            upstream_name(Grant.Upstream),
-                                            Grant.Priority,
-                                            Grant.FreshConnection});
+    Step.Outcomes.emplace_back(
+        slot_granted{Request, upstream_name(Grant.Upstream), Grant.Priority,
+                     Grant.FreshConnection});
     return;
   }
   if (!isEnabled(mechanism::StaleGrantRelease))
@@ -380,8 +375,7 @@
   sendTo(From, Release, Step);
 }
 
-void slot_client::onRefuse(const wire::slot_refuse &Refuse,
-                           client_step &Step) {
+void slot_client::onRefuse(const wire::slot_refuse &Refuse, client_step &Step) {
   std::optional<pending_ask> Ask = takeAsk(Refuse.Ask);
   if (!Ask)
     return;
@@ -399,8 +393,8 @@
   case wire::refusal_reason::TargetUnreachable: {
     // Another cell is worth a message only when it is known to have room.
     Ask->Left.push_back(Ask->Cell);
-    const cell *Other = chooseCell(*Ask, static_cast<uint64_t>(Refuse.Ask),
-                                   Step.Now);
+    const cell *Other =
+        chooseCell(*Ask, static_cast<uint64_t>(Refuse.Ask), Step.Now);
     if (Other && hasKnownRoom(*Other, Step.Now))
       break;
     Step.Outcomes.emplace_back(Ask->Refusal);
@@ -415,8 +409,7 @@
   proceed(std::move(*Ask), Spread, Step);
 }
 
-void slot_client::onQueued(const wire::slot_queued &Queued,
-                           client_step &Step) {
+void slot_client::onQueued(const wire::slot_queued &Queued, client_step &Step) {
   auto Found = Asks.find(Queued.Ask);
   if (Found == Asks.end())
     return;
@@ -436,8 +429,8 @@
 
 // ----------------------------------------------------------------------- time
 
-void slot_client::onTick(steady_time Now, uint64_t Random,
-                         effect_list &Effects, slot_outcome_list &Outcomes) {
+void slot_client::onTick(steady_time Now, uint64_t Random, effect_list &Effects,
+                         slot_outcome_list &Outcomes) {
   client_step Step{Now, Effects, Outcomes};
   slot_reply_list Replies;
   Owner.onTick(Now, Replies, Effects);
@@ -491,7 +484,8 @@
 }
 
 void slot_client::renewSlots(client_step &Step) {
-  std::map<std::pair<node_name, int64_t>, std::pair<slot_peer, wire::slot_renew>>
+  std::map<std::pair<node_name, int64_t>,
+           std::pair<slot_peer, wire::slot_renew>>
       ByOwner;
   for (const auto &[Request, Slot] : Held) {
     auto &[Peer, Renew] = ByOwner[{Slot.Owner.Name, Slot.OwnerIncarnation}];
--- a/monsoonreel/slot_messages.h
+++ b/monsoonreel/slot_messages.h
@@ -41,6 +41,9 @@
   int MaxTokens = 0;
   uint64_t PrefixHash = 0;
   bool Idempotent = false;
+  // A part of its answer has been made, which a refusal would waste. Set it
+  // when a preempted request asks again.
+  bool Resumed = false;
   // Upstreams that already failed this request.
   std::vector<upstream_name> Excluded;
 };
--- a/monsoonreel/slot_owner.cc
+++ b/monsoonreel/slot_owner.cc
@@ -16,8 +16,8 @@
 // Time to come back for asks that this node can't serve now.
 constexpr duration unknown_cell_retry = std::chrono::milliseconds(200);
 
-void refuse(const slot_peer &To, int64_t Ask,
-            wire::refusal_reason::type Reason, slot_reply_list &Replies) {
+void refuse(const slot_peer &To, int64_t Ask, wire::refusal_reason::type Reason,
+            slot_reply_list &Replies) {
   wire::slot_refuse Refuse;
   Refuse.Ask = Ask;
   Refuse.Reason = Reason;
@@ -66,11 +66,11 @@
     const cell *Cell = Map.find(CellName);
     if (!Cell)
       return nullptr;
-    Known = Queues
-                .emplace(CellName,
-                         owned_cell{cell_queue(*Cell, Configuration, *Policy),
-                                    Now})
-                .first;
+    Known =
+        Queues
+            .emplace(CellName,
+                     owned_cell{cell_queue(*Cell, Configuration, *Policy), Now})
+            .first;
   }
   Known->second.AskedAt = Now;
   return &Known->second.Queue;
@@ -225,8 +225,8 @@
   return *this;
 }
 
-slot_owner::builder &slot_owner::builder::policy(
-    std::shared_ptr<const scheduling_policy> Value) {
+slot_owner::builder &
+slot_owner::builder::policy(std::shared_ptr<const scheduling_policy> Value) {
   Policy = std::move(Value);
   return *this;
 }
--- a/monsoonreel/slot_owner.h
+++ b/monsoonreel/slot_owner.h
@@ -53,9 +53,9 @@
 
   // Takes a new configuration. Cells that stay keep their queues and slots;
   // the waiting requests of cells that go are refused.
-  void setConfiguration(const configuration &Configuration,
-                        const pool_map &Map, steady_time Now,
-                        slot_reply_list &Replies, effect_list &Effects);
+  void setConfiguration(const configuration &Configuration, const pool_map &Map,
+                        steady_time Now, slot_reply_list &Replies,
+                        effect_list &Effects);
 
   void onAsk(const slot_peer &From, const wire::slot_ask &Ask, steady_time Now,
              slot_reply_list &Replies, effect_list &Effects);
--- a/monsoonreel/testing/fake_site.h
+++ b/monsoonreel/testing/fake_site.h
@@ -36,6 +36,8 @@
   int Engines = 8;
   int Concurrency = 16;
   int Organisations = 10;
+  // The large organisation's weight follows its part of the requests.
+  bool WeighLarge = true;
   duration ReportLag = std::chrono::milliseconds(500);
   duration NetworkDelay = std::chrono::milliseconds(1);
   // Multiplies the arrivals of one class from a time to another.
@@ -52,9 +54,9 @@
 
 struct served_count {
   int Offered = 0;
-  int Met = 0;     // first token within the target
-  int Served = 0;  // whole answer before the caller's deadline
-  int Refused = 0; // answered as not run
+  int Met = 0;               // first token within the target
+  int Served = 0;            // whole answer before the caller's deadline
+  int Refused = 0;           // answered as not run
   int64_t RefusalMicros = 0; // from arrival to the refusal, summed
   double attainment() const { return Offered ? double(Met) / Offered : 1.0; }
 };
--- /dev/null
+++ b/monsoonreel/testing/slot_client_test.cc
@@ -0,0 +1,221 @@
+#include "monsoonreel/slot_client.h"
+
+#include <gtest/gtest.h>
+
+#include "monsoonreel/mechanism.h"
+
+namespace monsoonreel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// An entry of zone norte with two neighbours; a pool with cells in two zones.
+class slot_client_test : public ::testing::Test {
+protected:
+  slot_client_test()
+      : Now(std::chrono::hours(1)),
+        Client(slot_client::builder()
+                   .self({node_name("self"), zone_name("norte"), address("0"),
+                          incarnation{9}})
+                   .build()) {
+    service_class Class;
+    Class.Name = class_name("chat");
+    Configuration.Classes[Class.Name] = Class;
+    addUpstream("n1", "norte");
+    addUpstream("s1", "sur");
+    Client.setConfiguration(Configuration, Now, Effects, Outcomes);
+    Client.setPeers({peer("a", "norte"), peer("b", "norte"), peer("c", "sur")});
+    Order = ownersInOrder(cell_name("model@norte#0"),
+                          {node_name("a"), node_name("b"), node_name("self")});
+  }
+
+  static slot_peer peer(const char *Name, const char *Zone) {
+    return {node_name(Name), address(Name), zone_name(Zone)};
+  }
+  void addUpstream(const char *Name, const char *Zone) {
+    upstream &Member = Configuration.Upstreams[upstream_name(Name)];
+    Member.Name = upstream_name(Name);
+    Member.Pool = pool_name("model");
+    Member.Zone = zone_name(Zone);
+  }
+  void ask(bool Idempotent = true) {
+    slot_request Request;
+    Request.Request = request_id{1};
+    Request.Pool = pool_name("model");
+    Request.Class = class_name("chat");
+    Request.Target = Now + seconds(5);
+    Request.GiveUp = Now + seconds(10);
+    Request.Idempotent = Idempotent;
+    Client.ask(Request, Now, 0, Effects, Outcomes);
+  }
+  void tick(duration Passed) {
+    Now += Passed;
+    Client.onTick(Now, 0, Effects, Outcomes);
+  }
+  void receive(const std::string &From, const wire::peer_message &Message) {
+    Client.onMessage(node_name(From), address(From), Message, Now, Effects,
+                     Outcomes);
+  }
+  void grant(const std::string &From, int64_t Ask, int64_t Slot) {
+    wire::slot_grant Grant;
+    Grant.Ask = Ask;
+    Grant.Slot = Slot;
+    Grant.Upstream = "n1";
+    Grant.OwnerIncarnation = 4;
+    receive(From, Grant);
+  }
+  void refuse(const std::string &From, int64_t Ask,
+              wire::refusal_reason::type Reason) {
+    wire::slot_refuse Refuse;
+    Refuse.Ask = Ask;
+    Refuse.Reason = Reason;
+    Refuse.RetryAfterMicros = 700000;
+    receive(From, Refuse);
+  }
+  // The latest message of a kind, and to whom it went.
+  template <typename T> const T *sent(std::string *To = nullptr) const {
+    for (auto It = Effects.rbegin(); It != Effects.rend(); ++It)
+      if (const auto *Send = std::get_if<send_message>(&*It))
+        if (const auto *Message = std::get_if<T>(&Send->Message)) {
+          if (To)
+            *To = Send->To.Value;
+          return Message;
+        }
+    return nullptr;
+  }
+  std::string askedOwner() const {
+    std::string To;
+    return sent<wire::slot_ask>(&To) ? To : "";
+  }
+
+  steady_time Now;
+  configuration Configuration;
+  slot_client Client;
+  std::vector<node_name> Order;
+  effect_list Effects;
+  slot_outcome_list Outcomes;
+};
+
+// The tests below hold whichever place the entry itself has in the order.
+TEST_F(slot_client_test, Owners_AllSilent_EntryServesItself) {
+  std::vector<std::string> Expected;
+  for (const node_name &Name : Order) {
+    if (Name.Value == "self")
+      break;
+    Expected.push_back(Name.Value);
+  }
+  ask();
+  for (const std::string &Owner : Expected) {
+    EXPECT_TRUE(Outcomes.empty());
+    EXPECT_EQ(askedOwner(), Owner);
+    tick(ask_silence + milliseconds(50));
+  }
+  ASSERT_EQ(Outcomes.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<slot_granted>(Outcomes[0]));
+}
+
+// The request's first owner is another entry.
+class remote_owner_test : public slot_client_test {
+protected:
+  remote_owner_test() {
+    ask();
+    Owner = askedOwner();
+  }
+  std::string Owner;
+};
+
+TEST_F(remote_owner_test, Owner_SaysQueued_IsNotPassedOver) {
+  ASSERT_FALSE(Owner.empty()) << "the fixture's names make the entry the owner";
+  int64_t First = sent<wire::slot_ask>()->Ask;
+  wire::slot_queued Queued;
+  Queued.Ask = First;
+  receive(Owner, Queued);
+  tick(ask_silence * 2);
+  EXPECT_EQ(sent<wire::slot_ask>()->Ask, First);
+  tick(ask_repeat); // asked again, to see whether it lives
+  EXPECT_EQ(sent<wire::slot_ask>()->Ask, First);
+  tick(ask_silence + milliseconds(50)); // no answer this time
+  EXPECT_TRUE(Outcomes.size() == 1 || askedOwner() != Owner);
+}
+
+TEST_F(remote_owner_test, Grant_ForWithdrawnAsk_IsGivenBack) {
+  int64_t Ask = sent<wire::slot_ask>()->Ask;
+  Client.cancel(request_id{1}, Now, Effects, Outcomes);
+  EXPECT_EQ(sent<wire::slot_cancel>()->Ask, Ask);
+  grant(Owner, Ask, 31);
+  EXPECT_TRUE(Outcomes.empty());
+  ASSERT_TRUE(sent<wire::slot_release>());
+  EXPECT_EQ(sent<wire::slot_release>()->Slot, 31);
+  EXPECT_EQ(sent<wire::slot_release>()->Result, wire::slot_result::NeverSent);
+}
+
+TEST_F(remote_owner_test, Grant_ForWithdrawnAskWithoutMechanism_LeaksSlot) {
+  disabled_mechanism Without(mechanism::StaleGrantRelease);
+  int64_t Ask = sent<wire::slot_ask>()->Ask;
+  Client.cancel(request_id{1}, Now, Effects, Outcomes);
+  grant(Owner, Ask, 31);
+  EXPECT_FALSE(sent<wire::slot_release>());
+}
+
+TEST_F(remote_owner_test, Grant_Doubled_IsKept) {
+  int64_t Ask = sent<wire::slot_ask>()->Ask;
+  grant(Owner, Ask, 31);
+  grant(Owner, Ask, 31);
+  EXPECT_EQ(Outcomes.size(), 1U);
+  EXPECT_FALSE(sent<wire::slot_release>());
+  tick(renewal_period);
+  ASSERT_TRUE(sent<wire::slot_renew>());
+  EXPECT_EQ(sent<wire::slot_renew>()->Slots, std::vector<int64_t>{31});
+}
+
+TEST_F(remote_owner_test, Refusal_OwnerShutsDown_NextOwnerIsAsked) {
+  refuse(Owner, sent<wire::slot_ask>()->Ask,
+         wire::refusal_reason::ShuttingDown);
+  EXPECT_TRUE(Outcomes.size() == 1 || askedOwner() != Owner);
+}
+
+TEST_F(remote_owner_test, Refusal_NoKnownRoomElsewhere_IsPassedOnAtOnce) {
+  refuse(Owner, sent<wire::slot_ask>()->Ask,
+         wire::refusal_reason::TargetUnreachable);
+  ASSERT_EQ(Outcomes.size(), 1U);
+  const auto &Refused = std::get<slot_refused>(Outcomes[0]);
+  EXPECT_EQ(Refused.RetryAfter, milliseconds(700));
+}
+
+TEST_F(remote_owner_test, Refusal_OtherZoneHasRoom_IdempotentGoesThere) {
+  wire::pool_load Load;
+  Load.Pool = "model@sur#0";
+  Load.FreeSlots = 3;
+  Client.onLoads({Load}, Now);
+  refuse(Owner, sent<wire::slot_ask>()->Ask,
+         wire::refusal_reason::TargetUnreachable);
+  EXPECT_TRUE(Outcomes.empty());
+  EXPECT_EQ(askedOwner(), "c");
+}
+
+TEST_F(remote_owner_test, Refusal_OtherZoneHasRoom_NonIdempotentStays) {
+  Client.cancel(request_id{1}, Now, Effects, Outcomes);
+  ask(false);
+  wire::pool_load Load;
+  Load.Pool = "model@sur#0";
+  Load.FreeSlots = 3;
+  Client.onLoads({Load}, Now);
+  refuse(Owner, sent<wire::slot_ask>()->Ask,
+         wire::refusal_reason::TargetUnreachable);
+  ASSERT_EQ(Outcomes.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<slot_refused>(Outcomes[0]));
+}
+
+TEST_F(remote_owner_test, Deadline_OwnerNeverDecides_IsAnsweredAtOnce) {
+  wire::slot_queued Queued;
+  Queued.Ask = sent<wire::slot_ask>()->Ask;
+  receive(Owner, Queued);
+  tick(seconds(10));
+  ASSERT_EQ(Outcomes.size(), 1U);
+  EXPECT_EQ(std::get<slot_refused>(Outcomes[0]).Reason,
+            wire::refusal_reason::DeadlinePassed);
+}
+
+} // namespace
+} // namespace monsoonreel
--- a/monsoonreel/upstream_health.cc
+++ b/monsoonreel/upstream_health.cc
@@ -14,8 +14,8 @@
 } // namespace
 
 void upstream_health::learn(duration Seen) {
-  FirstToken = Samples == 0 ? Seen
-                            : FirstToken + (Seen - FirstToken) / mean_divisor;
+  FirstToken =
+      Samples == 0 ? Seen : FirstToken + (Seen - FirstToken) / mean_divisor;
   ++Samples;
 }
 
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -3850,6 +3850,10 @@
 void slot_ask::__set_Incarnation(const int64_t val) {
   this->Incarnation = val;
 }
+
+void slot_ask::__set_Resumed(const bool val) {
+  this->Resumed = val;
+}
 std::ostream& operator<<(std::ostream& out, const slot_ask& obj)
 {
   obj.printTo(out);
@@ -3994,6 +3998,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Resumed);
+          this->__isset.Resumed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4071,6 +4083,10 @@
   xfer += oprot->writeI64(this->Incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Resumed", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->Resumed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4091,6 +4107,7 @@
   swap(a.Excluded, b.Excluded);
   swap(a.GiveUpMicros, b.GiveUpMicros);
   swap(a.Incarnation, b.Incarnation);
+  swap(a.Resumed, b.Resumed);
   swap(a.__isset, b.__isset);
 }
 
@@ -4108,6 +4125,7 @@
   Excluded = other134.Excluded;
   GiveUpMicros = other134.GiveUpMicros;
   Incarnation = other134.Incarnation;
+  Resumed = other134.Resumed;
   __isset = other134.__isset;
 }
 slot_ask::slot_ask(slot_ask&& other135) noexcept {
@@ -4124,6 +4142,7 @@
   Excluded = std::move(other135.Excluded);
   GiveUpMicros = other135.GiveUpMicros;
   Incarnation = other135.Incarnation;
+  Resumed = other135.Resumed;
   __isset = other135.__isset;
 }
 slot_ask& slot_ask::operator=(const slot_ask& other136) {
@@ -4140,6 +4159,7 @@
   Excluded = other136.Excluded;
   GiveUpMicros = other136.GiveUpMicros;
   Incarnation = other136.Incarnation;
+  Resumed = other136.Resumed;
   __isset = other136.__isset;
   return *this;
 }
@@ -4157,6 +4177,7 @@
   Excluded = std::move(other137.Excluded);
   GiveUpMicros = other137.GiveUpMicros;
   Incarnation = other137.Incarnation;
+  Resumed = other137.Resumed;
   __isset = other137.__isset;
   return *this;
 }
@@ -4176,6 +4197,7 @@
   out << ", " << "Excluded=" << to_string(Excluded);
   out << ", " << "GiveUpMicros=" << to_string(GiveUpMicros);
   out << ", " << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "Resumed=" << to_string(Resumed);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -1604,7 +1604,7 @@
 std::ostream& operator<<(std::ostream& out, const usage_release& obj);
 
 typedef struct _slot_ask__isset {
-  _slot_ask__isset() : Ask(false), Pool(false), ServiceClass(false), Tier(false), Organisation(false), TimeLeftMicros(false), PromptTokens(false), ExpectedOutputTokens(false), PrefixHash(false), Idempotent(false), Excluded(false), GiveUpMicros(false), Incarnation(false) {}
+  _slot_ask__isset() : Ask(false), Pool(false), ServiceClass(false), Tier(false), Organisation(false), TimeLeftMicros(false), PromptTokens(false), ExpectedOutputTokens(false), PrefixHash(false), Idempotent(false), Excluded(false), GiveUpMicros(false), Incarnation(false), Resumed(false) {}
   bool Ask :1;
   bool Pool :1;
   bool ServiceClass :1;
@@ -1618,6 +1618,7 @@
   bool Excluded :1;
   bool GiveUpMicros :1;
   bool Incarnation :1;
+  bool Resumed :1;
 } _slot_ask__isset;
 
 class slot_ask : public virtual ::apache::thrift::TBase {
@@ -1639,7 +1640,8 @@
              PrefixHash(0),
              Idempotent(0),
              GiveUpMicros(0),
-             Incarnation(0) {
+             Incarnation(0),
+             Resumed(0) {
   }
 
   virtual ~slot_ask() noexcept;
@@ -1656,6 +1658,7 @@
   std::vector<std::string>  Excluded;
   int64_t GiveUpMicros;
   int64_t Incarnation;
+  bool Resumed;
 
   _slot_ask__isset __isset;
 
@@ -1685,6 +1688,8 @@
 
   void __set_Incarnation(const int64_t val);
 
+  void __set_Resumed(const bool val);
+
   bool operator == (const slot_ask & rhs) const
   {
     if (!(Ask == rhs.Ask))
@@ -1713,6 +1718,8 @@
       return false;
     if (!(Incarnation == rhs.Incarnation))
       return false;
+    if (!(Resumed == rhs.Resumed))
+      return false;
     return true;
   }
   bool operator != (const slot_ask &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -190,6 +190,7 @@
   11: list<string> Excluded    // upstreams that already failed this request
   12: i64 GiveUpMicros         // until the caller's own deadline
   13: i64 Incarnation          // of the asking entry
+  14: bool Resumed             // a part of its answer has been made already
 }
 
 struct slot_grant {
