--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -81,7 +81,8 @@
   claim_verdict::Finished,
   claim_verdict::OutcomeUnknown,
   claim_verdict::Unavailable,
-  claim_verdict::Mismatch
+  claim_verdict::Mismatch,
+  claim_verdict::Expired
 };
 const char* _kclaim_verdictNames[] = {
   "Won",
@@ -89,9 +90,10 @@
   "Finished",
   "OutcomeUnknown",
   "Unavailable",
-  "Mismatch"
+  "Mismatch",
+  "Expired"
 };
-const std::map<int, const char*> _claim_verdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kclaim_verdictValues, _kclaim_verdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _claim_verdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(7, _kclaim_verdictValues, _kclaim_verdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const claim_verdict::type& val) {
   std::map<int, const char*>::const_iterator it = _claim_verdict_VALUES_TO_NAMES.find(val);
@@ -9047,50 +9049,60 @@
 }
 
 
-claim_state::~claim_state() noexcept {
+kept_claim::~kept_claim() noexcept {
 }
 
 
-void claim_state::__set_Entry(const claim_entry& val) {
-  this->Entry = val;
+void kept_claim::__set_KeyHash(const std::string& val) {
+  this->KeyHash = val;
 }
 
-void claim_state::__set_Offset(const int64_t val) {
-  this->Offset = val;
+void kept_claim::__set_Organisation(const int32_t val) {
+  this->Organisation = val;
 }
 
-void claim_state::__set_Outcome(const run_outcome::type val) {
-  this->Outcome = val;
+void kept_claim::__set_Holder(const attempt_id& val) {
+  this->Holder = val;
 }
 
-void claim_state::__set_Settled(const bool val) {
-  this->Settled = val;
+void kept_claim::__set_BodyHash(const int64_t val) {
+  this->BodyHash = val;
 }
 
-void claim_state::__set_Answer(const recorded_answer& val) {
-  this->Answer = val;
-__isset.Answer = true;
+void kept_claim::__set_RetainMicros(const int64_t val) {
+  this->RetainMicros = val;
 }
 
-void claim_state::__set_RetainMicros(const int64_t val) {
-  this->RetainMicros = val;
+void kept_claim::__set_TimedKey(const bool val) {
+  this->TimedKey = val;
 }
 
-void claim_state::__set_Held(const bool val) {
+void kept_claim::__set_Held(const bool val) {
   this->Held = val;
 }
 
-void claim_state::__set_Released(const std::vector<attempt_id> & val) {
+void kept_claim::__set_Outcome(const run_outcome::type val) {
+  this->Outcome = val;
+__isset.Outcome = true;
+}
+
+void kept_claim::__set_Released(const std::vector<attempt_id> & val) {
   this->Released = val;
+__isset.Released = true;
 }
-std::ostream& operator<<(std::ostream& out, const claim_state& obj)
+
+void kept_claim::__set_Answer(const recorded_answer& val) {
+  this->Answer = val;
+__isset.Answer = true;
+}
+std::ostream& operator<<(std::ostream& out, const kept_claim& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t claim_state::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t kept_claim::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9112,51 +9124,49 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->Entry.read(iprot);
-          this->__isset.Entry = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->KeyHash);
+          this->__isset.KeyHash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Offset);
-          this->__isset.Offset = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Organisation);
+          this->__isset.Organisation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast328;
-          xfer += iprot->readI32(ecast328);
-          this->Outcome = static_cast<run_outcome::type>(ecast328);
-          this->__isset.Outcome = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Holder.read(iprot);
+          this->__isset.Holder = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->Settled);
-          this->__isset.Settled = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->BodyHash);
+          this->__isset.BodyHash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->Answer.read(iprot);
-          this->__isset.Answer = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->RetainMicros);
+          this->__isset.RetainMicros = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->RetainMicros);
-          this->__isset.RetainMicros = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->TimedKey);
+          this->__isset.TimedKey = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9170,6 +9180,16 @@
         }
         break;
       case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast328;
+          xfer += iprot->readI32(ecast328);
+          this->Outcome = static_cast<run_outcome::type>(ecast328);
+          this->__isset.Outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Released.clear();
@@ -9189,6 +9209,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Answer.read(iprot);
+          this->__isset.Answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9201,127 +9229,149 @@
   return xfer;
 }
 
-uint32_t claim_state::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t kept_claim::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("claim_state");
+  xfer += oprot->writeStructBegin("kept_claim");
 
-  xfer += oprot->writeFieldBegin("Entry", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->Entry.write(oprot);
+  xfer += oprot->writeFieldBegin("KeyHash", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->KeyHash);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Offset", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->Offset);
+  xfer += oprot->writeFieldBegin("Organisation", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Organisation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Outcome", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->Outcome));
+  xfer += oprot->writeFieldBegin("Holder", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->Holder.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Settled", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->Settled);
+  xfer += oprot->writeFieldBegin("BodyHash", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->BodyHash);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.Answer) {
-    xfer += oprot->writeFieldBegin("Answer", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->Answer.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("RetainMicros", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeFieldBegin("RetainMicros", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->RetainMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("TimedKey", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->TimedKey);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldBegin("Held", ::apache::thrift::protocol::T_BOOL, 7);
   xfer += oprot->writeBool(this->Held);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_LIST, 8);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Released.size()));
-    std::vector<attempt_id> ::const_iterator _iter334;
-    for (_iter334 = this->Released.begin(); _iter334 != this->Released.end(); ++_iter334)
+  if (this->__isset.Outcome) {
+    xfer += oprot->writeFieldBegin("Outcome", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(static_cast<int32_t>(this->Outcome));
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Released) {
+    xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_LIST, 9);
     {
-      xfer += (*_iter334).write(oprot);
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Released.size()));
+      std::vector<attempt_id> ::const_iterator _iter334;
+      for (_iter334 = this->Released.begin(); _iter334 != this->Released.end(); ++_iter334)
+      {
+        xfer += (*_iter334).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
     }
-    xfer += oprot->writeListEnd();
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Answer) {
+    xfer += oprot->writeFieldBegin("Answer", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->Answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(claim_state &a, claim_state &b) {
+void swap(kept_claim &a, kept_claim &b) {
   using ::std::swap;
-  swap(a.Entry, b.Entry);
-  swap(a.Offset, b.Offset);
-  swap(a.Outcome, b.Outcome);
-  swap(a.Settled, b.Settled);
-  swap(a.Answer, b.Answer);
+  swap(a.KeyHash, b.KeyHash);
+  swap(a.Organisation, b.Organisation);
+  swap(a.Holder, b.Holder);
+  swap(a.BodyHash, b.BodyHash);
   swap(a.RetainMicros, b.RetainMicros);
+  swap(a.TimedKey, b.TimedKey);
   swap(a.Held, b.Held);
+  swap(a.Outcome, b.Outcome);
   swap(a.Released, b.Released);
+  swap(a.Answer, b.Answer);
   swap(a.__isset, b.__isset);
 }
 
-claim_state::claim_state(const claim_state& other335) {
-  Entry = other335.Entry;
-  Offset = other335.Offset;
-  Outcome = other335.Outcome;
-  Settled = other335.Settled;
-  Answer = other335.Answer;
+kept_claim::kept_claim(const kept_claim& other335) {
+  KeyHash = other335.KeyHash;
+  Organisation = other335.Organisation;
+  Holder = other335.Holder;
+  BodyHash = other335.BodyHash;
   RetainMicros = other335.RetainMicros;
+  TimedKey = other335.TimedKey;
   Held = other335.Held;
+  Outcome = other335.Outcome;
   Released = other335.Released;
+  Answer = other335.Answer;
   __isset = other335.__isset;
 }
-claim_state::claim_state(claim_state&& other336) noexcept {
-  Entry = std::move(other336.Entry);
-  Offset = other336.Offset;
-  Outcome = other336.Outcome;
-  Settled = other336.Settled;
-  Answer = std::move(other336.Answer);
+kept_claim::kept_claim(kept_claim&& other336) noexcept {
+  KeyHash = std::move(other336.KeyHash);
+  Organisation = other336.Organisation;
+  Holder = std::move(other336.Holder);
+  BodyHash = other336.BodyHash;
   RetainMicros = other336.RetainMicros;
+  TimedKey = other336.TimedKey;
   Held = other336.Held;
+  Outcome = other336.Outcome;
   Released = std::move(other336.Released);
+  Answer = std::move(other336.Answer);
   __isset = other336.__isset;
 }
-claim_state& claim_state::operator=(const claim_state& other337) {
-  Entry = other337.Entry;
-  Offset = other337.Offset;
-  Outcome = other337.Outcome;
-  Settled = other337.Settled;
-  Answer = other337.Answer;
+kept_claim& kept_claim::operator=(const kept_claim& other337) {
+  KeyHash = other337.KeyHash;
+  Organisation = other337.Organisation;
+  Holder = other337.Holder;
+  BodyHash = other337.BodyHash;
   RetainMicros = other337.RetainMicros;
+  TimedKey = other337.TimedKey;
   Held = other337.Held;
+  Outcome = other337.Outcome;
   Released = other337.Released;
+  Answer = other337.Answer;
   __isset = other337.__isset;
   return *this;
 }
-claim_state& claim_state::operator=(claim_state&& other338) noexcept {
-  Entry = std::move(other338.Entry);
-  Offset = other338.Offset;
-  Outcome = other338.Outcome;
-  Settled = other338.Settled;
-  Answer = std::move(other338.Answer);
+kept_claim& kept_claim::operator=(kept_claim&& other338) noexcept {
+  KeyHash = std::move(other338.KeyHash);
+  Organisation = other338.Organisation;
+  Holder = std::move(other338.Holder);
+  BodyHash = other338.BodyHash;
   RetainMicros = other338.RetainMicros;
+  TimedKey = other338.TimedKey;
   Held = other338.Held;
+  Outcome = other338.Outcome;
   Released = std::move(other338.Released);
+  Answer = std::move(other338.Answer);
   __isset = other338.__isset;
   return *this;
 }
-void claim_state::printTo(std::ostream& out) const {
+void kept_claim::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "claim_state(";
-  out << "Entry=" << to_string(Entry);
-  out << ", " << "Offset=" << to_string(Offset);
-  out << ", " << "Outcome=" << to_string(Outcome);
-  out << ", " << "Settled=" << to_string(Settled);
-  out << ", " << "Answer="; (__isset.Answer ? (out << to_string(Answer)) : (out << "<null>"));
+  out << "kept_claim(";
+  out << "KeyHash=" << to_string(KeyHash);
+  out << ", " << "Organisation=" << to_string(Organisation);
+  out << ", " << "Holder=" << to_string(Holder);
+  out << ", " << "BodyHash=" << to_string(BodyHash);
   out << ", " << "RetainMicros=" << to_string(RetainMicros);
+  out << ", " << "TimedKey=" << to_string(TimedKey);
   out << ", " << "Held=" << to_string(Held);
-  out << ", " << "Released=" << to_string(Released);
+  out << ", " << "Outcome="; (__isset.Outcome ? (out << to_string(Outcome)) : (out << "<null>"));
+  out << ", " << "Released="; (__isset.Released ? (out << to_string(Released)) : (out << "<null>"));
+  out << ", " << "Answer="; (__isset.Answer ? (out << to_string(Answer)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9330,7 +9380,7 @@
 }
 
 
-void claims_state::__set_Claims(const std::vector<claim_state> & val) {
+void claims_state::__set_Claims(const std::vector<kept_claim> & val) {
   this->Claims = val;
 }
 
@@ -9342,8 +9392,16 @@
   this->TimeMicros = val;
 }
 
-void claims_state::__set_HorizonMicros(const int64_t val) {
-  this->HorizonMicros = val;
+void claims_state::__set_KeyHorizonMicros(const int64_t val) {
+  this->KeyHorizonMicros = val;
+}
+
+void claims_state::__set_OpaqueHorizonMicros(const int64_t val) {
+  this->OpaqueHorizonMicros = val;
+}
+
+void claims_state::__set_Organisations(const std::vector<std::string> & val) {
+  this->Organisations = val;
 }
 std::ostream& operator<<(std::ostream& out, const claims_state& obj)
 {
@@ -9423,8 +9481,36 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->HorizonMicros);
-          this->__isset.HorizonMicros = true;
+          xfer += iprot->readI64(this->KeyHorizonMicros);
+          this->__isset.KeyHorizonMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->OpaqueHorizonMicros);
+          this->__isset.OpaqueHorizonMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Organisations.clear();
+            uint32_t _size349;
+            ::apache::thrift::protocol::TType _etype352;
+            xfer += iprot->readListBegin(_etype352, _size349);
+            this->Organisations.resize(_size349);
+            uint32_t _i353;
+            for (_i353 = 0; _i353 < _size349; ++_i353)
+            {
+              xfer += iprot->readString(this->Organisations[_i353]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Organisations = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9449,10 +9535,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<claim_state> ::const_iterator _iter349;
-    for (_iter349 = this->Claims.begin(); _iter349 != this->Claims.end(); ++_iter349)
+    std::vector<kept_claim> ::const_iterator _iter354;
+    for (_iter354 = this->Claims.begin(); _iter354 != this->Claims.end(); ++_iter354)
     {
-      xfer += (*_iter349).write(oprot);
+      xfer += (*_iter354).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9461,10 +9547,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter350;
-    for (_iter350 = this->Writers.begin(); _iter350 != this->Writers.end(); ++_iter350)
+    std::vector<writer_state> ::const_iterator _iter355;
+    for (_iter355 = this->Writers.begin(); _iter355 != this->Writers.end(); ++_iter355)
     {
-      xfer += (*_iter350).write(oprot);
+      xfer += (*_iter355).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9474,8 +9560,24 @@
   xfer += oprot->writeI64(this->TimeMicros);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("HorizonMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->HorizonMicros);
+  xfer += oprot->writeFieldBegin("KeyHorizonMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->KeyHorizonMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("OpaqueHorizonMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->OpaqueHorizonMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Organisations", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Organisations.size()));
+    std::vector<std::string> ::const_iterator _iter356;
+    for (_iter356 = this->Organisations.begin(); _iter356 != this->Organisations.end(); ++_iter356)
+    {
+      xfer += oprot->writeString((*_iter356));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9488,38 +9590,48 @@
   swap(a.Claims, b.Claims);
   swap(a.Writers, b.Writers);
   swap(a.TimeMicros, b.TimeMicros);
-  swap(a.HorizonMicros, b.HorizonMicros);
+  swap(a.KeyHorizonMicros, b.KeyHorizonMicros);
+  swap(a.OpaqueHorizonMicros, b.OpaqueHorizonMicros);
+  swap(a.Organisations, b.Organisations);
   swap(a.__isset, b.__isset);
 }
 
-claims_state::claims_state(const claims_state& other351) {
-  Claims = other351.Claims;
-  Writers = other351.Writers;
-  TimeMicros = other351.TimeMicros;
-  HorizonMicros = other351.HorizonMicros;
-  __isset = other351.__isset;
-}
-claims_state::claims_state(claims_state&& other352) noexcept {
-  Claims = std::move(other352.Claims);
-  Writers = std::move(other352.Writers);
-  TimeMicros = other352.TimeMicros;
-  HorizonMicros = other352.HorizonMicros;
-  __isset = other352.__isset;
-}
-claims_state& claims_state::operator=(const claims_state& other353) {
-  Claims = other353.Claims;
-  Writers = other353.Writers;
-  TimeMicros = other353.TimeMicros;
-  HorizonMicros = other353.HorizonMicros;
-  __isset = other353.__isset;
+claims_state::claims_state(const claims_state& other357) {
+  Claims = other357.Claims;
+  Writers = other357.Writers;
+  TimeMicros = other357.TimeMicros;
+  KeyHorizonMicros = other357.KeyHorizonMicros;
+  OpaqueHorizonMicros = other357.OpaqueHorizonMicros;
+  Organisations = other357.Organisations;
+  __isset = other357.__isset;
+}
+claims_state::claims_state(claims_state&& other358) noexcept {
+  Claims = std::move(other358.Claims);
+  Writers = std::move(other358.Writers);
+  TimeMicros = other358.TimeMicros;
+  KeyHorizonMicros = other358.KeyHorizonMicros;
+  OpaqueHorizonMicros = other358.OpaqueHorizonMicros;
+  Organisations = std::move(other358.Organisations);
+  __isset = other358.__isset;
+}
+claims_state& claims_state::operator=(const claims_state& other359) {
+  Claims = other359.Claims;
+  Writers = other359.Writers;
+  TimeMicros = other359.TimeMicros;
+  KeyHorizonMicros = other359.KeyHorizonMicros;
+  OpaqueHorizonMicros = other359.OpaqueHorizonMicros;
+  Organisations = other359.Organisations;
+  __isset = other359.__isset;
   return *this;
 }
-claims_state& claims_state::operator=(claims_state&& other354) noexcept {
-  Claims = std::move(other354.Claims);
-  Writers = std::move(other354.Writers);
-  TimeMicros = other354.TimeMicros;
-  HorizonMicros = other354.HorizonMicros;
-  __isset = other354.__isset;
+claims_state& claims_state::operator=(claims_state&& other360) noexcept {
+  Claims = std::move(other360.Claims);
+  Writers = std::move(other360.Writers);
+  TimeMicros = other360.TimeMicros;
+  KeyHorizonMicros = other360.KeyHorizonMicros;
+  OpaqueHorizonMicros = other360.OpaqueHorizonMicros;
+  Organisations = std::move(other360.Organisations);
+  __isset = other360.__isset;
   return *this;
 }
 void claims_state::printTo(std::ostream& out) const {
@@ -9528,7 +9640,9 @@
   out << "Claims=" << to_string(Claims);
   out << ", " << "Writers=" << to_string(Writers);
   out << ", " << "TimeMicros=" << to_string(TimeMicros);
-  out << ", " << "HorizonMicros=" << to_string(HorizonMicros);
+  out << ", " << "KeyHorizonMicros=" << to_string(KeyHorizonMicros);
+  out << ", " << "OpaqueHorizonMicros=" << to_string(OpaqueHorizonMicros);
+  out << ", " << "Organisations=" << to_string(Organisations);
   out << ")";
 }
 
