--- /dev/null
+++ b/bench/decisions_bench.cc
@@ -0,0 +1,349 @@
+// Time, message bytes and memory of the decisions, over sizes.
+//
+//   decisions_bench --benchmark_format=json > decisions.json
+//   scripts/capacity-table decisions.json
+
+#include <malloc.h>
+
+#include <string>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+
+#include "monsoonreel/ledger.h"
+#include "monsoonreel/membership.h"
+#include "monsoonreel/pool_map.h"
+#include "monsoonreel/slot_client.h"
+#include "monsoonreel/slot_owner.h"
+#include "monsoonreel/testing/member_network.h"
+
+namespace monsoonreel {
+namespace {
+
+constexpr int organisations = 290;
+constexpr int zones = 7;
+constexpr int models = 4;
+
+double heapInUse() { return static_cast<double>(mallinfo2().uordblks); }
+
+// A document with the given number of upstreams.
+std::string makeDocument(int Upstreams) {
+  std::string Text = "classes:\n";
+  for (int I = 0; I < 4; ++I)
+    Text += "  - {name: class" + std::to_string(I) +
+            ", tier: " + std::to_string(I) + ", first_token: 350ms}\n";
+  Text += "organisations:\n";
+  for (int I = 0; I < organisations; ++I)
+    Text += "  - {name: organisation" + std::to_string(I) + "}\n";
+  Text += "upstreams:\n";
+  for (int I = 0; I < Upstreams; ++I)
+    Text += "  - {name: upstream" + std::to_string(I) + ", pool: model" +
+            std::to_string(I % models) + ", zone: zone" +
+            std::to_string(I / models % zones) + ", address: \"10.0." +
+            std::to_string(I / 250) + "." + std::to_string(I % 250 + 1) +
+            ":8000\", concurrency: 16}\n";
+  return Text + "routes:\n  - {path: /v1, class: class0, idempotent: true}\n";
+}
+
+configuration makeConfiguration(int Upstreams) {
+  configuration Configuration =
+      parseConfiguration(makeDocument(Upstreams), "bench").value();
+  Configuration.Limits.MaxQueueLength = 1 << 20;
+  Configuration.Limits.MaxQueueWait = std::chrono::hours(24);
+  return Configuration;
+}
+
+wire::slot_ask makeAsk(int64_t Id) {
+  wire::slot_ask Ask;
+  Ask.Ask = (int64_t{77} << 24) + Id;
+  Ask.Incarnation = 1791820800000000 + 77;
+  Ask.Pool = "model0@zone0#0";
+  Ask.ServiceClass = "class" + std::to_string(Id % 4);
+  Ask.Tier = static_cast<int>(Id % 4);
+  Ask.Organisation = "organisation" + std::to_string(Id % organisations);
+  Ask.TimeLeftMicros = toMicros(std::chrono::hours(10));
+  Ask.GiveUpMicros = toMicros(std::chrono::hours(20));
+  Ask.PromptTokens = 700;
+  Ask.PrefixHash = 0x5DEECE66D1234567;
+  Ask.Idempotent = true;
+  return Ask;
+}
+
+double encodedBytes(const wire::peer_message &Message) {
+  return static_cast<double>(encodeMessage(Message).size());
+}
+
+// One ask, one release and the grant that follows, while Waiting requests
+// wait.
+void admitAndGrant(benchmark::State &State) {
+  configuration Configuration = makeConfiguration(30);
+  steady_time Now(std::chrono::hours(1));
+  slot_owner Owner = slot_owner::builder()
+                         .name(node_name("owner"))
+                         .incarnation(incarnation{1791820800000000})
+                         .build();
+  slot_reply_list Replies;
+  effect_list Effects;
+  Owner.setConfiguration(Configuration,
+                         pool_map::fromConfiguration(Configuration), Now,
+                         Replies, Effects);
+  slot_peer Asker{node_name("entry12"), address("10.1.0.12:7100"),
+                  zone_name("zone0")};
+  double Before = heapInUse();
+  std::vector<wire::slot_grant> Grants;
+  auto Collect = [&] {
+    for (const slot_reply &Reply : Replies)
+      if (const auto *Grant = std::get_if<wire::slot_grant>(&Reply.Message))
+        Grants.push_back(*Grant);
+    Replies.clear();
+    Effects.clear();
+  };
+  int64_t Id = 0;
+  while (Owner.waitingCount() < static_cast<size_t>(State.range(0))) {
+    Owner.onAsk(Asker, makeAsk(++Id), Now, Replies, Effects);
+    Collect();
+  }
+  double Waiting = heapInUse() - Before;
+  size_t Next = 0;
+  wire::slot_release Release;
+  Release.FirstTokenMicros = 120000;
+  Release.TotalMicros = 2400000;
+  Release.OutputTokens = 240;
+  for (auto Round : State) {
+    Now += std::chrono::milliseconds(1);
+    Owner.onAsk(Asker, makeAsk(++Id), Now, Replies, Effects);
+    Collect();
+    Release.Slot = Grants[Next].Slot;
+    Release.OwnerIncarnation = Grants[Next].OwnerIncarnation;
+    ++Next;
+    Owner.onRelease(Release, Now, Replies, Effects);
+    Collect();
+  }
+  wire::slot_queued Queued;
+  Queued.Ask = makeAsk(1).Ask;
+  State.counters["ask_bytes"] = encodedBytes(makeAsk(1));
+  State.counters["grant_bytes"] = encodedBytes(Grants.front());
+  State.counters["release_bytes"] = encodedBytes(Release);
+  State.counters["queued_bytes"] = encodedBytes(Queued);
+  State.counters["waiting_heap_bytes"] = Waiting;
+}
+BENCHMARK(admitAndGrant)->Arg(1)->Arg(100)->Arg(10000);
+
+// The asking entry's part of one request, with so many entries in its zone.
+void askAndHold(benchmark::State &State) {
+  int Entries = static_cast<int>(State.range(0));
+  configuration Configuration =
+      makeConfiguration(static_cast<int>(State.range(1)));
+  steady_time Now(std::chrono::hours(1));
+  double Before = heapInUse();
+  slot_client Client =
+      slot_client::builder()
+          .self({node_name("entry0"), zone_name("zone0"),
+                 address("10.1.0.0:7100"), incarnation{1791820800000077}})
+          .build();
+  effect_list Effects;
+  slot_outcome_list Outcomes;
+  Client.setConfiguration(Configuration, Now, Effects, Outcomes);
+  std::vector<slot_peer> Peers;
+  for (int I = 0; I < Entries; ++I)
+    Peers.push_back({node_name("entry" + std::to_string(I)),
+                     address("10.1.0." + std::to_string(I) + ":7100"),
+                     zone_name("zone" + std::to_string(I % zones))});
+  Client.setPeers(Peers);
+  double Held = heapInUse() - Before;
+  int64_t Id = 0;
+  for (auto Round : State) {
+    slot_request Request;
+    Request.Request = request_id{++Id};
+    Request.Pool = pool_name("model" + std::to_string(Id % models));
+    Request.Class = class_name("class0");
+    Request.Organisation = organisation_name("organisation7");
+    Request.Target = Now + std::chrono::seconds(1);
+    Request.GiveUp = Now + std::chrono::seconds(10);
+    Request.Idempotent = true;
+    Client.ask(Request, Now, static_cast<uint64_t>(Id) * 0x9E3779B97F4A7C15U,
+               Effects, Outcomes);
+    if (!Effects.empty()) {
+      const auto &Ask = std::get<wire::slot_ask>(
+          std::get<send_message>(Effects.back()).Message);
+      wire::slot_grant Grant;
+      Grant.Ask = Ask.Ask;
+      Grant.Slot = Id;
+      Grant.Upstream = "upstream1";
+      Client.onMessage(node_name("entry1"), address("10.1.0.1:7100"), Grant,
+                       Now, Effects, Outcomes);
+    }
+    Client.release(Request.Request, {}, Now, Effects, Outcomes);
+    Effects.clear();
+    Outcomes.clear();
+  }
+  State.counters["heap_bytes"] = Held;
+}
+BENCHMARK(askAndHold)->ArgsProduct({{8, 40, 330}, {30, 600}});
+
+// One tick of an owner of so many cells, each with 64 slots taken.
+void ownerTick(benchmark::State &State) {
+  configuration Configuration = makeConfiguration(600);
+  pool_map Map = pool_map::fromConfiguration(Configuration);
+  steady_time Now(std::chrono::hours(1));
+  slot_owner Owner = slot_owner::builder().name(node_name("owner")).build();
+  slot_reply_list Replies;
+  effect_list Effects;
+  Owner.setConfiguration(Configuration, Map, Now, Replies, Effects);
+  double Before = heapInUse();
+  int64_t Id = 0;
+  auto Cell = Map.all().begin();
+  for (int I = 0; I < State.range(0); ++I, ++Cell)
+    for (int Slot = 0; Slot < 64; ++Slot) {
+      wire::slot_ask Ask = makeAsk(++Id);
+      Ask.Pool = Cell->first.Value;
+      Owner.onAsk(
+          {node_name("entry12"), address("10.1.0.12:7100"), zone_name("zone0")},
+          Ask, Now, Replies, Effects);
+    }
+  State.counters["heap_bytes"] = heapInUse() - Before;
+  State.counters["cells"] = static_cast<double>(Map.all().size());
+  for (auto Round : State) {
+    Now += std::chrono::microseconds(10); // slots do not expire meanwhile
+    Owner.onTick(Now, Replies, Effects);
+    Effects.clear();
+  }
+}
+BENCHMARK(ownerTick)->Arg(1)->Arg(4);
+
+// One node's heartbeats during one second, among so many nodes in 7 zones.
+void heartbeatSecond(benchmark::State &State) {
+  int Nodes = static_cast<int>(State.range(0));
+  member_network Network;
+  double Before = heapInUse();
+  auto NameOf = [](int I) { return "entry" + std::to_string(I); };
+  for (int I = 0; I < Nodes; ++I)
+    Network.add(NameOf(I), "zone" + std::to_string(I % zones));
+  // Until the joining of all nodes has been told everywhere.
+  Network.run(std::chrono::seconds(60));
+  double Held = heapInUse() - Before;
+  auto Bytes = [&] {
+    double Sum = 0;
+    for (int I = 0; I < Nodes; ++I)
+      Sum += static_cast<double>(Network.bytesSentBy(NameOf(I)) +
+                                 Network.bytesReceivedBy(NameOf(I)));
+    return Sum;
+  };
+  double BytesBefore = Bytes();
+  int Seconds = 0;
+  for (auto Round : State) {
+    wire::pool_load Load;
+    Load.Pool = "model0@zone0#0";
+    Load.Owner = NameOf(0);
+    Load.QueueWaitMicros = 120000 + Seconds;
+    for (int I = 0; I < Nodes; ++I) {
+      Load.Owner = NameOf(I);
+      Network.node(NameOf(I)).setOwnLoads({Load}, Network.now());
+    }
+    Network.run(std::chrono::seconds(1));
+    ++Seconds;
+  }
+  State.counters["bytes_per_node"] = (Bytes() - BytesBefore) / Nodes / Seconds;
+  // The time is that of all nodes and of the network between them.
+  State.counters["nodes"] = Nodes;
+  State.counters["heap_bytes_per_node"] = Held / Nodes;
+}
+BENCHMARK(heartbeatSecond)
+    ->Arg(8)
+    ->Arg(40)
+    ->Arg(330)
+    ->Unit(benchmark::kMillisecond)
+    ->MinTime(0.2);
+
+// Replay of one change of the document and the cut into cells.
+void replayConfiguration(benchmark::State &State) {
+  std::string Document = makeDocument(static_cast<int>(State.range(0)));
+  double Before = heapInUse();
+  ledger Ledger(operator_stream);
+  effect_list Effects;
+  int64_t Offset = 0;
+  size_t Bytes = 0;
+  for (auto Round : State) {
+    wire::config_edit Edit;
+    Edit.Base = Ledger.configOffset().Value;
+    Edit.Document = Document;
+    wire::log_record Record;
+    Record.Incarnation = 7;
+    Record.Sequence = ++Offset;
+    Record.__set_ConfigEdit(Edit);
+    std::string Encoded = encodeRecord(Record);
+    Bytes = Encoded.size();
+    Ledger.apply(log_offset{Offset}, Encoded, Effects);
+    benchmark::DoNotOptimize(pool_map::fromConfiguration(Ledger.config()));
+  }
+  if (Ledger.configOffset().Value != Offset)
+    State.SkipWithError("an edit was not accepted");
+  State.counters["record_bytes"] = static_cast<double>(Bytes);
+  State.counters["heap_bytes"] = heapInUse() - Before;
+}
+BENCHMARK(replayConfiguration)
+    ->Arg(30)
+    ->Arg(600)
+    ->Unit(benchmark::kMillisecond);
+
+// Replay of the batches of so many organisations and of the window's close.
+void closeUsage(benchmark::State &State) {
+  ledger Ledger(usage_stream);
+  effect_list Effects;
+  int64_t Offset = 0;
+  size_t BatchBytes = 0;
+  auto Apply = [&](wire::log_record Record) {
+    Record.Incarnation = 7;
+    Record.Sequence = ++Offset;
+    std::string Encoded = encodeRecord(Record);
+    BatchBytes = std::max(BatchBytes, Encoded.size());
+    return Ledger.apply(log_offset{Offset}, Encoded, Effects);
+  };
+  wire::lease_claim Claim;
+  Claim.Lease = std::string(usage_lease);
+  Claim.Holder = "steward0";
+  Claim.Incarnation = 7;
+  Claim.DurationMicros = 10'000'000;
+  wire::log_record ClaimRecord;
+  ClaimRecord.__set_LeaseClaim(Claim);
+  Apply(ClaimRecord);
+  int64_t Window = 0;
+  for (auto Round : State) {
+    ++Window;
+    wire::usage_batch Batch;
+    Batch.Incarnation = 9;
+    Batch.Sequence = Window;
+    for (int I = 0; I < State.range(0); ++I) {
+      wire::usage_increment Increment;
+      Increment.Organisation = "organisation" + std::to_string(I);
+      Increment.ServiceClass = "class0";
+      Increment.Requests = 3;
+      Increment.OutputTokens = 700;
+      Batch.Increments.push_back(Increment);
+    }
+    wire::usage_append Append;
+    Append.Batches.push_back(Batch);
+    wire::log_record AppendRecord;
+    AppendRecord.__set_UsageAppend(Append);
+    Apply(AppendRecord);
+    wire::usage_close Close;
+    Close.Window = Window;
+    Close.Fence = 1;
+    wire::log_record CloseRecord;
+    CloseRecord.__set_UsageClose(Close);
+    if (!Apply(CloseRecord).isValid())
+      State.SkipWithError("the close was not accepted");
+    wire::usage_reported Reported;
+    Reported.Window = Window;
+    wire::log_record ReportedRecord;
+    ReportedRecord.__set_UsageReported(Reported);
+    Apply(ReportedRecord);
+  }
+  State.counters["batch_bytes"] = static_cast<double>(BatchBytes);
+}
+BENCHMARK(closeUsage)->Arg(10)->Arg(290)->Unit(benchmark::kMicrosecond);
+
+} // namespace
+} // namespace monsoonreel
+
+BENCHMARK_MAIN();
