--- a/monsoonreel/slot_client.cc
+++ b/monsoonreel/slot_client.cc
@@ -36,6 +36,7 @@
   Ask.ExpectedOutputTokens = Request.MaxTokens;
   Ask.PrefixHash = static_cast<int64_t>(Request.PrefixHash);
   Ask.Idempotent = Request.Idempotent;
+  Ask.Resumed = Request.Resumed;
   for (const upstream_name &Name : Request.Excluded)
     Ask.Excluded.push_back(Name.Value);
   return Ask;
