--- a/bench/scheduling_comparison.cc
+++ b/bench/scheduling_comparison.cc
@@ -97,8 +97,8 @@
     std::printf(" %.3f |", Totals.Classes[Name].attainment());
   for (const char *Name : {"chat", "draft", "summary", "batch"}) {
     const served_count &Count = Totals.Classes[Name];
-    std::printf(" %.2f%s", Count.Offered ? double(Count.Served) / Count.Offered
-                                         : 1.0,
+    std::printf(" %.2f%s",
+                Count.Offered ? double(Count.Served) / Count.Offered : 1.0,
                 std::string(Name) == "batch" ? " |" : " /");
   }
   std::printf(" %.2f | %.2f | %.1f%% | %.0f | %d |\n", Totals.Goodput,
@@ -113,11 +113,12 @@
 
 int main(int Argc, char **Argv) {
   absl::ParseCommandLine(Argc, Argv);
-  std::printf("| load | policy | chat met | draft met | summary met | batch met "
-              "| served c/d/s/b | goodput /s | worst organisation | wasted "
-              "tokens | refused after ms | breaches |\n"
-              "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
-              "--- | --- |\n");
+  std::printf(
+      "| load | policy | chat met | draft met | summary met | batch met "
+      "| served c/d/s/b | goodput /s | worst organisation | wasted "
+      "tokens | refused after ms | breaches |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
+      "--- | --- |\n");
   for (const std::string &Load : absl::GetFlag(FLAGS_loads))
     for (const std::string &Policy : absl::GetFlag(FLAGS_policies))
       monsoonreel::printRow(Policy, Load);
--- /dev/null
+++ b/io/testing/peer_transport_test.cc
@@ -0,0 +1,130 @@
+#include "io/peer_transport.h"
+
+#include <vector>
+
+#include <QtEndian>
+
+#include <gtest/gtest.h>
+
+#include "io/testing/raw_client.h"
+#include "io/testing/wait.h"
+
+namespace monsoonreel {
+namespace {
+
+wire::peer_message probe(int64_t Nonce) {
+  wire::heartbeat Heartbeat;
+  Heartbeat.Nonce = Nonce;
+  return Heartbeat;
+}
+
+class recorder : public event_sink {
+public:
+  void post(event_body Event) override {
+    Received.push_back(std::get<peer_message_received>(Event));
+  }
+  bool has(int64_t Nonce) const {
+    for (const peer_message_received &Message : Received)
+      if (std::get<wire::heartbeat>(Message.Message).Nonce == Nonce)
+        return true;
+    return false;
+  }
+  std::vector<peer_message_received> Received;
+};
+
+class peer_transport_test : public testing::Test {
+protected:
+  static node_identity identity(const std::string &Name) {
+    QTcpServer Probe;
+    Probe.listen(QHostAddress::LocalHost, 0);
+    node_identity Identity;
+    Identity.Name = node_name(Name);
+    Identity.Address =
+        address("127.0.0.1:" + std::to_string(Probe.serverPort()));
+    return Identity;
+  }
+  void SetUp() override {
+    ASSERT_TRUE(A->listen());
+    ASSERT_TRUE(B->listen());
+  }
+  // A message and its answer.
+  void exchangeMessages(int64_t Nonce) {
+    A->send(IdentityB.Address, probe(Nonce));
+    ASSERT_TRUE(waitUntil([&] { return AtB.has(Nonce); }));
+    B->send(IdentityA.Address, probe(Nonce + 1));
+    ASSERT_TRUE(waitUntil([&] { return AtA.has(Nonce + 1); }));
+  }
+  uint16_t portOfB() const {
+    const std::string &Text = IdentityB.Address.Value;
+    return static_cast<uint16_t>(std::stoi(Text.substr(Text.find(':') + 1)));
+  }
+
+  node_identity IdentityA = identity("a");
+  node_identity IdentityB = identity("b");
+  recorder AtA;
+  recorder AtB;
+  std::unique_ptr<peer_transport> A =
+      std::make_unique<peer_transport>(IdentityA, AtA);
+  std::unique_ptr<peer_transport> B =
+      std::make_unique<peer_transport>(IdentityB, AtB);
+};
+
+TEST_F(peer_transport_test, Message_AndItsAnswer_NameTheirSenders) {
+  exchangeMessages(1);
+  EXPECT_EQ(AtB.Received[0].From, IdentityA.Name);
+  EXPECT_EQ(AtB.Received[0].FromAddress, IdentityA.Address);
+  EXPECT_EQ(AtA.Received[0].FromAddress, IdentityB.Address);
+}
+
+TEST_F(peer_transport_test, Link_ResetByEitherSide_CarriesItsNextMessage) {
+  exchangeMessages(1);
+  A->resetLink(IdentityB.Address);
+  A->send(IdentityB.Address, probe(3));
+  EXPECT_TRUE(waitUntil([&] { return AtB.has(3); }));
+  B->resetLink(IdentityA.Address);
+  B->send(IdentityA.Address, probe(4));
+  EXPECT_TRUE(waitUntil([&] { return AtA.has(4); }));
+}
+
+TEST_F(peer_transport_test, Peer_Restarted_IsReachedAgain) {
+  exchangeMessages(1);
+  B.reset();
+  B = std::make_unique<peer_transport>(IdentityB, AtB);
+  ASSERT_TRUE(waitUntil([&] { return B->listen(); }));
+  // Messages are lost while the old connection still counts as open.
+  ASSERT_TRUE(waitUntil([&] {
+    A->send(IdentityB.Address, probe(9));
+    return AtB.has(9);
+  }));
+}
+
+TEST_F(peer_transport_test, Frame_Hostile_ClosesOnlyItsConnection) {
+  auto Length = [](uint32_t Value) {
+    std::string Bytes(4, '\0');
+    qToBigEndian(Value, Bytes.data());
+    return Bytes;
+  };
+  const std::vector<std::string> Cases = {
+      Length(0xffffffff),
+      Length(max_hello_bytes + 1),
+      Length(4) + "nope",
+      Length(8) + std::string("\x7f\xff\xff\xff\x7f\xff\xff\xff", 8),
+  };
+  for (const std::string &Bytes : Cases) {
+    raw_client Client(portOfB());
+    Client.send(Bytes);
+    EXPECT_TRUE(Client.waitForClose());
+  }
+  EXPECT_TRUE(AtB.Received.empty());
+  exchangeMessages(1);
+}
+
+TEST_F(peer_transport_test, Queue_OfAnUnreachablePeer_StaysBounded) {
+  address Nowhere = identity("nobody").Address;
+  for (int64_t I = 0; I < 10 * int64_t{max_queued_frames}; ++I)
+    A->send(Nowhere, probe(I));
+  EXPECT_GE(A->framesDropped(), 9 * int64_t{max_queued_frames});
+}
+
+} // namespace
+} // namespace monsoonreel
--- a/io/testing/upstream_client_test.cc
+++ b/io/testing/upstream_client_test.cc
@@ -240,7 +240,7 @@
   Request.TokenStream = true;
   Client.start(Request);
   ASSERT_TRUE(waitForEnd());
-  EXPECT_EQ(Finished, 1);
+  EXPECT_EQ(Finished, 1) << Failure.value_or(attempt_failed{}).Detail;
   EXPECT_EQ(Body, Events);
   EXPECT_EQ(Tokens, 2);
 }
--- a/monsoonreel/testing/fake_site.cc
+++ b/monsoonreel/testing/fake_site.cc
@@ -34,8 +34,9 @@
 constexpr double large_part = 0.4;
 
 const traffic &trafficOf(const class_name &Class) {
-  return *std::find_if(std::begin(Traffics), std::end(Traffics),
-                       [&](const traffic &T) { return T.Class == Class.Value; });
+  return *std::find_if(
+      std::begin(Traffics), std::end(Traffics),
+      [&](const traffic &T) { return T.Class == Class.Value; });
 }
 
 service_class makeClass(const char *Name, int Tier, duration Target,
@@ -194,8 +195,7 @@
   Slot.GiveUp = Now + Traffic.Deadline;
   Slot.PromptTokens = Traffic.PromptTokens;
   Slot.Idempotent = true;
-  double Mu =
-      std::log(Traffic.OutputTokens) - output_sigma * output_sigma / 2;
+  double Mu = std::log(Traffic.OutputTokens) - output_sigma * output_sigma / 2;
   boost::random::lognormal_distribution<double> Length(Mu, output_sigma);
   Request->OutputTokens = std::max(1, static_cast<int>(Length(Random)));
   Request->ArrivedAt = Now;
@@ -242,8 +242,8 @@
 void fake_site::giveUp(request &Request) {
   entry &Entry = *Entries[Request.Entry];
   if (!Request.Engine.empty()) {
-    int Made = Engines.at(Request.Engine)
-                   ->cancel(Request.Slot.Request.Value, Now);
+    int Made =
+        Engines.at(Request.Engine)->cancel(Request.Slot.Request.Value, Now);
     Result.TokensMade += Made;
     Result.TokensWasted += Made + Request.Made;
     slot_report Report;
@@ -267,14 +267,14 @@
       Result.MessageBytes +=
           static_cast<int64_t>(encodeMessage(Send->Message).size());
       entry *To = Entries[std::stoul(Send->ToAddress.Value)].get();
-      after(Options.NetworkDelay, [this, To, From = Entry.Peer,
-                                   Message = std::move(Send->Message)] {
-        effect_list Next;
-        slot_outcome_list NextOutcomes;
-        To->Client.onMessage(From.Name, From.Address, Message, Now, Next,
-                             NextOutcomes);
-        carryOut(*To, std::move(Next), NextOutcomes);
-      });
+      after(Options.NetworkDelay,
+            [this, To, From = Entry.Peer, Message = std::move(Send->Message)] {
+              effect_list Next;
+              slot_outcome_list NextOutcomes;
+              To->Client.onMessage(From.Name, From.Address, Message, Now, Next,
+                                   NextOutcomes);
+              carryOut(*To, std::move(Next), NextOutcomes);
+            });
     } else if (auto *Poll = std::get_if<poll_load>(&Effect)) {
       poll(Entry, Poll->Upstream);
     } else if (std::holds_alternative<report_breach>(Effect)) {
@@ -330,8 +330,8 @@
     if (Found == Requests.end())
       return;
     request &Request = *Found->second;
-    int Made = Engines.at(Request.Engine)
-                   ->cancel(Request.Slot.Request.Value, Now);
+    int Made =
+        Engines.at(Request.Engine)->cancel(Request.Slot.Request.Value, Now);
     Result.TokensMade += Made;
     Request.Made += Made;
     Request.Engine.clear();
