--- a/io/gated_socket.cc
+++ b/io/gated_socket.cc
@@ -188,7 +188,16 @@
     ::shutdown(static_cast<int>(Wire->socketDescriptor()), SHUT_WR);
 }
 
-void gated_socket::breakOff() { Wire->abort(); }
+void gated_socket::breakOff() {
+  Wire->flush();
+  // A body that ends with its connection looks complete after an orderly close.
+  if (Phase == phase::Answering && Head.Http10) {
+    linger Reset{1, 0};
+    ::setsockopt(static_cast<int>(Wire->socketDescriptor()), SOL_SOCKET,
+                 SO_LINGER, &Reset, sizeof(Reset));
+  }
+  Wire->abort();
+}
 
 void gated_socket::checkTimes(steady_time Now) {
   duration InPhase = Now - PhaseStart;
--- a/steward/main.cc
+++ b/steward/main.cc
@@ -1,29 +1,23 @@
-// monsoonreel-steward: follows the operator log, passes configuration on,
-// closes and reports usage windows, and orders upstreams.
+// monsoonreel-steward: see docs/OPERATIONS.md.
+//
+//   monsoonreel-steward --settings steward-1.yaml
+//   monsoonreel-steward --settings steward-1.yaml --check
+
+#include <string>
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
-#include "io/io.h"
+#include "io/daemon.h"
 #include "monsoonreel/steward_node.h"
 
-ABSL_FLAG(std::string, settings, "", "YAML file with this process's settings");
-ABSL_FLAG(bool, check, false, "check the settings and end");
-
-using namespace monsoonreel;
-
-namespace {
-
-std::unique_ptr<node> makeSteward(const node_identity &Self,
-                                  const settings &Settings) {
-  return steward_node_builder(Self).seeds(Settings.Seeds).build();
-}
-
-} // namespace
+ABSL_FLAG(std::string, settings, "", "File with the settings of this process");
+ABSL_FLAG(bool, check, false, "Only check the settings");
 
 int main(int Argc, char **Argv) {
-  absl::SetProgramUsageMessage("Steward of a monsoonreel site.");
+  using namespace monsoonreel;
+  absl::SetProgramUsageMessage("Runs one steward of monsoonreel.");
   absl::ParseCommandLine(Argc, Argv);
   auto Settings = loadSettings(absl::GetFlag(FLAGS_settings));
   if (!Settings)
@@ -32,5 +26,9 @@
     return status_ok;
   // Stewards serve no callers.
   Settings->Listen = {};
-  return runNode(Argc, Argv, *Settings, makeSteward);
+  return runNode(
+      Argc, Argv, *Settings,
+      [](const node_identity &Self, const settings &Chosen) {
+        return steward_node_builder(Self).seeds(Chosen.Seeds).build();
+      });
 }
