--- /dev/null
+++ b/cli/commands.h
@@ -0,0 +1,33 @@
+// The commands of the `monsoonreel` program. Each returns its exit status.
+
+#ifndef CLI_COMMANDS_H
+#define CLI_COMMANDS_H
+
+#include <string>
+
+#include "cli/options.h"
+
+namespace monsoonreel::cli {
+
+// Configuration files.
+int checkFile(const options &Options, const std::string &File);
+int applyFile(const options &Options, const std::string &File);
+int diffFile(const options &Options, const std::string &File);
+// Prints the document in force, with its version.
+int showDocument(const options &Options);
+// Puts an earlier document in force again, as a new version. Version 0 stands
+// for the one before the document in force.
+int rollback(const options &Options, int64_t Version);
+
+// Callers' keys.
+int giveKey(const options &Options, const std::string &Organisation);
+int withdrawKey(const options &Options, const std::string &KeyId);
+int listKeys(const options &Options);
+
+// Nodes.
+int showStatus(const options &Options);
+int drainNode(const options &Options, const std::string &Admin);
+
+} // namespace monsoonreel::cli
+
+#endif // CLI_COMMANDS_H
--- a/io/node_runtime.cc
+++ b/io/node_runtime.cc
@@ -305,7 +305,10 @@
   QJsonObject Status =
       QJsonDocument::fromJson(QByteArray::fromStdString(Node.statusJson()))
           .object();
-  return Status.value("ready").toBool(true);
+  // An entry that has no configuration yet can serve nobody.
+  bool Configured = Status.value("role") != "entry" ||
+                    Status.value("configuration_offset").toInteger() > 0;
+  return Configured && Status.value("ready").toBool(true);
 }
 
 std::string node_runtime::metricsText() {
