--- a/cli/log_session.cc
+++ b/cli/log_session.cc
@@ -1,5 +1,7 @@
 #include "cli/log_session.h"
 
+#include <QRandomGenerator>
+
 #include "cli/blocking_call.h"
 #include "io/clock.h"
 #include "io/platform_client.h"
@@ -10,12 +12,23 @@
 
 constexpr duration retry_pause = std::chrono::milliseconds(200);
 constexpr int read_records = 256;
+constexpr int random_bits = 20;
+
+// Unique for each run of the command line, also when two start together.
+incarnation makeWriter() {
+  int64_t Millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+                       wallNow().time_since_epoch())
+                       .count();
+  auto Random = static_cast<int64_t>(
+      QRandomGenerator::system()->bounded(1U << random_bits));
+  return {(Millis << random_bits) | Random};
+}
 
 } // namespace
 
 log_session::log_session(const options &Options)
     : Platform(Options.Platform),
-      Timeout(Options.Timeout), Writer{wallNow().time_since_epoch().count()},
+      Timeout(Options.Timeout), Writer(makeWriter()),
       State(operator_stream) {}
 
 std::optional<log_records_read> log_session::readFrom(log_offset From) {
