--- a/cli/key_commands.cc
+++ b/cli/key_commands.cc
@@ -1,34 +1,30 @@
-// Commands that give, withdraw and list keys.
-
 #include <iostream>
-#include <utility>
 
-#include <QByteArray>
 #include <QCryptographicHash>
 #include <QRandomGenerator>
-#include <nlohmann/json.hpp>
 
 #include "cli/commands.h"
-#include "cli/operator_log.h"
+#include "cli/log_session.h"
+#include "cli/site_view.h"
+#include "spdlog/fmt/fmt.h"
 
-namespace monsoonreel {
+namespace monsoonreel::cli {
 
 namespace {
 
-constexpr int key_words = 8;    // of 32 bits: 256 random bits
-constexpr int key_id_words = 2; // 64 bits: unique, and not secret
+constexpr int key_words = 256 / 32;
+constexpr int id_words = 2;
 
+// Bits from the operating system's generator.
 QByteArray randomBytes(int Words) {
-  QByteArray Bytes;
-  for (int Number = 0; Number < Words; ++Number) {
-    quint32 Word = QRandomGenerator::system()->generate();
-    Bytes.append(reinterpret_cast<const char *>(&Word), sizeof(Word));
-  }
-  return Bytes;
+  std::vector<quint32> Bits(static_cast<size_t>(Words));
+  QRandomGenerator::system()->fillRange(Bits.data(), Words);
+  return {reinterpret_cast<const char *>(Bits.data()),
+          static_cast<qsizetype>(Bits.size() * sizeof(quint32))};
 }
 
-std::string makeKey() {
-  return "mr_" + randomBytes(key_words)
+std::string newKey() {
+  return "mr-" + randomBytes(key_words)
                      .toBase64(QByteArray::Base64UrlEncoding |
                                QByteArray::OmitTrailingEquals)
                      .toStdString();
@@ -40,86 +36,92 @@
       .toStdString();
 }
 
-exit_status appendFailed(const std::string &Error) {
-  std::cerr << Error << std::endl;
-  return exit_status::Unreachable;
+int reportUnreachable(const options &Options) {
+  std::cerr << "the platform at " << Options.Platform.Value
+            << " can't be reached\n";
+  return exit_unreachable;
+}
+
+int reportFailure(const append_outcome &Outcome, const std::string &KeyId) {
+  if (Outcome.Status == append_status::Void) {
+    std::cerr << "not accepted: " << Outcome.Reason << "\n";
+    return exit_conflict;
+  }
+  std::cerr << "no answer in time; the change to key " << KeyId
+            << " may still take effect. Look with `monsoonreel key list`\n";
+  return exit_unreachable;
 }
 
 } // namespace
 
-exit_status giveKey(const command_context &Context,
-                    const std::string &Organisation) {
-  operator_log Log(Context.Platform);
-  if (auto Error = Log.catchUp())
-    return appendFailed(*Error);
-  if (!Log.state().config().Organisations.contains(
+int giveKey(const options &Options, const std::string &Organisation) {
+  log_session Session(Options);
+  if (!Session.replay())
+    return reportUnreachable(Options);
+  if (!Session.state().config().Organisations.contains(
           organisation_name(Organisation))) {
-    std::cerr << "the configuration in force has no organisation "
-              << Organisation << std::endl;
-    return exit_status::NotFound;
+    std::cerr << "the configuration in force has no organisation \""
+              << Organisation << "\"\n";
+    return exit_findings;
   }
-  std::string Key = makeKey();
+  const std::string Key = newKey();
   wire::key_give Give;
-  Give.KeyId = randomBytes(key_id_words).toHex().toStdString();
+  Give.KeyId = "key-" + randomBytes(id_words).toHex().toStdString();
   Give.Organisation = Organisation;
   Give.KeyHash = hashOf(Key);
   wire::log_record Record;
   Record.__set_KeyGive(Give);
-  auto Change = Log.append(std::move(Record));
-  if (!Change)
-    return appendFailed(Change.error());
-  if (!Change->isValid()) {
-    std::cerr << "no key was given: " << Change->Reason << std::endl;
-    return exit_status::Conflict;
-  }
-  if (Context.Json)
-    std::cout << nlohmann::json({{"id", Give.KeyId}, {"key", Key}}).dump()
-              << std::endl;
-  else
-    std::cout << "id " << Give.KeyId
-              << "; the key is shown this once:" << std::endl
-              << Key << std::endl;
-  return exit_status::Done;
+  append_outcome Outcome = Session.append(std::move(Record));
+  if (Outcome.Status != append_status::InForce)
+    return reportFailure(Outcome, Give.KeyId);
+  output Output(Options.Json);
+  Output.json() = {{"id", Give.KeyId},
+                   {"organisation", Organisation},
+                   {"key", Key},
+                   {"offset", Outcome.Offset.Value}};
+  int Status = waitInForce(Options, Outcome.Offset, Output);
+  Output.line(fmt::format("{} for {}; the key is shown this once:", Give.KeyId,
+                          Organisation));
+  Output.line(Key);
+  Output.finish();
+  return Status;
 }
 
-exit_status withdrawKey(const command_context &Context, const std::string &Id) {
-  operator_log Log(Context.Platform);
-  if (auto Error = Log.catchUp())
-    return appendFailed(*Error);
+int withdrawKey(const options &Options, const std::string &KeyId) {
+  log_session Session(Options);
+  if (!Session.replay())
+    return reportUnreachable(Options);
   wire::key_withdraw Withdraw;
-  Withdraw.KeyId = Id;
+  Withdraw.KeyId = KeyId;
   wire::log_record Record;
   Record.__set_KeyWithdraw(Withdraw);
-  auto Change = Log.append(std::move(Record));
-  if (!Change)
-    return appendFailed(Change.error());
-  if (!Change->isValid()) {
-    std::cerr << "not withdrawn: " << Change->Reason << std::endl;
-    return exit_status::NotFound;
-  }
-  std::cout << "withdrawn at offset " << Change->Offset.Value << std::endl;
-  return exit_status::Done;
+  append_outcome Outcome = Session.append(std::move(Record));
+  if (Outcome.Status != append_status::InForce)
+    return reportFailure(Outcome, KeyId);
+  output Output(Options.Json);
+  Output.line(
+      fmt::format("{} withdrawn at offset {}", KeyId, Outcome.Offset.Value));
+  Output.json() = {{"id", KeyId}, {"offset", Outcome.Offset.Value}};
+  int Status = waitInForce(Options, Outcome.Offset, Output);
+  Output.finish();
+  return Status;
 }
 
-exit_status listKeys(const command_context &Context) {
-  operator_log Log(Context.Platform);
-  if (auto Error = Log.catchUp())
-    return appendFailed(*Error);
-  nlohmann::json Keys = nlohmann::json::array();
-  for (const wire::key_state &Key : Log.state().state().Keys)
-    Keys.push_back({{"id", Key.KeyId},
-                    {"organisation", Key.Organisation},
-                    {"withdrawn", Key.Withdrawn}});
-  if (Context.Json) {
-    std::cout << Keys.dump() << std::endl;
-    return exit_status::Done;
+int listKeys(const options &Options) {
+  log_session Session(Options);
+  if (!Session.replay())
+    return reportUnreachable(Options);
+  output Output(Options.Json);
+  Output.json()["keys"] = nlohmann::json::array();
+  for (const wire::key_state &Key : Session.state().state().Keys) {
+    const char *State = Key.Withdrawn ? "withdrawn" : "live";
+    Output.line(fmt::format("{}  {}  {}", Key.KeyId, Key.Organisation, State));
+    Output.json()["keys"].push_back({{"id", Key.KeyId},
+                                     {"organisation", Key.Organisation},
+                                     {"state", State}});
   }
-  for (const auto &Key : Keys)
-    std::cout << Key["id"].get<std::string>() << " "
-              << Key["organisation"].get<std::string>() << " "
-              << (Key["withdrawn"].get<bool>() ? "withdrawn" : "live")
-              << std::endl;
-  return exit_status::Done;
+  Output.finish();
+  return exit_done;
 }
 
-} // namespace monsoonreel
+} // namespace monsoonreel::cli
--- a/io/upstream_client.cc
+++ b/io/upstream_client.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <utility>
 
+#include "spdlog/fmt/fmt.h"
+
 namespace monsoonreel {
 
 namespace {
@@ -179,13 +181,18 @@
 void upstream_client::conclude(attempt_number Attempt) {
   exchange &Exchange = *Exchanges.find(Attempt)->second;
   const QNetworkReply &Reply = *Exchange.Reply;
-  std::string Detail = Reply.errorString().toStdString();
+  std::string Detail = fmt::format("error {}: {}", int(Reply.error()),
+                                   Reply.errorString().toStdString());
   if (replyStatus(Reply) == 0)
     return fail(Attempt,
                 isNeverSent(Reply) ? attempt_failure::NeverSent
                                    : attempt_failure::Broken,
                 Detail);
-  if (isTransportError(Reply.error()) && !isUnfollowedRedirect(Reply))
+  // A token stream names its own end; how its connection closed does not
+  // matter then. Qt at times reports an orderly close as an error.
+  bool WholeStream = Exchange.cutsEvents() && Exchange.Events.isDone();
+  if (isTransportError(Reply.error()) && !WholeStream &&
+      !isUnfollowedRedirect(Reply))
     return fail(Attempt, attempt_failure::Truncated, Detail);
   if (Exchange.cutsEvents() && !Exchange.Events.isDone())
     return fail(Attempt, attempt_failure::Truncated,
