--- a/load/load_run.cc
+++ b/load/load_run.cc
@@ -19,6 +19,9 @@
 // refusal at the deadline still reaches it.
 constexpr duration answer_grace = std::chrono::seconds(2);
 
+// A stream that is cut this close to its deadline was cut because of it.
+constexpr duration deadline_tolerance = std::chrono::milliseconds(50);
+
 double millis(duration Value) {
   return std::chrono::duration<double, std::milli>(Value).count();
 }
@@ -115,7 +118,8 @@
     judgeAnswer(Result, Outcome);
     break;
   case exchange_end::Closed:
-    Outcome.Outcome = outcome::Broken;
+    Outcome.Outcome =
+        endedAtDeadline(Result) ? outcome::TimedOut : outcome::Broken;
     break;
   case exchange_end::TimedOut:
     Outcome.Outcome = outcome::TimedOut;
@@ -127,6 +131,12 @@
   return Outcome;
 }
 
+bool load_run::endedAtDeadline(const exchange_result &Result) const {
+  const planned_request &Request = Plan[Result.Request];
+  duration Timeout = Scenario.Traffic[Request.Traffic].Timeout;
+  return Result.Ended - Start >= Request.At + Timeout - deadline_tolerance;
+}
+
 void load_run::judgeAnswer(const exchange_result &Result,
                            request_outcome &Outcome) const {
   const planned_request &Request = Plan[Result.Request];
--- a/load/load_run.h
+++ b/load/load_run.h
@@ -52,6 +52,7 @@
   request_outcome judge(const exchange_result &Result) const;
   void judgeAnswer(const exchange_result &Result,
                    request_outcome &Outcome) const;
+  bool endedAtDeadline(const exchange_result &Result) const;
   void planFaults();
   void applyFault(const planned_fault &Fault) const;
   void finishIfDone();
