Reports and orders are dropped once their lease may have lapsed

The client reads the clock right before the call, and gives a call up after the flight that the lease allows for (2 s) in place of 5 s: an answer that was waited for longer could come from a write behind the successor's first one.

--- a/io/platform_client.cc
+++ b/io/platform_client.cc
@@ -8,6 +8,10 @@
 
 #include "spdlog/fmt/fmt.h"
 
+#include "io/clock.h"
+#include "monsoonreel/order_desk.h"
+#include "monsoonreel/usage_closer.h"
+
 namespace monsoonreel {
 
 namespace {
@@ -169,6 +173,9 @@
 }
 
 void platform_client::report(const send_usage_report &Report) {
+  // The lease may have lapsed while this process was frozen.
+  if (steadyNow() > Report.NotAfter)
+    return;
   QJsonArray Figures;
   for (const wire::usage_increment &Figure : Report.Figures)
     Figures.append(QJsonObject{
@@ -181,13 +188,15 @@
                    {"fence", static_cast<qint64>(Report.Fence)},
                    {"figures", Figures}};
   Caller.call(
-      {Platform, "POST", "/usage", toJson(Body), platform_timeout},
+      {Platform, "POST", "/usage", toJson(Body), report_flight},
       [this, Window = Report.Window](const http_result &Result) {
         Sink.post(usage_report_answered{Window, platformErrorOf(Result)});
       });
 }
 
 void platform_client::order(const send_order &Order) {
+  if (steadyNow() > Order.NotAfter)
+    return;
   const wire::order_intent &Intent = Order.Intent;
   QJsonObject Body{{"order_id", text(Intent.OrderId)},
                    {"zone", text(Intent.Zone)},
@@ -195,7 +204,7 @@
                    {"kind", kindName(Intent.Kind)},
                    {"target", text(Intent.Target)},
                    {"count", Intent.Count}};
-  Caller.call({Platform, "POST", "/orders", toJson(Body), platform_timeout},
+  Caller.call({Platform, "POST", "/orders", toJson(Body), order_flight},
               [this, Id = Intent.OrderId](const http_result &Result) {
                 Sink.post(order_answered{Id, platformErrorOf(Result)});
               });
