--- a/entry/main.cc
+++ b/entry/main.cc
@@ -3,6 +3,7 @@
 //   monsoonreel-entry --settings entry-1.yaml
 //   monsoonreel-entry --settings entry-1.yaml --check
 
+#include <iostream>
 #include <string>
 
 #include <absl/flags/flag.h>
@@ -22,6 +23,11 @@
   auto Settings = loadSettings(absl::GetFlag(FLAGS_settings));
   if (!Settings)
     return Settings.error();
+  if (Settings->Listen.empty()) {
+    std::cerr << absl::GetFlag(FLAGS_settings)
+              << ": listen: an entry needs an address for its callers\n";
+    return status_findings;
+  }
   if (absl::GetFlag(FLAGS_check))
     return status_ok;
   return runNode(Argc, Argv, *Settings,
