--- a/monsoonreel/claim_client.cc
+++ b/monsoonreel/claim_client.cc
@@ -143,7 +143,7 @@
       Answer->Body.clear();
       Answer->BodyKept = false;
     }
-    Settle.Message.__set_Answer(std::move(*Answer));
+    Settle.Message.__set_Answer(*Answer);
   }
   sendNext(Settle.Message, Settle.Try, Now, Members, Effects);
 }
--- a/monsoonreel/claim_desk.cc
+++ b/monsoonreel/claim_desk.cc
@@ -62,7 +62,7 @@
   if (!Decoded || !Table.restore(Covers, *Decoded, Effects))
     return false;
   wire::writer_state Own = Table.writer(Self.Incarnation);
-  Writer.onRestored(log_offset(Own.LastOffset), Own.Sequence);
+  Writer.onRestored(log_offset{Own.LastOffset}, Own.Sequence);
   return true;
 }
 
@@ -170,7 +170,7 @@
   }
   auto Read = ReadBackAt.find(keyOf(Claim.Holder));
   bool Recent = Read != ReadBackAt.end() && Now - Read->second < holder_grace;
-  bool MayRun = Recent || Members.mayRun(incarnation(Claim.Holder.Incarnation));
+  bool MayRun = Recent || Members.mayRun(incarnation{Claim.Holder.Incarnation});
   if (!Claim.Settled && MayRun)
     return makeAnswer(Ask, wire::claim_verdict::InProgress,
                       in_progress_retry_after);
@@ -220,7 +220,7 @@
     Settled.push_back(&Waiting);
   }
   wire::log_record Record;
-  Record.__set_ClaimBatch(std::move(Batch));
+  Record.__set_ClaimBatch(Batch);
   InFlight = Writer.enqueue(std::move(Record));
   if (!InFlight)
     return;
@@ -312,7 +312,7 @@
   Snapshot.CoversOffset = Table.applied().Value;
   Snapshot.State = encodeState(Table.state());
   wire::log_record Record;
-  Record.__set_Snapshot(std::move(Snapshot));
+  Record.__set_Snapshot(Snapshot);
   InFlight = Writer.enqueue(std::move(Record));
   if (!InFlight)
     Effects.push_back(log_line{log_level::Error,
--- a/monsoonreel/claim_table.h
+++ b/monsoonreel/claim_table.h
@@ -1,7 +1,7 @@
 // The replay of the claims stream: which attempt holds each idempotency key.
 //
 //   claim_table Table;
-//   Table.apply(log_offset(7), Record, Effects);
+//   Table.apply(log_offset{7}, Record, Effects);
 //   const claim *Claim = Table.find(Key);
 //   if (Claim && Claim->Held && Claim->Holder == Attempt)
 //     answer(wire::claim_verdict::Won);
--- a/monsoonreel/membership_messages.cc
+++ b/monsoonreel/membership_messages.cc
@@ -73,7 +73,7 @@
                              effect_list &Effects) {
   if (!isPlausible(Beat.Sender) || Beat.Sender.Name == Self.Name)
     return;
-  learnAll(Beat.Sender, log_offset(Beat.LedgerOffset), Beat.Gossip, Now,
+  learnAll(Beat.Sender, log_offset{Beat.LedgerOffset}, Beat.Gossip, Now,
            Effects);
   Loads.merge(Beat.Loads, Now);
   node_name To(Beat.Sender.Name);
@@ -100,7 +100,7 @@
                        effect_list &Effects) {
   if (!isPlausible(Ack.Sender) || Ack.Sender.Name == Self.Name)
     return;
-  learnAll(Ack.Sender, log_offset(Ack.LedgerOffset), Ack.Gossip, Now, Effects);
+  learnAll(Ack.Sender, log_offset{Ack.LedgerOffset}, Ack.Gossip, Now, Effects);
   Loads.merge(Ack.Loads, Now);
   if (auto Relay = Relays.find(Ack.Nonce); Relay != Relays.end()) {
     relayAck(Ack, Relay->second, Effects);
@@ -114,7 +114,7 @@
   bool Direct = Ack.OnBehalfOf.empty();
   const std::string &Reached = Direct ? Ack.Sender.Name : Ack.OnBehalfOf;
   if (Direct && Ack.__isset.LogAgeMicros)
-    Freshness.onPeer(log_offset(Ack.LedgerOffset), fromMicros(Ack.LogAgeMicros),
+    Freshness.onPeer(log_offset{Ack.LedgerOffset}, fromMicros(Ack.LogAgeMicros),
                      Probe.SentAt);
   if (Direct && ListsWanted > 0)
     --ListsWanted;
--- a/monsoonreel/state_sync.cc
+++ b/monsoonreel/state_sync.cc
@@ -61,7 +61,7 @@
   if (Snapshot)
     Bytes -= sizeOf(*Snapshot);
   Bytes += sizeOf(Stored);
-  log_offset Covers(Stored.Offset);
+  log_offset Covers{Stored.Offset};
   Snapshot = std::move(Stored);
   if (Covers > Highest) {
     Highest = Covers;
@@ -81,7 +81,7 @@
       Bytes -= sizeOf(Old);
     Records.clear();
   }
-  Highest = log_offset(Stored.Offset);
+  Highest = log_offset{Stored.Offset};
   Bytes += sizeOf(Stored);
   Records.push_back(Stored);
   dropOld();
--- a/monsoonreel/testing/claim_site.h
+++ b/monsoonreel/testing/claim_site.h
@@ -168,7 +168,7 @@
 
   node_identity identity(const std::string &Name) {
     return {node_name(Name), zone_name("east"), address(Name + ":7100"),
-            incarnation(++LastIncarnation)};
+            incarnation{++LastIncarnation}};
   }
   bool chance(double Probability) {
     return std::uniform_real_distribution<>(0, 1)(Random) < Probability;
--- a/monsoonreel/testing/claim_table_test.cc
+++ b/monsoonreel/testing/claim_table_test.cc
@@ -54,7 +54,7 @@
     Batch.WindowMicros = toMicros(Window);
     for (wire::claim_entry &Entry : Batch.Claims)
       Entry.CreatedWallMicros = Batch.WallMicros;
-    Record.__set_ClaimBatch(std::move(Batch));
+    Record.__set_ClaimBatch(Batch);
     Table.apply(log_offset{++Offset}, Record, Effects);
   }
   void claim(const wire::claim_entry &Entry, int64_t Writer = 1) {
--- a/monsoonreel/testing/membership_test.cc
+++ b/monsoonreel/testing/membership_test.cc
@@ -174,7 +174,7 @@
                 .size(),
             3U);
   EXPECT_TRUE(Network.node("e0").mayRun(
-      incarnation(Network.seenBy("e0", "e2")->Incarnation)));
+      incarnation{Network.seenBy("e0", "e2")->Incarnation}));
 }
 
 TEST_F(membership_test, VmList_MarksAndOmits_DeclaresNobodyDead) {
@@ -220,7 +220,7 @@
   std::vector<ledger_peer> Ahead = Network.node("e0").highestLedgerOffset();
   ASSERT_EQ(Ahead.size(), 2U);
   EXPECT_EQ(Ahead[0].Name, node_name("e1"));
-  EXPECT_EQ(Ahead[0].Offset, log_offset(7));
+  EXPECT_EQ(Ahead[0].Offset, log_offset{7});
 }
 
 TEST_F(membership_test, PoolLoad_OfAnOwner_ReachesTheZoneAndGrowsOld) {
--- a/monsoonreel/testing/state_sync_test.cc
+++ b/monsoonreel/testing/state_sync_test.cc
@@ -22,7 +22,7 @@
 
   void add(const std::string &Name) {
     node_identity Self{node_name(Name), zone_name("east"), address(Name),
-                       incarnation(1)};
+                       incarnation{1}};
     Nodes[Name].Sync = std::make_unique<state_sync>(Self, "operator");
     wire::member Member;
     Member.Name = Name;
@@ -93,7 +93,7 @@
   readFromLog("n0", 1, 1);
   int Reached = 0;
   for (auto &[Name, Node] : Nodes)
-    Reached += highest(Name) == log_offset(1) ? 1 : 0;
+    Reached += highest(Name) == log_offset{1} ? 1 : 0;
   EXPECT_GT(Reached, 30);
   EXPECT_LE(Messages, 40 * static_cast<int>(eager_fanout));
 }
@@ -105,7 +105,7 @@
   readFromLog("a", 1, 1);
   EXPECT_EQ(highest("b"), log_offset());
   tick("b", {"a"});
-  EXPECT_EQ(highest("b"), log_offset(1));
+  EXPECT_EQ(highest("b"), log_offset{1});
 }
 
 TEST_F(state_sync_test, LargeRecord_IsAnnounced_AndPulledOnce) {
@@ -113,14 +113,14 @@
     add(Name);
   readFromLog("a", 1, 1, size_t{100} << 10);
   for (const char *Name : {"b", "c", "d"}) {
-    EXPECT_EQ(highest(Name), log_offset(1));
+    EXPECT_EQ(highest(Name), log_offset{1});
     EXPECT_EQ(Nodes[Name].Applied.size(), 1U);
   }
 }
 
 TEST_F(state_sync_test, PeerFarBehind_GetsSnapshotAndTail) {
   add("a");
-  Nodes["a"].Sync->keepSnapshot(log_offset(50), "state");
+  Nodes["a"].Sync->keepSnapshot(log_offset{50}, "state");
   readFromLog("a", 51, 60);
   add("b");
   tick("b", {"a"});
@@ -132,7 +132,7 @@
   // And can pass it on itself.
   add("c");
   tick("c", {"b"});
-  EXPECT_EQ(highest("c"), log_offset(60));
+  EXPECT_EQ(highest("c"), log_offset{60});
 }
 
 TEST_F(state_sync_test, LongTail_ComesInSeveralPushes) {
@@ -140,7 +140,7 @@
   readFromLog("a", 1, 40, size_t{50} << 10);
   add("b");
   tick("b", {"a"});
-  EXPECT_EQ(highest("b"), log_offset(40));
+  EXPECT_EQ(highest("b"), log_offset{40});
   EXPECT_GT(Messages, 4);
 }
 
@@ -161,7 +161,7 @@
   EXPECT_EQ(highest("c"), log_offset());
   Now += pull_timeout;
   tick("c", {"a", "b"});
-  EXPECT_EQ(highest("c"), log_offset(3));
+  EXPECT_EQ(highest("c"), log_offset{3});
 }
 
 TEST_F(state_sync_test, OlderState_OfAPeer_IsNeverTaken) {
@@ -180,7 +180,7 @@
   receive("a", {node_name("x"), address("x"), Push});
   EXPECT_TRUE(Nodes["a"].Applied.empty());
   EXPECT_TRUE(Nodes["a"].Snapshots.empty());
-  EXPECT_EQ(highest("a"), log_offset(10));
+  EXPECT_EQ(highest("a"), log_offset{10});
 }
 
 TEST_F(state_sync_test, OlderState_WithoutTheRule_BreaksTheInvariant) {
@@ -216,7 +216,7 @@
 };
 
 TEST_F(key_trust_test, CutOffNode_StopsNonIdempotentFirst) {
-  Freshness.onLogRead(log_offset(7), Now);
+  Freshness.onLogRead(log_offset{7}, Now);
   EXPECT_TRUE(mayTrust(false));
   Now += Limits.StaleKeyTrustNonIdempotent + seconds(1);
   EXPECT_FALSE(mayTrust(false));
@@ -227,7 +227,7 @@
 
 TEST_F(key_trust_test, CutOffNode_WithoutExpiry_TrustsForEver) {
   disabled_mechanism Disabled(mechanism::KeyTrustExpires);
-  Freshness.onLogRead(log_offset(7), Now);
+  Freshness.onLogRead(log_offset{7}, Now);
   Now += hours(1000);
   EXPECT_TRUE(mayTrust(false));
 }
@@ -237,16 +237,16 @@
 }
 
 TEST_F(key_trust_test, FreshPeer_AheadOfThisNode_CountsOnceApplied) {
-  Freshness.onPeer(log_offset(8), minutes(1), Now);
+  Freshness.onPeer(log_offset{8}, minutes(1), Now);
   EXPECT_FALSE(Freshness.age(Now));
-  Freshness.onApplied(log_offset(8));
+  Freshness.onApplied(log_offset{8});
   EXPECT_EQ(Freshness.age(Now), minutes(1));
 }
 
 // A withdrawal at offset 8 that this node lacks must not look like news.
 TEST_F(key_trust_test, FreshPeer_WithoutOffsetRule_HidesAMissingRecord) {
   disabled_mechanism Disabled(mechanism::FreshnessNeedsOffset);
-  Freshness.onPeer(log_offset(8), minutes(1), Now);
+  Freshness.onPeer(log_offset{8}, minutes(1), Now);
   EXPECT_TRUE(Freshness.age(Now));
 }
 
