--- /dev/null
+++ b/bench/membership_bench.cc
@@ -0,0 +1,96 @@
+// The cost of membership for one node, by the number of members.
+//
+//   membership_bench
+//
+// Each benchmark runs a network of memberships in virtual time over 7 zones.
+// Counters are for one node: bytes sent and received in a second, as encoded,
+// processor time for a second of virtual time, and the bytes of the heap.
+
+#include <malloc.h>
+
+#include <benchmark/benchmark.h>
+
+#include "monsoonreel/testing/member_network.h"
+
+namespace monsoonreel {
+namespace {
+
+constexpr int zone_count = 7;
+constexpr duration settle_time = std::chrono::seconds(60);
+constexpr duration round_time = std::chrono::seconds(10);
+
+std::string nameOf(int Index) { return "entry-" + std::to_string(Index); }
+
+void startNodes(member_network &Network, int Count) {
+  for (int Index = 0; Index < Count; ++Index)
+    Network.add(nameOf(Index), "zone-" + std::to_string(Index % zone_count));
+  Network.run(settle_time);
+  // As many owners of pools as a site of this size has.
+  for (int Index = 0; Index < Count; Index += 10) {
+    wire::pool_load Load;
+    Load.Pool = "model-" + std::to_string(Index % 4);
+    Load.QueueWaitMicros = 125000;
+    Load.FreeSlots = 12;
+    Network.node(nameOf(Index)).setOwnLoads({Load}, Network.now());
+  }
+}
+
+size_t bytesOfAll(member_network &Network, int Count) {
+  size_t Bytes = 0;
+  for (int Index = 0; Index < Count; ++Index)
+    Bytes += Network.bytesSentBy(nameOf(Index)) +
+             Network.bytesReceivedBy(nameOf(Index));
+  return Bytes;
+}
+
+void reportFigures(benchmark::State &State, int Count, size_t Bytes,
+                   double HeapBytes) {
+  double NodeSeconds = static_cast<double>(State.iterations()) *
+                       std::chrono::duration<double>(round_time).count() *
+                       Count;
+  State.counters["bytes_per_s"] =
+      benchmark::Counter(static_cast<double>(Bytes) / NodeSeconds);
+  State.counters["cpu_us_per_s"] =
+      benchmark::Counter(NodeSeconds / 1e6, benchmark::Counter::kIsRate |
+                                                benchmark::Counter::kInvert);
+  State.counters["heap_kb"] = benchmark::Counter(HeapBytes / 1024.0 / Count);
+}
+
+// All members live.
+void steadyMembership(benchmark::State &State) {
+  int Count = static_cast<int>(State.range(0));
+  size_t HeapBefore = mallinfo2().uordblks;
+  member_network Network;
+  startNodes(Network, Count);
+  auto Heap = static_cast<double>(mallinfo2().uordblks - HeapBefore);
+  size_t Before = bytesOfAll(Network, Count);
+  for (auto _ : State)
+    Network.run(round_time);
+  reportFigures(State, Count, bytesOfAll(Network, Count) - Before, Heap);
+}
+BENCHMARK(steadyMembership)
+    ->Arg(8)
+    ->Arg(40)
+    ->Arg(330)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+// A zone is lost: every member of it dies at once.
+void zoneLost(benchmark::State &State) {
+  int Count = static_cast<int>(State.range(0));
+  member_network Network;
+  startNodes(Network, Count);
+  for (int Index = 0; Index < Count; Index += zone_count)
+    Network.stop(nameOf(Index));
+  size_t Before = bytesOfAll(Network, Count);
+  for (auto _ : State)
+    Network.run(round_time);
+  reportFigures(State, Count, bytesOfAll(Network, Count) - Before, 0);
+}
+BENCHMARK(zoneLost)->Arg(40)->Arg(330)->Iterations(1)->Unit(
+    benchmark::kMillisecond);
+
+} // namespace
+} // namespace monsoonreel
+
+BENCHMARK_MAIN();
--- a/monsoonreel/membership.cc
+++ b/monsoonreel/membership.cc
@@ -31,7 +31,10 @@
   Freshness.onApplied(Ledger);
   forgetProbesAfterPause(Now);
   checkProbes(Now, Effects);
-  expireMembers(Now, Effects);
+  if (Now >= NextExpiry) {
+    NextExpiry = Now + expiry_period;
+    expireMembers(Now, Effects);
+  }
   if (LeavingUntold)
     tellLeaving(Now, Effects);
   if (Now >= NextNear) {
--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -54,6 +54,8 @@
 constexpr duration probe_timeout = std::chrono::milliseconds(900);
 // A suspicion that is not refuted for so long becomes death.
 constexpr duration suspicion_timeout = std::chrono::seconds(4);
+// Between two looks for suspicions that ended and members to forget.
+constexpr duration expiry_period = std::chrono::milliseconds(100);
 // How long a dead member is remembered, so that it is probed again.
 constexpr duration dead_member_retention = std::chrono::hours(1);
 // How long a mark of the platform's VM list counts without a newer list.
@@ -219,6 +221,7 @@
   steady_time NextNear;
   steady_time NextFar;
   steady_time NextReconnect;
+  steady_time NextExpiry;
   steady_time LastFullList;
   uint64_t RandomSeed = 0;
   uint64_t Draws = 0;
