Test network of members: braces where clang needs them

clang-tidy of this version rejects parentheses for aggregates, so that every file that includes this header failed lint. No change of behaviour.

--- a/monsoonreel/testing/member_network.h
+++ b/monsoonreel/testing/member_network.h
@@ -32,7 +32,7 @@
   membership &add(const std::string &Name, const std::string &Zone,
                   wire::member_role::type Role = wire::member_role::Entry) {
     node_identity Self{node_name(Name), zone_name(Zone), addressOf(Name),
-                       incarnation(++Incarnations)};
+                       incarnation{++Incarnations}};
     if (Seeds.empty())
       Seeds.push_back(Self.Address);
     auto Node = std::make_unique<membership>(Self, Role, Seeds);
@@ -80,7 +80,7 @@
         if (Stopped.contains(Name))
           continue;
         effect_list Effects;
-        Node->onTick(Now, Random(), log_offset(Offsets[Name]), Effects);
+        Node->onTick(Now, Random(), log_offset{Offsets[Name]}, Effects);
         carryOut(Name, Effects);
       }
       deliver();
