--- a/cli/log_session.cc
+++ b/cli/log_session.cc
@@ -27,9 +27,8 @@
 } // namespace
 
 log_session::log_session(const options &Options)
-    : Platform(Options.Platform),
-      Timeout(Options.Timeout), Writer(makeWriter()),
-      State(operator_stream) {}
+    : Platform(Options.Platform), Timeout(Options.Timeout),
+      Writer(makeWriter()), State(operator_stream) {}
 
 std::optional<log_records_read> log_session::readFrom(log_offset From) {
   const std::string Stream(operator_stream);
