--- a/monsoonreel/request_queue.h
+++ b/monsoonreel/request_queue.h
@@ -49,6 +49,7 @@
   int MaxTokens = 0;
   uint64_t PrefixHash = 0;
   bool Idempotent = false;
+  bool Resumed = false;
   // It may run on an upstream that can be reclaimed.
   bool CheapAllowed = false;
   std::vector<upstream_name> Excluded;
