--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Compilers running at once.
 JOBS ?= $(shell nproc)
 
-.PHONY: packages build check demo format format-check lint sanitize wire
+.PHONY: packages build check demo format format-check lint matrix sanitize wire
 
 packages:
 	scripts/install-packages
@@ -19,6 +19,10 @@
 demo: packages build
 	scripts/demo
 
+# Every fault at every step; ARGS chooses other runs, see fault_matrix/main.cc.
+matrix: build
+	build/release/bin/fault-matrix $(ARGS)
+
 sanitize:
 	cmake --preset sanitize
 	cmake --build build/sanitize -j $(JOBS)
--- a/fault_matrix/main.cc
+++ b/fault_matrix/main.cc
@@ -4,10 +4,12 @@
 //   fault-matrix --pairs=5000             random pairs, drawn from --seed
 //   fault-matrix --random=1000 --minutes=10
 //   fault-matrix --step=append/usage_close --fault=answer-lost
+//   fault-matrix --without=1              a mechanism taken away: should fail
 //
 // Exit status 1 when a cell failed.
 
 #include <iostream>
+#include <optional>
 #include <thread>
 
 #include <absl/flags/flag.h>
@@ -15,6 +17,7 @@
 #include <absl/flags/usage.h>
 
 #include "fault_matrix/matrix.h"
+#include "monsoonreel/mechanism.h"
 
 ABSL_FLAG(int, pairs, 0, "Number of pairs of faults to run");
 ABSL_FLAG(int, random, 0, "Number of seeds to run with random faults");
@@ -24,6 +27,8 @@
 ABSL_FLAG(int, threads, 0, "Threads; 0 for one for each core");
 ABSL_FLAG(std::string, step, "", "Run only this step");
 ABSL_FLAG(std::string, fault, "", "Run only this fault");
+ABSL_FLAG(int, without, -1,
+          "Number of a mechanism, in the order of mechanism.h, to take away");
 
 namespace {
 
@@ -69,6 +74,9 @@
 int main(int Argc, char **Argv) {
   absl::SetProgramUsageMessage("Runs the fault matrix.");
   absl::ParseCommandLine(Argc, Argv);
+  std::optional<disabled_mechanism> Without;
+  if (int Number = absl::GetFlag(FLAGS_without); Number >= 0)
+    Without.emplace(static_cast<mechanism>(Number));
   matrix_report Report = runSelected();
   std::cout << Report.toString();
   return Report.Failed == 0 ? 0 : 1;
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -174,7 +174,7 @@
   process *pickEntry();
   log_offset operate(wire::log_record Record);
   void raceOperators();
-  void editConfiguration(const std::string &Author);
+  void editConfiguration(const std::string &Author, int64_t Base);
   void giveKey(const std::string &Id, const std::string &Organisation);
   void withdrawKey(const std::string &Id);
   void checkInForce(log_offset Offset);
--- a/fault_matrix/world_traffic.cc
+++ b/fault_matrix/world_traffic.cc
@@ -80,39 +80,39 @@
 // The command line sends an append again, with the same sequence, until it has
 // read it back.
 log_offset world::operate(wire::log_record Record) {
-  Record.Incarnation = operator_incarnation;
-  Record.Sequence = ++OperatorSequence;
   process &Near = Processes.begin()->second;
   fault_effect Call =
       strike({stepOf("append", Record), &Near, nullptr, duration::zero()});
   fault_effect Answer = strike(
       {stepOf("append-answer", Record), nullptr, &Near, duration::zero()});
+  Record.Incarnation = operator_incarnation;
+  Record.Sequence = ++OperatorSequence;
   log_offset Offset = Platform.append("operator", Record);
+  // Of two edits of one version, the first in the log is in force.
+  if (Record.__isset.ConfigEdit && Record.ConfigEdit.Base == ConfigBase)
+    ConfigBase = Offset.Value;
   if (Call.Doubled || Call.AnswerLost || Answer.Lost || Answer.Doubled)
     Platform.append("operator", Record);
   checkInForce(Offset);
   return Offset;
 }
 
-void world::editConfiguration(const std::string &Author) {
+void world::editConfiguration(const std::string &Author, int64_t Base) {
   wire::config_edit Edit;
-  Edit.Base = ConfigBase;
+  Edit.Base = Base;
   ++DocumentVersion;
   Edit.Document = document();
   Edit.Author = Author;
   wire::log_record Record;
   Record.__set_ConfigEdit(Edit);
-  ConfigBase = operate(Record).Value;
+  operate(Record);
 }
 
 // Both name the same version; the log's order decides, and the other is void.
 void world::raceOperators() {
   int64_t Base = ConfigBase;
-  editConfiguration("first");
-  int64_t Winner = ConfigBase;
-  ConfigBase = Base;
-  editConfiguration("second");
-  ConfigBase = Winner;
+  editConfiguration("first", Base);
+  editConfiguration("second", Base);
 }
 
 void world::giveKey(const std::string &Id, const std::string &Organisation) {
@@ -151,7 +151,7 @@
 
 void world::scheduleOperators() {
   Time.after(std::chrono::milliseconds(500), [this] {
-    editConfiguration("first");
+    editConfiguration("first", ConfigBase);
     giveKey("key-large", "large");
     giveKey("key-small", "small");
     giveKey("key-spare", "small");
@@ -159,7 +159,7 @@
   auto At = [this](int Seconds, virtual_time::action Action) {
     Time.after(start_time + std::chrono::seconds(Seconds), std::move(Action));
   };
-  At(3, [this] { editConfiguration("second"); });
+  At(3, [this] { editConfiguration("second", ConfigBase); });
   At(8, [this] { withdrawKey("key-spare"); });
   At(12, [this] { giveKey("key-late", "small"); });
   At(16, [this] { reclaimZone(0); });
@@ -167,7 +167,7 @@
     for (int Number = 0; Number < burst_requests; ++Number)
       sendRequest(makeRequest());
   });
-  At(24, [this] { editConfiguration("third"); });
+  At(24, [this] { editConfiguration("third", ConfigBase); });
   At(30, [this] {
     process &Drained = Processes.at("entry-1-1");
     deliver(Drained, drain_requested{});
--- a/monsoonreel/entry_node.cc
+++ b/monsoonreel/entry_node.cc
@@ -218,9 +218,19 @@
   Slots.onTick(Event.Now, Event.Random, Effects, Outcomes);
   Requests.onSlotOutcomes(Outcomes, Event, Effects);
   Requests.onTick(Event, Effects);
+  checkReadiness(Event.Now);
   setGauges(Event, Effects);
 }
 
+// An entry that has no configuration, or has heard nobody who reads the log,
+// refuses every request; a balancer should not send it any.
+void entry_node::checkReadiness(steady_time Now) {
+  constexpr bool Idempotent = true;
+  Ready = !Draining && Ledger.configOffset().Value > 0 &&
+          mayTrustKeys(Ledger.config().Limits, Idempotent, Members.freshness(),
+                       Now);
+}
+
 void entry_node::setGauges(const event &Event, effect_list &Effects) {
   if (Event.Now < NextGauges)
     return;
@@ -280,6 +290,7 @@
   Status["live_keys"] = Ledger.liveKeyCount();
   Status["active_requests"] = Requests.size();
   Status["draining"] = Draining;
+  Status["ready"] = Ready;
   for (const wire::member &Member : Members.alive(wire::member_role::Entry))
     Status["entries"].push_back(Member.Name);
   for (const wire::member &Member : Members.alive(wire::member_role::Steward))
--- a/monsoonreel/entry_node.h
+++ b/monsoonreel/entry_node.h
@@ -85,6 +85,7 @@
                       effect_list &Effects);
   void useConfiguration(const event &Event, effect_list &Effects);
   void refreshPeers(const event &Event, effect_list &Effects);
+  void checkReadiness(steady_time Now);
   void setGauges(const event &Event, effect_list &Effects);
   void checkDrain(const event &Event, effect_list &Effects);
 
@@ -101,6 +102,7 @@
   request_table Requests;
   steady_time NextPeerRefresh;
   steady_time NextGauges;
+  bool Ready = false;
   bool Draining = false;
   bool DrainReported = false;
   steady_time DrainIdleSince;
--- /dev/null
+++ b/monsoonreel/testing/entry_node_test.cc
@@ -0,0 +1,211 @@
+// One entry alone: it owns every queue, so a request is dispatched at once.
+
+#include "monsoonreel/entry_node.h"
+
+#include <optional>
+
+#include <gtest/gtest.h>
+
+#include "monsoonreel/mechanism.h"
+
+namespace monsoonreel {
+namespace {
+
+constexpr const char *document = R"(
+classes:
+  - {name: chat, tier: 0, first_token: 500ms, between_tokens: 61ms}
+  - {name: booking, tier: 1, first_token: 2s}
+organisations: []
+routes:
+  - {path: /v1/chat/completions, class: chat, idempotent: true, open: true}
+  - {path: /orders, pool: desk, class: booking, open: true}
+upstreams:
+  - {name: m1, pool: model, zone: north, address: "10.0.0.1:80"}
+  - {name: m2, pool: model, zone: north, address: "10.0.0.2:80"}
+  - {name: s1, kind: service, pool: desk, zone: north, address: "10.0.0.3:80"}
+  - {name: s2, kind: service, pool: desk, zone: north, address: "10.0.0.4:80"}
+)";
+
+class entry_node_test : public ::testing::Test {
+protected:
+  void SetUp() override {
+    node_identity Self{node_name("entry-1"), zone_name("north"),
+                       address("10.0.1.1:7100"), incarnation{1}};
+    Node = entry_node::builder().identity(Self).build();
+    wire::config_edit Edit;
+    Edit.Document = document;
+    wire::log_record Record;
+    Record.Incarnation = 9;
+    Record.Sequence = 1;
+    Record.__set_ConfigEdit(Edit);
+    wire::stored_record Stored;
+    Stored.Offset = 1;
+    Stored.Bytes = encodeRecord(Record);
+    wire::state_push Push;
+    Push.Stream = "operator";
+    Push.Records = {Stored};
+    Push.HighestOffset = 1;
+    send(peer_message_received{node_name("steward-1"), address("10.0.1.1:7101"),
+                               Push});
+    send(tick{});
+  }
+
+  void send(event_body Body) {
+    Effects.clear();
+    Node->handle({Now, wall_time(), 7, std::move(Body)}, Effects);
+  }
+
+  void pass(duration Time) {
+    Now += Time;
+    send(tick{});
+  }
+
+  template <typename T> std::optional<T> find() const {
+    for (const effect &Effect : Effects)
+      if (const T *Found = std::get_if<T>(&Effect))
+        return *Found;
+    return std::nullopt;
+  }
+
+  static request_arrived chat(int64_t Id) {
+    request_arrived Arrived;
+    Arrived.Request = request_id{Id};
+    Arrived.Path = "/v1/chat/completions";
+    Arrived.Model = "model";
+    Arrived.Stream = true;
+    Arrived.Timeout = std::chrono::seconds(20);
+    return Arrived;
+  }
+
+  static request_arrived order(int64_t Id) {
+    request_arrived Arrived;
+    Arrived.Request = request_id{Id};
+    Arrived.Path = "/orders";
+    Arrived.Timeout = std::chrono::seconds(20);
+    return Arrived;
+  }
+
+  dispatch_attempt dispatched(request_arrived Arrived) {
+    send(std::move(Arrived));
+    auto Dispatch = find<dispatch_attempt>();
+    EXPECT_TRUE(Dispatch);
+    return Dispatch.value_or(dispatch_attempt());
+  }
+
+  std::unique_ptr<node> Node;
+  steady_time Now{std::chrono::hours(1)};
+  effect_list Effects;
+};
+
+TEST_F(entry_node_test, Order_ConnectionRefused_RunsAtAnotherUpstream) {
+  dispatch_attempt First = dispatched(order(1));
+  send(attempt_failed{First.Attempt, attempt_failure::NeverSent, "refused"});
+  auto Second = find<dispatch_attempt>();
+  ASSERT_TRUE(Second);
+  EXPECT_NE(Second->Upstream, First.Upstream);
+}
+
+TEST_F(entry_node_test, Order_UpstreamSaysNotRun_RunsAtAnotherUpstream) {
+  dispatch_attempt First = dispatched(order(1));
+  attempt_headers Headers{First.Attempt, 503, "", true, duration::zero()};
+  send(Headers);
+  EXPECT_TRUE(find<dispatch_attempt>());
+}
+
+TEST_F(entry_node_test, Order_ConnectionBroken_IsRefusedAsUnknown) {
+  dispatch_attempt First = dispatched(order(1));
+  send(attempt_failed{First.Attempt, attempt_failure::Broken, "reset"});
+  EXPECT_FALSE(find<dispatch_attempt>());
+  auto Refusal = find<refuse_request>();
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(Refusal->Outcome, run_knowledge::Unknown);
+}
+
+TEST_F(entry_node_test, Order_DeadlineWhileRunning_IsCancelledAsUnknown) {
+  dispatched(order(1));
+  pass(std::chrono::seconds(21));
+  EXPECT_TRUE(find<cancel_attempt>());
+  auto Refusal = find<refuse_request>();
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(Refusal->Code, "deadline-passed");
+  EXPECT_EQ(Refusal->Outcome, run_knowledge::Unknown);
+}
+
+TEST_F(entry_node_test, Chat_StreamBreaks_ResumesAfterTheCallersTokens) {
+  dispatch_attempt First = dispatched(chat(1));
+  send(attempt_headers{First.Attempt, 200, "text/event-stream", false, {}});
+  send(attempt_chunk{First.Attempt, "a", 1});
+  send(attempt_chunk{First.Attempt, "b", 1});
+  send(attempt_failed{First.Attempt, attempt_failure::Truncated, "reset"});
+  auto Second = find<dispatch_attempt>();
+  ASSERT_TRUE(Second);
+  EXPECT_EQ(Second->ResumeAfterTokens, 2);
+  EXPECT_NE(Second->Upstream, First.Upstream);
+}
+
+TEST_F(entry_node_test, Chat_LateChunkOfFailedAttempt_IsNotPassedOn) {
+  dispatch_attempt First = dispatched(chat(1));
+  send(attempt_headers{First.Attempt, 200, "text/event-stream", false, {}});
+  send(attempt_failed{First.Attempt, attempt_failure::Broken, "reset"});
+  send(attempt_chunk{First.Attempt, "late", 1});
+  EXPECT_FALSE(find<write_answer>());
+  send(attempt_finished{First.Attempt});
+  EXPECT_FALSE(find<finish_answer>());
+}
+
+TEST_F(entry_node_test, Chat_UpstreamSilent_IsCancelledAndRunsElsewhere) {
+  dispatch_attempt First = dispatched(chat(1));
+  pass(std::chrono::seconds(4));
+  auto Cancel = find<cancel_attempt>();
+  ASSERT_TRUE(Cancel);
+  EXPECT_EQ(Cancel->Attempt, First.Attempt);
+  EXPECT_TRUE(find<dispatch_attempt>());
+}
+
+TEST_F(entry_node_test, Chat_CallerLeaves_UpstreamWorkIsCancelled) {
+  dispatched(chat(1));
+  send(caller_gone{request_id{1}});
+  EXPECT_TRUE(find<cancel_attempt>());
+  EXPECT_FALSE(find<refuse_request>());
+}
+
+TEST_F(entry_node_test, Order_CallerLeaves_RunGoesOn) {
+  dispatched(order(1));
+  send(caller_gone{request_id{1}});
+  EXPECT_FALSE(find<cancel_attempt>());
+}
+
+TEST_F(entry_node_test, Drain_RequestRunning_WaitsForItsEnd) {
+  dispatch_attempt First = dispatched(order(1));
+  send(drain_requested{});
+  pass(std::chrono::seconds(10));
+  EXPECT_FALSE(find<drain_finished>());
+  send(order(2));
+  ASSERT_TRUE(find<refuse_request>());
+  EXPECT_EQ(find<refuse_request>()->Code, "shutting-down");
+  send(attempt_headers{First.Attempt, 200, "text/plain", false, {}});
+  send(attempt_finished{First.Attempt});
+  pass(std::chrono::seconds(10));
+  EXPECT_TRUE(find<drain_finished>());
+}
+
+TEST_F(entry_node_test, Drain_WithoutWaiting_CutsTheRequest) {
+  disabled_mechanism Off(mechanism::DrainWaits);
+  dispatched(order(1));
+  send(drain_requested{});
+  pass(std::chrono::seconds(10));
+  EXPECT_TRUE(find<drain_finished>());
+}
+
+TEST_F(entry_node_test, Request_PathWithoutRoute_IsRefusedAsNotRun) {
+  request_arrived Arrived = chat(1);
+  Arrived.Path = "/elsewhere";
+  send(Arrived);
+  auto Refusal = find<refuse_request>();
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(Refusal->Status, 404);
+  EXPECT_EQ(Refusal->Outcome, run_knowledge::NotRun);
+}
+
+} // namespace
+} // namespace monsoonreel
