--- a/io/node_runtime.cc
+++ b/io/node_runtime.cc
@@ -14,6 +14,7 @@
 #include "spdlog/spdlog.h"
 
 #include "io/clock.h"
+#include "monsoonreel/incarnation.h"
 
 namespace monsoonreel {
 
@@ -82,7 +83,7 @@
 
 node_identity identityOf(const settings &Settings) {
   return {Settings.Name, Settings.Zone, Settings.Peer,
-          incarnation{wallNow().time_since_epoch().count()}};
+          makeIncarnation(Settings.Name, wallNow())};
 }
 
 node_runtime::node_runtime(const node_identity &Self, const settings &Chosen,
@@ -305,7 +306,10 @@
   QJsonObject Status =
       QJsonDocument::fromJson(QByteArray::fromStdString(Node.statusJson()))
           .object();
-  return Status.value("ready").toBool(true);
+  // An entry that has no configuration yet can serve nobody.
+  bool Configured = Status.value("role") != "entry" ||
+                    Status.value("configuration_offset").toInteger() > 0;
+  return Configured && Status.value("ready").toBool(true);
 }
 
 std::string node_runtime::metricsText() {
--- a/monsoonreel/cell_queue.cc
+++ b/monsoonreel/cell_queue.cc
@@ -53,6 +53,7 @@
   Request.MaxTokens = std::max(0, Ask.ExpectedOutputTokens);
   Request.PrefixHash = static_cast<uint64_t>(Ask.PrefixHash);
   Request.Idempotent = Ask.Idempotent;
+  Request.Resumed = Ask.Resumed;
   auto Class = Classes.find(Request.Class);
   // The tier is the class's; a message can't raise it.
   Request.Tier = Class == Classes.end() ? tier{Ask.Tier} : Class->second.Tier;
@@ -109,6 +110,7 @@
   if (!admit(Request, Step))
     return;
   GiveUps.insert({Request.GiveUp, Key});
+  Demand.add(Request.Tier, Request.ExpectedHold, Step.Now);
   Queue->push(std::move(Request));
   grantAll(Step);
   preempt(Step);
--- a/monsoonreel/fair_queue.h
+++ b/monsoonreel/fair_queue.h
@@ -10,8 +10,9 @@
 // request goes before the rest of the burst. An organisation that was idle
 // starts at the queue's virtual time and gains nothing by having been idle.
 //
-// Within an organisation the earliest target is first, but requests that have
-// already missed theirs come after those that can still meet it.
+// Within an organisation the earliest target is first. Requests of a tier that
+// have already missed theirs come after all those of the tier that can still
+// meet it, whatever the organisation: they would only make others late as well.
 //
 // A class's requests stand in two lanes, those that may run on reclaimable
 // upstreams and those that may not, because often only one kind has room. All
@@ -98,8 +99,11 @@
     const waiting_request *Request = nullptr;
   };
 
+  // From: the earliest target that counts.
   static choice nextInLane(const lane &Lane, const request_filter &Fits,
-                           steady_time Now);
+                           steady_time From);
+  static choice nextFrom(const tier_state &State, const class_name *Class,
+                         const request_filter &Fits, steady_time From);
   // Class nullptr: any class.
   static const waiting_request *nextInTier(const tier_state &State,
                                            const class_name *Class,
--- a/monsoonreel/testing/fake_site.cc
+++ b/monsoonreel/testing/fake_site.cc
@@ -101,6 +101,9 @@
   for (int I = 0; I < Options.Organisations; ++I) {
     organisation Organisation;
     Organisation.Name = organisation_name("org" + std::to_string(I));
+    if (I == 0 && Options.WeighLarge)
+      Organisation.Weight =
+          large_part / (1 - large_part) * (Options.Organisations - 1);
     Configuration.Organisations[Organisation.Name] = Organisation;
   }
   for (int I = 0; I < Options.Engines; ++I) {
@@ -335,6 +338,7 @@
     Result.TokensMade += Made;
     Request.Made += Made;
     Request.Engine.clear();
+    Request.Slot.Resumed = true;
     slot_report Report;
     Report.Result = wire::slot_result::Cancelled;
     Report.Total = Now - Request.DispatchedAt;
--- a/monsoonreel/testing/fake_site.h
+++ b/monsoonreel/testing/fake_site.h
@@ -36,6 +36,8 @@
   int Engines = 8;
   int Concurrency = 16;
   int Organisations = 10;
+  // The large organisation's weight follows its part of the requests.
+  bool WeighLarge = true;
   duration ReportLag = std::chrono::milliseconds(500);
   duration NetworkDelay = std::chrono::milliseconds(1);
   // Multiplies the arrivals of one class from a time to another.
--- a/steward/main.cc
+++ b/steward/main.cc
@@ -24,6 +24,8 @@
     return Settings.error();
   if (absl::GetFlag(FLAGS_check))
     return status_ok;
+  // Stewards serve no callers.
+  Settings->Listen = {};
   return runNode(
       Argc, Argv, *Settings,
       [](const node_identity &Self, const settings &Chosen) {
