An idle read of the log no longer counts as a failed one

Cause: the platform held a read back for 5 s, and the follower took a read for lost after 5 s. Seen with real processes: on an idle stream a steward's status said caught_up false, and a steward that isn't caught up claims no lease. A longer read timeout was ruled out, since a silent connection would then delay a change beyond 9 s.

The entry that is to be lost is now cut off from the stewards first, which is harder on the mechanism too.

--- a/io/platform_client.h
+++ b/io/platform_client.h
@@ -21,7 +21,7 @@
 namespace monsoonreel {
 
 // How long the platform may hold a read back while there is nothing new.
-constexpr duration log_poll_wait = std::chrono::seconds(5);
+constexpr duration log_poll_wait = std::chrono::seconds(1);
 constexpr duration platform_timeout = std::chrono::seconds(5);
 constexpr int log_read_records = 256;
 
--- a/monsoonreel/log_follower.h
+++ b/monsoonreel/log_follower.h
@@ -25,8 +25,10 @@
 
 namespace monsoonreel {
 
-// Longer than a long poll of the platform.
-constexpr duration read_timeout = std::chrono::seconds(5);
+// Well over the time for which the platform holds an answer back (1 s), and
+// short enough that a connection that went silent delays a change of the
+// configuration by less than the 9 s in which it has to be in force.
+constexpr duration read_timeout = std::chrono::seconds(3);
 constexpr duration read_backoff_min = std::chrono::milliseconds(50);
 constexpr duration read_backoff_max = std::chrono::seconds(2);
 // Records that are kept while a snapshot is looked for.
--- a/monsoonreel/testing/steward_site.cc
+++ b/monsoonreel/testing/steward_site.cc
@@ -263,7 +263,10 @@
   peer_message_received Received{node_name(From.Name), address(From.Name),
                                  Message.Message};
   for (machine &To : Machines) {
-    if (To.Name != Message.ToAddress.Value)
+    // The entry that is to be lost reaches no steward any more, so that its
+    // last batches are at their holder only.
+    bool CutOff = EntryDoomed && To.IsSteward && &From == &Machines.back();
+    if (To.Name != Message.ToAddress.Value || CutOff)
       continue;
     for (int Copy = 0; Copy < Copies; ++Copy)
       schedule(randomTime(milliseconds(100)), [&To, Received] {
@@ -334,6 +337,7 @@
   OutUntil = Now;
   Platform.Out = false;
   Platform.Vms.clear();
+  EntryDoomed = false;
   for (machine &Machine : Machines) {
     Machine.FrozenUntil = Now;
     if (Machine.IsSteward && !Machine.Node)
