--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -64,7 +64,7 @@
   startNodes(Network, Count);
   auto Heap = static_cast<double>(mallinfo2().uordblks - HeapBefore);
   size_t Before = bytesOfAll(Network, Count);
-  for (auto _ : State)
+  while (State.KeepRunning())
     Network.run(round_time);
   reportFigures(State, Count, bytesOfAll(Network, Count) - Before, Heap);
 }
@@ -83,7 +83,7 @@
   for (int Index = 0; Index < Count; Index += zone_count)
     Network.stop(nameOf(Index));
   size_t Before = bytesOfAll(Network, Count);
-  for (auto _ : State)
+  while (State.KeepRunning())
     Network.run(round_time);
   reportFigures(State, Count, bytesOfAll(Network, Count) - Before, 0);
 }
