--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -1605,7 +1605,7 @@
 std::ostream& operator<<(std::ostream& out, const usage_release& obj);
 
 typedef struct _slot_ask__isset {
-  _slot_ask__isset() : Ask(false), Pool(false), ServiceClass(false), Tier(false), Organisation(false), TimeLeftMicros(false), PromptTokens(false), ExpectedOutputTokens(false), PrefixHash(false), Idempotent(false), Excluded(false), GiveUpMicros(false), Incarnation(false) {}
+  _slot_ask__isset() : Ask(false), Pool(false), ServiceClass(false), Tier(false), Organisation(false), TimeLeftMicros(false), PromptTokens(false), ExpectedOutputTokens(false), PrefixHash(false), Idempotent(false), Excluded(false), GiveUpMicros(false), Incarnation(false), Resumed(false) {}
   bool Ask :1;
   bool Pool :1;
   bool ServiceClass :1;
@@ -1619,6 +1619,7 @@
   bool Excluded :1;
   bool GiveUpMicros :1;
   bool Incarnation :1;
+  bool Resumed :1;
 } _slot_ask__isset;
 
 class slot_ask : public virtual ::apache::thrift::TBase {
@@ -1640,7 +1641,8 @@
              PrefixHash(0),
              Idempotent(0),
              GiveUpMicros(0),
-             Incarnation(0) {
+             Incarnation(0),
+             Resumed(0) {
   }
 
   virtual ~slot_ask() noexcept;
@@ -1657,6 +1659,7 @@
   std::vector<std::string>  Excluded;
   int64_t GiveUpMicros;
   int64_t Incarnation;
+  bool Resumed;
 
   _slot_ask__isset __isset;
 
@@ -1686,6 +1689,8 @@
 
   void __set_Incarnation(const int64_t val);
 
+  void __set_Resumed(const bool val);
+
   bool operator == (const slot_ask & rhs) const
   {
     if (!(Ask == rhs.Ask))
@@ -1714,6 +1719,8 @@
       return false;
     if (!(Incarnation == rhs.Incarnation))
       return false;
+    if (!(Resumed == rhs.Resumed))
+      return false;
     return true;
   }
   bool operator != (const slot_ask &rhs) const {
