--- a/bench/decisions_bench.cc
+++ b/bench/decisions_bench.cc
@@ -109,7 +109,7 @@
   Release.FirstTokenMicros = 120000;
   Release.TotalMicros = 2400000;
   Release.OutputTokens = 240;
-  for (auto Round : State) {
+  while (State.KeepRunning()) {
     Now += std::chrono::milliseconds(1);
     Owner.onAsk(Asker, makeAsk(++Id), Now, Replies, Effects);
     Collect();
@@ -145,6 +145,7 @@
   slot_outcome_list Outcomes;
   Client.setConfiguration(Configuration, Now, Effects, Outcomes);
   std::vector<slot_peer> Peers;
+  Peers.reserve(static_cast<size_t>(Entries));
   for (int I = 0; I < Entries; ++I)
     Peers.push_back({node_name("entry" + std::to_string(I)),
                      address("10.1.0." + std::to_string(I) + ":7100"),
@@ -152,7 +153,7 @@
   Client.setPeers(Peers);
   double Held = heapInUse() - Before;
   int64_t Id = 0;
-  for (auto Round : State) {
+  while (State.KeepRunning()) {
     slot_request Request;
     Request.Request = request_id{++Id};
     Request.Pool = pool_name("model" + std::to_string(Id % models));
@@ -203,7 +204,7 @@
     }
   State.counters["heap_bytes"] = heapInUse() - Before;
   State.counters["cells"] = static_cast<double>(Map.all().size());
-  for (auto Round : State) {
+  while (State.KeepRunning()) {
     Now += std::chrono::microseconds(10); // slots do not expire meanwhile
     Owner.onTick(Now, Replies, Effects);
     Effects.clear();
@@ -231,7 +232,7 @@
   };
   double BytesBefore = Bytes();
   int Seconds = 0;
-  for (auto Round : State) {
+  while (State.KeepRunning()) {
     wire::pool_load Load;
     Load.Pool = "model0@zone0#0";
     Load.Owner = NameOf(0);
@@ -263,7 +264,7 @@
   effect_list Effects;
   int64_t Offset = 0;
   size_t Bytes = 0;
-  for (auto Round : State) {
+  while (State.KeepRunning()) {
     wire::config_edit Edit;
     Edit.Base = Ledger.configOffset().Value;
     Edit.Document = Document;
@@ -308,7 +309,7 @@
   ClaimRecord.__set_LeaseClaim(Claim);
   Apply(ClaimRecord);
   int64_t Window = 0;
-  for (auto Round : State) {
+  while (State.KeepRunning()) {
     ++Window;
     wire::usage_batch Batch;
     Batch.Incarnation = 9;
--- a/monsoonreel/cell_queue.h
+++ b/monsoonreel/cell_queue.h
@@ -120,9 +120,9 @@
                           steady_time Now);
   int preemptible(tier Above, bool Cheap) const;
 
-  // By value: the key of a waiting request goes away with it.
-  void shed(ask_key Key, wire::refusal_reason::type Reason, duration RetryAfter,
-            cell_step &Step);
+  // Key may be that of the waiting request itself, which goes away.
+  void shed(const ask_key &Key, wire::refusal_reason::type Reason,
+            duration RetryAfter, cell_step &Step);
   void refuse(const waiting_request &Request, wire::refusal_reason::type Reason,
               duration RetryAfter, cell_step &Step);
   void checkShed(const waiting_request &Request, cell_step &Step);
--- a/monsoonreel/cell_shedding.cc
+++ b/monsoonreel/cell_shedding.cc
@@ -133,7 +133,7 @@
   return Request;
 }
 
-void cell_queue::shed(ask_key Key, wire::refusal_reason::type Reason,
+void cell_queue::shed(const ask_key &Key, wire::refusal_reason::type Reason,
                       duration RetryAfter, cell_step &Step) {
   std::optional<waiting_request> Request = removeWaiting(Key);
   if (!Request)
--- a/monsoonreel/slot_client.cc
+++ b/monsoonreel/slot_client.cc
@@ -58,7 +58,7 @@
   client_step Step{Now, Effects, Outcomes};
   slot_reply_list Replies;
   Owner.setConfiguration(Configuration, Map, Now, Replies, Effects);
-  deliver(std::move(Replies), Step);
+  deliver(Replies, Step);
 }
 
 void slot_client::setPeers(std::vector<slot_peer> Live) {
@@ -295,7 +295,7 @@
     Step.Effects.push_back(send_message{To.Name, To.Address, Message});
 }
 
-void slot_client::deliver(slot_reply_list Replies, client_step &Step) {
+void slot_client::deliver(const slot_reply_list &Replies, client_step &Step) {
   for (const slot_reply &Reply : Replies) {
     if (Reply.To.Name == Self.Name)
       fromOwner(Reply.To, Reply.Message, Step);
@@ -319,7 +319,7 @@
     Owner.onRenew(*Renew, Step.Now);
   else
     return false;
-  deliver(std::move(Replies), Step);
+  deliver(Replies, Step);
   return true;
 }
 
@@ -434,7 +434,7 @@
   client_step Step{Now, Effects, Outcomes};
   slot_reply_list Replies;
   Owner.onTick(Now, Replies, Effects);
-  deliver(std::move(Replies), Step);
+  deliver(Replies, Step);
   if (Now >= NextReview) {
     NextReview = Now + ask_review_period;
     onLoads(Owner.loads(Now), Now);
@@ -504,7 +504,7 @@
   client_step Step{Now, Effects, Outcomes};
   slot_reply_list Replies;
   Owner.onLoadReport(Report, Now, Replies, Effects);
-  deliver(std::move(Replies), Step);
+  deliver(Replies, Step);
 }
 
 void slot_client::drain(steady_time Now, effect_list &Effects,
@@ -512,7 +512,7 @@
   client_step Step{Now, Effects, Outcomes};
   slot_reply_list Replies;
   Owner.drain(Now, Replies, Effects);
-  deliver(std::move(Replies), Step);
+  deliver(Replies, Step);
 }
 
 slot_client::builder &slot_client::builder::self(node_identity Value) {
--- a/monsoonreel/slot_client.h
+++ b/monsoonreel/slot_client.h
@@ -157,7 +157,7 @@
   void withdraw(int64_t Id, const pending_ask &Ask, client_step &Step);
   void sendTo(const slot_peer &To, const wire::peer_message &Message,
               client_step &Step);
-  void deliver(slot_reply_list Replies, client_step &Step);
+  void deliver(const slot_reply_list &Replies, client_step &Step);
   bool toOwner(const slot_peer &From, const wire::peer_message &Message,
                client_step &Step);
   bool fromOwner(const slot_peer &From, const wire::peer_message &Message,
