Entry: pushes to all live peers, usage held on other machines, resumed asks

The drain tests looked one event too late, and the matrix had one service in a zone, so that no retry of a non-idempotent request could show. Ruled out: a fault in the drain; the effect came with the event before.

--- a/fault_matrix/main.cc
+++ b/fault_matrix/main.cc
@@ -27,6 +27,8 @@
 ABSL_FLAG(int, threads, 0, "Threads; 0 for one for each core");
 ABSL_FLAG(std::string, step, "", "Run only this step");
 ABSL_FLAG(std::string, fault, "", "Run only this fault");
+ABSL_FLAG(bool, outcomes, false,
+          "Print how the requests of one run without faults ended");
 ABSL_FLAG(int, without, -1,
           "Number of a mechanism, in the order of mechanism.h, to take away");
 
@@ -69,6 +71,15 @@
   return runMatrix(selectedCells(), Threads);
 }
 
+void printOutcomes() {
+  world_options Options;
+  Options.Seed = absl::GetFlag(FLAGS_seed);
+  world World(Options);
+  World.run();
+  for (const auto &[Outcome, Count] : World.outcomes())
+    std::cout << Outcome << " " << Count << "\n";
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -77,6 +88,10 @@
   std::optional<disabled_mechanism> Without;
   if (int Number = absl::GetFlag(FLAGS_without); Number >= 0)
     Without.emplace(static_cast<mechanism>(Number));
+  if (absl::GetFlag(FLAGS_outcomes)) {
+    printOutcomes();
+    return 0;
+  }
   matrix_report Report = runSelected();
   std::cout << Report.toString();
   return Report.Failed == 0 ? 0 : 1;
--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -33,7 +33,7 @@
       addProcess(true, Zone, Number);
       addProcess(false, Zone, Number);
     }
-    for (const char *Kind : {"engine", "cheap", "service"}) {
+    for (const char *Kind : {"engine", "cheap", "service", "service2"}) {
       std::string Name = std::string(Kind) + "-" + std::to_string(Zone);
       Upstreams[Name].Cheap = std::string(Kind) == "cheap";
       ZoneOfUpstream[Name] = Zone;
@@ -180,7 +180,7 @@
       Name = "refused/" + Request.Refusal->Code;
     else if (Request.Aborted)
       Name = "aborted";
-    ++Counts[Name];
+    ++Counts[Request.Path + " " + Name];
   }
   return Counts;
 }
--- a/monsoonreel/entry_node.cc
+++ b/monsoonreel/entry_node.cc
@@ -1,10 +1,13 @@
 #include "monsoonreel/entry_node.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
 #include <nlohmann/json.hpp>
 
+#include "monsoonreel/host.h"
+#include "monsoonreel/log_follower.h"
 #include "monsoonreel/mechanism.h"
 #include "monsoonreel/request_admission.h"
 #include "monsoonreel/wire.h"
@@ -121,9 +124,8 @@
     return;
   }
   stream_delivery Delivery;
-  if (Sync.onMessage(Received, Event.Now,
-                     Members.alive(wire::member_role::Entry, Identity.Zone),
-                     Event.Random, Delivery, Effects)) {
+  if (Sync.onMessage(Received, Event.Now, Members.livePeers(), Event.Random,
+                     Delivery, Effects)) {
     apply(Delivery, Event, Effects);
     return;
   }
@@ -152,29 +154,42 @@
     Peers.push_back(toSlotPeer(Entry));
   Slots.setPeers(std::move(Peers));
   Limits.setEntries(static_cast<int>(Entries.size()));
-  Usage.setPeers(Members.alive(wire::member_role::Steward, Identity.Zone),
-                 Members.alive(wire::member_role::Entry, Identity.Zone));
+  Usage.setPeers(
+      followingOrder(Members.alive(wire::member_role::Steward, Identity.Zone)),
+      usageHolders(Entries));
   Members.setOwnLoads(Slots.loads(Event.Now), Event.Now);
   for (incarnation Source : Keeper.sources())
     if (!Members.mayRun(Source))
       Keeper.onSourceDead(Source);
 }
 
+std::vector<wire::member>
+entry_node::usageHolders(const std::vector<wire::member> &Entries) const {
+  std::vector<wire::member> Holders;
+  for (const wire::member &Entry : Entries)
+    if (Entry.Name != Identity.Name.Value)
+      Holders.push_back(Entry);
+  // What another machine holds survives the loss of this one; among those, the
+  // own zone comes first, because it can be reached when zones are cut.
+  std::string Host = hostOf(Identity.Address);
+  std::stable_sort(Holders.begin(), Holders.end(),
+                   [&](const wire::member &A, const wire::member &B) {
+                     auto Rank = [&](const wire::member &M) {
+                       return std::pair(hostOf(address(M.Address)) == Host,
+                                        M.Zone != Identity.Zone.Value);
+                     };
+                     return Rank(A) < Rank(B);
+                   });
+  return Holders;
+}
+
 // ------------------------------------------------------------ configuration
 
 void entry_node::apply(const stream_delivery &Delivery, const event &Event,
                        effect_list &Effects) {
-  if (Delivery.Snapshot) {
-    const wire::snapshot &Snapshot = *Delivery.Snapshot;
-    auto State = decodeLedgerState(Snapshot.State);
-    std::vector<key_hash> Before = Requests.keysInUse();
-    if (State &&
-        Ledger.restore(log_offset{Snapshot.CoversOffset}, *State, Effects)) {
-      useConfiguration(Event, Effects);
-      for (const key_hash &Hash : Before)
-        if (!Ledger.findKey(Hash))
-          Requests.withdrawKey(Hash, Event, Effects);
-    }
+  if (Delivery.Snapshot && !restore(*Delivery.Snapshot, Event, Effects)) {
+    Sync.restart(Ledger.applied());
+    return;
   }
   for (const wire::stored_record &Record : Delivery.Records)
     onLedgerChange(
@@ -183,6 +198,20 @@
   Members.freshness().onApplied(Ledger.applied());
 }
 
+bool entry_node::restore(const wire::snapshot &Snapshot, const event &Event,
+                         effect_list &Effects) {
+  auto State = decodeLedgerState(Snapshot.State);
+  if (!State ||
+      !Ledger.restore(log_offset{Snapshot.CoversOffset}, *State, Effects))
+    return false;
+  useConfiguration(Event, Effects);
+  // A snapshot does not tell which keys were withdrawn since.
+  for (const key_hash &Hash : Requests.keysInUse())
+    if (!Ledger.findKey(Hash))
+      Requests.withdrawKey(Hash, Event, Effects);
+  return true;
+}
+
 void entry_node::onLedgerChange(const ledger_change &Change, const event &Event,
                                 effect_list &Effects) {
   if (Change.ConfigurationChanged)
--- a/monsoonreel/entry_node.h
+++ b/monsoonreel/entry_node.h
@@ -81,9 +81,15 @@
 
   void apply(const stream_delivery &Delivery, const event &Event,
              effect_list &Effects);
+  // False when the snapshot can't be used.
+  bool restore(const wire::snapshot &Snapshot, const event &Event,
+               effect_list &Effects);
   void onLedgerChange(const ledger_change &Change, const event &Event,
                       effect_list &Effects);
   void useConfiguration(const event &Event, effect_list &Effects);
+  // The entries that may hold this one's usage, in order of preference.
+  std::vector<wire::member>
+  usageHolders(const std::vector<wire::member> &Entries) const;
   void refreshPeers(const event &Event, effect_list &Effects);
   void checkReadiness(steady_time Now);
   void setGauges(const event &Event, effect_list &Effects);
--- a/monsoonreel/request_table.cc
+++ b/monsoonreel/request_table.cc
@@ -231,6 +231,7 @@
   Ask.MaxTokens = Request.Head.MaxTokens;
   Ask.PrefixHash = Request.Head.PrefixHash;
   Ask.Idempotent = Admitted.Idempotent;
+  Ask.Resumed = Request.Attempts > 0;
   Ask.Excluded = Request.Excluded;
   Services.Slots.ask(Ask, Event.Now, Event.Random, Effects, Pending);
 }
--- a/monsoonreel/slot_client.cc
+++ b/monsoonreel/slot_client.cc
@@ -463,7 +463,10 @@
       Repeated.push_back(Id);
   }
   for (int64_t Id : Expired) {
+    // Answers to the entry itself come at once and may have ended the ask.
     std::optional<pending_ask> Ask = takeAsk(Id);
+    if (!Ask)
+      continue;
     withdraw(Id, *Ask, Step);
     Step.Outcomes.emplace_back(
         slot_refused{Ask->Request.Request, wire::refusal_reason::DeadlinePassed,
@@ -471,12 +474,17 @@
   }
   for (int64_t Id : Silent) {
     std::optional<pending_ask> Ask = takeAsk(Id);
+    if (!Ask)
+      continue;
     withdraw(Id, *Ask, Step);
     Ask->Tried.push_back(Ask->Owner.Name);
     proceed(std::move(*Ask), Random, Step);
   }
   for (int64_t Id : Repeated) {
-    pending_ask &Ask = Asks.at(Id);
+    auto Found = Asks.find(Id);
+    if (Found == Asks.end())
+      continue;
+    pending_ask &Ask = Found->second;
     Ask.SentAt = Step.Now;
     Ask.Queued = false;
     sendTo(Ask.Owner, makeAsk(Id, Self, Ask.Cell, Ask.Request, Step.Now), Step);
--- a/monsoonreel/steward_node.cc
+++ b/monsoonreel/steward_node.cc
@@ -160,11 +160,15 @@
   if (Members.onMessage(Received, Event.Now, Effects))
     return;
   stream_delivery Delivery;
-  if (Sync.onMessage(Received, Event.Now, peersOfZone(), Event.Random, Delivery,
-                     Effects)) {
-    if (Delivery.Snapshot)
-      Operator.restoreSnapshot(log_offset{Delivery.Snapshot->CoversOffset},
-                               Delivery.Snapshot->State, Event.Now, Effects);
+  if (Sync.onMessage(Received, Event.Now, Members.livePeers(), Event.Random,
+                     Delivery, Effects)) {
+    if (Delivery.Snapshot &&
+        !Operator.restoreSnapshot(log_offset{Delivery.Snapshot->CoversOffset},
+                                  Delivery.Snapshot->State, Event.Now,
+                                  Effects)) {
+      Sync.restart(Operator.applied());
+      return;
+    }
     for (const wire::stored_record &Record : Delivery.Records)
       Operator.applyRecord(log_offset{Record.Offset}, Record.Bytes, Event.Now,
                            Effects);
@@ -176,16 +180,6 @@
     UsageDesk.onMessage(Received, Usage.state(), Effects);
 }
 
-std::vector<wire::member> steward_node::peersOfZone() const {
-  std::vector<wire::member> Peers =
-      Members.alive(wire::member_role::Entry, Self.Zone);
-  for (wire::member &Member :
-       Members.alive(wire::member_role::Steward, Self.Zone))
-    if (Member.Name != Self.Name.Value)
-      Peers.push_back(std::move(Member));
-  return Peers;
-}
-
 void steward_node::passOnChanges(const event &Event, bool FromLog,
                                  effect_list &Effects) {
   for (const ledger_change &Change : Operator.takeChanges())
@@ -212,7 +206,7 @@
     Sync.keepSnapshot(Operator.applied(),
                       encodeState(Operator.state().state()));
   else if (!Records.empty())
-    Sync.onLogRecords(Records, peersOfZone(), Event.Random, Effects);
+    Sync.onLogRecords(Records, Members.livePeers(), Event.Random, Effects);
   if (std::optional<steady_time> FreshAt = Operator.follower().freshAt())
     Members.freshness().onLogRead(Operator.applied(), *FreshAt);
 }
--- a/monsoonreel/steward_node.h
+++ b/monsoonreel/steward_node.h
@@ -70,7 +70,6 @@
   void passOnChanges(const event &Event, bool FromLog, effect_list &Effects);
   void passOnRecords(const event &Event, bool FromLog, effect_list &Effects);
   // The live nodes of the zone but this one.
-  std::vector<wire::member> peersOfZone() const;
   duration usageWindow() const;
 
   node_identity Self;
--- a/monsoonreel/testing/entry_node_test.cc
+++ b/monsoonreel/testing/entry_node_test.cc
@@ -185,7 +185,7 @@
   EXPECT_EQ(find<refuse_request>()->Code, "shutting-down");
   send(attempt_headers{First.Attempt, 200, "text/plain", false, {}});
   send(attempt_finished{First.Attempt});
-  pass(std::chrono::seconds(10));
+  EXPECT_TRUE(find<finish_answer>());
   EXPECT_TRUE(find<drain_finished>());
 }
 
@@ -193,7 +193,6 @@
   disabled_mechanism Off(mechanism::DrainWaits);
   dispatched(order(1));
   send(drain_requested{});
-  pass(std::chrono::seconds(10));
   EXPECT_TRUE(find<drain_finished>());
 }
 
