--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "monsoonreel/entry_node.h"
+#include "monsoonreel/incarnation.h"
 #include "monsoonreel/steward_node.h"
 
 namespace monsoonreel::fault_matrix {
--- a/io/caller_port.cc
+++ b/io/caller_port.cc
@@ -71,18 +71,6 @@
 
 } // namespace
 
-const char *outcomeName(run_knowledge Outcome) {
-  switch (Outcome) {
-  case run_knowledge::NotRun:
-    return "not-run";
-  case run_knowledge::Run:
-    return "run";
-  case run_knowledge::Unknown:
-    return "unknown";
-  }
-  return "unknown";
-}
-
 struct caller_port::pending {
   http_request Request;
   std::shared_ptr<http_exchange> Exchange;
--- a/io/caller_port.h
+++ b/io/caller_port.h
@@ -84,9 +84,6 @@
 
 request_reading readRequest(const http_request &Request);
 
-// The outcome as callers see it: "not-run", "run" or "unknown".
-const char *outcomeName(run_knowledge Outcome);
-
 } // namespace monsoonreel
 
 #endif // IO_CALLER_PORT_H
--- a/monsoonreel/request_metrics.cc
+++ b/monsoonreel/request_metrics.cc
@@ -23,18 +23,6 @@
   return "unknown";
 }
 
-const char *toText(run_knowledge Knowledge) {
-  switch (Knowledge) {
-  case run_knowledge::NotRun:
-    return "not-run";
-  case run_knowledge::Run:
-    return "run";
-  case run_knowledge::Unknown:
-    return "unknown";
-  }
-  return "unknown";
-}
-
 double toSeconds(duration Value) {
   return std::chrono::duration<double>(Value).count();
 }
@@ -57,7 +45,7 @@
   Text += " organisation=" + Request.Admitted.Organisation.Value;
   Text += " class=" + Request.Admitted.Class.Name.Value;
   Text += std::string(" result=") + toText(Result);
-  Text += std::string(" outcome=") + toText(Request.Knowledge);
+  Text += std::string(" outcome=") + outcomeName(Request.Knowledge);
   if (!Request.RefusalCode.empty())
     Text += " code=" + Request.RefusalCode;
   Text += " attempts=" + std::to_string(Request.Attempts);
--- a/monsoonreel/types.h
+++ b/monsoonreel/types.h
@@ -96,6 +96,19 @@
 //   Unknown: something was written and no answer came.
 enum class run_knowledge { NotRun, Run, Unknown };
 
+// "not-run", "run" or "unknown", as callers and logs see it.
+constexpr const char *outcomeName(run_knowledge Outcome) {
+  switch (Outcome) {
+  case run_knowledge::NotRun:
+    return "not-run";
+  case run_knowledge::Run:
+    return "run";
+  case run_knowledge::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
 } // namespace monsoonreel
 
 #endif // MONSOONREEL_TYPES_H
