--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -78,9 +78,8 @@
   Process.CallerOf.clear();
   Process.Attempts.clear();
   Process.ConfigOffset = 0;
-  Process.Identity.Incarnation.Value = wall_epoch_micros +
-                                       toMicros(Time.now()) +
-                                       static_cast<int64_t>(draw() % 1000);
+  wall_time Start(duration(wall_epoch_micros) + Time.now());
+  Process.Identity.Incarnation = makeIncarnation(Process.Identity.Name, Start);
   std::vector<address> Seeds;
   for (int Zone = 0; Zone < Options.Zones; ++Zone) {
     Seeds.push_back(processAddress(true, Zone, 0));
