HTTP server: a caller that leaves no longer frees the callback that runs

Cause: under the address sanitizer, Caller_Leaves_CancelsItsUpstreamRequest read freed memory in every run: the callback erased the last reference to its own exchange, and with it its captures. Change: the callback is moved out before it is called. Also, the matrix' faults no longer form a reference where neither end of a transmission is a process.

--- a/fault_matrix/world_faults.cc
+++ b/fault_matrix/world_faults.cc
@@ -45,6 +45,9 @@
   process *Receiver = Transmission.Receiver;
   // A call to the platform or an answer of it concerns the process at its end.
   process *Either = Sender ? Sender : Receiver;
+  if (!Either)
+    return;
+  process &Reached = Receiver ? *Receiver : *Either;
   switch (Fault) {
   case fault::Lost:
     Effect.Lost = true;
@@ -66,13 +69,13 @@
     kill(*Either);
     break;
   case fault::ReceiverKilled:
-    kill(Receiver ? *Receiver : *Either);
+    kill(Reached);
     break;
   case fault::SenderFrozen:
     freeze(*Either);
     break;
   case fault::ReceiverFrozen:
-    freeze(Receiver ? *Receiver : *Either);
+    freeze(Reached);
     break;
   case fault::ZoneCutPeers:
     cutZone(Either->Zone, true, false);
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -49,8 +49,12 @@
       Socket(Connection), HeadOnly(Connection->head().Method == "HEAD") {
   connect(Connection, &QTcpSocket::disconnected, this, [this] {
     Socket.clear();
-    if (!std::exchange(Done, true) && OnGone)
-      OnGone();
+    if (std::exchange(Done, true) || !OnGone)
+      return;
+    // The callback may drop the last reference to this exchange, and with it
+    // the place where it is kept.
+    auto Callback = std::exchange(OnGone, nullptr);
+    Callback();
   });
   connect(Connection, &QTcpSocket::bytesWritten, this, [this] {
     if (!Done && OnRoom)
