--- a/monsoonreel/membership.cc
+++ b/monsoonreel/membership.cc
@@ -299,6 +299,7 @@
   if (Ahead.size() > max_ledger_peers)
     Ahead.resize(max_ledger_peers);
   std::vector<ledger_peer> Peers;
+  Peers.reserve(Ahead.size());
   for (const known_member *Known : Ahead)
     Peers.push_back({node_name(Known->Member.Name),
                      address(Known->Member.Address), Known->Ledger});
