--- a/monsoonreel/testing/fake_site.cc
+++ b/monsoonreel/testing/fake_site.cc
@@ -123,6 +123,7 @@
       Start(Now), Draws(Options.Seed) {
   bool Alone = Options.Policy == "alone";
   std::vector<slot_peer> Peers;
+  Peers.reserve(Options.Entries);
   for (int I = 0; I < Options.Entries; ++I)
     Peers.push_back({node_name("n" + std::to_string(I)),
                      address(std::to_string(I)), zone_name("norte")});
--- a/monsoonreel/testing/slot_owner_test.cc
+++ b/monsoonreel/testing/slot_owner_test.cc
@@ -318,9 +318,8 @@
   disabled_mechanism Without(mechanism::Admission);
   ask("chat");
   ask("chat");
-  std::vector<int64_t> Low;
-  for (int I = 0; I < 12; ++I)
-    Low.push_back(ask("batch"));
+  std::vector<int64_t> Low(12);
+  std::generate(Low.begin(), Low.end(), [&] { return ask("batch"); });
   int64_t Chat = ask("chat");
   EXPECT_FALSE(replyTo<wire::slot_refuse>(Chat));
   auto Shed = std::count_if(Low.begin(), Low.end(), [&](int64_t Ask) {
--- a/monsoonreel/testing/state_sync_test.cc
+++ b/monsoonreel/testing/state_sync_test.cc
@@ -47,6 +47,7 @@
   // Name hears by a heartbeat that Peer has more.
   void tick(const std::string &Name, const std::vector<std::string> &Ahead) {
     std::vector<ledger_peer> Peers;
+    Peers.reserve(Ahead.size());
     for (const std::string &Peer : Ahead)
       Peers.push_back({node_name(Peer), address(Peer), highest(Peer)});
     effect_list Effects;
