Library: one public header, and builders without the nodes' insides

Cause: the house style asks for one public header for each library; programs and the I/O layer included single headers of monsoonreel/, two of them with all private members of a node. What: monsoonreel.h is the manual and includes what an embedding program needs; node_builder.h builds both kinds of node; the two longest calls' times stand beside their effects. A builder's lease terms were used by nobody and are gone. Ruled out: including entry_node.h and steward_node.h in the public header; they are the insides.

--- a/cli/log_session.h
+++ b/cli/log_session.h
@@ -19,7 +19,7 @@
 
 #include "cli/options.h"
 #include "io/platform_client.h"
-#include "monsoonreel/ledger.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::cli {
 
--- a/cli/options.h
+++ b/cli/options.h
@@ -9,7 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::cli {
 
--- a/entry/main.cc
+++ b/entry/main.cc
@@ -11,7 +11,7 @@
 #include <absl/flags/usage.h>
 
 #include "io/daemon.h"
-#include "monsoonreel/entry_node.h"
+#include "monsoonreel/monsoonreel.h"
 
 ABSL_FLAG(std::string, settings, "", "File with the settings of this process");
 ABSL_FLAG(bool, check, false, "Only check the settings");
@@ -32,8 +32,7 @@
     return status_ok;
   return runNode(Argc, Argv, *Settings,
                  [](const node_identity &Self, const settings &Chosen) {
-                   return entry_node::builder()
-                       .identity(Self)
+                   return entry_node_builder(Self)
                        .seeds(Chosen.Seeds)
                        .policy(Chosen.Policy)
                        .build();
--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -4,9 +4,8 @@
 #include <utility>
 #include <variant>
 
-#include "monsoonreel/entry_node.h"
 #include "monsoonreel/incarnation.h"
-#include "monsoonreel/steward_node.h"
+#include "monsoonreel/node_builder.h"
 
 namespace monsoonreel::fault_matrix {
 
@@ -86,8 +85,7 @@
     Seeds.push_back(processAddress(false, Zone, 1));
   }
   if (Process.IsEntry)
-    Process.Node =
-        entry_node::builder().identity(Process.Identity).seeds(Seeds).build();
+    Process.Node = entry_node_builder(Process.Identity).seeds(Seeds).build();
   else
     Process.Node = steward_node_builder(Process.Identity).seeds(Seeds).build();
   scheduleTick(Process, Process.Life);
--- a/io/admin_port.cc
+++ b/io/admin_port.cc
@@ -1,6 +1,6 @@
 #include "io/admin_port.h"
 
-#include "monsoonreel/address.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/caller_port.cc
+++ b/io/caller_port.cc
@@ -7,7 +7,7 @@
 
 #include "spdlog/spdlog.h"
 
-#include "monsoonreel/address.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/caller_port.h
+++ b/io/caller_port.h
@@ -19,7 +19,7 @@
 
 #include "io/event_sink.h"
 #include "io/http_server.h"
-#include "monsoonreel/effect.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/clock.h
+++ b/io/clock.h
@@ -7,7 +7,7 @@
 #ifndef IO_CLOCK_H
 #define IO_CLOCK_H
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/daemon.h
+++ b/io/daemon.h
@@ -18,8 +18,7 @@
 #include <memory>
 #include <string>
 
-#include "monsoonreel/node.h"
-#include "monsoonreel/settings.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/event_sink.h
+++ b/io/event_sink.h
@@ -3,7 +3,7 @@
 #ifndef IO_EVENT_SINK_H
 #define IO_EVENT_SINK_H
 
-#include "monsoonreel/event.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/gated_socket.h
+++ b/io/gated_socket.h
@@ -22,7 +22,7 @@
 #include <QTcpSocket>
 
 #include "io/http_head.h"
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/http_call.h
+++ b/io/http_call.h
@@ -16,7 +16,7 @@
 #include <QObject>
 
 #include "io/network_request.h"
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/metric_registry.h
+++ b/io/metric_registry.h
@@ -21,7 +21,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
-#include "monsoonreel/effect.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/network_request.h
+++ b/io/network_request.h
@@ -22,7 +22,7 @@
 
 #include "absl/container/flat_hash_map.h"
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/node_runtime.cc
+++ b/io/node_runtime.cc
@@ -14,7 +14,7 @@
 #include "spdlog/spdlog.h"
 
 #include "io/clock.h"
-#include "monsoonreel/incarnation.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/node_runtime.h
+++ b/io/node_runtime.h
@@ -30,8 +30,7 @@
 #include "io/peer_transport.h"
 #include "io/platform_client.h"
 #include "io/upstream_client.h"
-#include "monsoonreel/node.h"
-#include "monsoonreel/settings.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/peer_transport.cc
+++ b/io/peer_transport.cc
@@ -9,7 +9,7 @@
 #include <QtEndian>
 
 #include "io/clock.h"
-#include "monsoonreel/address.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/peer_transport.h
+++ b/io/peer_transport.h
@@ -28,7 +28,7 @@
 #include "absl/container/flat_hash_map.h"
 
 #include "io/event_sink.h"
-#include "monsoonreel/node.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/platform_client.cc
+++ b/io/platform_client.cc
@@ -9,8 +9,6 @@
 #include "spdlog/fmt/fmt.h"
 
 #include "io/clock.h"
-#include "monsoonreel/order_desk.h"
-#include "monsoonreel/usage_closer.h"
 
 namespace monsoonreel {
 
--- a/io/platform_client.h
+++ b/io/platform_client.h
@@ -16,7 +16,7 @@
 
 #include "io/event_sink.h"
 #include "io/http_call.h"
-#include "monsoonreel/effect.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/testing/raw_server.h
+++ b/io/testing/raw_server.h
@@ -17,7 +17,7 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/io/upstream_client.h
+++ b/io/upstream_client.h
@@ -21,7 +21,7 @@
 #include "io/event_stream.h"
 #include "io/http_head.h"
 #include "io/network_request.h"
-#include "monsoonreel/event.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
--- a/load/answer_reader.h
+++ b/load/answer_reader.h
@@ -17,7 +17,7 @@
 #include <string_view>
 #include <vector>
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::load {
 
--- a/load/run_report.h
+++ b/load/run_report.h
@@ -16,7 +16,7 @@
 
 #include "load/arrival_schedule.h"
 #include "load/scenario.h"
-#include "monsoonreel/configuration.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::load {
 
--- a/load/scenario.h
+++ b/load/scenario.h
@@ -16,8 +16,7 @@
 
 #include <tl/expected.hpp>
 
-#include "monsoonreel/finding.h"
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::load {
 
--- a/monsoonreel/effect.h
+++ b/monsoonreel/effect.h
@@ -101,6 +101,10 @@
   log_offset From;
 };
 
+// The longest time from the sending of a report or an order to its effect.
+constexpr duration report_flight = std::chrono::seconds(2);
+constexpr duration order_flight = std::chrono::seconds(2);
+
 // NotAfter is the last moment on this machine's steady clock at which the call
 // may begin. The daemon reads the clock again right before it writes and drops
 // the call when the moment has passed.
--- a/monsoonreel/entry_node.cc
+++ b/monsoonreel/entry_node.cc
@@ -327,26 +327,4 @@
   return Status.dump();
 }
 
-// ------------------------------------------------------------------ builder
-
-entry_node::builder &entry_node::builder::identity(node_identity Value) {
-  Identity = std::move(Value);
-  return *this;
-}
-
-entry_node::builder &entry_node::builder::seeds(std::vector<address> Value) {
-  Seeds = std::move(Value);
-  return *this;
-}
-
-entry_node::builder &entry_node::builder::policy(std::string Value) {
-  Policy = std::move(Value);
-  return *this;
-}
-
-std::unique_ptr<node> entry_node::builder::build() {
-  return std::unique_ptr<node>(
-      new entry_node(std::move(Identity), Seeds, Policy));
-}
-
 } // namespace monsoonreel
--- a/monsoonreel/entry_node.h
+++ b/monsoonreel/entry_node.h
@@ -1,12 +1,8 @@
 // The reducer of an entry: callers' requests, the queues of the cells that it
 // owns, and its part in what the nodes do together.
 //
-//   std::unique_ptr<node> Node = entry_node::builder()
-//                                    .identity(Identity)
-//                                    .seeds(Settings.Seeds)
-//                                    .policy(Settings.Policy)
-//                                    .build();
-//   Node->handle(Event, Effects);
+//   entry_node Node(Identity, Seeds, "tiered"); // or by entry_node_builder
+//   Node.handle(Event, Effects);
 //
 // It replays the operator stream from what stewards and other entries pass on,
 // and never reads the log itself.
@@ -14,7 +10,6 @@
 #ifndef MONSOONREEL_ENTRY_NODE_H
 #define MONSOONREEL_ENTRY_NODE_H
 
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -44,16 +39,13 @@
 
 class entry_node : public node {
 public:
-  class builder;
+  entry_node(node_identity Identity, const std::vector<address> &Seeds,
+             const std::string &Policy);
 
   void handle(const event &Event, effect_list &Effects) override;
   std::string statusJson() const override;
 
 private:
-  friend class builder;
-  entry_node(node_identity Identity, const std::vector<address> &Seeds,
-             const std::string &Policy);
-
   void onEvent(const tick &Tick, const event &Event, effect_list &Effects);
   void onEvent(const request_arrived &Arrived, const event &Event,
                effect_list &Effects);
@@ -114,20 +106,6 @@
   steady_time DrainIdleSince;
 };
 
-class entry_node::builder {
-public:
-  builder &identity(node_identity Value);
-  builder &seeds(std::vector<address> Value);
-  // tiered, least-in-flight or round-robin-fifo; default tiered.
-  builder &policy(std::string Value);
-  std::unique_ptr<node> build();
-
-private:
-  node_identity Identity;
-  std::vector<address> Seeds;
-  std::string Policy = "tiered";
-};
-
 } // namespace monsoonreel
 
 #endif // MONSOONREEL_ENTRY_NODE_H
--- a/monsoonreel/order_desk.h
+++ b/monsoonreel/order_desk.h
@@ -30,8 +30,6 @@
 
 namespace monsoonreel {
 
-// The longest time from the sending of an order to its effect.
-constexpr duration order_flight = std::chrono::seconds(2);
 constexpr duration order_backoff_min = std::chrono::milliseconds(500);
 constexpr duration order_backoff_max = std::chrono::seconds(30);
 constexpr size_t max_order_requests = 64;
--- a/monsoonreel/steward_node.cc
+++ b/monsoonreel/steward_node.cc
@@ -6,48 +6,13 @@
 
 namespace monsoonreel {
 
-namespace {
-
-lease_terms named(lease_terms Terms, std::string Name) {
-  Terms.Name = std::move(Name);
-  return Terms;
-}
-
-} // namespace
-
-steward_node_builder::steward_node_builder(node_identity Identity)
-    : Identity(std::move(Identity)) {}
-
-steward_node_builder &
-steward_node_builder::seeds(std::vector<address> Addresses) {
-  Seeds = std::move(Addresses);
-  return *this;
-}
-
-steward_node_builder &steward_node_builder::leases(const lease_terms &Times) {
-  Terms = Times;
-  return *this;
-}
-
-steward_node_builder &steward_node_builder::snapshotPeriod(duration Period) {
-  SnapshotPeriod = Period;
-  return *this;
-}
-
-std::unique_ptr<steward_node> steward_node_builder::build() const {
-  return std::unique_ptr<steward_node>(new steward_node(
-      Identity, Seeds, named(Terms, std::string(usage_lease)),
-      named(Terms, orderLeaseName(Identity.Zone)), SnapshotPeriod));
-}
-
 steward_node::steward_node(node_identity Identity, std::vector<address> Seeds,
-                           lease_terms UsageTerms, lease_terms OrderTerms,
                            duration SnapshotPeriod)
     : Self(std::move(Identity)),
       Members(Self, wire::member_role::Steward, std::move(Seeds)),
       Sync(Self, std::string(operator_stream)),
-      UsageLease(std::move(UsageTerms), Self),
-      OrderLease(std::move(OrderTerms), Self),
+      UsageLease({std::string(usage_lease)}, Self),
+      OrderLease({orderLeaseName(Self.Zone)}, Self),
       Operator(operator_stream, Self, Calls), Usage(usage_stream, Self, Calls),
       UsageCloser(UsageLease), Orders(Self.Zone, OrderLease),
       Replacer(Self.Zone), Claims(Self, Calls),
--- a/monsoonreel/steward_node.h
+++ b/monsoonreel/steward_node.h
@@ -1,9 +1,7 @@
 // The reducer of a steward process.
 //
-//   std::unique_ptr<node> Steward = steward_node_builder(Identity)
-//                                       .seeds(Settings.Seeds)
-//                                       .build();
-//   Steward->handle(Event, Effects);
+//   steward_node Node(Identity, Seeds, default_snapshot_period);
+//   Node.handle(Event, Effects); // or by steward_node_builder
 //
 // A steward runs on every entry VM. All of them pass the operator stream on.
 // Two in each zone follow the log (`shouldFollow`); these also take usage
@@ -14,7 +12,6 @@
 #ifndef MONSOONREEL_STEWARD_NODE_H
 #define MONSOONREEL_STEWARD_NODE_H
 
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -40,6 +37,9 @@
 
 class steward_node : public node {
 public:
+  steward_node(node_identity Identity, std::vector<address> Seeds,
+               duration SnapshotPeriod);
+
   void handle(const event &Event, effect_list &Effects) override;
   std::string statusJson() const override;
 
@@ -49,11 +49,6 @@
   bool isFollowing() const { return Operator.follower().isFollowing(); }
 
 private:
-  friend class steward_node_builder;
-  steward_node(node_identity Identity, std::vector<address> Seeds,
-               lease_terms UsageTerms, lease_terms OrderTerms,
-               duration SnapshotPeriod);
-
   void onTick(const event &Event, effect_list &Effects);
   void onPeerMessage(const peer_message_received &Received, const event &Event,
                      effect_list &Effects);
@@ -96,26 +91,6 @@
   bool DrainFinished = false;
 };
 
-class steward_node_builder {
-public:
-  explicit steward_node_builder(node_identity Identity);
-
-  // Peer addresses that are known at the start.
-  steward_node_builder &seeds(std::vector<address> Seeds);
-  // The times of both leases; the names in Terms are not used.
-  steward_node_builder &leases(const lease_terms &Terms);
-  // The longest time between two snapshots of a stream.
-  steward_node_builder &snapshotPeriod(duration Period);
-
-  std::unique_ptr<steward_node> build() const;
-
-private:
-  node_identity Identity;
-  std::vector<address> Seeds;
-  lease_terms Terms;
-  duration SnapshotPeriod = default_snapshot_period;
-};
-
 } // namespace monsoonreel
 
 #endif // MONSOONREEL_STEWARD_NODE_H
--- a/monsoonreel/testing/entry_node_test.cc
+++ b/monsoonreel/testing/entry_node_test.cc
@@ -1,6 +1,6 @@
 // One entry alone: it owns every queue, so a request is dispatched at once.
 
-#include "monsoonreel/entry_node.h"
+#include "monsoonreel/node_builder.h"
 
 #include <optional>
 
@@ -31,7 +31,7 @@
   void SetUp() override {
     node_identity Self{node_name("entry-1"), zone_name("north"),
                        address("10.0.1.1:7100"), incarnation{1}};
-    Node = entry_node::builder().identity(Self).build();
+    Node = entry_node_builder(Self).build();
     wire::config_edit Edit;
     Edit.Document = document;
     wire::log_record Record;
--- a/monsoonreel/testing/steward_site.cc
+++ b/monsoonreel/testing/steward_site.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "monsoonreel/log_follower.h"
+#include "monsoonreel/node_builder.h"
 #include "monsoonreel/testing/records.h"
 
 namespace monsoonreel::testing {
--- a/monsoonreel/testing/steward_site.h
+++ b/monsoonreel/testing/steward_site.h
@@ -22,6 +22,8 @@
 #include <string>
 #include <vector>
 
+#include "monsoonreel/membership.h"
+#include "monsoonreel/state_sync.h"
 #include "monsoonreel/steward_node.h"
 #include "monsoonreel/testing/fake_platform.h"
 #include "monsoonreel/usage_keeper.h"
--- a/monsoonreel/usage_closer.h
+++ b/monsoonreel/usage_closer.h
@@ -30,8 +30,6 @@
 
 namespace monsoonreel {
 
-// The longest time from the sending of a report to its effect.
-constexpr duration report_flight = std::chrono::seconds(2);
 constexpr duration report_backoff_min = std::chrono::milliseconds(500);
 constexpr duration report_backoff_max = std::chrono::seconds(30);
 
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -22,7 +22,7 @@
 #include <string>
 #include <vector>
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 #include "standins/prefix_cache.h"
 
 namespace monsoonreel::standin {
--- a/standins/fault_switch.h
+++ b/standins/fault_switch.h
@@ -14,7 +14,7 @@
 #include <string>
 #include <string_view>
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::standin {
 
--- a/standins/platform_log.h
+++ b/standins/platform_log.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::standin {
 
--- a/standins/service_server.h
+++ b/standins/service_server.h
@@ -14,7 +14,7 @@
 #include <memory>
 #include <string>
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 #include "standins/http_standin.h"
 
 namespace monsoonreel::standin {
--- a/standins/steady_clock.h
+++ b/standins/steady_clock.h
@@ -5,7 +5,7 @@
 #ifndef STANDINS_STEADY_CLOCK_H
 #define STANDINS_STEADY_CLOCK_H
 
-#include "monsoonreel/types.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::standin {
 
--- a/steward/main.cc
+++ b/steward/main.cc
@@ -10,7 +10,7 @@
 #include <absl/flags/usage.h>
 
 #include "io/daemon.h"
-#include "monsoonreel/steward_node.h"
+#include "monsoonreel/monsoonreel.h"
 
 ABSL_FLAG(std::string, settings, "", "File with the settings of this process");
 ABSL_FLAG(bool, check, false, "Only check the settings");
