Questionnaire: the configuration is generated from a team's answers

What: `monsoonreel init` prints every question explained; `init FILE` checks the answers and prints the configuration. Findings of `check` and `init` as JSON too. Ruled out: the configuration as its own questionnaire (docs/DESIGN.md).

--- a/cli/commands.h
+++ b/cli/commands.h
@@ -9,6 +9,10 @@
 
 namespace monsoonreel::cli {
 
+// Prints the configuration that a questionnaire asks for, or without a file the
+// template of a questionnaire.
+int initialise(const options &Options, const std::string &File);
+
 // Configuration files.
 int checkFile(const options &Options, const std::string &File);
 int applyFile(const options &Options, const std::string &File);
--- a/cli/config_commands.cc
+++ b/cli/config_commands.cc
@@ -1,14 +1,13 @@
 #include <charconv>
-#include <fstream>
 #include <iostream>
 #include <optional>
-#include <sstream>
 
 #include "cli/commands.h"
 #include "cli/log_session.h"
 #include "cli/site_view.h"
 #include "cli/text_diff.h"
-#include "monsoonreel/configuration.h"
+#include "cli/text_file.h"
+#include "monsoonreel/monsoonreel.h"
 #include "spdlog/fmt/fmt.h"
 
 namespace monsoonreel::cli {
@@ -19,26 +18,16 @@
 // it was edited from.
 constexpr std::string_view version_prefix = "# version: ";
 
-std::optional<std::string> readFile(const std::string &File) {
-  std::ifstream Stream(File);
-  if (!Stream) {
-    std::cerr << File << ": can't be read\n";
-    return std::nullopt;
-  }
-  std::stringstream Text;
-  Text << Stream.rdbuf();
-  return Text.str();
-}
-
 // Reads and checks a document; prints its findings.
-std::optional<std::string> readDocument(const std::string &File) {
-  auto Text = readFile(File);
+std::optional<std::string> readDocument(const options &Options,
+                                        const std::string &File) {
+  auto Text = readTextFile(File);
   if (!Text)
     return std::nullopt;
   auto Parsed = parseConfiguration(*Text, File);
   if (Parsed)
     return Text;
-  std::cerr << Parsed.error().toString();
+  reportFindings(Options, Parsed.error());
   return std::nullopt;
 }
 
@@ -123,7 +112,7 @@
 } // namespace
 
 int checkFile(const options &Options, const std::string &File) {
-  if (!readDocument(File))
+  if (!readDocument(Options, File))
     return exit_findings;
   output Output(Options.Json);
   Output.line(File + ": no findings");
@@ -133,7 +122,7 @@
 }
 
 int applyFile(const options &Options, const std::string &File) {
-  auto Document = readDocument(File);
+  auto Document = readDocument(Options, File);
   if (!Document)
     return exit_findings;
   log_session Session(Options);
@@ -146,7 +135,7 @@
 }
 
 int diffFile(const options &Options, const std::string &File) {
-  auto Document = readDocument(File);
+  auto Document = readDocument(Options, File);
   if (!Document)
     return exit_findings;
   log_session Session(Options);
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -35,6 +35,8 @@
 
 constexpr const char *help = R"(Operates a monsoonreel site.
 
+  init                 print a questionnaire, to be filled in
+  init FILE            print the configuration that a questionnaire asks for
   check FILE           check a configuration and print all findings
   apply FILE           put a configuration in force
   diff FILE            compare a file with the configuration in force
@@ -108,6 +110,8 @@
 int run(const options &Options, const std::vector<std::string> &Words) {
   if (Words.empty())
     return usage();
+  if (Words[0] == "init")
+    return initialise(Options, Words.size() > 1 ? Words[1] : "");
   if (Words[0] == "check" && Words.size() > 1)
     return checkFile(Options, Words[1]);
   if (Words[0] == "status")
--- a/monsoonreel/yaml_reader.cc
+++ b/monsoonreel/yaml_reader.cc
@@ -53,14 +53,6 @@
   return duration(static_cast<int64_t>(Micros));
 }
 
-std::string describe(duration Value) {
-  if (Value % std::chrono::seconds(1) == duration::zero())
-    return std::to_string(Value / std::chrono::seconds(1)) + "s";
-  if (Value % std::chrono::milliseconds(1) == duration::zero())
-    return std::to_string(Value / std::chrono::milliseconds(1)) + "ms";
-  return std::to_string(Value.count()) + "us";
-}
-
 std::string describe(double Value) {
   std::string Text = std::to_string(Value);
   Text.erase(Text.find_last_not_of('0') + 1);
@@ -71,6 +63,14 @@
 
 } // namespace
 
+std::string timeText(duration Value) {
+  if (Value % std::chrono::seconds(1) == duration::zero())
+    return std::to_string(Value / std::chrono::seconds(1)) + "s";
+  if (Value % std::chrono::milliseconds(1) == duration::zero())
+    return std::to_string(Value / std::chrono::milliseconds(1)) + "ms";
+  return std::to_string(Value.count()) + "us";
+}
+
 std::optional<YAML::Node> loadYaml(const std::string &Text,
                                    const std::string &File,
                                    finding_list &Findings) {
@@ -149,8 +149,8 @@
   auto Value = parseTime(*Text);
   if (Value && *Value >= Least && *Value <= Most)
     return *Value;
-  reject(Key, "must be a time from " + describe(Least) + " to " +
-                  describe(Most) + ", such as 350ms or 2s");
+  reject(Key, "must be a time from " + timeText(Least) + " to " +
+                  timeText(Most) + ", such as 350ms or 2s");
   return Default.value_or(Least);
 }
 
--- a/monsoonreel/yaml_reader.h
+++ b/monsoonreel/yaml_reader.h
@@ -30,6 +30,9 @@
                                    const std::string &File,
                                    finding_list &Findings);
 
+// A time as `yaml_map::time` reads it, such as "350ms".
+std::string timeText(duration Value);
+
 class yaml_map {
 public:
   yaml_map(const YAML::Node &Node, std::string File, std::string Path,
