Fuzzing: hostile inputs for everything that is parsed

Cause: settings, documents, frames, records, load reports, the platform's answers and heads of requests were tested with single hostile inputs; messages of a peer that lies were tested in parts only. Two targets drive a whole entry and a whole steward with rows of mutated messages.

--- /dev/null
+++ b/fuzz/targets.cc
@@ -0,0 +1,117 @@
+#include "fuzz/targets.h"
+
+#include "fuzz/input_mutator.h"
+#include "fuzz/peer_target.h"
+#include "io/http_head.h"
+#include "io/load_poller.h"
+#include "io/platform_client.h"
+#include "monsoonreel/monsoonreel.h"
+
+namespace monsoonreel::fuzz {
+
+namespace {
+
+const char settings_sample[] = R"(name: entry-1
+zone: north
+listen: 127.0.0.1:7000
+peer: 127.0.0.1:7100
+admin: 127.0.0.1:7200
+platform: 127.0.0.1:7900
+seeds: [127.0.0.1:7101, 127.0.0.1:7102]
+limits: {header_bytes: 32768, idle_timeout: 60s}
+)";
+
+const char load_sample[] =
+    R"({"running": 3, "waiting": 1, "cache_use": 0.5, "age_ms": 500, "leaving": true})";
+const char records_sample[] =
+    R"({"first": 1, "end": 3, "records": [{"offset": 1, "data": "AAEC"}]})";
+const char vms_sample[] =
+    R"({"vms": [{"name": "m1", "zone": "north", "address": "127.0.0.1:1", "state": "leaving"}]})";
+const char head_sample[] =
+    "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: x\r\nContent-Length: "
+    "12\r\nTransfer-Encoding: chunked\r\nAuthorization: Bearer k\r\n\r\n";
+
+std::string recordSample() {
+  wire::config_edit Edit;
+  Edit.Base = 1;
+  Edit.Document = "classes: []";
+  wire::log_record Record;
+  Record.Incarnation = 7;
+  Record.Sequence = 2;
+  Record.__set_ConfigEdit(Edit);
+  return encodeRecord(Record);
+}
+
+std::vector<target> documentTargets() {
+  std::string Questionnaire = questionnaireTemplate();
+  auto Answers = parseQuestionnaire(Questionnaire, "sample");
+  std::string Document =
+      Answers ? toConfigurationDocument(*Answers, "sample") : "";
+  return {
+      {"settings",
+       [](const std::string &In) { parseSettings(In, "f"); },
+       {settings_sample}},
+      {"configuration",
+       [](const std::string &In) { parseConfiguration(In, "f"); },
+       {Document}},
+      {"questionnaire",
+       [](const std::string &In) {
+         if (auto Parsed = parseQuestionnaire(In, "f"))
+           toConfigurationDocument(*Parsed, "f");
+       },
+       {Questionnaire}},
+  };
+}
+
+std::vector<target> wireTargets() {
+  return {
+      {"message", [](const std::string &In) { decodeMessage(In); },
+       messageSamples()},
+      {"record",
+       [](const std::string &In) { decodeRecord(In); },
+       {recordSample()}},
+      {"snapshot",
+       [](const std::string &In) {
+         decodeLedgerState(In);
+         decodeClaimsState(In);
+       },
+       {encodeState(wire::ledger_state()), encodeState(wire::claims_state())}},
+      {"peer-of-entry", sendToEntry, peerSamples()},
+      {"peer-of-steward", sendToSteward, peerSamples()},
+  };
+}
+
+std::vector<target> outsideTargets() {
+  return {
+      {"load-report",
+       [](const std::string &In) { parseLoadReport(upstream_name("m"), In); },
+       {load_sample}},
+      {"platform-answer",
+       [](const std::string &In) {
+         parseLogRecords("operator", log_offset{1}, In);
+         parseVmList(In);
+         parseAppended(In);
+       },
+       {records_sample, vms_sample, "{\"offset\": 7}"}},
+      {"request-head",
+       [](const std::string &In) { parseRequestHead(In); },
+       {head_sample}},
+  };
+}
+
+} // namespace
+
+std::vector<target> targets() {
+  std::vector<target> All = documentTargets();
+  for (auto Part : {wireTargets(), outsideTargets()})
+    All.insert(All.end(), Part.begin(), Part.end());
+  return All;
+}
+
+void runTarget(const target &Target, uint64_t Seed, int Runs) {
+  input_mutator Mutator(Target.Samples, Seed);
+  for (int Run = 0; Run < Runs; ++Run)
+    Target.Run(Mutator.next());
+}
+
+} // namespace monsoonreel::fuzz
