--- a/monsoonreel/fair_queue.h
+++ b/monsoonreel/fair_queue.h
@@ -70,7 +70,8 @@
   using request_order = absl::btree_map<deadline_key, const waiting_request *>;
 
   struct lane {
-    absl::flat_hash_map<organisation_name, request_order> ByOrganisation;
+    // In the order of names, so that a choice between equals is repeatable.
+    absl::btree_map<organisation_name, request_order> ByOrganisation;
     // Organisations with waiting requests by virtual time.
     absl::btree_set<std::pair<double, organisation_name>> Backlogged;
   };
