Fair queue: late is what can no longer get its first token in time

Cause: a request counted as on time until its target passed, and the earliest target goes first. Ruled out: admission; the deadline and the target rule are both affected.

--- a/monsoonreel/cell_queue.cc
+++ b/monsoonreel/cell_queue.cc
@@ -47,6 +47,8 @@
   Request.Organisation = organisation_name(Ask.Organisation);
   Request.ArrivedAt = Now;
   Request.Target = Now + fromMicros(Ask.TimeLeftMicros);
+  Request.LatestGrant =
+      Request.Target - Latencies.slowFirstToken(Request.Class);
   Request.GiveUp =
       Now + std::min(fromMicros(Ask.GiveUpMicros), Limits.MaxQueueWait);
   Request.PromptTokens = std::max(0, Ask.PromptTokens);
--- a/monsoonreel/fair_queue.cc
+++ b/monsoonreel/fair_queue.cc
@@ -60,7 +60,7 @@
   request_order &Order = Lane.ByOrganisation[Name];
   if (Order.empty())
     Lane.Backlogged.insert({Share.VirtualTime, Name});
-  Order.emplace(deadline_key(Kept.Target, Stored->Sequence), &Kept);
+  Order.emplace(deadline_key(Kept.LatestGrant, Stored->Sequence), &Kept);
   ask_key Key = Kept.Key;
   Requests[Key] = std::move(Stored);
 }
@@ -74,7 +74,7 @@
     auto It = Order.lower_bound(deadline_key(From, 0));
     for (; It != Order.end() && Tries < max_fit_tries; ++It, ++Tries)
       if (Fits(*It->second))
-        return {VirtualTime, It->second->Target, It->second};
+        return {VirtualTime, It->second->LatestGrant, It->second};
     if (Tries >= max_fit_tries)
       break;
   }
@@ -92,8 +92,8 @@
     choice Next = nextInLane(Lane, Fits, From);
     if (!Next.Request)
       continue;
-    if (!Best.Request || std::tie(Next.VirtualTime, Next.Target) <
-                             std::tie(Best.VirtualTime, Best.Target))
+    if (!Best.Request || std::tie(Next.VirtualTime, Next.LatestGrant) <
+                             std::tie(Best.VirtualTime, Best.LatestGrant))
       Best = Next;
   }
   return Best;
@@ -174,7 +174,7 @@
 
   auto Lane = State.Lanes.find({Request.Class, Request.CheapAllowed});
   auto Order = Lane->second.ByOrganisation.find(Name);
-  Order->second.erase(deadline_key(Request.Target, Stored->Sequence));
+  Order->second.erase(deadline_key(Request.LatestGrant, Stored->Sequence));
   if (Order->second.empty()) {
     Lane->second.Backlogged.erase({Share.VirtualTime, Name});
     Lane->second.ByOrganisation.erase(Order);
--- a/monsoonreel/fair_queue.h
+++ b/monsoonreel/fair_queue.h
@@ -11,8 +11,9 @@
 // starts at the queue's virtual time and gains nothing by having been idle.
 //
 // Within an organisation the earliest target is first. Requests of a tier that
-// have already missed theirs come after all those of the tier that can still
-// meet it, whatever the organisation: they would only make others late as well.
+// can no longer meet theirs (`LatestGrant` has passed) come after all those of
+// the tier that can, whatever the organisation: they would only make others
+// late as well.
 //
 // A class's requests stand in two lanes, those that may run on reclaimable
 // upstreams and those that may not, because often only one kind has room. All
@@ -65,7 +66,7 @@
       const std::function<void(const waiting_request &)> &Visit) const override;
 
 private:
-  // Requests of one organisation in a lane, by target and arrival.
+  // Requests of one organisation in a lane, by latest grant and arrival.
   using deadline_key = std::pair<steady_time, uint64_t>;
   using request_order = absl::btree_map<deadline_key, const waiting_request *>;
 
@@ -96,11 +97,11 @@
   };
   struct choice {
     double VirtualTime = 0;
-    steady_time Target;
+    steady_time LatestGrant;
     const waiting_request *Request = nullptr;
   };
 
-  // From: the earliest target that counts.
+  // From: the earliest LatestGrant that counts.
   static choice nextInLane(const lane &Lane, const request_filter &Fits,
                            steady_time From);
   static choice nextFrom(const tier_state &State, const class_name *Class,
--- a/monsoonreel/latency_tracker.cc
+++ b/monsoonreel/latency_tracker.cc
@@ -31,10 +31,20 @@
 
 duration latency_tracker::firstToken(const class_name &Class) const {
   constexpr double Median = 0.5;
+  return firstTokenQuantile(Class, Median);
+}
+
+duration latency_tracker::slowFirstToken(const class_name &Class) const {
+  constexpr double NineInTen = 0.9;
+  return firstTokenQuantile(Class, NineInTen);
+}
+
+duration latency_tracker::firstTokenQuantile(const class_name &Class,
+                                             double Q) const {
   auto Found = ByClass.find(Class);
   if (Found == ByClass.end())
     return duration{};
-  return fromDouble(Found->second.FirstToken.quantile(Median));
+  return fromDouble(Found->second.FirstToken.quantile(Q));
 }
 
 duration latency_tracker::hold(const class_name &Class) const {
--- a/monsoonreel/latency_tracker.h
+++ b/monsoonreel/latency_tracker.h
@@ -26,6 +26,9 @@
   void observe(const class_name &Class, duration FirstToken, duration Total);
   // Median from the grant to the first token; zero before any was seen.
   duration firstToken(const class_name &Class) const;
+  // What nine in ten requests of the class stay below; zero before any was
+  // seen.
+  duration slowFirstToken(const class_name &Class) const;
   // Mean time in a slot.
   duration hold(const class_name &Class) const;
   // Mean time in a slot over all classes.
@@ -37,6 +40,8 @@
     decaying_histogram Hold;
     class_latency();
   };
+  duration firstTokenQuantile(const class_name &Class, double Q) const;
+
   absl::flat_hash_map<class_name, class_latency> ByClass;
   class_latency All;
 };
--- a/monsoonreel/request_queue.h
+++ b/monsoonreel/request_queue.h
@@ -44,6 +44,8 @@
   double Weight = 1; // of the organisation
   steady_time ArrivedAt;
   steady_time Target; // when the target is missed unless the first token came
+  // A later grant will probably miss the target.
+  steady_time LatestGrant;
   steady_time GiveUp; // when nobody waits for it any more
   int PromptTokens = 0;
   int MaxTokens = 0;
