Minimum share: a class is passed over only by grants that it could have had

Cause: class-not-starved and the credit for minimum shares counted every grant while a class waited, against the header's words "could have had it". A waiting chat whose only fitting engine was taken counted 25 grants at engines that had failed it, or that are reclaimable, and the invariant fell. Seen in scheduling_random_test.Owner_RandomOperations_KeepsInvariants with a changed admission rule; a trace showed no suitable upstream at any of the 25 grants. Ruled out: a chat that was passed over wrongly. Before: the new test reports a breach. After: 210 tests of monsoonreel_tests pass; Batch_MinimumShareTakenAway_StarvesAndIsReported still reports its breach. The check is as strict: every grant whose upstream suits a waiting request of the class counts (at most 32 requests of a lane, alike but for the upstreams that failed them, are looked at).

--- a/monsoonreel/cell_queue.cc
+++ b/monsoonreel/cell_queue.cc
@@ -168,9 +168,9 @@
   Slot.RenewedAt = Step.Now;
   Slot.Guaranteed = Guaranteed;
   Slot.Probe = Upstreams.isProbe(*Index, Step.Now);
-  Upstreams.onGrant(*Index, Request, Step.Now);
   if (UsesTiers)
-    countGrant(Request.Class, Step);
+    countGrant(Request.Class, *Index, Step);
+  Upstreams.onGrant(*Index, Request, Step.Now);
   Slot.Request = std::move(Request);
   int64_t Id = ++Step.LastSlot;
   sendGrant(Id, Slot, Step);
@@ -188,9 +188,13 @@
                  "cheap-only-where-allowed", describe(Request));
 }
 
-void cell_queue::countGrant(const class_name &Granted, cell_step &Step) {
+void cell_queue::countGrant(const class_name &Granted, size_t Index,
+                            cell_step &Step) {
+  auto Suits = [&](const waiting_request &Request) {
+    return Upstreams.suits(Index, Request, Step.Now);
+  };
   auto CouldTake = [&](const class_name &Class) {
-    return Queue->waitingOf(Class) > 0;
+    return Queue->anyOfClass(Class, Suits);
   };
   Shares.onGrant(Granted, CouldTake);
   for (const auto &[Name, Class] : Classes)
--- a/monsoonreel/cell_queue.h
+++ b/monsoonreel/cell_queue.h
@@ -11,7 +11,8 @@
 //                             beyond its class's minimum share
 //   no-higher-tier-preempted  a slot is taken back for a higher tier only
 //   class-not-starved         no waiting class is passed over more often than
-//                             its minimum share allows
+//                             its minimum share allows, by grants that it could
+//                             have had
 //   no-grant-to-leaving       an upstream with a reclaim notice gets no grant
 //   cheap-only-where-allowed  no grant on a reclaimable upstream for what may
 //                             not be repeated or whose class forbids it
@@ -112,7 +113,7 @@
   void checkGrant(const waiting_request &Request, size_t Index,
                   cell_step &Step);
   void sendGrant(int64_t Slot, const running_slot &Running, cell_step &Step);
-  void countGrant(const class_name &Granted, cell_step &Step);
+  void countGrant(const class_name &Granted, size_t Index, cell_step &Step);
 
   void preempt(cell_step &Step);
   bool isUrgent(const waiting_request &Request, steady_time Now) const;
--- a/monsoonreel/fair_queue.cc
+++ b/monsoonreel/fair_queue.cc
@@ -232,6 +232,27 @@
   return Found == WaitingByClass.end() ? 0 : Found->second;
 }
 
+bool fair_queue::anyInLane(const lane &Lane, const request_filter &Fits) {
+  int Tries = 0;
+  for (const auto &[Organisation, Order] : Lane.ByOrganisation)
+    for (const auto &[Key, Request] : Order) {
+      if (Fits(*Request))
+        return true;
+      if (++Tries >= max_any_tries)
+        return false;
+    }
+  return false;
+}
+
+bool fair_queue::anyOfClass(const class_name &Class,
+                            const request_filter &Fits) const {
+  for (const auto &[Tier, State] : Tiers)
+    for (const auto &[Key, Lane] : State.Lanes)
+      if (Key.first == Class && anyInLane(Lane, Fits))
+        return true;
+  return false;
+}
+
 duration fair_queue::workAhead(tier Tier, const organisation_name &Organisation,
                                double Weight) const {
   duration Ahead{};
--- a/monsoonreel/fair_queue.h
+++ b/monsoonreel/fair_queue.h
@@ -38,6 +38,8 @@
 // Requests of one organisation, or organisations of one lane, that are looked
 // at for one that fits the free upstreams.
 constexpr int max_fit_tries = 4;
+// Requests of one lane that are looked at for any that fits an upstream.
+constexpr int max_any_tries = 32;
 // Idle organisations whose use is remembered in a tier.
 constexpr size_t max_idle_organisations = 1024;
 
@@ -60,6 +62,8 @@
               duration Used) override;
   size_t size() const override { return Requests.size(); }
   size_t waitingOf(const class_name &Class) const override;
+  bool anyOfClass(const class_name &Class,
+                  const request_filter &Fits) const override;
   duration workAhead(tier Tier, const organisation_name &Organisation,
                      double Weight) const override;
   void forEach(
@@ -101,6 +105,7 @@
     const waiting_request *Request = nullptr;
   };
 
+  static bool anyInLane(const lane &Lane, const request_filter &Fits);
   // From: the earliest LatestGrant that counts.
   static choice nextInLane(const lane &Lane, const request_filter &Fits,
                            steady_time From);
--- a/monsoonreel/fifo_queue.cc
+++ b/monsoonreel/fifo_queue.cc
@@ -1,6 +1,7 @@
 // The queue of the baseline policies: arrival order, whatever the tier, the
 // organisation and the deadline.
 
+#include <algorithm>
 #include <list>
 
 #include "absl/container/flat_hash_map.h"
@@ -86,6 +87,14 @@
     return Found == ByClass.end() ? 0 : Found->second;
   }
 
+  bool anyOfClass(const class_name &Class,
+                  const request_filter &Fits) const override {
+    return std::any_of(Order.begin(), Order.end(),
+                       [&](const waiting_request &Request) {
+                         return Request.Class == Class && Fits(Request);
+                       });
+  }
+
   duration workAhead(tier /*Tier*/, const organisation_name & /*Organisation*/,
                      double /*Weight*/) const override {
     return Work;
--- a/monsoonreel/request_queue.h
+++ b/monsoonreel/request_queue.h
@@ -95,6 +95,10 @@
 
   virtual size_t size() const = 0;
   virtual size_t waitingOf(const class_name &Class) const = 0;
+  // Whether a request of Class waits that Fits. Of many that are alike but for
+  // the upstreams that failed them, a bounded number is looked at.
+  virtual bool anyOfClass(const class_name &Class,
+                          const request_filter &Fits) const = 0;
   // Expected time in slots of what would be granted before a new request.
   virtual duration workAhead(tier Tier, const organisation_name &Organisation,
                              double Weight) const = 0;
--- a/monsoonreel/testing/slot_owner_test.cc
+++ b/monsoonreel/testing/slot_owner_test.cc
@@ -196,6 +196,31 @@
   EXPECT_GT(breaches("class-not-starved"), 0U);
 }
 
+TEST_F(slot_owner_test, Chat_GrantsItCouldNotHave_AreNoStarvation) {
+  reported_breaches Reported;
+  addEngine("e3", 1);
+  apply();
+  std::map<std::string, int64_t> Held;
+  for (int I = 0; I < 3; ++I) {
+    wire::slot_ask Unsafe = makeAsk("draft", "small");
+    Unsafe.Idempotent = false;
+    int64_t Ask = send(Unsafe);
+    Held[grantOf(Ask)->Upstream] = Ask;
+  }
+  wire::slot_ask Chat = makeAsk("chat", "small");
+  Chat.Excluded = {"e1", "e2"};
+  send(Chat);
+  int64_t Running = Held.at("e1");
+  for (int I = 0; I < 50; ++I) {
+    int64_t Next = ask("draft");
+    release(Running);
+    ASSERT_TRUE(grantOf(Next));
+    Running = Next;
+  }
+  EXPECT_FALSE(grantOf(Chat.Ask));
+  EXPECT_EQ(breaches("class-not-starved"), 0U);
+}
+
 TEST_F(slot_owner_test, SmallOrganisation_OtherSendsBurst_IsServedEarly) {
   for (int I = 0; I < 30; ++I)
     ask("chat", "large");
