--- a/monsoonreel/fair_queue.cc
+++ b/monsoonreel/fair_queue.cc
@@ -60,7 +60,7 @@
   request_order &Order = Lane.ByOrganisation[Name];
   if (Order.empty())
     Lane.Backlogged.insert({Share.VirtualTime, Name});
-  Order.emplace(deadline_key(Kept.Target, Stored->Sequence), &Kept);
+  Order.emplace(deadline_key(Kept.LatestGrant, Stored->Sequence), &Kept);
   ask_key Key = Kept.Key;
   Requests[Key] = std::move(Stored);
 }
@@ -74,7 +74,7 @@
     auto It = Order.lower_bound(deadline_key(From, 0));
     for (; It != Order.end() && Tries < max_fit_tries; ++It, ++Tries)
       if (Fits(*It->second))
-        return {VirtualTime, It->second->Target, It->second};
+        return {VirtualTime, It->second->LatestGrant, It->second};
     if (Tries >= max_fit_tries)
       break;
   }
@@ -92,8 +92,8 @@
     choice Next = nextInLane(Lane, Fits, From);
     if (!Next.Request)
       continue;
-    if (!Best.Request || std::tie(Next.VirtualTime, Next.Target) <
-                             std::tie(Best.VirtualTime, Best.Target))
+    if (!Best.Request || std::tie(Next.VirtualTime, Next.LatestGrant) <
+                             std::tie(Best.VirtualTime, Best.LatestGrant))
       Best = Next;
   }
   return Best;
@@ -174,7 +174,7 @@
 
   auto Lane = State.Lanes.find({Request.Class, Request.CheapAllowed});
   auto Order = Lane->second.ByOrganisation.find(Name);
-  Order->second.erase(deadline_key(Request.Target, Stored->Sequence));
+  Order->second.erase(deadline_key(Request.LatestGrant, Stored->Sequence));
   if (Order->second.empty()) {
     Lane->second.Backlogged.erase({Share.VirtualTime, Name});
     Lane->second.ByOrganisation.erase(Order);
@@ -232,6 +232,27 @@
   return Found == WaitingByClass.end() ? 0 : Found->second;
 }
 
+bool fair_queue::anyInLane(const lane &Lane, const request_filter &Fits) {
+  int Tries = 0;
+  for (const auto &[Organisation, Order] : Lane.ByOrganisation)
+    for (const auto &[Key, Request] : Order) {
+      if (Fits(*Request))
+        return true;
+      if (++Tries >= max_any_tries)
+        return false;
+    }
+  return false;
+}
+
+bool fair_queue::anyOfClass(const class_name &Class,
+                            const request_filter &Fits) const {
+  for (const auto &[Tier, State] : Tiers)
+    for (const auto &[Key, Lane] : State.Lanes)
+      if (Key.first == Class && anyInLane(Lane, Fits))
+        return true;
+  return false;
+}
+
 duration fair_queue::workAhead(tier Tier, const organisation_name &Organisation,
                                double Weight) const {
   duration Ahead{};
--- a/monsoonreel/fair_queue.h
+++ b/monsoonreel/fair_queue.h
@@ -11,8 +11,9 @@
 // starts at the queue's virtual time and gains nothing by having been idle.
 //
 // Within an organisation the earliest target is first. Requests of a tier that
-// have already missed theirs come after all those of the tier that can still
-// meet it, whatever the organisation: they would only make others late as well.
+// can no longer meet theirs (`LatestGrant` has passed) come after all those of
+// the tier that can, whatever the organisation: they would only make others
+// late as well.
 //
 // A class's requests stand in two lanes, those that may run on reclaimable
 // upstreams and those that may not, because often only one kind has room. All
@@ -37,6 +38,8 @@
 // Requests of one organisation, or organisations of one lane, that are looked
 // at for one that fits the free upstreams.
 constexpr int max_fit_tries = 4;
+// Requests of one lane that are looked at for any that fits an upstream.
+constexpr int max_any_tries = 32;
 // Idle organisations whose use is remembered in a tier.
 constexpr size_t max_idle_organisations = 1024;
 
@@ -59,18 +62,21 @@
               duration Used) override;
   size_t size() const override { return Requests.size(); }
   size_t waitingOf(const class_name &Class) const override;
+  bool anyOfClass(const class_name &Class,
+                  const request_filter &Fits) const override;
   duration workAhead(tier Tier, const organisation_name &Organisation,
                      double Weight) const override;
   void forEach(
       const std::function<void(const waiting_request &)> &Visit) const override;
 
 private:
-  // Requests of one organisation in a lane, by target and arrival.
+  // Requests of one organisation in a lane, by latest grant and arrival.
   using deadline_key = std::pair<steady_time, uint64_t>;
   using request_order = absl::btree_map<deadline_key, const waiting_request *>;
 
   struct lane {
-    absl::flat_hash_map<organisation_name, request_order> ByOrganisation;
+    // In the order of names, so that a choice between equals is repeatable.
+    absl::btree_map<organisation_name, request_order> ByOrganisation;
     // Organisations with waiting requests by virtual time.
     absl::btree_set<std::pair<double, organisation_name>> Backlogged;
   };
@@ -95,11 +101,12 @@
   };
   struct choice {
     double VirtualTime = 0;
-    steady_time Target;
+    steady_time LatestGrant;
     const waiting_request *Request = nullptr;
   };
 
-  // From: the earliest target that counts.
+  static bool anyInLane(const lane &Lane, const request_filter &Fits);
+  // From: the earliest LatestGrant that counts.
   static choice nextInLane(const lane &Lane, const request_filter &Fits,
                            steady_time From);
   static choice nextFrom(const tier_state &State, const class_name *Class,
--- a/monsoonreel/request_queue.h
+++ b/monsoonreel/request_queue.h
@@ -44,6 +44,8 @@
   double Weight = 1; // of the organisation
   steady_time ArrivedAt;
   steady_time Target; // when the target is missed unless the first token came
+  // A later grant will probably miss the target.
+  steady_time LatestGrant;
   steady_time GiveUp; // when nobody waits for it any more
   int PromptTokens = 0;
   int MaxTokens = 0;
@@ -93,6 +95,10 @@
 
   virtual size_t size() const = 0;
   virtual size_t waitingOf(const class_name &Class) const = 0;
+  // Whether a request of Class waits that Fits. Of many that are alike but for
+  // the upstreams that failed them, a bounded number is looked at.
+  virtual bool anyOfClass(const class_name &Class,
+                          const request_filter &Fits) const = 0;
   // Expected time in slots of what would be granted before a new request.
   virtual duration workAhead(tier Tier, const organisation_name &Organisation,
                              double Weight) const = 0;
--- /dev/null
+++ b/monsoonreel/testing/overload_policy_test.cc
@@ -0,0 +1,98 @@
+// What the queues do with more work than they can serve: the order of what is
+// late or resumed, and when a request is refused.
+
+#include <gtest/gtest.h>
+
+#include "monsoonreel/admission.h"
+#include "monsoonreel/request_queue.h"
+
+namespace monsoonreel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class fair_queue_test : public ::testing::Test {
+protected:
+  // Number names the request.
+  waiting_request makeWaiting(int64_t Number, const char *Organisation) const {
+    waiting_request Request;
+    Request.Key = {node_name("asker"), 1, Number};
+    Request.Class = class_name("draft");
+    Request.Tier = tier{1};
+    Request.Organisation = organisation_name(Organisation);
+    Request.Target = Now + seconds(5);
+    Request.LatestGrant = Now + seconds(4);
+    Request.GiveUp = Now + seconds(20);
+    Request.ExpectedHold = seconds(2);
+    return Request;
+  }
+  int64_t takeNext() {
+    auto Any = [](const waiting_request &) { return true; };
+    std::optional<waiting_request> Next = Queue->take(Any, Now);
+    return Next ? Next->Key.Ask : 0;
+  }
+  int64_t shedNext() const {
+    auto Any = [](const class_name &) { return true; };
+    const waiting_request *Next = Queue->shedCandidate(Any);
+    return Next ? Next->Key.Ask : 0;
+  }
+
+  steady_time Now{std::chrono::hours(1)};
+  std::unique_ptr<request_queue> Queue = makeFairQueue();
+};
+
+TEST_F(fair_queue_test, Waiting_FirstTokenWouldBeLate_GoesAfterThoseOnTime) {
+  waiting_request Late = makeWaiting(1, "small");
+  Late.Target = Now + milliseconds(100);
+  Late.LatestGrant = Now - milliseconds(100);
+  Queue->push(Late);
+  Queue->push(makeWaiting(2, "small"));
+  Queue->push(makeWaiting(3, "large"));
+  EXPECT_NE(takeNext(), 1);
+  EXPECT_NE(takeNext(), 1);
+  EXPECT_EQ(takeNext(), 1);
+}
+
+class admission_test : public ::testing::Test {
+protected:
+  // Ten slots, each taken for two seconds: one comes free every 0.2 s.
+  static admission_view viewWithWait(int Ahead) {
+    admission_view View;
+    View.MeanHold = seconds(2);
+    View.Slots = 10;
+    View.WorkAhead = View.MeanHold * Ahead;
+    View.TargetLeft = seconds(3);
+    View.GiveUpLeft = seconds(60);
+    return View;
+  }
+
+  std::unique_ptr<admission_policy> Lenient = makeLenientAdmission();
+  std::unique_ptr<admission_policy> Strict = makeTargetAdmission();
+  std::unique_ptr<admission_policy> Deadline = makeDeadlineAdmission();
+};
+
+TEST_F(admission_test, Lenient_WaitAboutTheTarget_AdmitsWhatStrictRefuses) {
+  admission_view View = viewWithWait(17); // 3.6 s
+  EXPECT_TRUE(Lenient->judge(View).Admit);
+  EXPECT_FALSE(Strict->judge(View).Admit);
+}
+
+TEST_F(admission_test, Lenient_WaitFarBeyondTarget_RefusesWithTimeToComeBack) {
+  admission_view View = viewWithWait(40); // 8.2 s
+  admission_verdict Verdict = Lenient->judge(View);
+  EXPECT_FALSE(Verdict.Admit);
+  EXPECT_GE(Verdict.RetryAfter, seconds(5));
+  EXPECT_TRUE(Deadline->judge(View).Admit);
+}
+
+TEST_F(admission_test, Lenient_HigherTiersTakeMost_AllowsForTheirFluctuation) {
+  admission_view View = viewWithWait(8);
+  View.HigherDemand = 0.6; // 4.5 s
+  EXPECT_TRUE(Lenient->judge(View).Admit);
+  View = viewWithWait(22); // 4.6 s
+  EXPECT_FALSE(Lenient->judge(View).Admit);
+}
+
+} // namespace
+} // namespace monsoonreel
