Report: service-level burn by class and organisation

The counters were there (monsoonreel_targets_total), but nothing read them over time, and a restart could not be told from growth.

The calculation (monsoonreel/burn_*) is pure; cli/report* reads running entries or saved metrics and renders text, JSON and a page. Entries export process_start_time_seconds. Findings no longer print unknown lines as ":0:0:".

Ruled out: restarts seen by falling counters alone. An entry whose counter outgrew the old value between two readings then counts too little (test Count_RestartThatOutgrewTheOldCounter_IsSeenByTheStart). Keeping all readings: 3 days of 330 entries do not fit in memory, so only the last reading of each entry is kept. A table of standard rates per alert window by flags: not needed.

Before: no report.

--- a/cli/main.cc
+++ b/cli/main.cc
@@ -15,8 +15,10 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/time/time.h>
 
 #include "cli/commands.h"
+#include "cli/report.h"
 
 ABSL_FLAG(std::string, platform, "", "the platform's address, ip:port");
 ABSL_FLAG(std::string, nodes, "",
@@ -27,6 +29,17 @@
           "first line as written by `show`, else the one in force");
 ABSL_FLAG(int, timeout_seconds, 15, "how long to wait for an effect");
 ABSL_FLAG(std::string, output, "text", "text or json");
+ABSL_FLAG(std::string, entries, "",
+          "report: admin addresses of entries to read, separated by commas");
+ABSL_FLAG(absl::Duration, every, absl::Seconds(10),
+          "report: time between two readings");
+ABSL_FLAG(absl::Duration, for, absl::Minutes(5),
+          "report: how long to read the entries");
+ABSL_FLAG(std::string, site, "",
+          "report: configuration file with the objectives");
+ABSL_FLAG(std::string, objective, "",
+          "report: 0.99 for all classes, or chat=0.95,booking=0.99");
+ABSL_FLAG(std::string, html, "", "report: file to write the page to");
 
 namespace {
 
@@ -45,6 +58,8 @@
   key list             list keys
   status               show nodes, versions and leases
   drain ADMIN          let a node end what it runs, and end
+  report [FOLDER...]   service-level burn by class and organisation, from saved
+                       metrics or from --entries
 
 Exit status: 0 done, 1 wrong use, 2 findings, 3 conflict, 4 platform or node not
 reached, 5 done but not in force everywhere in time.)";
@@ -63,6 +78,22 @@
   return Nodes;
 }
 
+duration toDuration(absl::Duration Value) {
+  return absl::ToChronoMicroseconds(Value);
+}
+
+report_options readReportOptions(const std::vector<std::string> &Words) {
+  report_options Report;
+  Report.Folders.assign(Words.begin() + 1, Words.end());
+  Report.Entries = splitNodes(absl::GetFlag(FLAGS_entries));
+  Report.Every = toDuration(absl::GetFlag(FLAGS_every));
+  Report.For = toDuration(absl::GetFlag(FLAGS_for));
+  Report.Site = absl::GetFlag(FLAGS_site);
+  Report.Objectives = absl::GetFlag(FLAGS_objective);
+  Report.Html = absl::GetFlag(FLAGS_html);
+  return Report;
+}
+
 options readOptions() {
   options Options;
   Options.Platform = address(absl::GetFlag(FLAGS_platform));
@@ -114,6 +145,8 @@
     return showStatus(Options);
   if (Words[0] == "drain" && Words.size() > 1)
     return drainNode(Options, Words[1]);
+  if (Words[0] == "report")
+    return printReport(Options, readReportOptions(Words));
   return runOnLog(Options, Words);
 }
 
--- a/io/node_runtime.cc
+++ b/io/node_runtime.cc
@@ -317,6 +317,11 @@
   auto Gauge = [this](const char *Name, int64_t Value) {
     Metrics.set({Name, {}, static_cast<double>(Value)});
   };
+  // Tells a reader of the counters that they began from zero.
+  Metrics.set(
+      {"process_start_time_seconds",
+       {},
+       std::chrono::duration<double>(StartedAt.time_since_epoch()).count()});
   Gauge("monsoonreel_peer_bytes_sent", Peers.bytesSent());
   Gauge("monsoonreel_peer_bytes_received", Peers.bytesReceived());
   Gauge("monsoonreel_peer_frames_dropped", Peers.framesDropped());
--- a/io/node_runtime.h
+++ b/io/node_runtime.h
@@ -24,6 +24,7 @@
 
 #include "io/admin_port.h"
 #include "io/caller_port.h"
+#include "io/clock.h"
 #include "io/event_sink.h"
 #include "io/load_poller.h"
 #include "io/metric_registry.h"
@@ -82,6 +83,7 @@
   node_identity Identity;
   settings Settings;
   node &Node;
+  wall_time StartedAt = wallNow();
   metric_registry Metrics;
   upstream_client Upstreams;
   load_poller Loads;
--- a/io/testing/node_runtime_test.cc
+++ b/io/testing/node_runtime_test.cc
@@ -238,6 +238,7 @@
   ASSERT_TRUE(Client.waitFor("{\"ready\":true}"));
   Client.send("GET /metrics HTTP/1.1\r\n\r\n");
   ASSERT_TRUE(Client.waitFor("monsoonreel_caller_connections 0"));
+  ASSERT_TRUE(Client.waitFor("\nprocess_start_time_seconds "));
   Client.send("GET /other HTTP/1.1\r\n\r\n");
   ASSERT_TRUE(Client.waitFor("HTTP/1.1 404"));
   Runtime->drain();
--- a/monsoonreel/finding.h
+++ b/monsoonreel/finding.h
@@ -36,7 +36,8 @@
   bool empty() const { return Findings.empty(); }
   size_t size() const { return Findings.size(); }
   const std::vector<finding> &all() const { return Findings; }
-  // One line for each finding: "file:line:column: path: message".
+  // One line for each finding: "file:line:column: path: message", without the
+  // parts that are unknown.
   std::string toString() const;
 
 private:
