Faults of real processes: a script of seven cases

scripts/process-faults starts a site for each case, signals its processes or switches faults of its stand-ins on under load, and asserts from the stand-ins' records. The load report counts requests that no entry took apart from late ones, so that a caller of an ended entry isn't taken for a cut request.

Cause: SIGKILL, SIGSTOP for longer than a lease, silent connections, a minute without the platform and two operators at once had not run with real processes. Ruled out: a higher fence as the sign of a takeover, since renewals raise it as well; and one steward's status as the source of who holds a lease, since a steward that doesn't follow the log shows an old holder. Before: SIGTERM had run once, by hand.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 # Compilers running at once.
 JOBS ?= $(shell nproc)
 
-.PHONY: packages build check demo format format-check lint matrix sanitize wire
+.PHONY: packages build check demo matrix process-faults added-latency sanitize \
+	format format-check lint wire
 
 packages:
 	scripts/install-packages
@@ -23,6 +24,14 @@
 matrix: build
 	build/release/bin/fault-matrix $(ARGS)
 
+# Real processes killed, frozen and cut off; CASES chooses some of them.
+process-faults: build
+	scripts/process-faults $(CASES)
+
+# What one entry adds to a first token. On an idle machine only.
+added-latency: build
+	scripts/added-latency
+
 sanitize:
 	cmake --preset sanitize
 	cmake --build build/sanitize -j $(JOBS) --target all_tests
--- a/load/report_writer.cc
+++ b/load/report_writer.cc
@@ -31,6 +31,7 @@
       {"rejected", Class.Rejected},
       {"broken", Class.Broken},
       {"timed_out", Class.TimedOut},
+      {"not_connected", Class.NotConnected},
       {"first_token_ms", toJson(Class.FirstTokenMs)},
       {"gap_ms", toJson(Class.GapMs)},
       {"goodput_per_second", Class.GoodputPerSecond},
--- a/load/run_report.cc
+++ b/load/run_report.cc
@@ -178,9 +178,11 @@
     case outcome::Broken:
       ++Class.Broken;
       break;
+    case outcome::NotConnected:
+      ++Class.NotConnected;
+      [[fallthrough]];
     case outcome::Pending:
     case outcome::TimedOut:
-    case outcome::NotConnected:
       ++Class.TimedOut;
       break;
     }
--- a/load/run_report.h
+++ b/load/run_report.h
@@ -66,7 +66,8 @@
   int Unknown = 0;
   int Rejected = 0;
   int Broken = 0;
-  int TimedOut = 0; // with those that got no connection
+  int TimedOut = 0;     // with those that got no connection
+  int NotConnected = 0; // of those, the ones that no entry took
   percentiles FirstTokenMs;
   percentiles GapMs;
   std::vector<double> FirstTokens; // sorted
--- a/load/testing/load_test.cc
+++ b/load/testing/load_test.cc
@@ -184,5 +184,16 @@
   EXPECT_EQ(Report.Classes[0].Attained, 1);
 }
 
+TEST_F(load_test, Report_NoEntryTookIt_IsCountedApartFromLateAnswers) {
+  Plan.resize(2);
+  std::vector<request_outcome> Outcomes(2);
+  Outcomes[0].Outcome = outcome::TimedOut;
+  Outcomes[1].Outcome = outcome::NotConnected;
+  run_report Report =
+      buildReport({Scenario, Site, seconds(10), Plan, Outcomes, {}, {}});
+  EXPECT_EQ(Report.Classes[0].TimedOut, 2);
+  EXPECT_EQ(Report.Classes[0].NotConnected, 1);
+}
+
 } // namespace
 } // namespace monsoonreel::load
