Tests: preemption, withdrawal and the attempt filter taken away

Cause: no test showed what is lost without Preemption, WithdrawalCancels or AttemptFilter, so a test that stopped watching them would not have shown. Ruled out: the late-chunk test that stood here watches an attempt whose successor has no head yet; there the head check hides the missing filter. Before: three mechanisms without a test that takes them away.

--- a/monsoonreel/testing/entry_node_test.cc
+++ b/monsoonreel/testing/entry_node_test.cc
@@ -15,7 +15,7 @@
 classes:
   - {name: chat, tier: 0, first_token: 500ms, between_tokens: 61ms}
   - {name: booking, tier: 1, first_token: 2s}
-organisations: []
+organisations: [{name: small}]
 routes:
   - {path: /v1/chat/completions, class: chat, idempotent: true, open: true}
   - {path: /orders, pool: desk, class: booking, open: true}
@@ -35,19 +35,56 @@
     wire::config_edit Edit;
     Edit.Document = document;
     wire::log_record Record;
-    Record.Incarnation = 9;
-    Record.Sequence = 1;
     Record.__set_ConfigEdit(Edit);
+    pushRecord(std::move(Record));
+    send(tick{});
+  }
+
+  // The next record of the operator stream comes from a steward.
+  void pushRecord(wire::log_record Record) {
+    Record.Incarnation = 9;
+    Record.Sequence = ++LastOffset;
     wire::stored_record Stored;
-    Stored.Offset = 1;
+    Stored.Offset = LastOffset;
     Stored.Bytes = encodeRecord(Record);
     wire::state_push Push;
     Push.Stream = "operator";
     Push.Records = {Stored};
-    Push.HighestOffset = 1;
+    Push.HighestOffset = LastOffset;
     send(peer_message_received{node_name("steward-1"), address("10.0.1.1:7101"),
                                Push});
-    send(tick{});
+  }
+
+  void giveKey(const key_hash &Hash) {
+    wire::key_give Give;
+    Give.KeyId = "key";
+    Give.Organisation = "small";
+    Give.KeyHash = Hash.Value;
+    wire::log_record Record;
+    Record.__set_KeyGive(Give);
+    pushRecord(std::move(Record));
+  }
+
+  void withdrawKey() {
+    wire::key_withdraw Withdraw;
+    Withdraw.KeyId = "key";
+    wire::log_record Record;
+    Record.__set_KeyWithdraw(Withdraw);
+    pushRecord(std::move(Record));
+  }
+
+  // A stream that runs with a key, and the key's withdrawal.
+  dispatch_attempt streamAndWithdraw() {
+    // Nobody vouches here for the age of what this entry knows.
+    disabled_mechanism TrustsKeys(mechanism::KeyTrustExpires);
+    key_hash Hash(std::string(32, 'k'));
+    giveKey(Hash);
+    request_arrived Arrived = chat(1);
+    Arrived.Key = Hash;
+    dispatch_attempt First = dispatched(std::move(Arrived));
+    send(attempt_headers{First.Attempt, 200, "text/event-stream", false, {}});
+    withdrawKey();
+    return First;
   }
 
   void send(event_body Body) {
@@ -95,6 +132,7 @@
   std::unique_ptr<node> Node;
   steady_time Now{std::chrono::hours(1)};
   effect_list Effects;
+  int64_t LastOffset = 0;
 };
 
 TEST_F(entry_node_test, Order_ConnectionRefused_RunsAtAnotherUpstream) {
@@ -153,6 +191,33 @@
   EXPECT_FALSE(find<finish_answer>());
 }
 
+TEST_F(entry_node_test, Chat_LateChunkWithoutFilter_IsTakenForTheSecond) {
+  disabled_mechanism Off(mechanism::AttemptFilter);
+  dispatch_attempt First = dispatched(chat(1));
+  send(attempt_headers{First.Attempt, 200, "text/event-stream", false, {}});
+  send(attempt_failed{First.Attempt, attempt_failure::Broken, "reset"});
+  auto Second = find<dispatch_attempt>();
+  ASSERT_TRUE(Second);
+  send(attempt_headers{Second->Attempt, 200, "text/event-stream", false, {}});
+  send(attempt_chunk{First.Attempt, "late", 1});
+  EXPECT_TRUE(find<write_answer>());
+}
+
+TEST_F(entry_node_test, Chat_KeyWithdrawn_StreamIsCancelled) {
+  dispatch_attempt First = streamAndWithdraw();
+  auto Cancel = find<cancel_attempt>();
+  ASSERT_TRUE(Cancel);
+  EXPECT_EQ(Cancel->Attempt, First.Attempt);
+}
+
+TEST_F(entry_node_test, Chat_KeyWithdrawnWithoutCancelling_StreamGoesOn) {
+  disabled_mechanism Off(mechanism::WithdrawalCancels);
+  dispatch_attempt First = streamAndWithdraw();
+  EXPECT_FALSE(find<cancel_attempt>());
+  send(attempt_chunk{First.Attempt, "more", 1});
+  EXPECT_TRUE(find<write_answer>());
+}
+
 TEST_F(entry_node_test, Chat_UpstreamSilent_IsCancelledAndRunsElsewhere) {
   dispatch_attempt First = dispatched(chat(1));
   pass(std::chrono::seconds(4));
--- a/monsoonreel/testing/slot_owner_test.cc
+++ b/monsoonreel/testing/slot_owner_test.cc
@@ -300,6 +300,17 @@
   EXPECT_TRUE(grantOf(Chat));
 }
 
+TEST_F(slot_owner_test, Chat_PreemptionTakenAway_WaitsForTheLowerTier) {
+  disabled_mechanism Without(mechanism::Preemption);
+  ask("batch");
+  int64_t Lower = ask("draft");
+  wire::slot_ask Urgent = makeAsk("chat", "small");
+  Urgent.TimeLeftMicros = toMicros(milliseconds(350));
+  int64_t Chat = send(Urgent);
+  EXPECT_FALSE(replyTo<wire::slot_preempt>(Lower));
+  EXPECT_FALSE(grantOf(Chat));
+}
+
 TEST_F(slot_owner_test, Draft_ChatRuns_NeverTakesItsSlotBack) {
   ask("chat");
   ask("chat");
