--- a/bench/decisions_bench.cc
+++ b/bench/decisions_bench.cc
@@ -10,6 +10,7 @@
 
 #include <benchmark/benchmark.h>
 
+#include "monsoonreel/document_difference.h"
 #include "monsoonreel/ledger.h"
 #include "monsoonreel/membership.h"
 #include "monsoonreel/pool_map.h"
@@ -256,8 +257,19 @@
     ->Unit(benchmark::kMillisecond)
     ->MinTime(0.2);
 
-// Replay of one change of the document and the cut into cells.
+// Another concurrency of the Number-th upstream of a document.
+std::string withOneChange(std::string Document, size_t Number) {
+  std::string Name = "{name: upstream" + std::to_string(Number) + ",";
+  size_t Place = Document.find("concurrency: ", Document.find(Name));
+  char &Digit = Document.at(Place + std::string("concurrency: ").size());
+  Digit = Digit == '1' ? '2' : '1';
+  return Document;
+}
+
+// Replay of one change of the document, of one upstream's line, and the cut
+// into cells.
 void replayConfiguration(benchmark::State &State) {
+  auto Upstreams = static_cast<size_t>(State.range(0));
   std::string Document = makeDocument(static_cast<int>(State.range(0)));
   double Before = heapInUse();
   ledger Ledger(operator_stream);
@@ -265,21 +277,25 @@
   int64_t Offset = 0;
   size_t Bytes = 0;
   while (State.KeepRunning()) {
-    wire::config_edit Edit;
-    Edit.Base = Ledger.configOffset().Value;
-    Edit.Document = Document;
+    // The edit is made by an operator's shell.
+    State.PauseTiming();
+    ++Offset;
+    Document = withOneChange(Document, static_cast<size_t>(Offset) % Upstreams);
     wire::log_record Record;
-    Record.Incarnation = 7;
-    Record.Sequence = ++Offset;
-    Record.__set_ConfigEdit(Edit);
+    Record.Incarnation = 1791820800000000;
+    Record.Sequence = Offset;
+    Record.__set_ConfigEdit(makeEdit(Ledger.configOffset(), Ledger.document(),
+                                     Document, "operator"));
     std::string Encoded = encodeRecord(Record);
-    Bytes = Encoded.size();
+    Bytes = std::max(Bytes, Offset == 1 ? 0 : Encoded.size());
+    State.ResumeTiming();
     Ledger.apply(log_offset{Offset}, Encoded, Effects);
     benchmark::DoNotOptimize(pool_map::fromConfiguration(Ledger.config()));
   }
   if (Ledger.configOffset().Value != Offset)
     State.SkipWithError("an edit was not accepted");
   State.counters["record_bytes"] = static_cast<double>(Bytes);
+  State.counters["document_bytes"] = static_cast<double>(Document.size());
   State.counters["heap_bytes"] = heapInUse() - Before;
 }
 BENCHMARK(replayConfiguration)
--- a/cli/config_commands.cc
+++ b/cli/config_commands.cc
@@ -9,6 +9,7 @@
 #include "cli/site_view.h"
 #include "cli/text_diff.h"
 #include "monsoonreel/configuration.h"
+#include "monsoonreel/document_difference.h"
 #include "spdlog/fmt/fmt.h"
 
 namespace monsoonreel::cli {
@@ -96,12 +97,9 @@
   }
   if (Base != Session.state().configOffset().Value)
     return reportConflict(Session, Document, Base, Output);
-  wire::config_edit Edit;
-  Edit.Base = Base;
-  Edit.Document = Document;
-  Edit.Author = Options.Author;
   wire::log_record Record;
-  Record.__set_ConfigEdit(Edit);
+  Record.__set_ConfigEdit(makeEdit(log_offset{Base}, Session.state().document(),
+                                   Document, Options.Author));
   append_outcome Outcome = Session.append(std::move(Record));
   if (Outcome.Status == append_status::Void)
     return reportConflict(Session, Document, Base, Output);
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -215,6 +215,7 @@
 
   int64_t OperatorSequence = 0;
   int64_t ConfigBase = 0; // as the operators know it
+  std::map<int64_t, std::string> Documents; // by version
   int DocumentVersion = 0;
   // Key id to the time of its withdrawal.
   std::map<std::string, duration> Withdrawn;
--- a/fault_matrix/world_traffic.cc
+++ b/fault_matrix/world_traffic.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fault_matrix/world.h"
+#include "monsoonreel/document_difference.h"
 
 namespace monsoonreel::fault_matrix {
 
@@ -98,14 +99,14 @@
 }
 
 void world::editConfiguration(const std::string &Author, int64_t Base) {
-  wire::config_edit Edit;
-  Edit.Base = Base;
   ++DocumentVersion;
-  Edit.Document = document();
-  Edit.Author = Author;
+  std::string Document = document();
   wire::log_record Record;
-  Record.__set_ConfigEdit(Edit);
-  operate(Record);
+  Record.__set_ConfigEdit(
+      makeEdit(log_offset{Base}, Documents[Base], Document, Author));
+  log_offset Offset = operate(Record);
+  if (ConfigBase == Offset.Value)
+    Documents[ConfigBase] = std::move(Document);
 }
 
 // Both name the same version; the log's order decides, and the other is void.
--- a/monsoonreel/ledger.cc
+++ b/monsoonreel/ledger.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "monsoonreel/document_difference.h"
 #include "monsoonreel/invariant.h"
 #include "monsoonreel/mechanism.h"
 
@@ -43,6 +44,16 @@
           " is " + verdictLabel(Change.Verdict) + ": " + Change.Reason});
 }
 
+// The document after Edit, when InForce is the one before it.
+std::optional<std::string> documentOf(const wire::config_edit &Edit,
+                                      const std::string &InForce) {
+  if (!Edit.__isset.Difference)
+    return Edit.Document;
+  if (!Edit.Document.empty())
+    return std::nullopt;
+  return applyDifference(InForce, Edit.Difference);
+}
+
 } // namespace
 
 std::string orderLeaseName(const zone_name &Zone) {
@@ -162,11 +173,14 @@
   if (Edit.Base != ConfigOffset.Value && isEnabled(mechanism::VersionCheck))
     return "edits version " + std::to_string(Edit.Base) + ", but version " +
            std::to_string(ConfigOffset.Value) + " is in force";
-  auto Parsed = parseConfiguration(Edit.Document, "configuration");
+  std::optional<std::string> Edited = documentOf(Edit, Document);
+  if (!Edited)
+    return "difference does not make the document that it names";
+  auto Parsed = parseConfiguration(*Edited, "configuration");
   if (!Parsed)
     return "document is not valid: " + Parsed.error().toString();
   Config = std::move(*Parsed);
-  Document = Edit.Document;
+  Document = std::move(*Edited);
   ConfigOffset = Change.Offset;
   Change.ConfigurationChanged = true;
   return std::nullopt;
--- a/monsoonreel/mechanism.h
+++ b/monsoonreel/mechanism.h
@@ -47,6 +47,7 @@
   UpstreamEjection,      // a failing or slow upstream loses its work
   SlotExpiry,            // slots of dead askers come free
   StaleGrantRelease,     // a grant that nobody waits for is given back
+  DifferenceHash,        // a difference counts only for the result it names
 };
 
 bool isEnabled(mechanism Mechanism);
--- a/monsoonreel/testing/steward_site.cc
+++ b/monsoonreel/testing/steward_site.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "monsoonreel/document_difference.h"
 #include "monsoonreel/log_follower.h"
 #include "monsoonreel/testing/records.h"
 
@@ -214,9 +215,11 @@
   for (const std::string &Bytes :
        Platform.records(std::string(operator_stream)))
     Current.apply(log_offset{Current.applied().Value + 1}, Bytes, Effects);
-  wire::log_record Record =
-      editConfig(Current.configOffset().Value, 1 + ++Edits);
-  Record.ConfigEdit.Document += "limits: {usage_window: 10s}\n";
+  std::string Document =
+      makeDocument(1 + ++Edits) + "limits: {usage_window: 10s}\n";
+  wire::log_record Record;
+  Record.__set_ConfigEdit(makeEdit(Current.configOffset(), Current.document(),
+                                   Document, "operator"));
   Record.Incarnation = 1;
   Record.Sequence = Edits;
   Platform.append(std::string(operator_stream), Record);
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -5287,6 +5287,294 @@
 }
 
 
+document_piece::~document_piece() noexcept {
+}
+
+
+void document_piece::__set_Start(const int32_t val) {
+  this->Start = val;
+}
+
+void document_piece::__set_Length(const int32_t val) {
+  this->Length = val;
+}
+
+void document_piece::__set_Text(const std::string& val) {
+  this->Text = val;
+}
+std::ostream& operator<<(std::ostream& out, const document_piece& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t document_piece::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Start);
+          this->__isset.Start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Length);
+          this->__isset.Length = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->Text);
+          this->__isset.Text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t document_piece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("document_piece");
+
+  xfer += oprot->writeFieldBegin("Start", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->Start);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Length", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Length);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->Text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(document_piece &a, document_piece &b) {
+  using ::std::swap;
+  swap(a.Start, b.Start);
+  swap(a.Length, b.Length);
+  swap(a.Text, b.Text);
+  swap(a.__isset, b.__isset);
+}
+
+document_piece::document_piece(const document_piece& other174) {
+  Start = other174.Start;
+  Length = other174.Length;
+  Text = other174.Text;
+  __isset = other174.__isset;
+}
+document_piece::document_piece(document_piece&& other175) noexcept {
+  Start = other175.Start;
+  Length = other175.Length;
+  Text = std::move(other175.Text);
+  __isset = other175.__isset;
+}
+document_piece& document_piece::operator=(const document_piece& other176) {
+  Start = other176.Start;
+  Length = other176.Length;
+  Text = other176.Text;
+  __isset = other176.__isset;
+  return *this;
+}
+document_piece& document_piece::operator=(document_piece&& other177) noexcept {
+  Start = other177.Start;
+  Length = other177.Length;
+  Text = std::move(other177.Text);
+  __isset = other177.__isset;
+  return *this;
+}
+void document_piece::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "document_piece(";
+  out << "Start=" << to_string(Start);
+  out << ", " << "Length=" << to_string(Length);
+  out << ", " << "Text=" << to_string(Text);
+  out << ")";
+}
+
+
+document_difference::~document_difference() noexcept {
+}
+
+
+void document_difference::__set_Pieces(const std::vector<document_piece> & val) {
+  this->Pieces = val;
+}
+
+void document_difference::__set_ResultHash(const std::string& val) {
+  this->ResultHash = val;
+}
+std::ostream& operator<<(std::ostream& out, const document_difference& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t document_difference::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Pieces.clear();
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->Pieces.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
+            {
+              xfer += this->Pieces[_i182].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Pieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->ResultHash);
+          this->__isset.ResultHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t document_difference::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("document_difference");
+
+  xfer += oprot->writeFieldBegin("Pieces", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Pieces.size()));
+    std::vector<document_piece> ::const_iterator _iter183;
+    for (_iter183 = this->Pieces.begin(); _iter183 != this->Pieces.end(); ++_iter183)
+    {
+      xfer += (*_iter183).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ResultHash", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->ResultHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(document_difference &a, document_difference &b) {
+  using ::std::swap;
+  swap(a.Pieces, b.Pieces);
+  swap(a.ResultHash, b.ResultHash);
+  swap(a.__isset, b.__isset);
+}
+
+document_difference::document_difference(const document_difference& other184) {
+  Pieces = other184.Pieces;
+  ResultHash = other184.ResultHash;
+  __isset = other184.__isset;
+}
+document_difference::document_difference(document_difference&& other185) noexcept {
+  Pieces = std::move(other185.Pieces);
+  ResultHash = std::move(other185.ResultHash);
+  __isset = other185.__isset;
+}
+document_difference& document_difference::operator=(const document_difference& other186) {
+  Pieces = other186.Pieces;
+  ResultHash = other186.ResultHash;
+  __isset = other186.__isset;
+  return *this;
+}
+document_difference& document_difference::operator=(document_difference&& other187) noexcept {
+  Pieces = std::move(other187.Pieces);
+  ResultHash = std::move(other187.ResultHash);
+  __isset = other187.__isset;
+  return *this;
+}
+void document_difference::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "document_difference(";
+  out << "Pieces=" << to_string(Pieces);
+  out << ", " << "ResultHash=" << to_string(ResultHash);
+  out << ")";
+}
+
+
 config_edit::~config_edit() noexcept {
 }
 
@@ -5302,6 +5590,11 @@
 void config_edit::__set_Author(const std::string& val) {
   this->Author = val;
 }
+
+void config_edit::__set_Difference(const document_difference& val) {
+  this->Difference = val;
+__isset.Difference = true;
+}
 std::ostream& operator<<(std::ostream& out, const config_edit& obj)
 {
   obj.printTo(out);
@@ -5354,6 +5647,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Difference.read(iprot);
+          this->__isset.Difference = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5383,6 +5684,11 @@
   xfer += oprot->writeString(this->Author);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.Difference) {
+    xfer += oprot->writeFieldBegin("Difference", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->Difference.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5393,33 +5699,38 @@
   swap(a.Base, b.Base);
   swap(a.Document, b.Document);
   swap(a.Author, b.Author);
+  swap(a.Difference, b.Difference);
   swap(a.__isset, b.__isset);
 }
 
-config_edit::config_edit(const config_edit& other174) {
-  Base = other174.Base;
-  Document = other174.Document;
-  Author = other174.Author;
-  __isset = other174.__isset;
+config_edit::config_edit(const config_edit& other188) {
+  Base = other188.Base;
+  Document = other188.Document;
+  Author = other188.Author;
+  Difference = other188.Difference;
+  __isset = other188.__isset;
 }
-config_edit::config_edit(config_edit&& other175) noexcept {
-  Base = other175.Base;
-  Document = std::move(other175.Document);
-  Author = std::move(other175.Author);
-  __isset = other175.__isset;
+config_edit::config_edit(config_edit&& other189) noexcept {
+  Base = other189.Base;
+  Document = std::move(other189.Document);
+  Author = std::move(other189.Author);
+  Difference = std::move(other189.Difference);
+  __isset = other189.__isset;
 }
-config_edit& config_edit::operator=(const config_edit& other176) {
-  Base = other176.Base;
-  Document = other176.Document;
-  Author = other176.Author;
-  __isset = other176.__isset;
+config_edit& config_edit::operator=(const config_edit& other190) {
+  Base = other190.Base;
+  Document = other190.Document;
+  Author = other190.Author;
+  Difference = other190.Difference;
+  __isset = other190.__isset;
   return *this;
 }
-config_edit& config_edit::operator=(config_edit&& other177) noexcept {
-  Base = other177.Base;
-  Document = std::move(other177.Document);
-  Author = std::move(other177.Author);
-  __isset = other177.__isset;
+config_edit& config_edit::operator=(config_edit&& other191) noexcept {
+  Base = other191.Base;
+  Document = std::move(other191.Document);
+  Author = std::move(other191.Author);
+  Difference = std::move(other191.Difference);
+  __isset = other191.__isset;
   return *this;
 }
 void config_edit::printTo(std::ostream& out) const {
@@ -5428,6 +5739,7 @@
   out << "Base=" << to_string(Base);
   out << ", " << "Document=" << to_string(Document);
   out << ", " << "Author=" << to_string(Author);
+  out << ", " << "Difference="; (__isset.Difference ? (out << to_string(Difference)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5541,30 +5853,30 @@
   swap(a.__isset, b.__isset);
 }
 
-key_give::key_give(const key_give& other178) {
-  KeyId = other178.KeyId;
-  Organisation = other178.Organisation;
-  KeyHash = other178.KeyHash;
-  __isset = other178.__isset;
+key_give::key_give(const key_give& other192) {
+  KeyId = other192.KeyId;
+  Organisation = other192.Organisation;
+  KeyHash = other192.KeyHash;
+  __isset = other192.__isset;
 }
-key_give::key_give(key_give&& other179) noexcept {
-  KeyId = std::move(other179.KeyId);
-  Organisation = std::move(other179.Organisation);
-  KeyHash = std::move(other179.KeyHash);
-  __isset = other179.__isset;
+key_give::key_give(key_give&& other193) noexcept {
+  KeyId = std::move(other193.KeyId);
+  Organisation = std::move(other193.Organisation);
+  KeyHash = std::move(other193.KeyHash);
+  __isset = other193.__isset;
 }
-key_give& key_give::operator=(const key_give& other180) {
-  KeyId = other180.KeyId;
-  Organisation = other180.Organisation;
-  KeyHash = other180.KeyHash;
-  __isset = other180.__isset;
+key_give& key_give::operator=(const key_give& other194) {
+  KeyId = other194.KeyId;
+  Organisation = other194.Organisation;
+  KeyHash = other194.KeyHash;
+  __isset = other194.__isset;
   return *this;
 }
-key_give& key_give::operator=(key_give&& other181) noexcept {
-  KeyId = std::move(other181.KeyId);
-  Organisation = std::move(other181.Organisation);
-  KeyHash = std::move(other181.KeyHash);
-  __isset = other181.__isset;
+key_give& key_give::operator=(key_give&& other195) noexcept {
+  KeyId = std::move(other195.KeyId);
+  Organisation = std::move(other195.Organisation);
+  KeyHash = std::move(other195.KeyHash);
+  __isset = other195.__isset;
   return *this;
 }
 void key_give::printTo(std::ostream& out) const {
@@ -5652,22 +5964,22 @@
   swap(a.__isset, b.__isset);
 }
 
-key_withdraw::key_withdraw(const key_withdraw& other182) {
-  KeyId = other182.KeyId;
-  __isset = other182.__isset;
+key_withdraw::key_withdraw(const key_withdraw& other196) {
+  KeyId = other196.KeyId;
+  __isset = other196.__isset;
 }
-key_withdraw::key_withdraw(key_withdraw&& other183) noexcept {
-  KeyId = std::move(other183.KeyId);
-  __isset = other183.__isset;
+key_withdraw::key_withdraw(key_withdraw&& other197) noexcept {
+  KeyId = std::move(other197.KeyId);
+  __isset = other197.__isset;
 }
-key_withdraw& key_withdraw::operator=(const key_withdraw& other184) {
-  KeyId = other184.KeyId;
-  __isset = other184.__isset;
+key_withdraw& key_withdraw::operator=(const key_withdraw& other198) {
+  KeyId = other198.KeyId;
+  __isset = other198.__isset;
   return *this;
 }
-key_withdraw& key_withdraw::operator=(key_withdraw&& other185) noexcept {
-  KeyId = std::move(other185.KeyId);
-  __isset = other185.__isset;
+key_withdraw& key_withdraw::operator=(key_withdraw&& other199) noexcept {
+  KeyId = std::move(other199.KeyId);
+  __isset = other199.__isset;
   return *this;
 }
 void key_withdraw::printTo(std::ostream& out) const {
@@ -5838,42 +6150,42 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_claim::lease_claim(const lease_claim& other186) {
-  Lease = other186.Lease;
-  Previous = other186.Previous;
-  Holder = other186.Holder;
-  Incarnation = other186.Incarnation;
-  DurationMicros = other186.DurationMicros;
-  Released = other186.Released;
-  __isset = other186.__isset;
-}
-lease_claim::lease_claim(lease_claim&& other187) noexcept {
-  Lease = std::move(other187.Lease);
-  Previous = other187.Previous;
-  Holder = std::move(other187.Holder);
-  Incarnation = other187.Incarnation;
-  DurationMicros = other187.DurationMicros;
-  Released = other187.Released;
-  __isset = other187.__isset;
-}
-lease_claim& lease_claim::operator=(const lease_claim& other188) {
-  Lease = other188.Lease;
-  Previous = other188.Previous;
-  Holder = other188.Holder;
-  Incarnation = other188.Incarnation;
-  DurationMicros = other188.DurationMicros;
-  Released = other188.Released;
-  __isset = other188.__isset;
+lease_claim::lease_claim(const lease_claim& other200) {
+  Lease = other200.Lease;
+  Previous = other200.Previous;
+  Holder = other200.Holder;
+  Incarnation = other200.Incarnation;
+  DurationMicros = other200.DurationMicros;
+  Released = other200.Released;
+  __isset = other200.__isset;
+}
+lease_claim::lease_claim(lease_claim&& other201) noexcept {
+  Lease = std::move(other201.Lease);
+  Previous = other201.Previous;
+  Holder = std::move(other201.Holder);
+  Incarnation = other201.Incarnation;
+  DurationMicros = other201.DurationMicros;
+  Released = other201.Released;
+  __isset = other201.__isset;
+}
+lease_claim& lease_claim::operator=(const lease_claim& other202) {
+  Lease = other202.Lease;
+  Previous = other202.Previous;
+  Holder = other202.Holder;
+  Incarnation = other202.Incarnation;
+  DurationMicros = other202.DurationMicros;
+  Released = other202.Released;
+  __isset = other202.__isset;
   return *this;
 }
-lease_claim& lease_claim::operator=(lease_claim&& other189) noexcept {
-  Lease = std::move(other189.Lease);
-  Previous = other189.Previous;
-  Holder = std::move(other189.Holder);
-  Incarnation = other189.Incarnation;
-  DurationMicros = other189.DurationMicros;
-  Released = other189.Released;
-  __isset = other189.__isset;
+lease_claim& lease_claim::operator=(lease_claim&& other203) noexcept {
+  Lease = std::move(other203.Lease);
+  Previous = other203.Previous;
+  Holder = std::move(other203.Holder);
+  Incarnation = other203.Incarnation;
+  DurationMicros = other203.DurationMicros;
+  Released = other203.Released;
+  __isset = other203.__isset;
   return *this;
 }
 void lease_claim::printTo(std::ostream& out) const {
@@ -5928,14 +6240,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Batches.clear();
-            uint32_t _size190;
-            ::apache::thrift::protocol::TType _etype193;
-            xfer += iprot->readListBegin(_etype193, _size190);
-            this->Batches.resize(_size190);
-            uint32_t _i194;
-            for (_i194 = 0; _i194 < _size190; ++_i194)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->Batches.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->Batches[_i194].read(iprot);
+              xfer += this->Batches[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5964,10 +6276,10 @@
   xfer += oprot->writeFieldBegin("Batches", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Batches.size()));
-    std::vector<usage_batch> ::const_iterator _iter195;
-    for (_iter195 = this->Batches.begin(); _iter195 != this->Batches.end(); ++_iter195)
+    std::vector<usage_batch> ::const_iterator _iter209;
+    for (_iter209 = this->Batches.begin(); _iter209 != this->Batches.end(); ++_iter209)
     {
-      xfer += (*_iter195).write(oprot);
+      xfer += (*_iter209).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5984,22 +6296,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_append::usage_append(const usage_append& other196) {
-  Batches = other196.Batches;
-  __isset = other196.__isset;
+usage_append::usage_append(const usage_append& other210) {
+  Batches = other210.Batches;
+  __isset = other210.__isset;
 }
-usage_append::usage_append(usage_append&& other197) noexcept {
-  Batches = std::move(other197.Batches);
-  __isset = other197.__isset;
+usage_append::usage_append(usage_append&& other211) noexcept {
+  Batches = std::move(other211.Batches);
+  __isset = other211.__isset;
 }
-usage_append& usage_append::operator=(const usage_append& other198) {
-  Batches = other198.Batches;
-  __isset = other198.__isset;
+usage_append& usage_append::operator=(const usage_append& other212) {
+  Batches = other212.Batches;
+  __isset = other212.__isset;
   return *this;
 }
-usage_append& usage_append::operator=(usage_append&& other199) noexcept {
-  Batches = std::move(other199.Batches);
-  __isset = other199.__isset;
+usage_append& usage_append::operator=(usage_append&& other213) noexcept {
+  Batches = std::move(other213.Batches);
+  __isset = other213.__isset;
   return *this;
 }
 void usage_append::printTo(std::ostream& out) const {
@@ -6077,14 +6389,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Figures.clear();
-            uint32_t _size200;
-            ::apache::thrift::protocol::TType _etype203;
-            xfer += iprot->readListBegin(_etype203, _size200);
-            this->Figures.resize(_size200);
-            uint32_t _i204;
-            for (_i204 = 0; _i204 < _size200; ++_i204)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->Figures.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->Figures[_i204].read(iprot);
+              xfer += this->Figures[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6129,10 +6441,10 @@
   xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
-    std::vector<usage_increment> ::const_iterator _iter205;
-    for (_iter205 = this->Figures.begin(); _iter205 != this->Figures.end(); ++_iter205)
+    std::vector<usage_increment> ::const_iterator _iter219;
+    for (_iter219 = this->Figures.begin(); _iter219 != this->Figures.end(); ++_iter219)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter219).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6156,34 +6468,34 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_close::usage_close(const usage_close& other206) {
-  Window = other206.Window;
-  Fence = other206.Fence;
-  Figures = other206.Figures;
-  UpToOffset = other206.UpToOffset;
-  __isset = other206.__isset;
-}
-usage_close::usage_close(usage_close&& other207) noexcept {
-  Window = other207.Window;
-  Fence = other207.Fence;
-  Figures = std::move(other207.Figures);
-  UpToOffset = other207.UpToOffset;
-  __isset = other207.__isset;
-}
-usage_close& usage_close::operator=(const usage_close& other208) {
-  Window = other208.Window;
-  Fence = other208.Fence;
-  Figures = other208.Figures;
-  UpToOffset = other208.UpToOffset;
-  __isset = other208.__isset;
+usage_close::usage_close(const usage_close& other220) {
+  Window = other220.Window;
+  Fence = other220.Fence;
+  Figures = other220.Figures;
+  UpToOffset = other220.UpToOffset;
+  __isset = other220.__isset;
+}
+usage_close::usage_close(usage_close&& other221) noexcept {
+  Window = other221.Window;
+  Fence = other221.Fence;
+  Figures = std::move(other221.Figures);
+  UpToOffset = other221.UpToOffset;
+  __isset = other221.__isset;
+}
+usage_close& usage_close::operator=(const usage_close& other222) {
+  Window = other222.Window;
+  Fence = other222.Fence;
+  Figures = other222.Figures;
+  UpToOffset = other222.UpToOffset;
+  __isset = other222.__isset;
   return *this;
 }
-usage_close& usage_close::operator=(usage_close&& other209) noexcept {
-  Window = other209.Window;
-  Fence = other209.Fence;
-  Figures = std::move(other209.Figures);
-  UpToOffset = other209.UpToOffset;
-  __isset = other209.__isset;
+usage_close& usage_close::operator=(usage_close&& other223) noexcept {
+  Window = other223.Window;
+  Fence = other223.Fence;
+  Figures = std::move(other223.Figures);
+  UpToOffset = other223.UpToOffset;
+  __isset = other223.__isset;
   return *this;
 }
 void usage_close::printTo(std::ostream& out) const {
@@ -6272,22 +6584,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_reported::usage_reported(const usage_reported& other210) noexcept {
-  Window = other210.Window;
-  __isset = other210.__isset;
+usage_reported::usage_reported(const usage_reported& other224) noexcept {
+  Window = other224.Window;
+  __isset = other224.__isset;
 }
-usage_reported::usage_reported(usage_reported&& other211) noexcept {
-  Window = other211.Window;
-  __isset = other211.__isset;
+usage_reported::usage_reported(usage_reported&& other225) noexcept {
+  Window = other225.Window;
+  __isset = other225.__isset;
 }
-usage_reported& usage_reported::operator=(const usage_reported& other212) noexcept {
-  Window = other212.Window;
-  __isset = other212.__isset;
+usage_reported& usage_reported::operator=(const usage_reported& other226) noexcept {
+  Window = other226.Window;
+  __isset = other226.__isset;
   return *this;
 }
-usage_reported& usage_reported::operator=(usage_reported&& other213) noexcept {
-  Window = other213.Window;
-  __isset = other213.__isset;
+usage_reported& usage_reported::operator=(usage_reported&& other227) noexcept {
+  Window = other227.Window;
+  __isset = other227.__isset;
   return *this;
 }
 void usage_reported::printTo(std::ostream& out) const {
@@ -6379,9 +6691,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast214;
-          xfer += iprot->readI32(ecast214);
-          this->Kind = static_cast<order_kind::type>(ecast214);
+          int32_t ecast228;
+          xfer += iprot->readI32(ecast228);
+          this->Kind = static_cast<order_kind::type>(ecast228);
           this->__isset.Kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6460,42 +6772,42 @@
   swap(a.__isset, b.__isset);
 }
 
-order_intent::order_intent(const order_intent& other215) {
-  OrderId = other215.OrderId;
-  Zone = other215.Zone;
-  Fence = other215.Fence;
-  Kind = other215.Kind;
-  Target = other215.Target;
-  Count = other215.Count;
-  __isset = other215.__isset;
-}
-order_intent::order_intent(order_intent&& other216) noexcept {
-  OrderId = std::move(other216.OrderId);
-  Zone = std::move(other216.Zone);
-  Fence = other216.Fence;
-  Kind = other216.Kind;
-  Target = std::move(other216.Target);
-  Count = other216.Count;
-  __isset = other216.__isset;
-}
-order_intent& order_intent::operator=(const order_intent& other217) {
-  OrderId = other217.OrderId;
-  Zone = other217.Zone;
-  Fence = other217.Fence;
-  Kind = other217.Kind;
-  Target = other217.Target;
-  Count = other217.Count;
-  __isset = other217.__isset;
+order_intent::order_intent(const order_intent& other229) {
+  OrderId = other229.OrderId;
+  Zone = other229.Zone;
+  Fence = other229.Fence;
+  Kind = other229.Kind;
+  Target = other229.Target;
+  Count = other229.Count;
+  __isset = other229.__isset;
+}
+order_intent::order_intent(order_intent&& other230) noexcept {
+  OrderId = std::move(other230.OrderId);
+  Zone = std::move(other230.Zone);
+  Fence = other230.Fence;
+  Kind = other230.Kind;
+  Target = std::move(other230.Target);
+  Count = other230.Count;
+  __isset = other230.__isset;
+}
+order_intent& order_intent::operator=(const order_intent& other231) {
+  OrderId = other231.OrderId;
+  Zone = other231.Zone;
+  Fence = other231.Fence;
+  Kind = other231.Kind;
+  Target = other231.Target;
+  Count = other231.Count;
+  __isset = other231.__isset;
   return *this;
 }
-order_intent& order_intent::operator=(order_intent&& other218) noexcept {
-  OrderId = std::move(other218.OrderId);
-  Zone = std::move(other218.Zone);
-  Fence = other218.Fence;
-  Kind = other218.Kind;
-  Target = std::move(other218.Target);
-  Count = other218.Count;
-  __isset = other218.__isset;
+order_intent& order_intent::operator=(order_intent&& other232) noexcept {
+  OrderId = std::move(other232.OrderId);
+  Zone = std::move(other232.Zone);
+  Fence = other232.Fence;
+  Kind = other232.Kind;
+  Target = std::move(other232.Target);
+  Count = other232.Count;
+  __isset = other232.__isset;
   return *this;
 }
 void order_intent::printTo(std::ostream& out) const {
@@ -6603,26 +6915,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_done::order_done(const order_done& other219) {
-  OrderId = other219.OrderId;
-  Accepted = other219.Accepted;
-  __isset = other219.__isset;
+order_done::order_done(const order_done& other233) {
+  OrderId = other233.OrderId;
+  Accepted = other233.Accepted;
+  __isset = other233.__isset;
 }
-order_done::order_done(order_done&& other220) noexcept {
-  OrderId = std::move(other220.OrderId);
-  Accepted = other220.Accepted;
-  __isset = other220.__isset;
+order_done::order_done(order_done&& other234) noexcept {
+  OrderId = std::move(other234.OrderId);
+  Accepted = other234.Accepted;
+  __isset = other234.__isset;
 }
-order_done& order_done::operator=(const order_done& other221) {
-  OrderId = other221.OrderId;
-  Accepted = other221.Accepted;
-  __isset = other221.__isset;
+order_done& order_done::operator=(const order_done& other235) {
+  OrderId = other235.OrderId;
+  Accepted = other235.Accepted;
+  __isset = other235.__isset;
   return *this;
 }
-order_done& order_done::operator=(order_done&& other222) noexcept {
-  OrderId = std::move(other222.OrderId);
-  Accepted = other222.Accepted;
-  __isset = other222.__isset;
+order_done& order_done::operator=(order_done&& other236) noexcept {
+  OrderId = std::move(other236.OrderId);
+  Accepted = other236.Accepted;
+  __isset = other236.__isset;
   return *this;
 }
 void order_done::printTo(std::ostream& out) const {
@@ -6777,38 +7089,38 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_entry::claim_entry(const claim_entry& other223) {
-  Key = other223.Key;
-  Attempt = other223.Attempt;
-  BodyHash = other223.BodyHash;
-  CreatedWallMicros = other223.CreatedWallMicros;
-  KeyMicros = other223.KeyMicros;
-  __isset = other223.__isset;
-}
-claim_entry::claim_entry(claim_entry&& other224) noexcept {
-  Key = std::move(other224.Key);
-  Attempt = std::move(other224.Attempt);
-  BodyHash = other224.BodyHash;
-  CreatedWallMicros = other224.CreatedWallMicros;
-  KeyMicros = other224.KeyMicros;
-  __isset = other224.__isset;
-}
-claim_entry& claim_entry::operator=(const claim_entry& other225) {
-  Key = other225.Key;
-  Attempt = other225.Attempt;
-  BodyHash = other225.BodyHash;
-  CreatedWallMicros = other225.CreatedWallMicros;
-  KeyMicros = other225.KeyMicros;
-  __isset = other225.__isset;
+claim_entry::claim_entry(const claim_entry& other237) {
+  Key = other237.Key;
+  Attempt = other237.Attempt;
+  BodyHash = other237.BodyHash;
+  CreatedWallMicros = other237.CreatedWallMicros;
+  KeyMicros = other237.KeyMicros;
+  __isset = other237.__isset;
+}
+claim_entry::claim_entry(claim_entry&& other238) noexcept {
+  Key = std::move(other238.Key);
+  Attempt = std::move(other238.Attempt);
+  BodyHash = other238.BodyHash;
+  CreatedWallMicros = other238.CreatedWallMicros;
+  KeyMicros = other238.KeyMicros;
+  __isset = other238.__isset;
+}
+claim_entry& claim_entry::operator=(const claim_entry& other239) {
+  Key = other239.Key;
+  Attempt = other239.Attempt;
+  BodyHash = other239.BodyHash;
+  CreatedWallMicros = other239.CreatedWallMicros;
+  KeyMicros = other239.KeyMicros;
+  __isset = other239.__isset;
   return *this;
 }
-claim_entry& claim_entry::operator=(claim_entry&& other226) noexcept {
-  Key = std::move(other226.Key);
-  Attempt = std::move(other226.Attempt);
-  BodyHash = other226.BodyHash;
-  CreatedWallMicros = other226.CreatedWallMicros;
-  KeyMicros = other226.KeyMicros;
-  __isset = other226.__isset;
+claim_entry& claim_entry::operator=(claim_entry&& other240) noexcept {
+  Key = std::move(other240.Key);
+  Attempt = std::move(other240.Attempt);
+  BodyHash = other240.BodyHash;
+  CreatedWallMicros = other240.CreatedWallMicros;
+  KeyMicros = other240.KeyMicros;
+  __isset = other240.__isset;
   return *this;
 }
 void claim_entry::printTo(std::ostream& out) const {
@@ -6889,9 +7201,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast227;
-          xfer += iprot->readI32(ecast227);
-          this->Outcome = static_cast<run_outcome::type>(ecast227);
+          int32_t ecast241;
+          xfer += iprot->readI32(ecast241);
+          this->Outcome = static_cast<run_outcome::type>(ecast241);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6953,34 +7265,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_outcome::claim_outcome(const claim_outcome& other228) {
-  Key = other228.Key;
-  Attempt = other228.Attempt;
-  Outcome = other228.Outcome;
-  Answer = other228.Answer;
-  __isset = other228.__isset;
-}
-claim_outcome::claim_outcome(claim_outcome&& other229) noexcept {
-  Key = std::move(other229.Key);
-  Attempt = std::move(other229.Attempt);
-  Outcome = other229.Outcome;
-  Answer = std::move(other229.Answer);
-  __isset = other229.__isset;
-}
-claim_outcome& claim_outcome::operator=(const claim_outcome& other230) {
-  Key = other230.Key;
-  Attempt = other230.Attempt;
-  Outcome = other230.Outcome;
-  Answer = other230.Answer;
-  __isset = other230.__isset;
+claim_outcome::claim_outcome(const claim_outcome& other242) {
+  Key = other242.Key;
+  Attempt = other242.Attempt;
+  Outcome = other242.Outcome;
+  Answer = other242.Answer;
+  __isset = other242.__isset;
+}
+claim_outcome::claim_outcome(claim_outcome&& other243) noexcept {
+  Key = std::move(other243.Key);
+  Attempt = std::move(other243.Attempt);
+  Outcome = other243.Outcome;
+  Answer = std::move(other243.Answer);
+  __isset = other243.__isset;
+}
+claim_outcome& claim_outcome::operator=(const claim_outcome& other244) {
+  Key = other244.Key;
+  Attempt = other244.Attempt;
+  Outcome = other244.Outcome;
+  Answer = other244.Answer;
+  __isset = other244.__isset;
   return *this;
 }
-claim_outcome& claim_outcome::operator=(claim_outcome&& other231) noexcept {
-  Key = std::move(other231.Key);
-  Attempt = std::move(other231.Attempt);
-  Outcome = other231.Outcome;
-  Answer = std::move(other231.Answer);
-  __isset = other231.__isset;
+claim_outcome& claim_outcome::operator=(claim_outcome&& other245) noexcept {
+  Key = std::move(other245.Key);
+  Attempt = std::move(other245.Attempt);
+  Outcome = other245.Outcome;
+  Answer = std::move(other245.Answer);
+  __isset = other245.__isset;
   return *this;
 }
 void claim_outcome::printTo(std::ostream& out) const {
@@ -7045,14 +7357,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->Claims.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->Claims.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += this->Claims[_i236].read(iprot);
+              xfer += this->Claims[_i250].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7065,14 +7377,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Outcomes.clear();
-            uint32_t _size237;
-            ::apache::thrift::protocol::TType _etype240;
-            xfer += iprot->readListBegin(_etype240, _size237);
-            this->Outcomes.resize(_size237);
-            uint32_t _i241;
-            for (_i241 = 0; _i241 < _size237; ++_i241)
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->Outcomes.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
             {
-              xfer += this->Outcomes[_i241].read(iprot);
+              xfer += this->Outcomes[_i255].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7117,10 +7429,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<claim_entry> ::const_iterator _iter242;
-    for (_iter242 = this->Claims.begin(); _iter242 != this->Claims.end(); ++_iter242)
+    std::vector<claim_entry> ::const_iterator _iter256;
+    for (_iter256 = this->Claims.begin(); _iter256 != this->Claims.end(); ++_iter256)
     {
-      xfer += (*_iter242).write(oprot);
+      xfer += (*_iter256).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7129,10 +7441,10 @@
   xfer += oprot->writeFieldBegin("Outcomes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Outcomes.size()));
-    std::vector<claim_outcome> ::const_iterator _iter243;
-    for (_iter243 = this->Outcomes.begin(); _iter243 != this->Outcomes.end(); ++_iter243)
+    std::vector<claim_outcome> ::const_iterator _iter257;
+    for (_iter257 = this->Outcomes.begin(); _iter257 != this->Outcomes.end(); ++_iter257)
     {
-      xfer += (*_iter243).write(oprot);
+      xfer += (*_iter257).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7160,34 +7472,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_batch::claim_batch(const claim_batch& other244) {
-  Claims = other244.Claims;
-  Outcomes = other244.Outcomes;
-  WallMicros = other244.WallMicros;
-  WindowMicros = other244.WindowMicros;
-  __isset = other244.__isset;
+claim_batch::claim_batch(const claim_batch& other258) {
+  Claims = other258.Claims;
+  Outcomes = other258.Outcomes;
+  WallMicros = other258.WallMicros;
+  WindowMicros = other258.WindowMicros;
+  __isset = other258.__isset;
 }
-claim_batch::claim_batch(claim_batch&& other245) noexcept {
-  Claims = std::move(other245.Claims);
-  Outcomes = std::move(other245.Outcomes);
-  WallMicros = other245.WallMicros;
-  WindowMicros = other245.WindowMicros;
-  __isset = other245.__isset;
+claim_batch::claim_batch(claim_batch&& other259) noexcept {
+  Claims = std::move(other259.Claims);
+  Outcomes = std::move(other259.Outcomes);
+  WallMicros = other259.WallMicros;
+  WindowMicros = other259.WindowMicros;
+  __isset = other259.__isset;
 }
-claim_batch& claim_batch::operator=(const claim_batch& other246) {
-  Claims = other246.Claims;
-  Outcomes = other246.Outcomes;
-  WallMicros = other246.WallMicros;
-  WindowMicros = other246.WindowMicros;
-  __isset = other246.__isset;
+claim_batch& claim_batch::operator=(const claim_batch& other260) {
+  Claims = other260.Claims;
+  Outcomes = other260.Outcomes;
+  WallMicros = other260.WallMicros;
+  WindowMicros = other260.WindowMicros;
+  __isset = other260.__isset;
   return *this;
 }
-claim_batch& claim_batch::operator=(claim_batch&& other247) noexcept {
-  Claims = std::move(other247.Claims);
-  Outcomes = std::move(other247.Outcomes);
-  WallMicros = other247.WallMicros;
-  WindowMicros = other247.WindowMicros;
-  __isset = other247.__isset;
+claim_batch& claim_batch::operator=(claim_batch&& other261) noexcept {
+  Claims = std::move(other261.Claims);
+  Outcomes = std::move(other261.Outcomes);
+  WallMicros = other261.WallMicros;
+  WindowMicros = other261.WindowMicros;
+  __isset = other261.__isset;
   return *this;
 }
 void claim_batch::printTo(std::ostream& out) const {
@@ -7293,26 +7605,26 @@
   swap(a.__isset, b.__isset);
 }
 
-snapshot::snapshot(const snapshot& other248) {
-  CoversOffset = other248.CoversOffset;
-  State = other248.State;
-  __isset = other248.__isset;
+snapshot::snapshot(const snapshot& other262) {
+  CoversOffset = other262.CoversOffset;
+  State = other262.State;
+  __isset = other262.__isset;
 }
-snapshot::snapshot(snapshot&& other249) noexcept {
-  CoversOffset = other249.CoversOffset;
-  State = std::move(other249.State);
-  __isset = other249.__isset;
+snapshot::snapshot(snapshot&& other263) noexcept {
+  CoversOffset = other263.CoversOffset;
+  State = std::move(other263.State);
+  __isset = other263.__isset;
 }
-snapshot& snapshot::operator=(const snapshot& other250) {
-  CoversOffset = other250.CoversOffset;
-  State = other250.State;
-  __isset = other250.__isset;
+snapshot& snapshot::operator=(const snapshot& other264) {
+  CoversOffset = other264.CoversOffset;
+  State = other264.State;
+  __isset = other264.__isset;
   return *this;
 }
-snapshot& snapshot::operator=(snapshot&& other251) noexcept {
-  CoversOffset = other251.CoversOffset;
-  State = std::move(other251.State);
-  __isset = other251.__isset;
+snapshot& snapshot::operator=(snapshot&& other265) noexcept {
+  CoversOffset = other265.CoversOffset;
+  State = std::move(other265.State);
+  __isset = other265.__isset;
   return *this;
 }
 void snapshot::printTo(std::ostream& out) const {
@@ -7625,70 +7937,70 @@
   swap(a.__isset, b.__isset);
 }
 
-log_record::log_record(const log_record& other252) {
-  Incarnation = other252.Incarnation;
-  Sequence = other252.Sequence;
-  ConfigEdit = other252.ConfigEdit;
-  KeyGive = other252.KeyGive;
-  KeyWithdraw = other252.KeyWithdraw;
-  LeaseClaim = other252.LeaseClaim;
-  UsageAppend = other252.UsageAppend;
-  UsageClose = other252.UsageClose;
-  UsageReported = other252.UsageReported;
-  OrderIntent = other252.OrderIntent;
-  OrderDone = other252.OrderDone;
-  ClaimBatch = other252.ClaimBatch;
-  Snapshot = other252.Snapshot;
-  __isset = other252.__isset;
-}
-log_record::log_record(log_record&& other253) noexcept {
-  Incarnation = other253.Incarnation;
-  Sequence = other253.Sequence;
-  ConfigEdit = std::move(other253.ConfigEdit);
-  KeyGive = std::move(other253.KeyGive);
-  KeyWithdraw = std::move(other253.KeyWithdraw);
-  LeaseClaim = std::move(other253.LeaseClaim);
-  UsageAppend = std::move(other253.UsageAppend);
-  UsageClose = std::move(other253.UsageClose);
-  UsageReported = std::move(other253.UsageReported);
-  OrderIntent = std::move(other253.OrderIntent);
-  OrderDone = std::move(other253.OrderDone);
-  ClaimBatch = std::move(other253.ClaimBatch);
-  Snapshot = std::move(other253.Snapshot);
-  __isset = other253.__isset;
-}
-log_record& log_record::operator=(const log_record& other254) {
-  Incarnation = other254.Incarnation;
-  Sequence = other254.Sequence;
-  ConfigEdit = other254.ConfigEdit;
-  KeyGive = other254.KeyGive;
-  KeyWithdraw = other254.KeyWithdraw;
-  LeaseClaim = other254.LeaseClaim;
-  UsageAppend = other254.UsageAppend;
-  UsageClose = other254.UsageClose;
-  UsageReported = other254.UsageReported;
-  OrderIntent = other254.OrderIntent;
-  OrderDone = other254.OrderDone;
-  ClaimBatch = other254.ClaimBatch;
-  Snapshot = other254.Snapshot;
-  __isset = other254.__isset;
+log_record::log_record(const log_record& other266) {
+  Incarnation = other266.Incarnation;
+  Sequence = other266.Sequence;
+  ConfigEdit = other266.ConfigEdit;
+  KeyGive = other266.KeyGive;
+  KeyWithdraw = other266.KeyWithdraw;
+  LeaseClaim = other266.LeaseClaim;
+  UsageAppend = other266.UsageAppend;
+  UsageClose = other266.UsageClose;
+  UsageReported = other266.UsageReported;
+  OrderIntent = other266.OrderIntent;
+  OrderDone = other266.OrderDone;
+  ClaimBatch = other266.ClaimBatch;
+  Snapshot = other266.Snapshot;
+  __isset = other266.__isset;
+}
+log_record::log_record(log_record&& other267) noexcept {
+  Incarnation = other267.Incarnation;
+  Sequence = other267.Sequence;
+  ConfigEdit = std::move(other267.ConfigEdit);
+  KeyGive = std::move(other267.KeyGive);
+  KeyWithdraw = std::move(other267.KeyWithdraw);
+  LeaseClaim = std::move(other267.LeaseClaim);
+  UsageAppend = std::move(other267.UsageAppend);
+  UsageClose = std::move(other267.UsageClose);
+  UsageReported = std::move(other267.UsageReported);
+  OrderIntent = std::move(other267.OrderIntent);
+  OrderDone = std::move(other267.OrderDone);
+  ClaimBatch = std::move(other267.ClaimBatch);
+  Snapshot = std::move(other267.Snapshot);
+  __isset = other267.__isset;
+}
+log_record& log_record::operator=(const log_record& other268) {
+  Incarnation = other268.Incarnation;
+  Sequence = other268.Sequence;
+  ConfigEdit = other268.ConfigEdit;
+  KeyGive = other268.KeyGive;
+  KeyWithdraw = other268.KeyWithdraw;
+  LeaseClaim = other268.LeaseClaim;
+  UsageAppend = other268.UsageAppend;
+  UsageClose = other268.UsageClose;
+  UsageReported = other268.UsageReported;
+  OrderIntent = other268.OrderIntent;
+  OrderDone = other268.OrderDone;
+  ClaimBatch = other268.ClaimBatch;
+  Snapshot = other268.Snapshot;
+  __isset = other268.__isset;
   return *this;
 }
-log_record& log_record::operator=(log_record&& other255) noexcept {
-  Incarnation = other255.Incarnation;
-  Sequence = other255.Sequence;
-  ConfigEdit = std::move(other255.ConfigEdit);
-  KeyGive = std::move(other255.KeyGive);
-  KeyWithdraw = std::move(other255.KeyWithdraw);
-  LeaseClaim = std::move(other255.LeaseClaim);
-  UsageAppend = std::move(other255.UsageAppend);
-  UsageClose = std::move(other255.UsageClose);
-  UsageReported = std::move(other255.UsageReported);
-  OrderIntent = std::move(other255.OrderIntent);
-  OrderDone = std::move(other255.OrderDone);
-  ClaimBatch = std::move(other255.ClaimBatch);
-  Snapshot = std::move(other255.Snapshot);
-  __isset = other255.__isset;
+log_record& log_record::operator=(log_record&& other269) noexcept {
+  Incarnation = other269.Incarnation;
+  Sequence = other269.Sequence;
+  ConfigEdit = std::move(other269.ConfigEdit);
+  KeyGive = std::move(other269.KeyGive);
+  KeyWithdraw = std::move(other269.KeyWithdraw);
+  LeaseClaim = std::move(other269.LeaseClaim);
+  UsageAppend = std::move(other269.UsageAppend);
+  UsageClose = std::move(other269.UsageClose);
+  UsageReported = std::move(other269.UsageReported);
+  OrderIntent = std::move(other269.OrderIntent);
+  OrderDone = std::move(other269.OrderDone);
+  ClaimBatch = std::move(other269.ClaimBatch);
+  Snapshot = std::move(other269.Snapshot);
+  __isset = other269.__isset;
   return *this;
 }
 void log_record::printTo(std::ostream& out) const {
@@ -7854,38 +8166,38 @@
   swap(a.__isset, b.__isset);
 }
 
-key_state::key_state(const key_state& other256) {
-  KeyId = other256.KeyId;
-  Organisation = other256.Organisation;
-  KeyHash = other256.KeyHash;
-  Withdrawn = other256.Withdrawn;
-  Offset = other256.Offset;
-  __isset = other256.__isset;
-}
-key_state::key_state(key_state&& other257) noexcept {
-  KeyId = std::move(other257.KeyId);
-  Organisation = std::move(other257.Organisation);
-  KeyHash = std::move(other257.KeyHash);
-  Withdrawn = other257.Withdrawn;
-  Offset = other257.Offset;
-  __isset = other257.__isset;
-}
-key_state& key_state::operator=(const key_state& other258) {
-  KeyId = other258.KeyId;
-  Organisation = other258.Organisation;
-  KeyHash = other258.KeyHash;
-  Withdrawn = other258.Withdrawn;
-  Offset = other258.Offset;
-  __isset = other258.__isset;
+key_state::key_state(const key_state& other270) {
+  KeyId = other270.KeyId;
+  Organisation = other270.Organisation;
+  KeyHash = other270.KeyHash;
+  Withdrawn = other270.Withdrawn;
+  Offset = other270.Offset;
+  __isset = other270.__isset;
+}
+key_state::key_state(key_state&& other271) noexcept {
+  KeyId = std::move(other271.KeyId);
+  Organisation = std::move(other271.Organisation);
+  KeyHash = std::move(other271.KeyHash);
+  Withdrawn = other271.Withdrawn;
+  Offset = other271.Offset;
+  __isset = other271.__isset;
+}
+key_state& key_state::operator=(const key_state& other272) {
+  KeyId = other272.KeyId;
+  Organisation = other272.Organisation;
+  KeyHash = other272.KeyHash;
+  Withdrawn = other272.Withdrawn;
+  Offset = other272.Offset;
+  __isset = other272.__isset;
   return *this;
 }
-key_state& key_state::operator=(key_state&& other259) noexcept {
-  KeyId = std::move(other259.KeyId);
-  Organisation = std::move(other259.Organisation);
-  KeyHash = std::move(other259.KeyHash);
-  Withdrawn = other259.Withdrawn;
-  Offset = other259.Offset;
-  __isset = other259.__isset;
+key_state& key_state::operator=(key_state&& other273) noexcept {
+  KeyId = std::move(other273.KeyId);
+  Organisation = std::move(other273.Organisation);
+  KeyHash = std::move(other273.KeyHash);
+  Withdrawn = other273.Withdrawn;
+  Offset = other273.Offset;
+  __isset = other273.__isset;
   return *this;
 }
 void key_state::printTo(std::ostream& out) const {
@@ -8060,42 +8372,42 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_state::lease_state(const lease_state& other260) {
-  Lease = other260.Lease;
-  Fence = other260.Fence;
-  Holder = other260.Holder;
-  Incarnation = other260.Incarnation;
-  DurationMicros = other260.DurationMicros;
-  Released = other260.Released;
-  __isset = other260.__isset;
+lease_state::lease_state(const lease_state& other274) {
+  Lease = other274.Lease;
+  Fence = other274.Fence;
+  Holder = other274.Holder;
+  Incarnation = other274.Incarnation;
+  DurationMicros = other274.DurationMicros;
+  Released = other274.Released;
+  __isset = other274.__isset;
 }
-lease_state::lease_state(lease_state&& other261) noexcept {
-  Lease = std::move(other261.Lease);
-  Fence = other261.Fence;
-  Holder = std::move(other261.Holder);
-  Incarnation = other261.Incarnation;
-  DurationMicros = other261.DurationMicros;
-  Released = other261.Released;
-  __isset = other261.__isset;
+lease_state::lease_state(lease_state&& other275) noexcept {
+  Lease = std::move(other275.Lease);
+  Fence = other275.Fence;
+  Holder = std::move(other275.Holder);
+  Incarnation = other275.Incarnation;
+  DurationMicros = other275.DurationMicros;
+  Released = other275.Released;
+  __isset = other275.__isset;
 }
-lease_state& lease_state::operator=(const lease_state& other262) {
-  Lease = other262.Lease;
-  Fence = other262.Fence;
-  Holder = other262.Holder;
-  Incarnation = other262.Incarnation;
-  DurationMicros = other262.DurationMicros;
-  Released = other262.Released;
-  __isset = other262.__isset;
+lease_state& lease_state::operator=(const lease_state& other276) {
+  Lease = other276.Lease;
+  Fence = other276.Fence;
+  Holder = other276.Holder;
+  Incarnation = other276.Incarnation;
+  DurationMicros = other276.DurationMicros;
+  Released = other276.Released;
+  __isset = other276.__isset;
   return *this;
 }
-lease_state& lease_state::operator=(lease_state&& other263) noexcept {
-  Lease = std::move(other263.Lease);
-  Fence = other263.Fence;
-  Holder = std::move(other263.Holder);
-  Incarnation = other263.Incarnation;
-  DurationMicros = other263.DurationMicros;
-  Released = other263.Released;
-  __isset = other263.__isset;
+lease_state& lease_state::operator=(lease_state&& other277) noexcept {
+  Lease = std::move(other277.Lease);
+  Fence = other277.Fence;
+  Holder = std::move(other277.Holder);
+  Incarnation = other277.Incarnation;
+  DurationMicros = other277.DurationMicros;
+  Released = other277.Released;
+  __isset = other277.__isset;
   return *this;
 }
 void lease_state::printTo(std::ostream& out) const {
@@ -8254,38 +8566,38 @@
   swap(a.__isset, b.__isset);
 }
 
-writer_state::writer_state(const writer_state& other264) noexcept {
-  Incarnation = other264.Incarnation;
-  Sequence = other264.Sequence;
-  LastOffset = other264.LastOffset;
-  WallMicros = other264.WallMicros;
-  Ahead = other264.Ahead;
-  __isset = other264.__isset;
+writer_state::writer_state(const writer_state& other278) noexcept {
+  Incarnation = other278.Incarnation;
+  Sequence = other278.Sequence;
+  LastOffset = other278.LastOffset;
+  WallMicros = other278.WallMicros;
+  Ahead = other278.Ahead;
+  __isset = other278.__isset;
 }
-writer_state::writer_state(writer_state&& other265) noexcept {
-  Incarnation = other265.Incarnation;
-  Sequence = other265.Sequence;
-  LastOffset = other265.LastOffset;
-  WallMicros = other265.WallMicros;
-  Ahead = other265.Ahead;
-  __isset = other265.__isset;
+writer_state::writer_state(writer_state&& other279) noexcept {
+  Incarnation = other279.Incarnation;
+  Sequence = other279.Sequence;
+  LastOffset = other279.LastOffset;
+  WallMicros = other279.WallMicros;
+  Ahead = other279.Ahead;
+  __isset = other279.__isset;
 }
-writer_state& writer_state::operator=(const writer_state& other266) noexcept {
-  Incarnation = other266.Incarnation;
-  Sequence = other266.Sequence;
-  LastOffset = other266.LastOffset;
-  WallMicros = other266.WallMicros;
-  Ahead = other266.Ahead;
-  __isset = other266.__isset;
+writer_state& writer_state::operator=(const writer_state& other280) noexcept {
+  Incarnation = other280.Incarnation;
+  Sequence = other280.Sequence;
+  LastOffset = other280.LastOffset;
+  WallMicros = other280.WallMicros;
+  Ahead = other280.Ahead;
+  __isset = other280.__isset;
   return *this;
 }
-writer_state& writer_state::operator=(writer_state&& other267) noexcept {
-  Incarnation = other267.Incarnation;
-  Sequence = other267.Sequence;
-  LastOffset = other267.LastOffset;
-  WallMicros = other267.WallMicros;
-  Ahead = other267.Ahead;
-  __isset = other267.__isset;
+writer_state& writer_state::operator=(writer_state&& other281) noexcept {
+  Incarnation = other281.Incarnation;
+  Sequence = other281.Sequence;
+  LastOffset = other281.LastOffset;
+  WallMicros = other281.WallMicros;
+  Ahead = other281.Ahead;
+  __isset = other281.__isset;
   return *this;
 }
 void writer_state::printTo(std::ostream& out) const {
@@ -8355,14 +8667,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Figures.clear();
-            uint32_t _size268;
-            ::apache::thrift::protocol::TType _etype271;
-            xfer += iprot->readListBegin(_etype271, _size268);
-            this->Figures.resize(_size268);
-            uint32_t _i272;
-            for (_i272 = 0; _i272 < _size268; ++_i272)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->Figures.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += this->Figures[_i272].read(iprot);
+              xfer += this->Figures[_i286].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8403,10 +8715,10 @@
   xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
-    std::vector<usage_increment> ::const_iterator _iter273;
-    for (_iter273 = this->Figures.begin(); _iter273 != this->Figures.end(); ++_iter273)
+    std::vector<usage_increment> ::const_iterator _iter287;
+    for (_iter287 = this->Figures.begin(); _iter287 != this->Figures.end(); ++_iter287)
     {
-      xfer += (*_iter273).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8429,30 +8741,30 @@
   swap(a.__isset, b.__isset);
 }
 
-closed_window::closed_window(const closed_window& other274) {
-  Window = other274.Window;
-  Figures = other274.Figures;
-  Reported = other274.Reported;
-  __isset = other274.__isset;
+closed_window::closed_window(const closed_window& other288) {
+  Window = other288.Window;
+  Figures = other288.Figures;
+  Reported = other288.Reported;
+  __isset = other288.__isset;
 }
-closed_window::closed_window(closed_window&& other275) noexcept {
-  Window = other275.Window;
-  Figures = std::move(other275.Figures);
-  Reported = other275.Reported;
-  __isset = other275.__isset;
+closed_window::closed_window(closed_window&& other289) noexcept {
+  Window = other289.Window;
+  Figures = std::move(other289.Figures);
+  Reported = other289.Reported;
+  __isset = other289.__isset;
 }
-closed_window& closed_window::operator=(const closed_window& other276) {
-  Window = other276.Window;
-  Figures = other276.Figures;
-  Reported = other276.Reported;
-  __isset = other276.__isset;
+closed_window& closed_window::operator=(const closed_window& other290) {
+  Window = other290.Window;
+  Figures = other290.Figures;
+  Reported = other290.Reported;
+  __isset = other290.__isset;
   return *this;
 }
-closed_window& closed_window::operator=(closed_window&& other277) noexcept {
-  Window = other277.Window;
-  Figures = std::move(other277.Figures);
-  Reported = other277.Reported;
-  __isset = other277.__isset;
+closed_window& closed_window::operator=(closed_window&& other291) noexcept {
+  Window = other291.Window;
+  Figures = std::move(other291.Figures);
+  Reported = other291.Reported;
+  __isset = other291.__isset;
   return *this;
 }
 void closed_window::printTo(std::ostream& out) const {
@@ -8557,26 +8869,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_state::order_state(const order_state& other278) {
-  Intent = other278.Intent;
-  Offset = other278.Offset;
-  __isset = other278.__isset;
+order_state::order_state(const order_state& other292) {
+  Intent = other292.Intent;
+  Offset = other292.Offset;
+  __isset = other292.__isset;
 }
-order_state::order_state(order_state&& other279) noexcept {
-  Intent = std::move(other279.Intent);
-  Offset = other279.Offset;
-  __isset = other279.__isset;
+order_state::order_state(order_state&& other293) noexcept {
+  Intent = std::move(other293.Intent);
+  Offset = other293.Offset;
+  __isset = other293.__isset;
 }
-order_state& order_state::operator=(const order_state& other280) {
-  Intent = other280.Intent;
-  Offset = other280.Offset;
-  __isset = other280.__isset;
+order_state& order_state::operator=(const order_state& other294) {
+  Intent = other294.Intent;
+  Offset = other294.Offset;
+  __isset = other294.__isset;
   return *this;
 }
-order_state& order_state::operator=(order_state&& other281) noexcept {
-  Intent = std::move(other281.Intent);
-  Offset = other281.Offset;
-  __isset = other281.__isset;
+order_state& order_state::operator=(order_state&& other295) noexcept {
+  Intent = std::move(other295.Intent);
+  Offset = other295.Offset;
+  __isset = other295.__isset;
   return *this;
 }
 void order_state::printTo(std::ostream& out) const {
@@ -8683,14 +8995,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Keys.clear();
-            uint32_t _size282;
-            ::apache::thrift::protocol::TType _etype285;
-            xfer += iprot->readListBegin(_etype285, _size282);
-            this->Keys.resize(_size282);
-            uint32_t _i286;
-            for (_i286 = 0; _i286 < _size282; ++_i286)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->Keys.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += this->Keys[_i286].read(iprot);
+              xfer += this->Keys[_i300].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8703,14 +9015,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leases.clear();
-            uint32_t _size287;
-            ::apache::thrift::protocol::TType _etype290;
-            xfer += iprot->readListBegin(_etype290, _size287);
-            this->Leases.resize(_size287);
-            uint32_t _i291;
-            for (_i291 = 0; _i291 < _size287; ++_i291)
+            uint32_t _size301;
+            ::apache::thrift::protocol::TType _etype304;
+            xfer += iprot->readListBegin(_etype304, _size301);
+            this->Leases.resize(_size301);
+            uint32_t _i305;
+            for (_i305 = 0; _i305 < _size301; ++_i305)
             {
-              xfer += this->Leases[_i291].read(iprot);
+              xfer += this->Leases[_i305].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8723,14 +9035,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Writers.clear();
-            uint32_t _size292;
-            ::apache::thrift::protocol::TType _etype295;
-            xfer += iprot->readListBegin(_etype295, _size292);
-            this->Writers.resize(_size292);
-            uint32_t _i296;
-            for (_i296 = 0; _i296 < _size292; ++_i296)
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->Writers.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
             {
-              xfer += this->Writers[_i296].read(iprot);
+              xfer += this->Writers[_i310].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8743,14 +9055,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->UsageSources.clear();
-            uint32_t _size297;
-            ::apache::thrift::protocol::TType _etype300;
-            xfer += iprot->readListBegin(_etype300, _size297);
-            this->UsageSources.resize(_size297);
-            uint32_t _i301;
-            for (_i301 = 0; _i301 < _size297; ++_i301)
+            uint32_t _size311;
+            ::apache::thrift::protocol::TType _etype314;
+            xfer += iprot->readListBegin(_etype314, _size311);
+            this->UsageSources.resize(_size311);
+            uint32_t _i315;
+            for (_i315 = 0; _i315 < _size311; ++_i315)
             {
-              xfer += this->UsageSources[_i301].read(iprot);
+              xfer += this->UsageSources[_i315].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8763,14 +9075,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->OpenUsage.clear();
-            uint32_t _size302;
-            ::apache::thrift::protocol::TType _etype305;
-            xfer += iprot->readListBegin(_etype305, _size302);
-            this->OpenUsage.resize(_size302);
-            uint32_t _i306;
-            for (_i306 = 0; _i306 < _size302; ++_i306)
+            uint32_t _size316;
+            ::apache::thrift::protocol::TType _etype319;
+            xfer += iprot->readListBegin(_etype319, _size316);
+            this->OpenUsage.resize(_size316);
+            uint32_t _i320;
+            for (_i320 = 0; _i320 < _size316; ++_i320)
             {
-              xfer += this->OpenUsage[_i306].read(iprot);
+              xfer += this->OpenUsage[_i320].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8783,14 +9095,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Windows.clear();
-            uint32_t _size307;
-            ::apache::thrift::protocol::TType _etype310;
-            xfer += iprot->readListBegin(_etype310, _size307);
-            this->Windows.resize(_size307);
-            uint32_t _i311;
-            for (_i311 = 0; _i311 < _size307; ++_i311)
+            uint32_t _size321;
+            ::apache::thrift::protocol::TType _etype324;
+            xfer += iprot->readListBegin(_etype324, _size321);
+            this->Windows.resize(_size321);
+            uint32_t _i325;
+            for (_i325 = 0; _i325 < _size321; ++_i325)
             {
-              xfer += this->Windows[_i311].read(iprot);
+              xfer += this->Windows[_i325].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8803,14 +9115,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Orders.clear();
-            uint32_t _size312;
-            ::apache::thrift::protocol::TType _etype315;
-            xfer += iprot->readListBegin(_etype315, _size312);
-            this->Orders.resize(_size312);
-            uint32_t _i316;
-            for (_i316 = 0; _i316 < _size312; ++_i316)
+            uint32_t _size326;
+            ::apache::thrift::protocol::TType _etype329;
+            xfer += iprot->readListBegin(_etype329, _size326);
+            this->Orders.resize(_size326);
+            uint32_t _i330;
+            for (_i330 = 0; _i330 < _size326; ++_i330)
             {
-              xfer += this->Orders[_i316].read(iprot);
+              xfer += this->Orders[_i330].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8863,10 +9175,10 @@
   xfer += oprot->writeFieldBegin("Keys", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Keys.size()));
-    std::vector<key_state> ::const_iterator _iter317;
-    for (_iter317 = this->Keys.begin(); _iter317 != this->Keys.end(); ++_iter317)
+    std::vector<key_state> ::const_iterator _iter331;
+    for (_iter331 = this->Keys.begin(); _iter331 != this->Keys.end(); ++_iter331)
     {
-      xfer += (*_iter317).write(oprot);
+      xfer += (*_iter331).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8875,10 +9187,10 @@
   xfer += oprot->writeFieldBegin("Leases", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leases.size()));
-    std::vector<lease_state> ::const_iterator _iter318;
-    for (_iter318 = this->Leases.begin(); _iter318 != this->Leases.end(); ++_iter318)
+    std::vector<lease_state> ::const_iterator _iter332;
+    for (_iter332 = this->Leases.begin(); _iter332 != this->Leases.end(); ++_iter332)
     {
-      xfer += (*_iter318).write(oprot);
+      xfer += (*_iter332).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8887,10 +9199,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter319;
-    for (_iter319 = this->Writers.begin(); _iter319 != this->Writers.end(); ++_iter319)
+    std::vector<writer_state> ::const_iterator _iter333;
+    for (_iter333 = this->Writers.begin(); _iter333 != this->Writers.end(); ++_iter333)
     {
-      xfer += (*_iter319).write(oprot);
+      xfer += (*_iter333).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8899,10 +9211,10 @@
   xfer += oprot->writeFieldBegin("UsageSources", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->UsageSources.size()));
-    std::vector<writer_state> ::const_iterator _iter320;
-    for (_iter320 = this->UsageSources.begin(); _iter320 != this->UsageSources.end(); ++_iter320)
+    std::vector<writer_state> ::const_iterator _iter334;
+    for (_iter334 = this->UsageSources.begin(); _iter334 != this->UsageSources.end(); ++_iter334)
     {
-      xfer += (*_iter320).write(oprot);
+      xfer += (*_iter334).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8911,10 +9223,10 @@
   xfer += oprot->writeFieldBegin("OpenUsage", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->OpenUsage.size()));
-    std::vector<usage_increment> ::const_iterator _iter321;
-    for (_iter321 = this->OpenUsage.begin(); _iter321 != this->OpenUsage.end(); ++_iter321)
+    std::vector<usage_increment> ::const_iterator _iter335;
+    for (_iter335 = this->OpenUsage.begin(); _iter335 != this->OpenUsage.end(); ++_iter335)
     {
-      xfer += (*_iter321).write(oprot);
+      xfer += (*_iter335).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8923,10 +9235,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<closed_window> ::const_iterator _iter322;
-    for (_iter322 = this->Windows.begin(); _iter322 != this->Windows.end(); ++_iter322)
+    std::vector<closed_window> ::const_iterator _iter336;
+    for (_iter336 = this->Windows.begin(); _iter336 != this->Windows.end(); ++_iter336)
     {
-      xfer += (*_iter322).write(oprot);
+      xfer += (*_iter336).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8935,10 +9247,10 @@
   xfer += oprot->writeFieldBegin("Orders", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Orders.size()));
-    std::vector<order_state> ::const_iterator _iter323;
-    for (_iter323 = this->Orders.begin(); _iter323 != this->Orders.end(); ++_iter323)
+    std::vector<order_state> ::const_iterator _iter337;
+    for (_iter337 = this->Orders.begin(); _iter337 != this->Orders.end(); ++_iter337)
     {
-      xfer += (*_iter323).write(oprot);
+      xfer += (*_iter337).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8973,62 +9285,62 @@
   swap(a.__isset, b.__isset);
 }
 
-ledger_state::ledger_state(const ledger_state& other324) {
-  ConfigOffset = other324.ConfigOffset;
-  Document = other324.Document;
-  Keys = other324.Keys;
-  Leases = other324.Leases;
-  Writers = other324.Writers;
-  UsageSources = other324.UsageSources;
-  OpenUsage = other324.OpenUsage;
-  Windows = other324.Windows;
-  Orders = other324.Orders;
-  LastClosedWindow = other324.LastClosedWindow;
-  LastSnapshot = other324.LastSnapshot;
-  __isset = other324.__isset;
-}
-ledger_state::ledger_state(ledger_state&& other325) noexcept {
-  ConfigOffset = other325.ConfigOffset;
-  Document = std::move(other325.Document);
-  Keys = std::move(other325.Keys);
-  Leases = std::move(other325.Leases);
-  Writers = std::move(other325.Writers);
-  UsageSources = std::move(other325.UsageSources);
-  OpenUsage = std::move(other325.OpenUsage);
-  Windows = std::move(other325.Windows);
-  Orders = std::move(other325.Orders);
-  LastClosedWindow = other325.LastClosedWindow;
-  LastSnapshot = other325.LastSnapshot;
-  __isset = other325.__isset;
-}
-ledger_state& ledger_state::operator=(const ledger_state& other326) {
-  ConfigOffset = other326.ConfigOffset;
-  Document = other326.Document;
-  Keys = other326.Keys;
-  Leases = other326.Leases;
-  Writers = other326.Writers;
-  UsageSources = other326.UsageSources;
-  OpenUsage = other326.OpenUsage;
-  Windows = other326.Windows;
-  Orders = other326.Orders;
-  LastClosedWindow = other326.LastClosedWindow;
-  LastSnapshot = other326.LastSnapshot;
-  __isset = other326.__isset;
+ledger_state::ledger_state(const ledger_state& other338) {
+  ConfigOffset = other338.ConfigOffset;
+  Document = other338.Document;
+  Keys = other338.Keys;
+  Leases = other338.Leases;
+  Writers = other338.Writers;
+  UsageSources = other338.UsageSources;
+  OpenUsage = other338.OpenUsage;
+  Windows = other338.Windows;
+  Orders = other338.Orders;
+  LastClosedWindow = other338.LastClosedWindow;
+  LastSnapshot = other338.LastSnapshot;
+  __isset = other338.__isset;
+}
+ledger_state::ledger_state(ledger_state&& other339) noexcept {
+  ConfigOffset = other339.ConfigOffset;
+  Document = std::move(other339.Document);
+  Keys = std::move(other339.Keys);
+  Leases = std::move(other339.Leases);
+  Writers = std::move(other339.Writers);
+  UsageSources = std::move(other339.UsageSources);
+  OpenUsage = std::move(other339.OpenUsage);
+  Windows = std::move(other339.Windows);
+  Orders = std::move(other339.Orders);
+  LastClosedWindow = other339.LastClosedWindow;
+  LastSnapshot = other339.LastSnapshot;
+  __isset = other339.__isset;
+}
+ledger_state& ledger_state::operator=(const ledger_state& other340) {
+  ConfigOffset = other340.ConfigOffset;
+  Document = other340.Document;
+  Keys = other340.Keys;
+  Leases = other340.Leases;
+  Writers = other340.Writers;
+  UsageSources = other340.UsageSources;
+  OpenUsage = other340.OpenUsage;
+  Windows = other340.Windows;
+  Orders = other340.Orders;
+  LastClosedWindow = other340.LastClosedWindow;
+  LastSnapshot = other340.LastSnapshot;
+  __isset = other340.__isset;
   return *this;
 }
-ledger_state& ledger_state::operator=(ledger_state&& other327) noexcept {
-  ConfigOffset = other327.ConfigOffset;
-  Document = std::move(other327.Document);
-  Keys = std::move(other327.Keys);
-  Leases = std::move(other327.Leases);
-  Writers = std::move(other327.Writers);
-  UsageSources = std::move(other327.UsageSources);
-  OpenUsage = std::move(other327.OpenUsage);
-  Windows = std::move(other327.Windows);
-  Orders = std::move(other327.Orders);
-  LastClosedWindow = other327.LastClosedWindow;
-  LastSnapshot = other327.LastSnapshot;
-  __isset = other327.__isset;
+ledger_state& ledger_state::operator=(ledger_state&& other341) noexcept {
+  ConfigOffset = other341.ConfigOffset;
+  Document = std::move(other341.Document);
+  Keys = std::move(other341.Keys);
+  Leases = std::move(other341.Leases);
+  Writers = std::move(other341.Writers);
+  UsageSources = std::move(other341.UsageSources);
+  OpenUsage = std::move(other341.OpenUsage);
+  Windows = std::move(other341.Windows);
+  Orders = std::move(other341.Orders);
+  LastClosedWindow = other341.LastClosedWindow;
+  LastSnapshot = other341.LastSnapshot;
+  __isset = other341.__isset;
   return *this;
 }
 void ledger_state::printTo(std::ostream& out) const {
@@ -9181,9 +9493,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast328;
-          xfer += iprot->readI32(ecast328);
-          this->Outcome = static_cast<run_outcome::type>(ecast328);
+          int32_t ecast342;
+          xfer += iprot->readI32(ecast342);
+          this->Outcome = static_cast<run_outcome::type>(ecast342);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9193,14 +9505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Released.clear();
-            uint32_t _size329;
-            ::apache::thrift::protocol::TType _etype332;
-            xfer += iprot->readListBegin(_etype332, _size329);
-            this->Released.resize(_size329);
-            uint32_t _i333;
-            for (_i333 = 0; _i333 < _size329; ++_i333)
+            uint32_t _size343;
+            ::apache::thrift::protocol::TType _etype346;
+            xfer += iprot->readListBegin(_etype346, _size343);
+            this->Released.resize(_size343);
+            uint32_t _i347;
+            for (_i347 = 0; _i347 < _size343; ++_i347)
             {
-              xfer += this->Released[_i333].read(iprot);
+              xfer += this->Released[_i347].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9271,10 +9583,10 @@
     xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Released.size()));
-      std::vector<attempt_id> ::const_iterator _iter334;
-      for (_iter334 = this->Released.begin(); _iter334 != this->Released.end(); ++_iter334)
+      std::vector<attempt_id> ::const_iterator _iter348;
+      for (_iter348 = this->Released.begin(); _iter348 != this->Released.end(); ++_iter348)
       {
-        xfer += (*_iter334).write(oprot);
+        xfer += (*_iter348).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -9305,58 +9617,58 @@
   swap(a.__isset, b.__isset);
 }
 
-kept_claim::kept_claim(const kept_claim& other335) {
-  KeyHash = other335.KeyHash;
-  Organisation = other335.Organisation;
-  Holder = other335.Holder;
-  BodyHash = other335.BodyHash;
-  RetainMicros = other335.RetainMicros;
-  TimedKey = other335.TimedKey;
-  Held = other335.Held;
-  Outcome = other335.Outcome;
-  Released = other335.Released;
-  Answer = other335.Answer;
-  __isset = other335.__isset;
-}
-kept_claim::kept_claim(kept_claim&& other336) noexcept {
-  KeyHash = std::move(other336.KeyHash);
-  Organisation = other336.Organisation;
-  Holder = std::move(other336.Holder);
-  BodyHash = other336.BodyHash;
-  RetainMicros = other336.RetainMicros;
-  TimedKey = other336.TimedKey;
-  Held = other336.Held;
-  Outcome = other336.Outcome;
-  Released = std::move(other336.Released);
-  Answer = std::move(other336.Answer);
-  __isset = other336.__isset;
-}
-kept_claim& kept_claim::operator=(const kept_claim& other337) {
-  KeyHash = other337.KeyHash;
-  Organisation = other337.Organisation;
-  Holder = other337.Holder;
-  BodyHash = other337.BodyHash;
-  RetainMicros = other337.RetainMicros;
-  TimedKey = other337.TimedKey;
-  Held = other337.Held;
-  Outcome = other337.Outcome;
-  Released = other337.Released;
-  Answer = other337.Answer;
-  __isset = other337.__isset;
+kept_claim::kept_claim(const kept_claim& other349) {
+  KeyHash = other349.KeyHash;
+  Organisation = other349.Organisation;
+  Holder = other349.Holder;
+  BodyHash = other349.BodyHash;
+  RetainMicros = other349.RetainMicros;
+  TimedKey = other349.TimedKey;
+  Held = other349.Held;
+  Outcome = other349.Outcome;
+  Released = other349.Released;
+  Answer = other349.Answer;
+  __isset = other349.__isset;
+}
+kept_claim::kept_claim(kept_claim&& other350) noexcept {
+  KeyHash = std::move(other350.KeyHash);
+  Organisation = other350.Organisation;
+  Holder = std::move(other350.Holder);
+  BodyHash = other350.BodyHash;
+  RetainMicros = other350.RetainMicros;
+  TimedKey = other350.TimedKey;
+  Held = other350.Held;
+  Outcome = other350.Outcome;
+  Released = std::move(other350.Released);
+  Answer = std::move(other350.Answer);
+  __isset = other350.__isset;
+}
+kept_claim& kept_claim::operator=(const kept_claim& other351) {
+  KeyHash = other351.KeyHash;
+  Organisation = other351.Organisation;
+  Holder = other351.Holder;
+  BodyHash = other351.BodyHash;
+  RetainMicros = other351.RetainMicros;
+  TimedKey = other351.TimedKey;
+  Held = other351.Held;
+  Outcome = other351.Outcome;
+  Released = other351.Released;
+  Answer = other351.Answer;
+  __isset = other351.__isset;
   return *this;
 }
-kept_claim& kept_claim::operator=(kept_claim&& other338) noexcept {
-  KeyHash = std::move(other338.KeyHash);
-  Organisation = other338.Organisation;
-  Holder = std::move(other338.Holder);
-  BodyHash = other338.BodyHash;
-  RetainMicros = other338.RetainMicros;
-  TimedKey = other338.TimedKey;
-  Held = other338.Held;
-  Outcome = other338.Outcome;
-  Released = std::move(other338.Released);
-  Answer = std::move(other338.Answer);
-  __isset = other338.__isset;
+kept_claim& kept_claim::operator=(kept_claim&& other352) noexcept {
+  KeyHash = std::move(other352.KeyHash);
+  Organisation = other352.Organisation;
+  Holder = std::move(other352.Holder);
+  BodyHash = other352.BodyHash;
+  RetainMicros = other352.RetainMicros;
+  TimedKey = other352.TimedKey;
+  Held = other352.Held;
+  Outcome = other352.Outcome;
+  Released = std::move(other352.Released);
+  Answer = std::move(other352.Answer);
+  __isset = other352.__isset;
   return *this;
 }
 void kept_claim::printTo(std::ostream& out) const {
@@ -9435,14 +9747,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size339;
-            ::apache::thrift::protocol::TType _etype342;
-            xfer += iprot->readListBegin(_etype342, _size339);
-            this->Claims.resize(_size339);
-            uint32_t _i343;
-            for (_i343 = 0; _i343 < _size339; ++_i343)
+            uint32_t _size353;
+            ::apache::thrift::protocol::TType _etype356;
+            xfer += iprot->readListBegin(_etype356, _size353);
+            this->Claims.resize(_size353);
+            uint32_t _i357;
+            for (_i357 = 0; _i357 < _size353; ++_i357)
             {
-              xfer += this->Claims[_i343].read(iprot);
+              xfer += this->Claims[_i357].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9455,14 +9767,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Writers.clear();
-            uint32_t _size344;
-            ::apache::thrift::protocol::TType _etype347;
-            xfer += iprot->readListBegin(_etype347, _size344);
-            this->Writers.resize(_size344);
-            uint32_t _i348;
-            for (_i348 = 0; _i348 < _size344; ++_i348)
+            uint32_t _size358;
+            ::apache::thrift::protocol::TType _etype361;
+            xfer += iprot->readListBegin(_etype361, _size358);
+            this->Writers.resize(_size358);
+            uint32_t _i362;
+            for (_i362 = 0; _i362 < _size358; ++_i362)
             {
-              xfer += this->Writers[_i348].read(iprot);
+              xfer += this->Writers[_i362].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9499,14 +9811,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Organisations.clear();
-            uint32_t _size349;
-            ::apache::thrift::protocol::TType _etype352;
-            xfer += iprot->readListBegin(_etype352, _size349);
-            this->Organisations.resize(_size349);
-            uint32_t _i353;
-            for (_i353 = 0; _i353 < _size349; ++_i353)
+            uint32_t _size363;
+            ::apache::thrift::protocol::TType _etype366;
+            xfer += iprot->readListBegin(_etype366, _size363);
+            this->Organisations.resize(_size363);
+            uint32_t _i367;
+            for (_i367 = 0; _i367 < _size363; ++_i367)
             {
-              xfer += iprot->readString(this->Organisations[_i353]);
+              xfer += iprot->readString(this->Organisations[_i367]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9535,10 +9847,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<kept_claim> ::const_iterator _iter354;
-    for (_iter354 = this->Claims.begin(); _iter354 != this->Claims.end(); ++_iter354)
+    std::vector<kept_claim> ::const_iterator _iter368;
+    for (_iter368 = this->Claims.begin(); _iter368 != this->Claims.end(); ++_iter368)
     {
-      xfer += (*_iter354).write(oprot);
+      xfer += (*_iter368).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9547,10 +9859,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter355;
-    for (_iter355 = this->Writers.begin(); _iter355 != this->Writers.end(); ++_iter355)
+    std::vector<writer_state> ::const_iterator _iter369;
+    for (_iter369 = this->Writers.begin(); _iter369 != this->Writers.end(); ++_iter369)
     {
-      xfer += (*_iter355).write(oprot);
+      xfer += (*_iter369).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9571,10 +9883,10 @@
   xfer += oprot->writeFieldBegin("Organisations", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Organisations.size()));
-    std::vector<std::string> ::const_iterator _iter356;
-    for (_iter356 = this->Organisations.begin(); _iter356 != this->Organisations.end(); ++_iter356)
+    std::vector<std::string> ::const_iterator _iter370;
+    for (_iter370 = this->Organisations.begin(); _iter370 != this->Organisations.end(); ++_iter370)
     {
-      xfer += oprot->writeString((*_iter356));
+      xfer += oprot->writeString((*_iter370));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9596,42 +9908,42 @@
   swap(a.__isset, b.__isset);
 }
 
-claims_state::claims_state(const claims_state& other357) {
-  Claims = other357.Claims;
-  Writers = other357.Writers;
-  TimeMicros = other357.TimeMicros;
-  KeyHorizonMicros = other357.KeyHorizonMicros;
-  OpaqueHorizonMicros = other357.OpaqueHorizonMicros;
-  Organisations = other357.Organisations;
-  __isset = other357.__isset;
-}
-claims_state::claims_state(claims_state&& other358) noexcept {
-  Claims = std::move(other358.Claims);
-  Writers = std::move(other358.Writers);
-  TimeMicros = other358.TimeMicros;
-  KeyHorizonMicros = other358.KeyHorizonMicros;
-  OpaqueHorizonMicros = other358.OpaqueHorizonMicros;
-  Organisations = std::move(other358.Organisations);
-  __isset = other358.__isset;
-}
-claims_state& claims_state::operator=(const claims_state& other359) {
-  Claims = other359.Claims;
-  Writers = other359.Writers;
-  TimeMicros = other359.TimeMicros;
-  KeyHorizonMicros = other359.KeyHorizonMicros;
-  OpaqueHorizonMicros = other359.OpaqueHorizonMicros;
-  Organisations = other359.Organisations;
-  __isset = other359.__isset;
+claims_state::claims_state(const claims_state& other371) {
+  Claims = other371.Claims;
+  Writers = other371.Writers;
+  TimeMicros = other371.TimeMicros;
+  KeyHorizonMicros = other371.KeyHorizonMicros;
+  OpaqueHorizonMicros = other371.OpaqueHorizonMicros;
+  Organisations = other371.Organisations;
+  __isset = other371.__isset;
+}
+claims_state::claims_state(claims_state&& other372) noexcept {
+  Claims = std::move(other372.Claims);
+  Writers = std::move(other372.Writers);
+  TimeMicros = other372.TimeMicros;
+  KeyHorizonMicros = other372.KeyHorizonMicros;
+  OpaqueHorizonMicros = other372.OpaqueHorizonMicros;
+  Organisations = std::move(other372.Organisations);
+  __isset = other372.__isset;
+}
+claims_state& claims_state::operator=(const claims_state& other373) {
+  Claims = other373.Claims;
+  Writers = other373.Writers;
+  TimeMicros = other373.TimeMicros;
+  KeyHorizonMicros = other373.KeyHorizonMicros;
+  OpaqueHorizonMicros = other373.OpaqueHorizonMicros;
+  Organisations = other373.Organisations;
+  __isset = other373.__isset;
   return *this;
 }
-claims_state& claims_state::operator=(claims_state&& other360) noexcept {
-  Claims = std::move(other360.Claims);
-  Writers = std::move(other360.Writers);
-  TimeMicros = other360.TimeMicros;
-  KeyHorizonMicros = other360.KeyHorizonMicros;
-  OpaqueHorizonMicros = other360.OpaqueHorizonMicros;
-  Organisations = std::move(other360.Organisations);
-  __isset = other360.__isset;
+claims_state& claims_state::operator=(claims_state&& other374) noexcept {
+  Claims = std::move(other374.Claims);
+  Writers = std::move(other374.Writers);
+  TimeMicros = other374.TimeMicros;
+  KeyHorizonMicros = other374.KeyHorizonMicros;
+  OpaqueHorizonMicros = other374.OpaqueHorizonMicros;
+  Organisations = std::move(other374.Organisations);
+  __isset = other374.__isset;
   return *this;
 }
 void claims_state::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -189,6 +189,10 @@
 
 class slot_renew;
 
+class document_piece;
+
+class document_difference;
+
 class config_edit;
 
 class key_give;
@@ -2173,11 +2177,122 @@
 
 std::ostream& operator<<(std::ostream& out, const slot_renew& obj);
 
+typedef struct _document_piece__isset {
+  _document_piece__isset() : Start(false), Length(false), Text(false) {}
+  bool Start :1;
+  bool Length :1;
+  bool Text :1;
+} _document_piece__isset;
+
+class document_piece : public virtual ::apache::thrift::TBase {
+ public:
+
+  document_piece(const document_piece&);
+  document_piece(document_piece&&) noexcept;
+  document_piece& operator=(const document_piece&);
+  document_piece& operator=(document_piece&&) noexcept;
+  document_piece() noexcept
+                 : Start(0),
+                   Length(0),
+                   Text() {
+  }
+
+  virtual ~document_piece() noexcept;
+  int32_t Start;
+  int32_t Length;
+  std::string Text;
+
+  _document_piece__isset __isset;
+
+  void __set_Start(const int32_t val);
+
+  void __set_Length(const int32_t val);
+
+  void __set_Text(const std::string& val);
+
+  bool operator == (const document_piece & rhs) const
+  {
+    if (!(Start == rhs.Start))
+      return false;
+    if (!(Length == rhs.Length))
+      return false;
+    if (!(Text == rhs.Text))
+      return false;
+    return true;
+  }
+  bool operator != (const document_piece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const document_piece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(document_piece &a, document_piece &b);
+
+std::ostream& operator<<(std::ostream& out, const document_piece& obj);
+
+typedef struct _document_difference__isset {
+  _document_difference__isset() : Pieces(false), ResultHash(false) {}
+  bool Pieces :1;
+  bool ResultHash :1;
+} _document_difference__isset;
+
+class document_difference : public virtual ::apache::thrift::TBase {
+ public:
+
+  document_difference(const document_difference&);
+  document_difference(document_difference&&) noexcept;
+  document_difference& operator=(const document_difference&);
+  document_difference& operator=(document_difference&&) noexcept;
+  document_difference() noexcept
+                      : ResultHash() {
+  }
+
+  virtual ~document_difference() noexcept;
+  std::vector<document_piece>  Pieces;
+  std::string ResultHash;
+
+  _document_difference__isset __isset;
+
+  void __set_Pieces(const std::vector<document_piece> & val);
+
+  void __set_ResultHash(const std::string& val);
+
+  bool operator == (const document_difference & rhs) const
+  {
+    if (!(Pieces == rhs.Pieces))
+      return false;
+    if (!(ResultHash == rhs.ResultHash))
+      return false;
+    return true;
+  }
+  bool operator != (const document_difference &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const document_difference & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(document_difference &a, document_difference &b);
+
+std::ostream& operator<<(std::ostream& out, const document_difference& obj);
+
 typedef struct _config_edit__isset {
-  _config_edit__isset() : Base(false), Document(false), Author(false) {}
+  _config_edit__isset() : Base(false), Document(false), Author(false), Difference(false) {}
   bool Base :1;
   bool Document :1;
   bool Author :1;
+  bool Difference :1;
 } _config_edit__isset;
 
 class config_edit : public virtual ::apache::thrift::TBase {
@@ -2197,6 +2312,7 @@
   int64_t Base;
   std::string Document;
   std::string Author;
+  document_difference Difference;
 
   _config_edit__isset __isset;
 
@@ -2206,6 +2322,8 @@
 
   void __set_Author(const std::string& val);
 
+  void __set_Difference(const document_difference& val);
+
   bool operator == (const config_edit & rhs) const
   {
     if (!(Base == rhs.Base))
@@ -2214,6 +2332,10 @@
       return false;
     if (!(Author == rhs.Author))
       return false;
+    if (__isset.Difference != rhs.__isset.Difference)
+      return false;
+    else if (__isset.Difference && !(Difference == rhs.Difference))
+      return false;
     return true;
   }
   bool operator != (const config_edit &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -249,12 +249,26 @@
 
 // ---------------------------------------------------------------- log records
 
+// Copies Length bytes of the base from Start on, and appends Text.
+struct document_piece {
+  1: i32 Start
+  2: i32 Length
+  3: binary Text
+}
+
+// How a document is made from another one: its pieces, one after the other.
+struct document_difference {
+  1: list<document_piece> Pieces
+  2: binary ResultHash         // 16 bytes of XXH3-128 of the document
+}
+
 // Replaces the configuration document. Valid when Base is the offset of the
 // document in force.
 struct config_edit {
   1: i64 Base
-  2: string Document           // YAML
+  2: string Document           // YAML; empty when there is a Difference
   3: string Author
+  4: optional document_difference Difference  // to the document in force
 }
 
 struct key_give {
