--- a/cli/report.cc
+++ b/cli/report.cc
@@ -9,7 +9,7 @@
 #include "cli/report_render.h"
 #include "cli/report_scraper.h"
 #include "io/clock.h"
-#include "monsoonreel/address.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::cli {
 
--- a/cli/report_folders.h
+++ b/cli/report_folders.h
@@ -19,7 +19,7 @@
 #include <string>
 #include <vector>
 
-#include "monsoonreel/burn_counter.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::cli {
 
--- a/cli/report_objectives.cc
+++ b/cli/report_objectives.cc
@@ -5,7 +5,7 @@
 #include <sstream>
 
 #include "cli/log_session.h"
-#include "monsoonreel/configuration.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::cli {
 
--- a/cli/report_objectives.h
+++ b/cli/report_objectives.h
@@ -7,7 +7,7 @@
 #include <optional>
 
 #include "cli/report.h"
-#include "monsoonreel/burn_report.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::cli {
 
--- a/cli/report_render.h
+++ b/cli/report_render.h
@@ -7,7 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "monsoonreel/burn_report.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::cli {
 
--- a/cli/report_scraper.h
+++ b/cli/report_scraper.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "io/http_call.h"
-#include "monsoonreel/burn_counter.h"
+#include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::cli {
 
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -214,7 +214,8 @@
   bool UsageMayBeLost = false;
 
   int64_t OperatorSequence = 0;
-  int64_t ConfigBase = 0; // as the operators know it
+  int64_t ConfigBase = 0;                   // as the operators know it
+  std::map<int64_t, std::string> Documents; // by version
   int DocumentVersion = 0;
   // Key id to the time of its withdrawal.
   std::map<std::string, duration> Withdrawn;
--- a/monsoonreel/monsoonreel.h
+++ b/monsoonreel/monsoonreel.h
@@ -29,6 +29,8 @@
 //   settings.h       a process' own settings, checked
 //   configuration.h  what operators apply while traffic runs, checked
 //   questionnaire.h  the answers that a configuration is generated from
+//   document_difference.h  edits of the configuration
+//   burn_report.h    service-level burn, with burn_sample.h and burn_counter.h
 //   finding.h        faults of an input, with their places
 //   address.h        addresses
 //   incarnation.h    the number that tells two runs of a process apart
@@ -42,7 +44,11 @@
 #define MONSOONREEL_MONSOONREEL_H
 
 #include "monsoonreel/address.h"
+#include "monsoonreel/burn_counter.h"
+#include "monsoonreel/burn_report.h"
+#include "monsoonreel/burn_sample.h"
 #include "monsoonreel/configuration.h"
+#include "monsoonreel/document_difference.h"
 #include "monsoonreel/effect.h"
 #include "monsoonreel/event.h"
 #include "monsoonreel/finding.h"
