Configuration: one reader for documents, and the page of all keys

Cause: the configuration, the questionnaire, the settings and scenarios each wrapped their reader alike, the first two had bounds of their own, and the keys stood only in headers. Policies are those of scheduling_policy.h. Ruled out: a table beside the reader; the two would differ in time.

--- a/cli/commands.h
+++ b/cli/commands.h
@@ -23,6 +23,9 @@
 // for the one before the document in force.
 int rollback(const options &Options, int64_t Version);
 
+// Prints docs/CONFIGURATION.md.
+int printReference();
+
 // Callers' keys.
 int giveKey(const options &Options, const std::string &Organisation);
 int withdrawKey(const options &Options, const std::string &KeyId);
--- a/cli/config_commands.cc
+++ b/cli/config_commands.cc
@@ -118,6 +118,11 @@
   return exit_done;
 }
 
+int printReference() {
+  std::cout << configurationPage();
+  return exit_done;
+}
+
 int applyFile(const options &Options, const std::string &File) {
   auto Document = readDocument(Options, File);
   if (!Document)
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -62,6 +62,7 @@
   drain ADMIN          let a node end what it runs, and end
   report [FOLDER...]   service-level burn by class and organisation, from saved
                        metrics or from --entries
+  reference            print the page of all keys of configuration and settings
 
 Exit status: 0 done, 1 wrong use, 2 findings, 3 conflict, 4 platform or node not
 reached, 5 done but not in force everywhere in time.)";
@@ -149,6 +150,8 @@
     return showStatus(Options);
   if (Words[0] == "drain" && Words.size() > 1)
     return drainNode(Options, Words[1]);
+  if (Words[0] == "reference")
+    return printReference();
   if (Words[0] == "report")
     return printReport(Options, readReportOptions(Words));
   return runOnLog(Options, Words);
--- a/fuzz/input_mutator.cc
+++ b/fuzz/input_mutator.cc
@@ -42,10 +42,15 @@
   case 3:
     return insertSample(Input);
   default:
-    Input[below(Input.size())] ^= static_cast<char>(1U << below(8));
+    return flipBit(Input);
   }
 }
 
+void input_mutator::flipBit(std::string &Input) {
+  char &Byte = Input[below(Input.size())];
+  Byte = static_cast<char>(static_cast<unsigned char>(Byte) ^ (1U << below(8)));
+}
+
 void input_mutator::replaceByte(std::string &Input) {
   Input[below(Input.size())] =
       static_cast<char>(TellingBytes[below(TellingBytes.size())]);
--- a/fuzz/input_mutator.h
+++ b/fuzz/input_mutator.h
@@ -28,6 +28,7 @@
   // A number below Limit, which is positive.
   size_t below(size_t Limit);
   void change(std::string &Input);
+  void flipBit(std::string &Input);
   void replaceByte(std::string &Input);
   void removePart(std::string &Input);
   void repeatPart(std::string &Input);
--- a/load/scenario.cc
+++ b/load/scenario.cc
@@ -103,7 +103,6 @@
   });
   if (Scenario.Traffic.empty() || Scenario.Organisations.empty())
     Root.reject("traffic", "needs traffic and organisations");
-  Root.rejectUnknown();
   return Scenario;
 }
 
@@ -111,15 +110,7 @@
 
 tl::expected<scenario, finding_list> parseScenario(const std::string &Document,
                                                    const std::string &File) {
-  finding_list Findings;
-  scenario Scenario;
-  if (auto Node = loadYaml(Document, File, Findings)) {
-    yaml_map Root(*Node, File, "", Findings);
-    Scenario = readScenario(Root);
-  }
-  if (!Findings.empty())
-    return tl::unexpected(std::move(Findings));
-  return Scenario;
+  return readYamlDocument(Document, File, readScenario);
 }
 
 } // namespace monsoonreel::load
--- a/monsoonreel/configuration.cc
+++ b/monsoonreel/configuration.cc
@@ -3,17 +3,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "monsoonreel/yaml_reader.h"
+#include "monsoonreel/configuration_page.h"
+#include "monsoonreel/configuration_values.h"
 
 namespace monsoonreel {
 
 namespace {
 
-constexpr int max_tier = 3;
-constexpr duration longest_time = std::chrono::hours(24 * 30);
-constexpr int max_concurrency = 10000;
-constexpr double max_rate = 1e6;
-
 // Reads one document. Each `read` function handles one list; the `check`
 // functions compare the lists with each other.
 class configuration_reader {
@@ -27,7 +23,6 @@
     Root.maps("routes", [&](yaml_map &Map) { readRoute(Map); });
     readLimits();
     checkShares();
-    Root.rejectUnknown();
     return std::move(Result);
   }
 
@@ -62,7 +57,7 @@
   void readUpstream(yaml_map &Map) {
     upstream Up;
     Up.Name = upstream_name(Map.text("name"));
-    Up.Kind = readKind(Map);
+    Up.Kind = readUpstreamKind(Map);
     Up.Pool = pool_name(Map.text("pool"));
     Up.Zone = zone_name(Map.text("zone"));
     Up.Address = Map.endpoint("address");
@@ -73,13 +68,6 @@
     addUnique(Result.Upstreams, Up, Map);
   }
 
-  static upstream_kind readKind(yaml_map &Map) {
-    std::string Kind = Map.text("kind", "engine");
-    if (Kind != "engine" && Kind != "service")
-      Map.reject("kind", "must be engine or service");
-    return Kind == "service" ? upstream_kind::Service : upstream_kind::Engine;
-  }
-
   void readRoute(yaml_map &Map) {
     route Route;
     Route.PathPrefix = Map.text("path");
@@ -148,6 +136,10 @@
   configuration Result;
 };
 
+configuration readConfiguration(yaml_map &Root) {
+  return configuration_reader(Root).read();
+}
+
 } // namespace
 
 const route *configuration::findRoute(const std::string &Path) const {
@@ -178,15 +170,11 @@
 
 tl::expected<configuration, finding_list>
 parseConfiguration(const std::string &Document, const std::string &File) {
-  finding_list Findings;
-  configuration Result;
-  if (auto Node = loadYaml(Document, File, Findings)) {
-    yaml_map Root(*Node, File, "", Findings);
-    Result = configuration_reader(Root).read();
-  }
-  if (!Findings.empty())
-    return tl::unexpected(std::move(Findings));
-  return Result;
+  return readYamlDocument(Document, File, readConfiguration);
+}
+
+std::vector<yaml_field> configurationFields() {
+  return fieldsOf(readConfiguration);
 }
 
 } // namespace monsoonreel
--- a/monsoonreel/monsoonreel.h
+++ b/monsoonreel/monsoonreel.h
@@ -28,6 +28,7 @@
 //   node_builder.h   how an entry and a steward are built
 //   settings.h       a process' own settings, checked
 //   configuration.h  what operators apply while traffic runs, checked
+//   configuration_page.h  the page of all keys, with yaml_field.h
 //   questionnaire.h  the answers that a configuration is generated from
 //   document_difference.h  edits of the configuration
 //   burn_report.h    service-level burn, with burn_sample.h and burn_counter.h
@@ -48,6 +49,7 @@
 #include "monsoonreel/burn_report.h"
 #include "monsoonreel/burn_sample.h"
 #include "monsoonreel/configuration.h"
+#include "monsoonreel/configuration_page.h"
 #include "monsoonreel/document_difference.h"
 #include "monsoonreel/effect.h"
 #include "monsoonreel/event.h"
--- a/monsoonreel/questionnaire.cc
+++ b/monsoonreel/questionnaire.cc
@@ -5,16 +5,12 @@
 #include <set>
 #include <utility>
 
-#include "monsoonreel/yaml_reader.h"
+#include "monsoonreel/configuration_values.h"
 
 namespace monsoonreel {
 
 namespace {
 
-constexpr int max_tier = 3;
-constexpr duration longest_time = std::chrono::hours(24 * 30);
-constexpr double max_rate = 1e6;
-constexpr int max_concurrency = 10000;
 constexpr size_t max_name_length = 64;
 constexpr char default_model_path[] = "/v1/chat/completions";
 
@@ -51,7 +47,6 @@
     for (size_t I = 0; I < Result.Requests.size(); ++I)
       checkPeak(RequestMaps[I], Result.Requests[I]);
     checkShares();
-    Root.rejectUnknown();
     return std::move(Result);
   }
 
@@ -74,7 +69,7 @@
   void readUpstreams(yaml_map &Map) {
     upstream_group Group;
     Group.Pool = pool_name(readName(Map, "pool"));
-    Group.Kind = readKind(Map);
+    Group.Kind = readUpstreamKind(Map);
     Group.Zone = zone_name(readName(Map, "zone"));
     Group.Cheap = Map.flag("may_vanish", false);
     Group.Cost = Map.number("cost", 0.0, max_rate, 1.0);
@@ -99,13 +94,6 @@
     Result.Upstreams.push_back(std::move(Group));
   }
 
-  static upstream_kind readKind(yaml_map &Map) {
-    std::string Kind = Map.text("kind", "engine");
-    if (Kind != "engine" && Kind != "service")
-      Map.reject("kind", "must be engine or service");
-    return Kind == "service" ? upstream_kind::Service : upstream_kind::Engine;
-  }
-
   void readRequest(yaml_map &Map) {
     request_kind Kind;
     Kind.Class = readClass(Map);
@@ -301,19 +289,15 @@
   std::set<std::string> OrganisationNames;
 };
 
+questionnaire readQuestionnaire(yaml_map &Root) {
+  return questionnaire_reader(Root).read();
+}
+
 } // namespace
 
 tl::expected<questionnaire, finding_list>
 parseQuestionnaire(const std::string &Document, const std::string &File) {
-  finding_list Findings;
-  questionnaire Result;
-  if (auto Node = loadYaml(Document, File, Findings)) {
-    yaml_map Root(*Node, File, "", Findings);
-    Result = questionnaire_reader(Root).read();
-  }
-  if (!Findings.empty())
-    return tl::unexpected(std::move(Findings));
-  return Result;
+  return readYamlDocument(Document, File, readQuestionnaire);
 }
 
 } // namespace monsoonreel
--- a/monsoonreel/settings.cc
+++ b/monsoonreel/settings.cc
@@ -1,41 +1,19 @@
 #include "monsoonreel/settings.h"
 
-#include <algorithm>
-#include <array>
-#include <string_view>
-#include <utility>
-
 #include "monsoonreel/address.h"
+#include "monsoonreel/configuration_page.h"
+#include "monsoonreel/scheduling_policy.h"
 #include "monsoonreel/yaml_reader.h"
 
 namespace monsoonreel {
 
 namespace {
 
-constexpr std::array<std::string_view, 3> Policies = {
-    "tiered", "least-in-flight", "round-robin-fifo"};
-constexpr std::array<std::string_view, 4> LogLevels = {"debug", "info",
-                                                       "warning", "error"};
-
 constexpr int max_body_bytes = 256 * 1024 * 1024;
 constexpr int max_connections = 100000;
 constexpr duration shortest_timeout = std::chrono::milliseconds(10);
 constexpr duration longest_timeout = std::chrono::hours(1);
 
-template <size_t Count>
-std::string readChoice(yaml_map &Map, const std::string &Key,
-                       const std::array<std::string_view, Count> &Choices,
-                       const std::string &Default) {
-  std::string Value = Map.text(Key, Default);
-  if (std::find(Choices.begin(), Choices.end(), Value) != Choices.end())
-    return Value;
-  std::string Message = "must be one of:";
-  for (std::string_view Choice : Choices)
-    Message += " " + std::string(Choice);
-  Map.reject(Key, Message);
-  return Default;
-}
-
 listener_limits readLimits(yaml_map Map) {
   listener_limits Limits;
   Limits.HeaderBytes =
@@ -67,29 +45,29 @@
   return Seeds;
 }
 
+settings readSettings(yaml_map &Root) {
+  settings Result;
+  Result.Name = node_name(Root.text("name"));
+  Result.Zone = zone_name(Root.text("zone"));
+  Result.Listen = Root.endpoint("listen", address());
+  Result.Peer = Root.endpoint("peer");
+  Result.Admin = Root.endpoint("admin");
+  Result.Platform = Root.endpoint("platform");
+  Result.Seeds = readSeeds(Root);
+  Result.Policy = Root.choice("policy", schedulingPolicyNames(), Result.Policy);
+  Result.LogLevel = Root.choice(
+      "log_level", {"debug", "info", "warning", "error"}, Result.LogLevel);
+  Result.Limits = readLimits(Root.map("limits"));
+  return Result;
+}
+
 } // namespace
 
 tl::expected<settings, finding_list> parseSettings(const std::string &Document,
                                                    const std::string &File) {
-  finding_list Findings;
-  settings Result;
-  if (auto Node = loadYaml(Document, File, Findings)) {
-    yaml_map Root(*Node, File, "", Findings);
-    Result.Name = node_name(Root.text("name"));
-    Result.Zone = zone_name(Root.text("zone"));
-    Result.Listen = Root.endpoint("listen", address());
-    Result.Peer = Root.endpoint("peer");
-    Result.Admin = Root.endpoint("admin");
-    Result.Platform = Root.endpoint("platform");
-    Result.Seeds = readSeeds(Root);
-    Result.Policy = readChoice(Root, "policy", Policies, Result.Policy);
-    Result.LogLevel = readChoice(Root, "log_level", LogLevels, Result.LogLevel);
-    Result.Limits = readLimits(Root.map("limits"));
-    Root.rejectUnknown();
-  }
-  if (!Findings.empty())
-    return tl::unexpected(std::move(Findings));
-  return Result;
+  return readYamlDocument(Document, File, readSettings);
 }
 
+std::vector<yaml_field> settingsFields() { return fieldsOf(readSettings); }
+
 } // namespace monsoonreel
--- a/monsoonreel/settings.h
+++ b/monsoonreel/settings.h
@@ -9,7 +9,7 @@
 //   admin: 127.0.0.1:7200         # health, metrics, status
 //   platform: 127.0.0.1:7900
 //   seeds: [127.0.0.1:7101, 127.0.0.1:7102]
-//   policy: tiered                # or least-in-flight, round-robin-fifo
+//   policy: tiered                # or another of scheduling_policy.h
 //   log_level: info
 //   limits:
 //     header_bytes: 32768
--- /dev/null
+++ b/monsoonreel/yaml_field.h
@@ -0,0 +1,21 @@
+// What a reader of a YAML document accepts at one key.
+//
+//   yaml_field Tier{"classes[].tier", "a whole number from 0 to 3", {}};
+
+#ifndef MONSOONREEL_YAML_FIELD_H
+#define MONSOONREEL_YAML_FIELD_H
+
+#include <optional>
+#include <string>
+
+namespace monsoonreel {
+
+struct yaml_field {
+  std::string Path;
+  std::string Accepts;
+  std::optional<std::string> Default; // nothing: the key must be present
+};
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_YAML_FIELD_H
--- a/monsoonreel/yaml_reader.cc
+++ b/monsoonreel/yaml_reader.cc
@@ -61,6 +61,17 @@
   return Text;
 }
 
+std::string describe(duration Value) { return timeText(Value); }
+
+std::string describe(int Value) { return std::to_string(Value); }
+
+std::string describe(bool Value) { return Value ? "true" : "false"; }
+
+template <typename T>
+std::optional<std::string> describeDefault(const std::optional<T> &Default) {
+  return Default ? std::optional(describe(*Default)) : std::nullopt;
+}
+
 } // namespace
 
 std::string timeText(duration Value) {
@@ -96,6 +107,7 @@
 
 std::string yaml_map::text(const std::string &Key,
                            const std::optional<std::string> &Default) {
+  record(Key, "a text", Default);
   auto Value = scalar(Key, Default.has_value());
   if (!Value)
     return Default.value_or("");
@@ -106,6 +118,9 @@
 
 int yaml_map::integer(const std::string &Key, int Least, int Most,
                       std::optional<int> Default) {
+  std::string Accepts = "a whole number from " + std::to_string(Least) +
+                        " to " + std::to_string(Most);
+  record(Key, Accepts, describeDefault(Default));
   auto Text = scalar(Key, Default.has_value());
   if (!Text)
     return Default.value_or(Least);
@@ -113,25 +128,43 @@
   if (Value && *Value == std::floor(*Value) && *Value >= Least &&
       *Value <= Most)
     return static_cast<int>(*Value);
-  reject(Key, "must be a whole number from " + std::to_string(Least) + " to " +
-                  std::to_string(Most));
+  reject(Key, "must be " + Accepts);
   return Default.value_or(Least);
 }
 
 double yaml_map::number(const std::string &Key, double Least, double Most,
                         std::optional<double> Default) {
+  std::string Accepts =
+      "a number from " + describe(Least) + " to " + describe(Most);
+  record(Key, Accepts, describeDefault(Default));
   auto Text = scalar(Key, Default.has_value());
   if (!Text)
     return Default.value_or(Least);
   auto Value = parseNumber(*Text);
   if (Value && *Value >= Least && *Value <= Most)
     return *Value;
-  reject(Key,
-         "must be a number from " + describe(Least) + " to " + describe(Most));
+  reject(Key, "must be " + Accepts);
   return Default.value_or(Least);
 }
 
+std::string yaml_map::choice(const std::string &Key,
+                             const std::vector<std::string> &Choices,
+                             const std::string &Default) {
+  std::string Accepts = "one of:";
+  for (const std::string &Choice : Choices)
+    Accepts += " " + Choice;
+  record(Key, Accepts, Default);
+  auto Value = scalar(Key, true);
+  if (!Value)
+    return Default;
+  if (std::find(Choices.begin(), Choices.end(), *Value) != Choices.end())
+    return *Value;
+  reject(Key, "must be " + Accepts);
+  return Default;
+}
+
 bool yaml_map::flag(const std::string &Key, std::optional<bool> Default) {
+  record(Key, "true or false", describeDefault(Default));
   auto Text = scalar(Key, Default.has_value());
   if (!Text)
     return Default.value_or(false);
@@ -143,19 +176,23 @@
 
 duration yaml_map::time(const std::string &Key, duration Least, duration Most,
                         std::optional<duration> Default) {
+  std::string Accepts =
+      "a time from " + timeText(Least) + " to " + timeText(Most);
+  record(Key, Accepts, describeDefault(Default));
   auto Text = scalar(Key, Default.has_value());
   if (!Text)
     return Default.value_or(Least);
   auto Value = parseTime(*Text);
   if (Value && *Value >= Least && *Value <= Most)
     return *Value;
-  reject(Key, "must be a time from " + timeText(Least) + " to " +
-                  timeText(Most) + ", such as 350ms or 2s");
+  reject(Key, "must be " + Accepts + ", such as 350ms or 2s");
   return Default.value_or(Least);
 }
 
 address yaml_map::endpoint(const std::string &Key,
                            const std::optional<address> &Default) {
+  record(Key, "an IP address and a port",
+         Default ? std::optional(Default->Value) : std::nullopt);
   auto Text = scalar(Key, Default.has_value());
   if (!Text)
     return Default.value_or(address());
@@ -165,6 +202,7 @@
 }
 
 std::vector<std::string> yaml_map::texts(const std::string &Key) {
+  record(Key, "a list of texts", "");
   Read.push_back(Key);
   std::vector<std::string> Values;
   if (!has(Key))
@@ -185,6 +223,13 @@
 void yaml_map::maps(const std::string &Key,
                     const std::function<void(yaml_map &)> &Visit) {
   Read.push_back(Key);
+  if (Fields && !has(Key)) {
+    finding_list Ignored;
+    yaml_map Map(YAML::Node(YAML::NodeType::Map), File, pathOf(Key) + "[]",
+                 Ignored);
+    Map.recordFields(*Fields);
+    Visit(Map);
+  }
   if (!has(Key))
     return;
   if (!Node[Key].IsSequence()) {
@@ -203,7 +248,15 @@
 yaml_map yaml_map::map(const std::string &Key) {
   Read.push_back(Key);
   YAML::Node Below = has(Key) ? Node[Key] : YAML::Node(YAML::NodeType::Map);
-  return {Below, File, pathOf(Key), Findings};
+  yaml_map Map(Below, File, pathOf(Key), Findings);
+  Map.Fields = Fields;
+  return Map;
+}
+
+void yaml_map::record(const std::string &Key, const std::string &Accepts,
+                      const std::optional<std::string> &Default) {
+  if (Fields)
+    Fields->push_back({pathOf(Key), Accepts, Default});
 }
 
 void yaml_map::reject(const std::string &Key, const std::string &Message) {
