Fault matrix: late answers, a cut from the log alone, and a second replay

Cause: the matrix did not notice the loss of Fencing, WithdrawalCancels and AttemptFilter. Ruled out: a stall of 6 s; the second attempt has ended by then, and the late part finds no request. 3 s strike it while it runs. Before: neither mechanism caught; the two steps not reached. That was the platform fake: a delayed report of a holder that had renewed its own lease. It compares holders, by the second replay, in place of bare fencing numbers; another holder's late report is a finding as before (fake_platform_test).

--- a/fault_matrix/caller_record.h
+++ b/fault_matrix/caller_record.h
@@ -29,6 +29,7 @@
   std::string Path;
   std::string Class;
   duration SentAt{};
+  duration Timeout = std::chrono::seconds(12);
 
   std::string Received;
   bool Begun = false;
--- a/fault_matrix/fake_platform.cc
+++ b/fault_matrix/fake_platform.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "monsoonreel/ledger.h"
+
 namespace monsoonreel::fault_matrix {
 
 log_offset fake_platform::append(const std::string &Stream,
@@ -11,7 +13,9 @@
   Stored.Offset = static_cast<int64_t>(Records.size()) + 1;
   Stored.Bytes = encodeRecord(Record);
   Records.push_back(std::move(Stored));
-  return log_offset{static_cast<int64_t>(Records.size())};
+  log_offset Offset{static_cast<int64_t>(Records.size())};
+  Reference.onRecord(Offset, Record);
+  return Offset;
 }
 
 log_offset fake_platform::end(const std::string &Stream) const {
@@ -25,13 +29,15 @@
 }
 
 log_records_read fake_platform::read(const read_log &Call) const {
+  auto Kept = Horizons.find(Call.Stream);
+  log_offset Horizon = Kept == Horizons.end() ? log_offset{1} : Kept->second;
   log_records_read Answer{
-      Call.Stream, Call.From, log_offset{1}, end(Call.Stream), {}};
+      Call.Stream, Call.From, Horizon, end(Call.Stream), {}};
   auto Found = Streams.find(Call.Stream);
   if (Found == Streams.end())
     return Answer;
   const auto &Records = Found->second;
-  auto First = static_cast<size_t>(std::max<int64_t>(Call.From.Value, 1)) - 1;
+  auto First = static_cast<size_t>(std::max(Call.From, Horizon).Value) - 1;
   for (size_t Place = First;
        Place < Records.size() && Answer.Records.size() < max_records_per_read;
        ++Place)
@@ -39,10 +45,20 @@
   return Answer;
 }
 
+void fake_platform::dropBefore(const std::string &Stream, log_offset Offset) {
+  Horizons[Stream] = Offset;
+}
+
 void fake_platform::report(const send_usage_report &Report) {
-  if (Report.Fence < HighestReportFence)
+  // A late report of one who has renewed its lease meanwhile is no finding.
+  if (Report.Fence < HighestReportFence &&
+      !Reference.isSameHolder(std::string(usage_lease), Report.Fence,
+                              HighestReportFence))
     Findings.push_back("usage report of a superseded holder, window " +
                        std::to_string(Report.Window));
+  if (Report.Window > Reference.lastClosedWindow())
+    Findings.push_back("report of window " + std::to_string(Report.Window) +
+                       ", which no valid record closed");
   HighestReportFence = std::max(HighestReportFence, Report.Fence);
   auto [Place, New] = Reports.emplace(Report.Window, Report.Figures);
   if (!New && !(Place->second == Report.Figures))
@@ -52,8 +68,12 @@
 
 void fake_platform::order(const wire::order_intent &Intent) {
   int64_t &Highest = HighestOrderFence[Intent.Zone];
-  if (Intent.Fence < Highest && !OrderIds.contains(Intent.OrderId))
+  if (Intent.Fence < Highest && !OrderIds.contains(Intent.OrderId) &&
+      !Reference.isSameHolder(orderLeaseName(zone_name(Intent.Zone)),
+                              Intent.Fence, Highest))
     Findings.push_back("order of a superseded holder in " + Intent.Zone);
+  if (!Reference.hasValidIntent(Intent.OrderId))
+    Findings.push_back("order " + Intent.OrderId + " without a valid intent");
   Highest = std::max(Highest, Intent.Fence);
   OrderIds.insert(Intent.OrderId);
 }
--- a/fault_matrix/fake_platform.h
+++ b/fault_matrix/fake_platform.h
@@ -1,7 +1,8 @@
 // The platform as nodes see it: a log, usage reports and upstream orders.
 //
 // It believes every caller and checks no fencing number, which is the harder
-// case. What it receives is judged by `findings`.
+// case. What it receives is judged by `findings`, against fencing numbers and
+// against a second replay of the log.
 
 #ifndef MONSOONREEL_FAULT_MATRIX_FAKE_PLATFORM_H
 #define MONSOONREEL_FAULT_MATRIX_FAKE_PLATFORM_H
@@ -12,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "fault_matrix/log_reference.h"
 #include "monsoonreel/effect.h"
 #include "monsoonreel/event.h"
 #include "monsoonreel/types.h"
@@ -29,6 +31,9 @@
   log_records_read read(const read_log &Call) const;
   bool hasNews(const read_log &Call) const;
 
+  // Forgets the records before Offset.
+  void dropBefore(const std::string &Stream, log_offset Offset);
+
   void report(const send_usage_report &Report);
   void order(const wire::order_intent &Intent);
 
@@ -37,11 +42,14 @@
   }
   size_t orderCount() const { return OrderIds.size(); }
   log_offset end(const std::string &Stream) const;
+  const log_reference &reference() const { return Reference; }
   // Each of the brief's promises on reports and orders that was broken.
   const std::vector<std::string> &findings() const { return Findings; }
 
 private:
   std::map<std::string, std::vector<wire::stored_record>> Streams;
+  std::map<std::string, log_offset> Horizons; // lowest offsets still kept
+  log_reference Reference;
   std::map<int64_t, std::vector<wire::usage_increment>> Reports;
   int64_t HighestReportFence = 0;
   std::map<std::string, int64_t> HighestOrderFence; // by zone
--- a/fault_matrix/steps.cc
+++ b/fault_matrix/steps.cc
@@ -52,10 +52,11 @@
     "order/call",     "order/answer", "dispatch/request", "dispatch/headers",
     "dispatch/chunk", "dispatch/end", "caller/request"};
 
-constexpr std::array<std::pair<fault, const char *>, 18> FaultNames = {{
+constexpr std::array<std::pair<fault, const char *>, 20> FaultNames = {{
     {fault::Lost, "lost"},
     {fault::Delayed, "delayed"},
     {fault::Doubled, "doubled"},
+    {fault::Stalled, "stalled"},
     {fault::Reordered, "reordered"},
     {fault::AnswerLost, "answer-lost"},
     {fault::SenderKilled, "sender-killed"},
@@ -65,6 +66,7 @@
     {fault::ZoneCutPeers, "zone-cut-peers"},
     {fault::ZoneCutPlatform, "zone-cut-platform"},
     {fault::ZoneCutBoth, "zone-cut-both"},
+    {fault::ZoneCutLog, "zone-cut-log"},
     {fault::PlatformOut, "platform-out"},
     {fault::PlatformSlow, "platform-slow"},
     {fault::OperatorsRace, "operators-race"},
--- a/fault_matrix/steps.h
+++ b/fault_matrix/steps.h
@@ -29,6 +29,7 @@
   Lost,            // never arrives
   Delayed,         // arrives `long_delay` later
   Doubled,         // arrives twice
+  Stalled,         // arrives `stall_time` later
   Reordered,       // arrives after what was sent later
   AnswerLost,      // takes effect, and its answer never arrives
   SenderKilled,    // the sender dies right after sending
@@ -38,6 +39,8 @@
   ZoneCutPeers,    // the sender's zone loses the other zones
   ZoneCutPlatform, // the sender's zone loses the platform
   ZoneCutBoth,     // the sender's zone loses both
+  ZoneCutLog,      // the sender's zone loses the log; its reports and orders
+                   // arrive late, and their answers never
   PlatformOut,     // the platform answers nobody
   PlatformSlow,    // the platform answers late
   OperatorsRace,   // two operators edit the same version at once
