Fault matrix: make mutations takes each mechanism away in turn

Cause: nothing showed for most mechanisms that the matrix, or any test, would notice their loss. Ruled out: counting any finding as a catch. Conclusion: every mechanism is taken away somewhere, in one command with fixed seeds.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Compilers running at once.
 JOBS ?= $(shell nproc)
 
-.PHONY: packages build check demo format format-check lint matrix sanitize wire
+.PHONY: packages build check demo format format-check lint matrix mutations sanitize wire
 
 packages:
 	scripts/install-packages
@@ -23,6 +23,10 @@
 matrix: build
 	build/release/bin/fault-matrix $(ARGS)
 
+# Each mechanism taken away in turn, and what notices; THREADS limits it.
+mutations: build
+	scripts/mutations build/release
+
 sanitize:
 	cmake --preset sanitize
 	cmake --build build/sanitize -j $(JOBS) --target all_tests
--- a/fault_matrix/main.cc
+++ b/fault_matrix/main.cc
@@ -5,8 +5,11 @@
 //   fault-matrix --random=1000 --minutes=10
 //   fault-matrix --step=append/usage_close --fault=answer-lost
 //   fault-matrix --without=1              a mechanism taken away: should fail
+//   fault-matrix --mutations              each mechanism taken away in turn
+//   fault-matrix --mutation_tests         names of the unit tests that do so
 //
-// Exit status 1 when a cell failed.
+// Exit status 1 when a cell failed, or a mutation that has to be caught was
+// not.
 
 #include <iostream>
 #include <optional>
@@ -17,6 +20,7 @@
 #include <absl/flags/usage.h>
 
 #include "fault_matrix/matrix.h"
+#include "fault_matrix/mutations.h"
 #include "monsoonreel/mechanism.h"
 
 ABSL_FLAG(int, pairs, 0, "Number of pairs of faults to run");
@@ -29,6 +33,9 @@
 ABSL_FLAG(std::string, fault, "", "Run only this fault");
 ABSL_FLAG(bool, outcomes, false,
           "Print how the requests of one run without faults ended");
+ABSL_FLAG(bool, mutations, false, "Take each mechanism away in turn");
+ABSL_FLAG(bool, mutation_tests, false,
+          "Print the unit tests that take a mechanism away, one a line");
 ABSL_FLAG(int, without, -1,
           "Number of a mechanism, in the order of mechanism.h, to take away");
 
@@ -80,11 +87,35 @@
     std::cout << Outcome << " " << Count << "\n";
 }
 
+// Returns whether all that has to be caught was.
+bool runMutations() {
+  bool AsExpected = true;
+  std::cout << "mechanism | caught by | unit test\n";
+  for (const mutation &Mutation : allMutations()) {
+    mutation_result Result = runMutation(Mutation, threadCount());
+    AsExpected &= Result.isAsExpected();
+    std::cout << toString(Result) << std::endl;
+  }
+  return AsExpected;
+}
+
+void printMutationTests() {
+  for (const mutation &Mutation : allMutations())
+    if (Mutation.UnitTest[0] != '\0')
+      std::cout << Mutation.UnitTest << "\n";
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
   absl::SetProgramUsageMessage("Runs the fault matrix.");
   absl::ParseCommandLine(Argc, Argv);
+  if (absl::GetFlag(FLAGS_mutation_tests)) {
+    printMutationTests();
+    return 0;
+  }
+  if (absl::GetFlag(FLAGS_mutations))
+    return runMutations() ? 0 : 1;
   std::optional<disabled_mechanism> Without;
   if (int Number = absl::GetFlag(FLAGS_without); Number >= 0)
     Without.emplace(static_cast<mechanism>(Number));
--- a/fault_matrix/matrix.cc
+++ b/fault_matrix/matrix.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
 #include <random>
 #include <thread>
 
@@ -35,6 +38,15 @@
   }
 }
 
+void runOnThreads(const std::function<void()> &Work, int Threads) {
+  std::vector<std::thread> Workers;
+  Workers.reserve(static_cast<size_t>(Threads));
+  for (int Number = 0; Number < Threads; ++Number)
+    Workers.emplace_back(Work);
+  for (std::thread &Worker : Workers)
+    Worker.join();
+}
+
 // Runs all cells on some threads and counts them in the order of the cells, so
 // that the report does not depend on the threads.
 matrix_report runAll(const std::vector<matrix_cell> &Cells,
@@ -45,18 +57,20 @@
     for (size_t Place = Next++; Place < Cells.size(); Place = Next++)
       Results[Place] = runCell(Cells[Place], Options);
   };
-  std::vector<std::thread> Workers;
-  Workers.reserve(static_cast<size_t>(Threads));
-  for (int Number = 0; Number < Threads; ++Number)
-    Workers.emplace_back(Work);
-  for (std::thread &Worker : Workers)
-    Worker.join();
+  runOnThreads(Work, Threads);
   matrix_report Report;
   for (const cell_result &Result : Results)
     count(Result, Report);
   return Report;
 }
 
+// Lowers Least to Value.
+void keepLeast(std::atomic<size_t> &Least, size_t Value) {
+  size_t Known = Least;
+  while (Value < Known && !Least.compare_exchange_weak(Known, Value)) {
+  }
+}
+
 // Steps none of whose cells was reached.
 std::vector<std::string> unreachedSteps(const world_options &Options) {
   world World(Options);
@@ -78,7 +92,7 @@
     Text += Fault.Step + " #" + std::to_string(Fault.Occurrence) + " " +
             toText(Fault.Fault);
   }
-  return Text + " seed " + std::to_string(Seed);
+  return (Text.empty() ? "" : Text + " ") + "seed " + std::to_string(Seed);
 }
 
 std::string matrix_report::toString() const {
@@ -131,6 +145,31 @@
   return Report;
 }
 
+// All cells before the first failure are run, so that the result does not
+// depend on the threads.
+std::optional<cell_result> findFailure(const std::vector<matrix_cell> &Cells,
+                                       const world_options &Options,
+                                       int Threads) {
+  std::atomic<size_t> Next = 0;
+  std::atomic<size_t> First = Cells.size();
+  std::mutex Mutex;
+  std::map<size_t, cell_result> Failures;
+  auto Work = [&] {
+    for (size_t Place = Next++; Place < First; Place = Next++) {
+      cell_result Result = runCell(Cells[Place], Options);
+      if (Result.Findings.empty())
+        continue;
+      keepLeast(First, Place);
+      std::lock_guard Lock(Mutex);
+      Failures[Place] = std::move(Result);
+    }
+  };
+  runOnThreads(Work, Threads);
+  if (Failures.empty())
+    return std::nullopt;
+  return Failures.begin()->second;
+}
+
 matrix_report runRandom(uint64_t First, int Count, duration Length,
                         duration FaultPeriod, int Threads) {
   std::vector<matrix_cell> Cells;
--- a/fault_matrix/matrix.h
+++ b/fault_matrix/matrix.h
@@ -11,6 +11,7 @@
 #define MONSOONREEL_FAULT_MATRIX_MATRIX_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,11 @@
 
 matrix_report runMatrix(const std::vector<matrix_cell> &Cells, int Threads);
 
+// The first of Cells that has findings; none is run after it.
+std::optional<cell_result> findFailure(const std::vector<matrix_cell> &Cells,
+                                       const world_options &Options,
+                                       int Threads);
+
 // Runs seeds First to First + Count - 1 with random faults for Length each.
 // The report's cells have no planned faults.
 matrix_report runRandom(uint64_t First, int Count, duration Length,
