--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,8 @@
 # Compilers running at once.
 JOBS ?= $(shell nproc)
 
-.PHONY: packages build check demo matrix process-faults added-latency sanitize \
-	format format-check lint wire
+.PHONY: packages build check demo matrix mutations process-faults added-latency \
+	sanitize format format-check lint wire
 
 packages:
 	scripts/install-packages
@@ -32,6 +32,10 @@
 added-latency: build
 	scripts/added-latency
 
+# Each mechanism taken away in turn, and what notices; THREADS limits it.
+mutations: build
+	scripts/mutations build/release
+
 sanitize:
 	cmake --preset sanitize
 	cmake --build build/sanitize -j $(JOBS) --target all_tests
