Usage: a zone without stewards offers its usage to other zones' stewards

Cause: an entry offered its usage, and the usage that it holds for dead entries, to live stewards of its own zone only. When the only one dies, nothing that the zone serves is billed until a new one starts, and an entry that drains meanwhile gives up on handing it over. Conclusion: stewards of all zones may log a zone's usage, as the usage stream is one for the site; those of the own zone come first.

--- a/monsoonreel/entry_node.cc
+++ b/monsoonreel/entry_node.cc
@@ -154,15 +154,20 @@
     Peers.push_back(toSlotPeer(Entry));
   Slots.setPeers(std::move(Peers));
   Limits.setEntries(static_cast<int>(Entries.size()));
-  Usage.setPeers(
-      followingOrder(Members.alive(wire::member_role::Steward, Identity.Zone)),
-      usageHolders(Entries));
+  Usage.setPeers(followingOrder(usageStewards()), usageHolders(Entries));
   Members.setOwnLoads(Slots.loads(Event.Now), Event.Now);
   for (incarnation Source : Keeper.sources())
     if (!Members.mayRun(Source))
       Keeper.onSourceDead(Source);
 }
 
+std::vector<wire::member> entry_node::usageStewards() const {
+  std::vector<wire::member> Stewards =
+      Members.alive(wire::member_role::Steward, Identity.Zone);
+  return Stewards.empty() ? Members.alive(wire::member_role::Steward)
+                          : Stewards;
+}
+
 std::vector<wire::member>
 entry_node::usageHolders(const std::vector<wire::member> &Entries) const {
   std::vector<wire::member> Holders;
@@ -240,9 +245,7 @@
   Sync.onTick(Event.Now, Members.highestLedgerOffset(), Effects);
   Claims.onTick(Event.Now, Members, Effects);
   Usage.onTick(Event.Now, Event.Random, Effects);
-  Keeper.onTick(Event.Now, Event.Random,
-                Members.alive(wire::member_role::Steward, Identity.Zone),
-                Effects);
+  Keeper.onTick(Event.Now, Event.Random, usageStewards(), Effects);
   slot_outcome_list Outcomes;
   Slots.onTick(Event.Now, Event.Random, Effects, Outcomes);
   Requests.onSlotOutcomes(Outcomes, Event, Effects);
--- a/monsoonreel/entry_node.h
+++ b/monsoonreel/entry_node.h
@@ -79,6 +79,9 @@
   void onLedgerChange(const ledger_change &Change, const event &Event,
                       effect_list &Effects);
   void useConfiguration(const event &Event, effect_list &Effects);
+  // The stewards that may log usage: those of the own zone, or of all zones
+  // when it has none, as only they are left to bill what the zone serves.
+  std::vector<wire::member> usageStewards() const;
   // The entries that may hold this one's usage, in order of preference.
   std::vector<wire::member>
   usageHolders(const std::vector<wire::member> &Entries) const;
--- a/monsoonreel/testing/entry_node_test.cc
+++ b/monsoonreel/testing/entry_node_test.cc
@@ -234,6 +234,42 @@
   EXPECT_FALSE(find<refuse_request>());
 }
 
+// What is metered is not lost to a zone whose stewards have all died.
+TEST_F(entry_node_test, Usage_NoStewardInOwnZone_IsOfferedToAnotherZone) {
+  wire::heartbeat Heartbeat;
+  Heartbeat.Sender.Name = "steward-2";
+  Heartbeat.Sender.Role = wire::member_role::Steward;
+  Heartbeat.Sender.Zone = "south";
+  Heartbeat.Sender.Address = "10.0.2.1:7101";
+  Heartbeat.Sender.Incarnation = 2;
+  Heartbeat.Sender.State = wire::member_state::Alive;
+  send(peer_message_received{node_name("steward-2"), address("10.0.2.1:7101"),
+                             Heartbeat});
+  pass(std::chrono::seconds(1));
+  wire::usage_batch Batch;
+  Batch.Incarnation = 5;
+  Batch.Sequence = 1;
+  wire::usage_increment Increment;
+  Increment.Organisation = "baths";
+  Increment.Requests = 1;
+  Batch.Increments = {Increment};
+  wire::usage_hold Hold;
+  Hold.Batch = Batch;
+  send(peer_message_received{node_name("entry-9"), address("10.0.3.1:7100"),
+                             Hold});
+  bool Offered = false;
+  for (int Tick = 0; Tick < 40; ++Tick) {
+    ++Heartbeat.Nonce;
+    send(peer_message_received{node_name("steward-2"), address("10.0.2.1:7101"),
+                               Heartbeat});
+    pass(std::chrono::milliseconds(100));
+    for (const effect &Effect : Effects)
+      if (const auto *Sent = std::get_if<send_message>(&Effect))
+        Offered |= std::holds_alternative<wire::usage_offer>(Sent->Message);
+  }
+  EXPECT_TRUE(Offered);
+}
+
 TEST_F(entry_node_test, Order_CallerLeaves_RunGoesOn) {
   dispatched(order(1));
   send(caller_gone{request_id{1}});
--- a/monsoonreel/usage_meter.h
+++ b/monsoonreel/usage_meter.h
@@ -61,7 +61,7 @@
   void add(const organisation_name &Organisation, const class_name &Class,
            const usage_figures &Figures);
 
-  // Stewards of the zone, those that follow the log first. Holders are entries
+  // Stewards that may log, those that follow the log first. Holders are entries
   // on other VMs, in order of preference.
   void setPeers(std::vector<wire::member> Stewards,
                 const std::vector<wire::member> &Holders);
