--- a/bench/decisions_bench.cc
+++ b/bench/decisions_bench.cc
@@ -213,15 +213,17 @@
 }
 BENCHMARK(ownerTick)->Arg(1)->Arg(4);
 
-// One node's heartbeats during one second, among so many nodes in 7 zones.
-void heartbeatSecond(benchmark::State &State) {
+// The heartbeats of so many nodes in 7 zones during a round: the seconds in
+// which each node sends one heartbeat to another zone.
+void heartbeatRound(benchmark::State &State) {
   int Nodes = static_cast<int>(State.range(0));
   member_network Network;
   double Before = heapInUse();
   auto NameOf = [](int I) { return "entry" + std::to_string(I); };
   for (int I = 0; I < Nodes; ++I)
     Network.add(NameOf(I), "zone" + std::to_string(I % zones));
-  // Until the joining of all nodes has been told everywhere.
+  // Until nodes have acknowledged each other and loads are known.
+  Network.introduceAll();
   Network.run(std::chrono::seconds(60));
   double Held = heapInUse() - Before;
   auto Bytes = [&] {
@@ -232,11 +234,11 @@
     return Sum;
   };
   double BytesBefore = Bytes();
+  constexpr int RoundSeconds = far_heartbeat_period / std::chrono::seconds(1);
   int Seconds = 0;
-  while (State.KeepRunning()) {
+  auto RunSecond = [&] {
     wire::pool_load Load;
     Load.Pool = "model0@zone0#0";
-    Load.Owner = NameOf(0);
     Load.QueueWaitMicros = 120000 + Seconds;
     for (int I = 0; I < Nodes; ++I) {
       Load.Owner = NameOf(I);
@@ -244,13 +246,17 @@
     }
     Network.run(std::chrono::seconds(1));
     ++Seconds;
-  }
+  };
+  while (State.KeepRunning())
+    for (int Second = 0; Second < RoundSeconds; ++Second)
+      RunSecond();
   State.counters["bytes_per_node"] = (Bytes() - BytesBefore) / Nodes / Seconds;
   // The time is that of all nodes and of the network between them.
   State.counters["nodes"] = Nodes;
+  State.counters["seconds"] = RoundSeconds;
   State.counters["heap_bytes_per_node"] = Held / Nodes;
 }
-BENCHMARK(heartbeatSecond)
+BENCHMARK(heartbeatRound)
     ->Arg(8)
     ->Arg(40)
     ->Arg(330)
--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -17,13 +17,14 @@
 
 constexpr int zone_count = 7;
 constexpr duration settle_time = std::chrono::seconds(60);
-constexpr duration round_time = std::chrono::seconds(10);
+constexpr duration round_time = 3 * far_heartbeat_period;
 
 std::string nameOf(int Index) { return "entry-" + std::to_string(Index); }
 
 void startNodes(member_network &Network, int Count) {
   for (int Index = 0; Index < Count; ++Index)
     Network.add(nameOf(Index), "zone-" + std::to_string(Index % zone_count));
+  Network.introduceAll();
   Network.run(settle_time);
   // As many owners of pools as a site of this size has.
   for (int Index = 0; Index < Count; Index += 10) {
@@ -90,6 +91,39 @@
 BENCHMARK(zoneLost)->Arg(40)->Arg(330)->Iterations(1)->Unit(
     benchmark::kMillisecond);
 
+// Seconds until every live node holds all stopped ones dead: of so many nodes,
+// every so manieth is stopped.
+void deathKnownEverywhere(benchmark::State &State) {
+  int Count = static_cast<int>(State.range(0));
+  int Stride = static_cast<int>(State.range(1));
+  member_network Network;
+  startNodes(Network, Count);
+  for (int Index = 0; Index < Count; Index += Stride)
+    Network.stop(nameOf(Index));
+  auto IsKnown = [&] {
+    for (int Viewer = 0; Viewer < Count; ++Viewer)
+      for (int Index = 0; Viewer % Stride != 0 && Index < Count;
+           Index += Stride)
+        if (Network.stateOf(nameOf(Viewer), nameOf(Index)) !=
+            wire::member_state::Dead)
+          return false;
+    return true;
+  };
+  steady_time Begin = Network.now();
+  while (State.KeepRunning())
+    while (!IsKnown() && Network.now() - Begin < std::chrono::minutes(5))
+      Network.run(std::chrono::milliseconds(500));
+  State.counters["virtual_s"] =
+      std::chrono::duration<double>(Network.now() - Begin).count();
+}
+BENCHMARK(deathKnownEverywhere)
+    ->Args({40, 40})
+    ->Args({40, zone_count})
+    ->Args({330, 330})
+    ->Args({330, zone_count})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 } // namespace monsoonreel
 
--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -14,7 +14,10 @@
 // refute, and by death. A dead member is still probed now and then, so that a
 // healed partition is found. Changes spread in a bounded list with each
 // heartbeat and each answer, so the bytes a second of a node do not depend on
-// the number of members.
+// the number of members. Each message names a digest of the members that its
+// sender holds live; whoever finds another digest than its own in a heartbeat
+// tells some members at random in its answer, so a missed change is heard
+// later.
 //
 // Heartbeats also carry the sender's offset of the operator stream, the age of
 // its knowledge of the log (see `log_freshness`), and the loads of pools.
@@ -143,6 +146,9 @@
     steady_time ChangedAt; // of its state
     int Spread = 0;        // how often the newest state was sent
     log_offset Ledger;
+    bool TellsDigest = false; // it compares MembersDigest
+    // Its present process has acknowledged a heartbeat of this one.
+    bool KnowsSelf = false;
   };
   struct open_probe {
     node_name Target; // empty: an address that no member is known at
@@ -168,20 +174,28 @@
   void expireMembers(steady_time Now, effect_list &Effects);
   void forgetProbesAfterPause(steady_time Now);
 
-  void onHeartbeat(const wire::heartbeat &Beat, steady_time Now,
-                   effect_list &Effects);
-  void onAck(const wire::heartbeat_ack &Ack, steady_time Now,
-             effect_list &Effects);
+  // The sender of a message from From. Nothing when it is named by a short
+  // form that this node can't complete; the sender's retry names it whole.
+  template <typename T>
+  std::optional<wire::member> senderOf(const T &Message, const node_name &From);
+  // Names this node in a message: by the short form when To can complete it.
+  template <typename T> void nameSelf(const node_name &To, T &Message);
+  void onHeartbeat(const wire::heartbeat &Beat, const wire::member &Sender,
+                   steady_time Now, effect_list &Effects);
+  void onAck(const wire::heartbeat_ack &Ack, const wire::member &Sender,
+             steady_time Now, effect_list &Effects);
   void onProbeRequest(const wire::probe_request &Request, steady_time Now,
                       effect_list &Effects);
-  void relayAck(const wire::heartbeat_ack &Ack, const relayed_probe &Relay,
+  void relayAck(const wire::member &Reached, const relayed_probe &Relay,
                 effect_list &Effects);
 
-  // Merges what a message told about a member.
-  void learn(const wire::member &Heard, steady_time Now, effect_list &Effects);
+  // Merges what a message told about a member. One that was unknown counts as
+  // told to others Spread times.
+  void learn(const wire::member &Heard, int Spread, steady_time Now,
+             effect_list &Effects);
   void learnAll(const wire::member &Sender, log_offset Ledger,
-                const std::vector<wire::member> &Gossip, steady_time Now,
-                effect_list &Effects);
+                const std::vector<wire::member> &Gossip, int Spread,
+                steady_time Now, effect_list &Effects);
   void refute(const wire::member &Heard);
   void suspect(known_member &Known, steady_time Now, effect_list &Effects);
   void declareDead(known_member &Known, steady_time Now, effect_list &Effects);
@@ -191,10 +205,14 @@
                      const address &ToAddress, bool Retry, steady_time Now,
                      effect_list &Effects);
   log_offset ledgerOffset() const;
-  // At most max_gossip_members changes, the least spread first, or one member
-  // in turn when there are fewer. To hears of itself unless it is held alive.
-  std::vector<wire::member> pickGossip(const node_name &To);
-  void addNextInTurn(const node_name &To, std::vector<wire::member> &Picked);
+  // At most max_gossip_members changes, the least spread first; when there are
+  // fewer, up to Further other members. To hears of itself unless it is held
+  // alive.
+  std::vector<wire::member> pickGossip(const node_name &To, size_t Further);
+  // Equal for nodes that hold the same members live, in the same states.
+  int32_t membersDigest() const;
+  void addAnyMembers(size_t Count, const node_name &To,
+                     std::vector<wire::member> &Picked);
   std::vector<wire::member> allMembers() const;
   size_t spreadLimit() const;
   uint64_t draw();
@@ -226,7 +244,6 @@
   uint64_t RandomSeed = 0;
   uint64_t Draws = 0;
   int64_t NextNonce = 1;
-  std::string GossipCursor;
   int ListsWanted = wanted_member_lists;
   bool LeavingUntold = false;
   log_offset Ledger;
--- a/monsoonreel/membership_messages.cc
+++ b/monsoonreel/membership_messages.cc
@@ -3,16 +3,22 @@
 #include "monsoonreel/membership.h"
 
 #include <algorithm>
+#include <array>
 #include <bit>
 #include <tuple>
 #include <utility>
 
+#include <xxhash.h>
+
 #include "monsoonreel/mechanism.h"
 
 namespace monsoonreel {
 
 namespace {
 
+// Counts as told often enough in every site.
+constexpr int already_spread = 1 << 20;
+
 // How much a state says: of two claims about the same life of a member, the
 // one that says more holds.
 int rankOf(wire::member_state::type State) {
@@ -37,6 +43,14 @@
   return Order(Heard) > Order(Known);
 }
 
+uint32_t digestOf(const wire::member &Member) {
+  std::array<int64_t, 3> Version = {Member.Incarnation, Member.Refutation,
+                                    Member.State};
+  uint64_t Name = XXH3_64bits(Member.Name.data(), Member.Name.size());
+  return static_cast<uint32_t>(
+      XXH3_64bits_withSeed(Version.data(), sizeof(Version), Name));
+}
+
 // Whether the fields are within their bounds. Peers are not trusted with this.
 bool isPlausible(const wire::member &Member) {
   bool Role = Member.Role == wire::member_role::Entry ||
@@ -54,11 +68,13 @@
 bool membership::onMessage(const peer_message_received &Received,
                            steady_time Now, effect_list &Effects) {
   if (const auto *Beat = std::get_if<wire::heartbeat>(&Received.Message)) {
-    onHeartbeat(*Beat, Now, Effects);
+    if (std::optional<wire::member> Sender = senderOf(*Beat, Received.From))
+      onHeartbeat(*Beat, *Sender, Now, Effects);
     return true;
   }
   if (const auto *Ack = std::get_if<wire::heartbeat_ack>(&Received.Message)) {
-    onAck(*Ack, Now, Effects);
+    if (std::optional<wire::member> Sender = senderOf(*Ack, Received.From))
+      onAck(*Ack, *Sender, Now, Effects);
     return true;
   }
   if (const auto *Request =
@@ -69,41 +85,69 @@
   return false;
 }
 
-void membership::onHeartbeat(const wire::heartbeat &Beat, steady_time Now,
+template <typename T>
+std::optional<wire::member> membership::senderOf(const T &Message,
+                                                 const node_name &From) {
+  wire::member Sender = Message.Sender;
+  if (Message.__isset.SenderRun) {
+    const wire::member_run &Run = Message.SenderRun;
+    known_member *Known = findKnown(From.Value);
+    if (!Known || Known->Member.Incarnation != Run.Incarnation)
+      return std::nullopt;
+    Sender = Known->Member;
+    Sender.Refutation = Run.Refutation;
+    Sender.State = Run.State;
+  }
+  if (!isPlausible(Sender) || Sender.Name == Self.Name)
+    return std::nullopt;
+  return Sender;
+}
+
+void membership::onHeartbeat(const wire::heartbeat &Beat,
+                             const wire::member &Sender, steady_time Now,
                              effect_list &Effects) {
-  if (!isPlausible(Beat.Sender) || Beat.Sender.Name == Self.Name)
-    return;
-  learnAll(Beat.Sender, log_offset{Beat.LedgerOffset}, Beat.Gossip, Now,
-           Effects);
+  learnAll(Sender, log_offset{Beat.LedgerOffset}, Beat.Gossip, 0, Now, Effects);
+  if (known_member *Known = findKnown(Sender.Name)) {
+    Known->TellsDigest = Beat.__isset.MembersDigest;
+    // It may have missed the answer because it does not know this node.
+    Known->KnowsSelf &= !Beat.Retry;
+  }
   Loads.merge(Beat.Loads, Now);
-  node_name To(Beat.Sender.Name);
-  address ToAddress(Beat.Sender.Address);
+  node_name To(Sender.Name);
+  address ToAddress(Sender.Address);
   // The sender missed an answer, which may have been lost on this node's
   // connection to it.
   if (Beat.Retry && isEnabled(mechanism::SilentLinkReset))
     Effects.push_back(reset_link{ToAddress});
   wire::heartbeat_ack Ack;
   Ack.Nonce = Beat.Nonce;
-  Ack.Sender = Self;
+  nameSelf(To, Ack);
   Ack.LedgerOffset = ledgerOffset().Value;
   bool SendAll = Beat.WantsMembers && Now - LastFullList >= heartbeat_period;
   if (SendAll)
     LastFullList = Now;
-  Ack.Gossip = SendAll ? allMembers() : pickGossip(To);
+  Ack.__set_MembersDigest(membersDigest());
+  size_t Further = 1;
+  if (Beat.__isset.MembersDigest)
+    Further = Beat.MembersDigest == Ack.MembersDigest ? 0 : max_gossip_members;
+  Ack.Gossip = SendAll ? allMembers() : pickGossip(To, Further);
   Ack.Loads = Loads.pick(max_gossip_loads, Now);
   if (std::optional<duration> Age = Freshness.age(Now))
     Ack.__set_LogAgeMicros(toMicros(*Age));
   Effects.push_back(send_message{To, ToAddress, std::move(Ack)});
 }
 
-void membership::onAck(const wire::heartbeat_ack &Ack, steady_time Now,
+void membership::onAck(const wire::heartbeat_ack &Ack,
+                       const wire::member &Sender, steady_time Now,
                        effect_list &Effects) {
-  if (!isPlausible(Ack.Sender) || Ack.Sender.Name == Self.Name)
-    return;
-  learnAll(Ack.Sender, log_offset{Ack.LedgerOffset}, Ack.Gossip, Now, Effects);
+  // Whoever joins takes over the list of a node that has told its changes
+  // already; telling them all again would fill the gossip for minutes.
+  bool WholeList = Ack.Gossip.size() > max_gossip_members + 1;
+  learnAll(Sender, log_offset{Ack.LedgerOffset}, Ack.Gossip,
+           WholeList ? already_spread : 0, Now, Effects);
   Loads.merge(Ack.Loads, Now);
   if (auto Relay = Relays.find(Ack.Nonce); Relay != Relays.end()) {
-    relayAck(Ack, Relay->second, Effects);
+    relayAck(Sender, Relay->second, Effects);
     Relays.erase(Relay);
     return;
   }
@@ -112,12 +156,16 @@
     return;
   const open_probe &Probe = Found->second;
   bool Direct = Ack.OnBehalfOf.empty();
-  const std::string &Reached = Direct ? Ack.Sender.Name : Ack.OnBehalfOf;
+  const std::string &Reached = Direct ? Sender.Name : Ack.OnBehalfOf;
   if (Direct && Ack.__isset.LogAgeMicros)
     Freshness.onPeer(log_offset{Ack.LedgerOffset}, fromMicros(Ack.LogAgeMicros),
                      Probe.SentAt);
   if (Direct && ListsWanted > 0)
     --ListsWanted;
+  // The nonce is of a heartbeat of this run, which the sender has understood.
+  known_member *Known = findKnown(Sender.Name);
+  if (Known && Direct && Known->Member.Incarnation == Sender.Incarnation)
+    Known->KnowsSelf = Ack.__isset.MembersDigest;
   // Another process may have taken over the address of a member that is gone.
   if (Probe.Target.empty() || Reached == Probe.Target.Value)
     Probes.erase(Found);
@@ -135,30 +183,30 @@
                 address(Request.Target.Address), false, Now, Effects);
 }
 
-void membership::relayAck(const wire::heartbeat_ack &Ack,
+void membership::relayAck(const wire::member &Reached,
                           const relayed_probe &Relay, effect_list &Effects) {
   wire::heartbeat_ack Answer;
   Answer.Nonce = Relay.Nonce;
-  Answer.Sender = Self;
+  Answer.__set_Sender(Self);
   Answer.LedgerOffset = ledgerOffset().Value;
-  Answer.OnBehalfOf = Ack.Sender.Name;
-  Answer.Gossip = {Ack.Sender};
+  Answer.OnBehalfOf = Reached.Name;
+  Answer.Gossip = {Reached};
   Effects.push_back(
       send_message{Relay.Asker, Relay.AskerAddress, std::move(Answer)});
 }
 
 void membership::learnAll(const wire::member &Sender, log_offset Offset,
-                          const std::vector<wire::member> &Gossip,
+                          const std::vector<wire::member> &Gossip, int Spread,
                           steady_time Now, effect_list &Effects) {
-  learn(Sender, Now, Effects);
+  learn(Sender, 0, Now, Effects);
   known_member *Known = findKnown(Sender.Name);
   if (Known && Known->Member.Incarnation == Sender.Incarnation)
     Known->Ledger = std::max(Known->Ledger, Offset);
   for (const wire::member &Member : Gossip)
-    learn(Member, Now, Effects);
+    learn(Member, Spread, Now, Effects);
 }
 
-void membership::learn(const wire::member &Heard, steady_time Now,
+void membership::learn(const wire::member &Heard, int Spread, steady_time Now,
                        effect_list &Effects) {
   if (!isPlausible(Heard))
     return;
@@ -171,7 +219,7 @@
     // An unknown dead member is not remembered: it would go round for ever.
     if (Heard.State == wire::member_state::Dead || !makeRoom())
       return;
-    Members[Heard.Name] = known_member{Heard, Now, 0, log_offset()};
+    Members[Heard.Name] = known_member{Heard, Now, Spread, log_offset()};
     Effects.push_back(
         log_line{log_level::Info,
                  "member " + Heard.Name + " joined at " + Heard.Address});
@@ -184,9 +232,11 @@
   } else if (Heard.State != Known->Member.State) {
     Known->ChangedAt = Now;
   }
-  // A restarted process has its own knowledge of the log.
-  if (Heard.Incarnation != Known->Member.Incarnation)
+  // A restarted process knows nothing of the log or of this node.
+  if (Heard.Incarnation != Known->Member.Incarnation) {
     Known->Ledger = log_offset();
+    Known->KnowsSelf = false;
+  }
   Known->Member = Heard;
   Known->Spread = 0;
 }
@@ -254,15 +304,37 @@
                                steady_time Now, effect_list &Effects) {
   wire::heartbeat Beat;
   Beat.Nonce = Nonce;
-  Beat.Sender = Self;
+  if (Retry)
+    Beat.__set_Sender(Self);
+  else
+    nameSelf(To, Beat);
   Beat.LedgerOffset = ledgerOffset().Value;
-  Beat.Gossip = pickGossip(To);
+  Beat.__set_MembersDigest(membersDigest());
+  // Whoever compares digests tells what differs in its answer.
+  known_member *Receiver = findKnown(To.Value);
+  Beat.Gossip = pickGossip(To, Receiver && Receiver->TellsDigest ? 0 : 1);
   Beat.Loads = Loads.pick(max_gossip_loads, Now);
   Beat.Retry = Retry;
   Beat.WantsMembers = ListsWanted > 0;
   Effects.push_back(send_message{To, ToAddress, std::move(Beat)});
 }
 
+template <typename T>
+void membership::nameSelf(const node_name &To, T &Message) {
+  known_member *Receiver = findKnown(To.Value);
+  bool Short = Receiver && Receiver->KnowsSelf &&
+               Receiver->Member.State == wire::member_state::Alive;
+  if (!Short) {
+    Message.__set_Sender(Self);
+    return;
+  }
+  wire::member_run Run;
+  Run.Incarnation = Self.Incarnation;
+  Run.Refutation = Self.Refutation;
+  Run.State = Self.State;
+  Message.__set_SenderRun(Run);
+}
+
 log_offset membership::ledgerOffset() const {
   return std::max(Ledger, Freshness.applied());
 }
@@ -272,7 +344,16 @@
   return std::bit_width(Members.size() + 1) + size_t{2};
 }
 
-std::vector<wire::member> membership::pickGossip(const node_name &To) {
+int32_t membership::membersDigest() const {
+  uint32_t Digest = digestOf(Self);
+  for (const auto &[Name, Known] : Members)
+    if (Known.Member.State != wire::member_state::Dead)
+      Digest += digestOf(Known.Member);
+  return static_cast<int32_t>(Digest);
+}
+
+std::vector<wire::member> membership::pickGossip(const node_name &To,
+                                                 size_t Further) {
   std::vector<wire::member> Picked;
   // Whoever is suspected or held dead has to hear it, to refute it.
   known_member *Receiver = findKnown(To.Value);
@@ -294,23 +375,25 @@
     ++Known->Spread;
     Picked.push_back(Known->Member);
   }
-  if (Room < max_gossip_members)
-    addNextInTurn(To, Picked);
+  addAnyMembers(std::min(Further, max_gossip_members - Room), To, Picked);
   return Picked;
 }
 
-// Tells one more member in turn, so that whoever missed a change hears of it
-// in time.
-void membership::addNextInTurn(const node_name &To,
+// Tells some members from a random place on, so that whoever missed a change
+// hears of it from one of those that it asks. A place that moved on with each
+// message would be the same at all of them after a quiet time.
+void membership::addAnyMembers(size_t Count, const node_name &To,
                                std::vector<wire::member> &Picked) {
-  auto Next = Members.upper_bound(GossipCursor);
-  if (Next == Members.end())
-    Next = Members.begin();
-  if (Next == Members.end())
+  if (Count == 0 || Members.empty())
     return;
-  GossipCursor = Next->first;
-  if (Next->first != To.Value)
-    Picked.push_back(Next->second.Member);
+  auto Place = static_cast<ptrdiff_t>(draw() % Members.size());
+  auto Next = std::next(Members.begin(), Place);
+  for (size_t Told = 0; Told < std::min(Count, Members.size()); ++Told) {
+    if (Next->first != To.Value)
+      Picked.push_back(Next->second.Member);
+    if (++Next == Members.end())
+      Next = Members.begin();
+  }
 }
 
 std::vector<wire::member> membership::allMembers() const {
--- a/monsoonreel/testing/member_network.h
+++ b/monsoonreel/testing/member_network.h
@@ -42,6 +42,19 @@
     return Result;
   }
 
+  // Every node has the list of all others, as long after their start.
+  void introduceAll() {
+    wire::heartbeat_ack Ack;
+    for (const auto &[Name, Node] : Nodes)
+      Ack.Gossip.push_back(Node->self());
+    Ack.__set_Sender(Ack.Gossip.front());
+    effect_list Effects;
+    for (const auto &[Name, Node] : Nodes)
+      Node->onMessage(
+          {node_name(Ack.Sender.Name), address(Ack.Sender.Address), Ack}, Now,
+          Effects);
+  }
+
   static address addressOf(const std::string &Name) {
     return address(Name + ":7100");
   }
@@ -144,7 +157,7 @@
 
   std::mt19937_64 Random;
   steady_time Now{std::chrono::hours(1)};
-  int64_t Incarnations = 0;
+  int64_t Incarnations = 1791820800000000; // as large as those of daemons
   std::vector<address> Seeds;
   std::map<std::string, std::unique_ptr<membership>> Nodes;
   std::map<std::string, int64_t> Offsets;
--- a/monsoonreel/testing/membership_test.cc
+++ b/monsoonreel/testing/membership_test.cc
@@ -212,6 +212,131 @@
   EXPECT_LE(Network.node("e0").liveCount(), max_members + 1);
 }
 
+// Memberships without a network: each message is handed over by the test.
+class membership_message_test : public ::testing::Test {
+protected:
+  static node_identity identityOf(const std::string &Name, int64_t Run = 1) {
+    return {node_name(Name), zone_name("east"), address(Name + ":7100"),
+            incarnation{Run}};
+  }
+  static wire::member memberOf(const std::string &Name) {
+    wire::member Member;
+    Member.Name = Name;
+    Member.Role = wire::member_role::Entry;
+    Member.Zone = "east";
+    Member.Address = Name + ":7100";
+    Member.Incarnation = 1;
+    Member.State = wire::member_state::Alive;
+    return Member;
+  }
+  // Node takes Count members from the list of a member named "first".
+  void takeList(membership &Node, int Count) {
+    wire::heartbeat_ack Ack;
+    Ack.__set_Sender(memberOf("first"));
+    for (int Index = 0; Index < Count; ++Index)
+      Ack.Gossip.push_back(memberOf("m" + std::to_string(Index)));
+    receive(Node, "first", Ack);
+  }
+  effect_list receive(membership &Node, const std::string &From,
+                      const wire::peer_message &Message) {
+    effect_list Effects;
+    Node.onMessage({node_name(From), address(From + ":7100"), Message}, Now,
+                   Effects);
+    return Effects;
+  }
+  effect_list tick(membership &Node) {
+    effect_list Effects;
+    Node.onTick(Now, ++Random, log_offset(), Effects);
+    return Effects;
+  }
+  // The first message of type T among the effects.
+  template <typename T> static std::optional<T> find(const effect_list &List) {
+    for (const effect &Effect : List)
+      if (const auto *Send = std::get_if<send_message>(&Effect))
+        if (const auto *Found = std::get_if<T>(&Send->Message))
+          return *Found;
+    return std::nullopt;
+  }
+
+  steady_time Now{std::chrono::hours(1)};
+  uint64_t Random = 0;
+};
+
+TEST_F(membership_message_test, JoiningNode_WithTheWholeList_TellsNoneOfItOn) {
+  membership Node(identityOf("a"), wire::member_role::Entry, {});
+  takeList(Node, 20);
+  EXPECT_EQ(Node.liveCount(), 22U);
+  auto Beat = find<wire::heartbeat>(tick(Node));
+  ASSERT_TRUE(Beat);
+  // The member that sent the list, and one in turn.
+  EXPECT_LE(Beat->Gossip.size(), 2U);
+}
+
+TEST_F(membership_message_test, MissedMember_DigestsDiffer_IsInTheAnswer) {
+  membership Knowing(identityOf("a"), wire::member_role::Entry, {});
+  takeList(Knowing, 6);
+  membership Other(identityOf("b"), wire::member_role::Entry,
+                   {address("a:7100")});
+  for (int Round = 0; Round < 30; ++Round) {
+    Now += seconds(1);
+    wire::heartbeat Beat;
+    Beat.__set_Sender(Other.self());
+    auto Probe = find<wire::heartbeat>(tick(Other));
+    if (Probe && Probe->__isset.MembersDigest)
+      Beat.__set_MembersDigest(Probe->MembersDigest);
+    auto Ack =
+        find<wire::heartbeat_ack>(receive(Knowing, "b", std::move(Beat)));
+    ASSERT_TRUE(Ack);
+    EXPECT_LE(Ack->Gossip.size(), max_gossip_members + 1);
+    receive(Other, "a", *Ack);
+  }
+  EXPECT_EQ(Other.liveCount(), Knowing.liveCount());
+}
+
+// A short form names no address: only who has acknowledged the whole one may
+// get it, and whoever can't complete it must not lose the sender.
+TEST_F(membership_message_test, RestartedReceiver_OfAShortForm_AnswersRetry) {
+  membership Node(identityOf("a"), wire::member_role::Entry,
+                  {address("b:7100")});
+  membership Peer(identityOf("b"), wire::member_role::Entry, {});
+  std::optional<wire::heartbeat> Beat;
+  for (int Round = 0; Round < 5; ++Round) {
+    Now += seconds(1);
+    Beat = find<wire::heartbeat>(tick(Node));
+    ASSERT_TRUE(Beat);
+    EXPECT_TRUE(Round > 0 || Beat->__isset.Sender);
+    auto Ack = find<wire::heartbeat_ack>(receive(Peer, "a", *Beat));
+    ASSERT_TRUE(Ack);
+    receive(Node, "b", *Ack);
+  }
+  EXPECT_FALSE(Beat->__isset.Sender);
+  Now += seconds(1);
+  Beat = find<wire::heartbeat>(tick(Node));
+  membership Restarted(identityOf("b", 2), wire::member_role::Entry, {});
+  EXPECT_FALSE(
+      find<wire::heartbeat_ack>(receive(Restarted, "a", Beat.value())));
+  Now += direct_probe_timeout;
+  Beat = find<wire::heartbeat>(tick(Node));
+  ASSERT_TRUE(Beat);
+  EXPECT_TRUE(Beat->__isset.Sender);
+  auto Ack = find<wire::heartbeat_ack>(receive(Restarted, "a", *Beat));
+  ASSERT_TRUE(Ack);
+  receive(Node, "b", *Ack);
+  EXPECT_EQ(Node.find(node_name("b"))->Incarnation, 2);
+}
+
+TEST_F(membership_test, QuietSite_Heartbeats_CarryOnlyWhatIsNeeded) {
+  startZones(6);
+  Network.run(seconds(60));
+  auto Bytes = [&] {
+    return Network.bytesSentBy("e1") + Network.bytesReceivedBy("e1");
+  };
+  size_t Before = Bytes();
+  Network.run(seconds(40));
+  // About five messages a second.
+  EXPECT_LT(Bytes() - Before, size_t{40 * 5 * 50});
+}
+
 TEST_F(membership_test, LedgerOffset_OfAPeer_IsHeardFirstFromTheOwnZone) {
   startZones(3);
   Network.setOffset("e1", 7);
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -677,6 +677,153 @@
 }
 
 
+member_run::~member_run() noexcept {
+}
+
+
+void member_run::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void member_run::__set_Refutation(const int32_t val) {
+  this->Refutation = val;
+}
+
+void member_run::__set_State(const member_state::type val) {
+  this->State = val;
+}
+std::ostream& operator<<(std::ostream& out, const member_run& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t member_run::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Refutation);
+          this->__isset.Refutation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast10;
+          xfer += iprot->readI32(ecast10);
+          this->State = static_cast<member_state::type>(ecast10);
+          this->__isset.State = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t member_run::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("member_run");
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Refutation", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Refutation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("State", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->State));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(member_run &a, member_run &b) {
+  using ::std::swap;
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.Refutation, b.Refutation);
+  swap(a.State, b.State);
+  swap(a.__isset, b.__isset);
+}
+
+member_run::member_run(const member_run& other11) noexcept {
+  Incarnation = other11.Incarnation;
+  Refutation = other11.Refutation;
+  State = other11.State;
+  __isset = other11.__isset;
+}
+member_run::member_run(member_run&& other12) noexcept {
+  Incarnation = other12.Incarnation;
+  Refutation = other12.Refutation;
+  State = other12.State;
+  __isset = other12.__isset;
+}
+member_run& member_run::operator=(const member_run& other13) noexcept {
+  Incarnation = other13.Incarnation;
+  Refutation = other13.Refutation;
+  State = other13.State;
+  __isset = other13.__isset;
+  return *this;
+}
+member_run& member_run::operator=(member_run&& other14) noexcept {
+  Incarnation = other14.Incarnation;
+  Refutation = other14.Refutation;
+  State = other14.State;
+  __isset = other14.__isset;
+  return *this;
+}
+void member_run::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "member_run(";
+  out << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "Refutation=" << to_string(Refutation);
+  out << ", " << "State=" << to_string(State);
+  out << ")";
+}
+
+
 heartbeat::~heartbeat() noexcept {
 }
 
@@ -687,6 +834,7 @@
 
 void heartbeat::__set_Sender(const member& val) {
   this->Sender = val;
+__isset.Sender = true;
 }
 
 void heartbeat::__set_LedgerOffset(const int64_t val) {
@@ -708,6 +856,16 @@
 void heartbeat::__set_WantsMembers(const bool val) {
   this->WantsMembers = val;
 }
+
+void heartbeat::__set_MembersDigest(const int32_t val) {
+  this->MembersDigest = val;
+__isset.MembersDigest = true;
+}
+
+void heartbeat::__set_SenderRun(const member_run& val) {
+  this->SenderRun = val;
+__isset.SenderRun = true;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -764,14 +922,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Gossip.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->Gossip.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size15;
+            ::apache::thrift::protocol::TType _etype18;
+            xfer += iprot->readListBegin(_etype18, _size15);
+            this->Gossip.resize(_size15);
+            uint32_t _i19;
+            for (_i19 = 0; _i19 < _size15; ++_i19)
             {
-              xfer += this->Gossip[_i14].read(iprot);
+              xfer += this->Gossip[_i19].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -784,14 +942,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Loads.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _etype18;
-            xfer += iprot->readListBegin(_etype18, _size15);
-            this->Loads.resize(_size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->Loads.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->Loads[_i19].read(iprot);
+              xfer += this->Loads[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -816,6 +974,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->MembersDigest);
+          this->__isset.MembersDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->SenderRun.read(iprot);
+          this->__isset.SenderRun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -837,10 +1011,11 @@
   xfer += oprot->writeI64(this->Nonce);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Sender", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->Sender.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.Sender) {
+    xfer += oprot->writeFieldBegin("Sender", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->Sender.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("LedgerOffset", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->LedgerOffset);
   xfer += oprot->writeFieldEnd();
@@ -848,10 +1023,10 @@
   xfer += oprot->writeFieldBegin("Gossip", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Gossip.size()));
-    std::vector<member> ::const_iterator _iter20;
-    for (_iter20 = this->Gossip.begin(); _iter20 != this->Gossip.end(); ++_iter20)
+    std::vector<member> ::const_iterator _iter25;
+    for (_iter25 = this->Gossip.begin(); _iter25 != this->Gossip.end(); ++_iter25)
     {
-      xfer += (*_iter20).write(oprot);
+      xfer += (*_iter25).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -860,10 +1035,10 @@
   xfer += oprot->writeFieldBegin("Loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Loads.size()));
-    std::vector<pool_load> ::const_iterator _iter21;
-    for (_iter21 = this->Loads.begin(); _iter21 != this->Loads.end(); ++_iter21)
+    std::vector<pool_load> ::const_iterator _iter26;
+    for (_iter26 = this->Loads.begin(); _iter26 != this->Loads.end(); ++_iter26)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter26).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -877,6 +1052,16 @@
   xfer += oprot->writeBool(this->WantsMembers);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.MembersDigest) {
+    xfer += oprot->writeFieldBegin("MembersDigest", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->MembersDigest);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.SenderRun) {
+    xfer += oprot->writeFieldBegin("SenderRun", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->SenderRun.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -891,61 +1076,73 @@
   swap(a.Loads, b.Loads);
   swap(a.Retry, b.Retry);
   swap(a.WantsMembers, b.WantsMembers);
+  swap(a.MembersDigest, b.MembersDigest);
+  swap(a.SenderRun, b.SenderRun);
   swap(a.__isset, b.__isset);
 }
 
-heartbeat::heartbeat(const heartbeat& other22) {
-  Nonce = other22.Nonce;
-  Sender = other22.Sender;
-  LedgerOffset = other22.LedgerOffset;
-  Gossip = other22.Gossip;
-  Loads = other22.Loads;
-  Retry = other22.Retry;
-  WantsMembers = other22.WantsMembers;
-  __isset = other22.__isset;
-}
-heartbeat::heartbeat(heartbeat&& other23) noexcept {
-  Nonce = other23.Nonce;
-  Sender = std::move(other23.Sender);
-  LedgerOffset = other23.LedgerOffset;
-  Gossip = std::move(other23.Gossip);
-  Loads = std::move(other23.Loads);
-  Retry = other23.Retry;
-  WantsMembers = other23.WantsMembers;
-  __isset = other23.__isset;
-}
-heartbeat& heartbeat::operator=(const heartbeat& other24) {
-  Nonce = other24.Nonce;
-  Sender = other24.Sender;
-  LedgerOffset = other24.LedgerOffset;
-  Gossip = other24.Gossip;
-  Loads = other24.Loads;
-  Retry = other24.Retry;
-  WantsMembers = other24.WantsMembers;
-  __isset = other24.__isset;
+heartbeat::heartbeat(const heartbeat& other27) {
+  Nonce = other27.Nonce;
+  Sender = other27.Sender;
+  LedgerOffset = other27.LedgerOffset;
+  Gossip = other27.Gossip;
+  Loads = other27.Loads;
+  Retry = other27.Retry;
+  WantsMembers = other27.WantsMembers;
+  MembersDigest = other27.MembersDigest;
+  SenderRun = other27.SenderRun;
+  __isset = other27.__isset;
+}
+heartbeat::heartbeat(heartbeat&& other28) noexcept {
+  Nonce = other28.Nonce;
+  Sender = std::move(other28.Sender);
+  LedgerOffset = other28.LedgerOffset;
+  Gossip = std::move(other28.Gossip);
+  Loads = std::move(other28.Loads);
+  Retry = other28.Retry;
+  WantsMembers = other28.WantsMembers;
+  MembersDigest = other28.MembersDigest;
+  SenderRun = std::move(other28.SenderRun);
+  __isset = other28.__isset;
+}
+heartbeat& heartbeat::operator=(const heartbeat& other29) {
+  Nonce = other29.Nonce;
+  Sender = other29.Sender;
+  LedgerOffset = other29.LedgerOffset;
+  Gossip = other29.Gossip;
+  Loads = other29.Loads;
+  Retry = other29.Retry;
+  WantsMembers = other29.WantsMembers;
+  MembersDigest = other29.MembersDigest;
+  SenderRun = other29.SenderRun;
+  __isset = other29.__isset;
   return *this;
 }
-heartbeat& heartbeat::operator=(heartbeat&& other25) noexcept {
-  Nonce = other25.Nonce;
-  Sender = std::move(other25.Sender);
-  LedgerOffset = other25.LedgerOffset;
-  Gossip = std::move(other25.Gossip);
-  Loads = std::move(other25.Loads);
-  Retry = other25.Retry;
-  WantsMembers = other25.WantsMembers;
-  __isset = other25.__isset;
+heartbeat& heartbeat::operator=(heartbeat&& other30) noexcept {
+  Nonce = other30.Nonce;
+  Sender = std::move(other30.Sender);
+  LedgerOffset = other30.LedgerOffset;
+  Gossip = std::move(other30.Gossip);
+  Loads = std::move(other30.Loads);
+  Retry = other30.Retry;
+  WantsMembers = other30.WantsMembers;
+  MembersDigest = other30.MembersDigest;
+  SenderRun = std::move(other30.SenderRun);
+  __isset = other30.__isset;
   return *this;
 }
 void heartbeat::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "heartbeat(";
   out << "Nonce=" << to_string(Nonce);
-  out << ", " << "Sender=" << to_string(Sender);
+  out << ", " << "Sender="; (__isset.Sender ? (out << to_string(Sender)) : (out << "<null>"));
   out << ", " << "LedgerOffset=" << to_string(LedgerOffset);
   out << ", " << "Gossip=" << to_string(Gossip);
   out << ", " << "Loads=" << to_string(Loads);
   out << ", " << "Retry=" << to_string(Retry);
   out << ", " << "WantsMembers=" << to_string(WantsMembers);
+  out << ", " << "MembersDigest="; (__isset.MembersDigest ? (out << to_string(MembersDigest)) : (out << "<null>"));
+  out << ", " << "SenderRun="; (__isset.SenderRun ? (out << to_string(SenderRun)) : (out << "<null>"));
   out << ")";
 }
 
@@ -960,6 +1157,7 @@
 
 void heartbeat_ack::__set_Sender(const member& val) {
   this->Sender = val;
+__isset.Sender = true;
 }
 
 void heartbeat_ack::__set_LedgerOffset(const int64_t val) {
@@ -982,6 +1180,16 @@
   this->LogAgeMicros = val;
 __isset.LogAgeMicros = true;
 }
+
+void heartbeat_ack::__set_MembersDigest(const int32_t val) {
+  this->MembersDigest = val;
+__isset.MembersDigest = true;
+}
+
+void heartbeat_ack::__set_SenderRun(const member_run& val) {
+  this->SenderRun = val;
+__isset.SenderRun = true;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat_ack& obj)
 {
   obj.printTo(out);
@@ -1038,14 +1246,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Gossip.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->Gossip.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->Gossip.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->Gossip[_i30].read(iprot);
+              xfer += this->Gossip[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1058,14 +1266,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Loads.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->Loads.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->Loads.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->Loads[_i35].read(iprot);
+              xfer += this->Loads[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1090,6 +1298,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->MembersDigest);
+          this->__isset.MembersDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->SenderRun.read(iprot);
+          this->__isset.SenderRun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1111,10 +1335,11 @@
   xfer += oprot->writeI64(this->Nonce);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Sender", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->Sender.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.Sender) {
+    xfer += oprot->writeFieldBegin("Sender", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->Sender.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("LedgerOffset", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->LedgerOffset);
   xfer += oprot->writeFieldEnd();
@@ -1122,10 +1347,10 @@
   xfer += oprot->writeFieldBegin("Gossip", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Gossip.size()));
-    std::vector<member> ::const_iterator _iter36;
-    for (_iter36 = this->Gossip.begin(); _iter36 != this->Gossip.end(); ++_iter36)
+    std::vector<member> ::const_iterator _iter41;
+    for (_iter41 = this->Gossip.begin(); _iter41 != this->Gossip.end(); ++_iter41)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1134,10 +1359,10 @@
   xfer += oprot->writeFieldBegin("Loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Loads.size()));
-    std::vector<pool_load> ::const_iterator _iter37;
-    for (_iter37 = this->Loads.begin(); _iter37 != this->Loads.end(); ++_iter37)
+    std::vector<pool_load> ::const_iterator _iter42;
+    for (_iter42 = this->Loads.begin(); _iter42 != this->Loads.end(); ++_iter42)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter42).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1152,6 +1377,16 @@
     xfer += oprot->writeI64(this->LogAgeMicros);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.MembersDigest) {
+    xfer += oprot->writeFieldBegin("MembersDigest", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->MembersDigest);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.SenderRun) {
+    xfer += oprot->writeFieldBegin("SenderRun", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->SenderRun.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1166,61 +1401,73 @@
   swap(a.Loads, b.Loads);
   swap(a.OnBehalfOf, b.OnBehalfOf);
   swap(a.LogAgeMicros, b.LogAgeMicros);
+  swap(a.MembersDigest, b.MembersDigest);
+  swap(a.SenderRun, b.SenderRun);
   swap(a.__isset, b.__isset);
 }
 
-heartbeat_ack::heartbeat_ack(const heartbeat_ack& other38) {
-  Nonce = other38.Nonce;
-  Sender = other38.Sender;
-  LedgerOffset = other38.LedgerOffset;
-  Gossip = other38.Gossip;
-  Loads = other38.Loads;
-  OnBehalfOf = other38.OnBehalfOf;
-  LogAgeMicros = other38.LogAgeMicros;
-  __isset = other38.__isset;
-}
-heartbeat_ack::heartbeat_ack(heartbeat_ack&& other39) noexcept {
-  Nonce = other39.Nonce;
-  Sender = std::move(other39.Sender);
-  LedgerOffset = other39.LedgerOffset;
-  Gossip = std::move(other39.Gossip);
-  Loads = std::move(other39.Loads);
-  OnBehalfOf = std::move(other39.OnBehalfOf);
-  LogAgeMicros = other39.LogAgeMicros;
-  __isset = other39.__isset;
-}
-heartbeat_ack& heartbeat_ack::operator=(const heartbeat_ack& other40) {
-  Nonce = other40.Nonce;
-  Sender = other40.Sender;
-  LedgerOffset = other40.LedgerOffset;
-  Gossip = other40.Gossip;
-  Loads = other40.Loads;
-  OnBehalfOf = other40.OnBehalfOf;
-  LogAgeMicros = other40.LogAgeMicros;
-  __isset = other40.__isset;
+heartbeat_ack::heartbeat_ack(const heartbeat_ack& other43) {
+  Nonce = other43.Nonce;
+  Sender = other43.Sender;
+  LedgerOffset = other43.LedgerOffset;
+  Gossip = other43.Gossip;
+  Loads = other43.Loads;
+  OnBehalfOf = other43.OnBehalfOf;
+  LogAgeMicros = other43.LogAgeMicros;
+  MembersDigest = other43.MembersDigest;
+  SenderRun = other43.SenderRun;
+  __isset = other43.__isset;
+}
+heartbeat_ack::heartbeat_ack(heartbeat_ack&& other44) noexcept {
+  Nonce = other44.Nonce;
+  Sender = std::move(other44.Sender);
+  LedgerOffset = other44.LedgerOffset;
+  Gossip = std::move(other44.Gossip);
+  Loads = std::move(other44.Loads);
+  OnBehalfOf = std::move(other44.OnBehalfOf);
+  LogAgeMicros = other44.LogAgeMicros;
+  MembersDigest = other44.MembersDigest;
+  SenderRun = std::move(other44.SenderRun);
+  __isset = other44.__isset;
+}
+heartbeat_ack& heartbeat_ack::operator=(const heartbeat_ack& other45) {
+  Nonce = other45.Nonce;
+  Sender = other45.Sender;
+  LedgerOffset = other45.LedgerOffset;
+  Gossip = other45.Gossip;
+  Loads = other45.Loads;
+  OnBehalfOf = other45.OnBehalfOf;
+  LogAgeMicros = other45.LogAgeMicros;
+  MembersDigest = other45.MembersDigest;
+  SenderRun = other45.SenderRun;
+  __isset = other45.__isset;
   return *this;
 }
-heartbeat_ack& heartbeat_ack::operator=(heartbeat_ack&& other41) noexcept {
-  Nonce = other41.Nonce;
-  Sender = std::move(other41.Sender);
-  LedgerOffset = other41.LedgerOffset;
-  Gossip = std::move(other41.Gossip);
-  Loads = std::move(other41.Loads);
-  OnBehalfOf = std::move(other41.OnBehalfOf);
-  LogAgeMicros = other41.LogAgeMicros;
-  __isset = other41.__isset;
+heartbeat_ack& heartbeat_ack::operator=(heartbeat_ack&& other46) noexcept {
+  Nonce = other46.Nonce;
+  Sender = std::move(other46.Sender);
+  LedgerOffset = other46.LedgerOffset;
+  Gossip = std::move(other46.Gossip);
+  Loads = std::move(other46.Loads);
+  OnBehalfOf = std::move(other46.OnBehalfOf);
+  LogAgeMicros = other46.LogAgeMicros;
+  MembersDigest = other46.MembersDigest;
+  SenderRun = std::move(other46.SenderRun);
+  __isset = other46.__isset;
   return *this;
 }
 void heartbeat_ack::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "heartbeat_ack(";
   out << "Nonce=" << to_string(Nonce);
-  out << ", " << "Sender=" << to_string(Sender);
+  out << ", " << "Sender="; (__isset.Sender ? (out << to_string(Sender)) : (out << "<null>"));
   out << ", " << "LedgerOffset=" << to_string(LedgerOffset);
   out << ", " << "Gossip=" << to_string(Gossip);
   out << ", " << "Loads=" << to_string(Loads);
   out << ", " << "OnBehalfOf=" << to_string(OnBehalfOf);
   out << ", " << "LogAgeMicros="; (__isset.LogAgeMicros ? (out << to_string(LogAgeMicros)) : (out << "<null>"));
+  out << ", " << "MembersDigest="; (__isset.MembersDigest ? (out << to_string(MembersDigest)) : (out << "<null>"));
+  out << ", " << "SenderRun="; (__isset.SenderRun ? (out << to_string(SenderRun)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1334,30 +1581,30 @@
   swap(a.__isset, b.__isset);
 }
 
-probe_request::probe_request(const probe_request& other42) {
-  Nonce = other42.Nonce;
-  Sender = other42.Sender;
-  Target = other42.Target;
-  __isset = other42.__isset;
+probe_request::probe_request(const probe_request& other47) {
+  Nonce = other47.Nonce;
+  Sender = other47.Sender;
+  Target = other47.Target;
+  __isset = other47.__isset;
 }
-probe_request::probe_request(probe_request&& other43) noexcept {
-  Nonce = other43.Nonce;
-  Sender = std::move(other43.Sender);
-  Target = std::move(other43.Target);
-  __isset = other43.__isset;
+probe_request::probe_request(probe_request&& other48) noexcept {
+  Nonce = other48.Nonce;
+  Sender = std::move(other48.Sender);
+  Target = std::move(other48.Target);
+  __isset = other48.__isset;
 }
-probe_request& probe_request::operator=(const probe_request& other44) {
-  Nonce = other44.Nonce;
-  Sender = other44.Sender;
-  Target = other44.Target;
-  __isset = other44.__isset;
+probe_request& probe_request::operator=(const probe_request& other49) {
+  Nonce = other49.Nonce;
+  Sender = other49.Sender;
+  Target = other49.Target;
+  __isset = other49.__isset;
   return *this;
 }
-probe_request& probe_request::operator=(probe_request&& other45) noexcept {
-  Nonce = other45.Nonce;
-  Sender = std::move(other45.Sender);
-  Target = std::move(other45.Target);
-  __isset = other45.__isset;
+probe_request& probe_request::operator=(probe_request&& other50) noexcept {
+  Nonce = other50.Nonce;
+  Sender = std::move(other50.Sender);
+  Target = std::move(other50.Target);
+  __isset = other50.__isset;
   return *this;
 }
 void probe_request::printTo(std::ostream& out) const {
@@ -1462,26 +1709,26 @@
   swap(a.__isset, b.__isset);
 }
 
-stored_record::stored_record(const stored_record& other46) {
-  Offset = other46.Offset;
-  Bytes = other46.Bytes;
-  __isset = other46.__isset;
+stored_record::stored_record(const stored_record& other51) {
+  Offset = other51.Offset;
+  Bytes = other51.Bytes;
+  __isset = other51.__isset;
 }
-stored_record::stored_record(stored_record&& other47) noexcept {
-  Offset = other47.Offset;
-  Bytes = std::move(other47.Bytes);
-  __isset = other47.__isset;
+stored_record::stored_record(stored_record&& other52) noexcept {
+  Offset = other52.Offset;
+  Bytes = std::move(other52.Bytes);
+  __isset = other52.__isset;
 }
-stored_record& stored_record::operator=(const stored_record& other48) {
-  Offset = other48.Offset;
-  Bytes = other48.Bytes;
-  __isset = other48.__isset;
+stored_record& stored_record::operator=(const stored_record& other53) {
+  Offset = other53.Offset;
+  Bytes = other53.Bytes;
+  __isset = other53.__isset;
   return *this;
 }
-stored_record& stored_record::operator=(stored_record&& other49) noexcept {
-  Offset = other49.Offset;
-  Bytes = std::move(other49.Bytes);
-  __isset = other49.__isset;
+stored_record& stored_record::operator=(stored_record&& other54) noexcept {
+  Offset = other54.Offset;
+  Bytes = std::move(other54.Bytes);
+  __isset = other54.__isset;
   return *this;
 }
 void stored_record::printTo(std::ostream& out) const {
@@ -1585,26 +1832,26 @@
   swap(a.__isset, b.__isset);
 }
 
-state_pull::state_pull(const state_pull& other50) {
-  Stream = other50.Stream;
-  FromOffset = other50.FromOffset;
-  __isset = other50.__isset;
+state_pull::state_pull(const state_pull& other55) {
+  Stream = other55.Stream;
+  FromOffset = other55.FromOffset;
+  __isset = other55.__isset;
 }
-state_pull::state_pull(state_pull&& other51) noexcept {
-  Stream = std::move(other51.Stream);
-  FromOffset = other51.FromOffset;
-  __isset = other51.__isset;
+state_pull::state_pull(state_pull&& other56) noexcept {
+  Stream = std::move(other56.Stream);
+  FromOffset = other56.FromOffset;
+  __isset = other56.__isset;
 }
-state_pull& state_pull::operator=(const state_pull& other52) {
-  Stream = other52.Stream;
-  FromOffset = other52.FromOffset;
-  __isset = other52.__isset;
+state_pull& state_pull::operator=(const state_pull& other57) {
+  Stream = other57.Stream;
+  FromOffset = other57.FromOffset;
+  __isset = other57.__isset;
   return *this;
 }
-state_pull& state_pull::operator=(state_pull&& other53) noexcept {
-  Stream = std::move(other53.Stream);
-  FromOffset = other53.FromOffset;
-  __isset = other53.__isset;
+state_pull& state_pull::operator=(state_pull&& other58) noexcept {
+  Stream = std::move(other58.Stream);
+  FromOffset = other58.FromOffset;
+  __isset = other58.__isset;
   return *this;
 }
 void state_pull::printTo(std::ostream& out) const {
@@ -1676,14 +1923,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Records.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->Records.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->Records.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->Records[_i58].read(iprot);
+              xfer += this->Records[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1732,10 +1979,10 @@
   xfer += oprot->writeFieldBegin("Records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Records.size()));
-    std::vector<stored_record> ::const_iterator _iter59;
-    for (_iter59 = this->Records.begin(); _iter59 != this->Records.end(); ++_iter59)
+    std::vector<stored_record> ::const_iterator _iter64;
+    for (_iter64 = this->Records.begin(); _iter64 != this->Records.end(); ++_iter64)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1764,34 +2011,34 @@
   swap(a.__isset, b.__isset);
 }
 
-state_push::state_push(const state_push& other60) {
-  Stream = other60.Stream;
-  Records = other60.Records;
-  Snapshot = other60.Snapshot;
-  HighestOffset = other60.HighestOffset;
-  __isset = other60.__isset;
-}
-state_push::state_push(state_push&& other61) noexcept {
-  Stream = std::move(other61.Stream);
-  Records = std::move(other61.Records);
-  Snapshot = std::move(other61.Snapshot);
-  HighestOffset = other61.HighestOffset;
-  __isset = other61.__isset;
-}
-state_push& state_push::operator=(const state_push& other62) {
-  Stream = other62.Stream;
-  Records = other62.Records;
-  Snapshot = other62.Snapshot;
-  HighestOffset = other62.HighestOffset;
-  __isset = other62.__isset;
+state_push::state_push(const state_push& other65) {
+  Stream = other65.Stream;
+  Records = other65.Records;
+  Snapshot = other65.Snapshot;
+  HighestOffset = other65.HighestOffset;
+  __isset = other65.__isset;
+}
+state_push::state_push(state_push&& other66) noexcept {
+  Stream = std::move(other66.Stream);
+  Records = std::move(other66.Records);
+  Snapshot = std::move(other66.Snapshot);
+  HighestOffset = other66.HighestOffset;
+  __isset = other66.__isset;
+}
+state_push& state_push::operator=(const state_push& other67) {
+  Stream = other67.Stream;
+  Records = other67.Records;
+  Snapshot = other67.Snapshot;
+  HighestOffset = other67.HighestOffset;
+  __isset = other67.__isset;
   return *this;
 }
-state_push& state_push::operator=(state_push&& other63) noexcept {
-  Stream = std::move(other63.Stream);
-  Records = std::move(other63.Records);
-  Snapshot = std::move(other63.Snapshot);
-  HighestOffset = other63.HighestOffset;
-  __isset = other63.__isset;
+state_push& state_push::operator=(state_push&& other68) noexcept {
+  Stream = std::move(other68.Stream);
+  Records = std::move(other68.Records);
+  Snapshot = std::move(other68.Snapshot);
+  HighestOffset = other68.HighestOffset;
+  __isset = other68.__isset;
   return *this;
 }
 void state_push::printTo(std::ostream& out) const {
@@ -1897,26 +2144,26 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_key::claim_key(const claim_key& other64) {
-  Organisation = other64.Organisation;
-  KeyHash = other64.KeyHash;
-  __isset = other64.__isset;
+claim_key::claim_key(const claim_key& other69) {
+  Organisation = other69.Organisation;
+  KeyHash = other69.KeyHash;
+  __isset = other69.__isset;
 }
-claim_key::claim_key(claim_key&& other65) noexcept {
-  Organisation = std::move(other65.Organisation);
-  KeyHash = std::move(other65.KeyHash);
-  __isset = other65.__isset;
+claim_key::claim_key(claim_key&& other70) noexcept {
+  Organisation = std::move(other70.Organisation);
+  KeyHash = std::move(other70.KeyHash);
+  __isset = other70.__isset;
 }
-claim_key& claim_key::operator=(const claim_key& other66) {
-  Organisation = other66.Organisation;
-  KeyHash = other66.KeyHash;
-  __isset = other66.__isset;
+claim_key& claim_key::operator=(const claim_key& other71) {
+  Organisation = other71.Organisation;
+  KeyHash = other71.KeyHash;
+  __isset = other71.__isset;
   return *this;
 }
-claim_key& claim_key::operator=(claim_key&& other67) noexcept {
-  Organisation = std::move(other67.Organisation);
-  KeyHash = std::move(other67.KeyHash);
-  __isset = other67.__isset;
+claim_key& claim_key::operator=(claim_key&& other72) noexcept {
+  Organisation = std::move(other72.Organisation);
+  KeyHash = std::move(other72.KeyHash);
+  __isset = other72.__isset;
   return *this;
 }
 void claim_key::printTo(std::ostream& out) const {
@@ -2020,26 +2267,26 @@
   swap(a.__isset, b.__isset);
 }
 
-attempt_id::attempt_id(const attempt_id& other68) noexcept {
-  Incarnation = other68.Incarnation;
-  Sequence = other68.Sequence;
-  __isset = other68.__isset;
+attempt_id::attempt_id(const attempt_id& other73) noexcept {
+  Incarnation = other73.Incarnation;
+  Sequence = other73.Sequence;
+  __isset = other73.__isset;
 }
-attempt_id::attempt_id(attempt_id&& other69) noexcept {
-  Incarnation = other69.Incarnation;
-  Sequence = other69.Sequence;
-  __isset = other69.__isset;
+attempt_id::attempt_id(attempt_id&& other74) noexcept {
+  Incarnation = other74.Incarnation;
+  Sequence = other74.Sequence;
+  __isset = other74.__isset;
 }
-attempt_id& attempt_id::operator=(const attempt_id& other70) noexcept {
-  Incarnation = other70.Incarnation;
-  Sequence = other70.Sequence;
-  __isset = other70.__isset;
+attempt_id& attempt_id::operator=(const attempt_id& other75) noexcept {
+  Incarnation = other75.Incarnation;
+  Sequence = other75.Sequence;
+  __isset = other75.__isset;
   return *this;
 }
-attempt_id& attempt_id::operator=(attempt_id&& other71) noexcept {
-  Incarnation = other71.Incarnation;
-  Sequence = other71.Sequence;
-  __isset = other71.__isset;
+attempt_id& attempt_id::operator=(attempt_id&& other76) noexcept {
+  Incarnation = other76.Incarnation;
+  Sequence = other76.Sequence;
+  __isset = other76.__isset;
   return *this;
 }
 void attempt_id::printTo(std::ostream& out) const {
@@ -2177,34 +2424,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_ask::claim_ask(const claim_ask& other72) {
-  Key = other72.Key;
-  Attempt = other72.Attempt;
-  BodyHash = other72.BodyHash;
-  KeyMicros = other72.KeyMicros;
-  __isset = other72.__isset;
+claim_ask::claim_ask(const claim_ask& other77) {
+  Key = other77.Key;
+  Attempt = other77.Attempt;
+  BodyHash = other77.BodyHash;
+  KeyMicros = other77.KeyMicros;
+  __isset = other77.__isset;
 }
-claim_ask::claim_ask(claim_ask&& other73) noexcept {
-  Key = std::move(other73.Key);
-  Attempt = std::move(other73.Attempt);
-  BodyHash = other73.BodyHash;
-  KeyMicros = other73.KeyMicros;
-  __isset = other73.__isset;
+claim_ask::claim_ask(claim_ask&& other78) noexcept {
+  Key = std::move(other78.Key);
+  Attempt = std::move(other78.Attempt);
+  BodyHash = other78.BodyHash;
+  KeyMicros = other78.KeyMicros;
+  __isset = other78.__isset;
 }
-claim_ask& claim_ask::operator=(const claim_ask& other74) {
-  Key = other74.Key;
-  Attempt = other74.Attempt;
-  BodyHash = other74.BodyHash;
-  KeyMicros = other74.KeyMicros;
-  __isset = other74.__isset;
+claim_ask& claim_ask::operator=(const claim_ask& other79) {
+  Key = other79.Key;
+  Attempt = other79.Attempt;
+  BodyHash = other79.BodyHash;
+  KeyMicros = other79.KeyMicros;
+  __isset = other79.__isset;
   return *this;
 }
-claim_ask& claim_ask::operator=(claim_ask&& other75) noexcept {
-  Key = std::move(other75.Key);
-  Attempt = std::move(other75.Attempt);
-  BodyHash = other75.BodyHash;
-  KeyMicros = other75.KeyMicros;
-  __isset = other75.__isset;
+claim_ask& claim_ask::operator=(claim_ask&& other80) noexcept {
+  Key = std::move(other80.Key);
+  Attempt = std::move(other80.Attempt);
+  BodyHash = other80.BodyHash;
+  KeyMicros = other80.KeyMicros;
+  __isset = other80.__isset;
   return *this;
 }
 void claim_ask::printTo(std::ostream& out) const {
@@ -2344,34 +2591,34 @@
   swap(a.__isset, b.__isset);
 }
 
-recorded_answer::recorded_answer(const recorded_answer& other76) {
-  Status = other76.Status;
-  ContentType = other76.ContentType;
-  Body = other76.Body;
-  BodyKept = other76.BodyKept;
-  __isset = other76.__isset;
+recorded_answer::recorded_answer(const recorded_answer& other81) {
+  Status = other81.Status;
+  ContentType = other81.ContentType;
+  Body = other81.Body;
+  BodyKept = other81.BodyKept;
+  __isset = other81.__isset;
 }
-recorded_answer::recorded_answer(recorded_answer&& other77) noexcept {
-  Status = other77.Status;
-  ContentType = std::move(other77.ContentType);
-  Body = std::move(other77.Body);
-  BodyKept = other77.BodyKept;
-  __isset = other77.__isset;
+recorded_answer::recorded_answer(recorded_answer&& other82) noexcept {
+  Status = other82.Status;
+  ContentType = std::move(other82.ContentType);
+  Body = std::move(other82.Body);
+  BodyKept = other82.BodyKept;
+  __isset = other82.__isset;
 }
-recorded_answer& recorded_answer::operator=(const recorded_answer& other78) {
-  Status = other78.Status;
-  ContentType = other78.ContentType;
-  Body = other78.Body;
-  BodyKept = other78.BodyKept;
-  __isset = other78.__isset;
+recorded_answer& recorded_answer::operator=(const recorded_answer& other83) {
+  Status = other83.Status;
+  ContentType = other83.ContentType;
+  Body = other83.Body;
+  BodyKept = other83.BodyKept;
+  __isset = other83.__isset;
   return *this;
 }
-recorded_answer& recorded_answer::operator=(recorded_answer&& other79) noexcept {
-  Status = other79.Status;
-  ContentType = std::move(other79.ContentType);
-  Body = std::move(other79.Body);
-  BodyKept = other79.BodyKept;
-  __isset = other79.__isset;
+recorded_answer& recorded_answer::operator=(recorded_answer&& other84) noexcept {
+  Status = other84.Status;
+  ContentType = std::move(other84.ContentType);
+  Body = std::move(other84.Body);
+  BodyKept = other84.BodyKept;
+  __isset = other84.__isset;
   return *this;
 }
 void recorded_answer::printTo(std::ostream& out) const {
@@ -2443,9 +2690,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast80;
-          xfer += iprot->readI32(ecast80);
-          this->Verdict = static_cast<claim_verdict::type>(ecast80);
+          int32_t ecast85;
+          xfer += iprot->readI32(ecast85);
+          this->Verdict = static_cast<claim_verdict::type>(ecast85);
           this->__isset.Verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2515,34 +2762,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_answer::claim_answer(const claim_answer& other81) {
-  Attempt = other81.Attempt;
-  Verdict = other81.Verdict;
-  Answer = other81.Answer;
-  RetryAfterMicros = other81.RetryAfterMicros;
-  __isset = other81.__isset;
+claim_answer::claim_answer(const claim_answer& other86) {
+  Attempt = other86.Attempt;
+  Verdict = other86.Verdict;
+  Answer = other86.Answer;
+  RetryAfterMicros = other86.RetryAfterMicros;
+  __isset = other86.__isset;
 }
-claim_answer::claim_answer(claim_answer&& other82) noexcept {
-  Attempt = std::move(other82.Attempt);
-  Verdict = other82.Verdict;
-  Answer = std::move(other82.Answer);
-  RetryAfterMicros = other82.RetryAfterMicros;
-  __isset = other82.__isset;
+claim_answer::claim_answer(claim_answer&& other87) noexcept {
+  Attempt = std::move(other87.Attempt);
+  Verdict = other87.Verdict;
+  Answer = std::move(other87.Answer);
+  RetryAfterMicros = other87.RetryAfterMicros;
+  __isset = other87.__isset;
 }
-claim_answer& claim_answer::operator=(const claim_answer& other83) {
-  Attempt = other83.Attempt;
-  Verdict = other83.Verdict;
-  Answer = other83.Answer;
-  RetryAfterMicros = other83.RetryAfterMicros;
-  __isset = other83.__isset;
+claim_answer& claim_answer::operator=(const claim_answer& other88) {
+  Attempt = other88.Attempt;
+  Verdict = other88.Verdict;
+  Answer = other88.Answer;
+  RetryAfterMicros = other88.RetryAfterMicros;
+  __isset = other88.__isset;
   return *this;
 }
-claim_answer& claim_answer::operator=(claim_answer&& other84) noexcept {
-  Attempt = std::move(other84.Attempt);
-  Verdict = other84.Verdict;
-  Answer = std::move(other84.Answer);
-  RetryAfterMicros = other84.RetryAfterMicros;
-  __isset = other84.__isset;
+claim_answer& claim_answer::operator=(claim_answer&& other89) noexcept {
+  Attempt = std::move(other89.Attempt);
+  Verdict = other89.Verdict;
+  Answer = std::move(other89.Answer);
+  RetryAfterMicros = other89.RetryAfterMicros;
+  __isset = other89.__isset;
   return *this;
 }
 void claim_answer::printTo(std::ostream& out) const {
@@ -2622,9 +2869,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast85;
-          xfer += iprot->readI32(ecast85);
-          this->Outcome = static_cast<run_outcome::type>(ecast85);
+          int32_t ecast90;
+          xfer += iprot->readI32(ecast90);
+          this->Outcome = static_cast<run_outcome::type>(ecast90);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2686,34 +2933,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_settle::claim_settle(const claim_settle& other86) {
-  Key = other86.Key;
-  Attempt = other86.Attempt;
-  Outcome = other86.Outcome;
-  Answer = other86.Answer;
-  __isset = other86.__isset;
+claim_settle::claim_settle(const claim_settle& other91) {
+  Key = other91.Key;
+  Attempt = other91.Attempt;
+  Outcome = other91.Outcome;
+  Answer = other91.Answer;
+  __isset = other91.__isset;
 }
-claim_settle::claim_settle(claim_settle&& other87) noexcept {
-  Key = std::move(other87.Key);
-  Attempt = std::move(other87.Attempt);
-  Outcome = other87.Outcome;
-  Answer = std::move(other87.Answer);
-  __isset = other87.__isset;
+claim_settle::claim_settle(claim_settle&& other92) noexcept {
+  Key = std::move(other92.Key);
+  Attempt = std::move(other92.Attempt);
+  Outcome = other92.Outcome;
+  Answer = std::move(other92.Answer);
+  __isset = other92.__isset;
 }
-claim_settle& claim_settle::operator=(const claim_settle& other88) {
-  Key = other88.Key;
-  Attempt = other88.Attempt;
-  Outcome = other88.Outcome;
-  Answer = other88.Answer;
-  __isset = other88.__isset;
+claim_settle& claim_settle::operator=(const claim_settle& other93) {
+  Key = other93.Key;
+  Attempt = other93.Attempt;
+  Outcome = other93.Outcome;
+  Answer = other93.Answer;
+  __isset = other93.__isset;
   return *this;
 }
-claim_settle& claim_settle::operator=(claim_settle&& other89) noexcept {
-  Key = std::move(other89.Key);
-  Attempt = std::move(other89.Attempt);
-  Outcome = other89.Outcome;
-  Answer = std::move(other89.Answer);
-  __isset = other89.__isset;
+claim_settle& claim_settle::operator=(claim_settle&& other94) noexcept {
+  Key = std::move(other94.Key);
+  Attempt = std::move(other94.Attempt);
+  Outcome = other94.Outcome;
+  Answer = std::move(other94.Answer);
+  __isset = other94.__isset;
   return *this;
 }
 void claim_settle::printTo(std::ostream& out) const {
@@ -2802,22 +3049,22 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_settled::claim_settled(const claim_settled& other90) noexcept {
-  Attempt = other90.Attempt;
-  __isset = other90.__isset;
+claim_settled::claim_settled(const claim_settled& other95) noexcept {
+  Attempt = other95.Attempt;
+  __isset = other95.__isset;
 }
-claim_settled::claim_settled(claim_settled&& other91) noexcept {
-  Attempt = std::move(other91.Attempt);
-  __isset = other91.__isset;
+claim_settled::claim_settled(claim_settled&& other96) noexcept {
+  Attempt = std::move(other96.Attempt);
+  __isset = other96.__isset;
 }
-claim_settled& claim_settled::operator=(const claim_settled& other92) noexcept {
-  Attempt = other92.Attempt;
-  __isset = other92.__isset;
+claim_settled& claim_settled::operator=(const claim_settled& other97) noexcept {
+  Attempt = other97.Attempt;
+  __isset = other97.__isset;
   return *this;
 }
-claim_settled& claim_settled::operator=(claim_settled&& other93) noexcept {
-  Attempt = std::move(other93.Attempt);
-  __isset = other93.__isset;
+claim_settled& claim_settled::operator=(claim_settled&& other98) noexcept {
+  Attempt = std::move(other98.Attempt);
+  __isset = other98.__isset;
   return *this;
 }
 void claim_settled::printTo(std::ostream& out) const {
@@ -2971,38 +3218,38 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_increment::usage_increment(const usage_increment& other94) {
-  Organisation = other94.Organisation;
-  ServiceClass = other94.ServiceClass;
-  Requests = other94.Requests;
-  PromptTokens = other94.PromptTokens;
-  OutputTokens = other94.OutputTokens;
-  __isset = other94.__isset;
-}
-usage_increment::usage_increment(usage_increment&& other95) noexcept {
-  Organisation = std::move(other95.Organisation);
-  ServiceClass = std::move(other95.ServiceClass);
-  Requests = other95.Requests;
-  PromptTokens = other95.PromptTokens;
-  OutputTokens = other95.OutputTokens;
-  __isset = other95.__isset;
-}
-usage_increment& usage_increment::operator=(const usage_increment& other96) {
-  Organisation = other96.Organisation;
-  ServiceClass = other96.ServiceClass;
-  Requests = other96.Requests;
-  PromptTokens = other96.PromptTokens;
-  OutputTokens = other96.OutputTokens;
-  __isset = other96.__isset;
+usage_increment::usage_increment(const usage_increment& other99) {
+  Organisation = other99.Organisation;
+  ServiceClass = other99.ServiceClass;
+  Requests = other99.Requests;
+  PromptTokens = other99.PromptTokens;
+  OutputTokens = other99.OutputTokens;
+  __isset = other99.__isset;
+}
+usage_increment::usage_increment(usage_increment&& other100) noexcept {
+  Organisation = std::move(other100.Organisation);
+  ServiceClass = std::move(other100.ServiceClass);
+  Requests = other100.Requests;
+  PromptTokens = other100.PromptTokens;
+  OutputTokens = other100.OutputTokens;
+  __isset = other100.__isset;
+}
+usage_increment& usage_increment::operator=(const usage_increment& other101) {
+  Organisation = other101.Organisation;
+  ServiceClass = other101.ServiceClass;
+  Requests = other101.Requests;
+  PromptTokens = other101.PromptTokens;
+  OutputTokens = other101.OutputTokens;
+  __isset = other101.__isset;
   return *this;
 }
-usage_increment& usage_increment::operator=(usage_increment&& other97) noexcept {
-  Organisation = std::move(other97.Organisation);
-  ServiceClass = std::move(other97.ServiceClass);
-  Requests = other97.Requests;
-  PromptTokens = other97.PromptTokens;
-  OutputTokens = other97.OutputTokens;
-  __isset = other97.__isset;
+usage_increment& usage_increment::operator=(usage_increment&& other102) noexcept {
+  Organisation = std::move(other102.Organisation);
+  ServiceClass = std::move(other102.ServiceClass);
+  Requests = other102.Requests;
+  PromptTokens = other102.PromptTokens;
+  OutputTokens = other102.OutputTokens;
+  __isset = other102.__isset;
   return *this;
 }
 void usage_increment::printTo(std::ostream& out) const {
@@ -3080,14 +3327,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Increments.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->Increments.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->Increments.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += this->Increments[_i102].read(iprot);
+              xfer += this->Increments[_i107].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3124,10 +3371,10 @@
   xfer += oprot->writeFieldBegin("Increments", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Increments.size()));
-    std::vector<usage_increment> ::const_iterator _iter103;
-    for (_iter103 = this->Increments.begin(); _iter103 != this->Increments.end(); ++_iter103)
+    std::vector<usage_increment> ::const_iterator _iter108;
+    for (_iter108 = this->Increments.begin(); _iter108 != this->Increments.end(); ++_iter108)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter108).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3146,30 +3393,30 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_batch::usage_batch(const usage_batch& other104) {
-  Incarnation = other104.Incarnation;
-  Sequence = other104.Sequence;
-  Increments = other104.Increments;
-  __isset = other104.__isset;
+usage_batch::usage_batch(const usage_batch& other109) {
+  Incarnation = other109.Incarnation;
+  Sequence = other109.Sequence;
+  Increments = other109.Increments;
+  __isset = other109.__isset;
 }
-usage_batch::usage_batch(usage_batch&& other105) noexcept {
-  Incarnation = other105.Incarnation;
-  Sequence = other105.Sequence;
-  Increments = std::move(other105.Increments);
-  __isset = other105.__isset;
+usage_batch::usage_batch(usage_batch&& other110) noexcept {
+  Incarnation = other110.Incarnation;
+  Sequence = other110.Sequence;
+  Increments = std::move(other110.Increments);
+  __isset = other110.__isset;
 }
-usage_batch& usage_batch::operator=(const usage_batch& other106) {
-  Incarnation = other106.Incarnation;
-  Sequence = other106.Sequence;
-  Increments = other106.Increments;
-  __isset = other106.__isset;
+usage_batch& usage_batch::operator=(const usage_batch& other111) {
+  Incarnation = other111.Incarnation;
+  Sequence = other111.Sequence;
+  Increments = other111.Increments;
+  __isset = other111.__isset;
   return *this;
 }
-usage_batch& usage_batch::operator=(usage_batch&& other107) noexcept {
-  Incarnation = other107.Incarnation;
-  Sequence = other107.Sequence;
-  Increments = std::move(other107.Increments);
-  __isset = other107.__isset;
+usage_batch& usage_batch::operator=(usage_batch&& other112) noexcept {
+  Incarnation = other112.Incarnation;
+  Sequence = other112.Sequence;
+  Increments = std::move(other112.Increments);
+  __isset = other112.__isset;
   return *this;
 }
 void usage_batch::printTo(std::ostream& out) const {
@@ -3257,22 +3504,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_offer::usage_offer(const usage_offer& other108) {
-  Batch = other108.Batch;
-  __isset = other108.__isset;
+usage_offer::usage_offer(const usage_offer& other113) {
+  Batch = other113.Batch;
+  __isset = other113.__isset;
 }
-usage_offer::usage_offer(usage_offer&& other109) noexcept {
-  Batch = std::move(other109.Batch);
-  __isset = other109.__isset;
+usage_offer::usage_offer(usage_offer&& other114) noexcept {
+  Batch = std::move(other114.Batch);
+  __isset = other114.__isset;
 }
-usage_offer& usage_offer::operator=(const usage_offer& other110) {
-  Batch = other110.Batch;
-  __isset = other110.__isset;
+usage_offer& usage_offer::operator=(const usage_offer& other115) {
+  Batch = other115.Batch;
+  __isset = other115.__isset;
   return *this;
 }
-usage_offer& usage_offer::operator=(usage_offer&& other111) noexcept {
-  Batch = std::move(other111.Batch);
-  __isset = other111.__isset;
+usage_offer& usage_offer::operator=(usage_offer&& other116) noexcept {
+  Batch = std::move(other116.Batch);
+  __isset = other116.__isset;
   return *this;
 }
 void usage_offer::printTo(std::ostream& out) const {
@@ -3375,26 +3622,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_accepted::usage_accepted(const usage_accepted& other112) noexcept {
-  Incarnation = other112.Incarnation;
-  Sequence = other112.Sequence;
-  __isset = other112.__isset;
+usage_accepted::usage_accepted(const usage_accepted& other117) noexcept {
+  Incarnation = other117.Incarnation;
+  Sequence = other117.Sequence;
+  __isset = other117.__isset;
 }
-usage_accepted::usage_accepted(usage_accepted&& other113) noexcept {
-  Incarnation = other113.Incarnation;
-  Sequence = other113.Sequence;
-  __isset = other113.__isset;
+usage_accepted::usage_accepted(usage_accepted&& other118) noexcept {
+  Incarnation = other118.Incarnation;
+  Sequence = other118.Sequence;
+  __isset = other118.__isset;
 }
-usage_accepted& usage_accepted::operator=(const usage_accepted& other114) noexcept {
-  Incarnation = other114.Incarnation;
-  Sequence = other114.Sequence;
-  __isset = other114.__isset;
+usage_accepted& usage_accepted::operator=(const usage_accepted& other119) noexcept {
+  Incarnation = other119.Incarnation;
+  Sequence = other119.Sequence;
+  __isset = other119.__isset;
   return *this;
 }
-usage_accepted& usage_accepted::operator=(usage_accepted&& other115) noexcept {
-  Incarnation = other115.Incarnation;
-  Sequence = other115.Sequence;
-  __isset = other115.__isset;
+usage_accepted& usage_accepted::operator=(usage_accepted&& other120) noexcept {
+  Incarnation = other120.Incarnation;
+  Sequence = other120.Sequence;
+  __isset = other120.__isset;
   return *this;
 }
 void usage_accepted::printTo(std::ostream& out) const {
@@ -3498,26 +3745,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_hold::usage_hold(const usage_hold& other116) {
-  Batch = other116.Batch;
-  Source = other116.Source;
-  __isset = other116.__isset;
+usage_hold::usage_hold(const usage_hold& other121) {
+  Batch = other121.Batch;
+  Source = other121.Source;
+  __isset = other121.__isset;
 }
-usage_hold::usage_hold(usage_hold&& other117) noexcept {
-  Batch = std::move(other117.Batch);
-  Source = std::move(other117.Source);
-  __isset = other117.__isset;
+usage_hold::usage_hold(usage_hold&& other122) noexcept {
+  Batch = std::move(other122.Batch);
+  Source = std::move(other122.Source);
+  __isset = other122.__isset;
 }
-usage_hold& usage_hold::operator=(const usage_hold& other118) {
-  Batch = other118.Batch;
-  Source = other118.Source;
-  __isset = other118.__isset;
+usage_hold& usage_hold::operator=(const usage_hold& other123) {
+  Batch = other123.Batch;
+  Source = other123.Source;
+  __isset = other123.__isset;
   return *this;
 }
-usage_hold& usage_hold::operator=(usage_hold&& other119) noexcept {
-  Batch = std::move(other119.Batch);
-  Source = std::move(other119.Source);
-  __isset = other119.__isset;
+usage_hold& usage_hold::operator=(usage_hold&& other124) noexcept {
+  Batch = std::move(other124.Batch);
+  Source = std::move(other124.Source);
+  __isset = other124.__isset;
   return *this;
 }
 void usage_hold::printTo(std::ostream& out) const {
@@ -3638,30 +3885,30 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_held::usage_held(const usage_held& other120) noexcept {
-  Incarnation = other120.Incarnation;
-  Sequence = other120.Sequence;
-  Holder = other120.Holder;
-  __isset = other120.__isset;
+usage_held::usage_held(const usage_held& other125) noexcept {
+  Incarnation = other125.Incarnation;
+  Sequence = other125.Sequence;
+  Holder = other125.Holder;
+  __isset = other125.__isset;
 }
-usage_held::usage_held(usage_held&& other121) noexcept {
-  Incarnation = other121.Incarnation;
-  Sequence = other121.Sequence;
-  Holder = other121.Holder;
-  __isset = other121.__isset;
+usage_held::usage_held(usage_held&& other126) noexcept {
+  Incarnation = other126.Incarnation;
+  Sequence = other126.Sequence;
+  Holder = other126.Holder;
+  __isset = other126.__isset;
 }
-usage_held& usage_held::operator=(const usage_held& other122) noexcept {
-  Incarnation = other122.Incarnation;
-  Sequence = other122.Sequence;
-  Holder = other122.Holder;
-  __isset = other122.__isset;
+usage_held& usage_held::operator=(const usage_held& other127) noexcept {
+  Incarnation = other127.Incarnation;
+  Sequence = other127.Sequence;
+  Holder = other127.Holder;
+  __isset = other127.__isset;
   return *this;
 }
-usage_held& usage_held::operator=(usage_held&& other123) noexcept {
-  Incarnation = other123.Incarnation;
-  Sequence = other123.Sequence;
-  Holder = other123.Holder;
-  __isset = other123.__isset;
+usage_held& usage_held::operator=(usage_held&& other128) noexcept {
+  Incarnation = other128.Incarnation;
+  Sequence = other128.Sequence;
+  Holder = other128.Holder;
+  __isset = other128.__isset;
   return *this;
 }
 void usage_held::printTo(std::ostream& out) const {
@@ -3766,26 +4013,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_release::usage_release(const usage_release& other124) noexcept {
-  Incarnation = other124.Incarnation;
-  UpToSequence = other124.UpToSequence;
-  __isset = other124.__isset;
+usage_release::usage_release(const usage_release& other129) noexcept {
+  Incarnation = other129.Incarnation;
+  UpToSequence = other129.UpToSequence;
+  __isset = other129.__isset;
 }
-usage_release::usage_release(usage_release&& other125) noexcept {
-  Incarnation = other125.Incarnation;
-  UpToSequence = other125.UpToSequence;
-  __isset = other125.__isset;
+usage_release::usage_release(usage_release&& other130) noexcept {
+  Incarnation = other130.Incarnation;
+  UpToSequence = other130.UpToSequence;
+  __isset = other130.__isset;
 }
-usage_release& usage_release::operator=(const usage_release& other126) noexcept {
-  Incarnation = other126.Incarnation;
-  UpToSequence = other126.UpToSequence;
-  __isset = other126.__isset;
+usage_release& usage_release::operator=(const usage_release& other131) noexcept {
+  Incarnation = other131.Incarnation;
+  UpToSequence = other131.UpToSequence;
+  __isset = other131.__isset;
   return *this;
 }
-usage_release& usage_release::operator=(usage_release&& other127) noexcept {
-  Incarnation = other127.Incarnation;
-  UpToSequence = other127.UpToSequence;
-  __isset = other127.__isset;
+usage_release& usage_release::operator=(usage_release&& other132) noexcept {
+  Incarnation = other132.Incarnation;
+  UpToSequence = other132.UpToSequence;
+  __isset = other132.__isset;
   return *this;
 }
 void usage_release::printTo(std::ostream& out) const {
@@ -3968,14 +4215,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Excluded.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->Excluded.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->Excluded.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += iprot->readString(this->Excluded[_i132]);
+              xfer += iprot->readString(this->Excluded[_i137]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4068,10 +4315,10 @@
   xfer += oprot->writeFieldBegin("Excluded", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Excluded.size()));
-    std::vector<std::string> ::const_iterator _iter133;
-    for (_iter133 = this->Excluded.begin(); _iter133 != this->Excluded.end(); ++_iter133)
+    std::vector<std::string> ::const_iterator _iter138;
+    for (_iter138 = this->Excluded.begin(); _iter138 != this->Excluded.end(); ++_iter138)
     {
-      xfer += oprot->writeString((*_iter133));
+      xfer += oprot->writeString((*_iter138));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4113,74 +4360,74 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_ask::slot_ask(const slot_ask& other134) {
-  Ask = other134.Ask;
-  Pool = other134.Pool;
-  ServiceClass = other134.ServiceClass;
-  Tier = other134.Tier;
-  Organisation = other134.Organisation;
-  TimeLeftMicros = other134.TimeLeftMicros;
-  PromptTokens = other134.PromptTokens;
-  ExpectedOutputTokens = other134.ExpectedOutputTokens;
-  PrefixHash = other134.PrefixHash;
-  Idempotent = other134.Idempotent;
-  Excluded = other134.Excluded;
-  GiveUpMicros = other134.GiveUpMicros;
-  Incarnation = other134.Incarnation;
-  Resumed = other134.Resumed;
-  __isset = other134.__isset;
-}
-slot_ask::slot_ask(slot_ask&& other135) noexcept {
-  Ask = other135.Ask;
-  Pool = std::move(other135.Pool);
-  ServiceClass = std::move(other135.ServiceClass);
-  Tier = other135.Tier;
-  Organisation = std::move(other135.Organisation);
-  TimeLeftMicros = other135.TimeLeftMicros;
-  PromptTokens = other135.PromptTokens;
-  ExpectedOutputTokens = other135.ExpectedOutputTokens;
-  PrefixHash = other135.PrefixHash;
-  Idempotent = other135.Idempotent;
-  Excluded = std::move(other135.Excluded);
-  GiveUpMicros = other135.GiveUpMicros;
-  Incarnation = other135.Incarnation;
-  Resumed = other135.Resumed;
-  __isset = other135.__isset;
-}
-slot_ask& slot_ask::operator=(const slot_ask& other136) {
-  Ask = other136.Ask;
-  Pool = other136.Pool;
-  ServiceClass = other136.ServiceClass;
-  Tier = other136.Tier;
-  Organisation = other136.Organisation;
-  TimeLeftMicros = other136.TimeLeftMicros;
-  PromptTokens = other136.PromptTokens;
-  ExpectedOutputTokens = other136.ExpectedOutputTokens;
-  PrefixHash = other136.PrefixHash;
-  Idempotent = other136.Idempotent;
-  Excluded = other136.Excluded;
-  GiveUpMicros = other136.GiveUpMicros;
-  Incarnation = other136.Incarnation;
-  Resumed = other136.Resumed;
-  __isset = other136.__isset;
+slot_ask::slot_ask(const slot_ask& other139) {
+  Ask = other139.Ask;
+  Pool = other139.Pool;
+  ServiceClass = other139.ServiceClass;
+  Tier = other139.Tier;
+  Organisation = other139.Organisation;
+  TimeLeftMicros = other139.TimeLeftMicros;
+  PromptTokens = other139.PromptTokens;
+  ExpectedOutputTokens = other139.ExpectedOutputTokens;
+  PrefixHash = other139.PrefixHash;
+  Idempotent = other139.Idempotent;
+  Excluded = other139.Excluded;
+  GiveUpMicros = other139.GiveUpMicros;
+  Incarnation = other139.Incarnation;
+  Resumed = other139.Resumed;
+  __isset = other139.__isset;
+}
+slot_ask::slot_ask(slot_ask&& other140) noexcept {
+  Ask = other140.Ask;
+  Pool = std::move(other140.Pool);
+  ServiceClass = std::move(other140.ServiceClass);
+  Tier = other140.Tier;
+  Organisation = std::move(other140.Organisation);
+  TimeLeftMicros = other140.TimeLeftMicros;
+  PromptTokens = other140.PromptTokens;
+  ExpectedOutputTokens = other140.ExpectedOutputTokens;
+  PrefixHash = other140.PrefixHash;
+  Idempotent = other140.Idempotent;
+  Excluded = std::move(other140.Excluded);
+  GiveUpMicros = other140.GiveUpMicros;
+  Incarnation = other140.Incarnation;
+  Resumed = other140.Resumed;
+  __isset = other140.__isset;
+}
+slot_ask& slot_ask::operator=(const slot_ask& other141) {
+  Ask = other141.Ask;
+  Pool = other141.Pool;
+  ServiceClass = other141.ServiceClass;
+  Tier = other141.Tier;
+  Organisation = other141.Organisation;
+  TimeLeftMicros = other141.TimeLeftMicros;
+  PromptTokens = other141.PromptTokens;
+  ExpectedOutputTokens = other141.ExpectedOutputTokens;
+  PrefixHash = other141.PrefixHash;
+  Idempotent = other141.Idempotent;
+  Excluded = other141.Excluded;
+  GiveUpMicros = other141.GiveUpMicros;
+  Incarnation = other141.Incarnation;
+  Resumed = other141.Resumed;
+  __isset = other141.__isset;
   return *this;
 }
-slot_ask& slot_ask::operator=(slot_ask&& other137) noexcept {
-  Ask = other137.Ask;
-  Pool = std::move(other137.Pool);
-  ServiceClass = std::move(other137.ServiceClass);
-  Tier = other137.Tier;
-  Organisation = std::move(other137.Organisation);
-  TimeLeftMicros = other137.TimeLeftMicros;
-  PromptTokens = other137.PromptTokens;
-  ExpectedOutputTokens = other137.ExpectedOutputTokens;
-  PrefixHash = other137.PrefixHash;
-  Idempotent = other137.Idempotent;
-  Excluded = std::move(other137.Excluded);
-  GiveUpMicros = other137.GiveUpMicros;
-  Incarnation = other137.Incarnation;
-  Resumed = other137.Resumed;
-  __isset = other137.__isset;
+slot_ask& slot_ask::operator=(slot_ask&& other142) noexcept {
+  Ask = other142.Ask;
+  Pool = std::move(other142.Pool);
+  ServiceClass = std::move(other142.ServiceClass);
+  Tier = other142.Tier;
+  Organisation = std::move(other142.Organisation);
+  TimeLeftMicros = other142.TimeLeftMicros;
+  PromptTokens = other142.PromptTokens;
+  ExpectedOutputTokens = other142.ExpectedOutputTokens;
+  PrefixHash = other142.PrefixHash;
+  Idempotent = other142.Idempotent;
+  Excluded = std::move(other142.Excluded);
+  GiveUpMicros = other142.GiveUpMicros;
+  Incarnation = other142.Incarnation;
+  Resumed = other142.Resumed;
+  __isset = other142.__isset;
   return *this;
 }
 void slot_ask::printTo(std::ostream& out) const {
@@ -4364,42 +4611,42 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_grant::slot_grant(const slot_grant& other138) {
-  Ask = other138.Ask;
-  Upstream = other138.Upstream;
-  Slot = other138.Slot;
-  Priority = other138.Priority;
-  OwnerIncarnation = other138.OwnerIncarnation;
-  FreshConnection = other138.FreshConnection;
-  __isset = other138.__isset;
+slot_grant::slot_grant(const slot_grant& other143) {
+  Ask = other143.Ask;
+  Upstream = other143.Upstream;
+  Slot = other143.Slot;
+  Priority = other143.Priority;
+  OwnerIncarnation = other143.OwnerIncarnation;
+  FreshConnection = other143.FreshConnection;
+  __isset = other143.__isset;
 }
-slot_grant::slot_grant(slot_grant&& other139) noexcept {
-  Ask = other139.Ask;
-  Upstream = std::move(other139.Upstream);
-  Slot = other139.Slot;
-  Priority = other139.Priority;
-  OwnerIncarnation = other139.OwnerIncarnation;
-  FreshConnection = other139.FreshConnection;
-  __isset = other139.__isset;
+slot_grant::slot_grant(slot_grant&& other144) noexcept {
+  Ask = other144.Ask;
+  Upstream = std::move(other144.Upstream);
+  Slot = other144.Slot;
+  Priority = other144.Priority;
+  OwnerIncarnation = other144.OwnerIncarnation;
+  FreshConnection = other144.FreshConnection;
+  __isset = other144.__isset;
 }
-slot_grant& slot_grant::operator=(const slot_grant& other140) {
-  Ask = other140.Ask;
-  Upstream = other140.Upstream;
-  Slot = other140.Slot;
-  Priority = other140.Priority;
-  OwnerIncarnation = other140.OwnerIncarnation;
-  FreshConnection = other140.FreshConnection;
-  __isset = other140.__isset;
+slot_grant& slot_grant::operator=(const slot_grant& other145) {
+  Ask = other145.Ask;
+  Upstream = other145.Upstream;
+  Slot = other145.Slot;
+  Priority = other145.Priority;
+  OwnerIncarnation = other145.OwnerIncarnation;
+  FreshConnection = other145.FreshConnection;
+  __isset = other145.__isset;
   return *this;
 }
-slot_grant& slot_grant::operator=(slot_grant&& other141) noexcept {
-  Ask = other141.Ask;
-  Upstream = std::move(other141.Upstream);
-  Slot = other141.Slot;
-  Priority = other141.Priority;
-  OwnerIncarnation = other141.OwnerIncarnation;
-  FreshConnection = other141.FreshConnection;
-  __isset = other141.__isset;
+slot_grant& slot_grant::operator=(slot_grant&& other146) noexcept {
+  Ask = other146.Ask;
+  Upstream = std::move(other146.Upstream);
+  Slot = other146.Slot;
+  Priority = other146.Priority;
+  OwnerIncarnation = other146.OwnerIncarnation;
+  FreshConnection = other146.FreshConnection;
+  __isset = other146.__isset;
   return *this;
 }
 void slot_grant::printTo(std::ostream& out) const {
@@ -4490,22 +4737,22 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_queued::slot_queued(const slot_queued& other142) noexcept {
-  Ask = other142.Ask;
-  __isset = other142.__isset;
+slot_queued::slot_queued(const slot_queued& other147) noexcept {
+  Ask = other147.Ask;
+  __isset = other147.__isset;
 }
-slot_queued::slot_queued(slot_queued&& other143) noexcept {
-  Ask = other143.Ask;
-  __isset = other143.__isset;
+slot_queued::slot_queued(slot_queued&& other148) noexcept {
+  Ask = other148.Ask;
+  __isset = other148.__isset;
 }
-slot_queued& slot_queued::operator=(const slot_queued& other144) noexcept {
-  Ask = other144.Ask;
-  __isset = other144.__isset;
+slot_queued& slot_queued::operator=(const slot_queued& other149) noexcept {
+  Ask = other149.Ask;
+  __isset = other149.__isset;
   return *this;
 }
-slot_queued& slot_queued::operator=(slot_queued&& other145) noexcept {
-  Ask = other145.Ask;
-  __isset = other145.__isset;
+slot_queued& slot_queued::operator=(slot_queued&& other150) noexcept {
+  Ask = other150.Ask;
+  __isset = other150.__isset;
   return *this;
 }
 void slot_queued::printTo(std::ostream& out) const {
@@ -4569,9 +4816,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast146;
-          xfer += iprot->readI32(ecast146);
-          this->Reason = static_cast<refusal_reason::type>(ecast146);
+          int32_t ecast151;
+          xfer += iprot->readI32(ecast151);
+          this->Reason = static_cast<refusal_reason::type>(ecast151);
           this->__isset.Reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4627,30 +4874,30 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_refuse::slot_refuse(const slot_refuse& other147) noexcept {
-  Ask = other147.Ask;
-  Reason = other147.Reason;
-  RetryAfterMicros = other147.RetryAfterMicros;
-  __isset = other147.__isset;
+slot_refuse::slot_refuse(const slot_refuse& other152) noexcept {
+  Ask = other152.Ask;
+  Reason = other152.Reason;
+  RetryAfterMicros = other152.RetryAfterMicros;
+  __isset = other152.__isset;
 }
-slot_refuse::slot_refuse(slot_refuse&& other148) noexcept {
-  Ask = other148.Ask;
-  Reason = other148.Reason;
-  RetryAfterMicros = other148.RetryAfterMicros;
-  __isset = other148.__isset;
+slot_refuse::slot_refuse(slot_refuse&& other153) noexcept {
+  Ask = other153.Ask;
+  Reason = other153.Reason;
+  RetryAfterMicros = other153.RetryAfterMicros;
+  __isset = other153.__isset;
 }
-slot_refuse& slot_refuse::operator=(const slot_refuse& other149) noexcept {
-  Ask = other149.Ask;
-  Reason = other149.Reason;
-  RetryAfterMicros = other149.RetryAfterMicros;
-  __isset = other149.__isset;
+slot_refuse& slot_refuse::operator=(const slot_refuse& other154) noexcept {
+  Ask = other154.Ask;
+  Reason = other154.Reason;
+  RetryAfterMicros = other154.RetryAfterMicros;
+  __isset = other154.__isset;
   return *this;
 }
-slot_refuse& slot_refuse::operator=(slot_refuse&& other150) noexcept {
-  Ask = other150.Ask;
-  Reason = other150.Reason;
-  RetryAfterMicros = other150.RetryAfterMicros;
-  __isset = other150.__isset;
+slot_refuse& slot_refuse::operator=(slot_refuse&& other155) noexcept {
+  Ask = other155.Ask;
+  Reason = other155.Reason;
+  RetryAfterMicros = other155.RetryAfterMicros;
+  __isset = other155.__isset;
   return *this;
 }
 void slot_refuse::printTo(std::ostream& out) const {
@@ -4728,9 +4975,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast151;
-          xfer += iprot->readI32(ecast151);
-          this->Result = static_cast<slot_result::type>(ecast151);
+          int32_t ecast156;
+          xfer += iprot->readI32(ecast156);
+          this->Result = static_cast<slot_result::type>(ecast156);
           this->__isset.Result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4825,42 +5072,42 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_release::slot_release(const slot_release& other152) noexcept {
-  Slot = other152.Slot;
-  Result = other152.Result;
-  FirstTokenMicros = other152.FirstTokenMicros;
-  TotalMicros = other152.TotalMicros;
-  OutputTokens = other152.OutputTokens;
-  OwnerIncarnation = other152.OwnerIncarnation;
-  __isset = other152.__isset;
+slot_release::slot_release(const slot_release& other157) noexcept {
+  Slot = other157.Slot;
+  Result = other157.Result;
+  FirstTokenMicros = other157.FirstTokenMicros;
+  TotalMicros = other157.TotalMicros;
+  OutputTokens = other157.OutputTokens;
+  OwnerIncarnation = other157.OwnerIncarnation;
+  __isset = other157.__isset;
 }
-slot_release::slot_release(slot_release&& other153) noexcept {
-  Slot = other153.Slot;
-  Result = other153.Result;
-  FirstTokenMicros = other153.FirstTokenMicros;
-  TotalMicros = other153.TotalMicros;
-  OutputTokens = other153.OutputTokens;
-  OwnerIncarnation = other153.OwnerIncarnation;
-  __isset = other153.__isset;
+slot_release::slot_release(slot_release&& other158) noexcept {
+  Slot = other158.Slot;
+  Result = other158.Result;
+  FirstTokenMicros = other158.FirstTokenMicros;
+  TotalMicros = other158.TotalMicros;
+  OutputTokens = other158.OutputTokens;
+  OwnerIncarnation = other158.OwnerIncarnation;
+  __isset = other158.__isset;
 }
-slot_release& slot_release::operator=(const slot_release& other154) noexcept {
-  Slot = other154.Slot;
-  Result = other154.Result;
-  FirstTokenMicros = other154.FirstTokenMicros;
-  TotalMicros = other154.TotalMicros;
-  OutputTokens = other154.OutputTokens;
-  OwnerIncarnation = other154.OwnerIncarnation;
-  __isset = other154.__isset;
+slot_release& slot_release::operator=(const slot_release& other159) noexcept {
+  Slot = other159.Slot;
+  Result = other159.Result;
+  FirstTokenMicros = other159.FirstTokenMicros;
+  TotalMicros = other159.TotalMicros;
+  OutputTokens = other159.OutputTokens;
+  OwnerIncarnation = other159.OwnerIncarnation;
+  __isset = other159.__isset;
   return *this;
 }
-slot_release& slot_release::operator=(slot_release&& other155) noexcept {
-  Slot = other155.Slot;
-  Result = other155.Result;
-  FirstTokenMicros = other155.FirstTokenMicros;
-  TotalMicros = other155.TotalMicros;
-  OutputTokens = other155.OutputTokens;
-  OwnerIncarnation = other155.OwnerIncarnation;
-  __isset = other155.__isset;
+slot_release& slot_release::operator=(slot_release&& other160) noexcept {
+  Slot = other160.Slot;
+  Result = other160.Result;
+  FirstTokenMicros = other160.FirstTokenMicros;
+  TotalMicros = other160.TotalMicros;
+  OutputTokens = other160.OutputTokens;
+  OwnerIncarnation = other160.OwnerIncarnation;
+  __isset = other160.__isset;
   return *this;
 }
 void slot_release::printTo(std::ostream& out) const {
@@ -4968,26 +5215,26 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_cancel::slot_cancel(const slot_cancel& other156) noexcept {
-  Ask = other156.Ask;
-  Incarnation = other156.Incarnation;
-  __isset = other156.__isset;
+slot_cancel::slot_cancel(const slot_cancel& other161) noexcept {
+  Ask = other161.Ask;
+  Incarnation = other161.Incarnation;
+  __isset = other161.__isset;
 }
-slot_cancel::slot_cancel(slot_cancel&& other157) noexcept {
-  Ask = other157.Ask;
-  Incarnation = other157.Incarnation;
-  __isset = other157.__isset;
+slot_cancel::slot_cancel(slot_cancel&& other162) noexcept {
+  Ask = other162.Ask;
+  Incarnation = other162.Incarnation;
+  __isset = other162.__isset;
 }
-slot_cancel& slot_cancel::operator=(const slot_cancel& other158) noexcept {
-  Ask = other158.Ask;
-  Incarnation = other158.Incarnation;
-  __isset = other158.__isset;
+slot_cancel& slot_cancel::operator=(const slot_cancel& other163) noexcept {
+  Ask = other163.Ask;
+  Incarnation = other163.Incarnation;
+  __isset = other163.__isset;
   return *this;
 }
-slot_cancel& slot_cancel::operator=(slot_cancel&& other159) noexcept {
-  Ask = other159.Ask;
-  Incarnation = other159.Incarnation;
-  __isset = other159.__isset;
+slot_cancel& slot_cancel::operator=(slot_cancel&& other164) noexcept {
+  Ask = other164.Ask;
+  Incarnation = other164.Incarnation;
+  __isset = other164.__isset;
   return *this;
 }
 void slot_cancel::printTo(std::ostream& out) const {
@@ -5091,26 +5338,26 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_preempt::slot_preempt(const slot_preempt& other160) noexcept {
-  Slot = other160.Slot;
-  Ask = other160.Ask;
-  __isset = other160.__isset;
+slot_preempt::slot_preempt(const slot_preempt& other165) noexcept {
+  Slot = other165.Slot;
+  Ask = other165.Ask;
+  __isset = other165.__isset;
 }
-slot_preempt::slot_preempt(slot_preempt&& other161) noexcept {
-  Slot = other161.Slot;
-  Ask = other161.Ask;
-  __isset = other161.__isset;
+slot_preempt::slot_preempt(slot_preempt&& other166) noexcept {
+  Slot = other166.Slot;
+  Ask = other166.Ask;
+  __isset = other166.__isset;
 }
-slot_preempt& slot_preempt::operator=(const slot_preempt& other162) noexcept {
-  Slot = other162.Slot;
-  Ask = other162.Ask;
-  __isset = other162.__isset;
+slot_preempt& slot_preempt::operator=(const slot_preempt& other167) noexcept {
+  Slot = other167.Slot;
+  Ask = other167.Ask;
+  __isset = other167.__isset;
   return *this;
 }
-slot_preempt& slot_preempt::operator=(slot_preempt&& other163) noexcept {
-  Slot = other163.Slot;
-  Ask = other163.Ask;
-  __isset = other163.__isset;
+slot_preempt& slot_preempt::operator=(slot_preempt&& other168) noexcept {
+  Slot = other168.Slot;
+  Ask = other168.Ask;
+  __isset = other168.__isset;
   return *this;
 }
 void slot_preempt::printTo(std::ostream& out) const {
@@ -5185,14 +5432,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Slots.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->Slots.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->Slots.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              xfer += iprot->readI64(this->Slots[_i168]);
+              xfer += iprot->readI64(this->Slots[_i173]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5229,10 +5476,10 @@
   xfer += oprot->writeFieldBegin("Slots", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Slots.size()));
-    std::vector<int64_t> ::const_iterator _iter169;
-    for (_iter169 = this->Slots.begin(); _iter169 != this->Slots.end(); ++_iter169)
+    std::vector<int64_t> ::const_iterator _iter174;
+    for (_iter174 = this->Slots.begin(); _iter174 != this->Slots.end(); ++_iter174)
     {
-      xfer += oprot->writeI64((*_iter169));
+      xfer += oprot->writeI64((*_iter174));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5251,30 +5498,30 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_renew::slot_renew(const slot_renew& other170) {
-  Incarnation = other170.Incarnation;
-  OwnerIncarnation = other170.OwnerIncarnation;
-  Slots = other170.Slots;
-  __isset = other170.__isset;
+slot_renew::slot_renew(const slot_renew& other175) {
+  Incarnation = other175.Incarnation;
+  OwnerIncarnation = other175.OwnerIncarnation;
+  Slots = other175.Slots;
+  __isset = other175.__isset;
 }
-slot_renew::slot_renew(slot_renew&& other171) noexcept {
-  Incarnation = other171.Incarnation;
-  OwnerIncarnation = other171.OwnerIncarnation;
-  Slots = std::move(other171.Slots);
-  __isset = other171.__isset;
+slot_renew::slot_renew(slot_renew&& other176) noexcept {
+  Incarnation = other176.Incarnation;
+  OwnerIncarnation = other176.OwnerIncarnation;
+  Slots = std::move(other176.Slots);
+  __isset = other176.__isset;
 }
-slot_renew& slot_renew::operator=(const slot_renew& other172) {
-  Incarnation = other172.Incarnation;
-  OwnerIncarnation = other172.OwnerIncarnation;
-  Slots = other172.Slots;
-  __isset = other172.__isset;
+slot_renew& slot_renew::operator=(const slot_renew& other177) {
+  Incarnation = other177.Incarnation;
+  OwnerIncarnation = other177.OwnerIncarnation;
+  Slots = other177.Slots;
+  __isset = other177.__isset;
   return *this;
 }
-slot_renew& slot_renew::operator=(slot_renew&& other173) noexcept {
-  Incarnation = other173.Incarnation;
-  OwnerIncarnation = other173.OwnerIncarnation;
-  Slots = std::move(other173.Slots);
-  __isset = other173.__isset;
+slot_renew& slot_renew::operator=(slot_renew&& other178) noexcept {
+  Incarnation = other178.Incarnation;
+  OwnerIncarnation = other178.OwnerIncarnation;
+  Slots = std::move(other178.Slots);
+  __isset = other178.__isset;
   return *this;
 }
 void slot_renew::printTo(std::ostream& out) const {
@@ -5396,30 +5643,30 @@
   swap(a.__isset, b.__isset);
 }
 
-document_piece::document_piece(const document_piece& other174) {
-  Start = other174.Start;
-  Length = other174.Length;
-  Text = other174.Text;
-  __isset = other174.__isset;
+document_piece::document_piece(const document_piece& other179) {
+  Start = other179.Start;
+  Length = other179.Length;
+  Text = other179.Text;
+  __isset = other179.__isset;
 }
-document_piece::document_piece(document_piece&& other175) noexcept {
-  Start = other175.Start;
-  Length = other175.Length;
-  Text = std::move(other175.Text);
-  __isset = other175.__isset;
+document_piece::document_piece(document_piece&& other180) noexcept {
+  Start = other180.Start;
+  Length = other180.Length;
+  Text = std::move(other180.Text);
+  __isset = other180.__isset;
 }
-document_piece& document_piece::operator=(const document_piece& other176) {
-  Start = other176.Start;
-  Length = other176.Length;
-  Text = other176.Text;
-  __isset = other176.__isset;
+document_piece& document_piece::operator=(const document_piece& other181) {
+  Start = other181.Start;
+  Length = other181.Length;
+  Text = other181.Text;
+  __isset = other181.__isset;
   return *this;
 }
-document_piece& document_piece::operator=(document_piece&& other177) noexcept {
-  Start = other177.Start;
-  Length = other177.Length;
-  Text = std::move(other177.Text);
-  __isset = other177.__isset;
+document_piece& document_piece::operator=(document_piece&& other182) noexcept {
+  Start = other182.Start;
+  Length = other182.Length;
+  Text = std::move(other182.Text);
+  __isset = other182.__isset;
   return *this;
 }
 void document_piece::printTo(std::ostream& out) const {
@@ -5475,14 +5722,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Pieces.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->Pieces.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->Pieces.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += this->Pieces[_i182].read(iprot);
+              xfer += this->Pieces[_i187].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5519,10 +5766,10 @@
   xfer += oprot->writeFieldBegin("Pieces", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Pieces.size()));
-    std::vector<document_piece> ::const_iterator _iter183;
-    for (_iter183 = this->Pieces.begin(); _iter183 != this->Pieces.end(); ++_iter183)
+    std::vector<document_piece> ::const_iterator _iter188;
+    for (_iter188 = this->Pieces.begin(); _iter188 != this->Pieces.end(); ++_iter188)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5544,26 +5791,26 @@
   swap(a.__isset, b.__isset);
 }
 
-document_difference::document_difference(const document_difference& other184) {
-  Pieces = other184.Pieces;
-  ResultHash = other184.ResultHash;
-  __isset = other184.__isset;
+document_difference::document_difference(const document_difference& other189) {
+  Pieces = other189.Pieces;
+  ResultHash = other189.ResultHash;
+  __isset = other189.__isset;
 }
-document_difference::document_difference(document_difference&& other185) noexcept {
-  Pieces = std::move(other185.Pieces);
-  ResultHash = std::move(other185.ResultHash);
-  __isset = other185.__isset;
+document_difference::document_difference(document_difference&& other190) noexcept {
+  Pieces = std::move(other190.Pieces);
+  ResultHash = std::move(other190.ResultHash);
+  __isset = other190.__isset;
 }
-document_difference& document_difference::operator=(const document_difference& other186) {
-  Pieces = other186.Pieces;
-  ResultHash = other186.ResultHash;
-  __isset = other186.__isset;
+document_difference& document_difference::operator=(const document_difference& other191) {
+  Pieces = other191.Pieces;
+  ResultHash = other191.ResultHash;
+  __isset = other191.__isset;
   return *this;
 }
-document_difference& document_difference::operator=(document_difference&& other187) noexcept {
-  Pieces = std::move(other187.Pieces);
-  ResultHash = std::move(other187.ResultHash);
-  __isset = other187.__isset;
+document_difference& document_difference::operator=(document_difference&& other192) noexcept {
+  Pieces = std::move(other192.Pieces);
+  ResultHash = std::move(other192.ResultHash);
+  __isset = other192.__isset;
   return *this;
 }
 void document_difference::printTo(std::ostream& out) const {
@@ -5703,34 +5950,34 @@
   swap(a.__isset, b.__isset);
 }
 
-config_edit::config_edit(const config_edit& other188) {
-  Base = other188.Base;
-  Document = other188.Document;
-  Author = other188.Author;
-  Difference = other188.Difference;
-  __isset = other188.__isset;
+config_edit::config_edit(const config_edit& other193) {
+  Base = other193.Base;
+  Document = other193.Document;
+  Author = other193.Author;
+  Difference = other193.Difference;
+  __isset = other193.__isset;
 }
-config_edit::config_edit(config_edit&& other189) noexcept {
-  Base = other189.Base;
-  Document = std::move(other189.Document);
-  Author = std::move(other189.Author);
-  Difference = std::move(other189.Difference);
-  __isset = other189.__isset;
+config_edit::config_edit(config_edit&& other194) noexcept {
+  Base = other194.Base;
+  Document = std::move(other194.Document);
+  Author = std::move(other194.Author);
+  Difference = std::move(other194.Difference);
+  __isset = other194.__isset;
 }
-config_edit& config_edit::operator=(const config_edit& other190) {
-  Base = other190.Base;
-  Document = other190.Document;
-  Author = other190.Author;
-  Difference = other190.Difference;
-  __isset = other190.__isset;
+config_edit& config_edit::operator=(const config_edit& other195) {
+  Base = other195.Base;
+  Document = other195.Document;
+  Author = other195.Author;
+  Difference = other195.Difference;
+  __isset = other195.__isset;
   return *this;
 }
-config_edit& config_edit::operator=(config_edit&& other191) noexcept {
-  Base = other191.Base;
-  Document = std::move(other191.Document);
-  Author = std::move(other191.Author);
-  Difference = std::move(other191.Difference);
-  __isset = other191.__isset;
+config_edit& config_edit::operator=(config_edit&& other196) noexcept {
+  Base = other196.Base;
+  Document = std::move(other196.Document);
+  Author = std::move(other196.Author);
+  Difference = std::move(other196.Difference);
+  __isset = other196.__isset;
   return *this;
 }
 void config_edit::printTo(std::ostream& out) const {
@@ -5853,30 +6100,30 @@
   swap(a.__isset, b.__isset);
 }
 
-key_give::key_give(const key_give& other192) {
-  KeyId = other192.KeyId;
-  Organisation = other192.Organisation;
-  KeyHash = other192.KeyHash;
-  __isset = other192.__isset;
+key_give::key_give(const key_give& other197) {
+  KeyId = other197.KeyId;
+  Organisation = other197.Organisation;
+  KeyHash = other197.KeyHash;
+  __isset = other197.__isset;
 }
-key_give::key_give(key_give&& other193) noexcept {
-  KeyId = std::move(other193.KeyId);
-  Organisation = std::move(other193.Organisation);
-  KeyHash = std::move(other193.KeyHash);
-  __isset = other193.__isset;
+key_give::key_give(key_give&& other198) noexcept {
+  KeyId = std::move(other198.KeyId);
+  Organisation = std::move(other198.Organisation);
+  KeyHash = std::move(other198.KeyHash);
+  __isset = other198.__isset;
 }
-key_give& key_give::operator=(const key_give& other194) {
-  KeyId = other194.KeyId;
-  Organisation = other194.Organisation;
-  KeyHash = other194.KeyHash;
-  __isset = other194.__isset;
+key_give& key_give::operator=(const key_give& other199) {
+  KeyId = other199.KeyId;
+  Organisation = other199.Organisation;
+  KeyHash = other199.KeyHash;
+  __isset = other199.__isset;
   return *this;
 }
-key_give& key_give::operator=(key_give&& other195) noexcept {
-  KeyId = std::move(other195.KeyId);
-  Organisation = std::move(other195.Organisation);
-  KeyHash = std::move(other195.KeyHash);
-  __isset = other195.__isset;
+key_give& key_give::operator=(key_give&& other200) noexcept {
+  KeyId = std::move(other200.KeyId);
+  Organisation = std::move(other200.Organisation);
+  KeyHash = std::move(other200.KeyHash);
+  __isset = other200.__isset;
   return *this;
 }
 void key_give::printTo(std::ostream& out) const {
@@ -5964,22 +6211,22 @@
   swap(a.__isset, b.__isset);
 }
 
-key_withdraw::key_withdraw(const key_withdraw& other196) {
-  KeyId = other196.KeyId;
-  __isset = other196.__isset;
+key_withdraw::key_withdraw(const key_withdraw& other201) {
+  KeyId = other201.KeyId;
+  __isset = other201.__isset;
 }
-key_withdraw::key_withdraw(key_withdraw&& other197) noexcept {
-  KeyId = std::move(other197.KeyId);
-  __isset = other197.__isset;
+key_withdraw::key_withdraw(key_withdraw&& other202) noexcept {
+  KeyId = std::move(other202.KeyId);
+  __isset = other202.__isset;
 }
-key_withdraw& key_withdraw::operator=(const key_withdraw& other198) {
-  KeyId = other198.KeyId;
-  __isset = other198.__isset;
+key_withdraw& key_withdraw::operator=(const key_withdraw& other203) {
+  KeyId = other203.KeyId;
+  __isset = other203.__isset;
   return *this;
 }
-key_withdraw& key_withdraw::operator=(key_withdraw&& other199) noexcept {
-  KeyId = std::move(other199.KeyId);
-  __isset = other199.__isset;
+key_withdraw& key_withdraw::operator=(key_withdraw&& other204) noexcept {
+  KeyId = std::move(other204.KeyId);
+  __isset = other204.__isset;
   return *this;
 }
 void key_withdraw::printTo(std::ostream& out) const {
@@ -6150,42 +6397,42 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_claim::lease_claim(const lease_claim& other200) {
-  Lease = other200.Lease;
-  Previous = other200.Previous;
-  Holder = other200.Holder;
-  Incarnation = other200.Incarnation;
-  DurationMicros = other200.DurationMicros;
-  Released = other200.Released;
-  __isset = other200.__isset;
-}
-lease_claim::lease_claim(lease_claim&& other201) noexcept {
-  Lease = std::move(other201.Lease);
-  Previous = other201.Previous;
-  Holder = std::move(other201.Holder);
-  Incarnation = other201.Incarnation;
-  DurationMicros = other201.DurationMicros;
-  Released = other201.Released;
-  __isset = other201.__isset;
-}
-lease_claim& lease_claim::operator=(const lease_claim& other202) {
-  Lease = other202.Lease;
-  Previous = other202.Previous;
-  Holder = other202.Holder;
-  Incarnation = other202.Incarnation;
-  DurationMicros = other202.DurationMicros;
-  Released = other202.Released;
-  __isset = other202.__isset;
+lease_claim::lease_claim(const lease_claim& other205) {
+  Lease = other205.Lease;
+  Previous = other205.Previous;
+  Holder = other205.Holder;
+  Incarnation = other205.Incarnation;
+  DurationMicros = other205.DurationMicros;
+  Released = other205.Released;
+  __isset = other205.__isset;
+}
+lease_claim::lease_claim(lease_claim&& other206) noexcept {
+  Lease = std::move(other206.Lease);
+  Previous = other206.Previous;
+  Holder = std::move(other206.Holder);
+  Incarnation = other206.Incarnation;
+  DurationMicros = other206.DurationMicros;
+  Released = other206.Released;
+  __isset = other206.__isset;
+}
+lease_claim& lease_claim::operator=(const lease_claim& other207) {
+  Lease = other207.Lease;
+  Previous = other207.Previous;
+  Holder = other207.Holder;
+  Incarnation = other207.Incarnation;
+  DurationMicros = other207.DurationMicros;
+  Released = other207.Released;
+  __isset = other207.__isset;
   return *this;
 }
-lease_claim& lease_claim::operator=(lease_claim&& other203) noexcept {
-  Lease = std::move(other203.Lease);
-  Previous = other203.Previous;
-  Holder = std::move(other203.Holder);
-  Incarnation = other203.Incarnation;
-  DurationMicros = other203.DurationMicros;
-  Released = other203.Released;
-  __isset = other203.__isset;
+lease_claim& lease_claim::operator=(lease_claim&& other208) noexcept {
+  Lease = std::move(other208.Lease);
+  Previous = other208.Previous;
+  Holder = std::move(other208.Holder);
+  Incarnation = other208.Incarnation;
+  DurationMicros = other208.DurationMicros;
+  Released = other208.Released;
+  __isset = other208.__isset;
   return *this;
 }
 void lease_claim::printTo(std::ostream& out) const {
@@ -6240,14 +6487,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Batches.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->Batches.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->Batches.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += this->Batches[_i208].read(iprot);
+              xfer += this->Batches[_i213].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6276,10 +6523,10 @@
   xfer += oprot->writeFieldBegin("Batches", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Batches.size()));
-    std::vector<usage_batch> ::const_iterator _iter209;
-    for (_iter209 = this->Batches.begin(); _iter209 != this->Batches.end(); ++_iter209)
+    std::vector<usage_batch> ::const_iterator _iter214;
+    for (_iter214 = this->Batches.begin(); _iter214 != this->Batches.end(); ++_iter214)
     {
-      xfer += (*_iter209).write(oprot);
+      xfer += (*_iter214).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6296,22 +6543,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_append::usage_append(const usage_append& other210) {
-  Batches = other210.Batches;
-  __isset = other210.__isset;
+usage_append::usage_append(const usage_append& other215) {
+  Batches = other215.Batches;
+  __isset = other215.__isset;
 }
-usage_append::usage_append(usage_append&& other211) noexcept {
-  Batches = std::move(other211.Batches);
-  __isset = other211.__isset;
+usage_append::usage_append(usage_append&& other216) noexcept {
+  Batches = std::move(other216.Batches);
+  __isset = other216.__isset;
 }
-usage_append& usage_append::operator=(const usage_append& other212) {
-  Batches = other212.Batches;
-  __isset = other212.__isset;
+usage_append& usage_append::operator=(const usage_append& other217) {
+  Batches = other217.Batches;
+  __isset = other217.__isset;
   return *this;
 }
-usage_append& usage_append::operator=(usage_append&& other213) noexcept {
-  Batches = std::move(other213.Batches);
-  __isset = other213.__isset;
+usage_append& usage_append::operator=(usage_append&& other218) noexcept {
+  Batches = std::move(other218.Batches);
+  __isset = other218.__isset;
   return *this;
 }
 void usage_append::printTo(std::ostream& out) const {
@@ -6389,14 +6636,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Figures.clear();
-            uint32_t _size214;
-            ::apache::thrift::protocol::TType _etype217;
-            xfer += iprot->readListBegin(_etype217, _size214);
-            this->Figures.resize(_size214);
-            uint32_t _i218;
-            for (_i218 = 0; _i218 < _size214; ++_i218)
+            uint32_t _size219;
+            ::apache::thrift::protocol::TType _etype222;
+            xfer += iprot->readListBegin(_etype222, _size219);
+            this->Figures.resize(_size219);
+            uint32_t _i223;
+            for (_i223 = 0; _i223 < _size219; ++_i223)
             {
-              xfer += this->Figures[_i218].read(iprot);
+              xfer += this->Figures[_i223].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6441,10 +6688,10 @@
   xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
-    std::vector<usage_increment> ::const_iterator _iter219;
-    for (_iter219 = this->Figures.begin(); _iter219 != this->Figures.end(); ++_iter219)
+    std::vector<usage_increment> ::const_iterator _iter224;
+    for (_iter224 = this->Figures.begin(); _iter224 != this->Figures.end(); ++_iter224)
     {
-      xfer += (*_iter219).write(oprot);
+      xfer += (*_iter224).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6468,34 +6715,34 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_close::usage_close(const usage_close& other220) {
-  Window = other220.Window;
-  Fence = other220.Fence;
-  Figures = other220.Figures;
-  UpToOffset = other220.UpToOffset;
-  __isset = other220.__isset;
-}
-usage_close::usage_close(usage_close&& other221) noexcept {
-  Window = other221.Window;
-  Fence = other221.Fence;
-  Figures = std::move(other221.Figures);
-  UpToOffset = other221.UpToOffset;
-  __isset = other221.__isset;
-}
-usage_close& usage_close::operator=(const usage_close& other222) {
-  Window = other222.Window;
-  Fence = other222.Fence;
-  Figures = other222.Figures;
-  UpToOffset = other222.UpToOffset;
-  __isset = other222.__isset;
+usage_close::usage_close(const usage_close& other225) {
+  Window = other225.Window;
+  Fence = other225.Fence;
+  Figures = other225.Figures;
+  UpToOffset = other225.UpToOffset;
+  __isset = other225.__isset;
+}
+usage_close::usage_close(usage_close&& other226) noexcept {
+  Window = other226.Window;
+  Fence = other226.Fence;
+  Figures = std::move(other226.Figures);
+  UpToOffset = other226.UpToOffset;
+  __isset = other226.__isset;
+}
+usage_close& usage_close::operator=(const usage_close& other227) {
+  Window = other227.Window;
+  Fence = other227.Fence;
+  Figures = other227.Figures;
+  UpToOffset = other227.UpToOffset;
+  __isset = other227.__isset;
   return *this;
 }
-usage_close& usage_close::operator=(usage_close&& other223) noexcept {
-  Window = other223.Window;
-  Fence = other223.Fence;
-  Figures = std::move(other223.Figures);
-  UpToOffset = other223.UpToOffset;
-  __isset = other223.__isset;
+usage_close& usage_close::operator=(usage_close&& other228) noexcept {
+  Window = other228.Window;
+  Fence = other228.Fence;
+  Figures = std::move(other228.Figures);
+  UpToOffset = other228.UpToOffset;
+  __isset = other228.__isset;
   return *this;
 }
 void usage_close::printTo(std::ostream& out) const {
@@ -6584,22 +6831,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_reported::usage_reported(const usage_reported& other224) noexcept {
-  Window = other224.Window;
-  __isset = other224.__isset;
+usage_reported::usage_reported(const usage_reported& other229) noexcept {
+  Window = other229.Window;
+  __isset = other229.__isset;
 }
-usage_reported::usage_reported(usage_reported&& other225) noexcept {
-  Window = other225.Window;
-  __isset = other225.__isset;
+usage_reported::usage_reported(usage_reported&& other230) noexcept {
+  Window = other230.Window;
+  __isset = other230.__isset;
 }
-usage_reported& usage_reported::operator=(const usage_reported& other226) noexcept {
-  Window = other226.Window;
-  __isset = other226.__isset;
+usage_reported& usage_reported::operator=(const usage_reported& other231) noexcept {
+  Window = other231.Window;
+  __isset = other231.__isset;
   return *this;
 }
-usage_reported& usage_reported::operator=(usage_reported&& other227) noexcept {
-  Window = other227.Window;
-  __isset = other227.__isset;
+usage_reported& usage_reported::operator=(usage_reported&& other232) noexcept {
+  Window = other232.Window;
+  __isset = other232.__isset;
   return *this;
 }
 void usage_reported::printTo(std::ostream& out) const {
@@ -6691,9 +6938,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast228;
-          xfer += iprot->readI32(ecast228);
-          this->Kind = static_cast<order_kind::type>(ecast228);
+          int32_t ecast233;
+          xfer += iprot->readI32(ecast233);
+          this->Kind = static_cast<order_kind::type>(ecast233);
           this->__isset.Kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6772,42 +7019,42 @@
   swap(a.__isset, b.__isset);
 }
 
-order_intent::order_intent(const order_intent& other229) {
-  OrderId = other229.OrderId;
-  Zone = other229.Zone;
-  Fence = other229.Fence;
-  Kind = other229.Kind;
-  Target = other229.Target;
-  Count = other229.Count;
-  __isset = other229.__isset;
+order_intent::order_intent(const order_intent& other234) {
+  OrderId = other234.OrderId;
+  Zone = other234.Zone;
+  Fence = other234.Fence;
+  Kind = other234.Kind;
+  Target = other234.Target;
+  Count = other234.Count;
+  __isset = other234.__isset;
 }
-order_intent::order_intent(order_intent&& other230) noexcept {
-  OrderId = std::move(other230.OrderId);
-  Zone = std::move(other230.Zone);
-  Fence = other230.Fence;
-  Kind = other230.Kind;
-  Target = std::move(other230.Target);
-  Count = other230.Count;
-  __isset = other230.__isset;
+order_intent::order_intent(order_intent&& other235) noexcept {
+  OrderId = std::move(other235.OrderId);
+  Zone = std::move(other235.Zone);
+  Fence = other235.Fence;
+  Kind = other235.Kind;
+  Target = std::move(other235.Target);
+  Count = other235.Count;
+  __isset = other235.__isset;
 }
-order_intent& order_intent::operator=(const order_intent& other231) {
-  OrderId = other231.OrderId;
-  Zone = other231.Zone;
-  Fence = other231.Fence;
-  Kind = other231.Kind;
-  Target = other231.Target;
-  Count = other231.Count;
-  __isset = other231.__isset;
+order_intent& order_intent::operator=(const order_intent& other236) {
+  OrderId = other236.OrderId;
+  Zone = other236.Zone;
+  Fence = other236.Fence;
+  Kind = other236.Kind;
+  Target = other236.Target;
+  Count = other236.Count;
+  __isset = other236.__isset;
   return *this;
 }
-order_intent& order_intent::operator=(order_intent&& other232) noexcept {
-  OrderId = std::move(other232.OrderId);
-  Zone = std::move(other232.Zone);
-  Fence = other232.Fence;
-  Kind = other232.Kind;
-  Target = std::move(other232.Target);
-  Count = other232.Count;
-  __isset = other232.__isset;
+order_intent& order_intent::operator=(order_intent&& other237) noexcept {
+  OrderId = std::move(other237.OrderId);
+  Zone = std::move(other237.Zone);
+  Fence = other237.Fence;
+  Kind = other237.Kind;
+  Target = std::move(other237.Target);
+  Count = other237.Count;
+  __isset = other237.__isset;
   return *this;
 }
 void order_intent::printTo(std::ostream& out) const {
@@ -6915,26 +7162,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_done::order_done(const order_done& other233) {
-  OrderId = other233.OrderId;
-  Accepted = other233.Accepted;
-  __isset = other233.__isset;
+order_done::order_done(const order_done& other238) {
+  OrderId = other238.OrderId;
+  Accepted = other238.Accepted;
+  __isset = other238.__isset;
 }
-order_done::order_done(order_done&& other234) noexcept {
-  OrderId = std::move(other234.OrderId);
-  Accepted = other234.Accepted;
-  __isset = other234.__isset;
+order_done::order_done(order_done&& other239) noexcept {
+  OrderId = std::move(other239.OrderId);
+  Accepted = other239.Accepted;
+  __isset = other239.__isset;
 }
-order_done& order_done::operator=(const order_done& other235) {
-  OrderId = other235.OrderId;
-  Accepted = other235.Accepted;
-  __isset = other235.__isset;
+order_done& order_done::operator=(const order_done& other240) {
+  OrderId = other240.OrderId;
+  Accepted = other240.Accepted;
+  __isset = other240.__isset;
   return *this;
 }
-order_done& order_done::operator=(order_done&& other236) noexcept {
-  OrderId = std::move(other236.OrderId);
-  Accepted = other236.Accepted;
-  __isset = other236.__isset;
+order_done& order_done::operator=(order_done&& other241) noexcept {
+  OrderId = std::move(other241.OrderId);
+  Accepted = other241.Accepted;
+  __isset = other241.__isset;
   return *this;
 }
 void order_done::printTo(std::ostream& out) const {
@@ -7089,38 +7336,38 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_entry::claim_entry(const claim_entry& other237) {
-  Key = other237.Key;
-  Attempt = other237.Attempt;
-  BodyHash = other237.BodyHash;
-  CreatedWallMicros = other237.CreatedWallMicros;
-  KeyMicros = other237.KeyMicros;
-  __isset = other237.__isset;
+claim_entry::claim_entry(const claim_entry& other242) {
+  Key = other242.Key;
+  Attempt = other242.Attempt;
+  BodyHash = other242.BodyHash;
+  CreatedWallMicros = other242.CreatedWallMicros;
+  KeyMicros = other242.KeyMicros;
+  __isset = other242.__isset;
 }
-claim_entry::claim_entry(claim_entry&& other238) noexcept {
-  Key = std::move(other238.Key);
-  Attempt = std::move(other238.Attempt);
-  BodyHash = other238.BodyHash;
-  CreatedWallMicros = other238.CreatedWallMicros;
-  KeyMicros = other238.KeyMicros;
-  __isset = other238.__isset;
+claim_entry::claim_entry(claim_entry&& other243) noexcept {
+  Key = std::move(other243.Key);
+  Attempt = std::move(other243.Attempt);
+  BodyHash = other243.BodyHash;
+  CreatedWallMicros = other243.CreatedWallMicros;
+  KeyMicros = other243.KeyMicros;
+  __isset = other243.__isset;
 }
-claim_entry& claim_entry::operator=(const claim_entry& other239) {
-  Key = other239.Key;
-  Attempt = other239.Attempt;
-  BodyHash = other239.BodyHash;
-  CreatedWallMicros = other239.CreatedWallMicros;
-  KeyMicros = other239.KeyMicros;
-  __isset = other239.__isset;
+claim_entry& claim_entry::operator=(const claim_entry& other244) {
+  Key = other244.Key;
+  Attempt = other244.Attempt;
+  BodyHash = other244.BodyHash;
+  CreatedWallMicros = other244.CreatedWallMicros;
+  KeyMicros = other244.KeyMicros;
+  __isset = other244.__isset;
   return *this;
 }
-claim_entry& claim_entry::operator=(claim_entry&& other240) noexcept {
-  Key = std::move(other240.Key);
-  Attempt = std::move(other240.Attempt);
-  BodyHash = other240.BodyHash;
-  CreatedWallMicros = other240.CreatedWallMicros;
-  KeyMicros = other240.KeyMicros;
-  __isset = other240.__isset;
+claim_entry& claim_entry::operator=(claim_entry&& other245) noexcept {
+  Key = std::move(other245.Key);
+  Attempt = std::move(other245.Attempt);
+  BodyHash = other245.BodyHash;
+  CreatedWallMicros = other245.CreatedWallMicros;
+  KeyMicros = other245.KeyMicros;
+  __isset = other245.__isset;
   return *this;
 }
 void claim_entry::printTo(std::ostream& out) const {
@@ -7201,9 +7448,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast241;
-          xfer += iprot->readI32(ecast241);
-          this->Outcome = static_cast<run_outcome::type>(ecast241);
+          int32_t ecast246;
+          xfer += iprot->readI32(ecast246);
+          this->Outcome = static_cast<run_outcome::type>(ecast246);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7265,34 +7512,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_outcome::claim_outcome(const claim_outcome& other242) {
-  Key = other242.Key;
-  Attempt = other242.Attempt;
-  Outcome = other242.Outcome;
-  Answer = other242.Answer;
-  __isset = other242.__isset;
-}
-claim_outcome::claim_outcome(claim_outcome&& other243) noexcept {
-  Key = std::move(other243.Key);
-  Attempt = std::move(other243.Attempt);
-  Outcome = other243.Outcome;
-  Answer = std::move(other243.Answer);
-  __isset = other243.__isset;
-}
-claim_outcome& claim_outcome::operator=(const claim_outcome& other244) {
-  Key = other244.Key;
-  Attempt = other244.Attempt;
-  Outcome = other244.Outcome;
-  Answer = other244.Answer;
-  __isset = other244.__isset;
+claim_outcome::claim_outcome(const claim_outcome& other247) {
+  Key = other247.Key;
+  Attempt = other247.Attempt;
+  Outcome = other247.Outcome;
+  Answer = other247.Answer;
+  __isset = other247.__isset;
+}
+claim_outcome::claim_outcome(claim_outcome&& other248) noexcept {
+  Key = std::move(other248.Key);
+  Attempt = std::move(other248.Attempt);
+  Outcome = other248.Outcome;
+  Answer = std::move(other248.Answer);
+  __isset = other248.__isset;
+}
+claim_outcome& claim_outcome::operator=(const claim_outcome& other249) {
+  Key = other249.Key;
+  Attempt = other249.Attempt;
+  Outcome = other249.Outcome;
+  Answer = other249.Answer;
+  __isset = other249.__isset;
   return *this;
 }
-claim_outcome& claim_outcome::operator=(claim_outcome&& other245) noexcept {
-  Key = std::move(other245.Key);
-  Attempt = std::move(other245.Attempt);
-  Outcome = other245.Outcome;
-  Answer = std::move(other245.Answer);
-  __isset = other245.__isset;
+claim_outcome& claim_outcome::operator=(claim_outcome&& other250) noexcept {
+  Key = std::move(other250.Key);
+  Attempt = std::move(other250.Attempt);
+  Outcome = other250.Outcome;
+  Answer = std::move(other250.Answer);
+  __isset = other250.__isset;
   return *this;
 }
 void claim_outcome::printTo(std::ostream& out) const {
@@ -7357,14 +7604,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size246;
-            ::apache::thrift::protocol::TType _etype249;
-            xfer += iprot->readListBegin(_etype249, _size246);
-            this->Claims.resize(_size246);
-            uint32_t _i250;
-            for (_i250 = 0; _i250 < _size246; ++_i250)
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->Claims.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
             {
-              xfer += this->Claims[_i250].read(iprot);
+              xfer += this->Claims[_i255].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7377,14 +7624,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Outcomes.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->Outcomes.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size256;
+            ::apache::thrift::protocol::TType _etype259;
+            xfer += iprot->readListBegin(_etype259, _size256);
+            this->Outcomes.resize(_size256);
+            uint32_t _i260;
+            for (_i260 = 0; _i260 < _size256; ++_i260)
             {
-              xfer += this->Outcomes[_i255].read(iprot);
+              xfer += this->Outcomes[_i260].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7429,10 +7676,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<claim_entry> ::const_iterator _iter256;
-    for (_iter256 = this->Claims.begin(); _iter256 != this->Claims.end(); ++_iter256)
+    std::vector<claim_entry> ::const_iterator _iter261;
+    for (_iter261 = this->Claims.begin(); _iter261 != this->Claims.end(); ++_iter261)
     {
-      xfer += (*_iter256).write(oprot);
+      xfer += (*_iter261).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7441,10 +7688,10 @@
   xfer += oprot->writeFieldBegin("Outcomes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Outcomes.size()));
-    std::vector<claim_outcome> ::const_iterator _iter257;
-    for (_iter257 = this->Outcomes.begin(); _iter257 != this->Outcomes.end(); ++_iter257)
+    std::vector<claim_outcome> ::const_iterator _iter262;
+    for (_iter262 = this->Outcomes.begin(); _iter262 != this->Outcomes.end(); ++_iter262)
     {
-      xfer += (*_iter257).write(oprot);
+      xfer += (*_iter262).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7472,34 +7719,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_batch::claim_batch(const claim_batch& other258) {
-  Claims = other258.Claims;
-  Outcomes = other258.Outcomes;
-  WallMicros = other258.WallMicros;
-  WindowMicros = other258.WindowMicros;
-  __isset = other258.__isset;
-}
-claim_batch::claim_batch(claim_batch&& other259) noexcept {
-  Claims = std::move(other259.Claims);
-  Outcomes = std::move(other259.Outcomes);
-  WallMicros = other259.WallMicros;
-  WindowMicros = other259.WindowMicros;
-  __isset = other259.__isset;
-}
-claim_batch& claim_batch::operator=(const claim_batch& other260) {
-  Claims = other260.Claims;
-  Outcomes = other260.Outcomes;
-  WallMicros = other260.WallMicros;
-  WindowMicros = other260.WindowMicros;
-  __isset = other260.__isset;
+claim_batch::claim_batch(const claim_batch& other263) {
+  Claims = other263.Claims;
+  Outcomes = other263.Outcomes;
+  WallMicros = other263.WallMicros;
+  WindowMicros = other263.WindowMicros;
+  __isset = other263.__isset;
+}
+claim_batch::claim_batch(claim_batch&& other264) noexcept {
+  Claims = std::move(other264.Claims);
+  Outcomes = std::move(other264.Outcomes);
+  WallMicros = other264.WallMicros;
+  WindowMicros = other264.WindowMicros;
+  __isset = other264.__isset;
+}
+claim_batch& claim_batch::operator=(const claim_batch& other265) {
+  Claims = other265.Claims;
+  Outcomes = other265.Outcomes;
+  WallMicros = other265.WallMicros;
+  WindowMicros = other265.WindowMicros;
+  __isset = other265.__isset;
   return *this;
 }
-claim_batch& claim_batch::operator=(claim_batch&& other261) noexcept {
-  Claims = std::move(other261.Claims);
-  Outcomes = std::move(other261.Outcomes);
-  WallMicros = other261.WallMicros;
-  WindowMicros = other261.WindowMicros;
-  __isset = other261.__isset;
+claim_batch& claim_batch::operator=(claim_batch&& other266) noexcept {
+  Claims = std::move(other266.Claims);
+  Outcomes = std::move(other266.Outcomes);
+  WallMicros = other266.WallMicros;
+  WindowMicros = other266.WindowMicros;
+  __isset = other266.__isset;
   return *this;
 }
 void claim_batch::printTo(std::ostream& out) const {
@@ -7605,26 +7852,26 @@
   swap(a.__isset, b.__isset);
 }
 
-snapshot::snapshot(const snapshot& other262) {
-  CoversOffset = other262.CoversOffset;
-  State = other262.State;
-  __isset = other262.__isset;
+snapshot::snapshot(const snapshot& other267) {
+  CoversOffset = other267.CoversOffset;
+  State = other267.State;
+  __isset = other267.__isset;
 }
-snapshot::snapshot(snapshot&& other263) noexcept {
-  CoversOffset = other263.CoversOffset;
-  State = std::move(other263.State);
-  __isset = other263.__isset;
+snapshot::snapshot(snapshot&& other268) noexcept {
+  CoversOffset = other268.CoversOffset;
+  State = std::move(other268.State);
+  __isset = other268.__isset;
 }
-snapshot& snapshot::operator=(const snapshot& other264) {
-  CoversOffset = other264.CoversOffset;
-  State = other264.State;
-  __isset = other264.__isset;
+snapshot& snapshot::operator=(const snapshot& other269) {
+  CoversOffset = other269.CoversOffset;
+  State = other269.State;
+  __isset = other269.__isset;
   return *this;
 }
-snapshot& snapshot::operator=(snapshot&& other265) noexcept {
-  CoversOffset = other265.CoversOffset;
-  State = std::move(other265.State);
-  __isset = other265.__isset;
+snapshot& snapshot::operator=(snapshot&& other270) noexcept {
+  CoversOffset = other270.CoversOffset;
+  State = std::move(other270.State);
+  __isset = other270.__isset;
   return *this;
 }
 void snapshot::printTo(std::ostream& out) const {
@@ -7937,70 +8184,70 @@
   swap(a.__isset, b.__isset);
 }
 
-log_record::log_record(const log_record& other266) {
-  Incarnation = other266.Incarnation;
-  Sequence = other266.Sequence;
-  ConfigEdit = other266.ConfigEdit;
-  KeyGive = other266.KeyGive;
-  KeyWithdraw = other266.KeyWithdraw;
-  LeaseClaim = other266.LeaseClaim;
-  UsageAppend = other266.UsageAppend;
-  UsageClose = other266.UsageClose;
-  UsageReported = other266.UsageReported;
-  OrderIntent = other266.OrderIntent;
-  OrderDone = other266.OrderDone;
-  ClaimBatch = other266.ClaimBatch;
-  Snapshot = other266.Snapshot;
-  __isset = other266.__isset;
+log_record::log_record(const log_record& other271) {
+  Incarnation = other271.Incarnation;
+  Sequence = other271.Sequence;
+  ConfigEdit = other271.ConfigEdit;
+  KeyGive = other271.KeyGive;
+  KeyWithdraw = other271.KeyWithdraw;
+  LeaseClaim = other271.LeaseClaim;
+  UsageAppend = other271.UsageAppend;
+  UsageClose = other271.UsageClose;
+  UsageReported = other271.UsageReported;
+  OrderIntent = other271.OrderIntent;
+  OrderDone = other271.OrderDone;
+  ClaimBatch = other271.ClaimBatch;
+  Snapshot = other271.Snapshot;
+  __isset = other271.__isset;
 }
-log_record::log_record(log_record&& other267) noexcept {
-  Incarnation = other267.Incarnation;
-  Sequence = other267.Sequence;
-  ConfigEdit = std::move(other267.ConfigEdit);
-  KeyGive = std::move(other267.KeyGive);
-  KeyWithdraw = std::move(other267.KeyWithdraw);
-  LeaseClaim = std::move(other267.LeaseClaim);
-  UsageAppend = std::move(other267.UsageAppend);
-  UsageClose = std::move(other267.UsageClose);
-  UsageReported = std::move(other267.UsageReported);
-  OrderIntent = std::move(other267.OrderIntent);
-  OrderDone = std::move(other267.OrderDone);
-  ClaimBatch = std::move(other267.ClaimBatch);
-  Snapshot = std::move(other267.Snapshot);
-  __isset = other267.__isset;
+log_record::log_record(log_record&& other272) noexcept {
+  Incarnation = other272.Incarnation;
+  Sequence = other272.Sequence;
+  ConfigEdit = std::move(other272.ConfigEdit);
+  KeyGive = std::move(other272.KeyGive);
+  KeyWithdraw = std::move(other272.KeyWithdraw);
+  LeaseClaim = std::move(other272.LeaseClaim);
+  UsageAppend = std::move(other272.UsageAppend);
+  UsageClose = std::move(other272.UsageClose);
+  UsageReported = std::move(other272.UsageReported);
+  OrderIntent = std::move(other272.OrderIntent);
+  OrderDone = std::move(other272.OrderDone);
+  ClaimBatch = std::move(other272.ClaimBatch);
+  Snapshot = std::move(other272.Snapshot);
+  __isset = other272.__isset;
 }
-log_record& log_record::operator=(const log_record& other268) {
-  Incarnation = other268.Incarnation;
-  Sequence = other268.Sequence;
-  ConfigEdit = other268.ConfigEdit;
-  KeyGive = other268.KeyGive;
-  KeyWithdraw = other268.KeyWithdraw;
-  LeaseClaim = other268.LeaseClaim;
-  UsageAppend = other268.UsageAppend;
-  UsageClose = other268.UsageClose;
-  UsageReported = other268.UsageReported;
-  OrderIntent = other268.OrderIntent;
-  OrderDone = other268.OrderDone;
-  ClaimBatch = other268.ClaimBatch;
-  Snapshot = other268.Snapshot;
-  __isset = other268.__isset;
+log_record& log_record::operator=(const log_record& other273) {
+  Incarnation = other273.Incarnation;
+  Sequence = other273.Sequence;
+  ConfigEdit = other273.ConfigEdit;
+  KeyGive = other273.KeyGive;
+  KeyWithdraw = other273.KeyWithdraw;
+  LeaseClaim = other273.LeaseClaim;
+  UsageAppend = other273.UsageAppend;
+  UsageClose = other273.UsageClose;
+  UsageReported = other273.UsageReported;
+  OrderIntent = other273.OrderIntent;
+  OrderDone = other273.OrderDone;
+  ClaimBatch = other273.ClaimBatch;
+  Snapshot = other273.Snapshot;
+  __isset = other273.__isset;
   return *this;
 }
-log_record& log_record::operator=(log_record&& other269) noexcept {
-  Incarnation = other269.Incarnation;
-  Sequence = other269.Sequence;
-  ConfigEdit = std::move(other269.ConfigEdit);
-  KeyGive = std::move(other269.KeyGive);
-  KeyWithdraw = std::move(other269.KeyWithdraw);
-  LeaseClaim = std::move(other269.LeaseClaim);
-  UsageAppend = std::move(other269.UsageAppend);
-  UsageClose = std::move(other269.UsageClose);
-  UsageReported = std::move(other269.UsageReported);
-  OrderIntent = std::move(other269.OrderIntent);
-  OrderDone = std::move(other269.OrderDone);
-  ClaimBatch = std::move(other269.ClaimBatch);
-  Snapshot = std::move(other269.Snapshot);
-  __isset = other269.__isset;
+log_record& log_record::operator=(log_record&& other274) noexcept {
+  Incarnation = other274.Incarnation;
+  Sequence = other274.Sequence;
+  ConfigEdit = std::move(other274.ConfigEdit);
+  KeyGive = std::move(other274.KeyGive);
+  KeyWithdraw = std::move(other274.KeyWithdraw);
+  LeaseClaim = std::move(other274.LeaseClaim);
+  UsageAppend = std::move(other274.UsageAppend);
+  UsageClose = std::move(other274.UsageClose);
+  UsageReported = std::move(other274.UsageReported);
+  OrderIntent = std::move(other274.OrderIntent);
+  OrderDone = std::move(other274.OrderDone);
+  ClaimBatch = std::move(other274.ClaimBatch);
+  Snapshot = std::move(other274.Snapshot);
+  __isset = other274.__isset;
   return *this;
 }
 void log_record::printTo(std::ostream& out) const {
@@ -8166,38 +8413,38 @@
   swap(a.__isset, b.__isset);
 }
 
-key_state::key_state(const key_state& other270) {
-  KeyId = other270.KeyId;
-  Organisation = other270.Organisation;
-  KeyHash = other270.KeyHash;
-  Withdrawn = other270.Withdrawn;
-  Offset = other270.Offset;
-  __isset = other270.__isset;
+key_state::key_state(const key_state& other275) {
+  KeyId = other275.KeyId;
+  Organisation = other275.Organisation;
+  KeyHash = other275.KeyHash;
+  Withdrawn = other275.Withdrawn;
+  Offset = other275.Offset;
+  __isset = other275.__isset;
 }
-key_state::key_state(key_state&& other271) noexcept {
-  KeyId = std::move(other271.KeyId);
-  Organisation = std::move(other271.Organisation);
-  KeyHash = std::move(other271.KeyHash);
-  Withdrawn = other271.Withdrawn;
-  Offset = other271.Offset;
-  __isset = other271.__isset;
+key_state::key_state(key_state&& other276) noexcept {
+  KeyId = std::move(other276.KeyId);
+  Organisation = std::move(other276.Organisation);
+  KeyHash = std::move(other276.KeyHash);
+  Withdrawn = other276.Withdrawn;
+  Offset = other276.Offset;
+  __isset = other276.__isset;
 }
-key_state& key_state::operator=(const key_state& other272) {
-  KeyId = other272.KeyId;
-  Organisation = other272.Organisation;
-  KeyHash = other272.KeyHash;
-  Withdrawn = other272.Withdrawn;
-  Offset = other272.Offset;
-  __isset = other272.__isset;
+key_state& key_state::operator=(const key_state& other277) {
+  KeyId = other277.KeyId;
+  Organisation = other277.Organisation;
+  KeyHash = other277.KeyHash;
+  Withdrawn = other277.Withdrawn;
+  Offset = other277.Offset;
+  __isset = other277.__isset;
   return *this;
 }
-key_state& key_state::operator=(key_state&& other273) noexcept {
-  KeyId = std::move(other273.KeyId);
-  Organisation = std::move(other273.Organisation);
-  KeyHash = std::move(other273.KeyHash);
-  Withdrawn = other273.Withdrawn;
-  Offset = other273.Offset;
-  __isset = other273.__isset;
+key_state& key_state::operator=(key_state&& other278) noexcept {
+  KeyId = std::move(other278.KeyId);
+  Organisation = std::move(other278.Organisation);
+  KeyHash = std::move(other278.KeyHash);
+  Withdrawn = other278.Withdrawn;
+  Offset = other278.Offset;
+  __isset = other278.__isset;
   return *this;
 }
 void key_state::printTo(std::ostream& out) const {
@@ -8372,42 +8619,42 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_state::lease_state(const lease_state& other274) {
-  Lease = other274.Lease;
-  Fence = other274.Fence;
-  Holder = other274.Holder;
-  Incarnation = other274.Incarnation;
-  DurationMicros = other274.DurationMicros;
-  Released = other274.Released;
-  __isset = other274.__isset;
+lease_state::lease_state(const lease_state& other279) {
+  Lease = other279.Lease;
+  Fence = other279.Fence;
+  Holder = other279.Holder;
+  Incarnation = other279.Incarnation;
+  DurationMicros = other279.DurationMicros;
+  Released = other279.Released;
+  __isset = other279.__isset;
 }
-lease_state::lease_state(lease_state&& other275) noexcept {
-  Lease = std::move(other275.Lease);
-  Fence = other275.Fence;
-  Holder = std::move(other275.Holder);
-  Incarnation = other275.Incarnation;
-  DurationMicros = other275.DurationMicros;
-  Released = other275.Released;
-  __isset = other275.__isset;
+lease_state::lease_state(lease_state&& other280) noexcept {
+  Lease = std::move(other280.Lease);
+  Fence = other280.Fence;
+  Holder = std::move(other280.Holder);
+  Incarnation = other280.Incarnation;
+  DurationMicros = other280.DurationMicros;
+  Released = other280.Released;
+  __isset = other280.__isset;
 }
-lease_state& lease_state::operator=(const lease_state& other276) {
-  Lease = other276.Lease;
-  Fence = other276.Fence;
-  Holder = other276.Holder;
-  Incarnation = other276.Incarnation;
-  DurationMicros = other276.DurationMicros;
-  Released = other276.Released;
-  __isset = other276.__isset;
+lease_state& lease_state::operator=(const lease_state& other281) {
+  Lease = other281.Lease;
+  Fence = other281.Fence;
+  Holder = other281.Holder;
+  Incarnation = other281.Incarnation;
+  DurationMicros = other281.DurationMicros;
+  Released = other281.Released;
+  __isset = other281.__isset;
   return *this;
 }
-lease_state& lease_state::operator=(lease_state&& other277) noexcept {
-  Lease = std::move(other277.Lease);
-  Fence = other277.Fence;
-  Holder = std::move(other277.Holder);
-  Incarnation = other277.Incarnation;
-  DurationMicros = other277.DurationMicros;
-  Released = other277.Released;
-  __isset = other277.__isset;
+lease_state& lease_state::operator=(lease_state&& other282) noexcept {
+  Lease = std::move(other282.Lease);
+  Fence = other282.Fence;
+  Holder = std::move(other282.Holder);
+  Incarnation = other282.Incarnation;
+  DurationMicros = other282.DurationMicros;
+  Released = other282.Released;
+  __isset = other282.__isset;
   return *this;
 }
 void lease_state::printTo(std::ostream& out) const {
@@ -8566,38 +8813,38 @@
   swap(a.__isset, b.__isset);
 }
 
-writer_state::writer_state(const writer_state& other278) noexcept {
-  Incarnation = other278.Incarnation;
-  Sequence = other278.Sequence;
-  LastOffset = other278.LastOffset;
-  WallMicros = other278.WallMicros;
-  Ahead = other278.Ahead;
-  __isset = other278.__isset;
-}
-writer_state::writer_state(writer_state&& other279) noexcept {
-  Incarnation = other279.Incarnation;
-  Sequence = other279.Sequence;
-  LastOffset = other279.LastOffset;
-  WallMicros = other279.WallMicros;
-  Ahead = other279.Ahead;
-  __isset = other279.__isset;
-}
-writer_state& writer_state::operator=(const writer_state& other280) noexcept {
-  Incarnation = other280.Incarnation;
-  Sequence = other280.Sequence;
-  LastOffset = other280.LastOffset;
-  WallMicros = other280.WallMicros;
-  Ahead = other280.Ahead;
-  __isset = other280.__isset;
+writer_state::writer_state(const writer_state& other283) noexcept {
+  Incarnation = other283.Incarnation;
+  Sequence = other283.Sequence;
+  LastOffset = other283.LastOffset;
+  WallMicros = other283.WallMicros;
+  Ahead = other283.Ahead;
+  __isset = other283.__isset;
+}
+writer_state::writer_state(writer_state&& other284) noexcept {
+  Incarnation = other284.Incarnation;
+  Sequence = other284.Sequence;
+  LastOffset = other284.LastOffset;
+  WallMicros = other284.WallMicros;
+  Ahead = other284.Ahead;
+  __isset = other284.__isset;
+}
+writer_state& writer_state::operator=(const writer_state& other285) noexcept {
+  Incarnation = other285.Incarnation;
+  Sequence = other285.Sequence;
+  LastOffset = other285.LastOffset;
+  WallMicros = other285.WallMicros;
+  Ahead = other285.Ahead;
+  __isset = other285.__isset;
   return *this;
 }
-writer_state& writer_state::operator=(writer_state&& other281) noexcept {
-  Incarnation = other281.Incarnation;
-  Sequence = other281.Sequence;
-  LastOffset = other281.LastOffset;
-  WallMicros = other281.WallMicros;
-  Ahead = other281.Ahead;
-  __isset = other281.__isset;
+writer_state& writer_state::operator=(writer_state&& other286) noexcept {
+  Incarnation = other286.Incarnation;
+  Sequence = other286.Sequence;
+  LastOffset = other286.LastOffset;
+  WallMicros = other286.WallMicros;
+  Ahead = other286.Ahead;
+  __isset = other286.__isset;
   return *this;
 }
 void writer_state::printTo(std::ostream& out) const {
@@ -8667,14 +8914,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Figures.clear();
-            uint32_t _size282;
-            ::apache::thrift::protocol::TType _etype285;
-            xfer += iprot->readListBegin(_etype285, _size282);
-            this->Figures.resize(_size282);
-            uint32_t _i286;
-            for (_i286 = 0; _i286 < _size282; ++_i286)
+            uint32_t _size287;
+            ::apache::thrift::protocol::TType _etype290;
+            xfer += iprot->readListBegin(_etype290, _size287);
+            this->Figures.resize(_size287);
+            uint32_t _i291;
+            for (_i291 = 0; _i291 < _size287; ++_i291)
             {
-              xfer += this->Figures[_i286].read(iprot);
+              xfer += this->Figures[_i291].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8715,10 +8962,10 @@
   xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
-    std::vector<usage_increment> ::const_iterator _iter287;
-    for (_iter287 = this->Figures.begin(); _iter287 != this->Figures.end(); ++_iter287)
+    std::vector<usage_increment> ::const_iterator _iter292;
+    for (_iter292 = this->Figures.begin(); _iter292 != this->Figures.end(); ++_iter292)
     {
-      xfer += (*_iter287).write(oprot);
+      xfer += (*_iter292).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8741,30 +8988,30 @@
   swap(a.__isset, b.__isset);
 }
 
-closed_window::closed_window(const closed_window& other288) {
-  Window = other288.Window;
-  Figures = other288.Figures;
-  Reported = other288.Reported;
-  __isset = other288.__isset;
+closed_window::closed_window(const closed_window& other293) {
+  Window = other293.Window;
+  Figures = other293.Figures;
+  Reported = other293.Reported;
+  __isset = other293.__isset;
 }
-closed_window::closed_window(closed_window&& other289) noexcept {
-  Window = other289.Window;
-  Figures = std::move(other289.Figures);
-  Reported = other289.Reported;
-  __isset = other289.__isset;
+closed_window::closed_window(closed_window&& other294) noexcept {
+  Window = other294.Window;
+  Figures = std::move(other294.Figures);
+  Reported = other294.Reported;
+  __isset = other294.__isset;
 }
-closed_window& closed_window::operator=(const closed_window& other290) {
-  Window = other290.Window;
-  Figures = other290.Figures;
-  Reported = other290.Reported;
-  __isset = other290.__isset;
+closed_window& closed_window::operator=(const closed_window& other295) {
+  Window = other295.Window;
+  Figures = other295.Figures;
+  Reported = other295.Reported;
+  __isset = other295.__isset;
   return *this;
 }
-closed_window& closed_window::operator=(closed_window&& other291) noexcept {
-  Window = other291.Window;
-  Figures = std::move(other291.Figures);
-  Reported = other291.Reported;
-  __isset = other291.__isset;
+closed_window& closed_window::operator=(closed_window&& other296) noexcept {
+  Window = other296.Window;
+  Figures = std::move(other296.Figures);
+  Reported = other296.Reported;
+  __isset = other296.__isset;
   return *this;
 }
 void closed_window::printTo(std::ostream& out) const {
@@ -8869,26 +9116,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_state::order_state(const order_state& other292) {
-  Intent = other292.Intent;
-  Offset = other292.Offset;
-  __isset = other292.__isset;
+order_state::order_state(const order_state& other297) {
+  Intent = other297.Intent;
+  Offset = other297.Offset;
+  __isset = other297.__isset;
 }
-order_state::order_state(order_state&& other293) noexcept {
-  Intent = std::move(other293.Intent);
-  Offset = other293.Offset;
-  __isset = other293.__isset;
+order_state::order_state(order_state&& other298) noexcept {
+  Intent = std::move(other298.Intent);
+  Offset = other298.Offset;
+  __isset = other298.__isset;
 }
-order_state& order_state::operator=(const order_state& other294) {
-  Intent = other294.Intent;
-  Offset = other294.Offset;
-  __isset = other294.__isset;
+order_state& order_state::operator=(const order_state& other299) {
+  Intent = other299.Intent;
+  Offset = other299.Offset;
+  __isset = other299.__isset;
   return *this;
 }
-order_state& order_state::operator=(order_state&& other295) noexcept {
-  Intent = std::move(other295.Intent);
-  Offset = other295.Offset;
-  __isset = other295.__isset;
+order_state& order_state::operator=(order_state&& other300) noexcept {
+  Intent = std::move(other300.Intent);
+  Offset = other300.Offset;
+  __isset = other300.__isset;
   return *this;
 }
 void order_state::printTo(std::ostream& out) const {
@@ -8995,134 +9242,134 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Keys.clear();
-            uint32_t _size296;
-            ::apache::thrift::protocol::TType _etype299;
-            xfer += iprot->readListBegin(_etype299, _size296);
-            this->Keys.resize(_size296);
-            uint32_t _i300;
-            for (_i300 = 0; _i300 < _size296; ++_i300)
-            {
-              xfer += this->Keys[_i300].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.Keys = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->Leases.clear();
             uint32_t _size301;
             ::apache::thrift::protocol::TType _etype304;
             xfer += iprot->readListBegin(_etype304, _size301);
-            this->Leases.resize(_size301);
+            this->Keys.resize(_size301);
             uint32_t _i305;
             for (_i305 = 0; _i305 < _size301; ++_i305)
             {
-              xfer += this->Leases[_i305].read(iprot);
+              xfer += this->Keys[_i305].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.Leases = true;
+          this->__isset.Keys = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->Writers.clear();
+            this->Leases.clear();
             uint32_t _size306;
             ::apache::thrift::protocol::TType _etype309;
             xfer += iprot->readListBegin(_etype309, _size306);
-            this->Writers.resize(_size306);
+            this->Leases.resize(_size306);
             uint32_t _i310;
             for (_i310 = 0; _i310 < _size306; ++_i310)
             {
-              xfer += this->Writers[_i310].read(iprot);
+              xfer += this->Leases[_i310].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.Writers = true;
+          this->__isset.Leases = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->UsageSources.clear();
+            this->Writers.clear();
             uint32_t _size311;
             ::apache::thrift::protocol::TType _etype314;
             xfer += iprot->readListBegin(_etype314, _size311);
-            this->UsageSources.resize(_size311);
+            this->Writers.resize(_size311);
             uint32_t _i315;
             for (_i315 = 0; _i315 < _size311; ++_i315)
             {
-              xfer += this->UsageSources[_i315].read(iprot);
+              xfer += this->Writers[_i315].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.UsageSources = true;
+          this->__isset.Writers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->OpenUsage.clear();
+            this->UsageSources.clear();
             uint32_t _size316;
             ::apache::thrift::protocol::TType _etype319;
             xfer += iprot->readListBegin(_etype319, _size316);
-            this->OpenUsage.resize(_size316);
+            this->UsageSources.resize(_size316);
             uint32_t _i320;
             for (_i320 = 0; _i320 < _size316; ++_i320)
             {
-              xfer += this->OpenUsage[_i320].read(iprot);
+              xfer += this->UsageSources[_i320].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.OpenUsage = true;
+          this->__isset.UsageSources = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->Windows.clear();
+            this->OpenUsage.clear();
             uint32_t _size321;
             ::apache::thrift::protocol::TType _etype324;
             xfer += iprot->readListBegin(_etype324, _size321);
-            this->Windows.resize(_size321);
+            this->OpenUsage.resize(_size321);
             uint32_t _i325;
             for (_i325 = 0; _i325 < _size321; ++_i325)
             {
-              xfer += this->Windows[_i325].read(iprot);
+              xfer += this->OpenUsage[_i325].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.Windows = true;
+          this->__isset.OpenUsage = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->Orders.clear();
+            this->Windows.clear();
             uint32_t _size326;
             ::apache::thrift::protocol::TType _etype329;
             xfer += iprot->readListBegin(_etype329, _size326);
-            this->Orders.resize(_size326);
+            this->Windows.resize(_size326);
             uint32_t _i330;
             for (_i330 = 0; _i330 < _size326; ++_i330)
             {
-              xfer += this->Orders[_i330].read(iprot);
+              xfer += this->Windows[_i330].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Windows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Orders.clear();
+            uint32_t _size331;
+            ::apache::thrift::protocol::TType _etype334;
+            xfer += iprot->readListBegin(_etype334, _size331);
+            this->Orders.resize(_size331);
+            uint32_t _i335;
+            for (_i335 = 0; _i335 < _size331; ++_i335)
+            {
+              xfer += this->Orders[_i335].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9175,10 +9422,10 @@
   xfer += oprot->writeFieldBegin("Keys", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Keys.size()));
-    std::vector<key_state> ::const_iterator _iter331;
-    for (_iter331 = this->Keys.begin(); _iter331 != this->Keys.end(); ++_iter331)
+    std::vector<key_state> ::const_iterator _iter336;
+    for (_iter336 = this->Keys.begin(); _iter336 != this->Keys.end(); ++_iter336)
     {
-      xfer += (*_iter331).write(oprot);
+      xfer += (*_iter336).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9187,10 +9434,10 @@
   xfer += oprot->writeFieldBegin("Leases", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leases.size()));
-    std::vector<lease_state> ::const_iterator _iter332;
-    for (_iter332 = this->Leases.begin(); _iter332 != this->Leases.end(); ++_iter332)
+    std::vector<lease_state> ::const_iterator _iter337;
+    for (_iter337 = this->Leases.begin(); _iter337 != this->Leases.end(); ++_iter337)
     {
-      xfer += (*_iter332).write(oprot);
+      xfer += (*_iter337).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9199,10 +9446,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter333;
-    for (_iter333 = this->Writers.begin(); _iter333 != this->Writers.end(); ++_iter333)
+    std::vector<writer_state> ::const_iterator _iter338;
+    for (_iter338 = this->Writers.begin(); _iter338 != this->Writers.end(); ++_iter338)
     {
-      xfer += (*_iter333).write(oprot);
+      xfer += (*_iter338).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9211,10 +9458,10 @@
   xfer += oprot->writeFieldBegin("UsageSources", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->UsageSources.size()));
-    std::vector<writer_state> ::const_iterator _iter334;
-    for (_iter334 = this->UsageSources.begin(); _iter334 != this->UsageSources.end(); ++_iter334)
+    std::vector<writer_state> ::const_iterator _iter339;
+    for (_iter339 = this->UsageSources.begin(); _iter339 != this->UsageSources.end(); ++_iter339)
     {
-      xfer += (*_iter334).write(oprot);
+      xfer += (*_iter339).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9223,10 +9470,10 @@
   xfer += oprot->writeFieldBegin("OpenUsage", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->OpenUsage.size()));
-    std::vector<usage_increment> ::const_iterator _iter335;
-    for (_iter335 = this->OpenUsage.begin(); _iter335 != this->OpenUsage.end(); ++_iter335)
+    std::vector<usage_increment> ::const_iterator _iter340;
+    for (_iter340 = this->OpenUsage.begin(); _iter340 != this->OpenUsage.end(); ++_iter340)
     {
-      xfer += (*_iter335).write(oprot);
+      xfer += (*_iter340).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9235,10 +9482,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<closed_window> ::const_iterator _iter336;
-    for (_iter336 = this->Windows.begin(); _iter336 != this->Windows.end(); ++_iter336)
+    std::vector<closed_window> ::const_iterator _iter341;
+    for (_iter341 = this->Windows.begin(); _iter341 != this->Windows.end(); ++_iter341)
     {
-      xfer += (*_iter336).write(oprot);
+      xfer += (*_iter341).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9247,10 +9494,10 @@
   xfer += oprot->writeFieldBegin("Orders", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Orders.size()));
-    std::vector<order_state> ::const_iterator _iter337;
-    for (_iter337 = this->Orders.begin(); _iter337 != this->Orders.end(); ++_iter337)
+    std::vector<order_state> ::const_iterator _iter342;
+    for (_iter342 = this->Orders.begin(); _iter342 != this->Orders.end(); ++_iter342)
     {
-      xfer += (*_iter337).write(oprot);
+      xfer += (*_iter342).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9285,62 +9532,62 @@
   swap(a.__isset, b.__isset);
 }
 
-ledger_state::ledger_state(const ledger_state& other338) {
-  ConfigOffset = other338.ConfigOffset;
-  Document = other338.Document;
-  Keys = other338.Keys;
-  Leases = other338.Leases;
-  Writers = other338.Writers;
-  UsageSources = other338.UsageSources;
-  OpenUsage = other338.OpenUsage;
-  Windows = other338.Windows;
-  Orders = other338.Orders;
-  LastClosedWindow = other338.LastClosedWindow;
-  LastSnapshot = other338.LastSnapshot;
-  __isset = other338.__isset;
-}
-ledger_state::ledger_state(ledger_state&& other339) noexcept {
-  ConfigOffset = other339.ConfigOffset;
-  Document = std::move(other339.Document);
-  Keys = std::move(other339.Keys);
-  Leases = std::move(other339.Leases);
-  Writers = std::move(other339.Writers);
-  UsageSources = std::move(other339.UsageSources);
-  OpenUsage = std::move(other339.OpenUsage);
-  Windows = std::move(other339.Windows);
-  Orders = std::move(other339.Orders);
-  LastClosedWindow = other339.LastClosedWindow;
-  LastSnapshot = other339.LastSnapshot;
-  __isset = other339.__isset;
-}
-ledger_state& ledger_state::operator=(const ledger_state& other340) {
-  ConfigOffset = other340.ConfigOffset;
-  Document = other340.Document;
-  Keys = other340.Keys;
-  Leases = other340.Leases;
-  Writers = other340.Writers;
-  UsageSources = other340.UsageSources;
-  OpenUsage = other340.OpenUsage;
-  Windows = other340.Windows;
-  Orders = other340.Orders;
-  LastClosedWindow = other340.LastClosedWindow;
-  LastSnapshot = other340.LastSnapshot;
-  __isset = other340.__isset;
+ledger_state::ledger_state(const ledger_state& other343) {
+  ConfigOffset = other343.ConfigOffset;
+  Document = other343.Document;
+  Keys = other343.Keys;
+  Leases = other343.Leases;
+  Writers = other343.Writers;
+  UsageSources = other343.UsageSources;
+  OpenUsage = other343.OpenUsage;
+  Windows = other343.Windows;
+  Orders = other343.Orders;
+  LastClosedWindow = other343.LastClosedWindow;
+  LastSnapshot = other343.LastSnapshot;
+  __isset = other343.__isset;
+}
+ledger_state::ledger_state(ledger_state&& other344) noexcept {
+  ConfigOffset = other344.ConfigOffset;
+  Document = std::move(other344.Document);
+  Keys = std::move(other344.Keys);
+  Leases = std::move(other344.Leases);
+  Writers = std::move(other344.Writers);
+  UsageSources = std::move(other344.UsageSources);
+  OpenUsage = std::move(other344.OpenUsage);
+  Windows = std::move(other344.Windows);
+  Orders = std::move(other344.Orders);
+  LastClosedWindow = other344.LastClosedWindow;
+  LastSnapshot = other344.LastSnapshot;
+  __isset = other344.__isset;
+}
+ledger_state& ledger_state::operator=(const ledger_state& other345) {
+  ConfigOffset = other345.ConfigOffset;
+  Document = other345.Document;
+  Keys = other345.Keys;
+  Leases = other345.Leases;
+  Writers = other345.Writers;
+  UsageSources = other345.UsageSources;
+  OpenUsage = other345.OpenUsage;
+  Windows = other345.Windows;
+  Orders = other345.Orders;
+  LastClosedWindow = other345.LastClosedWindow;
+  LastSnapshot = other345.LastSnapshot;
+  __isset = other345.__isset;
   return *this;
 }
-ledger_state& ledger_state::operator=(ledger_state&& other341) noexcept {
-  ConfigOffset = other341.ConfigOffset;
-  Document = std::move(other341.Document);
-  Keys = std::move(other341.Keys);
-  Leases = std::move(other341.Leases);
-  Writers = std::move(other341.Writers);
-  UsageSources = std::move(other341.UsageSources);
-  OpenUsage = std::move(other341.OpenUsage);
-  Windows = std::move(other341.Windows);
-  Orders = std::move(other341.Orders);
-  LastClosedWindow = other341.LastClosedWindow;
-  LastSnapshot = other341.LastSnapshot;
-  __isset = other341.__isset;
+ledger_state& ledger_state::operator=(ledger_state&& other346) noexcept {
+  ConfigOffset = other346.ConfigOffset;
+  Document = std::move(other346.Document);
+  Keys = std::move(other346.Keys);
+  Leases = std::move(other346.Leases);
+  Writers = std::move(other346.Writers);
+  UsageSources = std::move(other346.UsageSources);
+  OpenUsage = std::move(other346.OpenUsage);
+  Windows = std::move(other346.Windows);
+  Orders = std::move(other346.Orders);
+  LastClosedWindow = other346.LastClosedWindow;
+  LastSnapshot = other346.LastSnapshot;
+  __isset = other346.__isset;
   return *this;
 }
 void ledger_state::printTo(std::ostream& out) const {
@@ -9493,9 +9740,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast342;
-          xfer += iprot->readI32(ecast342);
-          this->Outcome = static_cast<run_outcome::type>(ecast342);
+          int32_t ecast347;
+          xfer += iprot->readI32(ecast347);
+          this->Outcome = static_cast<run_outcome::type>(ecast347);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9505,14 +9752,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Released.clear();
-            uint32_t _size343;
-            ::apache::thrift::protocol::TType _etype346;
-            xfer += iprot->readListBegin(_etype346, _size343);
-            this->Released.resize(_size343);
-            uint32_t _i347;
-            for (_i347 = 0; _i347 < _size343; ++_i347)
+            uint32_t _size348;
+            ::apache::thrift::protocol::TType _etype351;
+            xfer += iprot->readListBegin(_etype351, _size348);
+            this->Released.resize(_size348);
+            uint32_t _i352;
+            for (_i352 = 0; _i352 < _size348; ++_i352)
             {
-              xfer += this->Released[_i347].read(iprot);
+              xfer += this->Released[_i352].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9583,10 +9830,10 @@
     xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Released.size()));
-      std::vector<attempt_id> ::const_iterator _iter348;
-      for (_iter348 = this->Released.begin(); _iter348 != this->Released.end(); ++_iter348)
+      std::vector<attempt_id> ::const_iterator _iter353;
+      for (_iter353 = this->Released.begin(); _iter353 != this->Released.end(); ++_iter353)
       {
-        xfer += (*_iter348).write(oprot);
+        xfer += (*_iter353).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -9617,58 +9864,58 @@
   swap(a.__isset, b.__isset);
 }
 
-kept_claim::kept_claim(const kept_claim& other349) {
-  KeyHash = other349.KeyHash;
-  Organisation = other349.Organisation;
-  Holder = other349.Holder;
-  BodyHash = other349.BodyHash;
-  RetainMicros = other349.RetainMicros;
-  TimedKey = other349.TimedKey;
-  Held = other349.Held;
-  Outcome = other349.Outcome;
-  Released = other349.Released;
-  Answer = other349.Answer;
-  __isset = other349.__isset;
-}
-kept_claim::kept_claim(kept_claim&& other350) noexcept {
-  KeyHash = std::move(other350.KeyHash);
-  Organisation = other350.Organisation;
-  Holder = std::move(other350.Holder);
-  BodyHash = other350.BodyHash;
-  RetainMicros = other350.RetainMicros;
-  TimedKey = other350.TimedKey;
-  Held = other350.Held;
-  Outcome = other350.Outcome;
-  Released = std::move(other350.Released);
-  Answer = std::move(other350.Answer);
-  __isset = other350.__isset;
-}
-kept_claim& kept_claim::operator=(const kept_claim& other351) {
-  KeyHash = other351.KeyHash;
-  Organisation = other351.Organisation;
-  Holder = other351.Holder;
-  BodyHash = other351.BodyHash;
-  RetainMicros = other351.RetainMicros;
-  TimedKey = other351.TimedKey;
-  Held = other351.Held;
-  Outcome = other351.Outcome;
-  Released = other351.Released;
-  Answer = other351.Answer;
-  __isset = other351.__isset;
+kept_claim::kept_claim(const kept_claim& other354) {
+  KeyHash = other354.KeyHash;
+  Organisation = other354.Organisation;
+  Holder = other354.Holder;
+  BodyHash = other354.BodyHash;
+  RetainMicros = other354.RetainMicros;
+  TimedKey = other354.TimedKey;
+  Held = other354.Held;
+  Outcome = other354.Outcome;
+  Released = other354.Released;
+  Answer = other354.Answer;
+  __isset = other354.__isset;
+}
+kept_claim::kept_claim(kept_claim&& other355) noexcept {
+  KeyHash = std::move(other355.KeyHash);
+  Organisation = other355.Organisation;
+  Holder = std::move(other355.Holder);
+  BodyHash = other355.BodyHash;
+  RetainMicros = other355.RetainMicros;
+  TimedKey = other355.TimedKey;
+  Held = other355.Held;
+  Outcome = other355.Outcome;
+  Released = std::move(other355.Released);
+  Answer = std::move(other355.Answer);
+  __isset = other355.__isset;
+}
+kept_claim& kept_claim::operator=(const kept_claim& other356) {
+  KeyHash = other356.KeyHash;
+  Organisation = other356.Organisation;
+  Holder = other356.Holder;
+  BodyHash = other356.BodyHash;
+  RetainMicros = other356.RetainMicros;
+  TimedKey = other356.TimedKey;
+  Held = other356.Held;
+  Outcome = other356.Outcome;
+  Released = other356.Released;
+  Answer = other356.Answer;
+  __isset = other356.__isset;
   return *this;
 }
-kept_claim& kept_claim::operator=(kept_claim&& other352) noexcept {
-  KeyHash = std::move(other352.KeyHash);
-  Organisation = other352.Organisation;
-  Holder = std::move(other352.Holder);
-  BodyHash = other352.BodyHash;
-  RetainMicros = other352.RetainMicros;
-  TimedKey = other352.TimedKey;
-  Held = other352.Held;
-  Outcome = other352.Outcome;
-  Released = std::move(other352.Released);
-  Answer = std::move(other352.Answer);
-  __isset = other352.__isset;
+kept_claim& kept_claim::operator=(kept_claim&& other357) noexcept {
+  KeyHash = std::move(other357.KeyHash);
+  Organisation = other357.Organisation;
+  Holder = std::move(other357.Holder);
+  BodyHash = other357.BodyHash;
+  RetainMicros = other357.RetainMicros;
+  TimedKey = other357.TimedKey;
+  Held = other357.Held;
+  Outcome = other357.Outcome;
+  Released = std::move(other357.Released);
+  Answer = std::move(other357.Answer);
+  __isset = other357.__isset;
   return *this;
 }
 void kept_claim::printTo(std::ostream& out) const {
@@ -9747,14 +9994,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size353;
-            ::apache::thrift::protocol::TType _etype356;
-            xfer += iprot->readListBegin(_etype356, _size353);
-            this->Claims.resize(_size353);
-            uint32_t _i357;
-            for (_i357 = 0; _i357 < _size353; ++_i357)
+            uint32_t _size358;
+            ::apache::thrift::protocol::TType _etype361;
+            xfer += iprot->readListBegin(_etype361, _size358);
+            this->Claims.resize(_size358);
+            uint32_t _i362;
+            for (_i362 = 0; _i362 < _size358; ++_i362)
             {
-              xfer += this->Claims[_i357].read(iprot);
+              xfer += this->Claims[_i362].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9767,14 +10014,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Writers.clear();
-            uint32_t _size358;
-            ::apache::thrift::protocol::TType _etype361;
-            xfer += iprot->readListBegin(_etype361, _size358);
-            this->Writers.resize(_size358);
-            uint32_t _i362;
-            for (_i362 = 0; _i362 < _size358; ++_i362)
+            uint32_t _size363;
+            ::apache::thrift::protocol::TType _etype366;
+            xfer += iprot->readListBegin(_etype366, _size363);
+            this->Writers.resize(_size363);
+            uint32_t _i367;
+            for (_i367 = 0; _i367 < _size363; ++_i367)
             {
-              xfer += this->Writers[_i362].read(iprot);
+              xfer += this->Writers[_i367].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9811,14 +10058,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Organisations.clear();
-            uint32_t _size363;
-            ::apache::thrift::protocol::TType _etype366;
-            xfer += iprot->readListBegin(_etype366, _size363);
-            this->Organisations.resize(_size363);
-            uint32_t _i367;
-            for (_i367 = 0; _i367 < _size363; ++_i367)
+            uint32_t _size368;
+            ::apache::thrift::protocol::TType _etype371;
+            xfer += iprot->readListBegin(_etype371, _size368);
+            this->Organisations.resize(_size368);
+            uint32_t _i372;
+            for (_i372 = 0; _i372 < _size368; ++_i372)
             {
-              xfer += iprot->readString(this->Organisations[_i367]);
+              xfer += iprot->readString(this->Organisations[_i372]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9847,10 +10094,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<kept_claim> ::const_iterator _iter368;
-    for (_iter368 = this->Claims.begin(); _iter368 != this->Claims.end(); ++_iter368)
+    std::vector<kept_claim> ::const_iterator _iter373;
+    for (_iter373 = this->Claims.begin(); _iter373 != this->Claims.end(); ++_iter373)
     {
-      xfer += (*_iter368).write(oprot);
+      xfer += (*_iter373).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9859,10 +10106,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter369;
-    for (_iter369 = this->Writers.begin(); _iter369 != this->Writers.end(); ++_iter369)
+    std::vector<writer_state> ::const_iterator _iter374;
+    for (_iter374 = this->Writers.begin(); _iter374 != this->Writers.end(); ++_iter374)
     {
-      xfer += (*_iter369).write(oprot);
+      xfer += (*_iter374).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9883,10 +10130,10 @@
   xfer += oprot->writeFieldBegin("Organisations", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Organisations.size()));
-    std::vector<std::string> ::const_iterator _iter370;
-    for (_iter370 = this->Organisations.begin(); _iter370 != this->Organisations.end(); ++_iter370)
+    std::vector<std::string> ::const_iterator _iter375;
+    for (_iter375 = this->Organisations.begin(); _iter375 != this->Organisations.end(); ++_iter375)
     {
-      xfer += oprot->writeString((*_iter370));
+      xfer += oprot->writeString((*_iter375));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9908,42 +10155,42 @@
   swap(a.__isset, b.__isset);
 }
 
-claims_state::claims_state(const claims_state& other371) {
-  Claims = other371.Claims;
-  Writers = other371.Writers;
-  TimeMicros = other371.TimeMicros;
-  KeyHorizonMicros = other371.KeyHorizonMicros;
-  OpaqueHorizonMicros = other371.OpaqueHorizonMicros;
-  Organisations = other371.Organisations;
-  __isset = other371.__isset;
-}
-claims_state::claims_state(claims_state&& other372) noexcept {
-  Claims = std::move(other372.Claims);
-  Writers = std::move(other372.Writers);
-  TimeMicros = other372.TimeMicros;
-  KeyHorizonMicros = other372.KeyHorizonMicros;
-  OpaqueHorizonMicros = other372.OpaqueHorizonMicros;
-  Organisations = std::move(other372.Organisations);
-  __isset = other372.__isset;
-}
-claims_state& claims_state::operator=(const claims_state& other373) {
-  Claims = other373.Claims;
-  Writers = other373.Writers;
-  TimeMicros = other373.TimeMicros;
-  KeyHorizonMicros = other373.KeyHorizonMicros;
-  OpaqueHorizonMicros = other373.OpaqueHorizonMicros;
-  Organisations = other373.Organisations;
-  __isset = other373.__isset;
+claims_state::claims_state(const claims_state& other376) {
+  Claims = other376.Claims;
+  Writers = other376.Writers;
+  TimeMicros = other376.TimeMicros;
+  KeyHorizonMicros = other376.KeyHorizonMicros;
+  OpaqueHorizonMicros = other376.OpaqueHorizonMicros;
+  Organisations = other376.Organisations;
+  __isset = other376.__isset;
+}
+claims_state::claims_state(claims_state&& other377) noexcept {
+  Claims = std::move(other377.Claims);
+  Writers = std::move(other377.Writers);
+  TimeMicros = other377.TimeMicros;
+  KeyHorizonMicros = other377.KeyHorizonMicros;
+  OpaqueHorizonMicros = other377.OpaqueHorizonMicros;
+  Organisations = std::move(other377.Organisations);
+  __isset = other377.__isset;
+}
+claims_state& claims_state::operator=(const claims_state& other378) {
+  Claims = other378.Claims;
+  Writers = other378.Writers;
+  TimeMicros = other378.TimeMicros;
+  KeyHorizonMicros = other378.KeyHorizonMicros;
+  OpaqueHorizonMicros = other378.OpaqueHorizonMicros;
+  Organisations = other378.Organisations;
+  __isset = other378.__isset;
   return *this;
 }
-claims_state& claims_state::operator=(claims_state&& other374) noexcept {
-  Claims = std::move(other374.Claims);
-  Writers = std::move(other374.Writers);
-  TimeMicros = other374.TimeMicros;
-  KeyHorizonMicros = other374.KeyHorizonMicros;
-  OpaqueHorizonMicros = other374.OpaqueHorizonMicros;
-  Organisations = std::move(other374.Organisations);
-  __isset = other374.__isset;
+claims_state& claims_state::operator=(claims_state&& other379) noexcept {
+  Claims = std::move(other379.Claims);
+  Writers = std::move(other379.Writers);
+  TimeMicros = other379.TimeMicros;
+  KeyHorizonMicros = other379.KeyHorizonMicros;
+  OpaqueHorizonMicros = other379.OpaqueHorizonMicros;
+  Organisations = std::move(other379.Organisations);
+  __isset = other379.__isset;
   return *this;
 }
 void claims_state::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -133,6 +133,8 @@
 
 class pool_load;
 
+class member_run;
+
 class heartbeat;
 
 class heartbeat_ack;
@@ -405,8 +407,71 @@
 
 std::ostream& operator<<(std::ostream& out, const pool_load& obj);
 
+typedef struct _member_run__isset {
+  _member_run__isset() : Incarnation(false), Refutation(false), State(false) {}
+  bool Incarnation :1;
+  bool Refutation :1;
+  bool State :1;
+} _member_run__isset;
+
+class member_run : public virtual ::apache::thrift::TBase {
+ public:
+
+  member_run(const member_run&) noexcept;
+  member_run(member_run&&) noexcept;
+  member_run& operator=(const member_run&) noexcept;
+  member_run& operator=(member_run&&) noexcept;
+  member_run() noexcept
+             : Incarnation(0),
+               Refutation(0),
+               State(static_cast<member_state::type>(0)) {
+  }
+
+  virtual ~member_run() noexcept;
+  int64_t Incarnation;
+  int32_t Refutation;
+  /**
+   * 
+   * @see member_state
+   */
+  member_state::type State;
+
+  _member_run__isset __isset;
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_Refutation(const int32_t val);
+
+  void __set_State(const member_state::type val);
+
+  bool operator == (const member_run & rhs) const
+  {
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (!(Refutation == rhs.Refutation))
+      return false;
+    if (!(State == rhs.State))
+      return false;
+    return true;
+  }
+  bool operator != (const member_run &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const member_run & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(member_run &a, member_run &b);
+
+std::ostream& operator<<(std::ostream& out, const member_run& obj);
+
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), Retry(false), WantsMembers(false) {}
+  _heartbeat__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), Retry(false), WantsMembers(false), MembersDigest(false), SenderRun(false) {}
   bool Nonce :1;
   bool Sender :1;
   bool LedgerOffset :1;
@@ -414,6 +479,8 @@
   bool Loads :1;
   bool Retry :1;
   bool WantsMembers :1;
+  bool MembersDigest :1;
+  bool SenderRun :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -427,7 +494,8 @@
             : Nonce(0),
               LedgerOffset(0),
               Retry(0),
-              WantsMembers(0) {
+              WantsMembers(0),
+              MembersDigest(0) {
   }
 
   virtual ~heartbeat() noexcept;
@@ -438,6 +506,8 @@
   std::vector<pool_load>  Loads;
   bool Retry;
   bool WantsMembers;
+  int32_t MembersDigest;
+  member_run SenderRun;
 
   _heartbeat__isset __isset;
 
@@ -455,11 +525,17 @@
 
   void __set_WantsMembers(const bool val);
 
+  void __set_MembersDigest(const int32_t val);
+
+  void __set_SenderRun(const member_run& val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
       return false;
-    if (!(Sender == rhs.Sender))
+    if (__isset.Sender != rhs.__isset.Sender)
+      return false;
+    else if (__isset.Sender && !(Sender == rhs.Sender))
       return false;
     if (!(LedgerOffset == rhs.LedgerOffset))
       return false;
@@ -471,6 +547,14 @@
       return false;
     if (!(WantsMembers == rhs.WantsMembers))
       return false;
+    if (__isset.MembersDigest != rhs.__isset.MembersDigest)
+      return false;
+    else if (__isset.MembersDigest && !(MembersDigest == rhs.MembersDigest))
+      return false;
+    if (__isset.SenderRun != rhs.__isset.SenderRun)
+      return false;
+    else if (__isset.SenderRun && !(SenderRun == rhs.SenderRun))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
@@ -490,7 +574,7 @@
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj);
 
 typedef struct _heartbeat_ack__isset {
-  _heartbeat_ack__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), OnBehalfOf(false), LogAgeMicros(false) {}
+  _heartbeat_ack__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), OnBehalfOf(false), LogAgeMicros(false), MembersDigest(false), SenderRun(false) {}
   bool Nonce :1;
   bool Sender :1;
   bool LedgerOffset :1;
@@ -498,6 +582,8 @@
   bool Loads :1;
   bool OnBehalfOf :1;
   bool LogAgeMicros :1;
+  bool MembersDigest :1;
+  bool SenderRun :1;
 } _heartbeat_ack__isset;
 
 class heartbeat_ack : public virtual ::apache::thrift::TBase {
@@ -511,7 +597,8 @@
                 : Nonce(0),
                   LedgerOffset(0),
                   OnBehalfOf(),
-                  LogAgeMicros(0) {
+                  LogAgeMicros(0),
+                  MembersDigest(0) {
   }
 
   virtual ~heartbeat_ack() noexcept;
@@ -522,6 +609,8 @@
   std::vector<pool_load>  Loads;
   std::string OnBehalfOf;
   int64_t LogAgeMicros;
+  int32_t MembersDigest;
+  member_run SenderRun;
 
   _heartbeat_ack__isset __isset;
 
@@ -539,11 +628,17 @@
 
   void __set_LogAgeMicros(const int64_t val);
 
+  void __set_MembersDigest(const int32_t val);
+
+  void __set_SenderRun(const member_run& val);
+
   bool operator == (const heartbeat_ack & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
       return false;
-    if (!(Sender == rhs.Sender))
+    if (__isset.Sender != rhs.__isset.Sender)
+      return false;
+    else if (__isset.Sender && !(Sender == rhs.Sender))
       return false;
     if (!(LedgerOffset == rhs.LedgerOffset))
       return false;
@@ -557,6 +652,14 @@
       return false;
     else if (__isset.LogAgeMicros && !(LogAgeMicros == rhs.LogAgeMicros))
       return false;
+    if (__isset.MembersDigest != rhs.__isset.MembersDigest)
+      return false;
+    else if (__isset.MembersDigest && !(MembersDigest == rhs.MembersDigest))
+      return false;
+    if (__isset.SenderRun != rhs.__isset.SenderRun)
+      return false;
+    else if (__isset.SenderRun && !(SenderRun == rhs.SenderRun))
+      return false;
     return true;
   }
   bool operator != (const heartbeat_ack &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -35,25 +35,36 @@
   5: i64 AgeMicros             // since its owner told it
 }
 
+// What can change of a member while its process runs.
+struct member_run {
+  1: i64 Incarnation
+  2: i32 Refutation
+  3: member_state State
+}
+
 struct heartbeat {
   1: i64 Nonce
-  2: member Sender
+  2: optional member Sender    // unset when SenderRun says enough
   3: i64 LedgerOffset          // highest applied offset of the operator stream
   4: list<member> Gossip
   5: list<pool_load> Loads
   6: bool Retry                // an earlier one was not answered
   7: bool WantsMembers         // the sender knows few members: send all
+  8: optional i32 MembersDigest // over all members that the sender holds live
+  9: optional member_run SenderRun // to a receiver that has acknowledged Sender
 }
 
 struct heartbeat_ack {
   1: i64 Nonce
-  2: member Sender
+  2: optional member Sender
   3: i64 LedgerOffset
   4: list<member> Gossip
   5: list<pool_load> Loads
   6: string OnBehalfOf         // empty, or the member that an indirect probe reached
   7: optional i64 LogAgeMicros // since the log's end was read, by whoever the
                                // sender has LedgerOffset from; unset: never
+  8: optional i32 MembersDigest
+  9: optional member_run SenderRun
 }
 
 // Asks another member to probe Target and to pass the answer on.
