--- a/fuzz/peer_target.cc
+++ b/fuzz/peer_target.cc
@@ -49,8 +49,8 @@
 wire::heartbeat heartbeat() {
   wire::heartbeat Heartbeat;
   Heartbeat.Nonce = 3;
-  Heartbeat.Sender =
-      member(peer_name.Value, peer_address, wire::member_role::Entry);
+  Heartbeat.__set_Sender(
+      member(peer_name.Value, peer_address, wire::member_role::Entry));
   Heartbeat.Gossip = {member("steward-1", address("10.0.1.2:7101"),
                              wire::member_role::Steward)};
   Heartbeat.LedgerOffset = 1;
