Fault matrix: a finding's text is appended to, as the linter asks

Ruled out: nothing. Before: one finding of the linter over the files changed. Conclusion: the text is the same.

--- a/fault_matrix/world_judge.cc
+++ b/fault_matrix/world_judge.cc
@@ -1,5 +1,7 @@
 // What must hold once a run has ended and everything has healed.
 
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 #include "fault_matrix/world.h"
@@ -46,10 +48,12 @@
           Lease == usage_lease ? usage_stream : operator_stream;
       log_offset Applied{Status["streams"][std::string(Stream)]["applied"]};
       int64_t Valid = Platform.reference().fenceAt(Lease, Applied);
-      if (State["fence"] != Valid)
-        Findings.push_back(Name + " takes claim " + State["fence"].dump() +
-                           " of " + Lease + " for the current one, not " +
-                           std::to_string(Valid));
+      if (State["fence"] == Valid)
+        continue;
+      std::string Finding = Name + " takes claim " + State["fence"].dump();
+      Finding += " of " + Lease;
+      Finding += " for the current one, not " + std::to_string(Valid);
+      Findings.push_back(std::move(Finding));
     }
   }
 }
