Document differences: copies in place of moves that move nothing

Cause: clang-tidy refused moves into setters that take const references, and a parameter that is copied for nothing. Before: three findings in document_difference.cc and its test. After: document, membership and ledger tests of monsoonreel_tests pass; the linter has passed membership_messages.cc and ledger.cc, and was not run again over the two mended files.

--- a/monsoonreel/document_difference.cc
+++ b/monsoonreel/document_difference.cc
@@ -171,7 +171,7 @@
   bool Shorter = encodedBytes(Difference) < Document.size() &&
                  Difference.Pieces.size() <= max_document_pieces;
   if (Shorter)
-    Edit.__set_Difference(std::move(Difference));
+    Edit.__set_Difference(Difference);
   else
     Edit.Document = Document;
   return Edit;
--- a/monsoonreel/testing/document_difference_test.cc
+++ b/monsoonreel/testing/document_difference_test.cc
@@ -103,11 +103,11 @@
       Result.pop_back(); // without the last line break
     return Result;
   }
-  static void apply(ledger &Ledger, wire::config_edit Edit) {
+  static void apply(ledger &Ledger, const wire::config_edit &Edit) {
     wire::log_record Record;
     Record.Incarnation = 1;
     Record.Sequence = Ledger.applied().Value + 1;
-    Record.__set_ConfigEdit(std::move(Edit));
+    Record.__set_ConfigEdit(Edit);
     effect_list Effects;
     Ledger.apply(log_offset{Record.Sequence}, encodeRecord(Record), Effects);
   }
