Mechanisms: their count stands beside the last one

Cause: the table's test counted up to a mechanism that was the last one before DifferenceHash came, so it failed with a complete table. Before: mutations_test.Table_EveryMechanism_StandsAtItsPlace failed, 35 against 34; 430 of 431 tests passed.

--- a/fault_matrix/testing/mutations_test.cc
+++ b/fault_matrix/testing/mutations_test.cc
@@ -21,9 +21,8 @@
 };
 
 TEST_F(mutations_test, Table_EveryMechanism_StandsAtItsPlace) {
-  size_t Count = static_cast<size_t>(mechanism::StaleGrantRelease) + 1;
-  ASSERT_EQ(allMutations().size(), Count);
-  for (size_t Place = 0; Place < Count; ++Place)
+  ASSERT_EQ(allMutations().size(), mechanism_count);
+  for (size_t Place = 0; Place < mechanism_count; ++Place)
     EXPECT_EQ(allMutations()[Place].Mechanism, static_cast<mechanism>(Place));
 }
 
--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "monsoonreel/incarnation.h"
+#include "monsoonreel/ledger.h"
 #include "monsoonreel/node_builder.h"
 
 namespace monsoonreel::fault_matrix {
--- a/monsoonreel/mechanism.cc
+++ b/monsoonreel/mechanism.cc
@@ -9,6 +9,8 @@
 
 std::atomic<uint64_t> DisabledBits = 0;
 
+static_assert(mechanism_count <= 64, "one bit for each");
+
 uint64_t bitOf(mechanism Mechanism) {
   return uint64_t{1} << static_cast<unsigned>(Mechanism);
 }
--- a/monsoonreel/mechanism.h
+++ b/monsoonreel/mechanism.h
@@ -10,6 +10,8 @@
 #ifndef MONSOONREEL_MECHANISM_H
 #define MONSOONREEL_MECHANISM_H
 
+#include <cstddef>
+
 namespace monsoonreel {
 
 enum class mechanism {
@@ -50,6 +52,10 @@
   DifferenceHash,        // a difference counts only for the result it names
 };
 
+// Of all mechanisms; the last one stands here.
+constexpr size_t mechanism_count =
+    static_cast<size_t>(mechanism::DifferenceHash) + 1;
+
 bool isEnabled(mechanism Mechanism);
 
 // Takes one mechanism away for its lifetime. For test files.
