Upstream client: single connections' threads end with the client

Cause: the network manager of a request on a connection of its own was deleted by the event loop after its reply, so a client that was destroyed without a further turn of the loop left it, and its thread of Qt's, running while the process ended. The likely cause of a crash (SIGSEGV) of upstream_client_test.FreshConnection_AfterOthers_IsANewOne, seen once in a run of all tests and not again in 1,440 runs of it alone. Ruled out: a fault in the test itself; it passes alone each time. Before: the new test finds a thread more after the client than before it, in 3 of 3 runs. After: 30 of 30 runs of the upstream client's tests passed. Conclusion: retired managers belong to the client, which ends them.

--- a/io/testing/upstream_client_test.cc
+++ b/io/testing/upstream_client_test.cc
@@ -1,10 +1,14 @@
 #include "io/upstream_client.h"
 
+#include <filesystem>
+#include <iterator>
 #include <optional>
+#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "io/clock.h"
 #include "io/testing/raw_server.h"
 #include "io/testing/wait.h"
 
@@ -287,5 +291,29 @@
   EXPECT_EQ(Server.Connections, 2);
 }
 
+// Otherwise a thread of Qt's may run while the process ends, and crash it.
+TEST_F(upstream_client_test, FreshConnection_ClientDestroyed_ThreadHasEnded) {
+  auto CountThreads = [] {
+    std::filesystem::directory_iterator Threads("/proc/self/task");
+    return std::distance(begin(Threads), end(Threads));
+  };
+  Server.OnRequest = [](QTcpSocket *Socket) {
+    Socket->write(okAnswer("once").c_str());
+  };
+  auto Before = CountThreads();
+  {
+    upstream_client Own(*this);
+    upstream_request Request = request("GET");
+    Request.FreshConnection = true;
+    Own.start(Request);
+    ASSERT_TRUE(waitForEnd());
+  }
+  // The system takes a moment to forget a thread. No event loop runs here.
+  steady_time Deadline = steadyNow() + std::chrono::seconds(10);
+  while (CountThreads() != Before && steadyNow() < Deadline)
+    std::this_thread::yield();
+  EXPECT_EQ(CountThreads(), Before);
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/io/upstream_client.cc
+++ b/io/upstream_client.cc
@@ -214,14 +214,15 @@
   Exchange->Receiver.reset();
   if (Reply->isRunning())
     Reply->abort();
-  Reply->deleteLater();
   if (Exchange->Own) {
-    // The manager has to outlive its reply.
-    Reply->setParent(nullptr);
+    // Takes its reply and its thread with it, later, because this may be
+    // called from a signal of the reply.
     QNetworkAccessManager *Own = Exchange->Own.release();
-    QObject::connect(Reply, &QObject::destroyed, Own, &QObject::deleteLater);
+    Own->setParent(&Retired);
+    Own->deleteLater();
     return;
   }
+  Reply->deleteLater();
   Managers.release(Exchange->Shared, Exchange->Address);
 }
 
--- a/io/upstream_client.h
+++ b/io/upstream_client.h
@@ -16,6 +16,8 @@
 #include <memory>
 #include <string>
 
+#include <QObject>
+
 #include "absl/container/flat_hash_map.h"
 
 #include "io/event_stream.h"
@@ -77,6 +79,8 @@
 
   upstream_listener &Listener;
   manager_pool Managers;
+  // Parent of the managers of single connections whose requests have ended.
+  QObject Retired;
   absl::flat_hash_map<attempt_number, std::unique_ptr<exchange>> Exchanges;
 };
 
