--- a/fuzz/testing/fuzz_test.cc
+++ b/fuzz/testing/fuzz_test.cc
@@ -10,8 +10,8 @@
 namespace monsoonreel::fuzz {
 
 // Test names hold the printed parameter.
-static void PrintTo(const target &Target, std::ostream *Out) {
-  *Out << Target.Name;
+static std::ostream &operator<<(std::ostream &Out, const target &Target) {
+  return Out << Target.Name;
 }
 
 namespace {
