Wire: every number is a valid value of an enumeration

Cause: the generated enumerations had no fixed underlying type, so a number outside of their range, which any peer can send, was undefined behaviour as soon as the message was moved. Found by fuzz_tests under the sanitizers. Ruled out: refusing such frames in the decoder; it would have to know every field of every message. Before: sanitizers, 429 of 432 tests; HostileInputs_Run_Return failed for message, peer-of-entry and peer-of-steward ("load of value 8, which is not a valid value"). After: fuzz_tests 22 of 22 under the sanitizers. `make wire` gives the enumerations their type after each generation.

--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,6 @@
 
 wire:
 	cd wire && thrift --gen cpp:no_skeleton,moveable_types -out gen wire.thrift
+	# Any number may come from a peer: with a fixed underlying type each is a
+	# valid value, which the code then refuses or ignores.
+	sed -i 's/^  enum type {/  enum type : int32_t {/' wire/gen/wire_types.h
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -22,7 +22,7 @@
 namespace monsoonreel { namespace wire {
 
 struct member_role {
-  enum type {
+  enum type : int32_t {
     Entry = 1,
     Steward = 2
   };
@@ -35,7 +35,7 @@
 std::string to_string(const member_role::type& val);
 
 struct member_state {
-  enum type {
+  enum type : int32_t {
     Alive = 1,
     Suspect = 2,
     Leaving = 3,
@@ -50,7 +50,7 @@
 std::string to_string(const member_state::type& val);
 
 struct claim_verdict {
-  enum type {
+  enum type : int32_t {
     Won = 1,
     InProgress = 2,
     Finished = 3,
@@ -68,7 +68,7 @@
 std::string to_string(const claim_verdict::type& val);
 
 struct run_outcome {
-  enum type {
+  enum type : int32_t {
     NotRun = 1,
     Run = 2,
     Unknown = 3
@@ -82,7 +82,7 @@
 std::string to_string(const run_outcome::type& val);
 
 struct refusal_reason {
-  enum type {
+  enum type : int32_t {
     QueueFull = 1,
     TargetUnreachable = 2,
     NoUpstream = 3,
@@ -100,7 +100,7 @@
 std::string to_string(const refusal_reason::type& val);
 
 struct slot_result {
-  enum type {
+  enum type : int32_t {
     Completed = 1,
     Failed = 2,
     Silent = 3,
@@ -116,7 +116,7 @@
 std::string to_string(const slot_result::type& val);
 
 struct order_kind {
-  enum type {
+  enum type : int32_t {
     StartUpstream = 1,
     StopUpstream = 2,
     LoadModel = 3
