--- a/load/report_writer.cc
+++ b/load/report_writer.cc
@@ -97,25 +97,60 @@
                          Colour, Points);
 }
 
-} // namespace
+std::string grid() {
+  constexpr const char *Grid = "stroke=\"#ccc\" stroke-width=\"0.5\"";
+  std::string Text;
+  for (int Power = 0; Power <= decades; ++Power) {
+    double Millis = std::pow(10, Power);
+    Text += line(xOf(Millis), yOf(0), xOf(Millis), yOf(1), Grid);
+    Text += label(xOf(Millis) - 10, height - margin + 18,
+                  absl::StrFormat("%.0f", Millis), "#333");
+  }
+  for (int Tenth = 0; Tenth <= 10; Tenth += 2) {
+    Text += line(margin, yOf(Tenth / 10.0), width - margin, yOf(Tenth / 10.0),
+                 Grid);
+    Text += label(margin - 34, yOf(Tenth / 10.0) + 4,
+                  absl::StrFormat("%.1f", Tenth / 10.0), "#333");
+  }
+  return Text;
+}
 
-std::string toTable(const run_report &Report) {
-  std::string Text = absl::StrFormat(
+std::string tableHead() {
+  return absl::StrFormat(
       "%-12s %7s %7s %6s | %7s %7s %7s %7s | %6s %6s | %6s %5s %5s %5s %5s "
       "%5s | %s\n",
       "class", "offered", "attain", "object", "ttft50", "ttft95", "ttft99",
       "target", "gap95", "target", "notrun", "unkn", "rejec", "broke", "late",
       "wrong", "worst organisation / mean");
+}
+
+std::string tableRow(const class_report &Class) {
+  return absl::StrFormat(
+      "%-12s %7d %6.1f%% %5.0f%% | %7.0f %7.0f %7.0f %7.0f | %6.0f %6.0f | "
+      "%6d %5d %5d %5d %5d %5d | %s %.2f / %.2f\n",
+      Class.Class, Class.Offered, 100 * Class.attainment(),
+      100 * Class.Objective, Class.FirstTokenMs.P50, Class.FirstTokenMs.P95,
+      Class.FirstTokenMs.P99, Class.FirstTokenTargetMs, Class.GapMs.P95,
+      Class.BetweenTokensTargetMs, Class.NotRun, Class.Unknown, Class.Rejected,
+      Class.Broken, Class.TimedOut, Class.Wrong, Class.WorstOrganisation,
+      Class.WorstAttainment, Class.MeanAttainment);
+}
+
+std::string usageLine(const usage_check &Usage) {
+  return absl::StrFormat(
+      "usage: %d windows, %d conflicts, %d old fences, requests %d served %d "
+      "reported, tokens %d served %d reported, %d organisations short\n",
+      Usage.Windows, Usage.Conflicts, Usage.OldFences, Usage.RequestsServed,
+      Usage.RequestsReported, Usage.TokensServed, Usage.TokensReported,
+      Usage.OrganisationsShort);
+}
+
+} // namespace
+
+std::string toTable(const run_report &Report) {
+  std::string Text = tableHead();
   for (const class_report &Class : Report.Classes)
-    Text += absl::StrFormat(
-        "%-12s %7d %6.1f%% %5.0f%% | %7.0f %7.0f %7.0f %7.0f | %6.0f %6.0f | "
-        "%6d %5d %5d %5d %5d %5d | %s %.2f / %.2f\n",
-        Class.Class, Class.Offered, 100 * Class.attainment(),
-        100 * Class.Objective, Class.FirstTokenMs.P50, Class.FirstTokenMs.P95,
-        Class.FirstTokenMs.P99, Class.FirstTokenTargetMs, Class.GapMs.P95,
-        Class.BetweenTokensTargetMs, Class.NotRun, Class.Unknown,
-        Class.Rejected, Class.Broken, Class.TimedOut, Class.Wrong,
-        Class.WorstOrganisation, Class.WorstAttainment, Class.MeanAttainment);
+    Text += tableRow(Class);
   Text += "refusals:";
   for (const auto &[Code, Count] : Report.RefusalCodes)
     Text += absl::StrFormat(" %s %d", Code, Count);
@@ -129,14 +164,7 @@
       "withdrawn %d of which answered late %d, records missing %d\n",
       Report.FalseNotRun, Report.RanTwice, Report.CallerKeysSeen,
       Report.Withdrawn, Report.RanAfterWithdrawal, Report.UpstreamsUnreachable);
-  const usage_check &Usage = Report.Usage;
-  Text += absl::StrFormat(
-      "usage: %d windows, %d conflicts, %d old fences, requests %d served %d "
-      "reported, tokens %d served %d reported, %d organisations short\n",
-      Usage.Windows, Usage.Conflicts, Usage.OldFences, Usage.RequestsServed,
-      Usage.RequestsReported, Usage.TokensServed, Usage.TokensReported,
-      Usage.OrganisationsShort);
-  return Text;
+  return Text + usageLine(Report.Usage);
 }
 
 QJsonObject toJson(const run_report &Report) {
@@ -164,23 +192,11 @@
 }
 
 std::string toSvg(const run_report &Report) {
-  constexpr const char *Grid = "stroke=\"#ccc\" stroke-width=\"0.5\"";
   std::string Text = absl::StrFormat(
       "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 0 %.0f %.0f\">\n"
       "<rect width=\"100%%\" height=\"100%%\" fill=\"white\"/>\n",
       width, height);
-  for (int Power = 0; Power <= decades; ++Power) {
-    double Millis = std::pow(10, Power);
-    Text += line(xOf(Millis), yOf(0), xOf(Millis), yOf(1), Grid);
-    Text += label(xOf(Millis) - 10, height - margin + 18,
-                  absl::StrFormat("%.0f", Millis), "#333");
-  }
-  for (int Tenth = 0; Tenth <= 10; Tenth += 2) {
-    Text += line(margin, yOf(Tenth / 10.0), width - margin, yOf(Tenth / 10.0),
-                 Grid);
-    Text += label(margin - 34, yOf(Tenth / 10.0) + 4,
-                  absl::StrFormat("%.1f", Tenth / 10.0), "#333");
-  }
+  Text += grid();
   Text += label(width / 2 - 90, height - 14, "time to first token, ms", "#333");
   Text += label(margin, margin - 22,
                 "part of the requests offered; dashed: target", "#333");
