I/O: status codes, listening and ending a request stand once

Cause: five files had constants of their own for the same status codes, beside bare numbers, and platform_client.cc had a status_ok of 200 beside the exit status of the same name in daemon.h; caller_port and admin_port took addresses apart in the same way; three effects looked up, removed and logged a request in the same way; two files tested for the paths of completions. Before: caller_port::sendWhole was declared and not defined; http_result::NeverSent and http_request::PeerAddress were set and not read; platform_client kept a map whose only value was 1. After: http_status.h, http_server::listen(address), caller_port::take, isCompletionPath; the unused members are gone and the map is a set. Ruled out: keeping the stream flag of readRequest in place of a second reading of the body at dispatch. Conclusion: behaviour is kept.

--- a/io/admin_port.cc
+++ b/io/admin_port.cc
@@ -1,5 +1,6 @@
 #include "io/admin_port.h"
 
+#include "io/http_status.h"
 #include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
@@ -25,31 +26,30 @@
 admin_port::admin_port(admin_source &Target)
     : Source(Target), Server(*this, adminBounds()) {}
 
-bool admin_port::listen(const address &At) {
-  auto Parts = splitAddress(At);
-  return Parts &&
-         Server.listen(QHostAddress(QString::fromStdString(Parts->Host)),
-                       Parts->Port);
-}
+bool admin_port::listen(const address &At) { return Server.listen(At); }
 
 void admin_port::handleRequest(const http_request &Request,
                                const std::shared_ptr<http_exchange> &Exchange) {
   if (Request.Method == "POST" && Request.Path == "/drain") {
-    Exchange->answer(202, json, "{\"draining\":true}\n");
+    Exchange->answer(http_status::accepted, json, "{\"draining\":true}\n");
     return Source.drain();
   }
   if (Request.Method != "GET")
-    return Exchange->answer(405, plain_text, "use GET\n");
+    return Exchange->answer(http_status::method_not_allowed, plain_text,
+                            "use GET\n");
   if (Request.Path == "/healthz")
-    return Exchange->answer(200, plain_text, "ok\n");
+    return Exchange->answer(http_status::ok, plain_text, "ok\n");
   if (Request.Path == "/readyz")
-    return Source.isReady() ? Exchange->answer(200, plain_text, "ready\n")
-                            : Exchange->answer(503, plain_text, "not ready\n");
+    return Source.isReady()
+               ? Exchange->answer(http_status::ok, plain_text, "ready\n")
+               : Exchange->answer(http_status::service_unavailable, plain_text,
+                                  "not ready\n");
   if (Request.Path == "/metrics")
-    return Exchange->answer(200, metrics_text, Source.metricsText());
+    return Exchange->answer(http_status::ok, metrics_text,
+                            Source.metricsText());
   if (Request.Path == "/status")
-    return Exchange->answer(200, json, Source.statusJson());
-  Exchange->answer(404, plain_text, "no such path\n");
+    return Exchange->answer(http_status::ok, json, Source.statusJson());
+  Exchange->answer(http_status::not_found, plain_text, "no such path\n");
 }
 
 } // namespace monsoonreel
--- a/io/caller_port.cc
+++ b/io/caller_port.cc
@@ -7,21 +7,20 @@
 
 #include "spdlog/spdlog.h"
 
+#include "io/http_status.h"
 #include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
 
 namespace {
 
-constexpr int bad_gateway = 502;
-
 std::string errorType(int Status) {
   switch (Status) {
-  case 401:
+  case http_status::unauthorized:
     return "authentication_error";
-  case 403:
+  case http_status::forbidden:
     return "permission_error";
-  case 429:
+  case http_status::too_many_requests:
     return "rate_limit_error";
   default:
     return Status < 500 ? "invalid_request_error" : "server_error";
@@ -86,12 +85,7 @@
 
 caller_port::~caller_port() = default;
 
-bool caller_port::listen(const address &At) {
-  auto Parts = splitAddress(At);
-  return Parts &&
-         Server.listen(QHostAddress(QString::fromStdString(Parts->Host)),
-                       Parts->Port);
-}
+bool caller_port::listen(const address &At) { return Server.listen(At); }
 
 void caller_port::startDraining() { Server.startDraining(); }
 
@@ -131,6 +125,11 @@
   return It == Requests.end() ? nullptr : It->second.get();
 }
 
+std::unique_ptr<caller_port::pending> caller_port::take(request_id Request) {
+  auto Node = Requests.extract(Request);
+  return Node ? std::move(Node.mapped()) : nullptr;
+}
+
 const http_request *caller_port::find(request_id Request) const {
   auto It = Requests.find(Request);
   return It == Requests.end() ? nullptr : &It->second->Request;
@@ -177,11 +176,9 @@
 }
 
 void caller_port::carryOut(const finish_answer &Effect) {
-  auto It = Requests.find(Effect.Request);
-  if (It == Requests.end())
+  std::unique_ptr<pending> Pending = take(Effect.Request);
+  if (!Pending)
     return;
-  std::unique_ptr<pending> Pending = std::move(It->second);
-  Requests.erase(It);
   logEnd(Effect.Request, *Pending, Pending->Head.Status, "run");
   if (Pending->Exchange->hasBegun())
     return Pending->Exchange->finish();
@@ -192,27 +189,24 @@
 }
 
 void caller_port::carryOut(const abort_answer &Effect) {
-  auto It = Requests.find(Effect.Request);
-  if (It == Requests.end())
+  std::unique_ptr<pending> Pending = take(Effect.Request);
+  if (!Pending)
     return;
-  std::unique_ptr<pending> Pending = std::move(It->second);
-  Requests.erase(It);
   logEnd(Effect.Request, *Pending, Pending->Head.Status, "aborted");
   if (Pending->Exchange->hasBegun())
     return Pending->Exchange->abort();
   // Nothing has gone out yet, so the caller can be told.
-  refuse_request Refusal{Effect.Request, bad_gateway, "upstream-broke-off",
-                         Effect.Reason, run_knowledge::Unknown};
-  Pending->Exchange->answer(bad_gateway, errorHeaders(Refusal),
+  refuse_request Refusal{Effect.Request, http_status::bad_gateway,
+                         "upstream-broke-off", Effect.Reason,
+                         run_knowledge::Unknown};
+  Pending->Exchange->answer(http_status::bad_gateway, errorHeaders(Refusal),
                             errorBody(Refusal));
 }
 
 void caller_port::carryOut(const refuse_request &Effect) {
-  auto It = Requests.find(Effect.Request);
-  if (It == Requests.end())
+  std::unique_ptr<pending> Pending = take(Effect.Request);
+  if (!Pending)
     return;
-  std::unique_ptr<pending> Pending = std::move(It->second);
-  Requests.erase(It);
   logEnd(Effect.Request, *Pending, Effect.Status, outcomeName(Effect.Outcome));
   if (Pending->Exchange->hasBegun())
     return Pending->Exchange->abort();
--- a/io/caller_port.h
+++ b/io/caller_port.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "absl/container/flat_hash_map.h"
 
@@ -62,7 +63,8 @@
   struct pending;
 
   pending *findPending(request_id Request);
-  void sendWhole(request_id Request, pending &Pending);
+  // Removes a request that ends; nothing when it has ended already.
+  std::unique_ptr<pending> take(request_id Request);
   void logEnd(request_id Request, const pending &Pending, int Status,
               const std::string &Outcome);
 
@@ -82,6 +84,9 @@
   std::string Message;
 };
 
+// Whether requests of this path ask for a completion of a model.
+bool isCompletionPath(std::string_view Path);
+
 request_reading readRequest(const http_request &Request);
 
 } // namespace monsoonreel
--- a/io/gated_socket.cc
+++ b/io/gated_socket.cc
@@ -9,6 +9,7 @@
 #include <QTimer>
 
 #include "io/clock.h"
+#include "io/http_status.h"
 
 namespace monsoonreel {
 
@@ -21,26 +22,21 @@
 // error answer in place of a reset connection.
 constexpr duration discard_time = std::chrono::seconds(2);
 
-constexpr int bad_request = 400;
-constexpr int request_timeout = 408;
-constexpr int payload_too_large = 413;
-constexpr int head_too_large = 431;
-
 const char *reasonPhrase(int Status) {
   switch (Status) {
-  case bad_request:
+  case http_status::bad_request:
     return "Bad Request";
-  case request_timeout:
+  case http_status::request_timeout:
     return "Request Timeout";
-  case 411:
+  case http_status::length_required:
     return "Length Required";
-  case payload_too_large:
+  case http_status::content_too_large:
     return "Content Too Large";
-  case head_too_large:
+  case http_status::header_fields_too_large:
     return "Request Header Fields Too Large";
-  case 501:
+  case http_status::not_implemented:
     return "Not Implemented";
-  case 505:
+  case http_status::version_not_supported:
     return "HTTP Version Not Supported";
   default:
     return "Error";
@@ -113,9 +109,9 @@
       continue;
     HeadBytes += Line;
     if (HeadBytes.size() > Bounds.HeadBytes)
-      return refuse(head_too_large);
+      return refuse(http_status::header_fields_too_large);
     if (Line == "\n")
-      return refuse(bad_request);
+      return refuse(http_status::bad_request);
     if (Line != "\r\n")
       continue;
     auto Parsed = parseRequestHead(
@@ -124,13 +120,13 @@
       return refuse(Parsed.error());
     Head = std::move(*Parsed);
     if (Head.ContentLength > Bounds.BodyBytes)
-      return refuse(payload_too_large);
+      return refuse(http_status::content_too_large);
     if (Head.ExpectsContinue && !Head.Http10)
       Wire->write("HTTP/1.1 100 Continue\r\n\r\n");
     return enter(phase::Body);
   }
   if (HeadBytes.size() + Wire->bytesAvailable() > Bounds.HeadBytes)
-    refuse(head_too_large);
+    refuse(http_status::header_fields_too_large);
 }
 
 void gated_socket::readBody() {
@@ -211,11 +207,11 @@
     return;
   case phase::Head:
     if (InPhase > Bounds.HeadTime)
-      refuse(request_timeout);
+      refuse(http_status::request_timeout);
     return;
   case phase::Body:
     if (InPhase > Bounds.BodyTime)
-      refuse(request_timeout);
+      refuse(http_status::request_timeout);
     return;
   case phase::Answering:
     return;
--- a/io/http_call.cc
+++ b/io/http_call.cc
@@ -19,7 +19,6 @@
 http_result resultOf(const QNetworkReply &Reply, const call_state &State) {
   http_result Result;
   Result.TooLarge = State.TooLarge;
-  Result.NeverSent = isNeverSent(Reply);
   if (State.TooLarge)
     Result.Error = "the answer is too large";
   else if (State.TimedOut)
@@ -39,7 +38,6 @@
   QNetworkAccessManager *Manager = Managers.acquire(Call.Address);
   if (!Manager) {
     http_result Result;
-    Result.NeverSent = true;
     Result.Error = "too many calls at once";
     QMetaObject::invokeMethod(
         &Receiver, [Result, Callback] { Callback(Result); },
--- a/io/http_call.h
+++ b/io/http_call.h
@@ -32,8 +32,7 @@
 struct http_result {
   int Status = 0; // 0: no whole answer came
   std::string Body;
-  bool NeverSent = false; // nothing of the request was written
-  bool TooLarge = false;  // the answer exceeded max_result_bytes
+  bool TooLarge = false; // the answer exceeded max_result_bytes
   std::string Error;
 };
 
--- a/io/http_head.cc
+++ b/io/http_head.cc
@@ -9,15 +9,12 @@
 
 #include "absl/strings/ascii.h"
 
+#include "io/http_status.h"
+
 namespace monsoonreel {
 
 namespace {
 
-constexpr int bad_request = 400;
-constexpr int length_required = 411;
-constexpr int not_implemented = 501;
-constexpr int version_not_supported = 505;
-
 constexpr std::array<std::string_view, 7> methods = {
     "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 
@@ -68,16 +65,16 @@
   size_t First = Line.find(' ');
   size_t Last = Line.rfind(' ');
   if (First == std::string_view::npos || First == Last)
-    return bad_request;
+    return http_status::bad_request;
   std::string_view Method = Line.substr(0, First);
   std::string_view Target = Line.substr(First + 1, Last - First - 1);
   std::string_view Version = Line.substr(Last + 1);
   if (!isToken(Method) || !isTarget(Target) || !Version.starts_with("HTTP/"))
-    return bad_request;
+    return http_status::bad_request;
   if (Version != "HTTP/1.1" && Version != "HTTP/1.0")
-    return version_not_supported;
+    return http_status::version_not_supported;
   if (std::find(methods.begin(), methods.end(), Method) == methods.end())
-    return not_implemented;
+    return http_status::not_implemented;
   Head.Method = Method;
   size_t Mark = Target.find('?');
   Head.Path = Target.substr(0, Mark);
@@ -91,10 +88,10 @@
 int parseField(std::string_view Line, http_head &Head) {
   size_t Colon = Line.find(':');
   if (Colon == std::string_view::npos || !isToken(Line.substr(0, Colon)))
-    return bad_request;
+    return http_status::bad_request;
   std::string_view Value = Line.substr(Colon + 1);
   if (!isFieldValue(Value))
-    return bad_request;
+    return http_status::bad_request;
   QByteArrayView Trimmed = view(Value).trimmed();
   Head.Headers.push_back({std::string(Line.substr(0, Colon)),
                           std::string(Trimmed.data(), Trimmed.size())});
@@ -107,7 +104,7 @@
   auto [Stop, Error] = std::from_chars(Value.data(), End, Length);
   bool Digits = std::all_of(Value.begin(), Value.end(), absl::ascii_isdigit);
   if (Error != std::errc() || Stop != End || !Digits)
-    return bad_request;
+    return http_status::bad_request;
   Head.ContentLength = Length;
   return 0;
 }
@@ -116,10 +113,10 @@
   int Lengths = 0;
   for (const http_header &Header : Head.Headers) {
     if (equalsIgnoreCase(Header.Name, "transfer-encoding"))
-      return length_required;
+      return http_status::length_required;
     if (equalsIgnoreCase(Header.Name, "content-length")) {
       if (++Lengths > 1)
-        return bad_request;
+        return http_status::bad_request;
       if (int Status = parseLength(Header.Value, Head))
         return Status;
     }
@@ -128,7 +125,7 @@
       Head.KeepAlive = false;
     if (equalsIgnoreCase(Header.Name, "expect")) {
       if (!equalsIgnoreCase(Header.Value, "100-continue"))
-        return bad_request;
+        return http_status::bad_request;
       Head.ExpectsContinue = true;
     }
   }
@@ -155,20 +152,20 @@
   while (true) {
     size_t End = Bytes.find("\r\n");
     if (End == std::string_view::npos)
-      return tl::unexpected(bad_request);
+      return tl::unexpected(http_status::bad_request);
     std::string_view Line = Bytes.substr(0, End);
     Bytes.remove_prefix(End + 2);
     if (Line.empty())
       break;
     if (Line.find('\n') != std::string_view::npos)
-      return tl::unexpected(bad_request);
+      return tl::unexpected(http_status::bad_request);
     int Status = First ? parseRequestLine(Line, Head) : parseField(Line, Head);
     if (Status != 0)
       return tl::unexpected(Status);
     First = false;
   }
   if (First || !Bytes.empty())
-    return tl::unexpected(bad_request);
+    return tl::unexpected(http_status::bad_request);
   if (int Status = applyFraming(Head))
     return tl::unexpected(Status);
   return Head;
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -15,6 +15,7 @@
 #include "spdlog/fmt/fmt.h"
 
 #include "io/clock.h"
+#include "io/http_status.h"
 
 namespace monsoonreel {
 
@@ -23,7 +24,10 @@
 constexpr std::chrono::milliseconds watchdog_period(250);
 constexpr int listen_backlog = 512;
 
-bool hasNoBody(int Status) { return Status == 204 || Status == 304; }
+bool hasNoBody(int Status) {
+  return Status == http_status::no_content ||
+         Status == http_status::not_modified;
+}
 
 QByteArray toBytes(std::string_view Text) {
   return {Text.data(), static_cast<qsizetype>(Text.size())};
@@ -216,12 +220,8 @@
                      QTcpSocket *Socket) override {
     auto *Gate = static_cast<gated_socket *>(Socket);
     const http_head &Head = Gate->head();
-    http_request Whole{Head.Method,
-                       Head.Path,
-                       Head.Query,
-                       Head.Headers,
-                       Request.body().toStdString(),
-                       Gate->peerAddress().toString().toStdString()};
+    http_request Whole{Head.Method, Head.Path, Head.Query, Head.Headers,
+                       Request.body().toStdString()};
     auto Exchange =
         std::make_shared<http_exchange>(makeResponder(Request, Socket), Gate);
     Handler.handleRequest(Whole, Exchange);
@@ -248,6 +248,12 @@
   return true;
 }
 
+bool http_server::listen(const address &At) {
+  auto Parts = splitAddress(At);
+  return Parts &&
+         listen(QHostAddress(QString::fromStdString(Parts->Host)), Parts->Port);
+}
+
 uint16_t http_server::port() const { return Listener->serverPort(); }
 
 void http_server::stopListening() { Listener->close(); }
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -53,7 +53,6 @@
   std::string Query; // without the question mark
   http_header_list Headers;
   std::string Body;
-  std::string PeerAddress; // IP number
 
   // The value of the first field called Name, whatever its case, or nullptr.
   const std::string *header(std::string_view Name) const {
@@ -127,6 +126,7 @@
 
   // Port 0 takes a free one. Returns false when the address can't be had.
   bool listen(const QHostAddress &Address, uint16_t Port);
+  bool listen(const address &At);
   uint16_t port() const;
   // Takes no new connections; the open ones go on.
   void stopListening();
--- a/io/load_poller.cc
+++ b/io/load_poller.cc
@@ -5,6 +5,8 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include "io/http_status.h"
+
 namespace monsoonreel {
 
 namespace {
@@ -42,7 +44,7 @@
 void load_poller::poll(const poll_load &Poll) {
   Caller.call({Poll.Address, "GET", "/load", "", load_timeout},
               [this, Upstream = Poll.Upstream](const http_result &Result) {
-                auto Report = Result.Status == 200
+                auto Report = Result.Status == http_status::ok
                                   ? parseLoadReport(Upstream, Result.Body)
                                   : std::nullopt;
                 if (Report)
--- a/io/node_runtime.cc
+++ b/io/node_runtime.cc
@@ -70,8 +70,7 @@
 }
 
 bool asksForStream(const http_request &Request) {
-  if (Request.Path != "/v1/chat/completions" &&
-      Request.Path != "/v1/completions")
+  if (!isCompletionPath(Request.Path))
     return false;
   return QJsonDocument::fromJson(QByteArray::fromStdString(Request.Body))
       .object()
--- a/io/platform_client.cc
+++ b/io/platform_client.cc
@@ -9,15 +9,12 @@
 #include "spdlog/fmt/fmt.h"
 
 #include "io/clock.h"
+#include "io/http_status.h"
 
 namespace monsoonreel {
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_conflict = 409;
-constexpr int status_too_many = 429;
-
 int64_t millis(duration Value) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
 }
@@ -52,13 +49,13 @@
 
 std::optional<platform_error> platformErrorOf(const http_result &Result) {
   switch (Result.Status) {
-  case status_ok:
+  case http_status::ok:
     return std::nullopt;
   case 0:
     return platform_error::Unreachable;
-  case status_conflict:
+  case http_status::conflict:
     return platform_error::Fenced;
-  case status_too_many:
+  case http_status::too_many_requests:
     return platform_error::RateLimited;
   default:
     return platform_error::Refused;
@@ -148,9 +145,7 @@
 }
 
 void platform_client::read(const read_log &Read) {
-  auto Special = MaxRecords.find(Read.Stream);
-  int Max = Special == MaxRecords.end() ? log_read_records : Special->second;
-  MaxRecords.erase(Read.Stream);
+  int Max = TooLarge.erase(Read.Stream) > 0 ? 1 : log_read_records;
   http_call Call =
       makeReadCall(Platform, Read.Stream, Read.From, Max, log_poll_wait);
   Caller.call(Call, [this, Read](const http_result &Result) {
@@ -161,7 +156,7 @@
 void platform_client::onRead(const std::string &Stream, log_offset From,
                              const http_result &Result) {
   if (Result.TooLarge)
-    MaxRecords[Stream] = 1;
+    TooLarge.insert(Stream);
   if (auto Error = platformErrorOf(Result))
     return Sink.post(log_read_failed{Stream, *Error});
   auto Records = parseLogRecords(Stream, From, Result.Body);
--- a/io/platform_client.h
+++ b/io/platform_client.h
@@ -12,7 +12,7 @@
 #include <optional>
 #include <string>
 
-#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include "io/event_sink.h"
 #include "io/http_call.h"
@@ -60,7 +60,7 @@
   event_sink &Sink;
   http_caller Caller;
   // Streams whose last answer was too large: the next read asks for one record.
-  absl::flat_hash_map<std::string, int> MaxRecords;
+  absl::flat_hash_set<std::string> TooLarge;
 };
 
 } // namespace monsoonreel
--- a/io/request_reading.cc
+++ b/io/request_reading.cc
@@ -11,12 +11,12 @@
 #include <xxhash.h>
 
 #include "io/caller_port.h"
+#include "io/http_status.h"
 
 namespace monsoonreel {
 
 namespace {
 
-constexpr int bad_request = 400;
 constexpr size_t max_key_bytes = 512;
 constexpr size_t max_idempotency_key_bytes = 255;
 constexpr size_t max_class_bytes = 128;
@@ -27,7 +27,7 @@
 constexpr std::string_view bearer = "Bearer ";
 
 void refuse(request_reading &Reading, std::string Code, std::string Message) {
-  Reading.Status = bad_request;
+  Reading.Status = http_status::bad_request;
   Reading.Code = std::move(Code);
   Reading.Message = std::move(Message);
 }
@@ -133,6 +133,10 @@
 
 } // namespace
 
+bool isCompletionPath(std::string_view Path) {
+  return Path == "/v1/chat/completions" || Path == "/v1/completions";
+}
+
 request_reading readRequest(const http_request &Request) {
   request_reading Reading;
   Reading.Event.Method = Request.Method;
@@ -141,10 +145,8 @@
   readKey(Request, Reading);
   if (Reading.Status == 0)
     readFields(Request, Reading);
-  bool NamesModel =
-      Request.Method == "POST" && (Request.Path == "/v1/chat/completions" ||
-                                   Request.Path == "/v1/completions");
-  if (Reading.Status == 0 && NamesModel)
+  if (Reading.Status == 0 && Request.Method == "POST" &&
+      isCompletionPath(Request.Path))
     readModelBody(Request, Reading);
   return Reading;
 }
--- a/io/upstream_client.cc
+++ b/io/upstream_client.cc
@@ -6,6 +6,8 @@
 
 #include "spdlog/fmt/fmt.h"
 
+#include "io/http_status.h"
+
 namespace monsoonreel {
 
 namespace {
@@ -33,7 +35,8 @@
 // and reports that it could not. The answer itself is complete.
 bool isUnfollowedRedirect(const QNetworkReply &Reply) {
   int Status = replyStatus(Reply);
-  return (Status == 307 || Status == 308) &&
+  return (Status == http_status::temporary_redirect ||
+          Status == http_status::permanent_redirect) &&
          Reply.error() == QNetworkReply::ContentReSendError;
 }
 
