Command line: what show prints can be applied, and rollback checks its version

Cause: show ended the document with one more end of line, so that applying its output put a new version in force; rollback took what is no number for 0, which stands for the version before the one in force; an appended record that a read did not show yet was appended again without a pause. Ruled out: a pause only after an append that failed. The answer says nothing about when a read shows the record. Conclusion: a show, an edit and an apply change only what was edited.

--- a/cli/config_commands.cc
+++ b/cli/config_commands.cc
@@ -48,12 +48,6 @@
   return End == std::string::npos ? "" : Document.substr(End + 1);
 }
 
-int reportUnreachable(const options &Options) {
-  std::cerr << "the platform at " << Options.Platform.Value
-            << " can't be reached; nothing was changed\n";
-  return exit_unreachable;
-}
-
 int reportConflict(const log_session &Session, const std::string &Mine,
                    int64_t Base, output &Output) {
   int64_t InForce = Session.state().configOffset().Value;
@@ -127,52 +121,52 @@
   auto Document = readDocument(Options, File);
   if (!Document)
     return exit_findings;
-  log_session Session(Options);
-  if (!Session.replay())
-    return reportUnreachable(Options);
+  auto Session = openLog(Options);
+  if (!Session)
+    return exit_unreachable;
   int64_t Base = Options.Base >= 0 ? Options.Base : versionLine(*Document);
   if (Base < 0)
-    Base = Session.state().configOffset().Value;
-  return appendDocument(Options, Session, withoutVersionLine(*Document), Base);
+    Base = Session->state().configOffset().Value;
+  return appendDocument(Options, *Session, withoutVersionLine(*Document), Base);
 }
 
 int diffFile(const options &Options, const std::string &File) {
   auto Document = readDocument(Options, File);
   if (!Document)
     return exit_findings;
-  log_session Session(Options);
-  if (!Session.replay())
-    return reportUnreachable(Options);
+  auto Session = openLog(Options);
+  if (!Session)
+    return exit_unreachable;
   output Output(Options.Json);
   std::string Difference =
-      diffLines(Session.state().document(), withoutVersionLine(*Document));
+      diffLines(Session->state().document(), withoutVersionLine(*Document));
   Output.line(Difference.empty() ? "no difference" : Difference);
-  Output.json() = {{"in_force", Session.state().configOffset().Value},
+  Output.json() = {{"in_force", Session->state().configOffset().Value},
                    {"difference", Difference}};
   Output.finish();
   return exit_done;
 }
 
 int showDocument(const options &Options) {
-  log_session Session(Options);
-  if (!Session.replay())
-    return reportUnreachable(Options);
+  auto Session = openLog(Options);
+  if (!Session)
+    return exit_unreachable;
   output Output(Options.Json);
-  int64_t Version = Session.state().configOffset().Value;
+  int64_t Version = Session->state().configOffset().Value;
   Output.line(fmt::format("{}{}", version_prefix, Version));
-  Output.line(Session.state().document());
+  Output.text(Session->state().document());
   Output.json() = {{"version", Version},
-                   {"document", Session.state().document()}};
+                   {"document", Session->state().document()}};
   Output.finish();
   return exit_done;
 }
 
 int rollback(const options &Options, int64_t Version) {
-  log_session Session(Options);
-  if (!Session.replay())
-    return reportUnreachable(Options);
-  int64_t InForce = Session.state().configOffset().Value;
-  const auto &Documents = Session.documents();
+  auto Session = openLog(Options);
+  if (!Session)
+    return exit_unreachable;
+  int64_t InForce = Session->state().configOffset().Value;
+  const auto &Documents = Session->documents();
   auto Found = Documents.find(Version);
   if (Version == 0) {
     Found = Documents.lower_bound(InForce);
@@ -183,7 +177,7 @@
                  "from a file\n";
     return exit_conflict;
   }
-  return appendDocument(Options, Session, Found->second, InForce);
+  return appendDocument(Options, *Session, Found->second, InForce);
 }
 
 } // namespace monsoonreel::cli
--- a/cli/init_command.cc
+++ b/cli/init_command.cc
@@ -21,9 +21,8 @@
   std::string Document = toConfigurationDocument(*Answers, Name);
   output Output(Options.Json);
   Output.json() = {{"result", "generated"}, {"document", Document}};
+  Output.text(Document);
   Output.finish();
-  if (!Options.Json)
-    std::cout << Document;
   return exit_done;
 }
 
--- a/cli/key_commands.cc
+++ b/cli/key_commands.cc
@@ -36,12 +36,6 @@
       .toStdString();
 }
 
-int reportUnreachable(const options &Options) {
-  std::cerr << "the platform at " << Options.Platform.Value
-            << " can't be reached\n";
-  return exit_unreachable;
-}
-
 int reportFailure(const append_outcome &Outcome, const std::string &KeyId) {
   if (Outcome.Status == append_status::Void) {
     std::cerr << "not accepted: " << Outcome.Reason << "\n";
@@ -55,10 +49,10 @@
 } // namespace
 
 int giveKey(const options &Options, const std::string &Organisation) {
-  log_session Session(Options);
-  if (!Session.replay())
-    return reportUnreachable(Options);
-  if (!Session.state().config().Organisations.contains(
+  auto Session = openLog(Options);
+  if (!Session)
+    return exit_unreachable;
+  if (!Session->state().config().Organisations.contains(
           organisation_name(Organisation))) {
     std::cerr << "the configuration in force has no organisation \""
               << Organisation << "\"\n";
@@ -71,7 +65,7 @@
   Give.KeyHash = hashOf(Key);
   wire::log_record Record;
   Record.__set_KeyGive(Give);
-  append_outcome Outcome = Session.append(std::move(Record));
+  append_outcome Outcome = Session->append(std::move(Record));
   if (Outcome.Status != append_status::InForce)
     return reportFailure(Outcome, Give.KeyId);
   output Output(Options.Json);
@@ -88,14 +82,14 @@
 }
 
 int withdrawKey(const options &Options, const std::string &KeyId) {
-  log_session Session(Options);
-  if (!Session.replay())
-    return reportUnreachable(Options);
+  auto Session = openLog(Options);
+  if (!Session)
+    return exit_unreachable;
   wire::key_withdraw Withdraw;
   Withdraw.KeyId = KeyId;
   wire::log_record Record;
   Record.__set_KeyWithdraw(Withdraw);
-  append_outcome Outcome = Session.append(std::move(Record));
+  append_outcome Outcome = Session->append(std::move(Record));
   if (Outcome.Status != append_status::InForce)
     return reportFailure(Outcome, KeyId);
   output Output(Options.Json);
@@ -108,12 +102,12 @@
 }
 
 int listKeys(const options &Options) {
-  log_session Session(Options);
-  if (!Session.replay())
-    return reportUnreachable(Options);
+  auto Session = openLog(Options);
+  if (!Session)
+    return exit_unreachable;
   output Output(Options.Json);
   Output.json()["keys"] = nlohmann::json::array();
-  for (const wire::key_state &Key : Session.state().state().Keys) {
+  for (const wire::key_state &Key : Session->state().state().Keys) {
     const char *State = Key.Withdrawn ? "withdrawn" : "live";
     Output.line(fmt::format("{}  {}  {}", Key.KeyId, Key.Organisation, State));
     Output.json()["keys"].push_back({{"id", Key.KeyId},
--- a/cli/log_session.cc
+++ b/cli/log_session.cc
@@ -1,5 +1,8 @@
 #include "cli/log_session.h"
 
+#include <iostream>
+#include <utility>
+
 #include <QRandomGenerator>
 
 #include "cli/blocking_call.h"
@@ -111,15 +114,23 @@
   const std::string Bytes = encodeRecord(Record);
   steady_time End = steadyNow() + Timeout;
   do {
-    http_result Result = callAndWait(
-        makeAppendCall(Platform, std::string(operator_stream), Bytes));
-    // Also after an error, because the append may have taken effect.
+    // Its answer is not looked at: only what is read back counts.
+    callAndWait(makeAppendCall(Platform, std::string(operator_stream), Bytes));
     if (replay() && Own.contains(Record.Sequence))
       return Own[Record.Sequence];
-    if (platformErrorOf(Result))
-      pause(retry_pause);
+    // Also after an answer, because a read may show the record later.
+    pause(retry_pause);
   } while (steadyNow() < End);
   return {};
 }
 
+std::optional<log_session> openLog(const options &Options) {
+  std::optional<log_session> Session(std::in_place, Options);
+  if (Session->replay())
+    return Session;
+  std::cerr << "the platform at " << Options.Platform.Value
+            << " can't be reached; nothing was changed\n";
+  return std::nullopt;
+}
+
 } // namespace monsoonreel::cli
--- a/cli/log_session.h
+++ b/cli/log_session.h
@@ -1,11 +1,11 @@
 // The operator stream, read and written from a shell.
 //
-//   log_session Session(Options);
-//   if (!Session.replay())
+//   auto Session = openLog(Options);
+//   if (!Session)
 //     return exit_unreachable;
 //   wire::log_record Record;
 //   Record.__set_ConfigEdit(Edit);
-//   append_outcome Outcome = Session.append(std::move(Record));
+//   append_outcome Outcome = Session->append(std::move(Record));
 //
 // A record whose append was not answered is sent again, the same, until it is
 // read back or the time is up. The replay counts it once.
@@ -61,6 +61,10 @@
   std::map<int64_t, append_outcome> Own;
 };
 
+// A session that has replayed the whole stream. Says so on standard error and
+// returns nothing when the platform can't be reached.
+std::optional<log_session> openLog(const options &Options);
+
 } // namespace monsoonreel::cli
 
 #endif // CLI_LOG_SESSION_H
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -6,7 +6,6 @@
 //
 // Exit statuses are in options.h and in the help text.
 
-#include <charconv>
 #include <iostream>
 #include <sstream>
 
@@ -118,11 +117,8 @@
   if (Command == "show")
     return showDocument(Options);
   if (Command == "rollback") {
-    int64_t Version = 0;
-    if (Words.size() > 1)
-      std::from_chars(Words[1].data(), Words[1].data() + Words[1].size(),
-                      Version);
-    return rollback(Options, Version);
+    auto Version = Words.size() > 1 ? parseVersion(Words[1]) : 0;
+    return Version ? rollback(Options, *Version) : usage();
   }
   if (Words.size() < 2)
     return usage();
--- a/cli/options.h
+++ b/cli/options.h
@@ -4,6 +4,7 @@
 #ifndef CLI_OPTIONS_H
 #define CLI_OPTIONS_H
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,10 @@
   int64_t Base = -1; // -1: the version in force
 };
 
+// A version of the configuration as an operator writes it; nothing when Text is
+// not a whole number of 0 or more.
+std::optional<int64_t> parseVersion(const std::string &Text);
+
 // A command's result: its JSON object, or its text for people.
 class output {
 public:
@@ -40,6 +45,8 @@
 
   // A line for people; left out of JSON output.
   void line(const std::string &Text);
+  // The same without an end of line.
+  void text(const std::string &Text);
   nlohmann::json &json() { return Object; }
   // Prints the JSON object when that was asked for.
   void finish();
--- a/cli/testing/commands_test.cc
+++ b/cli/testing/commands_test.cc
@@ -12,6 +12,7 @@
 
 #include "cli/log_session.h"
 #include "cli/text_diff.h"
+#include "io/clock.h"
 #include "io/http_server.h"
 
 namespace monsoonreel::cli {
@@ -52,21 +53,23 @@
           200, {}, "{\"offset\":" + std::to_string(Records.size()) + "}");
     }
     size_t From = std::stoul(Request.parameter("from", "1"));
+    size_t Shown = steadyNow() < HideUntil ? 0 : Records.size();
     std::string Items;
-    for (size_t I = From; I <= Records.size(); ++I)
+    for (size_t I = From; I <= Shown; ++I)
       Items +=
           (Items.empty() ? "" : ",") + std::string("{\"offset\":") +
           std::to_string(I) + ",\"data\":\"" +
           QByteArray::fromStdString(Records[I - 1]).toBase64().toStdString() +
           "\"}";
-    Exchange->answer(
-        200, {},
-        "{\"horizon\":1,\"end\":" + std::to_string(Records.size() + 1) +
-            ",\"records\":[" + Items + "]}");
+    Exchange->answer(200, {},
+                     "{\"horizon\":1,\"end\":" + std::to_string(Shown + 1) +
+                         ",\"records\":[" + Items + "]}");
   }
 
   std::vector<std::string> Records;
   int LoseAnswers = 0;
+  // Reads show no records before.
+  steady_time HideUntil;
   std::function<void()> BeforeAppend;
 
 private:
@@ -112,6 +115,13 @@
   EXPECT_EQ(replayed().configOffset(), log_offset{1});
 }
 
+TEST_F(commands_test, Apply_RecordIsReadBackLate_FewCopiesAreAppended) {
+  Platform.HideUntil = steadyNow() + std::chrono::milliseconds(500);
+  EXPECT_EQ(apply(first_document), exit_done);
+  EXPECT_LE(Platform.Records.size(), 5U);
+  EXPECT_EQ(replayed().configOffset(), log_offset{1});
+}
+
 TEST_F(commands_test, Apply_AnotherEditCameFirst_IsAConflict) {
   ASSERT_EQ(apply(first_document), exit_done);
   Platform.BeforeAppend = [this] {
@@ -136,6 +146,16 @@
   EXPECT_EQ(apply("# version: 2\n" + third_document), exit_done);
 }
 
+TEST_F(commands_test, Show_AppliedAgain_ChangesNothing) {
+  ASSERT_EQ(apply(first_document), exit_done);
+  testing::internal::CaptureStdout();
+  ASSERT_EQ(showDocument(Options), exit_done);
+  std::string Shown = testing::internal::GetCapturedStdout();
+  EXPECT_EQ(Shown, "# version: 1\n" + first_document);
+  EXPECT_EQ(apply(Shown), exit_done);
+  EXPECT_EQ(Platform.Records.size(), 1U);
+}
+
 TEST_F(commands_test, Apply_DocumentWithFindings_IsNotAppended) {
   EXPECT_EQ(apply("classes: 7\n"), exit_findings);
   EXPECT_TRUE(Platform.Records.empty());
@@ -149,6 +169,13 @@
   EXPECT_EQ(replayed().configOffset(), log_offset{3});
 }
 
+TEST_F(commands_test, Version_NotAWholeNumber_IsRefused) {
+  EXPECT_EQ(parseVersion("17"), 17);
+  for (const char *Text :
+       {"", "abc", "v17", "17a", "-1", "1.5", "99999999999999999999"})
+    EXPECT_EQ(parseVersion(Text), std::nullopt) << Text;
+}
+
 TEST_F(commands_test, Key_GivenAndWithdrawn_IsNeverInTheLogItself) {
   ASSERT_EQ(apply(first_document), exit_done);
   EXPECT_EQ(giveKey(Options, "nobody"), exit_findings);
