Slot client: a load that is told again keeps the own asks since then

Cause: a heard load was compared with the known one with its age, which differs each time it is heard, so every message of a peer reset the count of free slots to what the owner had told up to ten seconds before. Asks that were sent since then were forgotten, and one free slot elsewhere drew every request that was refused at home.

Ruled out: comparing the figures alone. A load that is told anew with the same figures has to reset the count, or it only ever falls; the time at which the owner told it separates the two. That time is known up to the time on the way, which the ages leave out (`load_age_error`).

Conclusion: own asks count until the owner tells a newer load. The effect on attainment under load was not measured.

--- a/monsoonreel/slot_client.cc
+++ b/monsoonreel/slot_client.cc
@@ -20,6 +20,12 @@
   return std::find(List.begin(), List.end(), Item) != List.end();
 }
 
+// Whether two loads of one cell differ in nothing but their ages.
+bool haveSameFigures(const wire::pool_load &A, const wire::pool_load &B) {
+  return A.Owner == B.Owner && A.QueueWaitMicros == B.QueueWaitMicros &&
+         A.FreeSlots == B.FreeSlots;
+}
+
 wire::slot_ask makeAsk(int64_t Id, const node_identity &Self,
                        const cell_name &Cell, const slot_request &Request,
                        steady_time Now) {
@@ -77,11 +83,16 @@
     // Only cells of the configuration, which bounds the table.
     if (!Map.find(Name))
       continue;
-    cell_load &Known = Loads[Name];
+    steady_time ToldAt = Now - std::max(fromMicros(Load.AgeMicros), duration{});
+    auto [Place, New] = Loads.try_emplace(Name);
+    cell_load &Known = Place->second;
     Known.SeenAt = Now;
-    if (Known.Heard == Load)
+    duration Error =
+        haveSameFigures(Known.Heard, Load) ? load_age_error : duration{};
+    if (!New && ToldAt <= Known.ToldAt + Error)
       continue; // told again; the own asks since then still count
     Known.Heard = Load;
+    Known.ToldAt = ToldAt;
     Known.FreeSlots = Load.FreeSlots;
   }
 }
--- a/monsoonreel/slot_client.h
+++ b/monsoonreel/slot_client.h
@@ -51,6 +51,9 @@
 constexpr duration renewal_period = std::chrono::seconds(2);
 // Loads of cells that were heard longer ago are not used.
 constexpr duration load_lifetime = std::chrono::seconds(5);
+// Ages of loads leave out the time on the way, so a load that comes by several
+// members looks newer by up to this on the slower ways.
+constexpr duration load_age_error = std::chrono::milliseconds(100);
 // A request goes to the cell that has its prefix unless it waits there so much
 // longer than elsewhere.
 constexpr duration affinity_slack = std::chrono::milliseconds(50);
@@ -68,8 +71,8 @@
                         effect_list &Effects, slot_outcome_list &Outcomes);
   // The entries that are alive, this one included or not, of all zones.
   void setPeers(std::vector<slot_peer> Peers);
-  // Loads of cells as their owners gossip them. Later ones replace earlier
-  // ones of the same cell and owner.
+  // Loads of cells as their owners gossip them. Of one cell, that which its
+  // owner told last counts, less the own asks since it was heard first.
   void onLoads(const std::vector<wire::pool_load> &Loads, steady_time Now);
   // This node's own cells, for gossip.
   std::vector<wire::pool_load> loads(steady_time Now) const;
@@ -126,7 +129,8 @@
   };
   struct cell_load {
     wire::pool_load Heard;
-    int FreeSlots = 0; // as heard, less the own asks since then
+    int FreeSlots = 0;  // as heard, less the own asks since then
+    steady_time ToldAt; // by its owner, as far as its age says
     steady_time SeenAt;
   };
   // The surroundings of one call.
--- a/monsoonreel/testing/slot_client_test.cc
+++ b/monsoonreel/testing/slot_client_test.cc
@@ -207,6 +207,62 @@
   EXPECT_TRUE(std::holds_alternative<slot_refused>(Outcomes[0]));
 }
 
+// The other zone's only known free slot was asked for; then its load is heard
+// a second time.
+class heard_load_test : public remote_owner_test {
+protected:
+  heard_load_test() {
+    Load.Pool = "model@sur#0";
+    Load.FreeSlots = 1;
+    Client.onLoads({Load}, Now);
+    refuse(Owner, sent<wire::slot_ask>()->Ask,
+           wire::refusal_reason::TargetUnreachable);
+    EXPECT_EQ(askedOwner(), "c");
+  }
+  void hear(duration Passed, duration Age) {
+    Now += Passed;
+    Load.AgeMicros = toMicros(Age);
+    Client.onLoads({Load}, Now);
+  }
+  // Whether the request goes to the other zone when the own one refuses it.
+  bool goesOutside() {
+    ask();
+    std::string Asked = askedOwner();
+    refuse(Asked, sent<wire::slot_ask>()->Ask,
+           wire::refusal_reason::TargetUnreachable);
+    return askedOwner() == "c";
+  }
+
+  wire::pool_load Load;
+};
+
+TEST_F(heard_load_test, Load_ToldAgainWithItsAge_OwnAskStillCounts) {
+  hear(milliseconds(150), milliseconds(150));
+  EXPECT_FALSE(goesOutside());
+}
+
+TEST_F(heard_load_test, Load_ToldAgainOnASlowerWay_OwnAskStillCounts) {
+  hear(milliseconds(150), milliseconds(120));
+  EXPECT_FALSE(goesOutside());
+}
+
+TEST_F(heard_load_test, Load_OlderThanTheKnownOne_IsIgnored) {
+  Load.FreeSlots = 2;
+  hear(milliseconds(150), milliseconds(400));
+  EXPECT_FALSE(goesOutside());
+}
+
+TEST_F(heard_load_test, Load_NewWithTheSameFigures_HasRoom) {
+  hear(milliseconds(200), milliseconds(2));
+  EXPECT_TRUE(goesOutside());
+}
+
+TEST_F(heard_load_test, Load_NewWithOtherFigures_HasRoom) {
+  Load.FreeSlots = 2;
+  hear(milliseconds(20), milliseconds(10));
+  EXPECT_TRUE(goesOutside());
+}
+
 TEST_F(remote_owner_test, Deadline_OwnerNeverDecides_IsAnsweredAtOnce) {
   wire::slot_queued Queued;
   Queued.Ask = sent<wire::slot_ask>()->Ask;
