Pool loads: an owner of many pools tells all of them

Cause: an entry sets its own loads five times a second, which set the count of how often each was told back to zero; a heartbeat tells the max_gossip_loads that were told least often, so it was always the same three, and other entries never heard of an owner's further pools. Ruled out: keeping the counts for ever. Loads that are heard start at zero with each newer telling, so own ones would then come last for good. Before: pool_load_table_test, 2 of 3 failed: of 7 own pools 3 were told, however many messages went out. Conclusion: own loads take turns; a message has as many as before. A node whose own loads fill a whole number of messages still passes on none of others'; their owners tell those themselves.

--- a/monsoonreel/pool_load_table.cc
+++ b/monsoonreel/pool_load_table.cc
@@ -17,12 +17,21 @@
 
 void pool_load_table::setOwn(std::vector<wire::pool_load> Own,
                              steady_time Now) {
+  std::map<load_key, int> Told;
+  bool AllTold = true;
+  for (const auto &[Key, Load] : Loads) {
+    if (Key.second != Self)
+      continue;
+    Told[Key] = Load.Told;
+    AllTold = AllTold && Load.Told > 0;
+  }
   std::erase_if(Loads,
                 [&](const auto &Entry) { return Entry.first.second == Self; });
   for (wire::pool_load &Load : Own) {
     Load.Owner = Self;
     load_key Key(Load.Pool, Load.Owner);
-    Loads[Key] = known_load{std::move(Load), Now, 0};
+    int Before = AllTold ? 0 : Told[Key];
+    Loads[Key] = known_load{std::move(Load), Now, Before};
   }
 }
 
--- a/monsoonreel/pool_load_table.h
+++ b/monsoonreel/pool_load_table.h
@@ -28,6 +28,8 @@
 public:
   explicit pool_load_table(std::string Self) : Self(std::move(Self)) {}
 
+  // Loads of the pools that this node owns; replaces those set before.
+  // However often they are set, each is told once before any is told again.
   void setOwn(std::vector<wire::pool_load> Loads, steady_time Now);
   void merge(const std::vector<wire::pool_load> &Loads, steady_time Now);
   // Those that this node told least often, the newest first, Limit at most.
