Refactor: one place for logic that stood twice, unused members removed

Logic that stood twice: - yaml_reader: integer, number and time share `ranged`. - scheduling_policy: one table of the policies' parts and names in place of five classes and two lists of names. - stream_replica, steward_node: `passLogAnswer` gives answers of the log to a follower and an appender. - request_table: one refusal for a deadline that passed before the run; `cancelAttempt` always released with Cancelled and takes no result. - placement: `indexOfLeast`. state_sync: `clearRecords`. upstream_health: `open` and `eject` were the same.

Nobody called: organisation_limit::setPart (and with it the part that was always the equal one), membership::isLeaving, upstream_health::isLeaving, slot_client::heldCount, steward_node::usageState and isFollowing, usage_offers::batchCount.

Doc comments that did not say what the code does: usage examples of slot_client, slot_owner, snapshot_scheduler, request_admission, usage_meter and upstream_health; the messages that slot_client takes; the comment of steward_node::usageWindow; hedges, which are not built, in retry_budget; the parts in organisation_limit.

Ruled out: a change of behaviour. An organisation's rate is computed as limit / entries in place of limit * (1 / entries), which can differ in the last bit.

--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -119,7 +119,6 @@
 
   // This node takes no new work from now on. Spread to all members.
   void announceLeaving();
-  bool isLeaving() const { return Self.State == wire::member_state::Leaving; }
 
   // Loads of pools whose queue this node owns, spread with the heartbeats.
   void setOwnLoads(std::vector<wire::pool_load> Loads, steady_time Now);
--- a/monsoonreel/organisation_limit.cc
+++ b/monsoonreel/organisation_limit.cc
@@ -6,8 +6,7 @@
 namespace monsoonreel {
 
 void organisation_limit::apply(account &Account) const {
-  double Part = Account.Part > 0 ? Account.Part : 1.0 / Entries;
-  double Rate = Account.Limit * Part;
+  double Rate = Account.Limit / Entries;
   double Depth =
       std::max(1.0, Rate * std::chrono::duration<double>(limit_window).count());
   if (Account.Started) {
@@ -40,15 +39,6 @@
     apply(Account);
 }
 
-void organisation_limit::setPart(const organisation_name &Organisation,
-                                 double Part) {
-  auto Found = Accounts.find(Organisation);
-  if (Found == Accounts.end())
-    return;
-  Found->second.Part = std::clamp(Part, 0.0, 1.0);
-  apply(Found->second);
-}
-
 duration organisation_limit::admit(const organisation_name &Organisation,
                                    steady_time Now) {
   auto Found = Accounts.find(Organisation);
--- a/monsoonreel/organisation_limit.h
+++ b/monsoonreel/organisation_limit.h
@@ -8,19 +8,18 @@
 //   if (Wait > duration{})
 //     refuse(Wait);
 //
-// Each of the N live entries admits its part of the limit R through a token
-// bucket of its own: R / N, or R times the part that `setPart` gives where the
-// entries know how the organisation's requests spread over them.
+// Each of the N live entries admits its part of the limit R, which is R / N,
+// through a token bucket of its own.
 //
-// Error bound. The parts of all entries add up to at most one when all entries
-// see the same N, so over any time T all entries together admit at most
-//   R * T + N * depth,   depth = max(1, part * R * limit_window).
+// Error bound. The parts of all entries add up to R when all entries see the
+// same N, so over any time T all entries together admit at most
+//   R * T + N * depth,   depth = max(1, R / N * limit_window).
 // While the views of N differ, an entry that counts n of the N uses N / n of
 // its part; a zone that is cut off with n entries admits up to R by itself, so
 // k separate groups admit at most k * R. Below the limit nothing is refused as
 // long as no entry gets more than its part plus depth within the window; an
 // organisation whose requests all come to one entry is held to that entry's
-// part, until `setPart` corrects it.
+// part.
 
 #ifndef MONSOONREEL_ORGANISATION_LIMIT_H
 #define MONSOONREEL_ORGANISATION_LIMIT_H
@@ -41,15 +40,12 @@
   void setConfiguration(const configuration &Configuration);
   // Entries that are alive, this one included; at least one.
   void setEntries(int Count);
-  // Part of the organisation's requests that comes to this entry, 0 to 1.
-  void setPart(const organisation_name &Organisation, double Part);
   // Zero: admitted, and counted. Otherwise how long until the next may come.
   duration admit(const organisation_name &Organisation, steady_time Now);
 
 private:
   struct account {
     double Limit = 0;
-    double Part = 0; // 0: unknown, an equal part is taken
     token_bucket Bucket{0, 0};
     bool Started = false;
   };
--- a/monsoonreel/placement.cc
+++ b/monsoonreel/placement.cc
@@ -14,19 +14,25 @@
 // Price of one unit of cost, in prompt tokens.
 constexpr double cost_tokens = 64;
 
+// The Index of the first of Candidates that none is less than.
+template <typename Less>
+std::optional<size_t>
+indexOfLeast(const std::vector<placement_candidate> &Candidates, Less IsLess) {
+  auto Best = std::min_element(Candidates.begin(), Candidates.end(), IsLess);
+  if (Best == Candidates.end())
+    return std::nullopt;
+  return Best->Index;
+}
+
 class least_work_placement : public placement_policy {
 public:
   std::optional<size_t>
   choose(const placement_work &Work,
          const std::vector<placement_candidate> &Candidates) override {
-    auto Best = std::min_element(
-        Candidates.begin(), Candidates.end(),
-        [&](const placement_candidate &A, const placement_candidate &B) {
-          return score(Work, A) < score(Work, B);
-        });
-    if (Best == Candidates.end())
-      return std::nullopt;
-    return Best->Index;
+    return indexOfLeast(Candidates, [&](const placement_candidate &A,
+                                        const placement_candidate &B) {
+      return score(Work, A) < score(Work, B);
+    });
   }
 
 private:
@@ -43,14 +49,10 @@
   std::optional<size_t>
   choose(const placement_work & /*Work*/,
          const std::vector<placement_candidate> &Candidates) override {
-    auto Best = std::min_element(
-        Candidates.begin(), Candidates.end(),
-        [](const placement_candidate &A, const placement_candidate &B) {
-          return A.InFlight < B.InFlight;
-        });
-    if (Best == Candidates.end())
-      return std::nullopt;
-    return Best->Index;
+    return indexOfLeast(Candidates, [](const placement_candidate &A,
+                                       const placement_candidate &B) {
+      return A.InFlight < B.InFlight;
+    });
   }
 };
 
--- a/monsoonreel/request_admission.h
+++ b/monsoonreel/request_admission.h
@@ -1,6 +1,6 @@
 // Decides whether a request may run at all, and as what.
 //
-//   admission_result Result = admitRequest(Arrived, Context, Now);
+//   admission_result Result = admitRequest(Arrived, Ledger, Freshness, Now);
 //   if (auto *Refusal = std::get_if<refuse_request>(&Result))
 //     Effects.push_back(*Refusal);
 //
--- a/monsoonreel/request_table.cc
+++ b/monsoonreel/request_table.cc
@@ -22,6 +22,13 @@
   return Refusal;
 }
 
+// The deadline passed while the request waited for its claim or a slot.
+refuse_request deadlinePassedBeforeRun(duration RetryAfter) {
+  return makeRefusal(504, "deadline-passed",
+                     "The deadline passed before the request could run.",
+                     RetryAfter);
+}
+
 refuse_request refusalOf(const slot_refused &Refused) {
   duration After = Refused.RetryAfter;
   switch (Refused.Reason) {
@@ -40,9 +47,7 @@
   case wire::refusal_reason::ShuttingDown:
     return makeRefusal(503, "owner-changed", "Please try again.", After);
   case wire::refusal_reason::DeadlinePassed:
-    return makeRefusal(504, "deadline-passed",
-                       "The deadline passed before the request could run.",
-                       After);
+    return deadlinePassedBeforeRun(After);
   }
   return makeRefusal(503, "refused", "The request was refused.", After);
 }
@@ -72,9 +77,7 @@
                        "The idempotency key must be 1 to 255 printable "
                        "characters.");
   case claim_decision::DeadlinePassed:
-    return makeRefusal(504, "deadline-passed",
-                       "The deadline passed before the request could run.",
-                       After);
+    return deadlinePassedBeforeRun(After);
   case claim_decision::Dispatch:
   case claim_decision::Unavailable:
     break;
@@ -339,7 +342,7 @@
                       "preempts-idempotent-only",
                       std::to_string(Preempted.Request.Value)))
     return;
-  cancelAttempt(*Request, wire::slot_result::Cancelled, Event, Effects);
+  cancelAttempt(*Request, Event, Effects);
   Request->Answer.restart();
   Effects.push_back(
       count_metric{"monsoonreel_preemptions_total",
@@ -413,7 +416,7 @@
     Services.Slots.cancel(Id, Event.Now, Effects, Pending);
     break;
   case request_phase::Running:
-    cancelAttempt(Request, wire::slot_result::Cancelled, Event, Effects);
+    cancelAttempt(Request, Event, Effects);
     break;
   case request_phase::Pausing:
     break;
@@ -445,7 +448,6 @@
   if (Request.Admitted.Organisation.empty() || (!Ran && Delivered == 0))
     return;
   usage_figures Figures;
-
   Figures.Requests = Ran ? 1 : 0;
   Figures.PromptTokens = Ran ? Request.Head.PromptTokens : 0;
   Figures.OutputTokens = Delivered;
--- a/monsoonreel/request_table.h
+++ b/monsoonreel/request_table.h
@@ -128,8 +128,9 @@
   // Ends the running attempt and gives its slot back.
   void endAttempt(active_request &Request, wire::slot_result::type Result,
                   const event &Event, effect_list &Effects);
-  void cancelAttempt(active_request &Request, wire::slot_result::type Result,
-                     const event &Event, effect_list &Effects);
+  // Stops the running attempt at its upstream, which is not to blame.
+  void cancelAttempt(active_request &Request, const event &Event,
+                     effect_list &Effects);
   // The attempt failed at its upstream, which is not used for it again.
   void failAttempt(active_request &Request, wire::slot_result::type Result,
                    const std::string &Detail, const event &Event,
--- a/monsoonreel/request_table_attempts.cc
+++ b/monsoonreel/request_table_attempts.cc
@@ -115,11 +115,10 @@
                          Pending);
 }
 
-void request_table::cancelAttempt(active_request &Request,
-                                  wire::slot_result::type Result,
-                                  const event &Event, effect_list &Effects) {
+void request_table::cancelAttempt(active_request &Request, const event &Event,
+                                  effect_list &Effects) {
   Effects.push_back(cancel_attempt{Request.Attempt->Number});
-  endAttempt(Request, Result, Event, Effects);
+  endAttempt(Request, wire::slot_result::Cancelled, Event, Effects);
 }
 
 bool request_table::canResume(const active_request &Request) const {
--- a/monsoonreel/retry_budget.h
+++ b/monsoonreel/retry_budget.h
@@ -6,7 +6,7 @@
 //   if (Budget.tryRetry(Organisation, Zone)) ... send it again ...
 //
 // Each request adds a part of a retry to the budget of its organisation and to
-// that of the zone that serves it; a retry, or a hedge, takes one from both.
+// that of the zone that serves it; a retry takes one from both.
 // Over any time, retries are at most the ratio of the requests plus
 // `retry_allowance` for each organisation, and the same for each zone.
 
--- a/monsoonreel/scheduling_policy.cc
+++ b/monsoonreel/scheduling_policy.cc
@@ -1,78 +1,71 @@
 #include "monsoonreel/scheduling_policy.h"
 
+#include <algorithm>
+#include <array>
+
 namespace monsoonreel {
 
 namespace {
 
-class tiered_policy : public scheduling_policy {
-public:
-  std::unique_ptr<request_queue> makeQueue() const override {
-    return makeFairQueue();
-  }
-  std::unique_ptr<placement_policy> makePlacement() const override {
-    return makeLeastWorkPlacement();
-  }
-  std::unique_ptr<admission_policy> makeAdmission() const override {
-    return makeLenientAdmission();
-  }
-  bool usesTiers() const override { return true; }
+// What the policy of one name is made of.
+struct policy_parts {
+  const char *Name;
+  std::unique_ptr<request_queue> (*MakeQueue)();
+  std::unique_ptr<placement_policy> (*MakePlacement)();
+  std::unique_ptr<admission_policy> (*MakeAdmission)();
+  bool UsesTiers;
 };
 
-class tiered_deadline_policy : public tiered_policy {
-public:
-  std::unique_ptr<admission_policy> makeAdmission() const override {
-    return makeDeadlineAdmission();
-  }
-};
+constexpr std::array<policy_parts, 5> Policies = {{
+    {"tiered", makeFairQueue, makeLeastWorkPlacement, makeLenientAdmission,
+     true},
+    {"tiered-deadline", makeFairQueue, makeLeastWorkPlacement,
+     makeDeadlineAdmission, true},
+    {"tiered-target", makeFairQueue, makeLeastWorkPlacement,
+     makeTargetAdmission, true},
+    {"least-in-flight", makeFifoQueue, makeLeastInFlightPlacement,
+     makeOpenAdmission, false},
+    {"round-robin-fifo", makeFifoQueue, makeRoundRobinPlacement,
+     makeOpenAdmission, false},
+}};
 
-class tiered_target_policy : public tiered_policy {
+class composed_policy : public scheduling_policy {
 public:
-  std::unique_ptr<admission_policy> makeAdmission() const override {
-    return makeTargetAdmission();
-  }
-};
+  explicit composed_policy(const policy_parts &Parts) : Parts(Parts) {}
 
-class least_in_flight_policy : public scheduling_policy {
-public:
   std::unique_ptr<request_queue> makeQueue() const override {
-    return makeFifoQueue();
+    return Parts.MakeQueue();
   }
   std::unique_ptr<placement_policy> makePlacement() const override {
-    return makeLeastInFlightPlacement();
+    return Parts.MakePlacement();
   }
   std::unique_ptr<admission_policy> makeAdmission() const override {
-    return makeOpenAdmission();
+    return Parts.MakeAdmission();
   }
-  bool usesTiers() const override { return false; }
-};
+  bool usesTiers() const override { return Parts.UsesTiers; }
 
-class round_robin_policy : public least_in_flight_policy {
-public:
-  std::unique_ptr<placement_policy> makePlacement() const override {
-    return makeRoundRobinPlacement();
-  }
+private:
+  policy_parts Parts;
 };
 
 } // namespace
 
 std::shared_ptr<const scheduling_policy>
 makeSchedulingPolicy(const std::string &Name) {
-  if (Name == "tiered")
-    return std::make_shared<tiered_policy>();
-  if (Name == "tiered-deadline")
-    return std::make_shared<tiered_deadline_policy>();
-  if (Name == "tiered-target")
-    return std::make_shared<tiered_target_policy>();
-  if (Name == "least-in-flight")
-    return std::make_shared<least_in_flight_policy>();
-  if (Name == "round-robin-fifo")
-    return std::make_shared<round_robin_policy>();
-  return nullptr;
+  const auto *Found =
+      std::find_if(Policies.begin(), Policies.end(),
+                   [&](const policy_parts &P) { return Name == P.Name; });
+  if (Found == Policies.end())
+    return nullptr;
+  return std::make_shared<composed_policy>(*Found);
 }
 
 std::vector<std::string> schedulingPolicyNames() {
-  return {"tiered", "tiered-deadline", "tiered-target", "least-in-flight",
-          "round-robin-fifo"};
+  std::vector<std::string> Names;
+  Names.reserve(Policies.size());
+  for (const policy_parts &Parts : Policies)
+    Names.emplace_back(Parts.Name);
+  return Names;
 }
 
 } // namespace monsoonreel
--- a/monsoonreel/slot_client.h
+++ b/monsoonreel/slot_client.h
@@ -3,7 +3,7 @@
 //
 //   slot_client Client = slot_client::builder().self(Identity).build();
 //   Client.setConfiguration(Configuration, Now, Effects, Outcomes);
-//   Client.setPeers(LivePeers, Now, Effects);
+//   Client.setPeers(LivePeers);
 //   Client.ask(Request, Now, Random, Effects, Outcomes);
 //   ...
 //   Client.onMessage(From, FromAddress, Message, Now, Effects, Outcomes);
@@ -88,7 +88,8 @@
                effect_list &Effects, slot_outcome_list &Outcomes);
 
   // Takes slot_ask, slot_cancel, slot_release, slot_renew, slot_grant,
-  // slot_refuse and slot_preempt. False: the message is none of these.
+  // slot_refuse, slot_queued and slot_preempt. False: the message is none of
+  // these.
   bool onMessage(const node_name &From, const address &FromAddress,
                  const wire::peer_message &Message, steady_time Now,
                  effect_list &Effects, slot_outcome_list &Outcomes);
@@ -103,7 +104,6 @@
   // The upstream's address in the configuration, or nullptr.
   const upstream *findUpstream(const upstream_name &Name) const;
   size_t waitingCount() const { return Asks.size(); }
-  size_t heldCount() const { return Held.size(); }
   const slot_owner &owner() const { return Owner; }
 
 private:
--- a/monsoonreel/slot_owner.h
+++ b/monsoonreel/slot_owner.h
@@ -5,7 +5,7 @@
 //                          .incarnation(Self.Incarnation)
 //                          .policy(makeSchedulingPolicy("tiered"))
 //                          .build();
-//   Owner.setConfiguration(Configuration, Map, Now);
+//   Owner.setConfiguration(Configuration, Map, Now, Replies, Effects);
 //   Owner.onAsk(From, Ask, Now, Replies, Effects);
 //   Owner.onTick(Now, Replies, Effects);
 //
--- a/monsoonreel/snapshot_scheduler.h
+++ b/monsoonreel/snapshot_scheduler.h
@@ -1,7 +1,7 @@
 // Writes snapshots of a stream, well before the platform drops its records.
 //
 //   snapshot_scheduler Snapshots(Settings.SnapshotPeriod);
-//   Snapshots.onTick(Now, Random, Replica);
+//   Snapshots.onTick(Now, Random, Replica, Effects);
 //
 // A snapshot is due `snapshot_records` records after the last one, and at the
 // latest a period after it was read, which has to be well under the time for
--- a/monsoonreel/state_sync.cc
+++ b/monsoonreel/state_sync.cc
@@ -65,9 +65,7 @@
   Snapshot = std::move(Stored);
   if (Covers > Highest) {
     Highest = Covers;
-    for (const wire::stored_record &Old : Records)
-      Bytes -= sizeOf(Old);
-    Records.clear();
+    clearRecords();
   }
   dropOld();
 }
@@ -76,17 +74,20 @@
   if (Stored.Offset <= Highest.Value)
     return;
   // After a gap, the records before it are of no use to anybody.
-  if (Stored.Offset != Highest.Value + 1) {
-    for (const wire::stored_record &Old : Records)
-      Bytes -= sizeOf(Old);
-    Records.clear();
-  }
+  if (Stored.Offset != Highest.Value + 1)
+    clearRecords();
   Highest = log_offset{Stored.Offset};
   Bytes += sizeOf(Stored);
   Records.push_back(Stored);
   dropOld();
 }
 
+void state_sync::clearRecords() {
+  for (const wire::stored_record &Stored : Records)
+    Bytes -= sizeOf(Stored);
+  Records.clear();
+}
+
 void state_sync::restart(log_offset Applied) {
   Snapshot.reset();
   Records.clear();
--- a/monsoonreel/state_sync.h
+++ b/monsoonreel/state_sync.h
@@ -108,6 +108,7 @@
   void takeSnapshot(const wire::stored_record &Stored,
                     stream_delivery &Delivery);
   void keepRecord(const wire::stored_record &Stored);
+  void clearRecords();
   void storeSnapshot(wire::stored_record Stored);
   void pull(const node_name &From, const address &FromAddress, steady_time Now,
             effect_list &Effects);
--- a/monsoonreel/steward_node.cc
+++ b/monsoonreel/steward_node.cc
@@ -38,7 +38,7 @@
     onDrain(Event.Now);
   Operator.onEvent(Event, Effects);
   Usage.onEvent(Event, Effects);
-  onClaimsEvent(Event, Effects);
+  passLogAnswer(Event, ClaimsFollower, Claims, Effects);
   bool FromLog = std::holds_alternative<log_records_read>(Event.Body);
   passOnChanges(Event, FromLog, Effects);
 }
@@ -86,19 +86,6 @@
   Claims.onTick(Tick, Members, Effects);
 }
 
-void steward_node::onClaimsEvent(const event &Event, effect_list &Effects) {
-  steady_time Now = Event.Now;
-  uint64_t Random = Event.Random;
-  if (const auto *Read = std::get_if<log_records_read>(&Event.Body))
-    ClaimsFollower.onRecords(*Read, Now, Random, Effects);
-  else if (const auto *Failed = std::get_if<log_read_failed>(&Event.Body))
-    ClaimsFollower.onFailure(*Failed, Now, Random);
-  else if (const auto *Answer = std::get_if<append_answered>(&Event.Body))
-    Claims.onAppendAnswered(*Answer, Now);
-  else if (const auto *Lost = std::get_if<append_failed>(&Event.Body))
-    Claims.onAppendFailed(*Lost, Now, Random);
-}
-
 duration steward_node::usageWindow() const {
   duration Window = Operator.state().config().Limits.UsageWindow;
   return Window > duration{} ? Window : policy_limits().UsageWindow;
--- a/monsoonreel/steward_node.h
+++ b/monsoonreel/steward_node.h
@@ -44,9 +44,7 @@
   std::string statusJson() const override;
 
   const ledger &operatorState() const { return Operator.state(); }
-  const ledger &usageState() const { return Usage.state(); }
   const claim_table &claims() const { return Claims.table(); }
-  bool isFollowing() const { return Operator.follower().isFollowing(); }
 
 private:
   void onTick(const event &Event, effect_list &Effects);
@@ -57,14 +55,13 @@
 
   void chooseRole(steady_time Now);
   void tickClaims(const event &Event, effect_list &Effects);
-  void onClaimsEvent(const event &Event, effect_list &Effects);
   void readVmList(steady_time Now, effect_list &Effects);
   void finishDrain(steady_time Now, effect_list &Effects);
   // Passes on what the replicas replayed since the last call. FromLog: this
   // node read it itself, so its peers need it.
   void passOnChanges(const event &Event, bool FromLog, effect_list &Effects);
   void passOnRecords(const event &Event, bool FromLog, effect_list &Effects);
-  // The live nodes of the zone but this one.
+  // The configured length of usage windows; the default before there is any.
   duration usageWindow() const;
 
   node_identity Self;
--- a/monsoonreel/stream_replica.cc
+++ b/monsoonreel/stream_replica.cc
@@ -21,16 +21,7 @@
 }
 
 void stream_replica::onEvent(const event &Event, effect_list &Effects) {
-  steady_time Now = Event.Now;
-  uint64_t Random = Event.Random;
-  if (const auto *Read = std::get_if<log_records_read>(&Event.Body))
-    Follower.onRecords(*Read, Now, Random, Effects);
-  else if (const auto *Failed = std::get_if<log_read_failed>(&Event.Body))
-    Follower.onFailure(*Failed, Now, Random);
-  else if (const auto *Answer = std::get_if<append_answered>(&Event.Body))
-    Writer.onAppendAnswered(*Answer, Now);
-  else if (const auto *Lost = std::get_if<append_failed>(&Event.Body))
-    Writer.onAppendFailed(*Lost, Now, Random);
+  passLogAnswer(Event, Follower, Writer, Effects);
 }
 
 void stream_replica::applyRecord(log_offset Offset, const std::string &Bytes,
--- a/monsoonreel/stream_replica.h
+++ b/monsoonreel/stream_replica.h
@@ -15,8 +15,10 @@
 #define MONSOONREEL_STREAM_REPLICA_H
 
 #include <string_view>
+#include <variant>
 #include <vector>
 
+#include "monsoonreel/event.h"
 #include "monsoonreel/lease_holder.h"
 #include "monsoonreel/ledger.h"
 #include "monsoonreel/log_follower.h"
@@ -25,6 +27,21 @@
 
 namespace monsoonreel {
 
+// Gives what the log answered to the follower and the appender of a stream;
+// each ignores answers to calls that are not its own. Other events do nothing.
+template <typename Appender>
+void passLogAnswer(const event &Event, log_follower &Follower, Appender &Writer,
+                   effect_list &Effects) {
+  if (const auto *Read = std::get_if<log_records_read>(&Event.Body))
+    Follower.onRecords(*Read, Event.Now, Event.Random, Effects);
+  else if (const auto *Failed = std::get_if<log_read_failed>(&Event.Body))
+    Follower.onFailure(*Failed, Event.Now, Event.Random);
+  else if (const auto *Answer = std::get_if<append_answered>(&Event.Body))
+    Writer.onAppendAnswered(*Answer, Event.Now);
+  else if (const auto *Lost = std::get_if<append_failed>(&Event.Body))
+    Writer.onAppendFailed(*Lost, Event.Now, Event.Random);
+}
+
 class stream_replica : public log_replica {
 public:
   stream_replica(std::string_view Stream, const node_identity &Self,
--- a/monsoonreel/upstream_health.cc
+++ b/monsoonreel/upstream_health.cc
@@ -38,10 +38,10 @@
   case wire::slot_result::Failed:
     ++FailuresInRow;
     if (WasProbe || FailuresInRow >= failures_to_open)
-      open(Now);
+      eject(Now);
     return;
   case wire::slot_result::Silent:
-    open(Now);
+    eject(Now);
     return;
   case wire::slot_result::Cancelled:
     // A cancelled request still shows how soon the upstream began.
@@ -53,7 +53,7 @@
   }
 }
 
-void upstream_health::open(steady_time Now) {
+void upstream_health::eject(steady_time Now) {
   if (!isEnabled(mechanism::UpstreamEjection))
     return;
   // Late failures of work that was granted before do not lengthen the pause.
@@ -66,8 +66,6 @@
   PauseEnd = Now + Pause;
 }
 
-void upstream_health::eject(steady_time Now) { open(Now); }
-
 void upstream_health::onProbeGranted(steady_time Now) {
   Probing = true;
   ProbeEnd = Now + upstream_probe_timeout;
--- a/monsoonreel/upstream_health.h
+++ b/monsoonreel/upstream_health.h
@@ -1,7 +1,7 @@
 // What a queue's owner has seen of one upstream, and whether it gets work.
 //
 //   upstream_health Health;
-//   Health.onResult(Report, Now);
+//   Health.onResult(Report, WasProbe, Now);
 //   switch (Health.admits(Now)) { ... }
 //
 // A circuit breaker: silence and repeated failures open it at once, and so does
@@ -41,13 +41,11 @@
 
   // `Closed` is the circuit breaker's closed state: all work is admitted.
   admission_state admits(steady_time Now) const;
-  bool isLeaving() const { return Leaving; }
   // Recent mean time to the first token; zero before any was seen.
   duration firstToken() const { return FirstToken; }
   int samples() const { return Samples; }
 
 private:
-  void open(steady_time Now);
   void learn(duration Seen);
 
   bool Ejected = false;
--- a/monsoonreel/usage_meter.h
+++ b/monsoonreel/usage_meter.h
@@ -4,7 +4,7 @@
 //   Meter.add(Organisation, Class, {1, PromptTokens, OutputTokens});
 //   Meter.setPeers(Stewards, Holders);
 //   Meter.onTick(Now, Random, Effects);
-//   if (Meter.onMessage(Received, Effects)) ...
+//   if (Meter.onMessage(Received)) ...
 //
 // Increments gather in a bucket for `cut_interval`. Then they become a batch
 // with the next sequence of this process, which never changes any more. A batch
--- a/monsoonreel/usage_offers.h
+++ b/monsoonreel/usage_offers.h
@@ -45,7 +45,6 @@
   // The lowest sequence of Source that is open, or nothing.
   std::optional<int64_t> firstOpen(incarnation Source) const;
   bool empty() const { return Batches.empty(); }
-  size_t batchCount() const { return Batches.size(); }
   // In all batches together; what memory is bounded by.
   size_t incrementCount() const { return Increments; }
 
--- a/monsoonreel/yaml_reader.cc
+++ b/monsoonreel/yaml_reader.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "monsoonreel/address.h"
@@ -34,6 +35,15 @@
   return Value;
 }
 
+std::optional<int> parseInteger(const std::string &Text) {
+  std::optional<double> Value = parseNumber(Text);
+  if (!Value || *Value != std::floor(*Value) ||
+      *Value < std::numeric_limits<int>::min() ||
+      *Value > std::numeric_limits<int>::max())
+    return std::nullopt;
+  return static_cast<int>(*Value);
+}
+
 std::optional<duration> parseTime(const std::string &Text) {
   size_t UnitStart = Text.find_first_not_of("0123456789.");
   if (UnitStart == std::string::npos)
@@ -116,35 +126,33 @@
   return *Value;
 }
 
+template <typename T, typename Parser>
+T yaml_map::ranged(const std::string &Key, const value_range<T> &Range,
+                   Parser Parse) {
+  std::string Accepts = Range.Kind + " from " + describe(Range.Least) + " to " +
+                        describe(Range.Most);
+  record(Key, Accepts, describeDefault(Range.Default));
+  T Fallback = Range.Default.value_or(Range.Least);
+  auto Text = scalar(Key, Range.Default.has_value());
+  if (!Text)
+    return Fallback;
+  std::optional<T> Value = Parse(*Text);
+  if (Value && *Value >= Range.Least && *Value <= Range.Most)
+    return *Value;
+  reject(Key, "must be " + Accepts + Range.Example);
+  return Fallback;
+}
+
 int yaml_map::integer(const std::string &Key, int Least, int Most,
                       std::optional<int> Default) {
-  std::string Accepts = "a whole number from " + std::to_string(Least) +
-                        " to " + std::to_string(Most);
-  record(Key, Accepts, describeDefault(Default));
-  auto Text = scalar(Key, Default.has_value());
-  if (!Text)
-    return Default.value_or(Least);
-  auto Value = parseNumber(*Text);
-  if (Value && *Value == std::floor(*Value) && *Value >= Least &&
-      *Value <= Most)
-    return static_cast<int>(*Value);
-  reject(Key, "must be " + Accepts);
-  return Default.value_or(Least);
+  value_range<int> Range{"a whole number", "", Least, Most, Default};
+  return ranged(Key, Range, parseInteger);
 }
 
 double yaml_map::number(const std::string &Key, double Least, double Most,
                         std::optional<double> Default) {
-  std::string Accepts =
-      "a number from " + describe(Least) + " to " + describe(Most);
-  record(Key, Accepts, describeDefault(Default));
-  auto Text = scalar(Key, Default.has_value());
-  if (!Text)
-    return Default.value_or(Least);
-  auto Value = parseNumber(*Text);
-  if (Value && *Value >= Least && *Value <= Most)
-    return *Value;
-  reject(Key, "must be " + Accepts);
-  return Default.value_or(Least);
+  value_range<double> Range{"a number", "", Least, Most, Default};
+  return ranged(Key, Range, parseNumber);
 }
 
 std::string yaml_map::choice(const std::string &Key,
@@ -176,17 +184,9 @@
 
 duration yaml_map::time(const std::string &Key, duration Least, duration Most,
                         std::optional<duration> Default) {
-  std::string Accepts =
-      "a time from " + timeText(Least) + " to " + timeText(Most);
-  record(Key, Accepts, describeDefault(Default));
-  auto Text = scalar(Key, Default.has_value());
-  if (!Text)
-    return Default.value_or(Least);
-  auto Value = parseTime(*Text);
-  if (Value && *Value >= Least && *Value <= Most)
-    return *Value;
-  reject(Key, "must be " + Accepts + ", such as 350ms or 2s");
-  return Default.value_or(Least);
+  value_range<duration> Range{"a time", ", such as 350ms or 2s", Least, Most,
+                              Default};
+  return ranged(Key, Range, parseTime);
 }
 
 address yaml_map::endpoint(const std::string &Key,
--- a/monsoonreel/yaml_reader.h
+++ b/monsoonreel/yaml_reader.h
@@ -84,6 +84,17 @@
 private:
   input_place placeOf(const YAML::Node &Node, const std::string &Path) const;
   std::string pathOf(const std::string &Key) const;
+  // What a value may be: its kind, such as "a number", its bounds and default.
+  template <typename T> struct value_range {
+    std::string Kind;
+    std::string Example; // added to the finding of a wrong value
+    T Least;
+    T Most;
+    std::optional<T> Default;
+  };
+  // The value of Key as Parse reads it, when it lies within Range.
+  template <typename T, typename Parser>
+  T ranged(const std::string &Key, const value_range<T> &Range, Parser Parse);
   // The scalar of Key. Adds a finding when it is missing without a default.
   std::optional<std::string> scalar(const std::string &Key, bool HasDefault);
   void record(const std::string &Key, const std::string &Accepts,
