--- a/monsoonreel/slot_client.h
+++ b/monsoonreel/slot_client.h
@@ -3,7 +3,7 @@
 //
 //   slot_client Client = slot_client::builder().self(Identity).build();
 //   Client.setConfiguration(Configuration, Now, Effects, Outcomes);
-//   Client.setPeers(LivePeers, Now, Effects);
+//   Client.setPeers(LivePeers);
 //   Client.ask(Request, Now, Random, Effects, Outcomes);
 //   ...
 //   Client.onMessage(From, FromAddress, Message, Now, Effects, Outcomes);
@@ -51,6 +51,9 @@
 constexpr duration renewal_period = std::chrono::seconds(2);
 // Loads of cells that were heard longer ago are not used.
 constexpr duration load_lifetime = std::chrono::seconds(5);
+// Ages of loads leave out the time on the way, so a load that comes by several
+// members looks newer by up to this on the slower ways.
+constexpr duration load_age_error = std::chrono::milliseconds(100);
 // A request goes to the cell that has its prefix unless it waits there so much
 // longer than elsewhere.
 constexpr duration affinity_slack = std::chrono::milliseconds(50);
@@ -68,8 +71,8 @@
                         effect_list &Effects, slot_outcome_list &Outcomes);
   // The entries that are alive, this one included or not, of all zones.
   void setPeers(std::vector<slot_peer> Peers);
-  // Loads of cells as their owners gossip them. Later ones replace earlier
-  // ones of the same cell and owner.
+  // Loads of cells as their owners gossip them. Of one cell, that which its
+  // owner told last counts, less the own asks since it was heard first.
   void onLoads(const std::vector<wire::pool_load> &Loads, steady_time Now);
   // This node's own cells, for gossip.
   std::vector<wire::pool_load> loads(steady_time Now) const;
@@ -85,7 +88,8 @@
                effect_list &Effects, slot_outcome_list &Outcomes);
 
   // Takes slot_ask, slot_cancel, slot_release, slot_renew, slot_grant,
-  // slot_refuse and slot_preempt. False: the message is none of these.
+  // slot_refuse, slot_queued and slot_preempt. False: the message is none of
+  // these.
   bool onMessage(const node_name &From, const address &FromAddress,
                  const wire::peer_message &Message, steady_time Now,
                  effect_list &Effects, slot_outcome_list &Outcomes);
@@ -100,7 +104,6 @@
   // The upstream's address in the configuration, or nullptr.
   const upstream *findUpstream(const upstream_name &Name) const;
   size_t waitingCount() const { return Asks.size(); }
-  size_t heldCount() const { return Held.size(); }
   const slot_owner &owner() const { return Owner; }
 
 private:
@@ -126,7 +129,8 @@
   };
   struct cell_load {
     wire::pool_load Heard;
-    int FreeSlots = 0; // as heard, less the own asks since then
+    int FreeSlots = 0;  // as heard, less the own asks since then
+    steady_time ToldAt; // by its owner, as far as its age says
     steady_time SeenAt;
   };
   // The surroundings of one call.
