--- a/monsoonreel/admission.cc
+++ b/monsoonreel/admission.cc
@@ -13,19 +13,23 @@
 // it, the minimum share bounds the wait.
 constexpr double least_left = 0.01;
 
+// Part of the slots that higher tiers leave.
+double partLeft(const admission_view &View) {
+  return std::max(least_left, 1 - View.HigherDemand);
+}
+
 // Mean time between two slots coming free for the request's tier.
 duration gapOf(const admission_view &View) {
-  double Left = std::max(least_left, 1 - View.HigherDemand);
   return std::chrono::duration_cast<duration>(
       std::chrono::duration<double, std::micro>(View.MeanHold) /
-      (Left * std::max(1, View.Slots)));
+      (partLeft(View) * std::max(1, View.Slots)));
 }
 
 // Variance of the wait for each unit of its length: that of independent
 // departures, and that of the work that higher tiers bring meanwhile, whose
 // times in slots vary about as much as their mean.
 duration spreadOf(const admission_view &View) {
-  double Left = std::max(least_left, 1 - View.HigherDemand);
+  double Left = partLeft(View);
   double Higher =
       2 * View.HigherDemand / (Left * Left * std::max(1, View.Slots));
   return gapOf(View) +
--- a/monsoonreel/burn_sample.cc
+++ b/monsoonreel/burn_sample.cc
@@ -1,8 +1,10 @@
 #include "monsoonreel/burn_sample.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <string_view>
+#include <utility>
 
 namespace monsoonreel {
 
@@ -14,7 +16,6 @@
 constexpr double latest_start_s = 253402300799.0;
 
 struct metric_line {
-  std::string_view Name;
   std::map<std::string, std::string> Labels;
   double Value = 0;
 };
@@ -102,7 +103,7 @@
     std::string_view Name = Reader.name();
     if (Name != targets_metric && Name != start_metric)
       return;
-    metric_line Parsed{Name, {}, 0};
+    metric_line Parsed;
     if (!Reader.labels(Parsed.Labels) || !Reader.value(Parsed.Value))
       return reject(Number, "malformed line");
     if (Name == targets_metric)
--- a/monsoonreel/cell_preemption.cc
+++ b/monsoonreel/cell_preemption.cc
@@ -9,13 +9,17 @@
 
 namespace monsoonreel {
 
+bool cell_queue::isPreemptible(const running_slot &Slot, tier Above) {
+  return !Slot.Guaranteed && !Slot.Preempting && Slot.Request.Idempotent &&
+         Slot.Request.Tier > Above;
+}
+
 int cell_queue::preemptible(tier Above, bool Cheap) const {
   if (!UsesTiers || !isEnabled(mechanism::Preemption))
     return 0;
   int Count = 0;
   for (const auto &[Id, Slot] : Running) {
-    if (Slot.Guaranteed || Slot.Preempting || !Slot.Request.Idempotent ||
-        Slot.Request.Tier <= Above)
+    if (!isPreemptible(Slot, Above))
       continue;
     std::optional<size_t> Index = Upstreams.find(Slot.Upstream);
     if (Index && (Cheap || !Upstreams.at(*Index).Cheap))
@@ -40,8 +44,7 @@
                                                 int64_t &Id, steady_time Now) {
   running_slot *Victim = nullptr;
   for (auto &[Candidate, Slot] : Running) {
-    if (Slot.Guaranteed || Slot.Preempting || !Slot.Request.Idempotent ||
-        Slot.Request.Tier <= Request.Tier)
+    if (!isPreemptible(Slot, Request.Tier))
       continue;
     std::optional<size_t> Index = Upstreams.find(Slot.Upstream);
     if (!Index || !Upstreams.suits(*Index, Request, Now))
@@ -59,12 +62,18 @@
   return Victim;
 }
 
+size_t cell_queue::waitingUpTo(tier Lowest) const {
+  size_t Count = 0;
+  for (const auto &[Name, Class] : Classes)
+    if (Class.Tier <= Lowest)
+      Count += Queue->waitingOf(Name);
+  return Count;
+}
+
 void cell_queue::preempt(cell_step &Step) {
   if (!UsesTiers || !isEnabled(mechanism::Preemption) || Queue->size() == 0)
     return;
-  tier Lowest{};
-  for (const auto &[Name, Class] : Classes)
-    Lowest = std::max(Lowest, Class.Tier);
+  tier Lowest = lowestTier();
   auto Urgent = [&](const waiting_request &Request) {
     return isUrgent(Request, Step.Now);
   };
@@ -73,11 +82,7 @@
     if (!Next || static_cast<size_t>(Preempting) >= Queue->size())
       return;
     // Slots on their way back already serve the first of those that wait.
-    size_t WaitingAbove = 0;
-    for (const auto &[Name, Class] : Classes)
-      if (Class.Tier <= Next->Tier)
-        WaitingAbove += Queue->waitingOf(Name);
-    if (static_cast<size_t>(Preempting) >= WaitingAbove)
+    if (static_cast<size_t>(Preempting) >= waitingUpTo(Next->Tier))
       return;
     int64_t Id = 0;
     running_slot *Victim = victimFor(*Next, Id, Step.Now);
--- a/monsoonreel/cell_queue.cc
+++ b/monsoonreel/cell_queue.cc
@@ -89,9 +89,7 @@
   }
   if (!Queue->find(Key))
     return false;
-  wire::slot_queued Queued;
-  Queued.Ask = Key.Ask;
-  Step.Replies.push_back({From, Queued});
+  sendQueued(From, Key, Step);
   return true;
 }
 
@@ -116,11 +114,15 @@
   Queue->push(std::move(Request));
   grantAll(Step);
   preempt(Step);
-  if (!Queue->find(Key))
-    return;
+  if (Queue->find(Key))
+    sendQueued(From, Key, Step);
+}
+
+void cell_queue::sendQueued(const slot_peer &To, const ask_key &Key,
+                            cell_step &Step) {
   wire::slot_queued Queued;
   Queued.Ask = Key.Ask;
-  Step.Replies.push_back({From, Queued});
+  Step.Replies.push_back({To, Queued});
 }
 
 // ----------------------------------------------------------------- granting
@@ -292,14 +294,20 @@
 
 duration cell_queue::expectedWait(steady_time Now) const {
   waiting_request Lowest;
-  for (const auto &[Name, Class] : Classes)
-    Lowest.Tier = std::max(Lowest.Tier, Class.Tier);
+  Lowest.Tier = lowestTier();
   Lowest.CheapAllowed = true;
   admission_view View = viewOf(Lowest, Now);
   View.ShareWait = duration::max();
   return Admission->judge(View).ExpectedWait;
 }
 
+tier cell_queue::lowestTier() const {
+  tier Lowest{};
+  for (const auto &[Name, Class] : Classes)
+    Lowest = std::max(Lowest, Class.Tier);
+  return Lowest;
+}
+
 int cell_queue::freeSlots(steady_time Now) const {
   return Upstreams.freeSlots(true, Now);
 }
--- a/monsoonreel/cell_queue.h
+++ b/monsoonreel/cell_queue.h
@@ -64,13 +64,18 @@
 
   void configure(const cell &Cell, const configuration &Configuration);
 
+  // Grants a slot, queues the ask or refuses it. One that is repeated gets the
+  // answer that it has now.
   void ask(const slot_peer &From, const wire::slot_ask &Ask, cell_step &Step);
+  // The asker no longer waits.
   void cancel(const ask_key &Key, cell_step &Step);
   // False: the slot is not of this cell.
   bool release(int64_t Slot, const slot_report &Report, cell_step &Step);
+  // The asker still uses the slot.
   void renew(int64_t Slot, steady_time Now);
   void onLoadReport(const load_report &Report, cell_step &Step);
   void tick(cell_step &Step);
+  // Refuses everything that waits.
   void refuseAll(wire::refusal_reason::type Reason, cell_step &Step);
 
   const cell_upstreams &upstreams() const { return Upstreams; }
@@ -96,30 +101,52 @@
                               steady_time Now) const;
   bool answerRepeated(const slot_peer &From, const ask_key &Key,
                       cell_step &Step);
+  // What admission is told of Request.
   admission_view viewOf(const waiting_request &Request, steady_time Now) const;
+  // Whether Request may wait; it is refused when it may not. It may also wait
+  // while a lower tier holds a place that would be shed first.
   bool admit(const waiting_request &Request, cell_step &Step);
+  // For a full queue: sheds a request of a lower tier, or refuses Request.
   bool makePlace(const waiting_request &Request, cell_step &Step);
+  // Whether admission would refuse Request, which waits, by its deadline.
   bool isHopeless(const waiting_request &Request, steady_time Now) const;
   // Whether Class holds places beyond those of its minimum share.
   bool holdsSpare(const class_name &Class) const;
+  // Waiting requests of Class that its minimum share serves before they give
+  // up.
   size_t guaranteedPlaces(const class_name &Class) const;
+  // The request to shed first for one of Tier, or nullptr: of a lower tier, and
+  // of a class that holds spare places.
   const waiting_request *spareBelow(tier Tier) const;
   duration expectedHold(const waiting_request &Request) const;
+  // Base or longer, so that refused requests do not come back together.
   duration retryAfter(duration Base, cell_step &Step);
 
   void grantAll(cell_step &Step);
+  // Guaranteed tells whether a minimum share decided.
   std::optional<waiting_request> takeNext(bool &Guaranteed, cell_step &Step);
   void grant(waiting_request Request, bool Guaranteed, cell_step &Step);
   void checkGrant(const waiting_request &Request, size_t Index,
                   cell_step &Step);
   void sendGrant(int64_t Slot, const running_slot &Running, cell_step &Step);
+  static void sendQueued(const slot_peer &To, const ask_key &Key,
+                         cell_step &Step);
   void countGrant(const class_name &Granted, size_t Index, cell_step &Step);
 
+  // Takes slots back for requests that would miss their targets without.
   void preempt(cell_step &Step);
   bool isUrgent(const waiting_request &Request, steady_time Now) const;
+  // The slot to take back for Request, or nullptr.
   running_slot *victimFor(const waiting_request &Request, int64_t &Slot,
                           steady_time Now);
+  // Whether Slot may be taken back for a request of tier Above.
+  static bool isPreemptible(const running_slot &Slot, tier Above);
+  // Slots that could be taken back for a request of tier Above. Cheap: also
+  // those on reclaimable upstreams.
   int preemptible(tier Above, bool Cheap) const;
+  // Waiting requests of tier Lowest and of the tiers above it.
+  size_t waitingUpTo(tier Lowest) const;
+  tier lowestTier() const;
 
   // Key may be that of the waiting request itself, which goes away.
   void shed(const ask_key &Key, wire::refusal_reason::type Reason,
--- a/monsoonreel/cell_upstreams.cc
+++ b/monsoonreel/cell_upstreams.cc
@@ -121,11 +121,16 @@
   return ProbeFirst || Normal.empty() ? Probes : Normal;
 }
 
+bool cell_upstreams::isInService(const state &State, bool Cheap,
+                                 steady_time Now) {
+  return (Cheap || !State.Upstream.Cheap) &&
+         State.Health.admits(Now) == admission_state::Closed;
+}
+
 int cell_upstreams::freeSlots(bool Cheap, steady_time Now) const {
   int Sum = 0;
   for (const state &State : States)
-    if ((Cheap || !State.Upstream.Cheap) &&
-        State.Health.admits(Now) == admission_state::Closed)
+    if (isInService(State, Cheap, Now))
       Sum += room(State, Now);
   return Sum;
 }
@@ -133,8 +138,7 @@
 int cell_upstreams::slots(bool Cheap, steady_time Now) const {
   int Sum = 0;
   for (const state &State : States)
-    if ((Cheap || !State.Upstream.Cheap) &&
-        State.Health.admits(Now) == admission_state::Closed)
+    if (isInService(State, Cheap, Now))
       Sum += State.Upstream.Concurrency;
   return Sum;
 }
--- a/monsoonreel/cell_upstreams.h
+++ b/monsoonreel/cell_upstreams.h
@@ -83,6 +83,9 @@
     steady_time PrefillAt;
   };
 
+  // Whether State takes requests other than probes. Cheap: also when it can be
+  // reclaimed.
+  static bool isInService(const state &State, bool Cheap, steady_time Now);
   int load(const state &State, steady_time Now) const;
   int room(const state &State, steady_time Now) const;
   double prefill(const state &State, steady_time Now) const;
--- a/monsoonreel/claim_client.cc
+++ b/monsoonreel/claim_client.cc
@@ -92,18 +92,17 @@
   sendNext(Ask.Message, Ask.Try, Now, Members, Effects);
 }
 
-bool claim_client::sendNext(const wire::peer_message &Message, steward_try &Try,
+void claim_client::sendNext(const wire::peer_message &Message, steward_try &Try,
                             steady_time Now, const membership &Members,
                             effect_list &Effects) {
   Try.SentAt = Now;
   std::vector<wire::member> Desks = deskOrder(Members);
   if (Desks.empty())
-    return false;
+    return;
   const wire::member &Desk = Desks[Try.Tries % Desks.size()];
   ++Try.Tries;
   Effects.push_back(
       send_message{node_name(Desk.Name), address(Desk.Address), Message});
-  return true;
 }
 
 bool claim_client::cancel(request_id Request, steady_time Now,
--- a/monsoonreel/claim_client.h
+++ b/monsoonreel/claim_client.h
@@ -9,7 +9,8 @@
 //     if (Result.Decision == claim_decision::Dispatch)
 //       dispatch(Result.Request); // this request alone may run for the key
 //   ...
-//   Claims.settle(Request, wire::run_outcome::Run, Answer, Now, Effects);
+//   Claims.settle(Request, wire::run_outcome::Run, Answer, Now, Members,
+//                 Effects);
 //
 // Each request asks under one attempt id. A steward that stays silent is
 // replaced by another one, asked under the same id, so that the claim counts
@@ -115,8 +116,6 @@
 
   // Whether nothing waits for a steward; a draining entry waits for this.
   bool isIdle() const { return Asks.empty() && Settles.empty(); }
-  size_t openAsks() const { return Asks.size(); }
-  size_t openSettles() const { return Settles.size(); }
 
 private:
   // How often stewards were asked, and when the last time.
@@ -140,8 +139,8 @@
     steward_try Try;
   };
 
-  // Sends to the steward whose turn it is; false when there is none.
-  static bool sendNext(const wire::peer_message &Message, steward_try &Try,
+  // Sends to the steward whose turn it is, if there is any.
+  static void sendNext(const wire::peer_message &Message, steward_try &Try,
                        steady_time Now, const membership &Members,
                        effect_list &Effects);
   void onAnswer(const wire::claim_answer &Answer, steady_time Now,
--- a/monsoonreel/claim_desk.cc
+++ b/monsoonreel/claim_desk.cc
@@ -25,6 +25,12 @@
   return Answer;
 }
 
+wire::claim_settled makeSettled(const wire::claim_settle &Settle) {
+  wire::claim_settled Settled;
+  Settled.Attempt = Settle.Attempt;
+  return Settled;
+}
+
 size_t outcomeBytes(const wire::claim_settle &Settle) {
   constexpr size_t Overhead = 128;
   return Overhead + (Settle.__isset.Answer ? Settle.Answer.Body.size() : 0);
@@ -123,9 +129,7 @@
 void claim_desk::onSettle(const wire::claim_settle &Settle, const asker &From,
                           steady_time Now, effect_list &Effects) {
   if (Table.isSettled(Settle.Key, Settle.Attempt)) {
-    wire::claim_settled Settled;
-    Settled.Attempt = Settle.Attempt;
-    send(From, std::move(Settled), Effects);
+    send(From, makeSettled(Settle), Effects);
     return;
   }
   auto Known = Settles.find(keyOf(Settle.Attempt));
@@ -184,13 +188,8 @@
   return Sent && Now - *Sent >= log_outage_after;
 }
 
-void claim_desk::appendBatch(const claim_desk_tick &Tick,
-                             effect_list &Effects) {
-  if (Asks.empty() && Settles.empty())
-    return;
-  wire::claim_batch Batch;
-  Batch.WallMicros = Tick.Wall.time_since_epoch().count();
-  Batch.WindowMicros = toMicros(Tick.Window);
+std::vector<claim_desk::waiting<wire::claim_ask> *>
+claim_desk::addClaims(wire::claim_batch &Batch) {
   std::vector<waiting<wire::claim_ask> *> Claimed;
   for (auto &[Key, Waiting] : Asks) {
     if (Batch.Claims.size() >= max_batch_claims)
@@ -204,6 +203,11 @@
     Batch.Claims.push_back(std::move(Entry));
     Claimed.push_back(&Waiting);
   }
+  return Claimed;
+}
+
+std::vector<claim_desk::waiting<wire::claim_settle> *>
+claim_desk::addOutcomes(wire::claim_batch &Batch) {
   std::vector<waiting<wire::claim_settle> *> Settled;
   size_t Bytes = 0;
   for (auto &[Key, Waiting] : Settles) {
@@ -219,6 +223,18 @@
     Batch.Outcomes.push_back(std::move(Outcome));
     Settled.push_back(&Waiting);
   }
+  return Settled;
+}
+
+void claim_desk::appendBatch(const claim_desk_tick &Tick,
+                             effect_list &Effects) {
+  if (Asks.empty() && Settles.empty())
+    return;
+  wire::claim_batch Batch;
+  Batch.WallMicros = Tick.Wall.time_since_epoch().count();
+  Batch.WindowMicros = toMicros(Tick.Window);
+  std::vector<waiting<wire::claim_ask> *> Claimed = addClaims(Batch);
+  std::vector<waiting<wire::claim_settle> *> Settled = addOutcomes(Batch);
   wire::log_record Record;
   Record.__set_ClaimBatch(Batch);
   InFlight = Writer.enqueue(std::move(Record));
@@ -258,9 +274,7 @@
       const auto &Waiting = Entry.second;
       if (Waiting.Ticket != Written.Ticket)
         return false;
-      wire::claim_settled Settled;
-      Settled.Attempt = Waiting.Message.Attempt;
-      send(Waiting.From, std::move(Settled), Effects);
+      send(Waiting.From, makeSettled(Waiting.Message), Effects);
       return true;
     });
   }
--- a/monsoonreel/claim_desk.h
+++ b/monsoonreel/claim_desk.h
@@ -5,8 +5,8 @@
 //   log_follower Follower(std::string(claims_stream), Desk);
 //   ...
 //   Follower.setFollowing(isClaimDesk(Members));
-//   Desk.onTick({Event.Now, Event.Wall, Follower.isCaughtUp(), Limits},
-//               Members, Effects);
+//   Desk.onTick({Event.Now, Event.Wall, Follower.isCaughtUp(),
+//                Limits.ClaimWindow}, Members, Effects);
 //   if (Desk.onMessage(Received, Event.Now, Members, Effects))
 //     return; // it was a claim_ask or claim_settle
 //   Desk.onAppendAnswered(Answered, Event.Now); // also those of other writers
@@ -24,6 +24,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "monsoonreel/claim_table.h"
 #include "monsoonreel/configuration.h"
@@ -97,7 +98,6 @@
 
   const claim_table &table() const { return Table; }
   size_t waitingAsks() const { return Asks.size(); }
-  size_t waitingSettles() const { return Settles.size(); }
 
 private:
   using attempt_key = std::pair<int64_t, int64_t>; // incarnation, sequence
@@ -125,6 +125,11 @@
                                       const membership &Members) const;
   bool isLogOut(steady_time Now) const;
 
+  // Each adds what waits to the batch, up to its bound, and returns what was
+  // added.
+  std::vector<waiting<wire::claim_ask> *> addClaims(wire::claim_batch &Batch);
+  std::vector<waiting<wire::claim_settle> *>
+  addOutcomes(wire::claim_batch &Batch);
   void appendBatch(const claim_desk_tick &Tick, effect_list &Effects);
   void answerWritten(steady_time Now, const membership &Members,
                      effect_list &Effects);
--- a/monsoonreel/claim_routing.cc
+++ b/monsoonreel/claim_routing.cc
@@ -17,12 +17,18 @@
   return Zones;
 }
 
+// The live stewards of a zone in the order in which they become desks.
+std::vector<wire::member> stewardOrder(const membership &Members,
+                                       const zone_name &Zone) {
+  return rendezvousOrder("claims",
+                         Members.alive(wire::member_role::Steward, Zone));
+}
+
 } // namespace
 
 std::vector<wire::member> claimDesks(const membership &Members,
                                      const zone_name &Zone) {
-  std::vector<wire::member> Desks = rendezvousOrder(
-      "claims", Members.alive(wire::member_role::Steward, Zone));
+  std::vector<wire::member> Desks = stewardOrder(Members, Zone);
   if (Desks.size() > claim_desks_per_zone)
     Desks.resize(claim_desks_per_zone);
   return Desks;
@@ -52,9 +58,7 @@
 
 std::vector<wire::member> deskOrder(const membership &Members) {
   const wire::member &Self = Members.self();
-  std::vector<wire::member> Order =
-      rendezvousOrder("claims", Members.alive(wire::member_role::Steward,
-                                              zone_name(Self.Zone)));
+  std::vector<wire::member> Order = stewardOrder(Members, zone_name(Self.Zone));
   if (Order.size() > claim_desks_per_zone + 1)
     Order.resize(claim_desks_per_zone + 1);
   std::stable_partition(
--- a/monsoonreel/claim_table.cc
+++ b/monsoonreel/claim_table.cc
@@ -11,25 +11,26 @@
 
 namespace {
 
-template <typename Hash> std::optional<Hash> hashOf(const std::string &Bytes) {
-  Hash Result{};
-  if (Bytes.size() != Result.size())
-    return std::nullopt;
-  std::memcpy(Result.data(), Bytes.data(), Bytes.size());
-  return Result;
-}
-
 bool contains(const claim &Claim, const wire::attempt_id &Attempt) {
   return Claim.Released &&
          std::find(Claim.Released->begin(), Claim.Released->end(), Attempt) !=
              Claim.Released->end();
 }
 
-size_t sizeOf(const wire::recorded_answer &Answer) {
+} // namespace
+
+size_t recordedBytes(const wire::recorded_answer &Answer) {
   return sizeof(Answer) + Answer.Body.size() + Answer.ContentType.size();
 }
 
-} // namespace
+std::optional<claim_table::claim_hash>
+claim_table::hashOf(const std::string &Bytes) {
+  claim_hash Hash{};
+  if (Bytes.size() != Hash.size())
+    return std::nullopt;
+  std::memcpy(Hash.data(), Bytes.data(), Bytes.size());
+  return Hash;
+}
 
 void claim_table::apply(log_offset Offset, const wire::log_record &Record,
                         effect_list &Effects) {
@@ -49,7 +50,7 @@
 }
 
 void claim_table::replayClaim(const wire::claim_entry &Entry) {
-  auto Hash = hashOf<claim_hash>(Entry.Key.KeyHash);
+  auto Hash = hashOf(Entry.Key.KeyHash);
   if (!Hash || isExpired(Entry.KeyMicros))
     return;
   bool TimedKey = Entry.KeyMicros > 0;
@@ -77,7 +78,7 @@
 
 void claim_table::replayOutcome(const wire::claim_outcome &Outcome,
                                 int64_t WallMicros) {
-  auto Hash = hashOf<claim_hash>(Outcome.Key.KeyHash);
+  auto Hash = hashOf(Outcome.Key.KeyHash);
   if (!Hash)
     return;
   bool NotRun = Outcome.Outcome == wire::run_outcome::NotRun;
@@ -123,21 +124,23 @@
                              const wire::recorded_answer &Answer) {
   kept_answer Kept{Answer, NextAnswer++};
   AnswerOrder[Kept.Order] = Hash;
-  AnswerBytes += sizeOf(Answer);
+  AnswerBytes += recordedBytes(Answer);
   Answers[Hash] = std::move(Kept);
   while (AnswerBytes > max_answer_bytes)
-    dropOldestAnswer();
+    dropAnswer(claim_hash(AnswerOrder.begin()->second));
 }
 
-void claim_table::dropOldestAnswer() {
-  auto Oldest = Answers.find(AnswerOrder.begin()->second);
-  AnswerBytes -= sizeOf(Oldest->second.Answer);
-  Answers.erase(Oldest);
-  AnswerOrder.erase(AnswerOrder.begin());
+void claim_table::dropAnswer(const claim_hash &Hash) {
+  auto Found = Answers.find(Hash);
+  if (Found == Answers.end())
+    return;
+  AnswerBytes -= recordedBytes(Found->second.Answer);
+  AnswerOrder.erase(Found->second.Order);
+  Answers.erase(Found);
 }
 
 const claim *claim_table::find(const wire::claim_key &Key) const {
-  auto Hash = hashOf<claim_hash>(Key.KeyHash);
+  auto Hash = hashOf(Key.KeyHash);
   if (!Hash)
     return nullptr;
   auto Found = Claims.find(*Hash);
@@ -146,7 +149,7 @@
 
 const wire::recorded_answer *
 claim_table::findAnswer(const wire::claim_key &Key) const {
-  auto Hash = hashOf<claim_hash>(Key.KeyHash);
+  auto Hash = hashOf(Key.KeyHash);
   if (!Hash)
     return nullptr;
   auto Found = Answers.find(*Hash);
--- a/monsoonreel/claim_table.h
+++ b/monsoonreel/claim_table.h
@@ -16,6 +16,9 @@
 // - Any other outcome settles the claim for good, with the answer if there is
 //   one.
 //
+// Answers are the exception: a snapshot holds the newest ones only, so a table
+// that was restored from it may lack some that others still have.
+//
 // Time: each record carries its writer's wall clock. The table's time is the
 // highest that two writers have reached, so that one wrong clock moves nothing.
 // A UUIDv7 key from before the key horizon is expired and can't be claimed;
@@ -29,10 +32,11 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -76,6 +80,9 @@
   std::unique_ptr<std::vector<wire::attempt_id>> Released;
 };
 
+// What a recorded answer counts towards the bounds above.
+size_t recordedBytes(const wire::recorded_answer &Answer);
+
 class claim_table {
 public:
   // Replays the record at Offset; one that was replayed before is ignored.
@@ -115,12 +122,15 @@
     uint64_t Order = 0;
   };
 
+  // Nothing when Bytes is not of a hash's length.
+  static std::optional<claim_hash> hashOf(const std::string &Bytes);
   void replayClaim(const wire::claim_entry &Entry);
   // WallMicros is the writer's clock.
   void replayOutcome(const wire::claim_outcome &Outcome, int64_t WallMicros);
   void release(claim &Claim, const wire::attempt_id &Attempt);
   void keepAnswer(const claim_hash &Hash, const wire::recorded_answer &Answer);
-  void dropOldestAnswer();
+  // Does nothing when there is none.
+  void dropAnswer(const claim_hash &Hash);
 
   // Takes the writer's clock into the table's time and moves the horizons.
   void replayTime(log_offset Offset, const wire::log_record &Record);
@@ -132,12 +142,21 @@
   // A new claim of the key's organisation, or nullptr when there is no room.
   claim *insert(const claim_hash &Hash, const std::string &Organisation,
                 bool TimedKey, int64_t RetainMicros);
+  // Takes a claim whose fields are set into the retention order and the count
+  // of its organisation.
+  void countIn(const claim_hash &Hash, const claim &Claim);
   bool makeRoom(uint32_t Organisation, bool TimedKey);
   void setRetention(const claim_hash &Hash, claim &Claim, bool TimedKey,
                     int64_t RetainMicros);
   retain_order &orderOf(const claim &Claim);
   uint32_t indexOf(const std::string &Organisation);
 
+  // The newest answers that fit into a snapshot.
+  absl::flat_hash_map<claim_hash, const wire::recorded_answer *>
+  answersForSnapshot() const;
+  // Takes a claim over from a snapshot. False when it is not consistent.
+  bool load(const wire::kept_claim &Kept);
+
   log_offset Applied;
   claim_map Claims;
   retain_order TimedOrder;
--- a/monsoonreel/claim_table_memory.cc
+++ b/monsoonreel/claim_table_memory.cc
@@ -3,13 +3,48 @@
 #include "monsoonreel/claim_table.h"
 
 #include <algorithm>
-#include <cstring>
 
 #include "monsoonreel/invariant.h"
 #include "monsoonreel/mechanism.h"
 
 namespace monsoonreel {
 
+namespace {
+
+// Without the key's hash and the answer, which the table keeps beside a claim.
+wire::kept_claim toKept(const claim &Claim) {
+  wire::kept_claim Kept;
+  Kept.Organisation = static_cast<int32_t>(Claim.Organisation);
+  Kept.Holder = Claim.Holder;
+  Kept.BodyHash = Claim.BodyHash;
+  Kept.RetainMicros = Claim.RetainMicros;
+  Kept.TimedKey = Claim.TimedKey;
+  Kept.Held = Claim.Held;
+  if (Claim.Settled)
+    Kept.__set_Outcome(Claim.Outcome);
+  if (Claim.Released)
+    Kept.__set_Released(*Claim.Released);
+  return Kept;
+}
+
+claim fromKept(const wire::kept_claim &Kept) {
+  claim Claim;
+  Claim.Organisation = static_cast<uint32_t>(Kept.Organisation);
+  Claim.Holder = Kept.Holder;
+  Claim.BodyHash = Kept.BodyHash;
+  Claim.RetainMicros = Kept.RetainMicros;
+  Claim.TimedKey = Kept.TimedKey;
+  Claim.Held = Kept.Held;
+  Claim.Settled = Kept.__isset.Outcome;
+  Claim.Outcome = Kept.Outcome;
+  if (Kept.__isset.Released)
+    Claim.Released =
+        std::make_unique<std::vector<wire::attempt_id>>(Kept.Released);
+  return Claim;
+}
+
+} // namespace
+
 void claim_table::replayTime(log_offset Offset,
                              const wire::log_record &Record) {
   const wire::claim_batch &Batch = Record.ClaimBatch;
@@ -62,13 +97,7 @@
   std::pair<int64_t, claim_hash> Place(Claim.RetainMicros, Hash);
   --ClaimsOfOrganisation[Claim.Organisation];
   orderOf(Claim).erase(Place);
-  if (auto Answer = Answers.find(Place.second); Answer != Answers.end()) {
-    const wire::recorded_answer &Recorded = Answer->second.Answer;
-    AnswerBytes -=
-        sizeof(Recorded) + Recorded.Body.size() + Recorded.ContentType.size();
-    AnswerOrder.erase(Answer->second.Order);
-    Answers.erase(Answer);
-  }
+  dropAnswer(Place.second);
   Claims.erase(Found);
 }
 
@@ -82,11 +111,15 @@
   Claim.Organisation = Index;
   Claim.TimedKey = TimedKey;
   Claim.RetainMicros = RetainMicros;
-  ++ClaimsOfOrganisation[Index];
-  orderOf(Claim).emplace(RetainMicros, Hash);
+  countIn(Hash, Claim);
   return &Claim;
 }
 
+void claim_table::countIn(const claim_hash &Hash, const claim &Claim) {
+  ++ClaimsOfOrganisation[Claim.Organisation];
+  orderOf(Claim).emplace(Claim.RetainMicros, Hash);
+}
+
 // Claims of UUIDv7 keys may be forgotten early, because the key horizon then
 // refuses these keys. Others may not.
 bool claim_table::makeRoom(uint32_t Organisation, bool TimedKey) {
@@ -136,39 +169,49 @@
   State.Organisations = Organisations;
   for (const auto &[Incarnation, Writer] : Writers)
     State.Writers.push_back(Writer);
-  // The newest answers first: older ones may not fit.
-  absl::flat_hash_map<claim_hash, const wire::recorded_answer *> Told;
-  size_t Bytes = 0;
-  for (auto It = AnswerOrder.rbegin(); It != AnswerOrder.rend(); ++It) {
-    const wire::recorded_answer &Answer =
-        Answers.find(It->second)->second.Answer;
-    Bytes += sizeof(Answer) + Answer.Body.size() + Answer.ContentType.size();
-    if (Bytes > max_snapshot_answer_bytes)
-      break;
-    Told[It->second] = &Answer;
-  }
+  auto KeptAnswers = answersForSnapshot();
   for (const retain_order *Order : {&TimedOrder, &OpaqueOrder})
     for (const auto &[Retain, Hash] : *Order) {
-      const claim &Claim = Claims.find(Hash)->second;
-      wire::kept_claim Kept;
+      wire::kept_claim Kept = toKept(Claims.find(Hash)->second);
       Kept.KeyHash.assign(Hash.data(), Hash.size());
-      Kept.Organisation = static_cast<int32_t>(Claim.Organisation);
-      Kept.Holder = Claim.Holder;
-      Kept.BodyHash = Claim.BodyHash;
-      Kept.RetainMicros = Claim.RetainMicros;
-      Kept.TimedKey = Claim.TimedKey;
-      Kept.Held = Claim.Held;
-      if (Claim.Settled)
-        Kept.__set_Outcome(Claim.Outcome);
-      if (Claim.Released)
-        Kept.__set_Released(*Claim.Released);
-      if (auto Answer = Told.find(Hash); Answer != Told.end())
+      if (auto Answer = KeptAnswers.find(Hash); Answer != KeptAnswers.end())
         Kept.__set_Answer(*Answer->second);
       State.Claims.push_back(std::move(Kept));
     }
   return State;
 }
 
+absl::flat_hash_map<claim_table::claim_hash, const wire::recorded_answer *>
+claim_table::answersForSnapshot() const {
+  absl::flat_hash_map<claim_hash, const wire::recorded_answer *> Newest;
+  size_t Bytes = 0;
+  for (auto It = AnswerOrder.rbegin(); It != AnswerOrder.rend(); ++It) {
+    const wire::recorded_answer &Answer =
+        Answers.find(It->second)->second.Answer;
+    Bytes += recordedBytes(Answer);
+    if (Bytes > max_snapshot_answer_bytes)
+      break;
+    Newest[It->second] = &Answer;
+  }
+  return Newest;
+}
+
+bool claim_table::load(const wire::kept_claim &Kept) {
+  auto Hash = hashOf(Kept.KeyHash);
+  bool Consistent =
+      Hash && Kept.Organisation >= 0 &&
+      static_cast<size_t>(Kept.Organisation) < Organisations.size();
+  if (!Consistent)
+    return false;
+  auto [Entry, IsNew] = Claims.try_emplace(*Hash, fromKept(Kept));
+  if (!IsNew)
+    return false;
+  countIn(*Hash, Entry->second);
+  if (Kept.__isset.Answer)
+    keepAnswer(*Hash, Kept.Answer);
+  return true;
+}
+
 bool claim_table::restore(log_offset Covers, const wire::claims_state &Snapshot,
                           effect_list &Effects) {
   if (Covers <= Applied || Snapshot.Claims.size() > max_claims ||
@@ -177,33 +220,9 @@
   claim_table Restored;
   for (const std::string &Organisation : Snapshot.Organisations)
     Restored.indexOf(Organisation);
-  for (const wire::kept_claim &Kept : Snapshot.Claims) {
-    claim_hash Hash{};
-    bool Consistent =
-        Kept.KeyHash.size() == Hash.size() && Kept.Organisation >= 0 &&
-        static_cast<size_t>(Kept.Organisation) < Restored.Organisations.size();
-    if (!Consistent)
+  for (const wire::kept_claim &Kept : Snapshot.Claims)
+    if (!Restored.load(Kept))
       return false;
-    std::memcpy(Hash.data(), Kept.KeyHash.data(), Hash.size());
-    claim &Claim = Restored.Claims[Hash];
-    Claim.Organisation = static_cast<uint32_t>(Kept.Organisation);
-    Claim.Holder = Kept.Holder;
-    Claim.BodyHash = Kept.BodyHash;
-    Claim.RetainMicros = Kept.RetainMicros;
-    Claim.TimedKey = Kept.TimedKey;
-    Claim.Held = Kept.Held;
-    Claim.Settled = Kept.__isset.Outcome;
-    Claim.Outcome = Kept.Outcome;
-    if (Kept.__isset.Released)
-      Claim.Released =
-          std::make_unique<std::vector<wire::attempt_id>>(Kept.Released);
-    ++Restored.ClaimsOfOrganisation[Claim.Organisation];
-    Restored.orderOf(Claim).emplace(Claim.RetainMicros, Hash);
-    if (Kept.__isset.Answer)
-      Restored.keepAnswer(Hash, Kept.Answer);
-  }
-  if (Restored.Claims.size() != Snapshot.Claims.size())
-    return false;
   for (const wire::writer_state &Writer : Snapshot.Writers)
     Restored.Writers[Writer.Incarnation] = Writer;
   Restored.TimeMicros = Snapshot.TimeMicros;
--- a/monsoonreel/configuration.cc
+++ b/monsoonreel/configuration.cc
@@ -28,17 +28,9 @@
 
 private:
   void readClass(yaml_map &Map) {
-    service_class Class;
-    Class.Name = class_name(Map.text("name"));
-    Class.Tier = tier{Map.integer("tier", 0, max_tier)};
-    Class.FirstTokenTarget =
-        Map.time("first_token", std::chrono::milliseconds(1), longest_time);
-    Class.BetweenTokensTarget = Map.time("between_tokens", duration::zero(),
-                                         longest_time, duration::zero());
-    Class.Objective = Map.number("objective", 0.0, 1.0, Class.Objective);
-    Class.MinimumShare = Map.number("minimum_share", 0.0, 1.0, 0.0);
-    Class.CheapAllowed = Map.flag("cheap_allowed", false);
-    addUnique(Result.Classes, Class, Map);
+    class_name Name(Map.text("name"));
+    addUnique(Result.Classes,
+              readServiceClass(Map, std::move(Name), "cheap_allowed"), Map);
   }
 
   void readOrganisation(yaml_map &Map) {
--- a/monsoonreel/configuration_values.h
+++ b/monsoonreel/configuration_values.h
@@ -2,10 +2,13 @@
 //
 //   int Tier = Map.integer("tier", 0, max_tier);
 //   upstream_kind Kind = readUpstreamKind(Map);
+//   service_class Class = readServiceClass(Map, Name, "cheap_allowed");
 
 #ifndef MONSOONREEL_CONFIGURATION_VALUES_H
 #define MONSOONREEL_CONFIGURATION_VALUES_H
 
+#include <string>
+
 #include "monsoonreel/configuration.h"
 #include "monsoonreel/yaml_reader.h"
 
@@ -18,10 +21,12 @@
 constexpr double max_rate = 1e6;
 
 // The value of "kind"; engine by default.
-inline upstream_kind readUpstreamKind(yaml_map &Map) {
-  std::string Kind = Map.choice("kind", {"engine", "service"}, "engine");
-  return Kind == "service" ? upstream_kind::Service : upstream_kind::Engine;
-}
+upstream_kind readUpstreamKind(yaml_map &Map);
+
+// The class that Map describes. Its name is read before by the caller, and the
+// two documents name the permission for reclaimable upstreams differently.
+service_class readServiceClass(yaml_map &Map, class_name Name,
+                               const std::string &CheapAllowedKey);
 
 } // namespace monsoonreel
 
--- a/monsoonreel/document_difference.cc
+++ b/monsoonreel/document_difference.cc
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
-#include <xxhash.h>
 
+#include "monsoonreel/hash128.h"
 #include "monsoonreel/mechanism.h"
 
 namespace monsoonreel {
@@ -19,16 +19,6 @@
 // Bytes of a piece beside its text, roughly, in the compact encoding.
 constexpr size_t piece_overhead_bytes = 12;
 
-std::string hashOf(std::string_view Document) {
-  XXH128_canonical_t Canonical;
-  XXH128_canonicalFromHash(&Canonical,
-                           XXH3_128bits(Document.data(), Document.size()));
-  std::string Hash;
-  for (unsigned char Byte : Canonical.digest)
-    Hash.push_back(static_cast<char>(Byte));
-  return Hash;
-}
-
 // Each with its line break, so that they add up to Text.
 std::vector<std::string_view> linesOf(std::string_view Text) {
   std::vector<std::string_view> Lines;
@@ -113,7 +103,7 @@
 wire::document_difference differenceBetween(const std::string &Base,
                                             const std::string &Document) {
   wire::document_difference Difference;
-  Difference.ResultHash = hashOf(Document);
+  Difference.ResultHash = hash128(Document);
   line_index Index(Base);
   std::vector<std::string_view> Wanted = linesOf(Document);
   size_t Expected = 0;
@@ -154,7 +144,7 @@
     Document.append(Base, static_cast<size_t>(Piece.Start), Length);
     Document += Piece.Text;
   }
-  if (hashOf(Document) != Difference.ResultHash &&
+  if (hash128(Document) != Difference.ResultHash &&
       isEnabled(mechanism::DifferenceHash))
     return std::nullopt;
   return Document;
--- a/monsoonreel/entry_node.cc
+++ b/monsoonreel/entry_node.cc
@@ -143,10 +143,10 @@
   Members.onVmList(List, Event.Now);
 }
 
-void entry_node::refreshPeers(const event &Event, effect_list &) {
-  if (Event.Now < NextPeerRefresh)
+void entry_node::refreshPeers(steady_time Now) {
+  if (Now < NextPeerRefresh)
     return;
-  NextPeerRefresh = Event.Now + peer_refresh_period;
+  NextPeerRefresh = Now + peer_refresh_period;
   std::vector<wire::member> Entries = Members.alive(wire::member_role::Entry);
   std::vector<slot_peer> Peers;
   Peers.reserve(Entries.size());
@@ -155,7 +155,7 @@
   Slots.setPeers(std::move(Peers));
   Limits.setEntries(static_cast<int>(Entries.size()));
   Usage.setPeers(followingOrder(usageStewards()), usageHolders(Entries));
-  Members.setOwnLoads(Slots.loads(Event.Now), Event.Now);
+  Members.setOwnLoads(Slots.loads(Now), Now);
   for (incarnation Source : Keeper.sources())
     if (!Members.mayRun(Source))
       Keeper.onSourceDead(Source);
@@ -240,7 +240,7 @@
 
 void entry_node::onEvent(const tick &, const event &Event,
                          effect_list &Effects) {
-  refreshPeers(Event, Effects);
+  refreshPeers(Event.Now);
   Members.onTick(Event.Now, Event.Random, Ledger.applied(), Effects);
   Sync.onTick(Event.Now, Members.highestLedgerOffset(), Effects);
   Claims.onTick(Event.Now, Members, Effects);
--- a/monsoonreel/entry_node.h
+++ b/monsoonreel/entry_node.h
@@ -85,7 +85,7 @@
   // The entries that may hold this one's usage, in order of preference.
   std::vector<wire::member>
   usageHolders(const std::vector<wire::member> &Entries) const;
-  void refreshPeers(const event &Event, effect_list &Effects);
+  void refreshPeers(steady_time Now);
   void checkReadiness(steady_time Now);
   void setGauges(const event &Event, effect_list &Effects);
   void checkDrain(const event &Event, effect_list &Effects);
--- /dev/null
+++ b/monsoonreel/hash128.h
@@ -0,0 +1,21 @@
+// The 128-bit hash that names documents and idempotency keys in messages and
+// records.
+//
+//   std::string Hash = hash128(Document); // 16 bytes
+//
+// XXH3 in its canonical byte order, so that all machines agree. It is not a
+// cryptographic hash: callers' keys for authorization are hashed by SHA-256.
+
+#ifndef MONSOONREEL_HASH128_H
+#define MONSOONREEL_HASH128_H
+
+#include <string>
+#include <string_view>
+
+namespace monsoonreel {
+
+std::string hash128(std::string_view Bytes);
+
+} // namespace monsoonreel
+
+#endif // MONSOONREEL_HASH128_H
--- a/monsoonreel/idempotency_key.cc
+++ b/monsoonreel/idempotency_key.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include <xxhash.h>
+#include "monsoonreel/hash128.h"
 
 namespace monsoonreel {
 
@@ -54,10 +54,7 @@
   Text += ':';
   Text += Organisation.Value;
   Text += Key;
-  XXH128_canonical_t Canonical;
-  XXH128_canonicalFromHash(&Canonical, XXH3_128bits(Text.data(), Text.size()));
-  return std::string(reinterpret_cast<const char *>(Canonical.digest),
-                     sizeof(Canonical.digest));
+  return hash128(Text);
 }
 
 } // namespace
--- a/monsoonreel/ledger.cc
+++ b/monsoonreel/ledger.cc
@@ -160,7 +160,7 @@
   if (Has.UsageClose)
     return replayClose(Record.UsageClose, Change);
   if (Has.UsageReported)
-    return replayReported(Record.UsageReported, Change);
+    return replayReported(Record.UsageReported);
   if (Has.OrderIntent)
     return replayIntent(Record.OrderIntent, Change);
   if (Has.OrderDone)
--- a/monsoonreel/ledger.h
+++ b/monsoonreel/ledger.h
@@ -90,13 +90,11 @@
   std::optional<wire::log_record> Record;
 
   bool ConfigurationChanged = false;
-  bool KeysChanged = false;
   std::vector<key_hash> WithdrawnKeys;
   // Set when a lease was claimed, renewed or released.
   std::optional<wire::lease_state> Lease;
   bool UsageChanged = false;
   std::optional<int64_t> ClosedWindow;
-  std::optional<int64_t> ReportedWindow;
   bool OrdersChanged = false;
 
   bool isValid() const { return Verdict == record_verdict::Valid; }
@@ -201,8 +199,7 @@
   rejection replayUsage(const wire::usage_append &Append,
                         ledger_change &Change);
   rejection replayClose(const wire::usage_close &Close, ledger_change &Change);
-  rejection replayReported(const wire::usage_reported &Reported,
-                           ledger_change &Change);
+  rejection replayReported(const wire::usage_reported &Reported);
   rejection replayIntent(const wire::order_intent &Intent,
                          ledger_change &Change);
   rejection replayDone(const wire::order_done &Done, ledger_change &Change);
--- a/monsoonreel/ledger_keys.cc
+++ b/monsoonreel/ledger_keys.cc
@@ -57,7 +57,6 @@
   key_record Key{Id, organisation_name(Give.Organisation), Hash};
   Keys[Id] = {std::move(Key), false, Change.Offset};
   indexKey(Keys[Id]);
-  Change.KeysChanged = true;
   return std::nullopt;
 }
 
@@ -79,7 +78,6 @@
   Entry.Offset = Change.Offset;
   Withdrawals[Change.Offset] = Id;
   forgetOldWithdrawals();
-  Change.KeysChanged = true;
   return std::nullopt;
 }
 
--- a/monsoonreel/ledger_usage.cc
+++ b/monsoonreel/ledger_usage.cc
@@ -140,13 +140,11 @@
   return std::nullopt;
 }
 
-ledger::rejection ledger::replayReported(const wire::usage_reported &Reported,
-                                         ledger_change &Change) {
+ledger::rejection ledger::replayReported(const wire::usage_reported &Reported) {
   if (Windows.empty() || Windows.front().Window != Reported.Window)
     return "window " + std::to_string(Reported.Window) +
            " is not the first one without a report";
   Windows.erase(Windows.begin());
-  Change.ReportedWindow = Reported.Window;
   return std::nullopt;
 }
 
--- a/monsoonreel/questionnaire.cc
+++ b/monsoonreel/questionnaire.cc
@@ -115,17 +115,9 @@
   }
 
   service_class readClass(yaml_map &Map) {
-    service_class Class;
-    Class.Name = class_name(readNewName(Map, RequestNames));
-    Class.Tier = tier{Map.integer("tier", 0, max_tier)};
-    Class.FirstTokenTarget =
-        Map.time("first_token", std::chrono::milliseconds(1), longest_time);
-    Class.BetweenTokensTarget = Map.time("between_tokens", duration::zero(),
-                                         longest_time, duration::zero());
-    Class.Objective = Map.number("objective", 0.0, 1.0, Class.Objective);
-    Class.MinimumShare = Map.number("minimum_share", 0.0, 1.0, 0.0);
-    Class.CheapAllowed = Map.flag("on_upstreams_that_may_vanish", false);
-    return Class;
+    class_name Name(readNewName(Map, RequestNames));
+    return readServiceClass(Map, std::move(Name),
+                            "on_upstreams_that_may_vanish");
   }
 
   std::string readPath(yaml_map &Map, const pool_offer &Offer) {
