--- a/monsoonreel/claim_table.cc
+++ b/monsoonreel/claim_table.cc
@@ -122,6 +122,7 @@
 
 void claim_table::keepAnswer(const claim_hash &Hash,
                              const wire::recorded_answer &Answer) {
+  dropAnswer(Hash);
   kept_answer Kept{Answer, NextAnswer++};
   AnswerOrder[Kept.Order] = Hash;
   AnswerBytes += recordedBytes(Answer);
--- a/monsoonreel/testing/claim_table_test.cc
+++ b/monsoonreel/testing/claim_table_test.cc
@@ -236,6 +236,27 @@
   EXPECT_FALSE(Copy.restore(log_offset{1}, wire::claims_state(), Effects));
 }
 
+TEST_F(claim_table_test, SnapshotAnswer_WithoutOutcome_GivesWayToTheSettled) {
+  wire::recorded_answer Large;
+  Large.Body = std::string(max_answer_bytes / 4, 'x');
+  claim(claimOf(Key, attempt(1)));
+  wire::claims_state State = Table.state();
+  State.Claims[0].__set_Answer(Large);
+  ASSERT_TRUE(Table.restore(log_offset{++Offset}, State, Effects));
+  for (const char *Name : {"", "b", "c", "d", "e"}) {
+    wire::claim_key Next = *Name == 0 ? Key : keyOf(Name);
+    claim(claimOf(Next, attempt(1)));
+    wire::claim_outcome Outcome =
+        outcomeOf(Next, attempt(1), wire::run_outcome::Run);
+    Outcome.__set_Answer(Large);
+    settle(Outcome);
+    EXPECT_NE(Table.findAnswer(Next), nullptr) << Name;
+  }
+  // Three of them fit, and the newest are kept.
+  EXPECT_EQ(Table.findAnswer(Key), nullptr);
+  EXPECT_NE(Table.findAnswer(keyOf("c")), nullptr);
+}
+
 TEST_F(claim_table_test, HostileRecords_ChangeNothing) {
   wire::claim_key Short;
   Short.KeyHash = "short";
