Stand-ins: the end of main once, order ids as a set

Three mains ended in the same lines (listen, message, event loop); runStandin has them. The value beside each id of an order was never read. The lines of flags that two mains share stay: the defaults differ, and shared flags would hide from a reader what a program takes.

--- a/standins/engine_main.cc
+++ b/standins/engine_main.cc
@@ -3,7 +3,6 @@
 //   standin-engine --port 8001 --control_port 9001
 
 #include <cstdint>
-#include <cstdio>
 #include <string>
 
 #include <QCoreApplication>
@@ -38,10 +37,8 @@
   Costs.CacheTokens = absl::GetFlag(FLAGS_cache_tokens);
   Costs.LoadLag = std::chrono::milliseconds(absl::GetFlag(FLAGS_load_lag_ms));
   standin::engine_server Server(Costs);
-  if (!Server.listen(absl::GetFlag(FLAGS_ip), absl::GetFlag(FLAGS_port),
-                     absl::GetFlag(FLAGS_control_port))) {
-    std::fprintf(stderr, "standin-engine: cannot listen\n");
-    return 1;
-  }
-  return QCoreApplication::exec();
+  return standin::runStandin("standin-engine",
+                             Server.listen(absl::GetFlag(FLAGS_ip),
+                                           absl::GetFlag(FLAGS_port),
+                                           absl::GetFlag(FLAGS_control_port)));
 }
--- a/standins/http_standin.cc
+++ b/standins/http_standin.cc
@@ -1,5 +1,7 @@
 #include "standins/http_standin.h"
 
+#include <cstdio>
+
 #include <QCoreApplication>
 #include <QHostAddress>
 #include <QHttpServerRequest>
@@ -314,4 +316,11 @@
                    Server->port().Port);
 }
 
+int runStandin(const char *Program, bool Listening) {
+  if (Listening)
+    return QCoreApplication::exec();
+  std::fprintf(stderr, "%s: cannot listen\n", Program);
+  return 1;
+}
+
 } // namespace monsoonreel::standin
--- a/standins/http_standin.h
+++ b/standins/http_standin.h
@@ -129,6 +129,10 @@
   callback Callback;
 };
 
+// The end of a stand-in's main: runs the event loop if its server listens.
+// Returns the exit status of Program.
+int runStandin(const char *Program, bool Listening);
+
 class http_standin {
 public:
   http_standin(http_handler Handler, records_source Records);
--- a/standins/platform_main.cc
+++ b/standins/platform_main.cc
@@ -78,10 +78,7 @@
     return 1;
   }
   standin::platform_server Server(std::move(Settings));
-  if (!Server.listen(absl::GetFlag(FLAGS_ip), Ports,
-                     absl::GetFlag(FLAGS_control_port))) {
-    std::fprintf(stderr, "standin-platform: cannot listen\n");
-    return 1;
-  }
-  return QCoreApplication::exec();
+  return standin::runStandin("standin-platform",
+                             Server.listen(absl::GetFlag(FLAGS_ip), Ports,
+                                           absl::GetFlag(FLAGS_control_port)));
 }
--- a/standins/platform_records.cc
+++ b/standins/platform_records.cc
@@ -29,7 +29,7 @@
       return acceptance::OldFence;
   }
   Highest = std::max(Highest, Order.Fence);
-  if (!Ids.emplace(Order.OrderId, Effective.size()).second) {
+  if (!Ids.insert(Order.OrderId).second) {
     ++Repeats;
     return acceptance::Repeated;
   }
--- a/standins/platform_records.h
+++ b/standins/platform_records.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,7 +75,7 @@
 private:
   bool ChecksFence;
   std::map<std::string, int64_t> HighestFence; // by zone
-  std::map<std::string, size_t> Ids;
+  std::set<std::string> Ids;                   // of the effective orders
   std::vector<upstream_order> Effective;
   int64_t Repeats = 0;
   int64_t OldFences = 0;
--- a/standins/service_main.cc
+++ b/standins/service_main.cc
@@ -3,7 +3,6 @@
 //   standin-service --port 8101 --control_port 9101
 
 #include <cstdint>
-#include <cstdio>
 #include <string>
 
 #include <QCoreApplication>
@@ -29,10 +28,8 @@
   Costs.ServiceTime =
       std::chrono::milliseconds(absl::GetFlag(FLAGS_service_ms));
   standin::service_server Server(Costs);
-  if (!Server.listen(absl::GetFlag(FLAGS_ip), absl::GetFlag(FLAGS_port),
-                     absl::GetFlag(FLAGS_control_port))) {
-    std::fprintf(stderr, "standin-service: cannot listen\n");
-    return 1;
-  }
-  return QCoreApplication::exec();
+  return standin::runStandin("standin-service",
+                             Server.listen(absl::GetFlag(FLAGS_ip),
+                                           absl::GetFlag(FLAGS_port),
+                                           absl::GetFlag(FLAGS_control_port)));
 }
