Fault matrix: logic that stood twice once, unused members gone

Reports and orders go through one callPlatform; a drained process stops by the same function as a killed one; one function makes cells without planned faults (it stood four times); one picks an upstream. Removed, for nothing read them: process::ConfigOffset, fake_upstream::Running, fake_platform::orderCount. EntryDied is Disconnected, for it is set as well for a caller that left, whom the outcomes counted as of a dead entry. The example of caller_record names functions that exist, and steps.h says where steps are named.

--- a/fault_matrix/caller_record.cc
+++ b/fault_matrix/caller_record.cc
@@ -42,7 +42,7 @@
       Add("an answer was both cut and completed");
     if (Request.FinalAnswers > 1)
       Add("got more than one answer");
-    if (Request.FinalAnswers == 0 && !Request.EntryDied)
+    if (Request.FinalAnswers == 0 && !Request.Disconnected)
       Add("got no answer");
   }
 }
--- a/fault_matrix/caller_record.h
+++ b/fault_matrix/caller_record.h
@@ -1,8 +1,8 @@
 // What callers sent and what they were told, and the judgement of it.
 //
 //   caller_record Callers;
-//   Callers.sent(Number, Request);
-//   Callers.received(Number, Effect);
+//   size_t Number = Callers.add(Request);
+//   Callers.at(Number).Received += Data;
 //   Callers.judge(Executions, Findings);
 
 #ifndef MONSOONREEL_FAULT_MATRIX_CALLER_RECORD_H
@@ -35,8 +35,8 @@
   bool Begun = false;
   bool Finished = false;
   bool Aborted = false;
-  int FinalAnswers = 0; // must become 1, or 0 when the entry died
-  bool EntryDied = false;
+  int FinalAnswers = 0;      // must become 1, or 0 when Disconnected
+  bool Disconnected = false; // the caller left, or its entry died
   std::optional<refuse_request> Refusal;
 };
 
--- a/fault_matrix/fake_platform.h
+++ b/fault_matrix/fake_platform.h
@@ -40,7 +40,6 @@
   const std::map<int64_t, std::vector<wire::usage_increment>> &reports() const {
     return Reports;
   }
-  size_t orderCount() const { return OrderIds.size(); }
   log_offset end(const std::string &Stream) const;
   const log_reference &reference() const { return Reference; }
   // Each of the brief's promises on reports and orders that was broken.
--- a/fault_matrix/fake_upstreams.h
+++ b/fault_matrix/fake_upstreams.h
@@ -23,8 +23,6 @@
   bool Cheap = false;
   bool Leaving = false;
   duration RefusesUntil{};
-  // Attempts that run here; an attempt that is not in it gets no more events.
-  int Running = 0;
   // Grows with each crash and each loss of the open connections.
   int Generation = 0;
 };
--- a/fault_matrix/matrix.cc
+++ b/fault_matrix/matrix.cc
@@ -124,6 +124,14 @@
   return Cells;
 }
 
+std::vector<matrix_cell> faultlessCells(uint64_t First, size_t Count) {
+  std::vector<matrix_cell> Cells;
+  Cells.reserve(Count);
+  for (uint64_t Seed = First; Seed < First + Count; ++Seed)
+    Cells.push_back({{}, Seed});
+  return Cells;
+}
+
 std::vector<matrix_cell> pairCells(size_t Count, uint64_t Seed) {
   std::vector<matrix_cell> Singles = singleCells();
   std::mt19937_64 Random(Seed);
@@ -172,10 +180,8 @@
 
 matrix_report runRandom(uint64_t First, int Count, duration Length,
                         duration FaultPeriod, int Threads) {
-  std::vector<matrix_cell> Cells;
-  Cells.reserve(static_cast<size_t>(Count));
-  for (int Number = 0; Number < Count; ++Number)
-    Cells.push_back({{}, First + static_cast<uint64_t>(Number)});
+  std::vector<matrix_cell> Cells =
+      faultlessCells(First, static_cast<size_t>(Count));
   world_options Options;
   Options.Length = Length;
   Options.RandomFaultPeriod = FaultPeriod;
--- a/fault_matrix/matrix.h
+++ b/fault_matrix/matrix.h
@@ -44,6 +44,8 @@
 
 // Each fault at the first and a later occurrence of each step.
 std::vector<matrix_cell> singleCells();
+// Cells without planned faults, of the seeds First to First + Count - 1.
+std::vector<matrix_cell> faultlessCells(uint64_t First, size_t Count);
 // Count pairs, drawn from Seed.
 std::vector<matrix_cell> pairCells(size_t Count, uint64_t Seed);
 
--- a/fault_matrix/mutations.cc
+++ b/fault_matrix/mutations.cc
@@ -6,12 +6,12 @@
 
 namespace {
 
-constexpr uint64_t calm_seeds = 4;
+constexpr size_t calm_seeds = 4;
 // Of the cells that fit. A mutation that no run has to notice gets a few cells
 // only, for the table.
 constexpr size_t most_fitting_cells = 80;
 constexpr size_t most_unexpected_cells = 16;
-constexpr uint64_t random_seeds = 16;
+constexpr size_t random_seeds = 16;
 constexpr duration random_length = std::chrono::seconds(100);
 constexpr duration random_fault_period = std::chrono::seconds(10);
 
@@ -133,13 +133,6 @@
 
 #undef MONSOONREEL_MUTATION
 
-std::vector<matrix_cell> calmCells() {
-  std::vector<matrix_cell> Cells;
-  for (uint64_t Seed = 1; Seed <= calm_seeds; ++Seed)
-    Cells.push_back({{}, Seed});
-  return Cells;
-}
-
 bool fits(const mutation &Mutation, const planned_fault &Planned) {
   std::string Step = Mutation.Step;
   return (Step.empty() || Planned.Step == Step) &&
@@ -164,13 +157,6 @@
   return Cells;
 }
 
-std::vector<matrix_cell> randomCells() {
-  std::vector<matrix_cell> Cells;
-  for (uint64_t Seed = 1; Seed <= random_seeds; ++Seed)
-    Cells.push_back({{}, Seed});
-  return Cells;
-}
-
 world_options randomOptions() {
   world_options Options;
   Options.Length = random_length;
@@ -202,10 +188,10 @@
 
 mutation_result runMutation(const mutation &Mutation, int Threads) {
   mutation_result Result{Mutation, std::nullopt, false};
-  tryCells(calmCells(), world_options(), Threads, Result);
+  tryCells(faultlessCells(1, calm_seeds), world_options(), Threads, Result);
   tryCells(fittingCells(Mutation), world_options(), Threads, Result);
   if (Mutation.CaughtByMatrix)
-    tryCells(randomCells(), randomOptions(), Threads, Result);
+    tryCells(faultlessCells(1, random_seeds), randomOptions(), Threads, Result);
   return Result;
 }
 
--- a/fault_matrix/steps.h
+++ b/fault_matrix/steps.h
@@ -1,9 +1,8 @@
 // The steps of the system's protocols, and the faults that can strike them.
 //
 // A step is one transmission of one kind: a message between processes, a call
-// to the platform or its answer, an attempt at an upstream or its answer. The
-// list of steps is made from the message and record types themselves, so a new
-// type gets every fault without a line here.
+// to the platform or its answer, an attempt at an upstream or its answer. Each
+// message and record type is named in steps.cc and then gets every fault.
 
 #ifndef MONSOONREEL_FAULT_MATRIX_STEPS_H
 #define MONSOONREEL_FAULT_MATRIX_STEPS_H
--- a/fault_matrix/testing/matrix_test.cc
+++ b/fault_matrix/testing/matrix_test.cc
@@ -21,14 +21,6 @@
     return Cells;
   }
 
-  // Runs without a fault.
-  static std::vector<matrix_cell> undisturbed(uint64_t Seeds) {
-    std::vector<matrix_cell> Cells;
-    for (uint64_t Seed = 1; Seed <= Seeds; ++Seed)
-      Cells.push_back({{}, Seed});
-    return Cells;
-  }
-
   static std::vector<matrix_cell> cellsOf(fault Fault) {
     std::vector<matrix_cell> Cells;
     for (const step_name &Step : allSteps())
@@ -38,7 +30,7 @@
 };
 
 TEST_F(matrix_test, Site_NoFault_KeepsEveryPromise) {
-  matrix_report Report = runMatrix(undisturbed(8), Threads);
+  matrix_report Report = runMatrix(faultlessCells(1, 8), Threads);
   EXPECT_EQ(Report.Failed, 0) << Report.toString();
   EXPECT_EQ(Report.Passed, 8);
 }
@@ -60,7 +52,7 @@
 
 TEST_F(matrix_test, Claims_WithoutClaimBeforeDispatch_AreCaught) {
   disabled_mechanism Off(mechanism::ClaimBeforeDispatch);
-  EXPECT_GT(runMatrix(undisturbed(8), Threads).Failed, 0);
+  EXPECT_GT(runMatrix(faultlessCells(1, 8), Threads).Failed, 0);
 }
 
 TEST_F(matrix_test, Retries_WithoutRetryOnlyIdempotent_AreCaught) {
@@ -70,7 +62,7 @@
 
 TEST_F(matrix_test, Drain_WithoutWaiting_IsCaught) {
   disabled_mechanism Off(mechanism::DrainWaits);
-  EXPECT_GT(runMatrix(undisturbed(8), Threads).Failed, 0);
+  EXPECT_GT(runMatrix(faultlessCells(1, 8), Threads).Failed, 0);
 }
 
 } // namespace
--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -89,7 +89,6 @@
   Process.Backlog.clear();
   Process.CallerOf.clear();
   Process.Attempts.clear();
-  Process.ConfigOffset = 0;
   wall_time Start(duration(wall_epoch_micros) + Time.now());
   Process.Identity.Incarnation = makeIncarnation(Process.Identity.Name, Start);
   std::vector<address> Seeds;
@@ -112,10 +111,14 @@
     return;
   Disturbed = true;
   UsageMayBeLost = true;
+  for (const auto &[Request, Number] : Process.CallerOf)
+    Callers.at(Number).Disconnected = true;
+  stop(Process);
+}
+
+void world::stop(process &Process) {
   Process.Up = false;
   ++Process.Life;
-  for (const auto &[Request, Number] : Process.CallerOf)
-    Callers.at(Number).EntryDied = true;
   Time.after(restart_time, [this, &Process] {
     if (!Process.Up)
       start(Process);
@@ -200,7 +203,7 @@
 std::map<std::string, int> world::outcomes() const {
   std::map<std::string, int> Counts;
   for (const caller_request &Request : Callers.all()) {
-    std::string Name = "entry-died";
+    std::string Name = "disconnected";
     if (Request.Finished)
       Name = "answered";
     else if (Request.Refusal)
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -102,7 +102,6 @@
     duration SteadyOffset{};
     int64_t SteadyDrift = 0; // in parts of a million
     duration WallOffset{};
-    int64_t ConfigOffset = 0;
     std::map<request_id, size_t> CallerOf;
     // Attempts with a live connection.
     std::map<attempt_number, connection> Attempts;
@@ -126,6 +125,8 @@
   void addProcess(bool IsEntry, int Zone, int Number);
   void start(process &Process);
   void kill(process &Process);
+  // Ends the process, which starts again after `restart_time`.
+  void stop(process &Process);
   void freeze(process &Process);
   void scheduleTick(process &Process, int Life);
   void scheduleRetention();
@@ -153,6 +154,11 @@
   void carryOut(process &Process, const drain_finished &Effect);
   template <typename Other> void carryOut(process &, const Other &) {}
   void answerRead(process &Process, const read_log &Effect, int Life);
+  // A report or an order: steps Kind/call, which runs TakeEffect, and
+  // Kind/answer, which delivers Answer.
+  void callPlatform(process &Process, const std::string &Kind,
+                    const virtual_time::action &TakeEffect,
+                    const event_body &Answer);
   void runAttempt(process &Process, const dispatch_attempt &Effect, int Life);
   void sendChunk(process &Process, const dispatch_attempt &Effect, int Life,
                  int Generation, int Index);
@@ -179,7 +185,8 @@
   void cutLog(int Zone);
   void strikeRandomly();
   void crashUpstream();
-  void silenceUpstreams();
+  void silenceUpstream();
+  std::map<std::string, fake_upstream>::iterator pickUpstream();
   void reclaimZone(int Zone);
   void healEverything();
 
--- a/fault_matrix/world_effects.cc
+++ b/fault_matrix/world_effects.cc
@@ -125,44 +125,37 @@
   return LogCut.contains(Process.Zone);
 }
 
-void world::carryOut(process &Process, const send_usage_report &Effect) {
+void world::callPlatform(process &Process, const std::string &Kind,
+                         const virtual_time::action &TakeEffect,
+                         const event_body &Answer) {
   if (isCutFromPlatform(Process))
     return;
   int Life = Process.Life;
-  transmission Request{"report/call", &Process, nullptr, callDelay(Process)};
+  transmission Call{Kind + "/call", &Process, nullptr, callDelay(Process)};
   auto Silent = std::make_shared<bool>(false);
-  fault_effect Struck =
-      transmit(Request, [this, &Process, Effect, Life, Silent] {
-        Platform.report(Effect);
-        if (*Silent || isUnanswered(Process))
-          return;
-        transmission Answer{"report/answer", nullptr, &Process, platform_delay};
-        transmit(Answer, [this, &Process, Effect, Life] {
-          if (Process.Life == Life)
-            deliver(Process, usage_report_answered{Effect.Window, {}});
-        });
-      });
+  fault_effect Struck = transmit(Call, [=, this, &Process] {
+    TakeEffect();
+    if (*Silent || isUnanswered(Process))
+      return;
+    transmission Back{Kind + "/answer", nullptr, &Process, platform_delay};
+    transmit(Back, [this, &Process, Answer, Life] {
+      if (Process.Life == Life)
+        deliver(Process, Answer);
+    });
+  });
   *Silent = Struck.AnswerLost;
 }
 
+void world::carryOut(process &Process, const send_usage_report &Effect) {
+  callPlatform(
+      Process, "report", [this, Effect] { Platform.report(Effect); },
+      usage_report_answered{Effect.Window, {}});
+}
+
 void world::carryOut(process &Process, const send_order &Effect) {
-  if (isCutFromPlatform(Process))
-    return;
-  int Life = Process.Life;
-  transmission Request{"order/call", &Process, nullptr, callDelay(Process)};
-  auto Silent = std::make_shared<bool>(false);
-  fault_effect Struck =
-      transmit(Request, [this, &Process, Effect, Life, Silent] {
-        Platform.order(Effect.Intent);
-        if (*Silent || isUnanswered(Process))
-          return;
-        transmission Answer{"order/answer", nullptr, &Process, platform_delay};
-        transmit(Answer, [this, &Process, Effect, Life] {
-          if (Process.Life == Life)
-            deliver(Process, order_answered{Effect.Intent.OrderId, {}});
-        });
-      });
-  *Silent = Struck.AnswerLost;
+  callPlatform(
+      Process, "order", [this, Effect] { Platform.order(Effect.Intent); },
+      order_answered{Effect.Intent.OrderId, {}});
 }
 
 // ---------------------------------------------------------------- upstreams
@@ -359,17 +352,12 @@
 
 void world::carryOut(process &Process, const drain_finished &) {
   auto Waits = [&](const auto &Entry) {
-    return !Callers.at(Entry.second).EntryDied;
+    return !Callers.at(Entry.second).Disconnected;
   };
   if (std::any_of(Process.CallerOf.begin(), Process.CallerOf.end(), Waits))
     Findings.push_back(Process.Identity.Name.Value +
                        " ended its drain while callers waited");
-  Process.Up = false;
-  ++Process.Life;
-  Time.after(restart_time, [this, &Process] {
-    if (!Process.Up)
-      start(Process);
-  });
+  stop(Process);
 }
 
 } // namespace monsoonreel::fault_matrix
--- a/fault_matrix/world_faults.cc
+++ b/fault_matrix/world_faults.cc
@@ -109,7 +109,7 @@
     crashUpstream();
     break;
   case fault::UpstreamSilent:
-    silenceUpstreams();
+    silenceUpstream();
     break;
   case fault::ZoneReclaimed:
     reclaimZone(Either->Zone);
@@ -150,9 +150,14 @@
   });
 }
 
-void world::crashUpstream() {
+std::map<std::string, fake_upstream>::iterator world::pickUpstream() {
   auto Place = Upstreams.begin();
   std::advance(Place, static_cast<long>(draw() % Upstreams.size()));
+  return Place;
+}
+
+void world::crashUpstream() {
+  auto Place = pickUpstream();
   Place->second.RefusesUntil = Time.now() + refusal_time;
   ++Place->second.Generation;
   // The connections of what it ran are closed.
@@ -169,11 +174,7 @@
   }
 }
 
-void world::silenceUpstreams() {
-  auto Place = Upstreams.begin();
-  std::advance(Place, static_cast<long>(draw() % Upstreams.size()));
-  ++Place->second.Generation;
-}
+void world::silenceUpstream() { ++pickUpstream()->second.Generation; }
 
 void world::reclaimZone(int Zone) {
   for (auto &[Name, Found] : Upstreams) {
--- a/fault_matrix/world_traffic.cc
+++ b/fault_matrix/world_traffic.cc
@@ -286,7 +286,7 @@
       if (Entry->Life != Life || !Entry->CallerOf.contains(Arrived.Request))
         return;
       ++CallersGone;
-      Callers.at(Number).EntryDied = true;
+      Callers.at(Number).Disconnected = true;
       deliver(*Entry, caller_gone{Arrived.Request});
     });
   }
