Tests: unused parts of the fakes gone, heartbeats with their sender set

Nothing read fake_engine::Name, site_result's Organisations, Messages and MessageBytes (for which each message was encoded), member_network::size, claim_site::has and metering_entry::keeper. Two tests filled the optional Sender of a heartbeat without setting it, a message that can't come by wire. Claims tests ask for the one run of a request in one place.

--- a/monsoonreel/testing/claim_site.h
+++ b/monsoonreel/testing/claim_site.h
@@ -146,9 +146,6 @@
   }
   size_t appends() const { return Log.size(); }
   std::mt19937_64 &random() { return Random; }
-  bool has(const std::string &Name) const {
-    return Entries.contains(Name) || Stewards.contains(Name);
-  }
 
 private:
   struct entry {
--- a/monsoonreel/testing/claims_test.cc
+++ b/monsoonreel/testing/claims_test.cc
@@ -42,14 +42,19 @@
     return Site.executions("k");
   }
 
+  // Request was dispatched, and no other one of the key "k" ran.
+  void expectOnlyRun(request_id Request) {
+    EXPECT_EQ(Site.decision(Request), claim_decision::Dispatch);
+    EXPECT_EQ(Site.executions("k"), 1);
+  }
+
   claim_site Site{3, 2, 1};
 };
 
 TEST_F(claims_test, Request_FirstOfItsKey_RunsOnceAndIsSettled) {
   request_id Request = Site.ask("e0", "k");
   Site.run(seconds(2));
-  EXPECT_EQ(Site.decision(Request), claim_decision::Dispatch);
-  EXPECT_EQ(Site.executions("k"), 1);
+  expectOnlyRun(Request);
   EXPECT_TRUE(Site.client("e0").isIdle());
 }
 
@@ -94,8 +99,7 @@
   Site.Faults.UpstreamNeverReached = 0.0;
   request_id Repeat = Site.ask("e1", "k");
   Site.run(seconds(1));
-  EXPECT_EQ(Site.decision(Repeat), claim_decision::Dispatch);
-  EXPECT_EQ(Site.executions("k"), 1);
+  expectOnlyRun(Repeat);
 }
 
 TEST_F(claims_test, TwoDesks_RacingForOneKey_RunItOnce) {
@@ -111,8 +115,7 @@
   Site.Faults.LoseAppendAnswer = 1.0;
   request_id Request = Site.ask("e0", "k");
   Site.run(seconds(3));
-  EXPECT_EQ(Site.decision(Request), claim_decision::Dispatch);
-  EXPECT_EQ(Site.executions("k"), 1);
+  expectOnlyRun(Request);
 }
 
 TEST_F(claims_test, FirstDeskKilled_OtherDeskIsAsked_SameAttemptWins) {
@@ -121,8 +124,7 @@
   Site.run(milliseconds(60));
   Site.kill(Site.desk("s0").waitingAsks() > 0 ? "s0" : "s1");
   Site.run(seconds(3));
-  EXPECT_EQ(Site.decision(Request), claim_decision::Dispatch);
-  EXPECT_EQ(Site.executions("k"), 1);
+  expectOnlyRun(Request);
 }
 
 TEST_F(claims_test, LogDown_RequestIsRefusedAsNotRun_AndRunsLater) {
@@ -137,8 +139,7 @@
   Site.run(seconds(15));
   request_id Repeat = Site.ask("e1", "k");
   Site.run(seconds(3));
-  EXPECT_EQ(Site.decision(Repeat), claim_decision::Dispatch);
-  EXPECT_EQ(Site.executions("k"), 1);
+  expectOnlyRun(Repeat);
 }
 
 TEST_F(claims_test, AnswerAfterTheDeadline_RequestIsNeverDispatched) {
--- a/monsoonreel/testing/entry_node_test.cc
+++ b/monsoonreel/testing/entry_node_test.cc
@@ -236,13 +236,15 @@
 
 // What is metered is not lost to a zone whose stewards have all died.
 TEST_F(entry_node_test, Usage_NoStewardInOwnZone_IsOfferedToAnotherZone) {
+  wire::member Steward;
+  Steward.Name = "steward-2";
+  Steward.Role = wire::member_role::Steward;
+  Steward.Zone = "south";
+  Steward.Address = "10.0.2.1:7101";
+  Steward.Incarnation = 2;
+  Steward.State = wire::member_state::Alive;
   wire::heartbeat Heartbeat;
-  Heartbeat.Sender.Name = "steward-2";
-  Heartbeat.Sender.Role = wire::member_role::Steward;
-  Heartbeat.Sender.Zone = "south";
-  Heartbeat.Sender.Address = "10.0.2.1:7101";
-  Heartbeat.Sender.Incarnation = 2;
-  Heartbeat.Sender.State = wire::member_state::Alive;
+  Heartbeat.__set_Sender(Steward);
   send(peer_message_received{node_name("steward-2"), address("10.0.2.1:7101"),
                              Heartbeat});
   pass(std::chrono::seconds(1));
--- a/monsoonreel/testing/fake_engine.h
+++ b/monsoonreel/testing/fake_engine.h
@@ -2,7 +2,7 @@
 // after the other, tokens that come slower in a larger batch, a queue by
 // priority.
 //
-//   fake_engine Engine("e1", 16, After);
+//   fake_engine Engine(16, After);
 //   Engine.start(Id, {.Priority = 0, .PromptTokens = 500, .OutputTokens = 80},
 //                OnFirst, OnEnd);
 
@@ -12,7 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <string>
+#include <utility>
 
 #include "monsoonreel/types.h"
 
@@ -38,8 +38,7 @@
   // Called with the tokens that were made.
   using end_handler = std::function<void(int)>;
 
-  fake_engine(std::string Name, int Batch, timer After)
-      : Name(std::move(Name)), Batch(Batch), After(std::move(After)) {}
+  fake_engine(int Batch, timer After) : Batch(Batch), After(std::move(After)) {}
 
   void start(int64_t Id, const engine_work &Work, steady_time Now,
              first_handler OnFirst, end_handler OnEnd);
@@ -64,7 +63,6 @@
   void run(int64_t Id, job &Job);
   duration gap() const;
 
-  std::string Name;
   int Batch;
   timer After;
   double Slowness = 1;
--- a/monsoonreel/testing/fake_site.cc
+++ b/monsoonreel/testing/fake_site.cc
@@ -129,8 +129,7 @@
                      address(std::to_string(I)), zone_name("norte")});
   for (const auto &[Name, Member] : Configuration.Upstreams)
     Engines[Name.Value] = std::make_unique<fake_engine>(
-        Name.Value, Options.Concurrency,
-        [this](duration Delay, std::function<void()> Run) {
+        Options.Concurrency, [this](duration Delay, std::function<void()> Run) {
           after(Delay, std::move(Run));
         });
   for (const slot_peer &Peer : Peers) {
@@ -269,9 +268,6 @@
                          const slot_outcome_list &Outcomes) {
   for (effect &Effect : Effects) {
     if (auto *Send = std::get_if<send_message>(&Effect)) {
-      ++Result.Messages;
-      Result.MessageBytes +=
-          static_cast<int64_t>(encodeMessage(Send->Message).size());
       entry *To = Entries[std::stoul(Send->ToAddress.Value)].get();
       after(Options.NetworkDelay,
             [this, To, From = Entry.Peer, Message = std::move(Send->Message)] {
@@ -419,7 +415,6 @@
 void fake_site::count(const request &Request,
                       const std::function<void(served_count &)> &Change) {
   Change(Result.Classes[Request.Slot.Class.Value]);
-  Change(Result.Organisations[Request.Slot.Organisation.Value]);
   Change(Result.Pairs[{Request.Slot.Class.Value,
                        Request.Slot.Organisation.Value}]);
 }
--- a/monsoonreel/testing/fake_site.h
+++ b/monsoonreel/testing/fake_site.h
@@ -63,14 +63,11 @@
 
 struct site_result {
   std::map<std::string, served_count> Classes;
-  std::map<std::string, served_count> Organisations;
   std::map<std::pair<std::string, std::string>, served_count> Pairs;
   duration Length{};
   int64_t TokensMade = 0;
   int64_t TokensWasted = 0; // made for nobody
   int Breaches = 0;
-  int64_t Messages = 0;
-  int64_t MessageBytes = 0;
   // Requests that met their targets, per second.
   double goodput() const;
   // The least attainment of an organisation relative to the mean of its class.
--- a/monsoonreel/testing/member_network.h
+++ b/monsoonreel/testing/member_network.h
@@ -109,7 +109,6 @@
   size_t bytesReceivedBy(const std::string &Name) {
     return ReceivedBytes[Name];
   }
-  size_t size() const { return Nodes.size(); }
 
 private:
   struct message_on_way {
--- a/monsoonreel/testing/membership_test.cc
+++ b/monsoonreel/testing/membership_test.cc
@@ -199,7 +199,7 @@
 TEST_F(membership_test, HostileGossip_ManyMembers_StaysBounded) {
   startZones(2);
   wire::heartbeat Beat;
-  Beat.Sender = Network.node("e1").self();
+  Beat.__set_Sender(Network.node("e1").self());
   for (size_t Index = 0; Index < 2 * max_members; ++Index) {
     wire::member Member = Beat.Sender;
     Member.Name = "x" + std::to_string(Index);
--- a/monsoonreel/testing/steward_site.h
+++ b/monsoonreel/testing/steward_site.h
@@ -40,7 +40,6 @@
 
   const ledger &operatorState() const { return Operator; }
   usage_meter &meter() { return Meter; }
-  const usage_keeper &keeper() const { return Keeper; }
 
 private:
   void onTick(const event &Event, effect_list &Effects);
