Matrix: runs depend on their seed alone, and zones have to find each other

Cause: a queue's running slots, and an entry's asks and held slots, are walked through, and stood in hash maps whose order depends on the process. Change: ordered maps there; at the end every node has to hold every node live. request_queue::forEach had no caller and is gone. Ruled out: sorting the expired slots alone (tried by a reader, not enough); expecting less of the mutation.

--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -210,6 +210,7 @@
   void judge();
   void judgeUsage();
   void judgeNodes();
+  void judgeMembership();
   void judgeLeases();
 
   uint64_t draw() { return Random(); }
--- a/fault_matrix/world_judge.cc
+++ b/fault_matrix/world_judge.cc
@@ -14,6 +14,7 @@
   for (const std::string &Finding : Platform.findings())
     Findings.push_back(Finding);
   judgeNodes();
+  judgeMembership();
   judgeLeases();
   judgeUsage();
 }
@@ -37,6 +38,23 @@
   }
 }
 
+// Whoever was cut off has found the others again.
+void world::judgeMembership() {
+  for (auto &[Name, Process] : Processes) {
+    if (!Process.Up)
+      continue;
+    auto Status = nlohmann::json::parse(Process.Node->statusJson());
+    // Each counts itself.
+    size_t Live = Process.IsEntry
+                      ? Status["entries"].size() + Status["stewards"].size()
+                      : Status["live_members"].get<size_t>();
+    if (Live != Processes.size())
+      Findings.push_back(Name + " holds " + std::to_string(Live) +
+                         " members live and not " +
+                         std::to_string(Processes.size()));
+  }
+}
+
 // Of the claims that a steward has replayed it takes those for valid that are.
 void world::judgeLeases() {
   for (auto &[Name, Process] : Processes) {
--- a/monsoonreel/cell_queue.h
+++ b/monsoonreel/cell_queue.h
@@ -25,6 +25,7 @@
 #include <optional>
 #include <utility>
 
+#include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 
@@ -176,7 +177,8 @@
   output_estimator Outputs;
   decaying_histogram TokenGap; // microseconds between two tokens
   absl::btree_set<std::pair<steady_time, ask_key>> GiveUps;
-  absl::flat_hash_map<int64_t, running_slot> Running;
+  // Walked through, so its order must not depend on the process's hash seed.
+  absl::btree_map<int64_t, running_slot> Running;
   absl::flat_hash_map<ask_key, int64_t> SlotOfAsk;
   int Preempting = 0;
   // Refused requests were told to come back up to then.
--- a/monsoonreel/fair_queue.cc
+++ b/monsoonreel/fair_queue.cc
@@ -279,12 +279,6 @@
   return Ahead;
 }
 
-void fair_queue::forEach(
-    const std::function<void(const waiting_request &)> &Visit) const {
-  for (const auto &[Key, Stored] : Requests)
-    Visit(Stored->Request);
-}
-
 std::string describe(const waiting_request &Request) {
   return "class " + Request.Class.Value + " tier " +
          std::to_string(Request.Tier.Value);
--- a/monsoonreel/fair_queue.h
+++ b/monsoonreel/fair_queue.h
@@ -66,8 +66,6 @@
                   const request_filter &Fits) const override;
   duration workAhead(tier Tier, const organisation_name &Organisation,
                      double Weight) const override;
-  void forEach(
-      const std::function<void(const waiting_request &)> &Visit) const override;
 
 private:
   // Requests of one organisation in a lane, by latest grant and arrival.
--- a/monsoonreel/fifo_queue.cc
+++ b/monsoonreel/fifo_queue.cc
@@ -100,12 +100,6 @@
     return Work;
   }
 
-  void forEach(const std::function<void(const waiting_request &)> &Visit)
-      const override {
-    for (const waiting_request &Request : Order)
-      Visit(Request);
-  }
-
 private:
   std::list<waiting_request> Order;
   absl::flat_hash_map<ask_key, std::list<waiting_request>::iterator> Places;
--- a/monsoonreel/request_queue.h
+++ b/monsoonreel/request_queue.h
@@ -102,8 +102,6 @@
   // Expected time in slots of what would be granted before a new request.
   virtual duration workAhead(tier Tier, const organisation_name &Organisation,
                              double Weight) const = 0;
-  virtual void
-  forEach(const std::function<void(const waiting_request &)> &Visit) const = 0;
 };
 
 std::unique_ptr<request_queue> makeFairQueue();
--- a/monsoonreel/slot_client.h
+++ b/monsoonreel/slot_client.h
@@ -29,6 +29,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 
 #include "monsoonreel/configuration.h"
@@ -181,9 +182,10 @@
   std::map<upstream_name, upstream> Upstreams;
   std::map<node_name, slot_peer> Peers;
   absl::flat_hash_map<cell_name, cell_load> Loads;
-  absl::flat_hash_map<int64_t, pending_ask> Asks;
+  // Walked through, so their order must not depend on the process's hash seed.
+  absl::btree_map<int64_t, pending_ask> Asks;
+  absl::btree_map<request_id, held_slot> Held;
   absl::flat_hash_map<request_id, int64_t> AskOf;
-  absl::flat_hash_map<request_id, held_slot> Held;
   int64_t LastAsk = 0;
   steady_time NextReview;
   steady_time NextRenewal;
