Matrix: a node that has just started gets its 9 s as well

The entry had drained at 30 s and started again at 41.0 s; the record's age reached 9 s at 41.05 s, when the entry was 50 ms old, not ready and without callers. Ruled out: the entry's replay (it had the record 0.4 s after its start). Change: a node younger than 9 s that does not serve yet is checked when it is 9 s old; one that serves is checked at once, as before. Conclusion: the bound stays 9 s, counted from the later of record and start.

--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -85,6 +85,7 @@
 void world::start(process &Process) {
   ++Process.Life;
   Process.Up = true;
+  Process.StartedAt = Time.now();
   Process.FrozenUntil = duration::zero();
   Process.Backlog.clear();
   Process.CallerOf.clear();
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -96,6 +96,7 @@
     int Zone = 0;
     std::unique_ptr<node> Node;
     bool Up = false;
+    duration StartedAt{};
     int Life = 0; // grows with every start, so that old timers stop
     duration FrozenUntil{};
     std::deque<event_body> Backlog; // while it is frozen
@@ -203,7 +204,10 @@
   void editConfiguration(const std::string &Author, int64_t Base);
   void giveKey(const std::string &Id, const std::string &Organisation);
   void withdrawKey(const std::string &Id);
+  // Finds nodes without Offset once its record, or the node if it is the
+  // younger one, has the age by which it has to be in force.
   void checkInForce(log_offset Offset);
+  void checkInForceAt(const process &Process, log_offset Offset);
   std::string document() const;
 
   // world_judge.cc
