--- a/cli/key_commands.cc
+++ b/cli/key_commands.cc
@@ -73,10 +73,11 @@
                    {"organisation", Organisation},
                    {"key", Key},
                    {"offset", Outcome.Offset.Value}};
-  int Status = waitInForce(Options, Outcome.Offset, Output);
+  // Before the wait: an operator who ends it early must not lose the key.
   Output.line(fmt::format("{} for {}; the key is shown this once:", Give.KeyId,
                           Organisation));
   Output.line(Key);
+  int Status = waitInForce(Options, Outcome.Offset, Output);
   Output.finish();
   return Status;
 }
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -159,6 +159,11 @@
   absl::SetProgramUsageMessage(help);
   std::vector<char *> Words = absl::ParseCommandLine(Argc, Argv);
   QCoreApplication Application(Argc, Argv);
+  std::string Format = absl::GetFlag(FLAGS_output);
+  if (Format != "text" && Format != "json") {
+    std::cerr << "--output is text or json and not \"" << Format << "\"\n";
+    return exit_usage;
+  }
   return run(readOptions(),
              std::vector<std::string>(Words.begin() + 1, Words.end()));
 }
--- a/cli/options.cc
+++ b/cli/options.cc
@@ -18,7 +18,7 @@
 
 void output::text(const std::string &Text) {
   if (!Json)
-    std::cout << Text;
+    std::cout << Text << std::flush;
 }
 
 void output::finish() {
--- a/monsoonreel/address.cc
+++ b/monsoonreel/address.cc
@@ -7,15 +7,20 @@
 
 namespace {
 
-bool isIp(const std::string &Host) {
+bool isIp(int Family, const std::string &Host) {
   in6_addr Buffer;
-  return inet_pton(AF_INET, Host.c_str(), &Buffer) == 1 ||
-         inet_pton(AF_INET6, Host.c_str(), &Buffer) == 1;
+  return inet_pton(Family, Host.c_str(), &Buffer) == 1;
 }
 
-std::string withoutBrackets(const std::string &Host) {
-  bool Bracketed = Host.size() > 2 && Host.front() == '[' && Host.back() == ']';
-  return Bracketed ? Host.substr(1, Host.size() - 2) : Host;
+// The IP number before the port. An IPv6 number has to stand in brackets:
+// without them its last group and a port can't be told apart.
+std::optional<std::string> hostOf(const std::string &Text) {
+  if (isIp(AF_INET, Text))
+    return Text;
+  if (Text.size() < 2 || Text.front() != '[' || Text.back() != ']')
+    return std::nullopt;
+  std::string Host = Text.substr(1, Text.size() - 2);
+  return isIp(AF_INET6, Host) ? std::optional(Host) : std::nullopt;
 }
 
 } // namespace
@@ -25,14 +30,15 @@
   size_t Colon = Text.rfind(':');
   if (Colon == std::string::npos)
     return std::nullopt;
+  std::optional<std::string> Host = hostOf(Text.substr(0, Colon));
+  if (!Host)
+    return std::nullopt;
   address_parts Parts;
-  Parts.Host = withoutBrackets(Text.substr(0, Colon));
+  Parts.Host = *Host;
   const char *End = Text.data() + Text.size();
   auto Result = std::from_chars(Text.data() + Colon + 1, End, Parts.Port);
   if (Result.ec != std::errc() || Result.ptr != End || Parts.Port == 0)
     return std::nullopt;
-  if (!isIp(Parts.Host))
-    return std::nullopt;
   return Parts;
 }
 
