Peers: bytes by kind of message, and links of peers that are gone end

The kinds' names stood in the matrix; they are with the codec now. It ends after a minute without a connection.

--- a/fault_matrix/steps.cc
+++ b/fault_matrix/steps.cc
@@ -35,16 +35,7 @@
 
 #undef MONSOONREEL_RECORD
 
-// Thrift's generated types don't carry their names, so they are listed in the
-// order of the variant; the static_assert catches a type that is missing.
-constexpr std::array MessageNames = {
-    "heartbeat",     "heartbeat_ack", "probe_request",  "state_pull",
-    "state_push",    "claim_ask",     "claim_answer",   "claim_settle",
-    "claim_settled", "usage_offer",   "usage_accepted", "usage_hold",
-    "usage_held",    "usage_release", "slot_ask",       "slot_grant",
-    "slot_refuse",   "slot_release",  "slot_cancel",    "slot_preempt",
-    "slot_renew",    "slot_queued"};
-static_assert(MessageNames.size() == std::variant_size_v<wire::peer_message>);
+constexpr size_t message_kinds = std::variant_size_v<wire::peer_message>;
 
 // Calls and answers that are no messages between processes.
 constexpr std::array OtherSteps = {
@@ -78,7 +69,7 @@
 } // namespace
 
 step_name stepOf(const wire::peer_message &Message) {
-  return std::string("message/") + MessageNames[Message.index()];
+  return std::string("message/") + messageName(Message.index());
 }
 
 step_name stepOf(const std::string &Prefix, const wire::log_record &Record) {
@@ -90,10 +81,9 @@
 
 std::vector<step_name> allSteps() {
   std::vector<step_name> Steps;
-  Steps.reserve(MessageNames.size() + 2 * RecordKinds.size() +
-                OtherSteps.size());
-  for (const char *Name : MessageNames)
-    Steps.push_back(std::string("message/") + Name);
+  Steps.reserve(message_kinds + 2 * RecordKinds.size() + OtherSteps.size());
+  for (size_t Kind = 0; Kind < message_kinds; ++Kind)
+    Steps.push_back(std::string("message/") + messageName(Kind));
   for (const record_kind &Kind : RecordKinds) {
     Steps.push_back(std::string("append/") + Kind.Name);
     Steps.push_back(std::string("append-answer/") + Kind.Name);
--- a/io/node_runtime.cc
+++ b/io/node_runtime.cc
@@ -323,6 +323,16 @@
        std::chrono::duration<double>(StartedAt.time_since_epoch()).count()});
   Gauge("monsoonreel_peer_bytes_sent", Peers.bytesSent());
   Gauge("monsoonreel_peer_bytes_received", Peers.bytesReceived());
+  const message_traffic &Traffic = Peers.traffic();
+  for (size_t Kind = 0; Kind < Traffic.size(); ++Kind) {
+    auto Bytes = [&](const char *Direction, int64_t Value) {
+      Metrics.set({"monsoonreel_peer_message_bytes",
+                   {{"direction", Direction}, {"message", messageName(Kind)}},
+                   static_cast<double>(Value)});
+    };
+    Bytes("sent", Traffic[Kind].Sent);
+    Bytes("received", Traffic[Kind].Received);
+  }
   Gauge("monsoonreel_peer_frames_dropped", Peers.framesDropped());
   Gauge("monsoonreel_upstream_exchanges",
         static_cast<int64_t>(Upstreams.running()));
--- a/io/peer_transport.cc
+++ b/io/peer_transport.cc
@@ -54,8 +54,8 @@
 };
 
 peer_transport::peer_transport(const node_identity &Identity,
-                               event_sink &Target)
-    : Self(Identity), Sink(Target) {
+                               event_sink &Target, duration Age)
+    : Self(Identity), Sink(Target), IdleLinkAge(Age) {
   QObject::connect(&Server, &QTcpServer::newConnection, &Server,
                    [this] { accept(); });
   QObject::connect(&Watchdog, &QTimer::timeout, &Watchdog,
@@ -85,8 +85,9 @@
     Link.Queue.pop_front();
     ++FramesDropped;
   }
-  Link.Queue.push_back(
-      framed(QByteArray::fromStdString(encodeMessage(Message))));
+  QByteArray Frame = framed(QByteArray::fromStdString(encodeMessage(Message)));
+  Traffic[Message.index()].Sent += Frame.size();
+  Link.Queue.push_back(std::move(Frame));
   if (Link.Socket)
     return flush(Link);
   if (steadyNow() >= Link.RedialAt)
@@ -253,6 +254,7 @@
   auto Message = decodeMessage(Frame.toStdString());
   if (!Message)
     return false;
+  Traffic[Message->index()].Received += length_bytes + Frame.size();
   Sink.post(peer_message_received{From.Name, From.Peer, std::move(*Message)});
   return true;
 }
@@ -279,6 +281,10 @@
   }
   for (QTcpSocket *Socket : Late)
     drop(Socket);
+  absl::erase_if(Links, [this, Now](const auto &Item) {
+    return !Item.second->Socket && Item.second->Queue.empty() &&
+           Now - Item.second->RedialAt > IdleLinkAge;
+  });
 }
 
 } // namespace monsoonreel
--- a/io/peer_transport.h
+++ b/io/peer_transport.h
@@ -17,8 +17,10 @@
 #ifndef IO_PEER_TRANSPORT_H
 #define IO_PEER_TRANSPORT_H
 
+#include <array>
 #include <deque>
 #include <memory>
+#include <variant>
 
 #include <QByteArray>
 #include <QTcpServer>
@@ -44,9 +46,23 @@
 constexpr duration dial_timeout = std::chrono::seconds(2);
 constexpr duration hello_timeout = std::chrono::seconds(5);
 
+// A link that could not be used for so long is forgotten: its peer is gone, or
+// a message makes a new one.
+constexpr duration idle_link_age = std::chrono::minutes(1);
+
+// Bytes of one kind of message since the start, with the frames' lengths.
+struct message_bytes {
+  int64_t Sent = 0; // handed over for sending, dropped ones included
+  int64_t Received = 0;
+};
+// By the kind's place in wire::peer_message.
+using message_traffic =
+    std::array<message_bytes, std::variant_size_v<wire::peer_message>>;
+
 class peer_transport {
 public:
-  peer_transport(const node_identity &Self, event_sink &Sink);
+  peer_transport(const node_identity &Self, event_sink &Sink,
+                 duration IdleLinkAge = idle_link_age);
   ~peer_transport();
   peer_transport(const peer_transport &) = delete;
   peer_transport &operator=(const peer_transport &) = delete;
@@ -61,6 +77,9 @@
   int64_t bytesSent() const { return BytesSent; }
   int64_t bytesReceived() const { return BytesReceived; }
   int64_t framesDropped() const { return FramesDropped; }
+  const message_traffic &traffic() const { return Traffic; }
+  // Peers with a connection, or with one that is to be made anew.
+  size_t linkCount() const { return Links.size(); }
 
 private:
   struct connection;
@@ -81,6 +100,7 @@
 
   node_identity Self;
   event_sink &Sink;
+  duration IdleLinkAge;
   QTcpServer Server;
   QTimer Watchdog;
   absl::flat_hash_map<QTcpSocket *, std::unique_ptr<connection>> Connections;
@@ -88,6 +108,7 @@
   int64_t BytesSent = 0;
   int64_t BytesReceived = 0;
   int64_t FramesDropped = 0;
+  message_traffic Traffic;
 };
 
 } // namespace monsoonreel
--- a/io/testing/peer_transport_test.cc
+++ b/io/testing/peer_transport_test.cc
@@ -76,6 +76,26 @@
   EXPECT_EQ(AtA.Received[0].FromAddress, IdentityB.Address);
 }
 
+TEST_F(peer_transport_test, Bytes_OfAKindOfMessage_AreCountedAtBothEnds) {
+  exchangeMessages(1);
+  constexpr size_t heartbeat_kind = 0;
+  const message_bytes &Ours = A->traffic()[heartbeat_kind];
+  const message_bytes &Theirs = B->traffic()[heartbeat_kind];
+  EXPECT_GT(Ours.Sent, 0);
+  EXPECT_EQ(Ours.Sent, Theirs.Received);
+  EXPECT_EQ(Ours.Received, Theirs.Sent);
+  EXPECT_EQ(A->traffic()[heartbeat_kind + 1].Sent, 0);
+}
+
+TEST_F(peer_transport_test, Link_OfAPeerThatIsGone_IsForgotten) {
+  peer_transport Dialler(identity("c"), AtA, std::chrono::milliseconds(100));
+  Dialler.send(IdentityB.Address, probe(1));
+  ASSERT_TRUE(waitUntil([&] { return AtB.has(1); }));
+  EXPECT_EQ(Dialler.linkCount(), 1U);
+  B.reset();
+  EXPECT_TRUE(waitUntil([&] { return Dialler.linkCount() == 0; }));
+}
+
 TEST_F(peer_transport_test, Link_ResetByEitherSide_CarriesItsNextMessage) {
   exchangeMessages(1);
   A->resetLink(IdentityB.Address);
--- a/monsoonreel/wire.cc
+++ b/monsoonreel/wire.cc
@@ -72,8 +72,21 @@
 constexpr auto Decoders = makeDecoders(
     std::make_index_sequence<std::variant_size_v<wire::peer_message>>());
 
+// Thrift's generated types don't carry their names, so they are listed in the
+// order of the variant; the static_assert catches a type that is missing.
+constexpr std::array MessageNames = {
+    "heartbeat",     "heartbeat_ack", "probe_request",  "state_pull",
+    "state_push",    "claim_ask",     "claim_answer",   "claim_settle",
+    "claim_settled", "usage_offer",   "usage_accepted", "usage_hold",
+    "usage_held",    "usage_release", "slot_ask",       "slot_grant",
+    "slot_refuse",   "slot_release",  "slot_cancel",    "slot_preempt",
+    "slot_renew",    "slot_queued"};
+static_assert(MessageNames.size() == std::variant_size_v<wire::peer_message>);
+
 } // namespace
 
+const char *messageName(size_t Number) { return MessageNames.at(Number); }
+
 std::string encodeMessage(const wire::peer_message &Message) {
   std::string Frame(1, static_cast<char>(Message.index()));
   std::visit([&](const auto &M) { Frame += encodeStruct(M); }, Message);
--- a/monsoonreel/wire.h
+++ b/monsoonreel/wire.h
@@ -40,6 +40,10 @@
   std::string Message;
 };
 
+// The name of the kind of message with this number, as in wire.thrift, for
+// metrics: "slot_ask". Number is an index of wire::peer_message.
+const char *messageName(size_t Number);
+
 std::string encodeMessage(const wire::peer_message &Message);
 tl::expected<wire::peer_message, wire_error>
 decodeMessage(const std::string &Frame);
