Capacity: measure the messages that two entries really exchange

Cause: the benchmark wrote an ask by hand with an incarnation of 51 bits, where a real one has 63, with 10 and 20 hours for times that are 0.35 and 20 s, and the 30 B of a renewal were assumed. Now two slot clients run requests and their messages are counted.

--- a/bench/decisions_bench.cc
+++ b/bench/decisions_bench.cc
@@ -8,12 +8,14 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <benchmark/benchmark.h>
 
 #include "monsoonreel/cell_owners.h"
 #include "monsoonreel/document_difference.h"
+#include "monsoonreel/incarnation.h"
 #include "monsoonreel/ledger.h"
 #include "monsoonreel/membership.h"
 #include "monsoonreel/pool_map.h"
@@ -124,12 +126,6 @@
     Owner.onRelease(Release, Now, Replies, Effects);
     Collect();
   }
-  wire::slot_queued Queued;
-  Queued.Ask = makeAsk(1).Ask;
-  State.counters["ask_bytes"] = encodedBytes(makeAsk(1));
-  State.counters["grant_bytes"] = encodedBytes(Grants.front());
-  State.counters["release_bytes"] = encodedBytes(Release);
-  State.counters["queued_bytes"] = encodedBytes(Queued);
   State.counters["waiting_heap_bytes"] = Waiting;
 }
 BENCHMARK(admitAndGrant)->Arg(1)->Arg(100)->Arg(10000);
@@ -187,6 +183,114 @@
 }
 BENCHMARK(askAndHold)->ArgsProduct({{8, 40, 330}, {30, 600}});
 
+// An entry of zone0 and what it was told to do.
+struct bench_entry {
+  explicit bench_entry(const std::string &Name)
+      : Identity{node_name(Name), zone_name("zone0"), address(Name),
+                 makeIncarnation(node_name(Name), wall_time(seconds_in_2026))},
+        Client(slot_client::builder().self(Identity).build()) {}
+
+  static constexpr duration seconds_in_2026 = std::chrono::seconds(1791820800);
+  node_identity Identity;
+  slot_client Client;
+  effect_list Effects;
+  slot_outcome_list Outcomes;
+};
+
+// Two entries of one zone, the messages between which are counted.
+class entry_pair {
+public:
+  entry_pair() {
+    configuration Configuration = makeConfiguration(600);
+    std::vector<slot_peer> Peers;
+    for (const bench_entry *Entry : {&Asker, &Owner})
+      Peers.push_back({Entry->Identity.Name, Entry->Identity.Address,
+                       Entry->Identity.Zone});
+    for (bench_entry *Entry : {&Asker, &Owner}) {
+      Entry->Client.setConfiguration(Configuration, Now, Entry->Effects,
+                                     Entry->Outcomes);
+      Entry->Client.setPeers(Peers);
+    }
+  }
+
+  // From the ask to the release, with one renewal in between.
+  void runRequest(int64_t Id) {
+    slot_request Request;
+    Request.Request = request_id{Id};
+    Request.Pool = pool_name("model" + std::to_string(Id % models));
+    Request.Class = class_name("class" + std::to_string(Id % 4));
+    Request.Organisation =
+        organisation_name("organisation" + std::to_string(Id % organisations));
+    Request.Target = Now + std::chrono::milliseconds(350);
+    Request.GiveUp = Now + std::chrono::seconds(20);
+    Request.PromptTokens = 700;
+    Request.MaxTokens = 500;
+    Request.PrefixHash = static_cast<uint64_t>(Id) * 0x9E3779B97F4A7C15U;
+    Request.Idempotent = true;
+    Asker.Client.ask(Request, Now, Request.PrefixHash, Asker.Effects,
+                     Asker.Outcomes);
+    deliverAll();
+    Now += renewal_period;
+    Asker.Client.onTick(Now, 0, Asker.Effects, Asker.Outcomes);
+    Owner.Client.onTick(Now, 0, Owner.Effects, Owner.Outcomes);
+    slot_report Report;
+    Report.FirstToken = std::chrono::milliseconds(120);
+    Report.Total = std::chrono::milliseconds(2400);
+    Report.OutputTokens = 240;
+    Asker.Client.release(Request.Request, Report, Now, Asker.Effects,
+                         Asker.Outcomes);
+    deliverAll();
+  }
+  // Mean bytes of the messages of one kind that were sent.
+  template <typename T> double meanBytes() const {
+    auto Found = Sent.find(wire::peer_message(T{}).index());
+    return Found == Sent.end() ? 0 : Found->second.Bytes / Found->second.Count;
+  }
+
+private:
+  struct sent_messages {
+    double Count = 0;
+    double Bytes = 0;
+  };
+
+  void deliverAll() {
+    deliver(Asker, Owner);
+    deliver(Owner, Asker);
+    Asker.Outcomes.clear();
+  }
+  void deliver(bench_entry &From, bench_entry &To) {
+    for (const effect &Effect : std::exchange(From.Effects, {})) {
+      const auto *Send = std::get_if<send_message>(&Effect);
+      if (!Send)
+        continue;
+      sent_messages &Kind = Sent[Send->Message.index()];
+      ++Kind.Count;
+      Kind.Bytes += encodedBytes(Send->Message);
+      To.Client.onMessage(From.Identity.Name, From.Identity.Address,
+                          Send->Message, Now, To.Effects, To.Outcomes);
+    }
+  }
+
+  steady_time Now{std::chrono::hours(1)};
+  bench_entry Asker{"entry0"};
+  bench_entry Owner{"entry7"};
+  std::map<size_t, sent_messages> Sent;
+};
+
+// The messages of requests whose owner is another entry. Ids grow with the
+// requests, so there are as many of these as in an hour or so.
+void requestMessages(benchmark::State &State) {
+  entry_pair Entries;
+  int64_t Id = 0;
+  while (State.KeepRunning())
+    Entries.runRequest(++Id);
+  State.counters["ask_bytes"] = Entries.meanBytes<wire::slot_ask>();
+  State.counters["grant_bytes"] = Entries.meanBytes<wire::slot_grant>();
+  State.counters["release_bytes"] = Entries.meanBytes<wire::slot_release>();
+  State.counters["renew_bytes"] = Entries.meanBytes<wire::slot_renew>();
+}
+BENCHMARK(requestMessages)->Iterations(40000);
+
 // One tick of an owner of so many cells, each with 64 slots taken.
 void ownerTick(benchmark::State &State) {
   configuration Configuration = makeConfiguration(600);
