Slots: short numbers of runs in messages, and a shorter prefix hash

Cause: an ask, a grant, a release and a renewal each carried incarnations of 10 B as encoded, and an ask a prefix hash of 10 B that only suggests an upstream.

An ask's number is now unique over the asker's runs (24 bits of a hash of the run; before, 8 bits of the start time and 12 that are the same for all runs of a node), so asks, cancels and renewals need no incarnation. Owners name their run by 20 bits. Receivers only compare and echo these numbers, so old and new processes understand each other. A doubled grant is now recognised by its owner's name as well.

The generated Thrift code is the same: only comments of wire.thrift changed.

--- a/monsoonreel/incarnation.h
+++ b/monsoonreel/incarnation.h
@@ -10,6 +10,8 @@
 #ifndef MONSOONREEL_INCARNATION_H
 #define MONSOONREEL_INCARNATION_H
 
+#include <cstdint>
+
 #include "monsoonreel/types.h"
 
 namespace monsoonreel {
@@ -20,6 +22,11 @@
 
 incarnation makeIncarnation(const node_name &Name, wall_time Start);
 
+// A hash of Run with so many bits, for messages in which a whole incarnation
+// would be too long and two runs of one node that share a number, one pair in
+// 2^Bits, do no lasting harm.
+int64_t runNumber(incarnation Run, int Bits);
+
 } // namespace monsoonreel
 
 #endif // MONSOONREEL_INCARNATION_H
--- a/monsoonreel/slot_client.cc
+++ b/monsoonreel/slot_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "monsoonreel/incarnation.h"
 #include "monsoonreel/mechanism.h"
 
 namespace monsoonreel {
@@ -11,10 +12,17 @@
 
 // How often pending asks are looked through.
 constexpr duration ask_review_period = std::chrono::milliseconds(50);
-// Asks of one process start where those of its earlier runs can't be, so that
-// a late answer to an earlier run is no answer to this one.
-constexpr int asks_per_run_bits = 24;
-constexpr int64_t run_mask = (int64_t{1} << 20) - 1;
+// The number of an ask begins with that of the run, so that a late answer to
+// an earlier run is no answer to this one, and an owner does not take an ask of
+// this run for a repeated one of an earlier run. With the bits of the ask's own
+// number they are as many as 7 bytes of a message hold.
+constexpr int ask_number_bits = 24;
+constexpr int ask_run_bits = 24;
+// In grants, releases and renewals, 3 bytes each. A release that meets another
+// run with this number and such a slot is one request too many at an upstream.
+constexpr int owner_run_bits = 20;
+// Of a prefix's hash in an ask, 4 bytes. It only suggests an upstream.
+constexpr uint64_t ask_prefix_mask = (uint64_t{1} << 27) - 1;
 
 template <typename T> bool contains(const std::vector<T> &List, const T &Item) {
   return std::find(List.begin(), List.end(), Item) != List.end();
@@ -26,12 +34,10 @@
          A.FreeSlots == B.FreeSlots;
 }
 
-wire::slot_ask makeAsk(int64_t Id, const node_identity &Self,
-                       const cell_name &Cell, const slot_request &Request,
-                       steady_time Now) {
+wire::slot_ask makeAsk(int64_t Id, const cell_name &Cell,
+                       const slot_request &Request, steady_time Now) {
   wire::slot_ask Ask;
   Ask.Ask = Id;
-  Ask.Incarnation = Self.Incarnation.Value;
   Ask.Pool = Cell.Value;
   Ask.ServiceClass = Request.Class.Value;
   Ask.Tier = static_cast<int32_t>(Request.Tier.Value);
@@ -40,7 +46,7 @@
   Ask.GiveUpMicros = toMicros(Request.GiveUp - Now);
   Ask.PromptTokens = Request.PromptTokens;
   Ask.ExpectedOutputTokens = Request.MaxTokens;
-  Ask.PrefixHash = static_cast<int64_t>(Request.PrefixHash);
+  Ask.PrefixHash = static_cast<int64_t>(Request.PrefixHash & ask_prefix_mask);
   Ask.Idempotent = Request.Idempotent;
   Ask.Resumed = Request.Resumed;
   for (const upstream_name &Name : Request.Excluded)
@@ -52,7 +58,8 @@
 
 slot_client::slot_client(node_identity Self, slot_owner Owner)
     : Self(std::move(Self)), Owner(std::move(Owner)),
-      LastAsk((this->Self.Incarnation.Value & run_mask) << asks_per_run_bits) {}
+      LastAsk(runNumber(this->Self.Incarnation, ask_run_bits)
+              << ask_number_bits) {}
 
 // ------------------------------------------------------------ configuration
 
@@ -263,7 +270,7 @@
   if (Load != Loads.end() && Load->second.FreeSlots > 0)
     --Load->second.FreeSlots;
   slot_peer To = Ask.Owner;
-  wire::slot_ask Message = makeAsk(Id, Self, Ask.Cell, Ask.Request, Step.Now);
+  wire::slot_ask Message = makeAsk(Id, Ask.Cell, Ask.Request, Step.Now);
   AskOf[Ask.Request.Request] = Id;
   Asks[Id] = std::move(Ask);
   sendTo(To, Message, Step);
@@ -283,7 +290,6 @@
                            client_step &Step) {
   wire::slot_cancel Cancel;
   Cancel.Ask = Id;
-  Cancel.Incarnation = Self.Incarnation.Value;
   sendTo(Ask.Owner, Cancel, Step);
 }
 
@@ -377,7 +383,7 @@
     pending_ask &Ask = Found->second;
     Ask.SentAt = Step.Now;
     Ask.Queued = false;
-    sendTo(Ask.Owner, makeAsk(Id, Self, Ask.Cell, Ask.Request, Step.Now), Step);
+    sendTo(Ask.Owner, makeAsk(Id, Ask.Cell, Ask.Request, Step.Now), Step);
   }
 }
 
@@ -388,7 +394,6 @@
   for (const auto &[Request, Slot] : Held) {
     auto &[Peer, Renew] = ByOwner[{Slot.Owner.Name, Slot.OwnerIncarnation}];
     Peer = Slot.Owner;
-    Renew.Incarnation = Self.Incarnation.Value;
     Renew.OwnerIncarnation = Slot.OwnerIncarnation;
     Renew.Slots.push_back(Slot.Slot);
   }
@@ -424,11 +429,12 @@
 }
 
 slot_client slot_client::builder::build() {
-  slot_owner Owner = slot_owner::builder()
-                         .name(Self.Name)
-                         .incarnation(Self.Incarnation)
-                         .policy(makeSchedulingPolicy(Policy))
-                         .build();
+  slot_owner Owner =
+      slot_owner::builder()
+          .name(Self.Name)
+          .incarnation(incarnation{runNumber(Self.Incarnation, owner_run_bits)})
+          .policy(makeSchedulingPolicy(Policy))
+          .build();
   slot_client Client(Self, std::move(Owner));
   Client.setPeers({});
   return Client;
--- a/monsoonreel/slot_client_messages.cc
+++ b/monsoonreel/slot_client_messages.cc
@@ -86,7 +86,7 @@
     return;
   // The grant of a slot that is held already was doubled on its way.
   for (const auto &[Request, Slot] : Held)
-    if (Slot.Slot == Grant.Slot &&
+    if (Slot.Slot == Grant.Slot && Slot.Owner.Name == From.Name &&
         Slot.OwnerIncarnation == Grant.OwnerIncarnation)
       return;
   wire::slot_release Release;
--- a/monsoonreel/testing/slot_client_test.cc
+++ b/monsoonreel/testing/slot_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "monsoonreel/incarnation.h"
 #include "monsoonreel/mechanism.h"
 
 namespace monsoonreel {
@@ -41,7 +42,7 @@
     Member.Pool = pool_name("model");
     Member.Zone = zone_name(Zone);
   }
-  void ask(bool Idempotent = true) {
+  slot_request makeRequest(bool Idempotent) const {
     slot_request Request;
     Request.Request = request_id{1};
     Request.Pool = pool_name("model");
@@ -49,7 +50,10 @@
     Request.Target = Now + seconds(5);
     Request.GiveUp = Now + seconds(10);
     Request.Idempotent = Idempotent;
-    Client.ask(Request, Now, 0, Effects, Outcomes);
+    return Request;
+  }
+  void ask(bool Idempotent = true) {
+    Client.ask(makeRequest(Idempotent), Now, 0, Effects, Outcomes);
   }
   void tick(duration Passed) {
     Now += Passed;
@@ -152,6 +156,34 @@
   EXPECT_EQ(sent<wire::slot_release>()->Result, wire::slot_result::NeverSent);
 }
 
+TEST_F(remote_owner_test, Grant_ForAskOfAnEarlierRun_IsGivenBack) {
+  int64_t Earlier = sent<wire::slot_ask>()->Ask;
+  incarnation Later{9 + (1 << incarnation_name_bits)};
+  slot_client Restarted =
+      slot_client::builder()
+          .self({node_name("self"), zone_name("norte"), address("0"), Later})
+          .build();
+  Restarted.setConfiguration(Configuration, Now, Effects, Outcomes);
+  Restarted.setPeers({peer("a", "norte"), peer("b", "norte")});
+  Restarted.ask(makeRequest(true), Now, 0, Effects, Outcomes);
+  wire::slot_grant Grant;
+  Grant.Ask = Earlier;
+  Grant.Slot = 31;
+  Restarted.onMessage(node_name(Owner), address(Owner), Grant, Now, Effects,
+                      Outcomes);
+  EXPECT_TRUE(Outcomes.empty());
+  ASSERT_TRUE(sent<wire::slot_release>());
+  EXPECT_EQ(sent<wire::slot_release>()->Slot, 31);
+}
+
+TEST_F(remote_owner_test, Grant_OfAnotherOwnerWithTheSameSlot_IsGivenBack) {
+  grant(Owner, sent<wire::slot_ask>()->Ask, 31);
+  grant("c", 77, 31);
+  std::string To;
+  ASSERT_TRUE(sent<wire::slot_release>(&To));
+  EXPECT_EQ(To, "c");
+}
+
 TEST_F(remote_owner_test, Grant_ForWithdrawnAskWithoutMechanism_LeaksSlot) {
   disabled_mechanism Without(mechanism::StaleGrantRelease);
   int64_t Ask = sent<wire::slot_ask>()->Ask;
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -188,7 +188,7 @@
 // ---------------------------------------------------------------- slots
 
 struct slot_ask {
-  1: i64 Ask                   // unique for the asking incarnation
+  1: i64 Ask                   // unique for the asker, over all its runs
   2: string Pool
   3: string ServiceClass
   4: i32 Tier                  // 0 is the highest
@@ -196,20 +196,20 @@
   6: i64 TimeLeftMicros        // until the target would be missed
   7: i32 PromptTokens
   8: i32 ExpectedOutputTokens  // upper bound; 0 when unknown
-  9: i64 PrefixHash
+  9: i64 PrefixHash            // 27 bits of it
   10: bool Idempotent
   11: list<string> Excluded    // upstreams that already failed this request
   12: i64 GiveUpMicros         // until the caller's own deadline
-  13: i64 Incarnation          // of the asking entry
+  13: i64 Incarnation          // 0; of the asking entry in earlier versions
   14: bool Resumed             // a part of its answer has been made already
 }
 
 struct slot_grant {
   1: i64 Ask
   2: string Upstream
-  3: i64 Slot                  // unique for the owner's incarnation
+  3: i64 Slot                  // unique for the owner's run
   4: i32 Priority              // for the engine's own scheduler
-  5: i64 OwnerIncarnation
+  5: i64 OwnerIncarnation      // a short number of the owner's run
   6: bool FreshConnection      // a probe: dispatch on a new connection
 }
 
@@ -241,7 +241,7 @@
 // The asker no longer waits.
 struct slot_cancel {
   1: i64 Ask
-  2: i64 Incarnation           // of the asking entry
+  2: i64 Incarnation           // as in the ask
 }
 
 // The owner takes a running slot back for a higher tier.
@@ -253,7 +253,7 @@
 // Progress of running slots, so that an owner keeps slots of live askers and
 // frees those of dead ones.
 struct slot_renew {
-  1: i64 Incarnation
+  1: i64 Incarnation           // not used
   2: i64 OwnerIncarnation
   3: list<i64> Slots
 }
