Slots: asks carry hashes of names in place of the names

An owner that does not know a hash refuses with NoUpstream, and the asker repeats the ask with the names in full; owners of earlier versions do the same without a change.

Ruled out: places in the configuration, which need its version in each ask and an agreement on it; a finding for names that share a hash, since processes of earlier versions would accept the document at the same offset. Such names are sent in full.

--- a/monsoonreel/slot_client.cc
+++ b/monsoonreel/slot_client.cc
@@ -67,6 +67,7 @@
                                    steady_time Now, effect_list &Effects,
                                    slot_outcome_list &Outcomes) {
   Map = pool_map::fromConfiguration(Configuration);
+  Names = short_names::fromConfiguration(Configuration, Map);
   Upstreams = Configuration.Upstreams;
   refreshOwners();
   client_step Step{Now, Effects, Outcomes};
@@ -261,6 +262,14 @@
   Step.Outcomes.emplace_back(Ask.Refusal);
 }
 
+wire::slot_ask slot_client::messageOf(int64_t Id, const pending_ask &Ask,
+                                      steady_time Now) const {
+  wire::slot_ask Message = makeAsk(Id, Ask.Cell, Ask.Request, Now);
+  if (!Ask.NamesInFull)
+    Names.shorten(Message);
+  return Message;
+}
+
 void slot_client::send(pending_ask Ask, client_step &Step) {
   ++Ask.Count;
   Ask.SentAt = Step.Now;
@@ -270,7 +279,7 @@
   if (Load != Loads.end() && Load->second.FreeSlots > 0)
     --Load->second.FreeSlots;
   slot_peer To = Ask.Owner;
-  wire::slot_ask Message = makeAsk(Id, Ask.Cell, Ask.Request, Step.Now);
+  wire::slot_ask Message = messageOf(Id, Ask, Step.Now);
   AskOf[Ask.Request.Request] = Id;
   Asks[Id] = std::move(Ask);
   sendTo(To, Message, Step);
@@ -383,7 +392,7 @@
     pending_ask &Ask = Found->second;
     Ask.SentAt = Step.Now;
     Ask.Queued = false;
-    sendTo(Ask.Owner, makeAsk(Id, Ask.Cell, Ask.Request, Step.Now), Step);
+    sendTo(Ask.Owner, messageOf(Id, Ask, Step.Now), Step);
   }
 }
 
--- a/monsoonreel/slot_client.h
+++ b/monsoonreel/slot_client.h
@@ -38,6 +38,7 @@
 #include "monsoonreel/event.h"
 #include "monsoonreel/node.h"
 #include "monsoonreel/pool_map.h"
+#include "monsoonreel/short_names.h"
 #include "monsoonreel/slot_messages.h"
 #include "monsoonreel/slot_owner.h"
 
@@ -118,6 +119,7 @@
     slot_peer Owner;
     steady_time SentAt;
     bool Queued = false;          // the owner has said that it waits
+    bool NamesInFull = false;     // an owner may not have known short ones
     std::vector<node_name> Tried; // owners of Cell that did not answer
     std::vector<cell_name> Left;  // cells that gave no slot
     int Count = 0;
@@ -161,6 +163,8 @@
   // Takes the request's next step: a cell, an owner, or the refusal.
   void proceed(pending_ask Ask, uint64_t Random, client_step &Step);
   void send(pending_ask Ask, client_step &Step);
+  wire::slot_ask messageOf(int64_t Id, const pending_ask &Ask,
+                           steady_time Now) const;
   std::optional<pending_ask> takeAsk(int64_t Id);
   void withdraw(int64_t Id, const pending_ask &Ask, client_step &Step);
   void sendTo(const slot_peer &To, const wire::peer_message &Message,
@@ -182,6 +186,7 @@
   node_identity Self;
   slot_owner Owner;
   pool_map Map;
+  short_names Names;
   std::map<upstream_name, upstream> Upstreams;
   std::map<node_name, slot_peer> Peers;
   std::map<zone_name, cell_owners> Owners; // of the zones with cells
--- a/monsoonreel/slot_client_messages.cc
+++ b/monsoonreel/slot_client_messages.cc
@@ -108,7 +108,10 @@
     Ask->Tried.push_back(Ask->Owner.Name);
     break;
   case wire::refusal_reason::NoUpstream:
-    Ask->Left.push_back(Ask->Cell);
+    // The owner may hold another configuration, or not know short names.
+    if (Ask->NamesInFull)
+      Ask->Left.push_back(Ask->Cell);
+    Ask->NamesInFull = true;
     break;
   case wire::refusal_reason::QueueFull:
   case wire::refusal_reason::TargetUnreachable: {
--- a/monsoonreel/slot_owner.cc
+++ b/monsoonreel/slot_owner.cc
@@ -43,6 +43,7 @@
                                   effect_list &Effects) {
   Configuration = NewConfiguration;
   Map = NewMap;
+  Names = short_names::fromConfiguration(Configuration, Map);
   CellOfUpstream.clear();
   for (const auto &[CellName, Cell] : Map.all())
     for (const upstream &Member : Cell.Upstreams)
@@ -76,14 +77,16 @@
   return &Known->second.Queue;
 }
 
-void slot_owner::onAsk(const slot_peer &From, const wire::slot_ask &Ask,
+void slot_owner::onAsk(const slot_peer &From, const wire::slot_ask &Received,
                        steady_time Now, slot_reply_list &Replies,
                        effect_list &Effects) {
+  wire::slot_ask Ask = Received;
   if (Draining) {
     refuse(From, Ask.Ask, wire::refusal_reason::ShuttingDown, Replies);
     return;
   }
-  cell_queue *Queue = queueFor(cell_name(Ask.Pool), Now);
+  cell_queue *Queue =
+      Names.expand(Ask) ? queueFor(cell_name(Ask.Pool), Now) : nullptr;
   if (!Queue) {
     refuse(From, Ask.Ask, wire::refusal_reason::NoUpstream, Replies);
     return;
--- a/monsoonreel/slot_owner.h
+++ b/monsoonreel/slot_owner.h
@@ -27,6 +27,7 @@
 #include "monsoonreel/event.h"
 #include "monsoonreel/pool_map.h"
 #include "monsoonreel/scheduling_policy.h"
+#include "monsoonreel/short_names.h"
 #include "monsoonreel/slot_messages.h"
 
 namespace monsoonreel {
@@ -103,6 +104,7 @@
   std::shared_ptr<const scheduling_policy> Policy;
   configuration Configuration;
   pool_map Map;
+  short_names Names;
   std::map<cell_name, owned_cell> Queues;
   std::map<upstream_name, cell_name> CellOfUpstream;
   steady_time NextPoll;
--- a/monsoonreel/testing/slot_client_test.cc
+++ b/monsoonreel/testing/slot_client_test.cc
@@ -243,6 +243,19 @@
   EXPECT_EQ(askedOwner(), Owners.inOrder(Cell)[0].Value);
 }
 
+TEST_F(remote_owner_test, Refusal_ShortNamesUnknown_NamesAreSentInFull) {
+  wire::slot_ask First = *sent<wire::slot_ask>();
+  EXPECT_NE(First.Pool, "model@norte#0");
+  EXPECT_NE(First.ServiceClass, "chat");
+  refuse(Owner, First.Ask, wire::refusal_reason::NoUpstream);
+  wire::slot_ask Second = *sent<wire::slot_ask>();
+  EXPECT_EQ(askedOwner(), Owner);
+  EXPECT_EQ(Second.Pool, "model@norte#0");
+  EXPECT_EQ(Second.ServiceClass, "chat");
+  refuse(Owner, Second.Ask, wire::refusal_reason::NoUpstream);
+  EXPECT_EQ(askedOwner(), "c"); // of the cell in the other zone
+}
+
 TEST_F(remote_owner_test, Refusal_NoKnownRoomElsewhere_IsPassedOnAtOnce) {
   refuse(Owner, sent<wire::slot_ask>()->Ask,
          wire::refusal_reason::TargetUnreachable);
--- a/monsoonreel/testing/slot_owner_test.cc
+++ b/monsoonreel/testing/slot_owner_test.cc
@@ -154,6 +154,24 @@
   int64_t LastAsk = 0;
 };
 
+TEST_F(slot_owner_test, ShortNames_OneIsUnknownHere_NothingIsQueuedOrGranted) {
+  auto Other = Configuration;
+  Other.Organisations[organisation_name("new")];
+  short_names Names =
+      short_names::fromConfiguration(Other, pool_map::fromConfiguration(Other));
+  wire::slot_ask Unknown = makeAsk("chat", "new");
+  Names.shorten(Unknown);
+  ASSERT_NE(Unknown.Organisation, "new");
+  send(Unknown);
+  ASSERT_TRUE(replyTo<wire::slot_refuse>(Unknown.Ask));
+  EXPECT_EQ(replyTo<wire::slot_refuse>(Unknown.Ask)->Reason,
+            wire::refusal_reason::NoUpstream);
+  EXPECT_EQ(Owner.waitingCount() + Owner.runningCount(), 0U);
+  wire::slot_ask Known = makeAsk("chat", "small");
+  Names.shorten(Known);
+  EXPECT_TRUE(grantOf(send(Known)));
+}
+
 TEST_F(slot_owner_test, Waiting_SlotComesFree_HighestTierIsNext) {
   int64_t First = ask("chat");
   ask("chat");
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -187,6 +187,9 @@
 
 // ---------------------------------------------------------------- slots
 
+// Pool, ServiceClass and Organisation may be short: a zero byte and 32 bits of
+// the name's hash. An owner that does not know one refuses with NoUpstream, and
+// is asked again with the names in full.
 struct slot_ask {
   1: i64 Ask                   // unique for the asker, over all its runs
   2: string Pool
