--- a/monsoonreel/slot_client.cc
+++ b/monsoonreel/slot_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "monsoonreel/incarnation.h"
 #include "monsoonreel/mechanism.h"
 
 namespace monsoonreel {
@@ -11,10 +12,17 @@
 
 // How often pending asks are looked through.
 constexpr duration ask_review_period = std::chrono::milliseconds(50);
-// Asks of one process start where those of its earlier runs can't be, so that
-// a late answer to an earlier run is no answer to this one.
-constexpr int asks_per_run_bits = 24;
-constexpr int64_t run_mask = (int64_t{1} << 20) - 1;
+// The number of an ask begins with that of the run, so that a late answer to
+// an earlier run is no answer to this one, and an owner does not take an ask of
+// this run for a repeated one of an earlier run. With the bits of the ask's own
+// number they are as many as 7 bytes of a message hold.
+constexpr int ask_number_bits = 24;
+constexpr int ask_run_bits = 24;
+// In grants, releases and renewals, 3 bytes each. A release that meets another
+// run with this number and such a slot is one request too many at an upstream.
+constexpr int owner_run_bits = 20;
+// Of a prefix's hash in an ask, 4 bytes. It only suggests an upstream.
+constexpr uint64_t ask_prefix_mask = (uint64_t{1} << 27) - 1;
 
 template <typename T> bool contains(const std::vector<T> &List, const T &Item) {
   return std::find(List.begin(), List.end(), Item) != List.end();
@@ -26,12 +34,10 @@
          A.FreeSlots == B.FreeSlots;
 }
 
-wire::slot_ask makeAsk(int64_t Id, const node_identity &Self,
-                       const cell_name &Cell, const slot_request &Request,
-                       steady_time Now) {
+wire::slot_ask makeAsk(int64_t Id, const cell_name &Cell,
+                       const slot_request &Request, steady_time Now) {
   wire::slot_ask Ask;
   Ask.Ask = Id;
-  Ask.Incarnation = Self.Incarnation.Value;
   Ask.Pool = Cell.Value;
   Ask.ServiceClass = Request.Class.Value;
   Ask.Tier = static_cast<int32_t>(Request.Tier.Value);
@@ -40,7 +46,7 @@
   Ask.GiveUpMicros = toMicros(Request.GiveUp - Now);
   Ask.PromptTokens = Request.PromptTokens;
   Ask.ExpectedOutputTokens = Request.MaxTokens;
-  Ask.PrefixHash = static_cast<int64_t>(Request.PrefixHash);
+  Ask.PrefixHash = static_cast<int64_t>(Request.PrefixHash & ask_prefix_mask);
   Ask.Idempotent = Request.Idempotent;
   Ask.Resumed = Request.Resumed;
   for (const upstream_name &Name : Request.Excluded)
@@ -52,7 +58,8 @@
 
 slot_client::slot_client(node_identity Self, slot_owner Owner)
     : Self(std::move(Self)), Owner(std::move(Owner)),
-      LastAsk((this->Self.Incarnation.Value & run_mask) << asks_per_run_bits) {}
+      LastAsk(runNumber(this->Self.Incarnation, ask_run_bits)
+              << ask_number_bits) {}
 
 // ------------------------------------------------------------ configuration
 
@@ -60,7 +67,9 @@
                                    steady_time Now, effect_list &Effects,
                                    slot_outcome_list &Outcomes) {
   Map = pool_map::fromConfiguration(Configuration);
+  Names = short_names::fromConfiguration(Configuration, Map);
   Upstreams = Configuration.Upstreams;
+  refreshOwners();
   client_step Step{Now, Effects, Outcomes};
   slot_reply_list Replies;
   Owner.setConfiguration(Configuration, Map, Now, Replies, Effects);
@@ -74,6 +83,29 @@
     Peers[std::move(Name)] = std::move(Peer);
   }
   Peers[Self.Name] = {Self.Name, Self.Address, Self.Zone};
+  refreshOwners();
+}
+
+void slot_client::refreshOwners() {
+  std::map<zone_name, std::vector<cell_name>> Cells;
+  for (const auto &[Name, Cell] : Map.all())
+    Cells[Cell.Zone].push_back(Name);
+  std::map<zone_name, std::vector<node_name>> Entries;
+  for (const auto &[Name, Peer] : Peers)
+    Entries[Peer.Zone].push_back(Name);
+  std::map<zone_name, cell_owners> Before = std::move(Owners);
+  Owners.clear();
+  for (auto &[Zone, CellsOfZone] : Cells) {
+    std::vector<node_name> &EntriesOfZone = Entries[Zone];
+    auto Known = Before.find(Zone);
+    bool Same = Known != Before.end() && Known->second.cells() == CellsOfZone &&
+                Known->second.entries() == EntriesOfZone;
+    if (Same)
+      Owners.insert(Before.extract(Known));
+    else
+      Owners.emplace(
+          Zone, cell_owners(std::move(CellsOfZone), std::move(EntriesOfZone)));
+  }
 }
 
 void slot_client::onLoads(const std::vector<wire::pool_load> &Heard,
@@ -140,7 +172,7 @@
   std::vector<const cell *> Reachable;
   for (const cell *Cell :
        usable(Map.cellsOutside(Ask.Request.Pool, Self.Zone), Ask))
-    if (!entriesOf(Cell->Zone).empty())
+    if (hasEntries(Cell->Zone))
       Reachable.push_back(Cell);
   if (Reachable.empty())
     return nullptr;
@@ -178,16 +210,13 @@
   return Better ? Outside : Chosen;
 }
 
-std::vector<node_name> slot_client::entriesOf(const zone_name &Zone) const {
-  std::vector<node_name> Names;
-  for (const auto &[Name, Peer] : Peers)
-    if (Peer.Zone == Zone)
-      Names.push_back(Name);
-  return Names;
+bool slot_client::hasEntries(const zone_name &Zone) const {
+  auto Found = Owners.find(Zone);
+  return Found != Owners.end() && !Found->second.entries().empty();
 }
 
 bool slot_client::chooseOwner(const cell &Cell, pending_ask &Ask) const {
-  for (const node_name &Name : ownersInOrder(Cell.Name, entriesOf(Cell.Zone))) {
+  for (const node_name &Name : Owners.at(Cell.Zone).inOrder(Cell.Name)) {
     if (contains(Ask.Tried, Name))
       continue;
     Ask.Owner = Peers.at(Name);
@@ -233,6 +262,14 @@
   Step.Outcomes.emplace_back(Ask.Refusal);
 }
 
+wire::slot_ask slot_client::messageOf(int64_t Id, const pending_ask &Ask,
+                                      steady_time Now) const {
+  wire::slot_ask Message = makeAsk(Id, Ask.Cell, Ask.Request, Now);
+  if (!Ask.NamesInFull)
+    Names.shorten(Message);
+  return Message;
+}
+
 void slot_client::send(pending_ask Ask, client_step &Step) {
   ++Ask.Count;
   Ask.SentAt = Step.Now;
@@ -242,7 +279,7 @@
   if (Load != Loads.end() && Load->second.FreeSlots > 0)
     --Load->second.FreeSlots;
   slot_peer To = Ask.Owner;
-  wire::slot_ask Message = makeAsk(Id, Self, Ask.Cell, Ask.Request, Step.Now);
+  wire::slot_ask Message = messageOf(Id, Ask, Step.Now);
   AskOf[Ask.Request.Request] = Id;
   Asks[Id] = std::move(Ask);
   sendTo(To, Message, Step);
@@ -262,7 +299,6 @@
                            client_step &Step) {
   wire::slot_cancel Cancel;
   Cancel.Ask = Id;
-  Cancel.Incarnation = Self.Incarnation.Value;
   sendTo(Ask.Owner, Cancel, Step);
 }
 
@@ -356,7 +392,7 @@
     pending_ask &Ask = Found->second;
     Ask.SentAt = Step.Now;
     Ask.Queued = false;
-    sendTo(Ask.Owner, makeAsk(Id, Self, Ask.Cell, Ask.Request, Step.Now), Step);
+    sendTo(Ask.Owner, messageOf(Id, Ask, Step.Now), Step);
   }
 }
 
@@ -367,7 +403,6 @@
   for (const auto &[Request, Slot] : Held) {
     auto &[Peer, Renew] = ByOwner[{Slot.Owner.Name, Slot.OwnerIncarnation}];
     Peer = Slot.Owner;
-    Renew.Incarnation = Self.Incarnation.Value;
     Renew.OwnerIncarnation = Slot.OwnerIncarnation;
     Renew.Slots.push_back(Slot.Slot);
   }
@@ -403,11 +438,12 @@
 }
 
 slot_client slot_client::builder::build() {
-  slot_owner Owner = slot_owner::builder()
-                         .name(Self.Name)
-                         .incarnation(Self.Incarnation)
-                         .policy(makeSchedulingPolicy(Policy))
-                         .build();
+  slot_owner Owner =
+      slot_owner::builder()
+          .name(Self.Name)
+          .incarnation(incarnation{runNumber(Self.Incarnation, owner_run_bits)})
+          .policy(makeSchedulingPolicy(Policy))
+          .build();
   slot_client Client(Self, std::move(Owner));
   Client.setPeers({});
   return Client;
--- a/monsoonreel/slot_client.h
+++ b/monsoonreel/slot_client.h
@@ -16,9 +16,9 @@
 // a request needs is the entry itself, no message is sent.
 //
 // A request has at most one ask or one slot at a time. An owner that does not
-// answer in `ask_silence` is passed over for the next in rendezvous order, and
-// the entry itself is asked when no other is left. A grant that nobody waits
-// for is released at once with `NeverSent`.
+// answer in `ask_silence` is passed over for the next in `cell_owners` order,
+// and the entry itself is asked when no other is left. A grant that nobody
+// waits for is released at once with `NeverSent`.
 
 #ifndef MONSOONREEL_SLOT_CLIENT_H
 #define MONSOONREEL_SLOT_CLIENT_H
@@ -32,11 +32,13 @@
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 
+#include "monsoonreel/cell_owners.h"
 #include "monsoonreel/configuration.h"
 #include "monsoonreel/effect.h"
 #include "monsoonreel/event.h"
 #include "monsoonreel/node.h"
 #include "monsoonreel/pool_map.h"
+#include "monsoonreel/short_names.h"
 #include "monsoonreel/slot_messages.h"
 #include "monsoonreel/slot_owner.h"
 
@@ -117,6 +119,7 @@
     slot_peer Owner;
     steady_time SentAt;
     bool Queued = false;          // the owner has said that it waits
+    bool NamesInFull = false;     // an owner may not have known short ones
     std::vector<node_name> Tried; // owners of Cell that did not answer
     std::vector<cell_name> Left;  // cells that gave no slot
     int Count = 0;
@@ -151,13 +154,17 @@
                             steady_time Now) const;
   duration expectedWait(const cell &Cell, steady_time Now) const;
   bool hasKnownRoom(const cell &Cell, steady_time Now) const;
-  std::vector<node_name> entriesOf(const zone_name &Zone) const;
+  // Finds the owners of the cells of each zone whose cells or entries changed.
+  void refreshOwners();
+  bool hasEntries(const zone_name &Zone) const;
   // False: every owner has been tried.
   bool chooseOwner(const cell &Cell, pending_ask &Ask) const;
 
   // Takes the request's next step: a cell, an owner, or the refusal.
   void proceed(pending_ask Ask, uint64_t Random, client_step &Step);
   void send(pending_ask Ask, client_step &Step);
+  wire::slot_ask messageOf(int64_t Id, const pending_ask &Ask,
+                           steady_time Now) const;
   std::optional<pending_ask> takeAsk(int64_t Id);
   void withdraw(int64_t Id, const pending_ask &Ask, client_step &Step);
   void sendTo(const slot_peer &To, const wire::peer_message &Message,
@@ -179,8 +186,10 @@
   node_identity Self;
   slot_owner Owner;
   pool_map Map;
+  short_names Names;
   std::map<upstream_name, upstream> Upstreams;
   std::map<node_name, slot_peer> Peers;
+  std::map<zone_name, cell_owners> Owners; // of the zones with cells
   absl::flat_hash_map<cell_name, cell_load> Loads;
   // Walked through, so their order must not depend on the process's hash seed.
   absl::btree_map<int64_t, pending_ask> Asks;
