A cheap engine gets no work before its first load report

Cause: the owner of a queue learns of a reclaim notice from load reports, and it polls only cells that it was asked for. An owner that was asked for a cell for the first time (after a cut, a kill or a freeze of the owner before it) granted at once, up to 4.9 s after the notice.

Ruled out: the lag of polls (1 s), and work that was granted before the notice and stalled on its way (the check allows for both).

The check: the fake upstreams keep the time of their notice, and no work reaches one later than 4.2 s after it, whatever struck the site.

slot_owner_test.CheapUpstream_OnlyForWhatMayBeRepeatedAndAllows gets a load report before its last grant: what it expected before was the fault. The two new tests beside it expect that nothing is granted without the report.

--- a/fault_matrix/fake_upstreams.h
+++ b/fault_matrix/fake_upstreams.h
@@ -8,6 +8,7 @@
 #define MONSOONREEL_FAULT_MATRIX_FAKE_UPSTREAMS_H
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "monsoonreel/types.h"
@@ -21,7 +22,8 @@
 
 struct fake_upstream {
   bool Cheap = false;
-  bool Leaving = false;
+  // When its reclaim notice came; empty: it is not leaving.
+  std::optional<duration> LeavingSince;
   duration RefusesUntil{};
   // Grows with each crash and each loss of the open connections.
   int Generation = 0;
--- a/fault_matrix/mutations.cc
+++ b/fault_matrix/mutations.cc
@@ -61,7 +61,7 @@
       MONSOONREEL_MUTATION(DrainWaits, "", {}, true,
                            "entry_node_test."
                            "Drain_WithoutWaiting_CutsTheRequest"),
-      MONSOONREEL_MUTATION(LeavingStopsGrants, "", fault::ZoneReclaimed, false,
+      MONSOONREEL_MUTATION(LeavingStopsGrants, "", fault::ZoneReclaimed, true,
                            "slot_owner_test."
                            "Upstream_ReclaimNoticeIgnored_GetsGrants"),
       MONSOONREEL_MUTATION(WithdrawalCancels, "", {}, true,
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -64,6 +64,9 @@
 constexpr duration stall_time = std::chrono::seconds(3);
 // Just under the longest time from a holder's write to its effect.
 constexpr duration late_call_delay = std::chrono::milliseconds(1900);
+// A leaving upstream gets no new work after this time: its owner asks it for
+// its load once a second, and a grant on its way may be stalled.
+constexpr duration leaving_bound = stall_time + std::chrono::milliseconds(1200);
 // An accepted configuration is in force everywhere within this time.
 constexpr duration in_force_bound = std::chrono::seconds(9);
 
@@ -166,6 +169,7 @@
   void toAttempt(process &Process, int Life, attempt_number Attempt,
                  const step_name &Step, const event_body &Body);
   void checkKey(process &Process, request_id Request, const std::string &What);
+  void checkLeaving(const upstream_name &Name);
   duration callDelay(const process &Process);
   bool isUnanswered(const process &Process) const;
   address upstreamAddress(const std::string &Name) const;
--- a/fault_matrix/world_effects.cc
+++ b/fault_matrix/world_effects.cc
@@ -193,12 +193,26 @@
     Findings.push_back(What + " with a withdrawn key");
 }
 
+// By then the owner of its queue had to know of its reclaim notice, whatever
+// struck it.
+void world::checkLeaving(const upstream_name &Name) {
+  const fake_upstream &Upstream = Upstreams[Name.Value];
+  if (!Upstream.LeavingSince)
+    return;
+  duration Since = Time.now() - *Upstream.LeavingSince;
+  if (Since > leaving_bound)
+    Findings.push_back(Name.Value + " got new work " +
+                       std::to_string(toMicros(Since) / 1000) +
+                       " ms after its reclaim notice");
+}
+
 void world::runAttempt(process &Process, const dispatch_attempt &Effect,
                        int Life) {
   fake_upstream &Upstream = Upstreams[Effect.Upstream.Value];
   auto Number = Process.CallerOf.find(Effect.Request);
   if (Process.Life != Life || Number == Process.CallerOf.end())
     return;
+  checkLeaving(Effect.Upstream);
   Executions.begin(Callers.at(Number->second).BodyHash, Number->second);
   int Generation = Upstream.Generation;
   Time.after(first_token_delay + jitter(first_token_delay),
@@ -273,7 +287,7 @@
   }
   load_report Report;
   Report.Upstream = Effect.Upstream;
-  Report.Leaving = Upstream.Leaving;
+  Report.Leaving = Upstream.LeavingSince.has_value();
   int Life = Process.Life;
   Time.after(near_delay, [this, &Process, Report, Life] {
     if (Process.Life == Life)
@@ -290,7 +304,7 @@
     List.Vms.push_back(
         {node_name(Name),
          zone_name("zone-" + std::to_string(ZoneOfUpstream[Name])),
-         upstreamAddress(Name), Upstream.Leaving});
+         upstreamAddress(Name), Upstream.LeavingSince.has_value()});
   int Life = Process.Life;
   Time.after(platform_delay, [this, &Process, List, Life] {
     if (Process.Life == Life)
--- a/fault_matrix/world_faults.cc
+++ b/fault_matrix/world_faults.cc
@@ -179,15 +179,16 @@
 void world::reclaimZone(int Zone) {
   for (auto &[Name, Found] : Upstreams) {
     fake_upstream *Upstream = &Found;
-    if (!Upstream->Cheap || ZoneOfUpstream[Name] != Zone || Upstream->Leaving)
+    if (!Upstream->Cheap || ZoneOfUpstream[Name] != Zone ||
+        Upstream->LeavingSince)
       continue;
-    Upstream->Leaving = true;
+    Upstream->LeavingSince = Time.now();
     Time.after(leave_time, [this, Upstream] {
       ++Upstream->Generation;
       Upstream->RefusesUntil = Time.now() + refusal_time;
     });
     Time.after(leave_time + refusal_time,
-               [Upstream] { Upstream->Leaving = false; });
+               [Upstream] { Upstream->LeavingSince.reset(); });
   }
 }
 
--- a/monsoonreel/cell_queue.cc
+++ b/monsoonreel/cell_queue.cc
@@ -282,6 +282,7 @@
 }
 
 void cell_queue::tick(cell_step &Step) {
+  Upstreams.onTick(Step.Now);
   expireWaiting(Step);
   if (Step.Now >= NextReview) {
     NextReview = Step.Now + review_period;
--- a/monsoonreel/cell_upstreams.cc
+++ b/monsoonreel/cell_upstreams.cc
@@ -20,6 +20,10 @@
       return State.Upstream.Name == Member.Name;
     });
     state Next = Known == Old.end() ? state{} : *Known;
+    // Only engines report, and only those that can be reclaimed ever leave.
+    if (Known == Old.end() && Member.Cheap &&
+        Member.Kind == upstream_kind::Engine)
+      Next.Health.awaitReport();
     Next.Upstream = Member;
     States.push_back(std::move(Next));
   }
@@ -37,14 +41,19 @@
   return State.InFlight + (Recent ? State.Foreign : 0);
 }
 
+int cell_upstreams::unused(const state &State, steady_time Now) const {
+  return std::max(0, State.Upstream.Concurrency - load(State, Now));
+}
+
 int cell_upstreams::room(const state &State, steady_time Now) const {
   switch (State.Health.admits(Now)) {
   case admission_state::Closed:
-    return std::max(0, State.Upstream.Concurrency - load(State, Now));
+    return unused(State, Now);
   case admission_state::ProbeOnly:
     return 1;
   case admission_state::Open:
   case admission_state::Leaving:
+  case admission_state::Unreported:
     return 0;
   }
   return 0;
@@ -123,15 +132,17 @@
 
 bool cell_upstreams::isInService(const state &State, bool Cheap,
                                  steady_time Now) {
+  admission_state Admits = State.Health.admits(Now);
   return (Cheap || !State.Upstream.Cheap) &&
-         State.Health.admits(Now) == admission_state::Closed;
+         (Admits == admission_state::Closed ||
+          Admits == admission_state::Unreported);
 }
 
 int cell_upstreams::freeSlots(bool Cheap, steady_time Now) const {
   int Sum = 0;
   for (const state &State : States)
     if (isInService(State, Cheap, Now))
-      Sum += room(State, Now);
+      Sum += unused(State, Now);
   return Sum;
 }
 
@@ -221,6 +232,11 @@
   State.ReportedAt = Now - std::max(Report.Age, duration{});
 }
 
+void cell_upstreams::onTick(steady_time Now) {
+  for (state &State : States)
+    State.Health.onTick(Now);
+}
+
 admission_state cell_upstreams::admits(size_t Index, steady_time Now) const {
   return States[Index].Health.admits(Now);
 }
--- a/monsoonreel/cell_upstreams.h
+++ b/monsoonreel/cell_upstreams.h
@@ -55,8 +55,8 @@
   bool anySuits(const waiting_request &Request, steady_time Now) const;
   std::vector<placement_candidate> candidates(const waiting_request &Request,
                                               steady_time Now) const;
-  // Free and all slots of the upstreams in service. Cheap: those that can be
-  // reclaimed count too.
+  // Free and all slots of the upstreams in service, which are about to report
+  // or have done so. Cheap: those that can be reclaimed count too.
   int freeSlots(bool Cheap, steady_time Now) const;
   int slots(bool Cheap, steady_time Now) const;
 
@@ -66,6 +66,7 @@
   void onRelease(size_t Index, const slot_report &Report, bool WasProbe,
                  steady_time Now);
   void onLoadReport(const load_report &Report, steady_time Now);
+  void onTick(steady_time Now);
   admission_state admits(size_t Index, steady_time Now) const;
   int inFlight(size_t Index) const { return States[Index].InFlight; }
 
@@ -87,6 +88,7 @@
   // reclaimed.
   static bool isInService(const state &State, bool Cheap, steady_time Now);
   int load(const state &State, steady_time Now) const;
+  int unused(const state &State, steady_time Now) const;
   int room(const state &State, steady_time Now) const;
   double prefill(const state &State, steady_time Now) const;
   duration medianFirstToken(size_t Except) const;
--- a/monsoonreel/slot_owner.cc
+++ b/monsoonreel/slot_owner.cc
@@ -71,6 +71,8 @@
             .emplace(CellName,
                      owned_cell{cell_queue(*Cell, Configuration, *Policy), Now})
             .first;
+    // Its cheap upstreams get no work before they have reported.
+    NextPoll = Now;
   }
   Known->second.AskedAt = Now;
   return &Known->second.Queue;
--- a/monsoonreel/testing/slot_owner_test.cc
+++ b/monsoonreel/testing/slot_owner_test.cc
@@ -104,6 +104,19 @@
     Now += Passed;
     Owner.onTick(Now, Replies, Effects);
   }
+  void reportLoad(const char *Name, bool Leaving) {
+    load_report Report;
+    Report.Upstream = upstream_name(Name);
+    Report.Leaving = Leaving;
+    Owner.onLoadReport(Report, Now, Replies, Effects);
+  }
+  size_t polls(const char *Name) const {
+    size_t Count = 0;
+    for (const effect &Effect : Effects)
+      if (const auto *Poll = std::get_if<poll_load>(&Effect))
+        Count += Poll->Upstream == upstream_name(Name);
+    return Count;
+  }
   size_t breaches(const char *Name) const {
     size_t Count = 0;
     for (const effect &Effect : Effects)
@@ -307,9 +320,36 @@
   EXPECT_EQ(replyTo<wire::slot_refuse>(Refused)->Reason,
             wire::refusal_reason::NoUpstream);
   EXPECT_TRUE(replyTo<wire::slot_refuse>(ask("chat")));
+  reportLoad("cheap", false);
   EXPECT_TRUE(grantOf(ask("batch")));
 }
 
+TEST_F(slot_owner_test, CheapUpstream_NoticeBeforeFirstAsk_GetsNoGrants) {
+  Configuration.Upstreams.clear();
+  addEngine("cheap", 4).Cheap = true;
+  apply();
+  int64_t Ask = ask("batch");
+  EXPECT_FALSE(grantOf(Ask));
+  EXPECT_FALSE(replyTo<wire::slot_refuse>(Ask));
+  tick(milliseconds(10));
+  EXPECT_EQ(polls("cheap"), 1U);
+  reportLoad("cheap", true);
+  EXPECT_FALSE(grantOf(Ask));
+  reportLoad("cheap", false);
+  EXPECT_TRUE(grantOf(Ask));
+}
+
+TEST_F(slot_owner_test, CheapUpstream_NeverReports_IsTriedAfterTheWait) {
+  Configuration.Upstreams.clear();
+  addEngine("cheap", 4).Cheap = true;
+  apply();
+  int64_t Ask = ask("batch");
+  tick(milliseconds(10));
+  EXPECT_FALSE(grantOf(Ask));
+  tick(first_report_wait);
+  EXPECT_TRUE(grantOf(Ask));
+}
+
 TEST_F(slot_owner_test, Chat_WouldMissTarget_TakesBackLowestIdempotentSlot) {
   wire::slot_ask Unsafe = makeAsk("batch", "small");
   Unsafe.Idempotent = false;
--- a/monsoonreel/upstream_health.cc
+++ b/monsoonreel/upstream_health.cc
@@ -66,14 +66,31 @@
   PauseEnd = Now + Pause;
 }
 
+void upstream_health::setLeaving(bool Value) {
+  Leaving = Value;
+  AwaitsReport = false;
+}
+
+void upstream_health::onTick(steady_time Now) {
+  if (!AwaitsReport)
+    return;
+  if (!AwaitedSince)
+    AwaitedSince = Now;
+  AwaitsReport = Now - *AwaitedSince < first_report_wait;
+}
+
 void upstream_health::onProbeGranted(steady_time Now) {
   Probing = true;
   ProbeEnd = Now + upstream_probe_timeout;
 }
 
 admission_state upstream_health::admits(steady_time Now) const {
-  if (Leaving && isEnabled(mechanism::LeavingStopsGrants))
-    return admission_state::Leaving;
+  if (isEnabled(mechanism::LeavingStopsGrants)) {
+    if (Leaving)
+      return admission_state::Leaving;
+    if (AwaitsReport)
+      return admission_state::Unreported;
+  }
   if (!Ejected)
     return admission_state::Closed;
   bool MayProbe = Now >= PauseEnd && (!Probing || Now >= ProbeEnd);
--- a/monsoonreel/upstream_health.h
+++ b/monsoonreel/upstream_health.h
@@ -11,11 +11,15 @@
 // probe that succeeds closes the circuit.
 //
 // A reclaim notice is separate from the circuit: a leaving upstream admits
-// nothing, however well it answers.
+// nothing, however well it answers. An upstream that can be reclaimed may have
+// had its notice before this owner was asked for it, so it admits nothing
+// before its first load report either, for at most `first_report_wait`.
 
 #ifndef MONSOONREEL_UPSTREAM_HEALTH_H
 #define MONSOONREEL_UPSTREAM_HEALTH_H
 
+#include <optional>
+
 #include "monsoonreel/slot_messages.h"
 #include "monsoonreel/types.h"
 
@@ -27,8 +31,10 @@
 constexpr duration longest_pause = std::chrono::seconds(60);
 // A probe that has no result for so long has failed.
 constexpr duration upstream_probe_timeout = std::chrono::seconds(10);
+// An upstream that reports nothing for so long is judged by its answers alone.
+constexpr duration first_report_wait = std::chrono::seconds(2);
 
-enum class admission_state { Open, ProbeOnly, Closed, Leaving };
+enum class admission_state { Open, ProbeOnly, Closed, Leaving, Unreported };
 
 class upstream_health {
 public:
@@ -36,7 +42,12 @@
   void onResult(const slot_report &Report, bool WasProbe, steady_time Now);
   // No new work until a probe succeeds.
   void eject(steady_time Now);
-  void setLeaving(bool Value) { Leaving = Value; }
+  // From the first load report on.
+  void setLeaving(bool Value);
+  // Nothing is admitted until a load report shows that it is not leaving.
+  void awaitReport() { AwaitsReport = true; }
+  // Ends the wait for a report that does not come.
+  void onTick(steady_time Now);
   void onProbeGranted(steady_time Now);
 
   // `Closed` is the circuit breaker's closed state: all work is admitted.
@@ -50,6 +61,8 @@
 
   bool Ejected = false;
   bool Leaving = false;
+  bool AwaitsReport = false;
+  std::optional<steady_time> AwaitedSince;
   bool Probing = false;
   steady_time PauseEnd;
   steady_time ProbeEnd;
