Matrix: withdrawn keys stop at an entry that is cut off

Cause: no run noticed the loss of KeyTrustExpires, for the document left limits.stale_key_trust_non_idempotent at 5 minutes, longer than any cut, and checkKey judges undisturbed cells only.

The document sets it to 5 s now, and no request that must not repeat may start later than 5.5 s after its key was withdrawn, whatever struck the site. The bound of idempotent requests (hours) is longer than a run and not judged.

The matrix now has to catch it.

Not shown: a request that is admitted just before the trust ends and then waits for a slot. It is not checked again when it starts.

--- a/fault_matrix/mutations.cc
+++ b/fault_matrix/mutations.cc
@@ -104,7 +104,7 @@
                            false,
                            "key_trust_test."
                            "FreshPeer_WithoutOffsetRule_HidesAMissingRecord"),
-      MONSOONREEL_MUTATION(KeyTrustExpires, "", fault::ZoneCutBoth, false,
+      MONSOONREEL_MUTATION(KeyTrustExpires, "", fault::ZoneCutBoth, true,
                            "key_trust_test."
                            "CutOffNode_WithoutExpiry_TrustsForEver"),
       MONSOONREEL_MUTATION(OrganisationFairness, "", {}, false,
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -64,6 +64,10 @@
 constexpr duration stall_time = std::chrono::seconds(3);
 // Just under the longest time from a holder's write to its effect.
 constexpr duration late_call_delay = std::chrono::milliseconds(1900);
+// An entry that is cut off trusts keys for so long, on its own clock, for
+// requests that must not repeat. Short, so that it ends during a cut.
+constexpr duration key_trust = std::chrono::seconds(5);
+constexpr duration key_trust_slack = std::chrono::milliseconds(500);
 // A leaving upstream gets no new work after this time: its owner asks it for
 // its load once a second, and a grant on its way may be stalled.
 constexpr duration leaving_bound = stall_time + std::chrono::milliseconds(1200);
@@ -169,6 +173,7 @@
   void toAttempt(process &Process, int Life, attempt_number Attempt,
                  const step_name &Step, const event_body &Body);
   void checkKey(process &Process, request_id Request, const std::string &What);
+  void checkKeyTrust(process &Process, request_id Request);
   void checkLeaving(const upstream_name &Name);
   duration callDelay(const process &Process);
   bool isUnanswered(const process &Process) const;
--- a/fault_matrix/world_effects.cc
+++ b/fault_matrix/world_effects.cc
@@ -173,6 +173,7 @@
   transmission Request{"dispatch/request", &Process, nullptr,
                        near_delay + jitter(delay_jitter)};
   checkKey(Process, Effect.Request, "a request ran");
+  checkKeyTrust(Process, Effect.Request);
   fault_effect Struck = transmit(Request, [this, &Process, Effect, Life] {
     runAttempt(Process, Effect, Life);
   });
@@ -206,6 +207,23 @@
                        " ms after its reclaim notice");
 }
 
+// However cut off the entry is: a request that must not repeat starts with a
+// withdrawn key only while the entry may trust the keys that it knows.
+void world::checkKeyTrust(process &Process, request_id Request) {
+  const caller_request *Caller = callerOf(Process, Request);
+  if (!Caller || Caller->Idempotent)
+    return;
+  auto Found = Withdrawn.find(Caller->KeyId);
+  if (Found == Withdrawn.end())
+    return;
+  duration Since = Time.now() - Found->second;
+  if (Since > key_trust + key_trust_slack)
+    Findings.push_back(Process.Identity.Name.Value +
+                       " ran a request that must not repeat " +
+                       std::to_string(toMicros(Since) / 1000) +
+                       " ms after its key was withdrawn");
+}
+
 void world::runAttempt(process &Process, const dispatch_attempt &Effect,
                        int Life) {
   fake_upstream &Upstream = Upstreams[Effect.Upstream.Value];
--- a/fault_matrix/world_traffic.cc
+++ b/fault_matrix/world_traffic.cc
@@ -72,7 +72,9 @@
   - {path: /v1/chat/completions, class: quick, idempotent: true}
   - {path: /orders, pool: desk, class: booking}
   - {path: /quotes, pool: desk, class: booking, idempotent: true}
-limits: {usage_window: 10s, claim_window: 1h, max_queue_wait: )";
+limits: {usage_window: 10s, claim_window: 1h, stale_key_trust_non_idempotent: )";
+  Text += std::to_string(key_trust / std::chrono::seconds(1));
+  Text += "s, max_queue_wait: ";
   Text += std::to_string(20 + DocumentVersion) + "s}\nupstreams:\n";
   for (const auto &[Name, Upstream] : Upstreams) {
     bool Service = Name.starts_with("service");
