Matrix: nobody writes while another may still do so

The judge takes the belief itself now: each report and order names the moment until which its sender may write, on the sender's clock. Nobody else may write under that lease before this moment and the longest flight have passed.

--- a/fault_matrix/mutations.cc
+++ b/fault_matrix/mutations.cc
@@ -24,7 +24,7 @@
       MONSOONREEL_MUTATION(ClaimReadBack, "message/claim_ask", {}, true,
                            "claims_test."
                            "TwoDesks_WithoutReadBack_RunItTwice"),
-      MONSOONREEL_MUTATION(LeaseMargin, "report/call", fault::ZoneCutLog, false,
+      MONSOONREEL_MUTATION(LeaseMargin, "report/call", fault::ZoneCutLog, true,
                            "lease_holder_test."
                            "Takeover_SlowClockWithoutMargin_Overlaps"),
       MONSOONREEL_MUTATION(LeaseCheckBeforeWrite, "append/usage_close",
--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -176,10 +176,14 @@
     handle(Process, std::move(Body));
 }
 
+steady_time world::localTime(const process &Process) const {
+  return steady_time(Time.now() + Process.SteadyOffset +
+                     Time.now() * Process.SteadyDrift / million);
+}
+
 void world::handle(process &Process, event_body Body) {
   event Event;
-  Event.Now = steady_time(Time.now() + Process.SteadyOffset +
-                          Time.now() * Process.SteadyDrift / 1'000'000);
+  Event.Now = localTime(Process);
   Event.Wall =
       wall_time(duration(wall_epoch_micros) + Time.now() + Process.WallOffset);
   Event.Random = draw();
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -51,6 +51,8 @@
   int Occurrence = 1;
 };
 
+// Rates of clocks are in parts of this.
+constexpr int64_t million = 1'000'000;
 constexpr duration start_time = std::chrono::seconds(6);
 constexpr duration settling_time = std::chrono::seconds(75);
 // Longer than a lease, its margin and the time a successor waits.
@@ -141,6 +143,7 @@
   // Ends the process, which starts again after `restart_time`.
   void stop(process &Process);
   void freeze(process &Process);
+  steady_time localTime(const process &Process) const;
   void scheduleTick(process &Process, int Life);
   void scheduleRetention();
   void deliver(process &Process, event_body Body);
@@ -180,6 +183,8 @@
   void checkKey(process &Process, request_id Request, const std::string &What);
   void checkKeyTrust(process &Process, request_id Request);
   void checkLeaving(const upstream_name &Name);
+  void checkInCharge(process &Process, const std::string &Lease,
+                     steady_time NotAfter);
   duration callDelay(const process &Process);
   bool isUnanswered(const process &Process) const;
   address upstreamAddress(const std::string &Name) const;
--- a/fault_matrix/world_effects.cc
+++ b/fault_matrix/world_effects.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "fault_matrix/world.h"
+#include "monsoonreel/ledger.h"
 
 namespace monsoonreel::fault_matrix {
 
@@ -146,13 +147,30 @@
   *Silent = Struck.AnswerLost;
 }
 
+// Two processes that both believe they are in charge: what one of them may
+// still send could arrive after the other's write.
+void world::checkInCharge(process &Process, const std::string &Lease,
+                          steady_time NotAfter) {
+  for (const auto &[Name, Until] : InChargeUntil[Lease])
+    if (Name != Process.Identity.Name.Value && Time.now() < Until)
+      Findings.push_back(Process.Identity.Name.Value + " writes under " +
+                         Lease + " while " + Name + " may do so too");
+  duration Left = (NotAfter - localTime(Process)) * million /
+                  (million + Process.SteadyDrift);
+  InChargeUntil[Lease][Process.Identity.Name.Value] =
+      Time.now() + Left + late_call_delay;
+}
+
 void world::carryOut(process &Process, const send_usage_report &Effect) {
+  checkInCharge(Process, std::string(usage_lease), Effect.NotAfter);
   callPlatform(
       Process, "report", [this, Effect] { Platform.report(Effect); },
       usage_report_answered{Effect.Window, {}});
 }
 
 void world::carryOut(process &Process, const send_order &Effect) {
+  checkInCharge(Process, orderLeaseName(zone_name(Effect.Intent.Zone)),
+                Effect.NotAfter);
   callPlatform(
       Process, "order", [this, Effect] { Platform.order(Effect.Intent); },
       order_answered{Effect.Intent.OrderId, {}});
