Matrix: a failing random run is shortened

Random faults are drawn from a generator of their own, so that the faults that struck can be planned in place of the random ones, and give the same run; a unit test compares the two. `minimizeRun` then leaves out faults, by halves and one by one, and draws in the end of the run, while the first finding stays; at most 60 runs. fault-matrix prints the faults that remain (time, step, target) and the command that repeats the run, for up to three failing seeds.

--- a/fault_matrix/main.cc
+++ b/fault_matrix/main.cc
@@ -4,13 +4,16 @@
 //   fault-matrix --pairs=5000             random pairs, drawn from --seed
 //   fault-matrix --random=1000 --minutes=10
 //   fault-matrix --step=append/usage_close --fault=answer-lost
+//   fault-matrix --seed=7 --milliseconds=90000 --faults=read/call#3=lost
 //   fault-matrix --without=1              a mechanism taken away: should fail
 //   fault-matrix --mutations              each mechanism taken away in turn
 //   fault-matrix --mutation_tests         names of the unit tests that do so
 //
+// A random run that fails is shortened, and the command to repeat it printed.
 // Exit status 1 when a cell failed, or a mutation that has to be caught was
 // not.
 
+#include <algorithm>
 #include <iostream>
 #include <optional>
 #include <thread>
@@ -20,6 +23,7 @@
 #include <absl/flags/usage.h>
 
 #include "fault_matrix/matrix.h"
+#include "fault_matrix/minimal_run.h"
 #include "fault_matrix/mutations.h"
 #include "monsoonreel/mechanism.h"
 
@@ -31,6 +35,10 @@
 ABSL_FLAG(int, threads, 0, "Threads; 0 for one for each core");
 ABSL_FLAG(std::string, step, "", "Run only this step");
 ABSL_FLAG(std::string, fault, "", "Run only this fault");
+ABSL_FLAG(std::string, faults, "",
+          "Run one cell of these faults: step#occurrence=fault,...");
+ABSL_FLAG(int64_t, milliseconds, 50'000,
+          "Virtual length of the run of --faults");
 ABSL_FLAG(bool, outcomes, false,
           "Print how the requests of one run without faults ended");
 ABSL_FLAG(bool, mutations, false, "Take each mechanism away in turn");
@@ -78,6 +86,41 @@
   return runMatrix(selectedCells(), Threads);
 }
 
+// Failures beyond these are printed only as they are.
+constexpr size_t most_shortened = 3;
+
+void printShortened(const matrix_report &Report) {
+  size_t Count = std::min(Report.Failures.size(), most_shortened);
+  for (size_t Place = 0; Place < Count; ++Place) {
+    world_options Options;
+    Options.Seed = Report.Failures[Place].Cell.Seed;
+    Options.Length = std::chrono::minutes(absl::GetFlag(FLAGS_minutes));
+    Options.RandomFaultPeriod =
+        std::chrono::seconds(absl::GetFlag(FLAGS_fault_seconds));
+    if (std::optional<minimal_run> Run = minimizeRun(Options))
+      std::cout << toString(*Run);
+  }
+}
+
+// Runs the cell of --faults. Returns the exit status.
+int runFaults(const std::string &Text) {
+  std::optional<std::vector<planned_fault>> Faults = parseFaults(Text);
+  if (!Faults) {
+    std::cerr << "--faults is not step#occurrence=fault,...\n";
+    return 1;
+  }
+  matrix_cell Cell{*Faults, absl::GetFlag(FLAGS_seed)};
+  world_options Options;
+  Options.Length = std::chrono::milliseconds(absl::GetFlag(FLAGS_milliseconds));
+  std::optional<cell_result> Failure = findFailure({Cell}, Options, 1);
+  std::cout << (Failure ? "FAILED " : "passed ") << Cell.name() << "\n";
+  if (!Failure)
+    return 0;
+  for (const std::string &Finding : Failure->Findings)
+    std::cout << "    " << Finding << "\n";
+  return 1;
+}
+
 void printOutcomes() {
   world_options Options;
   Options.Seed = absl::GetFlag(FLAGS_seed);
@@ -123,7 +166,11 @@
     printOutcomes();
     return 0;
   }
+  if (std::string Faults = absl::GetFlag(FLAGS_faults); !Faults.empty())
+    return runFaults(Faults);
   matrix_report Report = runSelected();
   std::cout << Report.toString();
+  if (absl::GetFlag(FLAGS_random) > 0)
+    printShortened(Report);
   return Report.Failed == 0 ? 0 : 1;
 }
--- a/fault_matrix/matrix.cc
+++ b/fault_matrix/matrix.cc
@@ -23,7 +23,7 @@
   for (const planned_fault &Fault : Cell.Faults)
     World.plan(Fault);
   World.run();
-  bool Reached = World.struck() >= static_cast<int>(Cell.Faults.size());
+  bool Reached = World.struck().size() >= Cell.Faults.size();
   return {Cell, Reached, World.findings()};
 }
 
--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -34,7 +34,8 @@
 
 } // namespace
 
-world::world(world_options Options) : Options(Options), Random(Options.Seed) {
+world::world(world_options Options)
+    : Options(Options), Random(Options.Seed), FaultRandom(Options.Seed) {
   for (int Zone = 0; Zone < Options.Zones; ++Zone) {
     for (int Number = 0; Number < Options.NodesPerZone; ++Number) {
       addProcess(true, Zone, Number);
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -51,6 +51,13 @@
   int Occurrence = 1;
 };
 
+// A fault that struck, when, and whom.
+struct struck_fault {
+  duration At{};
+  planned_fault Fault;
+  std::string Target;
+};
+
 // Rates of clocks are in parts of this.
 constexpr int64_t million = 1'000'000;
 constexpr duration start_time = std::chrono::seconds(6);
@@ -89,8 +96,9 @@
   const std::vector<std::string> &findings() const { return Findings; }
   // Steps that occurred after the site had settled, with their counts.
   const std::map<step_name, int> &occurred() const { return Occurred; }
-  // Planned faults that struck.
-  int struck() const { return Struck; }
+  // Faults that struck, in their order. A run that plans these, with the same
+  // seed and length and no random faults, is the same run.
+  const std::vector<struck_fault> &struck() const { return Struck; }
   // Requests by how they ended, for the report of a run.
   std::map<std::string, int> outcomes() const;
 
@@ -191,6 +199,7 @@
   caller_request *callerOf(process &Process, request_id Request);
 
   // world_faults.cc
+  static std::string targetOf(const transmission &Transmission);
   fault_effect strike(const transmission &Transmission);
   void apply(fault Fault, const transmission &Transmission,
              fault_effect &Effect);
@@ -248,6 +257,9 @@
 
   world_options Options;
   std::mt19937_64 Random;
+  // Of its own, so that planned faults can take the place of random ones
+  // without a change of anything else.
+  std::mt19937_64 FaultRandom;
   virtual_time Time;
   std::map<std::string, process> Processes;
   fake_platform Platform;
@@ -258,7 +270,7 @@
 
   std::vector<planned_fault> Plan;
   std::map<step_name, int> Occurred;
-  int Struck = 0;
+  std::vector<struck_fault> Struck;
   bool Healed = false;
   std::set<int> PeersCut;    // zones
   std::set<int> PlatformCut; // zones
--- a/fault_matrix/world_faults.cc
+++ b/fault_matrix/world_faults.cc
@@ -14,6 +14,14 @@
 
 } // namespace
 
+std::string world::targetOf(const transmission &Transmission) {
+  auto NameOf = [](const process *Process, const char *Otherwise) {
+    return Process ? Process->Identity.Name.Value : Otherwise;
+  };
+  return NameOf(Transmission.Sender, "outside") + " to " +
+         NameOf(Transmission.Receiver, "outside");
+}
+
 world::fault_effect world::strike(const transmission &Transmission) {
   fault_effect Effect;
   if (Time.now() < start_time || Healed)
@@ -22,7 +30,7 @@
   for (const planned_fault &Planned : Plan) {
     if (Planned.Step != Transmission.Step || Planned.Occurrence != Count)
       continue;
-    ++Struck;
+    Struck.push_back({Time.now(), Planned, targetOf(Transmission)});
     apply(Planned.Fault, Transmission, Effect);
   }
   return Effect;
@@ -201,13 +209,13 @@
   // next occurrence of a step that occurs.
   if (!Occurred.empty()) {
     auto Step = Occurred.begin();
-    std::advance(Step, static_cast<long>(draw() % Occurred.size()));
+    std::advance(Step, static_cast<long>(FaultRandom() % Occurred.size()));
     const std::vector<fault> &Faults = allFaults();
     Plan.push_back(
-        {Step->first, Faults[draw() % Faults.size()], Step->second + 1});
+        {Step->first, Faults[FaultRandom() % Faults.size()], Step->second + 1});
   }
   auto Period = static_cast<uint64_t>(Options.RandomFaultPeriod.count());
-  Time.after(duration(static_cast<int64_t>(draw() % (2 * Period)) + 1),
+  Time.after(duration(static_cast<int64_t>(FaultRandom() % (2 * Period)) + 1),
              [this] { strikeRandomly(); });
 }
 
