--- a/fault_matrix/mutations.cc
+++ b/fault_matrix/mutations.cc
@@ -24,7 +24,7 @@
       MONSOONREEL_MUTATION(ClaimReadBack, "message/claim_ask", {}, true,
                            "claims_test."
                            "TwoDesks_WithoutReadBack_RunItTwice"),
-      MONSOONREEL_MUTATION(LeaseMargin, "report/call", fault::ZoneCutLog, false,
+      MONSOONREEL_MUTATION(LeaseMargin, "report/call", fault::ZoneCutLog, true,
                            "lease_holder_test."
                            "Takeover_SlowClockWithoutMargin_Overlaps"),
       MONSOONREEL_MUTATION(LeaseCheckBeforeWrite, "append/usage_close",
@@ -61,7 +61,7 @@
       MONSOONREEL_MUTATION(DrainWaits, "", {}, true,
                            "entry_node_test."
                            "Drain_WithoutWaiting_CutsTheRequest"),
-      MONSOONREEL_MUTATION(LeavingStopsGrants, "", fault::ZoneReclaimed, false,
+      MONSOONREEL_MUTATION(LeavingStopsGrants, "", fault::ZoneReclaimed, true,
                            "slot_owner_test."
                            "Upstream_ReclaimNoticeIgnored_GetsGrants"),
       MONSOONREEL_MUTATION(WithdrawalCancels, "", {}, true,
@@ -104,7 +104,7 @@
                            false,
                            "key_trust_test."
                            "FreshPeer_WithoutOffsetRule_HidesAMissingRecord"),
-      MONSOONREEL_MUTATION(KeyTrustExpires, "", fault::ZoneCutBoth, false,
+      MONSOONREEL_MUTATION(KeyTrustExpires, "", fault::ZoneCutBoth, true,
                            "key_trust_test."
                            "CutOffNode_WithoutExpiry_TrustsForEver"),
       MONSOONREEL_MUTATION(OrganisationFairness, "", {}, false,
--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -34,7 +34,8 @@
 
 } // namespace
 
-world::world(world_options Options) : Options(Options), Random(Options.Seed) {
+world::world(world_options Options)
+    : Options(Options), Random(Options.Seed), FaultRandom(Options.Seed) {
   for (int Zone = 0; Zone < Options.Zones; ++Zone) {
     for (int Number = 0; Number < Options.NodesPerZone; ++Number) {
       addProcess(true, Zone, Number);
@@ -111,7 +112,10 @@
   if (!Process.Up)
     return;
   Disturbed = true;
-  UsageMayBeLost = true;
+  if (Process.IsEntry) {
+    Kills.push_back({Process.Identity.Name.Value, Time.now()});
+    HolderLosses.push_back(Time.now());
+  }
   for (const auto &[Request, Number] : Process.CallerOf)
     Callers.at(Number).Disconnected = true;
   stop(Process);
@@ -129,6 +133,8 @@
 void world::freeze(process &Process) {
   Disturbed = true;
   Process.FrozenUntil = Time.now() + freeze_time;
+  if (Process.IsEntry)
+    HolderLosses.push_back(Time.now());
 }
 
 void world::scheduleTick(process &Process, int Life) {
@@ -171,10 +177,14 @@
     handle(Process, std::move(Body));
 }
 
+steady_time world::localTime(const process &Process) const {
+  return steady_time(Time.now() + Process.SteadyOffset +
+                     Time.now() * Process.SteadyDrift / million);
+}
+
 void world::handle(process &Process, event_body Body) {
   event Event;
-  Event.Now = steady_time(Time.now() + Process.SteadyOffset +
-                          Time.now() * Process.SteadyDrift / 1'000'000);
+  Event.Now = localTime(Process);
   Event.Wall =
       wall_time(duration(wall_epoch_micros) + Time.now() + Process.WallOffset);
   Event.Random = draw();
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -50,6 +51,15 @@
   int Occurrence = 1;
 };
 
+// A fault that struck, when, and whom.
+struct struck_fault {
+  duration At{};
+  planned_fault Fault;
+  std::string Target;
+};
+
+// Rates of clocks are in parts of this.
+constexpr int64_t million = 1'000'000;
 constexpr duration start_time = std::chrono::seconds(6);
 constexpr duration settling_time = std::chrono::seconds(75);
 // Longer than a lease, its margin and the time a successor waits.
@@ -64,6 +74,13 @@
 constexpr duration stall_time = std::chrono::seconds(3);
 // Just under the longest time from a holder's write to its effect.
 constexpr duration late_call_delay = std::chrono::milliseconds(1900);
+// An entry that is cut off trusts keys for so long, on its own clock, for
+// requests that must not repeat. Short, so that it ends during a cut.
+constexpr duration key_trust = std::chrono::seconds(5);
+constexpr duration key_trust_slack = std::chrono::milliseconds(500);
+// A leaving upstream gets no new work after this time: its owner asks it for
+// its load once a second, and a grant on its way may be stalled.
+constexpr duration leaving_bound = stall_time + std::chrono::milliseconds(1200);
 // An accepted configuration is in force everywhere within this time.
 constexpr duration in_force_bound = std::chrono::seconds(9);
 
@@ -79,8 +96,9 @@
   const std::vector<std::string> &findings() const { return Findings; }
   // Steps that occurred after the site had settled, with their counts.
   const std::map<step_name, int> &occurred() const { return Occurred; }
-  // Planned faults that struck.
-  int struck() const { return Struck; }
+  // Faults that struck, in their order. A run that plans these, with the same
+  // seed and length and no random faults, is the same run.
+  const std::vector<struck_fault> &struck() const { return Struck; }
   // Requests by how they ended, for the report of a run.
   std::map<std::string, int> outcomes() const;
 
@@ -108,6 +126,10 @@
     std::map<attempt_number, connection> Attempts;
     int64_t LastRequest = 0;
   };
+  struct entry_kill {
+    std::string Entry;
+    duration At{};
+  };
   // One transmission, as faults see it.
   struct transmission {
     step_name Step;
@@ -129,6 +151,7 @@
   // Ends the process, which starts again after `restart_time`.
   void stop(process &Process);
   void freeze(process &Process);
+  steady_time localTime(const process &Process) const;
   void scheduleTick(process &Process, int Life);
   void scheduleRetention();
   void deliver(process &Process, event_body Body);
@@ -166,12 +189,17 @@
   void toAttempt(process &Process, int Life, attempt_number Attempt,
                  const step_name &Step, const event_body &Body);
   void checkKey(process &Process, request_id Request, const std::string &What);
+  void checkKeyTrust(process &Process, request_id Request);
+  void checkLeaving(const upstream_name &Name);
+  void checkInCharge(process &Process, const std::string &Lease,
+                     steady_time NotAfter);
   duration callDelay(const process &Process);
   bool isUnanswered(const process &Process) const;
   address upstreamAddress(const std::string &Name) const;
   caller_request *callerOf(process &Process, request_id Request);
 
   // world_faults.cc
+  static std::string targetOf(const transmission &Transmission);
   fault_effect strike(const transmission &Transmission);
   void apply(fault Fault, const transmission &Transmission,
              fault_effect &Effect);
@@ -213,6 +241,10 @@
   // world_judge.cc
   void judge();
   void judgeUsage();
+  // Answered requests whose usage the kills may have lost; empty when there is
+  // no bound.
+  std::optional<int64_t> usageThatMayBeLost() const;
+  bool mayLoseHeldUsage(const entry_kill &Kill) const;
   void judgeNodes();
   void judgeMembership();
   void judgeLeases();
@@ -225,6 +257,9 @@
 
   world_options Options;
   std::mt19937_64 Random;
+  // Of its own, so that planned faults can take the place of random ones
+  // without a change of anything else.
+  std::mt19937_64 FaultRandom;
   virtual_time Time;
   std::map<std::string, process> Processes;
   fake_platform Platform;
@@ -235,7 +270,7 @@
 
   std::vector<planned_fault> Plan;
   std::map<step_name, int> Occurred;
-  int Struck = 0;
+  std::vector<struck_fault> Struck;
   bool Healed = false;
   std::set<int> PeersCut;    // zones
   std::set<int> PlatformCut; // zones
@@ -247,7 +282,14 @@
   // The last record that everybody has to know at the end: stewards write
   // claims and snapshots up to then.
   log_offset MustBeKnown;
-  bool UsageMayBeLost = false;
+  // By lease and process: until when a write of that process may take effect.
+  std::map<std::string, std::map<std::string, duration>> InChargeUntil;
+  std::vector<entry_kill> Kills;
+  // When an entry was killed or frozen, or zones lost each other: who held
+  // batches then may have lost them or may be out of reach.
+  std::vector<duration> HolderLosses;
+  // A draining entry gives away what it holds, if the platform is there.
+  std::vector<duration> Drains;
 
   int64_t OperatorSequence = 0;
   int64_t ConfigBase = 0;                   // as the operators know it
--- a/fault_matrix/world_effects.cc
+++ b/fault_matrix/world_effects.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "fault_matrix/world.h"
+#include "monsoonreel/ledger.h"
 
 namespace monsoonreel::fault_matrix {
 
@@ -146,13 +147,30 @@
   *Silent = Struck.AnswerLost;
 }
 
+// Two processes that both believe they are in charge: what one of them may
+// still send could arrive after the other's write.
+void world::checkInCharge(process &Process, const std::string &Lease,
+                          steady_time NotAfter) {
+  for (const auto &[Name, Until] : InChargeUntil[Lease])
+    if (Name != Process.Identity.Name.Value && Time.now() < Until)
+      Findings.push_back(Process.Identity.Name.Value + " writes under " +
+                         Lease + " while " + Name + " may do so too");
+  duration Left = (NotAfter - localTime(Process)) * million /
+                  (million + Process.SteadyDrift);
+  InChargeUntil[Lease][Process.Identity.Name.Value] =
+      Time.now() + Left + late_call_delay;
+}
+
 void world::carryOut(process &Process, const send_usage_report &Effect) {
+  checkInCharge(Process, std::string(usage_lease), Effect.NotAfter);
   callPlatform(
       Process, "report", [this, Effect] { Platform.report(Effect); },
       usage_report_answered{Effect.Window, {}});
 }
 
 void world::carryOut(process &Process, const send_order &Effect) {
+  checkInCharge(Process, orderLeaseName(zone_name(Effect.Intent.Zone)),
+                Effect.NotAfter);
   callPlatform(
       Process, "order", [this, Effect] { Platform.order(Effect.Intent); },
       order_answered{Effect.Intent.OrderId, {}});
@@ -173,6 +191,7 @@
   transmission Request{"dispatch/request", &Process, nullptr,
                        near_delay + jitter(delay_jitter)};
   checkKey(Process, Effect.Request, "a request ran");
+  checkKeyTrust(Process, Effect.Request);
   fault_effect Struck = transmit(Request, [this, &Process, Effect, Life] {
     runAttempt(Process, Effect, Life);
   });
@@ -193,12 +212,43 @@
     Findings.push_back(What + " with a withdrawn key");
 }
 
+// By then the owner of its queue had to know of its reclaim notice, whatever
+// struck it.
+void world::checkLeaving(const upstream_name &Name) {
+  const fake_upstream &Upstream = Upstreams[Name.Value];
+  if (!Upstream.LeavingSince)
+    return;
+  duration Since = Time.now() - *Upstream.LeavingSince;
+  if (Since > leaving_bound)
+    Findings.push_back(Name.Value + " got new work " +
+                       std::to_string(toMicros(Since) / 1000) +
+                       " ms after its reclaim notice");
+}
+
+// However cut off the entry is: a request that must not repeat starts with a
+// withdrawn key only while the entry may trust the keys that it knows.
+void world::checkKeyTrust(process &Process, request_id Request) {
+  const caller_request *Caller = callerOf(Process, Request);
+  if (!Caller || Caller->Idempotent)
+    return;
+  auto Found = Withdrawn.find(Caller->KeyId);
+  if (Found == Withdrawn.end())
+    return;
+  duration Since = Time.now() - Found->second;
+  if (Since > key_trust + key_trust_slack)
+    Findings.push_back(Process.Identity.Name.Value +
+                       " ran a request that must not repeat " +
+                       std::to_string(toMicros(Since) / 1000) +
+                       " ms after its key was withdrawn");
+}
+
 void world::runAttempt(process &Process, const dispatch_attempt &Effect,
                        int Life) {
   fake_upstream &Upstream = Upstreams[Effect.Upstream.Value];
   auto Number = Process.CallerOf.find(Effect.Request);
   if (Process.Life != Life || Number == Process.CallerOf.end())
     return;
+  checkLeaving(Effect.Upstream);
   Executions.begin(Callers.at(Number->second).BodyHash, Number->second);
   int Generation = Upstream.Generation;
   Time.after(first_token_delay + jitter(first_token_delay),
@@ -273,7 +323,7 @@
   }
   load_report Report;
   Report.Upstream = Effect.Upstream;
-  Report.Leaving = Upstream.Leaving;
+  Report.Leaving = Upstream.LeavingSince.has_value();
   int Life = Process.Life;
   Time.after(near_delay, [this, &Process, Report, Life] {
     if (Process.Life == Life)
@@ -290,7 +340,7 @@
     List.Vms.push_back(
         {node_name(Name),
          zone_name("zone-" + std::to_string(ZoneOfUpstream[Name])),
-         upstreamAddress(Name), Upstream.Leaving});
+         upstreamAddress(Name), Upstream.LeavingSince.has_value()});
   int Life = Process.Life;
   Time.after(platform_delay, [this, &Process, List, Life] {
     if (Process.Life == Life)
@@ -322,6 +372,7 @@
 void world::carryOut(process &Process, const finish_answer &Effect) {
   if (caller_request *Caller = callerOf(Process, Effect.Request)) {
     Caller->Finished = true;
+    Caller->FinishedAt = Time.now();
     ++Caller->FinalAnswers;
     Process.CallerOf.erase(Effect.Request);
   }
@@ -357,6 +408,7 @@
   if (std::any_of(Process.CallerOf.begin(), Process.CallerOf.end(), Waits))
     Findings.push_back(Process.Identity.Name.Value +
                        " ended its drain while callers waited");
+  Drains.push_back(Time.now());
   stop(Process);
 }
 
--- a/fault_matrix/world_faults.cc
+++ b/fault_matrix/world_faults.cc
@@ -14,6 +14,14 @@
 
 } // namespace
 
+std::string world::targetOf(const transmission &Transmission) {
+  auto NameOf = [](const process *Process, const char *Otherwise) {
+    return Process ? Process->Identity.Name.Value : Otherwise;
+  };
+  return NameOf(Transmission.Sender, "outside") + " to " +
+         NameOf(Transmission.Receiver, "outside");
+}
+
 world::fault_effect world::strike(const transmission &Transmission) {
   fault_effect Effect;
   if (Time.now() < start_time || Healed)
@@ -22,7 +30,7 @@
   for (const planned_fault &Planned : Plan) {
     if (Planned.Step != Transmission.Step || Planned.Occurrence != Count)
       continue;
-    ++Struck;
+    Struck.push_back({Time.now(), Planned, targetOf(Transmission)});
     apply(Planned.Fault, Transmission, Effect);
   }
   return Effect;
@@ -138,8 +146,10 @@
 
 void world::cutZone(int Zone, bool Peers, bool PlatformToo) {
   Disturbed = true;
-  if (Peers)
+  if (Peers) {
     PeersCut.insert(Zone);
+    HolderLosses.push_back(Time.now());
+  }
   if (PlatformToo)
     PlatformCut.insert(Zone);
   Time.after(cut_time, [this, Zone, Peers, PlatformToo] {
@@ -179,15 +189,16 @@
 void world::reclaimZone(int Zone) {
   for (auto &[Name, Found] : Upstreams) {
     fake_upstream *Upstream = &Found;
-    if (!Upstream->Cheap || ZoneOfUpstream[Name] != Zone || Upstream->Leaving)
+    if (!Upstream->Cheap || ZoneOfUpstream[Name] != Zone ||
+        Upstream->LeavingSince)
       continue;
-    Upstream->Leaving = true;
+    Upstream->LeavingSince = Time.now();
     Time.after(leave_time, [this, Upstream] {
       ++Upstream->Generation;
       Upstream->RefusesUntil = Time.now() + refusal_time;
     });
     Time.after(leave_time + refusal_time,
-               [Upstream] { Upstream->Leaving = false; });
+               [Upstream] { Upstream->LeavingSince.reset(); });
   }
 }
 
@@ -198,13 +209,13 @@
   // next occurrence of a step that occurs.
   if (!Occurred.empty()) {
     auto Step = Occurred.begin();
-    std::advance(Step, static_cast<long>(draw() % Occurred.size()));
+    std::advance(Step, static_cast<long>(FaultRandom() % Occurred.size()));
     const std::vector<fault> &Faults = allFaults();
     Plan.push_back(
-        {Step->first, Faults[draw() % Faults.size()], Step->second + 1});
+        {Step->first, Faults[FaultRandom() % Faults.size()], Step->second + 1});
   }
   auto Period = static_cast<uint64_t>(Options.RandomFaultPeriod.count());
-  Time.after(duration(static_cast<int64_t>(draw() % (2 * Period)) + 1),
+  Time.after(duration(static_cast<int64_t>(FaultRandom() % (2 * Period)) + 1),
              [this] { strikeRandomly(); });
 }
 
