--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -44,11 +44,10 @@
   return Bytes;
 }
 
-void reportFigures(benchmark::State &State, int Count, size_t Bytes,
-                   double HeapBytes) {
+void reportFigures(benchmark::State &State, int Count, duration Time,
+                   size_t Bytes, double HeapBytes) {
   double NodeSeconds = static_cast<double>(State.iterations()) *
-                       std::chrono::duration<double>(round_time).count() *
-                       Count;
+                       std::chrono::duration<double>(Time).count() * Count;
   State.counters["bytes_per_s"] =
       benchmark::Counter(static_cast<double>(Bytes) / NodeSeconds);
   State.counters["cpu_us_per_s"] =
@@ -67,7 +66,8 @@
   size_t Before = bytesOfAll(Network, Count);
   while (State.KeepRunning())
     Network.run(round_time);
-  reportFigures(State, Count, bytesOfAll(Network, Count) - Before, Heap);
+  reportFigures(State, Count, round_time, bytesOfAll(Network, Count) - Before,
+                Heap);
 }
 BENCHMARK(steadyMembership)
     ->Arg(8)
@@ -76,20 +76,27 @@
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
-// A zone is lost: every member of it dies at once.
+// A zone is lost: every member of it dies at once. The figures are of
+// so many seconds from then on.
 void zoneLost(benchmark::State &State) {
   int Count = static_cast<int>(State.range(0));
+  duration Time = std::chrono::seconds(State.range(1));
   member_network Network;
   startNodes(Network, Count);
   for (int Index = 0; Index < Count; Index += zone_count)
     Network.stop(nameOf(Index));
   size_t Before = bytesOfAll(Network, Count);
   while (State.KeepRunning())
-    Network.run(round_time);
-  reportFigures(State, Count, bytesOfAll(Network, Count) - Before, 0);
+    Network.run(Time);
+  reportFigures(State, Count, Time, bytesOfAll(Network, Count) - Before, 0);
 }
-BENCHMARK(zoneLost)->Arg(40)->Arg(330)->Iterations(1)->Unit(
-    benchmark::kMillisecond);
+BENCHMARK(zoneLost)
+    ->Args({8, 12})
+    ->Args({40, 12})
+    ->Args({330, 12})
+    ->Args({330, 60})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
 
 // Seconds until every live node holds all stopped ones dead: of so many nodes,
 // every so manieth is stopped.
@@ -117,6 +124,7 @@
       std::chrono::duration<double>(Network.now() - Begin).count();
 }
 BENCHMARK(deathKnownEverywhere)
+    ->Args({8, zone_count})
     ->Args({40, 40})
     ->Args({40, zone_count})
     ->Args({330, 330})
@@ -124,6 +132,47 @@
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
+// Seconds until all hold all others alive again, after a zone was cut off for
+// five minutes, and the bytes of a node in the first minute.
+void returnKnownEverywhere(benchmark::State &State) {
+  int Count = static_cast<int>(State.range(0));
+  member_network Network;
+  startNodes(Network, Count);
+  for (int Lost = 0; Lost < Count; Lost += zone_count)
+    for (int Other = 0; Other < Count; ++Other)
+      if (Other % zone_count != 0)
+        Network.cut(nameOf(Lost), nameOf(Other));
+  Network.run(std::chrono::minutes(5));
+  Network.healAll();
+  auto IsKnown = [&] {
+    for (int Viewer = 0; Viewer < Count; ++Viewer)
+      for (int Seen = 0; Seen < Count; ++Seen)
+        if (Seen != Viewer && Network.stateOf(nameOf(Viewer), nameOf(Seen)) !=
+                                  wire::member_state::Alive)
+          return false;
+    return true;
+  };
+  steady_time Begin = Network.now();
+  size_t Before = bytesOfAll(Network, Count);
+  while (State.KeepRunning())
+    while (!IsKnown() && Network.now() - Begin < std::chrono::minutes(5))
+      Network.run(std::chrono::milliseconds(500));
+  duration Known = Network.now() - Begin;
+  if (Known < std::chrono::minutes(1))
+    Network.run(std::chrono::minutes(1) - Known);
+  double NodeSeconds =
+      std::chrono::duration<double>(Network.now() - Begin).count() * Count;
+  State.counters["virtual_s"] = std::chrono::duration<double>(Known).count();
+  State.counters["bytes_per_s"] =
+      static_cast<double>(bytesOfAll(Network, Count) - Before) / NodeSeconds;
+}
+BENCHMARK(returnKnownEverywhere)
+    ->Arg(8)
+    ->Arg(40)
+    ->Arg(330)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 } // namespace monsoonreel
 
--- a/monsoonreel/membership.cc
+++ b/monsoonreel/membership.cc
@@ -45,6 +45,10 @@
     NextFar = Now + far_heartbeat_period;
     probeNext(Far, false, Now, Effects);
   }
+  if (Now >= NextLostZones) {
+    NextLostZones = Now + heartbeat_period;
+    probeLostZones(Now, Effects);
+  }
   if (Now >= NextReconnect) {
     // A node that knows nobody looks for others as often as it can.
     NextReconnect =
@@ -89,6 +93,36 @@
   sendHeartbeat(Nonce, Target, TargetAddress, false, Now, Effects);
 }
 
+// A zone is lost or cut off as a whole: its members are found by probes of all
+// nodes together, not each by its turn in everybody's round.
+void membership::probeLostZones(steady_time Now, effect_list &Effects) {
+  struct zone_state {
+    size_t Doubted = 0;
+    std::vector<const wire::member *> Others;
+  };
+  std::map<std::string, zone_state> Zones;
+  for (const auto &[Name, Known] : Members) {
+    wire::member_state::type State = Known.Member.State;
+    zone_state &Zone = Zones[Known.Member.Zone];
+    bool DiedLately = State == wire::member_state::Dead &&
+                      Now - Known.ChangedAt < lost_zone_memory;
+    if (State == wire::member_state::Suspect || DiedLately)
+      ++Zone.Doubted;
+    else if (State != wire::member_state::Dead)
+      Zone.Others.push_back(&Known.Member);
+  }
+  std::vector<const wire::member *> Candidates;
+  for (const auto &[Name, Zone] : Zones)
+    if (Zone.Doubted >= lost_zone_threshold && Name != Self.Zone)
+      Candidates.insert(Candidates.end(), Zone.Others.begin(),
+                        Zone.Others.end());
+  // Each node takes its share, so that a large site does not probe at once.
+  if (draw() % liveCount() >= lost_zone_probes * Candidates.size())
+    return;
+  const wire::member &Target = *Candidates[draw() % Candidates.size()];
+  beginProbe(node_name(Target.Name), address(Target.Address), Now, Effects);
+}
+
 // Looks for members that are not known to live: at the seeds, at the addresses
 // of the VM list, and at those of dead members.
 void membership::probeUnknown(steady_time Now, effect_list &Effects) {
--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -11,13 +11,16 @@
 // zone, and less often to one of another zone, in a shuffled round-robin
 // order. Silence is met, in this order, by a heartbeat on a new connection and
 // indirect probes through two others, by suspicion, which the suspect may
-// refute, and by death. A dead member is still probed now and then, so that a
-// healed partition is found. Changes spread in a bounded list with each
-// heartbeat and each answer, so the bytes a second of a node do not depend on
-// the number of members. Each message names a digest of the members that its
-// sender holds live; whoever finds another digest than its own in a heartbeat
-// tells some members at random in its answer, so a missed change is heard
-// later.
+// refute, and by death. When several members of a zone are suspected, the rest
+// of it is probed at once. A dead member is still probed now and then, so that
+// a healed partition is found.
+//
+// Changes spread in bounded lists with each heartbeat and each answer, so the
+// bytes a second of a node do not depend on the number of members. A new
+// member is told whole, a later change of it in a few bytes. Each message names
+// a digest of the members that its sender holds live; whoever finds another
+// digest than its own in a heartbeat tells recent changes and some members at
+// random in its answer, so a missed change is heard later.
 //
 // Heartbeats also carry the sender's offset of the operator stream, the age of
 // its knowledge of the log (see `log_freshness`), and the loads of pools.
@@ -57,6 +60,11 @@
 constexpr duration probe_timeout = std::chrono::milliseconds(900);
 // A suspicion that is not refuted for so long becomes death.
 constexpr duration suspicion_timeout = std::chrono::seconds(4);
+// How long a change is told to members whose digest differs, after it was told
+// often enough to everybody.
+constexpr duration recent_change_time = std::chrono::minutes(2);
+// So long a dead member counts for its zone being lost.
+constexpr duration lost_zone_memory = std::chrono::seconds(30);
 // Between two looks for suspicions that ended and members to forget.
 constexpr duration expiry_period = std::chrono::milliseconds(100);
 // How long a dead member is remembered, so that it is probed again.
@@ -67,8 +75,13 @@
 constexpr size_t indirect_probe_count = 2;
 constexpr size_t max_members = 2048;
 constexpr size_t max_gossip_members = 4;
+constexpr size_t max_gossip_changes = 48;
 constexpr size_t max_gossip_loads = 3;
 constexpr size_t max_ledger_peers = 4;
+// With so many members suspected or dead, the rest of their zone is probed.
+constexpr size_t lost_zone_threshold = 3;
+// Probes in a second, of all nodes together, of each member of such a zone.
+constexpr size_t lost_zone_probes = 2;
 constexpr size_t max_relayed_probes = 64;
 // Members that a node tells at once that it is leaving.
 constexpr size_t leaving_fanout = 4;
@@ -143,12 +156,24 @@
   struct known_member {
     wire::member Member;
     steady_time ChangedAt; // of its state
-    int Spread = 0;        // how often the newest state was sent
+    steady_time NewsAt;    // the newest version was heard
+    int Spread = 0;        // how often the newest version was sent
     log_offset Ledger;
     bool TellsDigest = false; // it compares MembersDigest
     // Its present process has acknowledged a heartbeat of this one.
     bool KnowsSelf = false;
   };
+  // What one message tells of members.
+  struct gossip {
+    std::vector<wire::member> Members;
+    std::vector<int64_t> Changes; // see member_change.h
+  };
+  // What a message tells beside the changes that few have heard.
+  enum class further_gossip {
+    None,
+    AnyMember,  // the receiver compares no digests
+    Difference, // the receiver's digest differs
+  };
   struct open_probe {
     node_name Target; // empty: an address that no member is known at
     address TargetAddress;
@@ -169,6 +194,7 @@
   void escalate(int64_t Nonce, steady_time Now, effect_list &Effects);
   void probeNext(probe_schedule &Schedule, bool InOwnZone, steady_time Now,
                  effect_list &Effects);
+  void probeLostZones(steady_time Now, effect_list &Effects);
   void tellLeaving(steady_time Now, effect_list &Effects);
   void expireMembers(steady_time Now, effect_list &Effects);
   void forgetProbesAfterPause(steady_time Now);
@@ -195,6 +221,9 @@
   void learnAll(const wire::member &Sender, log_offset Ledger,
                 const std::vector<wire::member> &Gossip, int Spread,
                 steady_time Now, effect_list &Effects);
+  // Merges changes of members that are known.
+  void learnChanges(const std::vector<int64_t> &Changes, steady_time Now,
+                    effect_list &Effects);
   void refute(const wire::member &Heard);
   void suspect(known_member &Known, steady_time Now, effect_list &Effects);
   void declareDead(known_member &Known, steady_time Now, effect_list &Effects);
@@ -204,10 +233,14 @@
                      const address &ToAddress, bool Retry, steady_time Now,
                      effect_list &Effects);
   log_offset ledgerOffset() const;
-  // At most max_gossip_members changes, the least spread first; when there are
-  // fewer, up to Further other members. To hears of itself unless it is held
-  // alive.
-  std::vector<wire::member> pickGossip(const node_name &To, size_t Further);
+  // The changes that were told least often so far, and Further. To hears of
+  // itself unless it is held alive.
+  gossip pickGossip(const node_name &To, further_gossip Further,
+                    steady_time Now);
+  void addRecentChanges(const node_name &To, steady_time Now, gossip &Picked);
+  template <typename T> static void setGossip(gossip Picked, T &Message);
+  // Adds what is told of a member, if there is room for it in Picked.
+  static bool tell(const wire::member &Member, gossip &Picked);
   // Equal for nodes that hold the same members live, in the same states.
   int32_t membersDigest() const;
   void addAnyMembers(size_t Count, const node_name &To,
@@ -237,6 +270,7 @@
   bool Started = false;
   steady_time NextNear;
   steady_time NextFar;
+  steady_time NextLostZones;
   steady_time NextReconnect;
   steady_time NextExpiry;
   steady_time LastFullList;
--- a/monsoonreel/membership_messages.cc
+++ b/monsoonreel/membership_messages.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <bit>
 #include <tuple>
 #include <utility>
 
@@ -112,6 +111,7 @@
     // It may have missed the answer because it does not know this node.
     Known->KnowsSelf &= !Beat.Retry;
   }
+  learnChanges(Beat.Changes, Now, Effects);
   Loads.merge(Beat.Loads, Now);
   node_name To(Sender.Name);
   address ToAddress(Sender.Address);
@@ -127,10 +127,15 @@
   if (SendAll)
     LastFullList = Now;
   Ack.__set_MembersDigest(membersDigest());
-  size_t Further = 1;
+  further_gossip Further = further_gossip::AnyMember;
   if (Beat.__isset.MembersDigest)
-    Further = Beat.MembersDigest == Ack.MembersDigest ? 0 : max_gossip_members;
-  Ack.Gossip = SendAll ? allMembers() : pickGossip(To, Further);
+    Further = Beat.MembersDigest == Ack.MembersDigest
+                  ? further_gossip::None
+                  : further_gossip::Difference;
+  if (SendAll)
+    Ack.Gossip = allMembers();
+  else
+    setGossip(pickGossip(To, Further, Now), Ack);
   Ack.Loads = Loads.pick(max_gossip_loads, Now);
   if (std::optional<duration> Age = Freshness.age(Now))
     Ack.__set_LogAgeMicros(toMicros(*Age));
@@ -145,6 +150,7 @@
   bool WholeList = Ack.Gossip.size() > max_gossip_members + 1;
   learnAll(Sender, log_offset{Ack.LedgerOffset}, Ack.Gossip,
            WholeList ? already_spread : 0, Now, Effects);
+  learnChanges(Ack.Changes, Now, Effects);
   Loads.merge(Ack.Loads, Now);
   if (auto Relay = Relays.find(Ack.Nonce); Relay != Relays.end()) {
     relayAck(Sender, Relay->second, Effects);
@@ -219,7 +225,8 @@
     // An unknown dead member is not remembered: it would go round for ever.
     if (Heard.State == wire::member_state::Dead || !makeRoom())
       return;
-    Members[Heard.Name] = known_member{Heard, Now, Spread, log_offset()};
+    Members[Heard.Name] = known_member{
+        Heard, Now, Spread == 0 ? Now : steady_time(), Spread, log_offset()};
     Effects.push_back(
         log_line{log_level::Info,
                  "member " + Heard.Name + " joined at " + Heard.Address});
@@ -238,6 +245,7 @@
     Known->KnowsSelf = false;
   }
   Known->Member = Heard;
+  Known->NewsAt = Now;
   Known->Spread = 0;
 }
 
@@ -263,6 +271,7 @@
   }
   State = wire::member_state::Suspect;
   Known.ChangedAt = Now;
+  Known.NewsAt = Now;
   Known.Spread = 0;
   Effects.push_back(
       log_line{log_level::Warning, "member " + Known.Member.Name +
@@ -276,6 +285,7 @@
                              effect_list &Effects) {
   Known.Member.State = wire::member_state::Dead;
   Known.ChangedAt = Now;
+  Known.NewsAt = Now;
   Known.Spread = 0;
   Effects.push_back(
       log_line{log_level::Warning, "member " + Known.Member.Name + " is dead"});
@@ -312,13 +322,22 @@
   Beat.__set_MembersDigest(membersDigest());
   // Whoever compares digests tells what differs in its answer.
   known_member *Receiver = findKnown(To.Value);
-  Beat.Gossip = pickGossip(To, Receiver && Receiver->TellsDigest ? 0 : 1);
+  further_gossip Further = Receiver && Receiver->TellsDigest
+                               ? further_gossip::None
+                               : further_gossip::AnyMember;
+  setGossip(pickGossip(To, Further, Now), Beat);
   Beat.Loads = Loads.pick(max_gossip_loads, Now);
   Beat.Retry = Retry;
   Beat.WantsMembers = ListsWanted > 0;
   Effects.push_back(send_message{To, ToAddress, std::move(Beat)});
 }
 
+template <typename T> void membership::setGossip(gossip Picked, T &Message) {
+  Message.Gossip = std::move(Picked.Members);
+  if (!Picked.Changes.empty())
+    Message.__set_Changes(std::move(Picked.Changes));
+}
+
 template <typename T>
 void membership::nameSelf(const node_name &To, T &Message) {
   known_member *Receiver = findKnown(To.Value);
@@ -339,11 +358,6 @@
   return std::max(Ledger, Freshness.applied());
 }
 
-// How often a change is told to others before it counts as known everywhere.
-size_t membership::spreadLimit() const {
-  return std::bit_width(Members.size() + 1) + size_t{2};
-}
-
 int32_t membership::membersDigest() const {
   uint32_t Digest = digestOf(Self);
   for (const auto &[Name, Known] : Members)
@@ -352,55 +366,4 @@
   return static_cast<int32_t>(Digest);
 }
 
-std::vector<wire::member> membership::pickGossip(const node_name &To,
-                                                 size_t Further) {
-  std::vector<wire::member> Picked;
-  // Whoever is suspected or held dead has to hear it, to refute it.
-  known_member *Receiver = findKnown(To.Value);
-  if (Receiver && Receiver->Member.State != wire::member_state::Alive)
-    Picked.push_back(Receiver->Member);
-  std::vector<known_member *> Changes;
-  size_t Limit = spreadLimit();
-  for (auto &[Name, Known] : Members)
-    if (static_cast<size_t>(Known.Spread) < Limit && Name != To.Value)
-      Changes.push_back(&Known);
-  size_t Room = std::min(Changes.size(), max_gossip_members);
-  std::partial_sort(
-      Changes.begin(), Changes.begin() + static_cast<ptrdiff_t>(Room),
-      Changes.end(), [](const known_member *Left, const known_member *Right) {
-        return Left->Spread < Right->Spread;
-      });
-  Changes.resize(Room);
-  for (known_member *Known : Changes) {
-    ++Known->Spread;
-    Picked.push_back(Known->Member);
-  }
-  addAnyMembers(std::min(Further, max_gossip_members - Room), To, Picked);
-  return Picked;
-}
-
-// Tells some members from a random place on, so that whoever missed a change
-// hears of it from one of those that it asks. A place that moved on with each
-// message would be the same at all of them after a quiet time.
-void membership::addAnyMembers(size_t Count, const node_name &To,
-                               std::vector<wire::member> &Picked) {
-  if (Count == 0 || Members.empty())
-    return;
-  auto Place = static_cast<ptrdiff_t>(draw() % Members.size());
-  auto Next = std::next(Members.begin(), Place);
-  for (size_t Told = 0; Told < std::min(Count, Members.size()); ++Told) {
-    if (Next->first != To.Value)
-      Picked.push_back(Next->second.Member);
-    if (++Next == Members.end())
-      Next = Members.begin();
-  }
-}
-
-std::vector<wire::member> membership::allMembers() const {
-  std::vector<wire::member> All;
-  for (const auto &[Name, Known] : Members)
-    All.push_back(Known.Member);
-  return All;
-}
-
 } // namespace monsoonreel
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -866,6 +866,11 @@
   this->SenderRun = val;
 __isset.SenderRun = true;
 }
+
+void heartbeat::__set_Changes(const std::vector<int64_t> & val) {
+  this->Changes = val;
+__isset.Changes = true;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj)
 {
   obj.printTo(out);
@@ -990,6 +995,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Changes.clear();
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->Changes.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
+            {
+              xfer += iprot->readI64(this->Changes[_i29]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1023,10 +1048,10 @@
   xfer += oprot->writeFieldBegin("Gossip", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Gossip.size()));
-    std::vector<member> ::const_iterator _iter25;
-    for (_iter25 = this->Gossip.begin(); _iter25 != this->Gossip.end(); ++_iter25)
+    std::vector<member> ::const_iterator _iter30;
+    for (_iter30 = this->Gossip.begin(); _iter30 != this->Gossip.end(); ++_iter30)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += (*_iter30).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1035,10 +1060,10 @@
   xfer += oprot->writeFieldBegin("Loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Loads.size()));
-    std::vector<pool_load> ::const_iterator _iter26;
-    for (_iter26 = this->Loads.begin(); _iter26 != this->Loads.end(); ++_iter26)
+    std::vector<pool_load> ::const_iterator _iter31;
+    for (_iter31 = this->Loads.begin(); _iter31 != this->Loads.end(); ++_iter31)
     {
-      xfer += (*_iter26).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1062,6 +1087,19 @@
     xfer += this->SenderRun.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.Changes) {
+    xfer += oprot->writeFieldBegin("Changes", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Changes.size()));
+      std::vector<int64_t> ::const_iterator _iter32;
+      for (_iter32 = this->Changes.begin(); _iter32 != this->Changes.end(); ++_iter32)
+      {
+        xfer += oprot->writeI64((*_iter32));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1078,57 +1116,62 @@
   swap(a.WantsMembers, b.WantsMembers);
   swap(a.MembersDigest, b.MembersDigest);
   swap(a.SenderRun, b.SenderRun);
+  swap(a.Changes, b.Changes);
   swap(a.__isset, b.__isset);
 }
 
-heartbeat::heartbeat(const heartbeat& other27) {
-  Nonce = other27.Nonce;
-  Sender = other27.Sender;
-  LedgerOffset = other27.LedgerOffset;
-  Gossip = other27.Gossip;
-  Loads = other27.Loads;
-  Retry = other27.Retry;
-  WantsMembers = other27.WantsMembers;
-  MembersDigest = other27.MembersDigest;
-  SenderRun = other27.SenderRun;
-  __isset = other27.__isset;
-}
-heartbeat::heartbeat(heartbeat&& other28) noexcept {
-  Nonce = other28.Nonce;
-  Sender = std::move(other28.Sender);
-  LedgerOffset = other28.LedgerOffset;
-  Gossip = std::move(other28.Gossip);
-  Loads = std::move(other28.Loads);
-  Retry = other28.Retry;
-  WantsMembers = other28.WantsMembers;
-  MembersDigest = other28.MembersDigest;
-  SenderRun = std::move(other28.SenderRun);
-  __isset = other28.__isset;
-}
-heartbeat& heartbeat::operator=(const heartbeat& other29) {
-  Nonce = other29.Nonce;
-  Sender = other29.Sender;
-  LedgerOffset = other29.LedgerOffset;
-  Gossip = other29.Gossip;
-  Loads = other29.Loads;
-  Retry = other29.Retry;
-  WantsMembers = other29.WantsMembers;
-  MembersDigest = other29.MembersDigest;
-  SenderRun = other29.SenderRun;
-  __isset = other29.__isset;
+heartbeat::heartbeat(const heartbeat& other33) {
+  Nonce = other33.Nonce;
+  Sender = other33.Sender;
+  LedgerOffset = other33.LedgerOffset;
+  Gossip = other33.Gossip;
+  Loads = other33.Loads;
+  Retry = other33.Retry;
+  WantsMembers = other33.WantsMembers;
+  MembersDigest = other33.MembersDigest;
+  SenderRun = other33.SenderRun;
+  Changes = other33.Changes;
+  __isset = other33.__isset;
+}
+heartbeat::heartbeat(heartbeat&& other34) noexcept {
+  Nonce = other34.Nonce;
+  Sender = std::move(other34.Sender);
+  LedgerOffset = other34.LedgerOffset;
+  Gossip = std::move(other34.Gossip);
+  Loads = std::move(other34.Loads);
+  Retry = other34.Retry;
+  WantsMembers = other34.WantsMembers;
+  MembersDigest = other34.MembersDigest;
+  SenderRun = std::move(other34.SenderRun);
+  Changes = std::move(other34.Changes);
+  __isset = other34.__isset;
+}
+heartbeat& heartbeat::operator=(const heartbeat& other35) {
+  Nonce = other35.Nonce;
+  Sender = other35.Sender;
+  LedgerOffset = other35.LedgerOffset;
+  Gossip = other35.Gossip;
+  Loads = other35.Loads;
+  Retry = other35.Retry;
+  WantsMembers = other35.WantsMembers;
+  MembersDigest = other35.MembersDigest;
+  SenderRun = other35.SenderRun;
+  Changes = other35.Changes;
+  __isset = other35.__isset;
   return *this;
 }
-heartbeat& heartbeat::operator=(heartbeat&& other30) noexcept {
-  Nonce = other30.Nonce;
-  Sender = std::move(other30.Sender);
-  LedgerOffset = other30.LedgerOffset;
-  Gossip = std::move(other30.Gossip);
-  Loads = std::move(other30.Loads);
-  Retry = other30.Retry;
-  WantsMembers = other30.WantsMembers;
-  MembersDigest = other30.MembersDigest;
-  SenderRun = std::move(other30.SenderRun);
-  __isset = other30.__isset;
+heartbeat& heartbeat::operator=(heartbeat&& other36) noexcept {
+  Nonce = other36.Nonce;
+  Sender = std::move(other36.Sender);
+  LedgerOffset = other36.LedgerOffset;
+  Gossip = std::move(other36.Gossip);
+  Loads = std::move(other36.Loads);
+  Retry = other36.Retry;
+  WantsMembers = other36.WantsMembers;
+  MembersDigest = other36.MembersDigest;
+  SenderRun = std::move(other36.SenderRun);
+  Changes = std::move(other36.Changes);
+  __isset = other36.__isset;
   return *this;
 }
 void heartbeat::printTo(std::ostream& out) const {
@@ -1143,6 +1186,7 @@
   out << ", " << "WantsMembers=" << to_string(WantsMembers);
   out << ", " << "MembersDigest="; (__isset.MembersDigest ? (out << to_string(MembersDigest)) : (out << "<null>"));
   out << ", " << "SenderRun="; (__isset.SenderRun ? (out << to_string(SenderRun)) : (out << "<null>"));
+  out << ", " << "Changes="; (__isset.Changes ? (out << to_string(Changes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1190,6 +1234,11 @@
   this->SenderRun = val;
 __isset.SenderRun = true;
 }
+
+void heartbeat_ack::__set_Changes(const std::vector<int64_t> & val) {
+  this->Changes = val;
+__isset.Changes = true;
+}
 std::ostream& operator<<(std::ostream& out, const heartbeat_ack& obj)
 {
   obj.printTo(out);
@@ -1246,14 +1295,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Gossip.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->Gossip.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->Gossip.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += this->Gossip[_i35].read(iprot);
+              xfer += this->Gossip[_i41].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1266,14 +1315,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Loads.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->Loads.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->Loads.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->Loads[_i40].read(iprot);
+              xfer += this->Loads[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1314,6 +1363,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Changes.clear();
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->Changes.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
+            {
+              xfer += iprot->readI64(this->Changes[_i51]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1347,10 +1416,10 @@
   xfer += oprot->writeFieldBegin("Gossip", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Gossip.size()));
-    std::vector<member> ::const_iterator _iter41;
-    for (_iter41 = this->Gossip.begin(); _iter41 != this->Gossip.end(); ++_iter41)
+    std::vector<member> ::const_iterator _iter52;
+    for (_iter52 = this->Gossip.begin(); _iter52 != this->Gossip.end(); ++_iter52)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1359,10 +1428,10 @@
   xfer += oprot->writeFieldBegin("Loads", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Loads.size()));
-    std::vector<pool_load> ::const_iterator _iter42;
-    for (_iter42 = this->Loads.begin(); _iter42 != this->Loads.end(); ++_iter42)
+    std::vector<pool_load> ::const_iterator _iter53;
+    for (_iter53 = this->Loads.begin(); _iter53 != this->Loads.end(); ++_iter53)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1387,6 +1456,19 @@
     xfer += this->SenderRun.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.Changes) {
+    xfer += oprot->writeFieldBegin("Changes", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Changes.size()));
+      std::vector<int64_t> ::const_iterator _iter54;
+      for (_iter54 = this->Changes.begin(); _iter54 != this->Changes.end(); ++_iter54)
+      {
+        xfer += oprot->writeI64((*_iter54));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1403,57 +1485,62 @@
   swap(a.LogAgeMicros, b.LogAgeMicros);
   swap(a.MembersDigest, b.MembersDigest);
   swap(a.SenderRun, b.SenderRun);
+  swap(a.Changes, b.Changes);
   swap(a.__isset, b.__isset);
 }
 
-heartbeat_ack::heartbeat_ack(const heartbeat_ack& other43) {
-  Nonce = other43.Nonce;
-  Sender = other43.Sender;
-  LedgerOffset = other43.LedgerOffset;
-  Gossip = other43.Gossip;
-  Loads = other43.Loads;
-  OnBehalfOf = other43.OnBehalfOf;
-  LogAgeMicros = other43.LogAgeMicros;
-  MembersDigest = other43.MembersDigest;
-  SenderRun = other43.SenderRun;
-  __isset = other43.__isset;
-}
-heartbeat_ack::heartbeat_ack(heartbeat_ack&& other44) noexcept {
-  Nonce = other44.Nonce;
-  Sender = std::move(other44.Sender);
-  LedgerOffset = other44.LedgerOffset;
-  Gossip = std::move(other44.Gossip);
-  Loads = std::move(other44.Loads);
-  OnBehalfOf = std::move(other44.OnBehalfOf);
-  LogAgeMicros = other44.LogAgeMicros;
-  MembersDigest = other44.MembersDigest;
-  SenderRun = std::move(other44.SenderRun);
-  __isset = other44.__isset;
-}
-heartbeat_ack& heartbeat_ack::operator=(const heartbeat_ack& other45) {
-  Nonce = other45.Nonce;
-  Sender = other45.Sender;
-  LedgerOffset = other45.LedgerOffset;
-  Gossip = other45.Gossip;
-  Loads = other45.Loads;
-  OnBehalfOf = other45.OnBehalfOf;
-  LogAgeMicros = other45.LogAgeMicros;
-  MembersDigest = other45.MembersDigest;
-  SenderRun = other45.SenderRun;
-  __isset = other45.__isset;
+heartbeat_ack::heartbeat_ack(const heartbeat_ack& other55) {
+  Nonce = other55.Nonce;
+  Sender = other55.Sender;
+  LedgerOffset = other55.LedgerOffset;
+  Gossip = other55.Gossip;
+  Loads = other55.Loads;
+  OnBehalfOf = other55.OnBehalfOf;
+  LogAgeMicros = other55.LogAgeMicros;
+  MembersDigest = other55.MembersDigest;
+  SenderRun = other55.SenderRun;
+  Changes = other55.Changes;
+  __isset = other55.__isset;
+}
+heartbeat_ack::heartbeat_ack(heartbeat_ack&& other56) noexcept {
+  Nonce = other56.Nonce;
+  Sender = std::move(other56.Sender);
+  LedgerOffset = other56.LedgerOffset;
+  Gossip = std::move(other56.Gossip);
+  Loads = std::move(other56.Loads);
+  OnBehalfOf = std::move(other56.OnBehalfOf);
+  LogAgeMicros = other56.LogAgeMicros;
+  MembersDigest = other56.MembersDigest;
+  SenderRun = std::move(other56.SenderRun);
+  Changes = std::move(other56.Changes);
+  __isset = other56.__isset;
+}
+heartbeat_ack& heartbeat_ack::operator=(const heartbeat_ack& other57) {
+  Nonce = other57.Nonce;
+  Sender = other57.Sender;
+  LedgerOffset = other57.LedgerOffset;
+  Gossip = other57.Gossip;
+  Loads = other57.Loads;
+  OnBehalfOf = other57.OnBehalfOf;
+  LogAgeMicros = other57.LogAgeMicros;
+  MembersDigest = other57.MembersDigest;
+  SenderRun = other57.SenderRun;
+  Changes = other57.Changes;
+  __isset = other57.__isset;
   return *this;
 }
-heartbeat_ack& heartbeat_ack::operator=(heartbeat_ack&& other46) noexcept {
-  Nonce = other46.Nonce;
-  Sender = std::move(other46.Sender);
-  LedgerOffset = other46.LedgerOffset;
-  Gossip = std::move(other46.Gossip);
-  Loads = std::move(other46.Loads);
-  OnBehalfOf = std::move(other46.OnBehalfOf);
-  LogAgeMicros = other46.LogAgeMicros;
-  MembersDigest = other46.MembersDigest;
-  SenderRun = std::move(other46.SenderRun);
-  __isset = other46.__isset;
+heartbeat_ack& heartbeat_ack::operator=(heartbeat_ack&& other58) noexcept {
+  Nonce = other58.Nonce;
+  Sender = std::move(other58.Sender);
+  LedgerOffset = other58.LedgerOffset;
+  Gossip = std::move(other58.Gossip);
+  Loads = std::move(other58.Loads);
+  OnBehalfOf = std::move(other58.OnBehalfOf);
+  LogAgeMicros = other58.LogAgeMicros;
+  MembersDigest = other58.MembersDigest;
+  SenderRun = std::move(other58.SenderRun);
+  Changes = std::move(other58.Changes);
+  __isset = other58.__isset;
   return *this;
 }
 void heartbeat_ack::printTo(std::ostream& out) const {
@@ -1468,6 +1555,7 @@
   out << ", " << "LogAgeMicros="; (__isset.LogAgeMicros ? (out << to_string(LogAgeMicros)) : (out << "<null>"));
   out << ", " << "MembersDigest="; (__isset.MembersDigest ? (out << to_string(MembersDigest)) : (out << "<null>"));
   out << ", " << "SenderRun="; (__isset.SenderRun ? (out << to_string(SenderRun)) : (out << "<null>"));
+  out << ", " << "Changes="; (__isset.Changes ? (out << to_string(Changes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1581,30 +1669,30 @@
   swap(a.__isset, b.__isset);
 }
 
-probe_request::probe_request(const probe_request& other47) {
-  Nonce = other47.Nonce;
-  Sender = other47.Sender;
-  Target = other47.Target;
-  __isset = other47.__isset;
+probe_request::probe_request(const probe_request& other59) {
+  Nonce = other59.Nonce;
+  Sender = other59.Sender;
+  Target = other59.Target;
+  __isset = other59.__isset;
 }
-probe_request::probe_request(probe_request&& other48) noexcept {
-  Nonce = other48.Nonce;
-  Sender = std::move(other48.Sender);
-  Target = std::move(other48.Target);
-  __isset = other48.__isset;
+probe_request::probe_request(probe_request&& other60) noexcept {
+  Nonce = other60.Nonce;
+  Sender = std::move(other60.Sender);
+  Target = std::move(other60.Target);
+  __isset = other60.__isset;
 }
-probe_request& probe_request::operator=(const probe_request& other49) {
-  Nonce = other49.Nonce;
-  Sender = other49.Sender;
-  Target = other49.Target;
-  __isset = other49.__isset;
+probe_request& probe_request::operator=(const probe_request& other61) {
+  Nonce = other61.Nonce;
+  Sender = other61.Sender;
+  Target = other61.Target;
+  __isset = other61.__isset;
   return *this;
 }
-probe_request& probe_request::operator=(probe_request&& other50) noexcept {
-  Nonce = other50.Nonce;
-  Sender = std::move(other50.Sender);
-  Target = std::move(other50.Target);
-  __isset = other50.__isset;
+probe_request& probe_request::operator=(probe_request&& other62) noexcept {
+  Nonce = other62.Nonce;
+  Sender = std::move(other62.Sender);
+  Target = std::move(other62.Target);
+  __isset = other62.__isset;
   return *this;
 }
 void probe_request::printTo(std::ostream& out) const {
@@ -1709,26 +1797,26 @@
   swap(a.__isset, b.__isset);
 }
 
-stored_record::stored_record(const stored_record& other51) {
-  Offset = other51.Offset;
-  Bytes = other51.Bytes;
-  __isset = other51.__isset;
+stored_record::stored_record(const stored_record& other63) {
+  Offset = other63.Offset;
+  Bytes = other63.Bytes;
+  __isset = other63.__isset;
 }
-stored_record::stored_record(stored_record&& other52) noexcept {
-  Offset = other52.Offset;
-  Bytes = std::move(other52.Bytes);
-  __isset = other52.__isset;
+stored_record::stored_record(stored_record&& other64) noexcept {
+  Offset = other64.Offset;
+  Bytes = std::move(other64.Bytes);
+  __isset = other64.__isset;
 }
-stored_record& stored_record::operator=(const stored_record& other53) {
-  Offset = other53.Offset;
-  Bytes = other53.Bytes;
-  __isset = other53.__isset;
+stored_record& stored_record::operator=(const stored_record& other65) {
+  Offset = other65.Offset;
+  Bytes = other65.Bytes;
+  __isset = other65.__isset;
   return *this;
 }
-stored_record& stored_record::operator=(stored_record&& other54) noexcept {
-  Offset = other54.Offset;
-  Bytes = std::move(other54.Bytes);
-  __isset = other54.__isset;
+stored_record& stored_record::operator=(stored_record&& other66) noexcept {
+  Offset = other66.Offset;
+  Bytes = std::move(other66.Bytes);
+  __isset = other66.__isset;
   return *this;
 }
 void stored_record::printTo(std::ostream& out) const {
@@ -1832,26 +1920,26 @@
   swap(a.__isset, b.__isset);
 }
 
-state_pull::state_pull(const state_pull& other55) {
-  Stream = other55.Stream;
-  FromOffset = other55.FromOffset;
-  __isset = other55.__isset;
+state_pull::state_pull(const state_pull& other67) {
+  Stream = other67.Stream;
+  FromOffset = other67.FromOffset;
+  __isset = other67.__isset;
 }
-state_pull::state_pull(state_pull&& other56) noexcept {
-  Stream = std::move(other56.Stream);
-  FromOffset = other56.FromOffset;
-  __isset = other56.__isset;
+state_pull::state_pull(state_pull&& other68) noexcept {
+  Stream = std::move(other68.Stream);
+  FromOffset = other68.FromOffset;
+  __isset = other68.__isset;
 }
-state_pull& state_pull::operator=(const state_pull& other57) {
-  Stream = other57.Stream;
-  FromOffset = other57.FromOffset;
-  __isset = other57.__isset;
+state_pull& state_pull::operator=(const state_pull& other69) {
+  Stream = other69.Stream;
+  FromOffset = other69.FromOffset;
+  __isset = other69.__isset;
   return *this;
 }
-state_pull& state_pull::operator=(state_pull&& other58) noexcept {
-  Stream = std::move(other58.Stream);
-  FromOffset = other58.FromOffset;
-  __isset = other58.__isset;
+state_pull& state_pull::operator=(state_pull&& other70) noexcept {
+  Stream = std::move(other70.Stream);
+  FromOffset = other70.FromOffset;
+  __isset = other70.__isset;
   return *this;
 }
 void state_pull::printTo(std::ostream& out) const {
@@ -1923,14 +2011,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Records.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->Records.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->Records.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->Records[_i63].read(iprot);
+              xfer += this->Records[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1979,10 +2067,10 @@
   xfer += oprot->writeFieldBegin("Records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Records.size()));
-    std::vector<stored_record> ::const_iterator _iter64;
-    for (_iter64 = this->Records.begin(); _iter64 != this->Records.end(); ++_iter64)
+    std::vector<stored_record> ::const_iterator _iter76;
+    for (_iter76 = this->Records.begin(); _iter76 != this->Records.end(); ++_iter76)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2011,34 +2099,34 @@
   swap(a.__isset, b.__isset);
 }
 
-state_push::state_push(const state_push& other65) {
-  Stream = other65.Stream;
-  Records = other65.Records;
-  Snapshot = other65.Snapshot;
-  HighestOffset = other65.HighestOffset;
-  __isset = other65.__isset;
+state_push::state_push(const state_push& other77) {
+  Stream = other77.Stream;
+  Records = other77.Records;
+  Snapshot = other77.Snapshot;
+  HighestOffset = other77.HighestOffset;
+  __isset = other77.__isset;
 }
-state_push::state_push(state_push&& other66) noexcept {
-  Stream = std::move(other66.Stream);
-  Records = std::move(other66.Records);
-  Snapshot = std::move(other66.Snapshot);
-  HighestOffset = other66.HighestOffset;
-  __isset = other66.__isset;
+state_push::state_push(state_push&& other78) noexcept {
+  Stream = std::move(other78.Stream);
+  Records = std::move(other78.Records);
+  Snapshot = std::move(other78.Snapshot);
+  HighestOffset = other78.HighestOffset;
+  __isset = other78.__isset;
 }
-state_push& state_push::operator=(const state_push& other67) {
-  Stream = other67.Stream;
-  Records = other67.Records;
-  Snapshot = other67.Snapshot;
-  HighestOffset = other67.HighestOffset;
-  __isset = other67.__isset;
+state_push& state_push::operator=(const state_push& other79) {
+  Stream = other79.Stream;
+  Records = other79.Records;
+  Snapshot = other79.Snapshot;
+  HighestOffset = other79.HighestOffset;
+  __isset = other79.__isset;
   return *this;
 }
-state_push& state_push::operator=(state_push&& other68) noexcept {
-  Stream = std::move(other68.Stream);
-  Records = std::move(other68.Records);
-  Snapshot = std::move(other68.Snapshot);
-  HighestOffset = other68.HighestOffset;
-  __isset = other68.__isset;
+state_push& state_push::operator=(state_push&& other80) noexcept {
+  Stream = std::move(other80.Stream);
+  Records = std::move(other80.Records);
+  Snapshot = std::move(other80.Snapshot);
+  HighestOffset = other80.HighestOffset;
+  __isset = other80.__isset;
   return *this;
 }
 void state_push::printTo(std::ostream& out) const {
@@ -2144,26 +2232,26 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_key::claim_key(const claim_key& other69) {
-  Organisation = other69.Organisation;
-  KeyHash = other69.KeyHash;
-  __isset = other69.__isset;
+claim_key::claim_key(const claim_key& other81) {
+  Organisation = other81.Organisation;
+  KeyHash = other81.KeyHash;
+  __isset = other81.__isset;
 }
-claim_key::claim_key(claim_key&& other70) noexcept {
-  Organisation = std::move(other70.Organisation);
-  KeyHash = std::move(other70.KeyHash);
-  __isset = other70.__isset;
+claim_key::claim_key(claim_key&& other82) noexcept {
+  Organisation = std::move(other82.Organisation);
+  KeyHash = std::move(other82.KeyHash);
+  __isset = other82.__isset;
 }
-claim_key& claim_key::operator=(const claim_key& other71) {
-  Organisation = other71.Organisation;
-  KeyHash = other71.KeyHash;
-  __isset = other71.__isset;
+claim_key& claim_key::operator=(const claim_key& other83) {
+  Organisation = other83.Organisation;
+  KeyHash = other83.KeyHash;
+  __isset = other83.__isset;
   return *this;
 }
-claim_key& claim_key::operator=(claim_key&& other72) noexcept {
-  Organisation = std::move(other72.Organisation);
-  KeyHash = std::move(other72.KeyHash);
-  __isset = other72.__isset;
+claim_key& claim_key::operator=(claim_key&& other84) noexcept {
+  Organisation = std::move(other84.Organisation);
+  KeyHash = std::move(other84.KeyHash);
+  __isset = other84.__isset;
   return *this;
 }
 void claim_key::printTo(std::ostream& out) const {
@@ -2267,26 +2355,26 @@
   swap(a.__isset, b.__isset);
 }
 
-attempt_id::attempt_id(const attempt_id& other73) noexcept {
-  Incarnation = other73.Incarnation;
-  Sequence = other73.Sequence;
-  __isset = other73.__isset;
+attempt_id::attempt_id(const attempt_id& other85) noexcept {
+  Incarnation = other85.Incarnation;
+  Sequence = other85.Sequence;
+  __isset = other85.__isset;
 }
-attempt_id::attempt_id(attempt_id&& other74) noexcept {
-  Incarnation = other74.Incarnation;
-  Sequence = other74.Sequence;
-  __isset = other74.__isset;
+attempt_id::attempt_id(attempt_id&& other86) noexcept {
+  Incarnation = other86.Incarnation;
+  Sequence = other86.Sequence;
+  __isset = other86.__isset;
 }
-attempt_id& attempt_id::operator=(const attempt_id& other75) noexcept {
-  Incarnation = other75.Incarnation;
-  Sequence = other75.Sequence;
-  __isset = other75.__isset;
+attempt_id& attempt_id::operator=(const attempt_id& other87) noexcept {
+  Incarnation = other87.Incarnation;
+  Sequence = other87.Sequence;
+  __isset = other87.__isset;
   return *this;
 }
-attempt_id& attempt_id::operator=(attempt_id&& other76) noexcept {
-  Incarnation = other76.Incarnation;
-  Sequence = other76.Sequence;
-  __isset = other76.__isset;
+attempt_id& attempt_id::operator=(attempt_id&& other88) noexcept {
+  Incarnation = other88.Incarnation;
+  Sequence = other88.Sequence;
+  __isset = other88.__isset;
   return *this;
 }
 void attempt_id::printTo(std::ostream& out) const {
@@ -2424,34 +2512,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_ask::claim_ask(const claim_ask& other77) {
-  Key = other77.Key;
-  Attempt = other77.Attempt;
-  BodyHash = other77.BodyHash;
-  KeyMicros = other77.KeyMicros;
-  __isset = other77.__isset;
+claim_ask::claim_ask(const claim_ask& other89) {
+  Key = other89.Key;
+  Attempt = other89.Attempt;
+  BodyHash = other89.BodyHash;
+  KeyMicros = other89.KeyMicros;
+  __isset = other89.__isset;
 }
-claim_ask::claim_ask(claim_ask&& other78) noexcept {
-  Key = std::move(other78.Key);
-  Attempt = std::move(other78.Attempt);
-  BodyHash = other78.BodyHash;
-  KeyMicros = other78.KeyMicros;
-  __isset = other78.__isset;
+claim_ask::claim_ask(claim_ask&& other90) noexcept {
+  Key = std::move(other90.Key);
+  Attempt = std::move(other90.Attempt);
+  BodyHash = other90.BodyHash;
+  KeyMicros = other90.KeyMicros;
+  __isset = other90.__isset;
 }
-claim_ask& claim_ask::operator=(const claim_ask& other79) {
-  Key = other79.Key;
-  Attempt = other79.Attempt;
-  BodyHash = other79.BodyHash;
-  KeyMicros = other79.KeyMicros;
-  __isset = other79.__isset;
+claim_ask& claim_ask::operator=(const claim_ask& other91) {
+  Key = other91.Key;
+  Attempt = other91.Attempt;
+  BodyHash = other91.BodyHash;
+  KeyMicros = other91.KeyMicros;
+  __isset = other91.__isset;
   return *this;
 }
-claim_ask& claim_ask::operator=(claim_ask&& other80) noexcept {
-  Key = std::move(other80.Key);
-  Attempt = std::move(other80.Attempt);
-  BodyHash = other80.BodyHash;
-  KeyMicros = other80.KeyMicros;
-  __isset = other80.__isset;
+claim_ask& claim_ask::operator=(claim_ask&& other92) noexcept {
+  Key = std::move(other92.Key);
+  Attempt = std::move(other92.Attempt);
+  BodyHash = other92.BodyHash;
+  KeyMicros = other92.KeyMicros;
+  __isset = other92.__isset;
   return *this;
 }
 void claim_ask::printTo(std::ostream& out) const {
@@ -2591,34 +2679,34 @@
   swap(a.__isset, b.__isset);
 }
 
-recorded_answer::recorded_answer(const recorded_answer& other81) {
-  Status = other81.Status;
-  ContentType = other81.ContentType;
-  Body = other81.Body;
-  BodyKept = other81.BodyKept;
-  __isset = other81.__isset;
+recorded_answer::recorded_answer(const recorded_answer& other93) {
+  Status = other93.Status;
+  ContentType = other93.ContentType;
+  Body = other93.Body;
+  BodyKept = other93.BodyKept;
+  __isset = other93.__isset;
 }
-recorded_answer::recorded_answer(recorded_answer&& other82) noexcept {
-  Status = other82.Status;
-  ContentType = std::move(other82.ContentType);
-  Body = std::move(other82.Body);
-  BodyKept = other82.BodyKept;
-  __isset = other82.__isset;
+recorded_answer::recorded_answer(recorded_answer&& other94) noexcept {
+  Status = other94.Status;
+  ContentType = std::move(other94.ContentType);
+  Body = std::move(other94.Body);
+  BodyKept = other94.BodyKept;
+  __isset = other94.__isset;
 }
-recorded_answer& recorded_answer::operator=(const recorded_answer& other83) {
-  Status = other83.Status;
-  ContentType = other83.ContentType;
-  Body = other83.Body;
-  BodyKept = other83.BodyKept;
-  __isset = other83.__isset;
+recorded_answer& recorded_answer::operator=(const recorded_answer& other95) {
+  Status = other95.Status;
+  ContentType = other95.ContentType;
+  Body = other95.Body;
+  BodyKept = other95.BodyKept;
+  __isset = other95.__isset;
   return *this;
 }
-recorded_answer& recorded_answer::operator=(recorded_answer&& other84) noexcept {
-  Status = other84.Status;
-  ContentType = std::move(other84.ContentType);
-  Body = std::move(other84.Body);
-  BodyKept = other84.BodyKept;
-  __isset = other84.__isset;
+recorded_answer& recorded_answer::operator=(recorded_answer&& other96) noexcept {
+  Status = other96.Status;
+  ContentType = std::move(other96.ContentType);
+  Body = std::move(other96.Body);
+  BodyKept = other96.BodyKept;
+  __isset = other96.__isset;
   return *this;
 }
 void recorded_answer::printTo(std::ostream& out) const {
@@ -2762,34 +2850,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_answer::claim_answer(const claim_answer& other86) {
-  Attempt = other86.Attempt;
-  Verdict = other86.Verdict;
-  Answer = other86.Answer;
-  RetryAfterMicros = other86.RetryAfterMicros;
-  __isset = other86.__isset;
+claim_answer::claim_answer(const claim_answer& other98) {
+  Attempt = other98.Attempt;
+  Verdict = other98.Verdict;
+  Answer = other98.Answer;
+  RetryAfterMicros = other98.RetryAfterMicros;
+  __isset = other98.__isset;
 }
-claim_answer::claim_answer(claim_answer&& other87) noexcept {
-  Attempt = std::move(other87.Attempt);
-  Verdict = other87.Verdict;
-  Answer = std::move(other87.Answer);
-  RetryAfterMicros = other87.RetryAfterMicros;
-  __isset = other87.__isset;
+claim_answer::claim_answer(claim_answer&& other99) noexcept {
+  Attempt = std::move(other99.Attempt);
+  Verdict = other99.Verdict;
+  Answer = std::move(other99.Answer);
+  RetryAfterMicros = other99.RetryAfterMicros;
+  __isset = other99.__isset;
 }
-claim_answer& claim_answer::operator=(const claim_answer& other88) {
-  Attempt = other88.Attempt;
-  Verdict = other88.Verdict;
-  Answer = other88.Answer;
-  RetryAfterMicros = other88.RetryAfterMicros;
-  __isset = other88.__isset;
+claim_answer& claim_answer::operator=(const claim_answer& other100) {
+  Attempt = other100.Attempt;
+  Verdict = other100.Verdict;
+  Answer = other100.Answer;
+  RetryAfterMicros = other100.RetryAfterMicros;
+  __isset = other100.__isset;
   return *this;
 }
-claim_answer& claim_answer::operator=(claim_answer&& other89) noexcept {
-  Attempt = std::move(other89.Attempt);
-  Verdict = other89.Verdict;
-  Answer = std::move(other89.Answer);
-  RetryAfterMicros = other89.RetryAfterMicros;
-  __isset = other89.__isset;
+claim_answer& claim_answer::operator=(claim_answer&& other101) noexcept {
+  Attempt = std::move(other101.Attempt);
+  Verdict = other101.Verdict;
+  Answer = std::move(other101.Answer);
+  RetryAfterMicros = other101.RetryAfterMicros;
+  __isset = other101.__isset;
   return *this;
 }
 void claim_answer::printTo(std::ostream& out) const {
@@ -2933,34 +3021,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_settle::claim_settle(const claim_settle& other91) {
-  Key = other91.Key;
-  Attempt = other91.Attempt;
-  Outcome = other91.Outcome;
-  Answer = other91.Answer;
-  __isset = other91.__isset;
-}
-claim_settle::claim_settle(claim_settle&& other92) noexcept {
-  Key = std::move(other92.Key);
-  Attempt = std::move(other92.Attempt);
-  Outcome = other92.Outcome;
-  Answer = std::move(other92.Answer);
-  __isset = other92.__isset;
-}
-claim_settle& claim_settle::operator=(const claim_settle& other93) {
-  Key = other93.Key;
-  Attempt = other93.Attempt;
-  Outcome = other93.Outcome;
-  Answer = other93.Answer;
-  __isset = other93.__isset;
+claim_settle::claim_settle(const claim_settle& other103) {
+  Key = other103.Key;
+  Attempt = other103.Attempt;
+  Outcome = other103.Outcome;
+  Answer = other103.Answer;
+  __isset = other103.__isset;
+}
+claim_settle::claim_settle(claim_settle&& other104) noexcept {
+  Key = std::move(other104.Key);
+  Attempt = std::move(other104.Attempt);
+  Outcome = other104.Outcome;
+  Answer = std::move(other104.Answer);
+  __isset = other104.__isset;
+}
+claim_settle& claim_settle::operator=(const claim_settle& other105) {
+  Key = other105.Key;
+  Attempt = other105.Attempt;
+  Outcome = other105.Outcome;
+  Answer = other105.Answer;
+  __isset = other105.__isset;
   return *this;
 }
-claim_settle& claim_settle::operator=(claim_settle&& other94) noexcept {
-  Key = std::move(other94.Key);
-  Attempt = std::move(other94.Attempt);
-  Outcome = other94.Outcome;
-  Answer = std::move(other94.Answer);
-  __isset = other94.__isset;
+claim_settle& claim_settle::operator=(claim_settle&& other106) noexcept {
+  Key = std::move(other106.Key);
+  Attempt = std::move(other106.Attempt);
+  Outcome = other106.Outcome;
+  Answer = std::move(other106.Answer);
+  __isset = other106.__isset;
   return *this;
 }
 void claim_settle::printTo(std::ostream& out) const {
@@ -3049,22 +3137,22 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_settled::claim_settled(const claim_settled& other95) noexcept {
-  Attempt = other95.Attempt;
-  __isset = other95.__isset;
+claim_settled::claim_settled(const claim_settled& other107) noexcept {
+  Attempt = other107.Attempt;
+  __isset = other107.__isset;
 }
-claim_settled::claim_settled(claim_settled&& other96) noexcept {
-  Attempt = std::move(other96.Attempt);
-  __isset = other96.__isset;
+claim_settled::claim_settled(claim_settled&& other108) noexcept {
+  Attempt = std::move(other108.Attempt);
+  __isset = other108.__isset;
 }
-claim_settled& claim_settled::operator=(const claim_settled& other97) noexcept {
-  Attempt = other97.Attempt;
-  __isset = other97.__isset;
+claim_settled& claim_settled::operator=(const claim_settled& other109) noexcept {
+  Attempt = other109.Attempt;
+  __isset = other109.__isset;
   return *this;
 }
-claim_settled& claim_settled::operator=(claim_settled&& other98) noexcept {
-  Attempt = std::move(other98.Attempt);
-  __isset = other98.__isset;
+claim_settled& claim_settled::operator=(claim_settled&& other110) noexcept {
+  Attempt = std::move(other110.Attempt);
+  __isset = other110.__isset;
   return *this;
 }
 void claim_settled::printTo(std::ostream& out) const {
@@ -3218,38 +3306,38 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_increment::usage_increment(const usage_increment& other99) {
-  Organisation = other99.Organisation;
-  ServiceClass = other99.ServiceClass;
-  Requests = other99.Requests;
-  PromptTokens = other99.PromptTokens;
-  OutputTokens = other99.OutputTokens;
-  __isset = other99.__isset;
+usage_increment::usage_increment(const usage_increment& other111) {
+  Organisation = other111.Organisation;
+  ServiceClass = other111.ServiceClass;
+  Requests = other111.Requests;
+  PromptTokens = other111.PromptTokens;
+  OutputTokens = other111.OutputTokens;
+  __isset = other111.__isset;
 }
-usage_increment::usage_increment(usage_increment&& other100) noexcept {
-  Organisation = std::move(other100.Organisation);
-  ServiceClass = std::move(other100.ServiceClass);
-  Requests = other100.Requests;
-  PromptTokens = other100.PromptTokens;
-  OutputTokens = other100.OutputTokens;
-  __isset = other100.__isset;
+usage_increment::usage_increment(usage_increment&& other112) noexcept {
+  Organisation = std::move(other112.Organisation);
+  ServiceClass = std::move(other112.ServiceClass);
+  Requests = other112.Requests;
+  PromptTokens = other112.PromptTokens;
+  OutputTokens = other112.OutputTokens;
+  __isset = other112.__isset;
 }
-usage_increment& usage_increment::operator=(const usage_increment& other101) {
-  Organisation = other101.Organisation;
-  ServiceClass = other101.ServiceClass;
-  Requests = other101.Requests;
-  PromptTokens = other101.PromptTokens;
-  OutputTokens = other101.OutputTokens;
-  __isset = other101.__isset;
+usage_increment& usage_increment::operator=(const usage_increment& other113) {
+  Organisation = other113.Organisation;
+  ServiceClass = other113.ServiceClass;
+  Requests = other113.Requests;
+  PromptTokens = other113.PromptTokens;
+  OutputTokens = other113.OutputTokens;
+  __isset = other113.__isset;
   return *this;
 }
-usage_increment& usage_increment::operator=(usage_increment&& other102) noexcept {
-  Organisation = std::move(other102.Organisation);
-  ServiceClass = std::move(other102.ServiceClass);
-  Requests = other102.Requests;
-  PromptTokens = other102.PromptTokens;
-  OutputTokens = other102.OutputTokens;
-  __isset = other102.__isset;
+usage_increment& usage_increment::operator=(usage_increment&& other114) noexcept {
+  Organisation = std::move(other114.Organisation);
+  ServiceClass = std::move(other114.ServiceClass);
+  Requests = other114.Requests;
+  PromptTokens = other114.PromptTokens;
+  OutputTokens = other114.OutputTokens;
+  __isset = other114.__isset;
   return *this;
 }
 void usage_increment::printTo(std::ostream& out) const {
@@ -3327,14 +3415,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Increments.clear();
-            uint32_t _size103;
-            ::apache::thrift::protocol::TType _etype106;
-            xfer += iprot->readListBegin(_etype106, _size103);
-            this->Increments.resize(_size103);
-            uint32_t _i107;
-            for (_i107 = 0; _i107 < _size103; ++_i107)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->Increments.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->Increments[_i107].read(iprot);
+              xfer += this->Increments[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3371,10 +3459,10 @@
   xfer += oprot->writeFieldBegin("Increments", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Increments.size()));
-    std::vector<usage_increment> ::const_iterator _iter108;
-    for (_iter108 = this->Increments.begin(); _iter108 != this->Increments.end(); ++_iter108)
+    std::vector<usage_increment> ::const_iterator _iter120;
+    for (_iter120 = this->Increments.begin(); _iter120 != this->Increments.end(); ++_iter120)
     {
-      xfer += (*_iter108).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3393,30 +3481,30 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_batch::usage_batch(const usage_batch& other109) {
-  Incarnation = other109.Incarnation;
-  Sequence = other109.Sequence;
-  Increments = other109.Increments;
-  __isset = other109.__isset;
+usage_batch::usage_batch(const usage_batch& other121) {
+  Incarnation = other121.Incarnation;
+  Sequence = other121.Sequence;
+  Increments = other121.Increments;
+  __isset = other121.__isset;
 }
-usage_batch::usage_batch(usage_batch&& other110) noexcept {
-  Incarnation = other110.Incarnation;
-  Sequence = other110.Sequence;
-  Increments = std::move(other110.Increments);
-  __isset = other110.__isset;
+usage_batch::usage_batch(usage_batch&& other122) noexcept {
+  Incarnation = other122.Incarnation;
+  Sequence = other122.Sequence;
+  Increments = std::move(other122.Increments);
+  __isset = other122.__isset;
 }
-usage_batch& usage_batch::operator=(const usage_batch& other111) {
-  Incarnation = other111.Incarnation;
-  Sequence = other111.Sequence;
-  Increments = other111.Increments;
-  __isset = other111.__isset;
+usage_batch& usage_batch::operator=(const usage_batch& other123) {
+  Incarnation = other123.Incarnation;
+  Sequence = other123.Sequence;
+  Increments = other123.Increments;
+  __isset = other123.__isset;
   return *this;
 }
-usage_batch& usage_batch::operator=(usage_batch&& other112) noexcept {
-  Incarnation = other112.Incarnation;
-  Sequence = other112.Sequence;
-  Increments = std::move(other112.Increments);
-  __isset = other112.__isset;
+usage_batch& usage_batch::operator=(usage_batch&& other124) noexcept {
+  Incarnation = other124.Incarnation;
+  Sequence = other124.Sequence;
+  Increments = std::move(other124.Increments);
+  __isset = other124.__isset;
   return *this;
 }
 void usage_batch::printTo(std::ostream& out) const {
@@ -3504,22 +3592,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_offer::usage_offer(const usage_offer& other113) {
-  Batch = other113.Batch;
-  __isset = other113.__isset;
+usage_offer::usage_offer(const usage_offer& other125) {
+  Batch = other125.Batch;
+  __isset = other125.__isset;
 }
-usage_offer::usage_offer(usage_offer&& other114) noexcept {
-  Batch = std::move(other114.Batch);
-  __isset = other114.__isset;
+usage_offer::usage_offer(usage_offer&& other126) noexcept {
+  Batch = std::move(other126.Batch);
+  __isset = other126.__isset;
 }
-usage_offer& usage_offer::operator=(const usage_offer& other115) {
-  Batch = other115.Batch;
-  __isset = other115.__isset;
+usage_offer& usage_offer::operator=(const usage_offer& other127) {
+  Batch = other127.Batch;
+  __isset = other127.__isset;
   return *this;
 }
-usage_offer& usage_offer::operator=(usage_offer&& other116) noexcept {
-  Batch = std::move(other116.Batch);
-  __isset = other116.__isset;
+usage_offer& usage_offer::operator=(usage_offer&& other128) noexcept {
+  Batch = std::move(other128.Batch);
+  __isset = other128.__isset;
   return *this;
 }
 void usage_offer::printTo(std::ostream& out) const {
@@ -3622,26 +3710,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_accepted::usage_accepted(const usage_accepted& other117) noexcept {
-  Incarnation = other117.Incarnation;
-  Sequence = other117.Sequence;
-  __isset = other117.__isset;
+usage_accepted::usage_accepted(const usage_accepted& other129) noexcept {
+  Incarnation = other129.Incarnation;
+  Sequence = other129.Sequence;
+  __isset = other129.__isset;
 }
-usage_accepted::usage_accepted(usage_accepted&& other118) noexcept {
-  Incarnation = other118.Incarnation;
-  Sequence = other118.Sequence;
-  __isset = other118.__isset;
+usage_accepted::usage_accepted(usage_accepted&& other130) noexcept {
+  Incarnation = other130.Incarnation;
+  Sequence = other130.Sequence;
+  __isset = other130.__isset;
 }
-usage_accepted& usage_accepted::operator=(const usage_accepted& other119) noexcept {
-  Incarnation = other119.Incarnation;
-  Sequence = other119.Sequence;
-  __isset = other119.__isset;
+usage_accepted& usage_accepted::operator=(const usage_accepted& other131) noexcept {
+  Incarnation = other131.Incarnation;
+  Sequence = other131.Sequence;
+  __isset = other131.__isset;
   return *this;
 }
-usage_accepted& usage_accepted::operator=(usage_accepted&& other120) noexcept {
-  Incarnation = other120.Incarnation;
-  Sequence = other120.Sequence;
-  __isset = other120.__isset;
+usage_accepted& usage_accepted::operator=(usage_accepted&& other132) noexcept {
+  Incarnation = other132.Incarnation;
+  Sequence = other132.Sequence;
+  __isset = other132.__isset;
   return *this;
 }
 void usage_accepted::printTo(std::ostream& out) const {
@@ -3745,26 +3833,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_hold::usage_hold(const usage_hold& other121) {
-  Batch = other121.Batch;
-  Source = other121.Source;
-  __isset = other121.__isset;
+usage_hold::usage_hold(const usage_hold& other133) {
+  Batch = other133.Batch;
+  Source = other133.Source;
+  __isset = other133.__isset;
 }
-usage_hold::usage_hold(usage_hold&& other122) noexcept {
-  Batch = std::move(other122.Batch);
-  Source = std::move(other122.Source);
-  __isset = other122.__isset;
+usage_hold::usage_hold(usage_hold&& other134) noexcept {
+  Batch = std::move(other134.Batch);
+  Source = std::move(other134.Source);
+  __isset = other134.__isset;
 }
-usage_hold& usage_hold::operator=(const usage_hold& other123) {
-  Batch = other123.Batch;
-  Source = other123.Source;
-  __isset = other123.__isset;
+usage_hold& usage_hold::operator=(const usage_hold& other135) {
+  Batch = other135.Batch;
+  Source = other135.Source;
+  __isset = other135.__isset;
   return *this;
 }
-usage_hold& usage_hold::operator=(usage_hold&& other124) noexcept {
-  Batch = std::move(other124.Batch);
-  Source = std::move(other124.Source);
-  __isset = other124.__isset;
+usage_hold& usage_hold::operator=(usage_hold&& other136) noexcept {
+  Batch = std::move(other136.Batch);
+  Source = std::move(other136.Source);
+  __isset = other136.__isset;
   return *this;
 }
 void usage_hold::printTo(std::ostream& out) const {
@@ -3885,30 +3973,30 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_held::usage_held(const usage_held& other125) noexcept {
-  Incarnation = other125.Incarnation;
-  Sequence = other125.Sequence;
-  Holder = other125.Holder;
-  __isset = other125.__isset;
+usage_held::usage_held(const usage_held& other137) noexcept {
+  Incarnation = other137.Incarnation;
+  Sequence = other137.Sequence;
+  Holder = other137.Holder;
+  __isset = other137.__isset;
 }
-usage_held::usage_held(usage_held&& other126) noexcept {
-  Incarnation = other126.Incarnation;
-  Sequence = other126.Sequence;
-  Holder = other126.Holder;
-  __isset = other126.__isset;
+usage_held::usage_held(usage_held&& other138) noexcept {
+  Incarnation = other138.Incarnation;
+  Sequence = other138.Sequence;
+  Holder = other138.Holder;
+  __isset = other138.__isset;
 }
-usage_held& usage_held::operator=(const usage_held& other127) noexcept {
-  Incarnation = other127.Incarnation;
-  Sequence = other127.Sequence;
-  Holder = other127.Holder;
-  __isset = other127.__isset;
+usage_held& usage_held::operator=(const usage_held& other139) noexcept {
+  Incarnation = other139.Incarnation;
+  Sequence = other139.Sequence;
+  Holder = other139.Holder;
+  __isset = other139.__isset;
   return *this;
 }
-usage_held& usage_held::operator=(usage_held&& other128) noexcept {
-  Incarnation = other128.Incarnation;
-  Sequence = other128.Sequence;
-  Holder = other128.Holder;
-  __isset = other128.__isset;
+usage_held& usage_held::operator=(usage_held&& other140) noexcept {
+  Incarnation = other140.Incarnation;
+  Sequence = other140.Sequence;
+  Holder = other140.Holder;
+  __isset = other140.__isset;
   return *this;
 }
 void usage_held::printTo(std::ostream& out) const {
@@ -4013,26 +4101,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_release::usage_release(const usage_release& other129) noexcept {
-  Incarnation = other129.Incarnation;
-  UpToSequence = other129.UpToSequence;
-  __isset = other129.__isset;
+usage_release::usage_release(const usage_release& other141) noexcept {
+  Incarnation = other141.Incarnation;
+  UpToSequence = other141.UpToSequence;
+  __isset = other141.__isset;
 }
-usage_release::usage_release(usage_release&& other130) noexcept {
-  Incarnation = other130.Incarnation;
-  UpToSequence = other130.UpToSequence;
-  __isset = other130.__isset;
+usage_release::usage_release(usage_release&& other142) noexcept {
+  Incarnation = other142.Incarnation;
+  UpToSequence = other142.UpToSequence;
+  __isset = other142.__isset;
 }
-usage_release& usage_release::operator=(const usage_release& other131) noexcept {
-  Incarnation = other131.Incarnation;
-  UpToSequence = other131.UpToSequence;
-  __isset = other131.__isset;
+usage_release& usage_release::operator=(const usage_release& other143) noexcept {
+  Incarnation = other143.Incarnation;
+  UpToSequence = other143.UpToSequence;
+  __isset = other143.__isset;
   return *this;
 }
-usage_release& usage_release::operator=(usage_release&& other132) noexcept {
-  Incarnation = other132.Incarnation;
-  UpToSequence = other132.UpToSequence;
-  __isset = other132.__isset;
+usage_release& usage_release::operator=(usage_release&& other144) noexcept {
+  Incarnation = other144.Incarnation;
+  UpToSequence = other144.UpToSequence;
+  __isset = other144.__isset;
   return *this;
 }
 void usage_release::printTo(std::ostream& out) const {
@@ -4215,14 +4303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Excluded.clear();
-            uint32_t _size133;
-            ::apache::thrift::protocol::TType _etype136;
-            xfer += iprot->readListBegin(_etype136, _size133);
-            this->Excluded.resize(_size133);
-            uint32_t _i137;
-            for (_i137 = 0; _i137 < _size133; ++_i137)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->Excluded.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += iprot->readString(this->Excluded[_i137]);
+              xfer += iprot->readString(this->Excluded[_i149]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4315,10 +4403,10 @@
   xfer += oprot->writeFieldBegin("Excluded", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Excluded.size()));
-    std::vector<std::string> ::const_iterator _iter138;
-    for (_iter138 = this->Excluded.begin(); _iter138 != this->Excluded.end(); ++_iter138)
+    std::vector<std::string> ::const_iterator _iter150;
+    for (_iter150 = this->Excluded.begin(); _iter150 != this->Excluded.end(); ++_iter150)
     {
-      xfer += oprot->writeString((*_iter138));
+      xfer += oprot->writeString((*_iter150));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4360,74 +4448,74 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_ask::slot_ask(const slot_ask& other139) {
-  Ask = other139.Ask;
-  Pool = other139.Pool;
-  ServiceClass = other139.ServiceClass;
-  Tier = other139.Tier;
-  Organisation = other139.Organisation;
-  TimeLeftMicros = other139.TimeLeftMicros;
-  PromptTokens = other139.PromptTokens;
-  ExpectedOutputTokens = other139.ExpectedOutputTokens;
-  PrefixHash = other139.PrefixHash;
-  Idempotent = other139.Idempotent;
-  Excluded = other139.Excluded;
-  GiveUpMicros = other139.GiveUpMicros;
-  Incarnation = other139.Incarnation;
-  Resumed = other139.Resumed;
-  __isset = other139.__isset;
-}
-slot_ask::slot_ask(slot_ask&& other140) noexcept {
-  Ask = other140.Ask;
-  Pool = std::move(other140.Pool);
-  ServiceClass = std::move(other140.ServiceClass);
-  Tier = other140.Tier;
-  Organisation = std::move(other140.Organisation);
-  TimeLeftMicros = other140.TimeLeftMicros;
-  PromptTokens = other140.PromptTokens;
-  ExpectedOutputTokens = other140.ExpectedOutputTokens;
-  PrefixHash = other140.PrefixHash;
-  Idempotent = other140.Idempotent;
-  Excluded = std::move(other140.Excluded);
-  GiveUpMicros = other140.GiveUpMicros;
-  Incarnation = other140.Incarnation;
-  Resumed = other140.Resumed;
-  __isset = other140.__isset;
+slot_ask::slot_ask(const slot_ask& other151) {
+  Ask = other151.Ask;
+  Pool = other151.Pool;
+  ServiceClass = other151.ServiceClass;
+  Tier = other151.Tier;
+  Organisation = other151.Organisation;
+  TimeLeftMicros = other151.TimeLeftMicros;
+  PromptTokens = other151.PromptTokens;
+  ExpectedOutputTokens = other151.ExpectedOutputTokens;
+  PrefixHash = other151.PrefixHash;
+  Idempotent = other151.Idempotent;
+  Excluded = other151.Excluded;
+  GiveUpMicros = other151.GiveUpMicros;
+  Incarnation = other151.Incarnation;
+  Resumed = other151.Resumed;
+  __isset = other151.__isset;
+}
+slot_ask::slot_ask(slot_ask&& other152) noexcept {
+  Ask = other152.Ask;
+  Pool = std::move(other152.Pool);
+  ServiceClass = std::move(other152.ServiceClass);
+  Tier = other152.Tier;
+  Organisation = std::move(other152.Organisation);
+  TimeLeftMicros = other152.TimeLeftMicros;
+  PromptTokens = other152.PromptTokens;
+  ExpectedOutputTokens = other152.ExpectedOutputTokens;
+  PrefixHash = other152.PrefixHash;
+  Idempotent = other152.Idempotent;
+  Excluded = std::move(other152.Excluded);
+  GiveUpMicros = other152.GiveUpMicros;
+  Incarnation = other152.Incarnation;
+  Resumed = other152.Resumed;
+  __isset = other152.__isset;
 }
-slot_ask& slot_ask::operator=(const slot_ask& other141) {
-  Ask = other141.Ask;
-  Pool = other141.Pool;
-  ServiceClass = other141.ServiceClass;
-  Tier = other141.Tier;
-  Organisation = other141.Organisation;
-  TimeLeftMicros = other141.TimeLeftMicros;
-  PromptTokens = other141.PromptTokens;
-  ExpectedOutputTokens = other141.ExpectedOutputTokens;
-  PrefixHash = other141.PrefixHash;
-  Idempotent = other141.Idempotent;
-  Excluded = other141.Excluded;
-  GiveUpMicros = other141.GiveUpMicros;
-  Incarnation = other141.Incarnation;
-  Resumed = other141.Resumed;
-  __isset = other141.__isset;
+slot_ask& slot_ask::operator=(const slot_ask& other153) {
+  Ask = other153.Ask;
+  Pool = other153.Pool;
+  ServiceClass = other153.ServiceClass;
+  Tier = other153.Tier;
+  Organisation = other153.Organisation;
+  TimeLeftMicros = other153.TimeLeftMicros;
+  PromptTokens = other153.PromptTokens;
+  ExpectedOutputTokens = other153.ExpectedOutputTokens;
+  PrefixHash = other153.PrefixHash;
+  Idempotent = other153.Idempotent;
+  Excluded = other153.Excluded;
+  GiveUpMicros = other153.GiveUpMicros;
+  Incarnation = other153.Incarnation;
+  Resumed = other153.Resumed;
+  __isset = other153.__isset;
   return *this;
 }
-slot_ask& slot_ask::operator=(slot_ask&& other142) noexcept {
-  Ask = other142.Ask;
-  Pool = std::move(other142.Pool);
-  ServiceClass = std::move(other142.ServiceClass);
-  Tier = other142.Tier;
-  Organisation = std::move(other142.Organisation);
-  TimeLeftMicros = other142.TimeLeftMicros;
-  PromptTokens = other142.PromptTokens;
-  ExpectedOutputTokens = other142.ExpectedOutputTokens;
-  PrefixHash = other142.PrefixHash;
-  Idempotent = other142.Idempotent;
-  Excluded = std::move(other142.Excluded);
-  GiveUpMicros = other142.GiveUpMicros;
-  Incarnation = other142.Incarnation;
-  Resumed = other142.Resumed;
-  __isset = other142.__isset;
+slot_ask& slot_ask::operator=(slot_ask&& other154) noexcept {
+  Ask = other154.Ask;
+  Pool = std::move(other154.Pool);
+  ServiceClass = std::move(other154.ServiceClass);
+  Tier = other154.Tier;
+  Organisation = std::move(other154.Organisation);
+  TimeLeftMicros = other154.TimeLeftMicros;
+  PromptTokens = other154.PromptTokens;
+  ExpectedOutputTokens = other154.ExpectedOutputTokens;
+  PrefixHash = other154.PrefixHash;
+  Idempotent = other154.Idempotent;
+  Excluded = std::move(other154.Excluded);
+  GiveUpMicros = other154.GiveUpMicros;
+  Incarnation = other154.Incarnation;
+  Resumed = other154.Resumed;
+  __isset = other154.__isset;
   return *this;
 }
 void slot_ask::printTo(std::ostream& out) const {
@@ -4611,42 +4699,42 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_grant::slot_grant(const slot_grant& other143) {
-  Ask = other143.Ask;
-  Upstream = other143.Upstream;
-  Slot = other143.Slot;
-  Priority = other143.Priority;
-  OwnerIncarnation = other143.OwnerIncarnation;
-  FreshConnection = other143.FreshConnection;
-  __isset = other143.__isset;
-}
-slot_grant::slot_grant(slot_grant&& other144) noexcept {
-  Ask = other144.Ask;
-  Upstream = std::move(other144.Upstream);
-  Slot = other144.Slot;
-  Priority = other144.Priority;
-  OwnerIncarnation = other144.OwnerIncarnation;
-  FreshConnection = other144.FreshConnection;
-  __isset = other144.__isset;
+slot_grant::slot_grant(const slot_grant& other155) {
+  Ask = other155.Ask;
+  Upstream = other155.Upstream;
+  Slot = other155.Slot;
+  Priority = other155.Priority;
+  OwnerIncarnation = other155.OwnerIncarnation;
+  FreshConnection = other155.FreshConnection;
+  __isset = other155.__isset;
 }
-slot_grant& slot_grant::operator=(const slot_grant& other145) {
-  Ask = other145.Ask;
-  Upstream = other145.Upstream;
-  Slot = other145.Slot;
-  Priority = other145.Priority;
-  OwnerIncarnation = other145.OwnerIncarnation;
-  FreshConnection = other145.FreshConnection;
-  __isset = other145.__isset;
+slot_grant::slot_grant(slot_grant&& other156) noexcept {
+  Ask = other156.Ask;
+  Upstream = std::move(other156.Upstream);
+  Slot = other156.Slot;
+  Priority = other156.Priority;
+  OwnerIncarnation = other156.OwnerIncarnation;
+  FreshConnection = other156.FreshConnection;
+  __isset = other156.__isset;
+}
+slot_grant& slot_grant::operator=(const slot_grant& other157) {
+  Ask = other157.Ask;
+  Upstream = other157.Upstream;
+  Slot = other157.Slot;
+  Priority = other157.Priority;
+  OwnerIncarnation = other157.OwnerIncarnation;
+  FreshConnection = other157.FreshConnection;
+  __isset = other157.__isset;
   return *this;
 }
-slot_grant& slot_grant::operator=(slot_grant&& other146) noexcept {
-  Ask = other146.Ask;
-  Upstream = std::move(other146.Upstream);
-  Slot = other146.Slot;
-  Priority = other146.Priority;
-  OwnerIncarnation = other146.OwnerIncarnation;
-  FreshConnection = other146.FreshConnection;
-  __isset = other146.__isset;
+slot_grant& slot_grant::operator=(slot_grant&& other158) noexcept {
+  Ask = other158.Ask;
+  Upstream = std::move(other158.Upstream);
+  Slot = other158.Slot;
+  Priority = other158.Priority;
+  OwnerIncarnation = other158.OwnerIncarnation;
+  FreshConnection = other158.FreshConnection;
+  __isset = other158.__isset;
   return *this;
 }
 void slot_grant::printTo(std::ostream& out) const {
@@ -4737,22 +4825,22 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_queued::slot_queued(const slot_queued& other147) noexcept {
-  Ask = other147.Ask;
-  __isset = other147.__isset;
+slot_queued::slot_queued(const slot_queued& other159) noexcept {
+  Ask = other159.Ask;
+  __isset = other159.__isset;
 }
-slot_queued::slot_queued(slot_queued&& other148) noexcept {
-  Ask = other148.Ask;
-  __isset = other148.__isset;
+slot_queued::slot_queued(slot_queued&& other160) noexcept {
+  Ask = other160.Ask;
+  __isset = other160.__isset;
 }
-slot_queued& slot_queued::operator=(const slot_queued& other149) noexcept {
-  Ask = other149.Ask;
-  __isset = other149.__isset;
+slot_queued& slot_queued::operator=(const slot_queued& other161) noexcept {
+  Ask = other161.Ask;
+  __isset = other161.__isset;
   return *this;
 }
-slot_queued& slot_queued::operator=(slot_queued&& other150) noexcept {
-  Ask = other150.Ask;
-  __isset = other150.__isset;
+slot_queued& slot_queued::operator=(slot_queued&& other162) noexcept {
+  Ask = other162.Ask;
+  __isset = other162.__isset;
   return *this;
 }
 void slot_queued::printTo(std::ostream& out) const {
@@ -4874,30 +4962,30 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_refuse::slot_refuse(const slot_refuse& other152) noexcept {
-  Ask = other152.Ask;
-  Reason = other152.Reason;
-  RetryAfterMicros = other152.RetryAfterMicros;
-  __isset = other152.__isset;
+slot_refuse::slot_refuse(const slot_refuse& other164) noexcept {
+  Ask = other164.Ask;
+  Reason = other164.Reason;
+  RetryAfterMicros = other164.RetryAfterMicros;
+  __isset = other164.__isset;
 }
-slot_refuse::slot_refuse(slot_refuse&& other153) noexcept {
-  Ask = other153.Ask;
-  Reason = other153.Reason;
-  RetryAfterMicros = other153.RetryAfterMicros;
-  __isset = other153.__isset;
+slot_refuse::slot_refuse(slot_refuse&& other165) noexcept {
+  Ask = other165.Ask;
+  Reason = other165.Reason;
+  RetryAfterMicros = other165.RetryAfterMicros;
+  __isset = other165.__isset;
 }
-slot_refuse& slot_refuse::operator=(const slot_refuse& other154) noexcept {
-  Ask = other154.Ask;
-  Reason = other154.Reason;
-  RetryAfterMicros = other154.RetryAfterMicros;
-  __isset = other154.__isset;
+slot_refuse& slot_refuse::operator=(const slot_refuse& other166) noexcept {
+  Ask = other166.Ask;
+  Reason = other166.Reason;
+  RetryAfterMicros = other166.RetryAfterMicros;
+  __isset = other166.__isset;
   return *this;
 }
-slot_refuse& slot_refuse::operator=(slot_refuse&& other155) noexcept {
-  Ask = other155.Ask;
-  Reason = other155.Reason;
-  RetryAfterMicros = other155.RetryAfterMicros;
-  __isset = other155.__isset;
+slot_refuse& slot_refuse::operator=(slot_refuse&& other167) noexcept {
+  Ask = other167.Ask;
+  Reason = other167.Reason;
+  RetryAfterMicros = other167.RetryAfterMicros;
+  __isset = other167.__isset;
   return *this;
 }
 void slot_refuse::printTo(std::ostream& out) const {
@@ -5072,42 +5160,42 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_release::slot_release(const slot_release& other157) noexcept {
-  Slot = other157.Slot;
-  Result = other157.Result;
-  FirstTokenMicros = other157.FirstTokenMicros;
-  TotalMicros = other157.TotalMicros;
-  OutputTokens = other157.OutputTokens;
-  OwnerIncarnation = other157.OwnerIncarnation;
-  __isset = other157.__isset;
-}
-slot_release::slot_release(slot_release&& other158) noexcept {
-  Slot = other158.Slot;
-  Result = other158.Result;
-  FirstTokenMicros = other158.FirstTokenMicros;
-  TotalMicros = other158.TotalMicros;
-  OutputTokens = other158.OutputTokens;
-  OwnerIncarnation = other158.OwnerIncarnation;
-  __isset = other158.__isset;
-}
-slot_release& slot_release::operator=(const slot_release& other159) noexcept {
-  Slot = other159.Slot;
-  Result = other159.Result;
-  FirstTokenMicros = other159.FirstTokenMicros;
-  TotalMicros = other159.TotalMicros;
-  OutputTokens = other159.OutputTokens;
-  OwnerIncarnation = other159.OwnerIncarnation;
-  __isset = other159.__isset;
+slot_release::slot_release(const slot_release& other169) noexcept {
+  Slot = other169.Slot;
+  Result = other169.Result;
+  FirstTokenMicros = other169.FirstTokenMicros;
+  TotalMicros = other169.TotalMicros;
+  OutputTokens = other169.OutputTokens;
+  OwnerIncarnation = other169.OwnerIncarnation;
+  __isset = other169.__isset;
+}
+slot_release::slot_release(slot_release&& other170) noexcept {
+  Slot = other170.Slot;
+  Result = other170.Result;
+  FirstTokenMicros = other170.FirstTokenMicros;
+  TotalMicros = other170.TotalMicros;
+  OutputTokens = other170.OutputTokens;
+  OwnerIncarnation = other170.OwnerIncarnation;
+  __isset = other170.__isset;
+}
+slot_release& slot_release::operator=(const slot_release& other171) noexcept {
+  Slot = other171.Slot;
+  Result = other171.Result;
+  FirstTokenMicros = other171.FirstTokenMicros;
+  TotalMicros = other171.TotalMicros;
+  OutputTokens = other171.OutputTokens;
+  OwnerIncarnation = other171.OwnerIncarnation;
+  __isset = other171.__isset;
   return *this;
 }
-slot_release& slot_release::operator=(slot_release&& other160) noexcept {
-  Slot = other160.Slot;
-  Result = other160.Result;
-  FirstTokenMicros = other160.FirstTokenMicros;
-  TotalMicros = other160.TotalMicros;
-  OutputTokens = other160.OutputTokens;
-  OwnerIncarnation = other160.OwnerIncarnation;
-  __isset = other160.__isset;
+slot_release& slot_release::operator=(slot_release&& other172) noexcept {
+  Slot = other172.Slot;
+  Result = other172.Result;
+  FirstTokenMicros = other172.FirstTokenMicros;
+  TotalMicros = other172.TotalMicros;
+  OutputTokens = other172.OutputTokens;
+  OwnerIncarnation = other172.OwnerIncarnation;
+  __isset = other172.__isset;
   return *this;
 }
 void slot_release::printTo(std::ostream& out) const {
@@ -5215,26 +5303,26 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_cancel::slot_cancel(const slot_cancel& other161) noexcept {
-  Ask = other161.Ask;
-  Incarnation = other161.Incarnation;
-  __isset = other161.__isset;
+slot_cancel::slot_cancel(const slot_cancel& other173) noexcept {
+  Ask = other173.Ask;
+  Incarnation = other173.Incarnation;
+  __isset = other173.__isset;
 }
-slot_cancel::slot_cancel(slot_cancel&& other162) noexcept {
-  Ask = other162.Ask;
-  Incarnation = other162.Incarnation;
-  __isset = other162.__isset;
+slot_cancel::slot_cancel(slot_cancel&& other174) noexcept {
+  Ask = other174.Ask;
+  Incarnation = other174.Incarnation;
+  __isset = other174.__isset;
 }
-slot_cancel& slot_cancel::operator=(const slot_cancel& other163) noexcept {
-  Ask = other163.Ask;
-  Incarnation = other163.Incarnation;
-  __isset = other163.__isset;
+slot_cancel& slot_cancel::operator=(const slot_cancel& other175) noexcept {
+  Ask = other175.Ask;
+  Incarnation = other175.Incarnation;
+  __isset = other175.__isset;
   return *this;
 }
-slot_cancel& slot_cancel::operator=(slot_cancel&& other164) noexcept {
-  Ask = other164.Ask;
-  Incarnation = other164.Incarnation;
-  __isset = other164.__isset;
+slot_cancel& slot_cancel::operator=(slot_cancel&& other176) noexcept {
+  Ask = other176.Ask;
+  Incarnation = other176.Incarnation;
+  __isset = other176.__isset;
   return *this;
 }
 void slot_cancel::printTo(std::ostream& out) const {
@@ -5338,26 +5426,26 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_preempt::slot_preempt(const slot_preempt& other165) noexcept {
-  Slot = other165.Slot;
-  Ask = other165.Ask;
-  __isset = other165.__isset;
+slot_preempt::slot_preempt(const slot_preempt& other177) noexcept {
+  Slot = other177.Slot;
+  Ask = other177.Ask;
+  __isset = other177.__isset;
 }
-slot_preempt::slot_preempt(slot_preempt&& other166) noexcept {
-  Slot = other166.Slot;
-  Ask = other166.Ask;
-  __isset = other166.__isset;
+slot_preempt::slot_preempt(slot_preempt&& other178) noexcept {
+  Slot = other178.Slot;
+  Ask = other178.Ask;
+  __isset = other178.__isset;
 }
-slot_preempt& slot_preempt::operator=(const slot_preempt& other167) noexcept {
-  Slot = other167.Slot;
-  Ask = other167.Ask;
-  __isset = other167.__isset;
+slot_preempt& slot_preempt::operator=(const slot_preempt& other179) noexcept {
+  Slot = other179.Slot;
+  Ask = other179.Ask;
+  __isset = other179.__isset;
   return *this;
 }
-slot_preempt& slot_preempt::operator=(slot_preempt&& other168) noexcept {
-  Slot = other168.Slot;
-  Ask = other168.Ask;
-  __isset = other168.__isset;
+slot_preempt& slot_preempt::operator=(slot_preempt&& other180) noexcept {
+  Slot = other180.Slot;
+  Ask = other180.Ask;
+  __isset = other180.__isset;
   return *this;
 }
 void slot_preempt::printTo(std::ostream& out) const {
@@ -5432,14 +5520,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Slots.clear();
-            uint32_t _size169;
-            ::apache::thrift::protocol::TType _etype172;
-            xfer += iprot->readListBegin(_etype172, _size169);
-            this->Slots.resize(_size169);
-            uint32_t _i173;
-            for (_i173 = 0; _i173 < _size169; ++_i173)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->Slots.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += iprot->readI64(this->Slots[_i173]);
+              xfer += iprot->readI64(this->Slots[_i185]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5476,10 +5564,10 @@
   xfer += oprot->writeFieldBegin("Slots", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->Slots.size()));
-    std::vector<int64_t> ::const_iterator _iter174;
-    for (_iter174 = this->Slots.begin(); _iter174 != this->Slots.end(); ++_iter174)
+    std::vector<int64_t> ::const_iterator _iter186;
+    for (_iter186 = this->Slots.begin(); _iter186 != this->Slots.end(); ++_iter186)
     {
-      xfer += oprot->writeI64((*_iter174));
+      xfer += oprot->writeI64((*_iter186));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5498,30 +5586,30 @@
   swap(a.__isset, b.__isset);
 }
 
-slot_renew::slot_renew(const slot_renew& other175) {
-  Incarnation = other175.Incarnation;
-  OwnerIncarnation = other175.OwnerIncarnation;
-  Slots = other175.Slots;
-  __isset = other175.__isset;
+slot_renew::slot_renew(const slot_renew& other187) {
+  Incarnation = other187.Incarnation;
+  OwnerIncarnation = other187.OwnerIncarnation;
+  Slots = other187.Slots;
+  __isset = other187.__isset;
 }
-slot_renew::slot_renew(slot_renew&& other176) noexcept {
-  Incarnation = other176.Incarnation;
-  OwnerIncarnation = other176.OwnerIncarnation;
-  Slots = std::move(other176.Slots);
-  __isset = other176.__isset;
+slot_renew::slot_renew(slot_renew&& other188) noexcept {
+  Incarnation = other188.Incarnation;
+  OwnerIncarnation = other188.OwnerIncarnation;
+  Slots = std::move(other188.Slots);
+  __isset = other188.__isset;
 }
-slot_renew& slot_renew::operator=(const slot_renew& other177) {
-  Incarnation = other177.Incarnation;
-  OwnerIncarnation = other177.OwnerIncarnation;
-  Slots = other177.Slots;
-  __isset = other177.__isset;
+slot_renew& slot_renew::operator=(const slot_renew& other189) {
+  Incarnation = other189.Incarnation;
+  OwnerIncarnation = other189.OwnerIncarnation;
+  Slots = other189.Slots;
+  __isset = other189.__isset;
   return *this;
 }
-slot_renew& slot_renew::operator=(slot_renew&& other178) noexcept {
-  Incarnation = other178.Incarnation;
-  OwnerIncarnation = other178.OwnerIncarnation;
-  Slots = std::move(other178.Slots);
-  __isset = other178.__isset;
+slot_renew& slot_renew::operator=(slot_renew&& other190) noexcept {
+  Incarnation = other190.Incarnation;
+  OwnerIncarnation = other190.OwnerIncarnation;
+  Slots = std::move(other190.Slots);
+  __isset = other190.__isset;
   return *this;
 }
 void slot_renew::printTo(std::ostream& out) const {
@@ -5643,30 +5731,30 @@
   swap(a.__isset, b.__isset);
 }
 
-document_piece::document_piece(const document_piece& other179) {
-  Start = other179.Start;
-  Length = other179.Length;
-  Text = other179.Text;
-  __isset = other179.__isset;
+document_piece::document_piece(const document_piece& other191) {
+  Start = other191.Start;
+  Length = other191.Length;
+  Text = other191.Text;
+  __isset = other191.__isset;
 }
-document_piece::document_piece(document_piece&& other180) noexcept {
-  Start = other180.Start;
-  Length = other180.Length;
-  Text = std::move(other180.Text);
-  __isset = other180.__isset;
+document_piece::document_piece(document_piece&& other192) noexcept {
+  Start = other192.Start;
+  Length = other192.Length;
+  Text = std::move(other192.Text);
+  __isset = other192.__isset;
 }
-document_piece& document_piece::operator=(const document_piece& other181) {
-  Start = other181.Start;
-  Length = other181.Length;
-  Text = other181.Text;
-  __isset = other181.__isset;
+document_piece& document_piece::operator=(const document_piece& other193) {
+  Start = other193.Start;
+  Length = other193.Length;
+  Text = other193.Text;
+  __isset = other193.__isset;
   return *this;
 }
-document_piece& document_piece::operator=(document_piece&& other182) noexcept {
-  Start = other182.Start;
-  Length = other182.Length;
-  Text = std::move(other182.Text);
-  __isset = other182.__isset;
+document_piece& document_piece::operator=(document_piece&& other194) noexcept {
+  Start = other194.Start;
+  Length = other194.Length;
+  Text = std::move(other194.Text);
+  __isset = other194.__isset;
   return *this;
 }
 void document_piece::printTo(std::ostream& out) const {
@@ -5722,14 +5810,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Pieces.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->Pieces.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->Pieces.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
             {
-              xfer += this->Pieces[_i187].read(iprot);
+              xfer += this->Pieces[_i199].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5766,10 +5854,10 @@
   xfer += oprot->writeFieldBegin("Pieces", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Pieces.size()));
-    std::vector<document_piece> ::const_iterator _iter188;
-    for (_iter188 = this->Pieces.begin(); _iter188 != this->Pieces.end(); ++_iter188)
+    std::vector<document_piece> ::const_iterator _iter200;
+    for (_iter200 = this->Pieces.begin(); _iter200 != this->Pieces.end(); ++_iter200)
     {
-      xfer += (*_iter188).write(oprot);
+      xfer += (*_iter200).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5791,26 +5879,26 @@
   swap(a.__isset, b.__isset);
 }
 
-document_difference::document_difference(const document_difference& other189) {
-  Pieces = other189.Pieces;
-  ResultHash = other189.ResultHash;
-  __isset = other189.__isset;
+document_difference::document_difference(const document_difference& other201) {
+  Pieces = other201.Pieces;
+  ResultHash = other201.ResultHash;
+  __isset = other201.__isset;
 }
-document_difference::document_difference(document_difference&& other190) noexcept {
-  Pieces = std::move(other190.Pieces);
-  ResultHash = std::move(other190.ResultHash);
-  __isset = other190.__isset;
+document_difference::document_difference(document_difference&& other202) noexcept {
+  Pieces = std::move(other202.Pieces);
+  ResultHash = std::move(other202.ResultHash);
+  __isset = other202.__isset;
 }
-document_difference& document_difference::operator=(const document_difference& other191) {
-  Pieces = other191.Pieces;
-  ResultHash = other191.ResultHash;
-  __isset = other191.__isset;
+document_difference& document_difference::operator=(const document_difference& other203) {
+  Pieces = other203.Pieces;
+  ResultHash = other203.ResultHash;
+  __isset = other203.__isset;
   return *this;
 }
-document_difference& document_difference::operator=(document_difference&& other192) noexcept {
-  Pieces = std::move(other192.Pieces);
-  ResultHash = std::move(other192.ResultHash);
-  __isset = other192.__isset;
+document_difference& document_difference::operator=(document_difference&& other204) noexcept {
+  Pieces = std::move(other204.Pieces);
+  ResultHash = std::move(other204.ResultHash);
+  __isset = other204.__isset;
   return *this;
 }
 void document_difference::printTo(std::ostream& out) const {
@@ -5950,34 +6038,34 @@
   swap(a.__isset, b.__isset);
 }
 
-config_edit::config_edit(const config_edit& other193) {
-  Base = other193.Base;
-  Document = other193.Document;
-  Author = other193.Author;
-  Difference = other193.Difference;
-  __isset = other193.__isset;
+config_edit::config_edit(const config_edit& other205) {
+  Base = other205.Base;
+  Document = other205.Document;
+  Author = other205.Author;
+  Difference = other205.Difference;
+  __isset = other205.__isset;
 }
-config_edit::config_edit(config_edit&& other194) noexcept {
-  Base = other194.Base;
-  Document = std::move(other194.Document);
-  Author = std::move(other194.Author);
-  Difference = std::move(other194.Difference);
-  __isset = other194.__isset;
+config_edit::config_edit(config_edit&& other206) noexcept {
+  Base = other206.Base;
+  Document = std::move(other206.Document);
+  Author = std::move(other206.Author);
+  Difference = std::move(other206.Difference);
+  __isset = other206.__isset;
 }
-config_edit& config_edit::operator=(const config_edit& other195) {
-  Base = other195.Base;
-  Document = other195.Document;
-  Author = other195.Author;
-  Difference = other195.Difference;
-  __isset = other195.__isset;
+config_edit& config_edit::operator=(const config_edit& other207) {
+  Base = other207.Base;
+  Document = other207.Document;
+  Author = other207.Author;
+  Difference = other207.Difference;
+  __isset = other207.__isset;
   return *this;
 }
-config_edit& config_edit::operator=(config_edit&& other196) noexcept {
-  Base = other196.Base;
-  Document = std::move(other196.Document);
-  Author = std::move(other196.Author);
-  Difference = std::move(other196.Difference);
-  __isset = other196.__isset;
+config_edit& config_edit::operator=(config_edit&& other208) noexcept {
+  Base = other208.Base;
+  Document = std::move(other208.Document);
+  Author = std::move(other208.Author);
+  Difference = std::move(other208.Difference);
+  __isset = other208.__isset;
   return *this;
 }
 void config_edit::printTo(std::ostream& out) const {
@@ -6100,30 +6188,30 @@
   swap(a.__isset, b.__isset);
 }
 
-key_give::key_give(const key_give& other197) {
-  KeyId = other197.KeyId;
-  Organisation = other197.Organisation;
-  KeyHash = other197.KeyHash;
-  __isset = other197.__isset;
+key_give::key_give(const key_give& other209) {
+  KeyId = other209.KeyId;
+  Organisation = other209.Organisation;
+  KeyHash = other209.KeyHash;
+  __isset = other209.__isset;
 }
-key_give::key_give(key_give&& other198) noexcept {
-  KeyId = std::move(other198.KeyId);
-  Organisation = std::move(other198.Organisation);
-  KeyHash = std::move(other198.KeyHash);
-  __isset = other198.__isset;
+key_give::key_give(key_give&& other210) noexcept {
+  KeyId = std::move(other210.KeyId);
+  Organisation = std::move(other210.Organisation);
+  KeyHash = std::move(other210.KeyHash);
+  __isset = other210.__isset;
 }
-key_give& key_give::operator=(const key_give& other199) {
-  KeyId = other199.KeyId;
-  Organisation = other199.Organisation;
-  KeyHash = other199.KeyHash;
-  __isset = other199.__isset;
+key_give& key_give::operator=(const key_give& other211) {
+  KeyId = other211.KeyId;
+  Organisation = other211.Organisation;
+  KeyHash = other211.KeyHash;
+  __isset = other211.__isset;
   return *this;
 }
-key_give& key_give::operator=(key_give&& other200) noexcept {
-  KeyId = std::move(other200.KeyId);
-  Organisation = std::move(other200.Organisation);
-  KeyHash = std::move(other200.KeyHash);
-  __isset = other200.__isset;
+key_give& key_give::operator=(key_give&& other212) noexcept {
+  KeyId = std::move(other212.KeyId);
+  Organisation = std::move(other212.Organisation);
+  KeyHash = std::move(other212.KeyHash);
+  __isset = other212.__isset;
   return *this;
 }
 void key_give::printTo(std::ostream& out) const {
@@ -6211,22 +6299,22 @@
   swap(a.__isset, b.__isset);
 }
 
-key_withdraw::key_withdraw(const key_withdraw& other201) {
-  KeyId = other201.KeyId;
-  __isset = other201.__isset;
+key_withdraw::key_withdraw(const key_withdraw& other213) {
+  KeyId = other213.KeyId;
+  __isset = other213.__isset;
 }
-key_withdraw::key_withdraw(key_withdraw&& other202) noexcept {
-  KeyId = std::move(other202.KeyId);
-  __isset = other202.__isset;
+key_withdraw::key_withdraw(key_withdraw&& other214) noexcept {
+  KeyId = std::move(other214.KeyId);
+  __isset = other214.__isset;
 }
-key_withdraw& key_withdraw::operator=(const key_withdraw& other203) {
-  KeyId = other203.KeyId;
-  __isset = other203.__isset;
+key_withdraw& key_withdraw::operator=(const key_withdraw& other215) {
+  KeyId = other215.KeyId;
+  __isset = other215.__isset;
   return *this;
 }
-key_withdraw& key_withdraw::operator=(key_withdraw&& other204) noexcept {
-  KeyId = std::move(other204.KeyId);
-  __isset = other204.__isset;
+key_withdraw& key_withdraw::operator=(key_withdraw&& other216) noexcept {
+  KeyId = std::move(other216.KeyId);
+  __isset = other216.__isset;
   return *this;
 }
 void key_withdraw::printTo(std::ostream& out) const {
@@ -6397,42 +6485,42 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_claim::lease_claim(const lease_claim& other205) {
-  Lease = other205.Lease;
-  Previous = other205.Previous;
-  Holder = other205.Holder;
-  Incarnation = other205.Incarnation;
-  DurationMicros = other205.DurationMicros;
-  Released = other205.Released;
-  __isset = other205.__isset;
+lease_claim::lease_claim(const lease_claim& other217) {
+  Lease = other217.Lease;
+  Previous = other217.Previous;
+  Holder = other217.Holder;
+  Incarnation = other217.Incarnation;
+  DurationMicros = other217.DurationMicros;
+  Released = other217.Released;
+  __isset = other217.__isset;
 }
-lease_claim::lease_claim(lease_claim&& other206) noexcept {
-  Lease = std::move(other206.Lease);
-  Previous = other206.Previous;
-  Holder = std::move(other206.Holder);
-  Incarnation = other206.Incarnation;
-  DurationMicros = other206.DurationMicros;
-  Released = other206.Released;
-  __isset = other206.__isset;
+lease_claim::lease_claim(lease_claim&& other218) noexcept {
+  Lease = std::move(other218.Lease);
+  Previous = other218.Previous;
+  Holder = std::move(other218.Holder);
+  Incarnation = other218.Incarnation;
+  DurationMicros = other218.DurationMicros;
+  Released = other218.Released;
+  __isset = other218.__isset;
 }
-lease_claim& lease_claim::operator=(const lease_claim& other207) {
-  Lease = other207.Lease;
-  Previous = other207.Previous;
-  Holder = other207.Holder;
-  Incarnation = other207.Incarnation;
-  DurationMicros = other207.DurationMicros;
-  Released = other207.Released;
-  __isset = other207.__isset;
+lease_claim& lease_claim::operator=(const lease_claim& other219) {
+  Lease = other219.Lease;
+  Previous = other219.Previous;
+  Holder = other219.Holder;
+  Incarnation = other219.Incarnation;
+  DurationMicros = other219.DurationMicros;
+  Released = other219.Released;
+  __isset = other219.__isset;
   return *this;
 }
-lease_claim& lease_claim::operator=(lease_claim&& other208) noexcept {
-  Lease = std::move(other208.Lease);
-  Previous = other208.Previous;
-  Holder = std::move(other208.Holder);
-  Incarnation = other208.Incarnation;
-  DurationMicros = other208.DurationMicros;
-  Released = other208.Released;
-  __isset = other208.__isset;
+lease_claim& lease_claim::operator=(lease_claim&& other220) noexcept {
+  Lease = std::move(other220.Lease);
+  Previous = other220.Previous;
+  Holder = std::move(other220.Holder);
+  Incarnation = other220.Incarnation;
+  DurationMicros = other220.DurationMicros;
+  Released = other220.Released;
+  __isset = other220.__isset;
   return *this;
 }
 void lease_claim::printTo(std::ostream& out) const {
@@ -6487,14 +6575,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Batches.clear();
-            uint32_t _size209;
-            ::apache::thrift::protocol::TType _etype212;
-            xfer += iprot->readListBegin(_etype212, _size209);
-            this->Batches.resize(_size209);
-            uint32_t _i213;
-            for (_i213 = 0; _i213 < _size209; ++_i213)
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _etype224;
+            xfer += iprot->readListBegin(_etype224, _size221);
+            this->Batches.resize(_size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
             {
-              xfer += this->Batches[_i213].read(iprot);
+              xfer += this->Batches[_i225].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6523,10 +6611,10 @@
   xfer += oprot->writeFieldBegin("Batches", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Batches.size()));
-    std::vector<usage_batch> ::const_iterator _iter214;
-    for (_iter214 = this->Batches.begin(); _iter214 != this->Batches.end(); ++_iter214)
+    std::vector<usage_batch> ::const_iterator _iter226;
+    for (_iter226 = this->Batches.begin(); _iter226 != this->Batches.end(); ++_iter226)
     {
-      xfer += (*_iter214).write(oprot);
+      xfer += (*_iter226).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6543,22 +6631,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_append::usage_append(const usage_append& other215) {
-  Batches = other215.Batches;
-  __isset = other215.__isset;
+usage_append::usage_append(const usage_append& other227) {
+  Batches = other227.Batches;
+  __isset = other227.__isset;
 }
-usage_append::usage_append(usage_append&& other216) noexcept {
-  Batches = std::move(other216.Batches);
-  __isset = other216.__isset;
+usage_append::usage_append(usage_append&& other228) noexcept {
+  Batches = std::move(other228.Batches);
+  __isset = other228.__isset;
 }
-usage_append& usage_append::operator=(const usage_append& other217) {
-  Batches = other217.Batches;
-  __isset = other217.__isset;
+usage_append& usage_append::operator=(const usage_append& other229) {
+  Batches = other229.Batches;
+  __isset = other229.__isset;
   return *this;
 }
-usage_append& usage_append::operator=(usage_append&& other218) noexcept {
-  Batches = std::move(other218.Batches);
-  __isset = other218.__isset;
+usage_append& usage_append::operator=(usage_append&& other230) noexcept {
+  Batches = std::move(other230.Batches);
+  __isset = other230.__isset;
   return *this;
 }
 void usage_append::printTo(std::ostream& out) const {
@@ -6636,14 +6724,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Figures.clear();
-            uint32_t _size219;
-            ::apache::thrift::protocol::TType _etype222;
-            xfer += iprot->readListBegin(_etype222, _size219);
-            this->Figures.resize(_size219);
-            uint32_t _i223;
-            for (_i223 = 0; _i223 < _size219; ++_i223)
+            uint32_t _size231;
+            ::apache::thrift::protocol::TType _etype234;
+            xfer += iprot->readListBegin(_etype234, _size231);
+            this->Figures.resize(_size231);
+            uint32_t _i235;
+            for (_i235 = 0; _i235 < _size231; ++_i235)
             {
-              xfer += this->Figures[_i223].read(iprot);
+              xfer += this->Figures[_i235].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6688,10 +6776,10 @@
   xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
-    std::vector<usage_increment> ::const_iterator _iter224;
-    for (_iter224 = this->Figures.begin(); _iter224 != this->Figures.end(); ++_iter224)
+    std::vector<usage_increment> ::const_iterator _iter236;
+    for (_iter236 = this->Figures.begin(); _iter236 != this->Figures.end(); ++_iter236)
     {
-      xfer += (*_iter224).write(oprot);
+      xfer += (*_iter236).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6715,34 +6803,34 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_close::usage_close(const usage_close& other225) {
-  Window = other225.Window;
-  Fence = other225.Fence;
-  Figures = other225.Figures;
-  UpToOffset = other225.UpToOffset;
-  __isset = other225.__isset;
-}
-usage_close::usage_close(usage_close&& other226) noexcept {
-  Window = other226.Window;
-  Fence = other226.Fence;
-  Figures = std::move(other226.Figures);
-  UpToOffset = other226.UpToOffset;
-  __isset = other226.__isset;
-}
-usage_close& usage_close::operator=(const usage_close& other227) {
-  Window = other227.Window;
-  Fence = other227.Fence;
-  Figures = other227.Figures;
-  UpToOffset = other227.UpToOffset;
-  __isset = other227.__isset;
+usage_close::usage_close(const usage_close& other237) {
+  Window = other237.Window;
+  Fence = other237.Fence;
+  Figures = other237.Figures;
+  UpToOffset = other237.UpToOffset;
+  __isset = other237.__isset;
+}
+usage_close::usage_close(usage_close&& other238) noexcept {
+  Window = other238.Window;
+  Fence = other238.Fence;
+  Figures = std::move(other238.Figures);
+  UpToOffset = other238.UpToOffset;
+  __isset = other238.__isset;
+}
+usage_close& usage_close::operator=(const usage_close& other239) {
+  Window = other239.Window;
+  Fence = other239.Fence;
+  Figures = other239.Figures;
+  UpToOffset = other239.UpToOffset;
+  __isset = other239.__isset;
   return *this;
 }
-usage_close& usage_close::operator=(usage_close&& other228) noexcept {
-  Window = other228.Window;
-  Fence = other228.Fence;
-  Figures = std::move(other228.Figures);
-  UpToOffset = other228.UpToOffset;
-  __isset = other228.__isset;
+usage_close& usage_close::operator=(usage_close&& other240) noexcept {
+  Window = other240.Window;
+  Fence = other240.Fence;
+  Figures = std::move(other240.Figures);
+  UpToOffset = other240.UpToOffset;
+  __isset = other240.__isset;
   return *this;
 }
 void usage_close::printTo(std::ostream& out) const {
@@ -6831,22 +6919,22 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_reported::usage_reported(const usage_reported& other229) noexcept {
-  Window = other229.Window;
-  __isset = other229.__isset;
+usage_reported::usage_reported(const usage_reported& other241) noexcept {
+  Window = other241.Window;
+  __isset = other241.__isset;
 }
-usage_reported::usage_reported(usage_reported&& other230) noexcept {
-  Window = other230.Window;
-  __isset = other230.__isset;
+usage_reported::usage_reported(usage_reported&& other242) noexcept {
+  Window = other242.Window;
+  __isset = other242.__isset;
 }
-usage_reported& usage_reported::operator=(const usage_reported& other231) noexcept {
-  Window = other231.Window;
-  __isset = other231.__isset;
+usage_reported& usage_reported::operator=(const usage_reported& other243) noexcept {
+  Window = other243.Window;
+  __isset = other243.__isset;
   return *this;
 }
-usage_reported& usage_reported::operator=(usage_reported&& other232) noexcept {
-  Window = other232.Window;
-  __isset = other232.__isset;
+usage_reported& usage_reported::operator=(usage_reported&& other244) noexcept {
+  Window = other244.Window;
+  __isset = other244.__isset;
   return *this;
 }
 void usage_reported::printTo(std::ostream& out) const {
@@ -7019,42 +7107,42 @@
   swap(a.__isset, b.__isset);
 }
 
-order_intent::order_intent(const order_intent& other234) {
-  OrderId = other234.OrderId;
-  Zone = other234.Zone;
-  Fence = other234.Fence;
-  Kind = other234.Kind;
-  Target = other234.Target;
-  Count = other234.Count;
-  __isset = other234.__isset;
-}
-order_intent::order_intent(order_intent&& other235) noexcept {
-  OrderId = std::move(other235.OrderId);
-  Zone = std::move(other235.Zone);
-  Fence = other235.Fence;
-  Kind = other235.Kind;
-  Target = std::move(other235.Target);
-  Count = other235.Count;
-  __isset = other235.__isset;
-}
-order_intent& order_intent::operator=(const order_intent& other236) {
-  OrderId = other236.OrderId;
-  Zone = other236.Zone;
-  Fence = other236.Fence;
-  Kind = other236.Kind;
-  Target = other236.Target;
-  Count = other236.Count;
-  __isset = other236.__isset;
+order_intent::order_intent(const order_intent& other246) {
+  OrderId = other246.OrderId;
+  Zone = other246.Zone;
+  Fence = other246.Fence;
+  Kind = other246.Kind;
+  Target = other246.Target;
+  Count = other246.Count;
+  __isset = other246.__isset;
+}
+order_intent::order_intent(order_intent&& other247) noexcept {
+  OrderId = std::move(other247.OrderId);
+  Zone = std::move(other247.Zone);
+  Fence = other247.Fence;
+  Kind = other247.Kind;
+  Target = std::move(other247.Target);
+  Count = other247.Count;
+  __isset = other247.__isset;
+}
+order_intent& order_intent::operator=(const order_intent& other248) {
+  OrderId = other248.OrderId;
+  Zone = other248.Zone;
+  Fence = other248.Fence;
+  Kind = other248.Kind;
+  Target = other248.Target;
+  Count = other248.Count;
+  __isset = other248.__isset;
   return *this;
 }
-order_intent& order_intent::operator=(order_intent&& other237) noexcept {
-  OrderId = std::move(other237.OrderId);
-  Zone = std::move(other237.Zone);
-  Fence = other237.Fence;
-  Kind = other237.Kind;
-  Target = std::move(other237.Target);
-  Count = other237.Count;
-  __isset = other237.__isset;
+order_intent& order_intent::operator=(order_intent&& other249) noexcept {
+  OrderId = std::move(other249.OrderId);
+  Zone = std::move(other249.Zone);
+  Fence = other249.Fence;
+  Kind = other249.Kind;
+  Target = std::move(other249.Target);
+  Count = other249.Count;
+  __isset = other249.__isset;
   return *this;
 }
 void order_intent::printTo(std::ostream& out) const {
@@ -7162,26 +7250,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_done::order_done(const order_done& other238) {
-  OrderId = other238.OrderId;
-  Accepted = other238.Accepted;
-  __isset = other238.__isset;
+order_done::order_done(const order_done& other250) {
+  OrderId = other250.OrderId;
+  Accepted = other250.Accepted;
+  __isset = other250.__isset;
 }
-order_done::order_done(order_done&& other239) noexcept {
-  OrderId = std::move(other239.OrderId);
-  Accepted = other239.Accepted;
-  __isset = other239.__isset;
+order_done::order_done(order_done&& other251) noexcept {
+  OrderId = std::move(other251.OrderId);
+  Accepted = other251.Accepted;
+  __isset = other251.__isset;
 }
-order_done& order_done::operator=(const order_done& other240) {
-  OrderId = other240.OrderId;
-  Accepted = other240.Accepted;
-  __isset = other240.__isset;
+order_done& order_done::operator=(const order_done& other252) {
+  OrderId = other252.OrderId;
+  Accepted = other252.Accepted;
+  __isset = other252.__isset;
   return *this;
 }
-order_done& order_done::operator=(order_done&& other241) noexcept {
-  OrderId = std::move(other241.OrderId);
-  Accepted = other241.Accepted;
-  __isset = other241.__isset;
+order_done& order_done::operator=(order_done&& other253) noexcept {
+  OrderId = std::move(other253.OrderId);
+  Accepted = other253.Accepted;
+  __isset = other253.__isset;
   return *this;
 }
 void order_done::printTo(std::ostream& out) const {
@@ -7336,38 +7424,38 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_entry::claim_entry(const claim_entry& other242) {
-  Key = other242.Key;
-  Attempt = other242.Attempt;
-  BodyHash = other242.BodyHash;
-  CreatedWallMicros = other242.CreatedWallMicros;
-  KeyMicros = other242.KeyMicros;
-  __isset = other242.__isset;
-}
-claim_entry::claim_entry(claim_entry&& other243) noexcept {
-  Key = std::move(other243.Key);
-  Attempt = std::move(other243.Attempt);
-  BodyHash = other243.BodyHash;
-  CreatedWallMicros = other243.CreatedWallMicros;
-  KeyMicros = other243.KeyMicros;
-  __isset = other243.__isset;
-}
-claim_entry& claim_entry::operator=(const claim_entry& other244) {
-  Key = other244.Key;
-  Attempt = other244.Attempt;
-  BodyHash = other244.BodyHash;
-  CreatedWallMicros = other244.CreatedWallMicros;
-  KeyMicros = other244.KeyMicros;
-  __isset = other244.__isset;
+claim_entry::claim_entry(const claim_entry& other254) {
+  Key = other254.Key;
+  Attempt = other254.Attempt;
+  BodyHash = other254.BodyHash;
+  CreatedWallMicros = other254.CreatedWallMicros;
+  KeyMicros = other254.KeyMicros;
+  __isset = other254.__isset;
+}
+claim_entry::claim_entry(claim_entry&& other255) noexcept {
+  Key = std::move(other255.Key);
+  Attempt = std::move(other255.Attempt);
+  BodyHash = other255.BodyHash;
+  CreatedWallMicros = other255.CreatedWallMicros;
+  KeyMicros = other255.KeyMicros;
+  __isset = other255.__isset;
+}
+claim_entry& claim_entry::operator=(const claim_entry& other256) {
+  Key = other256.Key;
+  Attempt = other256.Attempt;
+  BodyHash = other256.BodyHash;
+  CreatedWallMicros = other256.CreatedWallMicros;
+  KeyMicros = other256.KeyMicros;
+  __isset = other256.__isset;
   return *this;
 }
-claim_entry& claim_entry::operator=(claim_entry&& other245) noexcept {
-  Key = std::move(other245.Key);
-  Attempt = std::move(other245.Attempt);
-  BodyHash = other245.BodyHash;
-  CreatedWallMicros = other245.CreatedWallMicros;
-  KeyMicros = other245.KeyMicros;
-  __isset = other245.__isset;
+claim_entry& claim_entry::operator=(claim_entry&& other257) noexcept {
+  Key = std::move(other257.Key);
+  Attempt = std::move(other257.Attempt);
+  BodyHash = other257.BodyHash;
+  CreatedWallMicros = other257.CreatedWallMicros;
+  KeyMicros = other257.KeyMicros;
+  __isset = other257.__isset;
   return *this;
 }
 void claim_entry::printTo(std::ostream& out) const {
@@ -7512,34 +7600,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_outcome::claim_outcome(const claim_outcome& other247) {
-  Key = other247.Key;
-  Attempt = other247.Attempt;
-  Outcome = other247.Outcome;
-  Answer = other247.Answer;
-  __isset = other247.__isset;
-}
-claim_outcome::claim_outcome(claim_outcome&& other248) noexcept {
-  Key = std::move(other248.Key);
-  Attempt = std::move(other248.Attempt);
-  Outcome = other248.Outcome;
-  Answer = std::move(other248.Answer);
-  __isset = other248.__isset;
-}
-claim_outcome& claim_outcome::operator=(const claim_outcome& other249) {
-  Key = other249.Key;
-  Attempt = other249.Attempt;
-  Outcome = other249.Outcome;
-  Answer = other249.Answer;
-  __isset = other249.__isset;
+claim_outcome::claim_outcome(const claim_outcome& other259) {
+  Key = other259.Key;
+  Attempt = other259.Attempt;
+  Outcome = other259.Outcome;
+  Answer = other259.Answer;
+  __isset = other259.__isset;
+}
+claim_outcome::claim_outcome(claim_outcome&& other260) noexcept {
+  Key = std::move(other260.Key);
+  Attempt = std::move(other260.Attempt);
+  Outcome = other260.Outcome;
+  Answer = std::move(other260.Answer);
+  __isset = other260.__isset;
+}
+claim_outcome& claim_outcome::operator=(const claim_outcome& other261) {
+  Key = other261.Key;
+  Attempt = other261.Attempt;
+  Outcome = other261.Outcome;
+  Answer = other261.Answer;
+  __isset = other261.__isset;
   return *this;
 }
-claim_outcome& claim_outcome::operator=(claim_outcome&& other250) noexcept {
-  Key = std::move(other250.Key);
-  Attempt = std::move(other250.Attempt);
-  Outcome = other250.Outcome;
-  Answer = std::move(other250.Answer);
-  __isset = other250.__isset;
+claim_outcome& claim_outcome::operator=(claim_outcome&& other262) noexcept {
+  Key = std::move(other262.Key);
+  Attempt = std::move(other262.Attempt);
+  Outcome = other262.Outcome;
+  Answer = std::move(other262.Answer);
+  __isset = other262.__isset;
   return *this;
 }
 void claim_outcome::printTo(std::ostream& out) const {
@@ -7604,14 +7692,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->Claims.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size263;
+            ::apache::thrift::protocol::TType _etype266;
+            xfer += iprot->readListBegin(_etype266, _size263);
+            this->Claims.resize(_size263);
+            uint32_t _i267;
+            for (_i267 = 0; _i267 < _size263; ++_i267)
             {
-              xfer += this->Claims[_i255].read(iprot);
+              xfer += this->Claims[_i267].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7624,14 +7712,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Outcomes.clear();
-            uint32_t _size256;
-            ::apache::thrift::protocol::TType _etype259;
-            xfer += iprot->readListBegin(_etype259, _size256);
-            this->Outcomes.resize(_size256);
-            uint32_t _i260;
-            for (_i260 = 0; _i260 < _size256; ++_i260)
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->Outcomes.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
             {
-              xfer += this->Outcomes[_i260].read(iprot);
+              xfer += this->Outcomes[_i272].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7676,10 +7764,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<claim_entry> ::const_iterator _iter261;
-    for (_iter261 = this->Claims.begin(); _iter261 != this->Claims.end(); ++_iter261)
+    std::vector<claim_entry> ::const_iterator _iter273;
+    for (_iter273 = this->Claims.begin(); _iter273 != this->Claims.end(); ++_iter273)
     {
-      xfer += (*_iter261).write(oprot);
+      xfer += (*_iter273).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7688,10 +7776,10 @@
   xfer += oprot->writeFieldBegin("Outcomes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Outcomes.size()));
-    std::vector<claim_outcome> ::const_iterator _iter262;
-    for (_iter262 = this->Outcomes.begin(); _iter262 != this->Outcomes.end(); ++_iter262)
+    std::vector<claim_outcome> ::const_iterator _iter274;
+    for (_iter274 = this->Outcomes.begin(); _iter274 != this->Outcomes.end(); ++_iter274)
     {
-      xfer += (*_iter262).write(oprot);
+      xfer += (*_iter274).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7719,34 +7807,34 @@
   swap(a.__isset, b.__isset);
 }
 
-claim_batch::claim_batch(const claim_batch& other263) {
-  Claims = other263.Claims;
-  Outcomes = other263.Outcomes;
-  WallMicros = other263.WallMicros;
-  WindowMicros = other263.WindowMicros;
-  __isset = other263.__isset;
-}
-claim_batch::claim_batch(claim_batch&& other264) noexcept {
-  Claims = std::move(other264.Claims);
-  Outcomes = std::move(other264.Outcomes);
-  WallMicros = other264.WallMicros;
-  WindowMicros = other264.WindowMicros;
-  __isset = other264.__isset;
-}
-claim_batch& claim_batch::operator=(const claim_batch& other265) {
-  Claims = other265.Claims;
-  Outcomes = other265.Outcomes;
-  WallMicros = other265.WallMicros;
-  WindowMicros = other265.WindowMicros;
-  __isset = other265.__isset;
+claim_batch::claim_batch(const claim_batch& other275) {
+  Claims = other275.Claims;
+  Outcomes = other275.Outcomes;
+  WallMicros = other275.WallMicros;
+  WindowMicros = other275.WindowMicros;
+  __isset = other275.__isset;
+}
+claim_batch::claim_batch(claim_batch&& other276) noexcept {
+  Claims = std::move(other276.Claims);
+  Outcomes = std::move(other276.Outcomes);
+  WallMicros = other276.WallMicros;
+  WindowMicros = other276.WindowMicros;
+  __isset = other276.__isset;
+}
+claim_batch& claim_batch::operator=(const claim_batch& other277) {
+  Claims = other277.Claims;
+  Outcomes = other277.Outcomes;
+  WallMicros = other277.WallMicros;
+  WindowMicros = other277.WindowMicros;
+  __isset = other277.__isset;
   return *this;
 }
-claim_batch& claim_batch::operator=(claim_batch&& other266) noexcept {
-  Claims = std::move(other266.Claims);
-  Outcomes = std::move(other266.Outcomes);
-  WallMicros = other266.WallMicros;
-  WindowMicros = other266.WindowMicros;
-  __isset = other266.__isset;
+claim_batch& claim_batch::operator=(claim_batch&& other278) noexcept {
+  Claims = std::move(other278.Claims);
+  Outcomes = std::move(other278.Outcomes);
+  WallMicros = other278.WallMicros;
+  WindowMicros = other278.WindowMicros;
+  __isset = other278.__isset;
   return *this;
 }
 void claim_batch::printTo(std::ostream& out) const {
@@ -7852,26 +7940,26 @@
   swap(a.__isset, b.__isset);
 }
 
-snapshot::snapshot(const snapshot& other267) {
-  CoversOffset = other267.CoversOffset;
-  State = other267.State;
-  __isset = other267.__isset;
+snapshot::snapshot(const snapshot& other279) {
+  CoversOffset = other279.CoversOffset;
+  State = other279.State;
+  __isset = other279.__isset;
 }
-snapshot::snapshot(snapshot&& other268) noexcept {
-  CoversOffset = other268.CoversOffset;
-  State = std::move(other268.State);
-  __isset = other268.__isset;
+snapshot::snapshot(snapshot&& other280) noexcept {
+  CoversOffset = other280.CoversOffset;
+  State = std::move(other280.State);
+  __isset = other280.__isset;
 }
-snapshot& snapshot::operator=(const snapshot& other269) {
-  CoversOffset = other269.CoversOffset;
-  State = other269.State;
-  __isset = other269.__isset;
+snapshot& snapshot::operator=(const snapshot& other281) {
+  CoversOffset = other281.CoversOffset;
+  State = other281.State;
+  __isset = other281.__isset;
   return *this;
 }
-snapshot& snapshot::operator=(snapshot&& other270) noexcept {
-  CoversOffset = other270.CoversOffset;
-  State = std::move(other270.State);
-  __isset = other270.__isset;
+snapshot& snapshot::operator=(snapshot&& other282) noexcept {
+  CoversOffset = other282.CoversOffset;
+  State = std::move(other282.State);
+  __isset = other282.__isset;
   return *this;
 }
 void snapshot::printTo(std::ostream& out) const {
@@ -8184,70 +8272,70 @@
   swap(a.__isset, b.__isset);
 }
 
-log_record::log_record(const log_record& other271) {
-  Incarnation = other271.Incarnation;
-  Sequence = other271.Sequence;
-  ConfigEdit = other271.ConfigEdit;
-  KeyGive = other271.KeyGive;
-  KeyWithdraw = other271.KeyWithdraw;
-  LeaseClaim = other271.LeaseClaim;
-  UsageAppend = other271.UsageAppend;
-  UsageClose = other271.UsageClose;
-  UsageReported = other271.UsageReported;
-  OrderIntent = other271.OrderIntent;
-  OrderDone = other271.OrderDone;
-  ClaimBatch = other271.ClaimBatch;
-  Snapshot = other271.Snapshot;
-  __isset = other271.__isset;
-}
-log_record::log_record(log_record&& other272) noexcept {
-  Incarnation = other272.Incarnation;
-  Sequence = other272.Sequence;
-  ConfigEdit = std::move(other272.ConfigEdit);
-  KeyGive = std::move(other272.KeyGive);
-  KeyWithdraw = std::move(other272.KeyWithdraw);
-  LeaseClaim = std::move(other272.LeaseClaim);
-  UsageAppend = std::move(other272.UsageAppend);
-  UsageClose = std::move(other272.UsageClose);
-  UsageReported = std::move(other272.UsageReported);
-  OrderIntent = std::move(other272.OrderIntent);
-  OrderDone = std::move(other272.OrderDone);
-  ClaimBatch = std::move(other272.ClaimBatch);
-  Snapshot = std::move(other272.Snapshot);
-  __isset = other272.__isset;
-}
-log_record& log_record::operator=(const log_record& other273) {
-  Incarnation = other273.Incarnation;
-  Sequence = other273.Sequence;
-  ConfigEdit = other273.ConfigEdit;
-  KeyGive = other273.KeyGive;
-  KeyWithdraw = other273.KeyWithdraw;
-  LeaseClaim = other273.LeaseClaim;
-  UsageAppend = other273.UsageAppend;
-  UsageClose = other273.UsageClose;
-  UsageReported = other273.UsageReported;
-  OrderIntent = other273.OrderIntent;
-  OrderDone = other273.OrderDone;
-  ClaimBatch = other273.ClaimBatch;
-  Snapshot = other273.Snapshot;
-  __isset = other273.__isset;
+log_record::log_record(const log_record& other283) {
+  Incarnation = other283.Incarnation;
+  Sequence = other283.Sequence;
+  ConfigEdit = other283.ConfigEdit;
+  KeyGive = other283.KeyGive;
+  KeyWithdraw = other283.KeyWithdraw;
+  LeaseClaim = other283.LeaseClaim;
+  UsageAppend = other283.UsageAppend;
+  UsageClose = other283.UsageClose;
+  UsageReported = other283.UsageReported;
+  OrderIntent = other283.OrderIntent;
+  OrderDone = other283.OrderDone;
+  ClaimBatch = other283.ClaimBatch;
+  Snapshot = other283.Snapshot;
+  __isset = other283.__isset;
+}
+log_record::log_record(log_record&& other284) noexcept {
+  Incarnation = other284.Incarnation;
+  Sequence = other284.Sequence;
+  ConfigEdit = std::move(other284.ConfigEdit);
+  KeyGive = std::move(other284.KeyGive);
+  KeyWithdraw = std::move(other284.KeyWithdraw);
+  LeaseClaim = std::move(other284.LeaseClaim);
+  UsageAppend = std::move(other284.UsageAppend);
+  UsageClose = std::move(other284.UsageClose);
+  UsageReported = std::move(other284.UsageReported);
+  OrderIntent = std::move(other284.OrderIntent);
+  OrderDone = std::move(other284.OrderDone);
+  ClaimBatch = std::move(other284.ClaimBatch);
+  Snapshot = std::move(other284.Snapshot);
+  __isset = other284.__isset;
+}
+log_record& log_record::operator=(const log_record& other285) {
+  Incarnation = other285.Incarnation;
+  Sequence = other285.Sequence;
+  ConfigEdit = other285.ConfigEdit;
+  KeyGive = other285.KeyGive;
+  KeyWithdraw = other285.KeyWithdraw;
+  LeaseClaim = other285.LeaseClaim;
+  UsageAppend = other285.UsageAppend;
+  UsageClose = other285.UsageClose;
+  UsageReported = other285.UsageReported;
+  OrderIntent = other285.OrderIntent;
+  OrderDone = other285.OrderDone;
+  ClaimBatch = other285.ClaimBatch;
+  Snapshot = other285.Snapshot;
+  __isset = other285.__isset;
   return *this;
 }
-log_record& log_record::operator=(log_record&& other274) noexcept {
-  Incarnation = other274.Incarnation;
-  Sequence = other274.Sequence;
-  ConfigEdit = std::move(other274.ConfigEdit);
-  KeyGive = std::move(other274.KeyGive);
-  KeyWithdraw = std::move(other274.KeyWithdraw);
-  LeaseClaim = std::move(other274.LeaseClaim);
-  UsageAppend = std::move(other274.UsageAppend);
-  UsageClose = std::move(other274.UsageClose);
-  UsageReported = std::move(other274.UsageReported);
-  OrderIntent = std::move(other274.OrderIntent);
-  OrderDone = std::move(other274.OrderDone);
-  ClaimBatch = std::move(other274.ClaimBatch);
-  Snapshot = std::move(other274.Snapshot);
-  __isset = other274.__isset;
+log_record& log_record::operator=(log_record&& other286) noexcept {
+  Incarnation = other286.Incarnation;
+  Sequence = other286.Sequence;
+  ConfigEdit = std::move(other286.ConfigEdit);
+  KeyGive = std::move(other286.KeyGive);
+  KeyWithdraw = std::move(other286.KeyWithdraw);
+  LeaseClaim = std::move(other286.LeaseClaim);
+  UsageAppend = std::move(other286.UsageAppend);
+  UsageClose = std::move(other286.UsageClose);
+  UsageReported = std::move(other286.UsageReported);
+  OrderIntent = std::move(other286.OrderIntent);
+  OrderDone = std::move(other286.OrderDone);
+  ClaimBatch = std::move(other286.ClaimBatch);
+  Snapshot = std::move(other286.Snapshot);
+  __isset = other286.__isset;
   return *this;
 }
 void log_record::printTo(std::ostream& out) const {
@@ -8413,38 +8501,38 @@
   swap(a.__isset, b.__isset);
 }
 
-key_state::key_state(const key_state& other275) {
-  KeyId = other275.KeyId;
-  Organisation = other275.Organisation;
-  KeyHash = other275.KeyHash;
-  Withdrawn = other275.Withdrawn;
-  Offset = other275.Offset;
-  __isset = other275.__isset;
-}
-key_state::key_state(key_state&& other276) noexcept {
-  KeyId = std::move(other276.KeyId);
-  Organisation = std::move(other276.Organisation);
-  KeyHash = std::move(other276.KeyHash);
-  Withdrawn = other276.Withdrawn;
-  Offset = other276.Offset;
-  __isset = other276.__isset;
-}
-key_state& key_state::operator=(const key_state& other277) {
-  KeyId = other277.KeyId;
-  Organisation = other277.Organisation;
-  KeyHash = other277.KeyHash;
-  Withdrawn = other277.Withdrawn;
-  Offset = other277.Offset;
-  __isset = other277.__isset;
+key_state::key_state(const key_state& other287) {
+  KeyId = other287.KeyId;
+  Organisation = other287.Organisation;
+  KeyHash = other287.KeyHash;
+  Withdrawn = other287.Withdrawn;
+  Offset = other287.Offset;
+  __isset = other287.__isset;
+}
+key_state::key_state(key_state&& other288) noexcept {
+  KeyId = std::move(other288.KeyId);
+  Organisation = std::move(other288.Organisation);
+  KeyHash = std::move(other288.KeyHash);
+  Withdrawn = other288.Withdrawn;
+  Offset = other288.Offset;
+  __isset = other288.__isset;
+}
+key_state& key_state::operator=(const key_state& other289) {
+  KeyId = other289.KeyId;
+  Organisation = other289.Organisation;
+  KeyHash = other289.KeyHash;
+  Withdrawn = other289.Withdrawn;
+  Offset = other289.Offset;
+  __isset = other289.__isset;
   return *this;
 }
-key_state& key_state::operator=(key_state&& other278) noexcept {
-  KeyId = std::move(other278.KeyId);
-  Organisation = std::move(other278.Organisation);
-  KeyHash = std::move(other278.KeyHash);
-  Withdrawn = other278.Withdrawn;
-  Offset = other278.Offset;
-  __isset = other278.__isset;
+key_state& key_state::operator=(key_state&& other290) noexcept {
+  KeyId = std::move(other290.KeyId);
+  Organisation = std::move(other290.Organisation);
+  KeyHash = std::move(other290.KeyHash);
+  Withdrawn = other290.Withdrawn;
+  Offset = other290.Offset;
+  __isset = other290.__isset;
   return *this;
 }
 void key_state::printTo(std::ostream& out) const {
@@ -8619,42 +8707,42 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_state::lease_state(const lease_state& other279) {
-  Lease = other279.Lease;
-  Fence = other279.Fence;
-  Holder = other279.Holder;
-  Incarnation = other279.Incarnation;
-  DurationMicros = other279.DurationMicros;
-  Released = other279.Released;
-  __isset = other279.__isset;
-}
-lease_state::lease_state(lease_state&& other280) noexcept {
-  Lease = std::move(other280.Lease);
-  Fence = other280.Fence;
-  Holder = std::move(other280.Holder);
-  Incarnation = other280.Incarnation;
-  DurationMicros = other280.DurationMicros;
-  Released = other280.Released;
-  __isset = other280.__isset;
-}
-lease_state& lease_state::operator=(const lease_state& other281) {
-  Lease = other281.Lease;
-  Fence = other281.Fence;
-  Holder = other281.Holder;
-  Incarnation = other281.Incarnation;
-  DurationMicros = other281.DurationMicros;
-  Released = other281.Released;
-  __isset = other281.__isset;
+lease_state::lease_state(const lease_state& other291) {
+  Lease = other291.Lease;
+  Fence = other291.Fence;
+  Holder = other291.Holder;
+  Incarnation = other291.Incarnation;
+  DurationMicros = other291.DurationMicros;
+  Released = other291.Released;
+  __isset = other291.__isset;
+}
+lease_state::lease_state(lease_state&& other292) noexcept {
+  Lease = std::move(other292.Lease);
+  Fence = other292.Fence;
+  Holder = std::move(other292.Holder);
+  Incarnation = other292.Incarnation;
+  DurationMicros = other292.DurationMicros;
+  Released = other292.Released;
+  __isset = other292.__isset;
+}
+lease_state& lease_state::operator=(const lease_state& other293) {
+  Lease = other293.Lease;
+  Fence = other293.Fence;
+  Holder = other293.Holder;
+  Incarnation = other293.Incarnation;
+  DurationMicros = other293.DurationMicros;
+  Released = other293.Released;
+  __isset = other293.__isset;
   return *this;
 }
-lease_state& lease_state::operator=(lease_state&& other282) noexcept {
-  Lease = std::move(other282.Lease);
-  Fence = other282.Fence;
-  Holder = std::move(other282.Holder);
-  Incarnation = other282.Incarnation;
-  DurationMicros = other282.DurationMicros;
-  Released = other282.Released;
-  __isset = other282.__isset;
+lease_state& lease_state::operator=(lease_state&& other294) noexcept {
+  Lease = std::move(other294.Lease);
+  Fence = other294.Fence;
+  Holder = std::move(other294.Holder);
+  Incarnation = other294.Incarnation;
+  DurationMicros = other294.DurationMicros;
+  Released = other294.Released;
+  __isset = other294.__isset;
   return *this;
 }
 void lease_state::printTo(std::ostream& out) const {
@@ -8813,38 +8901,38 @@
   swap(a.__isset, b.__isset);
 }
 
-writer_state::writer_state(const writer_state& other283) noexcept {
-  Incarnation = other283.Incarnation;
-  Sequence = other283.Sequence;
-  LastOffset = other283.LastOffset;
-  WallMicros = other283.WallMicros;
-  Ahead = other283.Ahead;
-  __isset = other283.__isset;
+writer_state::writer_state(const writer_state& other295) noexcept {
+  Incarnation = other295.Incarnation;
+  Sequence = other295.Sequence;
+  LastOffset = other295.LastOffset;
+  WallMicros = other295.WallMicros;
+  Ahead = other295.Ahead;
+  __isset = other295.__isset;
 }
-writer_state::writer_state(writer_state&& other284) noexcept {
-  Incarnation = other284.Incarnation;
-  Sequence = other284.Sequence;
-  LastOffset = other284.LastOffset;
-  WallMicros = other284.WallMicros;
-  Ahead = other284.Ahead;
-  __isset = other284.__isset;
+writer_state::writer_state(writer_state&& other296) noexcept {
+  Incarnation = other296.Incarnation;
+  Sequence = other296.Sequence;
+  LastOffset = other296.LastOffset;
+  WallMicros = other296.WallMicros;
+  Ahead = other296.Ahead;
+  __isset = other296.__isset;
 }
-writer_state& writer_state::operator=(const writer_state& other285) noexcept {
-  Incarnation = other285.Incarnation;
-  Sequence = other285.Sequence;
-  LastOffset = other285.LastOffset;
-  WallMicros = other285.WallMicros;
-  Ahead = other285.Ahead;
-  __isset = other285.__isset;
+writer_state& writer_state::operator=(const writer_state& other297) noexcept {
+  Incarnation = other297.Incarnation;
+  Sequence = other297.Sequence;
+  LastOffset = other297.LastOffset;
+  WallMicros = other297.WallMicros;
+  Ahead = other297.Ahead;
+  __isset = other297.__isset;
   return *this;
 }
-writer_state& writer_state::operator=(writer_state&& other286) noexcept {
-  Incarnation = other286.Incarnation;
-  Sequence = other286.Sequence;
-  LastOffset = other286.LastOffset;
-  WallMicros = other286.WallMicros;
-  Ahead = other286.Ahead;
-  __isset = other286.__isset;
+writer_state& writer_state::operator=(writer_state&& other298) noexcept {
+  Incarnation = other298.Incarnation;
+  Sequence = other298.Sequence;
+  LastOffset = other298.LastOffset;
+  WallMicros = other298.WallMicros;
+  Ahead = other298.Ahead;
+  __isset = other298.__isset;
   return *this;
 }
 void writer_state::printTo(std::ostream& out) const {
@@ -8914,14 +9002,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Figures.clear();
-            uint32_t _size287;
-            ::apache::thrift::protocol::TType _etype290;
-            xfer += iprot->readListBegin(_etype290, _size287);
-            this->Figures.resize(_size287);
-            uint32_t _i291;
-            for (_i291 = 0; _i291 < _size287; ++_i291)
+            uint32_t _size299;
+            ::apache::thrift::protocol::TType _etype302;
+            xfer += iprot->readListBegin(_etype302, _size299);
+            this->Figures.resize(_size299);
+            uint32_t _i303;
+            for (_i303 = 0; _i303 < _size299; ++_i303)
             {
-              xfer += this->Figures[_i291].read(iprot);
+              xfer += this->Figures[_i303].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8962,10 +9050,10 @@
   xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
-    std::vector<usage_increment> ::const_iterator _iter292;
-    for (_iter292 = this->Figures.begin(); _iter292 != this->Figures.end(); ++_iter292)
+    std::vector<usage_increment> ::const_iterator _iter304;
+    for (_iter304 = this->Figures.begin(); _iter304 != this->Figures.end(); ++_iter304)
     {
-      xfer += (*_iter292).write(oprot);
+      xfer += (*_iter304).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8988,30 +9076,30 @@
   swap(a.__isset, b.__isset);
 }
 
-closed_window::closed_window(const closed_window& other293) {
-  Window = other293.Window;
-  Figures = other293.Figures;
-  Reported = other293.Reported;
-  __isset = other293.__isset;
+closed_window::closed_window(const closed_window& other305) {
+  Window = other305.Window;
+  Figures = other305.Figures;
+  Reported = other305.Reported;
+  __isset = other305.__isset;
 }
-closed_window::closed_window(closed_window&& other294) noexcept {
-  Window = other294.Window;
-  Figures = std::move(other294.Figures);
-  Reported = other294.Reported;
-  __isset = other294.__isset;
+closed_window::closed_window(closed_window&& other306) noexcept {
+  Window = other306.Window;
+  Figures = std::move(other306.Figures);
+  Reported = other306.Reported;
+  __isset = other306.__isset;
 }
-closed_window& closed_window::operator=(const closed_window& other295) {
-  Window = other295.Window;
-  Figures = other295.Figures;
-  Reported = other295.Reported;
-  __isset = other295.__isset;
+closed_window& closed_window::operator=(const closed_window& other307) {
+  Window = other307.Window;
+  Figures = other307.Figures;
+  Reported = other307.Reported;
+  __isset = other307.__isset;
   return *this;
 }
-closed_window& closed_window::operator=(closed_window&& other296) noexcept {
-  Window = other296.Window;
-  Figures = std::move(other296.Figures);
-  Reported = other296.Reported;
-  __isset = other296.__isset;
+closed_window& closed_window::operator=(closed_window&& other308) noexcept {
+  Window = other308.Window;
+  Figures = std::move(other308.Figures);
+  Reported = other308.Reported;
+  __isset = other308.__isset;
   return *this;
 }
 void closed_window::printTo(std::ostream& out) const {
@@ -9116,26 +9204,26 @@
   swap(a.__isset, b.__isset);
 }
 
-order_state::order_state(const order_state& other297) {
-  Intent = other297.Intent;
-  Offset = other297.Offset;
-  __isset = other297.__isset;
+order_state::order_state(const order_state& other309) {
+  Intent = other309.Intent;
+  Offset = other309.Offset;
+  __isset = other309.__isset;
 }
-order_state::order_state(order_state&& other298) noexcept {
-  Intent = std::move(other298.Intent);
-  Offset = other298.Offset;
-  __isset = other298.__isset;
+order_state::order_state(order_state&& other310) noexcept {
+  Intent = std::move(other310.Intent);
+  Offset = other310.Offset;
+  __isset = other310.__isset;
 }
-order_state& order_state::operator=(const order_state& other299) {
-  Intent = other299.Intent;
-  Offset = other299.Offset;
-  __isset = other299.__isset;
+order_state& order_state::operator=(const order_state& other311) {
+  Intent = other311.Intent;
+  Offset = other311.Offset;
+  __isset = other311.__isset;
   return *this;
 }
-order_state& order_state::operator=(order_state&& other300) noexcept {
-  Intent = std::move(other300.Intent);
-  Offset = other300.Offset;
-  __isset = other300.__isset;
+order_state& order_state::operator=(order_state&& other312) noexcept {
+  Intent = std::move(other312.Intent);
+  Offset = other312.Offset;
+  __isset = other312.__isset;
   return *this;
 }
 void order_state::printTo(std::ostream& out) const {
@@ -9242,14 +9330,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Keys.clear();
-            uint32_t _size301;
-            ::apache::thrift::protocol::TType _etype304;
-            xfer += iprot->readListBegin(_etype304, _size301);
-            this->Keys.resize(_size301);
-            uint32_t _i305;
-            for (_i305 = 0; _i305 < _size301; ++_i305)
+            uint32_t _size313;
+            ::apache::thrift::protocol::TType _etype316;
+            xfer += iprot->readListBegin(_etype316, _size313);
+            this->Keys.resize(_size313);
+            uint32_t _i317;
+            for (_i317 = 0; _i317 < _size313; ++_i317)
             {
-              xfer += this->Keys[_i305].read(iprot);
+              xfer += this->Keys[_i317].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9262,14 +9350,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leases.clear();
-            uint32_t _size306;
-            ::apache::thrift::protocol::TType _etype309;
-            xfer += iprot->readListBegin(_etype309, _size306);
-            this->Leases.resize(_size306);
-            uint32_t _i310;
-            for (_i310 = 0; _i310 < _size306; ++_i310)
+            uint32_t _size318;
+            ::apache::thrift::protocol::TType _etype321;
+            xfer += iprot->readListBegin(_etype321, _size318);
+            this->Leases.resize(_size318);
+            uint32_t _i322;
+            for (_i322 = 0; _i322 < _size318; ++_i322)
             {
-              xfer += this->Leases[_i310].read(iprot);
+              xfer += this->Leases[_i322].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9282,14 +9370,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Writers.clear();
-            uint32_t _size311;
-            ::apache::thrift::protocol::TType _etype314;
-            xfer += iprot->readListBegin(_etype314, _size311);
-            this->Writers.resize(_size311);
-            uint32_t _i315;
-            for (_i315 = 0; _i315 < _size311; ++_i315)
+            uint32_t _size323;
+            ::apache::thrift::protocol::TType _etype326;
+            xfer += iprot->readListBegin(_etype326, _size323);
+            this->Writers.resize(_size323);
+            uint32_t _i327;
+            for (_i327 = 0; _i327 < _size323; ++_i327)
             {
-              xfer += this->Writers[_i315].read(iprot);
+              xfer += this->Writers[_i327].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9302,14 +9390,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->UsageSources.clear();
-            uint32_t _size316;
-            ::apache::thrift::protocol::TType _etype319;
-            xfer += iprot->readListBegin(_etype319, _size316);
-            this->UsageSources.resize(_size316);
-            uint32_t _i320;
-            for (_i320 = 0; _i320 < _size316; ++_i320)
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->UsageSources.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
             {
-              xfer += this->UsageSources[_i320].read(iprot);
+              xfer += this->UsageSources[_i332].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9322,14 +9410,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->OpenUsage.clear();
-            uint32_t _size321;
-            ::apache::thrift::protocol::TType _etype324;
-            xfer += iprot->readListBegin(_etype324, _size321);
-            this->OpenUsage.resize(_size321);
-            uint32_t _i325;
-            for (_i325 = 0; _i325 < _size321; ++_i325)
+            uint32_t _size333;
+            ::apache::thrift::protocol::TType _etype336;
+            xfer += iprot->readListBegin(_etype336, _size333);
+            this->OpenUsage.resize(_size333);
+            uint32_t _i337;
+            for (_i337 = 0; _i337 < _size333; ++_i337)
             {
-              xfer += this->OpenUsage[_i325].read(iprot);
+              xfer += this->OpenUsage[_i337].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9342,14 +9430,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Windows.clear();
-            uint32_t _size326;
-            ::apache::thrift::protocol::TType _etype329;
-            xfer += iprot->readListBegin(_etype329, _size326);
-            this->Windows.resize(_size326);
-            uint32_t _i330;
-            for (_i330 = 0; _i330 < _size326; ++_i330)
+            uint32_t _size338;
+            ::apache::thrift::protocol::TType _etype341;
+            xfer += iprot->readListBegin(_etype341, _size338);
+            this->Windows.resize(_size338);
+            uint32_t _i342;
+            for (_i342 = 0; _i342 < _size338; ++_i342)
             {
-              xfer += this->Windows[_i330].read(iprot);
+              xfer += this->Windows[_i342].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9362,14 +9450,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Orders.clear();
-            uint32_t _size331;
-            ::apache::thrift::protocol::TType _etype334;
-            xfer += iprot->readListBegin(_etype334, _size331);
-            this->Orders.resize(_size331);
-            uint32_t _i335;
-            for (_i335 = 0; _i335 < _size331; ++_i335)
+            uint32_t _size343;
+            ::apache::thrift::protocol::TType _etype346;
+            xfer += iprot->readListBegin(_etype346, _size343);
+            this->Orders.resize(_size343);
+            uint32_t _i347;
+            for (_i347 = 0; _i347 < _size343; ++_i347)
             {
-              xfer += this->Orders[_i335].read(iprot);
+              xfer += this->Orders[_i347].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9422,10 +9510,10 @@
   xfer += oprot->writeFieldBegin("Keys", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Keys.size()));
-    std::vector<key_state> ::const_iterator _iter336;
-    for (_iter336 = this->Keys.begin(); _iter336 != this->Keys.end(); ++_iter336)
+    std::vector<key_state> ::const_iterator _iter348;
+    for (_iter348 = this->Keys.begin(); _iter348 != this->Keys.end(); ++_iter348)
     {
-      xfer += (*_iter336).write(oprot);
+      xfer += (*_iter348).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9434,10 +9522,10 @@
   xfer += oprot->writeFieldBegin("Leases", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leases.size()));
-    std::vector<lease_state> ::const_iterator _iter337;
-    for (_iter337 = this->Leases.begin(); _iter337 != this->Leases.end(); ++_iter337)
+    std::vector<lease_state> ::const_iterator _iter349;
+    for (_iter349 = this->Leases.begin(); _iter349 != this->Leases.end(); ++_iter349)
     {
-      xfer += (*_iter337).write(oprot);
+      xfer += (*_iter349).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9446,10 +9534,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter338;
-    for (_iter338 = this->Writers.begin(); _iter338 != this->Writers.end(); ++_iter338)
+    std::vector<writer_state> ::const_iterator _iter350;
+    for (_iter350 = this->Writers.begin(); _iter350 != this->Writers.end(); ++_iter350)
     {
-      xfer += (*_iter338).write(oprot);
+      xfer += (*_iter350).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9458,10 +9546,10 @@
   xfer += oprot->writeFieldBegin("UsageSources", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->UsageSources.size()));
-    std::vector<writer_state> ::const_iterator _iter339;
-    for (_iter339 = this->UsageSources.begin(); _iter339 != this->UsageSources.end(); ++_iter339)
+    std::vector<writer_state> ::const_iterator _iter351;
+    for (_iter351 = this->UsageSources.begin(); _iter351 != this->UsageSources.end(); ++_iter351)
     {
-      xfer += (*_iter339).write(oprot);
+      xfer += (*_iter351).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9470,10 +9558,10 @@
   xfer += oprot->writeFieldBegin("OpenUsage", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->OpenUsage.size()));
-    std::vector<usage_increment> ::const_iterator _iter340;
-    for (_iter340 = this->OpenUsage.begin(); _iter340 != this->OpenUsage.end(); ++_iter340)
+    std::vector<usage_increment> ::const_iterator _iter352;
+    for (_iter352 = this->OpenUsage.begin(); _iter352 != this->OpenUsage.end(); ++_iter352)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter352).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9482,10 +9570,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<closed_window> ::const_iterator _iter341;
-    for (_iter341 = this->Windows.begin(); _iter341 != this->Windows.end(); ++_iter341)
+    std::vector<closed_window> ::const_iterator _iter353;
+    for (_iter353 = this->Windows.begin(); _iter353 != this->Windows.end(); ++_iter353)
     {
-      xfer += (*_iter341).write(oprot);
+      xfer += (*_iter353).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9494,10 +9582,10 @@
   xfer += oprot->writeFieldBegin("Orders", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Orders.size()));
-    std::vector<order_state> ::const_iterator _iter342;
-    for (_iter342 = this->Orders.begin(); _iter342 != this->Orders.end(); ++_iter342)
+    std::vector<order_state> ::const_iterator _iter354;
+    for (_iter354 = this->Orders.begin(); _iter354 != this->Orders.end(); ++_iter354)
     {
-      xfer += (*_iter342).write(oprot);
+      xfer += (*_iter354).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9532,62 +9620,62 @@
   swap(a.__isset, b.__isset);
 }
 
-ledger_state::ledger_state(const ledger_state& other343) {
-  ConfigOffset = other343.ConfigOffset;
-  Document = other343.Document;
-  Keys = other343.Keys;
-  Leases = other343.Leases;
-  Writers = other343.Writers;
-  UsageSources = other343.UsageSources;
-  OpenUsage = other343.OpenUsage;
-  Windows = other343.Windows;
-  Orders = other343.Orders;
-  LastClosedWindow = other343.LastClosedWindow;
-  LastSnapshot = other343.LastSnapshot;
-  __isset = other343.__isset;
-}
-ledger_state::ledger_state(ledger_state&& other344) noexcept {
-  ConfigOffset = other344.ConfigOffset;
-  Document = std::move(other344.Document);
-  Keys = std::move(other344.Keys);
-  Leases = std::move(other344.Leases);
-  Writers = std::move(other344.Writers);
-  UsageSources = std::move(other344.UsageSources);
-  OpenUsage = std::move(other344.OpenUsage);
-  Windows = std::move(other344.Windows);
-  Orders = std::move(other344.Orders);
-  LastClosedWindow = other344.LastClosedWindow;
-  LastSnapshot = other344.LastSnapshot;
-  __isset = other344.__isset;
-}
-ledger_state& ledger_state::operator=(const ledger_state& other345) {
-  ConfigOffset = other345.ConfigOffset;
-  Document = other345.Document;
-  Keys = other345.Keys;
-  Leases = other345.Leases;
-  Writers = other345.Writers;
-  UsageSources = other345.UsageSources;
-  OpenUsage = other345.OpenUsage;
-  Windows = other345.Windows;
-  Orders = other345.Orders;
-  LastClosedWindow = other345.LastClosedWindow;
-  LastSnapshot = other345.LastSnapshot;
-  __isset = other345.__isset;
+ledger_state::ledger_state(const ledger_state& other355) {
+  ConfigOffset = other355.ConfigOffset;
+  Document = other355.Document;
+  Keys = other355.Keys;
+  Leases = other355.Leases;
+  Writers = other355.Writers;
+  UsageSources = other355.UsageSources;
+  OpenUsage = other355.OpenUsage;
+  Windows = other355.Windows;
+  Orders = other355.Orders;
+  LastClosedWindow = other355.LastClosedWindow;
+  LastSnapshot = other355.LastSnapshot;
+  __isset = other355.__isset;
+}
+ledger_state::ledger_state(ledger_state&& other356) noexcept {
+  ConfigOffset = other356.ConfigOffset;
+  Document = std::move(other356.Document);
+  Keys = std::move(other356.Keys);
+  Leases = std::move(other356.Leases);
+  Writers = std::move(other356.Writers);
+  UsageSources = std::move(other356.UsageSources);
+  OpenUsage = std::move(other356.OpenUsage);
+  Windows = std::move(other356.Windows);
+  Orders = std::move(other356.Orders);
+  LastClosedWindow = other356.LastClosedWindow;
+  LastSnapshot = other356.LastSnapshot;
+  __isset = other356.__isset;
+}
+ledger_state& ledger_state::operator=(const ledger_state& other357) {
+  ConfigOffset = other357.ConfigOffset;
+  Document = other357.Document;
+  Keys = other357.Keys;
+  Leases = other357.Leases;
+  Writers = other357.Writers;
+  UsageSources = other357.UsageSources;
+  OpenUsage = other357.OpenUsage;
+  Windows = other357.Windows;
+  Orders = other357.Orders;
+  LastClosedWindow = other357.LastClosedWindow;
+  LastSnapshot = other357.LastSnapshot;
+  __isset = other357.__isset;
   return *this;
 }
-ledger_state& ledger_state::operator=(ledger_state&& other346) noexcept {
-  ConfigOffset = other346.ConfigOffset;
-  Document = std::move(other346.Document);
-  Keys = std::move(other346.Keys);
-  Leases = std::move(other346.Leases);
-  Writers = std::move(other346.Writers);
-  UsageSources = std::move(other346.UsageSources);
-  OpenUsage = std::move(other346.OpenUsage);
-  Windows = std::move(other346.Windows);
-  Orders = std::move(other346.Orders);
-  LastClosedWindow = other346.LastClosedWindow;
-  LastSnapshot = other346.LastSnapshot;
-  __isset = other346.__isset;
+ledger_state& ledger_state::operator=(ledger_state&& other358) noexcept {
+  ConfigOffset = other358.ConfigOffset;
+  Document = std::move(other358.Document);
+  Keys = std::move(other358.Keys);
+  Leases = std::move(other358.Leases);
+  Writers = std::move(other358.Writers);
+  UsageSources = std::move(other358.UsageSources);
+  OpenUsage = std::move(other358.OpenUsage);
+  Windows = std::move(other358.Windows);
+  Orders = std::move(other358.Orders);
+  LastClosedWindow = other358.LastClosedWindow;
+  LastSnapshot = other358.LastSnapshot;
+  __isset = other358.__isset;
   return *this;
 }
 void ledger_state::printTo(std::ostream& out) const {
@@ -9752,14 +9840,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Released.clear();
-            uint32_t _size348;
-            ::apache::thrift::protocol::TType _etype351;
-            xfer += iprot->readListBegin(_etype351, _size348);
-            this->Released.resize(_size348);
-            uint32_t _i352;
-            for (_i352 = 0; _i352 < _size348; ++_i352)
+            uint32_t _size360;
+            ::apache::thrift::protocol::TType _etype363;
+            xfer += iprot->readListBegin(_etype363, _size360);
+            this->Released.resize(_size360);
+            uint32_t _i364;
+            for (_i364 = 0; _i364 < _size360; ++_i364)
             {
-              xfer += this->Released[_i352].read(iprot);
+              xfer += this->Released[_i364].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9830,10 +9918,10 @@
     xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Released.size()));
-      std::vector<attempt_id> ::const_iterator _iter353;
-      for (_iter353 = this->Released.begin(); _iter353 != this->Released.end(); ++_iter353)
+      std::vector<attempt_id> ::const_iterator _iter365;
+      for (_iter365 = this->Released.begin(); _iter365 != this->Released.end(); ++_iter365)
       {
-        xfer += (*_iter353).write(oprot);
+        xfer += (*_iter365).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -9864,58 +9952,58 @@
   swap(a.__isset, b.__isset);
 }
 
-kept_claim::kept_claim(const kept_claim& other354) {
-  KeyHash = other354.KeyHash;
-  Organisation = other354.Organisation;
-  Holder = other354.Holder;
-  BodyHash = other354.BodyHash;
-  RetainMicros = other354.RetainMicros;
-  TimedKey = other354.TimedKey;
-  Held = other354.Held;
-  Outcome = other354.Outcome;
-  Released = other354.Released;
-  Answer = other354.Answer;
-  __isset = other354.__isset;
-}
-kept_claim::kept_claim(kept_claim&& other355) noexcept {
-  KeyHash = std::move(other355.KeyHash);
-  Organisation = other355.Organisation;
-  Holder = std::move(other355.Holder);
-  BodyHash = other355.BodyHash;
-  RetainMicros = other355.RetainMicros;
-  TimedKey = other355.TimedKey;
-  Held = other355.Held;
-  Outcome = other355.Outcome;
-  Released = std::move(other355.Released);
-  Answer = std::move(other355.Answer);
-  __isset = other355.__isset;
-}
-kept_claim& kept_claim::operator=(const kept_claim& other356) {
-  KeyHash = other356.KeyHash;
-  Organisation = other356.Organisation;
-  Holder = other356.Holder;
-  BodyHash = other356.BodyHash;
-  RetainMicros = other356.RetainMicros;
-  TimedKey = other356.TimedKey;
-  Held = other356.Held;
-  Outcome = other356.Outcome;
-  Released = other356.Released;
-  Answer = other356.Answer;
-  __isset = other356.__isset;
+kept_claim::kept_claim(const kept_claim& other366) {
+  KeyHash = other366.KeyHash;
+  Organisation = other366.Organisation;
+  Holder = other366.Holder;
+  BodyHash = other366.BodyHash;
+  RetainMicros = other366.RetainMicros;
+  TimedKey = other366.TimedKey;
+  Held = other366.Held;
+  Outcome = other366.Outcome;
+  Released = other366.Released;
+  Answer = other366.Answer;
+  __isset = other366.__isset;
+}
+kept_claim::kept_claim(kept_claim&& other367) noexcept {
+  KeyHash = std::move(other367.KeyHash);
+  Organisation = other367.Organisation;
+  Holder = std::move(other367.Holder);
+  BodyHash = other367.BodyHash;
+  RetainMicros = other367.RetainMicros;
+  TimedKey = other367.TimedKey;
+  Held = other367.Held;
+  Outcome = other367.Outcome;
+  Released = std::move(other367.Released);
+  Answer = std::move(other367.Answer);
+  __isset = other367.__isset;
+}
+kept_claim& kept_claim::operator=(const kept_claim& other368) {
+  KeyHash = other368.KeyHash;
+  Organisation = other368.Organisation;
+  Holder = other368.Holder;
+  BodyHash = other368.BodyHash;
+  RetainMicros = other368.RetainMicros;
+  TimedKey = other368.TimedKey;
+  Held = other368.Held;
+  Outcome = other368.Outcome;
+  Released = other368.Released;
+  Answer = other368.Answer;
+  __isset = other368.__isset;
   return *this;
 }
-kept_claim& kept_claim::operator=(kept_claim&& other357) noexcept {
-  KeyHash = std::move(other357.KeyHash);
-  Organisation = other357.Organisation;
-  Holder = std::move(other357.Holder);
-  BodyHash = other357.BodyHash;
-  RetainMicros = other357.RetainMicros;
-  TimedKey = other357.TimedKey;
-  Held = other357.Held;
-  Outcome = other357.Outcome;
-  Released = std::move(other357.Released);
-  Answer = std::move(other357.Answer);
-  __isset = other357.__isset;
+kept_claim& kept_claim::operator=(kept_claim&& other369) noexcept {
+  KeyHash = std::move(other369.KeyHash);
+  Organisation = other369.Organisation;
+  Holder = std::move(other369.Holder);
+  BodyHash = other369.BodyHash;
+  RetainMicros = other369.RetainMicros;
+  TimedKey = other369.TimedKey;
+  Held = other369.Held;
+  Outcome = other369.Outcome;
+  Released = std::move(other369.Released);
+  Answer = std::move(other369.Answer);
+  __isset = other369.__isset;
   return *this;
 }
 void kept_claim::printTo(std::ostream& out) const {
@@ -9994,14 +10082,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Claims.clear();
-            uint32_t _size358;
-            ::apache::thrift::protocol::TType _etype361;
-            xfer += iprot->readListBegin(_etype361, _size358);
-            this->Claims.resize(_size358);
-            uint32_t _i362;
-            for (_i362 = 0; _i362 < _size358; ++_i362)
+            uint32_t _size370;
+            ::apache::thrift::protocol::TType _etype373;
+            xfer += iprot->readListBegin(_etype373, _size370);
+            this->Claims.resize(_size370);
+            uint32_t _i374;
+            for (_i374 = 0; _i374 < _size370; ++_i374)
             {
-              xfer += this->Claims[_i362].read(iprot);
+              xfer += this->Claims[_i374].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10014,14 +10102,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Writers.clear();
-            uint32_t _size363;
-            ::apache::thrift::protocol::TType _etype366;
-            xfer += iprot->readListBegin(_etype366, _size363);
-            this->Writers.resize(_size363);
-            uint32_t _i367;
-            for (_i367 = 0; _i367 < _size363; ++_i367)
+            uint32_t _size375;
+            ::apache::thrift::protocol::TType _etype378;
+            xfer += iprot->readListBegin(_etype378, _size375);
+            this->Writers.resize(_size375);
+            uint32_t _i379;
+            for (_i379 = 0; _i379 < _size375; ++_i379)
             {
-              xfer += this->Writers[_i367].read(iprot);
+              xfer += this->Writers[_i379].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10058,14 +10146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Organisations.clear();
-            uint32_t _size368;
-            ::apache::thrift::protocol::TType _etype371;
-            xfer += iprot->readListBegin(_etype371, _size368);
-            this->Organisations.resize(_size368);
-            uint32_t _i372;
-            for (_i372 = 0; _i372 < _size368; ++_i372)
+            uint32_t _size380;
+            ::apache::thrift::protocol::TType _etype383;
+            xfer += iprot->readListBegin(_etype383, _size380);
+            this->Organisations.resize(_size380);
+            uint32_t _i384;
+            for (_i384 = 0; _i384 < _size380; ++_i384)
             {
-              xfer += iprot->readString(this->Organisations[_i372]);
+              xfer += iprot->readString(this->Organisations[_i384]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10094,10 +10182,10 @@
   xfer += oprot->writeFieldBegin("Claims", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Claims.size()));
-    std::vector<kept_claim> ::const_iterator _iter373;
-    for (_iter373 = this->Claims.begin(); _iter373 != this->Claims.end(); ++_iter373)
+    std::vector<kept_claim> ::const_iterator _iter385;
+    for (_iter385 = this->Claims.begin(); _iter385 != this->Claims.end(); ++_iter385)
     {
-      xfer += (*_iter373).write(oprot);
+      xfer += (*_iter385).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10106,10 +10194,10 @@
   xfer += oprot->writeFieldBegin("Writers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Writers.size()));
-    std::vector<writer_state> ::const_iterator _iter374;
-    for (_iter374 = this->Writers.begin(); _iter374 != this->Writers.end(); ++_iter374)
+    std::vector<writer_state> ::const_iterator _iter386;
+    for (_iter386 = this->Writers.begin(); _iter386 != this->Writers.end(); ++_iter386)
     {
-      xfer += (*_iter374).write(oprot);
+      xfer += (*_iter386).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10130,10 +10218,10 @@
   xfer += oprot->writeFieldBegin("Organisations", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Organisations.size()));
-    std::vector<std::string> ::const_iterator _iter375;
-    for (_iter375 = this->Organisations.begin(); _iter375 != this->Organisations.end(); ++_iter375)
+    std::vector<std::string> ::const_iterator _iter387;
+    for (_iter387 = this->Organisations.begin(); _iter387 != this->Organisations.end(); ++_iter387)
     {
-      xfer += oprot->writeString((*_iter375));
+      xfer += oprot->writeString((*_iter387));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10155,42 +10243,42 @@
   swap(a.__isset, b.__isset);
 }
 
-claims_state::claims_state(const claims_state& other376) {
-  Claims = other376.Claims;
-  Writers = other376.Writers;
-  TimeMicros = other376.TimeMicros;
-  KeyHorizonMicros = other376.KeyHorizonMicros;
-  OpaqueHorizonMicros = other376.OpaqueHorizonMicros;
-  Organisations = other376.Organisations;
-  __isset = other376.__isset;
-}
-claims_state::claims_state(claims_state&& other377) noexcept {
-  Claims = std::move(other377.Claims);
-  Writers = std::move(other377.Writers);
-  TimeMicros = other377.TimeMicros;
-  KeyHorizonMicros = other377.KeyHorizonMicros;
-  OpaqueHorizonMicros = other377.OpaqueHorizonMicros;
-  Organisations = std::move(other377.Organisations);
-  __isset = other377.__isset;
-}
-claims_state& claims_state::operator=(const claims_state& other378) {
-  Claims = other378.Claims;
-  Writers = other378.Writers;
-  TimeMicros = other378.TimeMicros;
-  KeyHorizonMicros = other378.KeyHorizonMicros;
-  OpaqueHorizonMicros = other378.OpaqueHorizonMicros;
-  Organisations = other378.Organisations;
-  __isset = other378.__isset;
+claims_state::claims_state(const claims_state& other388) {
+  Claims = other388.Claims;
+  Writers = other388.Writers;
+  TimeMicros = other388.TimeMicros;
+  KeyHorizonMicros = other388.KeyHorizonMicros;
+  OpaqueHorizonMicros = other388.OpaqueHorizonMicros;
+  Organisations = other388.Organisations;
+  __isset = other388.__isset;
+}
+claims_state::claims_state(claims_state&& other389) noexcept {
+  Claims = std::move(other389.Claims);
+  Writers = std::move(other389.Writers);
+  TimeMicros = other389.TimeMicros;
+  KeyHorizonMicros = other389.KeyHorizonMicros;
+  OpaqueHorizonMicros = other389.OpaqueHorizonMicros;
+  Organisations = std::move(other389.Organisations);
+  __isset = other389.__isset;
+}
+claims_state& claims_state::operator=(const claims_state& other390) {
+  Claims = other390.Claims;
+  Writers = other390.Writers;
+  TimeMicros = other390.TimeMicros;
+  KeyHorizonMicros = other390.KeyHorizonMicros;
+  OpaqueHorizonMicros = other390.OpaqueHorizonMicros;
+  Organisations = other390.Organisations;
+  __isset = other390.__isset;
   return *this;
 }
-claims_state& claims_state::operator=(claims_state&& other379) noexcept {
-  Claims = std::move(other379.Claims);
-  Writers = std::move(other379.Writers);
-  TimeMicros = other379.TimeMicros;
-  KeyHorizonMicros = other379.KeyHorizonMicros;
-  OpaqueHorizonMicros = other379.OpaqueHorizonMicros;
-  Organisations = std::move(other379.Organisations);
-  __isset = other379.__isset;
+claims_state& claims_state::operator=(claims_state&& other391) noexcept {
+  Claims = std::move(other391.Claims);
+  Writers = std::move(other391.Writers);
+  TimeMicros = other391.TimeMicros;
+  KeyHorizonMicros = other391.KeyHorizonMicros;
+  OpaqueHorizonMicros = other391.OpaqueHorizonMicros;
+  Organisations = std::move(other391.Organisations);
+  __isset = other391.__isset;
   return *this;
 }
 void claims_state::printTo(std::ostream& out) const {
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -471,7 +471,7 @@
 std::ostream& operator<<(std::ostream& out, const member_run& obj);
 
 typedef struct _heartbeat__isset {
-  _heartbeat__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), Retry(false), WantsMembers(false), MembersDigest(false), SenderRun(false) {}
+  _heartbeat__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), Retry(false), WantsMembers(false), MembersDigest(false), SenderRun(false), Changes(false) {}
   bool Nonce :1;
   bool Sender :1;
   bool LedgerOffset :1;
@@ -481,6 +481,7 @@
   bool WantsMembers :1;
   bool MembersDigest :1;
   bool SenderRun :1;
+  bool Changes :1;
 } _heartbeat__isset;
 
 class heartbeat : public virtual ::apache::thrift::TBase {
@@ -508,6 +509,7 @@
   bool WantsMembers;
   int32_t MembersDigest;
   member_run SenderRun;
+  std::vector<int64_t>  Changes;
 
   _heartbeat__isset __isset;
 
@@ -529,6 +531,8 @@
 
   void __set_SenderRun(const member_run& val);
 
+  void __set_Changes(const std::vector<int64_t> & val);
+
   bool operator == (const heartbeat & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
@@ -555,6 +559,10 @@
       return false;
     else if (__isset.SenderRun && !(SenderRun == rhs.SenderRun))
       return false;
+    if (__isset.Changes != rhs.__isset.Changes)
+      return false;
+    else if (__isset.Changes && !(Changes == rhs.Changes))
+      return false;
     return true;
   }
   bool operator != (const heartbeat &rhs) const {
@@ -574,7 +582,7 @@
 std::ostream& operator<<(std::ostream& out, const heartbeat& obj);
 
 typedef struct _heartbeat_ack__isset {
-  _heartbeat_ack__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), OnBehalfOf(false), LogAgeMicros(false), MembersDigest(false), SenderRun(false) {}
+  _heartbeat_ack__isset() : Nonce(false), Sender(false), LedgerOffset(false), Gossip(false), Loads(false), OnBehalfOf(false), LogAgeMicros(false), MembersDigest(false), SenderRun(false), Changes(false) {}
   bool Nonce :1;
   bool Sender :1;
   bool LedgerOffset :1;
@@ -584,6 +592,7 @@
   bool LogAgeMicros :1;
   bool MembersDigest :1;
   bool SenderRun :1;
+  bool Changes :1;
 } _heartbeat_ack__isset;
 
 class heartbeat_ack : public virtual ::apache::thrift::TBase {
@@ -611,6 +620,7 @@
   int64_t LogAgeMicros;
   int32_t MembersDigest;
   member_run SenderRun;
+  std::vector<int64_t>  Changes;
 
   _heartbeat_ack__isset __isset;
 
@@ -632,6 +642,8 @@
 
   void __set_SenderRun(const member_run& val);
 
+  void __set_Changes(const std::vector<int64_t> & val);
+
   bool operator == (const heartbeat_ack & rhs) const
   {
     if (!(Nonce == rhs.Nonce))
@@ -660,6 +672,10 @@
       return false;
     else if (__isset.SenderRun && !(SenderRun == rhs.SenderRun))
       return false;
+    if (__isset.Changes != rhs.__isset.Changes)
+      return false;
+    else if (__isset.Changes && !(Changes == rhs.Changes))
+      return false;
     return true;
   }
   bool operator != (const heartbeat_ack &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -52,6 +52,7 @@
   7: bool WantsMembers         // the sender knows few members: send all
   8: optional i32 MembersDigest // over all members that the sender holds live
   9: optional member_run SenderRun // to a receiver that has acknowledged Sender
+  10: optional list<i64> Changes    // of known members: see member_change.h
 }
 
 struct heartbeat_ack {
@@ -65,6 +66,7 @@
                                // sender has LedgerOffset from; unset: never
   8: optional i32 MembersDigest
   9: optional member_run SenderRun
+  10: optional list<i64> Changes
 }
 
 // Asks another member to probe Target and to pass the answer on.
