A request that can be in time takes the place of a late one

What waits past its latest grant goes behind what is on time, but its work counted as work ahead, so fresh requests were refused for work that would not be granted before them, and a part of the slots went to late ones.

The new owner test failed without the call.

--- a/monsoonreel/cell_queue.h
+++ b/monsoonreel/cell_queue.h
@@ -107,6 +107,10 @@
   // Whether Request may wait; it is refused when it may not. It may also wait
   // while a lower tier holds a place that would be shed first.
   bool admit(const waiting_request &Request, cell_step &Step);
+  // Sheds a late request of Request's class if Request can be in time before
+  // those that are late.
+  bool displaceLate(const waiting_request &Request, duration RetryAfter,
+                    cell_step &Step);
   // For a full queue: sheds a request of a lower tier, or refuses Request.
   bool makePlace(const waiting_request &Request, cell_step &Step);
   // Whether admission would refuse Request, which waits, by its deadline.
--- a/monsoonreel/cell_shedding.cc
+++ b/monsoonreel/cell_shedding.cc
@@ -46,12 +46,30 @@
            Verdict.RetryAfter, Step);
     return true;
   }
+  if (displaceLate(Request, Verdict.RetryAfter, Step))
+    return true;
   checkShed(Request, Step);
   refuse(Request, wire::refusal_reason::TargetUnreachable,
          retryAfter(Verdict.RetryAfter, Step), Step);
   return false;
 }
 
+bool cell_queue::displaceLate(const waiting_request &Request,
+                              duration RetryAfter, cell_step &Step) {
+  if (!UsesTiers)
+    return false;
+  late_work Late = Queue->lateWork(Request.Tier, Request.Class, Step.Now);
+  if (!Late.Victim)
+    return false;
+  admission_view View = viewOf(Request, Step.Now);
+  View.WorkAhead -= std::min(View.WorkAhead, Late.Work);
+  if (!Admission->judge(View).Admit)
+    return false;
+  shed(Late.Victim->Key, wire::refusal_reason::TargetUnreachable,
+       retryAfter(RetryAfter, Step), Step);
+  return true;
+}
+
 bool cell_queue::makePlace(const waiting_request &Request, cell_step &Step) {
   const waiting_request *Lower = UsesTiers ? spareBelow(Request.Tier) : nullptr;
   duration Wait = Admission->judge(viewOf(Request, Step.Now)).ExpectedWait;
--- a/monsoonreel/fair_queue.cc
+++ b/monsoonreel/fair_queue.cc
@@ -213,6 +213,40 @@
   return Worst;
 }
 
+late_work fair_queue::lateInOrder(const request_order &Order, steady_time Now) {
+  late_work Late;
+  int Tries = 0;
+  for (const auto &[Key, Request] : Order) {
+    if (Key.first >= Now || ++Tries > max_late_tries)
+      break;
+    Late.Work += Request->ExpectedHold;
+    if (!Request->Resumed)
+      Late.Victim = Request;
+  }
+  return Late;
+}
+
+late_work fair_queue::lateWork(tier Tier, const class_name &Class,
+                               steady_time Now) const {
+  late_work Sum;
+  auto State = Tiers.find(Tier);
+  if (State == Tiers.end())
+    return Sum;
+  double MostBacklog = 0;
+  for (const auto &[Key, Lane] : State->second.Lanes)
+    for (const auto &[Name, Order] : Lane.ByOrganisation) {
+      late_work Late = lateInOrder(Order, Now);
+      Sum.Work += Late.Work;
+      const share &Share = State->second.Shares.at(Name);
+      double Backlog = static_cast<double>(Share.Waiting) / Share.Weight;
+      if (!Late.Victim || Key.first != Class || Backlog <= MostBacklog)
+        continue;
+      MostBacklog = Backlog;
+      Sum.Victim = Late.Victim;
+    }
+  return Sum;
+}
+
 void fair_queue::charge(const class_name & /*Class*/, tier Tier,
                         const organisation_name &Organisation, double Weight,
                         duration Used) {
--- a/monsoonreel/fair_queue.h
+++ b/monsoonreel/fair_queue.h
@@ -40,6 +40,8 @@
 constexpr int max_fit_tries = 4;
 // Requests of one lane that are looked at for any that fits an upstream.
 constexpr int max_any_tries = 32;
+// Late requests of one organisation in a lane that are looked at.
+constexpr int max_late_tries = 32;
 // Idle organisations whose use is remembered in a tier.
 constexpr size_t max_idle_organisations = 1024;
 
@@ -57,6 +59,8 @@
   const waiting_request *find(const ask_key &Key) const override;
   const waiting_request *shedCandidate(
       const std::function<bool(const class_name &)> &Sheds) const override;
+  late_work lateWork(tier Tier, const class_name &Class,
+                     steady_time Now) const override;
   void charge(const class_name &Class, tier Tier,
               const organisation_name &Organisation, double Weight,
               duration Used) override;
@@ -103,6 +107,7 @@
     const waiting_request *Request = nullptr;
   };
 
+  static late_work lateInOrder(const request_order &Order, steady_time Now);
   static bool anyInLane(const lane &Lane, const request_filter &Fits);
   // From: the earliest LatestGrant that counts.
   static choice nextInLane(const lane &Lane, const request_filter &Fits,
--- a/monsoonreel/fifo_queue.cc
+++ b/monsoonreel/fifo_queue.cc
@@ -76,6 +76,11 @@
     return Order.empty() ? nullptr : &Order.back();
   }
 
+  late_work lateWork(tier /*Tier*/, const class_name & /*Class*/,
+                     steady_time /*Now*/) const override {
+    return {};
+  }
+
   void charge(const class_name & /*Class*/, tier /*Tier*/,
               const organisation_name & /*Organisation*/, double /*Weight*/,
               duration /*Used*/) override {}
--- a/monsoonreel/request_queue.h
+++ b/monsoonreel/request_queue.h
@@ -62,6 +62,13 @@
 // For the details of invariants.
 std::string describe(const waiting_request &Request);
 
+// What waits behind all that can still meet its target.
+struct late_work {
+  duration Work{}; // expected time in slots
+  // The one to shed first, or nullptr; never a resumed one.
+  const waiting_request *Victim = nullptr;
+};
+
 // Whether a waiting request can be granted a slot now.
 using request_filter = std::function<bool(const waiting_request &)>;
 
@@ -87,6 +94,11 @@
   // with the latest deadline.
   virtual const waiting_request *
   shedCandidate(const std::function<bool(const class_name &)> &Sheds) const = 0;
+  // The late requests of Tier. The victim is of Class, of the organisation with
+  // most waiting for its weight, the one that became late last. Of very many a
+  // bounded number is looked at.
+  virtual late_work lateWork(tier Tier, const class_name &Class,
+                             steady_time Now) const = 0;
   // Corrects what an organisation was charged by the time that was really
   // used.
   virtual void charge(const class_name &Class, tier Tier,
--- a/monsoonreel/testing/overload_policy_test.cc
+++ b/monsoonreel/testing/overload_policy_test.cc
@@ -54,6 +54,21 @@
   EXPECT_EQ(takeNext(), 1);
 }
 
+TEST_F(fair_queue_test, Late_SomeResumed_VictimIsFreshAndOfTheClass) {
+  for (int64_t Number = 1; Number <= 3; ++Number) {
+    waiting_request Late = makeWaiting(Number, "small");
+    Late.LatestGrant = Now - milliseconds(100) * Number;
+    Late.Resumed = Number == 1;
+    Queue->push(Late);
+  }
+  Queue->push(makeWaiting(4, "small"));
+  late_work Late = Queue->lateWork(tier{1}, class_name("draft"), Now);
+  EXPECT_EQ(Late.Work, seconds(6));
+  ASSERT_NE(Late.Victim, nullptr);
+  EXPECT_EQ(Late.Victim->Key.Ask, 2);
+  EXPECT_EQ(Queue->lateWork(tier{1}, class_name("chat"), Now).Victim, nullptr);
+}
+
 class admission_test : public ::testing::Test {
 protected:
   // Ten slots, each taken for two seconds: one comes free every 0.2 s.
--- a/monsoonreel/testing/slot_owner_test.cc
+++ b/monsoonreel/testing/slot_owner_test.cc
@@ -399,6 +399,28 @@
   EXPECT_FALSE(Refused());
 }
 
+TEST_F(slot_owner_test, Draft_OnlyLateOnesAhead_TakesThePlaceOfOne) {
+  ask("draft");
+  ask("draft");
+  wire::slot_ask Tight = makeAsk("draft", "small");
+  Tight.TimeLeftMicros = toMicros(seconds(3));
+  std::vector<int64_t> Waiting;
+  for (int I = 0; I < 6; ++I) {
+    Tight.Ask = ++LastAsk;
+    Waiting.push_back(send(Tight));
+  }
+  Now += seconds(4);
+  Tight.Ask = ++LastAsk;
+  int64_t Fresh = send(Tight);
+  EXPECT_EQ(replyTo<wire::slot_refuse>(Fresh), nullptr);
+  EXPECT_EQ(std::count_if(Waiting.begin(), Waiting.end(),
+                          [&](int64_t Ask) {
+                            return replyTo<wire::slot_refuse>(Ask) != nullptr;
+                          }),
+            1);
+  EXPECT_EQ(breaches("no-higher-tier-shed"), 0U);
+}
+
 TEST_F(slot_owner_test, Slot_AskerDies_ComesFree) {
   ask("chat");
   ask("chat");
