Admission: a wait that the minimum share ends has that share's spread

Cause: where the tiers above take every slot, a class is served by its minimum share alone, but the chance was computed with the spread of the higher tiers' arrivals, some 600 s. So every wait had a chance of about a half, the least chance of 0.1 for targets refused nothing, and summaries and batches waited until they were late or their deadline came.

The new test failed before.

--- a/monsoonreel/admission.cc
+++ b/monsoonreel/admission.cc
@@ -28,7 +28,10 @@
 // Variance of the wait for each unit of its length: that of independent
 // departures, and that of the work that higher tiers bring meanwhile, whose
 // times in slots vary about as much as their mean.
-duration spreadOf(const admission_view &View) {
+duration spreadOf(const admission_view &View, duration ExpectedWait) {
+  // Higher tiers can't make a wait longer that the minimum share ends.
+  if (ExpectedWait >= View.ShareWait)
+    return View.ShareGap;
   double Left = partLeft(View);
   double Higher =
       2 * View.HigherDemand / (Left * Left * std::max(1, View.Slots));
@@ -77,7 +80,8 @@
                     admission_verdict &Verdict) {
     if (Verdict.ExpectedWait <= duration{} || !isEnabled(mechanism::Admission))
       return;
-    if (chanceWithin(Left, Verdict.ExpectedWait, spreadOf(View)) >= Least)
+    duration Spread = spreadOf(View, Verdict.ExpectedWait);
+    if (chanceWithin(Left, Verdict.ExpectedWait, Spread) >= Least)
       return;
     Verdict.Admit = false;
     Verdict.RetryAfter = retryAfter(Verdict.ExpectedWait, Left);
--- a/monsoonreel/admission.h
+++ b/monsoonreel/admission.h
@@ -7,7 +7,8 @@
 //
 // The wait is foreseen from the expected time in slots of the work ahead and
 // the rate at which slots come free; its spread is taken as that of
-// independent departures and of the arrivals of higher tiers. A request is
+// independent departures and of the arrivals of higher tiers, or of the grants
+// by the class's minimum share where that bounds the wait. A request is
 // refused when the chance falls below the rule's least one. A target that could
 // not be met even without a queue does not count, because refusing would not
 // help: such a request is judged by its deadline alone.
@@ -48,6 +49,8 @@
   double HigherDemand = 0;
   // Longest wait by the class's minimum share, whatever is ahead.
   duration ShareWait = duration::max();
+  // Mean time between two grants by that share.
+  duration ShareGap = duration::max();
 };
 
 struct admission_verdict {
--- a/monsoonreel/cell_shedding.cc
+++ b/monsoonreel/cell_shedding.cc
@@ -22,11 +22,11 @@
   View.GiveUpLeft = Request.GiveUp - Now;
   if (UsesTiers && View.Slots > 0) {
     View.HigherDemand = Demand.above(Request.Tier, View.Slots, Now);
-    double Turns = static_cast<double>(Queue->waitingOf(Request.Class) + 1) /
-                   Shares.shareOf(Request.Class);
-    View.ShareWait = std::chrono::duration_cast<duration>(
-        Turns * std::chrono::duration<double, std::micro>(View.MeanHold) /
-        View.Slots);
+    View.ShareGap = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::micro>(View.MeanHold) /
+        (Shares.shareOf(Request.Class) * View.Slots));
+    View.ShareWait = View.ShareGap *
+                     static_cast<int64_t>(Queue->waitingOf(Request.Class) + 1);
   }
   return View;
 }
--- a/monsoonreel/testing/overload_policy_test.cc
+++ b/monsoonreel/testing/overload_policy_test.cc
@@ -109,5 +109,15 @@
   EXPECT_FALSE(Lenient->judge(View).Admit);
 }
 
+TEST_F(admission_test, Lenient_ShareBoundsTheWait_HigherTiersDoNotSpreadIt) {
+  admission_view View = viewWithWait(40);
+  View.HigherDemand = 1.2;
+  View.ShareGap = milliseconds(500);
+  View.ShareWait = View.ShareGap * 20;
+  EXPECT_FALSE(Lenient->judge(View).Admit);
+  View.ShareWait = View.ShareGap * 4;
+  EXPECT_TRUE(Lenient->judge(View).Admit);
+}
+
 } // namespace
 } // namespace monsoonreel
