Admission allows for what the organisation was admitted of late

Cause of the worst organisation: refusals were decided by class, so each organisation's part of them was left to chance.

A decaying count for each class and organisation gives the ratio of its admissions to its due; the least chance is multiplied by its fourth power. Requests beyond twice what the others offer for the same weight do not count.

The tests of the least chance failed with a power of 0; the flood test failed with a first form of the cap, which let the flood raise it.

--- a/monsoonreel/admission.cc
+++ b/monsoonreel/admission.cc
@@ -59,6 +59,14 @@
                     shortest_retry_after, longest_retry_after);
 }
 
+// The least chance for a request whose organisation has had AdmittedRatio of
+// its due. The power is steep, because the chance falls slowly with the wait.
+double leastFor(double Least, double AdmittedRatio) {
+  constexpr double Steepness = 4;
+  return std::clamp(Least * std::pow(AdmittedRatio, Steepness),
+                    lowest_least_chance, highest_least_chance);
+}
+
 class open_admission : public admission_policy {
 public:
   admission_verdict judge(const admission_view &View) const override {
@@ -81,7 +89,8 @@
     if (Verdict.ExpectedWait <= duration{} || !isEnabled(mechanism::Admission))
       return;
     duration Spread = spreadOf(View, Verdict.ExpectedWait);
-    if (chanceWithin(Left, Verdict.ExpectedWait, Spread) >= Least)
+    if (chanceWithin(Left, Verdict.ExpectedWait, Spread) >=
+        leastFor(Least, View.AdmittedRatio))
       return;
     Verdict.Admit = false;
     Verdict.RetryAfter = retryAfter(Verdict.ExpectedWait, Left);
--- a/monsoonreel/admission.h
+++ b/monsoonreel/admission.h
@@ -9,7 +9,9 @@
 // the rate at which slots come free; its spread is taken as that of
 // independent departures and of the arrivals of higher tiers, or of the grants
 // by the class's minimum share where that bounds the wait. A request is
-// refused when the chance falls below the rule's least one. A target that could
+// refused when the chance falls below the rule's least one, which is higher for
+// an organisation that was admitted more than its due of late, and lower for
+// one that was admitted less. A target that could
 // not be met even without a queue does not count, because refusing would not
 // help: such a request is judged by its deadline alone.
 
@@ -27,6 +29,9 @@
 // The same for targets under the lenient rule, where a wrong refusal costs more
 // than a wrong admission: late requests do not make others late.
 constexpr double least_target_chance = 0.1;
+// Bounds of a least chance after it was set by what the organisation has had.
+constexpr double lowest_least_chance = 0.01;
+constexpr double highest_least_chance = 0.5;
 // Shortest time to come back that a refusal names.
 constexpr duration shortest_retry_after = std::chrono::milliseconds(100);
 constexpr duration longest_retry_after = std::chrono::seconds(60);
@@ -45,6 +50,8 @@
   duration FirstToken{};
   duration TargetLeft{};
   duration GiveUpLeft{};
+  // Admissions of its organisation as a part of their due; see admitted_share.
+  double AdmittedRatio = 1;
   // Part of the slots that higher tiers will ask for while it waits.
   double HigherDemand = 0;
   // Longest wait by the class's minimum share, whatever is ahead.
--- a/monsoonreel/cell_queue.cc
+++ b/monsoonreel/cell_queue.cc
@@ -107,8 +107,14 @@
     refuse(Request, wire::refusal_reason::NoUpstream, first_pause, Step);
     return;
   }
+  // A resumed request was counted when it came first.
+  if (!Request.Resumed)
+    Admitted.offer(Request.Class, Request.Organisation, Request.Weight,
+                   Step.Now);
   if (!admit(Request, Step))
     return;
+  if (!Request.Resumed)
+    Admitted.admit(Request.Class, Request.Organisation);
   GiveUps.insert({Request.GiveUp, Key});
   Demand.add(Request.Tier, Request.ExpectedHold, Step.Now);
   Queue->push(std::move(Request));
--- a/monsoonreel/cell_queue.h
+++ b/monsoonreel/cell_queue.h
@@ -29,6 +29,7 @@
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 
+#include "monsoonreel/admitted_share.h"
 #include "monsoonreel/cell_upstreams.h"
 #include "monsoonreel/configuration.h"
 #include "monsoonreel/effect.h"
@@ -162,6 +163,8 @@
   void expireWaiting(cell_step &Step);
   void expireSlots(cell_step &Step);
   void reviewWaiting(cell_step &Step);
+  // Request is refused after it was admitted.
+  void withdraw(const waiting_request &Request);
   std::optional<waiting_request> removeWaiting(const ask_key &Key);
   void learn(const running_slot &Slot, const slot_report &Report,
              steady_time Now);
@@ -177,6 +180,7 @@
   cell_upstreams Upstreams;
   minimum_share Shares;
   tier_demand Demand;
+  admitted_share Admitted;
   latency_tracker Latencies;
   output_estimator Outputs;
   decaying_histogram TokenGap; // microseconds between two tokens
--- a/monsoonreel/cell_shedding.cc
+++ b/monsoonreel/cell_shedding.cc
@@ -20,6 +20,7 @@
   View.FirstToken = Latencies.firstToken(Request.Class);
   View.TargetLeft = Request.Target - Now;
   View.GiveUpLeft = Request.GiveUp - Now;
+  View.AdmittedRatio = Admitted.ratio(Request.Class, Request.Organisation);
   if (UsesTiers && View.Slots > 0) {
     View.HigherDemand = Demand.above(Request.Tier, View.Slots, Now);
     View.ShareGap = std::chrono::duration_cast<duration>(
@@ -151,12 +152,18 @@
   return Request;
 }
 
+void cell_queue::withdraw(const waiting_request &Request) {
+  if (!Request.Resumed)
+    Admitted.withdraw(Request.Class, Request.Organisation);
+}
+
 void cell_queue::shed(const ask_key &Key, wire::refusal_reason::type Reason,
                       duration RetryAfter, cell_step &Step) {
   std::optional<waiting_request> Request = removeWaiting(Key);
   if (!Request)
     return;
   checkShed(*Request, Step);
+  withdraw(*Request);
   refuse(*Request, Reason, RetryAfter, Step);
 }
 
@@ -173,9 +180,11 @@
   while (!GiveUps.empty() && GiveUps.begin()->first <= Step.Now) {
     ask_key Key = GiveUps.begin()->second;
     std::optional<waiting_request> Request = removeWaiting(Key);
-    if (Request)
-      refuse(*Request, wire::refusal_reason::DeadlinePassed,
-             retryAfter(duration{}, Step), Step);
+    if (!Request)
+      continue;
+    withdraw(*Request);
+    refuse(*Request, wire::refusal_reason::DeadlinePassed,
+           retryAfter(duration{}, Step), Step);
   }
 }
 
--- a/monsoonreel/testing/overload_policy_test.cc
+++ b/monsoonreel/testing/overload_policy_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "monsoonreel/admission.h"
+#include "monsoonreel/admitted_share.h"
 #include "monsoonreel/request_queue.h"
 
 namespace monsoonreel {
@@ -119,5 +120,52 @@
   EXPECT_TRUE(Lenient->judge(View).Admit);
 }
 
+TEST_F(admission_test, Lenient_OrganisationHadLess_AdmitsWhatOthersMayNot) {
+  admission_view View = viewWithWait(22); // 4.6 s
+  EXPECT_FALSE(Lenient->judge(View).Admit);
+  View.AdmittedRatio = 0.6;
+  EXPECT_TRUE(Lenient->judge(View).Admit);
+  View = viewWithWait(17); // 3.6 s
+  View.AdmittedRatio = 1.6;
+  EXPECT_FALSE(Lenient->judge(View).Admit);
+}
+
+class admitted_share_test : public ::testing::Test {
+protected:
+  void send(const char *Organisation, int Offered, int AdmittedOfThem) {
+    organisation_name Name(Organisation);
+    for (int I = 0; I < Offered; ++I)
+      Share.offer(Class, Name, 1, Now);
+    for (int I = 0; I < AdmittedOfThem; ++I)
+      Share.admit(Class, Name);
+  }
+  double ratio(const char *Organisation) const {
+    return Share.ratio(Class, organisation_name(Organisation));
+  }
+
+  steady_time Now{std::chrono::hours(1)};
+  class_name Class{"draft"};
+  admitted_share Share;
+};
+
+TEST_F(admitted_share_test, OneHadLess_RatioTellsUntilForgotten) {
+  send("lucky", 20, 15);
+  send("unlucky", 20, 5);
+  EXPECT_GT(ratio("lucky"), 1.3);
+  EXPECT_LT(ratio("unlucky"), 0.7);
+  EXPECT_EQ(ratio("unknown"), 1);
+  Now += admitted_memory * 20;
+  send("other", 1, 1);
+  EXPECT_EQ(ratio("unlucky"), 1);
+}
+
+TEST_F(admitted_share_test, OneFloods_OthersAreNotHeldBack) {
+  for (const char *Name : {"a", "b", "c", "d"})
+    send(Name, 20, 20);
+  send("flood", 1000, 20);
+  EXPECT_LT(ratio("a"), 1.6);
+  EXPECT_GT(ratio("flood"), 0.3);
+}
+
 } // namespace
 } // namespace monsoonreel
