--- a/monsoonreel/admission.cc
+++ b/monsoonreel/admission.cc
@@ -28,7 +28,10 @@
 // Variance of the wait for each unit of its length: that of independent
 // departures, and that of the work that higher tiers bring meanwhile, whose
 // times in slots vary about as much as their mean.
-duration spreadOf(const admission_view &View) {
+duration spreadOf(const admission_view &View, duration ExpectedWait) {
+  // Higher tiers can't make a wait longer that the minimum share ends.
+  if (ExpectedWait >= View.ShareWait)
+    return View.ShareGap;
   double Left = partLeft(View);
   double Higher =
       2 * View.HigherDemand / (Left * Left * std::max(1, View.Slots));
@@ -56,6 +59,14 @@
                     shortest_retry_after, longest_retry_after);
 }
 
+// The least chance for a request whose organisation has had AdmittedRatio of
+// its due. The power is steep, because the chance falls slowly with the wait.
+double leastFor(double Least, double AdmittedRatio) {
+  constexpr double Steepness = 4;
+  return std::clamp(Least * std::pow(AdmittedRatio, Steepness),
+                    lowest_least_chance, highest_least_chance);
+}
+
 class open_admission : public admission_policy {
 public:
   admission_verdict judge(const admission_view &View) const override {
@@ -77,7 +88,9 @@
                     admission_verdict &Verdict) {
     if (Verdict.ExpectedWait <= duration{} || !isEnabled(mechanism::Admission))
       return;
-    if (chanceWithin(Left, Verdict.ExpectedWait, spreadOf(View)) >= Least)
+    duration Spread = spreadOf(View, Verdict.ExpectedWait);
+    if (chanceWithin(Left, Verdict.ExpectedWait, Spread) >=
+        leastFor(Least, View.AdmittedRatio))
       return;
     Verdict.Admit = false;
     Verdict.RetryAfter = retryAfter(Verdict.ExpectedWait, Left);
--- a/monsoonreel/cell_queue.h
+++ b/monsoonreel/cell_queue.h
@@ -29,6 +29,7 @@
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 
+#include "monsoonreel/admitted_share.h"
 #include "monsoonreel/cell_upstreams.h"
 #include "monsoonreel/configuration.h"
 #include "monsoonreel/effect.h"
@@ -107,6 +108,10 @@
   // Whether Request may wait; it is refused when it may not. It may also wait
   // while a lower tier holds a place that would be shed first.
   bool admit(const waiting_request &Request, cell_step &Step);
+  // Sheds a late request of Request's class if Request can be in time before
+  // those that are late.
+  bool displaceLate(const waiting_request &Request, duration RetryAfter,
+                    cell_step &Step);
   // For a full queue: sheds a request of a lower tier, or refuses Request.
   bool makePlace(const waiting_request &Request, cell_step &Step);
   // Whether admission would refuse Request, which waits, by its deadline.
@@ -158,6 +163,8 @@
   void expireWaiting(cell_step &Step);
   void expireSlots(cell_step &Step);
   void reviewWaiting(cell_step &Step);
+  // Request is refused after it was admitted.
+  void withdraw(const waiting_request &Request);
   std::optional<waiting_request> removeWaiting(const ask_key &Key);
   void learn(const running_slot &Slot, const slot_report &Report,
              steady_time Now);
@@ -173,6 +180,7 @@
   cell_upstreams Upstreams;
   minimum_share Shares;
   tier_demand Demand;
+  admitted_share Admitted;
   latency_tracker Latencies;
   output_estimator Outputs;
   decaying_histogram TokenGap; // microseconds between two tokens
--- a/monsoonreel/cell_shedding.cc
+++ b/monsoonreel/cell_shedding.cc
@@ -20,13 +20,14 @@
   View.FirstToken = Latencies.firstToken(Request.Class);
   View.TargetLeft = Request.Target - Now;
   View.GiveUpLeft = Request.GiveUp - Now;
+  View.AdmittedRatio = Admitted.ratio(Request.Class, Request.Organisation);
   if (UsesTiers && View.Slots > 0) {
     View.HigherDemand = Demand.above(Request.Tier, View.Slots, Now);
-    double Turns = static_cast<double>(Queue->waitingOf(Request.Class) + 1) /
-                   Shares.shareOf(Request.Class);
-    View.ShareWait = std::chrono::duration_cast<duration>(
-        Turns * std::chrono::duration<double, std::micro>(View.MeanHold) /
-        View.Slots);
+    View.ShareGap = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::micro>(View.MeanHold) /
+        (Shares.shareOf(Request.Class) * View.Slots));
+    View.ShareWait = View.ShareGap *
+                     static_cast<int64_t>(Queue->waitingOf(Request.Class) + 1);
   }
   return View;
 }
@@ -46,12 +47,30 @@
            Verdict.RetryAfter, Step);
     return true;
   }
+  if (displaceLate(Request, Verdict.RetryAfter, Step))
+    return true;
   checkShed(Request, Step);
   refuse(Request, wire::refusal_reason::TargetUnreachable,
          retryAfter(Verdict.RetryAfter, Step), Step);
   return false;
 }
 
+bool cell_queue::displaceLate(const waiting_request &Request,
+                              duration RetryAfter, cell_step &Step) {
+  if (!UsesTiers)
+    return false;
+  late_work Late = Queue->lateWork(Request.Tier, Request.Class, Step.Now);
+  if (!Late.Victim)
+    return false;
+  admission_view View = viewOf(Request, Step.Now);
+  View.WorkAhead -= std::min(View.WorkAhead, Late.Work);
+  if (!Admission->judge(View).Admit)
+    return false;
+  shed(Late.Victim->Key, wire::refusal_reason::TargetUnreachable,
+       retryAfter(RetryAfter, Step), Step);
+  return true;
+}
+
 bool cell_queue::makePlace(const waiting_request &Request, cell_step &Step) {
   const waiting_request *Lower = UsesTiers ? spareBelow(Request.Tier) : nullptr;
   duration Wait = Admission->judge(viewOf(Request, Step.Now)).ExpectedWait;
@@ -133,12 +152,18 @@
   return Request;
 }
 
+void cell_queue::withdraw(const waiting_request &Request) {
+  if (!Request.Resumed)
+    Admitted.withdraw(Request.Class, Request.Organisation);
+}
+
 void cell_queue::shed(const ask_key &Key, wire::refusal_reason::type Reason,
                       duration RetryAfter, cell_step &Step) {
   std::optional<waiting_request> Request = removeWaiting(Key);
   if (!Request)
     return;
   checkShed(*Request, Step);
+  withdraw(*Request);
   refuse(*Request, Reason, RetryAfter, Step);
 }
 
@@ -155,9 +180,11 @@
   while (!GiveUps.empty() && GiveUps.begin()->first <= Step.Now) {
     ask_key Key = GiveUps.begin()->second;
     std::optional<waiting_request> Request = removeWaiting(Key);
-    if (Request)
-      refuse(*Request, wire::refusal_reason::DeadlinePassed,
-             retryAfter(duration{}, Step), Step);
+    if (!Request)
+      continue;
+    withdraw(*Request);
+    refuse(*Request, wire::refusal_reason::DeadlinePassed,
+           retryAfter(duration{}, Step), Step);
   }
 }
 
