--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -2778,9 +2778,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast85;
-          xfer += iprot->readI32(ecast85);
-          this->Verdict = static_cast<claim_verdict::type>(ecast85);
+          int32_t ecast97;
+          xfer += iprot->readI32(ecast97);
+          this->Verdict = static_cast<claim_verdict::type>(ecast97);
           this->__isset.Verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2957,9 +2957,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast90;
-          xfer += iprot->readI32(ecast90);
-          this->Outcome = static_cast<run_outcome::type>(ecast90);
+          int32_t ecast102;
+          xfer += iprot->readI32(ecast102);
+          this->Outcome = static_cast<run_outcome::type>(ecast102);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4904,9 +4904,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast151;
-          xfer += iprot->readI32(ecast151);
-          this->Reason = static_cast<refusal_reason::type>(ecast151);
+          int32_t ecast163;
+          xfer += iprot->readI32(ecast163);
+          this->Reason = static_cast<refusal_reason::type>(ecast163);
           this->__isset.Reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5063,9 +5063,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast156;
-          xfer += iprot->readI32(ecast156);
-          this->Result = static_cast<slot_result::type>(ecast156);
+          int32_t ecast168;
+          xfer += iprot->readI32(ecast168);
+          this->Result = static_cast<slot_result::type>(ecast168);
           this->__isset.Result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7026,9 +7026,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast233;
-          xfer += iprot->readI32(ecast233);
-          this->Kind = static_cast<order_kind::type>(ecast233);
+          int32_t ecast245;
+          xfer += iprot->readI32(ecast245);
+          this->Kind = static_cast<order_kind::type>(ecast245);
           this->__isset.Kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7536,9 +7536,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast246;
-          xfer += iprot->readI32(ecast246);
-          this->Outcome = static_cast<run_outcome::type>(ecast246);
+          int32_t ecast258;
+          xfer += iprot->readI32(ecast258);
+          this->Outcome = static_cast<run_outcome::type>(ecast258);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9828,9 +9828,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast347;
-          xfer += iprot->readI32(ecast347);
-          this->Outcome = static_cast<run_outcome::type>(ecast347);
+          int32_t ecast359;
+          xfer += iprot->readI32(ecast359);
+          this->Outcome = static_cast<run_outcome::type>(ecast359);
           this->__isset.Outcome = true;
         } else {
           xfer += iprot->skip(ftype);
