Matrix: no slot stays granted when nothing runs

Cause: the loss of SlotExpiry only lowered capacity, which nobody judged. An entry's status tells its granted slots now, and after the calm at the end none may be left, nor an active request.

The matrix now has to catch it. StaleGrantRelease is still not caught: the slot that leaks expires before the end.

--- a/fault_matrix/mutations.cc
+++ b/fault_matrix/mutations.cc
@@ -121,7 +121,7 @@
       MONSOONREEL_MUTATION(UpstreamEjection, "", fault::UpstreamSilent, false,
                            "slot_owner_test."
                            "Straggler_EjectionTakenAway_KeepsItsWork"),
-      MONSOONREEL_MUTATION(SlotExpiry, "message/slot_release", {}, false,
+      MONSOONREEL_MUTATION(SlotExpiry, "message/slot_release", {}, true,
                            "slot_owner_test.Slot_AskerDies_ComesFree"),
       MONSOONREEL_MUTATION(StaleGrantRelease, "message/slot_grant", {}, false,
                            "remote_owner_test."
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -247,6 +247,7 @@
   bool mayLoseHeldUsage(const entry_kill &Kill) const;
   void judgeNodes();
   void judgeMembership();
+  void judgeSlots();
   void judgeLeases();
 
   uint64_t draw() { return Random(); }
--- a/fault_matrix/world_effects.cc
+++ b/fault_matrix/world_effects.cc
@@ -151,10 +151,14 @@
 // still send could arrive after the other's write.
 void world::checkInCharge(process &Process, const std::string &Lease,
                           steady_time NotAfter) {
-  for (const auto &[Name, Until] : InChargeUntil[Lease])
-    if (Name != Process.Identity.Name.Value && Time.now() < Until)
-      Findings.push_back(Process.Identity.Name.Value + " writes under " +
-                         Lease + " while " + Name + " may do so too");
+  for (const auto &[Name, Until] : InChargeUntil[Lease]) {
+    if (Name == Process.Identity.Name.Value || Time.now() >= Until)
+      continue;
+    std::string Finding = Process.Identity.Name.Value;
+    Finding += " writes under " + Lease;
+    Finding += " while " + Name + " may do so too";
+    Findings.push_back(std::move(Finding));
+  }
   duration Left = (NotAfter - localTime(Process)) * million /
                   (million + Process.SteadyDrift);
   InChargeUntil[Lease][Process.Identity.Name.Value] =
--- a/fault_matrix/world_judge.cc
+++ b/fault_matrix/world_judge.cc
@@ -28,6 +28,7 @@
     Findings.push_back(Finding);
   judgeNodes();
   judgeMembership();
+  judgeSlots();
   judgeLeases();
   judgeUsage();
 }
@@ -68,6 +69,23 @@
   }
 }
 
+// Nothing runs any more, so no owner holds a slot for anybody.
+void world::judgeSlots() {
+  for (auto &[Name, Process] : Processes) {
+    if (!Process.Up || !Process.IsEntry)
+      continue;
+    auto Status = nlohmann::json::parse(Process.Node->statusJson());
+    if (Status["granted_slots"] != 0) {
+      std::string Finding = Name + " still has ";
+      Finding += Status["granted_slots"].dump() + " slots granted";
+      Finding += ", and nothing runs";
+      Findings.push_back(std::move(Finding));
+    }
+    if (Status["active_requests"] != 0)
+      Findings.push_back(Name + " still has active requests");
+  }
+}
+
 // Of the claims that a steward has replayed it takes those for valid that are.
 void world::judgeLeases() {
   for (auto &[Name, Process] : Processes) {
--- a/monsoonreel/entry_node.cc
+++ b/monsoonreel/entry_node.cc
@@ -321,6 +321,7 @@
   Status["configuration_offset"] = Ledger.configOffset().Value;
   Status["live_keys"] = Ledger.liveKeyCount();
   Status["active_requests"] = Requests.size();
+  Status["granted_slots"] = Slots.owner().runningCount();
   Status["draining"] = Draining;
   Status["ready"] = Ready;
   for (const wire::member &Member : Members.alive(wire::member_role::Entry))
