Membership: nodes that start at once all know each other within a minute

The lists that a starting node asks for come in its first three seconds, when everybody lacks the others; an answer without a list (one a second is given) counted as one; and what is left goes by gossip of 4 new members in a message, each told 11 times, which is 900 messages. Ruled out: a later list at fixed times alone (5, 15, 35 s: 2,972 pairs missing after 60 s; 3, 9, 21, 45 s: 1,609). Change: only a list counts as one, and while its digest differs a node asks again 5 s after a list that brought unknown members, then each time after twice as long, up to 10 minutes. Test: membership_start_test.AllAtOnce_After60s_KnowEachOther failed first.

--- a/monsoonreel/membership.cc
+++ b/monsoonreel/membership.cc
@@ -37,6 +37,8 @@
   }
   if (LeavingUntold)
     tellLeaving(Now, Effects);
+  if (Now >= NextList)
+    askForMissedMembers(Now);
   if (Now >= NextNear) {
     NextNear = Now + heartbeat_period;
     probeNext(Near, true, Now, Effects);
@@ -59,6 +61,17 @@
   Started = true;
 }
 
+// When many nodes start at once, the lists that they get first lack those that
+// started later, and gossip of so many changes takes minutes.
+void membership::askForMissedMembers(steady_time Now) {
+  if (Started) {
+    if (DigestDiffers)
+      ListsWanted = std::max(ListsWanted, 1);
+    ListDelay = std::min(2 * ListDelay, longest_list_delay);
+  }
+  NextList = Now + ListDelay;
+}
+
 void membership::forgetProbesAfterPause(steady_time Now) {
   if (!Started || Now - LastTick < heartbeat_period)
     return;
--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -65,6 +65,11 @@
 constexpr duration recent_change_time = std::chrono::minutes(2);
 // So long a dead member counts for its zone being lost.
 constexpr duration lost_zone_memory = std::chrono::seconds(30);
+// A node whose digest differs from what it hears asks for the whole list after
+// this time from its start or from a list with members that it did not know,
+// and then each time after twice as long.
+constexpr duration first_list_delay = std::chrono::seconds(5);
+constexpr duration longest_list_delay = std::chrono::minutes(10);
 // Between two looks for suspicions that ended and members to forget.
 constexpr duration expiry_period = std::chrono::milliseconds(100);
 // How long a dead member is remembered, so that it is probed again.
@@ -197,6 +202,7 @@
   void probeLostZones(steady_time Now, effect_list &Effects);
   void tellLeaving(steady_time Now, effect_list &Effects);
   void expireMembers(steady_time Now, effect_list &Effects);
+  void askForMissedMembers(steady_time Now);
   void forgetProbesAfterPause(steady_time Now);
 
   // The sender of a message from From. Nothing when it is named by a short
@@ -278,6 +284,10 @@
   uint64_t Draws = 0;
   int64_t NextNonce = 1;
   int ListsWanted = wanted_member_lists;
+  // The last answer to a heartbeat named another digest.
+  bool DigestDiffers = false;
+  steady_time NextList;
+  duration ListDelay = first_list_delay;
   bool LeavingUntold = false;
   log_offset Ledger;
   pool_load_table Loads;
--- a/monsoonreel/membership_messages.cc
+++ b/monsoonreel/membership_messages.cc
@@ -148,9 +148,16 @@
   // Whoever joins takes over the list of a node that has told its changes
   // already; telling them all again would fill the gossip for minutes.
   bool WholeList = Ack.Gossip.size() > max_gossip_members + 1;
+  size_t KnownBefore = Members.size();
   learnAll(Sender, log_offset{Ack.LedgerOffset}, Ack.Gossip,
            WholeList ? already_spread : 0, Now, Effects);
+  if (WholeList && Members.size() > KnownBefore) {
+    ListDelay = first_list_delay;
+    NextList = Now + ListDelay;
+  }
   learnChanges(Ack.Changes, Now, Effects);
+  DigestDiffers =
+      Ack.__isset.MembersDigest && Ack.MembersDigest != membersDigest();
   Loads.merge(Ack.Loads, Now);
   if (auto Relay = Relays.find(Ack.Nonce); Relay != Relays.end()) {
     relayAck(Sender, Relay->second, Effects);
@@ -166,7 +173,11 @@
   if (Direct && Ack.__isset.LogAgeMicros)
     Freshness.onPeer(log_offset{Ack.LedgerOffset}, fromMicros(Ack.LogAgeMicros),
                      Probe.SentAt);
-  if (Direct && ListsWanted > 0)
+  // A node that answered another such question in the same second sends no
+  // list.
+  bool Satisfied =
+      WholeList || !DigestDiffers || Members.size() <= max_gossip_members;
+  if (Direct && Satisfied && ListsWanted > 0)
     --ListsWanted;
   // The nonce is of a heartbeat of this run, which the sender has understood.
   known_member *Known = findKnown(Sender.Name);
--- a/monsoonreel/testing/membership_zone_test.cc
+++ b/monsoonreel/testing/membership_zone_test.cc
@@ -1,4 +1,5 @@
-// Memberships of a site of full size that loses a zone, or has one cut off.
+// Memberships of a site of full size that starts at once, loses a zone, or has
+// one cut off.
 
 #include "monsoonreel/membership.h"
 
@@ -19,17 +20,38 @@
 // Long enough for most to hold the others dead.
 constexpr duration cut_time = seconds(20);
 
-class membership_zone_test : public ::testing::Test {
+// Knows of nobody but the first node.
+class membership_start_test : public ::testing::Test {
 protected:
   void SetUp() override {
     for (int Index = 0; Index < node_count; ++Index)
       Network.add(nameOf(Index), "zone-" + std::to_string(Index % zone_count));
-    Network.introduceAll();
-    Network.run(seconds(10));
   }
   static std::string nameOf(int Index) {
     return "entry-" + std::to_string(Index);
   }
+
+  member_network Network;
+};
+
+// In which all have to know each other.
+constexpr duration start_known_within = seconds(60);
+
+TEST_F(membership_start_test, AllAtOnce_After60s_KnowEachOther) {
+  Network.run(start_known_within);
+  int Lacking = 0;
+  for (int Index = 0; Index < node_count; ++Index)
+    Lacking += Network.node(nameOf(Index)).liveCount() < node_count ? 1 : 0;
+  EXPECT_EQ(Lacking, 0);
+}
+
+class membership_zone_test : public membership_start_test {
+protected:
+  void SetUp() override {
+    membership_start_test::SetUp();
+    Network.introduceAll();
+    Network.run(seconds(10));
+  }
   static bool isOfLostZone(int Index) { return Index % zone_count == 0; }
   template <typename T> static void forEachLostAndOther(T Function) {
     for (int Lost = 0; Lost < node_count; Lost += zone_count)
@@ -45,8 +67,6 @@
                  Network.bytesReceivedBy(nameOf(Index));
     return Bytes;
   }
-
-  member_network Network;
 };
 
 TEST_F(membership_zone_test, LostZone_After30s_IsDeadForAllOthers) {
