Matrix: processes start by their own clocks

Cause: the site of 336 nodes lost 4 of 465 requests' usage without a fault. In the matrix all processes started at the same microsecond, so pairs of entries whose names share 12 bits of their hash had one incarnation (13 pairs are to be expected of 336), and a batch of the one counted as a copy of the other's. Change: the start time is read from the process' own clock, as it is in the daemons; the header says when two processes share the number. Before: 461 reported, 465 answered. Conclusion: a fault of the harness; the chance that remains for real processes is 1 in 4,096 for two that start in the same microsecond.

--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -91,7 +91,8 @@
   Process.Backlog.clear();
   Process.CallerOf.clear();
   Process.Attempts.clear();
-  wall_time Start(duration(wall_epoch_micros) + Time.now());
+  wall_time Start(duration(wall_epoch_micros) + Time.now() +
+                  Process.WallOffset);
   Process.Identity.Incarnation = makeIncarnation(Process.Identity.Name, Start);
   std::vector<address> Seeds;
   for (int Zone = 0; Zone < Options.Zones; ++Zone) {
--- a/monsoonreel/incarnation.h
+++ b/monsoonreel/incarnation.h
@@ -5,7 +5,9 @@
 // Writers and sources of usage are known in the log by this number alone, so
 // it must differ between all processes of a site, also when a whole site is
 // started at once: it is the time of the start, followed by bits of the name.
-// For one name it grows with every start.
+// Two processes share it if they start in the same microsecond and their names
+// share the bits, which one pair of names in 4,096 does. For one name it grows
+// with every start.
 
 #ifndef MONSOONREEL_INCARNATION_H
 #define MONSOONREEL_INCARNATION_H
