--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: packages build check demo matrix mutations process-faults added-latency \
-	sanitize format format-check lint wire
+	node-cost sanitize format format-check lint wire
 
 packages:
 	scripts/install-packages
@@ -32,6 +32,10 @@
 added-latency: build
 	scripts/added-latency
 
+# What entries and stewards cost, at rest and under load. On an idle machine.
+node-cost: build
+	scripts/node-cost
+
 # Each mechanism taken away in turn, and what notices; THREADS limits it.
 mutations: build
 	scripts/mutations build/release
--- a/fault_matrix/main.cc
+++ b/fault_matrix/main.cc
@@ -11,8 +11,8 @@
 //   fault-matrix --mutation_tests         names of the unit tests that do so
 //
 // A random run that fails is shortened, and the command to repeat it printed.
-// Exit status 1 when a cell failed, or a mutation that has to be caught was
-// not.
+// Exit status 1 when a run had a finding, or a mutation that has to be caught
+// was not.
 
 #include <algorithm>
 #include <iostream>
@@ -132,13 +132,15 @@
   return 1;
 }
 
-void printOutcomes() {
+// Returns the exit status.
+int printOutcomes() {
   world World(siteOptions());
   World.run();
   for (const auto &[Outcome, Count] : World.outcomes())
     std::cout << Outcome << " " << Count << "\n";
   for (const std::string &Finding : World.findings())
     std::cout << "FAILED " << Finding << "\n";
+  return World.findings().empty() ? 0 : 1;
 }
 
 // Returns whether all that has to be caught was.
@@ -173,10 +175,8 @@
   std::optional<disabled_mechanism> Without;
   if (int Number = absl::GetFlag(FLAGS_without); Number >= 0)
     Without.emplace(static_cast<mechanism>(Number));
-  if (absl::GetFlag(FLAGS_outcomes)) {
-    printOutcomes();
-    return 0;
-  }
+  if (absl::GetFlag(FLAGS_outcomes))
+    return printOutcomes();
   if (std::string Faults = absl::GetFlag(FLAGS_faults); !Faults.empty())
     return runFaults(Faults);
   matrix_report Report = runSelected();
