--- a/fault_matrix/world_traffic.cc
+++ b/fault_matrix/world_traffic.cc
@@ -194,6 +194,10 @@
       sendRequest(makeRequest());
   });
   At(24, [this] { editConfiguration("third", ConfigBase); });
+  // Some of these run at the entry that is drained.
+  At(29, [this] {
+    sendStreams("draft", "key-large", long_stream_tokens, long_streams);
+  });
   At(30, [this] {
     process &Drained = Processes.at("entry-1-1");
     deliver(Drained, drain_requested{});
