--- a/monsoonreel/testing/member_change_test.cc
+++ b/monsoonreel/testing/member_change_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "monsoonreel/membership.h"
+#include "monsoonreel/testing/member_network.h"
 
 namespace monsoonreel {
 namespace {
@@ -10,14 +11,7 @@
 class member_change_test : public ::testing::Test {
 protected:
   static wire::member memberOf(const std::string &Name) {
-    wire::member Member;
-    Member.Name = Name;
-    Member.Role = wire::member_role::Entry;
-    Member.Zone = "east";
-    Member.Address = Name + ":7100";
-    Member.Incarnation = 1791820800000001;
-    Member.State = wire::member_state::Alive;
-    return Member;
+    return makeMember(Name, incarnation{1791820800000001});
   }
   // Node hears Changes from a member named "b".
   void receive(membership &Node, const std::vector<int64_t> &Changes) {
--- a/monsoonreel/testing/member_network.h
+++ b/monsoonreel/testing/member_network.h
@@ -20,6 +20,18 @@
 
 namespace monsoonreel {
 
+// A live entry in the zone "east".
+inline wire::member makeMember(const std::string &Name, incarnation Run) {
+  wire::member Member;
+  Member.Name = Name;
+  Member.Role = wire::member_role::Entry;
+  Member.Zone = "east";
+  Member.Address = Name + ":7100";
+  Member.Incarnation = Run.Value;
+  Member.State = wire::member_state::Alive;
+  return Member;
+}
+
 class member_network {
 public:
   static constexpr duration step = std::chrono::milliseconds(10);
--- a/monsoonreel/testing/membership_test.cc
+++ b/monsoonreel/testing/membership_test.cc
@@ -220,14 +220,7 @@
             incarnation{Run}};
   }
   static wire::member memberOf(const std::string &Name) {
-    wire::member Member;
-    Member.Name = Name;
-    Member.Role = wire::member_role::Entry;
-    Member.Zone = "east";
-    Member.Address = Name + ":7100";
-    Member.Incarnation = 1;
-    Member.State = wire::member_state::Alive;
-    return Member;
+    return makeMember(Name, incarnation{1});
   }
   // Node takes Count members from the list of a member named "first".
   void takeList(membership &Node, int Count) {
