--- a/io/admin_port.cc
+++ b/io/admin_port.cc
@@ -1,6 +1,6 @@
 #include "io/admin_port.h"
 
-#include "io/http_status.h"
+#include "monsoonreel/http_status.h"
 #include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
--- a/io/caller_port.cc
+++ b/io/caller_port.cc
@@ -7,7 +7,7 @@
 
 #include "spdlog/spdlog.h"
 
-#include "io/http_status.h"
+#include "monsoonreel/http_status.h"
 #include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
--- a/io/gated_socket.cc
+++ b/io/gated_socket.cc
@@ -8,8 +8,9 @@
 #include <QHostAddress>
 #include <QTimer>
 
+#include "io/chunked_body.h"
 #include "io/clock.h"
-#include "io/http_status.h"
+#include "monsoonreel/http_status.h"
 
 namespace monsoonreel {
 
@@ -115,7 +116,8 @@
     if (Line != "\r\n")
       continue;
     auto Parsed = parseRequestHead(
-        {HeadBytes.constData(), static_cast<size_t>(HeadBytes.size())});
+        {HeadBytes.constData(), static_cast<size_t>(HeadBytes.size())},
+        Bounds.Chunks);
     if (!Parsed)
       return refuse(Parsed.error());
     Head = std::move(*Parsed);
@@ -123,13 +125,37 @@
       return refuse(http_status::content_too_large);
     if (Head.ExpectsContinue && !Head.Http10)
       Wire->write("HTTP/1.1 100 Continue\r\n\r\n");
+    if (Head.Chunked)
+      Chunks = std::make_unique<chunked_body>(Bounds.BodyBytes);
     return enter(phase::Body);
   }
   if (HeadBytes.size() + Wire->bytesAvailable() > Bounds.HeadBytes)
     refuse(http_status::header_fields_too_large);
 }
 
+// Takes exactly the body's bytes out of the connection.
+void gated_socket::readChunks() {
+  while (Wire->bytesAvailable() > 0) {
+    QByteArray Bytes = Wire->peek(Wire->bytesAvailable());
+    size_t Used = Chunks->read(
+        {Bytes.constData(), static_cast<size_t>(Bytes.size())});
+    Wire->skip(static_cast<qint64>(Used));
+    if (Chunks->isTooLarge())
+      return refuse(http_status::content_too_large);
+    if (Chunks->isBroken())
+      return refuse(http_status::bad_request);
+    if (!Chunks->isComplete())
+      continue;
+    BodyBytes = QByteArray::fromStdString(Chunks->takeBody());
+    Head.ContentLength = BodyBytes.size();
+    Chunks.reset();
+    return release();
+  }
+}
+
 void gated_socket::readBody() {
+  if (Chunks)
+    return readChunks();
   qint64 Missing = Head.ContentLength - BodyBytes.size();
   if (Missing > 0)
     BodyBytes += Wire->read(Missing);
--- a/io/gated_socket.h
+++ b/io/gated_socket.h
@@ -36,8 +36,12 @@
   duration StallTime = std::chrono::seconds(60); // without reading an answer
   int Connections = 4096;
   int ConnectionsPerAddress = 1024;
+  // Bodies in chunks are taken, and handed on as if they had a length.
+  chunk_policy Chunks = chunk_policy::Refuse;
 };
 
+class chunked_body;
+
 class gated_socket : public QTcpSocket {
 public:
   gated_socket(std::unique_ptr<QTcpSocket> Wire, const http_bounds &Bounds);
@@ -54,6 +58,8 @@
   void breakOff();
   // Ends the connection when it has taken longer than the bounds allow.
   void checkTimes(steady_time Now);
+  // For what comes from now on.
+  void setBounds(const http_bounds &Changed) { Bounds = Changed; }
 
   qint64 bytesAvailable() const override;
   qint64 bytesToWrite() const override;
@@ -71,6 +77,7 @@
   void onInput();
   void readHead();
   void readBody();
+  void readChunks();
   void release();
   void refuse(int Status);
   void closeWhenWritten();
@@ -86,6 +93,7 @@
   steady_time LastWriteProgress;
   QByteArray HeadBytes;
   QByteArray BodyBytes;
+  std::unique_ptr<chunked_body> Chunks; // while a body comes in chunks
   http_head Head;
   QByteArray Readable; // what the server may read
   qint64 ReadPosition = 0;
--- a/io/http_head.cc
+++ b/io/http_head.cc
@@ -9,7 +9,7 @@
 
 #include "absl/strings/ascii.h"
 
-#include "io/http_status.h"
+#include "monsoonreel/http_status.h"
 
 namespace monsoonreel {
 
@@ -109,11 +109,23 @@
   return 0;
 }
 
-int applyFraming(http_head &Head) {
+// Two lengths, or chunks beside a length, could be read in two ways.
+int applyChunks(const std::string &Coding, chunk_policy Chunks,
+                http_head &Head) {
+  if (Chunks == chunk_policy::Refuse)
+    return http_status::length_required;
+  if (!equalsIgnoreCase(Coding, "chunked") || Head.Chunked || Head.Http10)
+    return http_status::bad_request;
+  Head.Chunked = true;
+  return 0;
+}
+
+int applyFraming(chunk_policy Chunks, http_head &Head) {
   int Lengths = 0;
   for (const http_header &Header : Head.Headers) {
     if (equalsIgnoreCase(Header.Name, "transfer-encoding"))
-      return http_status::length_required;
+      if (int Status = applyChunks(Header.Value, Chunks, Head))
+        return Status;
     if (equalsIgnoreCase(Header.Name, "content-length")) {
       if (++Lengths > 1)
         return http_status::bad_request;
@@ -129,7 +141,7 @@
       Head.ExpectsContinue = true;
     }
   }
-  return 0;
+  return Head.Chunked && Lengths > 0 ? http_status::bad_request : 0;
 }
 
 } // namespace
@@ -146,7 +158,8 @@
   return Query.empty() ? Path : Path + "?" + Query;
 }
 
-tl::expected<http_head, int> parseRequestHead(std::string_view Bytes) {
+tl::expected<http_head, int> parseRequestHead(std::string_view Bytes,
+                                              chunk_policy Chunks) {
   http_head Head;
   bool First = true;
   while (true) {
@@ -166,7 +179,7 @@
   }
   if (First || !Bytes.empty())
     return tl::unexpected(http_status::bad_request);
-  if (int Status = applyFraming(Head))
+  if (int Status = applyFraming(Chunks, Head))
     return tl::unexpected(Status);
   return Head;
 }
--- a/io/http_head.h
+++ b/io/http_head.h
@@ -38,6 +38,7 @@
   std::string Query; // without the question mark
   http_header_list Headers;
   int64_t ContentLength = 0;
+  bool Chunked = false; // the body comes in chunks
   bool Http10 = false;
   bool KeepAlive = true;
   bool ExpectsContinue = false;
@@ -46,9 +47,14 @@
   std::string target() const;
 };
 
+// Whether bodies in chunks are taken, or refused with 411.
+enum class chunk_policy { Refuse, Accept };
+
 // Bytes are a whole head with its closing blank line. The error is the status
 // to answer with.
-tl::expected<http_head, int> parseRequestHead(std::string_view Bytes);
+tl::expected<http_head, int>
+parseRequestHead(std::string_view Bytes,
+                 chunk_policy Chunks = chunk_policy::Refuse);
 
 } // namespace monsoonreel
 
--- /dev/null
+++ b/io/http_reply_parser.h
@@ -0,0 +1,65 @@
+// Reads answers of upstreams from the bytes of one connection.
+//
+//   http_reply_parser Parser;
+//   for (reply_event &Event : Parser.read(Bytes)) ...
+//   for (reply_event &Event : Parser.finish()) ...   // an orderly end
+//
+// The parser accepts any number of answers in a row; who asked for them is the
+// caller's matter. After a `reply_error` the connection is of no more use.
+
+#ifndef IO_HTTP_REPLY_PARSER_H
+#define IO_HTTP_REPLY_PARSER_H
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "io/http_head.h"
+
+namespace monsoonreel {
+
+// Heads beyond this size are refused.
+constexpr size_t max_reply_head_bytes = 32 << 10;
+
+struct http_reply_head {
+  int Status = 0;
+  http_header_list Headers;
+  bool KeepAlive = true; // the connection can be used again
+
+  const std::string *header(std::string_view Name) const {
+    return findHeader(Headers, Name);
+  }
+};
+
+struct reply_data {
+  std::string Data;
+};
+struct reply_end {};
+struct reply_error {
+  std::string Reason;
+};
+using reply_event =
+    std::variant<http_reply_head, reply_data, reply_end, reply_error>;
+
+class http_reply_parser {
+public:
+  http_reply_parser();
+  ~http_reply_parser();
+
+  // The next answer has no body, whatever its head says.
+  void expectHeadOnly();
+  std::vector<reply_event> read(std::string_view Bytes);
+  // The connection has ended in an orderly way. Completes an answer whose
+  // length its end tells.
+  std::vector<reply_event> finish();
+
+private:
+  struct state;
+  std::unique_ptr<state> State;
+};
+
+} // namespace monsoonreel
+
+#endif // IO_HTTP_REPLY_PARSER_H
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -15,7 +15,7 @@
 #include "spdlog/fmt/fmt.h"
 
 #include "io/clock.h"
-#include "io/http_status.h"
+#include "monsoonreel/http_status.h"
 
 namespace monsoonreel {
 
@@ -163,6 +163,12 @@
 
   int connections() const { return static_cast<int>(Open.size()); }
 
+  void setBounds(const http_bounds &Changed) {
+    Bounds = Changed;
+    for (gated_socket *Gate : Open)
+      Gate->setBounds(Changed);
+  }
+
   void startDraining() {
     Draining = true;
     for (gated_socket *Gate : Open)
@@ -262,4 +268,8 @@
 
 int http_server::connections() const { return Listener->connections(); }
 
+void http_server::setBounds(const http_bounds &Bounds) {
+  Listener->setBounds(Bounds);
+}
+
 } // namespace monsoonreel
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -58,6 +58,8 @@
   const std::string *header(std::string_view Name) const {
     return findHeader(Headers, Name);
   }
+  // The request target as sent: path and query.
+  std::string target() const { return Query.empty() ? Path : Path + "?" + Query; }
   // The value of a query parameter, or Otherwise when it is missing.
   std::string parameter(std::string_view Name, std::string Otherwise) const;
 };
@@ -133,6 +135,8 @@
   // From now on every answer asks its caller to close the connection.
   void startDraining();
   int connections() const;
+  // Replaces the bounds for what callers send from now on.
+  void setBounds(const http_bounds &Bounds);
 
 private:
   class listener;
--- a/io/load_poller.cc
+++ b/io/load_poller.cc
@@ -5,7 +5,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
-#include "io/http_status.h"
+#include "monsoonreel/http_status.h"
 
 namespace monsoonreel {
 
--- a/io/node_runtime.cc
+++ b/io/node_runtime.cc
@@ -25,16 +25,6 @@
 // The process ends with this status when a drain takes too long.
 constexpr int drain_timeout_status = 3;
 
-// Written by the signal handler, read by the event loop.
-int SignalSockets[2] = {-1, -1};
-
-void onSignal(int /*Signal*/) {
-  char Byte = 1;
-  // Nothing can be done here about a full socket, and nothing has to be: the
-  // event loop has not read the signal before this one yet.
-  [[maybe_unused]] ssize_t Written = ::write(SignalSockets[0], &Byte, 1);
-}
-
 http_bounds boundsOf(const listener_limits &Limits) {
   http_bounds Bounds;
   Bounds.HeadBytes = Limits.HeaderBytes;
@@ -119,7 +109,8 @@
     spdlog::error("can't listen for callers at {}", Settings.Listen.Value);
     return false;
   }
-  watchSignals();
+  Signals = std::make_unique<signal_watcher>(
+      std::initializer_list<int>{SIGTERM, SIGINT}, [this](int) { drain(); });
   Ticks.setTimerType(Qt::PreciseTimer);
   Ticks.start(tick_interval);
   spdlog::info("started, zone={} peer={} admin={} listen={}",
@@ -128,21 +119,6 @@
   return true;
 }
 
-void node_runtime::watchSignals() {
-  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, SignalSockets) != 0)
-    return;
-  Signals = std::make_unique<QSocketNotifier>(SignalSockets[1],
-                                              QSocketNotifier::Read);
-  QObject::connect(Signals.get(), &QSocketNotifier::activated, Signals.get(),
-                   [this] {
-                     char Byte = 0;
-                     if (::read(SignalSockets[1], &Byte, 1) == 1)
-                       drain();
-                   });
-  std::signal(SIGTERM, onSignal);
-  std::signal(SIGINT, onSignal);
-}
-
 // ------------------------------------------------------------------- events
 
 void node_runtime::post(event_body Event) {
--- a/io/node_runtime.h
+++ b/io/node_runtime.h
@@ -17,7 +17,6 @@
 #include <deque>
 #include <memory>
 
-#include <QSocketNotifier>
 #include <QTimer>
 
 #include "absl/container/flat_hash_map.h"
@@ -30,6 +29,7 @@
 #include "io/metric_registry.h"
 #include "io/peer_transport.h"
 #include "io/platform_client.h"
+#include "io/signal_watcher.h"
 #include "io/upstream_client.h"
 #include "monsoonreel/monsoonreel.h"
 
@@ -77,7 +77,6 @@
 
   void forget(attempt_number Attempt);
   void quitWhenAnswered();
-  void watchSignals();
 
   node_identity Identity;
   settings Settings;
@@ -92,7 +91,7 @@
   admin_port Admin;
   QTimer Ticks;
   QTimer Quit;
-  std::unique_ptr<QSocketNotifier> Signals;
+  std::unique_ptr<signal_watcher> Signals;
   std::deque<event_body> Waiting;
   bool Handling = false;
   bool Draining = false;
--- a/io/platform_client.cc
+++ b/io/platform_client.cc
@@ -9,7 +9,7 @@
 #include "spdlog/fmt/fmt.h"
 
 #include "io/clock.h"
-#include "io/http_status.h"
+#include "monsoonreel/http_status.h"
 
 namespace monsoonreel {
 
--- a/io/request_reading.cc
+++ b/io/request_reading.cc
@@ -11,7 +11,7 @@
 #include <xxhash.h>
 
 #include "io/caller_port.h"
-#include "io/http_status.h"
+#include "monsoonreel/http_status.h"
 
 namespace monsoonreel {
 
--- /dev/null
+++ b/io/routing_runtime.cc
@@ -0,0 +1,387 @@
+#include "io/routing_runtime.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <utility>
+
+#include <QCoreApplication>
+#include <QRandomGenerator>
+
+#include "spdlog/spdlog.h"
+
+#include "io/clock.h"
+#include "monsoonreel/http_status.h"
+
+namespace monsoonreel {
+
+namespace {
+
+// Between two ticks: fine enough for timeouts of a few hundred milliseconds,
+// rare enough to cost little when nothing happens.
+constexpr std::chrono::milliseconds routing_tick_period(20);
+// Before the process is killed, for the last answers to leave.
+constexpr duration last_answers_time = std::chrono::milliseconds(700);
+// Connections that a caller may keep open after a drain, until it reads the
+// answer that is under way.
+constexpr std::chrono::milliseconds close_linger(300);
+
+spdlog::level::level_enum levelOf(log_level Level) {
+  switch (Level) {
+  case log_level::Debug:
+    return spdlog::level::debug;
+  case log_level::Info:
+    return spdlog::level::info;
+  case log_level::Warning:
+    return spdlog::level::warn;
+  case log_level::Error:
+    break;
+  }
+  return spdlog::level::err;
+}
+
+} // namespace
+
+class routing_runtime::caller_handler : public http_handler {
+public:
+  explicit caller_handler(routing_runtime &Owner) : Runtime(Owner) {}
+  void handleRequest(const http_request &Request,
+                     const std::shared_ptr<http_exchange> &Exchange) override {
+    Runtime.onRequest(Request, Exchange);
+  }
+
+private:
+  routing_runtime &Runtime;
+};
+
+class routing_runtime::readiness_handler : public http_handler {
+public:
+  explicit readiness_handler(routing_runtime &Owner) : Runtime(Owner) {}
+  void handleRequest(const http_request &Request,
+                     const std::shared_ptr<http_exchange> &Exchange) override {
+    if (Request.Path != Runtime.Addresses.ReadinessPath)
+      return Exchange->answer(http_status::not_found, {}, "");
+    Exchange->answer(Runtime.Ready ? http_status::ok
+                                   : http_status::service_unavailable,
+                     {}, "");
+  }
+
+private:
+  routing_runtime &Runtime;
+};
+
+class routing_runtime::metrics_handler : public http_handler {
+public:
+  explicit metrics_handler(routing_runtime &Owner) : Runtime(Owner) {}
+  void handleRequest(const http_request & /*Request*/,
+                     const std::shared_ptr<http_exchange> &Exchange) override {
+    Exchange->answer(http_status::ok,
+                     {{"Content-Type", "text/plain; version=0.0.4"}},
+                     Runtime.Metrics.text());
+  }
+
+private:
+  routing_runtime &Runtime;
+};
+
+// Turns the answer of one attempt into events.
+class routing_runtime::attempt_handler : public call_handler {
+public:
+  attempt_handler(routing_runtime &Owner, attempt_number Number,
+                  request_id Asked, std::string Id)
+      : Runtime(Owner), Attempt(Number), Request(Asked),
+        CallerId(std::move(Id)) {}
+
+  reply_verdict onHead(const http_reply_head &Reply) override {
+    answer_head Head;
+    Head.Attempt = Attempt;
+    reply_verdict Verdict = Runtime.Dialect.readReply(Reply, CallerId, Head);
+    if (Verdict != reply_verdict::Own)
+      return Verdict;
+    if (open_request *Open = Runtime.find(Request))
+      Open->Heads[Attempt] = Reply;
+    Runtime.post(routing_event_body(Head));
+    return Verdict;
+  }
+  void onData(std::string &&Data) override {
+    Runtime.post(routing_event_body(answer_data{Attempt, std::move(Data)}));
+  }
+  void onEnd() override {
+    Runtime.CallOf.erase(Attempt);
+    Runtime.post(routing_event_body(answer_end{Attempt}));
+  }
+  void onFailed(attempt_failure Failure, const std::string &Why) override {
+    Runtime.CallOf.erase(Attempt);
+    Runtime.post(
+        routing_event_body(route_attempt_failed{Attempt, Failure, Why}));
+  }
+
+private:
+  routing_runtime &Runtime;
+  attempt_number Attempt;
+  request_id Request;
+  std::string CallerId;
+};
+
+routing_runtime::routing_runtime(const node_identity &Self,
+                                 routing_addresses Listen, routing_parts Parts,
+                                 duration KilledAfter)
+    : Identity(Self), Addresses(std::move(Listen)), Node(Parts.Node),
+      Dialect(Parts.Dialect), Platform(Parts.Platform),
+      ShutdownTime(KilledAfter), Peers(Self, *this),
+      Callers(std::make_unique<caller_handler>(*this)),
+      Readiness(std::make_unique<readiness_handler>(*this)),
+      MetricsPage(std::make_unique<metrics_handler>(*this)) {
+  http_bounds Bounds;
+  Bounds.Chunks = chunk_policy::Accept;
+  Bounds.ConnectionsPerAddress = Bounds.Connections;
+  CallerServer = std::make_unique<http_server>(*Callers, Bounds);
+  ReadinessServer = std::make_unique<http_server>(*Readiness, http_bounds());
+  MetricsServer = std::make_unique<http_server>(*MetricsPage, http_bounds());
+}
+
+routing_runtime::~routing_runtime() {
+  // Exchanges call back when they end.
+  for (auto &[Id, Request] : Requests)
+    Request->Exchange->setOnGone(nullptr);
+}
+
+bool routing_runtime::start() {
+  struct listener {
+    http_server &Server;
+    const address &At;
+  };
+  std::vector<listener> Listeners = {{*CallerServer, Addresses.Callers},
+                                     {*ReadinessServer, Addresses.Readiness}};
+  if (!Addresses.Metrics.empty())
+    Listeners.push_back({*MetricsServer, Addresses.Metrics});
+  for (const listener &Listener : Listeners)
+    if (!Listener.Server.listen(Listener.At)) {
+      spdlog::error("event=start-failed address={} reason=\"can't listen\"",
+                    Listener.At.Value);
+      return false;
+    }
+  if (!Peers.listen()) {
+    spdlog::error("event=start-failed address={} reason=\"can't listen\"",
+                  Identity.Address.Value);
+    return false;
+  }
+  Signals = std::make_unique<signal_watcher>(
+      std::initializer_list<int>{SIGTERM, SIGINT, SIGHUP},
+      [this](int Signal) { onSignal(Signal); });
+  QObject::connect(&Ticks, &QTimer::timeout, &Ticks,
+                   [this] { post(routing_event_body(tick{})); });
+  Ticks.setTimerType(Qt::PreciseTimer);
+  Ticks.start(routing_tick_period);
+  spdlog::info("event=started callers={} peers={}", Addresses.Callers.Value,
+               Identity.Address.Value);
+  return true;
+}
+
+// ------------------------------------------------------------------- events
+
+void routing_runtime::post(event_body Event) {
+  if (auto *Received = std::get_if<peer_message_received>(&Event))
+    post(routing_event_body(std::move(*Received)));
+}
+
+void routing_runtime::post(routing_event_body Event) {
+  Waiting.push_back(std::move(Event));
+  if (std::exchange(Handling, true))
+    return;
+  while (!Waiting.empty()) {
+    routing_event_body Next = std::move(Waiting.front());
+    Waiting.pop_front();
+    handle(std::move(Next));
+  }
+  Handling = false;
+}
+
+void routing_runtime::handle(routing_event_body Body) {
+  routing_event Event{bootNow(), wallNow(),
+                      QRandomGenerator::global()->generate64(),
+                      std::move(Body)};
+  routing_effects Effects;
+  Node.handle(Event, Effects);
+  for (const routing_effect &Effect : Effects)
+    std::visit([this](const auto &Value) { apply(Value); }, Effect);
+}
+
+// ------------------------------------------------------------------ callers
+
+void routing_runtime::onRequest(
+    const http_request &Message,
+    const std::shared_ptr<http_exchange> &Exchange) {
+  request_id Id{++LastRequest};
+  route_request Arrived = Dialect.decodeRequest(Id, Message);
+  auto Open = std::make_unique<open_request>();
+  Open->CallerId = Arrived.CallerId;
+  Open->Message = Message;
+  Open->Exchange = Exchange;
+  Exchange->setOnGone([this, Id] {
+    post(routing_event_body(route_caller_gone{Id}));
+    forget(Id);
+  });
+  Exchange->setOnRoom([this, Id] {
+    if (open_request *Request = find(Id))
+      holdBackUpstream(*Request);
+  });
+  Requests[Id] = std::move(Open);
+  post(routing_event_body(std::move(Arrived)));
+}
+
+routing_runtime::open_request *routing_runtime::find(request_id Request) {
+  auto It = Requests.find(Request);
+  return It == Requests.end() ? nullptr : It->second.get();
+}
+
+void routing_runtime::forget(request_id Request) {
+  auto It = Requests.find(Request);
+  if (It == Requests.end())
+    return;
+  It->second->Exchange->setOnGone(nullptr);
+  It->second->Exchange->setOnRoom(nullptr);
+  for (const auto &[Attempt, Head] : It->second->Heads)
+    RequestOf.erase(Attempt);
+  Requests.erase(It);
+}
+
+// A caller that reads slowly slows its upstream, not this process.
+void routing_runtime::holdBackUpstream(open_request &Request) {
+  bool Room = Request.Exchange->bytesToWrite() < max_unread_answer_bytes;
+  Upstreams.setReading(Request.Call, Room);
+}
+
+void routing_runtime::apply(const route_refusal &Effect) {
+  open_request *Request = find(Effect.Request);
+  if (!Request)
+    return;
+  std::string Body = "{\"error\":{\"code\":\"" + Effect.Code +
+                     "\",\"outcome\":\"" + outcomeName(Effect.Outcome) +
+                     "\"}}\n";
+  Request->Exchange->answer(Effect.Status, Dialect.refusalHeaders(Effect),
+                            Body);
+  forget(Effect.Request);
+}
+
+void routing_runtime::apply(const route_begin &Effect) {
+  open_request *Request = find(Effect.Request);
+  if (!Request)
+    return;
+  const http_reply_head &Head = Request->Heads[Effect.Attempt];
+  Request->Exchange->begin(Head.Status, Dialect.callerHeaders(Head));
+}
+
+void routing_runtime::apply(const route_write &Effect) {
+  open_request *Request = find(Effect.Request);
+  if (!Request)
+    return;
+  Request->Exchange->write(Effect.Data);
+  if (Request->Exchange->bytesToWrite() >= max_unread_answer_bytes)
+    holdBackUpstream(*Request);
+}
+
+void routing_runtime::apply(const route_finish &Effect) {
+  if (open_request *Request = find(Effect.Request))
+    Request->Exchange->finish();
+  forget(Effect.Request);
+}
+
+void routing_runtime::apply(const route_abort &Effect) {
+  if (open_request *Request = find(Effect.Request))
+    Request->Exchange->abort();
+  forget(Effect.Request);
+}
+
+void routing_runtime::apply(const route_answer &Effect) {
+  open_request *Request = find(Effect.Request);
+  if (!Request)
+    return;
+  const http_reply_head &Head = Request->Heads[Effect.Attempt];
+  Request->Exchange->answer(Head.Status, Dialect.callerHeaders(Head),
+                            Effect.Body);
+  forget(Effect.Request);
+}
+
+// ---------------------------------------------------------------- upstreams
+
+void routing_runtime::apply(const route_dispatch &Effect) {
+  open_request *Request = find(Effect.Request);
+  if (!Request)
+    return;
+  call_options Options;
+  Options.MaxConnections = Effect.MaxConnections;
+  Options.HeadOnly = Request->Message.Method == "HEAD";
+  auto Handler = std::make_shared<attempt_handler>(
+      *this, Effect.Attempt, Effect.Request, Request->CallerId);
+  Request->Call = Upstreams.start(
+      Effect.Address, Dialect.encodeAttempt(Request->Message, Effect), Options,
+      std::move(Handler));
+  CallOf[Effect.Attempt] = Request->Call;
+}
+
+void routing_runtime::apply(const route_cancel &Effect) {
+  auto It = CallOf.find(Effect.Attempt);
+  if (It == CallOf.end())
+    return;
+  Upstreams.cancel(It->second);
+  CallOf.erase(It);
+}
+
+void routing_runtime::apply(const apply_bounds &Effect) {
+  http_bounds Bounds;
+  Bounds.Chunks = chunk_policy::Accept;
+  Bounds.ConnectionsPerAddress = Bounds.Connections;
+  Bounds.HeadBytes = Effect.Bounds.HeadBytes;
+  Bounds.BodyBytes = Effect.Bounds.BodyBytes;
+  Bounds.HeadTime = Effect.Bounds.HeadTime;
+  Bounds.IdleTime = Effect.Bounds.IdleTime;
+  CallerServer->setBounds(Bounds);
+}
+
+void routing_runtime::apply(const send_message &Effect) {
+  Peers.send(Effect.ToAddress, Effect.Message);
+}
+
+void routing_runtime::apply(const log_line &Effect) {
+  steady_time Now = steadyNow();
+  if (int64_t Dropped = Lines.takeDropped(Now))
+    spdlog::warn("event=log-lines-dropped lines={}", Dropped);
+  if (Lines.take(Effect.Level, Now))
+    spdlog::log(levelOf(Effect.Level), "{}", Effect.Text);
+}
+
+// -------------------------------------------------------------------- drain
+
+void routing_runtime::drain() {
+  if (std::exchange(Draining, true))
+    return;
+  post(routing_event_body(drain_requested{}));
+  CallerServer->startDraining();
+  auto Longest = std::chrono::duration_cast<std::chrono::milliseconds>(
+      ShutdownTime - last_answers_time);
+  QTimer::singleShot(Longest, &Ticks, [this] {
+    spdlog::warn("event=drain-timed-out open={}", Requests.size());
+    finish();
+  });
+}
+
+void routing_runtime::apply(const drain_finished & /*Effect*/) {
+  CallerServer->stopListening();
+  QTimer::singleShot(close_linger, &Ticks, [this] { finish(); });
+}
+
+void routing_runtime::finish() {
+  spdlog::info("event=stopped");
+  QCoreApplication::quit();
+}
+
+void routing_runtime::onSignal(int Signal) {
+  spdlog::info("event=signal number={}", Signal);
+  if (Signal != SIGHUP)
+    drain();
+  else if (OnReload)
+    OnReload();
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/io/routing_runtime.h
@@ -0,0 +1,148 @@
+// Runs a routing node: input becomes events, effects become output.
+//
+//   routing_runtime Runtime(Identity, Addresses, Parts);
+//   if (!Runtime.start())
+//     return 1;
+//   return Application.exec();
+//
+// Everything happens in the thread of the Qt event loop, one event at a time.
+// SIGTERM asks the node to drain; the event loop ends when nothing is under way
+// any more, or when the time for it is over.
+
+#ifndef IO_ROUTING_RUNTIME_H
+#define IO_ROUTING_RUNTIME_H
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include <QTimer>
+
+#include "absl/container/flat_hash_map.h"
+
+#include "io/event_sink.h"
+#include "io/line_budget.h"
+#include "io/metric_registry.h"
+#include "io/peer_transport.h"
+#include "io/platform_port.h"
+#include "io/signal_watcher.h"
+#include "io/wire_dialect.h"
+
+namespace monsoonreel {
+
+struct routing_addresses {
+  address Callers;
+  address Readiness;
+  std::string ReadinessPath;
+  address Metrics; // empty: none are served
+};
+
+struct routing_parts {
+  routing_node &Node;
+  const wire_dialect &Dialect;
+  platform_port &Platform;
+};
+
+// Above so many bytes that a caller has not taken, its upstream is not read.
+constexpr int64_t max_unread_answer_bytes = 256 << 10;
+
+class routing_runtime : public event_sink, public routing_event_sink {
+public:
+  // Parts have to live longer than the runtime. ShutdownTime: from the request
+  // to end until the process is killed.
+  routing_runtime(const node_identity &Identity, routing_addresses Addresses,
+                  routing_parts Parts, duration ShutdownTime);
+  ~routing_runtime() override;
+
+  // Listens and begins to tick. Returns false, after a log line, when an
+  // address can't be had.
+  bool start();
+  // Called for every SIGHUP.
+  void setOnReload(std::function<void()> Reload) {
+    OnReload = std::move(Reload);
+  }
+
+  void post(event_body Event) override;
+  void post(routing_event_body Event) override;
+
+private:
+  class caller_handler;
+  class readiness_handler;
+  class metrics_handler;
+  class attempt_handler;
+  friend class attempt_handler;
+
+  // A caller's request and the answer to it.
+  struct open_request {
+    std::string CallerId;
+    http_request Message;
+    std::shared_ptr<http_exchange> Exchange;
+    call_id Call; // of the newest attempt
+    // Heads of the attempts that have answered.
+    absl::flat_hash_map<attempt_number, http_reply_head> Heads;
+  };
+
+  void onRequest(const http_request &Message,
+                 const std::shared_ptr<http_exchange> &Exchange);
+  void handle(routing_event_body Event);
+  void apply(const route_refusal &Effect);
+  void apply(const route_begin &Effect);
+  void apply(const route_write &Effect);
+  void apply(const route_finish &Effect);
+  void apply(const route_abort &Effect);
+  void apply(const route_answer &Effect);
+  void apply(const route_dispatch &Effect);
+  void apply(const route_cancel &Effect);
+  void apply(const apply_bounds &Effect);
+  void apply(const set_ready &Effect) { Ready = Effect.Ready; }
+  void apply(const send_message &Effect);
+  void apply(const reset_link &Effect) { Peers.resetLink(Effect.ToAddress); }
+  void apply(const log_line &Effect);
+  void apply(const count_metric &Effect) { Metrics.count(Effect); }
+  void apply(const observe_metric &Effect) { Metrics.observe(Effect); }
+  void apply(const set_gauge &Effect) { Metrics.set(Effect); }
+  void apply(const drain_finished &Effect);
+  void apply(const tell_entries & /*Effect*/) {} // resolved by the node
+  template <typename T> void apply(const T &Effect) {
+    Platform.carryOut(Effect);
+  }
+
+  void drain();
+  void finish();
+  void onSignal(int Signal);
+  open_request *find(request_id Request);
+  void forget(request_id Request);
+  void holdBackUpstream(open_request &Request);
+
+  node_identity Identity;
+  routing_addresses Addresses;
+  routing_node &Node;
+  const wire_dialect &Dialect;
+  platform_port &Platform;
+  duration ShutdownTime;
+  metric_registry Metrics;
+  peer_transport Peers;
+  channel_pool Upstreams;
+  line_budget Lines;
+  std::unique_ptr<caller_handler> Callers;
+  std::unique_ptr<readiness_handler> Readiness;
+  std::unique_ptr<metrics_handler> MetricsPage;
+  std::unique_ptr<http_server> CallerServer;
+  std::unique_ptr<http_server> ReadinessServer;
+  std::unique_ptr<http_server> MetricsServer;
+  std::unique_ptr<signal_watcher> Signals;
+  std::function<void()> OnReload;
+  QTimer Ticks;
+  bool Ready = false;
+  bool Handling = false;
+  bool Draining = false;
+  int64_t LastRequest = 0;
+  std::deque<routing_event_body> Waiting;
+  absl::flat_hash_map<request_id, std::unique_ptr<open_request>> Requests;
+  absl::flat_hash_map<attempt_number, request_id> RequestOf;
+  absl::flat_hash_map<attempt_number, call_id> CallOf;
+};
+
+} // namespace monsoonreel
+
+#endif // IO_ROUTING_RUNTIME_H
--- /dev/null
+++ b/io/tcp_stream.cc
@@ -0,0 +1,152 @@
+#include "io/tcp_stream.h"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace monsoonreel {
+
+namespace {
+
+constexpr size_t read_bytes = 64 << 10;
+
+void setOption(int Socket, int Level, int Name, int Value) {
+  ::setsockopt(Socket, Level, Name, &Value, sizeof(Value));
+}
+
+template <typename Unit> int inUnits(duration Value) {
+  return static_cast<int>(std::chrono::duration_cast<Unit>(Value).count());
+}
+
+void setOptions(int Socket) {
+  setOption(Socket, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  int Seconds = inUnits<std::chrono::seconds>(keepalive_interval);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPIDLE, Seconds);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPINTVL, Seconds);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+  setOption(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            inUnits<std::chrono::milliseconds>(unacknowledged_timeout));
+}
+
+} // namespace
+
+tcp_stream::~tcp_stream() { closeSocket(); }
+
+bool tcp_stream::open(const address &To) {
+  auto Parts = splitAddress(To);
+  sockaddr_in Peer{};
+  Peer.sin_family = AF_INET;
+  if (!Parts || ::inet_pton(AF_INET, Parts->Host.c_str(), &Peer.sin_addr) != 1)
+    return false;
+  Peer.sin_port = htons(Parts->Port);
+  Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Socket < 0)
+    return false;
+  setOptions(Socket);
+  int Result =
+      ::connect(Socket, reinterpret_cast<sockaddr *>(&Peer), sizeof(Peer));
+  if (Result != 0 && errno != EINPROGRESS) {
+    closeSocket();
+    return false;
+  }
+  Readable =
+      std::make_unique<QSocketNotifier>(Socket, QSocketNotifier::Read);
+  Writable =
+      std::make_unique<QSocketNotifier>(Socket, QSocketNotifier::Write);
+  Readable->setEnabled(false);
+  QObject::connect(Readable.get(), &QSocketNotifier::activated, Readable.get(),
+                   [this] { onReadable(); });
+  QObject::connect(Writable.get(), &QSocketNotifier::activated, Writable.get(),
+                   [this] { onWritable(); });
+  return true;
+}
+
+void tcp_stream::write(std::string_view Bytes) {
+  Unwritten += Bytes;
+  if (Connected)
+    flush();
+}
+
+void tcp_stream::setReading(bool Enabled) {
+  Reading = Enabled;
+  if (Connected && Readable)
+    Readable->setEnabled(Enabled);
+}
+
+bool tcp_stream::isQuiet() const {
+  char Byte = 0;
+  ssize_t Size = ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void tcp_stream::onWritable() {
+  if (!Connected) {
+    int Error = 0;
+    socklen_t Size = sizeof(Error);
+    ::getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size);
+    if (Error != 0)
+      return end(stream_end::Broken, std::strerror(Error));
+    Connected = true;
+    Readable->setEnabled(Reading);
+    Listener.onStreamConnected();
+  }
+  if (Socket >= 0)
+    flush();
+}
+
+// An error is left to the next read, which sees what came before it.
+void tcp_stream::flush() {
+  while (!Unwritten.empty()) {
+    ssize_t Size =
+        ::send(Socket, Unwritten.data(), Unwritten.size(), MSG_NOSIGNAL);
+    if (Size <= 0)
+      break;
+    Sent = true;
+    Unwritten.erase(0, static_cast<size_t>(Size));
+  }
+  Writable->setEnabled(!Unwritten.empty() && errno == EAGAIN);
+}
+
+void tcp_stream::onReadable() {
+  std::array<char, read_bytes> Buffer;
+  ssize_t Size = ::recv(Socket, Buffer.data(), Buffer.size(), 0);
+  if (Size > 0)
+    return Listener.onStreamBytes(
+        {Buffer.data(), static_cast<size_t>(Size)});
+  if (Size == 0)
+    return end(stream_end::Orderly, "closed");
+  if (errno != EAGAIN && errno != EINTR)
+    end(stream_end::Broken, std::strerror(errno));
+}
+
+void tcp_stream::end(stream_end How, const std::string &Reason) {
+  if (Socket < 0)
+    return;
+  Readable->setEnabled(false);
+  Writable->setEnabled(false);
+  Connected = false;
+  Listener.onStreamEnd(How, Reason);
+}
+
+void tcp_stream::closeSocket() {
+  // Not deleted at once: this may run within a notifier's signal.
+  for (auto *Notifier : {&Readable, &Writable})
+    if (*Notifier) {
+      (*Notifier)->setEnabled(false);
+      (*Notifier)->disconnect();
+      Notifier->release()->deleteLater();
+    }
+  if (Socket >= 0)
+    ::close(Socket);
+  Socket = -1;
+  Connected = false;
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/io/timed_call.h
@@ -0,0 +1,48 @@
+// Small calls by HTTP over kept connections: one request, one answer, one
+// timeout.
+//
+//   timed_caller Caller;
+//   call_id Call = Caller.call(Address, Bytes, seconds(1),
+//                              [](const timed_result &R) { use(R.Body); });
+//
+// Unlike `http_caller`, it knows whether a call without an answer may have
+// taken effect, and never uses a connection again that has been silent. The
+// callback comes once, unless the call is cancelled.
+
+#ifndef IO_TIMED_CALL_H
+#define IO_TIMED_CALL_H
+
+#include <functional>
+#include <string>
+
+#include "io/channel_pool.h"
+
+namespace monsoonreel {
+
+// Larger answers are refused.
+constexpr size_t max_timed_answer_bytes = size_t{16} << 20;
+
+struct timed_result {
+  int Status = 0; // 0: no whole answer came
+  std::string Body;
+  // Without an answer: nothing of the call was sent.
+  bool NeverSent = false;
+  std::string Error;
+};
+
+class timed_caller {
+public:
+  using callback = std::function<void(const timed_result &)>;
+
+  call_id call(const address &To, std::string Bytes, duration Timeout,
+               callback Callback);
+  void cancel(call_id Call) { Channels.cancel(Call); }
+
+private:
+  class handler;
+  channel_pool Channels;
+};
+
+} // namespace monsoonreel
+
+#endif // IO_TIMED_CALL_H
--- a/io/upstream_client.cc
+++ b/io/upstream_client.cc
@@ -6,7 +6,7 @@
 
 #include "spdlog/fmt/fmt.h"
 
-#include "io/http_status.h"
+#include "monsoonreel/http_status.h"
 
 namespace monsoonreel {
 
--- a/monsoonreel/wire.cc
+++ b/monsoonreel/wire.cc
@@ -80,7 +80,7 @@
     "claim_settled", "usage_offer",   "usage_accepted", "usage_hold",
     "usage_held",    "usage_release", "slot_ask",       "slot_grant",
     "slot_refuse",   "slot_release",  "slot_cancel",    "slot_preempt",
-    "slot_renew",    "slot_queued"};
+    "slot_renew",    "slot_queued",   "entry_report",   "feed_news"};
 static_assert(MessageNames.size() == std::variant_size_v<wire::peer_message>);
 
 } // namespace
@@ -113,6 +113,15 @@
   return decodeStruct<wire::log_record>(Bytes.data(), Bytes.size());
 }
 
+std::string encodeDutyRecord(const wire::duty_record &Record) {
+  return encodeStruct(Record);
+}
+
+tl::expected<wire::duty_record, wire_error>
+decodeDutyRecord(const std::string &Bytes) {
+  return decodeStruct<wire::duty_record>(Bytes.data(), Bytes.size());
+}
+
 std::string encodeState(const wire::ledger_state &State) {
   return encodeStruct(State);
 }
--- a/monsoonreel/wire.h
+++ b/monsoonreel/wire.h
@@ -29,7 +29,8 @@
     heartbeat, heartbeat_ack, probe_request, state_pull, state_push, claim_ask,
     claim_answer, claim_settle, claim_settled, usage_offer, usage_accepted,
     usage_hold, usage_held, usage_release, slot_ask, slot_grant, slot_refuse,
-    slot_release, slot_cancel, slot_preempt, slot_renew, slot_queued>;
+    slot_release, slot_cancel, slot_preempt, slot_renew, slot_queued,
+    entry_report, feed_news>;
 
 } // namespace wire
 
@@ -52,6 +53,11 @@
 tl::expected<wire::log_record, wire_error>
 decodeRecord(const std::string &Bytes);
 
+// Records of the duty log, see routing/duty_log.h.
+std::string encodeDutyRecord(const wire::duty_record &Record);
+tl::expected<wire::duty_record, wire_error>
+decodeDutyRecord(const std::string &Bytes);
+
 // Snapshots of a replayed stream.
 std::string encodeState(const wire::ledger_state &State);
 std::string encodeState(const wire::claims_state &State);
--- /dev/null
+++ b/routing/capacity_policy.cc
@@ -0,0 +1,125 @@
+#include "routing/capacity_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonreel {
+
+namespace {
+
+// Stable upstreams of a zone, where reclaimable ones are to be had.
+constexpr int stable_in_zone = 1;
+// Reclaimable upstreams of a zone without any load.
+constexpr int least_reclaimable = 2;
+// Requests under way at an engine from which another one is wanted, as a part
+// of its slots: beyond it the pauses between tokens grow noticeably.
+constexpr double wanted_slot_use = 0.18;
+// Prompt tokens that wait to be read at an engine from which another one is
+// wanted: about what a first token's target leaves room for.
+constexpr double wanted_unread_tokens = 5000;
+
+struct listed {
+  int Stable = 0;
+  int Reclaimable = 0;
+};
+
+std::map<zone_name, listed> countListed(const service &Service,
+                                        const upstream_registry &Registry) {
+  std::map<zone_name, listed> Zones;
+  for (const auto &[Name, State] : Registry.all()) {
+    const upstream_entry &Entry = State.Entry;
+    if (Entry.Service != Service.Name)
+      continue;
+    listed &Zone = Zones[Entry.Zone];
+    if (Entry.Draining)
+      continue;
+    ++(Entry.Reclaimable ? Zone.Reclaimable : Zone.Stable);
+  }
+  for (const auto &[Zone, Price] : Service.Orders->ZonePrices)
+    Zones.try_emplace(Zone);
+  return Zones;
+}
+
+} // namespace
+
+double capacity_policy::demandOf(const service &Service,
+                                 const capacity_input &Input,
+                                 steady_time Now) {
+  double Running = 0;
+  double Unread = 0;
+  for (const auto &[Name, State] : Input.Registry.all()) {
+    if (State.Entry.Service != Service.Name)
+      continue;
+    upstream_use_sum Use = Input.Load.at(Name);
+    Running += Use.Running;
+    Unread += static_cast<double>(Use.UnreadTokens);
+  }
+  int Slots = Service.Engine ? Service.Engine->Slots : 1;
+  double Wanted = Running / (wanted_slot_use * Slots) +
+                  Unread / wanted_unread_tokens;
+  demand &Known = Demands[Service.Name];
+  if (Wanted >= Known.Upstreams || Now - Known.At > demand_memory)
+    Known = {Wanted, Now};
+  return Known.Upstreams;
+}
+
+std::vector<capacity_target> capacity_policy::plan(const capacity_input &Input,
+                                                   steady_time Now) {
+  std::vector<capacity_target> Due;
+  for (const service &Service : Input.Config.Services)
+    if (Service.Orders)
+      planService(Service, Input, Now, Due);
+  return Due;
+}
+
+void capacity_policy::planService(const service &Service,
+                                  const capacity_input &Input, steady_time Now,
+                                  std::vector<capacity_target> &Due) {
+  const order_terms &Terms = *Service.Orders;
+  auto Zones = countListed(Service, Input.Registry);
+  double Wanted = demandOf(Service, Input, Now);
+  int ZoneCount = std::max<int>(1, static_cast<int>(Zones.size()));
+  if (!Terms.ReclaimablePrice) {
+    int Each = static_cast<int>(std::ceil(Wanted / ZoneCount)) + 1;
+    for (const auto &[Zone, Listed] : Zones)
+      addIfDue({Service.Name, Zone, false,
+                std::clamp(Each, Terms.Min, Terms.Max)},
+               Listed.Stable, Now, Due);
+    return;
+  }
+  int Stable = std::clamp(stable_in_zone, Terms.Min, Terms.Max);
+  // With the reclaimable upstreams of one zone missing, the rest carries it.
+  double Missing = Wanted - Stable * ZoneCount;
+  int Each = static_cast<int>(std::ceil(Missing / std::max(1, ZoneCount - 1)));
+  int Reclaimable = std::clamp(std::max(Each, least_reclaimable), 0,
+                               std::max(0, Terms.Max - Stable));
+  for (const auto &[Zone, Listed] : Zones) {
+    addIfDue({Service.Name, Zone, true, Reclaimable}, Listed.Reclaimable, Now,
+             Due);
+    addIfDue({Service.Name, Zone, false, Stable}, Listed.Stable, Now, Due);
+  }
+}
+
+void capacity_policy::addIfDue(capacity_target Target, int Listed,
+                               steady_time Now,
+                               std::vector<capacity_target> &Due) {
+  order_state &State =
+      Orders[{Target.Service, Target.Zone, Target.Reclaimable}];
+  bool Met = State.Ordered == Target.Count && Listed >= Target.Count;
+  if (Met || Now < State.NextOrder)
+    return;
+  State.NextOrder = Now + order_retry_period;
+  Due.push_back(std::move(Target));
+}
+
+void capacity_policy::onAnswered(const capacity_answered &Answer,
+                                 steady_time Now) {
+  order_state &State =
+      Orders[{Answer.Service, Answer.Zone, Answer.Reclaimable}];
+  if (Answer.Accepted)
+    State.Ordered = Answer.Count;
+  if (Answer.NoneAvailable)
+    State.NextOrder = Now + order_retry_period;
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/routing/capacity_policy.h
@@ -0,0 +1,85 @@
+// How many upstreams of each kind a service should have in each zone.
+//
+//   capacity_policy Policy;
+//   for (const capacity_target &T : Policy.plan(Input, Now))
+//     order(T);                        // those that differ from the last order
+//   Policy.onAnswered(Answer, Now);
+//
+// Load patterns that it answers:
+//
+// - Steady load well below what the upstreams can carry. Stable upstreams cost
+//   several times what reclaimable ones do, so each zone keeps few of them.
+// - All reclaimable upstreams of a zone leave at once. What is left in the other
+//   zones has to carry the load until new ones have booted, so the total is
+//   chosen with one zone's reclaimable upstreams missing.
+// - Bursts. The plan follows a rise at once and a fall only slowly, because an
+//   upstream takes seconds to boot.
+
+#ifndef ROUTING_CAPACITY_POLICY_H
+#define ROUTING_CAPACITY_POLICY_H
+
+#include <map>
+#include <vector>
+
+#include "routing/routing_event.h"
+#include "routing/site_config.h"
+#include "routing/upstream_load.h"
+#include "routing/upstream_registry.h"
+
+namespace monsoonreel {
+
+// Between two orders for the same kind, service and zone that was not met.
+constexpr duration order_retry_period = std::chrono::seconds(4);
+// A lower demand counts after it has lasted for so long.
+constexpr duration demand_memory = std::chrono::seconds(12);
+
+struct capacity_input {
+  const site_config &Config;
+  const upstream_registry &Registry;
+  const upstream_load &Load;
+};
+
+struct capacity_target {
+  pool_name Service;
+  zone_name Zone;
+  bool Reclaimable = false;
+  int Count = 0;
+};
+
+class capacity_policy {
+public:
+  // The orders that are due.
+  std::vector<capacity_target> plan(const capacity_input &Input,
+                                    steady_time Now);
+  void onAnswered(const capacity_answered &Answer, steady_time Now);
+
+private:
+  struct subject {
+    pool_name Service;
+    zone_name Zone;
+    bool Reclaimable = false;
+    auto operator<=>(const subject &) const = default;
+  };
+  struct order_state {
+    int Ordered = -1; // accepted by the platform
+    steady_time NextOrder = steady_time::min();
+  };
+  struct demand {
+    double Upstreams = 0;
+    steady_time At = steady_time::min();
+  };
+
+  void planService(const service &Service, const capacity_input &Input,
+                   steady_time Now, std::vector<capacity_target> &Due);
+  double demandOf(const service &Service, const capacity_input &Input,
+                  steady_time Now);
+  void addIfDue(capacity_target Target, int Listed, steady_time Now,
+                std::vector<capacity_target> &Due);
+
+  std::map<subject, order_state> Orders;
+  std::map<pool_name, demand> Demands;
+};
+
+} // namespace monsoonreel
+
+#endif // ROUTING_CAPACITY_POLICY_H
--- /dev/null
+++ b/routing/event_cutter.cc
@@ -0,0 +1,69 @@
+#include "routing/event_cutter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace monsoonreel {
+
+namespace {
+
+// The end of the first event in Bytes, after its blank line, or npos.
+size_t eventEnd(std::string_view Bytes) {
+  size_t Bare = Bytes.find("\n\n");
+  size_t Full = Bytes.find("\r\n\r\n");
+  size_t BareEnd = Bare == std::string_view::npos ? Bare : Bare + 2;
+  size_t FullEnd = Full == std::string_view::npos ? Full : Full + 4;
+  return std::min(BareEnd, FullEnd);
+}
+
+std::optional<int64_t> idOf(std::string_view Event) {
+  while (!Event.empty()) {
+    size_t End = std::min(Event.find('\n'), Event.size());
+    std::string_view Line = Event.substr(0, End);
+    Event.remove_prefix(std::min(End + 1, Event.size()));
+    if (!Line.starts_with("id:"))
+      continue;
+    Line.remove_prefix(3);
+    if (Line.starts_with(' '))
+      Line.remove_prefix(1);
+    int64_t Id = 0;
+    if (std::from_chars(Line.data(), Line.data() + Line.size(), Id).ec ==
+        std::errc())
+      return Id;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool event_cutter::takeOne(std::string_view Event) {
+  std::optional<int64_t> Id = idOf(Event);
+  if (Id && LastId && *Id <= *LastId)
+    return false;
+  if (Id && LastId && *Id > *LastId + 1)
+    Gap = true;
+  if (Id)
+    LastId = Id;
+  ++Taken;
+  return !Gap;
+}
+
+std::string event_cutter::takeWhole() {
+  std::string Whole;
+  size_t Start = 0;
+  while (!Gap) {
+    std::string_view Rest = std::string_view(Pending).substr(Start);
+    size_t Size = eventEnd(Rest);
+    if (Size == std::string_view::npos)
+      break;
+    if (takeOne(Rest.substr(0, Size)))
+      Whole += Rest.substr(0, Size);
+    Start += Size;
+  }
+  Pending.erase(0, Start);
+  return Whole;
+}
+
+void event_cutter::expectNextRun() { Pending.clear(); }
+
+} // namespace monsoonreel
--- /dev/null
+++ b/routing/keyed_feed.cc
@@ -0,0 +1,137 @@
+#include "routing/keyed_feed.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/container/flat_hash_set.h"
+
+namespace monsoonreel {
+
+namespace {
+
+// A removal so soon after the store failed may be a lapse during its outage.
+constexpr duration outage_memory = std::chrono::seconds(3);
+
+} // namespace
+
+keyed_feed::keyed_feed(feed_terms Terms) : Terms(std::move(Terms)) {}
+
+void keyed_feed::onTick(steady_time Now, size_t Rank,
+                        routing_effects &Effects) {
+  if (AskedAt) {
+    if (Now - *AskedAt < Terms.Wait + feed_read_timeout)
+      return;
+    onReadFailed({Terms.Name, "timeout"}, Now);
+    Effects.push_back(abandon_feed_read{Terms.Name});
+  }
+  auto Place = static_cast<int64_t>(std::min(Rank, last_reader_rank));
+  // A first reader reads each period; the others only when they miss its news.
+  duration Patience =
+      Place == 0 ? Terms.Period
+                 : Terms.Period + Terms.Wait + feed_retry_period +
+                       Place * reader_stagger;
+  bool Due = FreshAt == steady_time::min() || Now - FreshAt >= Patience ||
+             NeedsWhole;
+  if (!Due || Now < NextRead)
+    return;
+  AskedAt = Now;
+  Effects.push_back(read_feed{Terms.Name, NeedsWhole, End,
+                              Known ? Terms.Wait : duration{}});
+}
+
+void keyed_feed::onReadFailed(const feed_read_failed &Failed,
+                              steady_time Now) {
+  AskedAt.reset();
+  if (Failed.HistoryCut) {
+    NeedsWhole = true;
+    NextRead = Now;
+    return;
+  }
+  Failing = true;
+  FailedAt = Now;
+  NextRead = Now + feed_retry_period;
+}
+
+std::vector<feed_change> keyed_feed::onRead(const feed_read &Read,
+                                            steady_time Now,
+                                            routing_effects &Effects) {
+  AskedAt.reset();
+  Failing = false;
+  FreshAt = Now;
+  NextRead = Now + Terms.Period;
+  if (!Read.Whole && Read.From > End) // asked before a newer state was heard
+    return {};
+  tellPeers(Read, Read.From, Effects);
+  std::vector<feed_change> Changes = apply(Read.Records, Read.Whole, Now);
+  End = Read.Whole ? std::max(End, Read.End) : Read.End;
+  Known = true;
+  NeedsWhole = false;
+  return Changes;
+}
+
+std::vector<feed_change> keyed_feed::onNews(const wire::feed_news &News,
+                                            steady_time Now) {
+  if (!News.Whole && (News.From > End || !Known)) {
+    // Records were missed. Only the news after the gap tells, so the next own
+    // read closes it.
+    if (Known && News.End > End)
+      NextRead = std::min(NextRead, Now), FreshAt = steady_time::min();
+    return {};
+  }
+  std::vector<feed_change> Changes = apply(News.Records, News.Whole, Now);
+  if (News.End >= End) {
+    End = News.End;
+    FreshAt = Now;
+  }
+  if (News.Whole)
+    NeedsWhole = false;
+  Known = true;
+  return Changes;
+}
+
+std::vector<feed_change>
+keyed_feed::apply(const std::vector<wire::feed_record> &Records, bool Whole,
+                  steady_time Now) {
+  bool AfterOutage =
+      FailedAt != steady_time::min() && Now - FailedAt < outage_memory;
+  std::vector<feed_change> Changes;
+  absl::flat_hash_set<std::string> Present;
+  for (const wire::feed_record &Record : Records) {
+    if (Whole)
+      Present.insert(Record.Key);
+    auto [It, New] = OffsetOf.try_emplace(Record.Key, Record.Offset);
+    if (!New && It->second >= Record.Offset)
+      continue;
+    It->second = Record.Offset;
+    feed_change Change{Record.Key, {}, AfterOutage};
+    if (Record.__isset.Value)
+      Change.Value = Record.Value;
+    else
+      OffsetOf.erase(It);
+    Changes.push_back(std::move(Change));
+  }
+  if (!Whole)
+    return Changes;
+  std::vector<std::string> Missing;
+  for (const auto &[Key, Offset] : OffsetOf)
+    if (!Present.contains(Key))
+      Missing.push_back(Key);
+  for (std::string &Key : Missing) {
+    OffsetOf.erase(Key);
+    Changes.push_back({std::move(Key), {}, AfterOutage});
+  }
+  return Changes;
+}
+
+void keyed_feed::tellPeers(const feed_read &Read, int64_t From,
+                           routing_effects &Effects) {
+  wire::feed_news News;
+  News.Feed = Terms.Name;
+  News.From = From;
+  News.End = Read.End;
+  News.Records = Read.Records;
+  News.Whole = Read.Whole;
+  Effects.push_back(tell_entries{wire::peer_message(std::move(News))});
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/routing/keyed_feed.h
@@ -0,0 +1,99 @@
+// The newest value of every key of one feed of the platform's store, kept up
+// to date by a few readers that pass it on.
+//
+//   keyed_feed Feed({"servers", milliseconds(500), milliseconds(0)});
+//   Feed.onTick(Now, Rank, Effects);           // reads when it is due
+//   for (const feed_change &Change : Feed.onRead(Read, Now, Effects)) ...
+//   for (const feed_change &Change : Feed.onNews(News, Now)) ...
+//
+// Each entry reads when it has heard nothing new for its patience, which grows
+// with its rank among the live entries. So usually only the first one reads
+// and tells the others; when it is gone or cut off, the next one's patience
+// ends. A cut off entry reads by itself.
+//
+// A reader that missed records, because the store's history was cut or the
+// news had a gap, reads the newest record of every key anew. Keys that are
+// missing then are gone.
+
+#ifndef ROUTING_KEYED_FEED_H
+#define ROUTING_KEYED_FEED_H
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+
+#include "routing/routing_effect.h"
+#include "routing/routing_event.h"
+
+namespace monsoonreel {
+
+struct feed_terms {
+  std::string Name;
+  // Between the answer to one read and the next read.
+  duration Period{};
+  // How long the store holds a read back until there is news.
+  duration Wait{};
+};
+
+// Added to the patience for each place in the order of readers.
+constexpr duration reader_stagger = std::chrono::milliseconds(250);
+// A read without an answer for so long beyond its wait is sent again.
+constexpr duration feed_read_timeout = std::chrono::milliseconds(900);
+// After a failed read, so that an outage is not met with a flood of calls.
+constexpr duration feed_retry_period = std::chrono::milliseconds(400);
+// Ranks beyond this one have the patience of this one.
+constexpr size_t last_reader_rank = 8;
+
+struct feed_change {
+  std::string Key;
+  std::optional<std::string> Value; // empty: the key is gone
+  // The store had failed to answer shortly before, so the key may be gone
+  // only because its owner could not reach the store either.
+  bool AfterOutage = false;
+};
+
+class keyed_feed {
+public:
+  explicit keyed_feed(feed_terms Terms);
+
+  // Rank: this entry's place in the order of readers, 0 for the first.
+  void onTick(steady_time Now, size_t Rank, routing_effects &Effects);
+  // Changes by an own read. What was read is passed on by Effects.
+  std::vector<feed_change> onRead(const feed_read &Read, steady_time Now,
+                                  routing_effects &Effects);
+  void onReadFailed(const feed_read_failed &Failed, steady_time Now);
+  // Changes that another entry read.
+  std::vector<feed_change> onNews(const wire::feed_news &News, steady_time Now);
+
+  const std::string &name() const { return Terms.Name; }
+  bool isKnown() const { return Known; }
+  // Since this entry last heard that it has everything.
+  duration age(steady_time Now) const { return Now - FreshAt; }
+  int64_t end() const { return End; }
+  // A failed own read is the latest that is known of the store.
+  bool isStoreFailing() const { return Failing; }
+  // When reads last failed; steady_time::min() if never.
+  steady_time lastFailure() const { return FailedAt; }
+
+private:
+  std::vector<feed_change> apply(const std::vector<wire::feed_record> &Records,
+                                 bool Whole, steady_time Now);
+  void tellPeers(const feed_read &Read, int64_t From, routing_effects &Effects);
+
+  feed_terms Terms;
+  bool Known = false;
+  bool NeedsWhole = true;
+  bool Failing = false;
+  int64_t End = 0;
+  absl::flat_hash_map<std::string, int64_t> OffsetOf;
+  steady_time FreshAt = steady_time::min();
+  steady_time FailedAt = steady_time::min();
+  steady_time NextRead = steady_time::min();
+  std::optional<steady_time> AskedAt;
+};
+
+} // namespace monsoonreel
+
+#endif // ROUTING_KEYED_FEED_H
--- /dev/null
+++ b/routing/prompt_cache_view.cc
@@ -0,0 +1,74 @@
+#include "routing/prompt_cache_view.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace monsoonreel {
+
+namespace {
+
+constexpr duration sweep_period = std::chrono::seconds(1);
+
+uint64_t extendChain(uint64_t Chain, uint64_t Id) {
+  return XXH3_64bits_withSeed(&Id, sizeof(Id), Chain);
+}
+
+} // namespace
+
+uint64_t subjectOf(const prompt_info &Prompt) {
+  uint64_t Chain = 0;
+  for (size_t I = 0; I + 1 < Prompt.Parts.size(); ++I)
+    Chain = extendChain(Chain, Prompt.Parts[I].Id);
+  return Chain;
+}
+
+int64_t sharedTokens(const prompt_info &Prompt) {
+  int64_t Tokens = 0;
+  for (size_t I = 0; I + 1 < Prompt.Parts.size(); ++I)
+    Tokens += Prompt.Parts[I].Tokens;
+  return Tokens;
+}
+
+void prompt_cache_view::onDispatched(const upstream_name &Upstream,
+                                     const prompt_info &Prompt,
+                                     steady_time Now) {
+  uint64_t Chain = 0;
+  for (size_t I = 0; I + 1 < Prompt.Parts.size(); ++I) {
+    Chain = extendChain(Chain, Prompt.Parts[I].Id);
+    if (UsedAt.size() < max_believed_parts || UsedAt.contains({Upstream, Chain}))
+      UsedAt[{Upstream, Chain}] = Now;
+  }
+}
+
+int64_t prompt_cache_view::unreadTokens(const upstream_name &Upstream,
+                                        const prompt_info &Prompt,
+                                        steady_time Now) const {
+  int64_t Unread = Prompt.PromptTokens;
+  uint64_t Chain = 0;
+  for (size_t I = 0; I + 1 < Prompt.Parts.size(); ++I) {
+    Chain = extendChain(Chain, Prompt.Parts[I].Id);
+    auto It = UsedAt.find({Upstream, Chain});
+    if (It == UsedAt.end() || Now - It->second >= cache_belief)
+      break;
+    Unread -= Prompt.Parts[I].Tokens;
+  }
+  return std::max<int64_t>(Unread, 0);
+}
+
+void prompt_cache_view::forget(const upstream_name &Upstream) {
+  absl::erase_if(UsedAt, [&](const auto &Entry) {
+    return Entry.first.Upstream == Upstream;
+  });
+}
+
+void prompt_cache_view::onTick(steady_time Now) {
+  if (Now < NextSweep)
+    return;
+  NextSweep = Now + sweep_period;
+  absl::erase_if(UsedAt, [&](const auto &Entry) {
+    return Now - Entry.second >= cache_belief;
+  });
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/routing/request_router.cc
@@ -0,0 +1,452 @@
+#include "routing/request_router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "monsoonreel/http_status.h"
+#include "routing/decision_log.h"
+
+namespace monsoonreel {
+
+namespace {
+
+// When a service has no upstream, one is listed again after about this time at
+// the earliest: a read of the registry and a connection.
+constexpr duration no_upstream_retry = std::chrono::milliseconds(500);
+// Until another entry or upstream has room after one was full.
+constexpr duration full_retry = std::chrono::milliseconds(150);
+// An entry that has just started knows the configuration after this time.
+constexpr duration no_config_retry = std::chrono::milliseconds(300);
+// A plain request that was abandoned has begun to run if it was sent so long
+// before.
+constexpr duration begins_within = std::chrono::milliseconds(20);
+
+// Spreads callers that are refused together: up to half as long again.
+duration spread(duration Wait, uint64_t Random) {
+  return Wait + Wait * static_cast<int64_t>(Random % 512) / 1024;
+}
+
+std::string_view outcomeOf(int Status) {
+  return Status < 400 ? "answered" : "upstream-failed";
+}
+
+} // namespace
+
+request_router::request_router(router_services Services, zone_name Zone)
+    : Services(Services), Zone(std::move(Zone)) {}
+
+// ---------------------------------------------------------------- admission
+
+void request_router::onArrival(const route_request &Arrived,
+                               const std::shared_ptr<const route_table> &Table,
+                               const router_context &Context,
+                               routing_effects &Effects) {
+  auto Owned = std::make_unique<active_request>();
+  active_request &Request = *Owned;
+  Request.Arrived = Arrived;
+  Request.Table = Table;
+  Request.ArrivedAt = Context.Now;
+  Requests[Arrived.Request] = std::move(Owned);
+  if (!Table)
+    return refuse(Request, http_status::service_unavailable, "starting",
+                  no_config_retry, Context, Effects);
+  if (Requests.size() > max_open_requests)
+    return refuse(Request, http_status::service_unavailable, "too-many-open",
+                  full_retry, Context, Effects);
+  Request.Route = Table->find(Arrived.Host, Arrived.Path);
+  if (!Request.Route)
+    return refuse(Request, http_status::not_found, "no-route", {}, Context,
+                  Effects);
+  Request.Rank = Request.Route->Rank;
+  if (!Request.Route->Public && Table->hasOrganisations()) {
+    const organisation_terms *Holder =
+        Arrived.Key ? Table->organisationOf(*Arrived.Key) : nullptr;
+    if (!Holder)
+      return refuse(Request, http_status::unauthorized, "unknown-key", {},
+                    Context, Effects);
+    Request.Organisation = Holder->Name;
+    Request.Rank = Holder->Rank.value_or(Request.Rank);
+  }
+  if (Arrived.CallerId.empty())
+    return refuse(Request, http_status::bad_request, "no-request-id", {},
+                  Context, Effects);
+  const pool_name *Service =
+      route_table::chooseService(*Request.Route, Context.Random);
+  Request.Service = Service ? Table->findService(*Service) : nullptr;
+  if (!Request.Service)
+    return refuse(Request, http_status::service_unavailable, "no-service",
+                  no_upstream_retry, Context, Effects);
+  duration Limit = Request.Route->Timeout;
+  if (Arrived.TimeLeft)
+    Limit = std::min(Limit, *Arrived.TimeLeft);
+  Request.EndsAt = Context.Now + Limit;
+  Services.Budget.onRequest(Request.Service->Name, Context.Now);
+  send(Request, Context, Effects);
+}
+
+placement_query request_router::queryFor(const active_request &Request,
+                                         const router_context &Context) const {
+  bool OnEngine = Request.Service->Engine && Request.Arrived.Prompt;
+  return {Services.Registry.serving(Request.Service->Name),
+          Zone,
+          OnEngine ? &*Request.Arrived.Prompt : nullptr,
+          OnEngine && isPaced(*Request.Arrived.Prompt),
+          Request.Tried,
+          Context.Now,
+          Context.Random};
+}
+
+// ----------------------------------------------------------------- attempts
+
+void request_router::send(active_request &Request,
+                          const router_context &Context,
+                          routing_effects &Effects) {
+  placement_query Query = queryFor(Request, Context);
+  std::optional<placement> Chosen = choosePlacement(
+      Query, {Services.Load, Services.Cache, Services.Trust});
+  if (!Chosen)
+    return giveUp(Request, "no-upstream", Context, Effects);
+  const upstream_entry &Entry = Chosen->Upstream->Entry;
+  attempt_number Attempt{++LastAttempt};
+  Attempts[Attempt] = Request.Arrived.Request;
+  Request.Attempt = Attempt;
+  Request.Upstream = Entry.Name;
+  Request.SentAt = Context.Now;
+  Request.Status = 0;
+  Request.Stream = Request.Held = false;
+  Request.Tried.push_back(Entry.Name);
+  ++Request.Sent;
+  Services.Load.begin(Attempt, Entry.Name, {Chosen->UnreadTokens, Query.Paced});
+  if (Query.Prompt)
+    Services.Cache.onDispatched(Entry.Name, *Query.Prompt, Context.Now);
+
+  route_dispatch Dispatch;
+  Dispatch.Attempt = Attempt;
+  Dispatch.Request = Request.Arrived.Request;
+  Dispatch.Upstream = Entry.Name;
+  Dispatch.Address = Entry.Address;
+  Dispatch.Organisation = Request.Organisation;
+  Dispatch.TimeLeft = Request.EndsAt - Context.Now;
+  Dispatch.Rank = Request.Rank;
+  Dispatch.ForEngine = Query.Prompt != nullptr;
+  if (Request.Begun)
+    Dispatch.ResumeAfter = Request.Events.lastId();
+  Dispatch.MaxConnections = std::max<int>(
+      1, Request.Service->MaxConnections / static_cast<int>(Context.Entries));
+  Effects.push_back(Dispatch);
+  Effects.push_back(decision("dispatched")
+                        .add("request", Request.Arrived.CallerId)
+                        .add("route", Request.Route->Name)
+                        .add("organisation", Request.Organisation)
+                        .add("upstream", Entry.Name)
+                        .add("attempt", Request.Sent)
+                        .add("config_version", Request.Table->config().Version)
+                        .add("registry_age", Context.RegistryAge)
+                        .add("candidates",
+                             static_cast<int64_t>(Query.Serving.size()))
+                        .add("cost", static_cast<int64_t>(Chosen->Cost))
+                        .add("unread", Chosen->UnreadTokens)
+                        .add("running", Chosen->Use.Running)
+                        .add("unread_before", Chosen->Use.UnreadTokens)
+                        .add("time_left", Dispatch.TimeLeft)
+                        .line(log_level::Info));
+}
+
+void request_router::endAttempt(active_request &Request) {
+  if (!Request.Attempt)
+    return;
+  Services.Load.end(*Request.Attempt);
+  Attempts.erase(*Request.Attempt);
+  Request.Attempt.reset();
+}
+
+request_router::active_request *
+request_router::ofAttempt(attempt_number Attempt) {
+  auto It = Attempts.find(Attempt);
+  if (It == Attempts.end())
+    return nullptr;
+  auto Found = Requests.find(It->second);
+  return Found == Requests.end() ? nullptr : Found->second.get();
+}
+
+bool request_router::mayResend(const active_request &Request, bool Arrived,
+                               const router_context &Context) {
+  if (Request.EndsAt - Context.Now < min_resend_time)
+    return false;
+  if (Request.Sent >= Request.Route->MaxAttempts)
+    return false;
+  bool Repeatable =
+      Request.Knowledge == run_knowledge::NotRun || Request.Route->mayRepeat();
+  // A stream whose events carry no ids can't go on elsewhere.
+  if (Request.Begun && !Request.Events.lastId())
+    return false;
+  return Repeatable &&
+         (!Arrived ||
+          Services.Budget.tryResend(Request.Service->Name, Context.Now));
+}
+
+void request_router::trySendAgain(active_request &Request, bool Arrived,
+                                  const char *Why,
+                                  const router_context &Context,
+                                  routing_effects &Effects) {
+  endAttempt(Request);
+  Effects.push_back(decision("attempt-failed")
+                        .add("request", Request.Arrived.CallerId)
+                        .add("upstream", Request.Upstream)
+                        .add("reason", Why)
+                        .add("ran", outcomeName(Request.Knowledge))
+                        .add("after", Context.Now - Request.SentAt)
+                        .line(log_level::Warning));
+  if (!mayResend(Request, Arrived, Context))
+    return giveUp(Request, Why, Context, Effects);
+  Request.Body.clear();
+  Request.Events.expectNextRun();
+  Effects.push_back(count_metric{"monsoonreel_resends_total",
+                                 {{"reason", Why}}});
+  send(Request, Context, Effects);
+}
+
+// ------------------------------------------------------------------ answers
+
+void request_router::onHead(const answer_head &Head,
+                            const router_context &Context,
+                            routing_effects &Effects) {
+  active_request *Request = ofAttempt(Head.Attempt);
+  if (!Request)
+    return;
+  Request->Status = Head.Status;
+  if (Head.WrongUpstream || Head.SaidNotRun) {
+    if (Head.WrongUpstream)
+      Services.Trust.onUnreachable(Request->Upstream, Context.Now);
+    else
+      Services.Trust.onFull(Request->Upstream, Context.Now);
+    Effects.push_back(route_cancel{Head.Attempt});
+    return trySendAgain(*Request, true,
+                        Head.WrongUpstream ? "wrong-upstream" : "upstream-full",
+                        Context, Effects);
+  }
+  Request->Knowledge = run_knowledge::Run;
+  bool Failed = Head.Status >= 500;
+  Services.Trust.onAnswer(Request->Upstream, Failed, Context.Now);
+  Request->Stream = Head.EventStream && Head.Status < 300;
+  if (Request->Begun && !Request->Stream) {
+    // The rest of a stream that has begun can't be an answer of another kind.
+    Effects.push_back(route_cancel{Head.Attempt});
+    return trySendAgain(*Request, true, "no-stream", Context, Effects);
+  }
+  Request->Held = !Request->Stream;
+  if (Request->Held)
+    countUsage(*Request, Context);
+}
+
+void request_router::countUsage(active_request &Request,
+                                const router_context &Context) {
+  if (std::exchange(Request.Counted, true) || Request.Organisation.empty())
+    return;
+  // A plain request begins when it reaches the upstream.
+  duration Ago = Request.Stream ? duration{} : Context.Now - Request.SentAt;
+  Services.Usage.count(Request.Organisation, Context.TrueTime - Ago);
+}
+
+void request_router::onData(const answer_data &Data,
+                            const router_context &Context,
+                            routing_effects &Effects) {
+  active_request *Request = ofAttempt(Data.Attempt);
+  if (!Request)
+    return;
+  if (Request->Stream)
+    return onStreamData(*Request, Data.Data, Context, Effects);
+  if (!Request->Held) {
+    Effects.push_back(route_write{Request->Arrived.Request, Data.Data});
+    return;
+  }
+  Request->Body += Data.Data;
+  if (Request->Body.size() <= max_whole_answer_bytes)
+    return;
+  Request->Held = false;
+  Request->Begun = true;
+  Effects.push_back(route_begin{Request->Arrived.Request, Data.Attempt});
+  Effects.push_back(route_write{Request->Arrived.Request,
+                                std::exchange(Request->Body, {})});
+}
+
+void request_router::onStreamData(active_request &Request,
+                                  const std::string &Data,
+                                  const router_context &Context,
+                                  routing_effects &Effects) {
+  Request.Events.add(Data);
+  std::string Whole = Request.Events.takeWhole();
+  if (Request.Events.hasGap() || Request.Events.isOversized()) {
+    Effects.push_back(route_cancel{*Request.Attempt});
+    return trySendAgain(Request, true, "broken-stream", Context, Effects);
+  }
+  if (Whole.empty())
+    return;
+  Services.Load.onFirstAnswer(*Request.Attempt);
+  countUsage(Request, Context);
+  if (!std::exchange(Request.Begun, true)) {
+    Effects.push_back(
+        route_begin{Request.Arrived.Request, *Request.Attempt});
+    Effects.push_back(
+        observe_metric{"monsoonreel_first_event_seconds",
+                       {{"route", Request.Route->Name}},
+                       std::chrono::duration<double>(Context.Now -
+                                                     Request.ArrivedAt)
+                           .count()});
+  }
+  Effects.push_back(
+      route_write{Request.Arrived.Request, std::move(Whole)});
+}
+
+void request_router::onEnd(const answer_end &End, const router_context &Context,
+                           routing_effects &Effects) {
+  active_request *Request = ofAttempt(End.Attempt);
+  if (!Request)
+    return;
+  if (Request->Stream && Request->Events.hasRest())
+    return trySendAgain(*Request, true, "broken-stream", Context, Effects);
+  request_id Id = Request->Arrived.Request;
+  if (Request->Held) {
+    route_answer Answer{Id, End.Attempt, std::move(Request->Body)};
+    if (Request->Status >= 500 && Request->Route->mayRepeat() &&
+        mayResend(*Request, true, Context)) {
+      Request->Fallback = std::move(Answer);
+      endAttempt(*Request);
+      Request->Body.clear();
+      Effects.push_back(
+          count_metric{"monsoonreel_resends_total", {{"reason", "failure"}}});
+      return send(*Request, Context, Effects);
+    }
+    Effects.push_back(std::move(Answer));
+  } else {
+    if (!std::exchange(Request->Begun, true))
+      Effects.push_back(route_begin{Id, End.Attempt});
+    Effects.push_back(route_finish{Id});
+  }
+  close(*Request, outcomeOf(Request->Status).data(), Context, Effects);
+}
+
+void request_router::onFailed(const route_attempt_failed &Failed,
+                              const router_context &Context,
+                              routing_effects &Effects) {
+  active_request *Request = ofAttempt(Failed.Attempt);
+  if (!Request)
+    return;
+  if (Failed.Failure == attempt_failure::NeverSent) {
+    --Request->Sent;
+    Services.Trust.onUnreachable(Request->Upstream, Context.Now);
+    return trySendAgain(*Request, false, "unreachable", Context, Effects);
+  }
+  if (Request->Knowledge == run_knowledge::NotRun)
+    Request->Knowledge = run_knowledge::Unknown;
+  if (Request->Status == 0)
+    Services.Trust.onUnreachable(Request->Upstream, Context.Now);
+  trySendAgain(*Request, true,
+               Failed.Failure == attempt_failure::Truncated ? "truncated"
+                                                            : "broken",
+               Context, Effects);
+}
+
+// --------------------------------------------------------------------- ends
+
+void request_router::onCallerGone(request_id Id, const router_context &Context,
+                                  routing_effects &Effects) {
+  auto It = Requests.find(Id);
+  if (It == Requests.end())
+    return;
+  active_request &Request = *It->second;
+  if (Request.Attempt) {
+    bool Began = !Request.Service->Engine && Request.Status == 0 &&
+                 Context.Now - Request.SentAt > begins_within;
+    if (Began)
+      countUsage(Request, Context);
+    Effects.push_back(route_cancel{*Request.Attempt});
+  }
+  close(Request, "caller-gone", Context, Effects);
+}
+
+void request_router::onTick(const router_context &Context,
+                            routing_effects &Effects) {
+  std::vector<request_id> Over;
+  for (const auto &[Id, Request] : Requests)
+    if (Context.Now >= Request->EndsAt)
+      Over.push_back(Id);
+  for (request_id Id : Over) {
+    active_request &Request = *Requests.find(Id)->second;
+    if (Request.Attempt) {
+      Effects.push_back(route_cancel{*Request.Attempt});
+      if (Request.Knowledge == run_knowledge::NotRun)
+        Request.Knowledge = run_knowledge::Unknown;
+      endAttempt(Request);
+    }
+    giveUp(Request, "timeout", Context, Effects);
+  }
+}
+
+void request_router::giveUp(active_request &Request, const char *Why,
+                            const router_context &Context,
+                            routing_effects &Effects) {
+  if (Request.Begun) {
+    Effects.push_back(route_abort{Request.Arrived.Request, Why});
+    return close(Request, "aborted", Context, Effects);
+  }
+  if (Request.Fallback) {
+    Effects.push_back(std::move(*Request.Fallback));
+    return close(Request, "upstream-failed", Context, Effects);
+  }
+  if (Request.Knowledge == run_knowledge::NotRun)
+    return refuse(Request, http_status::service_unavailable, Why,
+                  std::string_view(Why) == "upstream-full" ? full_retry
+                                                           : no_upstream_retry,
+                  Context, Effects);
+  bool Timeout = Context.Now >= Request.EndsAt;
+  refuse(Request,
+         Timeout ? http_status::gateway_timeout : http_status::bad_gateway, Why,
+         {}, Context, Effects);
+}
+
+void request_router::refuse(active_request &Request, int Status,
+                            const char *Code, duration RetryAfter,
+                            const router_context &Context,
+                            routing_effects &Effects) {
+  route_refusal Refusal;
+  Refusal.Request = Request.Arrived.Request;
+  Refusal.Status = Status;
+  Refusal.Code = Code;
+  Refusal.Outcome = Request.Knowledge;
+  Refusal.RetryAfter = spread(RetryAfter, Context.Random);
+  Effects.push_back(Refusal);
+  Effects.push_back(count_metric{"monsoonreel_refusals_total",
+                                 {{"code", Code},
+                                  {"status", std::to_string(Status)}}});
+  close(Request, Code, Context, Effects);
+}
+
+void request_router::close(active_request &Request, const char *Outcome,
+                           const router_context &Context,
+                           routing_effects &Effects) {
+  endAttempt(Request);
+  duration Took = Context.Now - Request.ArrivedAt;
+  int64_t Version = Request.Table ? Request.Table->config().Version : 0;
+  Effects.push_back(decision("ended")
+                        .add("request", Request.Arrived.CallerId)
+                        .add("outcome", Outcome)
+                        .add("status", Request.Status)
+                        .add("ran", outcomeName(Request.Knowledge))
+                        .add("upstream", Request.Upstream)
+                        .add("sent", Request.Sent)
+                        .add("events", Request.Events.taken())
+                        .add("config_version", Version)
+                        .add("registry_age", Context.RegistryAge)
+                        .add("took", Took)
+                        .line(log_level::Info));
+  Effects.push_back(count_metric{"monsoonreel_route_requests_total",
+                                 {{"outcome", Outcome}}});
+  Effects.push_back(
+      observe_metric{"monsoonreel_route_request_seconds",
+                     {{"route", Request.Route ? Request.Route->Name : "none"}},
+                     std::chrono::duration<double>(Took).count()});
+  Requests.erase(Request.Arrived.Request);
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/routing/route_table.h
@@ -0,0 +1,59 @@
+// Finds the route, the organisation and the service of a request.
+//
+//   route_table Table(Config);
+//   const host_route *Route = Table.find("api.example", "/chat/7");
+//
+// A table is built once for each configuration and never changes, so requests
+// keep a shared pointer to the one that they were admitted with.
+
+#ifndef ROUTING_ROUTE_TABLE_H
+#define ROUTING_ROUTE_TABLE_H
+
+#include <string>
+#include <string_view>
+
+#include "absl/container/flat_hash_map.h"
+
+#include "routing/site_config.h"
+
+namespace monsoonreel {
+
+class route_table {
+public:
+  explicit route_table(site_config Config);
+
+  // The route of Host with the longest prefix of Path, or nullptr.
+  const host_route *find(std::string_view Host, std::string_view Path) const;
+
+  // The organisation that holds Key, or nullptr.
+  const organisation_terms *organisationOf(const key_hash &Key) const;
+
+  const service *findService(const pool_name &Name) const;
+
+  // The service that a request of Route goes to. Draw spreads requests over
+  // the services by their weights; the same number gives the same service.
+  static const pool_name *chooseService(const host_route &Route, uint64_t Draw);
+
+  // Whether callers need keys at all.
+  bool hasOrganisations() const { return !Config.Organisations.empty(); }
+  const site_config &config() const { return Config; }
+
+private:
+  struct route_key {
+    std::string Host;
+    std::string Prefix;
+    bool operator==(const route_key &) const = default;
+    template <typename H> friend H AbslHashValue(H State, const route_key &K) {
+      return H::combine(std::move(State), K.Host, K.Prefix);
+    }
+  };
+
+  site_config Config;
+  absl::flat_hash_map<route_key, size_t> ByPrefix;
+  absl::flat_hash_map<key_hash, size_t> ByKey;
+  absl::flat_hash_map<pool_name, size_t> ByService;
+};
+
+} // namespace monsoonreel
+
+#endif // ROUTING_ROUTE_TABLE_H
--- /dev/null
+++ b/routing/routing_effect.h
@@ -0,0 +1,139 @@
+// Effects: everything that a routing node can ask for. See monsoonreel/effect.h
+// for how effects are meant.
+
+#ifndef ROUTING_ROUTING_EFFECT_H
+#define ROUTING_ROUTING_EFFECT_H
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "monsoonreel/monsoonreel.h"
+#include "routing/site_config.h"
+
+namespace monsoonreel {
+
+// ------------------------------------------------------------------ callers
+
+// Answers a request by the router itself.
+struct route_refusal {
+  request_id Request;
+  int Status = 503;
+  std::string Code; // stable and machine readable, such as "no-upstream"
+  run_knowledge Outcome = run_knowledge::NotRun;
+  duration RetryAfter{}; // zero: none is named
+};
+
+// Passes an upstream's answer on: the head of Attempt with a body whose length
+// is not known yet.
+struct route_begin {
+  request_id Request;
+  attempt_number Attempt;
+};
+struct route_write {
+  request_id Request;
+  std::string Data;
+};
+struct route_finish {
+  request_id Request;
+};
+// Closes the connection, so that the caller can't take a part for the whole.
+struct route_abort {
+  request_id Request;
+  std::string Reason;
+};
+// Passes a complete answer on.
+struct route_answer {
+  request_id Request;
+  attempt_number Attempt;
+  std::string Body;
+};
+
+// ---------------------------------------------------------------- upstreams
+
+struct route_dispatch {
+  attempt_number Attempt;
+  request_id Request;
+  upstream_name Upstream;
+  address Address;
+  organisation_name Organisation; // empty on public routes
+  duration TimeLeft{};
+  int Rank = 0;
+  bool ForEngine = false; // ranks are known to engines only
+  // Set when a stream goes on at another upstream.
+  std::optional<int64_t> ResumeAfter;
+  int MaxConnections = 0; // of this process at the upstream
+};
+
+// Closes the connection of an attempt. No event about it follows.
+struct route_cancel {
+  attempt_number Attempt;
+};
+
+// --------------------------------------------------------------- own entries
+
+// A message to every other live entry.
+struct tell_entries {
+  wire::peer_message Message;
+};
+
+// ----------------------------------------------------------------- platform
+
+struct read_feed {
+  std::string Feed;
+  bool Whole = false;
+  int64_t From = 0;
+  duration Wait{};
+};
+struct abandon_feed_read {
+  std::string Feed;
+};
+
+struct append_duty {
+  wire::duty_record Record;
+  int64_t At = 0; // appended only if the log ends here
+};
+struct read_duty_log {
+  int64_t From = 0;
+};
+
+// Holder, Fence and NotAfter: see `lease_holder`. The daemon reads the clock
+// again right before it writes and drops the call when NotAfter has passed.
+struct report_usage {
+  wire::window_counts Figures;
+  int64_t Fence = 0;
+  steady_time NotAfter;
+};
+struct order_capacity {
+  pool_name Service;
+  zone_name Zone;
+  int Count = 0;
+  bool Reclaimable = false;
+  int64_t Fence = 0;
+  steady_time NotAfter;
+};
+
+// ------------------------------------------------------------------ process
+
+struct apply_bounds {
+  caller_bounds Bounds;
+};
+struct set_ready {
+  bool Ready = false;
+};
+
+using routing_effect =
+    std::variant<route_refusal, route_begin, route_write, route_finish,
+                 route_abort, route_answer, route_dispatch, route_cancel,
+                 tell_entries, send_message, reset_link, read_feed,
+                 abandon_feed_read, append_duty, read_duty_log, report_usage,
+                 order_capacity, apply_bounds, set_ready, log_line,
+                 count_metric, observe_metric, set_gauge, drain_finished>;
+
+using routing_effects = std::vector<routing_effect>;
+
+} // namespace monsoonreel
+
+#endif // ROUTING_ROUTING_EFFECT_H
--- /dev/null
+++ b/routing/routing_event.h
@@ -0,0 +1,182 @@
+// Events: everything that a routing node can be told.
+//
+// As in monsoonreel/event.h, each event comes with the clock readings and a
+// random number. `Now` is boot time, which goes on while the VM is suspended,
+// so what was believed before a pause has aged by the pause.
+
+#ifndef ROUTING_ROUTING_EVENT_H
+#define ROUTING_ROUTING_EVENT_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "monsoonreel/monsoonreel.h"
+#include "routing/site_config.h"
+
+namespace monsoonreel {
+
+// ------------------------------------------------------------------ callers
+
+// A part of a prompt. Prompts share parts; an engine that has a part cached,
+// and all parts before it, need not read it again.
+struct prompt_part {
+  uint64_t Id = 0;
+  int Tokens = 0;
+};
+
+struct prompt_info {
+  std::string Model;
+  int PromptTokens = 0;
+  int MaxOutputTokens = 0;
+  // In order; the last one belongs to the request or its session alone.
+  std::vector<prompt_part> Parts;
+};
+
+// A caller's request with head and body read. Body and headers stay with the
+// I/O layer, which sends them when an attempt is made.
+struct route_request {
+  request_id Request;
+  std::string CallerId; // the caller's own name for this attempt of its
+  std::string Host;
+  std::string Path;
+  std::optional<key_hash> Key; // unset: none came
+  std::optional<duration> TimeLeft;
+  std::optional<prompt_info> Prompt;
+  std::optional<int64_t> LastEventId;
+  int64_t BodyBytes = 0;
+};
+
+struct route_caller_gone {
+  request_id Request;
+};
+
+// ---------------------------------------------------------------- upstreams
+
+// The head of an upstream's answer.
+struct answer_head {
+  attempt_number Attempt;
+  int Status = 0;
+  // The upstream said that it has not begun the request.
+  bool SaidNotRun = false;
+  // Another upstream has the address by now. The request has not run.
+  bool WrongUpstream = false;
+  bool EventStream = false;
+};
+
+struct answer_data {
+  attempt_number Attempt;
+  std::string Data;
+};
+
+// The answer is complete.
+struct answer_end {
+  attempt_number Attempt;
+};
+
+struct route_attempt_failed {
+  attempt_number Attempt;
+  attempt_failure Failure = attempt_failure::Broken;
+  std::string Detail;
+};
+
+// ----------------------------------------------------------------- platform
+
+// What the platform lists of one upstream.
+struct upstream_entry {
+  upstream_name Name;
+  pool_name Service;
+  address Address;
+  zone_name Zone;
+  int Slots = 1;
+  bool Draining = false;
+  bool Reclaimable = false;
+  // Until a reclaimable upstream is taken away, once that is announced.
+  std::optional<duration> LeavesIn;
+  // Since the Unix epoch; tells two lives of one name apart.
+  std::chrono::milliseconds StartedAt{};
+  int64_t Sequence = 0; // of what this life has said
+};
+
+// Key: what was removed or could not be read; the same as the entry's name.
+struct upstream_listed {
+  std::string Key;
+  std::optional<upstream_entry> Entry; // unset: no upstream to use
+  bool AfterOutage = false;            // see feed_change
+};
+
+struct config_received {
+  site_config Config;
+};
+
+// An answer to `read_feed`.
+struct feed_read {
+  std::string Feed;
+  bool Whole = false;
+  int64_t From = 0;
+  int64_t End = 0;
+  std::vector<wire::feed_record> Records;
+};
+
+struct feed_read_failed {
+  std::string Feed;
+  std::string Reason;
+  bool HistoryCut = false; // records from the offset on are gone
+};
+
+// How an append to the duty log ended.
+enum class append_outcome {
+  Done,
+  Conflict, // the log ends elsewhere; nothing was appended
+  Refused,  // nothing was appended
+  Unknown,  // no answer: it may take effect later
+};
+
+struct duty_appended {
+  append_outcome Outcome = append_outcome::Unknown;
+  int64_t Offset = 0;
+  int64_t End = 0; // with Done and Conflict
+};
+
+struct duty_log_read {
+  bool Ok = false;
+  bool HistoryCut = false;
+  int64_t From = 0;
+  int64_t Start = 0; // oldest record that is kept
+  int64_t End = 0;
+  std::vector<wire::stored_record> Records;
+};
+
+struct usage_answered {
+  int64_t Window = 0;
+  bool Accepted = false;
+};
+
+struct capacity_answered {
+  pool_name Service;
+  zone_name Zone;
+  bool Reclaimable = false;
+  int Count = 0;
+  bool Accepted = false;
+  bool NoneAvailable = false; // the platform has none there at the moment
+};
+
+using routing_event_body =
+    std::variant<tick, route_request, route_caller_gone, answer_head,
+                 answer_data, answer_end, route_attempt_failed,
+                 peer_message_received, feed_read, feed_read_failed,
+                 duty_appended, duty_log_read, usage_answered,
+                 capacity_answered, drain_requested>;
+
+struct routing_event {
+  steady_time Now; // boot time
+  wall_time Wall;
+  uint64_t Random = 0;
+  routing_event_body Body;
+};
+
+} // namespace monsoonreel
+
+#endif // ROUTING_ROUTING_EVENT_H
--- /dev/null
+++ b/routing/routing_node.cc
@@ -0,0 +1,496 @@
+#include "routing/routing_node.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "monsoonreel/rendezvous.h"
+#include "routing/decision_log.h"
+
+namespace monsoonreel {
+
+namespace {
+
+// A leaving upstream may be used until two seconds after the store has taken
+// its notice in, so the registry is read several times within that.
+constexpr duration upstream_read_period = std::chrono::milliseconds(450);
+// The store answers at once when there is a new configuration, and a read that
+// was lost by a silent connection is noticed soon.
+constexpr duration config_read_wait = std::chrono::milliseconds(1000);
+
+// Effects of modules that entries of both kinds use.
+void append(effect_list &&From, routing_effects &Effects) {
+  for (effect &Effect : From)
+    std::visit(
+        [&](auto &Value) {
+          using type = std::decay_t<decltype(Value)>;
+          if constexpr (std::is_constructible_v<routing_effect, type>)
+            Effects.emplace_back(std::move(Value));
+        },
+        Effect);
+}
+
+std::string describe(const finding_list &Findings) {
+  std::string Text;
+  for (const finding &Finding : Findings.all())
+    Text += (Text.empty() ? "" : "; ") + Finding.Place.Path + ": " +
+            Finding.Message;
+  return Text;
+}
+
+} // namespace
+
+routing_node::routing_node(node_identity Self,
+                           const std::vector<address> &Seeds,
+                           routing_terms Chosen,
+                           std::shared_ptr<const listing_decoder> Listings)
+    : Identity(std::move(Self)), Terms(std::move(Chosen)),
+      Decoder(std::move(Listings)),
+      Members(Identity, wire::member_role::Entry, Seeds),
+      ConfigFeed({Terms.Feeds.Config, duration{}, config_read_wait}),
+      UpstreamFeed({Terms.Feeds.Upstreams, upstream_read_period, duration{}}),
+      Budget(Terms.Resends), Usage(Terms.UsageWindow),
+      Requests({Registry, Load, Cache, Trust, Budget, Usage}, Identity.Zone),
+      Duties(Terms.Duties, Identity) {}
+
+routing_node::~routing_node() = default;
+
+void routing_node::handle(const routing_event &Event,
+                          routing_effects &Effects) {
+  size_t From = Effects.size();
+  std::visit([&](const auto &Body) { onEvent(Body, Event, Effects); },
+             Event.Body);
+  if (bool Ready = isReady(); Ready != WasReady) {
+    WasReady = Ready;
+    Effects.push_back(set_ready{Ready});
+    Effects.push_back(decision(Ready ? "ready" : "not-ready")
+                          .add("config_known", ConfigFeed.isKnown() ? 1 : 0)
+                          .add("upstreams", static_cast<int64_t>(Registry.size()))
+                          .add("draining", DrainingSince ? 1 : 0)
+                          .line(log_level::Info));
+  }
+  addressToEntries(From, Effects);
+}
+
+bool routing_node::isReady() const {
+  return Table && UpstreamFeed.isKnown() && !DrainingSince;
+}
+
+router_context routing_node::contextOf(const routing_event &Event) const {
+  return {Event.Now, Clock.at(Event.Now), Event.Random,
+          UpstreamFeed.isKnown() ? UpstreamFeed.age(Event.Now) : duration{},
+          EntryCount};
+}
+
+void routing_node::addressToEntries(size_t From, routing_effects &Effects) {
+  routing_effects Sent;
+  for (size_t I = From; I < Effects.size(); ++I)
+    if (auto *Tell = std::get_if<tell_entries>(&Effects[I]))
+      sendToEntries(Tell->Message, Sent);
+  if (Sent.empty())
+    return;
+  std::erase_if(Effects, [](const routing_effect &Effect) {
+    return std::holds_alternative<tell_entries>(Effect);
+  });
+  std::move(Sent.begin(), Sent.end(), std::back_inserter(Effects));
+}
+
+void routing_node::sendToEntries(const wire::peer_message &Message,
+                                 routing_effects &Effects) {
+  for (const wire::member &Member : Members.alive(wire::member_role::Entry))
+    if (Member.Name != Identity.Name.Value)
+      Effects.push_back(send_message{node_name(Member.Name),
+                                     address(Member.Address), Message});
+}
+
+// --------------------------------------------------------------------- time
+
+void routing_node::onEvent(const tick & /*Tick*/, const routing_event &Event,
+                           routing_effects &Effects) {
+  Clock.onOwn(Event.Now, Event.Wall);
+  effect_list MemberEffects;
+  Members.onTick(Event.Now, Event.Random, log_offset{}, MemberEffects);
+  append(std::move(MemberEffects), Effects);
+
+  Load.onTick(Event.Now);
+  Cache.onTick(Event.Now);
+  ConfigFeed.onTick(Event.Now, readerRank(ConfigFeed.name()), Effects);
+  UpstreamFeed.onTick(Event.Now, readerRank(UpstreamFeed.name()), Effects);
+  Registry.onTick(Event.Now, UpstreamFeed.isStoreFailing());
+  EntryCount = Members.alive(wire::member_role::Entry).size();
+  Budget.setEntries(EntryCount);
+  Requests.onTick(contextOf(Event), Effects);
+  if (!DrainingSince && (Terms.ReportsUsage || Terms.OrdersUpstreams))
+    carryOutDuties(Event, Effects);
+  if (Event.Now >= NextReport)
+    tellReport(Event, Effects);
+  checkDrain(Event, Effects);
+}
+
+size_t routing_node::readerRank(const std::string &Feed) const {
+  uint64_t Own = rendezvousWeight(Feed, Identity.Name.Value);
+  size_t Rank = 0;
+  for (const wire::member &Member : Members.alive(wire::member_role::Entry))
+    if (rendezvousWeight(Feed, Member.Name) > Own)
+      ++Rank;
+  return Rank;
+}
+
+// ------------------------------------------------------- callers, upstreams
+
+void routing_node::onEvent(const route_request &Arrived,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  Requests.onArrival(Arrived, UpstreamFeed.isKnown() ? Table : nullptr,
+                     contextOf(Event), Effects);
+}
+
+void routing_node::onEvent(const route_caller_gone &Gone,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  Requests.onCallerGone(Gone.Request, contextOf(Event), Effects);
+}
+
+void routing_node::onEvent(const answer_head &Head, const routing_event &Event,
+                           routing_effects &Effects) {
+  Requests.onHead(Head, contextOf(Event), Effects);
+}
+
+void routing_node::onEvent(const answer_data &Data, const routing_event &Event,
+                           routing_effects &Effects) {
+  Requests.onData(Data, contextOf(Event), Effects);
+}
+
+void routing_node::onEvent(const answer_end &End, const routing_event &Event,
+                           routing_effects &Effects) {
+  Requests.onEnd(End, contextOf(Event), Effects);
+}
+
+void routing_node::onEvent(const route_attempt_failed &Failed,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  Requests.onFailed(Failed, contextOf(Event), Effects);
+}
+
+// -------------------------------------------------------------------- peers
+
+void routing_node::onEvent(const peer_message_received &Received,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  effect_list MemberEffects;
+  if (Members.onMessage(Received, Event.Now, MemberEffects))
+    return append(std::move(MemberEffects), Effects);
+  if (const auto *Report =
+          std::get_if<wire::entry_report>(&Received.Message))
+    return onReport(Received.From, *Report, Event.Now);
+  if (const auto *News = std::get_if<wire::feed_news>(&Received.Message))
+    if (keyed_feed *Feed = feedOf(News->Feed))
+      applyChanges(*Feed, Feed->onNews(*News, Event.Now), Event.Now, Effects);
+}
+
+void routing_node::onReport(const node_name &From,
+                            const wire::entry_report &Report,
+                            steady_time Now) {
+  ReportedAt[From] = Now;
+  Load.onReport(From, Report, Now);
+  Clock.onPeer(From, Now, wall_time(fromMicros(Report.WallMicros)));
+  Usage.onReport(From, Report.Incarnation, Report.Windows);
+  HeardFiguredWindow = std::max(HeardFiguredWindow, Report.LastFiguredWindow);
+  if (Report.DutyClaimOffset >= 0 && !Report.DutyHolder.empty())
+    Duties.onPeerClaim({Report.DutyHolder, Report.DutyIncarnation,
+                        Report.DutyFence, Report.DutyClaimOffset, false},
+                       Now);
+}
+
+void routing_node::tellReport(const routing_event &Event,
+                              routing_effects &Effects) {
+  NextReport = Event.Now + report_period;
+  wire::entry_report Report;
+  Report.Incarnation = Identity.Incarnation.Value;
+  Report.Sequence = ++ReportSequence;
+  Report.Uses = Load.ownUses();
+  if (Event.Now >= NextUsageTold || Finished) {
+    NextUsageTold = Event.Now + usage_told_period;
+    Usage.forgetBefore(
+        std::max(HeardFiguredWindow + 1,
+                 Usage.windowAt(Clock.at(Event.Now)) - kept_windows));
+    Report.Windows = Usage.ownWindows();
+  }
+  Report.WallMicros = toMicros(Event.Wall.time_since_epoch());
+  const duty_claim_view &Claim = Duties.claim();
+  Report.DutyClaimOffset = Claim.Released ? -1 : Claim.Offset;
+  // Only the holder knows how long it is in charge; hearsay must not renew it.
+  if (Duties.isMine()) {
+    Report.DutyHolder = Claim.Holder;
+    Report.DutyIncarnation = Claim.Incarnation;
+    Report.DutyFence = Claim.Fence;
+    Report.LastFiguredWindow = Duties.lastFiguredWindow();
+  }
+  Effects.push_back(tell_entries{wire::peer_message(std::move(Report))});
+}
+
+// ----------------------------------------------------------------- platform
+
+keyed_feed *routing_node::feedOf(const std::string &Name) {
+  if (Name == ConfigFeed.name())
+    return &ConfigFeed;
+  return Name == UpstreamFeed.name() ? &UpstreamFeed : nullptr;
+}
+
+void routing_node::onEvent(const feed_read &Read, const routing_event &Event,
+                           routing_effects &Effects) {
+  keyed_feed *Feed = feedOf(Read.Feed);
+  if (!Feed)
+    return;
+  if (std::exchange(StoreFailing, false))
+    Effects.push_back(decision("store-regained")
+                          .add("feed", Read.Feed)
+                          .add("out_for", Event.Now - Feed->lastFailure())
+                          .line(log_level::Info));
+  applyChanges(*Feed, Feed->onRead(Read, Event.Now, Effects), Event.Now,
+               Effects);
+}
+
+void routing_node::onEvent(const feed_read_failed &Failed,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  keyed_feed *Feed = feedOf(Failed.Feed);
+  if (!Feed)
+    return;
+  Feed->onReadFailed(Failed, Event.Now);
+  if (!Failed.HistoryCut && !std::exchange(StoreFailing, true))
+    Effects.push_back(decision("store-lost")
+                          .add("feed", Failed.Feed)
+                          .add("reason", Failed.Reason)
+                          .line(log_level::Warning));
+}
+
+void routing_node::applyChanges(const keyed_feed &Feed,
+                                const std::vector<feed_change> &Changes,
+                                steady_time Now, routing_effects &Effects) {
+  for (const feed_change &Change : Changes) {
+    if (&Feed == &UpstreamFeed)
+      applyUpstream(Change, Now, Effects);
+    else if (Change.Key == Terms.Feeds.ConfigKey)
+      applyConfig(Change, Now, Effects);
+  }
+}
+
+void routing_node::applyUpstream(const feed_change &Change, steady_time Now,
+                                 routing_effects &Effects) {
+  upstream_listed Listed{Change.Key, {}, Change.AfterOutage};
+  if (Change.Value) {
+    auto Decoded = Decoder->decodeUpstream(Change.Key, *Change.Value);
+    if (Decoded)
+      Listed.Entry = std::move(*Decoded);
+    else
+      Effects.push_back(decision("upstream-entry-refused")
+                            .add("key", Change.Key)
+                            .add("findings", describe(Decoded.error()))
+                            .line(log_level::Warning));
+  }
+  const upstream_state *Before = Registry.find(upstream_name(Change.Key));
+  bool Restarted = Before && Listed.Entry &&
+                   Before->Entry.StartedAt != Listed.Entry->StartedAt;
+  bool Changed = !Before || !Listed.Entry ||
+                 Before->Entry.Draining != Listed.Entry->Draining;
+  bool Known = Before != nullptr;
+  Registry.onListed(Listed, Now);
+  if (Restarted) {
+    Cache.forget(upstream_name(Change.Key));
+    Trust.forget(upstream_name(Change.Key));
+  }
+  if (!(Changed || Restarted) || (!Known && !Listed.Entry))
+    return;
+  const char *State = "removed";
+  if (Listed.Entry)
+    State = Listed.Entry->Draining ? "draining" : "serving";
+  Effects.push_back(decision("upstream-listed")
+                        .add("upstream", Change.Key)
+                        .add("state", State)
+                        .add("restarted", Restarted ? 1 : 0)
+                        .add("after_outage", Change.AfterOutage ? 1 : 0)
+                        .add("feed_offset", UpstreamFeed.end())
+                        .line(log_level::Info));
+}
+
+void routing_node::applyConfig(const feed_change &Change, steady_time Now,
+                               routing_effects &Effects) {
+  if (!Change.Value)
+    return; // a removal of the record leaves the configuration in force
+  auto Decoded = Decoder->decodeConfig(*Change.Value);
+  if (!Decoded) {
+    Effects.push_back(decision("config-refused")
+                          .add("findings", describe(Decoded.error()))
+                          .line(log_level::Error));
+    return;
+  }
+  Effects.push_back(apply_bounds{Decoded->Bounds});
+  Table = std::make_shared<const route_table>(std::move(*Decoded));
+  Effects.push_back(
+      decision("config-in-force")
+          .add("version", Table->config().Version)
+          .add("routes", static_cast<int64_t>(Table->config().Routes.size()))
+          .add("feed_offset", ConfigFeed.end())
+          .add("feed_age", ConfigFeed.age(Now))
+          .line(log_level::Info));
+}
+
+// ------------------------------------------------------------------- duties
+
+void routing_node::onEvent(const duty_appended &Appended,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  Duties.onAppended(Appended, Event.Now, Effects);
+  logHolder(Effects);
+}
+
+void routing_node::onEvent(const duty_log_read &Read,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  Duties.onRead(Read, Event.Now, Effects);
+  logHolder(Effects);
+}
+
+void routing_node::logHolder(routing_effects &Effects) {
+  if (Duties.holder() == LoggedHolder)
+    return;
+  LoggedHolder = Duties.holder();
+  Effects.push_back(decision("duty-holder")
+                        .add("holder", LoggedHolder)
+                        .add("fence", Duties.fence())
+                        .add("own", Duties.isMine() ? 1 : 0)
+                        .line(log_level::Info));
+}
+
+void routing_node::carryOutDuties(const routing_event &Event,
+                                  routing_effects &Effects) {
+  Duties.onTick(Event.Now, Event.Random, Effects);
+  if (!Duties.mayAct(Event.Now))
+    return;
+  if (Terms.ReportsUsage)
+    reportUsage(Event, Effects);
+  bool Known = Table && UpstreamFeed.isKnown();
+  if (!Terms.OrdersUpstreams || !Known || Event.Now < NextPlan)
+    return;
+  NextPlan = Event.Now + capacity_plan_period;
+  for (const capacity_target &Target :
+       Capacity.plan({Table->config(), Registry, Load}, Event.Now)) {
+    Effects.push_back(order_capacity{Target.Service, Target.Zone, Target.Count,
+                                     Target.Reclaimable, Duties.fence(),
+                                     Duties.notAfter()});
+    Effects.push_back(decision("capacity-ordered")
+                          .add("service", Target.Service)
+                          .add("zone", Target.Zone)
+                          .add("reclaimable", Target.Reclaimable ? 1 : 0)
+                          .add("count", Target.Count)
+                          .add("fence", Duties.fence())
+                          .add("registry_age", UpstreamFeed.age(Event.Now))
+                          .line(log_level::Info));
+  }
+}
+
+// Whether every live entry has reported since the window's end.
+bool routing_node::haveAllReported(int64_t Window, steady_time Now) const {
+  duration SinceEnd = Clock.at(Now) - Usage.endOf(Window);
+  steady_time Enough = Now - SinceEnd + usage_told_period;
+  for (const wire::member &Member : Members.alive(wire::member_role::Entry)) {
+    if (Member.Name == Identity.Name.Value)
+      continue;
+    auto It = ReportedAt.find(node_name(Member.Name));
+    if (It == ReportedAt.end() || It->second < Enough)
+      return false;
+  }
+  return true;
+}
+
+void routing_node::reportUsage(const routing_event &Event,
+                               routing_effects &Effects) {
+  wall_time TrueTime = Clock.at(Event.Now);
+  int64_t Present = Usage.windowAt(TrueTime);
+  for (int64_t Window = Present - reported_windows; Window < Present;
+       ++Window) {
+    const wire::window_counts *Figures = Duties.figures(Window);
+    duration SinceEnd = TrueTime - Usage.endOf(Window);
+    if (!Figures) {
+      bool Settled = SinceEnd >= usage_settle_time &&
+                     (haveAllReported(Window, Event.Now) ||
+                      SinceEnd >= usage_longest_wait);
+      if (Settled)
+        Duties.fixFigures(Usage.sum(Window));
+      continue;
+    }
+    steady_time &NextSend =
+        UsageSent.try_emplace(Window, steady_time::min()).first->second;
+    if (Event.Now < NextSend)
+      continue;
+    NextSend = Event.Now + usage_retry_period;
+    Effects.push_back(
+        report_usage{*Figures, Duties.fence(), Duties.notAfter()});
+    Effects.push_back(
+        decision("usage-reported")
+            .add("window", Window)
+            .add("organisations", static_cast<int64_t>(Figures->Counts.size()))
+            .add("fence", Duties.fence())
+            .add("after_end", SinceEnd)
+            .line(log_level::Info));
+  }
+  UsageSent.erase(UsageSent.begin(),
+                  UsageSent.lower_bound(Present - 2 * reported_windows));
+}
+
+void routing_node::onEvent(const usage_answered &Answer,
+                           const routing_event & /*Event*/,
+                           routing_effects &Effects) {
+  if (Answer.Accepted) {
+    UsageSent[Answer.Window] = steady_time::max();
+    return;
+  }
+  Effects.push_back(decision("usage-report-failed")
+                        .add("window", Answer.Window)
+                        .line(log_level::Warning));
+}
+
+void routing_node::onEvent(const capacity_answered &Answer,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  Capacity.onAnswered(Answer, Event.Now);
+  if (!Answer.Accepted)
+    Effects.push_back(decision("capacity-order-failed")
+                          .add("service", Answer.Service)
+                          .add("zone", Answer.Zone)
+                          .add("reclaimable", Answer.Reclaimable ? 1 : 0)
+                          .add("count", Answer.Count)
+                          .add("none_available", Answer.NoneAvailable ? 1 : 0)
+                          .line(log_level::Warning));
+}
+
+// -------------------------------------------------------------------- drain
+
+void routing_node::onEvent(const drain_requested & /*Drain*/,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  if (DrainingSince)
+    return;
+  DrainingSince = Event.Now;
+  Members.announceLeaving();
+  Duties.release();
+  Effects.push_back(decision("draining")
+                        .add("open", static_cast<int64_t>(Requests.open()))
+                        .line(log_level::Info));
+}
+
+void routing_node::checkDrain(const routing_event &Event,
+                              routing_effects &Effects) {
+  if (!DrainingSince || Finished)
+    return;
+  Duties.onTick(Event.Now, Event.Random, Effects);
+  if (Event.Now - *DrainingSince < drain_serving_time || Requests.open() > 0)
+    return;
+  Finished = true;
+  tellReport(Event, Effects);
+  Effects.push_back(drain_finished{});
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/routing/routing_node.h
@@ -0,0 +1,202 @@
+// The reducer of an entry that routes by host and path.
+//
+//   auto Node = routing_node_builder(Identity)
+//                   .seeds(Seeds)
+//                   .feeds({"config-feed", "config-key", "upstream-feed"})
+//                   .decoder(Decoder)
+//                   .build();
+//   routing_effects Effects;
+//   Node->handle(Event, Effects);
+//
+// All entries are alike. Each serves its callers by what it knows itself:
+// configuration and upstreams come by two keyed feeds, what the others have
+// under way by their reports. One of them at a time reports usage and orders
+// upstreams, under the lease of the duty log.
+
+#ifndef ROUTING_ROUTING_NODE_H
+#define ROUTING_ROUTING_NODE_H
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "monsoonreel/membership.h"
+#include "routing/capacity_policy.h"
+#include "routing/duty_log.h"
+#include "routing/keyed_feed.h"
+#include "routing/listing_decoder.h"
+#include "routing/request_router.h"
+#include "routing/true_time.h"
+
+namespace monsoonreel {
+
+// Between two reports to the other entries: several within the time that a long
+// prompt takes to be read.
+constexpr duration report_period = std::chrono::milliseconds(100);
+// Between two reports that hold the usage windows as well.
+constexpr duration usage_told_period = std::chrono::milliseconds(500);
+// After a window's end, for its last counts to arrive.
+constexpr duration usage_settle_time = std::chrono::milliseconds(1200);
+// So long an entry that reports nothing is waited for; a report is due ten
+// seconds after its window's end at the platforms that are known.
+constexpr duration usage_longest_wait = std::chrono::seconds(6);
+// Without an answer, a usage report is repeated.
+constexpr duration usage_retry_period = std::chrono::milliseconds(1500);
+// Windows before the present one that are still reported.
+constexpr int64_t reported_windows = 4;
+constexpr duration capacity_plan_period = std::chrono::milliseconds(500);
+// After the request to end, new requests are still served for so long, because
+// the platform's balancer sends them until it has missed two probes.
+constexpr duration drain_serving_time = std::chrono::milliseconds(3300);
+
+// Names of the feeds of the platform's store.
+struct feed_names {
+  std::string Config;
+  std::string ConfigKey; // of the record that holds the configuration
+  std::string Upstreams;
+};
+
+struct routing_terms {
+  feed_names Feeds;
+  duration UsageWindow = std::chrono::seconds(5);
+  resend_terms Resends;
+  duty_terms Duties;
+  bool ReportsUsage = true;
+  bool OrdersUpstreams = true;
+};
+
+class routing_node {
+public:
+  routing_node(node_identity Identity, const std::vector<address> &Seeds,
+               routing_terms Terms,
+               std::shared_ptr<const listing_decoder> Decoder);
+  ~routing_node();
+  routing_node(const routing_node &) = delete;
+  routing_node &operator=(const routing_node &) = delete;
+
+  void handle(const routing_event &Event, routing_effects &Effects);
+  bool isReady() const;
+  size_t openRequests() const { return Requests.open(); }
+
+private:
+  void onEvent(const tick &Tick, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const route_request &Arrived, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const route_caller_gone &Gone, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const answer_head &Head, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const answer_data &Data, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const answer_end &End, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const route_attempt_failed &Failed, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const peer_message_received &Received,
+               const routing_event &Event, routing_effects &Effects);
+  void onEvent(const feed_read &Read, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const feed_read_failed &Failed, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const duty_appended &Appended, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const duty_log_read &Read, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const usage_answered &Answer, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const capacity_answered &Answer, const routing_event &Event,
+               routing_effects &Effects);
+  void onEvent(const drain_requested &Drain, const routing_event &Event,
+               routing_effects &Effects);
+
+  router_context contextOf(const routing_event &Event) const;
+  keyed_feed *feedOf(const std::string &Name);
+  size_t readerRank(const std::string &Feed) const;
+  void applyChanges(const keyed_feed &Feed,
+                    const std::vector<feed_change> &Changes, steady_time Now,
+                    routing_effects &Effects);
+  void applyUpstream(const feed_change &Change, steady_time Now,
+                     routing_effects &Effects);
+  void applyConfig(const feed_change &Change, steady_time Now,
+                   routing_effects &Effects);
+  void onReport(const node_name &From, const wire::entry_report &Report,
+                steady_time Now);
+  void tellReport(const routing_event &Event, routing_effects &Effects);
+  void sendToEntries(const wire::peer_message &Message,
+                     routing_effects &Effects);
+  void carryOutDuties(const routing_event &Event, routing_effects &Effects);
+  void reportUsage(const routing_event &Event, routing_effects &Effects);
+  bool haveAllReported(int64_t Window, steady_time Now) const;
+  void logHolder(routing_effects &Effects);
+  void checkDrain(const routing_event &Event, routing_effects &Effects);
+  // Replaces messages to all entries by one to each.
+  void addressToEntries(size_t From, routing_effects &Effects);
+
+  node_identity Identity;
+  routing_terms Terms;
+  std::shared_ptr<const listing_decoder> Decoder;
+  membership Members;
+  true_time Clock;
+  keyed_feed ConfigFeed;
+  keyed_feed UpstreamFeed;
+  upstream_registry Registry;
+  upstream_load Load;
+  prompt_cache_view Cache;
+  upstream_trust Trust;
+  send_budget Budget;
+  usage_windows Usage;
+  request_router Requests;
+  duty_log Duties;
+  capacity_policy Capacity;
+  std::shared_ptr<const route_table> Table;
+  size_t EntryCount = 1; // live entries, this one included
+
+  steady_time NextReport = steady_time::min();
+  steady_time NextUsageTold = steady_time::min();
+  steady_time NextPlan = steady_time::min();
+  int64_t ReportSequence = 0;
+  std::map<node_name, steady_time> ReportedAt; // by other entries
+  // Windows whose report was sent, and when it may be sent again; far in the
+  // future once it was accepted.
+  std::map<int64_t, steady_time> UsageSent;
+  int64_t HeardFiguredWindow = 0;
+  std::string LoggedHolder;
+  bool StoreFailing = false;
+  bool WasReady = false;
+  std::optional<steady_time> DrainingSince;
+  bool Finished = false;
+};
+
+class routing_node_builder {
+public:
+  explicit routing_node_builder(node_identity Identity)
+      : Identity(std::move(Identity)) {}
+  routing_node_builder &seeds(std::vector<address> Addresses) {
+    Seeds = std::move(Addresses);
+    return *this;
+  }
+  routing_node_builder &terms(routing_terms Value) {
+    Terms = std::move(Value);
+    return *this;
+  }
+  routing_node_builder &
+  decoder(std::shared_ptr<const listing_decoder> Value) {
+    Decoder = std::move(Value);
+    return *this;
+  }
+  std::unique_ptr<routing_node> build() const {
+    return std::make_unique<routing_node>(Identity, Seeds, Terms, Decoder);
+  }
+
+private:
+  node_identity Identity;
+  std::vector<address> Seeds;
+  routing_terms Terms;
+  std::shared_ptr<const listing_decoder> Decoder;
+};
+
+} // namespace monsoonreel
+
+#endif // ROUTING_ROUTING_NODE_H
--- /dev/null
+++ b/routing/site_config.h
@@ -0,0 +1,100 @@
+// What operators have put in force: routes, services, organisations and bounds
+// on what callers may send.
+//
+// The platform's adapter decodes it; `route_table` answers questions about it.
+
+#ifndef ROUTING_SITE_CONFIG_H
+#define ROUTING_SITE_CONFIG_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "monsoonreel/monsoonreel.h"
+
+namespace monsoonreel {
+
+// What may be done with a request more than once.
+enum class repeat_kind {
+  Idempotent, // may run any number of times
+  Once,       // runs at most once
+  Stream,     // answered by events; runs once unless the route is resumable
+};
+
+struct weighted_service {
+  pool_name Service;
+  int Weight = 1;
+};
+
+struct host_route {
+  std::string Name;
+  std::string Host;
+  std::string Prefix; // begins and ends with a slash
+  repeat_kind Kind = repeat_kind::Once;
+  duration Timeout{}; // the longest time that a caller is kept waiting
+  duration Target{};  // until the answer, or the first event of a stream
+  std::optional<duration> PauseTarget; // longest pause between events
+  int Rank = 0;                        // 0 is the most urgent
+  std::vector<weighted_service> Services;
+  int MaxAttempts = 1; // upstreams that one request may be sent to
+  bool Public = false; // no key is needed
+  bool Resumable = false;
+
+  bool mayRepeat() const {
+    return Kind == repeat_kind::Idempotent ||
+           (Kind == repeat_kind::Stream && Resumable);
+  }
+};
+
+// What is known beforehand about the engines of a service.
+struct engine_terms {
+  int Slots = 1; // requests that are processed at once
+  int64_t CacheTokens = 0;
+};
+
+// The bounds within which upstreams of a service can be ordered.
+struct order_terms {
+  int Min = 0; // in each zone, both kinds together
+  int Max = 0;
+  duration BootTime{};
+  // Price of a reclaimable upstream as a part of the price of a stable one;
+  // unset: there are none.
+  std::optional<double> ReclaimablePrice;
+  std::map<zone_name, double> ZonePrices;
+};
+
+struct service {
+  pool_name Name;
+  std::string HealthPath;
+  int MaxConnections = 0; // at one upstream, of all callers together
+  std::optional<engine_terms> Engine;
+  std::optional<order_terms> Orders;
+};
+
+struct organisation_terms {
+  organisation_name Name;
+  std::vector<key_hash> Keys;
+  std::optional<int> Rank; // goes before the route's
+};
+
+// Bounds on what a caller may send.
+struct caller_bounds {
+  int HeadBytes = 16 << 10;
+  int64_t BodyBytes = int64_t{4} << 20;
+  duration HeadTime = std::chrono::seconds(3);
+  duration IdleTime = std::chrono::seconds(15);
+};
+
+struct site_config {
+  int64_t Version = 0;
+  std::vector<host_route> Routes;
+  std::vector<service> Services;
+  std::vector<organisation_terms> Organisations;
+  caller_bounds Bounds;
+};
+
+} // namespace monsoonreel
+
+#endif // ROUTING_SITE_CONFIG_H
--- /dev/null
+++ b/routing/true_time.cc
@@ -0,0 +1,36 @@
+#include "routing/true_time.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace monsoonreel {
+
+void true_time::onOwn(steady_time Now, wall_time Wall) {
+  Own = {Wall.time_since_epoch() - Now.time_since_epoch(), Now};
+  update(Now);
+}
+
+void true_time::onPeer(const node_name &From, steady_time Now,
+                       wall_time Wall) {
+  Peers[From] = {Wall.time_since_epoch() - Now.time_since_epoch(), Now};
+}
+
+void true_time::update(steady_time Now) {
+  absl::erase_if(Peers, [&](const auto &Peer) {
+    return Now - Peer.second.TakenAt > clock_reading_age;
+  });
+  std::vector<duration> Offsets = {Own.Offset};
+  for (const auto &[Name, Reading] : Peers)
+    Offsets.push_back(Reading.Offset);
+  // The lower median: with two clocks there is no telling which one is right.
+  auto Middle = Offsets.begin() +
+                static_cast<std::ptrdiff_t>((Offsets.size() - 1) / 2);
+  std::nth_element(Offsets.begin(), Middle, Offsets.end());
+  Offset = *Middle;
+}
+
+wall_time true_time::at(steady_time Now) const {
+  return wall_time(Now.time_since_epoch() + Offset);
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/routing/upstream_load.h
@@ -0,0 +1,79 @@
+// What all entries together have under way at each upstream.
+//
+//   upstream_load Load;
+//   Load.begin(Attempt, Upstream, {UnreadTokens, Paced});
+//   Load.onFirstAnswer(Attempt);        // its prompt has been read
+//   Load.end(Attempt);
+//   Load.onReport(From, Report, Now);   // from each other entry
+//   upstream_use_sum Sum = Load.at(Upstream);
+//
+// Upstreams' own reports lag by hundreds of milliseconds and are read by all
+// entries alike, so entries tell each other what they send in place of that.
+
+#ifndef ROUTING_UPSTREAM_LOAD_H
+#define ROUTING_UPSTREAM_LOAD_H
+
+#include <cstdint>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+
+#include "monsoonreel/monsoonreel.h"
+
+namespace monsoonreel {
+
+// Figures of an entry that has not reported for so long no longer count.
+constexpr duration report_expiry = std::chrono::seconds(2);
+
+struct work_size {
+  int64_t UnreadTokens = 0; // prompt tokens that the upstream has to read
+  bool Paced = false;       // a stream that minds pauses between its events
+};
+
+struct upstream_use_sum {
+  int Running = 0;
+  int64_t UnreadTokens = 0;
+  int PacedStreams = 0;
+};
+
+class upstream_load {
+public:
+  void begin(attempt_number Attempt, const upstream_name &Upstream,
+             const work_size &Size);
+  // The upstream has read the attempt's prompt.
+  void onFirstAnswer(attempt_number Attempt);
+  void end(attempt_number Attempt);
+
+  void onReport(const node_name &From, const wire::entry_report &Report,
+                steady_time Now);
+  void onTick(steady_time Now);
+
+  upstream_use_sum at(const upstream_name &Upstream) const;
+  // The own part, for a report.
+  std::vector<wire::upstream_use> ownUses() const;
+  int ownRunning(const upstream_name &Upstream) const;
+
+private:
+  struct open_attempt {
+    upstream_name Upstream;
+    work_size Size;
+  };
+  struct peer_uses {
+    int64_t Incarnation = 0;
+    int64_t Sequence = 0;
+    steady_time HeardAt;
+    std::vector<wire::upstream_use> Uses;
+  };
+  using use_map = absl::flat_hash_map<upstream_name, upstream_use_sum>;
+
+  void rebuildPeers();
+
+  absl::flat_hash_map<attempt_number, open_attempt> Open;
+  use_map Own;
+  absl::flat_hash_map<node_name, peer_uses> ByPeer;
+  use_map Peers; // sums over ByPeer
+};
+
+} // namespace monsoonreel
+
+#endif // ROUTING_UPSTREAM_LOAD_H
--- /dev/null
+++ b/routing/upstream_registry.h
@@ -0,0 +1,65 @@
+// The upstreams that requests may go to, as the platform lists them.
+//
+//   upstream_registry Registry;
+//   Registry.onListed(Listed, Now);
+//   Registry.onTick(Now, StoreFailing);
+//   for (const upstream_state *U : Registry.serving(Service)) ...
+//
+// A removal while the platform's store fails, or just after, may mean only that
+// the upstream could not reach the store. Such an entry stays in use until the
+// store has answered for `lapse_grace`; one that has not come back by then is
+// gone.
+
+#ifndef ROUTING_UPSTREAM_REGISTRY_H
+#define ROUTING_UPSTREAM_REGISTRY_H
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "routing/routing_event.h"
+
+namespace monsoonreel {
+
+// After the store's return, for lapsed entries to come back. The platform
+// states about two seconds.
+constexpr duration lapse_grace = std::chrono::milliseconds(2200);
+// A removed upstream's load and failures are kept for so long, because its
+// running requests go on.
+constexpr duration removed_retention = std::chrono::seconds(60);
+// Entries beyond this number are not taken in.
+constexpr size_t max_upstreams = 4096;
+
+struct upstream_state {
+  upstream_entry Entry;
+  steady_time ListedAt;
+  // Set while the entry is missing but may only have lapsed.
+  std::optional<steady_time> LapsedAt;
+};
+
+class upstream_registry {
+public:
+  void onListed(const upstream_listed &Listed, steady_time Now);
+  void onTick(steady_time Now, bool StoreFailing);
+
+  // Upstreams of a service that take new work. Valid until the next change.
+  const std::vector<const upstream_state *> &
+  serving(const pool_name &Service) const;
+  // nullptr when it is not listed.
+  const upstream_state *find(const upstream_name &Name) const;
+  size_t size() const { return Upstreams.size(); }
+  const std::map<upstream_name, upstream_state> &all() const {
+    return Upstreams;
+  }
+
+private:
+  void reindex();
+
+  std::map<upstream_name, upstream_state> Upstreams;
+  std::map<pool_name, std::vector<const upstream_state *>> ByService;
+};
+
+} // namespace monsoonreel
+
+#endif // ROUTING_UPSTREAM_REGISTRY_H
--- /dev/null
+++ b/routing/upstream_trust.cc
@@ -0,0 +1,69 @@
+#include "routing/upstream_trust.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonreel {
+
+namespace {
+
+// Weight of a new answer in the failure share.
+constexpr double answer_weight = 0.15;
+// The failure share halves in this time without answers, so that an avoided
+// upstream is tried again.
+constexpr duration failure_half_life = std::chrono::seconds(2);
+// An upstream that is full has room again about when a request ends there.
+constexpr duration full_pause = std::chrono::milliseconds(60);
+
+} // namespace
+
+void upstream_trust::onUnreachable(const upstream_name &Upstream,
+                                   steady_time Now) {
+  state &State = States[Upstream];
+  // Requests that were under way together fail together and count once.
+  if (Now < State.PausedUntil)
+    return;
+  State.PausedUntil = Now + State.Pause;
+  State.Pause = std::min(State.Pause * 2, longest_trust_pause);
+}
+
+void upstream_trust::onAnswer(const upstream_name &Upstream, bool Failed,
+                              steady_time Now) {
+  auto It = States.find(Upstream);
+  if (It == States.end()) {
+    if (!Failed)
+      return;
+    It = States.try_emplace(Upstream).first;
+  }
+  double Share = failureShare(Upstream, Now);
+  state &State = It->second;
+  State.Failures = Share + answer_weight * ((Failed ? 1.0 : 0.0) - Share);
+  State.FailedAt = Now;
+  if (!Failed) {
+    State.PausedUntil = steady_time::min();
+    State.Pause = first_trust_pause;
+  }
+}
+
+void upstream_trust::onFull(const upstream_name &Upstream, steady_time Now) {
+  state &State = States[Upstream];
+  State.PausedUntil = std::max(State.PausedUntil, Now + full_pause);
+}
+
+bool upstream_trust::isPaused(const upstream_name &Upstream,
+                              steady_time Now) const {
+  auto It = States.find(Upstream);
+  return It != States.end() && Now < It->second.PausedUntil;
+}
+
+double upstream_trust::failureShare(const upstream_name &Upstream,
+                                    steady_time Now) const {
+  auto It = States.find(Upstream);
+  if (It == States.end() || It->second.FailedAt == steady_time::min())
+    return 0;
+  double HalfLives = std::chrono::duration<double>(Now - It->second.FailedAt) /
+                     std::chrono::duration<double>(failure_half_life);
+  return It->second.Failures * std::exp2(-HalfLives);
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/routing/usage_windows.cc
@@ -0,0 +1,75 @@
+#include "routing/usage_windows.h"
+
+#include <algorithm>
+
+namespace monsoonreel {
+
+int64_t usage_windows::windowAt(wall_time TrueTime) const {
+  return TrueTime.time_since_epoch() / Length;
+}
+
+wall_time usage_windows::endOf(int64_t Window) const {
+  return wall_time((Window + 1) * Length);
+}
+
+void usage_windows::count(const organisation_name &Organisation,
+                          wall_time TrueTime) {
+  ++Own[windowAt(TrueTime)][Organisation.Value];
+}
+
+void usage_windows::forgetBefore(int64_t Window) {
+  Own.erase(Own.begin(), Own.lower_bound(Window));
+  Others.erase(Others.begin(), Others.lower_bound(Window));
+}
+
+std::vector<wire::window_counts> usage_windows::ownWindows() const {
+  std::vector<wire::window_counts> Windows;
+  Windows.reserve(Own.size());
+  for (const auto &[Window, Counts] : Own) {
+    wire::window_counts Told;
+    Told.Window = Window;
+    for (const auto &[Organisation, Requests] : Counts) {
+      wire::organisation_count Count;
+      Count.Organisation = Organisation;
+      Count.Requests = Requests;
+      Told.Counts.push_back(std::move(Count));
+    }
+    Windows.push_back(std::move(Told));
+  }
+  return Windows;
+}
+
+void usage_windows::onReport(const node_name &From, int64_t Incarnation,
+                             const std::vector<wire::window_counts> &Windows) {
+  for (const wire::window_counts &Told : Windows) {
+    // A peer's clock may be wrong by far; windows far apart are no use.
+    if (Others.size() >= 2 * kept_windows && !Others.contains(Told.Window))
+      continue;
+    counts &Known = Others[Told.Window][{From.Value, Incarnation}];
+    for (const wire::organisation_count &Count : Told.Counts) {
+      int64_t &Requests = Known[Count.Organisation];
+      Requests = std::max(Requests, Count.Requests);
+    }
+  }
+}
+
+wire::window_counts usage_windows::sum(int64_t Window) const {
+  counts Sum;
+  if (auto It = Own.find(Window); It != Own.end())
+    Sum = It->second;
+  if (auto It = Others.find(Window); It != Others.end())
+    for (const auto &[Source, Counts] : It->second)
+      for (const auto &[Organisation, Requests] : Counts)
+        Sum[Organisation] += Requests;
+  wire::window_counts Told;
+  Told.Window = Window;
+  for (const auto &[Organisation, Requests] : Sum) {
+    wire::organisation_count Count;
+    Count.Organisation = Organisation;
+    Count.Requests = Requests;
+    Told.Counts.push_back(std::move(Count));
+  }
+  return Told;
+}
+
+} // namespace monsoonreel
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -10293,4 +10293,1426 @@
   out << ")";
 }
 
+
+upstream_use::~upstream_use() noexcept {
+}
+
+
+void upstream_use::__set_Upstream(const std::string& val) {
+  this->Upstream = val;
+}
+
+void upstream_use::__set_Running(const int32_t val) {
+  this->Running = val;
+}
+
+void upstream_use::__set_UnreadTokens(const int64_t val) {
+  this->UnreadTokens = val;
+}
+
+void upstream_use::__set_PacedStreams(const int32_t val) {
+  this->PacedStreams = val;
+}
+std::ostream& operator<<(std::ostream& out, const upstream_use& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t upstream_use::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Upstream);
+          this->__isset.Upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Running);
+          this->__isset.Running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->UnreadTokens);
+          this->__isset.UnreadTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->PacedStreams);
+          this->__isset.PacedStreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t upstream_use::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("upstream_use");
+
+  xfer += oprot->writeFieldBegin("Upstream", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Running", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("UnreadTokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->UnreadTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("PacedStreams", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->PacedStreams);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(upstream_use &a, upstream_use &b) {
+  using ::std::swap;
+  swap(a.Upstream, b.Upstream);
+  swap(a.Running, b.Running);
+  swap(a.UnreadTokens, b.UnreadTokens);
+  swap(a.PacedStreams, b.PacedStreams);
+  swap(a.__isset, b.__isset);
+}
+
+upstream_use::upstream_use(const upstream_use& other392) {
+  Upstream = other392.Upstream;
+  Running = other392.Running;
+  UnreadTokens = other392.UnreadTokens;
+  PacedStreams = other392.PacedStreams;
+  __isset = other392.__isset;
+}
+upstream_use::upstream_use(upstream_use&& other393) noexcept {
+  Upstream = std::move(other393.Upstream);
+  Running = other393.Running;
+  UnreadTokens = other393.UnreadTokens;
+  PacedStreams = other393.PacedStreams;
+  __isset = other393.__isset;
+}
+upstream_use& upstream_use::operator=(const upstream_use& other394) {
+  Upstream = other394.Upstream;
+  Running = other394.Running;
+  UnreadTokens = other394.UnreadTokens;
+  PacedStreams = other394.PacedStreams;
+  __isset = other394.__isset;
+  return *this;
+}
+upstream_use& upstream_use::operator=(upstream_use&& other395) noexcept {
+  Upstream = std::move(other395.Upstream);
+  Running = other395.Running;
+  UnreadTokens = other395.UnreadTokens;
+  PacedStreams = other395.PacedStreams;
+  __isset = other395.__isset;
+  return *this;
+}
+void upstream_use::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "upstream_use(";
+  out << "Upstream=" << to_string(Upstream);
+  out << ", " << "Running=" << to_string(Running);
+  out << ", " << "UnreadTokens=" << to_string(UnreadTokens);
+  out << ", " << "PacedStreams=" << to_string(PacedStreams);
+  out << ")";
+}
+
+
+organisation_count::~organisation_count() noexcept {
+}
+
+
+void organisation_count::__set_Organisation(const std::string& val) {
+  this->Organisation = val;
+}
+
+void organisation_count::__set_Requests(const int64_t val) {
+  this->Requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const organisation_count& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t organisation_count::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Organisation);
+          this->__isset.Organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Requests);
+          this->__isset.Requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t organisation_count::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("organisation_count");
+
+  xfer += oprot->writeFieldBegin("Organisation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Requests", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(organisation_count &a, organisation_count &b) {
+  using ::std::swap;
+  swap(a.Organisation, b.Organisation);
+  swap(a.Requests, b.Requests);
+  swap(a.__isset, b.__isset);
+}
+
+organisation_count::organisation_count(const organisation_count& other396) {
+  Organisation = other396.Organisation;
+  Requests = other396.Requests;
+  __isset = other396.__isset;
+}
+organisation_count::organisation_count(organisation_count&& other397) noexcept {
+  Organisation = std::move(other397.Organisation);
+  Requests = other397.Requests;
+  __isset = other397.__isset;
+}
+organisation_count& organisation_count::operator=(const organisation_count& other398) {
+  Organisation = other398.Organisation;
+  Requests = other398.Requests;
+  __isset = other398.__isset;
+  return *this;
+}
+organisation_count& organisation_count::operator=(organisation_count&& other399) noexcept {
+  Organisation = std::move(other399.Organisation);
+  Requests = other399.Requests;
+  __isset = other399.__isset;
+  return *this;
+}
+void organisation_count::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "organisation_count(";
+  out << "Organisation=" << to_string(Organisation);
+  out << ", " << "Requests=" << to_string(Requests);
+  out << ")";
+}
+
+
+window_counts::~window_counts() noexcept {
+}
+
+
+void window_counts::__set_Window(const int64_t val) {
+  this->Window = val;
+}
+
+void window_counts::__set_Counts(const std::vector<organisation_count> & val) {
+  this->Counts = val;
+}
+std::ostream& operator<<(std::ostream& out, const window_counts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t window_counts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Window);
+          this->__isset.Window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Counts.clear();
+            uint32_t _size400;
+            ::apache::thrift::protocol::TType _etype403;
+            xfer += iprot->readListBegin(_etype403, _size400);
+            this->Counts.resize(_size400);
+            uint32_t _i404;
+            for (_i404 = 0; _i404 < _size400; ++_i404)
+            {
+              xfer += this->Counts[_i404].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t window_counts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("window_counts");
+
+  xfer += oprot->writeFieldBegin("Window", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Counts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Counts.size()));
+    std::vector<organisation_count> ::const_iterator _iter405;
+    for (_iter405 = this->Counts.begin(); _iter405 != this->Counts.end(); ++_iter405)
+    {
+      xfer += (*_iter405).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(window_counts &a, window_counts &b) {
+  using ::std::swap;
+  swap(a.Window, b.Window);
+  swap(a.Counts, b.Counts);
+  swap(a.__isset, b.__isset);
+}
+
+window_counts::window_counts(const window_counts& other406) {
+  Window = other406.Window;
+  Counts = other406.Counts;
+  __isset = other406.__isset;
+}
+window_counts::window_counts(window_counts&& other407) noexcept {
+  Window = other407.Window;
+  Counts = std::move(other407.Counts);
+  __isset = other407.__isset;
+}
+window_counts& window_counts::operator=(const window_counts& other408) {
+  Window = other408.Window;
+  Counts = other408.Counts;
+  __isset = other408.__isset;
+  return *this;
+}
+window_counts& window_counts::operator=(window_counts&& other409) noexcept {
+  Window = other409.Window;
+  Counts = std::move(other409.Counts);
+  __isset = other409.__isset;
+  return *this;
+}
+void window_counts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "window_counts(";
+  out << "Window=" << to_string(Window);
+  out << ", " << "Counts=" << to_string(Counts);
+  out << ")";
+}
+
+
+entry_report::~entry_report() noexcept {
+}
+
+
+void entry_report::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void entry_report::__set_Sequence(const int64_t val) {
+  this->Sequence = val;
+}
+
+void entry_report::__set_Uses(const std::vector<upstream_use> & val) {
+  this->Uses = val;
+}
+
+void entry_report::__set_Windows(const std::vector<window_counts> & val) {
+  this->Windows = val;
+}
+
+void entry_report::__set_WallMicros(const int64_t val) {
+  this->WallMicros = val;
+}
+
+void entry_report::__set_DutyHolder(const std::string& val) {
+  this->DutyHolder = val;
+}
+
+void entry_report::__set_DutyFence(const int64_t val) {
+  this->DutyFence = val;
+}
+
+void entry_report::__set_DutyClaimOffset(const int64_t val) {
+  this->DutyClaimOffset = val;
+}
+
+void entry_report::__set_LastFiguredWindow(const int64_t val) {
+  this->LastFiguredWindow = val;
+}
+
+void entry_report::__set_DutyIncarnation(const int64_t val) {
+  this->DutyIncarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const entry_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t entry_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Sequence);
+          this->__isset.Sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Uses.clear();
+            uint32_t _size410;
+            ::apache::thrift::protocol::TType _etype413;
+            xfer += iprot->readListBegin(_etype413, _size410);
+            this->Uses.resize(_size410);
+            uint32_t _i414;
+            for (_i414 = 0; _i414 < _size410; ++_i414)
+            {
+              xfer += this->Uses[_i414].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Windows.clear();
+            uint32_t _size415;
+            ::apache::thrift::protocol::TType _etype418;
+            xfer += iprot->readListBegin(_etype418, _size415);
+            this->Windows.resize(_size415);
+            uint32_t _i419;
+            for (_i419 = 0; _i419 < _size415; ++_i419)
+            {
+              xfer += this->Windows[_i419].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Windows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WallMicros);
+          this->__isset.WallMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->DutyHolder);
+          this->__isset.DutyHolder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->DutyFence);
+          this->__isset.DutyFence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->DutyClaimOffset);
+          this->__isset.DutyClaimOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LastFiguredWindow);
+          this->__isset.LastFiguredWindow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->DutyIncarnation);
+          this->__isset.DutyIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t entry_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("entry_report");
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
+    std::vector<upstream_use> ::const_iterator _iter420;
+    for (_iter420 = this->Uses.begin(); _iter420 != this->Uses.end(); ++_iter420)
+    {
+      xfer += (*_iter420).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
+    std::vector<window_counts> ::const_iterator _iter421;
+    for (_iter421 = this->Windows.begin(); _iter421 != this->Windows.end(); ++_iter421)
+    {
+      xfer += (*_iter421).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("WallMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->WallMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("DutyHolder", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->DutyHolder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("DutyFence", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->DutyFence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("DutyClaimOffset", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->DutyClaimOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("LastFiguredWindow", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->LastFiguredWindow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("DutyIncarnation", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->DutyIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(entry_report &a, entry_report &b) {
+  using ::std::swap;
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.Sequence, b.Sequence);
+  swap(a.Uses, b.Uses);
+  swap(a.Windows, b.Windows);
+  swap(a.WallMicros, b.WallMicros);
+  swap(a.DutyHolder, b.DutyHolder);
+  swap(a.DutyFence, b.DutyFence);
+  swap(a.DutyClaimOffset, b.DutyClaimOffset);
+  swap(a.LastFiguredWindow, b.LastFiguredWindow);
+  swap(a.DutyIncarnation, b.DutyIncarnation);
+  swap(a.__isset, b.__isset);
+}
+
+entry_report::entry_report(const entry_report& other422) {
+  Incarnation = other422.Incarnation;
+  Sequence = other422.Sequence;
+  Uses = other422.Uses;
+  Windows = other422.Windows;
+  WallMicros = other422.WallMicros;
+  DutyHolder = other422.DutyHolder;
+  DutyFence = other422.DutyFence;
+  DutyClaimOffset = other422.DutyClaimOffset;
+  LastFiguredWindow = other422.LastFiguredWindow;
+  DutyIncarnation = other422.DutyIncarnation;
+  __isset = other422.__isset;
+}
+entry_report::entry_report(entry_report&& other423) noexcept {
+  Incarnation = other423.Incarnation;
+  Sequence = other423.Sequence;
+  Uses = std::move(other423.Uses);
+  Windows = std::move(other423.Windows);
+  WallMicros = other423.WallMicros;
+  DutyHolder = std::move(other423.DutyHolder);
+  DutyFence = other423.DutyFence;
+  DutyClaimOffset = other423.DutyClaimOffset;
+  LastFiguredWindow = other423.LastFiguredWindow;
+  DutyIncarnation = other423.DutyIncarnation;
+  __isset = other423.__isset;
+}
+entry_report& entry_report::operator=(const entry_report& other424) {
+  Incarnation = other424.Incarnation;
+  Sequence = other424.Sequence;
+  Uses = other424.Uses;
+  Windows = other424.Windows;
+  WallMicros = other424.WallMicros;
+  DutyHolder = other424.DutyHolder;
+  DutyFence = other424.DutyFence;
+  DutyClaimOffset = other424.DutyClaimOffset;
+  LastFiguredWindow = other424.LastFiguredWindow;
+  DutyIncarnation = other424.DutyIncarnation;
+  __isset = other424.__isset;
+  return *this;
+}
+entry_report& entry_report::operator=(entry_report&& other425) noexcept {
+  Incarnation = other425.Incarnation;
+  Sequence = other425.Sequence;
+  Uses = std::move(other425.Uses);
+  Windows = std::move(other425.Windows);
+  WallMicros = other425.WallMicros;
+  DutyHolder = std::move(other425.DutyHolder);
+  DutyFence = other425.DutyFence;
+  DutyClaimOffset = other425.DutyClaimOffset;
+  LastFiguredWindow = other425.LastFiguredWindow;
+  DutyIncarnation = other425.DutyIncarnation;
+  __isset = other425.__isset;
+  return *this;
+}
+void entry_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "entry_report(";
+  out << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "Sequence=" << to_string(Sequence);
+  out << ", " << "Uses=" << to_string(Uses);
+  out << ", " << "Windows=" << to_string(Windows);
+  out << ", " << "WallMicros=" << to_string(WallMicros);
+  out << ", " << "DutyHolder=" << to_string(DutyHolder);
+  out << ", " << "DutyFence=" << to_string(DutyFence);
+  out << ", " << "DutyClaimOffset=" << to_string(DutyClaimOffset);
+  out << ", " << "LastFiguredWindow=" << to_string(LastFiguredWindow);
+  out << ", " << "DutyIncarnation=" << to_string(DutyIncarnation);
+  out << ")";
+}
+
+
+feed_record::~feed_record() noexcept {
+}
+
+
+void feed_record::__set_Offset(const int64_t val) {
+  this->Offset = val;
+}
+
+void feed_record::__set_Key(const std::string& val) {
+  this->Key = val;
+}
+
+void feed_record::__set_Value(const std::string& val) {
+  this->Value = val;
+__isset.Value = true;
+}
+std::ostream& operator<<(std::ostream& out, const feed_record& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t feed_record::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Offset);
+          this->__isset.Offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Key);
+          this->__isset.Key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->Value);
+          this->__isset.Value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t feed_record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("feed_record");
+
+  xfer += oprot->writeFieldBegin("Offset", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->Key);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.Value) {
+    xfer += oprot->writeFieldBegin("Value", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeBinary(this->Value);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(feed_record &a, feed_record &b) {
+  using ::std::swap;
+  swap(a.Offset, b.Offset);
+  swap(a.Key, b.Key);
+  swap(a.Value, b.Value);
+  swap(a.__isset, b.__isset);
+}
+
+feed_record::feed_record(const feed_record& other426) {
+  Offset = other426.Offset;
+  Key = other426.Key;
+  Value = other426.Value;
+  __isset = other426.__isset;
+}
+feed_record::feed_record(feed_record&& other427) noexcept {
+  Offset = other427.Offset;
+  Key = std::move(other427.Key);
+  Value = std::move(other427.Value);
+  __isset = other427.__isset;
+}
+feed_record& feed_record::operator=(const feed_record& other428) {
+  Offset = other428.Offset;
+  Key = other428.Key;
+  Value = other428.Value;
+  __isset = other428.__isset;
+  return *this;
+}
+feed_record& feed_record::operator=(feed_record&& other429) noexcept {
+  Offset = other429.Offset;
+  Key = std::move(other429.Key);
+  Value = std::move(other429.Value);
+  __isset = other429.__isset;
+  return *this;
+}
+void feed_record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "feed_record(";
+  out << "Offset=" << to_string(Offset);
+  out << ", " << "Key=" << to_string(Key);
+  out << ", " << "Value="; (__isset.Value ? (out << to_string(Value)) : (out << "<null>"));
+  out << ")";
+}
+
+
+feed_news::~feed_news() noexcept {
+}
+
+
+void feed_news::__set_Feed(const std::string& val) {
+  this->Feed = val;
+}
+
+void feed_news::__set_From(const int64_t val) {
+  this->From = val;
+}
+
+void feed_news::__set_End(const int64_t val) {
+  this->End = val;
+}
+
+void feed_news::__set_Records(const std::vector<feed_record> & val) {
+  this->Records = val;
+}
+
+void feed_news::__set_Whole(const bool val) {
+  this->Whole = val;
+}
+std::ostream& operator<<(std::ostream& out, const feed_news& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t feed_news::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Feed);
+          this->__isset.Feed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->From);
+          this->__isset.From = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->End);
+          this->__isset.End = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Records.clear();
+            uint32_t _size430;
+            ::apache::thrift::protocol::TType _etype433;
+            xfer += iprot->readListBegin(_etype433, _size430);
+            this->Records.resize(_size430);
+            uint32_t _i434;
+            for (_i434 = 0; _i434 < _size430; ++_i434)
+            {
+              xfer += this->Records[_i434].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Whole);
+          this->__isset.Whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t feed_news::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("feed_news");
+
+  xfer += oprot->writeFieldBegin("Feed", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Feed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("From", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->From);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("End", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->End);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Records", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Records.size()));
+    std::vector<feed_record> ::const_iterator _iter435;
+    for (_iter435 = this->Records.begin(); _iter435 != this->Records.end(); ++_iter435)
+    {
+      xfer += (*_iter435).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Whole", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->Whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(feed_news &a, feed_news &b) {
+  using ::std::swap;
+  swap(a.Feed, b.Feed);
+  swap(a.From, b.From);
+  swap(a.End, b.End);
+  swap(a.Records, b.Records);
+  swap(a.Whole, b.Whole);
+  swap(a.__isset, b.__isset);
+}
+
+feed_news::feed_news(const feed_news& other436) {
+  Feed = other436.Feed;
+  From = other436.From;
+  End = other436.End;
+  Records = other436.Records;
+  Whole = other436.Whole;
+  __isset = other436.__isset;
+}
+feed_news::feed_news(feed_news&& other437) noexcept {
+  Feed = std::move(other437.Feed);
+  From = other437.From;
+  End = other437.End;
+  Records = std::move(other437.Records);
+  Whole = other437.Whole;
+  __isset = other437.__isset;
+}
+feed_news& feed_news::operator=(const feed_news& other438) {
+  Feed = other438.Feed;
+  From = other438.From;
+  End = other438.End;
+  Records = other438.Records;
+  Whole = other438.Whole;
+  __isset = other438.__isset;
+  return *this;
+}
+feed_news& feed_news::operator=(feed_news&& other439) noexcept {
+  Feed = std::move(other439.Feed);
+  From = other439.From;
+  End = other439.End;
+  Records = std::move(other439.Records);
+  Whole = other439.Whole;
+  __isset = other439.__isset;
+  return *this;
+}
+void feed_news::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "feed_news(";
+  out << "Feed=" << to_string(Feed);
+  out << ", " << "From=" << to_string(From);
+  out << ", " << "End=" << to_string(End);
+  out << ", " << "Records=" << to_string(Records);
+  out << ", " << "Whole=" << to_string(Whole);
+  out << ")";
+}
+
+
+duty_claim::~duty_claim() noexcept {
+}
+
+
+void duty_claim::__set_Holder(const std::string& val) {
+  this->Holder = val;
+}
+
+void duty_claim::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void duty_claim::__set_Fence(const int64_t val) {
+  this->Fence = val;
+}
+
+void duty_claim::__set_Released(const bool val) {
+  this->Released = val;
+}
+std::ostream& operator<<(std::ostream& out, const duty_claim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t duty_claim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Holder);
+          this->__isset.Holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Fence);
+          this->__isset.Fence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Released);
+          this->__isset.Released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t duty_claim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("duty_claim");
+
+  xfer += oprot->writeFieldBegin("Holder", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Fence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->Fence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Released", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->Released);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(duty_claim &a, duty_claim &b) {
+  using ::std::swap;
+  swap(a.Holder, b.Holder);
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.Fence, b.Fence);
+  swap(a.Released, b.Released);
+  swap(a.__isset, b.__isset);
+}
+
+duty_claim::duty_claim(const duty_claim& other440) {
+  Holder = other440.Holder;
+  Incarnation = other440.Incarnation;
+  Fence = other440.Fence;
+  Released = other440.Released;
+  __isset = other440.__isset;
+}
+duty_claim::duty_claim(duty_claim&& other441) noexcept {
+  Holder = std::move(other441.Holder);
+  Incarnation = other441.Incarnation;
+  Fence = other441.Fence;
+  Released = other441.Released;
+  __isset = other441.__isset;
+}
+duty_claim& duty_claim::operator=(const duty_claim& other442) {
+  Holder = other442.Holder;
+  Incarnation = other442.Incarnation;
+  Fence = other442.Fence;
+  Released = other442.Released;
+  __isset = other442.__isset;
+  return *this;
+}
+duty_claim& duty_claim::operator=(duty_claim&& other443) noexcept {
+  Holder = std::move(other443.Holder);
+  Incarnation = other443.Incarnation;
+  Fence = other443.Fence;
+  Released = other443.Released;
+  __isset = other443.__isset;
+  return *this;
+}
+void duty_claim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "duty_claim(";
+  out << "Holder=" << to_string(Holder);
+  out << ", " << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "Fence=" << to_string(Fence);
+  out << ", " << "Released=" << to_string(Released);
+  out << ")";
+}
+
+
+duty_record::~duty_record() noexcept {
+}
+
+
+void duty_record::__set_Claim(const duty_claim& val) {
+  this->Claim = val;
+__isset.Claim = true;
+}
+
+void duty_record::__set_Figures(const window_counts& val) {
+  this->Figures = val;
+__isset.Figures = true;
+}
+std::ostream& operator<<(std::ostream& out, const duty_record& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t duty_record::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Claim.read(iprot);
+          this->__isset.Claim = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Figures.read(iprot);
+          this->__isset.Figures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t duty_record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("duty_record");
+
+  if (this->__isset.Claim) {
+    xfer += oprot->writeFieldBegin("Claim", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->Claim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.Figures) {
+    xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->Figures.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(duty_record &a, duty_record &b) {
+  using ::std::swap;
+  swap(a.Claim, b.Claim);
+  swap(a.Figures, b.Figures);
+  swap(a.__isset, b.__isset);
+}
+
+duty_record::duty_record(const duty_record& other444) {
+  Claim = other444.Claim;
+  Figures = other444.Figures;
+  __isset = other444.__isset;
+}
+duty_record::duty_record(duty_record&& other445) noexcept {
+  Claim = std::move(other445.Claim);
+  Figures = std::move(other445.Figures);
+  __isset = other445.__isset;
+}
+duty_record& duty_record::operator=(const duty_record& other446) {
+  Claim = other446.Claim;
+  Figures = other446.Figures;
+  __isset = other446.__isset;
+  return *this;
+}
+duty_record& duty_record::operator=(duty_record&& other447) noexcept {
+  Claim = std::move(other447.Claim);
+  Figures = std::move(other447.Figures);
+  __isset = other447.__isset;
+  return *this;
+}
+void duty_record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "duty_record(";
+  out << "Claim="; (__isset.Claim ? (out << to_string(Claim)) : (out << "<null>"));
+  out << ", " << "Figures="; (__isset.Figures ? (out << to_string(Figures)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -239,6 +239,22 @@
 
 class claims_state;
 
+class upstream_use;
+
+class organisation_count;
+
+class window_counts;
+
+class entry_report;
+
+class feed_record;
+
+class feed_news;
+
+class duty_claim;
+
+class duty_record;
+
 typedef struct _member__isset {
   _member__isset() : Name(false), Role(false), Zone(false), Address(false), Incarnation(false), Refutation(false), State(false) {}
   bool Name :1;
@@ -3978,6 +3994,534 @@
 
 std::ostream& operator<<(std::ostream& out, const claims_state& obj);
 
+typedef struct _upstream_use__isset {
+  _upstream_use__isset() : Upstream(false), Running(false), UnreadTokens(false), PacedStreams(false) {}
+  bool Upstream :1;
+  bool Running :1;
+  bool UnreadTokens :1;
+  bool PacedStreams :1;
+} _upstream_use__isset;
+
+class upstream_use : public virtual ::apache::thrift::TBase {
+ public:
+
+  upstream_use(const upstream_use&);
+  upstream_use(upstream_use&&) noexcept;
+  upstream_use& operator=(const upstream_use&);
+  upstream_use& operator=(upstream_use&&) noexcept;
+  upstream_use() noexcept
+               : Upstream(),
+                 Running(0),
+                 UnreadTokens(0),
+                 PacedStreams(0) {
+  }
+
+  virtual ~upstream_use() noexcept;
+  std::string Upstream;
+  int32_t Running;
+  int64_t UnreadTokens;
+  int32_t PacedStreams;
+
+  _upstream_use__isset __isset;
+
+  void __set_Upstream(const std::string& val);
+
+  void __set_Running(const int32_t val);
+
+  void __set_UnreadTokens(const int64_t val);
+
+  void __set_PacedStreams(const int32_t val);
+
+  bool operator == (const upstream_use & rhs) const
+  {
+    if (!(Upstream == rhs.Upstream))
+      return false;
+    if (!(Running == rhs.Running))
+      return false;
+    if (!(UnreadTokens == rhs.UnreadTokens))
+      return false;
+    if (!(PacedStreams == rhs.PacedStreams))
+      return false;
+    return true;
+  }
+  bool operator != (const upstream_use &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const upstream_use & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(upstream_use &a, upstream_use &b);
+
+std::ostream& operator<<(std::ostream& out, const upstream_use& obj);
+
+typedef struct _organisation_count__isset {
+  _organisation_count__isset() : Organisation(false), Requests(false) {}
+  bool Organisation :1;
+  bool Requests :1;
+} _organisation_count__isset;
+
+class organisation_count : public virtual ::apache::thrift::TBase {
+ public:
+
+  organisation_count(const organisation_count&);
+  organisation_count(organisation_count&&) noexcept;
+  organisation_count& operator=(const organisation_count&);
+  organisation_count& operator=(organisation_count&&) noexcept;
+  organisation_count() noexcept
+                     : Organisation(),
+                       Requests(0) {
+  }
+
+  virtual ~organisation_count() noexcept;
+  std::string Organisation;
+  int64_t Requests;
+
+  _organisation_count__isset __isset;
+
+  void __set_Organisation(const std::string& val);
+
+  void __set_Requests(const int64_t val);
+
+  bool operator == (const organisation_count & rhs) const
+  {
+    if (!(Organisation == rhs.Organisation))
+      return false;
+    if (!(Requests == rhs.Requests))
+      return false;
+    return true;
+  }
+  bool operator != (const organisation_count &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const organisation_count & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(organisation_count &a, organisation_count &b);
+
+std::ostream& operator<<(std::ostream& out, const organisation_count& obj);
+
+typedef struct _window_counts__isset {
+  _window_counts__isset() : Window(false), Counts(false) {}
+  bool Window :1;
+  bool Counts :1;
+} _window_counts__isset;
+
+class window_counts : public virtual ::apache::thrift::TBase {
+ public:
+
+  window_counts(const window_counts&);
+  window_counts(window_counts&&) noexcept;
+  window_counts& operator=(const window_counts&);
+  window_counts& operator=(window_counts&&) noexcept;
+  window_counts() noexcept
+                : Window(0) {
+  }
+
+  virtual ~window_counts() noexcept;
+  int64_t Window;
+  std::vector<organisation_count>  Counts;
+
+  _window_counts__isset __isset;
+
+  void __set_Window(const int64_t val);
+
+  void __set_Counts(const std::vector<organisation_count> & val);
+
+  bool operator == (const window_counts & rhs) const
+  {
+    if (!(Window == rhs.Window))
+      return false;
+    if (!(Counts == rhs.Counts))
+      return false;
+    return true;
+  }
+  bool operator != (const window_counts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const window_counts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(window_counts &a, window_counts &b);
+
+std::ostream& operator<<(std::ostream& out, const window_counts& obj);
+
+typedef struct _entry_report__isset {
+  _entry_report__isset() : Incarnation(false), Sequence(false), Uses(false), Windows(false), WallMicros(false), DutyHolder(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), DutyIncarnation(false) {}
+  bool Incarnation :1;
+  bool Sequence :1;
+  bool Uses :1;
+  bool Windows :1;
+  bool WallMicros :1;
+  bool DutyHolder :1;
+  bool DutyFence :1;
+  bool DutyClaimOffset :1;
+  bool LastFiguredWindow :1;
+  bool DutyIncarnation :1;
+} _entry_report__isset;
+
+class entry_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  entry_report(const entry_report&);
+  entry_report(entry_report&&) noexcept;
+  entry_report& operator=(const entry_report&);
+  entry_report& operator=(entry_report&&) noexcept;
+  entry_report() noexcept
+               : Incarnation(0),
+                 Sequence(0),
+                 WallMicros(0),
+                 DutyHolder(),
+                 DutyFence(0),
+                 DutyClaimOffset(0),
+                 LastFiguredWindow(0),
+                 DutyIncarnation(0) {
+  }
+
+  virtual ~entry_report() noexcept;
+  int64_t Incarnation;
+  int64_t Sequence;
+  std::vector<upstream_use>  Uses;
+  std::vector<window_counts>  Windows;
+  int64_t WallMicros;
+  std::string DutyHolder;
+  int64_t DutyFence;
+  int64_t DutyClaimOffset;
+  int64_t LastFiguredWindow;
+  int64_t DutyIncarnation;
+
+  _entry_report__isset __isset;
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_Sequence(const int64_t val);
+
+  void __set_Uses(const std::vector<upstream_use> & val);
+
+  void __set_Windows(const std::vector<window_counts> & val);
+
+  void __set_WallMicros(const int64_t val);
+
+  void __set_DutyHolder(const std::string& val);
+
+  void __set_DutyFence(const int64_t val);
+
+  void __set_DutyClaimOffset(const int64_t val);
+
+  void __set_LastFiguredWindow(const int64_t val);
+
+  void __set_DutyIncarnation(const int64_t val);
+
+  bool operator == (const entry_report & rhs) const
+  {
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (!(Sequence == rhs.Sequence))
+      return false;
+    if (!(Uses == rhs.Uses))
+      return false;
+    if (!(Windows == rhs.Windows))
+      return false;
+    if (!(WallMicros == rhs.WallMicros))
+      return false;
+    if (!(DutyHolder == rhs.DutyHolder))
+      return false;
+    if (!(DutyFence == rhs.DutyFence))
+      return false;
+    if (!(DutyClaimOffset == rhs.DutyClaimOffset))
+      return false;
+    if (!(LastFiguredWindow == rhs.LastFiguredWindow))
+      return false;
+    if (!(DutyIncarnation == rhs.DutyIncarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const entry_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const entry_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(entry_report &a, entry_report &b);
+
+std::ostream& operator<<(std::ostream& out, const entry_report& obj);
+
+typedef struct _feed_record__isset {
+  _feed_record__isset() : Offset(false), Key(false), Value(false) {}
+  bool Offset :1;
+  bool Key :1;
+  bool Value :1;
+} _feed_record__isset;
+
+class feed_record : public virtual ::apache::thrift::TBase {
+ public:
+
+  feed_record(const feed_record&);
+  feed_record(feed_record&&) noexcept;
+  feed_record& operator=(const feed_record&);
+  feed_record& operator=(feed_record&&) noexcept;
+  feed_record() noexcept
+              : Offset(0),
+                Key(),
+                Value() {
+  }
+
+  virtual ~feed_record() noexcept;
+  int64_t Offset;
+  std::string Key;
+  std::string Value;
+
+  _feed_record__isset __isset;
+
+  void __set_Offset(const int64_t val);
+
+  void __set_Key(const std::string& val);
+
+  void __set_Value(const std::string& val);
+
+  bool operator == (const feed_record & rhs) const
+  {
+    if (!(Offset == rhs.Offset))
+      return false;
+    if (!(Key == rhs.Key))
+      return false;
+    if (__isset.Value != rhs.__isset.Value)
+      return false;
+    else if (__isset.Value && !(Value == rhs.Value))
+      return false;
+    return true;
+  }
+  bool operator != (const feed_record &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const feed_record & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(feed_record &a, feed_record &b);
+
+std::ostream& operator<<(std::ostream& out, const feed_record& obj);
+
+typedef struct _feed_news__isset {
+  _feed_news__isset() : Feed(false), From(false), End(false), Records(false), Whole(false) {}
+  bool Feed :1;
+  bool From :1;
+  bool End :1;
+  bool Records :1;
+  bool Whole :1;
+} _feed_news__isset;
+
+class feed_news : public virtual ::apache::thrift::TBase {
+ public:
+
+  feed_news(const feed_news&);
+  feed_news(feed_news&&) noexcept;
+  feed_news& operator=(const feed_news&);
+  feed_news& operator=(feed_news&&) noexcept;
+  feed_news() noexcept
+            : Feed(),
+              From(0),
+              End(0),
+              Whole(0) {
+  }
+
+  virtual ~feed_news() noexcept;
+  std::string Feed;
+  int64_t From;
+  int64_t End;
+  std::vector<feed_record>  Records;
+  bool Whole;
+
+  _feed_news__isset __isset;
+
+  void __set_Feed(const std::string& val);
+
+  void __set_From(const int64_t val);
+
+  void __set_End(const int64_t val);
+
+  void __set_Records(const std::vector<feed_record> & val);
+
+  void __set_Whole(const bool val);
+
+  bool operator == (const feed_news & rhs) const
+  {
+    if (!(Feed == rhs.Feed))
+      return false;
+    if (!(From == rhs.From))
+      return false;
+    if (!(End == rhs.End))
+      return false;
+    if (!(Records == rhs.Records))
+      return false;
+    if (!(Whole == rhs.Whole))
+      return false;
+    return true;
+  }
+  bool operator != (const feed_news &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const feed_news & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(feed_news &a, feed_news &b);
+
+std::ostream& operator<<(std::ostream& out, const feed_news& obj);
+
+typedef struct _duty_claim__isset {
+  _duty_claim__isset() : Holder(false), Incarnation(false), Fence(false), Released(false) {}
+  bool Holder :1;
+  bool Incarnation :1;
+  bool Fence :1;
+  bool Released :1;
+} _duty_claim__isset;
+
+class duty_claim : public virtual ::apache::thrift::TBase {
+ public:
+
+  duty_claim(const duty_claim&);
+  duty_claim(duty_claim&&) noexcept;
+  duty_claim& operator=(const duty_claim&);
+  duty_claim& operator=(duty_claim&&) noexcept;
+  duty_claim() noexcept
+             : Holder(),
+               Incarnation(0),
+               Fence(0),
+               Released(0) {
+  }
+
+  virtual ~duty_claim() noexcept;
+  std::string Holder;
+  int64_t Incarnation;
+  int64_t Fence;
+  bool Released;
+
+  _duty_claim__isset __isset;
+
+  void __set_Holder(const std::string& val);
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_Fence(const int64_t val);
+
+  void __set_Released(const bool val);
+
+  bool operator == (const duty_claim & rhs) const
+  {
+    if (!(Holder == rhs.Holder))
+      return false;
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (!(Fence == rhs.Fence))
+      return false;
+    if (!(Released == rhs.Released))
+      return false;
+    return true;
+  }
+  bool operator != (const duty_claim &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const duty_claim & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(duty_claim &a, duty_claim &b);
+
+std::ostream& operator<<(std::ostream& out, const duty_claim& obj);
+
+typedef struct _duty_record__isset {
+  _duty_record__isset() : Claim(false), Figures(false) {}
+  bool Claim :1;
+  bool Figures :1;
+} _duty_record__isset;
+
+class duty_record : public virtual ::apache::thrift::TBase {
+ public:
+
+  duty_record(const duty_record&);
+  duty_record(duty_record&&) noexcept;
+  duty_record& operator=(const duty_record&);
+  duty_record& operator=(duty_record&&) noexcept;
+  duty_record() noexcept {
+  }
+
+  virtual ~duty_record() noexcept;
+  duty_claim Claim;
+  window_counts Figures;
+
+  _duty_record__isset __isset;
+
+  void __set_Claim(const duty_claim& val);
+
+  void __set_Figures(const window_counts& val);
+
+  bool operator == (const duty_record & rhs) const
+  {
+    if (__isset.Claim != rhs.__isset.Claim)
+      return false;
+    else if (__isset.Claim && !(Claim == rhs.Claim))
+      return false;
+    if (__isset.Figures != rhs.__isset.Figures)
+      return false;
+    else if (__isset.Figures && !(Figures == rhs.Figures))
+      return false;
+    return true;
+  }
+  bool operator != (const duty_record &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const duty_record & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(duty_record &a, duty_record &b);
+
+std::ostream& operator<<(std::ostream& out, const duty_record& obj);
+
 }} // namespace
 
 #endif
