Reports of entries are told apart by address; a drain closes idle connections

Cause: a message over a connection that this entry dialled names no sender, so all such entries shared one name, and usage windows waited 6 s for entries that had reported. A request on a kept connection was taken up to 5.7 s after SIGTERM and cut at the end. Ruled out: membership (all 7 peers joined everywhere within 3 s).

--- a/io/gated_socket.cc
+++ b/io/gated_socket.cc
@@ -248,6 +248,11 @@
   }
 }
 
+void gated_socket::closeIfIdle() {
+  if (Phase == phase::Idle && Wire->bytesAvailable() == 0)
+    Wire->disconnectFromHost();
+}
+
 void gated_socket::onWireClosed() {
   if (state() == UnconnectedState)
     return;
--- a/io/gated_socket.h
+++ b/io/gated_socket.h
@@ -58,6 +58,8 @@
   void breakOff();
   // Ends the connection when it has taken longer than the bounds allow.
   void checkTimes(steady_time Now);
+  // Closes the connection if no request has begun on it.
+  void closeIfIdle();
   // For what comes from now on.
   void setBounds(const http_bounds &Changed) { Bounds = Changed; }
 
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -163,6 +163,12 @@
 
   int connections() const { return static_cast<int>(Open.size()); }
 
+  void closeIdle() {
+    auto Sockets = Open;
+    for (gated_socket *Gate : Sockets)
+      Gate->closeIfIdle();
+  }
+
   void setBounds(const http_bounds &Changed) {
     Bounds = Changed;
     for (gated_socket *Gate : Open)
@@ -268,6 +274,8 @@
 
 int http_server::connections() const { return Listener->connections(); }
 
+void http_server::closeIdle() { Listener->closeIdle(); }
+
 void http_server::setBounds(const http_bounds &Bounds) {
   Listener->setBounds(Bounds);
 }
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -135,6 +135,8 @@
   // From now on every answer asks its caller to close the connection.
   void startDraining();
   int connections() const;
+  // Closes the connections on which no request has begun.
+  void closeIdle();
   // Replaces the bounds for what callers send from now on.
   void setBounds(const http_bounds &Bounds);
 
--- a/io/routing_runtime.cc
+++ b/io/routing_runtime.cc
@@ -366,8 +366,12 @@
   });
 }
 
-void routing_runtime::apply(const drain_finished & /*Effect*/) {
+void routing_runtime::apply(const stop_taking & /*Effect*/) {
   CallerServer->stopListening();
+  CallerServer->closeIdle();
+}
+
+void routing_runtime::apply(const drain_finished & /*Effect*/) {
   QTimer::singleShot(close_linger, &Ticks, [this] { finish(); });
 }
 
--- a/io/routing_runtime.h
+++ b/io/routing_runtime.h
@@ -95,6 +95,7 @@
   void apply(const route_cancel &Effect);
   void apply(const apply_bounds &Effect);
   void apply(const set_ready &Effect) { Ready = Effect.Ready; }
+  void apply(const stop_taking &Effect);
   void apply(const send_message &Effect);
   void apply(const reset_link &Effect) { Peers.resetLink(Effect.ToAddress); }
   void apply(const log_line &Effect);
--- a/routing/routing_effect.h
+++ b/routing/routing_effect.h
@@ -123,13 +123,15 @@
 struct set_ready {
   bool Ready = false;
 };
+// Closes idle callers' connections and takes no new ones.
+struct stop_taking {};
 
 using routing_effect =
     std::variant<route_refusal, route_begin, route_write, route_finish,
                  route_abort, route_answer, route_dispatch, route_cancel,
                  tell_entries, send_message, reset_link, read_feed,
                  abandon_feed_read, append_duty, read_duty_log, report_usage,
-                 order_capacity, apply_bounds, set_ready, log_line,
+                 order_capacity, apply_bounds, set_ready, stop_taking, log_line,
                  count_metric, observe_metric, set_gauge, drain_finished>;
 
 using routing_effects = std::vector<routing_effect>;
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -183,13 +183,13 @@
     return append(std::move(MemberEffects), Effects);
   if (const auto *Report =
           std::get_if<wire::entry_report>(&Received.Message))
-    return onReport(Received.From, *Report, Event.Now);
+    return onReport(Received.FromAddress, *Report, Event.Now);
   if (const auto *News = std::get_if<wire::feed_news>(&Received.Message))
     if (keyed_feed *Feed = feedOf(News->Feed))
       applyChanges(*Feed, Feed->onNews(*News, Event.Now), Event.Now, Effects);
 }
 
-void routing_node::onReport(const node_name &From,
+void routing_node::onReport(const address &From,
                             const wire::entry_report &Report,
                             steady_time Now) {
   ReportedAt[From] = Now;
@@ -391,18 +391,19 @@
   }
 }
 
-// Whether every live entry has reported since the window's end.
-bool routing_node::haveAllReported(int64_t Window, steady_time Now) const {
+// A live entry that has not reported since the window's end; empty when all
+// have.
+std::string routing_node::missingReport(int64_t Window, steady_time Now) const {
   duration SinceEnd = Clock.at(Now) - Usage.endOf(Window);
   steady_time Enough = Now - SinceEnd + usage_told_period;
   for (const wire::member &Member : Members.alive(wire::member_role::Entry)) {
     if (Member.Name == Identity.Name.Value)
       continue;
-    auto It = ReportedAt.find(node_name(Member.Name));
+    auto It = ReportedAt.find(address(Member.Address));
     if (It == ReportedAt.end() || It->second < Enough)
-      return false;
+      return Member.Name;
   }
-  return true;
+  return {};
 }
 
 void routing_node::reportUsage(const routing_event &Event,
@@ -414,11 +415,18 @@
     const wire::window_counts *Figures = Duties.figures(Window);
     duration SinceEnd = TrueTime - Usage.endOf(Window);
     if (!Figures) {
-      bool Settled = SinceEnd >= usage_settle_time &&
-                     (haveAllReported(Window, Event.Now) ||
-                      SinceEnd >= usage_longest_wait);
-      if (Settled)
-        Duties.fixFigures(Usage.sum(Window));
+      if (SinceEnd < usage_settle_time)
+        continue;
+      std::string Missing = missingReport(Window, Event.Now);
+      if (!Missing.empty() && SinceEnd < usage_longest_wait)
+        continue;
+      if (!Missing.empty())
+        Effects.push_back(decision("usage-incomplete")
+                              .add("window", Window)
+                              .add("missing", Missing)
+                              .add("after_end", SinceEnd)
+                              .line(log_level::Warning));
+      Duties.fixFigures(Usage.sum(Window));
       continue;
     }
     steady_time &NextSend =
@@ -486,7 +494,11 @@
   if (!DrainingSince || Finished)
     return;
   Duties.onTick(Event.Now, Event.Random, Effects);
-  if (Event.Now - *DrainingSince < drain_serving_time || Requests.open() > 0)
+  if (Event.Now - *DrainingSince < drain_serving_time)
+    return;
+  if (!std::exchange(StoppedTaking, true))
+    Effects.push_back(stop_taking{});
+  if (Requests.open() > 0 || !Duties.isReleased())
     return;
   Finished = true;
   tellReport(Event, Effects);
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -48,7 +48,7 @@
 constexpr duration capacity_plan_period = std::chrono::milliseconds(500);
 // After the request to end, new requests are still served for so long, because
 // the platform's balancer sends them until it has missed two probes.
-constexpr duration drain_serving_time = std::chrono::milliseconds(3300);
+constexpr duration drain_serving_time = std::chrono::milliseconds(2600);
 
 // Names of the feeds of the platform's store.
 struct feed_names {
@@ -121,14 +121,14 @@
                      routing_effects &Effects);
   void applyConfig(const feed_change &Change, steady_time Now,
                    routing_effects &Effects);
-  void onReport(const node_name &From, const wire::entry_report &Report,
+  void onReport(const address &From, const wire::entry_report &Report,
                 steady_time Now);
   void tellReport(const routing_event &Event, routing_effects &Effects);
   void sendToEntries(const wire::peer_message &Message,
                      routing_effects &Effects);
   void carryOutDuties(const routing_event &Event, routing_effects &Effects);
   void reportUsage(const routing_event &Event, routing_effects &Effects);
-  bool haveAllReported(int64_t Window, steady_time Now) const;
+  std::string missingReport(int64_t Window, steady_time Now) const;
   void logHolder(routing_effects &Effects);
   void checkDrain(const routing_event &Event, routing_effects &Effects);
   // Replaces messages to all entries by one to each.
@@ -157,7 +157,7 @@
   steady_time NextUsageTold = steady_time::min();
   steady_time NextPlan = steady_time::min();
   int64_t ReportSequence = 0;
-  std::map<node_name, steady_time> ReportedAt; // by other entries
+  std::map<address, steady_time> ReportedAt; // by other entries
   // Windows whose report was sent, and when it may be sent again; far in the
   // future once it was accepted.
   std::map<int64_t, steady_time> UsageSent;
@@ -166,6 +166,7 @@
   bool StoreFailing = false;
   bool WasReady = false;
   std::optional<steady_time> DrainingSince;
+  bool StoppedTaking = false;
   bool Finished = false;
 };
 
--- a/routing/true_time.cc
+++ b/routing/true_time.cc
@@ -10,7 +10,7 @@
   update(Now);
 }
 
-void true_time::onPeer(const node_name &From, steady_time Now,
+void true_time::onPeer(const address &From, steady_time Now,
                        wall_time Wall) {
   Peers[From] = {Wall.time_since_epoch() - Now.time_since_epoch(), Now};
 }
@@ -20,7 +20,7 @@
     return Now - Peer.second.TakenAt > clock_reading_age;
   });
   std::vector<duration> Offsets = {Own.Offset};
-  for (const auto &[Name, Reading] : Peers)
+  for (const auto &[From, Reading] : Peers)
     Offsets.push_back(Reading.Offset);
   // The lower median: with two clocks there is no telling which one is right.
   auto Middle = Offsets.begin() +
--- a/routing/true_time.h
+++ b/routing/true_time.h
@@ -24,7 +24,7 @@
 class true_time {
 public:
   void onOwn(steady_time Now, wall_time Wall);
-  void onPeer(const node_name &From, steady_time Now, wall_time Wall);
+  void onPeer(const address &From, steady_time Now, wall_time Wall);
   wall_time at(steady_time Now) const;
 
 private:
@@ -35,7 +35,7 @@
   void update(steady_time Now);
 
   reading Own;
-  absl::flat_hash_map<node_name, reading> Peers;
+  absl::flat_hash_map<address, reading> Peers;
   duration Offset{};
 };
 
--- a/routing/upstream_load.cc
+++ b/routing/upstream_load.cc
@@ -31,7 +31,7 @@
   Open.erase(It);
 }
 
-void upstream_load::onReport(const node_name &From,
+void upstream_load::onReport(const address &From,
                              const wire::entry_report &Report,
                              steady_time Now) {
   peer_uses &Peer = ByPeer[From];
@@ -46,7 +46,7 @@
 
 void upstream_load::onTick(steady_time Now) {
   bool Changed = false;
-  for (auto &[Name, Peer] : ByPeer) {
+  for (auto &[From, Peer] : ByPeer) {
     if (Peer.Uses.empty() || Now - Peer.HeardAt < report_expiry)
       continue;
     Peer.Uses.clear();
@@ -58,7 +58,7 @@
 
 void upstream_load::rebuildPeers() {
   Peers.clear();
-  for (const auto &[Name, Peer] : ByPeer)
+  for (const auto &[From, Peer] : ByPeer)
     for (const wire::upstream_use &Told : Peer.Uses) {
       upstream_use_sum &Use = Peers[upstream_name(Told.Upstream)];
       Use.Running += Told.Running;
--- a/routing/upstream_load.h
+++ b/routing/upstream_load.h
@@ -9,6 +9,9 @@
 //
 // Upstreams' own reports lag by hundreds of milliseconds and are read by all
 // entries alike, so entries tell each other what they send in place of that.
+//
+// Entries are told apart by the addresses of their peer listeners: a message
+// that comes over a connection that this entry opened names no sender.
 
 #ifndef ROUTING_UPSTREAM_LOAD_H
 #define ROUTING_UPSTREAM_LOAD_H
@@ -44,7 +47,7 @@
   void onFirstAnswer(attempt_number Attempt);
   void end(attempt_number Attempt);
 
-  void onReport(const node_name &From, const wire::entry_report &Report,
+  void onReport(const address &From, const wire::entry_report &Report,
                 steady_time Now);
   void onTick(steady_time Now);
 
@@ -70,7 +73,7 @@
 
   absl::flat_hash_map<attempt_number, open_attempt> Open;
   use_map Own;
-  absl::flat_hash_map<node_name, peer_uses> ByPeer;
+  absl::flat_hash_map<address, peer_uses> ByPeer;
   use_map Peers; // sums over ByPeer
 };
 
--- a/routing/usage_windows.cc
+++ b/routing/usage_windows.cc
@@ -39,13 +39,13 @@
   return Windows;
 }
 
-void usage_windows::onReport(const node_name &From, int64_t Incarnation,
+void usage_windows::onReport(const address &From, int64_t Incarnation,
                              const std::vector<wire::window_counts> &Windows) {
   for (const wire::window_counts &Told : Windows) {
     // A peer's clock may be wrong by far; windows far apart are no use.
     if (Others.size() >= 2 * kept_windows && !Others.contains(Told.Window))
       continue;
-    counts &Known = Others[Told.Window][{From.Value, Incarnation}];
+    counts &Known = Others[Told.Window][{From, Incarnation}];
     for (const wire::organisation_count &Count : Told.Counts) {
       int64_t &Requests = Known[Count.Organisation];
       Requests = std::max(Requests, Count.Requests);
--- a/routing/usage_windows.h
+++ b/routing/usage_windows.h
@@ -40,7 +40,7 @@
   void forgetBefore(int64_t Window);
 
   std::vector<wire::window_counts> ownWindows() const;
-  void onReport(const node_name &From, int64_t Incarnation,
+  void onReport(const address &From, int64_t Incarnation,
                 const std::vector<wire::window_counts> &Windows);
 
   // What is known of a window over all entries.
@@ -48,7 +48,7 @@
 
 private:
   using counts = std::map<std::string, int64_t>;
-  using source = std::pair<std::string, int64_t>; // entry and incarnation
+  using source = std::pair<address, int64_t>; // entry and incarnation
 
   duration Length;
   std::map<int64_t, counts> Own;
