Capacity never below what was provided; reading shared parts again costs more

Cause: the orders at a cold start cut the 18 engines of the second site to 12 before a request had come, and the burst of the first seconds met cold engines; subjects left their homes for queues that were cheaper than reading them again. Ruled out: placement within the set (busiest/mean 1.6, even over zones).

--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -42,6 +42,22 @@
 
 } // namespace
 
+// Upstreams that the operators had provided when this entry took charge. At a
+// cold start they are listed one by one. Reclaimable ones that come meanwhile
+// are this entry's own orders.
+size_t capacity_policy::provided(const service &Service,
+                                 const capacity_input &Input,
+                                 steady_time Now) {
+  auto [It, First] = Surveys.try_emplace(Service.Name, survey{Now, {}});
+  survey &Survey = It->second;
+  if (Now - Survey.Begun <= survey_time)
+    for (const auto &[Name, State] : Input.Registry.all())
+      if (State.Entry.Service == Service.Name &&
+          (!State.Entry.Reclaimable || (First && !State.Entry.Draining)))
+        Survey.Names.insert(Name);
+  return Survey.Names.size();
+}
+
 double capacity_policy::demandOf(const service &Service,
                                  const capacity_input &Input,
                                  steady_time Now) {
@@ -57,6 +73,8 @@
   int Slots = Service.Engine ? Service.Engine->Slots : 1;
   double Wanted = Running / (wanted_slot_use * Slots) +
                   Unread / wanted_unread_tokens;
+  Wanted = std::max(Wanted,
+                    static_cast<double>(provided(Service, Input, Now)));
   demand &Known = Demands[Service.Name];
   if (Wanted >= Known.Upstreams || Now - Known.At > demand_memory)
     Known = {Wanted, Now};
--- a/routing/capacity_policy.h
+++ b/routing/capacity_policy.h
@@ -13,12 +13,15 @@
 //   zones has to carry the load until new ones have booted, so the total is
 //   chosen with one zone's reclaimable upstreams missing.
 // - Bursts. The plan follows a rise at once and a fall only slowly, because an
-//   upstream takes seconds to boot.
+//   upstream takes seconds to boot and begins with nothing cached. It never
+//   falls below what was provided at first, of which most is exchanged for
+//   reclaimable ones.
 
 #ifndef ROUTING_CAPACITY_POLICY_H
 #define ROUTING_CAPACITY_POLICY_H
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "routing/routing_event.h"
@@ -31,7 +34,9 @@
 // Between two orders for the same kind, service and zone that was not met.
 constexpr duration order_retry_period = std::chrono::seconds(4);
 // A lower demand counts after it has lasted for so long.
-constexpr duration demand_memory = std::chrono::seconds(12);
+constexpr duration demand_memory = std::chrono::seconds(20);
+// Within it, all upstreams of a cold start have been listed.
+constexpr duration survey_time = std::chrono::seconds(8);
 
 struct capacity_input {
   const site_config &Config;
@@ -64,6 +69,10 @@
     int Ordered = -1; // accepted by the platform
     steady_time NextOrder = steady_time::min();
   };
+  struct survey {
+    steady_time Begun;
+    std::set<upstream_name> Names;
+  };
   struct demand {
     double Upstreams = 0;
     steady_time At = steady_time::min();
@@ -71,6 +80,8 @@
 
   void planService(const service &Service, const capacity_input &Input,
                    steady_time Now, std::vector<capacity_target> &Due);
+  size_t provided(const service &Service, const capacity_input &Input,
+                  steady_time Now);
   double demandOf(const service &Service, const capacity_input &Input,
                   steady_time Now);
   void addIfDue(capacity_target Target, int Listed, steady_time Now,
@@ -78,6 +89,7 @@
 
   std::map<subject, order_state> Orders;
   std::map<pool_name, demand> Demands;
+  std::map<pool_name, survey> Surveys;
 };
 
 } // namespace monsoonreel
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -23,6 +23,10 @@
 constexpr double unnoticed_tokens = 3000;
 // What each further token costs a paced stream.
 constexpr double unread_cost_to_paced = 3;
+// Cost of a token that an engine has read already and another one would read
+// again: besides its own time, it takes the place of other work's cached parts
+// there, and the subject has two homes from then on.
+constexpr double reread_cost = 4;
 // Cost for a long prompt of an engine that is set apart for paced streams: a
 // fixed part, and one for each token that delays them.
 constexpr double lane_entry_cost = 3000;
@@ -89,9 +93,11 @@
          (InLane ? 0 : outside_lane_cost);
 }
 
-double longPromptCost(const placement &Option, bool InLane) {
+double longPromptCost(const placement &Option, int64_t OwnPart, bool InLane) {
   auto Unread = static_cast<double>(Option.UnreadTokens);
-  double Cost = Unread + static_cast<double>(Option.Use.UnreadTokens);
+  double Reread = std::max(0.0, Unread - static_cast<double>(OwnPart));
+  double Cost = Unread + (reread_cost - 1) * Reread +
+                static_cast<double>(Option.Use.UnreadTokens);
   return InLane ? Cost + lane_entry_cost + lane_token_cost * Unread : Cost;
 }
 
@@ -121,7 +127,7 @@
       Option.UnreadTokens = std::min(Option.UnreadTokens, OwnPart);
     bool InLane = LanePlace[I] < Lane;
     Option.Cost = Query.Paced ? pacedCost(Option, InLane)
-                              : longPromptCost(Option, InLane);
+                              : longPromptCost(Option, OwnPart, InLane);
     Option.Cost += Option.Use.Running * running_cost;
     if (Entry.Zone != Query.Zone)
       Option.Cost += other_zone_cost;
