--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -146,8 +146,8 @@
     }
     // The rest of a request that was answered early would be read as the next
     // one's beginning.
-    bool Reusable = KeepAlive && Last && !Stream.hasUnwritten() &&
-                    Stream.isConnected();
+    bool Reusable =
+        KeepAlive && Last && !Stream.hasUnwritten() && Stream.isConnected();
     auto Kept = std::exchange(Handler, nullptr);
     Pool.settle(this, Reusable);
     Kept->onEnd();
@@ -244,9 +244,9 @@
     Owned = std::move(It->second);
     Active.erase(It);
   } else {
-    auto Found = std::find_if(
-        Site.Idle.begin(), Site.Idle.end(),
-        [&](const auto &Idle) { return Idle.get() == Channel; });
+    auto Found =
+        std::find_if(Site.Idle.begin(), Site.Idle.end(),
+                     [&](const auto &Idle) { return Idle.get() == Channel; });
     if (Found == Site.Idle.end())
       return;
     Owned = std::move(*Found);
--- a/io/gated_socket.cc
+++ b/io/gated_socket.cc
@@ -137,8 +137,8 @@
 void gated_socket::readChunks() {
   while (Wire->bytesAvailable() > 0) {
     QByteArray Bytes = Wire->peek(Wire->bytesAvailable());
-    size_t Used = Chunks->read(
-        {Bytes.constData(), static_cast<size_t>(Bytes.size())});
+    size_t Used =
+        Chunks->read({Bytes.constData(), static_cast<size_t>(Bytes.size())});
     Wire->skip(static_cast<qint64>(Used));
     if (Chunks->isTooLarge())
       return refuse(http_status::content_too_large);
--- a/io/http_reply_parser.cc
+++ b/io/http_reply_parser.cc
@@ -81,8 +81,8 @@
   size_t Parsed = http_parser_execute(&State->Parser, &State->Settings,
                                       Bytes.data(), Bytes.size());
   if (Parsed != Bytes.size() || State->Parser.upgrade != 0)
-    State->Events.emplace_back(reply_error{
-        http_errno_description(HTTP_PARSER_ERRNO(&State->Parser))});
+    State->Events.emplace_back(
+        reply_error{http_errno_description(HTTP_PARSER_ERRNO(&State->Parser))});
   return std::move(State->Events);
 }
 
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -59,7 +59,9 @@
     return findHeader(Headers, Name);
   }
   // The request target as sent: path and query.
-  std::string target() const { return Query.empty() ? Path : Path + "?" + Query; }
+  std::string target() const {
+    return Query.empty() ? Path : Path + "?" + Query;
+  }
   // The value of a query parameter, or Otherwise when it is missing.
   std::string parameter(std::string_view Name, std::string Otherwise) const;
 };
--- a/io/tcp_stream.cc
+++ b/io/tcp_stream.cc
@@ -56,10 +56,8 @@
     closeSocket();
     return false;
   }
-  Readable =
-      std::make_unique<QSocketNotifier>(Socket, QSocketNotifier::Read);
-  Writable =
-      std::make_unique<QSocketNotifier>(Socket, QSocketNotifier::Write);
+  Readable = std::make_unique<QSocketNotifier>(Socket, QSocketNotifier::Read);
+  Writable = std::make_unique<QSocketNotifier>(Socket, QSocketNotifier::Write);
   Readable->setEnabled(false);
   QObject::connect(Readable.get(), &QSocketNotifier::activated, Readable.get(),
                    [this] { onReadable(); });
@@ -118,8 +116,7 @@
   std::array<char, read_bytes> Buffer;
   ssize_t Size = ::recv(Socket, Buffer.data(), Buffer.size(), 0);
   if (Size > 0)
-    return Listener.onStreamBytes(
-        {Buffer.data(), static_cast<size_t>(Size)});
+    return Listener.onStreamBytes({Buffer.data(), static_cast<size_t>(Size)});
   if (Size == 0)
     return end(stream_end::Orderly, "closed");
   if (errno != EAGAIN && errno != EINTR)
--- a/io/timed_call.cc
+++ b/io/timed_call.cc
@@ -14,8 +14,7 @@
 
   void startTimer(duration Timeout, std::function<void()> OnTimeout) {
     QObject::connect(&Timer, &QTimer::timeout, &Timer, std::move(OnTimeout));
-    Timer.start(
-        std::chrono::duration_cast<std::chrono::milliseconds>(Timeout));
+    Timer.start(std::chrono::duration_cast<std::chrono::milliseconds>(Timeout));
   }
 
   reply_verdict onHead(const http_reply_head &Head) override {
--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -46,8 +46,7 @@
 // cold start they are listed one by one. Reclaimable ones that come meanwhile
 // are this entry's own orders.
 size_t capacity_policy::provided(const service &Service,
-                                 const capacity_input &Input,
-                                 steady_time Now) {
+                                 const capacity_input &Input, steady_time Now) {
   auto [It, First] = Surveys.try_emplace(Service.Name, survey{Now, {}});
   survey &Survey = It->second;
   if (Now - Survey.Begun <= survey_time)
@@ -59,8 +58,7 @@
 }
 
 double capacity_policy::demandOf(const service &Service,
-                                 const capacity_input &Input,
-                                 steady_time Now) {
+                                 const capacity_input &Input, steady_time Now) {
   double Running = 0;
   double Unread = 0;
   for (const auto &[Name, State] : Input.Registry.all()) {
@@ -71,10 +69,9 @@
     Unread += static_cast<double>(Use.UnreadTokens);
   }
   int Slots = Service.Engine ? Service.Engine->Slots : 1;
-  double Wanted = Running / (wanted_slot_use * Slots) +
-                  Unread / wanted_unread_tokens;
-  Wanted = std::max(Wanted,
-                    static_cast<double>(provided(Service, Input, Now)));
+  double Wanted =
+      Running / (wanted_slot_use * Slots) + Unread / wanted_unread_tokens;
+  Wanted = std::max(Wanted, static_cast<double>(provided(Service, Input, Now)));
   demand &Known = Demands[Service.Name];
   if (Wanted >= Known.Upstreams || Now - Known.At > demand_memory)
     Known = {Wanted, Now};
@@ -100,9 +97,9 @@
   if (!Terms.ReclaimablePrice) {
     int Each = static_cast<int>(std::ceil(Wanted / ZoneCount)) + 1;
     for (const auto &[Zone, Listed] : Zones)
-      addIfDue({Service.Name, Zone, false,
-                std::clamp(Each, Terms.Min, Terms.Max)},
-               Listed.Stable, Now, Due);
+      addIfDue(
+          {Service.Name, Zone, false, std::clamp(Each, Terms.Min, Terms.Max)},
+          Listed.Stable, Now, Due);
     return;
   }
   int Stable = std::clamp(stable_in_zone, Terms.Min, Terms.Max);
--- a/routing/capacity_policy.h
+++ b/routing/capacity_policy.h
@@ -9,7 +9,8 @@
 //
 // - Steady load well below what the upstreams can carry. Stable upstreams cost
 //   several times what reclaimable ones do, so each zone keeps few of them.
-// - All reclaimable upstreams of a zone leave at once. What is left in the other
+// - All reclaimable upstreams of a zone leave at once. What is left in the
+// other
 //   zones has to carry the load until new ones have booted, so the total is
 //   chosen with one zone's reclaimable upstreams missing.
 // - Bursts. The plan follows a rise at once and a fall only slowly, because an
--- a/routing/duty_log.cc
+++ b/routing/duty_log.cc
@@ -59,8 +59,8 @@
   }
   if (!ClaimAt) {
     MustRead = true;
-    ClaimAt = Now + duration(Random % static_cast<uint64_t>(
-                                          duty_claim_jitter.count()));
+    ClaimAt = Now + duration(Random %
+                             static_cast<uint64_t>(duty_claim_jitter.count()));
   }
   return Now >= *ClaimAt;
 }
--- a/routing/duty_log.h
+++ b/routing/duty_log.h
@@ -14,12 +14,12 @@
 //
 // Times are as in `lease_holder`, on boot time:
 //
-//   The holder acts until `Duration` after it sent its newest claim that counts.
-//   Others take the claim as held until `Duration` + `Margin` after they learn
-//   of it, from the log or from a peer, which is later than its sending.
-//   A new holder acts only after another `Flight`, so that a call that the old
-//   one sent at its last moment has arrived before; after `Handover` if the old
-//   one gave the lease up.
+//   The holder acts until `Duration` after it sent its newest claim that
+//   counts. Others take the claim as held until `Duration` + `Margin` after
+//   they learn of it, from the log or from a peer, which is later than its
+//   sending. A new holder acts only after another `Flight`, so that a call that
+//   the old one sent at its last moment has arrived before; after `Handover` if
+//   the old one gave the lease up.
 //
 // The offset of a holder's first claim is its fence. It stays the same while
 // the holder renews, and a later holder's is higher.
@@ -102,8 +102,8 @@
 private:
   void take(const wire::duty_record &Record, int64_t Offset, steady_time Now,
             bool OwnAnswer);
-  void takeClaim(const wire::duty_claim &Heard, int64_t Offset,
-                 steady_time Now, bool OwnAnswer);
+  void takeClaim(const wire::duty_claim &Heard, int64_t Offset, steady_time Now,
+                 bool OwnAnswer);
   void takeFigures(const wire::window_counts &Heard);
   bool isClaimDue(steady_time Now, uint64_t Random);
   bool isRenewalDue(steady_time Now) const;
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -35,7 +35,7 @@
 
 struct placement_query {
   const std::vector<const upstream_state *> &Serving;
-  const zone_name &Zone; // of the entry
+  const zone_name &Zone;               // of the entry
   const prompt_info *Prompt = nullptr; // set for engines
   bool Paced = false;                  // the answer is a stream of many events
   // Upstreams that had the request already.
--- a/routing/prompt_cache_view.cc
+++ b/routing/prompt_cache_view.cc
@@ -36,7 +36,8 @@
   uint64_t Chain = 0;
   for (size_t I = 0; I + 1 < Prompt.Parts.size(); ++I) {
     Chain = extendChain(Chain, Prompt.Parts[I].Id);
-    if (UsedAt.size() < max_believed_parts || UsedAt.contains({Upstream, Chain}))
+    if (UsedAt.size() < max_believed_parts ||
+        UsedAt.contains({Upstream, Chain}))
       UsedAt[{Upstream, Chain}] = Now;
   }
 }
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -102,8 +102,8 @@
                           const router_context &Context,
                           routing_effects &Effects) {
   placement_query Query = queryFor(Request, Context);
-  std::optional<placement> Chosen = choosePlacement(
-      Query, {Services.Load, Services.Cache, Services.Trust});
+  std::optional<placement> Chosen =
+      choosePlacement(Query, {Services.Load, Services.Cache, Services.Trust});
   if (!Chosen)
     return giveUp(Request, "no-upstream", Context, Effects);
   const upstream_entry &Entry = Chosen->Upstream->Entry;
@@ -134,22 +134,22 @@
   Dispatch.MaxConnections = std::max<int>(
       1, Request.Service->MaxConnections / static_cast<int>(Context.Entries));
   Effects.push_back(Dispatch);
-  Effects.push_back(decision("dispatched")
-                        .add("request", Request.Arrived.CallerId)
-                        .add("route", Request.Route->Name)
-                        .add("organisation", Request.Organisation)
-                        .add("upstream", Entry.Name)
-                        .add("attempt", Request.Sent)
-                        .add("config_version", Request.Table->config().Version)
-                        .add("registry_age", Context.RegistryAge)
-                        .add("candidates",
-                             static_cast<int64_t>(Query.Serving.size()))
-                        .add("cost", static_cast<int64_t>(Chosen->Cost))
-                        .add("unread", Chosen->UnreadTokens)
-                        .add("running", Chosen->Use.Running)
-                        .add("unread_before", Chosen->Use.UnreadTokens)
-                        .add("time_left", Dispatch.TimeLeft)
-                        .line(log_level::Info));
+  Effects.push_back(
+      decision("dispatched")
+          .add("request", Request.Arrived.CallerId)
+          .add("route", Request.Route->Name)
+          .add("organisation", Request.Organisation)
+          .add("upstream", Entry.Name)
+          .add("attempt", Request.Sent)
+          .add("config_version", Request.Table->config().Version)
+          .add("registry_age", Context.RegistryAge)
+          .add("candidates", static_cast<int64_t>(Query.Serving.size()))
+          .add("cost", static_cast<int64_t>(Chosen->Cost))
+          .add("unread", Chosen->UnreadTokens)
+          .add("running", Chosen->Use.Running)
+          .add("unread_before", Chosen->Use.UnreadTokens)
+          .add("time_left", Dispatch.TimeLeft)
+          .line(log_level::Info));
 }
 
 void request_router::endAttempt(active_request &Request) {
@@ -180,9 +180,8 @@
   // A stream whose events carry no ids can't go on elsewhere.
   if (Request.Begun && !Request.Events.lastId())
     return false;
-  return Repeatable &&
-         (!Arrived ||
-          Services.Budget.tryResend(Request.Service->Name, Context.Now));
+  return Repeatable && (!Arrived || Services.Budget.tryResend(
+                                        Request.Service->Name, Context.Now));
 }
 
 void request_router::trySendAgain(active_request &Request, bool Arrived,
@@ -201,8 +200,8 @@
     return giveUp(Request, Why, Context, Effects);
   Request.Body.clear();
   Request.Events.expectNextRun();
-  Effects.push_back(count_metric{"monsoonreel_resends_total",
-                                 {{"reason", Why}}});
+  Effects.push_back(
+      count_metric{"monsoonreel_resends_total", {{"reason", Why}}});
   send(Request, Context, Effects);
 }
 
@@ -266,8 +265,8 @@
   Request->Held = false;
   Request->Begun = true;
   Effects.push_back(route_begin{Request->Arrived.Request, Data.Attempt});
-  Effects.push_back(route_write{Request->Arrived.Request,
-                                std::exchange(Request->Body, {})});
+  Effects.push_back(
+      route_write{Request->Arrived.Request, std::exchange(Request->Body, {})});
 }
 
 void request_router::onStreamData(active_request &Request,
@@ -285,17 +284,14 @@
   Services.Load.onFirstAnswer(*Request.Attempt);
   countUsage(Request, Context);
   if (!std::exchange(Request.Begun, true)) {
-    Effects.push_back(
-        route_begin{Request.Arrived.Request, *Request.Attempt});
-    Effects.push_back(
-        observe_metric{"monsoonreel_first_event_seconds",
-                       {{"route", Request.Route->Name}},
-                       std::chrono::duration<double>(Context.Now -
-                                                     Request.ArrivedAt)
-                           .count()});
+    Effects.push_back(route_begin{Request.Arrived.Request, *Request.Attempt});
+    Effects.push_back(observe_metric{
+        "monsoonreel_first_event_seconds",
+        {{"route", Request.Route->Name}},
+        std::chrono::duration<double>(Context.Now - Request.ArrivedAt)
+            .count()});
   }
-  Effects.push_back(
-      route_write{Request.Arrived.Request, std::move(Whole)});
+  Effects.push_back(route_write{Request.Arrived.Request, std::move(Whole)});
 }
 
 void request_router::onEnd(const answer_end &End, const router_context &Context,
@@ -416,9 +412,9 @@
   Refusal.Outcome = Request.Knowledge;
   Refusal.RetryAfter = spread(RetryAfter, Context.Random);
   Effects.push_back(Refusal);
-  Effects.push_back(count_metric{"monsoonreel_refusals_total",
-                                 {{"code", Code},
-                                  {"status", std::to_string(Status)}}});
+  Effects.push_back(
+      count_metric{"monsoonreel_refusals_total",
+                   {{"code", Code}, {"status", std::to_string(Status)}}});
   close(Request, Code, Context, Effects);
 }
 
@@ -440,8 +436,8 @@
                         .add("registry_age", Context.RegistryAge)
                         .add("took", Took)
                         .line(log_level::Info));
-  Effects.push_back(count_metric{"monsoonreel_route_requests_total",
-                                 {{"outcome", Outcome}}});
+  Effects.push_back(
+      count_metric{"monsoonreel_route_requests_total", {{"outcome", Outcome}}});
   Effects.push_back(
       observe_metric{"monsoonreel_route_request_seconds",
                      {{"route", Request.Route ? Request.Route->Name : "none"}},
--- a/routing/route_table.cc
+++ b/routing/route_table.cc
@@ -15,7 +15,7 @@
 }
 
 const host_route *route_table::find(std::string_view Host,
-                               std::string_view Path) const {
+                                    std::string_view Path) const {
   // Prefixes end with a slash, so only the slashes of the path are tried.
   size_t Slash = Path.rfind('/');
   route_key Key{std::string(Host), {}};
@@ -41,7 +41,8 @@
   return It == ByService.end() ? nullptr : &Config.Services[It->second];
 }
 
-const pool_name *route_table::chooseService(const host_route &Route, uint64_t Draw) {
+const pool_name *route_table::chooseService(const host_route &Route,
+                                            uint64_t Draw) {
   uint64_t Total = 0;
   for (const weighted_service &Choice : Route.Services)
     Total += static_cast<uint64_t>(Choice.Weight);
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -64,11 +64,12 @@
   if (bool Ready = isReady(); Ready != WasReady) {
     WasReady = Ready;
     Effects.push_back(set_ready{Ready});
-    Effects.push_back(decision(Ready ? "ready" : "not-ready")
-                          .add("config_known", ConfigFeed.isKnown() ? 1 : 0)
-                          .add("upstreams", static_cast<int64_t>(Registry.size()))
-                          .add("draining", DrainingSince ? 1 : 0)
-                          .line(log_level::Info));
+    Effects.push_back(
+        decision(Ready ? "ready" : "not-ready")
+            .add("config_known", ConfigFeed.isKnown() ? 1 : 0)
+            .add("upstreams", static_cast<int64_t>(Registry.size()))
+            .add("draining", DrainingSince ? 1 : 0)
+            .line(log_level::Info));
   }
   addressToEntries(From, Effects);
 }
@@ -181,8 +182,7 @@
   effect_list MemberEffects;
   if (Members.onMessage(Received, Event.Now, MemberEffects))
     return append(std::move(MemberEffects), Effects);
-  if (const auto *Report =
-          std::get_if<wire::entry_report>(&Received.Message))
+  if (const auto *Report = std::get_if<wire::entry_report>(&Received.Message))
     return onReport(Received.FromAddress, *Report, Event.Now);
   if (const auto *News = std::get_if<wire::feed_news>(&Received.Message))
     if (keyed_feed *Feed = feedOf(News->Feed))
@@ -190,8 +190,7 @@
 }
 
 void routing_node::onReport(const address &From,
-                            const wire::entry_report &Report,
-                            steady_time Now) {
+                            const wire::entry_report &Report, steady_time Now) {
   ReportedAt[From] = Now;
   Load.onReport(From, Report, Now);
   Clock.onPeer(From, Now, wall_time(fromMicros(Report.WallMicros)));
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -182,8 +182,7 @@
     Terms = std::move(Value);
     return *this;
   }
-  routing_node_builder &
-  decoder(std::shared_ptr<const listing_decoder> Value) {
+  routing_node_builder &decoder(std::shared_ptr<const listing_decoder> Value) {
     Decoder = std::move(Value);
     return *this;
   }
--- a/routing/send_budget.cc
+++ b/routing/send_budget.cc
@@ -24,8 +24,8 @@
 }
 
 token_bucket &send_budget::bucketOf(const pool_name &Service) {
-  auto [It, New] = Buckets.try_emplace(Service, rate(),
-                                       std::max(1.0, allowance()));
+  auto [It, New] =
+      Buckets.try_emplace(Service, rate(), std::max(1.0, allowance()));
   return It->second;
 }
 
--- a/routing/true_time.cc
+++ b/routing/true_time.cc
@@ -10,8 +10,7 @@
   update(Now);
 }
 
-void true_time::onPeer(const address &From, steady_time Now,
-                       wall_time Wall) {
+void true_time::onPeer(const address &From, steady_time Now, wall_time Wall) {
   Peers[From] = {Wall.time_since_epoch() - Now.time_since_epoch(), Now};
 }
 
@@ -23,8 +22,8 @@
   for (const auto &[From, Reading] : Peers)
     Offsets.push_back(Reading.Offset);
   // The lower median: with two clocks there is no telling which one is right.
-  auto Middle = Offsets.begin() +
-                static_cast<std::ptrdiff_t>((Offsets.size() - 1) / 2);
+  auto Middle =
+      Offsets.begin() + static_cast<std::ptrdiff_t>((Offsets.size() - 1) / 2);
   std::nth_element(Offsets.begin(), Middle, Offsets.end());
   Offset = *Middle;
 }
