--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -40,7 +40,7 @@
     Handler = nullptr;
     Stream.close();
   }
-  void begin(call_id NewCall, std::string Bytes, bool HeadOnly,
+  void begin(call_id NewCall, std::string_view Bytes, bool HeadOnly,
              std::shared_ptr<call_handler> NewHandler) {
     Call = NewCall;
     Handler = std::move(NewHandler);
@@ -189,7 +189,7 @@
   return nullptr;
 }
 
-call_id channel_pool::start(const address &To, std::string Bytes,
+call_id channel_pool::start(const address &To, std::string_view Bytes,
                             call_options Options,
                             std::shared_ptr<call_handler> Handler) {
   call_id Call{++LastCall};
@@ -208,7 +208,7 @@
     ++Site.Open;
     ++Made;
   }
-  Channel->begin(Call, std::move(Bytes), Options.HeadOnly, std::move(Handler));
+  Channel->begin(Call, Bytes, Options.HeadOnly, std::move(Handler));
   Active[Call] = std::move(Channel);
   return Call;
 }
--- a/io/testing/channel_pool_test.cc
+++ b/io/testing/channel_pool_test.cc
@@ -64,7 +64,7 @@
   }
   // Answers every request with these bytes, then does Then.
   void answerWith(std::string Bytes,
-                  std::function<void(QTcpSocket *)> Then = nullptr) {
+                  const std::function<void(QTcpSocket *)> &Then = nullptr) {
     Server.OnRequest = [Bytes = std::move(Bytes), Then](QTcpSocket *Socket) {
       Socket->write(Bytes.data(), static_cast<qint64>(Bytes.size()));
       Socket->flush();
--- a/io/timed_call.cc
+++ b/io/timed_call.cc
@@ -56,10 +56,10 @@
   QTimer Timer;
 };
 
-call_id timed_caller::call(const address &To, std::string Bytes,
+call_id timed_caller::call(const address &To, std::string_view Bytes,
                            duration Timeout, callback Callback) {
   auto Handler = std::make_shared<handler>(std::move(Callback));
-  call_id Call = Channels.start(To, std::move(Bytes), call_options(), Handler);
+  call_id Call = Channels.start(To, Bytes, call_options(), Handler);
   std::weak_ptr<handler> Weak = Handler;
   Handler->startTimer(Timeout, [this, Call, Weak] {
     auto Kept = Weak.lock();
--- a/io/timed_call.h
+++ b/io/timed_call.h
@@ -34,7 +34,7 @@
 public:
   using callback = std::function<void(const timed_result &)>;
 
-  call_id call(const address &To, std::string Bytes, duration Timeout,
+  call_id call(const address &To, std::string_view Bytes, duration Timeout,
                callback Callback);
   void cancel(call_id Call) { Channels.cancel(Call); }
 
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -204,7 +204,10 @@
 
 void routing_node::tellReport(const routing_event &Event,
                               routing_effects &Effects) {
-  NextReport = Event.Now + report_period;
+  auto Others = static_cast<int64_t>(EntryCount);
+  NextReport = Event.Now +
+               std::max<duration>(report_period, std::chrono::seconds(Others) /
+                                                     reports_per_second);
   wire::entry_report Report;
   Report.Incarnation = Identity.Incarnation.Value;
   Report.Sequence = ++ReportSequence;
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -34,6 +34,9 @@
 // Between two reports to the other entries: several within the time that a long
 // prompt takes to be read.
 constexpr duration report_period = std::chrono::milliseconds(100);
+// Reports received in a second by each entry at most; with more entries than
+// this allows at `report_period`, each reports less often. About 1% of a core.
+constexpr int64_t reports_per_second = 150;
 // Between two reports that hold the usage windows as well.
 constexpr duration usage_told_period = std::chrono::milliseconds(500);
 // After a window's end, for its last counts to arrive.
--- a/routing/testing/placement_test.cc
+++ b/routing/testing/placement_test.cc
@@ -34,7 +34,7 @@
   std::optional<placement> choose(const prompt_info *Prompt,
                                   const char *Zone = "z0",
                                   uint64_t Random = 0) {
-    return choosePlacement({Registry.serving(Service), ZoneOf(Zone), Prompt,
+    return choosePlacement({Registry.serving(Service), zoneOf(Zone), Prompt,
                             Prompt && isPaced(*Prompt), Tried, at(Now), Random},
                            {Load, Cache, Trust});
   }
@@ -49,7 +49,7 @@
     Cache.onDispatched(Name, Prompt, at(Now));
     return Name.Value;
   }
-  const zone_name &ZoneOf(const char *Name) {
+  const zone_name &zoneOf(const char *Name) {
     return *Zones.insert(zone_name(Name)).first;
   }
 
--- a/routing/testing/upstream_load_test.cc
+++ b/routing/testing/upstream_load_test.cc
@@ -15,7 +15,7 @@
     wire::upstream_use Use;
     Use.Upstream = Upstream.Value;
     Use.Running = Running;
-    Use.UnreadTokens = 100 * Running;
+    Use.UnreadTokens = int64_t{100} * Running;
     wire::entry_report Report;
     Report.Incarnation = 1;
     Report.Sequence = Sequence;
