A zone whose upstreams can't be reached is paused as a whole

Ruled out: servers failing (no 5xx), stale registry (fresh until 42.1 s). Two upstreams of a zone that can't be reached within a second, without an answer from there, now pause the zone for 1.5 s.

--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -69,7 +69,8 @@
     if (std::find(Query.Tried.begin(), Query.Tried.end(), Name) !=
         Query.Tried.end())
       continue;
-    (Trust.isPaused(Name, Query.Now) ? Paused : Good).push_back(Candidate);
+    (Trust.isPaused(Name, Candidate->Entry.Zone, Query.Now) ? Paused : Good)
+        .push_back(Candidate);
   }
   return Good.empty() ? Paused : Good;
 }
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -111,6 +111,7 @@
   Attempts[Attempt] = Request.Arrived.Request;
   Request.Attempt = Attempt;
   Request.Upstream = Entry.Name;
+  Request.UpstreamZone = Entry.Zone;
   Request.SentAt = Context.Now;
   Request.Status = 0;
   Request.Stream = Request.Held = false;
@@ -216,7 +217,8 @@
   Request->Status = Head.Status;
   if (Head.WrongUpstream || Head.SaidNotRun) {
     if (Head.WrongUpstream)
-      Services.Trust.onUnreachable(Request->Upstream, Context.Now);
+      Services.Trust.onUnreachable(Request->Upstream, Request->UpstreamZone,
+                                   Context.Now);
     else
       Services.Trust.onFull(Request->Upstream, Context.Now);
     Effects.push_back(route_cancel{Head.Attempt});
@@ -226,7 +228,8 @@
   }
   Request->Knowledge = run_knowledge::Run;
   bool Failed = Head.Status >= 500;
-  Services.Trust.onAnswer(Request->Upstream, Failed, Context.Now);
+  Services.Trust.onAnswer(Request->Upstream, Request->UpstreamZone, Failed,
+                          Context.Now);
   Request->Stream = Head.EventStream && Head.Status < 300;
   if (Request->Begun && !Request->Stream) {
     // The rest of a stream that has begun can't be an answer of another kind.
@@ -330,13 +333,15 @@
     return;
   if (Failed.Failure == attempt_failure::NeverSent) {
     --Request->Sent;
-    Services.Trust.onUnreachable(Request->Upstream, Context.Now);
+    Services.Trust.onUnreachable(Request->Upstream, Request->UpstreamZone,
+                                 Context.Now);
     return trySendAgain(*Request, false, "unreachable", Context, Effects);
   }
   if (Request->Knowledge == run_knowledge::NotRun)
     Request->Knowledge = run_knowledge::Unknown;
   if (Request->Status == 0)
-    Services.Trust.onUnreachable(Request->Upstream, Context.Now);
+    Services.Trust.onUnreachable(Request->Upstream, Request->UpstreamZone,
+                                 Context.Now);
   trySendAgain(*Request, true,
                Failed.Failure == attempt_failure::Truncated ? "truncated"
                                                             : "broken",
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -99,6 +99,7 @@
     steady_time EndsAt; // the caller's deadline or the route's timeout
     std::optional<attempt_number> Attempt;
     upstream_name Upstream; // of Attempt
+    zone_name UpstreamZone;
     steady_time SentAt;
     int Sent = 0; // upstreams that may have received it
     std::vector<upstream_name> Tried;
--- a/routing/testing/placement_test.cc
+++ b/routing/testing/placement_test.cc
@@ -119,10 +119,11 @@
 TEST_F(placement_test, Upstream_Paused_IsUsedOnlyWhenNothingElseIsLeft) {
   prompt_info Prompt = longPrompt(77, 100);
   std::string Home = choose(&Prompt)->Upstream->Entry.Name.Value;
-  Trust.onUnreachable(upstream_name(Home), at(0ms));
+  Trust.onUnreachable(upstream_name(Home), zone_name("z0"), at(0ms));
   EXPECT_NE(choose(&Prompt)->Upstream->Entry.Name.Value, Home);
   for (int I = 0; I < 9; ++I)
-    Trust.onUnreachable(upstream_name("u" + std::to_string(I)), at(0ms));
+    Trust.onUnreachable(upstream_name("u" + std::to_string(I)),
+                        zone_name("z" + std::to_string(I % 3)), at(0ms));
   EXPECT_TRUE(choose(&Prompt));
 }
 
@@ -130,7 +131,7 @@
   prompt_info Prompt = longPrompt(77, 100);
   upstream_name Home = choose(&Prompt)->Upstream->Entry.Name;
   for (int I = 0; I < 10; ++I)
-    Trust.onAnswer(Home, true, at(0ms));
+    Trust.onAnswer(Home, zone_name("z0"), true, at(0ms));
   EXPECT_NE(choose(&Prompt)->Upstream->Entry.Name, Home);
 }
 
--- a/routing/testing/request_router_test.cc
+++ b/routing/testing/request_router_test.cc
@@ -382,7 +382,7 @@
   upstream_name First = one<route_dispatch>().Upstream;
   head(attempt(), 421);
   EXPECT_NE(one<route_dispatch>().Upstream, First);
-  EXPECT_TRUE(Trust.isPaused(First, at(1ms)));
+  EXPECT_TRUE(Trust.isPaused(First, zone_name("z"), at(1ms)));
 }
 
 TEST_F(request_router_test, ResendBudget_IsUsedUp_RequestIsNotRepeated) {
--- a/routing/upstream_trust.cc
+++ b/routing/upstream_trust.cc
@@ -18,7 +18,8 @@
 } // namespace
 
 void upstream_trust::onUnreachable(const upstream_name &Upstream,
-                                   steady_time Now) {
+                                   const zone_name &Zone, steady_time Now) {
+  doubtZone(Upstream, Zone, Now);
   state &State = States[Upstream];
   // Requests that were under way together fail together and count once.
   if (Now < State.PausedUntil)
@@ -27,8 +28,22 @@
   State.Pause = std::min(State.Pause * 2, longest_trust_pause);
 }
 
-void upstream_trust::onAnswer(const upstream_name &Upstream, bool Failed,
+void upstream_trust::doubtZone(const upstream_name &Upstream,
+                               const zone_name &Zone, steady_time Now) {
+  zone_state &State = Zones[Zone];
+  bool Another = !State.LastUnreachable.empty() &&
+                 State.LastUnreachable != Upstream &&
+                 Now - State.UnreachableAt <= zone_doubt_window;
+  if (Another)
+    State.PausedUntil = Now + zone_pause;
+  State.LastUnreachable = Upstream;
+  State.UnreachableAt = Now;
+}
+
+void upstream_trust::onAnswer(const upstream_name &Upstream,
+                              const zone_name &Zone, bool Failed,
                               steady_time Now) {
+  Zones.erase(Zone);
   auto It = States.find(Upstream);
   if (It == States.end()) {
     if (!Failed)
@@ -51,7 +66,10 @@
 }
 
 bool upstream_trust::isPaused(const upstream_name &Upstream,
-                              steady_time Now) const {
+                              const zone_name &Zone, steady_time Now) const {
+  if (auto Doubted = Zones.find(Zone);
+      Doubted != Zones.end() && Now < Doubted->second.PausedUntil)
+    return true;
   auto It = States.find(Upstream);
   return It != States.end() && Now < It->second.PausedUntil;
 }
