--- a/routing/keyed_feed.cc
+++ b/routing/keyed_feed.cc
@@ -27,10 +27,9 @@
   }
   auto Place = static_cast<int64_t>(std::min(Rank, last_reader_rank));
   // A first reader reads each period; the others only when they miss its news.
-  duration Patience = Place == 0
-                          ? Terms.Period
-                          : Terms.Period + Terms.Wait + feed_retry_period +
-                                Place * reader_stagger;
+  duration Patience = Place == 0 ? Terms.Period
+                                 : Terms.Period + Terms.Wait + reader_slack +
+                                       Place * reader_stagger;
   bool Due = NeedsWhole || MissedNews || Now - FreshAt >= Patience;
   if (!Due || Now < NextRead)
     return;
--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -37,8 +37,11 @@
   duration Wait{};
 };
 
-// Added to the patience for each place in the order of readers.
-constexpr duration reader_stagger = std::chrono::milliseconds(250);
+// How much later than expected a reader's news may be.
+constexpr duration reader_slack = std::chrono::milliseconds(150);
+// Added to the patience for each place in the order of readers. Short, so that
+// several readers that are turned away together don't make the news late.
+constexpr duration reader_stagger = std::chrono::milliseconds(100);
 // A read without an answer for so long beyond its wait is sent again.
 constexpr duration feed_read_timeout = std::chrono::milliseconds(900);
 // After a failed read, so that an outage is not met with a flood of calls.
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -17,7 +17,7 @@
 constexpr duration upstream_read_period = std::chrono::milliseconds(450);
 // The store answers at once when there is a new configuration, and a read that
 // was lost by a silent connection is noticed soon.
-constexpr duration config_read_wait = std::chrono::milliseconds(1000);
+constexpr duration config_read_wait = std::chrono::milliseconds(400);
 
 // Effects of modules that entries of both kinds use.
 void append(effect_list &&From, routing_effects &Effects) {
