--- a/io/daemon_log.cc
+++ b/io/daemon_log.cc
@@ -19,6 +19,20 @@
   spdlog::set_default_logger(Logger);
 }
 
+spdlog::level::level_enum levelOf(log_level Level) {
+  switch (Level) {
+  case log_level::Debug:
+    return spdlog::level::debug;
+  case log_level::Info:
+    return spdlog::level::info;
+  case log_level::Warning:
+    return spdlog::level::warn;
+  case log_level::Error:
+    break;
+  }
+  return spdlog::level::err;
+}
+
 void stopDaemonLog() { spdlog::shutdown(); }
 
 } // namespace monsoonreel
--- a/io/daemon_log.h
+++ b/io/daemon_log.h
@@ -13,6 +13,9 @@
 #include <cstddef>
 #include <string>
 
+#include "monsoonreel/monsoonreel.h"
+#include "spdlog/common.h"
+
 namespace monsoonreel {
 
 // About a quarter of a megabyte, and several seconds of lines.
@@ -21,6 +24,9 @@
 void startDaemonLog(const std::string &NodeName);
 void stopDaemonLog();
 
+// The library's level of a line.
+spdlog::level::level_enum levelOf(log_level Level);
+
 } // namespace monsoonreel
 
 #endif // IO_DAEMON_LOG_H
--- a/io/node_runtime.cc
+++ b/io/node_runtime.cc
@@ -1,8 +1,6 @@
 #include "io/node_runtime.h"
 
 #include <csignal>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <utility>
 
@@ -14,6 +12,7 @@
 #include "spdlog/spdlog.h"
 
 #include "io/clock.h"
+#include "io/daemon_log.h"
 #include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
@@ -36,20 +35,6 @@
   return Bounds;
 }
 
-spdlog::level::level_enum levelOf(log_level Level) {
-  switch (Level) {
-  case log_level::Debug:
-    return spdlog::level::debug;
-  case log_level::Info:
-    return spdlog::level::info;
-  case log_level::Warning:
-    return spdlog::level::warn;
-  case log_level::Error:
-    return spdlog::level::err;
-  }
-  return spdlog::level::info;
-}
-
 // Header fields that the router itself gives an attempt.
 http_header_list ownHeaders(const dispatch_attempt &Effect) {
   http_header_list Headers = {{"X-Priority", std::to_string(Effect.Priority)}};
--- a/io/routing_runtime.cc
+++ b/io/routing_runtime.cc
@@ -11,6 +11,7 @@
 #include "spdlog/spdlog.h"
 
 #include "io/clock.h"
+#include "io/daemon_log.h"
 #include "monsoonreel/http_status.h"
 
 namespace monsoonreel {
@@ -26,20 +27,6 @@
 // answer that is under way.
 constexpr std::chrono::milliseconds close_linger(300);
 
-spdlog::level::level_enum levelOf(log_level Level) {
-  switch (Level) {
-  case log_level::Debug:
-    return spdlog::level::debug;
-  case log_level::Info:
-    return spdlog::level::info;
-  case log_level::Warning:
-    return spdlog::level::warn;
-  case log_level::Error:
-    break;
-  }
-  return spdlog::level::err;
-}
-
 } // namespace
 
 class routing_runtime::caller_handler : public http_handler {
--- a/routing/routing_event.h
+++ b/routing/routing_event.h
@@ -45,8 +45,6 @@
   std::optional<key_hash> Key; // unset: none came
   std::optional<duration> TimeLeft;
   std::optional<prompt_info> Prompt;
-  std::optional<int64_t> LastEventId;
-  int64_t BodyBytes = 0;
 };
 
 struct route_caller_gone {
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -10313,10 +10313,6 @@
 void upstream_use::__set_PacedStreams(const int32_t val) {
   this->PacedStreams = val;
 }
-
-void upstream_use::__set_HeldTokens(const int64_t val) {
-  this->HeldTokens = val;
-}
 std::ostream& operator<<(std::ostream& out, const upstream_use& obj)
 {
   obj.printTo(out);
@@ -10377,14 +10373,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->HeldTokens);
-          this->__isset.HeldTokens = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10418,10 +10406,6 @@
   xfer += oprot->writeI32(this->PacedStreams);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("HeldTokens", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->HeldTokens);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10433,7 +10417,6 @@
   swap(a.Running, b.Running);
   swap(a.UnreadTokens, b.UnreadTokens);
   swap(a.PacedStreams, b.PacedStreams);
-  swap(a.HeldTokens, b.HeldTokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -10442,7 +10425,6 @@
   Running = other392.Running;
   UnreadTokens = other392.UnreadTokens;
   PacedStreams = other392.PacedStreams;
-  HeldTokens = other392.HeldTokens;
   __isset = other392.__isset;
 }
 upstream_use::upstream_use(upstream_use&& other393) noexcept {
@@ -10450,7 +10432,6 @@
   Running = other393.Running;
   UnreadTokens = other393.UnreadTokens;
   PacedStreams = other393.PacedStreams;
-  HeldTokens = other393.HeldTokens;
   __isset = other393.__isset;
 }
 upstream_use& upstream_use::operator=(const upstream_use& other394) {
@@ -10458,7 +10439,6 @@
   Running = other394.Running;
   UnreadTokens = other394.UnreadTokens;
   PacedStreams = other394.PacedStreams;
-  HeldTokens = other394.HeldTokens;
   __isset = other394.__isset;
   return *this;
 }
@@ -10467,7 +10447,6 @@
   Running = other395.Running;
   UnreadTokens = other395.UnreadTokens;
   PacedStreams = other395.PacedStreams;
-  HeldTokens = other395.HeldTokens;
   __isset = other395.__isset;
   return *this;
 }
@@ -10478,7 +10457,6 @@
   out << ", " << "Running=" << to_string(Running);
   out << ", " << "UnreadTokens=" << to_string(UnreadTokens);
   out << ", " << "PacedStreams=" << to_string(PacedStreams);
-  out << ", " << "HeldTokens=" << to_string(HeldTokens);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -3995,12 +3995,11 @@
 std::ostream& operator<<(std::ostream& out, const claims_state& obj);
 
 typedef struct _upstream_use__isset {
-  _upstream_use__isset() : Upstream(false), Running(false), UnreadTokens(false), PacedStreams(false), HeldTokens(false) {}
+  _upstream_use__isset() : Upstream(false), Running(false), UnreadTokens(false), PacedStreams(false) {}
   bool Upstream :1;
   bool Running :1;
   bool UnreadTokens :1;
   bool PacedStreams :1;
-  bool HeldTokens :1;
 } _upstream_use__isset;
 
 class upstream_use : public virtual ::apache::thrift::TBase {
@@ -4014,8 +4013,7 @@
                : Upstream(),
                  Running(0),
                  UnreadTokens(0),
-                 PacedStreams(0),
-                 HeldTokens(0) {
+                 PacedStreams(0) {
   }
 
   virtual ~upstream_use() noexcept;
@@ -4023,7 +4021,6 @@
   int32_t Running;
   int64_t UnreadTokens;
   int32_t PacedStreams;
-  int64_t HeldTokens;
 
   _upstream_use__isset __isset;
 
@@ -4035,8 +4032,6 @@
 
   void __set_PacedStreams(const int32_t val);
 
-  void __set_HeldTokens(const int64_t val);
-
   bool operator == (const upstream_use & rhs) const
   {
     if (!(Upstream == rhs.Upstream))
@@ -4047,8 +4042,6 @@
       return false;
     if (!(PacedStreams == rhs.PacedStreams))
       return false;
-    if (!(HeldTokens == rhs.HeldTokens))
-      return false;
     return true;
   }
   bool operator != (const upstream_use &rhs) const {
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -476,7 +476,6 @@
   2: i32 Running
   3: i64 UnreadTokens          // of prompts whose first token has not come
   4: i32 PacedStreams          // streams that mind pauses between events
-  5: i64 HeldTokens            // memory that the running requests take or will
 }
 
 struct organisation_count {
