Feed: one lost call is no outage; a lapsed entry is used for 1.8 s at most

What fits: one failed read made the next one's removals count as lapses, which were used for 2.2 s, more than the 2 s of the rule. Now reads must have failed for a second, and the grace is 1.8 s; the checks of both are stricter.

--- a/routing/keyed_feed.cc
+++ b/routing/keyed_feed.cc
@@ -45,7 +45,8 @@
     NextRead = Now;
     return;
   }
-  Failing = true;
+  if (!std::exchange(Failing, true))
+    FailingSince = Now;
   FailedAt = Now;
   NextRead = Now + feed_retry_period;
 }
@@ -56,7 +57,8 @@
   AskedAt.reset();
   // What was appended while the store could not be read; later records are
   // news of a store that works.
-  bool AfterOutage = std::exchange(Failing, false);
+  bool AfterOutage =
+      std::exchange(Failing, false) && Now - FailingSince >= shortest_outage;
   FreshAt = Now;
   NextRead = Now + Terms.Period;
   MissedNews = false;
--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -46,6 +46,9 @@
 constexpr duration feed_read_timeout = std::chrono::milliseconds(900);
 // After a failed read, so that an outage is not met with a flood of calls.
 constexpr duration feed_retry_period = std::chrono::milliseconds(400);
+// Upstreams miss several reports before their entries lapse, so a store that
+// could not be read for less than this made none of them lapse.
+constexpr duration shortest_outage = std::chrono::seconds(1);
 // Ranks beyond this one have the patience of this one.
 constexpr size_t last_reader_rank = 8;
 
@@ -95,6 +98,7 @@
   absl::flat_hash_map<std::string, int64_t> OffsetOf;
   steady_time FreshAt;
   steady_time FailedAt = steady_time::min();
+  steady_time FailingSince; // while Failing
   steady_time NextRead = steady_time::min();
   std::optional<steady_time> AskedAt;
 };
--- a/routing/testing/keyed_feed_test.cc
+++ b/routing/testing/keyed_feed_test.cc
@@ -145,18 +145,31 @@
   EXPECT_FALSE(Changes[0].AfterOutage);
 }
 
-TEST_F(keyed_feed_test, Removal_RightAfterFailedReads_MayBeALapse) {
+TEST_F(keyed_feed_test, Removal_RightAfterAnOutage_MayBeALapse) {
   startWith({record(6, "a", "x")}, 7);
   tick(460ms);
   Feed.onReadFailed({"servers", "timeout", false}, at(900ms));
   EXPECT_TRUE(Feed.isStoreFailing());
   ASSERT_TRUE(tick(1310ms));
-  auto Changes = read(1320ms, false, 7, 8, {record(7, "a", nullptr)});
+  Feed.onReadFailed({"servers", "timeout", false}, at(1800ms));
+  ASSERT_TRUE(tick(2210ms));
+  auto Changes = read(2220ms, false, 7, 8, {record(7, "a", nullptr)});
   ASSERT_EQ(Changes.size(), 1u);
   EXPECT_TRUE(Changes[0].AfterOutage);
   EXPECT_FALSE(Feed.isStoreFailing());
 }
 
+// A single lost call is no outage: the upstream left.
+TEST_F(keyed_feed_test, Removal_AfterOneFailedRead_IsPlain) {
+  startWith({record(6, "a", "x")}, 7);
+  tick(460ms);
+  Feed.onReadFailed({"servers", "timeout", false}, at(900ms));
+  ASSERT_TRUE(tick(1310ms));
+  auto Changes = read(1320ms, false, 7, 8, {record(7, "a", nullptr)});
+  ASSERT_EQ(Changes.size(), 1u);
+  EXPECT_FALSE(Changes[0].AfterOutage);
+}
+
 // Seed 998654638200 of the second site's first day of trouble: a server that
 // left 1.4 s after the store's return was used for another two seconds.
 TEST_F(keyed_feed_test, Removal_InALaterReadAfterAnOutage_IsPlain) {
--- a/routing/testing/upstream_registry_test.cc
+++ b/routing/testing/upstream_registry_test.cc
@@ -77,9 +77,9 @@
 TEST_F(upstream_registry_test, Removal_AfterOutage_ServesUntilTheGraceEnds) {
   Registry.onListed(listed("a"), at(0ms));
   Registry.onListed({"a", std::nullopt, true}, at(1ms));
-  Registry.onTick(at(2000ms), false);
+  Registry.onTick(at(1700ms), false);
   EXPECT_EQ(serving(), 1u);
-  Registry.onTick(at(2300ms), false);
+  Registry.onTick(at(1900ms), false);
   EXPECT_EQ(serving(), 0u);
 }
 
--- a/routing/upstream_registry.h
+++ b/routing/upstream_registry.h
@@ -23,8 +23,9 @@
 namespace monsoonreel {
 
 // After the store's return, for lapsed entries to come back. The platform
-// states about two seconds.
-constexpr duration lapse_grace = std::chrono::milliseconds(2200);
+// states about two seconds, and the same time within which a leaving upstream
+// has to be without new work.
+constexpr duration lapse_grace = std::chrono::milliseconds(1800);
 // A removed upstream's load and failures are kept for so long, because its
 // running requests go on.
 constexpr duration removed_retention = std::chrono::seconds(60);
