--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -1,7 +1,7 @@
 // The life of each caller's request, from its arrival to its answer.
 //
-//   request_router Requests(Upstreams, Budget, Usage);
-//   Requests.onArrival(Arrived, Table, Context, Effects);
+//   request_router Requests({Registry, Load, Cache, Trust, Budget, Usage},
+//   Zone); Requests.onArrival(Arrived, Table, Context, Effects);
 //   Requests.onHead(Head, Context, Effects); ...
 //   Requests.onTick(Context, Effects);
 //
--- a/routing/routing_effect.h
+++ b/routing/routing_effect.h
@@ -101,8 +101,8 @@
   int64_t From = 0;
 };
 
-// Holder, Fence and NotAfter: see `lease_holder`. The daemon reads the clock
-// again right before it writes and drops the call when NotAfter has passed.
+// Fence and NotAfter: see `duty_log`. The daemon reads the clock again right
+// before it writes and drops the call when NotAfter has passed.
 struct report_usage {
   wire::window_counts Figures;
   int64_t Fence = 0;
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -2,8 +2,8 @@
 //
 //   auto Node = routing_node_builder(Identity)
 //                   .seeds(Seeds)
-//                   .feeds({"config-feed", "config-key", "upstream-feed"})
-//                   .decoder(Decoder)
+//                   .terms(Terms)       // names of the feeds among them
+//                   .decoder(Decoder)   // of the platform's records
 //                   .build();
 //   routing_effects Effects;
 //   Node->handle(Event, Effects);
--- a/routing/testing/keyed_feed_test.cc
+++ b/routing/testing/keyed_feed_test.cc
@@ -103,8 +103,8 @@
   EXPECT_TRUE(tick(810ms, 2));
 }
 
-// Hunt: cierto-conteo scale-2 seed 503385087940. The store turned the first
-// readers away; a configuration has to be in force 2 s after it was written.
+// Bench, seed 503385087940: the store turned the first readers away. A
+// configuration has to be in force 2 s after it was written.
 TEST_F(keyed_feed_test,
        ConfigurationReaders_FirstThreeAreTurnedAway_NextReadsInTime) {
   keyed_feed Config({"op", 0ms, 400ms});
@@ -170,8 +170,8 @@
   EXPECT_FALSE(Changes[0].AfterOutage);
 }
 
-// Seed 998654638200 of the second site's first day of trouble: a server that
-// left 1.4 s after the store's return was used for another two seconds.
+// Bench, seed 998654638200: an upstream that left 1.4 s after the store's
+// return was used for another two seconds.
 TEST_F(keyed_feed_test, Removal_InALaterReadAfterAnOutage_IsPlain) {
   startWith({record(6, "a", "x")}, 7);
   tick(460ms);
