--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -111,30 +111,44 @@
   for (const auto &[Zone, Listed] : Zones) {
     addIfDue({Service.Name, Zone, true, Reclaimable}, Listed.Reclaimable, Now,
              Due);
-    addIfDue({Service.Name, Zone, false, Stable}, Listed.Stable, Now, Due);
+    int Missing = std::max(0, Reclaimable - Listed.Reclaimable);
+    int Wanted = Stable + substitutes({Service.Name, Zone, true}, Missing);
+    addIfDue({Service.Name, Zone, false, Wanted}, Listed.Stable, Now, Due);
   }
 }
 
+// Stable upstreams that stand in for reclaimable ones which are not to be had.
+int capacity_policy::substitutes(const subject &Reclaimable, int Missing) {
+  if (Missing == 0)
+    Exhausted.erase(Reclaimable);
+  return Exhausted.contains(Reclaimable) ? Missing : 0;
+}
+
 void capacity_policy::addIfDue(capacity_target Target, int Listed,
                                steady_time Now,
                                std::vector<capacity_target> &Due) {
   order_state &State =
       Orders[{Target.Service, Target.Zone, Target.Reclaimable}];
   bool Met = State.Ordered == Target.Count && Listed >= Target.Count;
-  if (Met || Now < State.NextOrder)
+  bool Rises = Target.Count > State.Sent;
+  if (Met || (Now < State.NextOrder && !Rises))
     return;
+  State.Sent = Target.Count;
   State.NextOrder = Now + order_retry_period;
   Due.push_back(std::move(Target));
 }
 
 void capacity_policy::onAnswered(const capacity_answered &Answer,
                                  steady_time Now) {
-  order_state &State =
-      Orders[{Answer.Service, Answer.Zone, Answer.Reclaimable}];
+  subject Subject{Answer.Service, Answer.Zone, Answer.Reclaimable};
+  order_state &State = Orders[Subject];
   if (Answer.Accepted)
     State.Ordered = Answer.Count;
-  if (Answer.NoneAvailable)
-    State.NextOrder = Now + order_retry_period;
+  if (!Answer.NoneAvailable)
+    return;
+  State.NextOrder = Now + order_retry_period;
+  if (Answer.Reclaimable)
+    Exhausted.insert(Subject);
 }
 
 } // namespace monsoonreel
--- a/routing/capacity_policy.h
+++ b/routing/capacity_policy.h
@@ -10,9 +10,11 @@
 // - Steady load well below what the upstreams can carry. Stable upstreams cost
 //   several times what reclaimable ones do, so each zone keeps few of them.
 // - All reclaimable upstreams of a zone leave at once. What is left in the
-// other
-//   zones has to carry the load until new ones have booted, so the total is
-//   chosen with one zone's reclaimable upstreams missing.
+//   other zones has to carry the load until new ones have booted, so the total
+//   is chosen with one zone's reclaimable upstreams missing.
+// - Reclaimable upstreams leave and no new ones are to be had for a while.
+//   Stable ones take the place of those that are missing, zone by zone, until
+//   the reclaimable ones are listed again.
 // - Bursts. The plan follows a rise at once and a fall only slowly, because an
 //   upstream takes seconds to boot and begins with nothing cached. It never
 //   falls below what was provided at first, of which most is exchanged for
@@ -32,8 +34,10 @@
 
 namespace monsoonreel {
 
-// Between two orders for the same kind, service and zone that was not met.
-constexpr duration order_retry_period = std::chrono::seconds(4);
+// Between two orders for the same kind, service and zone that was not met:
+// half of a usual boot, so that reclaimable upstreams are found soon after they
+// are to be had again.
+constexpr duration order_retry_period = std::chrono::seconds(2);
 // A lower demand counts after it has lasted for so long.
 constexpr duration demand_memory = std::chrono::seconds(20);
 // Within it, all upstreams of a cold start have been listed.
@@ -67,6 +71,7 @@
     auto operator<=>(const subject &) const = default;
   };
   struct order_state {
+    int Sent = -1;    // the last order's count
     int Ordered = -1; // accepted by the platform
     steady_time NextOrder = steady_time::min();
   };
@@ -85,10 +90,12 @@
                   steady_time Now);
   double demandOf(const service &Service, const capacity_input &Input,
                   steady_time Now);
+  int substitutes(const subject &Reclaimable, int Missing);
   void addIfDue(capacity_target Target, int Listed, steady_time Now,
                 std::vector<capacity_target> &Due);
 
   std::map<subject, order_state> Orders;
+  std::set<subject> Exhausted; // reclaimable ones that were not to be had
   std::map<pool_name, demand> Demands;
   std::map<pool_name, survey> Surveys;
 };
