--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -11,9 +11,11 @@
 constexpr int stable_in_zone = 1;
 // Reclaimable upstreams of a zone without any load.
 constexpr int least_reclaimable = 2;
-// Requests under way at an engine from which another one is wanted, as a part
-// of its slots: beyond it the pauses between tokens grow noticeably.
-constexpr double wanted_slot_use = 0.18;
+// Requests under way at an engine from which another one is wanted: beyond it
+// the pauses between tokens grow noticeably.
+constexpr double wanted_running = 20;
+// The same as a part of an engine's slots, where these are few.
+constexpr double wanted_slot_use = 0.5;
 // Prompt tokens that wait to be read at an engine from which another one is
 // wanted: about what a first token's target leaves room for.
 constexpr double wanted_unread_tokens = 5000;
@@ -42,19 +44,22 @@
 
 } // namespace
 
-// Upstreams that the operators had provided when this entry took charge. At a
-// cold start they are listed one by one. Reclaimable ones that come meanwhile
-// are this entry's own orders.
-size_t capacity_policy::provided(const service &Service,
-                                 const capacity_input &Input, steady_time Now) {
-  auto [It, First] = Surveys.try_emplace(Service.Name, survey{Now, {}});
-  survey &Survey = It->second;
-  if (Now - Survey.Begun <= survey_time)
+// Upstreams that the operators had provided when this entry started. At a cold
+// start they are listed one by one. Reclaimable ones that come meanwhile have
+// been ordered.
+void capacity_policy::observe(const capacity_input &Input, steady_time Now) {
+  for (const service &Service : Input.Config.Services) {
+    if (!Service.Orders)
+      continue;
+    auto [It, First] = Surveys.try_emplace(Service.Name, survey{Now, {}});
+    survey &Survey = It->second;
+    if (Survey.isOver(Now))
+      continue;
     for (const auto &[Name, State] : Input.Registry.all())
       if (State.Entry.Service == Service.Name &&
           (!State.Entry.Reclaimable || (First && !State.Entry.Draining)))
         Survey.Names.insert(Name);
-  return Survey.Names.size();
+  }
 }
 
 double capacity_policy::demandOf(const service &Service,
@@ -69,9 +74,10 @@
     Unread += static_cast<double>(Use.UnreadTokens);
   }
   int Slots = Service.Engine ? Service.Engine->Slots : 1;
-  double Wanted =
-      Running / (wanted_slot_use * Slots) + Unread / wanted_unread_tokens;
-  Wanted = std::max(Wanted, static_cast<double>(provided(Service, Input, Now)));
+  double Each = std::min(wanted_running, wanted_slot_use * Slots);
+  double Wanted = Running / Each + Unread / wanted_unread_tokens;
+  auto Provided = static_cast<double>(Surveys[Service.Name].Names.size());
+  Wanted = std::max(Wanted, Provided);
   demand &Known = Demands[Service.Name];
   if (Wanted >= Known.Upstreams || Now - Known.At > demand_memory)
     Known = {Wanted, Now};
@@ -80,9 +86,10 @@
 
 std::vector<capacity_target> capacity_policy::plan(const capacity_input &Input,
                                                    steady_time Now) {
+  observe(Input, Now);
   std::vector<capacity_target> Due;
   for (const service &Service : Input.Config.Services)
-    if (Service.Orders)
+    if (Service.Orders && Surveys[Service.Name].isOver(Now))
       planService(Service, Input, Now, Due);
   return Due;
 }
@@ -112,16 +119,22 @@
     addIfDue({Service.Name, Zone, true, Reclaimable}, Listed.Reclaimable, Now,
              Due);
     int Missing = std::max(0, Reclaimable - Listed.Reclaimable);
-    int Wanted = Stable + substitutes({Service.Name, Zone, true}, Missing);
-    addIfDue({Service.Name, Zone, false, Wanted}, Listed.Stable, Now, Due);
+    int StandIns = standIns({Service.Name, Zone, true}, Missing,
+                            std::max(0, Listed.Stable - Stable));
+    addIfDue({Service.Name, Zone, false, Stable + StandIns}, Listed.Stable, Now,
+             Due);
   }
 }
 
-// Stable upstreams that stand in for reclaimable ones which are not to be had.
-int capacity_policy::substitutes(const subject &Reclaimable, int Missing) {
+// Stable upstreams that stand in for reclaimable ones: those that are there
+// until the reclaimable ones have been listed, and further ones while none are
+// to be had.
+int capacity_policy::standIns(const subject &Reclaimable, int Missing,
+                              int SpareStable) {
   if (Missing == 0)
     Exhausted.erase(Reclaimable);
-  return Exhausted.contains(Reclaimable) ? Missing : 0;
+  return Exhausted.contains(Reclaimable) ? Missing
+                                         : std::min(Missing, SpareStable);
 }
 
 void capacity_policy::addIfDue(capacity_target Target, int Listed,
--- a/routing/capacity_policy.h
+++ b/routing/capacity_policy.h
@@ -1,6 +1,7 @@
 // How many upstreams of each kind a service should have in each zone.
 //
 //   capacity_policy Policy;
+//   Policy.observe(Input, Now);        // always, also while not in charge
 //   for (const capacity_target &T : Policy.plan(Input, Now))
 //     order(T);                        // those that differ from the last order
 //   Policy.onAnswered(Answer, Now);
@@ -18,7 +19,10 @@
 // - Bursts. The plan follows a rise at once and a fall only slowly, because an
 //   upstream takes seconds to boot and begins with nothing cached. It never
 //   falls below what was provided at first, of which most is exchanged for
-//   reclaimable ones.
+//   reclaimable ones. Stable ones are given back one by one as reclaimable
+//   ones are listed.
+// - A cold start. Upstreams are listed over some seconds; until then nothing is
+//   ordered that might be fewer than there are.
 
 #ifndef ROUTING_CAPACITY_POLICY_H
 #define ROUTING_CAPACITY_POLICY_H
@@ -40,8 +44,9 @@
 constexpr duration order_retry_period = std::chrono::seconds(2);
 // A lower demand counts after it has lasted for so long.
 constexpr duration demand_memory = std::chrono::seconds(20);
-// Within it, all upstreams of a cold start have been listed.
-constexpr duration survey_time = std::chrono::seconds(8);
+// Within it, all upstreams of a cold start have been listed: they report every
+// second or so, and a slow store takes a few more.
+constexpr duration survey_time = std::chrono::seconds(6);
 
 struct capacity_input {
   const site_config &Config;
@@ -58,6 +63,9 @@
 
 class capacity_policy {
 public:
+  // Takes down which upstreams are listed first, so that an entry that takes
+  // charge later knows them.
+  void observe(const capacity_input &Input, steady_time Now);
   // The orders that are due.
   std::vector<capacity_target> plan(const capacity_input &Input,
                                     steady_time Now);
@@ -78,6 +86,7 @@
   struct survey {
     steady_time Begun;
     std::set<upstream_name> Names;
+    bool isOver(steady_time Now) const { return Now - Begun >= survey_time; }
   };
   struct demand {
     double Upstreams = 0;
@@ -86,11 +95,9 @@
 
   void planService(const service &Service, const capacity_input &Input,
                    steady_time Now, std::vector<capacity_target> &Due);
-  size_t provided(const service &Service, const capacity_input &Input,
-                  steady_time Now);
   double demandOf(const service &Service, const capacity_input &Input,
                   steady_time Now);
-  int substitutes(const subject &Reclaimable, int Missing);
+  int standIns(const subject &Reclaimable, int Missing, int SpareStable);
   void addIfDue(capacity_target Target, int Listed, steady_time Now,
                 std::vector<capacity_target> &Due);
 
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <random>
 #include <string>
 
 #include "monsoonreel/rendezvous.h"
@@ -15,7 +17,16 @@
 constexpr double running_cost = 30;
 // Paced streams that run on one engine before another one is set apart for
 // them: so many slow a step by about a third.
-constexpr double paced_streams_per_engine = 24;
+constexpr int paced_streams_per_engine = 24;
+// The same as a part of an engine's slots, where these are few: the other half
+// takes what comes before the next engine is set apart.
+constexpr double paced_part_of_slots = 0.5;
+// Cost of each place in the queue of an engine whose slots are taken: a stream
+// leaves one of 24 slots about every 80 ms, in which 6,000 tokens are read.
+constexpr double queue_place_cost = 6000;
+// Upstreams that are drawn by lot where figures lag: of two random choices the
+// better one avoids nearly all long queues.
+constexpr size_t drawn_choices = 2;
 // Cost for a paced stream of an engine that is not set apart, in streams on one
 // that is.
 constexpr double outside_lane_cost = 50 * running_cost;
@@ -75,14 +86,21 @@
   return Good.empty() ? Paused : Good;
 }
 
+double pacedStreamsPerEngine(int Slots) {
+  if (Slots <= 0)
+    return paced_streams_per_engine;
+  return std::clamp(paced_part_of_slots * Slots, 1.0,
+                    double{paced_streams_per_engine});
+}
+
 // How many engines are set apart for paced streams; never most of them.
-size_t laneSize(const std::vector<const upstream_state *> &List,
+size_t laneSize(const std::vector<const upstream_state *> &List, int Slots,
                 const upstream_load &Load) {
   double Paced = 0;
   for (const upstream_state *Each : List)
     Paced += Load.at(Each->Entry.Name).PacedStreams;
   auto Wanted =
-      static_cast<size_t>(std::ceil(Paced / paced_streams_per_engine));
+      static_cast<size_t>(std::ceil(Paced / pacedStreamsPerEngine(Slots)));
   return std::min(std::max<size_t>(Wanted, 1), List.size() / 2);
 }
 
@@ -102,10 +120,42 @@
   return InLane ? Cost + lane_entry_cost + lane_token_cost * Unread : Cost;
 }
 
+double queueCost(const placement &Option, int Slots) {
+  int Place = Option.Use.Running + 1 - Slots;
+  return Slots > 0 && Place > 0 ? queue_place_cost * Place : 0;
+}
+
+// Marks a few of those candidates that are in Group.
+void drawFrom(const std::vector<size_t> &Group, uint64_t Random,
+              std::vector<bool> &Drawn) {
+  std::minstd_rand Source(static_cast<unsigned>(Random));
+  std::vector<size_t> Chosen;
+  std::sample(Group.begin(), Group.end(), std::back_inserter(Chosen),
+              drawn_choices, Source);
+  for (size_t I : Chosen)
+    Drawn[I] = true;
+}
+
+// The candidates that are looked at: a few within the lane and outside it where
+// figures lag, else all of them.
+std::vector<bool> drawn(const placement_query &Query,
+                        const std::vector<size_t> &LanePlace, size_t Lane) {
+  std::vector<bool> Drawn(LanePlace.size(), !Query.FiguresLag);
+  if (!Query.FiguresLag)
+    return Drawn;
+  std::vector<size_t> Inside;
+  std::vector<size_t> Outside;
+  for (size_t I = 0; I < LanePlace.size(); ++I)
+    (LanePlace[I] < Lane ? Inside : Outside).push_back(I);
+  drawFrom(Inside, Query.Random, Drawn);
+  drawFrom(Outside, Query.Random, Drawn);
+  return Drawn;
+}
+
 std::optional<placement> placeOnEngine(const placement_query &Query,
                                        const placement_inputs &Inputs) {
   auto List = eligible(Query, Inputs.Trust);
-  size_t Lane = laneSize(List, Inputs.Load);
+  size_t Lane = laneSize(List, Query.Slots, Inputs.Load);
   std::vector<size_t> LanePlace = ranksFor("paced streams", List);
   std::vector<size_t> HomeRank = ranksFor(subjectKey(*Query.Prompt), List);
   // The home of a subject is the first engine that is not set apart.
@@ -115,6 +165,7 @@
         (Home == List.size() || HomeRank[I] < HomeRank[Home]))
       Home = I;
   int64_t OwnPart = Query.Prompt->PromptTokens - sharedTokens(*Query.Prompt);
+  std::vector<bool> Drawn = drawn(Query, LanePlace, Lane);
   std::optional<placement> Best;
   for (size_t I = 0; I < List.size(); ++I) {
     const upstream_entry &Entry = List[I]->Entry;
@@ -123,6 +174,9 @@
     Option.Use = Inputs.Load.at(Entry.Name);
     Option.UnreadTokens =
         Inputs.Cache.unreadTokens(Entry.Name, *Query.Prompt, Query.Now);
+    bool Cached = !Query.Paced && Option.UnreadTokens <= OwnPart;
+    if (!Drawn[I] && !Cached && (Query.Paced || I != Home))
+      continue;
     // Other entries send the subject to its home as well.
     if (!Query.Paced && I == Home)
       Option.UnreadTokens = std::min(Option.UnreadTokens, OwnPart);
@@ -130,6 +184,7 @@
     Option.Cost = Query.Paced ? pacedCost(Option, InLane)
                               : longPromptCost(Option, OwnPart, InLane);
     Option.Cost += Option.Use.Running * running_cost;
+    Option.Cost += queueCost(Option, Query.Slots);
     if (Entry.Zone != Query.Zone)
       Option.Cost += other_zone_cost;
     Option.Cost +=
@@ -146,7 +201,9 @@
   std::optional<placement> Best;
   // Candidates of equal cost take turns by chance.
   size_t First = List.empty() ? 0 : Query.Random % List.size();
-  for (size_t I = 0; I < List.size(); ++I) {
+  size_t Looked =
+      Query.FiguresLag ? std::min(drawn_choices, List.size()) : List.size();
+  for (size_t I = 0; I < Looked; ++I) {
     const upstream_state *Candidate = List[(First + I) % List.size()];
     const upstream_entry &Entry = Candidate->Entry;
     placement Option;
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -14,6 +14,11 @@
 //   costs several times the request's own part, so a subject has a home engine
 //   by rendezvous hashing and leaves it only when the queue there costs more
 //   than reading it again elsewhere.
+// - Many entries. Their figures of each other's work are then older than the
+//   work is long, and all would choose the same upstream. So each looks at a
+//   few that it draws by lot, besides those that have the prompt cached.
+// - Engines with few slots. A request beyond the slots waits until others end,
+//   so each place in such a queue costs what can be read meanwhile.
 // - Failing upstreams. Paused ones are used only when there is nothing else;
 //   failures count as additional load.
 //
@@ -42,6 +47,8 @@
   const std::vector<upstream_name> &Tried;
   steady_time Now;
   uint64_t Random = 0;
+  int Slots = 0;           // of each engine; 0: not known
+  bool FiguresLag = false; // other entries' work is told only now and then
 };
 
 struct placement {
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -93,7 +93,9 @@
           OnEngine && isPaced(*Request.Arrived.Prompt),
           Request.Tried,
           Context.Now,
-          Context.Random};
+          Context.Random,
+          OnEngine ? Request.Service->Engine->Slots : 0,
+          Context.FiguresLag};
 }
 
 // ----------------------------------------------------------------- attempts
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -62,6 +62,7 @@
   uint64_t Random = 0;
   duration RegistryAge{};
   size_t Entries = 1;
+  bool FiguresLag = false; // reports of other entries come less often than work
 };
 
 class request_router {
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -79,9 +79,17 @@
 }
 
 router_context routing_node::contextOf(const routing_event &Event) const {
-  return {Event.Now, Clock.at(Event.Now), Event.Random,
+  return {Event.Now,
+          Clock.at(Event.Now),
+          Event.Random,
           UpstreamFeed.isKnown() ? UpstreamFeed.age(Event.Now) : duration{},
-          EntryCount};
+          EntryCount,
+          reportInterval() > report_period};
+}
+
+duration routing_node::reportInterval() const {
+  return std::max<duration>(report_period, std::chrono::seconds(EntryCount) /
+                                               reports_per_second);
 }
 
 void routing_node::addressToEntries(size_t From, routing_effects &Effects) {
@@ -204,10 +212,7 @@
 
 void routing_node::tellReport(const routing_event &Event,
                               routing_effects &Effects) {
-  auto Others = static_cast<int64_t>(EntryCount);
-  NextReport = Event.Now +
-               std::max<duration>(report_period, std::chrono::seconds(Others) /
-                                                     reports_per_second);
+  NextReport = Event.Now + reportInterval();
   wire::entry_report Report;
   Report.Incarnation = Identity.Incarnation.Value;
   Report.Sequence = ++ReportSequence;
@@ -369,16 +374,16 @@
 void routing_node::carryOutDuties(const routing_event &Event,
                                   routing_effects &Effects) {
   Duties.onTick(Event.Now, Event.Random, Effects);
-  if (!Duties.mayAct(Event.Now))
-    return;
-  if (Terms.ReportsUsage)
+  if (Terms.ReportsUsage && Duties.mayAct(Event.Now))
     reportUsage(Event, Effects);
   bool Known = Table && UpstreamFeed.isKnown();
   if (!Terms.OrdersUpstreams || !Known || Event.Now < NextPlan)
     return;
   NextPlan = Event.Now + capacity_plan_period;
-  for (const capacity_target &Target :
-       Capacity.plan({Table->config(), Registry, Load}, Event.Now)) {
+  capacity_input Input{Table->config(), Registry, Load};
+  if (!Duties.mayAct(Event.Now))
+    return Capacity.observe(Input, Event.Now);
+  for (const capacity_target &Target : Capacity.plan(Input, Event.Now)) {
     Effects.push_back(order_capacity{Target.Service, Target.Zone, Target.Count,
                                      Target.Reclaimable, Duties.fence(),
                                      Duties.notAfter()});
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -115,6 +115,7 @@
                routing_effects &Effects);
 
   router_context contextOf(const routing_event &Event) const;
+  duration reportInterval() const;
   keyed_feed *feedOf(const std::string &Name);
   size_t readerRank(const std::string &Feed) const;
   void applyChanges(const keyed_feed &Feed,
--- a/routing/testing/capacity_policy_test.cc
+++ b/routing/testing/capacity_policy_test.cc
@@ -23,6 +23,8 @@
       Terms.ZonePrices[zone_name(Zone)] = 1;
     Service.Orders = Terms;
     Config.Services = {Service};
+    // The entry has run for a while, and nothing was listed at its start.
+    Policy.observe({Config, Registry, Load}, at(-survey_time));
   }
 
   void list(const std::string &Name, const char *Zone, bool Reclaimable) {
@@ -116,6 +118,7 @@
 // Load pattern: a burst in the first seconds after a cold start.
 TEST_F(capacity_policy_test,
        Upstreams_ProvidedAtAColdStart_AreNotCutBeforeLoadIsKnown) {
+  Policy = capacity_policy();
   for (int I = 0; I < 12; ++I) {
     list("s" + std::to_string(I), I % 3 == 0 ? "z0" : "z1", false);
     plan(I * 500ms); // they are listed one by one
@@ -124,6 +127,40 @@
   EXPECT_GE(ordered(Targets, true) + ordered(Targets, false), 12);
 }
 
+// Load pattern: a cold start, at which an entry takes charge before it has
+// heard of any upstream.
+TEST_F(capacity_policy_test, ColdStart_BeforeUpstreamsAreListed_OrdersNothing) {
+  Policy = capacity_policy();
+  EXPECT_TRUE(plan(0ms).empty());
+  for (int I = 0; I < 12; ++I)
+    list("s" + std::to_string(I), I % 3 == 0 ? "z0" : "z1", false);
+  EXPECT_TRUE(plan(survey_time - 1ms).empty());
+  EXPECT_FALSE(plan(survey_time).empty());
+}
+
+TEST_F(capacity_policy_test,
+       Stable_ToBeExchanged_StayUntilReclaimableOnesAreListed) {
+  Policy = capacity_policy();
+  for (int I = 0; I < 12; ++I)
+    list("s" + std::to_string(I), I % 2 == 0 ? "z0" : "z1", false);
+  plan(0ms);
+  auto Targets = plan(survey_time);
+  EXPECT_GE(count(Targets, "z0", false), 1 + count(Targets, "z0", true));
+  for (int I = 0; I < count(Targets, "z0", true); ++I)
+    list("r" + std::to_string(I), "z0", true);
+  EXPECT_EQ(count(plan(survey_time + order_retry_period), "z0", false), 1);
+}
+
+TEST_F(capacity_policy_test, Engines_WithFewSlots_AreWantedByTheirSlots) {
+  Config.Services[0].Engine = engine_terms{24, 0};
+  list("s0", "z0", false);
+  load(120); // ten engines with half of their slots taken
+  auto Targets = plan(0ms);
+  int Total = ordered(Targets, true) + ordered(Targets, false);
+  EXPECT_GE(Total, 10);
+  EXPECT_LE(Total, 18); // without the reclaimable ones of one zone, 10 to 12
+}
+
 TEST_F(capacity_policy_test, Order_Met_IsNotRepeated) {
   auto Targets = plan(0ms);
   accept(Targets, 10ms);
--- a/routing/testing/placement_test.cc
+++ b/routing/testing/placement_test.cc
@@ -35,7 +35,8 @@
                                   const char *Zone = "z0",
                                   uint64_t Random = 0) {
     return choosePlacement({Registry.serving(Service), zoneOf(Zone), Prompt,
-                            Prompt && isPaced(*Prompt), Tried, at(Now), Random},
+                            Prompt && isPaced(*Prompt), Tried, at(Now), Random,
+                            Slots, FiguresLag},
                            {Load, Cache, Trust});
   }
   // Chooses, and counts the request as under way.
@@ -62,6 +63,8 @@
   std::set<zone_name> Zones;
   duration Now = 0ms;
   int64_t Attempts = 0;
+  int Slots = 128;
+  bool FiguresLag = false;
 };
 
 TEST_F(placement_test, Upstreams_None_ChoosesNothing) {
@@ -116,6 +119,44 @@
   EXPECT_LE(Disturbing, 4);
 }
 
+// Load pattern: many entries choose before any hears of another's choice.
+TEST_F(placement_test, Entries_ThatDontHearOfEachOther_DontAllChooseTheSame) {
+  FiguresLag = true;
+  for (int I = 0; I < 60; ++I) // several engines are set apart
+    Load.begin(attempt_number{++Attempts}, upstream_name("u0"), {0, true});
+  std::map<std::string, int> Chosen;
+  prompt_info Prompt = shortPrompt(1);
+  for (uint64_t Random = 1; Random <= 40; ++Random)
+    ++Chosen[choose(&Prompt, "z0", Random * 0x9e3779b97f4a7c15)
+                 ->Upstream->Entry.Name.Value];
+  EXPECT_GE(Chosen.size(), 2u);
+  for (const auto &[Name, Count] : Chosen)
+    EXPECT_LE(Count, 30) << Name;
+  std::map<std::string, int> Services;
+  for (uint64_t Random = 1; Random <= 40; ++Random)
+    ++Services[choose(nullptr, "z0", Random)->Upstream->Entry.Name.Value];
+  EXPECT_GE(Services.size(), 5u);
+}
+
+// Load pattern: paced streams on engines with few slots.
+TEST_F(placement_test, PacedStreams_OnEnginesWithFewSlots_LeaveSlotsFree) {
+  Slots = 24;
+  for (uint64_t Own = 0; Own < 48; ++Own)
+    place(shortPrompt(1000 + Own));
+  for (const upstream_state *Each : Registry.serving(Service))
+    EXPECT_LE(Load.at(Each->Entry.Name).Running, 18) << Each->Entry.Name.Value;
+}
+
+TEST_F(placement_test, Engine_Full_IsLeftWhenItsQueueCostsMoreThanReading) {
+  Slots = 4;
+  std::string First = place(longPrompt(77, 100));
+  for (int I = 0; I < 10; ++I)
+    Load.begin(attempt_number{++Attempts}, upstream_name(First), {});
+  for (int I = 1; I <= Attempts; ++I)
+    Load.onFirstAnswer(attempt_number{I}); // nothing is left to be read there
+  EXPECT_NE(place(longPrompt(77, 101)), First);
+}
+
 TEST_F(placement_test, Upstream_Paused_IsUsedOnlyWhenNothingElseIsLeft) {
   prompt_info Prompt = longPrompt(77, 100);
   std::string Home = choose(&Prompt)->Upstream->Entry.Name.Value;
--- a/routing/upstream_load.cc
+++ b/routing/upstream_load.cc
@@ -2,6 +2,13 @@
 
 namespace monsoonreel {
 
+namespace {
+
+// Fine enough against `report_expiry`.
+constexpr duration expiry_check_period = std::chrono::milliseconds(100);
+
+} // namespace
+
 void upstream_load::begin(attempt_number Attempt, const upstream_name &Upstream,
                           const work_size &Size) {
   Open[Attempt] = {Upstream, Size};
@@ -40,31 +47,36 @@
                 Report.Sequence <= Peer.Sequence);
   if (Older)
     return;
+  addToPeers(Peer.Uses, -1);
   Peer = {Report.Incarnation, Report.Sequence, Now, Report.Uses};
-  rebuildPeers();
+  addToPeers(Peer.Uses, 1);
 }
 
 void upstream_load::onTick(steady_time Now) {
-  bool Changed = false;
+  if (Now < NextExpiry)
+    return;
+  NextExpiry = Now + expiry_check_period;
   for (auto &[From, Peer] : ByPeer) {
     if (Peer.Uses.empty() || Now - Peer.HeardAt < report_expiry)
       continue;
+    addToPeers(Peer.Uses, -1);
     Peer.Uses.clear();
-    Changed = true;
   }
-  if (Changed)
-    rebuildPeers();
 }
 
-void upstream_load::rebuildPeers() {
-  Peers.clear();
-  for (const auto &[From, Peer] : ByPeer)
-    for (const wire::upstream_use &Told : Peer.Uses) {
-      upstream_use_sum &Use = Peers[upstream_name(Told.Upstream)];
-      Use.Running += Told.Running;
-      Use.UnreadTokens += Told.UnreadTokens;
-      Use.PacedStreams += Told.PacedStreams;
-    }
+void upstream_load::addToPeers(const std::vector<wire::upstream_use> &Uses,
+                               int Sign) {
+  for (const wire::upstream_use &Told : Uses) {
+    auto It = Peers.try_emplace(upstream_name(Told.Upstream)).first;
+    upstream_use_sum &Use = It->second;
+    Use.Running += Sign * Told.Running;
+    Use.UnreadTokens += Sign * Told.UnreadTokens;
+    Use.PacedStreams += Sign * Told.PacedStreams;
+    bool None =
+        Use.Running == 0 && Use.UnreadTokens == 0 && Use.PacedStreams == 0;
+    if (None)
+      Peers.erase(It);
+  }
 }
 
 upstream_use_sum upstream_load::at(const upstream_name &Upstream) const {
--- a/routing/upstream_load.h
+++ b/routing/upstream_load.h
@@ -69,12 +69,14 @@
   };
   using use_map = absl::flat_hash_map<upstream_name, upstream_use_sum>;
 
-  void rebuildPeers();
+  // Adds to the sums over all peers, or takes away again (Sign -1).
+  void addToPeers(const std::vector<wire::upstream_use> &Uses, int Sign);
 
   absl::flat_hash_map<attempt_number, open_attempt> Open;
   use_map Own;
   absl::flat_hash_map<address, peer_uses> ByPeer;
   use_map Peers; // sums over ByPeer
+  steady_time NextExpiry = steady_time::min();
 };
 
 } // namespace monsoonreel
--- a/routing/upstream_registry.cc
+++ b/routing/upstream_registry.cc
@@ -12,6 +12,12 @@
   return A.Sequence < B.Sequence;
 }
 
+// Most words of an upstream only repeat that it lives.
+bool isIndexedAlike(const upstream_entry &Entry, const upstream_state &Known) {
+  return Entry.Service == Known.Entry.Service &&
+         Entry.Draining == Known.Entry.Draining;
+}
+
 } // namespace
 
 void upstream_registry::onListed(const upstream_listed &Listed,
@@ -24,6 +30,10 @@
       return;
     if (It == Upstreams.end() && Upstreams.size() >= max_upstreams)
       return;
+    if (It != Upstreams.end() && isIndexedAlike(*Listed.Entry, It->second)) {
+      It->second = {*Listed.Entry, Now, std::nullopt};
+      return;
+    }
     Upstreams[Name] = {*Listed.Entry, Now, std::nullopt};
     return reindex();
   }
