A call that was given up resets its connection

Closing a connection still delivers what a cut has held up; a reset does not. Test: Call_Cancelled_ResetsItsConnection, fails with an orderly close.

--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -36,14 +36,20 @@
       : Pool(Owner), To(Peer), Stream(*this), OpenedAt(steadyNow()) {}
 
   bool open() { return Stream.open(To); }
+  // A call that was given up must not arrive later, when it may no longer be
+  // wanted or allowed.
   void close() {
     Handler = nullptr;
-    Stream.close();
+    if (CallOpen)
+      Stream.reset();
+    else
+      Stream.close();
   }
   void begin(call_id NewCall, std::string_view Bytes, bool HeadOnly,
              std::shared_ptr<call_handler> NewHandler) {
     Call = NewCall;
     Handler = std::move(NewHandler);
+    CallOpen = true;
     Phase = phase::Waiting;
     Foreign = 0;
     WroteSome = Stream.isConnected();
@@ -148,6 +154,7 @@
     // one's beginning.
     bool Reusable =
         KeepAlive && Last && !Stream.hasUnwritten() && Stream.isConnected();
+    CallOpen = false;
     auto Kept = std::exchange(Handler, nullptr);
     Pool.settle(this, Reusable);
     Kept->onEnd();
@@ -164,6 +171,7 @@
   phase Phase = phase::Waiting;
   int Foreign = 0;
   bool WroteSome = false;
+  bool CallOpen = false; // without a complete answer
   bool KeepAlive = true;
   duration IdleLimit = unstated_idle_limit;
 };
--- a/io/channel_pool.h
+++ b/io/channel_pool.h
@@ -2,7 +2,7 @@
 //
 //   channel_pool Pool;
 //   call_id Call = Pool.start(Address, Bytes, Options, Handler);
-//   Pool.cancel(Call);      // closes its connection; Handler hears no more
+//   Pool.cancel(Call);      // resets its connection; Handler hears no more
 //
 // One call at a time uses a connection. Nothing is ever sent again by the pool:
 // a call whose connection fails ends with what is known about its effect, and
--- a/io/tcp_stream.cc
+++ b/io/tcp_stream.cc
@@ -132,6 +132,13 @@
   Listener.onStreamEnd(How, Reason);
 }
 
+void tcp_stream::reset() {
+  linger Now{1, 0};
+  if (Socket >= 0)
+    ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+  closeSocket();
+}
+
 void tcp_stream::closeSocket() {
   // Not deleted at once: this may run within a notifier's signal.
   for (auto *Notifier : {&Readable, &Writable})
--- a/io/tcp_stream.h
+++ b/io/tcp_stream.h
@@ -59,8 +59,11 @@
   // Returns false when no connection can even be begun.
   bool open(const address &To);
   void write(std::string_view Bytes);
-  // Closes the connection. The listener hears no more.
+  // Closes the connection. The listener hears no more. What was written is
+  // still delivered, also long after, when a cut heals.
   void close() { closeSocket(); }
+  // Resets it: what was written and has not arrived will not arrive any more.
+  void reset();
   void setReading(bool Enabled);
   bool isConnected() const { return Connected; }
   // Whether the peer has neither sent anything nor ended the connection.
--- a/io/testing/channel_pool_test.cc
+++ b/io/testing/channel_pool_test.cc
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "io/testing/raw_server.h"
 #include "io/testing/wait.h"
@@ -240,5 +243,61 @@
   EXPECT_FALSE(Call->isOver());
 }
 
+// A listener of the system's own: Qt's sockets can't tell a reset from an
+// orderly end.
+class plain_listener {
+public:
+  plain_listener() : Listening(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in At{};
+    At.sin_family = AF_INET;
+    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof(At);
+    ::bind(Listening, reinterpret_cast<sockaddr *>(&At), Size);
+    ::listen(Listening, 1);
+    ::getsockname(Listening, reinterpret_cast<sockaddr *>(&At), &Size);
+    Port = ntohs(At.sin_port);
+  }
+  ~plain_listener() {
+    ::close(Accepted);
+    ::close(Listening);
+  }
+  plain_listener(const plain_listener &) = delete;
+  plain_listener &operator=(const plain_listener &) = delete;
+
+  address at() const { return address("127.0.0.1:" + std::to_string(Port)); }
+  void accept() { Accepted = ::accept(Listening, nullptr, nullptr); }
+  // 0 after an orderly end, the error's number after another one.
+  std::optional<int> ending() const {
+    char Byte = 0;
+    ssize_t Size = ::recv(Accepted, &Byte, 1, MSG_DONTWAIT);
+    if (Size == 0)
+      return 0;
+    if (Size < 0 && errno != EAGAIN)
+      return errno;
+    return std::nullopt;
+  }
+
+private:
+  int Listening;
+  int Accepted = -1;
+  uint16_t Port = 0;
+};
+
+// A cut holds bytes up and delivers them when it heals, unless their sender has
+// reset the connection.
+TEST_F(channel_pool_test, Call_Cancelled_ResetsItsConnection) {
+  plain_listener Peer;
+  auto Call = std::make_shared<recorder>("a");
+  call_id Number = Pool.start(Peer.at(), request("a"), {}, Call);
+  Peer.accept();
+  Pool.cancel(Number);
+  std::optional<int> Ending;
+  EXPECT_TRUE(waitUntil([&] {
+    Ending = Peer.ending();
+    return Ending.has_value();
+  }));
+  EXPECT_EQ(Ending, ECONNRESET);
+}
+
 } // namespace
 } // namespace monsoonreel
