Reports to other entries as datagrams; live entries listed ten times a second

Cause: at 79 entries each takes in and sends 150 reports a second over as many connections; each costs several wakings of an event loop that walks through all sockets (perf: a quarter of a node's time in the loop and its calls).

--- a/io/routing_runtime.cc
+++ b/io/routing_runtime.cc
@@ -116,6 +116,7 @@
     : Identity(Self), Addresses(std::move(Listen)), Node(Parts.Node),
       Dialect(Parts.Dialect), Platform(Parts.Platform),
       ShutdownTime(KilledAfter), Peers(Self, *this),
+      Datagrams(Self.Address, *this),
       Callers(std::make_unique<caller_handler>(*this)),
       Readiness(std::make_unique<readiness_handler>(*this)),
       MetricsPage(std::make_unique<metrics_handler>(*this)) {
@@ -148,7 +149,7 @@
                     Listener.At.Value);
       return false;
     }
-  if (!Peers.listen()) {
+  if (!Peers.listen() || !Datagrams.bind()) {
     spdlog::error("event=start-failed address={} reason=\"can't listen\"",
                   Identity.Address.Value);
     return false;
@@ -330,6 +331,15 @@
   Peers.send(Effect.ToAddress, Effect.Message);
 }
 
+void routing_runtime::apply(const send_datagrams &Effect) {
+  int64_t Before = Datagrams.unsent();
+  Datagrams.send(Effect.To, Effect.Message);
+  if (int64_t Unsent = Datagrams.unsent() - Before)
+    Metrics.count({"monsoonreel_datagrams_unsent_total",
+                   {},
+                   static_cast<double>(Unsent)});
+}
+
 void routing_runtime::apply(const log_line &Effect) {
   steady_time Now = steadyNow();
   if (int64_t Dropped = Lines.takeDropped(Now))
--- a/io/routing_runtime.h
+++ b/io/routing_runtime.h
@@ -20,6 +20,7 @@
 
 #include "absl/container/flat_hash_map.h"
 
+#include "io/datagram_port.h"
 #include "io/event_sink.h"
 #include "io/line_budget.h"
 #include "io/metric_registry.h"
@@ -97,6 +98,7 @@
   void apply(const set_ready &Effect) { Ready = Effect.Ready; }
   void apply(const stop_taking &Effect);
   void apply(const send_message &Effect);
+  void apply(const send_datagrams &Effect);
   void apply(const reset_link &Effect) { Peers.resetLink(Effect.ToAddress); }
   void apply(const log_line &Effect);
   void apply(const count_metric &Effect) { Metrics.count(Effect); }
@@ -123,6 +125,7 @@
   duration ShutdownTime;
   metric_registry Metrics;
   peer_transport Peers;
+  datagram_port Datagrams;
   channel_pool Upstreams;
   line_budget Lines;
   std::unique_ptr<caller_handler> Callers;
--- a/routing/routing_effect.h
+++ b/routing/routing_effect.h
@@ -79,6 +79,12 @@
   wire::peer_message Message;
 };
 
+// A message that is said again soon, as a datagram to each.
+struct send_datagrams {
+  std::vector<address> To;
+  wire::peer_message Message;
+};
+
 // ----------------------------------------------------------------- platform
 
 struct read_feed {
@@ -131,10 +137,11 @@
 using routing_effect =
     std::variant<route_refusal, route_begin, route_write, route_finish,
                  route_abort, route_answer, route_dispatch, route_cancel,
-                 tell_entries, send_message, reset_link, read_feed,
-                 abandon_feed_read, append_duty, read_duty_log, report_usage,
-                 order_capacity, apply_bounds, set_ready, stop_taking, log_line,
-                 count_metric, observe_metric, set_gauge, drain_finished>;
+                 tell_entries, send_datagrams, send_message, reset_link,
+                 read_feed, abandon_feed_read, append_duty, read_duty_log,
+                 report_usage, order_capacity, apply_bounds, set_ready,
+                 stop_taking, log_line, count_metric, observe_metric, set_gauge,
+                 drain_finished>;
 
 using routing_effects = std::vector<routing_effect>;
 
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -107,10 +107,9 @@
 
 void routing_node::sendToEntries(const wire::peer_message &Message,
                                  routing_effects &Effects) {
-  for (const wire::member &Member : Members.alive(wire::member_role::Entry))
-    if (Member.Name != Identity.Name.Value)
-      Effects.push_back(send_message{node_name(Member.Name),
-                                     address(Member.Address), Message});
+  for (const wire::member &Member : Others)
+    Effects.push_back(
+        send_message{node_name(Member.Name), address(Member.Address), Message});
 }
 
 // --------------------------------------------------------------------- time
@@ -124,11 +123,11 @@
 
   Load.onTick(Event.Now);
   Cache.onTick(Event.Now);
-  ConfigFeed.onTick(Event.Now, readerRank(ConfigFeed.name()), Effects);
-  UpstreamFeed.onTick(Event.Now, readerRank(UpstreamFeed.name()), Effects);
+  if (Event.Now >= NextRefresh)
+    refreshEntries(Event.Now);
+  ConfigFeed.onTick(Event.Now, ConfigRank, Effects);
+  UpstreamFeed.onTick(Event.Now, UpstreamRank, Effects);
   Registry.onTick(Event.Now, UpstreamFeed.isStoreFailing());
-  EntryCount = Members.alive(wire::member_role::Entry).size();
-  Budget.setEntries(EntryCount);
   Requests.onTick(contextOf(Event), Effects);
   if (!DrainingSince && (Terms.ReportsUsage || Terms.OrdersUpstreams))
     carryOutDuties(Event, Effects);
@@ -137,10 +136,22 @@
   checkDrain(Event, Effects);
 }
 
+void routing_node::refreshEntries(steady_time Now) {
+  NextRefresh = Now + entries_refresh_period;
+  Others = Members.alive(wire::member_role::Entry);
+  std::erase_if(Others, [&](const wire::member &Member) {
+    return Member.Name == Identity.Name.Value;
+  });
+  EntryCount = Others.size() + 1;
+  Budget.setEntries(EntryCount);
+  ConfigRank = readerRank(ConfigFeed.name());
+  UpstreamRank = readerRank(UpstreamFeed.name());
+}
+
 size_t routing_node::readerRank(const std::string &Feed) const {
   uint64_t Own = rendezvousWeight(Feed, Identity.Name.Value);
   size_t Rank = 0;
-  for (const wire::member &Member : Members.alive(wire::member_role::Entry))
+  for (const wire::member &Member : Others)
     if (rendezvousWeight(Feed, Member.Name) > Own)
       ++Rank;
   return Rank;
@@ -234,7 +245,16 @@
     Report.DutyFence = Claim.Fence;
     Report.LastFiguredWindow = Duties.lastFiguredWindow();
   }
-  Effects.push_back(tell_entries{wire::peer_message(std::move(Report))});
+  // The last report holds what nobody will say again.
+  if (Finished) {
+    Effects.push_back(tell_entries{wire::peer_message(std::move(Report))});
+    return;
+  }
+  send_datagrams Datagrams;
+  for (const wire::member &Member : Others)
+    Datagrams.To.emplace_back(Member.Address);
+  Datagrams.Message = wire::peer_message(std::move(Report));
+  Effects.push_back(std::move(Datagrams));
 }
 
 // ----------------------------------------------------------------- platform
@@ -403,9 +423,7 @@
 std::string routing_node::missingReport(int64_t Window, steady_time Now) const {
   duration SinceEnd = Clock.at(Now) - Usage.endOf(Window);
   steady_time Enough = Now - SinceEnd + usage_told_period;
-  for (const wire::member &Member : Members.alive(wire::member_role::Entry)) {
-    if (Member.Name == Identity.Name.Value)
-      continue;
+  for (const wire::member &Member : Others) {
     auto It = ReportedAt.find(address(Member.Address));
     if (It == ReportedAt.end() || It->second < Enough)
       return Member.Name;
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -48,6 +48,9 @@
 constexpr duration usage_retry_period = std::chrono::milliseconds(1500);
 // Windows before the present one that are still reported.
 constexpr int64_t reported_windows = 4;
+// The list of live entries is made anew so often; a new entry hears of the
+// others' work a report later in any case.
+constexpr duration entries_refresh_period = std::chrono::milliseconds(100);
 constexpr duration capacity_plan_period = std::chrono::milliseconds(500);
 // After the request to end, new requests are still served for so long, because
 // the platform's balancer sends them until it has missed two probes.
@@ -117,6 +120,7 @@
   router_context contextOf(const routing_event &Event) const;
   duration reportInterval() const;
   keyed_feed *feedOf(const std::string &Name);
+  void refreshEntries(steady_time Now);
   size_t readerRank(const std::string &Feed) const;
   void applyChanges(const keyed_feed &Feed,
                     const std::vector<feed_change> &Changes, steady_time Now,
@@ -155,7 +159,11 @@
   duty_log Duties;
   capacity_policy Capacity;
   std::shared_ptr<const route_table> Table;
-  size_t EntryCount = 1; // live entries, this one included
+  size_t EntryCount = 1;            // live entries, this one included
+  std::vector<wire::member> Others; // the live entries but this one
+  size_t ConfigRank = 0;            // among the readers of each feed
+  size_t UpstreamRank = 0;
+  steady_time NextRefresh = steady_time::min();
 
   steady_time NextReport = steady_time::min();
   steady_time NextUsageTold = steady_time::min();
--- a/routing/upstream_registry.cc
+++ b/routing/upstream_registry.cc
@@ -41,6 +41,7 @@
     return;
   if (Listed.AfterOutage && !It->second.Entry.Draining) {
     It->second.LapsedAt = Now;
+    AnyLapsed = true;
     return;
   }
   Upstreams.erase(It);
@@ -48,6 +49,8 @@
 }
 
 void upstream_registry::onTick(steady_time Now, bool StoreFailing) {
+  if (!std::exchange(AnyLapsed, false))
+    return;
   bool Changed = false;
   for (auto It = Upstreams.begin(); It != Upstreams.end();) {
     std::optional<steady_time> &LapsedAt = It->second.LapsedAt;
@@ -57,6 +60,7 @@
       It = Upstreams.erase(It);
       Changed = true;
     } else {
+      AnyLapsed = AnyLapsed || LapsedAt.has_value();
       ++It;
     }
   }
--- a/routing/upstream_registry.h
+++ b/routing/upstream_registry.h
@@ -58,6 +58,7 @@
   void reindex();
 
   std::map<upstream_name, upstream_state> Upstreams;
+  bool AnyLapsed = false; // some may have a LapsedAt
   std::map<pool_name, std::vector<const upstream_state *>> ByService;
 };
 
