Stand-ins by need

Cause: every missing reclaimable upstream was replaced by a stable one at five times the price, though the plan bears a zone's loss without.

--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -115,28 +115,34 @@
   int Each = static_cast<int>(std::ceil(Missing / std::max(1, ZoneCount - 1)));
   int Reclaimable = std::clamp(std::max(Each, least_reclaimable), 0,
                                std::max(0, Terms.Max - Stable));
+  // What the demand needs beyond the reclaimable upstreams that are there.
+  int Needed = static_cast<int>(std::ceil(Wanted)) - Stable * ZoneCount;
+  int AllMissing = 0;
+  for (const auto &[Zone, Listed] : Zones) {
+    Needed -= Listed.Reclaimable;
+    AllMissing += std::max(0, Reclaimable - Listed.Reclaimable);
+  }
   for (const auto &[Zone, Listed] : Zones) {
     addIfDue({Service.Name, Zone, true, Reclaimable}, Listed.Reclaimable, Now,
              Due);
     int Missing = std::max(0, Reclaimable - Listed.Reclaimable);
-    int StandIns = standIns({Service.Name, Zone, true}, Missing,
-                            std::max(0, Listed.Stable - Stable));
+    // Each zone's part of the need, rounded up.
+    int Part =
+        AllMissing == 0
+            ? 0
+            : (std::max(0, Needed) * Missing + AllMissing - 1) / AllMissing;
+    if (Missing == 0)
+      Exhausted.erase({Service.Name, Zone, true});
+    // Stable ones that are there stay until the reclaimable ones are listed;
+    // further ones are ordered only while no reclaimable ones are to be had.
+    int Spare = std::max(0, Listed.Stable - Stable);
+    int Further = Exhausted.contains({Service.Name, Zone, true}) ? Part : 0;
+    int StandIns = std::min(Missing, std::max(Spare, Further));
     addIfDue({Service.Name, Zone, false, Stable + StandIns}, Listed.Stable, Now,
              Due);
   }
 }
 
-// Stable upstreams that stand in for reclaimable ones: those that are there
-// until the reclaimable ones have been listed, and further ones while none are
-// to be had.
-int capacity_policy::standIns(const subject &Reclaimable, int Missing,
-                              int SpareStable) {
-  if (Missing == 0)
-    Exhausted.erase(Reclaimable);
-  return Exhausted.contains(Reclaimable) ? Missing
-                                         : std::min(Missing, SpareStable);
-}
-
 void capacity_policy::addIfDue(capacity_target Target, int Listed,
                                steady_time Now,
                                std::vector<capacity_target> &Due) {
--- a/routing/capacity_policy.h
+++ b/routing/capacity_policy.h
@@ -14,8 +14,8 @@
 //   other zones has to carry the load until new ones have booted, so the total
 //   is chosen with one zone's reclaimable upstreams missing.
 // - Reclaimable upstreams leave and no new ones are to be had for a while.
-//   Stable ones take the place of those that are missing, zone by zone, until
-//   the reclaimable ones are listed again.
+//   Stable ones take the place of those that the demand needs, until the
+//   reclaimable ones are listed again.
 // - Bursts. The plan follows a rise at once and a fall only slowly, because an
 //   upstream takes seconds to boot and begins with nothing cached. It never
 //   falls below what was provided at first, of which most is exchanged for
@@ -97,7 +97,6 @@
                    steady_time Now, std::vector<capacity_target> &Due);
   double demandOf(const service &Service, const capacity_input &Input,
                   steady_time Now);
-  int standIns(const subject &Reclaimable, int Missing, int SpareStable);
   void addIfDue(capacity_target Target, int Listed, steady_time Now,
                 std::vector<capacity_target> &Due);
 
