--- a/routing/keyed_feed.cc
+++ b/routing/keyed_feed.cc
@@ -133,7 +133,14 @@
   News.Feed = Terms.Name;
   News.From = Read.From;
   News.End = Read.End;
-  News.Records = Read.Records;
+  // After news of a key, a later record may repeat what was known before.
+  absl::flat_hash_set<std::string> Told;
+  for (const wire::feed_record &Record : Read.Records)
+    if (Read.Whole || !Terms.IsNews || Told.contains(Record.Key) ||
+        Terms.IsNews(Record)) {
+      Told.insert(Record.Key);
+      News.Records.push_back(Record);
+    }
   News.Whole = Read.Whole;
   News.AfterOutage = AfterOutage;
   Effects.push_back(tell_entries{wire::peer_message(std::move(News))});
--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -18,6 +18,7 @@
 #ifndef ROUTING_KEYED_FEED_H
 #define ROUTING_KEYED_FEED_H
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,9 @@
   duration Period{};
   // How long the store holds a read back until there is news.
   duration Wait{};
+  // Whether other entries need to be told of a record, which this entry has not
+  // applied yet; unset: of every one. They take the others as unchanged.
+  std::function<bool(const wire::feed_record &)> IsNews = nullptr;
 };
 
 // How much later than expected a reader's news may be.
--- a/routing/routing_event.h
+++ b/routing/routing_event.h
@@ -96,6 +96,9 @@
   // Since the Unix epoch; tells two lives of one name apart.
   std::chrono::milliseconds StartedAt{};
   int64_t Sequence = 0; // of what this life has said
+
+  // Whether Other says the same and only repeats it.
+  bool isRepeatOf(const upstream_entry &Other) const;
 };
 
 // Key: what was removed or could not be read; the same as the entry's name.
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -49,7 +49,10 @@
       Decoder(std::move(Listings)),
       Members(Identity, wire::member_role::Entry, Seeds),
       ConfigFeed({Terms.Feeds.Config, duration{}, config_read_wait}),
-      UpstreamFeed({Terms.Feeds.Upstreams, upstream_read_period, duration{}}),
+      UpstreamFeed({Terms.Feeds.Upstreams, upstream_read_period, duration{},
+                    [this](const wire::feed_record &Record) {
+                      return isUpstreamNews(Record);
+                    }}),
       Budget(Terms.Resends), Usage(Terms.UsageWindow),
       Requests({Registry, Load, Cache, Trust, Budget, Usage}, Identity.Zone),
       Duties(Terms.Duties, Identity) {}
@@ -304,6 +307,16 @@
   }
 }
 
+// Most records of upstreams only repeat that they live, and hundreds of them
+// come each second; other entries hear of those that say something else.
+bool routing_node::isUpstreamNews(const wire::feed_record &Record) const {
+  const upstream_state *Known = Registry.find(upstream_name(Record.Key));
+  if (!Known || Known->LapsedAt || !Record.__isset.Value)
+    return true;
+  auto Entry = Decoder->decodeUpstream(Record.Key, Record.Value);
+  return !Entry || !Entry->isRepeatOf(Known->Entry);
+}
+
 void routing_node::applyUpstream(const feed_change &Change, steady_time Now,
                                  routing_effects &Effects) {
   upstream_listed Listed{Change.Key, {}, Change.AfterOutage};
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -127,6 +127,7 @@
                     routing_effects &Effects);
   void applyUpstream(const feed_change &Change, steady_time Now,
                      routing_effects &Effects);
+  bool isUpstreamNews(const wire::feed_record &Record) const;
   void applyConfig(const feed_change &Change, steady_time Now,
                    routing_effects &Effects);
   void onReport(const address &From, const wire::entry_report &Report,
--- a/routing/testing/keyed_feed_test.cc
+++ b/routing/testing/keyed_feed_test.cc
@@ -11,7 +11,10 @@
 
 class keyed_feed_test : public testing::Test {
 protected:
-  keyed_feed_test() : Feed({"servers", 450ms, 0ms}) {}
+  keyed_feed_test()
+      : Feed({"servers", 450ms, 0ms, [](const wire::feed_record &Record) {
+                return Record.Value != "same";
+              }}) {}
 
   static wire::feed_record record(int64_t Offset, const std::string &Key,
                                   const char *Value) {
@@ -130,6 +133,33 @@
   EXPECT_EQ(Read->From, 7);
 }
 
+// Load pattern: hundreds of upstreams repeat each second that they live, and
+// the links of small entries carry 10 Mbit/s.
+TEST_F(keyed_feed_test, Records_ThatOnlyRepeat_AreNotToldToOthers) {
+  startWith({record(6, "a", "x")}, 7);
+  ASSERT_TRUE(tick(500ms));
+  auto Changes = read(
+      505ms, false, 7, 10,
+      {record(7, "a", "same"), record(8, "b", "new"), record(9, "c", "same")});
+  EXPECT_EQ(Changes.size(), 3u);
+  const auto &News =
+      std::get<wire::feed_news>(std::get<tell_entries>(Told.back()).Message);
+  ASSERT_EQ(News.Records.size(), 1u);
+  EXPECT_EQ(News.Records[0].Key, "b");
+  // The others have no gap.
+  EXPECT_EQ(News.From, 7);
+  EXPECT_EQ(News.End, 10);
+}
+
+TEST_F(keyed_feed_test, Repeat_AfterARemovalInTheSameRead_IsTold) {
+  startWith({record(6, "a", "same")}, 7);
+  ASSERT_TRUE(tick(500ms));
+  read(505ms, false, 7, 9, {record(7, "a", nullptr), record(8, "a", "same")});
+  const auto &News =
+      std::get<wire::feed_news>(std::get<tell_entries>(Told.back()).Message);
+  EXPECT_EQ(News.Records.size(), 2u);
+}
+
 TEST_F(keyed_feed_test, News_OlderRecordOfKey_IsIgnored) {
   startWith({record(6, "a", "new")}, 7);
   auto Changes = Feed.onNews(news(3, 7, {record(4, "a", "old")}), at(100ms));
