Stable upstreams make room for reclaimable ones in a full zone

Cause: both kinds share a zone's maximum. Three stable ones that waited for five reclaimable ones in a zone of six never went, and stand-ins that filled a zone left no room for what they stood in for (orders refused until load fell).

--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -9,6 +9,9 @@
 
 // Stable upstreams of a zone, where reclaimable ones are to be had.
 constexpr int stable_in_zone = 1;
+// One part in so many of a zone's upstreams may be stand-ins: both kinds share
+// the zone's maximum, and a full zone has no room for reclaimable ones.
+constexpr int stand_in_share = 2;
 // Reclaimable upstreams of a zone without any load.
 constexpr int least_reclaimable = 2;
 // Requests under way at an engine from which another one is wanted: beyond it
@@ -133,10 +136,13 @@
             : (std::max(0, Needed) * Missing + AllMissing - 1) / AllMissing;
     if (Missing == 0)
       Exhausted.erase({Service.Name, Zone, true});
-    // Stable ones that are there stay until the reclaimable ones are listed;
-    // further ones are ordered only while no reclaimable ones are to be had.
-    int Spare = std::max(0, Listed.Stable - Stable);
+    // Stable ones that are there stay until the reclaimable ones are listed; in
+    // a full zone half of them make room for these. Further ones are ordered
+    // only while no reclaimable ones are to be had.
+    bool Full = Listed.Stable + Listed.Reclaimable >= Terms.Max;
+    int Spare = std::max(0, Listed.Stable - Stable) / (Full ? 2 : 1);
     int Further = Exhausted.contains({Service.Name, Zone, true}) ? Part : 0;
+    Further = std::min(Further, (Terms.Max - Stable) / stand_in_share);
     int StandIns = std::min(Missing, std::max(Spare, Further));
     addIfDue({Service.Name, Zone, false, Stable + StandIns}, Listed.Stable, Now,
              Due);
@@ -161,8 +167,10 @@
                                  steady_time Now) {
   subject Subject{Answer.Service, Answer.Zone, Answer.Reclaimable};
   order_state &State = Orders[Subject];
-  if (Answer.Accepted)
+  if (Answer.Accepted) {
     State.Ordered = Answer.Count;
+    Exhausted.erase(Subject);
+  }
   if (!Answer.NoneAvailable)
     return;
   State.NextOrder = Now + order_retry_period;
