--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -23,19 +23,48 @@
 // wanted: about what a first token's target leaves room for.
 constexpr double wanted_unread_tokens = 5000;
 
-struct listed {
+// What is planned for one zone.
+struct zone_plan {
   int Stable = 0;
   int Reclaimable = 0;
+  int Max = 0;            // of both kinds together
+  bool Exhausted = false; // no reclaimable ones are to be had at the moment
 };
 
-std::map<zone_name, listed> countListed(const service &Service,
-                                        const upstream_registry &Registry) {
-  std::map<zone_name, listed> Zones;
+// Over all zones of a service.
+struct shortage {
+  int Needed = 0;  // by the demand, beyond the upstreams that are there
+  int Missing = 0; // reclaimable ones that are planned and not there
+};
+
+// Stable upstreams that stand in for reclaimable ones of a zone. Those that are
+// there stay until the reclaimable ones are listed; in a full zone half of them
+// make room for these. Further ones are ordered only while no reclaimable ones
+// are to be had, as many as the zone's part of the need is.
+int standIns(const zone_plan &Plan, const zone_upstreams &Listed,
+             const shortage &Shortage) {
+  int Missing = std::max(0, Plan.Reclaimable - Listed.Reclaimable);
+  if (Missing == 0)
+    return 0;
+  bool Full = Listed.Stable + Listed.Reclaimable >= Plan.Max;
+  int Spare = std::max(0, Listed.Stable - Plan.Stable) / (Full ? 2 : 1);
+  int Further = 0;
+  if (Plan.Exhausted) {
+    int Need = std::max(0, Shortage.Needed) * Missing;
+    int Part = (Need + Shortage.Missing - 1) / Shortage.Missing; // rounded up
+    Further = std::min(Part, (Plan.Max - Plan.Stable) / stand_in_share);
+  }
+  return std::min(Missing, std::max(Spare, Further));
+}
+
+zone_counts countListed(const service &Service,
+                        const upstream_registry &Registry) {
+  zone_counts Zones;
   for (const auto &[Name, State] : Registry.all()) {
     const upstream_entry &Entry = State.Entry;
     if (Entry.Service != Service.Name)
       continue;
-    listed &Zone = Zones[Entry.Zone];
+    zone_upstreams &Zone = Zones[Entry.Zone];
     if (Entry.Draining)
       continue;
     ++(Entry.Reclaimable ? Zone.Reclaimable : Zone.Stable);
@@ -100,52 +129,46 @@
 void capacity_policy::planService(const service &Service,
                                   const capacity_input &Input, steady_time Now,
                                   std::vector<capacity_target> &Due) {
-  const order_terms &Terms = *Service.Orders;
-  auto Zones = countListed(Service, Input.Registry);
+  zone_counts Zones = countListed(Service, Input.Registry);
   double Wanted = demandOf(Service, Input, Now);
+  if (Service.Orders->ReclaimablePrice)
+    return planBothKinds(Service, Zones, Wanted, Now, Due);
+  const order_terms &Terms = *Service.Orders;
+  auto ZoneCount = static_cast<double>(std::max<size_t>(1, Zones.size()));
+  int Each = static_cast<int>(std::ceil(Wanted / ZoneCount)) + 1;
+  for (const auto &[Zone, Listed] : Zones)
+    addIfDue(
+        {Service.Name, Zone, false, std::clamp(Each, Terms.Min, Terms.Max)},
+        Listed.Stable, Now, Due);
+}
+
+void capacity_policy::planBothKinds(const service &Service,
+                                    const zone_counts &Zones, double Wanted,
+                                    steady_time Now,
+                                    std::vector<capacity_target> &Due) {
+  const order_terms &Terms = *Service.Orders;
   int ZoneCount = std::max<int>(1, static_cast<int>(Zones.size()));
-  if (!Terms.ReclaimablePrice) {
-    int Each = static_cast<int>(std::ceil(Wanted / ZoneCount)) + 1;
-    for (const auto &[Zone, Listed] : Zones)
-      addIfDue(
-          {Service.Name, Zone, false, std::clamp(Each, Terms.Min, Terms.Max)},
-          Listed.Stable, Now, Due);
-    return;
-  }
   int Stable = std::clamp(stable_in_zone, Terms.Min, Terms.Max);
   // With the reclaimable upstreams of one zone missing, the rest carries it.
-  double Missing = Wanted - Stable * ZoneCount;
-  int Each = static_cast<int>(std::ceil(Missing / std::max(1, ZoneCount - 1)));
+  double Rest = Wanted - Stable * ZoneCount;
+  int Each = static_cast<int>(std::ceil(Rest / std::max(1, ZoneCount - 1)));
   int Reclaimable = std::clamp(std::max(Each, least_reclaimable), 0,
                                std::max(0, Terms.Max - Stable));
-  // What the demand needs beyond the reclaimable upstreams that are there.
-  int Needed = static_cast<int>(std::ceil(Wanted)) - Stable * ZoneCount;
-  int AllMissing = 0;
+  shortage Shortage{static_cast<int>(std::ceil(Rest)), 0};
   for (const auto &[Zone, Listed] : Zones) {
-    Needed -= Listed.Reclaimable;
-    AllMissing += std::max(0, Reclaimable - Listed.Reclaimable);
+    Shortage.Needed -= Listed.Reclaimable;
+    Shortage.Missing += std::max(0, Reclaimable - Listed.Reclaimable);
   }
   for (const auto &[Zone, Listed] : Zones) {
+    subject Wished{Service.Name, Zone, true};
+    if (Listed.Reclaimable >= Reclaimable)
+      Exhausted.erase(Wished);
+    zone_plan Plan{Stable, Reclaimable, Terms.Max, Exhausted.contains(Wished)};
     addIfDue({Service.Name, Zone, true, Reclaimable}, Listed.Reclaimable, Now,
              Due);
-    int Missing = std::max(0, Reclaimable - Listed.Reclaimable);
-    // Each zone's part of the need, rounded up.
-    int Part =
-        AllMissing == 0
-            ? 0
-            : (std::max(0, Needed) * Missing + AllMissing - 1) / AllMissing;
-    if (Missing == 0)
-      Exhausted.erase({Service.Name, Zone, true});
-    // Stable ones that are there stay until the reclaimable ones are listed; in
-    // a full zone half of them make room for these. Further ones are ordered
-    // only while no reclaimable ones are to be had.
-    bool Full = Listed.Stable + Listed.Reclaimable >= Terms.Max;
-    int Spare = std::max(0, Listed.Stable - Stable) / (Full ? 2 : 1);
-    int Further = Exhausted.contains({Service.Name, Zone, true}) ? Part : 0;
-    Further = std::min(Further, (Terms.Max - Stable) / stand_in_share);
-    int StandIns = std::min(Missing, std::max(Spare, Further));
-    addIfDue({Service.Name, Zone, false, Stable + StandIns}, Listed.Stable, Now,
-             Due);
+    addIfDue(
+        {Service.Name, Zone, false, Stable + standIns(Plan, Listed, Shortage)},
+        Listed.Stable, Now, Due);
   }
 }
 
--- a/routing/capacity_policy.h
+++ b/routing/capacity_policy.h
@@ -61,6 +61,13 @@
   int Count = 0;
 };
 
+// Upstreams of one service in a zone that do not leave.
+struct zone_upstreams {
+  int Stable = 0;
+  int Reclaimable = 0;
+};
+using zone_counts = std::map<zone_name, zone_upstreams>;
+
 class capacity_policy {
 public:
   // Takes down which upstreams are listed first, so that an entry that takes
@@ -95,6 +102,9 @@
 
   void planService(const service &Service, const capacity_input &Input,
                    steady_time Now, std::vector<capacity_target> &Due);
+  void planBothKinds(const service &Service, const zone_counts &Zones,
+                     double Wanted, steady_time Now,
+                     std::vector<capacity_target> &Due);
   double demandOf(const service &Service, const capacity_input &Input,
                   steady_time Now);
   void addIfDue(capacity_target Target, int Listed, steady_time Now,
--- /dev/null
+++ b/routing/routing_node_duties.cc
@@ -0,0 +1,145 @@
+// The part of `routing_node` that acts for all entries: usage reports and
+// orders of upstreams.
+
+#include <algorithm>
+#include <utility>
+
+#include "routing/decision_log.h"
+#include "routing/routing_node.h"
+
+namespace monsoonreel {
+
+void routing_node::onEvent(const duty_appended &Appended,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  Duties.onAppended(Appended, Event.Now, Effects);
+  logHolder(Effects);
+}
+
+void routing_node::onEvent(const duty_log_read &Read,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  Duties.onRead(Read, Event.Now, Effects);
+  logHolder(Effects);
+}
+
+void routing_node::logHolder(routing_effects &Effects) {
+  if (Duties.holder() == LoggedHolder)
+    return;
+  LoggedHolder = Duties.holder();
+  Effects.push_back(decision("duty-holder")
+                        .add("holder", LoggedHolder)
+                        .add("fence", Duties.fence())
+                        .add("own", Duties.isMine() ? 1 : 0)
+                        .line(log_level::Info));
+}
+
+void routing_node::carryOutDuties(const routing_event &Event,
+                                  routing_effects &Effects) {
+  Duties.onTick(Event.Now, Event.Random, Effects);
+  if (Terms.ReportsUsage && Duties.mayAct(Event.Now))
+    reportUsage(Event, Effects);
+  bool Known = Table && UpstreamFeed.isKnown();
+  if (!Terms.OrdersUpstreams || !Known || Event.Now < NextPlan)
+    return;
+  NextPlan = Event.Now + capacity_plan_period;
+  capacity_input Input{Table->config(), Registry, Load};
+  if (!Duties.mayAct(Event.Now))
+    return Capacity.observe(Input, Event.Now);
+  for (const capacity_target &Target : Capacity.plan(Input, Event.Now)) {
+    Effects.push_back(order_capacity{Target.Service, Target.Zone, Target.Count,
+                                     Target.Reclaimable, Duties.fence(),
+                                     Duties.notAfter()});
+    Effects.push_back(decision("capacity-ordered")
+                          .add("service", Target.Service)
+                          .add("zone", Target.Zone)
+                          .add("reclaimable", Target.Reclaimable ? 1 : 0)
+                          .add("count", Target.Count)
+                          .add("fence", Duties.fence())
+                          .add("registry_age", UpstreamFeed.age(Event.Now))
+                          .line(log_level::Info));
+  }
+}
+
+// A live entry that has not reported since the window's end; empty when all
+// have.
+std::string routing_node::missingReport(int64_t Window, steady_time Now) const {
+  duration SinceEnd = Clock.at(Now) - Usage.endOf(Window);
+  steady_time Enough = Now - SinceEnd + usage_told_period;
+  for (const wire::member &Member : Others) {
+    auto It = ReportedAt.find(address(Member.Address));
+    if (It == ReportedAt.end() || It->second < Enough)
+      return Member.Name;
+  }
+  return {};
+}
+
+void routing_node::reportUsage(const routing_event &Event,
+                               routing_effects &Effects) {
+  wall_time TrueTime = Clock.at(Event.Now);
+  int64_t Present = Usage.windowAt(TrueTime);
+  for (int64_t Window = Present - reported_windows; Window < Present;
+       ++Window) {
+    const wire::window_counts *Figures = Duties.figures(Window);
+    duration SinceEnd = TrueTime - Usage.endOf(Window);
+    if (!Figures) {
+      if (SinceEnd < usage_settle_time)
+        continue;
+      std::string Missing = missingReport(Window, Event.Now);
+      if (!Missing.empty() && SinceEnd < usage_longest_wait)
+        continue;
+      if (!Missing.empty())
+        Effects.push_back(decision("usage-incomplete")
+                              .add("window", Window)
+                              .add("missing", Missing)
+                              .add("after_end", SinceEnd)
+                              .line(log_level::Warning));
+      Duties.fixFigures(Usage.sum(Window));
+      continue;
+    }
+    steady_time &NextSend =
+        UsageSent.try_emplace(Window, steady_time::min()).first->second;
+    if (Event.Now < NextSend)
+      continue;
+    NextSend = Event.Now + usage_retry_period;
+    Effects.push_back(
+        report_usage{*Figures, Duties.fence(), Duties.notAfter()});
+    Effects.push_back(
+        decision("usage-reported")
+            .add("window", Window)
+            .add("organisations", static_cast<int64_t>(Figures->Counts.size()))
+            .add("fence", Duties.fence())
+            .add("after_end", SinceEnd)
+            .line(log_level::Info));
+  }
+  UsageSent.erase(UsageSent.begin(),
+                  UsageSent.lower_bound(Present - 2 * reported_windows));
+}
+
+void routing_node::onEvent(const usage_answered &Answer,
+                           const routing_event & /*Event*/,
+                           routing_effects &Effects) {
+  if (Answer.Accepted) {
+    UsageSent[Answer.Window] = steady_time::max();
+    return;
+  }
+  Effects.push_back(decision("usage-report-failed")
+                        .add("window", Answer.Window)
+                        .line(log_level::Warning));
+}
+
+void routing_node::onEvent(const capacity_answered &Answer,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  Capacity.onAnswered(Answer, Event.Now);
+  if (!Answer.Accepted)
+    Effects.push_back(decision("capacity-order-failed")
+                          .add("service", Answer.Service)
+                          .add("zone", Answer.Zone)
+                          .add("reclaimable", Answer.Reclaimable ? 1 : 0)
+                          .add("count", Answer.Count)
+                          .add("none_available", Answer.NoneAvailable ? 1 : 0)
+                          .line(log_level::Warning));
+}
+
+} // namespace monsoonreel
