News that would fill a small link are read by each entry from the store

A reader whose history was cut read the whole registry and told all of it to 78 entries, about 5 MB over 10 Mbit/s; requests waited behind it. A large configuration would do the same. Ruled out: processor time (0.0569 of 0.12 cores at most). After: beyond 128 KB a round only the end is told, which is a gap to the others, so they read by themselves. Test: News_TooLargeForAllEntries_AreReadByEachOne.

--- a/routing/keyed_feed.cc
+++ b/routing/keyed_feed.cc
@@ -143,7 +143,20 @@
     }
   News.Whole = Read.Whole;
   News.AfterOutage = AfterOutage;
+  if (!isSmall(News)) {
+    // A gap, which makes whoever has not read so far read by itself.
+    News.From = News.End;
+    News.Records.clear();
+    News.Whole = false;
+  }
   Effects.push_back(tell_entries{wire::peer_message(std::move(News))});
 }
 
+bool keyed_feed::isSmall(const wire::feed_news &News) const {
+  size_t Bytes = 0;
+  for (const wire::feed_record &Record : News.Records)
+    Bytes += Record.Key.size() + Record.Value.size();
+  return Bytes * Listeners <= max_news_bytes;
+}
+
 } // namespace monsoonreel
--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -56,6 +56,11 @@
 // Ranks beyond this one have the patience of this one.
 constexpr size_t last_reader_rank = 8;
 
+// Bytes of one round of news to all other entries: a tenth of a second of a
+// link of 10 Mbit/s, so that requests don't wait behind them. Of larger news
+// only the end is told, and each entry reads them from the store.
+constexpr size_t max_news_bytes = size_t{128} << 10;
+
 struct feed_change {
   std::string Key;
   std::optional<std::string> Value; // empty: the key is gone
@@ -73,6 +78,8 @@
   // Changes by an own read. What was read is passed on by Effects.
   std::vector<feed_change> onRead(const feed_read &Read, steady_time Now,
                                   routing_effects &Effects);
+  // How many other entries are told of what this one reads.
+  void setListeners(size_t Count) { Listeners = Count; }
   void onReadFailed(const feed_read_failed &Failed, steady_time Now);
   // Changes that another entry read.
   std::vector<feed_change> onNews(const wire::feed_news &News, steady_time Now);
@@ -90,10 +97,12 @@
 private:
   std::vector<feed_change> apply(const std::vector<wire::feed_record> &Records,
                                  bool Whole, bool AfterOutage);
+  bool isSmall(const wire::feed_news &News) const;
   void tellPeers(const feed_read &Read, bool AfterOutage,
                  routing_effects &Effects);
 
   feed_terms Terms;
+  size_t Listeners = 0;
   bool Known = false;
   bool NeedsWhole = true;
   bool Failing = false;
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -147,6 +147,8 @@
   });
   EntryCount = Others.size() + 1;
   Budget.setEntries(EntryCount);
+  ConfigFeed.setListeners(Others.size());
+  UpstreamFeed.setListeners(Others.size());
   ConfigRank = readerRank(ConfigFeed.name());
   UpstreamRank = readerRank(UpstreamFeed.name());
 }
--- a/routing/testing/keyed_feed_test.cc
+++ b/routing/testing/keyed_feed_test.cc
@@ -151,6 +151,30 @@
   EXPECT_EQ(News.End, 10);
 }
 
+// Load pattern: a large configuration, or all upstreams at once, for some
+// hundred entries on small links.
+TEST_F(keyed_feed_test, News_TooLargeForAllEntries_AreReadByEachOne) {
+  startWith({record(6, "a", "x")}, 7);
+  Feed.setListeners(78);
+  ASSERT_TRUE(tick(500ms));
+  std::string Large(max_news_bytes / 78, 'x');
+  read(505ms, false, 7, 8, {record(7, "a", Large.c_str())});
+  const auto &News =
+      std::get<wire::feed_news>(std::get<tell_entries>(Told.back()).Message);
+  EXPECT_TRUE(News.Records.empty());
+
+  keyed_feed Other({"servers", 450ms, 0ms});
+  routing_effects Effects;
+  Other.onTick(at(0ms), 5, Effects);
+  Other.onRead({"servers", true, 0, 7, {record(6, "a", "x")}}, at(5ms),
+               Effects);
+  EXPECT_TRUE(Other.onNews(News, at(510ms)).empty());
+  Effects.clear();
+  Other.onTick(at(511ms), 5, Effects);
+  ASSERT_EQ(Effects.size(), 1u);
+  EXPECT_EQ(std::get<read_feed>(Effects[0]).From, 7);
+}
+
 TEST_F(keyed_feed_test, Repeat_AfterARemovalInTheSameRead_IsTold) {
   startWith({record(6, "a", "same")}, 7);
   ASSERT_TRUE(tick(500ms));
