--- a/io/testing/channel_pool_test.cc
+++ b/io/testing/channel_pool_test.cc
@@ -252,7 +252,7 @@
     At.sin_family = AF_INET;
     At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t Size = sizeof(At);
-    ::bind(Listening, reinterpret_cast<sockaddr *>(&At), Size);
+    (void)::bind(Listening, reinterpret_cast<sockaddr *>(&At), Size);
     ::listen(Listening, 1);
     ::getsockname(Listening, reinterpret_cast<sockaddr *>(&At), &Size);
     Port = ntohs(At.sin_port);
