Large news: half a megabyte a round; the time until an upstream leaves is no news

Cause: six records were large already for 78 entries, and each repeat of an upstream that leaves counted as news.

--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -56,10 +56,10 @@
 // Ranks beyond this one have the patience of this one.
 constexpr size_t last_reader_rank = 8;
 
-// Bytes of one round of news to all other entries: a tenth of a second of a
-// link of 10 Mbit/s, so that requests don't wait behind them. Of larger news
-// only the end is told, and each entry reads them from the store.
-constexpr size_t max_news_bytes = size_t{128} << 10;
+// Bytes of one round of news to all other entries: requests wait behind them
+// for 0.4 s at most on a link of 10 Mbit/s. Of larger news only the end is
+// told, and each entry reads them from the store, which costs a call each.
+constexpr size_t max_news_bytes = size_t{512} << 10;
 
 struct feed_change {
   std::string Key;
--- a/routing/routing_event.h
+++ b/routing/routing_event.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -97,8 +98,15 @@
   std::chrono::milliseconds StartedAt{};
   int64_t Sequence = 0; // of what this life has said
 
-  // Whether Other says the same and only repeats it.
-  bool isRepeatOf(const upstream_entry &Other) const;
+  // Whether Other says the same and only repeats it; LeavesIn shrinks with each
+  // repeat.
+  bool isRepeatOf(const upstream_entry &Other) const {
+    auto Facts = [](const upstream_entry &Entry) {
+      return std::tie(Entry.Service, Entry.Address, Entry.Zone, Entry.Slots,
+                      Entry.Draining, Entry.Reclaimable, Entry.StartedAt);
+    };
+    return Facts(*this) == Facts(Other);
+  }
 };
 
 // Key: what was removed or could not be read; the same as the entry's name.
--- a/routing/upstream_registry.cc
+++ b/routing/upstream_registry.cc
@@ -20,13 +20,6 @@
 
 } // namespace
 
-bool upstream_entry::isRepeatOf(const upstream_entry &Other) const {
-  return Service == Other.Service && Address == Other.Address &&
-         Zone == Other.Zone && Slots == Other.Slots &&
-         Draining == Other.Draining && Reclaimable == Other.Reclaimable &&
-         LeavesIn == Other.LeavesIn && StartedAt == Other.StartedAt;
-}
-
 void upstream_registry::onListed(const upstream_listed &Listed,
                                  steady_time Now) {
   upstream_name Name(Listed.Key);
