--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,8 @@
 	scripts/lint build/lint
 
 wire:
-	cd wire && thrift --gen cpp:no_skeleton,moveable_types -out gen wire.thrift
+	cd wire && for file in wire routing; do \
+	  thrift --gen cpp:no_skeleton,moveable_types -out gen $$file.thrift; done
 	# Any number may come from a peer: with a fixed underlying type each is a
 	# valid value, which the code then refuses or ignores.
-	sed -i 's/^  enum type {/  enum type : int32_t {/' wire/gen/wire_types.h
+	sed -i 's/^  enum type {/  enum type : int32_t {/' wire/gen/*_types.h
--- a/io/datagram_port.h
+++ b/io/datagram_port.h
@@ -16,6 +16,7 @@
 #define IO_DATAGRAM_PORT_H
 
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 #include <QUdpSocket>
@@ -38,10 +39,11 @@
 
   bool bind();
   void send(const std::vector<address> &To, const wire::peer_message &Message);
-  // Datagrams that the kernel did not take, or that were too large.
-  int64_t unsent() const { return Unsent; }
-  // Datagrams that hold no message.
-  int64_t unreadable() const { return Unreadable; }
+  // Datagrams since the last call that the kernel did not take, that were too
+  // large, or whose address is none.
+  int64_t takeUnsent() { return std::exchange(Unsent, 0); }
+  // Datagrams since the last call that hold no message.
+  int64_t takeUnreadable() { return std::exchange(Unreadable, 0); }
 
 private:
   struct endpoint {
--- a/io/routing_runtime.cc
+++ b/io/routing_runtime.cc
@@ -13,6 +13,7 @@
 #include "io/clock.h"
 #include "io/daemon_log.h"
 #include "monsoonreel/http_status.h"
+#include "routing/decision_log.h"
 
 namespace monsoonreel {
 
@@ -332,12 +333,21 @@
 }
 
 void routing_runtime::apply(const send_datagrams &Effect) {
-  int64_t Before = Datagrams.unsent();
   Datagrams.send(Effect.To, Effect.Message);
-  if (int64_t Unsent = Datagrams.unsent() - Before)
-    Metrics.count({"monsoonreel_datagrams_unsent_total",
-                   {},
-                   static_cast<double>(Unsent)});
+  countLost("unsent", Datagrams.takeUnsent());
+  countLost("unreadable", Datagrams.takeUnreadable());
+}
+
+void routing_runtime::countLost(const char *Reason, int64_t Datagrams) {
+  if (Datagrams == 0)
+    return;
+  Metrics.count({"monsoonreel_datagrams_lost_total",
+                 {{"reason", Reason}},
+                 static_cast<double>(Datagrams)});
+  apply(decision("datagrams-lost")
+            .add("reason", Reason)
+            .add("datagrams", Datagrams)
+            .line(log_level::Warning));
 }
 
 void routing_runtime::apply(const log_line &Effect) {
--- a/io/routing_runtime.h
+++ b/io/routing_runtime.h
@@ -99,6 +99,7 @@
   void apply(const stop_taking &Effect);
   void apply(const send_message &Effect);
   void apply(const send_datagrams &Effect);
+  void countLost(const char *Reason, int64_t Datagrams);
   void apply(const reset_link &Effect) { Peers.resetLink(Effect.ToAddress); }
   void apply(const log_line &Effect);
   void apply(const count_metric &Effect) { Metrics.count(Effect); }
--- a/io/testing/datagram_port_test.cc
+++ b/io/testing/datagram_port_test.cc
@@ -47,26 +47,29 @@
   ASSERT_TRUE(waitUntil([&] { return !AtB.Received.empty(); }));
   EXPECT_EQ(AtB.Received[0].FromAddress, AddressA);
   EXPECT_EQ(std::get<wire::entry_report>(AtB.Received[0].Message).Sequence, 7);
-  EXPECT_EQ(A.unsent(), 0);
+  EXPECT_EQ(A.takeUnsent(), 0);
 }
 
 TEST_F(datagram_port_test, Message_TooLargeForADatagram_IsCountedAsUnsent) {
   wire::entry_report Large;
   Large.DutyHolder = std::string(max_datagram_bytes, 'x');
   A.send({AddressB}, Large);
-  EXPECT_EQ(A.unsent(), 1);
+  EXPECT_EQ(A.takeUnsent(), 1);
 }
 
 TEST_F(datagram_port_test, Address_IsNone_IsCountedAsUnsent) {
   A.send({address("nowhere")}, report(1));
-  EXPECT_EQ(A.unsent(), 1);
+  EXPECT_EQ(A.takeUnsent(), 1);
 }
 
 TEST_F(datagram_port_test, Datagram_WithoutAMessage_IsCountedAndDropped) {
   QUdpSocket Stranger;
   auto Parts = splitAddress(AddressB);
   Stranger.writeDatagram("garbage", QHostAddress::LocalHost, Parts->Port);
-  ASSERT_TRUE(waitUntil([&] { return B.unreadable() == 1; }));
+  int64_t Unreadable = 0;
+  ASSERT_TRUE(
+      waitUntil([&] { return (Unreadable += B.takeUnreadable()) > 0; }));
+  EXPECT_EQ(Unreadable, 1);
   EXPECT_TRUE(AtB.Received.empty());
 }
 
--- a/monsoonreel/wire.h
+++ b/monsoonreel/wire.h
@@ -17,6 +17,7 @@
 
 #include <tl/expected.hpp>
 
+#include "wire/gen/routing_types.h"
 #include "wire/gen/wire_types.h"
 
 namespace monsoonreel {
--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -9,8 +9,8 @@
 
 // Stable upstreams of a zone, where reclaimable ones are to be had.
 constexpr int stable_in_zone = 1;
-// One part in so many of a zone's upstreams may be stand-ins: both kinds share
-// the zone's maximum, and a full zone has no room for reclaimable ones.
+// One in so many of a zone's upstreams may be a stand-in: both kinds share the
+// zone's maximum, and a full zone has no room for reclaimable ones.
 constexpr int stand_in_share = 2;
 // Reclaimable upstreams of a zone without any load.
 constexpr int least_reclaimable = 2;
@@ -38,16 +38,17 @@
 };
 
 // Stable upstreams that stand in for reclaimable ones of a zone. Those that are
-// there stay until the reclaimable ones are listed; in a full zone half of them
-// make room for these. Further ones are ordered only while no reclaimable ones
-// are to be had, as many as the zone's part of the need is.
+// there stay until the reclaimable ones are listed; in a full zone a part of
+// them makes room for these. Further ones are ordered only while no reclaimable
+// ones are to be had, as many as the zone's part of the need is.
 int standIns(const zone_plan &Plan, const zone_upstreams &Listed,
              const shortage &Shortage) {
   int Missing = std::max(0, Plan.Reclaimable - Listed.Reclaimable);
   if (Missing == 0)
     return 0;
   bool Full = Listed.Stable + Listed.Reclaimable >= Plan.Max;
-  int Spare = std::max(0, Listed.Stable - Plan.Stable) / (Full ? 2 : 1);
+  int Spare =
+      std::max(0, Listed.Stable - Plan.Stable) / (Full ? stand_in_share : 1);
   int Further = 0;
   if (Plan.Exhausted) {
     int Need = std::max(0, Shortage.Needed) * Missing;
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -138,8 +138,9 @@
 
 // The candidates that are looked at: a few within the lane and outside it where
 // figures lag, else all of them.
-std::vector<bool> drawn(const placement_query &Query,
-                        const std::vector<size_t> &LanePlace, size_t Lane) {
+std::vector<bool> drawCandidates(const placement_query &Query,
+                                 const std::vector<size_t> &LanePlace,
+                                 size_t Lane) {
   std::vector<bool> Drawn(LanePlace.size(), !Query.FiguresLag);
   if (!Query.FiguresLag)
     return Drawn;
@@ -165,7 +166,7 @@
         (Home == List.size() || HomeRank[I] < HomeRank[Home]))
       Home = I;
   int64_t OwnPart = Query.Prompt->PromptTokens - sharedTokens(*Query.Prompt);
-  std::vector<bool> Drawn = drawn(Query, LanePlace, Lane);
+  std::vector<bool> Drawn = drawCandidates(Query, LanePlace, Lane);
   std::optional<placement> Best;
   for (size_t I = 0; I < List.size(); ++I) {
     const upstream_entry &Entry = List[I]->Entry;
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -265,7 +265,7 @@
     return;
   }
   Request->Body += Data.Data;
-  if (Request->Body.size() <= max_whole_answer_bytes)
+  if (Request->Body.size() <= max_held_answer_bytes)
     return;
   Request->Held = false;
   Request->Begun = true;
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -28,6 +28,7 @@
 
 #include "absl/container/flat_hash_map.h"
 
+#include "monsoonreel/caller_answer.h"
 #include "routing/event_cutter.h"
 #include "routing/placement.h"
 #include "routing/route_table.h"
@@ -37,9 +38,6 @@
 
 namespace monsoonreel {
 
-// A complete answer up to this size is held back until its end, so that the
-// request can be sent again when it breaks off.
-constexpr size_t max_whole_answer_bytes = size_t{1} << 20;
 // With less time left, a request is not sent to a further upstream.
 constexpr duration min_resend_time = std::chrono::milliseconds(40);
 // Open requests of one entry; more are refused. About 20 KB each at most.
@@ -62,7 +60,7 @@
   uint64_t Random = 0;
   duration RegistryAge{};
   size_t Entries = 1;
-  bool FiguresLag = false; // reports of other entries come less often than work
+  bool FiguresLag = false; // others' reports are older than most work lasts
 };
 
 class request_router {
--- a/routing/routing_event.h
+++ b/routing/routing_event.h
@@ -98,8 +98,8 @@
   std::chrono::milliseconds StartedAt{};
   int64_t Sequence = 0; // of what this life has said
 
-  // Whether Other says the same and only repeats it; LeavesIn shrinks with each
-  // repeat.
+  // Whether this says nothing that Other did not say. LeavesIn is left out, as
+  // it shrinks with each repeat.
   bool isRepeatOf(const upstream_entry &Other) const {
     auto Facts = [](const upstream_entry &Entry) {
       return std::tie(Entry.Service, Entry.Address, Entry.Zone, Entry.Slots,
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -86,12 +86,12 @@
           Clock.at(Event.Now),
           Event.Random,
           UpstreamFeed.isKnown() ? UpstreamFeed.age(Event.Now) : duration{},
-          EntryCount,
+          entryCount(),
           reportInterval() > report_period};
 }
 
 duration routing_node::reportInterval() const {
-  return std::max<duration>(report_period, std::chrono::seconds(EntryCount) /
+  return std::max<duration>(report_period, std::chrono::seconds(entryCount()) /
                                                reports_per_second);
 }
 
@@ -145,8 +145,7 @@
   std::erase_if(Others, [&](const wire::member &Member) {
     return Member.Name == Identity.Name.Value;
   });
-  EntryCount = Others.size() + 1;
-  Budget.setEntries(EntryCount);
+  Budget.setEntries(entryCount());
   ConfigFeed.setListeners(Others.size());
   UpstreamFeed.setListeners(Others.size());
   ConfigRank = readerRank(ConfigFeed.name());
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -118,6 +118,7 @@
                routing_effects &Effects);
 
   router_context contextOf(const routing_event &Event) const;
+  size_t entryCount() const { return Others.size() + 1; }
   duration reportInterval() const;
   keyed_feed *feedOf(const std::string &Name);
   void refreshEntries(steady_time Now);
@@ -160,7 +161,6 @@
   duty_log Duties;
   capacity_policy Capacity;
   std::shared_ptr<const route_table> Table;
-  size_t EntryCount = 1;            // live entries, this one included
   std::vector<wire::member> Others; // the live entries but this one
   size_t ConfigRank = 0;            // among the readers of each feed
   size_t UpstreamRank = 0;
--- a/routing/testing/request_router_test.cc
+++ b/routing/testing/request_router_test.cc
@@ -199,7 +199,7 @@
   arrive("/safe/x");
   attempt_number Attempt = attempt();
   head(Attempt, 200);
-  data(Attempt, std::string(max_whole_answer_bytes + 1, 'x').c_str());
+  data(Attempt, std::string(max_held_answer_bytes + 1, 'x').c_str());
   EXPECT_EQ(all<route_begin>().size(), 1u);
   fail(Attempt, attempt_failure::Truncated);
   // A part was passed on, so nothing can be done but to break it off.
--- /dev/null
+++ b/wire/routing.thrift
@@ -0,0 +1,68 @@
+// What entries that route by host and path tell each other, and the records of
+// their duty log. Style and rules of change: see wire.thrift.
+
+namespace cpp monsoonreel.wire
+
+// What one entry has under way at one upstream.
+struct upstream_use {
+  1: string Upstream
+  2: i32 Running
+  3: i64 UnreadTokens          // of prompts whose first token has not come
+  4: i32 PacedStreams          // streams that mind pauses between events
+}
+
+struct organisation_count {
+  1: string Organisation
+  2: i64 Requests
+}
+
+// Requests that began to run in one usage window.
+struct window_counts {
+  1: i64 Window
+  2: list<organisation_count> Counts
+}
+
+// Told by every entry to every other one, several times a second.
+struct entry_report {
+  1: i64 Incarnation
+  2: i64 Sequence
+  3: list<upstream_use> Uses
+  4: list<window_counts> Windows // those that may still be reported
+  5: i64 WallMicros              // the sender's time of day
+  6: string DutyHolder           // set by the holder itself only
+  7: i64 DutyFence
+  8: i64 DutyClaimOffset         // newest claim that the sender knows; -1: none
+  9: i64 LastFiguredWindow       // newest window whose figures are written
+  10: i64 DutyIncarnation
+}
+
+// One record of a keyed feed of the platform's store.
+struct feed_record {
+  1: i64 Offset
+  2: string Key
+  3: optional binary Value       // unset: the key is removed
+}
+
+// What a reader of a feed passes on to the other entries.
+struct feed_news {
+  1: string Feed
+  2: i64 From                    // Records are the news from here to End; what they
+                                 // leave out only repeats what was known
+  3: i64 End
+  4: list<feed_record> Records
+  5: bool Whole                  // Records are the newest of every key
+  6: bool AfterOutage            // the reader's read before this one had failed
+}
+
+// A record of the duty log: exactly one field is set.
+struct duty_claim {
+  1: string Holder
+  2: i64 Incarnation
+  3: i64 Fence                   // offset of the first claim of an unbroken run
+  4: bool Released
+}
+
+struct duty_record {
+  1: optional duty_claim Claim
+  2: optional window_counts Figures
+}
