--- a/monsoonreel/membership.cc
+++ b/monsoonreel/membership.cc
@@ -19,6 +19,7 @@
   Self.Address = std::move(Identity.Address.Value);
   Self.Incarnation = Identity.Incarnation.Value;
   Self.State = wire::member_state::Alive;
+  Self.Capacity = Identity.Capacity;
   // An answer to an earlier run of this node must not match a nonce of this
   // one.
   NextNonce += (Identity.Incarnation.Value & 0xffffff) << 24;
--- a/monsoonreel/node.h
+++ b/monsoonreel/node.h
@@ -33,6 +33,7 @@
   zone_name Zone;
   address Address; // of its peer listener
   incarnation Incarnation;
+  int Capacity = 0; // share of a core in thousandths; 0: not known
 };
 
 } // namespace monsoonreel
--- a/monsoonreel/wire.cc
+++ b/monsoonreel/wire.cc
@@ -80,7 +80,8 @@
     "claim_settled", "usage_offer",   "usage_accepted", "usage_hold",
     "usage_held",    "usage_release", "slot_ask",       "slot_grant",
     "slot_refuse",   "slot_release",  "slot_cancel",    "slot_preempt",
-    "slot_renew",    "slot_queued",   "entry_report",   "feed_news"};
+    "slot_renew",    "slot_queued",   "entry_report",   "feed_news",
+    "usage_report",  "relay_report"};
 static_assert(MessageNames.size() == std::variant_size_v<wire::peer_message>);
 
 } // namespace
--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -66,7 +66,7 @@
     if (Entry.Service != Service.Name)
       continue;
     zone_upstreams &Zone = Zones[Entry.Zone];
-    if (Entry.Draining)
+    if (Registry.isLeaving(Entry))
       continue;
     ++(Entry.Reclaimable ? Zone.Reclaimable : Zone.Stable);
   }
--- a/routing/keyed_feed.cc
+++ b/routing/keyed_feed.cc
@@ -29,11 +29,17 @@
   // A first reader reads each period; the others only when they miss its news.
   duration Patience = Place == 0 ? Terms.Period
                                  : Terms.Period + Terms.Wait + reader_slack +
+                                       MarkDelay.value_or(duration{}) +
                                        Place * reader_stagger;
+  if (BehindSince && Now - *BehindSince >= late_news_time) {
+    BehindSince.reset();
+    MissedNews = true;
+  }
   bool Due = NeedsWhole || MissedNews || Now - FreshAt >= Patience;
   if (!Due || Now < NextRead)
     return;
   AskedAt = Now;
+  IsCatchingUp = MarkDelay && Place > 0 && (NeedsWhole || MissedNews);
   Effects.push_back(
       read_feed{Terms.Name, NeedsWhole, End, Known ? Terms.Wait : duration{}});
 }
@@ -62,7 +68,11 @@
   FreshAt = Now;
   NextRead = Now + Terms.Period;
   MissedNews = false;
-  tellPeers(Read, AfterOutage, Effects);
+  BehindSince.reset();
+  if (MarkDelay)
+    tellByRelays(Read, AfterOutage, Now, Effects);
+  else
+    tellAll(Read, AfterOutage, Now, Effects);
   std::vector<feed_change> Changes =
       apply(Read.Records, Read.Whole, AfterOutage);
   End = std::max(End, Read.End);
@@ -71,12 +81,12 @@
   return Changes;
 }
 
-std::vector<feed_change> keyed_feed::onNews(const wire::feed_news &News,
+std::vector<feed_change> keyed_feed::onNews(const wire::feed_news &Told,
                                             steady_time Now) {
-  if (!News.Whole && (News.From > End || !Known)) {
+  if (!Told.Whole && (Told.From > End || !Known)) {
     // Records were missed. Only the news after the gap tells, so the next own
     // read closes it.
-    MissedNews = MissedNews || News.End > End;
+    MissedNews = MissedNews || Told.End > End;
     if (MissedNews && !Failing)
       NextRead = Now;
     return {};
@@ -84,17 +94,48 @@
   bool FailedHere =
       FailedAt != steady_time::min() && Now - FailedAt < outage_memory;
   std::vector<feed_change> Changes =
-      apply(News.Records, News.Whole, News.AfterOutage && FailedHere);
-  if (News.End >= End) {
-    End = News.End;
+      apply(Told.Records, Told.Whole, Told.AfterOutage && FailedHere);
+  if (Told.End >= End) {
+    End = Told.End;
     FreshAt = Now;
+    BehindSince.reset();
   }
-  if (News.Whole)
+  if (Told.End >= Heard.End)
+    Heard = {Told.End, Told.End, Now};
+  if (Told.Whole)
     NeedsWhole = false;
   Known = true;
   return Changes;
 }
 
+wire::feed_mark keyed_feed::mark(steady_time Now) const {
+  wire::feed_mark Mark;
+  Mark.Feed = Terms.Name;
+  Mark.News = Heard.News;
+  Mark.End = Heard.End;
+  Mark.AgeMicros = toMicros(Now - Heard.FreshAt);
+  return Mark;
+}
+
+void keyed_feed::onMark(const wire::feed_mark &Mark, steady_time Now) {
+  duration Age = fromMicros(Mark.AgeMicros);
+  if (Mark.End < Heard.End || Age < duration::zero())
+    return;
+  steady_time Fresh = Now - Age;
+  if (Mark.End == Heard.End)
+    Fresh = std::max(Fresh, Heard.FreshAt);
+  Heard = {Mark.News, Mark.End, Fresh};
+  if (!Known || Mark.End < End)
+    return;
+  if (Mark.News > End) {
+    BehindSince = BehindSince.value_or(Now);
+    return;
+  }
+  BehindSince.reset();
+  End = Mark.End;
+  FreshAt = std::max(FreshAt, Fresh);
+}
+
 std::vector<feed_change>
 keyed_feed::apply(const std::vector<wire::feed_record> &Records, bool Whole,
                   bool AfterOutage) {
@@ -127,8 +168,8 @@
   return Changes;
 }
 
-void keyed_feed::tellPeers(const feed_read &Read, bool AfterOutage,
-                           routing_effects &Effects) {
+wire::feed_news keyed_feed::newsOf(const feed_read &Read,
+                                   bool AfterOutage) const {
   wire::feed_news News;
   News.Feed = Terms.Name;
   News.From = Read.From;
@@ -149,7 +190,37 @@
     News.Records.clear();
     News.Whole = false;
   }
-  Effects.push_back(tell_entries{wire::peer_message(std::move(News))});
+  return News;
+}
+
+void keyed_feed::tellAll(const feed_read &Read, bool AfterOutage,
+                         steady_time Now, routing_effects &Effects) {
+  if (Listeners == 0)
+    Untold = true;
+  else
+    Heard = {Read.End, Read.End, Now};
+  Effects.push_back(
+      tell_entries{wire::peer_message(newsOf(Read, AfterOutage))});
+}
+
+void keyed_feed::tellByRelays(const feed_read &Read, bool AfterOutage,
+                              steady_time Now, routing_effects &Effects) {
+  wire::feed_news News = newsOf(Read, AfterOutage);
+  bool IsGap = News.From == News.End && Read.From != Read.End;
+  bool SaysNew = News.Whole || IsGap || !News.Records.empty();
+  // What others know already is not told again. Should they not know it, they
+  // have to learn so when this entry is their reader.
+  if (IsCatchingUp) {
+    Untold |= SaysNew;
+    return;
+  }
+  bool Missed = std::exchange(Untold, false);
+  // Others may not have heard yet how far nothing was new.
+  if (!Missed && !IsGap)
+    News.From = std::min(Read.From, Heard.News);
+  Heard = {SaysNew || Missed ? Read.End : Heard.News, Read.End, Now};
+  if (SaysNew)
+    Effects.push_back(tell_entries{wire::peer_message(std::move(News))});
 }
 
 bool keyed_feed::isSmall(const wire::feed_news &News) const {
--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -11,6 +11,12 @@
 // and tells the others; when it is gone or cut off, the next one's patience
 // ends. A cut off entry reads by itself.
 //
+// Where relays pass news on, reads without any are not told. Each entry then
+// tells how far it knows the feed:
+//
+//   Report.Feeds.push_back(Feed.mark(Now));
+//   Feed.onMark(Mark, Now);
+//
 // A reader that missed records, because the store's history was cut or the
 // news had a gap, reads the newest record of every key anew. Keys that are
 // missing then are gone.
@@ -56,6 +62,9 @@
 // Ranks beyond this one have the patience of this one.
 constexpr size_t last_reader_rank = 8;
 
+// News may come so much later than a mark that speaks of them.
+constexpr duration late_news_time = std::chrono::milliseconds(300);
+
 // Bytes of one round of news to all other entries: requests wait behind them
 // for 0.4 s at most on a link of 10 Mbit/s. Of larger news only the end is
 // told, and each entry reads them from the store, which costs a call each.
@@ -78,8 +87,13 @@
   // Changes by an own read. What was read is passed on by Effects.
   std::vector<feed_change> onRead(const feed_read &Read, steady_time Now,
                                   routing_effects &Effects);
-  // How many other entries are told of what this one reads.
+  // How many other entries this one sends what it reads.
   void setListeners(size_t Count) { Listeners = Count; }
+  // How long marks take to reach all entries; unset: nothing is relayed and
+  // every read is told.
+  void setMarkDelay(std::optional<duration> Delay) { MarkDelay = Delay; }
+  wire::feed_mark mark(steady_time Now) const;
+  void onMark(const wire::feed_mark &Mark, steady_time Now);
   void onReadFailed(const feed_read_failed &Failed, steady_time Now);
   // Changes that another entry read.
   std::vector<feed_change> onNews(const wire::feed_news &News, steady_time Now);
@@ -98,8 +112,11 @@
   std::vector<feed_change> apply(const std::vector<wire::feed_record> &Records,
                                  bool Whole, bool AfterOutage);
   bool isSmall(const wire::feed_news &News) const;
-  void tellPeers(const feed_read &Read, bool AfterOutage,
-                 routing_effects &Effects);
+  wire::feed_news newsOf(const feed_read &Read, bool AfterOutage) const;
+  void tellAll(const feed_read &Read, bool AfterOutage, steady_time Now,
+               routing_effects &Effects);
+  void tellByRelays(const feed_read &Read, bool AfterOutage, steady_time Now,
+                    routing_effects &Effects);
 
   feed_terms Terms;
   size_t Listeners = 0;
@@ -107,6 +124,19 @@
   bool NeedsWhole = true;
   bool Failing = false;
   bool MissedNews = false; // news came with a gap before them
+  std::optional<duration> MarkDelay;
+  // Of the reader, by its marks or its news, or of this entry when it is the
+  // reader.
+  struct heard_mark {
+    int64_t News = 0; // end of the last records that said anything new
+    int64_t End = 0;
+    steady_time FreshAt;
+  };
+  heard_mark Heard;
+  bool IsCatchingUp = false; // the open read is for this entry alone
+  bool Untold = false;       // such a read has found news
+  // Since when a mark speaks of news that have not come.
+  std::optional<steady_time> BehindSince;
   int64_t End = 0;
   absl::flat_hash_map<std::string, int64_t> OffsetOf;
   steady_time FreshAt;
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -69,8 +69,8 @@
   return Ranks;
 }
 
-// The candidates that are neither paused nor tried; those that are paused when
-// nothing else is left.
+// The candidates that are neither resting, paused nor tried; those that are
+// paused when nothing else is left.
 std::vector<const upstream_state *> eligible(const placement_query &Query,
                                              const upstream_trust &Trust) {
   std::vector<const upstream_state *> Good;
@@ -78,7 +78,8 @@
   for (const upstream_state *Candidate : Query.Serving) {
     const upstream_name &Name = Candidate->Entry.Name;
     if (std::find(Query.Tried.begin(), Query.Tried.end(), Name) !=
-        Query.Tried.end())
+            Query.Tried.end() ||
+        Trust.restingUntil(Name, Query.Now))
       continue;
     (Trust.isPaused(Name, Candidate->Entry.Zone, Query.Now) ? Paused : Good)
         .push_back(Candidate);
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -107,7 +107,11 @@
   std::optional<placement> Chosen =
       choosePlacement(Query, {Services.Load, Services.Cache, Services.Trust});
   if (!Chosen)
-    return giveUp(Request, "no-upstream", Context, Effects);
+    return giveUp(Request,
+                  restLeft(Request, Context) > duration::zero()
+                      ? "upstreams-rest"
+                      : "no-upstream",
+                  Context, Effects);
   const upstream_entry &Entry = Chosen->Upstream->Entry;
   attempt_number Attempt{++LastAttempt};
   Attempts[Attempt] = Request.Arrived.Request;
@@ -155,6 +159,16 @@
           .line(log_level::Info));
 }
 
+duration request_router::restLeft(const active_request &Request,
+                                  const router_context &Context) const {
+  duration Shortest = duration::max();
+  for (const upstream_state *Each :
+       Services.Registry.serving(Request.Service->Name))
+    if (auto Until = Services.Trust.restingUntil(Each->Entry.Name, Context.Now))
+      Shortest = std::min(Shortest, *Until - Context.Now);
+  return Shortest == duration::max() ? duration::zero() : Shortest;
+}
+
 void request_router::endAttempt(active_request &Request) {
   if (!Request.Attempt)
     return;
@@ -217,6 +231,7 @@
   if (!Request)
     return;
   Request->Status = Head.Status;
+  takeWordOf(*Request, Head, Context, Effects);
   if (Head.WrongUpstream || Head.SaidNotRun) {
     if (Head.WrongUpstream)
       Services.Trust.onUnreachable(Request->Upstream, Request->UpstreamZone,
@@ -243,6 +258,31 @@
     countUsage(*Request, Context);
 }
 
+void request_router::takeWordOf(const active_request &Request,
+                                const answer_head &Head,
+                                const router_context &Context,
+                                routing_effects &Effects) {
+  if (Head.RestFor) {
+    Services.Trust.onAskedToRest(Request.Upstream, Context.Now + *Head.RestFor);
+    Effects.push_back(decision("upstream-rests")
+                          .add("request", Request.Arrived.CallerId)
+                          .add("upstream", Request.Upstream)
+                          .add("for", *Head.RestFor)
+                          .line(log_level::Warning));
+  }
+  // An answer of the address's new owner says nothing of the one expected.
+  const upstream_state *Known = Services.Registry.find(Request.Upstream);
+  if (!Head.Leaving || Head.WrongUpstream || !Known)
+    return;
+  if (Services.Registry.onLeaving({Request.Upstream, Known->Entry.StartedAt},
+                                  Context.Now))
+    Effects.push_back(decision("upstream-leaving")
+                          .add("request", Request.Arrived.CallerId)
+                          .add("upstream", Request.Upstream)
+                          .add("registry_age", Context.RegistryAge)
+                          .line(log_level::Info));
+}
+
 void request_router::countUsage(active_request &Request,
                                 const router_context &Context) {
   if (std::exchange(Request.Counted, true) || Request.Organisation.empty())
@@ -386,6 +426,16 @@
   }
 }
 
+duration request_router::retryAfter(const active_request &Request,
+                                    std::string_view Why,
+                                    const router_context &Context) const {
+  if (Why == "upstream-full")
+    return full_retry;
+  if (duration Rest = restLeft(Request, Context); Rest > duration::zero())
+    return Rest;
+  return no_upstream_retry;
+}
+
 void request_router::giveUp(active_request &Request, const char *Why,
                             const router_context &Context,
                             routing_effects &Effects) {
@@ -399,9 +449,7 @@
   }
   if (Request.Knowledge == run_knowledge::NotRun)
     return refuse(Request, http_status::service_unavailable, Why,
-                  std::string_view(Why) == "upstream-full" ? full_retry
-                                                           : no_upstream_retry,
-                  Context, Effects);
+                  retryAfter(Request, Why, Context), Context, Effects);
   bool Timeout = Context.Now >= Request.EndsAt;
   refuse(Request,
          Timeout ? http_status::gateway_timeout : http_status::bad_gateway, Why,
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -24,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -45,7 +46,7 @@
 
 // Shared state that requests read and change.
 struct router_services {
-  const upstream_registry &Registry;
+  upstream_registry &Registry;
   upstream_load &Load;
   prompt_cache_view &Cache;
   upstream_trust &Trust;
@@ -120,6 +121,12 @@
   void send(active_request &Request, const router_context &Context,
             routing_effects &Effects);
   void endAttempt(active_request &Request);
+  // What an upstream says of itself with any answer.
+  void takeWordOf(const active_request &Request, const answer_head &Head,
+                  const router_context &Context, routing_effects &Effects);
+  // Until the first resting upstream of the request's service may be used.
+  duration restLeft(const active_request &Request,
+                    const router_context &Context) const;
   // Sends the request elsewhere when that is allowed; else ends it.
   void trySendAgain(active_request &Request, bool Arrived, const char *Why,
                     const router_context &Context, routing_effects &Effects);
@@ -127,6 +134,9 @@
                  const router_context &Context);
   void giveUp(active_request &Request, const char *Why,
               const router_context &Context, routing_effects &Effects);
+  // When a request that has not run may come back with a chance.
+  duration retryAfter(const active_request &Request, std::string_view Why,
+                      const router_context &Context) const;
   void refuse(active_request &Request, int Status, const char *Code,
               duration RetryAfter, const router_context &Context,
               routing_effects &Effects);
--- a/routing/routing_event.h
+++ b/routing/routing_event.h
@@ -63,6 +63,10 @@
   // Another upstream has the address by now. The request has not run.
   bool WrongUpstream = false;
   bool EventStream = false;
+  // The upstream says that it is leaving, whatever the platform lists.
+  bool Leaving = false;
+  // With a refusal: the upstream wants no request of this entry for so long.
+  std::optional<duration> RestFor;
 };
 
 struct answer_data {
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -12,25 +12,6 @@
 
 namespace {
 
-// A leaving upstream may be used until two seconds after the store has taken
-// its notice in, so the registry is read several times within that.
-constexpr duration upstream_read_period = std::chrono::milliseconds(450);
-// The store answers at once when there is a new configuration, and a read that
-// was lost by a silent connection is noticed soon.
-constexpr duration config_read_wait = std::chrono::milliseconds(400);
-
-// Effects of modules that entries of both kinds use.
-void append(effect_list &&From, routing_effects &Effects) {
-  for (effect &Effect : From)
-    std::visit(
-        [&](auto &Value) {
-          using type = std::decay_t<decltype(Value)>;
-          if constexpr (std::is_constructible_v<routing_effect, type>)
-            Effects.emplace_back(std::move(Value));
-        },
-        Effect);
-}
-
 std::string describe(const finding_list &Findings) {
   std::string Text;
   for (const finding &Finding : Findings.all())
@@ -48,17 +29,31 @@
     : Identity(std::move(Self)), Terms(std::move(Chosen)),
       Decoder(std::move(Listings)),
       Members(Identity, wire::member_role::Entry, Seeds),
-      ConfigFeed({Terms.Feeds.Config, duration{}, config_read_wait}),
-      UpstreamFeed({Terms.Feeds.Upstreams, upstream_read_period, duration{},
+      ConfigFeed(
+          {Terms.Feeds.Config, duration{}, Terms.Bounds.configReadWait()}),
+      UpstreamFeed({Terms.Feeds.Upstreams, Terms.Bounds.upstreamReadPeriod(),
+                    duration{},
                     [this](const wire::feed_record &Record) {
                       return isUpstreamNews(Record);
                     }}),
-      Budget(Terms.Resends), Usage(Terms.UsageWindow),
+      Registry(Terms.Bounds.lapseGrace()), Budget(Terms.Resends),
+      Usage(Terms.UsageWindow),
       Requests({Registry, Load, Cache, Trust, Budget, Usage}, Identity.Zone),
-      Duties(Terms.Duties, Identity) {}
+      Duties(Terms.Duties, Identity), Relays(Identity) {}
 
 routing_node::~routing_node() = default;
 
+void routing_node::append(effect_list &&From, routing_effects &Effects) {
+  for (effect &Effect : From)
+    std::visit(
+        [&](auto &Value) {
+          using type = std::decay_t<decltype(Value)>;
+          if constexpr (std::is_constructible_v<routing_effect, type>)
+            Effects.emplace_back(std::move(Value));
+        },
+        Effect);
+}
+
 void routing_node::handle(const routing_event &Event,
                           routing_effects &Effects) {
   size_t From = Effects.size();
@@ -87,10 +82,14 @@
           Event.Random,
           UpstreamFeed.isKnown() ? UpstreamFeed.age(Event.Now) : duration{},
           entryCount(),
-          reportInterval() > report_period};
+          Relays.inUse() || reportInterval() > report_period};
 }
 
 duration routing_node::reportInterval() const {
+  if (Relays.inUse())
+    return std::max<duration>(report_period,
+                              std::chrono::seconds(Relays.listeners().size()) /
+                                  relayed_reports_per_second);
   return std::max<duration>(report_period, std::chrono::seconds(entryCount()) /
                                                reports_per_second);
 }
@@ -99,7 +98,7 @@
   routing_effects Sent;
   for (size_t I = From; I < Effects.size(); ++I)
     if (auto *Tell = std::get_if<tell_entries>(&Effects[I]))
-      sendToEntries(Tell->Message, Sent);
+      sendTo(listeners(), Tell->Message, Sent);
   if (Sent.empty())
     return;
   std::erase_if(Effects, [](const routing_effect &Effect) {
@@ -108,13 +107,6 @@
   std::move(Sent.begin(), Sent.end(), std::back_inserter(Effects));
 }
 
-void routing_node::sendToEntries(const wire::peer_message &Message,
-                                 routing_effects &Effects) {
-  for (const wire::member &Member : Others)
-    Effects.push_back(
-        send_message{node_name(Member.Name), address(Member.Address), Message});
-}
-
 // --------------------------------------------------------------------- time
 
 void routing_node::onEvent(const tick & /*Tick*/, const routing_event &Event,
@@ -126,6 +118,7 @@
 
   Load.onTick(Event.Now);
   Cache.onTick(Event.Now);
+  Trust.onTick(Event.Now);
   if (Event.Now >= NextRefresh)
     refreshEntries(Event.Now);
   ConfigFeed.onTick(Event.Now, ConfigRank, Effects);
@@ -145,9 +138,15 @@
   std::erase_if(Others, [&](const wire::member &Member) {
     return Member.Name == Identity.Name.Value;
   });
+  Relays.setEntries(Others);
   Budget.setEntries(entryCount());
-  ConfigFeed.setListeners(Others.size());
-  UpstreamFeed.setListeners(Others.size());
+  for (keyed_feed *Feed : {&ConfigFeed, &UpstreamFeed}) {
+    Feed->setListeners(Relays.inUse() ? Relays.listeners().size()
+                                      : Others.size());
+    Feed->setMarkDelay(Relays.inUse()
+                           ? std::optional(mark_hops * reportInterval())
+                           : std::nullopt);
+  }
   ConfigRank = readerRank(ConfigFeed.name());
   UpstreamRank = readerRank(UpstreamFeed.name());
 }
@@ -197,70 +196,6 @@
   Requests.onFailed(Failed, contextOf(Event), Effects);
 }
 
-// -------------------------------------------------------------------- peers
-
-void routing_node::onEvent(const peer_message_received &Received,
-                           const routing_event &Event,
-                           routing_effects &Effects) {
-  effect_list MemberEffects;
-  if (Members.onMessage(Received, Event.Now, MemberEffects))
-    return append(std::move(MemberEffects), Effects);
-  if (const auto *Report = std::get_if<wire::entry_report>(&Received.Message))
-    return onReport(Received.FromAddress, *Report, Event.Now);
-  if (const auto *News = std::get_if<wire::feed_news>(&Received.Message))
-    if (keyed_feed *Feed = feedOf(News->Feed))
-      applyChanges(*Feed, Feed->onNews(*News, Event.Now), Event.Now, Effects);
-}
-
-void routing_node::onReport(const address &From,
-                            const wire::entry_report &Report, steady_time Now) {
-  ReportedAt[From] = Now;
-  Load.onReport(From, Report, Now);
-  Clock.onPeer(From, Now, wall_time(fromMicros(Report.WallMicros)));
-  Usage.onReport(From, Report.Incarnation, Report.Windows);
-  HeardFiguredWindow = std::max(HeardFiguredWindow, Report.LastFiguredWindow);
-  if (Report.DutyClaimOffset >= 0 && !Report.DutyHolder.empty())
-    Duties.onPeerClaim({Report.DutyHolder, Report.DutyIncarnation,
-                        Report.DutyFence, Report.DutyClaimOffset, false},
-                       Now);
-}
-
-void routing_node::tellReport(const routing_event &Event,
-                              routing_effects &Effects) {
-  NextReport = Event.Now + reportInterval();
-  wire::entry_report Report;
-  Report.Incarnation = Identity.Incarnation.Value;
-  Report.Sequence = ++ReportSequence;
-  Report.Uses = Load.ownUses();
-  if (Event.Now >= NextUsageTold || Finished) {
-    NextUsageTold = Event.Now + usage_told_period;
-    Usage.forgetBefore(
-        std::max(HeardFiguredWindow + 1,
-                 Usage.windowAt(Clock.at(Event.Now)) - kept_windows));
-    Report.Windows = Usage.ownWindows();
-  }
-  Report.WallMicros = toMicros(Event.Wall.time_since_epoch());
-  const duty_claim_view &Claim = Duties.claim();
-  Report.DutyClaimOffset = Claim.Released ? -1 : Claim.Offset;
-  // Only the holder knows how long it is in charge; hearsay must not renew it.
-  if (Duties.isMine()) {
-    Report.DutyHolder = Claim.Holder;
-    Report.DutyIncarnation = Claim.Incarnation;
-    Report.DutyFence = Claim.Fence;
-    Report.LastFiguredWindow = Duties.lastFiguredWindow();
-  }
-  // The last report holds what nobody will say again.
-  if (Finished) {
-    Effects.push_back(tell_entries{wire::peer_message(std::move(Report))});
-    return;
-  }
-  send_datagrams Datagrams;
-  for (const wire::member &Member : Others)
-    Datagrams.To.emplace_back(Member.Address);
-  Datagrams.Message = wire::peer_message(std::move(Report));
-  Effects.push_back(std::move(Datagrams));
-}
-
 // ----------------------------------------------------------------- platform
 
 keyed_feed *routing_node::feedOf(const std::string &Name) {
@@ -398,7 +333,7 @@
   if (!DrainingSince || Finished)
     return;
   Duties.onTick(Event.Now, Event.Random, Effects);
-  if (Event.Now - *DrainingSince < drain_serving_time)
+  if (Event.Now - *DrainingSince < Terms.Bounds.drainServingTime())
     return;
   if (!std::exchange(StoppedTaking, true))
     Effects.push_back(stop_taking{});
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -27,7 +27,9 @@
 #include "routing/keyed_feed.h"
 #include "routing/listing_decoder.h"
 #include "routing/request_router.h"
+#include "routing/site_bounds.h"
 #include "routing/true_time.h"
+#include "routing/zone_relays.h"
 
 namespace monsoonreel {
 
@@ -37,13 +39,22 @@
 // Reports received in a second by each entry at most; with more entries than
 // this allows at `report_period`, each reports less often. About 1% of a core.
 constexpr int64_t reports_per_second = 150;
+// The same for relays of a zone: entries of a zone are fewer, and relays are
+// the larger VMs.
+constexpr int64_t relayed_reports_per_second = 300;
+// Every so many reports of a relay hold the sums of other zones as well.
+constexpr int64_t far_sums_every = 3;
+// Marks of feeds take so many reports from the reader to an entry of another
+// zone: its own, that of its relay and that of the entry's relay.
+constexpr int64_t mark_hops = 3;
 // Between two reports that hold the usage windows as well.
 constexpr duration usage_told_period = std::chrono::milliseconds(500);
 // After a window's end, for its last counts to arrive.
 constexpr duration usage_settle_time = std::chrono::milliseconds(1200);
-// So long an entry that reports nothing is waited for; a report is due ten
-// seconds after its window's end at the platforms that are known.
-constexpr duration usage_longest_wait = std::chrono::seconds(6);
+// So long an entry tells the others of an upstream that said it is leaving:
+// several reports, so that lost ones don't matter, and no longer, so that the
+// word does not go round for ever.
+constexpr duration leaving_told_time = std::chrono::seconds(3);
 // Without an answer, a usage report is repeated.
 constexpr duration usage_retry_period = std::chrono::milliseconds(1500);
 // Windows before the present one that are still reported.
@@ -52,9 +63,6 @@
 // others' work a report later in any case.
 constexpr duration entries_refresh_period = std::chrono::milliseconds(100);
 constexpr duration capacity_plan_period = std::chrono::milliseconds(500);
-// After the request to end, new requests are still served for so long, because
-// the platform's balancer sends them until it has missed two probes.
-constexpr duration drain_serving_time = std::chrono::milliseconds(2600);
 
 // Names of the feeds of the platform's store.
 struct feed_names {
@@ -65,6 +73,7 @@
 
 struct routing_terms {
   feed_names Feeds;
+  site_bounds Bounds;
   duration UsageWindow = std::chrono::seconds(5);
   resend_terms Resends;
   duty_terms Duties;
@@ -117,6 +126,8 @@
   void onEvent(const drain_requested &Drain, const routing_event &Event,
                routing_effects &Effects);
 
+  // Effects of modules that entries of both kinds use.
+  static void append(effect_list &&From, routing_effects &Effects);
   router_context contextOf(const routing_event &Event) const;
   size_t entryCount() const { return Others.size() + 1; }
   duration reportInterval() const;
@@ -133,8 +144,25 @@
                    routing_effects &Effects);
   void onReport(const address &From, const wire::entry_report &Report,
                 steady_time Now);
+  void onRelayReport(const address &From, const wire::relay_report &Report,
+                     steady_time Now);
+  void onUsageReport(const address &From, const wire::usage_report &Report,
+                     steady_time Now);
+  void onNews(const address &From, const wire::feed_news &News, steady_time Now,
+              routing_effects &Effects);
+  void onMarks(const std::vector<wire::feed_mark> &Marks, steady_time Now);
+  void onLeavingRuns(const std::vector<wire::upstream_run> &Runs,
+                     steady_time Now);
   void tellReport(const routing_event &Event, routing_effects &Effects);
-  void sendToEntries(const wire::peer_message &Message,
+  void tellUsage(routing_effects &Effects);
+  void tellZone(const routing_event &Event, routing_effects &Effects);
+  std::vector<wire::feed_mark> marks(steady_time Now) const;
+  std::vector<wire::upstream_run> leavingRuns(steady_time Now) const;
+  const wire::member *dutyHolder() const;
+  // Where this entry's words go: to all entries, or to relays.
+  std::vector<address> listeners() const;
+  static void sendTo(const std::vector<address> &To,
+                     const wire::peer_message &Message,
                      routing_effects &Effects);
   void carryOutDuties(const routing_event &Event, routing_effects &Effects);
   void reportUsage(const routing_event &Event, routing_effects &Effects);
@@ -162,12 +190,17 @@
   capacity_policy Capacity;
   std::shared_ptr<const route_table> Table;
   std::vector<wire::member> Others; // the live entries but this one
-  size_t ConfigRank = 0;            // among the readers of each feed
+  zone_relays Relays;
+  // What other zones' relays have told of their zones.
+  std::map<zone_name, wire::zone_uses> FarZones;
+  std::map<zone_name, steady_time> FarZonesAt;
+  size_t ConfigRank = 0; // among the readers of each feed
   size_t UpstreamRank = 0;
   steady_time NextRefresh = steady_time::min();
 
   steady_time NextReport = steady_time::min();
   steady_time NextUsageTold = steady_time::min();
+  int64_t RelaySequence = 0;
   steady_time NextPlan = steady_time::min();
   int64_t ReportSequence = 0;
   std::map<address, steady_time> ReportedAt; // by other entries
--- a/routing/routing_node_duties.cc
+++ b/routing/routing_node_duties.cc
@@ -86,7 +86,7 @@
       if (SinceEnd < usage_settle_time)
         continue;
       std::string Missing = missingReport(Window, Event.Now);
-      if (!Missing.empty() && SinceEnd < usage_longest_wait)
+      if (!Missing.empty() && SinceEnd < Terms.Bounds.usageLongestWait())
         continue;
       if (!Missing.empty())
         Effects.push_back(decision("usage-incomplete")
--- /dev/null
+++ b/routing/routing_node_reports.cc
@@ -0,0 +1,254 @@
+// The part of `routing_node` that tells other entries and listens to them.
+
+#include <algorithm>
+#include <utility>
+
+#include "routing/routing_node.h"
+
+namespace monsoonreel {
+
+void routing_node::onEvent(const peer_message_received &Received,
+                           const routing_event &Event,
+                           routing_effects &Effects) {
+  effect_list MemberEffects;
+  if (Members.onMessage(Received, Event.Now, MemberEffects))
+    return append(std::move(MemberEffects), Effects);
+  const address &From = Received.FromAddress;
+  if (const auto *Report = std::get_if<wire::entry_report>(&Received.Message))
+    return onReport(From, *Report, Event.Now);
+  if (const auto *Report = std::get_if<wire::relay_report>(&Received.Message))
+    return onRelayReport(From, *Report, Event.Now);
+  if (const auto *Report = std::get_if<wire::usage_report>(&Received.Message))
+    return onUsageReport(From, *Report, Event.Now);
+  if (const auto *News = std::get_if<wire::feed_news>(&Received.Message))
+    return onNews(From, *News, Event.Now, Effects);
+}
+
+// ---------------------------------------------------------------- listening
+
+void routing_node::onReport(const address &From,
+                            const wire::entry_report &Report, steady_time Now) {
+  ReportedAt[From] = Now;
+  // Where relays are used, only they add up what entries of their zone do.
+  if (!Relays.inUse() || (Relays.isRelay() && Relays.isListener(From)))
+    Load.onReport(From, Report, Now);
+  onLeavingRuns(Report.Leaving, Now);
+  Clock.onPeer(From, Now, wall_time(fromMicros(Report.WallMicros)));
+  Usage.onReport(From, Report.Incarnation, Report.Windows);
+  HeardFiguredWindow = std::max(HeardFiguredWindow, Report.LastFiguredWindow);
+  onMarks(Report.Feeds, Now);
+  if (Report.DutyClaimOffset >= 0 && !Report.DutyHolder.empty())
+    Duties.onPeerClaim({Report.DutyHolder, Report.DutyIncarnation,
+                        Report.DutyFence, Report.DutyClaimOffset, false},
+                       Now);
+}
+
+void routing_node::onRelayReport(const address &From,
+                                 const wire::relay_report &Report,
+                                 steady_time Now) {
+  Relays.onHeard(From, Now);
+  for (const wire::zone_uses &Told : Report.Zones) {
+    duration Age = std::max(fromMicros(Told.AgeMicros), duration::zero());
+    zone_name Zone(Told.Zone);
+    bool IsOwn = Zone == Identity.Zone;
+    // A relay knows its own zone better by its entries' reports.
+    if (IsOwn && Relays.isRelay())
+      continue;
+    Load.onZone(Told, IsOwn, Age, Now);
+    if (!IsOwn && Relays.isRelay() && Now - Age >= FarZonesAt[Zone]) {
+      FarZones[Zone] = Told;
+      FarZonesAt[Zone] = Now - Age;
+    }
+  }
+  onLeavingRuns(Report.Leaving, Now);
+  Clock.onPeer(From, Now, wall_time(fromMicros(Report.TrueMicros)));
+  HeardFiguredWindow = std::max(HeardFiguredWindow, Report.LastFiguredWindow);
+  onMarks(Report.Feeds, Now);
+  if (Report.DutyClaimOffset >= 0 && !Report.DutyHolder.empty())
+    Duties.onPeerClaim({Report.DutyHolder, Report.DutyIncarnation,
+                        Report.DutyFence, Report.DutyClaimOffset, false},
+                       Now);
+}
+
+void routing_node::onUsageReport(const address &From,
+                                 const wire::usage_report &Report,
+                                 steady_time Now) {
+  ReportedAt[From] = Now;
+  Usage.onReport(From, Report.Incarnation, Report.Windows);
+}
+
+void routing_node::onMarks(const std::vector<wire::feed_mark> &Marks,
+                           steady_time Now) {
+  for (const wire::feed_mark &Mark : Marks)
+    if (keyed_feed *Feed = feedOf(Mark.Feed))
+      Feed->onMark(Mark, Now);
+}
+
+void routing_node::onLeavingRuns(const std::vector<wire::upstream_run> &Runs,
+                                 steady_time Now) {
+  for (const wire::upstream_run &Run : Runs)
+    Registry.onLeaving({upstream_name(Run.Upstream),
+                        std::chrono::milliseconds(Run.StartedAtMillis)},
+                       Now);
+}
+
+void routing_node::onNews(const address &From, const wire::feed_news &News,
+                          steady_time Now, routing_effects &Effects) {
+  keyed_feed *Feed = feedOf(News.Feed);
+  if (!Feed)
+    return;
+  bool IsNew = News.End > Feed->end();
+  applyChanges(*Feed, Feed->onNews(News, Now), Now, Effects);
+  if (!IsNew || !Relays.inUse() || !Relays.isRelay())
+    return;
+  std::vector<address> Entries = Relays.listeners();
+  const std::vector<address> &Told = Relays.ofOwnZone();
+  std::erase_if(Entries, [&](const address &Entry) {
+    return Entry == From ||
+           std::find(Told.begin(), Told.end(), Entry) != Told.end();
+  });
+  sendTo(Entries, wire::peer_message(News), Effects);
+}
+
+// ------------------------------------------------------------------ telling
+
+std::vector<address> routing_node::listeners() const {
+  std::vector<address> Addresses;
+  if (!Relays.inUse()) {
+    Addresses.reserve(Others.size());
+    for (const wire::member &Member : Others)
+      Addresses.emplace_back(Member.Address);
+    return Addresses;
+  }
+  Addresses = Relays.isRelay() ? Relays.listeners() : Relays.ofOwnZone();
+  const std::vector<address> &Far = Relays.ofOtherZones();
+  Addresses.insert(Addresses.end(), Far.begin(), Far.end());
+  return Addresses;
+}
+
+void routing_node::sendTo(const std::vector<address> &To,
+                          const wire::peer_message &Message,
+                          routing_effects &Effects) {
+  for (const address &Each : To)
+    Effects.push_back(send_message{node_name(), Each, Message});
+}
+
+void routing_node::tellReport(const routing_event &Event,
+                              routing_effects &Effects) {
+  NextReport = Event.Now + reportInterval();
+  bool IsUsageDue = Event.Now >= NextUsageTold || Finished;
+  if (IsUsageDue) {
+    NextUsageTold = Event.Now + usage_told_period;
+    Usage.forgetBefore(
+        std::max(HeardFiguredWindow + 1,
+                 Usage.windowAt(Clock.at(Event.Now)) - kept_windows));
+  }
+  wire::entry_report Report;
+  Report.Incarnation = Identity.Incarnation.Value;
+  Report.Sequence = ++ReportSequence;
+  Report.Uses = Load.tellOwn(Event.Now);
+  Report.Leaving = leavingRuns(Event.Now);
+  if (IsUsageDue && !Relays.inUse())
+    Report.Windows = Usage.ownWindows();
+  if (Relays.inUse())
+    Report.Feeds = marks(Event.Now);
+  Report.WallMicros = toMicros(Event.Wall.time_since_epoch());
+  const duty_claim_view &Claim = Duties.claim();
+  Report.DutyClaimOffset = Claim.Released ? -1 : Claim.Offset;
+  // Only the holder knows how long it is in charge; hearsay must not renew it.
+  if (Duties.isMine()) {
+    Report.DutyHolder = Claim.Holder;
+    Report.DutyIncarnation = Claim.Incarnation;
+    Report.DutyFence = Claim.Fence;
+    Report.LastFiguredWindow = Duties.lastFiguredWindow();
+  }
+  if (Relays.inUse() && IsUsageDue)
+    tellUsage(Effects);
+  // The last report holds what nobody will say again.
+  if (Finished) {
+    Effects.push_back(tell_entries{wire::peer_message(std::move(Report))});
+    return;
+  }
+  Effects.push_back(
+      send_datagrams{Relays.inUse() ? Relays.ofOwnZone() : listeners(),
+                     wire::peer_message(std::move(Report))});
+  if (Relays.isActing(Event.Now))
+    tellZone(Event, Effects);
+}
+
+const wire::member *routing_node::dutyHolder() const {
+  auto It = std::find_if(Others.begin(), Others.end(),
+                         [&](const wire::member &Member) {
+                           return Member.Name == Duties.holder();
+                         });
+  return It == Others.end() ? nullptr : &*It;
+}
+
+// Only the holder needs the counts. A new one gets all that have not been
+// reported yet as soon as it is known.
+void routing_node::tellUsage(routing_effects &Effects) {
+  const wire::member *Holder = dutyHolder();
+  if (!Holder)
+    return;
+  wire::usage_report Report;
+  Report.Incarnation = Identity.Incarnation.Value;
+  Report.Windows = Usage.ownWindows();
+  if (Finished)
+    return sendTo({address(Holder->Address)},
+                  wire::peer_message(std::move(Report)), Effects);
+  Effects.push_back(send_datagrams{{address(Holder->Address)},
+                                   wire::peer_message(std::move(Report))});
+}
+
+void routing_node::tellZone(const routing_event &Event,
+                            routing_effects &Effects) {
+  wire::relay_report Report;
+  Report.Incarnation = Identity.Incarnation.Value;
+  Report.Sequence = ++RelaySequence;
+  wire::zone_uses Own;
+  Own.Zone = Identity.Zone.Value;
+  Own.Uses = Load.sumOfEntries();
+  Report.Zones.push_back(std::move(Own));
+  Report.Feeds = marks(Event.Now);
+  const duty_claim_view &Claim = Duties.claim();
+  Report.DutyClaimOffset = Claim.Released ? -1 : Claim.Offset;
+  Report.DutyHolder = Claim.Holder;
+  Report.DutyIncarnation = Claim.Incarnation;
+  Report.DutyFence = Claim.Fence;
+  Report.LastFiguredWindow = std::max(
+      HeardFiguredWindow, Duties.isMine() ? Duties.lastFiguredWindow() : 0);
+  Report.TrueMicros = toMicros(Clock.at(Event.Now).time_since_epoch());
+  Report.Leaving = leavingRuns(Event.Now);
+  if (RelaySequence % far_sums_every == 0) {
+    Effects.push_back(
+        send_datagrams{Relays.ofOtherZones(), wire::peer_message(Report)});
+    for (const auto &[Zone, Uses] : FarZones) {
+      duration Age = Event.Now - FarZonesAt.at(Zone);
+      if (Age >= report_expiry)
+        continue;
+      Report.Zones.push_back(Uses);
+      Report.Zones.back().AgeMicros = toMicros(Age);
+    }
+  }
+  Effects.push_back(send_datagrams{Relays.listeners(),
+                                   wire::peer_message(std::move(Report))});
+}
+
+std::vector<wire::feed_mark> routing_node::marks(steady_time Now) const {
+  return {ConfigFeed.mark(Now), UpstreamFeed.mark(Now)};
+}
+
+std::vector<wire::upstream_run>
+routing_node::leavingRuns(steady_time Now) const {
+  std::vector<wire::upstream_run> Runs;
+  for (const upstream_life &Life :
+       Registry.leavingSince(Now - leaving_told_time)) {
+    wire::upstream_run Run;
+    Run.Upstream = Life.Name.Value;
+    Run.StartedAtMillis = Life.StartedAt.count();
+    Runs.push_back(std::move(Run));
+  }
+  return Runs;
+}
+
+} // namespace monsoonreel
--- /dev/null
+++ b/routing/testing/fleet_test.cc
@@ -0,0 +1,278 @@
+// Many routing nodes in virtual time, with a store that answers at once: what
+// an ordinary entry sends and receives, and what all of them ask of the store,
+// at fleets of any size.
+
+#include <map>
+#include <queue>
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "routing/routing.h"
+#include "routing/testing/test_time.h"
+
+namespace monsoonreel {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char *config_feed = "config";
+constexpr const char *upstream_feed = "upstreams";
+
+// Records say nothing but a name and whether the upstream drains.
+class fake_decoder : public listing_decoder {
+public:
+  tl::expected<upstream_entry, finding_list>
+  decodeUpstream(const std::string &Key,
+                 const std::string &Value) const override {
+    upstream_entry Entry;
+    Entry.Name = upstream_name(Key);
+    Entry.Service = pool_name("app");
+    Entry.Address = address("10.9.0.1:80");
+    Entry.Zone = zone_name("z0");
+    Entry.Draining = Value == "draining";
+    return Entry;
+  }
+  tl::expected<site_config, finding_list>
+  decodeConfig(const std::string &Value) const override {
+    site_config Config;
+    Config.Version = std::stoll(Value);
+    return Config;
+  }
+};
+
+struct counts {
+  int Sent = 0;
+  int Received = 0;
+  int Reads = 0;
+};
+
+class fleet_test : public testing::Test {
+protected:
+  struct entry {
+    node_identity Identity;
+    std::unique_ptr<routing_node> Node;
+    counts Counts;
+    bool Frozen = false;
+    int64_t Version = 0; // of the configuration in force
+    std::set<std::string> Draining;
+  };
+  struct delivery {
+    duration At;
+    int64_t Order;
+    size_t To;
+    routing_event_body Body;
+    bool operator<(const delivery &Other) const {
+      return std::pair(At, Order) > std::pair(Other.At, Other.Order);
+    }
+  };
+
+  void start(int Zones, int InZone) {
+    std::vector<address> Seeds;
+    for (int Zone = 0; Zone < Zones; ++Zone)
+      for (int I = 0; I < InZone; ++I) {
+        entry Entry;
+        std::string Host =
+            "10." + std::to_string(Zone) + ".0." + std::to_string(I);
+        Entry.Identity = {
+            node_name("e-" + std::to_string(Zone) + "-" + std::to_string(I)),
+            zone_name("z" + std::to_string(Zone)), address(Host + ":7"),
+            incarnation{1}, I == 0 ? 500 : 120};
+        if (I == 0 && Zone < 3)
+          Seeds.push_back(Entry.Identity.Address);
+        IndexOf[Entry.Identity.Address] = Entries.size();
+        Entries.push_back(std::move(Entry));
+      }
+    append(config_feed, "config", "1");
+    for (int I = 0; I < 2 * Zones; ++I)
+      append(upstream_feed, "u" + std::to_string(I), "serving");
+    routing_terms Terms;
+    Terms.Feeds = {config_feed, "config", upstream_feed};
+    Terms.Bounds.LeaveKnown = 4s;
+    Terms.Bounds.ConfigInForce = 4s;
+    Terms.ReportsUsage = Terms.OrdersUpstreams = false;
+    for (entry &Entry : Entries)
+      Entry.Node = routing_node_builder(Entry.Identity)
+                       .seeds(Seeds)
+                       .terms(Terms)
+                       .decoder(std::make_shared<fake_decoder>())
+                       .build();
+  }
+
+  void append(const std::string &Feed, const std::string &Key,
+              const std::string &Value) {
+    std::vector<wire::feed_record> &Log = Logs[Feed];
+    wire::feed_record Record;
+    Record.Offset = static_cast<int64_t>(Log.size());
+    Record.Key = Key;
+    Record.__set_Value(Value);
+    Log.push_back(std::move(Record));
+  }
+
+  void runUntil(duration End) {
+    for (; Now < End; Now += tick_period) {
+      if (Now % 1200ms == 0ms && Repeats)
+        for (size_t I = 0; I < 10; ++I)
+          append(upstream_feed, "u" + std::to_string(I), "serving");
+      while (!Queue.empty() && Queue.top().At <= Now) {
+        delivery Next = Queue.top();
+        Queue.pop();
+        handle(Next.To, std::move(Next.Body));
+      }
+      for (size_t I = 0; I < Entries.size(); ++I)
+        handle(I, tick{});
+    }
+  }
+
+  void handle(size_t Index, routing_event_body Body) {
+    entry &Entry = Entries[Index];
+    if (Entry.Frozen)
+      return;
+    if (std::holds_alternative<peer_message_received>(Body))
+      ++Entry.Counts.Received;
+    routing_effects Effects;
+    Entry.Node->handle({at(Now), wall_time(Now), ++Random * 7919, Body},
+                       Effects);
+    for (const routing_effect &Effect : Effects)
+      carryOut(Index, Effect);
+  }
+
+  void carryOut(size_t Index, const routing_effect &Effect) {
+    entry &Entry = Entries[Index];
+    if (const auto *Send = std::get_if<send_message>(&Effect))
+      send(Index, Send->ToAddress, Send->Message);
+    if (const auto *Send = std::get_if<send_datagrams>(&Effect))
+      for (const address &To : Send->To)
+        send(Index, To, Send->Message);
+    if (const auto *Read = std::get_if<read_feed>(&Effect))
+      answer(Index, *Read);
+    if (const auto *Line = std::get_if<log_line>(&Effect)) {
+      size_t At = Line->Text.find("event=config-in-force version=");
+      if (At != std::string::npos)
+        Entry.Version = std::stoll(Line->Text.substr(At + 30));
+      if (Line->Text.find("state=draining") != std::string::npos)
+        Entry.Draining.insert(Line->Text);
+    }
+  }
+
+  void send(size_t From, const address &To, const wire::peer_message &Message) {
+    ++Entries[From].Counts.Sent;
+    auto It = IndexOf.find(To);
+    if (It != IndexOf.end())
+      Queue.push(
+          {Now + 2ms, ++Order, It->second,
+           peer_message_received{Entries[From].Identity.Name,
+                                 Entries[From].Identity.Address, Message}});
+  }
+
+  void answer(size_t Index, const read_feed &Asked) {
+    ++Entries[Index].Counts.Reads;
+    const std::vector<wire::feed_record> &Log = Logs[Asked.Feed];
+    feed_read Read;
+    Read.Feed = Asked.Feed;
+    Read.Whole = Asked.Whole;
+    Read.From = Asked.Whole ? 0 : Asked.From;
+    Read.End = static_cast<int64_t>(Log.size());
+    Read.Records.assign(Log.begin() + Read.From, Log.end());
+    // A read that waits is answered when its wait is over; one that has news at
+    // once.
+    duration Wait = Read.Records.empty() ? Asked.Wait : duration{};
+    Queue.push({Now + 4ms + Wait, ++Order, Index, std::move(Read)});
+  }
+
+  void clearCounts() {
+    for (entry &Entry : Entries)
+      Entry.Counts = {};
+  }
+  counts sum() const {
+    counts Sum;
+    for (const entry &Entry : Entries) {
+      Sum.Sent += Entry.Counts.Sent;
+      Sum.Received += Entry.Counts.Received;
+      Sum.Reads += Entry.Counts.Reads;
+    }
+    return Sum;
+  }
+
+  static constexpr duration tick_period = 20ms;
+  std::vector<entry> Entries;
+  std::map<address, size_t> IndexOf;
+  std::map<std::string, std::vector<wire::feed_record>> Logs;
+  std::priority_queue<delivery> Queue;
+  duration Now{};
+  int64_t Order = 0;
+  uint64_t Random = 1;
+  bool Repeats = true; // upstreams say again and again that they live
+};
+
+class fleet_size_test
+    : public fleet_test,
+      public testing::WithParamInterface<std::pair<int, int>> {};
+
+// The load pattern of relays: messages of all entries to all.
+TEST_P(fleet_size_test, Entry_AtRest_SendsAndReceivesFewMessages) {
+  constexpr int measured_s = 10;
+  start(GetParam().first, GetParam().second);
+  runUntil(15s);
+  clearCounts();
+  runUntil(15s + measured_s * 1s);
+  int Ordinary = 0;
+  for (const entry &Entry : Entries) {
+    if (Entry.Identity.Capacity == 500)
+      continue; // may be a relay
+    int Most = std::max(Entry.Counts.Sent, Entry.Counts.Received) / measured_s;
+    // The second relay of a zone hears all entries of it.
+    Ordinary += Most <= 40 ? 1 : 0;
+  }
+  int Large = GetParam().first;
+  EXPECT_GE(Ordinary, static_cast<int>(Entries.size()) - 2 * Large);
+}
+
+TEST_P(fleet_size_test, Store_FeedsAtRest_AreReadByOneEntryEach) {
+  constexpr int measured_s = 10;
+  start(GetParam().first, GetParam().second);
+  runUntil(15s);
+  clearCounts();
+  runUntil(15s + measured_s * 1s);
+  // Every 0.9 s the upstreams, every 0.8 s the configuration.
+  EXPECT_LE(sum().Reads, 4 * measured_s);
+}
+
+TEST_P(fleet_size_test, News_OfFeeds_ReachAllEntriesSoon) {
+  start(GetParam().first, GetParam().second);
+  runUntil(15s);
+  append(config_feed, "config", "2");
+  append(upstream_feed, "u3", "draining");
+  runUntil(17500ms);
+  for (const entry &Entry : Entries) {
+    EXPECT_EQ(Entry.Version, 2) << Entry.Identity.Name.Value;
+    EXPECT_EQ(Entry.Draining.size(), 1u) << Entry.Identity.Name.Value;
+  }
+}
+
+TEST_P(fleet_size_test, News_ReadersAndRelaysFreeze_ReachAllOthersInTime) {
+  start(GetParam().first, GetParam().second);
+  runUntil(15s);
+  clearCounts();
+  runUntil(17s);
+  // Who read the store, and the first relay of each zone.
+  for (entry &Entry : Entries)
+    Entry.Frozen = Entry.Counts.Reads > 0 || Entry.Identity.Capacity == 500;
+  runUntil(17100ms);
+  append(config_feed, "config", "2");
+  append(upstream_feed, "u3", "draining");
+  runUntil(17100ms + 4s);
+  for (const entry &Entry : Entries) {
+    if (Entry.Frozen)
+      continue;
+    EXPECT_EQ(Entry.Version, 2) << Entry.Identity.Name.Value;
+    EXPECT_EQ(Entry.Draining.size(), 1u) << Entry.Identity.Name.Value;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, fleet_size_test,
+                         testing::Values(std::pair(4, 5), std::pair(5, 12),
+                                         std::pair(3, 28), std::pair(5, 59)));
+
+} // namespace
+} // namespace monsoonreel
--- a/routing/testing/request_router_test.cc
+++ b/routing/testing/request_router_test.cc
@@ -93,7 +93,7 @@
   void head(attempt_number Attempt, int Status, bool NotRun = false,
             bool Stream = false) {
     Effects.clear();
-    answer_head Head{Attempt, Status, NotRun, Status == 421, Stream};
+    answer_head Head{Attempt, Status, NotRun, Status == 421, Stream, false, {}};
     Router.onHead(Head, context(), Effects);
   }
   void data(attempt_number Attempt, const char *Bytes) {
@@ -452,5 +452,56 @@
   EXPECT_EQ(one<route_refusal>().Code, "too-many-open");
 }
 
+// ------------------------------------------------ what upstreams say of it
+
+TEST_F(request_router_test, Upstream_SaysItLeaves_GetsNoFurtherRequest) {
+  arrive("/safe/x");
+  auto First = one<route_dispatch>();
+  Effects.clear();
+  answer_head Head{First.Attempt, 200, false, false, false, true, {}};
+  Router.onHead(Head, context(), Effects);
+  end(First.Attempt);
+  EXPECT_EQ(all<route_answer>().size(), 1u);
+  for (int I = 0; I < 20; ++I) {
+    arrive("/safe/x");
+    EXPECT_NE(one<route_dispatch>().Upstream, First.Upstream);
+  }
+}
+
+TEST_F(request_router_test, AddressWithNewOwner_SaysItLeaves_OldOwnerStays) {
+  arrive("/safe/x");
+  auto First = one<route_dispatch>();
+  answer_head Head{First.Attempt, 421, false, true, false, true, {}};
+  Router.onHead(Head, context(), Effects);
+  EXPECT_EQ(Registry.serving(pool_name("app")).size(), 3u);
+}
+
+TEST_F(request_router_test, Upstream_AsksForRest_GetsNothingUntilItIsOver) {
+  arrive("/safe/x");
+  auto First = one<route_dispatch>();
+  Effects.clear();
+  answer_head Head{First.Attempt, 503, true, false, false, false, 2s};
+  Router.onHead(Head, context(), Effects);
+  EXPECT_NE(one<route_dispatch>().Upstream, First.Upstream);
+  for (int I = 0; I < 20; ++I) {
+    arrive("/safe/x");
+    EXPECT_NE(one<route_dispatch>().Upstream, First.Upstream);
+  }
+}
+
+TEST_F(request_router_test, Upstreams_AllRest_RequestIsToldWhenTheFirstIsBack) {
+  for (const char *Name : {"u1", "u2", "u3"})
+    Trust.onAskedToRest(upstream_name(Name), at(900ms));
+  Trust.onAskedToRest(upstream_name("u1"), at(2s));
+  arrive("/once/x");
+  EXPECT_TRUE(none<route_dispatch>());
+  auto Refusal = one<route_refusal>();
+  EXPECT_EQ(Refusal.Status, 503);
+  EXPECT_EQ(Refusal.Code, "upstreams-rest");
+  EXPECT_EQ(Refusal.Outcome, run_knowledge::NotRun);
+  EXPECT_GE(Refusal.RetryAfter, 900ms);
+  EXPECT_LT(Refusal.RetryAfter, 1400ms);
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/routing/testing/upstream_registry_test.cc
+++ b/routing/testing/upstream_registry_test.cc
@@ -105,5 +105,45 @@
   EXPECT_EQ(Registry.find(upstream_name("a")), nullptr);
 }
 
+TEST_F(upstream_registry_test, Upstream_SaysItLeaves_TakesNoNewWork) {
+  Registry.onListed(listed("a"), at(0ms));
+  EXPECT_TRUE(Registry.onLeaving({upstream_name("a"), 1000ms}, at(1ms)));
+  EXPECT_EQ(serving(), 0u);
+  EXPECT_FALSE(Registry.onLeaving({upstream_name("a"), 1000ms}, at(2ms)));
+}
+
+TEST_F(upstream_registry_test, UpstreamThatLeaves_ListedAsServing_StaysOut) {
+  Registry.onLeaving({upstream_name("a"), 1000ms}, at(0ms));
+  Registry.onListed(listed("a", 5), at(1ms));
+  Registry.onTick(at(10min), false);
+  Registry.onListed(listed("a", 6), at(10min));
+  EXPECT_EQ(serving(), 0u);
+}
+
+TEST_F(upstream_registry_test, UpstreamThatLeft_StartedAgain_Serves) {
+  Registry.onListed(listed("a"), at(0ms));
+  Registry.onLeaving({upstream_name("a"), 1000ms}, at(1ms));
+  upstream_listed Next = listed("a");
+  Next.Entry->StartedAt = 2000ms;
+  Registry.onListed(Next, at(2ms));
+  EXPECT_EQ(serving(), 1u);
+}
+
+TEST_F(upstream_registry_test, Leaving_HeardLongAgo_IsNotToldAgain) {
+  Registry.onLeaving({upstream_name("a"), 1000ms}, at(0ms));
+  Registry.onLeaving({upstream_name("a"), 1000ms}, at(4000ms));
+  EXPECT_EQ(Registry.leavingSince(at(0ms)).size(), 1u);
+  EXPECT_TRUE(Registry.leavingSince(at(1ms)).empty());
+}
+
+TEST_F(upstream_registry_test,
+       Leaving_OfUnlistedUpstreams_IsBoundedAndForgotten) {
+  for (size_t I = 0; I < 2 * max_upstreams; ++I)
+    Registry.onLeaving({upstream_name(std::to_string(I)), 1ms}, at(0ms));
+  EXPECT_EQ(Registry.leavingSince(at(0ms)).size(), max_upstreams);
+  Registry.onTick(at(removed_retention), false);
+  EXPECT_TRUE(Registry.leavingSince(at(0ms)).empty());
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/routing/testing/upstream_trust_test.cc
+++ b/routing/testing/upstream_trust_test.cc
@@ -91,5 +91,24 @@
   EXPECT_FALSE(Trust.isPaused(Upstream, Zone, at(70ms)));
 }
 
+TEST_F(upstream_trust_test, Upstream_AskedForRest_RestsAsLongAsAsked) {
+  Trust.onAskedToRest(Upstream, at(1500ms));
+  EXPECT_EQ(Trust.restingUntil(Upstream, at(1499ms)), at(1500ms));
+  EXPECT_FALSE(Trust.restingUntil(Upstream, at(1500ms)));
+}
+
+TEST_F(upstream_trust_test, Rest_ShorterOneAsked_LongerOneHolds) {
+  Trust.onAskedToRest(Upstream, at(1500ms));
+  Trust.onAskedToRest(Upstream, at(500ms));
+  EXPECT_TRUE(Trust.restingUntil(Upstream, at(1000ms)));
+}
+
+TEST_F(upstream_trust_test, Rest_AnswersOfEarlierRequests_DoNotEndIt) {
+  Trust.onAskedToRest(Upstream, at(1500ms));
+  Trust.onAnswer(Upstream, Zone, false, at(10ms));
+  Trust.forget(Upstream);
+  EXPECT_TRUE(Trust.restingUntil(Upstream, at(20ms)));
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/routing/upstream_load.cc
+++ b/routing/upstream_load.cc
@@ -1,11 +1,36 @@
 #include "routing/upstream_load.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace monsoonreel {
 
 namespace {
 
 // Fine enough against `report_expiry`.
 constexpr duration expiry_check_period = std::chrono::milliseconds(100);
+// A relay's sums hold a report that was sent so long before they arrive.
+constexpr duration relay_flight = std::chrono::milliseconds(10);
+
+wire::upstream_use toWire(const upstream_name &Upstream,
+                          const upstream_use_sum &Use) {
+  wire::upstream_use Told;
+  Told.Upstream = Upstream.Value;
+  Told.Running = Use.Running;
+  Told.UnreadTokens = Use.UnreadTokens;
+  Told.PacedStreams = Use.PacedStreams;
+  return Told;
+}
+
+void add(const std::vector<wire::upstream_use> &Uses, int Sign,
+         absl::flat_hash_map<upstream_name, upstream_use_sum> &Sums) {
+  for (const wire::upstream_use &Told : Uses) {
+    upstream_use_sum &Use = Sums[upstream_name(Told.Upstream)];
+    Use.Running += Sign * Told.Running;
+    Use.UnreadTokens += Sign * Told.UnreadTokens;
+    Use.PacedStreams += Sign * Told.PacedStreams;
+  }
+}
 
 } // namespace
 
@@ -47,11 +72,45 @@
                 Report.Sequence <= Peer.Sequence);
   if (Older)
     return;
+  replace(From, {false, Report.Incarnation, Report.Sequence, Now, Report.Uses});
+}
+
+void upstream_load::onZone(const wire::zone_uses &Told, bool IsOwn,
+                           duration Age, steady_time Now) {
+  if (Age >= report_expiry)
+    return;
+  // Names of zones are no addresses, so both share one table.
+  address Source(Told.Zone);
+  peer_uses &Known = ByPeer[Source];
+  // The zone's relays take turns: what is older came by another way.
+  if (Now - Age < Known.HeardAt)
+    return;
+  peer_uses New{true, 0, 0, Now - Age, Told.Uses};
+  if (IsOwn) {
+    use_map Others;
+    add(Told.Uses, 1, Others);
+    add(toldBefore(Now), -1, Others);
+    // What ended meanwhile may be missing already.
+    for (auto &[Upstream, Use] : Others)
+      Use = {std::max(0, Use.Running), std::max<int64_t>(0, Use.UnreadTokens),
+             std::max(0, Use.PacedStreams)};
+    New.Uses = listOf(Others);
+  }
+  replace(Source, std::move(New));
+}
+
+void upstream_load::replace(const address &Source, peer_uses New) {
+  peer_uses &Peer = ByPeer[Source];
   addToPeers(Peer.Uses, -1);
-  Peer = {Report.Incarnation, Report.Sequence, Now, Report.Uses};
+  Peer = std::move(New);
   addToPeers(Peer.Uses, 1);
 }
 
+const std::vector<wire::upstream_use> &
+upstream_load::toldBefore(steady_time Now) const {
+  return Now - ToldAt >= relay_flight ? Told : ToldBefore;
+}
+
 void upstream_load::onTick(steady_time Now) {
   if (Now < NextExpiry)
     return;
@@ -90,18 +149,26 @@
   return Sum;
 }
 
-std::vector<wire::upstream_use> upstream_load::ownUses() const {
-  std::vector<wire::upstream_use> Uses;
-  Uses.reserve(Own.size());
-  for (const auto &[Upstream, Use] : Own) {
-    wire::upstream_use Told;
-    Told.Upstream = Upstream.Value;
-    Told.Running = Use.Running;
-    Told.UnreadTokens = Use.UnreadTokens;
-    Told.PacedStreams = Use.PacedStreams;
-    Uses.push_back(std::move(Told));
-  }
-  return Uses;
+std::vector<wire::upstream_use> upstream_load::listOf(const use_map &Uses) {
+  std::vector<wire::upstream_use> List;
+  List.reserve(Uses.size());
+  for (const auto &[Upstream, Use] : Uses)
+    List.push_back(toWire(Upstream, Use));
+  return List;
+}
+
+std::vector<wire::upstream_use> upstream_load::tellOwn(steady_time Now) {
+  ToldBefore = std::exchange(Told, listOf(Own));
+  ToldAt = Now;
+  return Told;
+}
+
+std::vector<wire::upstream_use> upstream_load::sumOfEntries() const {
+  use_map Sums = Own;
+  for (const auto &[Source, Peer] : ByPeer)
+    if (!Peer.IsZone)
+      add(Peer.Uses, 1, Sums);
+  return listOf(Sums);
 }
 
 int upstream_load::ownRunning(const upstream_name &Upstream) const {
--- a/routing/upstream_load.h
+++ b/routing/upstream_load.h
@@ -5,6 +5,7 @@
 //   Load.onFirstAnswer(Attempt);        // its prompt has been read
 //   Load.end(Attempt);
 //   Load.onReport(From, Report, Now);   // from each other entry
+//   Load.onZone(Zone, Teller, Uses, Age, Now); // sums that a relay tells
 //   upstream_use_sum Sum = Load.at(Upstream);
 //
 // Upstreams' own reports lag by hundreds of milliseconds and are read by all
@@ -49,11 +50,19 @@
 
   void onReport(const address &From, const wire::entry_report &Report,
                 steady_time Now);
+  // The sums of a zone as of Age ago, in place of what was told of it before.
+  // With IsOwn they hold what this entry has told of itself.
+  void onZone(const wire::zone_uses &Told, bool IsOwn, duration Age,
+              steady_time Now);
   void onTick(steady_time Now);
 
   upstream_use_sum at(const upstream_name &Upstream) const;
-  // The own part, for a report.
-  std::vector<wire::upstream_use> ownUses() const;
+  // The own part.
+  std::vector<wire::upstream_use> ownUses() const { return listOf(Own); }
+  // The same for a report that leaves now.
+  std::vector<wire::upstream_use> tellOwn(steady_time Now);
+  // The own part and those of the entries that report to this one.
+  std::vector<wire::upstream_use> sumOfEntries() const;
   int ownRunning(const upstream_name &Upstream) const;
 
 private:
@@ -62,6 +71,7 @@
     work_size Size;
   };
   struct peer_uses {
+    bool IsZone = false;
     int64_t Incarnation = 0;
     int64_t Sequence = 0;
     steady_time HeardAt;
@@ -69,14 +79,22 @@
   };
   using use_map = absl::flat_hash_map<upstream_name, upstream_use_sum>;
 
+  static std::vector<wire::upstream_use> listOf(const use_map &Uses);
+  // Replaces what Source has told.
+  void replace(const address &Source, peer_uses New);
+  // What was told of this entry when a relay made the sums that arrive now.
+  const std::vector<wire::upstream_use> &toldBefore(steady_time Now) const;
   // Adds to the sums over all peers, or takes away again (Sign -1).
   void addToPeers(const std::vector<wire::upstream_use> &Uses, int Sign);
 
   absl::flat_hash_map<attempt_number, open_attempt> Open;
   use_map Own;
-  absl::flat_hash_map<address, peer_uses> ByPeer;
-  use_map Peers; // sums over ByPeer
+  absl::flat_hash_map<address, peer_uses> ByPeer; // entries and zones
+  use_map Peers;                                  // sums over ByPeer
   steady_time NextExpiry = steady_time::min();
+  std::vector<wire::upstream_use> Told; // in the last report
+  std::vector<wire::upstream_use> ToldBefore;
+  steady_time ToldAt = steady_time::min();
 };
 
 } // namespace monsoonreel
--- a/routing/upstream_registry.cc
+++ b/routing/upstream_registry.cc
@@ -12,12 +12,6 @@
   return A.Sequence < B.Sequence;
 }
 
-// Most words of an upstream only repeat that it lives.
-bool isIndexedAlike(const upstream_entry &Entry, const upstream_state &Known) {
-  return Entry.Service == Known.Entry.Service &&
-         Entry.Draining == Known.Entry.Draining;
-}
-
 } // namespace
 
 void upstream_registry::onListed(const upstream_listed &Listed,
@@ -30,7 +24,11 @@
       return;
     if (It == Upstreams.end() && Upstreams.size() >= max_upstreams)
       return;
-    if (It != Upstreams.end() && isIndexedAlike(*Listed.Entry, It->second)) {
+    // Most words of an upstream only repeat that it lives.
+    bool Alike = It != Upstreams.end() &&
+                 Listed.Entry->Service == It->second.Entry.Service &&
+                 isLeaving(*Listed.Entry) == isLeaving(It->second.Entry);
+    if (Alike) {
       It->second = {*Listed.Entry, Now, std::nullopt};
       return;
     }
@@ -48,7 +46,44 @@
   reindex();
 }
 
+bool upstream_registry::onLeaving(const upstream_life &Life, steady_time Now) {
+  if (Leaving.size() >= max_upstreams && !Leaving.contains(Life.Name))
+    return false;
+  auto [It, New] =
+      Leaving.try_emplace(Life.Name, leaving_life{Life.StartedAt, Now});
+  if (!New && It->second.StartedAt >= Life.StartedAt)
+    return false;
+  It->second = {Life.StartedAt, Now};
+  reindex();
+  return true;
+}
+
+std::vector<upstream_life>
+upstream_registry::leavingSince(steady_time Since) const {
+  std::vector<upstream_life> Lives;
+  for (const auto &[Name, Life] : Leaving)
+    if (Life.HeardAt >= Since)
+      Lives.push_back({Name, Life.StartedAt});
+  return Lives;
+}
+
+bool upstream_registry::isLeaving(const upstream_entry &Entry) const {
+  auto It = Leaving.find(Entry.Name);
+  return Entry.Draining ||
+         (It != Leaving.end() && Entry.StartedAt <= It->second.StartedAt);
+}
+
+// What has left is kept for a while after its entry is gone: an old word of it
+// may still come.
+void upstream_registry::forgetLeft(steady_time Now) {
+  std::erase_if(Leaving, [&](const auto &Left) {
+    return Now - Left.second.HeardAt >= removed_retention &&
+           !Upstreams.contains(Left.first);
+  });
+}
+
 void upstream_registry::onTick(steady_time Now, bool StoreFailing) {
+  forgetLeft(Now);
   if (!std::exchange(AnyLapsed, false))
     return;
   bool Changed = false;
@@ -56,7 +91,7 @@
     std::optional<steady_time> &LapsedAt = It->second.LapsedAt;
     if (LapsedAt && StoreFailing)
       LapsedAt = Now;
-    if (LapsedAt && Now - *LapsedAt >= lapse_grace) {
+    if (LapsedAt && Now - *LapsedAt >= LapseGrace) {
       It = Upstreams.erase(It);
       Changed = true;
     } else {
@@ -83,7 +118,7 @@
 void upstream_registry::reindex() {
   ByService.clear();
   for (const auto &[Name, State] : Upstreams)
-    if (!State.Entry.Draining)
+    if (!isLeaving(State.Entry))
       ByService[State.Entry.Service].push_back(&State);
 }
 
--- a/routing/upstream_trust.cc
+++ b/routing/upstream_trust.cc
@@ -65,6 +65,25 @@
   State.PausedUntil = std::max(State.PausedUntil, Now + full_pause);
 }
 
+void upstream_trust::onAskedToRest(const upstream_name &Upstream,
+                                   steady_time Until) {
+  steady_time &Known = Rests.try_emplace(Upstream, Until).first->second;
+  Known = std::max(Known, Until);
+}
+
+std::optional<steady_time>
+upstream_trust::restingUntil(const upstream_name &Upstream,
+                             steady_time Now) const {
+  auto It = Rests.find(Upstream);
+  if (It == Rests.end() || Now >= It->second)
+    return std::nullopt;
+  return It->second;
+}
+
+void upstream_trust::onTick(steady_time Now) {
+  absl::erase_if(Rests, [&](const auto &Rest) { return Now >= Rest.second; });
+}
+
 bool upstream_trust::isPaused(const upstream_name &Upstream,
                               const zone_name &Zone, steady_time Now) const {
   if (auto Doubted = Zones.find(Zone);
--- a/routing/upstream_trust.h
+++ b/routing/upstream_trust.h
@@ -9,6 +9,9 @@
 // The pause doubles with each further failure and ends with an answer. An
 // upstream that answers but fails is avoided in proportion to its failures.
 //
+// Load pattern of rests: an overloaded upstream turns requests away and says
+// for how long. More requests would only prolong the overload.
+//
 // Load pattern of the zones' part: a zone is cut off. Each of its upstreams
 // would be found out by a timeout of its own. When two of them can't be reached
 // within `zone_doubt_window`, and none has answered meanwhile, all of them are
@@ -17,6 +20,8 @@
 #ifndef ROUTING_UPSTREAM_TRUST_H
 #define ROUTING_UPSTREAM_TRUST_H
 
+#include <optional>
+
 #include "absl/container/flat_hash_map.h"
 
 #include "monsoonreel/monsoonreel.h"
@@ -44,11 +49,18 @@
                 bool Failed, steady_time Now);
   // It turned a request away because it is full.
   void onFull(const upstream_name &Upstream, steady_time Now);
+  // It turned a request away and wants no other one before Until.
+  void onAskedToRest(const upstream_name &Upstream, steady_time Until);
 
   bool isPaused(const upstream_name &Upstream, const zone_name &Zone,
                 steady_time Now) const;
+  // When it may get requests again, if it asked for a rest that is not over.
+  // Unlike a pause, a rest is kept even if no other upstream is left.
+  std::optional<steady_time> restingUntil(const upstream_name &Upstream,
+                                          steady_time Now) const;
   // Part of the recent answers that failed, 0 to 1.
   double failureShare(const upstream_name &Upstream, steady_time Now) const;
+  void onTick(steady_time Now);
   void forget(const upstream_name &Upstream) { States.erase(Upstream); }
 
 private:
@@ -68,6 +80,8 @@
                  steady_time Now);
 
   absl::flat_hash_map<upstream_name, state> States;
+  // Kept over a restart of the upstream: who asked may still be overloaded.
+  absl::flat_hash_map<upstream_name, steady_time> Rests;
   absl::flat_hash_map<zone_name, zone_state> Zones;
 };
 
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -447,57 +447,1082 @@
 }
 
 
+upstream_run::~upstream_run() noexcept {
+}
+
+
+void upstream_run::__set_Upstream(const std::string& val) {
+  this->Upstream = val;
+}
+
+void upstream_run::__set_StartedAtMillis(const int64_t val) {
+  this->StartedAtMillis = val;
+}
+std::ostream& operator<<(std::ostream& out, const upstream_run& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t upstream_run::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Upstream);
+          this->__isset.Upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->StartedAtMillis);
+          this->__isset.StartedAtMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t upstream_run::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("upstream_run");
+
+  xfer += oprot->writeFieldBegin("Upstream", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("StartedAtMillis", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->StartedAtMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(upstream_run &a, upstream_run &b) {
+  using ::std::swap;
+  swap(a.Upstream, b.Upstream);
+  swap(a.StartedAtMillis, b.StartedAtMillis);
+  swap(a.__isset, b.__isset);
+}
+
+upstream_run::upstream_run(const upstream_run& other18) {
+  Upstream = other18.Upstream;
+  StartedAtMillis = other18.StartedAtMillis;
+  __isset = other18.__isset;
+}
+upstream_run::upstream_run(upstream_run&& other19) noexcept {
+  Upstream = std::move(other19.Upstream);
+  StartedAtMillis = other19.StartedAtMillis;
+  __isset = other19.__isset;
+}
+upstream_run& upstream_run::operator=(const upstream_run& other20) {
+  Upstream = other20.Upstream;
+  StartedAtMillis = other20.StartedAtMillis;
+  __isset = other20.__isset;
+  return *this;
+}
+upstream_run& upstream_run::operator=(upstream_run&& other21) noexcept {
+  Upstream = std::move(other21.Upstream);
+  StartedAtMillis = other21.StartedAtMillis;
+  __isset = other21.__isset;
+  return *this;
+}
+void upstream_run::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "upstream_run(";
+  out << "Upstream=" << to_string(Upstream);
+  out << ", " << "StartedAtMillis=" << to_string(StartedAtMillis);
+  out << ")";
+}
+
+
 entry_report::~entry_report() noexcept {
 }
 
 
-void entry_report::__set_Incarnation(const int64_t val) {
+void entry_report::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void entry_report::__set_Sequence(const int64_t val) {
+  this->Sequence = val;
+}
+
+void entry_report::__set_Uses(const std::vector<upstream_use> & val) {
+  this->Uses = val;
+}
+
+void entry_report::__set_Windows(const std::vector<window_counts> & val) {
+  this->Windows = val;
+}
+
+void entry_report::__set_WallMicros(const int64_t val) {
+  this->WallMicros = val;
+}
+
+void entry_report::__set_DutyHolder(const std::string& val) {
+  this->DutyHolder = val;
+}
+
+void entry_report::__set_DutyFence(const int64_t val) {
+  this->DutyFence = val;
+}
+
+void entry_report::__set_DutyClaimOffset(const int64_t val) {
+  this->DutyClaimOffset = val;
+}
+
+void entry_report::__set_LastFiguredWindow(const int64_t val) {
+  this->LastFiguredWindow = val;
+}
+
+void entry_report::__set_DutyIncarnation(const int64_t val) {
+  this->DutyIncarnation = val;
+}
+
+void entry_report::__set_Leaving(const std::vector<upstream_run> & val) {
+  this->Leaving = val;
+}
+
+void entry_report::__set_Feeds(const std::vector<feed_mark> & val) {
+  this->Feeds = val;
+}
+std::ostream& operator<<(std::ostream& out, const entry_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t entry_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Sequence);
+          this->__isset.Sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Uses.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->Uses.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
+              xfer += this->Uses[_i26].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Windows.clear();
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->Windows.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
+            {
+              xfer += this->Windows[_i31].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Windows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->WallMicros);
+          this->__isset.WallMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->DutyHolder);
+          this->__isset.DutyHolder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->DutyFence);
+          this->__isset.DutyFence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->DutyClaimOffset);
+          this->__isset.DutyClaimOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->LastFiguredWindow);
+          this->__isset.LastFiguredWindow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->DutyIncarnation);
+          this->__isset.DutyIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Leaving.clear();
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->Leaving.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
+            {
+              xfer += this->Leaving[_i36].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Feeds.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->Feeds.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->Feeds[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Feeds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t entry_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("entry_report");
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
+    std::vector<upstream_use> ::const_iterator _iter42;
+    for (_iter42 = this->Uses.begin(); _iter42 != this->Uses.end(); ++_iter42)
+    {
+      xfer += (*_iter42).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
+    std::vector<window_counts> ::const_iterator _iter43;
+    for (_iter43 = this->Windows.begin(); _iter43 != this->Windows.end(); ++_iter43)
+    {
+      xfer += (*_iter43).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("WallMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->WallMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("DutyHolder", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->DutyHolder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("DutyFence", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->DutyFence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("DutyClaimOffset", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->DutyClaimOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("LastFiguredWindow", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->LastFiguredWindow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("DutyIncarnation", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->DutyIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaving.size()));
+    std::vector<upstream_run> ::const_iterator _iter44;
+    for (_iter44 = this->Leaving.begin(); _iter44 != this->Leaving.end(); ++_iter44)
+    {
+      xfer += (*_iter44).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Feeds.size()));
+    std::vector<feed_mark> ::const_iterator _iter45;
+    for (_iter45 = this->Feeds.begin(); _iter45 != this->Feeds.end(); ++_iter45)
+    {
+      xfer += (*_iter45).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(entry_report &a, entry_report &b) {
+  using ::std::swap;
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.Sequence, b.Sequence);
+  swap(a.Uses, b.Uses);
+  swap(a.Windows, b.Windows);
+  swap(a.WallMicros, b.WallMicros);
+  swap(a.DutyHolder, b.DutyHolder);
+  swap(a.DutyFence, b.DutyFence);
+  swap(a.DutyClaimOffset, b.DutyClaimOffset);
+  swap(a.LastFiguredWindow, b.LastFiguredWindow);
+  swap(a.DutyIncarnation, b.DutyIncarnation);
+  swap(a.Leaving, b.Leaving);
+  swap(a.Feeds, b.Feeds);
+  swap(a.__isset, b.__isset);
+}
+
+entry_report::entry_report(const entry_report& other46) {
+  Incarnation = other46.Incarnation;
+  Sequence = other46.Sequence;
+  Uses = other46.Uses;
+  Windows = other46.Windows;
+  WallMicros = other46.WallMicros;
+  DutyHolder = other46.DutyHolder;
+  DutyFence = other46.DutyFence;
+  DutyClaimOffset = other46.DutyClaimOffset;
+  LastFiguredWindow = other46.LastFiguredWindow;
+  DutyIncarnation = other46.DutyIncarnation;
+  Leaving = other46.Leaving;
+  Feeds = other46.Feeds;
+  __isset = other46.__isset;
+}
+entry_report::entry_report(entry_report&& other47) noexcept {
+  Incarnation = other47.Incarnation;
+  Sequence = other47.Sequence;
+  Uses = std::move(other47.Uses);
+  Windows = std::move(other47.Windows);
+  WallMicros = other47.WallMicros;
+  DutyHolder = std::move(other47.DutyHolder);
+  DutyFence = other47.DutyFence;
+  DutyClaimOffset = other47.DutyClaimOffset;
+  LastFiguredWindow = other47.LastFiguredWindow;
+  DutyIncarnation = other47.DutyIncarnation;
+  Leaving = std::move(other47.Leaving);
+  Feeds = std::move(other47.Feeds);
+  __isset = other47.__isset;
+}
+entry_report& entry_report::operator=(const entry_report& other48) {
+  Incarnation = other48.Incarnation;
+  Sequence = other48.Sequence;
+  Uses = other48.Uses;
+  Windows = other48.Windows;
+  WallMicros = other48.WallMicros;
+  DutyHolder = other48.DutyHolder;
+  DutyFence = other48.DutyFence;
+  DutyClaimOffset = other48.DutyClaimOffset;
+  LastFiguredWindow = other48.LastFiguredWindow;
+  DutyIncarnation = other48.DutyIncarnation;
+  Leaving = other48.Leaving;
+  Feeds = other48.Feeds;
+  __isset = other48.__isset;
+  return *this;
+}
+entry_report& entry_report::operator=(entry_report&& other49) noexcept {
+  Incarnation = other49.Incarnation;
+  Sequence = other49.Sequence;
+  Uses = std::move(other49.Uses);
+  Windows = std::move(other49.Windows);
+  WallMicros = other49.WallMicros;
+  DutyHolder = std::move(other49.DutyHolder);
+  DutyFence = other49.DutyFence;
+  DutyClaimOffset = other49.DutyClaimOffset;
+  LastFiguredWindow = other49.LastFiguredWindow;
+  DutyIncarnation = other49.DutyIncarnation;
+  Leaving = std::move(other49.Leaving);
+  Feeds = std::move(other49.Feeds);
+  __isset = other49.__isset;
+  return *this;
+}
+void entry_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "entry_report(";
+  out << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "Sequence=" << to_string(Sequence);
+  out << ", " << "Uses=" << to_string(Uses);
+  out << ", " << "Windows=" << to_string(Windows);
+  out << ", " << "WallMicros=" << to_string(WallMicros);
+  out << ", " << "DutyHolder=" << to_string(DutyHolder);
+  out << ", " << "DutyFence=" << to_string(DutyFence);
+  out << ", " << "DutyClaimOffset=" << to_string(DutyClaimOffset);
+  out << ", " << "LastFiguredWindow=" << to_string(LastFiguredWindow);
+  out << ", " << "DutyIncarnation=" << to_string(DutyIncarnation);
+  out << ", " << "Leaving=" << to_string(Leaving);
+  out << ", " << "Feeds=" << to_string(Feeds);
+  out << ")";
+}
+
+
+usage_report::~usage_report() noexcept {
+}
+
+
+void usage_report::__set_Incarnation(const int64_t val) {
+  this->Incarnation = val;
+}
+
+void usage_report::__set_Windows(const std::vector<window_counts> & val) {
+  this->Windows = val;
+}
+std::ostream& operator<<(std::ostream& out, const usage_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t usage_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Incarnation);
+          this->__isset.Incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Windows.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->Windows.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += this->Windows[_i54].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Windows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t usage_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("usage_report");
+
+  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
+    std::vector<window_counts> ::const_iterator _iter55;
+    for (_iter55 = this->Windows.begin(); _iter55 != this->Windows.end(); ++_iter55)
+    {
+      xfer += (*_iter55).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(usage_report &a, usage_report &b) {
+  using ::std::swap;
+  swap(a.Incarnation, b.Incarnation);
+  swap(a.Windows, b.Windows);
+  swap(a.__isset, b.__isset);
+}
+
+usage_report::usage_report(const usage_report& other56) {
+  Incarnation = other56.Incarnation;
+  Windows = other56.Windows;
+  __isset = other56.__isset;
+}
+usage_report::usage_report(usage_report&& other57) noexcept {
+  Incarnation = other57.Incarnation;
+  Windows = std::move(other57.Windows);
+  __isset = other57.__isset;
+}
+usage_report& usage_report::operator=(const usage_report& other58) {
+  Incarnation = other58.Incarnation;
+  Windows = other58.Windows;
+  __isset = other58.__isset;
+  return *this;
+}
+usage_report& usage_report::operator=(usage_report&& other59) noexcept {
+  Incarnation = other59.Incarnation;
+  Windows = std::move(other59.Windows);
+  __isset = other59.__isset;
+  return *this;
+}
+void usage_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "usage_report(";
+  out << "Incarnation=" << to_string(Incarnation);
+  out << ", " << "Windows=" << to_string(Windows);
+  out << ")";
+}
+
+
+zone_uses::~zone_uses() noexcept {
+}
+
+
+void zone_uses::__set_Zone(const std::string& val) {
+  this->Zone = val;
+}
+
+void zone_uses::__set_Uses(const std::vector<upstream_use> & val) {
+  this->Uses = val;
+}
+
+void zone_uses::__set_AgeMicros(const int64_t val) {
+  this->AgeMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const zone_uses& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t zone_uses::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Zone);
+          this->__isset.Zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Uses.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->Uses.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              xfer += this->Uses[_i64].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AgeMicros);
+          this->__isset.AgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t zone_uses::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("zone_uses");
+
+  xfer += oprot->writeFieldBegin("Zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
+    std::vector<upstream_use> ::const_iterator _iter65;
+    for (_iter65 = this->Uses.begin(); _iter65 != this->Uses.end(); ++_iter65)
+    {
+      xfer += (*_iter65).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->AgeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(zone_uses &a, zone_uses &b) {
+  using ::std::swap;
+  swap(a.Zone, b.Zone);
+  swap(a.Uses, b.Uses);
+  swap(a.AgeMicros, b.AgeMicros);
+  swap(a.__isset, b.__isset);
+}
+
+zone_uses::zone_uses(const zone_uses& other66) {
+  Zone = other66.Zone;
+  Uses = other66.Uses;
+  AgeMicros = other66.AgeMicros;
+  __isset = other66.__isset;
+}
+zone_uses::zone_uses(zone_uses&& other67) noexcept {
+  Zone = std::move(other67.Zone);
+  Uses = std::move(other67.Uses);
+  AgeMicros = other67.AgeMicros;
+  __isset = other67.__isset;
+}
+zone_uses& zone_uses::operator=(const zone_uses& other68) {
+  Zone = other68.Zone;
+  Uses = other68.Uses;
+  AgeMicros = other68.AgeMicros;
+  __isset = other68.__isset;
+  return *this;
+}
+zone_uses& zone_uses::operator=(zone_uses&& other69) noexcept {
+  Zone = std::move(other69.Zone);
+  Uses = std::move(other69.Uses);
+  AgeMicros = other69.AgeMicros;
+  __isset = other69.__isset;
+  return *this;
+}
+void zone_uses::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "zone_uses(";
+  out << "Zone=" << to_string(Zone);
+  out << ", " << "Uses=" << to_string(Uses);
+  out << ", " << "AgeMicros=" << to_string(AgeMicros);
+  out << ")";
+}
+
+
+feed_mark::~feed_mark() noexcept {
+}
+
+
+void feed_mark::__set_Feed(const std::string& val) {
+  this->Feed = val;
+}
+
+void feed_mark::__set_News(const int64_t val) {
+  this->News = val;
+}
+
+void feed_mark::__set_End(const int64_t val) {
+  this->End = val;
+}
+
+void feed_mark::__set_AgeMicros(const int64_t val) {
+  this->AgeMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const feed_mark& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t feed_mark::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Feed);
+          this->__isset.Feed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->News);
+          this->__isset.News = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->End);
+          this->__isset.End = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AgeMicros);
+          this->__isset.AgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t feed_mark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("feed_mark");
+
+  xfer += oprot->writeFieldBegin("Feed", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Feed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("News", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->News);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("End", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->End);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->AgeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(feed_mark &a, feed_mark &b) {
+  using ::std::swap;
+  swap(a.Feed, b.Feed);
+  swap(a.News, b.News);
+  swap(a.End, b.End);
+  swap(a.AgeMicros, b.AgeMicros);
+  swap(a.__isset, b.__isset);
+}
+
+feed_mark::feed_mark(const feed_mark& other70) {
+  Feed = other70.Feed;
+  News = other70.News;
+  End = other70.End;
+  AgeMicros = other70.AgeMicros;
+  __isset = other70.__isset;
+}
+feed_mark::feed_mark(feed_mark&& other71) noexcept {
+  Feed = std::move(other71.Feed);
+  News = other71.News;
+  End = other71.End;
+  AgeMicros = other71.AgeMicros;
+  __isset = other71.__isset;
+}
+feed_mark& feed_mark::operator=(const feed_mark& other72) {
+  Feed = other72.Feed;
+  News = other72.News;
+  End = other72.End;
+  AgeMicros = other72.AgeMicros;
+  __isset = other72.__isset;
+  return *this;
+}
+feed_mark& feed_mark::operator=(feed_mark&& other73) noexcept {
+  Feed = std::move(other73.Feed);
+  News = other73.News;
+  End = other73.End;
+  AgeMicros = other73.AgeMicros;
+  __isset = other73.__isset;
+  return *this;
+}
+void feed_mark::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "feed_mark(";
+  out << "Feed=" << to_string(Feed);
+  out << ", " << "News=" << to_string(News);
+  out << ", " << "End=" << to_string(End);
+  out << ", " << "AgeMicros=" << to_string(AgeMicros);
+  out << ")";
+}
+
+
+relay_report::~relay_report() noexcept {
+}
+
+
+void relay_report::__set_Incarnation(const int64_t val) {
   this->Incarnation = val;
 }
 
-void entry_report::__set_Sequence(const int64_t val) {
+void relay_report::__set_Sequence(const int64_t val) {
   this->Sequence = val;
 }
 
-void entry_report::__set_Uses(const std::vector<upstream_use> & val) {
-  this->Uses = val;
+void relay_report::__set_Zones(const std::vector<zone_uses> & val) {
+  this->Zones = val;
 }
 
-void entry_report::__set_Windows(const std::vector<window_counts> & val) {
-  this->Windows = val;
+void relay_report::__set_Feeds(const std::vector<feed_mark> & val) {
+  this->Feeds = val;
 }
 
-void entry_report::__set_WallMicros(const int64_t val) {
-  this->WallMicros = val;
+void relay_report::__set_DutyHolder(const std::string& val) {
+  this->DutyHolder = val;
 }
 
-void entry_report::__set_DutyHolder(const std::string& val) {
-  this->DutyHolder = val;
+void relay_report::__set_DutyIncarnation(const int64_t val) {
+  this->DutyIncarnation = val;
 }
 
-void entry_report::__set_DutyFence(const int64_t val) {
+void relay_report::__set_DutyFence(const int64_t val) {
   this->DutyFence = val;
 }
 
-void entry_report::__set_DutyClaimOffset(const int64_t val) {
+void relay_report::__set_DutyClaimOffset(const int64_t val) {
   this->DutyClaimOffset = val;
 }
 
-void entry_report::__set_LastFiguredWindow(const int64_t val) {
+void relay_report::__set_LastFiguredWindow(const int64_t val) {
   this->LastFiguredWindow = val;
 }
 
-void entry_report::__set_DutyIncarnation(const int64_t val) {
-  this->DutyIncarnation = val;
+void relay_report::__set_TrueMicros(const int64_t val) {
+  this->TrueMicros = val;
 }
-std::ostream& operator<<(std::ostream& out, const entry_report& obj)
+
+void relay_report::__set_Leaving(const std::vector<upstream_run> & val) {
+  this->Leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const relay_report& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t entry_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t relay_report::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -537,19 +1562,19 @@
       case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->Uses.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->Uses.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            this->Zones.clear();
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->Zones.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->Uses[_i22].read(iprot);
+              xfer += this->Zones[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.Uses = true;
+          this->__isset.Zones = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -557,35 +1582,35 @@
       case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->Windows.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->Windows.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            this->Feeds.clear();
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->Feeds.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->Windows[_i27].read(iprot);
+              xfer += this->Feeds[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.Windows = true;
+          this->__isset.Feeds = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->WallMicros);
-          this->__isset.WallMicros = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->DutyHolder);
+          this->__isset.DutyHolder = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->DutyHolder);
-          this->__isset.DutyHolder = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->DutyIncarnation);
+          this->__isset.DutyIncarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -616,8 +1641,28 @@
         break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->DutyIncarnation);
-          this->__isset.DutyIncarnation = true;
+          xfer += iprot->readI64(this->TrueMicros);
+          this->__isset.TrueMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Leaving.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->Leaving.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->Leaving[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Leaving = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -634,10 +1679,10 @@
   return xfer;
 }
 
-uint32_t entry_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t relay_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("entry_report");
+  xfer += oprot->writeStructBegin("relay_report");
 
   xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->Incarnation);
@@ -647,36 +1692,36 @@
   xfer += oprot->writeI64(this->Sequence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("Zones", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
-    std::vector<upstream_use> ::const_iterator _iter28;
-    for (_iter28 = this->Uses.begin(); _iter28 != this->Uses.end(); ++_iter28)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Zones.size()));
+    std::vector<zone_uses> ::const_iterator _iter89;
+    for (_iter89 = this->Zones.begin(); _iter89 != this->Zones.end(); ++_iter89)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<window_counts> ::const_iterator _iter29;
-    for (_iter29 = this->Windows.begin(); _iter29 != this->Windows.end(); ++_iter29)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Feeds.size()));
+    std::vector<feed_mark> ::const_iterator _iter90;
+    for (_iter90 = this->Feeds.begin(); _iter90 != this->Feeds.end(); ++_iter90)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("WallMicros", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->WallMicros);
+  xfer += oprot->writeFieldBegin("DutyHolder", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->DutyHolder);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("DutyHolder", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->DutyHolder);
+  xfer += oprot->writeFieldBegin("DutyIncarnation", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->DutyIncarnation);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("DutyFence", ::apache::thrift::protocol::T_I64, 7);
@@ -691,8 +1736,20 @@
   xfer += oprot->writeI64(this->LastFiguredWindow);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("DutyIncarnation", ::apache::thrift::protocol::T_I64, 10);
-  xfer += oprot->writeI64(this->DutyIncarnation);
+  xfer += oprot->writeFieldBegin("TrueMicros", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->TrueMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaving.size()));
+    std::vector<upstream_run> ::const_iterator _iter91;
+    for (_iter91 = this->Leaving.begin(); _iter91 != this->Leaving.end(); ++_iter91)
+    {
+      xfer += (*_iter91).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -700,88 +1757,94 @@
   return xfer;
 }
 
-void swap(entry_report &a, entry_report &b) {
+void swap(relay_report &a, relay_report &b) {
   using ::std::swap;
   swap(a.Incarnation, b.Incarnation);
   swap(a.Sequence, b.Sequence);
-  swap(a.Uses, b.Uses);
-  swap(a.Windows, b.Windows);
-  swap(a.WallMicros, b.WallMicros);
+  swap(a.Zones, b.Zones);
+  swap(a.Feeds, b.Feeds);
   swap(a.DutyHolder, b.DutyHolder);
+  swap(a.DutyIncarnation, b.DutyIncarnation);
   swap(a.DutyFence, b.DutyFence);
   swap(a.DutyClaimOffset, b.DutyClaimOffset);
   swap(a.LastFiguredWindow, b.LastFiguredWindow);
-  swap(a.DutyIncarnation, b.DutyIncarnation);
+  swap(a.TrueMicros, b.TrueMicros);
+  swap(a.Leaving, b.Leaving);
   swap(a.__isset, b.__isset);
 }
 
-entry_report::entry_report(const entry_report& other30) {
-  Incarnation = other30.Incarnation;
-  Sequence = other30.Sequence;
-  Uses = other30.Uses;
-  Windows = other30.Windows;
-  WallMicros = other30.WallMicros;
-  DutyHolder = other30.DutyHolder;
-  DutyFence = other30.DutyFence;
-  DutyClaimOffset = other30.DutyClaimOffset;
-  LastFiguredWindow = other30.LastFiguredWindow;
-  DutyIncarnation = other30.DutyIncarnation;
-  __isset = other30.__isset;
-}
-entry_report::entry_report(entry_report&& other31) noexcept {
-  Incarnation = other31.Incarnation;
-  Sequence = other31.Sequence;
-  Uses = std::move(other31.Uses);
-  Windows = std::move(other31.Windows);
-  WallMicros = other31.WallMicros;
-  DutyHolder = std::move(other31.DutyHolder);
-  DutyFence = other31.DutyFence;
-  DutyClaimOffset = other31.DutyClaimOffset;
-  LastFiguredWindow = other31.LastFiguredWindow;
-  DutyIncarnation = other31.DutyIncarnation;
-  __isset = other31.__isset;
-}
-entry_report& entry_report::operator=(const entry_report& other32) {
-  Incarnation = other32.Incarnation;
-  Sequence = other32.Sequence;
-  Uses = other32.Uses;
-  Windows = other32.Windows;
-  WallMicros = other32.WallMicros;
-  DutyHolder = other32.DutyHolder;
-  DutyFence = other32.DutyFence;
-  DutyClaimOffset = other32.DutyClaimOffset;
-  LastFiguredWindow = other32.LastFiguredWindow;
-  DutyIncarnation = other32.DutyIncarnation;
-  __isset = other32.__isset;
+relay_report::relay_report(const relay_report& other92) {
+  Incarnation = other92.Incarnation;
+  Sequence = other92.Sequence;
+  Zones = other92.Zones;
+  Feeds = other92.Feeds;
+  DutyHolder = other92.DutyHolder;
+  DutyIncarnation = other92.DutyIncarnation;
+  DutyFence = other92.DutyFence;
+  DutyClaimOffset = other92.DutyClaimOffset;
+  LastFiguredWindow = other92.LastFiguredWindow;
+  TrueMicros = other92.TrueMicros;
+  Leaving = other92.Leaving;
+  __isset = other92.__isset;
+}
+relay_report::relay_report(relay_report&& other93) noexcept {
+  Incarnation = other93.Incarnation;
+  Sequence = other93.Sequence;
+  Zones = std::move(other93.Zones);
+  Feeds = std::move(other93.Feeds);
+  DutyHolder = std::move(other93.DutyHolder);
+  DutyIncarnation = other93.DutyIncarnation;
+  DutyFence = other93.DutyFence;
+  DutyClaimOffset = other93.DutyClaimOffset;
+  LastFiguredWindow = other93.LastFiguredWindow;
+  TrueMicros = other93.TrueMicros;
+  Leaving = std::move(other93.Leaving);
+  __isset = other93.__isset;
+}
+relay_report& relay_report::operator=(const relay_report& other94) {
+  Incarnation = other94.Incarnation;
+  Sequence = other94.Sequence;
+  Zones = other94.Zones;
+  Feeds = other94.Feeds;
+  DutyHolder = other94.DutyHolder;
+  DutyIncarnation = other94.DutyIncarnation;
+  DutyFence = other94.DutyFence;
+  DutyClaimOffset = other94.DutyClaimOffset;
+  LastFiguredWindow = other94.LastFiguredWindow;
+  TrueMicros = other94.TrueMicros;
+  Leaving = other94.Leaving;
+  __isset = other94.__isset;
   return *this;
 }
-entry_report& entry_report::operator=(entry_report&& other33) noexcept {
-  Incarnation = other33.Incarnation;
-  Sequence = other33.Sequence;
-  Uses = std::move(other33.Uses);
-  Windows = std::move(other33.Windows);
-  WallMicros = other33.WallMicros;
-  DutyHolder = std::move(other33.DutyHolder);
-  DutyFence = other33.DutyFence;
-  DutyClaimOffset = other33.DutyClaimOffset;
-  LastFiguredWindow = other33.LastFiguredWindow;
-  DutyIncarnation = other33.DutyIncarnation;
-  __isset = other33.__isset;
+relay_report& relay_report::operator=(relay_report&& other95) noexcept {
+  Incarnation = other95.Incarnation;
+  Sequence = other95.Sequence;
+  Zones = std::move(other95.Zones);
+  Feeds = std::move(other95.Feeds);
+  DutyHolder = std::move(other95.DutyHolder);
+  DutyIncarnation = other95.DutyIncarnation;
+  DutyFence = other95.DutyFence;
+  DutyClaimOffset = other95.DutyClaimOffset;
+  LastFiguredWindow = other95.LastFiguredWindow;
+  TrueMicros = other95.TrueMicros;
+  Leaving = std::move(other95.Leaving);
+  __isset = other95.__isset;
   return *this;
 }
-void entry_report::printTo(std::ostream& out) const {
+void relay_report::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "entry_report(";
+  out << "relay_report(";
   out << "Incarnation=" << to_string(Incarnation);
   out << ", " << "Sequence=" << to_string(Sequence);
-  out << ", " << "Uses=" << to_string(Uses);
-  out << ", " << "Windows=" << to_string(Windows);
-  out << ", " << "WallMicros=" << to_string(WallMicros);
+  out << ", " << "Zones=" << to_string(Zones);
+  out << ", " << "Feeds=" << to_string(Feeds);
   out << ", " << "DutyHolder=" << to_string(DutyHolder);
+  out << ", " << "DutyIncarnation=" << to_string(DutyIncarnation);
   out << ", " << "DutyFence=" << to_string(DutyFence);
   out << ", " << "DutyClaimOffset=" << to_string(DutyClaimOffset);
   out << ", " << "LastFiguredWindow=" << to_string(LastFiguredWindow);
-  out << ", " << "DutyIncarnation=" << to_string(DutyIncarnation);
+  out << ", " << "TrueMicros=" << to_string(TrueMicros);
+  out << ", " << "Leaving=" << to_string(Leaving);
   out << ")";
 }
 
@@ -897,30 +1960,30 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_record::feed_record(const feed_record& other34) {
-  Offset = other34.Offset;
-  Key = other34.Key;
-  Value = other34.Value;
-  __isset = other34.__isset;
+feed_record::feed_record(const feed_record& other96) {
+  Offset = other96.Offset;
+  Key = other96.Key;
+  Value = other96.Value;
+  __isset = other96.__isset;
 }
-feed_record::feed_record(feed_record&& other35) noexcept {
-  Offset = other35.Offset;
-  Key = std::move(other35.Key);
-  Value = std::move(other35.Value);
-  __isset = other35.__isset;
+feed_record::feed_record(feed_record&& other97) noexcept {
+  Offset = other97.Offset;
+  Key = std::move(other97.Key);
+  Value = std::move(other97.Value);
+  __isset = other97.__isset;
 }
-feed_record& feed_record::operator=(const feed_record& other36) {
-  Offset = other36.Offset;
-  Key = other36.Key;
-  Value = other36.Value;
-  __isset = other36.__isset;
+feed_record& feed_record::operator=(const feed_record& other98) {
+  Offset = other98.Offset;
+  Key = other98.Key;
+  Value = other98.Value;
+  __isset = other98.__isset;
   return *this;
 }
-feed_record& feed_record::operator=(feed_record&& other37) noexcept {
-  Offset = other37.Offset;
-  Key = std::move(other37.Key);
-  Value = std::move(other37.Value);
-  __isset = other37.__isset;
+feed_record& feed_record::operator=(feed_record&& other99) noexcept {
+  Offset = other99.Offset;
+  Key = std::move(other99.Key);
+  Value = std::move(other99.Value);
+  __isset = other99.__isset;
   return *this;
 }
 void feed_record::printTo(std::ostream& out) const {
@@ -1016,14 +2079,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Records.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->Records.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->Records.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->Records[_i42].read(iprot);
+              xfer += this->Records[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1080,10 +2143,10 @@
   xfer += oprot->writeFieldBegin("Records", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Records.size()));
-    std::vector<feed_record> ::const_iterator _iter43;
-    for (_iter43 = this->Records.begin(); _iter43 != this->Records.end(); ++_iter43)
+    std::vector<feed_record> ::const_iterator _iter105;
+    for (_iter105 = this->Records.begin(); _iter105 != this->Records.end(); ++_iter105)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1113,42 +2176,42 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_news::feed_news(const feed_news& other44) {
-  Feed = other44.Feed;
-  From = other44.From;
-  End = other44.End;
-  Records = other44.Records;
-  Whole = other44.Whole;
-  AfterOutage = other44.AfterOutage;
-  __isset = other44.__isset;
-}
-feed_news::feed_news(feed_news&& other45) noexcept {
-  Feed = std::move(other45.Feed);
-  From = other45.From;
-  End = other45.End;
-  Records = std::move(other45.Records);
-  Whole = other45.Whole;
-  AfterOutage = other45.AfterOutage;
-  __isset = other45.__isset;
-}
-feed_news& feed_news::operator=(const feed_news& other46) {
-  Feed = other46.Feed;
-  From = other46.From;
-  End = other46.End;
-  Records = other46.Records;
-  Whole = other46.Whole;
-  AfterOutage = other46.AfterOutage;
-  __isset = other46.__isset;
+feed_news::feed_news(const feed_news& other106) {
+  Feed = other106.Feed;
+  From = other106.From;
+  End = other106.End;
+  Records = other106.Records;
+  Whole = other106.Whole;
+  AfterOutage = other106.AfterOutage;
+  __isset = other106.__isset;
+}
+feed_news::feed_news(feed_news&& other107) noexcept {
+  Feed = std::move(other107.Feed);
+  From = other107.From;
+  End = other107.End;
+  Records = std::move(other107.Records);
+  Whole = other107.Whole;
+  AfterOutage = other107.AfterOutage;
+  __isset = other107.__isset;
+}
+feed_news& feed_news::operator=(const feed_news& other108) {
+  Feed = other108.Feed;
+  From = other108.From;
+  End = other108.End;
+  Records = other108.Records;
+  Whole = other108.Whole;
+  AfterOutage = other108.AfterOutage;
+  __isset = other108.__isset;
   return *this;
 }
-feed_news& feed_news::operator=(feed_news&& other47) noexcept {
-  Feed = std::move(other47.Feed);
-  From = other47.From;
-  End = other47.End;
-  Records = std::move(other47.Records);
-  Whole = other47.Whole;
-  AfterOutage = other47.AfterOutage;
-  __isset = other47.__isset;
+feed_news& feed_news::operator=(feed_news&& other109) noexcept {
+  Feed = std::move(other109.Feed);
+  From = other109.From;
+  End = other109.End;
+  Records = std::move(other109.Records);
+  Whole = other109.Whole;
+  AfterOutage = other109.AfterOutage;
+  __isset = other109.__isset;
   return *this;
 }
 void feed_news::printTo(std::ostream& out) const {
@@ -1290,34 +2353,34 @@
   swap(a.__isset, b.__isset);
 }
 
-duty_claim::duty_claim(const duty_claim& other48) {
-  Holder = other48.Holder;
-  Incarnation = other48.Incarnation;
-  Fence = other48.Fence;
-  Released = other48.Released;
-  __isset = other48.__isset;
-}
-duty_claim::duty_claim(duty_claim&& other49) noexcept {
-  Holder = std::move(other49.Holder);
-  Incarnation = other49.Incarnation;
-  Fence = other49.Fence;
-  Released = other49.Released;
-  __isset = other49.__isset;
-}
-duty_claim& duty_claim::operator=(const duty_claim& other50) {
-  Holder = other50.Holder;
-  Incarnation = other50.Incarnation;
-  Fence = other50.Fence;
-  Released = other50.Released;
-  __isset = other50.__isset;
+duty_claim::duty_claim(const duty_claim& other110) {
+  Holder = other110.Holder;
+  Incarnation = other110.Incarnation;
+  Fence = other110.Fence;
+  Released = other110.Released;
+  __isset = other110.__isset;
+}
+duty_claim::duty_claim(duty_claim&& other111) noexcept {
+  Holder = std::move(other111.Holder);
+  Incarnation = other111.Incarnation;
+  Fence = other111.Fence;
+  Released = other111.Released;
+  __isset = other111.__isset;
+}
+duty_claim& duty_claim::operator=(const duty_claim& other112) {
+  Holder = other112.Holder;
+  Incarnation = other112.Incarnation;
+  Fence = other112.Fence;
+  Released = other112.Released;
+  __isset = other112.__isset;
   return *this;
 }
-duty_claim& duty_claim::operator=(duty_claim&& other51) noexcept {
-  Holder = std::move(other51.Holder);
-  Incarnation = other51.Incarnation;
-  Fence = other51.Fence;
-  Released = other51.Released;
-  __isset = other51.__isset;
+duty_claim& duty_claim::operator=(duty_claim&& other113) noexcept {
+  Holder = std::move(other113.Holder);
+  Incarnation = other113.Incarnation;
+  Fence = other113.Fence;
+  Released = other113.Released;
+  __isset = other113.__isset;
   return *this;
 }
 void duty_claim::printTo(std::ostream& out) const {
@@ -1427,26 +2490,26 @@
   swap(a.__isset, b.__isset);
 }
 
-duty_record::duty_record(const duty_record& other52) {
-  Claim = other52.Claim;
-  Figures = other52.Figures;
-  __isset = other52.__isset;
+duty_record::duty_record(const duty_record& other114) {
+  Claim = other114.Claim;
+  Figures = other114.Figures;
+  __isset = other114.__isset;
 }
-duty_record::duty_record(duty_record&& other53) noexcept {
-  Claim = std::move(other53.Claim);
-  Figures = std::move(other53.Figures);
-  __isset = other53.__isset;
+duty_record::duty_record(duty_record&& other115) noexcept {
+  Claim = std::move(other115.Claim);
+  Figures = std::move(other115.Figures);
+  __isset = other115.__isset;
 }
-duty_record& duty_record::operator=(const duty_record& other54) {
-  Claim = other54.Claim;
-  Figures = other54.Figures;
-  __isset = other54.__isset;
+duty_record& duty_record::operator=(const duty_record& other116) {
+  Claim = other116.Claim;
+  Figures = other116.Figures;
+  __isset = other116.__isset;
   return *this;
 }
-duty_record& duty_record::operator=(duty_record&& other55) noexcept {
-  Claim = std::move(other55.Claim);
-  Figures = std::move(other55.Figures);
-  __isset = other55.__isset;
+duty_record& duty_record::operator=(duty_record&& other117) noexcept {
+  Claim = std::move(other117.Claim);
+  Figures = std::move(other117.Figures);
+  __isset = other117.__isset;
   return *this;
 }
 void duty_record::printTo(std::ostream& out) const {
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -27,8 +27,18 @@
 
 class window_counts;
 
+class upstream_run;
+
 class entry_report;
 
+class usage_report;
+
+class zone_uses;
+
+class feed_mark;
+
+class relay_report;
+
 class feed_record;
 
 class feed_news;
@@ -206,8 +216,60 @@
 
 std::ostream& operator<<(std::ostream& out, const window_counts& obj);
 
+typedef struct _upstream_run__isset {
+  _upstream_run__isset() : Upstream(false), StartedAtMillis(false) {}
+  bool Upstream :1;
+  bool StartedAtMillis :1;
+} _upstream_run__isset;
+
+class upstream_run : public virtual ::apache::thrift::TBase {
+ public:
+
+  upstream_run(const upstream_run&);
+  upstream_run(upstream_run&&) noexcept;
+  upstream_run& operator=(const upstream_run&);
+  upstream_run& operator=(upstream_run&&) noexcept;
+  upstream_run() noexcept
+               : Upstream(),
+                 StartedAtMillis(0) {
+  }
+
+  virtual ~upstream_run() noexcept;
+  std::string Upstream;
+  int64_t StartedAtMillis;
+
+  _upstream_run__isset __isset;
+
+  void __set_Upstream(const std::string& val);
+
+  void __set_StartedAtMillis(const int64_t val);
+
+  bool operator == (const upstream_run & rhs) const
+  {
+    if (!(Upstream == rhs.Upstream))
+      return false;
+    if (!(StartedAtMillis == rhs.StartedAtMillis))
+      return false;
+    return true;
+  }
+  bool operator != (const upstream_run &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const upstream_run & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(upstream_run &a, upstream_run &b);
+
+std::ostream& operator<<(std::ostream& out, const upstream_run& obj);
+
 typedef struct _entry_report__isset {
-  _entry_report__isset() : Incarnation(false), Sequence(false), Uses(false), Windows(false), WallMicros(false), DutyHolder(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), DutyIncarnation(false) {}
+  _entry_report__isset() : Incarnation(false), Sequence(false), Uses(false), Windows(false), WallMicros(false), DutyHolder(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), DutyIncarnation(false), Leaving(false), Feeds(false) {}
   bool Incarnation :1;
   bool Sequence :1;
   bool Uses :1;
@@ -218,6 +280,8 @@
   bool DutyClaimOffset :1;
   bool LastFiguredWindow :1;
   bool DutyIncarnation :1;
+  bool Leaving :1;
+  bool Feeds :1;
 } _entry_report__isset;
 
 class entry_report : public virtual ::apache::thrift::TBase {
@@ -249,6 +313,8 @@
   int64_t DutyClaimOffset;
   int64_t LastFiguredWindow;
   int64_t DutyIncarnation;
+  std::vector<upstream_run>  Leaving;
+  std::vector<feed_mark>  Feeds;
 
   _entry_report__isset __isset;
 
@@ -272,6 +338,10 @@
 
   void __set_DutyIncarnation(const int64_t val);
 
+  void __set_Leaving(const std::vector<upstream_run> & val);
+
+  void __set_Feeds(const std::vector<feed_mark> & val);
+
   bool operator == (const entry_report & rhs) const
   {
     if (!(Incarnation == rhs.Incarnation))
@@ -294,6 +364,10 @@
       return false;
     if (!(DutyIncarnation == rhs.DutyIncarnation))
       return false;
+    if (!(Leaving == rhs.Leaving))
+      return false;
+    if (!(Feeds == rhs.Feeds))
+      return false;
     return true;
   }
   bool operator != (const entry_report &rhs) const {
@@ -312,6 +386,293 @@
 
 std::ostream& operator<<(std::ostream& out, const entry_report& obj);
 
+typedef struct _usage_report__isset {
+  _usage_report__isset() : Incarnation(false), Windows(false) {}
+  bool Incarnation :1;
+  bool Windows :1;
+} _usage_report__isset;
+
+class usage_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  usage_report(const usage_report&);
+  usage_report(usage_report&&) noexcept;
+  usage_report& operator=(const usage_report&);
+  usage_report& operator=(usage_report&&) noexcept;
+  usage_report() noexcept
+               : Incarnation(0) {
+  }
+
+  virtual ~usage_report() noexcept;
+  int64_t Incarnation;
+  std::vector<window_counts>  Windows;
+
+  _usage_report__isset __isset;
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_Windows(const std::vector<window_counts> & val);
+
+  bool operator == (const usage_report & rhs) const
+  {
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (!(Windows == rhs.Windows))
+      return false;
+    return true;
+  }
+  bool operator != (const usage_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const usage_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(usage_report &a, usage_report &b);
+
+std::ostream& operator<<(std::ostream& out, const usage_report& obj);
+
+typedef struct _zone_uses__isset {
+  _zone_uses__isset() : Zone(false), Uses(false), AgeMicros(false) {}
+  bool Zone :1;
+  bool Uses :1;
+  bool AgeMicros :1;
+} _zone_uses__isset;
+
+class zone_uses : public virtual ::apache::thrift::TBase {
+ public:
+
+  zone_uses(const zone_uses&);
+  zone_uses(zone_uses&&) noexcept;
+  zone_uses& operator=(const zone_uses&);
+  zone_uses& operator=(zone_uses&&) noexcept;
+  zone_uses() noexcept
+            : Zone(),
+              AgeMicros(0) {
+  }
+
+  virtual ~zone_uses() noexcept;
+  std::string Zone;
+  std::vector<upstream_use>  Uses;
+  int64_t AgeMicros;
+
+  _zone_uses__isset __isset;
+
+  void __set_Zone(const std::string& val);
+
+  void __set_Uses(const std::vector<upstream_use> & val);
+
+  void __set_AgeMicros(const int64_t val);
+
+  bool operator == (const zone_uses & rhs) const
+  {
+    if (!(Zone == rhs.Zone))
+      return false;
+    if (!(Uses == rhs.Uses))
+      return false;
+    if (!(AgeMicros == rhs.AgeMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const zone_uses &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const zone_uses & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(zone_uses &a, zone_uses &b);
+
+std::ostream& operator<<(std::ostream& out, const zone_uses& obj);
+
+typedef struct _feed_mark__isset {
+  _feed_mark__isset() : Feed(false), News(false), End(false), AgeMicros(false) {}
+  bool Feed :1;
+  bool News :1;
+  bool End :1;
+  bool AgeMicros :1;
+} _feed_mark__isset;
+
+class feed_mark : public virtual ::apache::thrift::TBase {
+ public:
+
+  feed_mark(const feed_mark&);
+  feed_mark(feed_mark&&) noexcept;
+  feed_mark& operator=(const feed_mark&);
+  feed_mark& operator=(feed_mark&&) noexcept;
+  feed_mark() noexcept
+            : Feed(),
+              News(0),
+              End(0),
+              AgeMicros(0) {
+  }
+
+  virtual ~feed_mark() noexcept;
+  std::string Feed;
+  int64_t News;
+  int64_t End;
+  int64_t AgeMicros;
+
+  _feed_mark__isset __isset;
+
+  void __set_Feed(const std::string& val);
+
+  void __set_News(const int64_t val);
+
+  void __set_End(const int64_t val);
+
+  void __set_AgeMicros(const int64_t val);
+
+  bool operator == (const feed_mark & rhs) const
+  {
+    if (!(Feed == rhs.Feed))
+      return false;
+    if (!(News == rhs.News))
+      return false;
+    if (!(End == rhs.End))
+      return false;
+    if (!(AgeMicros == rhs.AgeMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const feed_mark &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const feed_mark & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(feed_mark &a, feed_mark &b);
+
+std::ostream& operator<<(std::ostream& out, const feed_mark& obj);
+
+typedef struct _relay_report__isset {
+  _relay_report__isset() : Incarnation(false), Sequence(false), Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false) {}
+  bool Incarnation :1;
+  bool Sequence :1;
+  bool Zones :1;
+  bool Feeds :1;
+  bool DutyHolder :1;
+  bool DutyIncarnation :1;
+  bool DutyFence :1;
+  bool DutyClaimOffset :1;
+  bool LastFiguredWindow :1;
+  bool TrueMicros :1;
+  bool Leaving :1;
+} _relay_report__isset;
+
+class relay_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  relay_report(const relay_report&);
+  relay_report(relay_report&&) noexcept;
+  relay_report& operator=(const relay_report&);
+  relay_report& operator=(relay_report&&) noexcept;
+  relay_report() noexcept
+               : Incarnation(0),
+                 Sequence(0),
+                 DutyHolder(),
+                 DutyIncarnation(0),
+                 DutyFence(0),
+                 DutyClaimOffset(0),
+                 LastFiguredWindow(0),
+                 TrueMicros(0) {
+  }
+
+  virtual ~relay_report() noexcept;
+  int64_t Incarnation;
+  int64_t Sequence;
+  std::vector<zone_uses>  Zones;
+  std::vector<feed_mark>  Feeds;
+  std::string DutyHolder;
+  int64_t DutyIncarnation;
+  int64_t DutyFence;
+  int64_t DutyClaimOffset;
+  int64_t LastFiguredWindow;
+  int64_t TrueMicros;
+  std::vector<upstream_run>  Leaving;
+
+  _relay_report__isset __isset;
+
+  void __set_Incarnation(const int64_t val);
+
+  void __set_Sequence(const int64_t val);
+
+  void __set_Zones(const std::vector<zone_uses> & val);
+
+  void __set_Feeds(const std::vector<feed_mark> & val);
+
+  void __set_DutyHolder(const std::string& val);
+
+  void __set_DutyIncarnation(const int64_t val);
+
+  void __set_DutyFence(const int64_t val);
+
+  void __set_DutyClaimOffset(const int64_t val);
+
+  void __set_LastFiguredWindow(const int64_t val);
+
+  void __set_TrueMicros(const int64_t val);
+
+  void __set_Leaving(const std::vector<upstream_run> & val);
+
+  bool operator == (const relay_report & rhs) const
+  {
+    if (!(Incarnation == rhs.Incarnation))
+      return false;
+    if (!(Sequence == rhs.Sequence))
+      return false;
+    if (!(Zones == rhs.Zones))
+      return false;
+    if (!(Feeds == rhs.Feeds))
+      return false;
+    if (!(DutyHolder == rhs.DutyHolder))
+      return false;
+    if (!(DutyIncarnation == rhs.DutyIncarnation))
+      return false;
+    if (!(DutyFence == rhs.DutyFence))
+      return false;
+    if (!(DutyClaimOffset == rhs.DutyClaimOffset))
+      return false;
+    if (!(LastFiguredWindow == rhs.LastFiguredWindow))
+      return false;
+    if (!(TrueMicros == rhs.TrueMicros))
+      return false;
+    if (!(Leaving == rhs.Leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const relay_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const relay_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(relay_report &a, relay_report &b);
+
+std::ostream& operator<<(std::ostream& out, const relay_report& obj);
+
 typedef struct _feed_record__isset {
   _feed_record__isset() : Offset(false), Key(false), Value(false) {}
   bool Offset :1;
--- a/wire/gen/wire_types.cpp
+++ b/wire/gen/wire_types.cpp
@@ -282,6 +282,10 @@
 void member::__set_State(const member_state::type val) {
   this->State = val;
 }
+
+void member::__set_Capacity(const int32_t val) {
+  this->Capacity = val;
+}
 std::ostream& operator<<(std::ostream& out, const member& obj)
 {
   obj.printTo(out);
@@ -370,6 +374,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Capacity);
+          this->__isset.Capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -415,6 +427,10 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->State));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Capacity", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->Capacity);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -429,6 +445,7 @@
   swap(a.Incarnation, b.Incarnation);
   swap(a.Refutation, b.Refutation);
   swap(a.State, b.State);
+  swap(a.Capacity, b.Capacity);
   swap(a.__isset, b.__isset);
 }
 
@@ -440,6 +457,7 @@
   Incarnation = other2.Incarnation;
   Refutation = other2.Refutation;
   State = other2.State;
+  Capacity = other2.Capacity;
   __isset = other2.__isset;
 }
 member::member(member&& other3) noexcept {
@@ -450,6 +468,7 @@
   Incarnation = other3.Incarnation;
   Refutation = other3.Refutation;
   State = other3.State;
+  Capacity = other3.Capacity;
   __isset = other3.__isset;
 }
 member& member::operator=(const member& other4) {
@@ -460,6 +479,7 @@
   Incarnation = other4.Incarnation;
   Refutation = other4.Refutation;
   State = other4.State;
+  Capacity = other4.Capacity;
   __isset = other4.__isset;
   return *this;
 }
@@ -471,6 +491,7 @@
   Incarnation = other5.Incarnation;
   Refutation = other5.Refutation;
   State = other5.State;
+  Capacity = other5.Capacity;
   __isset = other5.__isset;
   return *this;
 }
@@ -484,6 +505,7 @@
   out << ", " << "Incarnation=" << to_string(Incarnation);
   out << ", " << "Refutation=" << to_string(Refutation);
   out << ", " << "State=" << to_string(State);
+  out << ", " << "Capacity=" << to_string(Capacity);
   out << ")";
 }
 
--- a/wire/gen/wire_types.h
+++ b/wire/gen/wire_types.h
@@ -240,7 +240,7 @@
 class claims_state;
 
 typedef struct _member__isset {
-  _member__isset() : Name(false), Role(false), Zone(false), Address(false), Incarnation(false), Refutation(false), State(false) {}
+  _member__isset() : Name(false), Role(false), Zone(false), Address(false), Incarnation(false), Refutation(false), State(false), Capacity(false) {}
   bool Name :1;
   bool Role :1;
   bool Zone :1;
@@ -248,6 +248,7 @@
   bool Incarnation :1;
   bool Refutation :1;
   bool State :1;
+  bool Capacity :1;
 } _member__isset;
 
 class member : public virtual ::apache::thrift::TBase {
@@ -264,7 +265,8 @@
            Address(),
            Incarnation(0),
            Refutation(0),
-           State(static_cast<member_state::type>(0)) {
+           State(static_cast<member_state::type>(0)),
+           Capacity(0) {
   }
 
   virtual ~member() noexcept;
@@ -283,6 +285,7 @@
    * @see member_state
    */
   member_state::type State;
+  int32_t Capacity;
 
   _member__isset __isset;
 
@@ -300,6 +303,8 @@
 
   void __set_State(const member_state::type val);
 
+  void __set_Capacity(const int32_t val);
+
   bool operator == (const member & rhs) const
   {
     if (!(Name == rhs.Name))
@@ -316,6 +321,8 @@
       return false;
     if (!(State == rhs.State))
       return false;
+    if (!(Capacity == rhs.Capacity))
+      return false;
     return true;
   }
   bool operator != (const member &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -22,6 +22,12 @@
   2: list<organisation_count> Counts
 }
 
+// One run of an upstream's process.
+struct upstream_run {
+  1: string Upstream
+  2: i64 StartedAtMillis       // since 1970, as the platform lists it
+}
+
 // Told by every entry to every other one, several times a second.
 struct entry_report {
   1: i64 Incarnation
@@ -34,6 +40,45 @@
   8: i64 DutyClaimOffset         // newest claim that the sender knows; -1: none
   9: i64 LastFiguredWindow       // newest window whose figures are written
   10: i64 DutyIncarnation
+  11: list<upstream_run> Leaving // by their own answers, heard not long ago
+  12: list<feed_mark> Feeds      // where relays pass them on
+}
+
+// Told to whoever has the duties, where entries do not hear of each other
+// directly.
+struct usage_report {
+  1: i64 Incarnation
+  2: list<window_counts> Windows
+}
+
+// What the entries of a zone have under way together.
+struct zone_uses {
+  1: string Zone
+  2: list<upstream_use> Uses
+  3: i64 AgeMicros             // since the zone's own relay told it
+}
+
+// How far a feed is known.
+struct feed_mark {
+  1: string Feed
+  2: i64 News                  // end of the last records that said anything new
+  3: i64 End                   // known to here; from News on they only repeat
+  4: i64 AgeMicros             // since the store was read to End
+}
+
+// Told by a relay to the entries of its zone and to other zones' relays.
+struct relay_report {
+  1: i64 Incarnation
+  2: i64 Sequence
+  3: list<zone_uses> Zones
+  4: list<feed_mark> Feeds
+  5: string DutyHolder         // of the newest claim that is known
+  6: i64 DutyIncarnation
+  7: i64 DutyFence
+  8: i64 DutyClaimOffset       // -1: none
+  9: i64 LastFiguredWindow
+  10: i64 TrueMicros           // time of day, by the clocks of the zone
+  11: list<upstream_run> Leaving
 }
 
 // One record of a keyed feed of the platform's store.
--- a/wire/wire.thrift
+++ b/wire/wire.thrift
@@ -24,6 +24,7 @@
   5: i64 Incarnation           // grows with every start of the process
   6: i32 Refutation            // grows when the member denies a suspicion
   7: member_state State
+  8: i32 Capacity              // share of a core in thousandths; 0: not known
 }
 
 // One pool's queue as its owner sees it; spread so that askers can choose.
