A failure counts against an upstream only when another one answers the request

Before: both upstreams are charged (test Safe_FailsAtEveryUpstream fails). After: none is, unless another upstream answers or no second try is made. Conclusion: what fails everywhere can't be mended here; it no longer disturbs placement. Tests of relayed feeds and zone sums come along.

--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -268,9 +268,7 @@
                         Context, Effects);
   }
   Request->Knowledge = run_knowledge::Run;
-  bool Failed = Head.Status >= 500;
-  Services.Trust.onAnswer(Request->Upstream, Request->UpstreamZone, Failed,
-                          Context.Now);
+  judge(*Request, Context);
   Request->Stream = Head.EventStream && Head.Status < 300;
   if (Request->Begun && !Request->Stream) {
     // The rest of a stream that has begun can't be an answer of another kind.
@@ -282,6 +280,26 @@
     countUsage(*Request, Context);
 }
 
+// Some requests fail at every upstream. So a failure of a request that may be
+// sent again is held against its upstream only when another one answers it.
+void request_router::judge(active_request &Request,
+                           const router_context &Context) {
+  bool Failed = Request.Status >= 500;
+  if (Failed && Request.Doubted) {
+    Request.Doubted.reset();
+    return;
+  }
+  if (Failed && Request.Route->mayRepeat() &&
+      Request.Sent < Request.Route->MaxAttempts) {
+    Request.Doubted = {Request.Upstream, Request.UpstreamZone};
+    return;
+  }
+  Services.Trust.onAnswer(Request.Upstream, Request.UpstreamZone, Failed,
+                          Context.Now);
+  if (auto Doubted = std::exchange(Request.Doubted, std::nullopt))
+    Services.Trust.onAnswer(Doubted->first, Doubted->second, true, Context.Now);
+}
+
 void request_router::takeWordOf(const active_request &Request,
                                 const answer_head &Head,
                                 const router_context &Context,
@@ -383,6 +401,10 @@
           count_metric{"monsoonreel_resends_total", {{"reason", "failure"}}});
       return send(*Request, Context, Effects);
     }
+    // There was no second try that could tell whose failure it was.
+    if (auto Doubted = std::exchange(Request->Doubted, std::nullopt))
+      Services.Trust.onAnswer(Doubted->first, Doubted->second, true,
+                              Context.Now);
     Effects.push_back(std::move(Answer));
   } else {
     if (!std::exchange(Request->Begun, true))
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -25,6 +25,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -105,6 +106,8 @@
     int Sent = 0;           // upstreams that may have received it
     std::vector<upstream_name> Tried;
     run_knowledge Knowledge = run_knowledge::NotRun;
+    // An upstream that failed it, until another one has answered.
+    std::optional<std::pair<upstream_name, zone_name>> Doubted;
     bool Counted = false; // for its organisation's usage
     // Of Attempt:
     int Status = 0;
@@ -122,6 +125,8 @@
   void send(active_request &Request, const router_context &Context,
             routing_effects &Effects);
   void endAttempt(active_request &Request);
+  // Whether a failure speaks against the upstream of the present attempt.
+  void judge(active_request &Request, const router_context &Context);
   // What an upstream says of itself with any answer.
   void takeWordOf(const active_request &Request, const answer_head &Head,
                   const router_context &Context, routing_effects &Effects);
--- a/routing/testing/fleet_test.cc
+++ b/routing/testing/fleet_test.cc
@@ -262,12 +262,12 @@
   constexpr int measured_s = 10;
   start(GetParam().first, GetParam().second);
   // After a start of all at once, each learns of the others for a while.
-    for (int T = 0; T < 30; ++T) {
-      runUntil(T * 1s);
-      counts C = sum();
-      printf("%d reads %d duty %d sent %d\n", T, C.Reads, C.DutyCalls, C.Sent);
-      clearCounts();
-    }
+  for (int T = 0; T < 30; ++T) {
+    runUntil(T * 1s);
+    counts C = sum();
+    printf("%d reads %d duty %d sent %d\n", T, C.Reads, C.DutyCalls, C.Sent);
+    clearCounts();
+  }
   runUntil(30s);
   clearCounts();
   runUntil(30s + measured_s * 1s);
--- a/routing/testing/keyed_feed_test.cc
+++ b/routing/testing/keyed_feed_test.cc
@@ -288,5 +288,111 @@
   EXPECT_EQ(Feed.end(), 9);
 }
 
+// ----------------------------------------------------------------- relayed
+
+class relayed_feed_test : public keyed_feed_test {
+protected:
+  relayed_feed_test() {
+    startWith({record(6, "a", "x")}, 7);
+    Feed.setMarkDelay(500ms);
+    Feed.setListeners(10);
+  }
+  static wire::feed_mark mark(int64_t News, int64_t End, duration Age) {
+    wire::feed_mark Mark;
+    Mark.Feed = "servers";
+    Mark.News = News;
+    Mark.End = End;
+    Mark.AgeMicros = toMicros(Age);
+    return Mark;
+  }
+  std::optional<wire::feed_news> told() const {
+    for (const routing_effect &Effect : Told)
+      if (const auto *Tell = std::get_if<tell_entries>(&Effect))
+        return std::get<wire::feed_news>(Tell->Message);
+    return std::nullopt;
+  }
+};
+
+TEST_F(relayed_feed_test, Reader_NothingNew_TellsOnlyByItsMark) {
+  tick(500ms);
+  read(505ms, false, 7, 20, {record(8, "a", "same")});
+  EXPECT_FALSE(told());
+  EXPECT_EQ(Feed.mark(at(605ms)).End, 20);
+  EXPECT_EQ(Feed.mark(at(605ms)).AgeMicros, toMicros(100ms));
+}
+
+TEST_F(relayed_feed_test, Reader_HasNews_TheyReachBackToTheLastOnes) {
+  tick(500ms);
+  read(505ms, false, 7, 20, {record(8, "b", "new")});
+  tick(1000ms);
+  read(1005ms, false, 20, 30, {record(25, "a", "same")});
+  tick(1500ms);
+  read(1505ms, false, 30, 40, {record(35, "c", "new")});
+  ASSERT_TRUE(told());
+  EXPECT_EQ(told()->From, 20) << "others may not know of 30 yet";
+  EXPECT_EQ(told()->End, 40);
+}
+
+TEST_F(relayed_feed_test, Listener_MarkWithoutNews_IsFreshAndFollows) {
+  Feed.onNews(news(7, 10, {record(8, "b", "new")}), at(100ms));
+  Feed.onMark(mark(10, 50, 200ms), at(1000ms));
+  EXPECT_EQ(Feed.end(), 50);
+  EXPECT_EQ(Feed.age(at(1000ms)), 200ms);
+  EXPECT_FALSE(tick(1500ms, 1));
+}
+
+TEST_F(relayed_feed_test, Listener_MarkOfNewsThatDoNotCome_ReadsSoon) {
+  Feed.onMark(mark(40, 50, 0ms), at(500ms));
+  EXPECT_EQ(Feed.end(), 7);
+  EXPECT_FALSE(tick(500ms + late_news_time - 1ms, 1));
+  auto Read = tick(500ms + late_news_time, 1);
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(Read->From, 7);
+}
+
+TEST_F(relayed_feed_test, Listener_NewsComeLate_NeedsNoRead) {
+  Feed.onMark(mark(40, 50, 0ms), at(500ms));
+  Feed.onNews(news(7, 40, {record(39, "b", "new")}), at(600ms));
+  EXPECT_FALSE(tick(500ms + late_news_time, 1));
+}
+
+TEST_F(relayed_feed_test, Listener_CaughtUpByItself_TellsNobody) {
+  Feed.onMark(mark(40, 50, 0ms), at(500ms));
+  ASSERT_TRUE(tick(1000ms, 1));
+  read(1005ms, false, 7, 55, {record(39, "b", "new")});
+  EXPECT_FALSE(told());
+  EXPECT_EQ(Feed.mark(at(1005ms)).End, 50) << "only a reader's word is told";
+}
+
+// What it read for itself alone may be known to nobody else, if the reader
+// died.
+TEST_F(relayed_feed_test,
+       Listener_CaughtUpAndBecomesReader_OthersLearnThatTheyMissSomething) {
+  Feed.onMark(mark(40, 50, 0ms), at(500ms));
+  ASSERT_TRUE(tick(1000ms, 1));
+  read(1005ms, false, 7, 55, {record(54, "b", "new")});
+  ASSERT_TRUE(tick(2000ms, 0));
+  read(2005ms, false, 55, 60, {});
+  EXPECT_EQ(Feed.mark(at(2005ms)).News, 60);
+}
+
+TEST_F(relayed_feed_test,
+       Listener_CaughtUpAndReaderKnowsIt_BecomesReaderQuietly) {
+  Feed.onMark(mark(40, 50, 0ms), at(500ms));
+  ASSERT_TRUE(tick(1000ms, 1));
+  read(1005ms, false, 7, 55, {record(39, "b", "new")});
+  Feed.onMark(mark(40, 60, 0ms), at(1500ms));
+  ASSERT_TRUE(tick(2500ms, 0));
+  read(2505ms, false, 60, 70, {});
+  EXPECT_EQ(Feed.mark(at(2505ms)).News, 40);
+}
+
+TEST_F(relayed_feed_test, Mark_OlderThanWhatIsKnown_ChangesNothing) {
+  Feed.onMark(mark(7, 50, 0ms), at(500ms));
+  Feed.onMark(mark(7, 40, 0ms), at(600ms));
+  EXPECT_EQ(Feed.end(), 50);
+  EXPECT_EQ(Feed.age(at(600ms)), 100ms);
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/routing/testing/request_router_test.cc
+++ b/routing/testing/request_router_test.cc
@@ -503,6 +503,50 @@
   EXPECT_LT(Refusal.RetryAfter, 1400ms);
 }
 
+// ------------------------------------------------------------------- blame
+
+TEST_F(request_router_test, Safe_FailsAtEveryUpstream_NoneIsBlamed) {
+  arrive("/safe/x");
+  auto First = one<route_dispatch>();
+  head(First.Attempt, 500);
+  end(First.Attempt);
+  auto Second = one<route_dispatch>();
+  head(Second.Attempt, 500);
+  end(Second.Attempt);
+  EXPECT_EQ(all<route_answer>().size(), 1u) << "the upstream's own failure";
+  EXPECT_EQ(Trust.failureShare(First.Upstream, at(Now)), 0);
+  EXPECT_EQ(Trust.failureShare(Second.Upstream, at(Now)), 0);
+}
+
+TEST_F(request_router_test, Safe_AnotherUpstreamAnswers_FirstIsBlamed) {
+  arrive("/safe/x");
+  auto First = one<route_dispatch>();
+  head(First.Attempt, 500);
+  end(First.Attempt);
+  auto Second = one<route_dispatch>();
+  head(Second.Attempt, 200);
+  end(Second.Attempt);
+  EXPECT_GT(Trust.failureShare(First.Upstream, at(Now)), 0);
+  EXPECT_EQ(Trust.failureShare(Second.Upstream, at(Now)), 0);
+}
+
+TEST_F(request_router_test, Safe_NoBudgetForASecondTry_UpstreamIsBlamed) {
+  arrive("/safe/x");
+  auto First = one<route_dispatch>();
+  while (Budget.tryResend(pool_name("app"), at(Now))) {
+  }
+  head(First.Attempt, 500);
+  end(First.Attempt);
+  EXPECT_GT(Trust.failureShare(First.Upstream, at(Now)), 0);
+}
+
+TEST_F(request_router_test, Once_Fails_UpstreamIsBlamed) {
+  arrive("/once/x");
+  auto First = one<route_dispatch>();
+  head(First.Attempt, 500);
+  EXPECT_GT(Trust.failureShare(First.Upstream, at(Now)), 0);
+}
+
 // ------------------------------------------------------------------ stalls
 
 TEST_F(request_router_test,
--- a/routing/testing/upstream_load_test.cc
+++ b/routing/testing/upstream_load_test.cc
@@ -78,5 +78,59 @@
   EXPECT_EQ(Load.at(Upstream).Running, 0);
 }
 
+// ------------------------------------------------------------------- zones
+
+TEST_F(upstream_load_test, Zone_OwnPartIsInItsSum_CountsOnce) {
+  Load.begin(attempt_number{1}, Upstream, {100, false});
+  Load.tellOwn(at(0ms));
+  wire::zone_uses Sum;
+  Sum.Zone = "z";
+  wire::upstream_use Use;
+  Use.Upstream = Upstream.Value;
+  Use.Running = 3;
+  Use.UnreadTokens = 250;
+  Sum.Uses = {Use};
+  Load.onZone(Sum, /*IsOwn=*/true, 0ms, at(20ms));
+  EXPECT_EQ(Load.at(Upstream).Running, 3);
+  EXPECT_EQ(Load.at(Upstream).UnreadTokens, 250);
+  // What ends here is known here at once.
+  Load.end(attempt_number{1});
+  EXPECT_EQ(Load.at(Upstream).Running, 2);
+}
+
+TEST_F(upstream_load_test, Zone_OlderSumOrStaleOne_IsIgnored) {
+  wire::zone_uses Sum;
+  Sum.Zone = "far";
+  wire::upstream_use Use;
+  Use.Upstream = Upstream.Value;
+  Use.Running = 3;
+  Sum.Uses = {Use};
+  Load.onZone(Sum, false, 100ms, at(1000ms));
+  Sum.Uses[0].Running = 9;
+  Load.onZone(Sum, false, 300ms, at(1000ms));
+  Load.onZone(Sum, false, report_expiry, at(4000ms));
+  EXPECT_EQ(Load.at(Upstream).Running, 3);
+  Load.onTick(at(5000ms));
+  EXPECT_EQ(Load.at(Upstream).Running, 0);
+}
+
+TEST_F(upstream_load_test, SumOfEntries_LeavesOtherZonesOut) {
+  wire::zone_uses Far;
+  Far.Zone = "far";
+  wire::upstream_use Use;
+  Use.Upstream = Upstream.Value;
+  Use.Running = 3;
+  Far.Uses = {Use};
+  Load.onZone(Far, false, 0ms, at(0ms));
+  wire::entry_report Report;
+  Report.Incarnation = Report.Sequence = 1;
+  Report.Uses = {Use};
+  Load.onReport(address("10.0.0.2:7"), Report, at(0ms));
+  Load.begin(attempt_number{1}, Upstream, {100, false});
+  auto Sum = Load.sumOfEntries();
+  ASSERT_EQ(Sum.size(), 1u);
+  EXPECT_EQ(Sum[0].Running, 4);
+}
+
 } // namespace
 } // namespace monsoonreel
