Requests that have just arrived are answered in a planned stop

Cause: closing the listening socket resets connections that the kernel has made and that were not taken yet, with the requests on them; closing idle connections did the same to requests that the event loop had not seen. Ruled out: the drain's waiting time (the requests came within it). Before: both new tests of http_server_test fail. After: they pass.

--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds watchdog_period(50);
+// While there are connections; without any, nothing wakes the process.
+constexpr std::chrono::milliseconds watchdog_period(100);
 
 // The limit that "Keep-Alive: timeout=5" states, in whole seconds.
 duration statedIdleLimit(const http_reply_head &Head) {
@@ -179,7 +180,7 @@
 channel_pool::channel_pool() {
   QObject::connect(&Watchdog, &QTimer::timeout, &Watchdog,
                    [this] { checkTimes(); });
-  Watchdog.start(watchdog_period);
+  Watchdog.setInterval(watchdog_period);
 }
 
 channel_pool::~channel_pool() = default;
@@ -215,6 +216,8 @@
     }
     ++Site.Open;
     ++Made;
+    if (!Watchdog.isActive())
+      Watchdog.start();
   }
   Channel->begin(Call, Bytes, Options.HeadOnly, std::move(Handler));
   Active[Call] = std::move(Channel);
@@ -301,6 +304,8 @@
     else
       ++It;
   }
+  if (Sites.empty())
+    Watchdog.stop();
 }
 
 size_t channel_pool::idleConnections() const {
--- a/io/gated_socket.cc
+++ b/io/gated_socket.cc
@@ -249,7 +249,15 @@
 }
 
 void gated_socket::closeIfIdle() {
-  if (Phase == phase::Idle && Wire->bytesAvailable() == 0)
+  if (Phase != phase::Idle || Wire->bytesAvailable() > 0)
+    return;
+  // A request may have arrived that the event loop has not seen yet.
+  char Byte = 0;
+  ssize_t Waiting = ::recv(static_cast<int>(Wire->socketDescriptor()), &Byte,
+                           sizeof(Byte), MSG_PEEK | MSG_DONTWAIT);
+  if (Waiting > 0)
+    closeAfterAnswer();
+  else
     Wire->disconnectFromHost();
 }
 
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -169,6 +169,14 @@
       Gate->closeIfIdle();
   }
 
+  // Closing the socket would reset connections that the kernel has made and
+  // that were not taken yet, with the requests on them.
+  void stop() {
+    for (int I = 0; I < Bounds.Connections && waitForNewConnection(0); ++I) {
+    }
+    close();
+  }
+
   void setBounds(const http_bounds &Changed) {
     Bounds = Changed;
     for (gated_socket *Gate : Open)
@@ -268,7 +276,7 @@
 
 uint16_t http_server::port() const { return Listener->serverPort(); }
 
-void http_server::stopListening() { Listener->close(); }
+void http_server::stopListening() { Listener->stop(); }
 
 void http_server::startDraining() { Listener->startDraining(); }
 
--- a/io/routing_runtime.cc
+++ b/io/routing_runtime.cc
@@ -19,9 +19,9 @@
 
 namespace {
 
-// Between two ticks: fine enough for timeouts of a few hundred milliseconds,
-// rare enough to cost little when nothing happens.
-constexpr std::chrono::milliseconds routing_tick_period(20);
+// Between two ticks: fine enough for timeouts of a few hundred milliseconds. In
+// a large fleet most wakings of a process are ticks.
+constexpr std::chrono::milliseconds routing_tick_period(50);
 // Before the process is killed, for the last answers to leave.
 constexpr duration last_answers_time = std::chrono::milliseconds(700);
 // Connections that a caller may keep open after a drain, until it reads the
--- a/io/testing/http_server_test.cc
+++ b/io/testing/http_server_test.cc
@@ -1,8 +1,14 @@
 #include "io/http_server.h"
 
+#include <array>
 #include <map>
+#include <memory>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 
 #include "io/testing/raw_client.h"
@@ -241,5 +247,68 @@
   EXPECT_TRUE(Client.waitForClose());
 }
 
+// A client outside the event loop, so that the server has not seen yet what the
+// kernel has taken.
+class unseen_client {
+public:
+  explicit unseen_client(uint16_t Port)
+      : Socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in To{};
+    To.sin_family = AF_INET;
+    To.sin_port = htons(Port);
+    To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)),
+              0);
+  }
+  ~unseen_client() { ::close(Socket); }
+  unseen_client(const unseen_client &) = delete;
+  unseen_client &operator=(const unseen_client &) = delete;
+
+  void send(const std::string &Text) const {
+    EXPECT_EQ(::send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(Text.size()));
+  }
+  bool waitFor(const std::string &Text) {
+    return waitUntil([&] {
+      std::array<char, 4096> Buffer;
+      ssize_t Size = ::recv(Socket, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+      if (Size > 0)
+        Bytes.append(Buffer.data(), static_cast<size_t>(Size));
+      return Bytes.find(Text) != std::string::npos;
+    });
+  }
+
+private:
+  int Socket;
+  std::string Bytes;
+};
+
+TEST_F(http_server_test, Drain_ConnectionsNotTakenYet_GetTheirAnswers) {
+  start(http_bounds());
+  std::vector<std::unique_ptr<unseen_client>> Clients;
+  for (int I = 0; I < 20; ++I) {
+    Clients.push_back(std::make_unique<unseen_client>(Server->port()));
+    Clients.back()->send(get("/" + std::to_string(I)));
+  }
+  Server->startDraining();
+  Server->stopListening();
+  Server->closeIdle();
+  for (int I = 0; I < 20; ++I)
+    EXPECT_TRUE(Clients[I]->waitFor("answer to /" + std::to_string(I))) << I;
+}
+
+TEST_F(http_server_test,
+       Drain_RequestJustArrivedOnAnOpenConnection_IsAnswered) {
+  start(http_bounds());
+  unseen_client Client(Server->port());
+  Client.send(get("/first"));
+  ASSERT_TRUE(Client.waitFor("answer to /first"));
+  Client.send(get("/second"));
+  Server->startDraining();
+  Server->stopListening();
+  Server->closeIdle();
+  EXPECT_TRUE(Client.waitFor("answer to /second"));
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/routing/capacity_policy.cc
+++ b/routing/capacity_policy.cc
@@ -84,14 +84,15 @@
   for (const service &Service : Input.Config.Services) {
     if (!Service.Orders)
       continue;
-    auto [It, First] = Surveys.try_emplace(Service.Name, survey{Now, {}});
+    auto [It, First] = Surveys.try_emplace(Service.Name, survey{Now, {}, Now});
     survey &Survey = It->second;
-    if (Survey.isOver(Now))
+    if (isOver(Survey, Now))
       continue;
     for (const auto &[Name, State] : Input.Registry.all())
       if (State.Entry.Service == Service.Name &&
           (!State.Entry.Reclaimable || (First && !State.Entry.Draining)))
-        Survey.Names.insert(Name);
+        if (Survey.Names.insert(Name).second)
+          Survey.LastNewAt = Now;
   }
 }
 
@@ -122,7 +123,7 @@
   observe(Input, Now);
   std::vector<capacity_target> Due;
   for (const service &Service : Input.Config.Services)
-    if (Service.Orders && Surveys[Service.Name].isOver(Now))
+    if (Service.Orders && isOver(Surveys[Service.Name], Now))
       planService(Service, Input, Now, Due);
   return Due;
 }
--- a/routing/capacity_policy.h
+++ b/routing/capacity_policy.h
@@ -44,9 +44,12 @@
 constexpr duration order_retry_period = std::chrono::seconds(2);
 // A lower demand counts after it has lasted for so long.
 constexpr duration demand_memory = std::chrono::seconds(20);
-// Within it, all upstreams of a cold start have been listed: they report every
-// second or so, and a slow store takes a few more.
+// Within it, all upstreams of a cold start have been listed, also by a slow
+// store.
 constexpr duration survey_time = std::chrono::seconds(6);
+// So many reports of an upstream in a row can't all be late: when no other one
+// has been listed meanwhile, all that run are.
+constexpr int survey_reports = 2;
 
 struct capacity_input {
   const site_config &Config;
@@ -70,6 +73,11 @@
 
 class capacity_policy {
 public:
+  // UpstreamReport: between two reports of an upstream to the platform.
+  explicit capacity_policy(
+      duration UpstreamReport = std::chrono::milliseconds(1200))
+      : UpstreamReport(UpstreamReport) {}
+
   // Takes down which upstreams are listed first, so that an entry that takes
   // charge later knows them.
   void observe(const capacity_input &Input, steady_time Now);
@@ -93,8 +101,13 @@
   struct survey {
     steady_time Begun;
     std::set<upstream_name> Names;
-    bool isOver(steady_time Now) const { return Now - Begun >= survey_time; }
+    steady_time LastNewAt; // of Names
   };
+  bool isOver(const survey &Survey, steady_time Now) const {
+    return Now - Survey.Begun >= survey_time ||
+           (!Survey.Names.empty() &&
+            Now - Survey.LastNewAt > survey_reports * UpstreamReport);
+  }
   struct demand {
     double Upstreams = 0;
     steady_time At = steady_time::min();
@@ -110,6 +123,7 @@
   void addIfDue(capacity_target Target, int Listed, steady_time Now,
                 std::vector<capacity_target> &Due);
 
+  duration UpstreamReport;
   std::map<subject, order_state> Orders;
   std::set<subject> Exhausted; // reclaimable ones that were not to be had
   std::map<pool_name, demand> Demands;
--- /dev/null
+++ b/routing/request_router_answers.cc
@@ -0,0 +1,207 @@
+// The part of `request_router` that takes the answers of upstreams.
+
+#include <utility>
+
+#include "routing/decision_log.h"
+#include "routing/request_router.h"
+
+namespace monsoonreel {
+
+namespace {
+
+std::string_view outcomeOf(int Status) {
+  return Status < 400 ? "answered" : "upstream-failed";
+}
+
+} // namespace
+
+void request_router::onHead(const answer_head &Head,
+                            const router_context &Context,
+                            routing_effects &Effects) {
+  active_request *Request = ofAttempt(Head.Attempt);
+  if (!Request)
+    return;
+  Request->Status = Head.Status;
+  takeWordOf(*Request, Head, Context, Effects);
+  if (Head.WrongUpstream || Head.SaidNotRun) {
+    if (Head.WrongUpstream)
+      Services.Trust.onUnreachable(Request->Upstream, Request->UpstreamZone,
+                                   Context.Now);
+    else
+      Services.Trust.onFull(Request->Upstream, Context.Now);
+    Effects.push_back(route_cancel{Head.Attempt});
+    return trySendAgain(*Request, true,
+                        Head.WrongUpstream ? "wrong-upstream" : "upstream-full",
+                        Context, Effects);
+  }
+  Request->Knowledge = run_knowledge::Run;
+  judge(*Request, Context);
+  Request->Stream = Head.EventStream && Head.Status < 300;
+  if (Request->Begun && !Request->Stream) {
+    // The rest of a stream that has begun can't be an answer of another kind.
+    Effects.push_back(route_cancel{Head.Attempt});
+    return trySendAgain(*Request, true, "no-stream", Context, Effects);
+  }
+  Request->Held = !Request->Stream;
+  if (Request->Held)
+    countUsage(*Request, Context);
+}
+
+// Some requests fail at every upstream. So a failure of a request that may be
+// sent again is held against its upstream only when another one answers it.
+void request_router::judge(active_request &Request,
+                           const router_context &Context) {
+  bool Failed = Request.Status >= 500;
+  if (Failed && Request.Doubted) {
+    Request.Doubted.reset();
+    return;
+  }
+  if (Failed && Request.Route->mayRepeat() &&
+      Request.Sent < Request.Route->MaxAttempts) {
+    Request.Doubted = {Request.Upstream, Request.UpstreamZone};
+    return;
+  }
+  Services.Trust.onAnswer(Request.Upstream, Request.UpstreamZone, Failed,
+                          Context.Now);
+  if (auto Doubted = std::exchange(Request.Doubted, std::nullopt))
+    Services.Trust.onAnswer(Doubted->first, Doubted->second, true, Context.Now);
+}
+
+void request_router::takeWordOf(const active_request &Request,
+                                const answer_head &Head,
+                                const router_context &Context,
+                                routing_effects &Effects) {
+  if (Head.RestFor) {
+    Services.Trust.onAskedToRest(Request.Upstream, Context.Now + *Head.RestFor);
+    Effects.push_back(decision("upstream-rests")
+                          .add("request", Request.Arrived.CallerId)
+                          .add("upstream", Request.Upstream)
+                          .add("for", *Head.RestFor)
+                          .line(log_level::Warning));
+  }
+  // An answer of the address's new owner says nothing of the one expected.
+  const upstream_state *Known = Services.Registry.find(Request.Upstream);
+  if (!Head.Leaving || Head.WrongUpstream || !Known)
+    return;
+  if (Services.Registry.onLeaving({Request.Upstream, Known->Entry.StartedAt},
+                                  Context.Now))
+    Effects.push_back(decision("upstream-leaving")
+                          .add("request", Request.Arrived.CallerId)
+                          .add("upstream", Request.Upstream)
+                          .add("registry_age", Context.RegistryAge)
+                          .line(log_level::Info));
+}
+
+void request_router::countUsage(active_request &Request,
+                                const router_context &Context) {
+  if (std::exchange(Request.Counted, true) || Request.Organisation.empty())
+    return;
+  // A plain request begins when it reaches the upstream.
+  duration Ago = Request.Stream ? duration{} : Context.Now - Request.SentAt;
+  Services.Usage.count(Request.Organisation, Context.TrueTime - Ago);
+}
+
+void request_router::onData(const answer_data &Data,
+                            const router_context &Context,
+                            routing_effects &Effects) {
+  active_request *Request = ofAttempt(Data.Attempt);
+  if (!Request)
+    return;
+  if (Request->Stream)
+    return onStreamData(*Request, Data.Data, Context, Effects);
+  if (!Request->Held) {
+    Effects.push_back(route_write{Request->Arrived.Request, Data.Data});
+    return;
+  }
+  Request->Body += Data.Data;
+  if (Request->Body.size() <= max_held_answer_bytes)
+    return;
+  Request->Held = false;
+  Request->Begun = true;
+  Effects.push_back(route_begin{Request->Arrived.Request, Data.Attempt});
+  Effects.push_back(
+      route_write{Request->Arrived.Request, std::exchange(Request->Body, {})});
+}
+
+void request_router::onStreamData(active_request &Request,
+                                  const std::string &Data,
+                                  const router_context &Context,
+                                  routing_effects &Effects) {
+  Request.Events.add(Data);
+  std::string Whole = Request.Events.takeWhole();
+  if (Request.Events.hasGap() || Request.Events.isOversized()) {
+    Effects.push_back(route_cancel{*Request.Attempt});
+    return trySendAgain(Request, true, "broken-stream", Context, Effects);
+  }
+  if (Whole.empty())
+    return;
+  Request.ProgressAt = Context.Now;
+  Services.Load.onFirstAnswer(*Request.Attempt);
+  countUsage(Request, Context);
+  if (!std::exchange(Request.Begun, true)) {
+    Effects.push_back(route_begin{Request.Arrived.Request, *Request.Attempt});
+    Effects.push_back(observe_metric{
+        "monsoonreel_first_event_seconds",
+        {{"route", Request.Route->Name}},
+        std::chrono::duration<double>(Context.Now - Request.ArrivedAt)
+            .count()});
+  }
+  Effects.push_back(route_write{Request.Arrived.Request, std::move(Whole)});
+}
+
+void request_router::onEnd(const answer_end &End, const router_context &Context,
+                           routing_effects &Effects) {
+  active_request *Request = ofAttempt(End.Attempt);
+  if (!Request)
+    return;
+  if (Request->Stream && Request->Events.hasRest())
+    return trySendAgain(*Request, true, "broken-stream", Context, Effects);
+  request_id Id = Request->Arrived.Request;
+  if (Request->Held) {
+    route_answer Answer{Id, End.Attempt, std::move(Request->Body)};
+    if (Request->Status >= 500 && Request->Route->mayRepeat() &&
+        mayResend(*Request, true, Context)) {
+      Request->Fallback = std::move(Answer);
+      endAttempt(*Request);
+      Request->Body.clear();
+      Effects.push_back(
+          count_metric{"monsoonreel_resends_total", {{"reason", "failure"}}});
+      return send(*Request, Context, Effects);
+    }
+    // There was no second try that could tell whose failure it was.
+    if (auto Doubted = std::exchange(Request->Doubted, std::nullopt))
+      Services.Trust.onAnswer(Doubted->first, Doubted->second, true,
+                              Context.Now);
+    Effects.push_back(std::move(Answer));
+  } else {
+    if (!std::exchange(Request->Begun, true))
+      Effects.push_back(route_begin{Id, End.Attempt});
+    Effects.push_back(route_finish{Id});
+  }
+  close(*Request, outcomeOf(Request->Status).data(), Context, Effects);
+}
+
+void request_router::onFailed(const route_attempt_failed &Failed,
+                              const router_context &Context,
+                              routing_effects &Effects) {
+  active_request *Request = ofAttempt(Failed.Attempt);
+  if (!Request)
+    return;
+  if (Failed.Failure == attempt_failure::NeverSent) {
+    --Request->Sent;
+    Services.Trust.onUnreachable(Request->Upstream, Request->UpstreamZone,
+                                 Context.Now);
+    return trySendAgain(*Request, false, "unreachable", Context, Effects);
+  }
+  if (Request->Knowledge == run_knowledge::NotRun)
+    Request->Knowledge = run_knowledge::Unknown;
+  if (Request->Status == 0)
+    Services.Trust.onUnreachable(Request->Upstream, Request->UpstreamZone,
+                                 Context.Now);
+  trySendAgain(*Request, true,
+               Failed.Failure == attempt_failure::Truncated ? "truncated"
+                                                            : "broken",
+               Context, Effects);
+}
+
+} // namespace monsoonreel
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -39,7 +39,8 @@
       Registry(Terms.Bounds.lapseGrace()), Budget(Terms.Resends),
       Usage(Terms.UsageWindow),
       Requests({Registry, Load, Cache, Trust, Budget, Usage}, Identity.Zone),
-      Duties(Terms.Duties, Identity), Relays(Identity) {}
+      Duties(Terms.Duties, Identity), Capacity(Terms.Bounds.UpstreamReport),
+      Relays(Identity) {}
 
 routing_node::~routing_node() = default;
 
--- a/routing/site_bounds.h
+++ b/routing/site_bounds.h
@@ -24,6 +24,8 @@
   duration ConfigInForce = std::chrono::milliseconds(2000);
   // From the end of a usage window until its report is due.
   duration UsageDue = std::chrono::seconds(10);
+  // Between two reports of an upstream to the platform.
+  duration UpstreamReport = std::chrono::milliseconds(1200);
   // From the request to end until the process is killed.
   duration ShutdownTime = std::chrono::seconds(8);
 
--- a/routing/testing/capacity_policy_test.cc
+++ b/routing/testing/capacity_policy_test.cc
@@ -138,6 +138,17 @@
   EXPECT_FALSE(plan(survey_time).empty());
 }
 
+TEST_F(capacity_policy_test, ColdStart_NoFurtherUpstreamsListed_OrdersSoon) {
+  Policy = capacity_policy(1s);
+  for (int I = 0; I < 12; ++I)
+    list("s" + std::to_string(I), "z0", false);
+  EXPECT_TRUE(plan(0ms).empty());
+  list("late", "z0", false);
+  EXPECT_TRUE(plan(1500ms).empty());
+  EXPECT_TRUE(plan(3500ms).empty());
+  EXPECT_FALSE(plan(3501ms).empty());
+}
+
 TEST_F(capacity_policy_test,
        Stable_ToBeExchanged_StayUntilReclaimableOnesAreListed) {
   Policy = capacity_policy();
