Marks of feeds: only the first word of a read counts

Cause: with ticks of 100 ms in fleet_test no entry read the upstreams' feed for seconds. A mark's age leaves out the time of its transit, and marks of one read go round between entries and relays, so each round made the feed fresher; with a round as long as a report's interval it stayed fresh for ever, and nobody's patience ended. Ruled out: membership (the first reader knew its rank), a read without an answer. Before: fleet_test with ticks of 100 ms, 20 and 60 entries: a drain is not heard of in 2.5 s, a configuration not in 4 s after readers froze. After: reads are numbered; Mark_OfTheSameReadComesAgain_IsNoFresher and Reader_OwnMarkComesBackLate_ReadsWhenItIsDue hold, all of fleet_test passes (ticks of 50 ms). Conclusion: an age that is told on needs the identity of what it is the age of.

--- a/routing/keyed_feed.cc
+++ b/routing/keyed_feed.cc
@@ -102,7 +102,7 @@
     Untold = false;
   }
   if (Told.End >= Heard.End)
-    Heard = {Told.End, Told.End, Now};
+    Heard = {Told.End, Told.End, Now, Heard.Reads};
   if (Told.Whole)
     NeedsWhole = false;
   Known = true;
@@ -115,17 +115,18 @@
   Mark.News = Heard.News;
   Mark.End = Heard.End;
   Mark.AgeMicros = toMicros(Now - Heard.FreshAt);
+  Mark.Reads = Heard.Reads;
   return Mark;
 }
 
 void keyed_feed::onMark(const wire::feed_mark &Mark, steady_time Now) {
   duration Age = fromMicros(Mark.AgeMicros);
-  if (Mark.End < Heard.End || Age < duration::zero())
+  bool IsNewer = Mark.End > Heard.End ||
+                 (Mark.End == Heard.End && Mark.Reads > Heard.Reads);
+  if (!IsNewer || Age < duration::zero())
     return;
-  steady_time Fresh = Now - Age;
-  if (Mark.End == Heard.End)
-    Fresh = std::max(Fresh, Heard.FreshAt);
-  Heard = {Mark.News, Mark.End, Fresh};
+  steady_time Fresh = std::max(Now - Age, Heard.FreshAt);
+  Heard = {Mark.News, Mark.End, Fresh, std::max(Mark.Reads, Heard.Reads)};
   if (!Known || Mark.End < End)
     return;
   if (Mark.News > End) {
@@ -200,7 +201,7 @@
   if (Listeners == 0)
     Untold = true;
   else
-    Heard = {Read.End, Read.End, Now};
+    Heard = {Read.End, Read.End, Now, Heard.Reads + 1};
   Effects.push_back(
       tell_entries{wire::peer_message(newsOf(Read, AfterOutage))});
 }
@@ -220,7 +221,8 @@
   // Others may not have heard yet how far nothing was new.
   if (!Missed && !IsGap)
     News.From = std::min(Read.From, Heard.News);
-  Heard = {SaysNew || Missed ? Read.End : Heard.News, Read.End, Now};
+  Heard = {SaysNew || Missed ? Read.End : Heard.News, Read.End, Now,
+           Heard.Reads + 1};
   if (SaysNew)
     Effects.push_back(tell_entries{wire::peer_message(std::move(News))});
 }
--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -131,6 +131,9 @@
     int64_t News = 0; // end of the last records that said anything new
     int64_t End = 0;
     steady_time FreshAt;
+    // Word of one read comes by several ways and comes back. Each way takes
+    // time that its age does not hold, so only the first word of a read counts.
+    int64_t Reads = 0;
   };
   heard_mark Heard;
   bool IsCatchingUp = false; // the open read is for this entry alone
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -1320,6 +1320,10 @@
 void feed_mark::__set_AgeMicros(const int64_t val) {
   this->AgeMicros = val;
 }
+
+void feed_mark::__set_Reads(const int64_t val) {
+  this->Reads = val;
+}
 std::ostream& operator<<(std::ostream& out, const feed_mark& obj)
 {
   obj.printTo(out);
@@ -1380,6 +1384,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Reads);
+          this->__isset.Reads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1413,6 +1425,10 @@
   xfer += oprot->writeI64(this->AgeMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Reads", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->Reads);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1424,6 +1440,7 @@
   swap(a.News, b.News);
   swap(a.End, b.End);
   swap(a.AgeMicros, b.AgeMicros);
+  swap(a.Reads, b.Reads);
   swap(a.__isset, b.__isset);
 }
 
@@ -1432,6 +1449,7 @@
   News = other70.News;
   End = other70.End;
   AgeMicros = other70.AgeMicros;
+  Reads = other70.Reads;
   __isset = other70.__isset;
 }
 feed_mark::feed_mark(feed_mark&& other71) noexcept {
@@ -1439,6 +1457,7 @@
   News = other71.News;
   End = other71.End;
   AgeMicros = other71.AgeMicros;
+  Reads = other71.Reads;
   __isset = other71.__isset;
 }
 feed_mark& feed_mark::operator=(const feed_mark& other72) {
@@ -1446,6 +1465,7 @@
   News = other72.News;
   End = other72.End;
   AgeMicros = other72.AgeMicros;
+  Reads = other72.Reads;
   __isset = other72.__isset;
   return *this;
 }
@@ -1454,6 +1474,7 @@
   News = other73.News;
   End = other73.End;
   AgeMicros = other73.AgeMicros;
+  Reads = other73.Reads;
   __isset = other73.__isset;
   return *this;
 }
@@ -1464,6 +1485,7 @@
   out << ", " << "News=" << to_string(News);
   out << ", " << "End=" << to_string(End);
   out << ", " << "AgeMicros=" << to_string(AgeMicros);
+  out << ", " << "Reads=" << to_string(Reads);
   out << ")";
 }
 
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -496,11 +496,12 @@
 std::ostream& operator<<(std::ostream& out, const zone_uses& obj);
 
 typedef struct _feed_mark__isset {
-  _feed_mark__isset() : Feed(false), News(false), End(false), AgeMicros(false) {}
+  _feed_mark__isset() : Feed(false), News(false), End(false), AgeMicros(false), Reads(false) {}
   bool Feed :1;
   bool News :1;
   bool End :1;
   bool AgeMicros :1;
+  bool Reads :1;
 } _feed_mark__isset;
 
 class feed_mark : public virtual ::apache::thrift::TBase {
@@ -514,7 +515,8 @@
             : Feed(),
               News(0),
               End(0),
-              AgeMicros(0) {
+              AgeMicros(0),
+              Reads(0) {
   }
 
   virtual ~feed_mark() noexcept;
@@ -522,6 +524,7 @@
   int64_t News;
   int64_t End;
   int64_t AgeMicros;
+  int64_t Reads;
 
   _feed_mark__isset __isset;
 
@@ -533,6 +536,8 @@
 
   void __set_AgeMicros(const int64_t val);
 
+  void __set_Reads(const int64_t val);
+
   bool operator == (const feed_mark & rhs) const
   {
     if (!(Feed == rhs.Feed))
@@ -543,6 +548,8 @@
       return false;
     if (!(AgeMicros == rhs.AgeMicros))
       return false;
+    if (!(Reads == rhs.Reads))
+      return false;
     return true;
   }
   bool operator != (const feed_mark &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -64,6 +64,7 @@
   2: i64 News                  // end of the last records that said anything new
   3: i64 End                   // known to here; from News on they only repeat
   4: i64 AgeMicros             // since the store was read to End
+  5: i64 Reads                 // grows with each read by a reader
 }
 
 // Told by a relay to the entries of its zone and to other zones' relays.
