--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -1,12 +1,25 @@
 // The part of `routing_node` that tells other entries and listens to them.
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "routing/routing_node.h"
 
 namespace monsoonreel {
 
+namespace {
+
+// The claim of the duties that a report tells, if any.
+template <typename T> std::optional<duty_claim_view> claimOf(const T &Report) {
+  if (Report.DutyClaimOffset < 0 || Report.DutyHolder.empty())
+    return std::nullopt;
+  return duty_claim_view{Report.DutyHolder, Report.DutyIncarnation,
+                         Report.DutyFence, Report.DutyClaimOffset, false};
+}
+
+} // namespace
+
 void routing_node::onEvent(const peer_message_received &Received,
                            const routing_event &Event,
                            routing_effects &Effects) {
@@ -37,10 +50,8 @@
   Usage.onReport(From, Report.Incarnation, Report.Windows);
   HeardFiguredWindow = std::max(HeardFiguredWindow, Report.LastFiguredWindow);
   onMarks(Report.Feeds, Now);
-  if (Report.DutyClaimOffset >= 0 && !Report.DutyHolder.empty())
-    Duties.onPeerClaim({Report.DutyHolder, Report.DutyIncarnation,
-                        Report.DutyFence, Report.DutyClaimOffset, false},
-                       Now);
+  if (auto Claim = claimOf(Report))
+    Duties.onPeerClaim(*Claim, Now);
 }
 
 void routing_node::onRelayReport(const address &From,
@@ -64,10 +75,8 @@
   Clock.onPeer(From, Now, wall_time(fromMicros(Report.TrueMicros)));
   HeardFiguredWindow = std::max(HeardFiguredWindow, Report.LastFiguredWindow);
   onMarks(Report.Feeds, Now);
-  if (Report.DutyClaimOffset >= 0 && !Report.DutyHolder.empty())
-    Duties.onPeerClaim({Report.DutyHolder, Report.DutyIncarnation,
-                        Report.DutyFence, Report.DutyClaimOffset, false},
-                       Now);
+  if (auto Claim = claimOf(Report))
+    Duties.onPeerClaim(*Claim, Now);
 }
 
 void routing_node::onUsageReport(const address &From,
