--- a/routing/testing/fleet_test.cc
+++ b/routing/testing/fleet_test.cc
@@ -118,14 +118,14 @@
       while (!Queue.empty() && Queue.top().At <= Now) {
         delivery Next = Queue.top();
         Queue.pop();
-        handle(Next.To, std::move(Next.Body));
+        handle(Next.To, Next.Body);
       }
       for (size_t I = 0; I < Entries.size(); ++I)
         handle(I, tick{});
     }
   }
 
-  void handle(size_t Index, routing_event_body Body) {
+  void handle(size_t Index, const routing_event_body &Body) {
     entry &Entry = Entries[Index];
     if (Entry.Frozen)
       return;
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -570,6 +570,195 @@
 }
 
 
+feed_mark::~feed_mark() noexcept {
+}
+
+
+void feed_mark::__set_Feed(const std::string& val) {
+  this->Feed = val;
+}
+
+void feed_mark::__set_News(const int64_t val) {
+  this->News = val;
+}
+
+void feed_mark::__set_End(const int64_t val) {
+  this->End = val;
+}
+
+void feed_mark::__set_AgeMicros(const int64_t val) {
+  this->AgeMicros = val;
+}
+
+void feed_mark::__set_Reads(const int64_t val) {
+  this->Reads = val;
+}
+std::ostream& operator<<(std::ostream& out, const feed_mark& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t feed_mark::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Feed);
+          this->__isset.Feed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->News);
+          this->__isset.News = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->End);
+          this->__isset.End = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AgeMicros);
+          this->__isset.AgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Reads);
+          this->__isset.Reads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t feed_mark::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("feed_mark");
+
+  xfer += oprot->writeFieldBegin("Feed", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Feed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("News", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->News);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("End", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->End);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->AgeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Reads", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->Reads);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(feed_mark &a, feed_mark &b) {
+  using ::std::swap;
+  swap(a.Feed, b.Feed);
+  swap(a.News, b.News);
+  swap(a.End, b.End);
+  swap(a.AgeMicros, b.AgeMicros);
+  swap(a.Reads, b.Reads);
+  swap(a.__isset, b.__isset);
+}
+
+feed_mark::feed_mark(const feed_mark& other22) {
+  Feed = other22.Feed;
+  News = other22.News;
+  End = other22.End;
+  AgeMicros = other22.AgeMicros;
+  Reads = other22.Reads;
+  __isset = other22.__isset;
+}
+feed_mark::feed_mark(feed_mark&& other23) noexcept {
+  Feed = std::move(other23.Feed);
+  News = other23.News;
+  End = other23.End;
+  AgeMicros = other23.AgeMicros;
+  Reads = other23.Reads;
+  __isset = other23.__isset;
+}
+feed_mark& feed_mark::operator=(const feed_mark& other24) {
+  Feed = other24.Feed;
+  News = other24.News;
+  End = other24.End;
+  AgeMicros = other24.AgeMicros;
+  Reads = other24.Reads;
+  __isset = other24.__isset;
+  return *this;
+}
+feed_mark& feed_mark::operator=(feed_mark&& other25) noexcept {
+  Feed = std::move(other25.Feed);
+  News = other25.News;
+  End = other25.End;
+  AgeMicros = other25.AgeMicros;
+  Reads = other25.Reads;
+  __isset = other25.__isset;
+  return *this;
+}
+void feed_mark::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "feed_mark(";
+  out << "Feed=" << to_string(Feed);
+  out << ", " << "News=" << to_string(News);
+  out << ", " << "End=" << to_string(End);
+  out << ", " << "AgeMicros=" << to_string(AgeMicros);
+  out << ", " << "Reads=" << to_string(Reads);
+  out << ")";
+}
+
+
 entry_report::~entry_report() noexcept {
 }
 
@@ -669,14 +858,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Uses.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->Uses.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->Uses.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->Uses[_i26].read(iprot);
+              xfer += this->Uses[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -689,14 +878,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Windows.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->Windows.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->Windows.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->Windows[_i31].read(iprot);
+              xfer += this->Windows[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -757,14 +946,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leaving.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->Leaving.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->Leaving.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->Leaving[_i36].read(iprot);
+              xfer += this->Leaving[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -777,14 +966,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Feeds.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->Feeds.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->Feeds.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->Feeds[_i41].read(iprot);
+              xfer += this->Feeds[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -821,10 +1010,10 @@
   xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
-    std::vector<upstream_use> ::const_iterator _iter42;
-    for (_iter42 = this->Uses.begin(); _iter42 != this->Uses.end(); ++_iter42)
+    std::vector<upstream_use> ::const_iterator _iter46;
+    for (_iter46 = this->Uses.begin(); _iter46 != this->Uses.end(); ++_iter46)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -833,10 +1022,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<window_counts> ::const_iterator _iter43;
-    for (_iter43 = this->Windows.begin(); _iter43 != this->Windows.end(); ++_iter43)
+    std::vector<window_counts> ::const_iterator _iter47;
+    for (_iter47 = this->Windows.begin(); _iter47 != this->Windows.end(); ++_iter47)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -869,10 +1058,10 @@
   xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaving.size()));
-    std::vector<upstream_run> ::const_iterator _iter44;
-    for (_iter44 = this->Leaving.begin(); _iter44 != this->Leaving.end(); ++_iter44)
+    std::vector<upstream_run> ::const_iterator _iter48;
+    for (_iter48 = this->Leaving.begin(); _iter48 != this->Leaving.end(); ++_iter48)
     {
-      xfer += (*_iter44).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -881,10 +1070,10 @@
   xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Feeds.size()));
-    std::vector<feed_mark> ::const_iterator _iter45;
-    for (_iter45 = this->Feeds.begin(); _iter45 != this->Feeds.end(); ++_iter45)
+    std::vector<feed_mark> ::const_iterator _iter49;
+    for (_iter49 = this->Feeds.begin(); _iter49 != this->Feeds.end(); ++_iter49)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -912,66 +1101,66 @@
   swap(a.__isset, b.__isset);
 }
 
-entry_report::entry_report(const entry_report& other46) {
-  Incarnation = other46.Incarnation;
-  Sequence = other46.Sequence;
-  Uses = other46.Uses;
-  Windows = other46.Windows;
-  WallMicros = other46.WallMicros;
-  DutyHolder = other46.DutyHolder;
-  DutyFence = other46.DutyFence;
-  DutyClaimOffset = other46.DutyClaimOffset;
-  LastFiguredWindow = other46.LastFiguredWindow;
-  DutyIncarnation = other46.DutyIncarnation;
-  Leaving = other46.Leaving;
-  Feeds = other46.Feeds;
-  __isset = other46.__isset;
-}
-entry_report::entry_report(entry_report&& other47) noexcept {
-  Incarnation = other47.Incarnation;
-  Sequence = other47.Sequence;
-  Uses = std::move(other47.Uses);
-  Windows = std::move(other47.Windows);
-  WallMicros = other47.WallMicros;
-  DutyHolder = std::move(other47.DutyHolder);
-  DutyFence = other47.DutyFence;
-  DutyClaimOffset = other47.DutyClaimOffset;
-  LastFiguredWindow = other47.LastFiguredWindow;
-  DutyIncarnation = other47.DutyIncarnation;
-  Leaving = std::move(other47.Leaving);
-  Feeds = std::move(other47.Feeds);
-  __isset = other47.__isset;
-}
-entry_report& entry_report::operator=(const entry_report& other48) {
-  Incarnation = other48.Incarnation;
-  Sequence = other48.Sequence;
-  Uses = other48.Uses;
-  Windows = other48.Windows;
-  WallMicros = other48.WallMicros;
-  DutyHolder = other48.DutyHolder;
-  DutyFence = other48.DutyFence;
-  DutyClaimOffset = other48.DutyClaimOffset;
-  LastFiguredWindow = other48.LastFiguredWindow;
-  DutyIncarnation = other48.DutyIncarnation;
-  Leaving = other48.Leaving;
-  Feeds = other48.Feeds;
-  __isset = other48.__isset;
+entry_report::entry_report(const entry_report& other50) {
+  Incarnation = other50.Incarnation;
+  Sequence = other50.Sequence;
+  Uses = other50.Uses;
+  Windows = other50.Windows;
+  WallMicros = other50.WallMicros;
+  DutyHolder = other50.DutyHolder;
+  DutyFence = other50.DutyFence;
+  DutyClaimOffset = other50.DutyClaimOffset;
+  LastFiguredWindow = other50.LastFiguredWindow;
+  DutyIncarnation = other50.DutyIncarnation;
+  Leaving = other50.Leaving;
+  Feeds = other50.Feeds;
+  __isset = other50.__isset;
+}
+entry_report::entry_report(entry_report&& other51) noexcept {
+  Incarnation = other51.Incarnation;
+  Sequence = other51.Sequence;
+  Uses = std::move(other51.Uses);
+  Windows = std::move(other51.Windows);
+  WallMicros = other51.WallMicros;
+  DutyHolder = std::move(other51.DutyHolder);
+  DutyFence = other51.DutyFence;
+  DutyClaimOffset = other51.DutyClaimOffset;
+  LastFiguredWindow = other51.LastFiguredWindow;
+  DutyIncarnation = other51.DutyIncarnation;
+  Leaving = std::move(other51.Leaving);
+  Feeds = std::move(other51.Feeds);
+  __isset = other51.__isset;
+}
+entry_report& entry_report::operator=(const entry_report& other52) {
+  Incarnation = other52.Incarnation;
+  Sequence = other52.Sequence;
+  Uses = other52.Uses;
+  Windows = other52.Windows;
+  WallMicros = other52.WallMicros;
+  DutyHolder = other52.DutyHolder;
+  DutyFence = other52.DutyFence;
+  DutyClaimOffset = other52.DutyClaimOffset;
+  LastFiguredWindow = other52.LastFiguredWindow;
+  DutyIncarnation = other52.DutyIncarnation;
+  Leaving = other52.Leaving;
+  Feeds = other52.Feeds;
+  __isset = other52.__isset;
   return *this;
 }
-entry_report& entry_report::operator=(entry_report&& other49) noexcept {
-  Incarnation = other49.Incarnation;
-  Sequence = other49.Sequence;
-  Uses = std::move(other49.Uses);
-  Windows = std::move(other49.Windows);
-  WallMicros = other49.WallMicros;
-  DutyHolder = std::move(other49.DutyHolder);
-  DutyFence = other49.DutyFence;
-  DutyClaimOffset = other49.DutyClaimOffset;
-  LastFiguredWindow = other49.LastFiguredWindow;
-  DutyIncarnation = other49.DutyIncarnation;
-  Leaving = std::move(other49.Leaving);
-  Feeds = std::move(other49.Feeds);
-  __isset = other49.__isset;
+entry_report& entry_report::operator=(entry_report&& other53) noexcept {
+  Incarnation = other53.Incarnation;
+  Sequence = other53.Sequence;
+  Uses = std::move(other53.Uses);
+  Windows = std::move(other53.Windows);
+  WallMicros = other53.WallMicros;
+  DutyHolder = std::move(other53.DutyHolder);
+  DutyFence = other53.DutyFence;
+  DutyClaimOffset = other53.DutyClaimOffset;
+  LastFiguredWindow = other53.LastFiguredWindow;
+  DutyIncarnation = other53.DutyIncarnation;
+  Leaving = std::move(other53.Leaving);
+  Feeds = std::move(other53.Feeds);
+  __isset = other53.__isset;
   return *this;
 }
 void entry_report::printTo(std::ostream& out) const {
@@ -1044,14 +1233,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Windows.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->Windows.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->Windows.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->Windows[_i54].read(iprot);
+              xfer += this->Windows[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1084,10 +1273,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<window_counts> ::const_iterator _iter55;
-    for (_iter55 = this->Windows.begin(); _iter55 != this->Windows.end(); ++_iter55)
+    std::vector<window_counts> ::const_iterator _iter59;
+    for (_iter59 = this->Windows.begin(); _iter59 != this->Windows.end(); ++_iter59)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1105,26 +1294,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_report::usage_report(const usage_report& other56) {
-  Incarnation = other56.Incarnation;
-  Windows = other56.Windows;
-  __isset = other56.__isset;
+usage_report::usage_report(const usage_report& other60) {
+  Incarnation = other60.Incarnation;
+  Windows = other60.Windows;
+  __isset = other60.__isset;
 }
-usage_report::usage_report(usage_report&& other57) noexcept {
-  Incarnation = other57.Incarnation;
-  Windows = std::move(other57.Windows);
-  __isset = other57.__isset;
+usage_report::usage_report(usage_report&& other61) noexcept {
+  Incarnation = other61.Incarnation;
+  Windows = std::move(other61.Windows);
+  __isset = other61.__isset;
 }
-usage_report& usage_report::operator=(const usage_report& other58) {
-  Incarnation = other58.Incarnation;
-  Windows = other58.Windows;
-  __isset = other58.__isset;
+usage_report& usage_report::operator=(const usage_report& other62) {
+  Incarnation = other62.Incarnation;
+  Windows = other62.Windows;
+  __isset = other62.__isset;
   return *this;
 }
-usage_report& usage_report::operator=(usage_report&& other59) noexcept {
-  Incarnation = other59.Incarnation;
-  Windows = std::move(other59.Windows);
-  __isset = other59.__isset;
+usage_report& usage_report::operator=(usage_report&& other63) noexcept {
+  Incarnation = other63.Incarnation;
+  Windows = std::move(other63.Windows);
+  __isset = other63.__isset;
   return *this;
 }
 void usage_report::printTo(std::ostream& out) const {
@@ -1191,14 +1380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Uses.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->Uses.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->Uses.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->Uses[_i64].read(iprot);
+              xfer += this->Uses[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1239,10 +1428,10 @@
   xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
-    std::vector<upstream_use> ::const_iterator _iter65;
-    for (_iter65 = this->Uses.begin(); _iter65 != this->Uses.end(); ++_iter65)
+    std::vector<upstream_use> ::const_iterator _iter69;
+    for (_iter69 = this->Uses.begin(); _iter69 != this->Uses.end(); ++_iter69)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1265,227 +1454,38 @@
   swap(a.__isset, b.__isset);
 }
 
-zone_uses::zone_uses(const zone_uses& other66) {
-  Zone = other66.Zone;
-  Uses = other66.Uses;
-  AgeMicros = other66.AgeMicros;
-  __isset = other66.__isset;
-}
-zone_uses::zone_uses(zone_uses&& other67) noexcept {
-  Zone = std::move(other67.Zone);
-  Uses = std::move(other67.Uses);
-  AgeMicros = other67.AgeMicros;
-  __isset = other67.__isset;
-}
-zone_uses& zone_uses::operator=(const zone_uses& other68) {
-  Zone = other68.Zone;
-  Uses = other68.Uses;
-  AgeMicros = other68.AgeMicros;
-  __isset = other68.__isset;
-  return *this;
-}
-zone_uses& zone_uses::operator=(zone_uses&& other69) noexcept {
-  Zone = std::move(other69.Zone);
-  Uses = std::move(other69.Uses);
-  AgeMicros = other69.AgeMicros;
-  __isset = other69.__isset;
-  return *this;
-}
-void zone_uses::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "zone_uses(";
-  out << "Zone=" << to_string(Zone);
-  out << ", " << "Uses=" << to_string(Uses);
-  out << ", " << "AgeMicros=" << to_string(AgeMicros);
-  out << ")";
-}
-
-
-feed_mark::~feed_mark() noexcept {
-}
-
-
-void feed_mark::__set_Feed(const std::string& val) {
-  this->Feed = val;
-}
-
-void feed_mark::__set_News(const int64_t val) {
-  this->News = val;
-}
-
-void feed_mark::__set_End(const int64_t val) {
-  this->End = val;
-}
-
-void feed_mark::__set_AgeMicros(const int64_t val) {
-  this->AgeMicros = val;
-}
-
-void feed_mark::__set_Reads(const int64_t val) {
-  this->Reads = val;
-}
-std::ostream& operator<<(std::ostream& out, const feed_mark& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t feed_mark::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->Feed);
-          this->__isset.Feed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->News);
-          this->__isset.News = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->End);
-          this->__isset.End = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->AgeMicros);
-          this->__isset.AgeMicros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Reads);
-          this->__isset.Reads = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t feed_mark::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("feed_mark");
-
-  xfer += oprot->writeFieldBegin("Feed", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->Feed);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("News", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->News);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("End", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->End);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->AgeMicros);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("Reads", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->Reads);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(feed_mark &a, feed_mark &b) {
-  using ::std::swap;
-  swap(a.Feed, b.Feed);
-  swap(a.News, b.News);
-  swap(a.End, b.End);
-  swap(a.AgeMicros, b.AgeMicros);
-  swap(a.Reads, b.Reads);
-  swap(a.__isset, b.__isset);
-}
-
-feed_mark::feed_mark(const feed_mark& other70) {
-  Feed = other70.Feed;
-  News = other70.News;
-  End = other70.End;
+zone_uses::zone_uses(const zone_uses& other70) {
+  Zone = other70.Zone;
+  Uses = other70.Uses;
   AgeMicros = other70.AgeMicros;
-  Reads = other70.Reads;
   __isset = other70.__isset;
 }
-feed_mark::feed_mark(feed_mark&& other71) noexcept {
-  Feed = std::move(other71.Feed);
-  News = other71.News;
-  End = other71.End;
+zone_uses::zone_uses(zone_uses&& other71) noexcept {
+  Zone = std::move(other71.Zone);
+  Uses = std::move(other71.Uses);
   AgeMicros = other71.AgeMicros;
-  Reads = other71.Reads;
   __isset = other71.__isset;
 }
-feed_mark& feed_mark::operator=(const feed_mark& other72) {
-  Feed = other72.Feed;
-  News = other72.News;
-  End = other72.End;
+zone_uses& zone_uses::operator=(const zone_uses& other72) {
+  Zone = other72.Zone;
+  Uses = other72.Uses;
   AgeMicros = other72.AgeMicros;
-  Reads = other72.Reads;
   __isset = other72.__isset;
   return *this;
 }
-feed_mark& feed_mark::operator=(feed_mark&& other73) noexcept {
-  Feed = std::move(other73.Feed);
-  News = other73.News;
-  End = other73.End;
+zone_uses& zone_uses::operator=(zone_uses&& other73) noexcept {
+  Zone = std::move(other73.Zone);
+  Uses = std::move(other73.Uses);
   AgeMicros = other73.AgeMicros;
-  Reads = other73.Reads;
   __isset = other73.__isset;
   return *this;
 }
-void feed_mark::printTo(std::ostream& out) const {
+void zone_uses::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "feed_mark(";
-  out << "Feed=" << to_string(Feed);
-  out << ", " << "News=" << to_string(News);
-  out << ", " << "End=" << to_string(End);
+  out << "zone_uses(";
+  out << "Zone=" << to_string(Zone);
+  out << ", " << "Uses=" << to_string(Uses);
   out << ", " << "AgeMicros=" << to_string(AgeMicros);
-  out << ", " << "Reads=" << to_string(Reads);
   out << ")";
 }
 
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -29,14 +29,14 @@
 
 class upstream_run;
 
+class feed_mark;
+
 class entry_report;
 
 class usage_report;
 
 class zone_uses;
 
-class feed_mark;
-
 class relay_report;
 
 class feed_record;
@@ -268,6 +268,79 @@
 
 std::ostream& operator<<(std::ostream& out, const upstream_run& obj);
 
+typedef struct _feed_mark__isset {
+  _feed_mark__isset() : Feed(false), News(false), End(false), AgeMicros(false), Reads(false) {}
+  bool Feed :1;
+  bool News :1;
+  bool End :1;
+  bool AgeMicros :1;
+  bool Reads :1;
+} _feed_mark__isset;
+
+class feed_mark : public virtual ::apache::thrift::TBase {
+ public:
+
+  feed_mark(const feed_mark&);
+  feed_mark(feed_mark&&) noexcept;
+  feed_mark& operator=(const feed_mark&);
+  feed_mark& operator=(feed_mark&&) noexcept;
+  feed_mark() noexcept
+            : Feed(),
+              News(0),
+              End(0),
+              AgeMicros(0),
+              Reads(0) {
+  }
+
+  virtual ~feed_mark() noexcept;
+  std::string Feed;
+  int64_t News;
+  int64_t End;
+  int64_t AgeMicros;
+  int64_t Reads;
+
+  _feed_mark__isset __isset;
+
+  void __set_Feed(const std::string& val);
+
+  void __set_News(const int64_t val);
+
+  void __set_End(const int64_t val);
+
+  void __set_AgeMicros(const int64_t val);
+
+  void __set_Reads(const int64_t val);
+
+  bool operator == (const feed_mark & rhs) const
+  {
+    if (!(Feed == rhs.Feed))
+      return false;
+    if (!(News == rhs.News))
+      return false;
+    if (!(End == rhs.End))
+      return false;
+    if (!(AgeMicros == rhs.AgeMicros))
+      return false;
+    if (!(Reads == rhs.Reads))
+      return false;
+    return true;
+  }
+  bool operator != (const feed_mark &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const feed_mark & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(feed_mark &a, feed_mark &b);
+
+std::ostream& operator<<(std::ostream& out, const feed_mark& obj);
+
 typedef struct _entry_report__isset {
   _entry_report__isset() : Incarnation(false), Sequence(false), Uses(false), Windows(false), WallMicros(false), DutyHolder(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), DutyIncarnation(false), Leaving(false), Feeds(false) {}
   bool Incarnation :1;
@@ -495,79 +568,6 @@
 
 std::ostream& operator<<(std::ostream& out, const zone_uses& obj);
 
-typedef struct _feed_mark__isset {
-  _feed_mark__isset() : Feed(false), News(false), End(false), AgeMicros(false), Reads(false) {}
-  bool Feed :1;
-  bool News :1;
-  bool End :1;
-  bool AgeMicros :1;
-  bool Reads :1;
-} _feed_mark__isset;
-
-class feed_mark : public virtual ::apache::thrift::TBase {
- public:
-
-  feed_mark(const feed_mark&);
-  feed_mark(feed_mark&&) noexcept;
-  feed_mark& operator=(const feed_mark&);
-  feed_mark& operator=(feed_mark&&) noexcept;
-  feed_mark() noexcept
-            : Feed(),
-              News(0),
-              End(0),
-              AgeMicros(0),
-              Reads(0) {
-  }
-
-  virtual ~feed_mark() noexcept;
-  std::string Feed;
-  int64_t News;
-  int64_t End;
-  int64_t AgeMicros;
-  int64_t Reads;
-
-  _feed_mark__isset __isset;
-
-  void __set_Feed(const std::string& val);
-
-  void __set_News(const int64_t val);
-
-  void __set_End(const int64_t val);
-
-  void __set_AgeMicros(const int64_t val);
-
-  void __set_Reads(const int64_t val);
-
-  bool operator == (const feed_mark & rhs) const
-  {
-    if (!(Feed == rhs.Feed))
-      return false;
-    if (!(News == rhs.News))
-      return false;
-    if (!(End == rhs.End))
-      return false;
-    if (!(AgeMicros == rhs.AgeMicros))
-      return false;
-    if (!(Reads == rhs.Reads))
-      return false;
-    return true;
-  }
-  bool operator != (const feed_mark &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const feed_mark & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(feed_mark &a, feed_mark &b);
-
-std::ostream& operator<<(std::ostream& out, const feed_mark& obj);
-
 typedef struct _relay_report__isset {
   _relay_report__isset() : Incarnation(false), Sequence(false), Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false) {}
   bool Incarnation :1;
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -28,6 +28,15 @@
   2: i64 StartedAtMillis       // since 1970, as the platform lists it
 }
 
+// How far a feed is known.
+struct feed_mark {
+  1: string Feed
+  2: i64 News                  // end of the last records that said anything new
+  3: i64 End                   // known to here; from News on they only repeat
+  4: i64 AgeMicros             // since the store was read to End
+  5: i64 Reads                 // grows with each read by a reader
+}
+
 // Told by every entry to every other one, several times a second.
 struct entry_report {
   1: i64 Incarnation
@@ -58,15 +67,6 @@
   3: i64 AgeMicros             // since the zone's own relay told it
 }
 
-// How far a feed is known.
-struct feed_mark {
-  1: string Feed
-  2: i64 News                  // end of the last records that said anything new
-  3: i64 End                   // known to here; from News on they only repeat
-  4: i64 AgeMicros             // since the store was read to End
-  5: i64 Reads                 // grows with each read by a reader
-}
-
 // Told by a relay to the entries of its zone and to other zones' relays.
 struct relay_report {
   1: i64 Incarnation
