--- a/routing/zone_relays.cc
+++ b/routing/zone_relays.cc
@@ -1,6 +1,7 @@
 #include "routing/zone_relays.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <map>
 
@@ -36,7 +37,8 @@
   OwnPlace = relays_in_zone;
   for (auto &[Zone, Candidates] : Zones) {
     size_t Count = std::min(relays_in_zone, Candidates.size());
-    std::partial_sort(Candidates.begin(), Candidates.begin() + Count,
+    std::partial_sort(Candidates.begin(),
+                      Candidates.begin() + static_cast<std::ptrdiff_t>(Count),
                       Candidates.end(), std::greater<>());
     for (size_t Place = 0; Place < Count; ++Place)
       if (Zone != Self.Zone.Value)
