--- a/routing/upstream_load.h
+++ b/routing/upstream_load.h
@@ -5,7 +5,7 @@
 //   Load.onFirstAnswer(Attempt);        // its prompt has been read
 //   Load.end(Attempt);
 //   Load.onReport(From, Report, Now);   // from each other entry
-//   Load.onZone(Zone, Teller, Uses, Age, Now); // sums that a relay tells
+//   Load.onZone(Told, IsOwn, Age, Now); // sums that a relay tells
 //   upstream_use_sum Sum = Load.at(Upstream);
 //
 // Upstreams' own reports lag by hundreds of milliseconds and are read by all
