Fewer calls to a failing store; faster forming of large fleets; usage of short windows

Cause: the first claim of the duties is drawn from 3 s since the last change of it, and reported windows reached back four only, 2 s with windows of 0.5 s. Ruled out: the stand-in and ports. Reported windows now cover twice the time in which a report is due, kept ones follow. Shown by fleet_test.Usage_WindowsShorterThanTheFirstClaimTakes.

Store out, 295 entries, virtual time, 10 s: before 10,638 reads and 1,050 calls of duties; entries beyond the first eight and the first three of each zone read seldom while they hear a relay, and candidates for duties draw lots again after a failed call: now under 2,500 together (bound of the test), and news are known within half of LeaveKnown of its return. An entry whose own read failed took the store as failing until its next own read, which might never come, and held lapsed upstreams meanwhile: another entry's read now ends that (two tests).

Forming of 295 entries: each asked for the whole list once in 2 s, of members that knew as little. It now asks every 0.4 s while it learns of new members, half the time a seed.

The judge of leases took a drained holder as in charge until its claim ran out; it ends with the drain, as the holder's promise does.

--- a/fault_matrix/world.cc
+++ b/fault_matrix/world.cc
@@ -131,6 +131,16 @@
   });
 }
 
+// From then on it writes nothing more under its leases, which it gives up.
+void world::drain(process &Process) {
+  bool Runs = Process.Up && Time.now() >= Process.FrozenUntil;
+  deliver(Process, drain_requested{});
+  for (auto &[Lease, Until] : InChargeUntil)
+    if (auto It = Until.find(Process.Identity.Name.Value);
+        Runs && It != Until.end())
+      It->second = std::min(It->second, Time.now() + late_call_delay);
+}
+
 void world::freeze(process &Process) {
   Disturbed = true;
   Process.FrozenUntil = Time.now() + freeze_time;
--- a/fault_matrix/world.h
+++ b/fault_matrix/world.h
@@ -150,6 +150,7 @@
   void kill(process &Process);
   // Ends the process, which starts again after `restart_time`.
   void stop(process &Process);
+  void drain(process &Process);
   void freeze(process &Process);
   steady_time localTime(const process &Process) const;
   void scheduleTick(process &Process, int Life);
--- a/fault_matrix/world_effects.cc
+++ b/fault_matrix/world_effects.cc
@@ -412,7 +412,8 @@
   if (std::any_of(Process.CallerOf.begin(), Process.CallerOf.end(), Waits))
     Findings.push_back(Process.Identity.Name.Value +
                        " ended its drain while callers waited");
-  Drains.push_back(Time.now());
+  if (Process.IsEntry)
+    Drains.push_back(Time.now());
   stop(Process);
 }
 
--- a/monsoonreel/membership.cc
+++ b/monsoonreel/membership.cc
@@ -39,7 +39,7 @@
   if (LeavingUntold)
     tellLeaving(Now, Effects);
   if (Now >= NextList)
-    askForMissedMembers(Now);
+    askForMissedMembers(Now, Effects);
   if (Now >= NextNear) {
     NextNear = Now + heartbeat_period;
     probeNext(Near, true, Now, Effects);
@@ -63,16 +63,35 @@
 }
 
 // When many nodes start at once, the lists that they get first lack those that
-// started later, and gossip of so many changes takes minutes.
-void membership::askForMissedMembers(steady_time Now) {
+// started later, and gossip of so many changes takes minutes. A seed has heard
+// of most of them; it may be gone, and it has to answer all of them.
+void membership::askForMissedMembers(steady_time Now, effect_list &Effects) {
   if (Started) {
-    if (DigestDiffers)
+    if (DigestDiffers) {
       ListsWanted = std::max(ListsWanted, 1);
+      if (Seeds.empty() || draw() % 2 == 0)
+        probeNext(Near, true, Now, Effects);
+      else
+        probeSeed(Seeds[draw() % Seeds.size()], Now, Effects);
+    }
     ListDelay = std::min(2 * ListDelay, longest_list_delay);
   }
   NextList = Now + ListDelay;
 }
 
+void membership::probeSeed(const address &Seed, steady_time Now,
+                           effect_list &Effects) {
+  if (Seed.Value == Self.Address)
+    return;
+  auto Known =
+      std::find_if(Members.begin(), Members.end(), [&](const auto &Entry) {
+        return Entry.second.Member.Address == Seed.Value &&
+               Entry.second.Member.State != wire::member_state::Dead;
+      });
+  beginProbe(node_name(Known == Members.end() ? std::string() : Known->first),
+             Seed, Now, Effects);
+}
+
 void membership::forgetProbesAfterPause(steady_time Now) {
   if (!Started || Now - LastTick < heartbeat_period)
     return;
--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -68,8 +68,11 @@
 // A node whose digest differs from what it hears asks for the whole list after
 // this time from its start or from a list with members that it did not know,
 // and then each time after twice as long.
-constexpr duration first_list_delay = std::chrono::seconds(5);
+constexpr duration first_list_delay = std::chrono::milliseconds(400);
 constexpr duration longest_list_delay = std::chrono::minutes(10);
+// Between two answers with the whole list: a list of 300 members takes about
+// 20 kB, and a link of 20 Mbit/s has other work.
+constexpr duration list_answer_period = std::chrono::milliseconds(100);
 // Between two looks for suspicions that ended and members to forget.
 constexpr duration expiry_period = std::chrono::milliseconds(100);
 // How long a dead member is remembered, so that it is probed again.
@@ -202,7 +205,8 @@
   void probeLostZones(steady_time Now, effect_list &Effects);
   void tellLeaving(steady_time Now, effect_list &Effects);
   void expireMembers(steady_time Now, effect_list &Effects);
-  void askForMissedMembers(steady_time Now);
+  void askForMissedMembers(steady_time Now, effect_list &Effects);
+  void probeSeed(const address &Seed, steady_time Now, effect_list &Effects);
   void forgetProbesAfterPause(steady_time Now);
 
   // The sender of a message from From. Nothing when it is named by a short
--- a/monsoonreel/membership_messages.cc
+++ b/monsoonreel/membership_messages.cc
@@ -123,7 +123,7 @@
   Ack.Nonce = Beat.Nonce;
   nameSelf(To, Ack);
   Ack.LedgerOffset = ledgerOffset().Value;
-  bool SendAll = Beat.WantsMembers && Now - LastFullList >= heartbeat_period;
+  bool SendAll = Beat.WantsMembers && Now - LastFullList >= list_answer_period;
   if (SendAll)
     LastFullList = Now;
   Ack.__set_MembersDigest(membersDigest());
--- a/routing/duty_log.cc
+++ b/routing/duty_log.cc
@@ -23,8 +23,9 @@
 void duty_log::onTick(steady_time Now, uint64_t Random,
                       routing_effects &Effects) {
   if (Open != call::None && Now - CalledAt >= duty_call_timeout) {
-    MustRead = true;
     Open = call::None;
+    onCallFailed(Now);
+    NextCall = Now; // the wait for the answer was long enough
   }
   if (Open != call::None || Now < NextCall)
     return;
@@ -113,12 +114,8 @@
     MustRead = true;
     return;
   case append_outcome::Refused:
-    NextCall = Now + duty_retry_period;
-    return;
   case append_outcome::Unknown:
-    MustRead = true;
-    NextCall = Now + duty_retry_period;
-    return;
+    return onCallFailed(Now);
   }
 }
 
@@ -131,10 +128,8 @@
     End = Read.Start;
     return;
   }
-  if (!Read.Ok) {
-    NextCall = Now + duty_retry_period;
-    return;
-  }
+  if (!Read.Ok)
+    return onCallFailed(Now);
   bool First = !std::exchange(Known, true);
   for (const wire::stored_record &Stored : Read.Records) {
     if (Stored.Offset < End)
@@ -149,6 +144,15 @@
     HeldUntil = Now;
 }
 
+// A candidate takes its turn by lot again, as after a holder's end: otherwise
+// all of them would call a store that fails as often as a holder does.
+void duty_log::onCallFailed(steady_time Now) {
+  MustRead = true;
+  NextCall = Now + duty_retry_period;
+  if (!isMine())
+    ClaimAt.reset();
+}
+
 // ------------------------------------------------------------------ records
 
 void duty_log::take(const wire::duty_record &Record, int64_t Offset,
@@ -186,7 +190,7 @@
 
 void duty_log::takeFigures(const wire::window_counts &Heard) {
   Figures.try_emplace(Heard.Window, Heard);
-  while (Figures.size() > kept_figures)
+  while (Figures.size() > Terms.KeptFigures)
     Figures.erase(Figures.begin());
   std::erase_if(ToFix, [&](const wire::window_counts &Waiting) {
     return Waiting.Window == Heard.Window;
--- a/routing/duty_log.h
+++ b/routing/duty_log.h
@@ -49,6 +49,8 @@
   // A successor of a holder that gave the lease up waits for so long, so that
   // the lease can't go there and back within it.
   duration Handover = std::chrono::milliseconds(3200);
+  // Figures of so many windows are kept: of more than are reported.
+  size_t KeptFigures = 24;
 };
 
 // A call to the store that is not answered for so long is taken as lost.
@@ -62,9 +64,6 @@
 constexpr duration duty_claim_share = std::chrono::milliseconds(75);
 // At its start an entry does not know how many there are.
 constexpr duration first_claim_jitter = std::chrono::seconds(3);
-// Figures of so many windows are kept.
-constexpr size_t kept_figures = 24;
-
 // What is known of the current claim.
 struct duty_claim_view {
   std::string Holder; // empty: none
@@ -119,6 +118,7 @@
               routing_effects &Effects);
   void read(steady_time Now, routing_effects &Effects);
   wire::duty_record makeClaim() const;
+  void onCallFailed(steady_time Now);
 
   duration claimJitter() const;
 
--- a/routing/keyed_feed.cc
+++ b/routing/keyed_feed.cc
@@ -5,6 +5,8 @@
 
 #include "absl/container/flat_hash_set.h"
 
+#include "routing/decision_log.h"
+
 namespace monsoonreel {
 
 namespace {
@@ -25,25 +27,52 @@
     onReadFailed({Terms.Name, "timeout"}, Now);
     Effects.push_back(abandon_feed_read{Terms.Name});
   }
-  auto Place = static_cast<int64_t>(std::min(Rank, last_reader_rank));
-  // A first reader reads each period; the others only when they miss its news.
-  duration Patience = Place == 0 ? Terms.Period
-                                 : Terms.Period + Terms.Wait + reader_slack +
-                                       MarkDelay.value_or(duration{}) +
-                                       Place * reader_stagger;
   if (BehindSince && Now - *BehindSince >= late_news_time) {
     BehindSince.reset();
     MissedNews = true;
   }
-  bool Due = NeedsWhole || MissedNews || Now - FreshAt >= Patience;
-  if (!Due || Now < NextRead)
+  bool Lacks = NeedsWhole || MissedNews;
+  bool Due = Lacks || Now - FreshAt >= patience(Rank);
+  bool MayWait =
+      IsLaterReader && !Lacks && Failing && Now - FailedAt < Terms.LaterRetry;
+  if (!Due || Now < NextRead || MayWait)
     return;
   AskedAt = Now;
-  IsCatchingUp = MarkDelay && Place > 0 && (NeedsWhole || MissedNews);
+  IsCatchingUp = MarkDelay && Rank > 0 && Lacks;
+  if (Rank > 0 || Lacks)
+    Effects.push_back(decision("feed-read")
+                          .add("feed", Terms.Name)
+                          .add("reason", readReason())
+                          .add("rank", static_cast<int64_t>(Rank))
+                          .add("feed_age", Known ? age(Now) : duration{})
+                          .line(log_level::Info));
   Effects.push_back(
       read_feed{Terms.Name, NeedsWhole, End, Known ? Terms.Wait : duration{}});
 }
 
+// A first reader reads each period; the others only when they miss its news.
+duration keyed_feed::patience(size_t Rank) const {
+  if (Rank == 0)
+    return Terms.Period;
+  auto Place = static_cast<int64_t>(std::min(Rank, last_reader_rank));
+  return Terms.Period + Terms.Wait + reader_slack +
+         MarkDelay.value_or(duration{}) + Place * reader_stagger +
+         (IsLaterReader ? Terms.LaterPatience : duration{});
+}
+
+const char *keyed_feed::readReason() const {
+  if (!Known)
+    return "first";
+  if (NeedsWhole)
+    return "history-cut";
+  return MissedNews ? "missed-news" : "no-news";
+}
+
+void keyed_feed::onStoreRead(steady_time Fresh) {
+  if (Failing && Fresh > FailedAt)
+    Failing = false;
+}
+
 void keyed_feed::onReadFailed(const feed_read_failed &Failed, steady_time Now) {
   AskedAt.reset();
   if (Failed.HistoryCut) {
@@ -100,6 +129,7 @@
     FreshAt = Now;
     BehindSince.reset();
     Untold = false;
+    onStoreRead(Now);
   }
   if (Told.End >= Heard.End)
     Heard = {Told.End, Told.End, Now, Heard.Reads};
@@ -137,6 +167,7 @@
   Untold = false; // the reader has told all that this entry knows
   End = Mark.End;
   FreshAt = std::max(FreshAt, Fresh);
+  onStoreRead(Fresh);
 }
 
 std::vector<feed_change>
--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -17,6 +17,9 @@
 //   Report.Feeds.push_back(Feed.mark(Now));
 //   Feed.onMark(Mark, Now);
 //
+// In a large fleet most entries are later readers: while the store fails, the
+// earlier ones find out when it is back, and these ask it only now and then.
+//
 // A reader that missed records, because the store's history was cut or the
 // news had a gap, reads the newest record of every key anew. Keys that are
 // missing then are gone.
@@ -45,6 +48,10 @@
   // Whether other entries need to be told of a record, which this entry has not
   // applied yet; unset: of every one. They take the others as unchanged.
   std::function<bool(const wire::feed_record &)> IsNews = nullptr;
+  // Of later readers: added to their patience.
+  duration LaterPatience{};
+  // Of later readers: from a failed read to the next one.
+  duration LaterRetry{};
 };
 
 // How much later than expected a reader's news may be.
@@ -87,6 +94,8 @@
   // Changes by an own read. What was read is passed on by Effects.
   std::vector<feed_change> onRead(const feed_read &Read, steady_time Now,
                                   routing_effects &Effects);
+  // Whether others that this entry hears of read before it, in its zone too.
+  void setLaterReader(bool IsLater) { IsLaterReader = IsLater; }
   // How many other entries this one sends what it reads.
   void setListeners(size_t Count) { Listeners = Count; }
   // How long marks take to reach all entries; unset: nothing is relayed and
@@ -103,7 +112,8 @@
   // Since this entry last heard that it has everything.
   duration age(steady_time Now) const { return Now - FreshAt; }
   int64_t end() const { return End; }
-  // A failed own read is the latest that is known of the store.
+  // A failed own read is the latest that is known of the store; another entry's
+  // successful one ends it.
   bool isStoreFailing() const { return Failing; }
   // When reads last failed; steady_time::min() if never.
   steady_time lastFailure() const { return FailedAt; }
@@ -112,6 +122,10 @@
   std::vector<feed_change> apply(const std::vector<wire::feed_record> &Records,
                                  bool Whole, bool AfterOutage);
   bool isSmall(const wire::feed_news &News) const;
+  duration patience(size_t Rank) const;
+  const char *readReason() const;
+  // The store was read at Fresh, by whichever entry.
+  void onStoreRead(steady_time Fresh);
   wire::feed_news newsOf(const feed_read &Read, bool AfterOutage) const;
   void tellAll(const feed_read &Read, bool AfterOutage, steady_time Now,
                routing_effects &Effects);
@@ -120,6 +134,7 @@
 
   feed_terms Terms;
   size_t Listeners = 0;
+  bool IsLaterReader = false;
   bool Known = false;
   bool NeedsWhole = true;
   bool Failing = false;
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -20,6 +20,16 @@
   return Text;
 }
 
+usage_terms usageTerms(const routing_terms &Terms) {
+  return {Terms.UsageWindow, Terms.Bounds.UsageDue};
+}
+
+duty_terms dutyTerms(const routing_terms &Terms) {
+  duty_terms Duties = Terms.Duties;
+  Duties.KeptFigures = static_cast<size_t>(2 * usageTerms(Terms).kept());
+  return Duties;
+}
+
 } // namespace
 
 routing_node::routing_node(node_identity Self,
@@ -29,17 +39,20 @@
     : Identity(std::move(Self)), Terms(std::move(Chosen)),
       Decoder(std::move(Listings)),
       Members(Identity, wire::member_role::Entry, Seeds),
-      ConfigFeed(
-          {Terms.Feeds.Config, duration{}, Terms.Bounds.configReadWait()}),
+      ConfigFeed({Terms.Feeds.Config, duration{}, Terms.Bounds.configReadWait(),
+                  nullptr, Terms.Bounds.laterReaderPatience(),
+                  Terms.Bounds.laterReaderRetry()}),
       UpstreamFeed({Terms.Feeds.Upstreams, Terms.Bounds.upstreamReadPeriod(),
                     duration{},
                     [this](const wire::feed_record &Record) {
                       return isUpstreamNews(Record);
-                    }}),
+                    },
+                    Terms.Bounds.laterReaderPatience(),
+                    Terms.Bounds.laterReaderRetry()}),
       Registry(Terms.Bounds.lapseGrace()), Budget(Terms.Resends),
-      Usage(Terms.UsageWindow),
+      Usage(usageTerms(Terms)),
       Requests({Registry, Load, Cache, Trust, Budget, Usage}, Identity.Zone),
-      Duties(Terms.Duties, Identity), Capacity(Terms.Bounds.UpstreamReport),
+      Duties(dutyTerms(Terms), Identity), Capacity(Terms.Bounds.UpstreamReport),
       Relays(Identity) {}
 
 routing_node::~routing_node() = default;
@@ -124,6 +137,7 @@
     refreshEntries(Event.Now);
   ConfigFeed.onTick(Event.Now, ConfigRank, Effects);
   UpstreamFeed.onTick(Event.Now, UpstreamRank, Effects);
+  logStore(Event.Now, Effects);
   Registry.onTick(Event.Now, UpstreamFeed.isStoreFailing());
   Requests.onTick(contextOf(Event), Effects);
   if (!DrainingSince && (Terms.ReportsUsage || Terms.OrdersUpstreams))
@@ -150,21 +164,37 @@
                            ? std::optional(mark_hops * reportInterval())
                            : std::nullopt);
   }
-  ConfigRank = readerRank(ConfigFeed.name(), Now);
-  UpstreamRank = readerRank(UpstreamFeed.name(), Now);
+  ConfigRank = placeAsReader(ConfigFeed, Now);
+  UpstreamRank = placeAsReader(UpstreamFeed, Now);
   Duties.setCandidates(entryCount());
 }
 
-size_t routing_node::readerRank(const std::string &Feed,
-                                steady_time Now) const {
-  uint64_t Own = rendezvousWeight(Feed, Identity.Name.Value);
+// Sets the place among the readers of a feed and returns the rank.
+size_t routing_node::placeAsReader(keyed_feed &Feed, steady_time Now) const {
+  uint64_t Own = rendezvousWeight(Feed.name(), Identity.Name.Value);
   size_t Rank = Now - *StartedAt < reader_forming_time ? 1 : 0;
+  size_t InZone = 0;
   for (const wire::member &Member : Others)
-    if (rendezvousWeight(Feed, Member.Name) > Own)
+    if (rendezvousWeight(Feed.name(), Member.Name) > Own) {
       ++Rank;
+      InZone += Member.Zone == Identity.Zone.Value ? 1 : 0;
+    }
+  Feed.setLaterReader(Rank >= last_reader_rank && InZone >= readers_in_zone &&
+                      Relays.hearsAny(Now));
   return Rank;
 }
 
+void routing_node::logStore(steady_time Now, routing_effects &Effects) {
+  bool Fails = ConfigFeed.isStoreFailing() || UpstreamFeed.isStoreFailing();
+  if (Fails || !std::exchange(StoreFailing, false))
+    return;
+  steady_time FailedAt =
+      std::max(ConfigFeed.lastFailure(), UpstreamFeed.lastFailure());
+  Effects.push_back(decision("store-regained")
+                        .add("last_failure_age", Now - FailedAt)
+                        .line(log_level::Info));
+}
+
 // ------------------------------------------------------- callers, upstreams
 
 void routing_node::onEvent(const route_request &Arrived,
@@ -214,11 +244,6 @@
   keyed_feed *Feed = feedOf(Read.Feed);
   if (!Feed)
     return;
-  if (std::exchange(StoreFailing, false))
-    Effects.push_back(decision("store-regained")
-                          .add("feed", Read.Feed)
-                          .add("out_for", Event.Now - Feed->lastFailure())
-                          .line(log_level::Info));
   applyChanges(*Feed, Feed->onRead(Read, Event.Now, Effects), Event.Now,
                Effects);
 }
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -58,8 +58,6 @@
 constexpr duration leaving_told_time = std::chrono::seconds(3);
 // Without an answer, a usage report is repeated.
 constexpr duration usage_retry_period = std::chrono::milliseconds(1500);
-// Windows before the present one that are still reported.
-constexpr int64_t reported_windows = 4;
 // The list of live entries is made anew so often; a new entry hears of the
 // others' work a report later in any case.
 constexpr duration entries_refresh_period = std::chrono::milliseconds(100);
@@ -71,6 +69,9 @@
 // After its start an entry does not know yet who reads before it, and leaves
 // regular reads to others for so long.
 constexpr duration reader_forming_time = std::chrono::seconds(5);
+// So many entries of each zone are no later readers, so that a zone that is cut
+// off from the others reads as soon as these.
+constexpr size_t readers_in_zone = 3;
 
 // Names of the feeds of the platform's store.
 struct feed_names {
@@ -141,7 +142,8 @@
   duration reportInterval() const;
   keyed_feed *feedOf(const std::string &Name);
   void refreshEntries(steady_time Now);
-  size_t readerRank(const std::string &Feed, steady_time Now) const;
+  size_t placeAsReader(keyed_feed &Feed, steady_time Now) const;
+  void logStore(steady_time Now, routing_effects &Effects);
   void applyChanges(const keyed_feed &Feed,
                     const std::vector<feed_change> &Changes, steady_time Now,
                     routing_effects &Effects);
--- a/routing/routing_node_duties.cc
+++ b/routing/routing_node_duties.cc
@@ -78,8 +78,8 @@
                                routing_effects &Effects) {
   wall_time TrueTime = Clock.at(Event.Now);
   int64_t Present = Usage.windowAt(TrueTime);
-  for (int64_t Window = Present - reported_windows; Window < Present;
-       ++Window) {
+  int64_t Reported = Usage.terms().reported();
+  for (int64_t Window = Present - Reported; Window < Present; ++Window) {
     const wire::window_counts *Figures = Duties.figures(Window);
     duration SinceEnd = TrueTime - Usage.endOf(Window);
     if (!Figures) {
@@ -113,7 +113,7 @@
             .line(log_level::Info));
   }
   UsageSent.erase(UsageSent.begin(),
-                  UsageSent.lower_bound(Present - 2 * reported_windows));
+                  UsageSent.lower_bound(Present - 2 * Reported));
 }
 
 void routing_node::onEvent(const usage_answered &Answer,
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -150,7 +150,7 @@
     NextUsageTold = Event.Now + usage_told_period;
     Usage.forgetBefore(
         std::max(HeardFiguredWindow + 1,
-                 Usage.windowAt(Clock.at(Event.Now)) - kept_windows));
+                 Usage.windowAt(Clock.at(Event.Now)) - Usage.terms().kept()));
   }
   wire::entry_report Report;
   Report.Incarnation = Identity.Incarnation.Value;
--- a/routing/site_bounds.h
+++ b/routing/site_bounds.h
@@ -34,6 +34,11 @@
   // Several reads fit into LeaveKnown, so that one may fail and the next reader
   // may have to take over.
   duration upstreamReadPeriod() const { return LeaveKnown * 9 / 40; }
+  // A later reader of upstreams waits so much longer than the earlier ones of
+  // its zone, which have told what they read by then.
+  duration laterReaderPatience() const { return LeaveKnown / 8; }
+  // A later reader tries a failing store only so often.
+  duration laterReaderRetry() const { return 2 * LeaveKnown; }
   // How long the store holds a read of the configuration back. A read that a
   // silent connection has swallowed is noticed within half of ConfigInForce.
   duration configReadWait() const { return ConfigInForce / 5; }
--- a/routing/testing/duty_log_test.cc
+++ b/routing/testing/duty_log_test.cc
@@ -130,6 +130,31 @@
   }
 }
 
+// Load pattern: the store is out for longer than a lease, and each of hundreds
+// of entries may claim.
+TEST_F(duty_log_test, Candidates_StoreFails_CallItSeldom) {
+  run(B, 0ms);
+  std::minstd_rand Random(1);
+  std::vector<duty_log> Logs(200, A);
+  int Calls = 0;
+  for (duration Now = 100ms; Now < 12s; Now += 100ms)
+    for (duty_log &Log : Logs) {
+      Log.setCandidates(Logs.size());
+      routing_effects Effects;
+      Log.onTick(at(Now), Random() * uint64_t{2147483648} + Random(), Effects);
+      for (const routing_effect &Effect : Effects) {
+        ++Calls;
+        duty_log_read Failed;
+        if (const auto *Read = std::get_if<read_duty_log>(&Effect))
+          Failed.Call = Read->Call;
+        routing_effects None;
+        Log.onRead(Failed, at(Now), None);
+      }
+    }
+  // Each draws from 15 s anew after each call.
+  EXPECT_LE(Calls, 2 * 200);
+}
+
 TEST_F(duty_log_test, Release_SuccessorWaitsForTheHandover) {
   run(A, 0ms);
   A.release();
--- a/routing/testing/fleet_test.cc
+++ b/routing/testing/fleet_test.cc
@@ -57,6 +57,7 @@
     bool Frozen = false;
     int64_t Version = 0; // of the configuration in force
     std::set<std::string> Draining;
+    std::set<std::string> Known; // other entries, by name
   };
   struct delivery {
     duration At;
@@ -91,6 +92,7 @@
     Terms.Feeds = {config_feed, "config", upstream_feed};
     Bounds.LeaveKnown = Bounds.ConfigInForce = 4s;
     Terms.Bounds = Bounds;
+    Terms.UsageWindow = UsageWindow;
     Terms.OrdersUpstreams = false;
     for (entry &Entry : Entries)
       Entry.Node = routing_node_builder(Entry.Identity)
@@ -151,7 +153,12 @@
       answer(Index, *Append);
     if (const auto *Read = std::get_if<read_duty_log>(&Effect))
       answer(Index, *Read);
+    if (const auto *Report = std::get_if<report_usage>(&Effect))
+      ReportedWindows.insert(Report->Figures.Window);
     if (const auto *Line = std::get_if<log_line>(&Effect)) {
+      size_t Joined = Line->Text.find(" joined at ");
+      if (Joined != std::string::npos)
+        Entry.Known.insert(Line->Text.substr(0, Joined));
       size_t At = Line->Text.find("event=config-in-force version=");
       if (At != std::string::npos)
         Entry.Version = std::stoll(Line->Text.substr(At + 30));
@@ -172,6 +179,10 @@
 
   void answer(size_t Index, const read_feed &Asked) {
     ++Entries[Index].Counts.Reads;
+    if (StoreIsDown) {
+      feed_read_failed Failed{Asked.Feed, "refused", false};
+      return Queue.push({Now + 4ms, ++Order, Index, std::move(Failed)});
+    }
     const std::vector<wire::feed_record> &Log = Logs[Asked.Feed];
     feed_read Read;
     Read.Feed = Asked.Feed;
@@ -187,6 +198,10 @@
 
   void answer(size_t Index, const append_duty &Asked) {
     ++Entries[Index].Counts.DutyCalls;
+    if (StoreIsDown) {
+      duty_appended Refused{Asked.Call, append_outcome::Refused, 0, 0};
+      return Queue.push({Now + 4ms, ++Order, Index, Refused});
+    }
     auto End = static_cast<int64_t>(DutyLog.size());
     duty_appended Answer{Asked.Call, append_outcome::Conflict, End, End};
     if (Asked.At == End) {
@@ -200,6 +215,8 @@
     ++Entries[Index].Counts.DutyCalls;
     duty_log_read Read;
     Read.Call = Asked.Call;
+    if (StoreIsDown)
+      return Queue.push({Now + 4ms, ++Order, Index, std::move(Read)});
     Read.Ok = true;
     Read.From = Asked.From;
     Read.End = static_cast<int64_t>(DutyLog.size());
@@ -250,13 +267,26 @@
   duration Now{};
   int64_t Order = 0;
   uint64_t Random = 1;
-  bool Repeats = true; // upstreams say again and again that they live
+  duration UsageWindow = 5s;
+  std::set<int64_t> ReportedWindows;
+  bool StoreIsDown = false; // it refuses every call
+  bool Repeats = true;      // upstreams say again and again that they live
 };
 
 class fleet_size_test
     : public fleet_test,
       public testing::WithParamInterface<std::pair<int, int>> {};
 
+// The load pattern of lists asked of seeds: all entries start at once, and
+// gossip of so many takes long. Requests come a few seconds later.
+TEST_P(fleet_size_test, Fleet_StartsAtOnce_AllKnowAllInTenSeconds) {
+  start(GetParam().first, GetParam().second);
+  runUntil(10s);
+  for (const entry &Entry : Entries)
+    EXPECT_EQ(Entry.Known.size(), Entries.size() - 1)
+        << Entry.Identity.Name.Value;
+}
+
 // The load pattern of relays: messages of all entries to all.
 TEST_P(fleet_size_test, Fleet_AtRest_CostsEntriesAndStoreLittle) {
   constexpr int measured_s = 5;
@@ -299,6 +329,36 @@
   expectChanged();
 }
 
+// The load pattern of later readers: the store is out, and all entries want to
+// know when it is back.
+TEST_P(fleet_size_test, Store_IsOut_IsCalledSeldomAndReadSoonAfterwards) {
+  constexpr int outage_s = 10;
+  constexpr int most_calls_per_second = 250;
+  start(GetParam().first, GetParam().second);
+  runUntil(30s);
+  clearCounts();
+  StoreIsDown = true;
+  runUntil(30s + outage_s * 1s);
+  counts Sum = sum();
+  EXPECT_LE(Sum.Reads + Sum.DutyCalls, outage_s * most_calls_per_second)
+      << Sum.Reads << " reads, " << Sum.DutyCalls << " calls of duties";
+  StoreIsDown = false;
+  changeAll();
+  runUntil(30s + outage_s * 1s + Bounds.LeaveKnown / 2);
+  expectChanged();
+}
+
+// The holder of duties is found late: with short windows, requests of the first
+// seconds went unreported.
+TEST_F(fleet_test, Usage_WindowsShorterThanTheFirstClaimTakes_AllAreReported) {
+  UsageWindow = 500ms;
+  Random = static_cast<uint64_t>((first_claim_jitter - 50ms).count()) / 7919;
+  start(1, 1);
+  runUntil(10s);
+  for (int64_t Window = 0; Window < 15; ++Window)
+    EXPECT_TRUE(ReportedWindows.contains(Window)) << Window;
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, fleet_size_test,
                          testing::Values(std::pair(4, 5), std::pair(5, 12),
                                          std::pair(3, 28), std::pair(5, 59)));
--- a/routing/usage_windows.cc
+++ b/routing/usage_windows.cc
@@ -5,11 +5,11 @@
 namespace monsoonreel {
 
 int64_t usage_windows::windowAt(wall_time TrueTime) const {
-  return TrueTime.time_since_epoch() / Length;
+  return TrueTime.time_since_epoch() / Terms.Length;
 }
 
 wall_time usage_windows::endOf(int64_t Window) const {
-  return wall_time((Window + 1) * Length);
+  return wall_time((Window + 1) * Terms.Length);
 }
 
 void usage_windows::count(const organisation_name &Organisation,
@@ -43,7 +43,7 @@
                              const std::vector<wire::window_counts> &Windows) {
   for (const wire::window_counts &Told : Windows) {
     // A peer's clock may be wrong by far; windows far apart are no use.
-    if (Others.size() >= 2 * kept_windows && !Others.contains(Told.Window))
+    if (std::ssize(Others) >= 2 * Terms.kept() && !Others.contains(Told.Window))
       continue;
     counts &Known = Others[Told.Window][{From, Incarnation}];
     for (const wire::organisation_count &Count : Told.Counts) {
--- a/routing/usage_windows.h
+++ b/routing/usage_windows.h
@@ -1,7 +1,7 @@
 // Requests of each organisation that began to run, by usage window, counted by
 // all entries together.
 //
-//   usage_windows Usage(seconds(5), Self);
+//   usage_windows Usage(usage_terms{seconds(5), seconds(10)});
 //   Usage.count(Organisation, TrueTime);
 //   Report.Windows = Usage.ownWindows();      // told to every entry
 //   Usage.onReport(From, Incarnation, Report.Windows);
@@ -14,6 +14,7 @@
 #ifndef ROUTING_USAGE_WINDOWS_H
 #define ROUTING_USAGE_WINDOWS_H
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -24,13 +25,26 @@
 
 namespace monsoonreel {
 
-// Windows that are kept: longer than the platform waits for a report, and long
-// enough to outlive an outage of its interfaces.
-constexpr int64_t kept_windows = 12;
+struct usage_terms {
+  duration Length = std::chrono::seconds(5); // of a window
+  // From the end of a window until its report is due.
+  duration Due = std::chrono::seconds(10);
+
+  // Windows before the present one that are still reported. They reach back
+  // over a start or a change of the holder of duties, also where windows are
+  // short.
+  int64_t reported() const {
+    return std::max<int64_t>(4, (2 * Due + Length - duration(1)) / Length);
+  }
+  // Long enough to outlive an outage of the platform's interfaces.
+  int64_t kept() const { return 3 * reported(); }
+};
 
 class usage_windows {
 public:
-  explicit usage_windows(duration Length) : Length(Length) {}
+  explicit usage_windows(usage_terms Terms) : Terms(Terms) {}
+
+  const usage_terms &terms() const { return Terms; }
 
   int64_t windowAt(wall_time TrueTime) const;
   wall_time endOf(int64_t Window) const;
@@ -50,7 +64,7 @@
   using counts = std::map<std::string, int64_t>;
   using source = std::pair<address, int64_t>; // entry and incarnation
 
-  duration Length;
+  usage_terms Terms;
   std::map<int64_t, counts> Own;
   std::map<int64_t, std::map<source, counts>> Others;
 };
--- a/routing/zone_relays.cc
+++ b/routing/zone_relays.cc
@@ -64,12 +64,21 @@
 bool zone_relays::isActing(steady_time Now) const {
   if (!InUse || !isRelay())
     return false;
-  for (size_t Place = 0; Place < OwnPlace; ++Place) {
-    auto It = HeardAt.find(OwnRelays[Place]);
-    if (It != HeardAt.end() && Now - It->second < relay_silence)
-      return false;
-  }
-  return true;
+  return !hears(OwnPlace, Now);
+}
+
+bool zone_relays::hearsAny(steady_time Now) const {
+  return InUse && hears(OwnRelays.size(), Now);
+}
+
+// Whether one of the first relays other than this entry has been heard of late.
+bool zone_relays::hears(size_t Count, steady_time Now) const {
+  return std::any_of(
+      OwnRelays.begin(), OwnRelays.begin() + static_cast<std::ptrdiff_t>(Count),
+      [&](const address &Relay) {
+        auto It = HeardAt.find(Relay);
+        return It != HeardAt.end() && Now - It->second < relay_silence;
+      });
 }
 
 } // namespace monsoonreel
--- a/routing/zone_relays.h
+++ b/routing/zone_relays.h
@@ -47,6 +47,8 @@
 
   bool inUse() const { return InUse; }
   bool isRelay() const { return OwnPlace < relays_in_zone; }
+  // Whether another relay of the own zone has told its sum of late.
+  bool hearsAny(steady_time Now) const;
   // Whether this relay has to tell the zone's sum.
   bool isActing(steady_time Now) const;
   // The relays of the own zone but this entry.
@@ -67,6 +69,8 @@
   static candidate candidateOf(const std::string &Name, int Capacity,
                                const address &Address);
 
+  bool hears(size_t Count, steady_time Now) const;
+
   node_identity Self;
   bool InUse = false;
   size_t OwnPlace = relays_in_zone; // among the candidates of the own zone
