--- a/monsoonreel/wire.cc
+++ b/monsoonreel/wire.cc
@@ -123,6 +123,15 @@
   return decodeStruct<wire::duty_record>(Bytes.data(), Bytes.size());
 }
 
+std::string encodeFeedNews(const wire::feed_news &News) {
+  return encodeStruct(News);
+}
+
+tl::expected<wire::feed_news, wire_error>
+decodeFeedNews(const std::string &Bytes) {
+  return decodeStruct<wire::feed_news>(Bytes.data(), Bytes.size());
+}
+
 std::string encodeState(const wire::ledger_state &State) {
   return encodeStruct(State);
 }
--- a/monsoonreel/wire.h
+++ b/monsoonreel/wire.h
@@ -59,6 +59,11 @@
 tl::expected<wire::duty_record, wire_error>
 decodeDutyRecord(const std::string &Bytes);
 
+// News of a feed by themselves, see routing/feed_packing.h.
+std::string encodeFeedNews(const wire::feed_news &News);
+tl::expected<wire::feed_news, wire_error>
+decodeFeedNews(const std::string &Bytes);
+
 // Snapshots of a replayed stream.
 std::string encodeState(const wire::ledger_state &State);
 std::string encodeState(const wire::claims_state &State);
--- /dev/null
+++ b/routing/feed_packing.cc
@@ -0,0 +1,56 @@
+#include "routing/feed_packing.h"
+
+#include <utility>
+
+#include <QByteArray>
+#include <QtEndian>
+
+namespace monsoonreel {
+
+namespace {
+
+// Qt puts the length of what was compressed before it.
+constexpr qsizetype length_bytes = 4;
+
+} // namespace
+
+size_t sizeOf(const wire::feed_news &News) {
+  size_t Bytes = News.Packed.size();
+  for (const wire::feed_record &Record : News.Records)
+    Bytes += Record.Key.size() + Record.Value.size();
+  return Bytes;
+}
+
+wire::feed_news gapOf(const wire::feed_news &News) {
+  wire::feed_news Gap;
+  Gap.Feed = News.Feed;
+  Gap.From = Gap.End = News.End;
+  Gap.AfterOutage = News.AfterOutage;
+  return Gap;
+}
+
+wire::feed_news packNews(wire::feed_news News) {
+  if (sizeOf(News) < least_packed_bytes)
+    return News;
+  std::string Bytes = encodeFeedNews(News);
+  QByteArray Packed = qCompress(QByteArray::fromRawData(
+      Bytes.data(), static_cast<qsizetype>(Bytes.size())));
+  wire::feed_news Told = gapOf(News);
+  Told.__set_Packed(Packed.toStdString());
+  return Told;
+}
+
+std::optional<wire::feed_news> unpackNews(const wire::feed_news &News) {
+  if (!News.__isset.Packed)
+    return std::nullopt;
+  auto Packed = QByteArray::fromStdString(News.Packed);
+  if (Packed.size() < length_bytes ||
+      qFromBigEndian<quint32>(Packed.constData()) > max_frame_bytes)
+    return std::nullopt;
+  auto Unpacked = decodeFeedNews(qUncompress(Packed).toStdString());
+  if (!Unpacked || Unpacked->End != News.End || Unpacked->Feed != News.Feed)
+    return std::nullopt;
+  return std::move(*Unpacked);
+}
+
+} // namespace monsoonreel
--- a/routing/keyed_feed.cc
+++ b/routing/keyed_feed.cc
@@ -6,6 +6,7 @@
 #include "absl/container/flat_hash_set.h"
 
 #include "routing/decision_log.h"
+#include "routing/feed_packing.h"
 
 namespace monsoonreel {
 
@@ -110,8 +111,11 @@
   return Changes;
 }
 
-std::vector<feed_change> keyed_feed::onNews(const wire::feed_news &Told,
+std::vector<feed_change> keyed_feed::onNews(const wire::feed_news &News,
                                             steady_time Now) {
+  // Damaged ones are a gap.
+  std::optional<wire::feed_news> Unpacked = unpackNews(News);
+  const wire::feed_news &Told = Unpacked ? *Unpacked : News;
   if (!Told.Whole && (Told.From > End || !Known)) {
     // Records were missed. Only the news after the gap tells, so the next own
     // read closes it.
@@ -218,15 +222,17 @@
     }
   News.Whole = Read.Whole;
   News.AfterOutage = AfterOutage;
-  if (!isSmall(News)) {
-    // A gap, which makes whoever has not read so far read by itself.
-    News.From = News.End;
-    News.Records.clear();
-    News.Whole = false;
-  }
   return News;
 }
 
+// What is told of News, which may be nothing but a gap.
+wire::feed_news keyed_feed::tellable(wire::feed_news News) const {
+  wire::feed_news Told = packNews(std::move(News));
+  if (sizeOf(Told) * Listeners <= max_news_bytes)
+    return Told;
+  return gapOf(Told);
+}
+
 void keyed_feed::tellAll(const feed_read &Read, bool AfterOutage,
                          steady_time Now, routing_effects &Effects) {
   if (Listeners == 0)
@@ -234,14 +240,13 @@
   else
     Heard = {Read.End, Read.End, Now, Heard.Reads + 1};
   Effects.push_back(
-      tell_entries{wire::peer_message(newsOf(Read, AfterOutage))});
+      tell_entries{wire::peer_message(tellable(newsOf(Read, AfterOutage)))});
 }
 
 void keyed_feed::tellByRelays(const feed_read &Read, bool AfterOutage,
                               steady_time Now, routing_effects &Effects) {
   wire::feed_news News = newsOf(Read, AfterOutage);
-  bool IsGap = News.From == News.End && Read.From != Read.End;
-  bool SaysNew = News.Whole || IsGap || !News.Records.empty();
+  bool SaysNew = News.Whole || !News.Records.empty();
   // What others know already is not told again. Should they not know it, they
   // have to learn so when this entry is their reader.
   if (IsCatchingUp) {
@@ -250,19 +255,13 @@
   }
   bool Missed = std::exchange(Untold, false);
   // Others may not have heard yet how far nothing was new.
-  if (!Missed && !IsGap)
+  if (!Missed)
     News.From = std::min(Read.From, Heard.News);
   Heard = {SaysNew || Missed ? Read.End : Heard.News, Read.End, Now,
            Heard.Reads + 1};
   if (SaysNew)
-    Effects.push_back(tell_entries{wire::peer_message(std::move(News))});
-}
-
-bool keyed_feed::isSmall(const wire::feed_news &News) const {
-  size_t Bytes = 0;
-  for (const wire::feed_record &Record : News.Records)
-    Bytes += Record.Key.size() + Record.Value.size();
-  return Bytes * Listeners <= max_news_bytes;
+    Effects.push_back(
+        tell_entries{wire::peer_message(tellable(std::move(News)))});
 }
 
 } // namespace monsoonreel
--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -121,7 +121,7 @@
 private:
   std::vector<feed_change> apply(const std::vector<wire::feed_record> &Records,
                                  bool Whole, bool AfterOutage);
-  bool isSmall(const wire::feed_news &News) const;
+  wire::feed_news tellable(wire::feed_news News) const;
   duration patience(size_t Rank) const;
   const char *readReason() const;
   // The store was read at Fresh, by whichever entry.
--- /dev/null
+++ b/routing/testing/feed_packing_test.cc
@@ -0,0 +1,68 @@
+#include "routing/feed_packing.h"
+
+#include <gtest/gtest.h>
+
+namespace monsoonreel {
+namespace {
+
+class feed_packing_test : public testing::Test {
+protected:
+  static wire::feed_news news(size_t Routes) {
+    wire::feed_record Record;
+    Record.Offset = 6;
+    Record.Key = "config";
+    std::string Value;
+    for (size_t I = 0; I < Routes; ++I)
+      Value += R"({"host": "app.example", "pathPrefix": "/route)" +
+               std::to_string(I) + R"(/", "timeoutMs": 1500},)";
+    Record.__set_Value(Value);
+    wire::feed_news News;
+    News.Feed = "op";
+    News.From = 5;
+    News.End = 7;
+    News.Records = {Record};
+    return News;
+  }
+};
+
+TEST_F(feed_packing_test, News_Large_ArePackedAndComeBackWhole) {
+  wire::feed_news News = news(300);
+  wire::feed_news Told = packNews(News);
+  EXPECT_LT(sizeOf(Told), sizeOf(News) / 4);
+  auto Unpacked = unpackNews(Told);
+  ASSERT_TRUE(Unpacked);
+  EXPECT_TRUE(*Unpacked == News);
+}
+
+TEST_F(feed_packing_test, News_Small_StayAsTheyAre) {
+  wire::feed_news News = news(1);
+  EXPECT_TRUE(packNews(News) == News);
+  EXPECT_FALSE(unpackNews(News));
+}
+
+// An entry of an earlier version takes them for a gap and reads the store.
+TEST_F(feed_packing_test, News_Packed_ReadAsAGapWithoutUnpacking) {
+  wire::feed_news Told = packNews(news(300));
+  EXPECT_EQ(Told.From, Told.End);
+  EXPECT_TRUE(Told.Records.empty());
+  EXPECT_FALSE(Told.Whole);
+}
+
+TEST_F(feed_packing_test, News_Damaged_AreNotUnpacked) {
+  wire::feed_news Told = packNews(news(300));
+  wire::feed_news Short = Told;
+  Short.Packed.resize(3);
+  EXPECT_FALSE(unpackNews(Short));
+  wire::feed_news Cut = Told;
+  Cut.Packed.resize(Cut.Packed.size() / 2);
+  EXPECT_FALSE(unpackNews(Cut));
+  wire::feed_news Huge = Told;
+  Huge.Packed[0] = '\x7f'; // claims to hold 2 GB
+  EXPECT_FALSE(unpackNews(Huge));
+  wire::feed_news Other = Told;
+  Other.End = 8;
+  EXPECT_FALSE(unpackNews(Other));
+}
+
+} // namespace
+} // namespace monsoonreel
--- a/routing/testing/fleet_test.cc
+++ b/routing/testing/fleet_test.cc
@@ -329,6 +329,25 @@
   expectChanged();
 }
 
+// The load pattern of packed news: a configuration of many routes. Told as it
+// is, it would take the links of relays for too long, so that each entry read
+// it from the store.
+TEST_P(fleet_size_test, Configuration_Large_IsReadByFewAndKnownToAll) {
+  start(GetParam().first, GetParam().second);
+  runUntil(20s);
+  clearCounts();
+  std::string Routes;
+  for (int I = 0; I < 400; ++I)
+    Routes += R"( {"host": "app.example", "pathPrefix": "/route)" +
+              std::to_string(I) + R"(/", "timeoutMs": 1500})";
+  append(config_feed, "config", "2" + Routes);
+  append(upstream_feed, "u3", "draining");
+  runUntil(20s + Bounds.ConfigInForce / 2);
+  expectChanged();
+  // The regular reads of both feeds, and a few entries that missed the news.
+  EXPECT_LE(sum().Reads, 20);
+}
+
 // The load pattern of later readers: the store is out, and all entries want to
 // know when it is back.
 TEST_P(fleet_size_test, Store_IsOut_IsCalledSeldomAndReadSoonAfterwards) {
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -2045,6 +2045,11 @@
 void feed_news::__set_AfterOutage(const bool val) {
   this->AfterOutage = val;
 }
+
+void feed_news::__set_Packed(const std::string& val) {
+  this->Packed = val;
+__isset.Packed = true;
+}
 std::ostream& operator<<(std::ostream& out, const feed_news& obj)
 {
   obj.printTo(out);
@@ -2133,6 +2138,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->Packed);
+          this->__isset.Packed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2182,6 +2195,11 @@
   xfer += oprot->writeBool(this->AfterOutage);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.Packed) {
+    xfer += oprot->writeFieldBegin("Packed", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeBinary(this->Packed);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2195,6 +2213,7 @@
   swap(a.Records, b.Records);
   swap(a.Whole, b.Whole);
   swap(a.AfterOutage, b.AfterOutage);
+  swap(a.Packed, b.Packed);
   swap(a.__isset, b.__isset);
 }
 
@@ -2205,6 +2224,7 @@
   Records = other106.Records;
   Whole = other106.Whole;
   AfterOutage = other106.AfterOutage;
+  Packed = other106.Packed;
   __isset = other106.__isset;
 }
 feed_news::feed_news(feed_news&& other107) noexcept {
@@ -2214,6 +2234,7 @@
   Records = std::move(other107.Records);
   Whole = other107.Whole;
   AfterOutage = other107.AfterOutage;
+  Packed = std::move(other107.Packed);
   __isset = other107.__isset;
 }
 feed_news& feed_news::operator=(const feed_news& other108) {
@@ -2223,6 +2244,7 @@
   Records = other108.Records;
   Whole = other108.Whole;
   AfterOutage = other108.AfterOutage;
+  Packed = other108.Packed;
   __isset = other108.__isset;
   return *this;
 }
@@ -2233,6 +2255,7 @@
   Records = std::move(other109.Records);
   Whole = other109.Whole;
   AfterOutage = other109.AfterOutage;
+  Packed = std::move(other109.Packed);
   __isset = other109.__isset;
   return *this;
 }
@@ -2245,6 +2268,7 @@
   out << ", " << "Records=" << to_string(Records);
   out << ", " << "Whole=" << to_string(Whole);
   out << ", " << "AfterOutage=" << to_string(AfterOutage);
+  out << ", " << "Packed="; (__isset.Packed ? (out << to_string(Packed)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -742,13 +742,14 @@
 std::ostream& operator<<(std::ostream& out, const feed_record& obj);
 
 typedef struct _feed_news__isset {
-  _feed_news__isset() : Feed(false), From(false), End(false), Records(false), Whole(false), AfterOutage(false) {}
+  _feed_news__isset() : Feed(false), From(false), End(false), Records(false), Whole(false), AfterOutage(false), Packed(false) {}
   bool Feed :1;
   bool From :1;
   bool End :1;
   bool Records :1;
   bool Whole :1;
   bool AfterOutage :1;
+  bool Packed :1;
 } _feed_news__isset;
 
 class feed_news : public virtual ::apache::thrift::TBase {
@@ -763,7 +764,8 @@
               From(0),
               End(0),
               Whole(0),
-              AfterOutage(0) {
+              AfterOutage(0),
+              Packed() {
   }
 
   virtual ~feed_news() noexcept;
@@ -773,6 +775,7 @@
   std::vector<feed_record>  Records;
   bool Whole;
   bool AfterOutage;
+  std::string Packed;
 
   _feed_news__isset __isset;
 
@@ -788,6 +791,8 @@
 
   void __set_AfterOutage(const bool val);
 
+  void __set_Packed(const std::string& val);
+
   bool operator == (const feed_news & rhs) const
   {
     if (!(Feed == rhs.Feed))
@@ -802,6 +807,10 @@
       return false;
     if (!(AfterOutage == rhs.AfterOutage))
       return false;
+    if (__isset.Packed != rhs.__isset.Packed)
+      return false;
+    else if (__isset.Packed && !(Packed == rhs.Packed))
+      return false;
     return true;
   }
   bool operator != (const feed_news &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -98,6 +98,9 @@
   4: list<feed_record> Records
   5: bool Whole                  // Records are the newest of every key
   6: bool AfterOutage            // the reader's read before this one had failed
+  7: optional binary Packed      // The news, encoded and compressed. The other
+                                 // fields then tell of a gap, for an entry that
+                                 // does not unpack them.
 }
 
 // A record of the duty log: exactly one field is set.
