--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -156,6 +156,7 @@
                 steady_time Now);
   void onRelayReport(const address &From, const wire::relay_report &Report,
                      steady_time Now);
+  template <typename T> void onSharedParts(const T &Report, steady_time Now);
   void onUsageReport(const address &From, const wire::usage_report &Report,
                      steady_time Now);
   void onNews(const address &From, const wire::feed_news &News, steady_time Now,
@@ -201,9 +202,12 @@
   std::shared_ptr<const route_table> Table;
   std::vector<wire::member> Others; // the live entries but this one
   zone_relays Relays;
-  // What other zones' relays have told of their zones.
-  std::map<zone_name, wire::zone_uses> FarZones;
-  std::map<zone_name, steady_time> FarZonesAt;
+  // What other zones' relays have told of their zones, as of At.
+  struct zone_sums {
+    wire::zone_uses Uses;
+    steady_time At;
+  };
+  std::map<zone_name, zone_sums> FarZones;
   size_t ConfigRank = 0; // among the readers of each feed
   size_t UpstreamRank = 0;
   steady_time NextRefresh = steady_time::min();
@@ -211,7 +215,7 @@
 
   steady_time NextReport = steady_time::min();
   steady_time NextUsageTold = steady_time::min();
-  int64_t RelaySequence = 0;
+  int64_t RelayReports = 0; // told so far
   steady_time NextPlan = steady_time::min();
   int64_t ReportSequence = 0;
   std::map<address, steady_time> ReportedAt; // by other entries
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -18,6 +18,13 @@
                          Report.DutyFence, Report.DutyClaimOffset, false};
 }
 
+template <typename T> void tellClaim(const duty_claim_view &Claim, T &Report) {
+  Report.DutyClaimOffset = Claim.Released ? -1 : Claim.Offset;
+  Report.DutyHolder = Claim.Holder;
+  Report.DutyIncarnation = Claim.Incarnation;
+  Report.DutyFence = Claim.Fence;
+}
+
 } // namespace
 
 void routing_node::onEvent(const peer_message_received &Received,
@@ -45,9 +52,15 @@
   // Where relays are used, only they add up what entries of their zone do.
   if (!Relays.inUse() || (Relays.isRelay() && Relays.isListener(From)))
     Load.onReport(From, Report, Now);
-  onLeavingRuns(Report.Leaving, Now);
   Clock.onPeer(From, Now, wall_time(fromMicros(Report.WallMicros)));
   Usage.onReport(From, Report.Incarnation, Report.Windows);
+  onSharedParts(Report, Now);
+}
+
+// What reports of entries and of relays have in common.
+template <typename T>
+void routing_node::onSharedParts(const T &Report, steady_time Now) {
+  onLeavingRuns(Report.Leaving, Now);
   HeardFiguredWindow = std::max(HeardFiguredWindow, Report.LastFiguredWindow);
   onMarks(Report.Feeds, Now);
   if (auto Claim = claimOf(Report))
@@ -66,17 +79,14 @@
     if (IsOwn && Relays.isRelay())
       continue;
     Load.onZone(Told, IsOwn, Age, Now);
-    if (!IsOwn && Relays.isRelay() && Now - Age >= FarZonesAt[Zone]) {
-      FarZones[Zone] = Told;
-      FarZonesAt[Zone] = Now - Age;
-    }
+    if (IsOwn || !Relays.isRelay())
+      continue;
+    auto [It, New] = FarZones.try_emplace(Zone);
+    if (New || Now - Age >= It->second.At)
+      It->second = {Told, Now - Age};
   }
-  onLeavingRuns(Report.Leaving, Now);
   Clock.onPeer(From, Now, wall_time(fromMicros(Report.TrueMicros)));
-  HeardFiguredWindow = std::max(HeardFiguredWindow, Report.LastFiguredWindow);
-  onMarks(Report.Feeds, Now);
-  if (auto Claim = claimOf(Report))
-    Duties.onPeerClaim(*Claim, Now);
+  onSharedParts(Report, Now);
 }
 
 void routing_node::onUsageReport(const address &From,
@@ -162,13 +172,10 @@
   if (Relays.inUse())
     Report.Feeds = marks(Event.Now);
   Report.WallMicros = toMicros(Event.Wall.time_since_epoch());
-  const duty_claim_view &Claim = Duties.claim();
-  Report.DutyClaimOffset = Claim.Released ? -1 : Claim.Offset;
   // Only the holder knows how long it is in charge; hearsay must not renew it.
+  Report.DutyClaimOffset = -1;
   if (Duties.isMine()) {
-    Report.DutyHolder = Claim.Holder;
-    Report.DutyIncarnation = Claim.Incarnation;
-    Report.DutyFence = Claim.Fence;
+    tellClaim(Duties.claim(), Report);
     Report.LastFiguredWindow = Duties.lastFiguredWindow();
   }
   if (Relays.inUse() && IsUsageDue)
@@ -212,30 +219,24 @@
 void routing_node::tellZone(const routing_event &Event,
                             routing_effects &Effects) {
   wire::relay_report Report;
-  Report.Incarnation = Identity.Incarnation.Value;
-  Report.Sequence = ++RelaySequence;
   wire::zone_uses Own;
   Own.Zone = Identity.Zone.Value;
   Own.Uses = Load.sumOfEntries();
   Report.Zones.push_back(std::move(Own));
   Report.Feeds = marks(Event.Now);
-  const duty_claim_view &Claim = Duties.claim();
-  Report.DutyClaimOffset = Claim.Released ? -1 : Claim.Offset;
-  Report.DutyHolder = Claim.Holder;
-  Report.DutyIncarnation = Claim.Incarnation;
-  Report.DutyFence = Claim.Fence;
+  tellClaim(Duties.claim(), Report);
   Report.LastFiguredWindow = std::max(
       HeardFiguredWindow, Duties.isMine() ? Duties.lastFiguredWindow() : 0);
   Report.TrueMicros = toMicros(Clock.at(Event.Now).time_since_epoch());
   Report.Leaving = leavingRuns(Event.Now);
-  if (RelaySequence % far_sums_every == 0) {
+  if (++RelayReports % far_sums_every == 0) {
     Effects.push_back(
         send_datagrams{Relays.ofOtherZones(), wire::peer_message(Report)});
-    for (const auto &[Zone, Uses] : FarZones) {
-      duration Age = Event.Now - FarZonesAt.at(Zone);
+    for (const auto &[Zone, Far] : FarZones) {
+      duration Age = Event.Now - Far.At;
       if (Age >= report_expiry)
         continue;
-      Report.Zones.push_back(Uses);
+      Report.Zones.push_back(Far.Uses);
       Report.Zones.back().AgeMicros = toMicros(Age);
     }
   }
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -1494,14 +1494,6 @@
 }
 
 
-void relay_report::__set_Incarnation(const int64_t val) {
-  this->Incarnation = val;
-}
-
-void relay_report::__set_Sequence(const int64_t val) {
-  this->Sequence = val;
-}
-
 void relay_report::__set_Zones(const std::vector<zone_uses> & val) {
   this->Zones = val;
 }
@@ -1566,22 +1558,6 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Incarnation);
-          this->__isset.Incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->Sequence);
-          this->__isset.Sequence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Zones.clear();
@@ -1601,7 +1577,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Feeds.clear();
@@ -1621,7 +1597,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->DutyHolder);
           this->__isset.DutyHolder = true;
@@ -1629,7 +1605,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->DutyIncarnation);
           this->__isset.DutyIncarnation = true;
@@ -1637,7 +1613,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->DutyFence);
           this->__isset.DutyFence = true;
@@ -1645,7 +1621,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->DutyClaimOffset);
           this->__isset.DutyClaimOffset = true;
@@ -1653,7 +1629,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->LastFiguredWindow);
           this->__isset.LastFiguredWindow = true;
@@ -1661,7 +1637,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->TrueMicros);
           this->__isset.TrueMicros = true;
@@ -1669,7 +1645,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leaving.clear();
@@ -1706,15 +1682,7 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("relay_report");
 
-  xfer += oprot->writeFieldBegin("Incarnation", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->Incarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("Sequence", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->Sequence);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("Zones", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("Zones", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Zones.size()));
     std::vector<zone_uses> ::const_iterator _iter89;
@@ -1726,7 +1694,7 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Feeds.size()));
     std::vector<feed_mark> ::const_iterator _iter90;
@@ -1738,31 +1706,31 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("DutyHolder", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeFieldBegin("DutyHolder", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->DutyHolder);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("DutyIncarnation", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeFieldBegin("DutyIncarnation", ::apache::thrift::protocol::T_I64, 4);
   xfer += oprot->writeI64(this->DutyIncarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("DutyFence", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeFieldBegin("DutyFence", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->DutyFence);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("DutyClaimOffset", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeFieldBegin("DutyClaimOffset", ::apache::thrift::protocol::T_I64, 6);
   xfer += oprot->writeI64(this->DutyClaimOffset);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("LastFiguredWindow", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeFieldBegin("LastFiguredWindow", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->LastFiguredWindow);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("TrueMicros", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeFieldBegin("TrueMicros", ::apache::thrift::protocol::T_I64, 8);
   xfer += oprot->writeI64(this->TrueMicros);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 11);
+  xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaving.size()));
     std::vector<upstream_run> ::const_iterator _iter91;
@@ -1781,8 +1749,6 @@
 
 void swap(relay_report &a, relay_report &b) {
   using ::std::swap;
-  swap(a.Incarnation, b.Incarnation);
-  swap(a.Sequence, b.Sequence);
   swap(a.Zones, b.Zones);
   swap(a.Feeds, b.Feeds);
   swap(a.DutyHolder, b.DutyHolder);
@@ -1796,8 +1762,6 @@
 }
 
 relay_report::relay_report(const relay_report& other92) {
-  Incarnation = other92.Incarnation;
-  Sequence = other92.Sequence;
   Zones = other92.Zones;
   Feeds = other92.Feeds;
   DutyHolder = other92.DutyHolder;
@@ -1810,8 +1774,6 @@
   __isset = other92.__isset;
 }
 relay_report::relay_report(relay_report&& other93) noexcept {
-  Incarnation = other93.Incarnation;
-  Sequence = other93.Sequence;
   Zones = std::move(other93.Zones);
   Feeds = std::move(other93.Feeds);
   DutyHolder = std::move(other93.DutyHolder);
@@ -1824,8 +1786,6 @@
   __isset = other93.__isset;
 }
 relay_report& relay_report::operator=(const relay_report& other94) {
-  Incarnation = other94.Incarnation;
-  Sequence = other94.Sequence;
   Zones = other94.Zones;
   Feeds = other94.Feeds;
   DutyHolder = other94.DutyHolder;
@@ -1839,8 +1799,6 @@
   return *this;
 }
 relay_report& relay_report::operator=(relay_report&& other95) noexcept {
-  Incarnation = other95.Incarnation;
-  Sequence = other95.Sequence;
   Zones = std::move(other95.Zones);
   Feeds = std::move(other95.Feeds);
   DutyHolder = std::move(other95.DutyHolder);
@@ -1856,9 +1814,7 @@
 void relay_report::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "relay_report(";
-  out << "Incarnation=" << to_string(Incarnation);
-  out << ", " << "Sequence=" << to_string(Sequence);
-  out << ", " << "Zones=" << to_string(Zones);
+  out << "Zones=" << to_string(Zones);
   out << ", " << "Feeds=" << to_string(Feeds);
   out << ", " << "DutyHolder=" << to_string(DutyHolder);
   out << ", " << "DutyIncarnation=" << to_string(DutyIncarnation);
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -569,9 +569,7 @@
 std::ostream& operator<<(std::ostream& out, const zone_uses& obj);
 
 typedef struct _relay_report__isset {
-  _relay_report__isset() : Incarnation(false), Sequence(false), Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false) {}
-  bool Incarnation :1;
-  bool Sequence :1;
+  _relay_report__isset() : Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false) {}
   bool Zones :1;
   bool Feeds :1;
   bool DutyHolder :1;
@@ -591,9 +589,7 @@
   relay_report& operator=(const relay_report&);
   relay_report& operator=(relay_report&&) noexcept;
   relay_report() noexcept
-               : Incarnation(0),
-                 Sequence(0),
-                 DutyHolder(),
+               : DutyHolder(),
                  DutyIncarnation(0),
                  DutyFence(0),
                  DutyClaimOffset(0),
@@ -602,8 +598,6 @@
   }
 
   virtual ~relay_report() noexcept;
-  int64_t Incarnation;
-  int64_t Sequence;
   std::vector<zone_uses>  Zones;
   std::vector<feed_mark>  Feeds;
   std::string DutyHolder;
@@ -616,10 +610,6 @@
 
   _relay_report__isset __isset;
 
-  void __set_Incarnation(const int64_t val);
-
-  void __set_Sequence(const int64_t val);
-
   void __set_Zones(const std::vector<zone_uses> & val);
 
   void __set_Feeds(const std::vector<feed_mark> & val);
@@ -640,10 +630,6 @@
 
   bool operator == (const relay_report & rhs) const
   {
-    if (!(Incarnation == rhs.Incarnation))
-      return false;
-    if (!(Sequence == rhs.Sequence))
-      return false;
     if (!(Zones == rhs.Zones))
       return false;
     if (!(Feeds == rhs.Feeds))
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -69,17 +69,15 @@
 
 // Told by a relay to the entries of its zone and to other zones' relays.
 struct relay_report {
-  1: i64 Incarnation
-  2: i64 Sequence
-  3: list<zone_uses> Zones
-  4: list<feed_mark> Feeds
-  5: string DutyHolder         // of the newest claim that is known
-  6: i64 DutyIncarnation
-  7: i64 DutyFence
-  8: i64 DutyClaimOffset       // -1: none
-  9: i64 LastFiguredWindow
-  10: i64 TrueMicros           // time of day, by the clocks of the zone
-  11: list<upstream_run> Leaving
+  1: list<zone_uses> Zones
+  2: list<feed_mark> Feeds
+  3: string DutyHolder         // of the newest claim that is known
+  4: i64 DutyIncarnation
+  5: i64 DutyFence
+  6: i64 DutyClaimOffset       // -1: none
+  7: i64 LastFiguredWindow
+  8: i64 TrueMicros           // time of day, by the clocks of the zone
+  9: list<upstream_run> Leaving
 }
 
 // One record of a keyed feed of the platform's store.
