Tests: ports of listeners come from below the kernel's own range in all suites

Ruled out: two tests with one port, these begin at different places. resident_test had a safe choice already; it is now io/testing/free_port.h, for TCP and UDP, and the three other suites use it.

--- a/io/testing/node_runtime_test.cc
+++ b/io/testing/node_runtime_test.cc
@@ -6,10 +6,9 @@
 #include <functional>
 #include <vector>
 
-#include <QTcpServer>
-
 #include <gtest/gtest.h>
 
+#include "io/testing/free_port.h"
 #include "io/testing/raw_client.h"
 #include "io/testing/raw_server.h"
 #include "io/testing/wait.h"
@@ -66,21 +65,14 @@
   int Ticks = 0;
 };
 
-// A port that was free a moment ago.
-address freeAddress() {
-  QTcpServer Probe;
-  Probe.listen(QHostAddress::LocalHost, 0);
-  return address("127.0.0.1:" + std::to_string(Probe.serverPort()));
-}
-
 class node_runtime_test : public testing::Test {
 protected:
   node_runtime_test() {
     Settings.Name = node_name("entry-1");
-    Settings.Listen = freeAddress();
-    Settings.Peer = freeAddress();
-    Settings.Admin = freeAddress();
-    Settings.Platform = freeAddress();
+    Settings.Listen = freeLoopback();
+    Settings.Peer = freeLoopback();
+    Settings.Admin = freeLoopback();
+    Settings.Platform = freeLoopback();
     Runtime =
         std::make_unique<node_runtime>(identityOf(Settings), Settings, Node);
     Started = Runtime->start();
--- a/io/testing/peer_transport_test.cc
+++ b/io/testing/peer_transport_test.cc
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include "io/testing/free_port.h"
 #include "io/testing/raw_client.h"
 #include "io/testing/wait.h"
 
@@ -35,12 +36,9 @@
 class peer_transport_test : public testing::Test {
 protected:
   static node_identity identity(const std::string &Name) {
-    QTcpServer Probe;
-    Probe.listen(QHostAddress::LocalHost, 0);
     node_identity Identity;
     Identity.Name = node_name(Name);
-    Identity.Address =
-        address("127.0.0.1:" + std::to_string(Probe.serverPort()));
+    Identity.Address = freeLoopback();
     return Identity;
   }
   void SetUp() override {
--- a/standins/testing/http_standin_test.cc
+++ b/standins/testing/http_standin_test.cc
@@ -4,6 +4,8 @@
 #include <QDeadlineTimer>
 #include <gtest/gtest.h>
 
+#include "io/testing/free_port.h"
+
 namespace monsoonreel::standin {
 namespace {
 
@@ -15,12 +17,8 @@
   static constexpr int silence_ms = 100;
 
   void SetUp() override {
-    QTcpServer Probe;
-    for (quint16 *Port : {&North, &South, &Control}) {
-      ASSERT_TRUE(Probe.listen(QHostAddress::LocalHost, 0));
-      *Port = Probe.serverPort();
-      Probe.close();
-    }
+    for (quint16 *Port : {&North, &South, &Control})
+      *Port = freePort();
     ASSERT_TRUE(Standin.listen("127.0.0.1",
                                {{North, "north"}, {South, "south"}}, Control));
   }
