Key trust is asked again when a slot is there

Cause: trust was asked at arrival only; the process stood still for 25 s with the grant in its sockets and sent the request when it went on, before it heard of the withdrawal. Conclusion: the request is refused as not run and told to come back.

--- a/monsoonreel/entry_node.cc
+++ b/monsoonreel/entry_node.cc
@@ -259,8 +259,8 @@
 void entry_node::checkReadiness(steady_time Now) {
   constexpr bool Idempotent = true;
   Ready = !Draining && Ledger.configOffset().Value > 0 &&
-          mayTrustKeys(Ledger.config().Limits, Idempotent, Members.freshness(),
-                       Now);
+          mayTrustKeys(keyTrustOf(Ledger.config().Limits, Idempotent),
+                       Members.freshness(), Now);
 }
 
 void entry_node::setGauges(const event &Event, effect_list &Effects) {
--- a/monsoonreel/key_trust.cc
+++ b/monsoonreel/key_trust.cc
@@ -46,16 +46,16 @@
   return std::max(Now - *FreshAt, duration::zero());
 }
 
-bool mayTrustKeys(const policy_limits &Limits, bool Idempotent,
-                  const log_freshness &Freshness, steady_time Now) {
+duration keyTrustOf(const policy_limits &Limits, bool Idempotent) {
+  return Idempotent ? Limits.StaleKeyTrust : Limits.StaleKeyTrustNonIdempotent;
+}
+
+bool mayTrustKeys(duration KeyTrust, const log_freshness &Freshness,
+                  steady_time Now) {
   if (!isEnabled(mechanism::KeyTrustExpires))
     return true;
   std::optional<duration> Age = Freshness.age(Now);
-  if (!Age)
-    return false;
-  duration Limit =
-      Idempotent ? Limits.StaleKeyTrust : Limits.StaleKeyTrustNonIdempotent;
-  return *Age <= Limit;
+  return Age && *Age <= KeyTrust;
 }
 
 } // namespace monsoonreel
--- a/monsoonreel/key_trust.h
+++ b/monsoonreel/key_trust.h
@@ -2,7 +2,8 @@
 //
 //   // A follower read the log's end and applied everything before it:
 //   Members.freshness().onLogRead(Ledger.applied(), RequestedAt);
-//   if (!mayTrustKeys(Config.Limits, Idempotent, Members.freshness(), Now))
+//   duration KeyTrust = keyTrustOf(Config.Limits, Idempotent);
+//   if (!mayTrustKeys(KeyTrust, Members.freshness(), Now))
 //     refuse("keys-stale");
 //
 // A withdrawn key stops working at a node when the withdrawal reaches it. A
@@ -63,10 +64,14 @@
   std::deque<waiting_freshness> Waiting;
 };
 
-// Whether a request may run with a key that this node knows. Idempotent tells
-// whether the request may be repeated.
-bool mayTrustKeys(const policy_limits &Limits, bool Idempotent,
-                  const log_freshness &Freshness, steady_time Now);
+// For how long keys are trusted; Idempotent tells whether the request may be
+// repeated.
+duration keyTrustOf(const policy_limits &Limits, bool Idempotent);
+
+// Whether a request may run with a key that this node knows. To be asked when
+// it arrives and again when it is sent, which may be much later.
+bool mayTrustKeys(duration KeyTrust, const log_freshness &Freshness,
+                  steady_time Now);
 
 } // namespace monsoonreel
 
--- a/monsoonreel/request_admission.cc
+++ b/monsoonreel/request_admission.cc
@@ -31,6 +31,7 @@
       return Refusal;
     Result.Deadline = Now + timeout();
     Result.MaxQueueWait = Config.Limits.MaxQueueWait;
+    Result.KeyTrust = keyTrustOf(Config.Limits, Result.Idempotent);
     return Result;
   }
 
@@ -99,11 +100,11 @@
 
   bool checkKeyAge() {
     if (Result.Organisation.empty() ||
-        mayTrustKeys(Config.Limits, Result.Idempotent, Freshness, Now))
+        mayTrustKeys(keyTrustOf(Config.Limits, Result.Idempotent), Freshness,
+                     Now))
       return true;
-    return refuse(503, "keys-stale",
-                  "This entry has been cut off for too long to check keys.",
-                  startup_retry_after);
+    Refusal = keysStale(Arrived);
+    return false;
   }
 
   bool checkIdempotencyKey() {
@@ -134,6 +135,12 @@
 
 } // namespace
 
+refuse_request keysStale(const request_arrived &Arrived) {
+  return refusal(Arrived, 503, "keys-stale",
+                 "This entry has been cut off for too long to check keys.",
+                 startup_retry_after);
+}
+
 admission_result admitRequest(const request_arrived &Arrived,
                               const ledger &Ledger,
                               const log_freshness &Freshness, steady_time Now) {
--- a/monsoonreel/request_admission.h
+++ b/monsoonreel/request_admission.h
@@ -36,10 +36,15 @@
   bool Claimed = false; // needs its idempotency key claimed first
   steady_time Deadline;
   duration MaxQueueWait{};
+  duration KeyTrust{};
 };
 
 using admission_result = std::variant<admitted_request, refuse_request>;
 
+// Refuses a request whose key this entry has not been able to check for too
+// long.
+refuse_request keysStale(const request_arrived &Arrived);
+
 admission_result admitRequest(const request_arrived &Arrived,
                               const ledger &Ledger,
                               const log_freshness &Freshness, steady_time Now);
--- a/monsoonreel/request_table.cc
+++ b/monsoonreel/request_table.cc
@@ -261,19 +261,31 @@
   }
 }
 
+void request_table::releaseUnused(request_id Id, const event &Event,
+                                  effect_list &Effects) {
+  slot_report Report;
+  Report.Result = wire::slot_result::NeverSent;
+  Services.Slots.release(Id, Report, Event.Now, Effects, Pending);
+}
+
 void request_table::onGranted(const slot_granted &Granted, const event &Event,
                               effect_list &Effects) {
   active_request *Request = find(Granted.Request);
   const upstream *Target = Services.Slots.findUpstream(Granted.Upstream);
   if (!Request || Request->Phase != request_phase::Waiting || !Target) {
-    slot_report Report;
-    Report.Result = wire::slot_result::NeverSent;
-    Services.Slots.release(Granted.Request, Report, Event.Now, Effects,
-                           Pending);
+    releaseUnused(Granted.Request, Event, Effects);
     if (Request && Request->Phase == request_phase::Waiting)
       askForSlot(*Request, Event, Effects);
     return;
   }
+  // The request may have waited, or this process stood still, for long.
+  const admitted_request &Admitted = Request->Admitted;
+  if (!Admitted.Organisation.empty() &&
+      !mayTrustKeys(Admitted.KeyTrust, Services.Members.freshness(),
+                    Event.Now)) {
+    releaseUnused(Granted.Request, Event, Effects);
+    return giveUp(*Request, keysStale(Request->Head), Event, Effects);
+  }
   if (mayDispatch(*Request, Effects))
     dispatch(*Request, Granted, Event, Effects);
 }
--- a/monsoonreel/request_table.h
+++ b/monsoonreel/request_table.h
@@ -103,6 +103,8 @@
 private:
   void askForSlot(active_request &Request, const event &Event,
                   effect_list &Effects);
+  // Gives a slot back that nothing was sent to.
+  void releaseUnused(request_id Id, const event &Event, effect_list &Effects);
   void onGranted(const slot_granted &Granted, const event &Event,
                  effect_list &Effects);
   void onRefused(const slot_refused &Refused, const event &Event,
--- a/monsoonreel/testing/entry_node_test.cc
+++ b/monsoonreel/testing/entry_node_test.cc
@@ -203,6 +203,26 @@
   EXPECT_TRUE(find<write_answer>());
 }
 
+// Matrix, pair of seed 611: a process that stood still for 25 s took a slot for
+// an order, whose key had been withdrawn meanwhile.
+TEST_F(entry_node_test, Order_KeysAreStaleWhenASlotIsThere_IsRefusedAsNotRun) {
+  key_hash Hash(std::string(32, 'k'));
+  giveKey(Hash);
+  request_arrived Arrived = order(1);
+  Arrived.Key = Hash;
+  dispatch_attempt First;
+  {
+    disabled_mechanism TrustsKeys(mechanism::KeyTrustExpires);
+    First = dispatched(std::move(Arrived));
+  }
+  send(attempt_failed{First.Attempt, attempt_failure::NeverSent, "refused"});
+  EXPECT_FALSE(find<dispatch_attempt>());
+  auto Refusal = find<refuse_request>();
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(Refusal->Code, "keys-stale");
+  EXPECT_EQ(Refusal->Outcome, run_knowledge::NotRun);
+}
+
 TEST_F(entry_node_test, Chat_KeyWithdrawn_StreamIsCancelled) {
   dispatch_attempt First = streamAndWithdraw();
   auto Cancel = find<cancel_attempt>();
--- a/monsoonreel/testing/state_sync_test.cc
+++ b/monsoonreel/testing/state_sync_test.cc
@@ -208,7 +208,7 @@
 class key_trust_test : public ::testing::Test {
 protected:
   bool mayTrust(bool Idempotent) const {
-    return mayTrustKeys(Limits, Idempotent, Freshness, Now);
+    return mayTrustKeys(keyTrustOf(Limits, Idempotent), Freshness, Now);
   }
 
   policy_limits Limits;
