--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -70,8 +70,8 @@
 // and then each time after twice as long.
 constexpr duration first_list_delay = std::chrono::milliseconds(400);
 constexpr duration longest_list_delay = std::chrono::minutes(10);
-// Between two answers with the whole list: a list of 300 members takes about
-// 20 kB, and a link of 20 Mbit/s has other work.
+// Between two answers with the whole list, so that a seed of a large site has
+// room on its link for other work.
 constexpr duration list_answer_period = std::chrono::milliseconds(100);
 // Between two looks for suspicions that ended and members to forget.
 constexpr duration expiry_period = std::chrono::milliseconds(100);
--- a/monsoonreel/testing/entry_node_test.cc
+++ b/monsoonreel/testing/entry_node_test.cc
@@ -203,8 +203,7 @@
   EXPECT_TRUE(find<write_answer>());
 }
 
-// Matrix, pair of seed 611: a process that stood still for 25 s took a slot for
-// an order, whose key had been withdrawn meanwhile.
+// A grant may be read long after it was sent, by a process that stood still.
 TEST_F(entry_node_test, Order_KeysAreStaleWhenASlotIsThere_IsRefusedAsNotRun) {
   key_hash Hash(std::string(32, 'k'));
   giveKey(Hash);
--- a/routing/testing/fleet_test.cc
+++ b/routing/testing/fleet_test.cc
@@ -329,9 +329,8 @@
   expectChanged();
 }
 
-// The load pattern of packed news: a configuration of many routes. Told as it
-// is, it would take the links of relays for too long, so that each entry read
-// it from the store.
+// The load pattern of packed news: a configuration of many routes. Plain
+// text of that size would take a relay's link for too long.
 TEST_P(fleet_size_test, Configuration_Large_IsReadByFewAndKnownToAll) {
   start(GetParam().first, GetParam().second);
   runUntil(20s);
@@ -367,8 +366,7 @@
   expectChanged();
 }
 
-// The holder of duties is found late: with short windows, requests of the first
-// seconds went unreported.
+// The first holder of duties may be found several windows after the start.
 TEST_F(fleet_test, Usage_WindowsShorterThanTheFirstClaimTakes_AllAreReported) {
   UsageWindow = 500ms;
   Random = static_cast<uint64_t>((first_claim_jitter - 50ms).count()) / 7919;
--- a/routing/testing/keyed_feed_test.cc
+++ b/routing/testing/keyed_feed_test.cc
@@ -244,8 +244,8 @@
   EXPECT_FALSE(Changes[0].AfterOutage);
 }
 
-// A removal in news of a store that was out is held back while it fails. An
-// entry that need not read any more took it as failing for ever.
+// Removals are held back while the store fails, and an entry that is told by
+// others need not read it again.
 TEST_F(keyed_feed_test, Store_AnotherEntryHasReadIt_IsNotFailing) {
   startWith({record(6, "a", "x")}, 7);
   tick(460ms);
