Logs: the rank of each dispatched request, and the ranks of a configuration

Neither could be told from logs, so the hypotheses on preempted urgent requests (docs/incidents/preempted-urgent-requests.md) could not be told apart. No decision is changed.

--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -153,6 +153,7 @@
           .add("request", Request.Arrived.CallerId)
           .add("route", Request.Route->Name)
           .add("organisation", Request.Organisation)
+          .add("rank", Request.Rank)
           .add("upstream", Entry.Name)
           .add("attempt", Request.Sent)
           .add("config_version", Request.Table->config().Version)
--- a/routing/route_table.cc
+++ b/routing/route_table.cc
@@ -36,6 +36,16 @@
   return It == ByKey.end() ? nullptr : &Config.Organisations[It->second];
 }
 
+std::set<int> route_table::ranks() const {
+  std::set<int> Ranks;
+  for (const host_route &Route : Config.Routes)
+    Ranks.insert(Route.Rank);
+  for (const organisation_terms &Organisation : Config.Organisations)
+    if (Organisation.Rank)
+      Ranks.insert(*Organisation.Rank);
+  return Ranks;
+}
+
 const service *route_table::findService(const pool_name &Name) const {
   auto It = ByService.find(Name);
   return It == ByService.end() ? nullptr : &Config.Services[It->second];
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -9,6 +9,7 @@
 #ifndef ROUTING_ROUTE_TABLE_H
 #define ROUTING_ROUTE_TABLE_H
 
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,9 @@
   // the services by their weights; the same number gives the same service.
   static const pool_name *chooseService(const host_route &Route, uint64_t Draw);
 
+  // All ranks that requests may have, ascending.
+  std::set<int> ranks() const;
+
   // Whether callers need keys at all.
   bool hasOrganisations() const { return !Config.Organisations.empty(); }
   const site_config &config() const { return Config; }
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <variant>
 
+#include "absl/strings/str_join.h"
+
 #include "monsoonreel/rendezvous.h"
 #include "routing/decision_log.h"
 
@@ -338,6 +340,7 @@
       decision("config-in-force")
           .add("version", Table->config().Version)
           .add("routes", static_cast<int64_t>(Table->config().Routes.size()))
+          .add("ranks", absl::StrJoin(Table->ranks(), ","))
           .add("feed_offset", ConfigFeed.end())
           .add("feed_age", ConfigFeed.age(Now))
           .line(log_level::Info));
--- a/routing/testing/route_table_test.cc
+++ b/routing/testing/route_table_test.cc
@@ -58,6 +58,16 @@
   EXPECT_EQ(Table.organisationOf(key_hash("three")), nullptr);
 }
 
+TEST_F(route_table_test, Ranks_OfRoutesAndOrganisations_AreListedOnce) {
+  Config.Routes = {routeTo("chat", "a.example", "/"),
+                   routeTo("batch", "b.example", "/")};
+  Config.Routes[1].Rank = 2;
+  organisation_terms Bakery;
+  Bakery.Rank = 1;
+  Config.Organisations = {Bakery, Bakery, organisation_terms()};
+  EXPECT_EQ(route_table(Config).ranks(), (std::set<int>{0, 1, 2}));
+}
+
 TEST_F(route_table_test, Service_SplitByWeight_GetsItsPart) {
   host_route Route = routeTo("split", "a.example", "/");
   Route.Services = {{pool_name("old"), 90}, {pool_name("new"), 10}};
