Failing test: a chat is preempted while drafts of its organisation run on

The test replays this at a small size and fails: of two requests preempted one is a chat while a draft runs on.

--- /dev/null
+++ b/routing/testing/engine_urgency_test.cc
@@ -0,0 +1,105 @@
+// Requests of several organisations and routes at an engine whose slots are
+// taken. The engine here schedules as real ones say they do: the more urgent
+// request is admitted first and takes the slot of the newest of the least
+// urgent ones.
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "routing/testing/request_router_fixture.h"
+
+namespace monsoonreel {
+namespace {
+
+struct engine_run {
+  int Rank = 0;                   // as the engine was told
+  std::pair<int, int> Priorities; // of the organisation, then of the route
+};
+
+class full_engine {
+public:
+  explicit full_engine(size_t Slots) : Slots(Slots) {}
+
+  void take(const engine_run &New) {
+    if (Running.size() < Slots)
+      return Running.push_back(New);
+    // Of equal ranks the last one is the newest.
+    auto Victim = Running.begin();
+    for (auto It = Running.begin(); It != Running.end(); ++It)
+      if (It->Rank >= Victim->Rank)
+        Victim = It;
+    if (Victim->Rank <= New.Rank)
+      return;
+    engine_run Preempted = *Victim;
+    Running.erase(Victim);
+    PreemptedRuns.push_back(Preempted);
+    PreemptedWrongly += std::any_of(
+        Running.begin(), Running.end(), [&](const engine_run &Each) {
+          return Each.Priorities > Preempted.Priorities;
+        });
+    Running.push_back(New);
+  }
+
+  std::vector<engine_run> PreemptedRuns;
+  // Preempted while a less urgent one ran on.
+  int PreemptedWrongly = 0;
+
+private:
+  size_t Slots;
+  std::vector<engine_run> Running;
+};
+
+class engine_urgency_test : public request_router_test {
+protected:
+  engine_urgency_test() {
+    Config.Services.front().Engine = engine_terms{4, 1000000};
+    Config.Routes.clear();
+    addRoute("/chat/", repeat_kind::Stream, 1);
+    addRoute("/draft/", repeat_kind::Stream, 1);
+    Config.Routes.back().Rank = 1;
+    addOrganisation("guests", 1);
+    addOrganisation("buyers", 0);
+  }
+
+  void addOrganisation(const char *Name, int Rank) {
+    organisation_terms Terms;
+    Terms.Name = organisation_name(Name);
+    Terms.Keys = {key_hash(Name)};
+    Terms.Rank = Rank;
+    Config.Organisations.push_back(Terms);
+  }
+
+  // Organisation: also its key.
+  engine_run runOf(const char *Path, const char *Organisation) {
+    if (!Table)
+      Table = std::make_shared<const route_table>(Config);
+    route_request Arrived;
+    Arrived.Request = request_id{++Requests};
+    Arrived.CallerId = "caller-" + std::to_string(Requests);
+    Arrived.Host = "h";
+    Arrived.Path = Path;
+    Arrived.Key = key_hash(Organisation);
+    Arrived.TimeLeft = 3000ms;
+    Arrived.Prompt = prompt_info{};
+    Effects.clear();
+    Router.onArrival(Arrived, Table, context(), Effects);
+    return {one<route_dispatch>().Rank,
+            {Table->organisationOf(*Arrived.Key)->Rank.value_or(0),
+             Table->find("h", Path)->Rank}};
+  }
+};
+
+TEST_F(engine_urgency_test,
+       OrganisationsOfOneRank_SlotsTaken_UrgentRouteIsNotPreemptedFirst) {
+  full_engine Engine(4);
+  for (const char *Path : {"/draft/", "/chat/", "/draft/", "/chat/"})
+    Engine.take(runOf(Path, "guests"));
+  for (int I = 0; I < 2; ++I)
+    Engine.take(runOf("/chat/", "buyers"));
+  EXPECT_EQ(Engine.PreemptedRuns.size(), 2u);
+  EXPECT_EQ(Engine.PreemptedWrongly, 0);
+}
+
+} // namespace
+} // namespace monsoonreel
