Engines are told both parts of a request's priority

A request's priority has two parts, the organisation's and the route's. The organisation's replaced the route's, so all requests of organisations of one priority had one rank at their engines, and of equal ranks an engine preempts the newest. Full slots and a few requests of more urgent organisations did the rest.

Fix: a rank keeps the order of both parts. Where the scale has room, it doesn't depend on which organisations there are; where it has too little, the least urgent requests share ranks.

--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -64,16 +64,16 @@
   if (!Request.Route)
     return refuse(Request, http_status::not_found, "no-route", {}, Context,
                   Effects);
-  Request.Rank = Request.Route->Rank;
+  const organisation_terms *Holder = nullptr;
   if (!Request.Route->Public && Table->hasOrganisations()) {
-    const organisation_terms *Holder =
-        Arrived.Key ? Table->organisationOf(*Arrived.Key) : nullptr;
+    if (Arrived.Key)
+      Holder = Table->organisationOf(*Arrived.Key);
     if (!Holder)
       return refuse(Request, http_status::unauthorized, "unknown-key", {},
                     Context, Effects);
     Request.Organisation = Holder->Name;
-    Request.Rank = Holder->Rank.value_or(Request.Rank);
   }
+  Request.Urgency = urgencyOf(*Request.Route, Holder);
   if (Arrived.CallerId.empty())
     return refuse(Request, http_status::bad_request, "no-request-id", {},
                   Context, Effects);
@@ -141,8 +141,10 @@
   Dispatch.Address = Entry.Address;
   Dispatch.Organisation = Request.Organisation;
   Dispatch.TimeLeft = Request.EndsAt - Context.Now;
-  Dispatch.Rank = Request.Rank;
   Dispatch.ForEngine = Query.Prompt != nullptr;
+  if (Dispatch.ForEngine)
+    Dispatch.Rank =
+        Request.Table->ranksAt(Request.Service->Name)->rankOf(Request.Urgency);
   if (Request.Begun)
     Dispatch.ResumeAfter = Request.Events.lastId();
   Dispatch.MaxConnections = std::max<int>(
@@ -153,7 +155,8 @@
           .add("request", Request.Arrived.CallerId)
           .add("route", Request.Route->Name)
           .add("organisation", Request.Organisation)
-          .add("rank", Request.Rank)
+          .add("urgency", toText(Request.Urgency))
+          .add("rank", Dispatch.Rank)
           .add("upstream", Entry.Name)
           .add("attempt", Request.Sent)
           .add("config_version", Request.Table->config().Version)
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -94,7 +94,7 @@
     std::shared_ptr<const route_table> Table;
     const host_route *Route = nullptr;
     organisation_name Organisation;
-    int Rank = 0;
+    urgency Urgency;
     const service *Service = nullptr;
     steady_time ArrivedAt;
     steady_time EndsAt; // the caller's deadline or the route's timeout
--- a/routing/route_table.cc
+++ b/routing/route_table.cc
@@ -1,14 +1,49 @@
 #include "routing/route_table.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace monsoonreel {
 
+namespace {
+
+bool leadsTo(const host_route &Route, const pool_name &Service) {
+  return std::any_of(Route.Services.begin(), Route.Services.end(),
+                     [&](const weighted_service &Choice) {
+                       return Choice.Service == Service;
+                     });
+}
+
+// All urgencies of requests to Service.
+std::set<urgency> urgenciesAt(const pool_name &Service,
+                              const site_config &Config) {
+  std::set<int> RouteRanks;
+  for (const host_route &Route : Config.Routes)
+    if (leadsTo(Route, Service))
+      RouteRanks.insert(Route.Rank);
+  std::set<urgency> Urgencies;
+  for (int Rank : RouteRanks) {
+    host_route Route;
+    Route.Rank = Rank;
+    Urgencies.insert(urgencyOf(Route, nullptr));
+    for (const organisation_terms &Organisation : Config.Organisations)
+      Urgencies.insert(urgencyOf(Route, &Organisation));
+  }
+  return Urgencies;
+}
+
+} // namespace
+
 route_table::route_table(site_config Accepted) : Config(std::move(Accepted)) {
   for (size_t I = 0; I < Config.Routes.size(); ++I)
     ByPrefix.try_emplace({Config.Routes[I].Host, Config.Routes[I].Prefix}, I);
   for (size_t I = 0; I < Config.Services.size(); ++I)
     ByService.try_emplace(Config.Services[I].Name, I);
+  for (const service &Service : Config.Services)
+    if (Service.Engine)
+      RanksAt.try_emplace(Service.Name, urgenciesAt(Service.Name, Config),
+                          Service.Engine->Ranks);
   for (size_t I = 0; I < Config.Organisations.size(); ++I)
     for (const key_hash &Key : Config.Organisations[I].Keys)
       ByKey.try_emplace(Key, I);
@@ -36,14 +71,9 @@
   return It == ByKey.end() ? nullptr : &Config.Organisations[It->second];
 }
 
-std::set<int> route_table::ranks() const {
-  std::set<int> Ranks;
-  for (const host_route &Route : Config.Routes)
-    Ranks.insert(Route.Rank);
-  for (const organisation_terms &Organisation : Config.Organisations)
-    if (Organisation.Rank)
-      Ranks.insert(*Organisation.Rank);
-  return Ranks;
+const engine_ranks *route_table::ranksAt(const pool_name &Service) const {
+  auto It = RanksAt.find(Service);
+  return It == RanksAt.end() ? nullptr : &It->second;
 }
 
 const service *route_table::findService(const pool_name &Name) const {
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -9,12 +9,12 @@
 #ifndef ROUTING_ROUTE_TABLE_H
 #define ROUTING_ROUTE_TABLE_H
 
-#include <set>
 #include <string>
 #include <string_view>
 
 #include "absl/container/flat_hash_map.h"
 
+#include "routing/engine_ranks.h"
 #include "routing/site_config.h"
 
 namespace monsoonreel {
@@ -35,8 +35,8 @@
   // the services by their weights; the same number gives the same service.
   static const pool_name *chooseService(const host_route &Route, uint64_t Draw);
 
-  // All ranks that requests may have, ascending.
-  std::set<int> ranks() const;
+  // How engines of Service rank requests; nullptr if it has none.
+  const engine_ranks *ranksAt(const pool_name &Service) const;
 
   // Whether callers need keys at all.
   bool hasOrganisations() const { return !Config.Organisations.empty(); }
@@ -56,6 +56,7 @@
   absl::flat_hash_map<route_key, size_t> ByPrefix;
   absl::flat_hash_map<key_hash, size_t> ByKey;
   absl::flat_hash_map<pool_name, size_t> ByService;
+  absl::flat_hash_map<pool_name, engine_ranks> RanksAt;
 };
 
 } // namespace monsoonreel
--- a/routing/routing_effect.h
+++ b/routing/routing_effect.h
@@ -60,8 +60,8 @@
   address Address;
   organisation_name Organisation; // empty on public routes
   duration TimeLeft{};
-  int Rank = 0;
-  bool ForEngine = false; // ranks are known to engines only
+  bool ForEngine = false;
+  int Rank = 0; // by which the engine schedules it, 0 goes first
   // Set when a stream goes on at another upstream.
   std::optional<int64_t> ResumeAfter;
   int MaxConnections = 0; // of this process at the upstream
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -5,8 +5,6 @@
 #include <utility>
 #include <variant>
 
-#include "absl/strings/str_join.h"
-
 #include "monsoonreel/rendezvous.h"
 #include "routing/decision_log.h"
 
@@ -340,10 +338,16 @@
       decision("config-in-force")
           .add("version", Table->config().Version)
           .add("routes", static_cast<int64_t>(Table->config().Routes.size()))
-          .add("ranks", absl::StrJoin(Table->ranks(), ","))
           .add("feed_offset", ConfigFeed.end())
           .add("feed_age", ConfigFeed.age(Now))
           .line(log_level::Info));
+  for (const service &Service : Table->config().Services)
+    if (const engine_ranks *Ranks = Table->ranksAt(Service.Name))
+      Effects.push_back(decision("engine-ranks")
+                            .add("version", Table->config().Version)
+                            .add("service", Service.Name)
+                            .add("firsts", Ranks->toText())
+                            .line(log_level::Info));
 }
 
 // -------------------------------------------------------------------- drain
--- a/routing/site_config.h
+++ b/routing/site_config.h
@@ -52,6 +52,7 @@
 struct engine_terms {
   int Slots = 1; // requests that are processed at once
   int64_t CacheTokens = 0;
+  int Ranks = 1; // that it tells apart when it schedules requests
 };
 
 // The bounds within which upstreams of a service can be ordered.
