Bytes without an answer end a call

Two tests failed: interim heads (1xx) without end, and the body of another request's answer without end, were read at full speed until the caller's time was over; a request that may be repeated was not sent elsewhere meanwhile.

Ruled out by tests that passed before: a final head, trailers (bounded by the parser), a stream without an event's end (bounded by event_cutter), a body without end (ends with the request's time, and never looks complete).

Fix: a call fails after max_bytes_before_answer; its connection is reset.

--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -53,6 +53,7 @@
     CallOpen = true;
     Phase = phase::Waiting;
     Foreign = 0;
+    BytesBeforeAnswer = 0;
     WroteSome = Stream.isConnected();
     if (HeadOnly)
       Parser.expectHeadOnly();
@@ -64,7 +65,12 @@
   void onStreamBytes(std::string_view Bytes) override {
     if (!Handler)
       return Pool.settle(this, false);
+    if (Phase != phase::Body)
+      BytesBeforeAnswer += Bytes.size();
     deliver(Parser.read(Bytes));
+    if (Handler && Phase != phase::Body &&
+        BytesBeforeAnswer > max_bytes_before_answer)
+      fail("bytes without an answer");
   }
 
   void onStreamEnd(stream_end End, const std::string &Reason) override {
@@ -171,6 +177,7 @@
   std::shared_ptr<call_handler> Handler;
   phase Phase = phase::Waiting;
   int Foreign = 0;
+  size_t BytesBeforeAnswer = 0;
   bool WroteSome = false;
   bool CallOpen = false; // without a complete answer
   bool KeepAlive = true;
--- a/io/channel_pool.h
+++ b/io/channel_pool.h
@@ -39,6 +39,9 @@
 constexpr double idle_limit_part = 0.75;
 // Answers to others that are dropped before a call's own.
 constexpr int max_foreign_answers = 3;
+// Bytes on a connection before the head of a call's own answer; a peer that
+// sends more is not going to answer.
+constexpr size_t max_bytes_before_answer = size_t{256} << 10;
 
 enum class reply_verdict {
   Own,     // the answer to this call
--- a/routing/testing/request_router_resends_test.cc
+++ b/routing/testing/request_router_resends_test.cc
@@ -130,6 +130,32 @@
   EXPECT_EQ(all<route_finish>().size(), 1u);
 }
 
+TEST_F(request_router_test, Stream_BytesWithoutAnEvent_AreCutAndGoOnElsewhere) {
+  arrive("/resume/x");
+  attempt_number First = attempt();
+  head(First, 200, false, true);
+  data(First, "id: 1\n\n");
+  data(First, std::string(max_cut_event_bytes + 1, 'x').c_str());
+  EXPECT_EQ(one<route_cancel>().Attempt, First);
+  EXPECT_TRUE(none<route_write>());
+  EXPECT_EQ(one<route_dispatch>().ResumeAfter, 1);
+}
+
+TEST_F(request_router_test, Answer_BodyWithoutEnd_EndsWithItsTime) {
+  arrive("/once/x");
+  attempt_number Attempt = attempt();
+  head(Attempt, 200);
+  data(Attempt, std::string(max_held_answer_bytes + 1, 'x').c_str());
+  for (duration Time = 100ms; Time < 1500ms; Time += 100ms) {
+    tick(Time);
+    EXPECT_TRUE(none<route_abort>());
+    data(Attempt, "x");
+  }
+  tick(1500ms);
+  EXPECT_EQ(one<route_cancel>().Attempt, Attempt);
+  EXPECT_EQ(all<route_abort>().size(), 1u); // it must not look complete
+}
+
 TEST_F(request_router_test, ResumableStream_NextRunLeavesAGap_IsNotPassedOn) {
   arrive("/resume/x");
   attempt_number First = attempt();
