--- a/io/testing/channel_pool_test.cc
+++ b/io/testing/channel_pool_test.cc
@@ -169,44 +169,29 @@
   EXPECT_EQ(Call->Body, "ours");
 }
 
-// Begins every answer with First and goes on with More until the peer closes.
-void answerWithoutEnd(raw_server &Server, const std::string &First,
-                      const std::string &More) {
-  Server.OnRequest = [First, More](QTcpSocket *Socket) {
-    auto WriteMore = [Socket, More] {
-      constexpr qint64 written_ahead = 64 << 10;
-      while (Socket->isOpen() && Socket->bytesToWrite() < written_ahead)
-        Socket->write(More.data(), static_cast<qint64>(More.size()));
-    };
-    QObject::connect(Socket, &QTcpSocket::bytesWritten, Socket, WriteMore);
-    Socket->write(First.data(), static_cast<qint64>(First.size()));
-  };
-}
-
 TEST_F(channel_pool_test, Head_WithoutEnd_FailsTheCallAndItsConnection) {
-  answerWithoutEnd(Server, "HTTP/1.1 200 OK\r\nId: 1\r\n", "More: x\r\n");
+  Server.answerWithoutEnd("HTTP/1.1 200 OK\r\nId: 1\r\n", "More: x\r\n");
   EXPECT_EQ(run("1")->Failure, attempt_failure::Broken);
   EXPECT_TRUE(waitUntil([&] { return Server.Closed == 1; }));
 }
 
 TEST_F(channel_pool_test, Heads_InterimWithoutEnd_FailTheCall) {
-  answerWithoutEnd(Server, "HTTP/1.1 100 Continue\r\n\r\n",
-                   "HTTP/1.1 103 Early Hints\r\n\r\n");
+  Server.answerWithoutEnd("HTTP/1.1 100 Continue\r\n\r\n",
+                          "HTTP/1.1 103 Early Hints\r\n\r\n");
   EXPECT_EQ(run("1")->Failure, attempt_failure::Broken);
   EXPECT_TRUE(waitUntil([&] { return Server.Closed == 1; }));
 }
 
 TEST_F(channel_pool_test, Body_OfAnotherRequestWithoutEnd_FailsTheCall) {
-  answerWithoutEnd(Server, "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n", "bytes");
+  Server.answerWithoutEnd("HTTP/1.1 200 OK\r\nId: 0\r\n\r\n", "bytes");
   EXPECT_EQ(run("1")->Failure, attempt_failure::Broken);
   EXPECT_TRUE(waitUntil([&] { return Server.Closed == 1; }));
 }
 
 TEST_F(channel_pool_test, Trailers_WithoutEnd_TruncateTheAnswer) {
-  answerWithoutEnd(Server,
-                   "HTTP/1.1 200 OK\r\nId: 1\r\n"
-                   "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n",
-                   "More: x\r\n");
+  Server.answerWithoutEnd("HTTP/1.1 200 OK\r\nId: 1\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n",
+                          "More: x\r\n");
   EXPECT_EQ(run("1")->Failure, attempt_failure::Truncated);
   EXPECT_TRUE(waitUntil([&] { return Server.Closed == 1; }));
 }
--- a/io/testing/raw_server.h
+++ b/io/testing/raw_server.h
@@ -33,6 +33,19 @@
     return address("127.0.0.1:" + std::to_string(Server.serverPort()));
   }
 
+  // Begins every answer with First and goes on with More until the peer closes.
+  void answerWithoutEnd(const QByteArray &First, const QByteArray &More) {
+    OnRequest = [First, More](QTcpSocket *Socket) {
+      auto WriteMore = [Socket, More] {
+        constexpr qint64 written_ahead = 64 << 10;
+        while (Socket->isOpen() && Socket->bytesToWrite() < written_ahead)
+          Socket->write(More);
+      };
+      QObject::connect(Socket, &QTcpSocket::bytesWritten, Socket, WriteMore);
+      Socket->write(First);
+    };
+  }
+
   // Called for each whole request; by default it is left without an answer.
   std::function<void(QTcpSocket *)> OnRequest;
   std::vector<std::string> Requests; // heads with their bodies
--- a/routing/testing/engine_urgency_test.cc
+++ b/routing/testing/engine_urgency_test.cc
@@ -72,20 +72,9 @@
 
   // Organisation: also its key.
   engine_run runOf(const char *Path, const char *Organisation) {
-    if (!Table)
-      Table = std::make_shared<const route_table>(Config);
-    route_request Arrived;
-    Arrived.Request = request_id{++Requests};
-    Arrived.CallerId = "caller-" + std::to_string(Requests);
-    Arrived.Host = "h";
-    Arrived.Path = Path;
-    Arrived.Key = key_hash(Organisation);
-    Arrived.TimeLeft = 3000ms;
-    Arrived.Prompt = prompt_info{};
-    Effects.clear();
-    Router.onArrival(Arrived, Table, context(), Effects);
+    arrive(Path, Organisation, 3000ms, prompt_info{});
     return {one<route_dispatch>().Rank,
-            {Table->organisationOf(*Arrived.Key)->Rank.value_or(0),
+            {Table->organisationOf(key_hash(Organisation))->Rank.value_or(0),
              Table->find("h", Path)->Rank}};
   }
 };
--- a/routing/testing/request_router_fixture.h
+++ b/routing/testing/request_router_fixture.h
@@ -4,6 +4,8 @@
 #ifndef ROUTING_TESTING_REQUEST_ROUTER_FIXTURE_H
 #define ROUTING_TESTING_REQUEST_ROUTER_FIXTURE_H
 
+#include <optional>
+
 #include <gtest/gtest.h>
 
 #include "routing/request_router.h"
@@ -60,7 +62,8 @@
 
   // Sends a request; what the router asks for is in Effects.
   void arrive(const char *Path, const char *Key = "good",
-              duration TimeLeft = 3000ms) {
+              duration TimeLeft = 3000ms,
+              const std::optional<prompt_info> &Prompt = std::nullopt) {
     if (!Table)
       Table = std::make_shared<const route_table>(Config);
     route_request Arrived;
@@ -71,6 +74,7 @@
     if (Key)
       Arrived.Key = key_hash(Key);
     Arrived.TimeLeft = TimeLeft;
+    Arrived.Prompt = Prompt;
     Effects.clear();
     Router.onArrival(Arrived, Table, context(), Effects);
   }
