--- a/routing/routing_event.h
+++ b/routing/routing_event.h
@@ -68,6 +68,8 @@
   // With a refusal: the upstream asks this entry to send no request for this
   // time.
   std::optional<duration> BackoffFor;
+  // The requests per second that the upstream takes from all entries together.
+  std::optional<double> RequestLimit;
 };
 
 struct answer_data {
--- a/routing/testing/request_router_fixture.h
+++ b/routing/testing/request_router_fixture.h
@@ -102,7 +102,8 @@
   void head(attempt_number Attempt, int Status, bool NotRun = false,
             bool Stream = false) {
     Effects.clear();
-    answer_head Head{Attempt, Status, NotRun, Status == 421, Stream, false, {}};
+    answer_head Head{Attempt, Status, NotRun, Status == 421,
+                     Stream,  false,  {},     {}};
     Router.onHead(Head, context(), Effects);
   }
   void data(attempt_number Attempt, const char *Bytes) {
--- a/routing/testing/request_router_test.cc
+++ b/routing/testing/request_router_test.cc
@@ -173,7 +173,7 @@
   arrive("/safe/x");
   auto First = one<route_dispatch>();
   Effects.clear();
-  answer_head Head{First.Attempt, 200, false, false, false, true, {}};
+  answer_head Head{First.Attempt, 200, false, false, false, true, {}, {}};
   Router.onHead(Head, context(), Effects);
   end(First.Attempt);
   EXPECT_EQ(all<route_answer>().size(), 1u);
@@ -183,10 +183,23 @@
   }
 }
 
+TEST_F(request_router_test, Upstream_StatesALimit_IsLogged) {
+  arrive("/once/x");
+  auto Sent = one<route_dispatch>();
+  Effects.clear();
+  Router.onHead({Sent.Attempt, 200, false, false, false, false, {}, 2.5},
+                context(), Effects);
+  std::string Line = one<log_line>().Text;
+  EXPECT_NE(Line.find("event=upstream-limit request=caller-1 upstream=" +
+                      Sent.Upstream.Value + " per_second=2.5"),
+            std::string::npos)
+      << Line;
+}
+
 TEST_F(request_router_test, AddressWithNewOwner_ReportsLeaving_OldOwnerStays) {
   arrive("/safe/x");
   auto First = one<route_dispatch>();
-  answer_head Head{First.Attempt, 421, false, true, false, true, {}};
+  answer_head Head{First.Attempt, 421, false, true, false, true, {}, {}};
   Router.onHead(Head, context(), Effects);
   EXPECT_EQ(Registry.serving(pool_name("app")).size(), 3u);
 }
@@ -195,7 +208,7 @@
   arrive("/safe/x");
   auto First = one<route_dispatch>();
   Effects.clear();
-  answer_head Head{First.Attempt, 503, true, false, false, false, 2s};
+  answer_head Head{First.Attempt, 503, true, false, false, false, 2s, {}};
   Router.onHead(Head, context(), Effects);
   EXPECT_NE(one<route_dispatch>().Upstream, First.Upstream);
   for (int I = 0; I < 20; ++I) {
