Failing test: fleets exceed the limits that upstreams state

With a limit of 2 a second, for example, an upstream of 295 entries gets 73 to 82 requests in 4 s from entries that it had told (17 are allowed).

--- /dev/null
+++ b/routing/testing/upstream_limit_test.cc
@@ -0,0 +1,222 @@
+// Fleets of several sizes in virtual time, before upstreams that state how many
+// requests per second they take from all entries together.
+//
+// The platform's rule: from the contact time after the first statement, an
+// upstream gets in no 4 s more than one and a half times its limit, plus 5
+// requests, from entries that have received such an answer at least half a
+// second before.
+
+#include "routing/testing/fleet_fixture.h"
+
+namespace monsoonreel {
+namespace {
+
+constexpr duration limit_span = 4s;
+constexpr duration contact_time = 4s;
+constexpr duration told_time = 500ms;
+
+class service_decoder : public fake_decoder {
+public:
+  tl::expected<site_config, finding_list>
+  decodeConfig(const std::string &Value) const override {
+    auto Config = fake_decoder::decodeConfig(Value);
+    host_route Route;
+    Route.Name = "app";
+    Route.Host = "h";
+    Route.Prefix = "/";
+    Route.Kind = repeat_kind::Idempotent;
+    Route.Public = true;
+    Route.Timeout = 2s;
+    Route.Target = 300ms;
+    Route.MaxAttempts = 3;
+    Route.Services = {{pool_name("app"), 1}};
+    Config->Routes = {Route};
+    service Service;
+    Service.Name = pool_name("app");
+    Service.MaxConnections = 4000;
+    Config->Services = {Service};
+    return Config;
+  }
+};
+
+// Upstreams answer after `ServiceTime`. Callers' requests arrive at random
+// entries.
+class upstream_limit_test
+    : public fleet_test,
+      public testing::WithParamInterface<std::pair<int, int>> {
+protected:
+  struct arrival {
+    duration At;
+    bool WasTold; // the entry had received a limit long enough ago
+  };
+  struct upstream {
+    std::optional<double> Limit;
+    std::optional<duration> StatedAt; // first statement of this limit
+    std::vector<arrival> Arrivals;
+    std::map<size_t, duration> ToldAt; // by entry
+  };
+
+  std::shared_ptr<const listing_decoder> decoder() const override {
+    return std::make_shared<service_decoder>();
+  }
+
+  void startFleet() {
+    start(GetParam().first, GetParam().second);
+    for (int I = 0; I < 2 * GetParam().first; ++I)
+      Upstreams["u" + std::to_string(I)] = {};
+    runUntil(20s); // all entries know each other
+  }
+
+  void limitAll(std::optional<double> Limit) {
+    for (auto &[Name, Upstream] : Upstreams)
+      setLimit(Name, Limit);
+  }
+  void setLimit(const std::string &Name, std::optional<double> Limit) {
+    Upstreams[Name].Limit = Limit;
+    Upstreams[Name].StatedAt = std::nullopt;
+  }
+
+  void onStep() override {
+    Owed += CallsPerSecond * std::chrono::duration<double>(tick_period).count();
+    for (; Owed >= 1; Owed -= 1) {
+      size_t Index = draw() % Entries.size();
+      if (Entries[Index].Frozen || DrainedEntries.contains(Index))
+        continue;
+      route_request Arrived;
+      Arrived.Request = request_id{++LastRequest};
+      Arrived.CallerId = std::to_string(LastRequest);
+      Arrived.Host = "h";
+      Arrived.Path = "/x";
+      Arrived.TimeLeft = 2s;
+      handle(Index, Arrived);
+    }
+  }
+
+  void onEffect(size_t Index, const routing_effect &Effect) override {
+    if (const auto *Dispatch = std::get_if<route_dispatch>(&Effect))
+      serve(Index, *Dispatch);
+    if (std::holds_alternative<route_answer>(Effect))
+      ++Answered;
+    if (const auto *Refusal = std::get_if<route_refusal>(&Effect))
+      Refusals.push_back(*Refusal);
+  }
+
+  void serve(size_t Index, const route_dispatch &Dispatch) {
+    upstream &Upstream = Upstreams[Dispatch.Upstream.Value];
+    auto Told = Upstream.ToldAt.find(Index);
+    Upstream.Arrivals.push_back({Now, Told != Upstream.ToldAt.end() &&
+                                          Now - Told->second >= told_time});
+    answer_head Head;
+    Head.Attempt = Dispatch.Attempt;
+    Head.Status = RefusesAll ? 503 : 200;
+    Head.SaidNotRun = RefusesAll;
+    Head.RequestLimit = Upstream.Limit;
+    if (Upstream.Limit) {
+      Upstream.StatedAt = Upstream.StatedAt.value_or(Now + ServiceTime);
+      Upstream.ToldAt.try_emplace(Index, Now + ServiceTime);
+    }
+    Queue.push({Now + ServiceTime, ++Order, Index, Head});
+    if (!RefusesAll)
+      Queue.push(
+          {Now + ServiceTime, ++Order, Index, answer_end{Dispatch.Attempt}});
+  }
+
+  // Returns the most requests from entries that had been told, and the most
+  // requests from all entries, that arrived within `limit_span` since From.
+  std::pair<int, int> mostInSpan(const std::string &Name, duration From) {
+    std::pair<int, int> Most;
+    const std::vector<arrival> &All = Upstreams[Name].Arrivals;
+    for (auto First = All.begin(); First != All.end(); ++First) {
+      if (First->At < From)
+        continue;
+      int Told = 0;
+      int Total = 0;
+      for (auto It = First; It != All.end() && It->At < First->At + limit_span;
+           ++It) {
+        ++Total;
+        Told += It->WasTold ? 1 : 0;
+      }
+      Most = {std::max(Most.first, Told), std::max(Most.second, Total)};
+    }
+    return Most;
+  }
+  int arrivals(const std::string &Name, duration From, duration To) {
+    int Count = 0;
+    for (const arrival &Arrival : Upstreams[Name].Arrivals)
+      Count += Arrival.At >= From && Arrival.At < To ? 1 : 0;
+    return Count;
+  }
+  static int allowed(double Limit) {
+    constexpr double overrun = 1.5;
+    constexpr int allowance = 5;
+    return static_cast<int>(overrun * Limit *
+                            std::chrono::duration<double>(limit_span).count()) +
+           allowance;
+  }
+  // Checks the rule from the contact time after the limit's first statement.
+  void expectKept(const std::string &Name, double Limit) {
+    ASSERT_TRUE(Upstreams[Name].StatedAt) << Name;
+    auto [Told, Total] =
+        mostInSpan(Name, *Upstreams[Name].StatedAt + contact_time);
+    EXPECT_LE(Told, allowed(Limit)) << Name;
+    // Stricter than the rule: entries learn of a limit from each other.
+    EXPECT_LE(Total, allowed(Limit)) << Name;
+  }
+
+  uint64_t draw() {
+    State = State * 6364136223846793005 + 1442695040888963407;
+    return State >> 33;
+  }
+
+  static constexpr duration ServiceTime = 100ms;
+  double CallsPerSecond = 200;
+  double Owed = 0;
+  uint64_t State = 1;
+  int64_t LastRequest = 0;
+  std::map<std::string, upstream> Upstreams;
+  std::set<size_t> DrainedEntries;
+  bool RefusesAll = false;
+  int Answered = 0;
+  std::vector<route_refusal> Refusals;
+};
+
+TEST_P(upstream_limit_test, Upstream_StatesALimit_FleetKeepsIt) {
+  startFleet();
+  setLimit("u0", 1);
+  runUntil(45s);
+  expectKept("u0", 1);
+  EXPECT_TRUE(Refusals.empty()); // the other upstreams take the rest
+}
+
+TEST_P(upstream_limit_test, Upstreams_AllStateLimits_FleetKeepsEach) {
+  constexpr double limit = 10;
+  startFleet();
+  limitAll(limit);
+  runUntil(45s);
+  for (const auto &[Name, Upstream] : Upstreams)
+    expectKept(Name, limit);
+  EXPECT_FALSE(Refusals.empty());
+  for (const route_refusal &Refusal : Refusals) {
+    EXPECT_EQ(Refusal.Status, 503);
+    EXPECT_EQ(Refusal.Outcome, execution_outcome::NotRun);
+    EXPECT_GT(Refusal.RetryAfter, duration::zero());
+  }
+}
+
+// Every answer causes a further attempt.
+TEST_P(upstream_limit_test, Upstream_RefusesWithALimit_FleetKeepsIt) {
+  startFleet();
+  RefusesAll = true;
+  limitAll(2);
+  runUntil(45s);
+  for (const auto &[Name, Upstream] : Upstreams)
+    expectKept(Name, 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, upstream_limit_test,
+                         testing::Values(std::pair(1, 1), std::pair(4, 2),
+                                         std::pair(3, 5), std::pair(5, 12),
+                                         std::pair(5, 59)));
+
+} // namespace
+} // namespace monsoonreel
