--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -75,18 +75,19 @@
   return Ranks;
 }
 
-// Returns the candidates that are not backing off, paused or tried already; if
-// there are none, those that are paused.
-std::vector<const upstream_state *>
-eligible(const placement_query &Query,
-         const upstream_failure_tracker &FailureTracker) {
+// Returns the candidates that are not backing off, at their limit, paused or
+// tried already; if there are none, those that are paused.
+std::vector<const upstream_state *> eligible(const placement_query &Query,
+                                             const placement_inputs &Inputs) {
+  const upstream_failure_tracker &FailureTracker = Inputs.FailureTracker;
   std::vector<const upstream_state *> Usable;
   std::vector<const upstream_state *> Paused;
   for (const upstream_state *Candidate : Query.Serving) {
     const upstream_name &Name = Candidate->Entry.Name;
     if (std::find(Query.Tried.begin(), Query.Tried.end(), Name) !=
             Query.Tried.end() ||
-        FailureTracker.backoffUntil(Name, Query.Now))
+        FailureTracker.backoffUntil(Name, Query.Now) ||
+        !Inputs.Limits.maySend(Name, Query.Now))
       continue;
     (FailureTracker.isPaused(Name, Candidate->Entry.Zone, Query.Now) ? Paused
                                                                      : Usable)
@@ -168,7 +169,7 @@
 
 std::optional<placement> placeOnEngine(const placement_query &Query,
                                        const placement_inputs &Inputs) {
-  auto List = eligible(Query, Inputs.FailureTracker);
+  auto List = eligible(Query, Inputs);
   size_t ReservedCount = reservedEngineCount(List, Query.Slots, Inputs.Load);
   std::vector<size_t> ReservationRank = ranksFor("paced streams", List);
   std::vector<size_t> HomeRank = ranksFor(subjectKey(*Query.Prompt), List);
@@ -214,7 +215,7 @@
 
 std::optional<placement> placeOnService(const placement_query &Query,
                                         const placement_inputs &Inputs) {
-  auto List = eligible(Query, Inputs.FailureTracker);
+  auto List = eligible(Query, Inputs);
   std::optional<placement> Best;
   // A random start distributes requests over candidates of equal cost.
   size_t First = List.empty() ? 0 : Query.Random % List.size();
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -25,6 +25,8 @@
 //   read in that time.
 // - Failing upstreams. Paused upstreams are used only when no others are left;
 //   failures count as additional load.
+// - Upstreams in need, which state a request rate. They are used only within
+//   this entry's share of it, see upstream_limits.h.
 //
 // All costs are in prompt tokens that the engine would have to read first.
 // Costs of services without engines are in concurrent requests.
@@ -38,6 +40,7 @@
 #include "routing/prompt_cache_view.h"
 #include "routing/routing_event.h"
 #include "routing/upstream_failure_tracker.h"
+#include "routing/upstream_limits.h"
 #include "routing/upstream_load.h"
 #include "routing/upstream_registry.h"
 
@@ -68,6 +71,7 @@
   const upstream_load &Load;
   const prompt_cache_view &Cache;
   const upstream_failure_tracker &FailureTracker;
+  const upstream_limits &Limits;
 };
 
 std::optional<placement> choosePlacement(const placement_query &Query,
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -115,14 +115,17 @@
                           const router_context &Context,
                           routing_effects &Effects) {
   placement_query Query = queryFor(Request, Context);
-  std::optional<placement> Chosen = choosePlacement(
-      Query, {Services.Load, Services.Cache, Services.FailureTracker});
-  if (!Chosen)
-    return endWithFailure(Request,
-                          backoffLeft(Request, Context) > duration::zero()
-                              ? "upstreams-rest"
-                              : "no-upstream",
-                          Context, Effects);
+  std::optional<placement> Chosen =
+      choosePlacement(Query, {Services.Load, Services.Cache,
+                              Services.FailureTracker, Services.Limits});
+  if (!Chosen) {
+    const char *Why = "no-upstream";
+    if (backoffLeft(Request, Context) > duration::zero())
+      Why = "upstreams-rest";
+    else if (limitInterval(Request) > duration::zero())
+      Why = "upstreams-limited";
+    return endWithFailure(Request, Why, Context, Effects);
+  }
   const upstream_entry &Entry = Chosen->Upstream->Entry;
   attempt_number Attempt{++LastAttempt};
   Attempts[Attempt] = Request.Arrived.Request;
@@ -135,6 +138,7 @@
   Request.Tried.push_back(Entry.Name);
   ++Request.Sent;
   Services.Load.begin(Attempt, Entry.Name, {Chosen->UnreadTokens, Query.Paced});
+  Services.Limits.onSent(Entry.Name, Context.Now);
   if (Query.Prompt)
     Services.Cache.onDispatched(Entry.Name, *Query.Prompt, Context.Now);
 
@@ -170,6 +174,7 @@
           .add("unread", Chosen->UnreadTokens)
           .add("running", Chosen->Use.Running)
           .add("unread_before", Chosen->Use.UnreadTokens)
+          .add("limit", Services.Limits.describe(Entry.Name))
           .add("time_left", Dispatch.TimeLeft)
           .line(log_level::Info));
 }
@@ -185,6 +190,18 @@
   return Shortest == duration::max() ? duration::zero() : Shortest;
 }
 
+duration request_router::limitInterval(const active_request &Request) const {
+  double PerSecond = 0;
+  for (const upstream_state *Each :
+       Services.Registry.serving(Request.Service->Name))
+    if (auto Limit = Services.Limits.limitOf(Each->Entry.Name))
+      PerSecond += std::max(*Limit, min_request_limit);
+  if (PerSecond == 0)
+    return duration::zero();
+  return std::chrono::ceil<duration>(
+      std::chrono::duration<double>(1 / PerSecond));
+}
+
 void request_router::endAttempt(active_request &Request) {
   if (!Request.Attempt)
     return;
@@ -314,9 +331,11 @@
                                     const router_context &Context) const {
   if (Why == "upstream-full")
     return full_retry_delay;
-  if (duration Rest = backoffLeft(Request, Context); Rest > duration::zero())
-    return Rest;
-  return no_upstream_retry_delay;
+  duration Shortest = duration::max();
+  for (duration Wait : {backoffLeft(Request, Context), limitInterval(Request)})
+    if (Wait > duration::zero())
+      Shortest = std::min(Shortest, Wait);
+  return Shortest == duration::max() ? no_upstream_retry_delay : Shortest;
 }
 
 void request_router::endWithFailure(active_request &Request, const char *Why,
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -53,6 +53,7 @@
   upstream_load &Load;
   prompt_cache_view &Cache;
   upstream_failure_tracker &FailureTracker;
+  upstream_limits &Limits;
   resend_budget &Budget;
   usage_windows &Usage;
 };
@@ -140,6 +141,9 @@
   // service; zero if none of them has asked for back-off.
   duration backoffLeft(const active_request &Request,
                        const router_context &Context) const;
+  // Returns the mean time between two requests that the upstreams of the
+  // request's service take by their limits; zero if none of them has a limit.
+  duration limitInterval(const active_request &Request) const;
   // Sends the request to another upstream if that is allowed; otherwise ends
   // it.
   void resendOrFail(active_request &Request, bool Arrived, const char *Why,
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -3,8 +3,6 @@
 
 #include <utility>
 
-#include "absl/strings/str_cat.h"
-
 #include "routing/decision_log.h"
 #include "routing/request_router.h"
 
@@ -88,13 +86,18 @@
                           .add("for", *Head.BackoffFor)
                           .line(log_level::Warning));
   }
-  if (Head.RequestLimit && !Head.WrongUpstream)
-    Effects.push_back(decision("upstream-limit")
-                          .add("request", Request.Arrived.CallerId)
-                          .add("upstream", Request.Upstream)
-                          .add("per_second", absl::StrCat(*Head.RequestLimit))
-                          .add("sent_ago", Context.Now - Request.SentAt)
-                          .line(log_level::Info));
+  bool LimitChanged =
+      !Head.WrongUpstream &&
+      Services.Limits.onAnswer(Request.Upstream, Head.RequestLimit,
+                               Request.SentAt, Context.Now);
+  if (LimitChanged)
+    Effects.push_back(
+        decision("upstream-limit")
+            .add("request", Request.Arrived.CallerId)
+            .add("upstream", Request.Upstream)
+            .add("limit", Services.Limits.describe(Request.Upstream))
+            .add("sent_ago", Context.Now - Request.SentAt)
+            .line(log_level::Info));
   // An answer from the new owner of the address says nothing about the expected
   // upstream.
   const upstream_state *Known = Services.Registry.find(Request.Upstream);
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -49,9 +49,9 @@
                     },
                     Terms.Bounds.laterReaderDelay(),
                     Terms.Bounds.laterReaderRetryPeriod()}),
-      Registry(Terms.Bounds.lapseGrace()), Budget(Terms.Resends),
-      Usage(usageTerms(Terms)),
-      Requests({Registry, Load, Cache, FailureTracker, Budget, Usage},
+      Registry(Terms.Bounds.lapseGrace()), Limits(Identity.Name.Value),
+      Budget(Terms.Resends), Usage(usageTerms(Terms)),
+      Requests({Registry, Load, Cache, FailureTracker, Limits, Budget, Usage},
                Identity.Zone),
       Duties(dutyTerms(Terms), Identity), Capacity(Terms.Bounds.UpstreamReport),
       Relays(Identity) {}
@@ -135,12 +135,14 @@
   Cache.onTick(Event.Now);
   FailureTracker.onTick(Event.Now);
   if (Event.Now >= NextRefresh)
-    refreshEntries(Event.Now);
+    refreshEntries(Event.Now, Effects);
   ConfigFeed.onTick(Event.Now, ConfigRank, Effects);
   UpstreamFeed.onTick(Event.Now, UpstreamRank, Effects);
   logStoreRecovery(Event.Now, Effects);
   Registry.onTick(Event.Now, UpstreamFeed.isStoreFailing());
-  Requests.onTick(contextOf(Event), Effects);
+  router_context Context = contextOf(Event);
+  Limits.onTick(Event.Now, Context.TrueTime);
+  Requests.onTick(Context, Effects);
   if (!DrainingSince && (Terms.ReportsUsage || Terms.OrdersUpstreams))
     performDuties(Event, Effects);
   if (Event.Now >= NextReport)
@@ -148,7 +150,7 @@
   checkDrain(Event, Effects);
 }
 
-void routing_node::refreshEntries(steady_time Now) {
+void routing_node::refreshEntries(steady_time Now, routing_effects &Effects) {
   StartedAt = StartedAt.value_or(Now);
   NextRefresh = Now + std::max<duration>(entries_refresh_period,
                                          entry_refresh_share * entryCount());
@@ -168,6 +170,24 @@
   ConfigRank = updateReaderRank(ConfigFeed, Now);
   UpstreamRank = updateReaderRank(UpstreamFeed, Now);
   Duties.setCandidates(entryCount());
+  updateLimitShares(Now);
+  if (size_t Count = Limits.size(); Count != LimitedUpstreams) {
+    LimitedUpstreams = Count;
+    Effects.push_back(set_gauge{
+        "monsoonreel_limited_upstreams", {}, static_cast<double>(Count)});
+  }
+}
+
+void routing_node::updateLimitShares(steady_time Now) {
+  std::vector<std::string> Names;
+  Names.reserve(Others.size());
+  for (const wire::member &Member : Others)
+    Names.push_back(Member.Name);
+  Limits.setEntries(std::move(Names), Now);
+  // Other entries do not count on an entry that drains, and an entry that has
+  // just started does not know all others.
+  Limits.setSharing(!DrainingSince && Now - *StartedAt >= limit_warmup_time,
+                    Now);
 }
 
 // Updates whether this entry is a later reader of the feed, and returns its
@@ -362,6 +382,7 @@
     return;
   DrainingSince = Event.Now;
   Members.announceLeaving();
+  Limits.setSharing(false, Event.Now);
   Duties.release();
   Effects.push_back(decision("draining")
                         .add("open", static_cast<int64_t>(Requests.open()))
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -71,6 +71,9 @@
 // After its start an entry does not know yet which entries read before it. It
 // leaves regular reads to others for this time.
 constexpr duration reader_warmup_time = std::chrono::seconds(5);
+// An entry takes no share of the limits of upstreams for this time after its
+// start, because it does not know all other entries yet.
+constexpr duration limit_warmup_time = std::chrono::seconds(5);
 // Number of entries of each zone that are not later readers, so that a zone
 // that is cut off from the others reads as early as they do.
 constexpr size_t readers_in_zone = 3;
@@ -143,7 +146,8 @@
   size_t entryCount() const { return Others.size() + 1; }
   duration reportInterval() const;
   keyed_feed *feedOf(const std::string &Name);
-  void refreshEntries(steady_time Now);
+  void refreshEntries(steady_time Now, routing_effects &Effects);
+  void updateLimitShares(steady_time Now);
   size_t updateReaderRank(keyed_feed &Feed, steady_time Now) const;
   void logStoreRecovery(steady_time Now, routing_effects &Effects);
   void applyChanges(const keyed_feed &Feed,
@@ -155,10 +159,14 @@
   void applyConfig(const feed_change &Change, steady_time Now,
                    routing_effects &Effects);
   void onReport(const address &From, const wire::entry_report &Report,
-                steady_time Now);
+                steady_time Now, routing_effects &Effects);
   void onRelayReport(const address &From, const wire::relay_report &Report,
-                     steady_time Now);
-  template <typename T> void onSharedParts(const T &Report, steady_time Now);
+                     steady_time Now, routing_effects &Effects);
+  void onLimits(const std::vector<wire::upstream_limit> &Reported,
+                steady_time Now, routing_effects &Effects);
+  template <typename T>
+  void onSharedParts(const T &Report, steady_time Now,
+                     routing_effects &Effects);
   void onUsageReport(const address &From, const wire::usage_report &Report,
                      steady_time Now);
   void onNews(const address &From, const wire::feed_news &News, steady_time Now,
@@ -196,6 +204,7 @@
   upstream_load Load;
   prompt_cache_view Cache;
   upstream_failure_tracker FailureTracker;
+  upstream_limits Limits;
   resend_budget Budget;
   usage_windows Usage;
   request_router Requests;
@@ -226,6 +235,7 @@
   std::map<int64_t, steady_time> UsageSent;
   int64_t PeersFiguredWindow = 0;
   std::string LoggedHolder;
+  size_t LimitedUpstreams = 0; // last value of the metric
   bool StoreFailing = false;
   bool WasReady = false;
   std::optional<steady_time> DrainingSince;
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "routing/decision_log.h"
 #include "routing/routing_node.h"
 
 namespace monsoonreel {
@@ -36,9 +37,9 @@
     return append(std::move(MemberEffects), Effects);
   const address &From = Received.FromAddress;
   if (const auto *Report = std::get_if<wire::entry_report>(&Received.Message))
-    return onReport(From, *Report, Event.Now);
+    return onReport(From, *Report, Event.Now, Effects);
   if (const auto *Report = std::get_if<wire::relay_report>(&Received.Message))
-    return onRelayReport(From, *Report, Event.Now);
+    return onRelayReport(From, *Report, Event.Now, Effects);
   if (const auto *Report = std::get_if<wire::usage_report>(&Received.Message))
     return onUsageReport(From, *Report, Event.Now);
   if (const auto *News = std::get_if<wire::feed_news>(&Received.Message))
@@ -48,7 +49,8 @@
 // ---------------------------------------------------------------- receiving
 
 void routing_node::onReport(const address &From,
-                            const wire::entry_report &Report, steady_time Now) {
+                            const wire::entry_report &Report, steady_time Now,
+                            routing_effects &Effects) {
   ReportedAt[From] = Now;
   // Where relays are used, only the relays sum up the load of the entries of
   // their zone.
@@ -56,12 +58,14 @@
     Load.onReport(From, Report, Now);
   Clock.onPeer(From, Now, wall_time(fromMicros(Report.WallMicros)));
   Usage.onReport(From, Report.Incarnation, Report.Windows);
-  onSharedParts(Report, Now);
+  onSharedParts(Report, Now, Effects);
 }
 
 // Handles the fields that reports of entries and of relays share.
 template <typename T>
-void routing_node::onSharedParts(const T &Report, steady_time Now) {
+void routing_node::onSharedParts(const T &Report, steady_time Now,
+                                 routing_effects &Effects) {
+  onLimits(Report.Limits, Now, Effects);
   onLeavingRuns(Report.Leaving, Now);
   PeersFiguredWindow = std::max(PeersFiguredWindow, Report.LastFiguredWindow);
   onMarks(Report.Feeds, Now);
@@ -71,7 +75,7 @@
 
 void routing_node::onRelayReport(const address &From,
                                  const wire::relay_report &Report,
-                                 steady_time Now) {
+                                 steady_time Now, routing_effects &Effects) {
   Relays.onZoneSum(From, Now);
   for (const wire::zone_uses &Sums : Report.Zones) {
     duration Age = std::max(fromMicros(Sums.AgeMicros), duration::zero());
@@ -89,7 +93,7 @@
       It->second = {Sums, Now - Age};
   }
   Clock.onPeer(From, Now, wall_time(fromMicros(Report.TrueMicros)));
-  onSharedParts(Report, Now);
+  onSharedParts(Report, Now, Effects);
 }
 
 void routing_node::onUsageReport(const address &From,
@@ -114,6 +118,18 @@
                        Now);
 }
 
+void routing_node::onLimits(const std::vector<wire::upstream_limit> &Reported,
+                            steady_time Now, routing_effects &Effects) {
+  for (const wire::upstream_limit &Each : Reported)
+    if (Limits.onReport(Each, Now))
+      Effects.push_back(
+          decision("upstream-limit")
+              .add("upstream", Each.Upstream)
+              .add("limit", Limits.describe(upstream_name(Each.Upstream)))
+              .add("reported_age", fromMicros(Each.AgeMicros))
+              .line(log_level::Info));
+}
+
 void routing_node::onNews(const address &From, const wire::feed_news &News,
                           steady_time Now, routing_effects &Effects) {
   keyed_feed *Feed = feedOf(News.Feed);
@@ -170,6 +186,7 @@
   Report.Sequence = ++ReportSequence;
   Report.Uses = Load.reportOwnUses(Event.Now);
   Report.Leaving = leavingRuns(Event.Now);
+  Report.Limits = Limits.recent(true, Event.Now);
   if (IsUsageDue && !Relays.inUse())
     Report.Windows = Usage.ownWindows();
   if (Relays.inUse())
@@ -234,6 +251,7 @@
       PeersFiguredWindow, Duties.isMine() ? Duties.lastFiguredWindow() : 0);
   Report.TrueMicros = toMicros(Clock.at(Event.Now).time_since_epoch());
   Report.Leaving = leavingRuns(Event.Now);
+  Report.Limits = Limits.recent(false, Event.Now);
   if (++RelayReports % reports_per_zone_exchange == 0) {
     Effects.push_back(
         send_datagrams{Relays.ofOtherZones(), wire::peer_message(Report)});
--- a/routing/testing/request_router_fixture.h
+++ b/routing/testing/request_router_fixture.h
@@ -19,7 +19,7 @@
 protected:
   request_router_test()
       : Budget({0.2, 1000, 10s}), Usage(usage_terms{}),
-        Router({Registry, Load, Cache, FailureTracker, Budget, Usage},
+        Router({Registry, Load, Cache, FailureTracker, Limits, Budget, Usage},
                zone_name("z")) {
     for (const char *Name : {"u1", "u2", "u3"})
       list(Name);
@@ -136,6 +136,7 @@
   upstream_load Load;
   prompt_cache_view Cache;
   upstream_failure_tracker FailureTracker;
+  upstream_limits Limits{"e"};
   resend_budget Budget;
   usage_windows Usage;
   request_router Router;
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -570,6 +570,153 @@
 }
 
 
+upstream_limit::~upstream_limit() noexcept {
+}
+
+
+void upstream_limit::__set_Upstream(const std::string& val) {
+  this->Upstream = val;
+}
+
+void upstream_limit::__set_PerSecond(const double val) {
+  this->PerSecond = val;
+__isset.PerSecond = true;
+}
+
+void upstream_limit::__set_AgeMicros(const int64_t val) {
+  this->AgeMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const upstream_limit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t upstream_limit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Upstream);
+          this->__isset.Upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->PerSecond);
+          this->__isset.PerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AgeMicros);
+          this->__isset.AgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t upstream_limit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("upstream_limit");
+
+  xfer += oprot->writeFieldBegin("Upstream", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->Upstream);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.PerSecond) {
+    xfer += oprot->writeFieldBegin("PerSecond", ::apache::thrift::protocol::T_DOUBLE, 2);
+    xfer += oprot->writeDouble(this->PerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->AgeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(upstream_limit &a, upstream_limit &b) {
+  using ::std::swap;
+  swap(a.Upstream, b.Upstream);
+  swap(a.PerSecond, b.PerSecond);
+  swap(a.AgeMicros, b.AgeMicros);
+  swap(a.__isset, b.__isset);
+}
+
+upstream_limit::upstream_limit(const upstream_limit& other22) {
+  Upstream = other22.Upstream;
+  PerSecond = other22.PerSecond;
+  AgeMicros = other22.AgeMicros;
+  __isset = other22.__isset;
+}
+upstream_limit::upstream_limit(upstream_limit&& other23) noexcept {
+  Upstream = std::move(other23.Upstream);
+  PerSecond = other23.PerSecond;
+  AgeMicros = other23.AgeMicros;
+  __isset = other23.__isset;
+}
+upstream_limit& upstream_limit::operator=(const upstream_limit& other24) {
+  Upstream = other24.Upstream;
+  PerSecond = other24.PerSecond;
+  AgeMicros = other24.AgeMicros;
+  __isset = other24.__isset;
+  return *this;
+}
+upstream_limit& upstream_limit::operator=(upstream_limit&& other25) noexcept {
+  Upstream = std::move(other25.Upstream);
+  PerSecond = other25.PerSecond;
+  AgeMicros = other25.AgeMicros;
+  __isset = other25.__isset;
+  return *this;
+}
+void upstream_limit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "upstream_limit(";
+  out << "Upstream=" << to_string(Upstream);
+  out << ", " << "PerSecond="; (__isset.PerSecond ? (out << to_string(PerSecond)) : (out << "<null>"));
+  out << ", " << "AgeMicros=" << to_string(AgeMicros);
+  out << ")";
+}
+
+
 feed_mark::~feed_mark() noexcept {
 }
 
@@ -713,38 +860,38 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_mark::feed_mark(const feed_mark& other22) {
-  Feed = other22.Feed;
-  News = other22.News;
-  End = other22.End;
-  AgeMicros = other22.AgeMicros;
-  Reads = other22.Reads;
-  __isset = other22.__isset;
-}
-feed_mark::feed_mark(feed_mark&& other23) noexcept {
-  Feed = std::move(other23.Feed);
-  News = other23.News;
-  End = other23.End;
-  AgeMicros = other23.AgeMicros;
-  Reads = other23.Reads;
-  __isset = other23.__isset;
-}
-feed_mark& feed_mark::operator=(const feed_mark& other24) {
-  Feed = other24.Feed;
-  News = other24.News;
-  End = other24.End;
-  AgeMicros = other24.AgeMicros;
-  Reads = other24.Reads;
-  __isset = other24.__isset;
+feed_mark::feed_mark(const feed_mark& other26) {
+  Feed = other26.Feed;
+  News = other26.News;
+  End = other26.End;
+  AgeMicros = other26.AgeMicros;
+  Reads = other26.Reads;
+  __isset = other26.__isset;
+}
+feed_mark::feed_mark(feed_mark&& other27) noexcept {
+  Feed = std::move(other27.Feed);
+  News = other27.News;
+  End = other27.End;
+  AgeMicros = other27.AgeMicros;
+  Reads = other27.Reads;
+  __isset = other27.__isset;
+}
+feed_mark& feed_mark::operator=(const feed_mark& other28) {
+  Feed = other28.Feed;
+  News = other28.News;
+  End = other28.End;
+  AgeMicros = other28.AgeMicros;
+  Reads = other28.Reads;
+  __isset = other28.__isset;
   return *this;
 }
-feed_mark& feed_mark::operator=(feed_mark&& other25) noexcept {
-  Feed = std::move(other25.Feed);
-  News = other25.News;
-  End = other25.End;
-  AgeMicros = other25.AgeMicros;
-  Reads = other25.Reads;
-  __isset = other25.__isset;
+feed_mark& feed_mark::operator=(feed_mark&& other29) noexcept {
+  Feed = std::move(other29.Feed);
+  News = other29.News;
+  End = other29.End;
+  AgeMicros = other29.AgeMicros;
+  Reads = other29.Reads;
+  __isset = other29.__isset;
   return *this;
 }
 void feed_mark::printTo(std::ostream& out) const {
@@ -810,6 +957,10 @@
 void entry_report::__set_Feeds(const std::vector<feed_mark> & val) {
   this->Feeds = val;
 }
+
+void entry_report::__set_Limits(const std::vector<upstream_limit> & val) {
+  this->Limits = val;
+}
 std::ostream& operator<<(std::ostream& out, const entry_report& obj)
 {
   obj.printTo(out);
@@ -858,14 +1009,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Uses.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->Uses.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->Uses.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->Uses[_i30].read(iprot);
+              xfer += this->Uses[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -878,14 +1029,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Windows.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->Windows.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->Windows.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += this->Windows[_i35].read(iprot);
+              xfer += this->Windows[_i39].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -946,14 +1097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leaving.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->Leaving.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->Leaving.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += this->Leaving[_i40].read(iprot);
+              xfer += this->Leaving[_i44].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -966,14 +1117,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Feeds.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->Feeds.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->Feeds.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
             {
-              xfer += this->Feeds[_i45].read(iprot);
+              xfer += this->Feeds[_i49].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -982,6 +1133,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Limits.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->Limits.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += this->Limits[_i54].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1010,10 +1181,10 @@
   xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
-    std::vector<upstream_use> ::const_iterator _iter46;
-    for (_iter46 = this->Uses.begin(); _iter46 != this->Uses.end(); ++_iter46)
+    std::vector<upstream_use> ::const_iterator _iter55;
+    for (_iter55 = this->Uses.begin(); _iter55 != this->Uses.end(); ++_iter55)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1022,10 +1193,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<window_counts> ::const_iterator _iter47;
-    for (_iter47 = this->Windows.begin(); _iter47 != this->Windows.end(); ++_iter47)
+    std::vector<window_counts> ::const_iterator _iter56;
+    for (_iter56 = this->Windows.begin(); _iter56 != this->Windows.end(); ++_iter56)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1058,10 +1229,10 @@
   xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaving.size()));
-    std::vector<upstream_run> ::const_iterator _iter48;
-    for (_iter48 = this->Leaving.begin(); _iter48 != this->Leaving.end(); ++_iter48)
+    std::vector<upstream_run> ::const_iterator _iter57;
+    for (_iter57 = this->Leaving.begin(); _iter57 != this->Leaving.end(); ++_iter57)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1070,10 +1241,22 @@
   xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Feeds.size()));
-    std::vector<feed_mark> ::const_iterator _iter49;
-    for (_iter49 = this->Feeds.begin(); _iter49 != this->Feeds.end(); ++_iter49)
+    std::vector<feed_mark> ::const_iterator _iter58;
+    for (_iter58 = this->Feeds.begin(); _iter58 != this->Feeds.end(); ++_iter58)
+    {
+      xfer += (*_iter58).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
+    std::vector<upstream_limit> ::const_iterator _iter59;
+    for (_iter59 = this->Limits.begin(); _iter59 != this->Limits.end(); ++_iter59)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1098,69 +1281,74 @@
   swap(a.DutyIncarnation, b.DutyIncarnation);
   swap(a.Leaving, b.Leaving);
   swap(a.Feeds, b.Feeds);
+  swap(a.Limits, b.Limits);
   swap(a.__isset, b.__isset);
 }
 
-entry_report::entry_report(const entry_report& other50) {
-  Incarnation = other50.Incarnation;
-  Sequence = other50.Sequence;
-  Uses = other50.Uses;
-  Windows = other50.Windows;
-  WallMicros = other50.WallMicros;
-  DutyHolder = other50.DutyHolder;
-  DutyFence = other50.DutyFence;
-  DutyClaimOffset = other50.DutyClaimOffset;
-  LastFiguredWindow = other50.LastFiguredWindow;
-  DutyIncarnation = other50.DutyIncarnation;
-  Leaving = other50.Leaving;
-  Feeds = other50.Feeds;
-  __isset = other50.__isset;
-}
-entry_report::entry_report(entry_report&& other51) noexcept {
-  Incarnation = other51.Incarnation;
-  Sequence = other51.Sequence;
-  Uses = std::move(other51.Uses);
-  Windows = std::move(other51.Windows);
-  WallMicros = other51.WallMicros;
-  DutyHolder = std::move(other51.DutyHolder);
-  DutyFence = other51.DutyFence;
-  DutyClaimOffset = other51.DutyClaimOffset;
-  LastFiguredWindow = other51.LastFiguredWindow;
-  DutyIncarnation = other51.DutyIncarnation;
-  Leaving = std::move(other51.Leaving);
-  Feeds = std::move(other51.Feeds);
-  __isset = other51.__isset;
-}
-entry_report& entry_report::operator=(const entry_report& other52) {
-  Incarnation = other52.Incarnation;
-  Sequence = other52.Sequence;
-  Uses = other52.Uses;
-  Windows = other52.Windows;
-  WallMicros = other52.WallMicros;
-  DutyHolder = other52.DutyHolder;
-  DutyFence = other52.DutyFence;
-  DutyClaimOffset = other52.DutyClaimOffset;
-  LastFiguredWindow = other52.LastFiguredWindow;
-  DutyIncarnation = other52.DutyIncarnation;
-  Leaving = other52.Leaving;
-  Feeds = other52.Feeds;
-  __isset = other52.__isset;
+entry_report::entry_report(const entry_report& other60) {
+  Incarnation = other60.Incarnation;
+  Sequence = other60.Sequence;
+  Uses = other60.Uses;
+  Windows = other60.Windows;
+  WallMicros = other60.WallMicros;
+  DutyHolder = other60.DutyHolder;
+  DutyFence = other60.DutyFence;
+  DutyClaimOffset = other60.DutyClaimOffset;
+  LastFiguredWindow = other60.LastFiguredWindow;
+  DutyIncarnation = other60.DutyIncarnation;
+  Leaving = other60.Leaving;
+  Feeds = other60.Feeds;
+  Limits = other60.Limits;
+  __isset = other60.__isset;
+}
+entry_report::entry_report(entry_report&& other61) noexcept {
+  Incarnation = other61.Incarnation;
+  Sequence = other61.Sequence;
+  Uses = std::move(other61.Uses);
+  Windows = std::move(other61.Windows);
+  WallMicros = other61.WallMicros;
+  DutyHolder = std::move(other61.DutyHolder);
+  DutyFence = other61.DutyFence;
+  DutyClaimOffset = other61.DutyClaimOffset;
+  LastFiguredWindow = other61.LastFiguredWindow;
+  DutyIncarnation = other61.DutyIncarnation;
+  Leaving = std::move(other61.Leaving);
+  Feeds = std::move(other61.Feeds);
+  Limits = std::move(other61.Limits);
+  __isset = other61.__isset;
+}
+entry_report& entry_report::operator=(const entry_report& other62) {
+  Incarnation = other62.Incarnation;
+  Sequence = other62.Sequence;
+  Uses = other62.Uses;
+  Windows = other62.Windows;
+  WallMicros = other62.WallMicros;
+  DutyHolder = other62.DutyHolder;
+  DutyFence = other62.DutyFence;
+  DutyClaimOffset = other62.DutyClaimOffset;
+  LastFiguredWindow = other62.LastFiguredWindow;
+  DutyIncarnation = other62.DutyIncarnation;
+  Leaving = other62.Leaving;
+  Feeds = other62.Feeds;
+  Limits = other62.Limits;
+  __isset = other62.__isset;
   return *this;
 }
-entry_report& entry_report::operator=(entry_report&& other53) noexcept {
-  Incarnation = other53.Incarnation;
-  Sequence = other53.Sequence;
-  Uses = std::move(other53.Uses);
-  Windows = std::move(other53.Windows);
-  WallMicros = other53.WallMicros;
-  DutyHolder = std::move(other53.DutyHolder);
-  DutyFence = other53.DutyFence;
-  DutyClaimOffset = other53.DutyClaimOffset;
-  LastFiguredWindow = other53.LastFiguredWindow;
-  DutyIncarnation = other53.DutyIncarnation;
-  Leaving = std::move(other53.Leaving);
-  Feeds = std::move(other53.Feeds);
-  __isset = other53.__isset;
+entry_report& entry_report::operator=(entry_report&& other63) noexcept {
+  Incarnation = other63.Incarnation;
+  Sequence = other63.Sequence;
+  Uses = std::move(other63.Uses);
+  Windows = std::move(other63.Windows);
+  WallMicros = other63.WallMicros;
+  DutyHolder = std::move(other63.DutyHolder);
+  DutyFence = other63.DutyFence;
+  DutyClaimOffset = other63.DutyClaimOffset;
+  LastFiguredWindow = other63.LastFiguredWindow;
+  DutyIncarnation = other63.DutyIncarnation;
+  Leaving = std::move(other63.Leaving);
+  Feeds = std::move(other63.Feeds);
+  Limits = std::move(other63.Limits);
+  __isset = other63.__isset;
   return *this;
 }
 void entry_report::printTo(std::ostream& out) const {
@@ -1178,6 +1366,7 @@
   out << ", " << "DutyIncarnation=" << to_string(DutyIncarnation);
   out << ", " << "Leaving=" << to_string(Leaving);
   out << ", " << "Feeds=" << to_string(Feeds);
+  out << ", " << "Limits=" << to_string(Limits);
   out << ")";
 }
 
@@ -1233,14 +1422,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Windows.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->Windows.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->Windows.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->Windows[_i58].read(iprot);
+              xfer += this->Windows[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1273,10 +1462,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<window_counts> ::const_iterator _iter59;
-    for (_iter59 = this->Windows.begin(); _iter59 != this->Windows.end(); ++_iter59)
+    std::vector<window_counts> ::const_iterator _iter69;
+    for (_iter69 = this->Windows.begin(); _iter69 != this->Windows.end(); ++_iter69)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1294,26 +1483,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_report::usage_report(const usage_report& other60) {
-  Incarnation = other60.Incarnation;
-  Windows = other60.Windows;
-  __isset = other60.__isset;
+usage_report::usage_report(const usage_report& other70) {
+  Incarnation = other70.Incarnation;
+  Windows = other70.Windows;
+  __isset = other70.__isset;
 }
-usage_report::usage_report(usage_report&& other61) noexcept {
-  Incarnation = other61.Incarnation;
-  Windows = std::move(other61.Windows);
-  __isset = other61.__isset;
+usage_report::usage_report(usage_report&& other71) noexcept {
+  Incarnation = other71.Incarnation;
+  Windows = std::move(other71.Windows);
+  __isset = other71.__isset;
 }
-usage_report& usage_report::operator=(const usage_report& other62) {
-  Incarnation = other62.Incarnation;
-  Windows = other62.Windows;
-  __isset = other62.__isset;
+usage_report& usage_report::operator=(const usage_report& other72) {
+  Incarnation = other72.Incarnation;
+  Windows = other72.Windows;
+  __isset = other72.__isset;
   return *this;
 }
-usage_report& usage_report::operator=(usage_report&& other63) noexcept {
-  Incarnation = other63.Incarnation;
-  Windows = std::move(other63.Windows);
-  __isset = other63.__isset;
+usage_report& usage_report::operator=(usage_report&& other73) noexcept {
+  Incarnation = other73.Incarnation;
+  Windows = std::move(other73.Windows);
+  __isset = other73.__isset;
   return *this;
 }
 void usage_report::printTo(std::ostream& out) const {
@@ -1380,14 +1569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Uses.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->Uses.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->Uses.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->Uses[_i68].read(iprot);
+              xfer += this->Uses[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1428,10 +1617,10 @@
   xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
-    std::vector<upstream_use> ::const_iterator _iter69;
-    for (_iter69 = this->Uses.begin(); _iter69 != this->Uses.end(); ++_iter69)
+    std::vector<upstream_use> ::const_iterator _iter79;
+    for (_iter79 = this->Uses.begin(); _iter79 != this->Uses.end(); ++_iter79)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1454,30 +1643,30 @@
   swap(a.__isset, b.__isset);
 }
 
-zone_uses::zone_uses(const zone_uses& other70) {
-  Zone = other70.Zone;
-  Uses = other70.Uses;
-  AgeMicros = other70.AgeMicros;
-  __isset = other70.__isset;
+zone_uses::zone_uses(const zone_uses& other80) {
+  Zone = other80.Zone;
+  Uses = other80.Uses;
+  AgeMicros = other80.AgeMicros;
+  __isset = other80.__isset;
 }
-zone_uses::zone_uses(zone_uses&& other71) noexcept {
-  Zone = std::move(other71.Zone);
-  Uses = std::move(other71.Uses);
-  AgeMicros = other71.AgeMicros;
-  __isset = other71.__isset;
+zone_uses::zone_uses(zone_uses&& other81) noexcept {
+  Zone = std::move(other81.Zone);
+  Uses = std::move(other81.Uses);
+  AgeMicros = other81.AgeMicros;
+  __isset = other81.__isset;
 }
-zone_uses& zone_uses::operator=(const zone_uses& other72) {
-  Zone = other72.Zone;
-  Uses = other72.Uses;
-  AgeMicros = other72.AgeMicros;
-  __isset = other72.__isset;
+zone_uses& zone_uses::operator=(const zone_uses& other82) {
+  Zone = other82.Zone;
+  Uses = other82.Uses;
+  AgeMicros = other82.AgeMicros;
+  __isset = other82.__isset;
   return *this;
 }
-zone_uses& zone_uses::operator=(zone_uses&& other73) noexcept {
-  Zone = std::move(other73.Zone);
-  Uses = std::move(other73.Uses);
-  AgeMicros = other73.AgeMicros;
-  __isset = other73.__isset;
+zone_uses& zone_uses::operator=(zone_uses&& other83) noexcept {
+  Zone = std::move(other83.Zone);
+  Uses = std::move(other83.Uses);
+  AgeMicros = other83.AgeMicros;
+  __isset = other83.__isset;
   return *this;
 }
 void zone_uses::printTo(std::ostream& out) const {
@@ -1529,6 +1718,10 @@
 void relay_report::__set_Leaving(const std::vector<upstream_run> & val) {
   this->Leaving = val;
 }
+
+void relay_report::__set_Limits(const std::vector<upstream_limit> & val) {
+  this->Limits = val;
+}
 std::ostream& operator<<(std::ostream& out, const relay_report& obj)
 {
   obj.printTo(out);
@@ -1561,14 +1754,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Zones.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->Zones.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->Zones.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->Zones[_i78].read(iprot);
+              xfer += this->Zones[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1581,14 +1774,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Feeds.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->Feeds.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->Feeds.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->Feeds[_i83].read(iprot);
+              xfer += this->Feeds[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1649,14 +1842,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leaving.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->Leaving.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->Leaving.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->Leaving[_i88].read(iprot);
+              xfer += this->Leaving[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1665,6 +1858,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Limits.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->Limits.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += this->Limits[_i103].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1685,10 +1898,10 @@
   xfer += oprot->writeFieldBegin("Zones", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Zones.size()));
-    std::vector<zone_uses> ::const_iterator _iter89;
-    for (_iter89 = this->Zones.begin(); _iter89 != this->Zones.end(); ++_iter89)
+    std::vector<zone_uses> ::const_iterator _iter104;
+    for (_iter104 = this->Zones.begin(); _iter104 != this->Zones.end(); ++_iter104)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1697,10 +1910,10 @@
   xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Feeds.size()));
-    std::vector<feed_mark> ::const_iterator _iter90;
-    for (_iter90 = this->Feeds.begin(); _iter90 != this->Feeds.end(); ++_iter90)
+    std::vector<feed_mark> ::const_iterator _iter105;
+    for (_iter105 = this->Feeds.begin(); _iter105 != this->Feeds.end(); ++_iter105)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1733,10 +1946,22 @@
   xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaving.size()));
-    std::vector<upstream_run> ::const_iterator _iter91;
-    for (_iter91 = this->Leaving.begin(); _iter91 != this->Leaving.end(); ++_iter91)
+    std::vector<upstream_run> ::const_iterator _iter106;
+    for (_iter106 = this->Leaving.begin(); _iter106 != this->Leaving.end(); ++_iter106)
+    {
+      xfer += (*_iter106).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
+    std::vector<upstream_limit> ::const_iterator _iter107;
+    for (_iter107 = this->Limits.begin(); _iter107 != this->Limits.end(); ++_iter107)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1758,57 +1983,62 @@
   swap(a.LastFiguredWindow, b.LastFiguredWindow);
   swap(a.TrueMicros, b.TrueMicros);
   swap(a.Leaving, b.Leaving);
+  swap(a.Limits, b.Limits);
   swap(a.__isset, b.__isset);
 }
 
-relay_report::relay_report(const relay_report& other92) {
-  Zones = other92.Zones;
-  Feeds = other92.Feeds;
-  DutyHolder = other92.DutyHolder;
-  DutyIncarnation = other92.DutyIncarnation;
-  DutyFence = other92.DutyFence;
-  DutyClaimOffset = other92.DutyClaimOffset;
-  LastFiguredWindow = other92.LastFiguredWindow;
-  TrueMicros = other92.TrueMicros;
-  Leaving = other92.Leaving;
-  __isset = other92.__isset;
-}
-relay_report::relay_report(relay_report&& other93) noexcept {
-  Zones = std::move(other93.Zones);
-  Feeds = std::move(other93.Feeds);
-  DutyHolder = std::move(other93.DutyHolder);
-  DutyIncarnation = other93.DutyIncarnation;
-  DutyFence = other93.DutyFence;
-  DutyClaimOffset = other93.DutyClaimOffset;
-  LastFiguredWindow = other93.LastFiguredWindow;
-  TrueMicros = other93.TrueMicros;
-  Leaving = std::move(other93.Leaving);
-  __isset = other93.__isset;
-}
-relay_report& relay_report::operator=(const relay_report& other94) {
-  Zones = other94.Zones;
-  Feeds = other94.Feeds;
-  DutyHolder = other94.DutyHolder;
-  DutyIncarnation = other94.DutyIncarnation;
-  DutyFence = other94.DutyFence;
-  DutyClaimOffset = other94.DutyClaimOffset;
-  LastFiguredWindow = other94.LastFiguredWindow;
-  TrueMicros = other94.TrueMicros;
-  Leaving = other94.Leaving;
-  __isset = other94.__isset;
+relay_report::relay_report(const relay_report& other108) {
+  Zones = other108.Zones;
+  Feeds = other108.Feeds;
+  DutyHolder = other108.DutyHolder;
+  DutyIncarnation = other108.DutyIncarnation;
+  DutyFence = other108.DutyFence;
+  DutyClaimOffset = other108.DutyClaimOffset;
+  LastFiguredWindow = other108.LastFiguredWindow;
+  TrueMicros = other108.TrueMicros;
+  Leaving = other108.Leaving;
+  Limits = other108.Limits;
+  __isset = other108.__isset;
+}
+relay_report::relay_report(relay_report&& other109) noexcept {
+  Zones = std::move(other109.Zones);
+  Feeds = std::move(other109.Feeds);
+  DutyHolder = std::move(other109.DutyHolder);
+  DutyIncarnation = other109.DutyIncarnation;
+  DutyFence = other109.DutyFence;
+  DutyClaimOffset = other109.DutyClaimOffset;
+  LastFiguredWindow = other109.LastFiguredWindow;
+  TrueMicros = other109.TrueMicros;
+  Leaving = std::move(other109.Leaving);
+  Limits = std::move(other109.Limits);
+  __isset = other109.__isset;
+}
+relay_report& relay_report::operator=(const relay_report& other110) {
+  Zones = other110.Zones;
+  Feeds = other110.Feeds;
+  DutyHolder = other110.DutyHolder;
+  DutyIncarnation = other110.DutyIncarnation;
+  DutyFence = other110.DutyFence;
+  DutyClaimOffset = other110.DutyClaimOffset;
+  LastFiguredWindow = other110.LastFiguredWindow;
+  TrueMicros = other110.TrueMicros;
+  Leaving = other110.Leaving;
+  Limits = other110.Limits;
+  __isset = other110.__isset;
   return *this;
 }
-relay_report& relay_report::operator=(relay_report&& other95) noexcept {
-  Zones = std::move(other95.Zones);
-  Feeds = std::move(other95.Feeds);
-  DutyHolder = std::move(other95.DutyHolder);
-  DutyIncarnation = other95.DutyIncarnation;
-  DutyFence = other95.DutyFence;
-  DutyClaimOffset = other95.DutyClaimOffset;
-  LastFiguredWindow = other95.LastFiguredWindow;
-  TrueMicros = other95.TrueMicros;
-  Leaving = std::move(other95.Leaving);
-  __isset = other95.__isset;
+relay_report& relay_report::operator=(relay_report&& other111) noexcept {
+  Zones = std::move(other111.Zones);
+  Feeds = std::move(other111.Feeds);
+  DutyHolder = std::move(other111.DutyHolder);
+  DutyIncarnation = other111.DutyIncarnation;
+  DutyFence = other111.DutyFence;
+  DutyClaimOffset = other111.DutyClaimOffset;
+  LastFiguredWindow = other111.LastFiguredWindow;
+  TrueMicros = other111.TrueMicros;
+  Leaving = std::move(other111.Leaving);
+  Limits = std::move(other111.Limits);
+  __isset = other111.__isset;
   return *this;
 }
 void relay_report::printTo(std::ostream& out) const {
@@ -1823,6 +2053,7 @@
   out << ", " << "LastFiguredWindow=" << to_string(LastFiguredWindow);
   out << ", " << "TrueMicros=" << to_string(TrueMicros);
   out << ", " << "Leaving=" << to_string(Leaving);
+  out << ", " << "Limits=" << to_string(Limits);
   out << ")";
 }
 
@@ -1938,30 +2169,30 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_record::feed_record(const feed_record& other96) {
-  Offset = other96.Offset;
-  Key = other96.Key;
-  Value = other96.Value;
-  __isset = other96.__isset;
+feed_record::feed_record(const feed_record& other112) {
+  Offset = other112.Offset;
+  Key = other112.Key;
+  Value = other112.Value;
+  __isset = other112.__isset;
 }
-feed_record::feed_record(feed_record&& other97) noexcept {
-  Offset = other97.Offset;
-  Key = std::move(other97.Key);
-  Value = std::move(other97.Value);
-  __isset = other97.__isset;
+feed_record::feed_record(feed_record&& other113) noexcept {
+  Offset = other113.Offset;
+  Key = std::move(other113.Key);
+  Value = std::move(other113.Value);
+  __isset = other113.__isset;
 }
-feed_record& feed_record::operator=(const feed_record& other98) {
-  Offset = other98.Offset;
-  Key = other98.Key;
-  Value = other98.Value;
-  __isset = other98.__isset;
+feed_record& feed_record::operator=(const feed_record& other114) {
+  Offset = other114.Offset;
+  Key = other114.Key;
+  Value = other114.Value;
+  __isset = other114.__isset;
   return *this;
 }
-feed_record& feed_record::operator=(feed_record&& other99) noexcept {
-  Offset = other99.Offset;
-  Key = std::move(other99.Key);
-  Value = std::move(other99.Value);
-  __isset = other99.__isset;
+feed_record& feed_record::operator=(feed_record&& other115) noexcept {
+  Offset = other115.Offset;
+  Key = std::move(other115.Key);
+  Value = std::move(other115.Value);
+  __isset = other115.__isset;
   return *this;
 }
 void feed_record::printTo(std::ostream& out) const {
@@ -2062,14 +2293,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Records.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->Records.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->Records.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->Records[_i104].read(iprot);
+              xfer += this->Records[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2134,10 +2365,10 @@
   xfer += oprot->writeFieldBegin("Records", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Records.size()));
-    std::vector<feed_record> ::const_iterator _iter105;
-    for (_iter105 = this->Records.begin(); _iter105 != this->Records.end(); ++_iter105)
+    std::vector<feed_record> ::const_iterator _iter121;
+    for (_iter121 = this->Records.begin(); _iter121 != this->Records.end(); ++_iter121)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2173,46 +2404,46 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_news::feed_news(const feed_news& other106) {
-  Feed = other106.Feed;
-  From = other106.From;
-  End = other106.End;
-  Records = other106.Records;
-  Whole = other106.Whole;
-  AfterOutage = other106.AfterOutage;
-  Packed = other106.Packed;
-  __isset = other106.__isset;
-}
-feed_news::feed_news(feed_news&& other107) noexcept {
-  Feed = std::move(other107.Feed);
-  From = other107.From;
-  End = other107.End;
-  Records = std::move(other107.Records);
-  Whole = other107.Whole;
-  AfterOutage = other107.AfterOutage;
-  Packed = std::move(other107.Packed);
-  __isset = other107.__isset;
-}
-feed_news& feed_news::operator=(const feed_news& other108) {
-  Feed = other108.Feed;
-  From = other108.From;
-  End = other108.End;
-  Records = other108.Records;
-  Whole = other108.Whole;
-  AfterOutage = other108.AfterOutage;
-  Packed = other108.Packed;
-  __isset = other108.__isset;
+feed_news::feed_news(const feed_news& other122) {
+  Feed = other122.Feed;
+  From = other122.From;
+  End = other122.End;
+  Records = other122.Records;
+  Whole = other122.Whole;
+  AfterOutage = other122.AfterOutage;
+  Packed = other122.Packed;
+  __isset = other122.__isset;
+}
+feed_news::feed_news(feed_news&& other123) noexcept {
+  Feed = std::move(other123.Feed);
+  From = other123.From;
+  End = other123.End;
+  Records = std::move(other123.Records);
+  Whole = other123.Whole;
+  AfterOutage = other123.AfterOutage;
+  Packed = std::move(other123.Packed);
+  __isset = other123.__isset;
+}
+feed_news& feed_news::operator=(const feed_news& other124) {
+  Feed = other124.Feed;
+  From = other124.From;
+  End = other124.End;
+  Records = other124.Records;
+  Whole = other124.Whole;
+  AfterOutage = other124.AfterOutage;
+  Packed = other124.Packed;
+  __isset = other124.__isset;
   return *this;
 }
-feed_news& feed_news::operator=(feed_news&& other109) noexcept {
-  Feed = std::move(other109.Feed);
-  From = other109.From;
-  End = other109.End;
-  Records = std::move(other109.Records);
-  Whole = other109.Whole;
-  AfterOutage = other109.AfterOutage;
-  Packed = std::move(other109.Packed);
-  __isset = other109.__isset;
+feed_news& feed_news::operator=(feed_news&& other125) noexcept {
+  Feed = std::move(other125.Feed);
+  From = other125.From;
+  End = other125.End;
+  Records = std::move(other125.Records);
+  Whole = other125.Whole;
+  AfterOutage = other125.AfterOutage;
+  Packed = std::move(other125.Packed);
+  __isset = other125.__isset;
   return *this;
 }
 void feed_news::printTo(std::ostream& out) const {
@@ -2355,34 +2586,34 @@
   swap(a.__isset, b.__isset);
 }
 
-duty_claim::duty_claim(const duty_claim& other110) {
-  Holder = other110.Holder;
-  Incarnation = other110.Incarnation;
-  Fence = other110.Fence;
-  Released = other110.Released;
-  __isset = other110.__isset;
-}
-duty_claim::duty_claim(duty_claim&& other111) noexcept {
-  Holder = std::move(other111.Holder);
-  Incarnation = other111.Incarnation;
-  Fence = other111.Fence;
-  Released = other111.Released;
-  __isset = other111.__isset;
-}
-duty_claim& duty_claim::operator=(const duty_claim& other112) {
-  Holder = other112.Holder;
-  Incarnation = other112.Incarnation;
-  Fence = other112.Fence;
-  Released = other112.Released;
-  __isset = other112.__isset;
+duty_claim::duty_claim(const duty_claim& other126) {
+  Holder = other126.Holder;
+  Incarnation = other126.Incarnation;
+  Fence = other126.Fence;
+  Released = other126.Released;
+  __isset = other126.__isset;
+}
+duty_claim::duty_claim(duty_claim&& other127) noexcept {
+  Holder = std::move(other127.Holder);
+  Incarnation = other127.Incarnation;
+  Fence = other127.Fence;
+  Released = other127.Released;
+  __isset = other127.__isset;
+}
+duty_claim& duty_claim::operator=(const duty_claim& other128) {
+  Holder = other128.Holder;
+  Incarnation = other128.Incarnation;
+  Fence = other128.Fence;
+  Released = other128.Released;
+  __isset = other128.__isset;
   return *this;
 }
-duty_claim& duty_claim::operator=(duty_claim&& other113) noexcept {
-  Holder = std::move(other113.Holder);
-  Incarnation = other113.Incarnation;
-  Fence = other113.Fence;
-  Released = other113.Released;
-  __isset = other113.__isset;
+duty_claim& duty_claim::operator=(duty_claim&& other129) noexcept {
+  Holder = std::move(other129.Holder);
+  Incarnation = other129.Incarnation;
+  Fence = other129.Fence;
+  Released = other129.Released;
+  __isset = other129.__isset;
   return *this;
 }
 void duty_claim::printTo(std::ostream& out) const {
@@ -2492,26 +2723,26 @@
   swap(a.__isset, b.__isset);
 }
 
-duty_record::duty_record(const duty_record& other114) {
-  Claim = other114.Claim;
-  Figures = other114.Figures;
-  __isset = other114.__isset;
+duty_record::duty_record(const duty_record& other130) {
+  Claim = other130.Claim;
+  Figures = other130.Figures;
+  __isset = other130.__isset;
 }
-duty_record::duty_record(duty_record&& other115) noexcept {
-  Claim = std::move(other115.Claim);
-  Figures = std::move(other115.Figures);
-  __isset = other115.__isset;
+duty_record::duty_record(duty_record&& other131) noexcept {
+  Claim = std::move(other131.Claim);
+  Figures = std::move(other131.Figures);
+  __isset = other131.__isset;
 }
-duty_record& duty_record::operator=(const duty_record& other116) {
-  Claim = other116.Claim;
-  Figures = other116.Figures;
-  __isset = other116.__isset;
+duty_record& duty_record::operator=(const duty_record& other132) {
+  Claim = other132.Claim;
+  Figures = other132.Figures;
+  __isset = other132.__isset;
   return *this;
 }
-duty_record& duty_record::operator=(duty_record&& other117) noexcept {
-  Claim = std::move(other117.Claim);
-  Figures = std::move(other117.Figures);
-  __isset = other117.__isset;
+duty_record& duty_record::operator=(duty_record&& other133) noexcept {
+  Claim = std::move(other133.Claim);
+  Figures = std::move(other133.Figures);
+  __isset = other133.__isset;
   return *this;
 }
 void duty_record::printTo(std::ostream& out) const {
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -29,6 +29,8 @@
 
 class upstream_run;
 
+class upstream_limit;
+
 class feed_mark;
 
 class entry_report;
@@ -268,6 +270,67 @@
 
 std::ostream& operator<<(std::ostream& out, const upstream_run& obj);
 
+typedef struct _upstream_limit__isset {
+  _upstream_limit__isset() : Upstream(false), PerSecond(false), AgeMicros(false) {}
+  bool Upstream :1;
+  bool PerSecond :1;
+  bool AgeMicros :1;
+} _upstream_limit__isset;
+
+class upstream_limit : public virtual ::apache::thrift::TBase {
+ public:
+
+  upstream_limit(const upstream_limit&);
+  upstream_limit(upstream_limit&&) noexcept;
+  upstream_limit& operator=(const upstream_limit&);
+  upstream_limit& operator=(upstream_limit&&) noexcept;
+  upstream_limit() noexcept
+                 : Upstream(),
+                   PerSecond(0),
+                   AgeMicros(0) {
+  }
+
+  virtual ~upstream_limit() noexcept;
+  std::string Upstream;
+  double PerSecond;
+  int64_t AgeMicros;
+
+  _upstream_limit__isset __isset;
+
+  void __set_Upstream(const std::string& val);
+
+  void __set_PerSecond(const double val);
+
+  void __set_AgeMicros(const int64_t val);
+
+  bool operator == (const upstream_limit & rhs) const
+  {
+    if (!(Upstream == rhs.Upstream))
+      return false;
+    if (__isset.PerSecond != rhs.__isset.PerSecond)
+      return false;
+    else if (__isset.PerSecond && !(PerSecond == rhs.PerSecond))
+      return false;
+    if (!(AgeMicros == rhs.AgeMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const upstream_limit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const upstream_limit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(upstream_limit &a, upstream_limit &b);
+
+std::ostream& operator<<(std::ostream& out, const upstream_limit& obj);
+
 typedef struct _feed_mark__isset {
   _feed_mark__isset() : Feed(false), News(false), End(false), AgeMicros(false), Reads(false) {}
   bool Feed :1;
@@ -342,7 +405,7 @@
 std::ostream& operator<<(std::ostream& out, const feed_mark& obj);
 
 typedef struct _entry_report__isset {
-  _entry_report__isset() : Incarnation(false), Sequence(false), Uses(false), Windows(false), WallMicros(false), DutyHolder(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), DutyIncarnation(false), Leaving(false), Feeds(false) {}
+  _entry_report__isset() : Incarnation(false), Sequence(false), Uses(false), Windows(false), WallMicros(false), DutyHolder(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), DutyIncarnation(false), Leaving(false), Feeds(false), Limits(false) {}
   bool Incarnation :1;
   bool Sequence :1;
   bool Uses :1;
@@ -355,6 +418,7 @@
   bool DutyIncarnation :1;
   bool Leaving :1;
   bool Feeds :1;
+  bool Limits :1;
 } _entry_report__isset;
 
 class entry_report : public virtual ::apache::thrift::TBase {
@@ -388,6 +452,7 @@
   int64_t DutyIncarnation;
   std::vector<upstream_run>  Leaving;
   std::vector<feed_mark>  Feeds;
+  std::vector<upstream_limit>  Limits;
 
   _entry_report__isset __isset;
 
@@ -415,6 +480,8 @@
 
   void __set_Feeds(const std::vector<feed_mark> & val);
 
+  void __set_Limits(const std::vector<upstream_limit> & val);
+
   bool operator == (const entry_report & rhs) const
   {
     if (!(Incarnation == rhs.Incarnation))
@@ -441,6 +508,8 @@
       return false;
     if (!(Feeds == rhs.Feeds))
       return false;
+    if (!(Limits == rhs.Limits))
+      return false;
     return true;
   }
   bool operator != (const entry_report &rhs) const {
@@ -569,7 +638,7 @@
 std::ostream& operator<<(std::ostream& out, const zone_uses& obj);
 
 typedef struct _relay_report__isset {
-  _relay_report__isset() : Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false) {}
+  _relay_report__isset() : Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false), Limits(false) {}
   bool Zones :1;
   bool Feeds :1;
   bool DutyHolder :1;
@@ -579,6 +648,7 @@
   bool LastFiguredWindow :1;
   bool TrueMicros :1;
   bool Leaving :1;
+  bool Limits :1;
 } _relay_report__isset;
 
 class relay_report : public virtual ::apache::thrift::TBase {
@@ -607,6 +677,7 @@
   int64_t LastFiguredWindow;
   int64_t TrueMicros;
   std::vector<upstream_run>  Leaving;
+  std::vector<upstream_limit>  Limits;
 
   _relay_report__isset __isset;
 
@@ -628,6 +699,8 @@
 
   void __set_Leaving(const std::vector<upstream_run> & val);
 
+  void __set_Limits(const std::vector<upstream_limit> & val);
+
   bool operator == (const relay_report & rhs) const
   {
     if (!(Zones == rhs.Zones))
@@ -648,6 +721,8 @@
       return false;
     if (!(Leaving == rhs.Leaving))
       return false;
+    if (!(Limits == rhs.Limits))
+      return false;
     return true;
   }
   bool operator != (const relay_report &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -28,6 +28,14 @@
   2: i64 StartedAtMillis       // since 1970, as the platform lists it
 }
 
+// A request rate that an upstream has stated in an answer, or that its answers
+// do not state any more.
+struct upstream_limit {
+  1: string Upstream
+  2: optional double PerSecond // from all entries together; unset: no limit
+  3: i64 AgeMicros             // since the answer was received
+}
+
 // How far a feed is known.
 struct feed_mark {
   1: string Feed
@@ -51,6 +59,7 @@
   10: i64 DutyIncarnation
   11: list<upstream_run> Leaving // by their own answers, heard not long ago
   12: list<feed_mark> Feeds      // where relays pass them on
+  13: list<upstream_limit> Limits // in answers that the sender received recently
 }
 
 // Told to whoever has the duties, where entries do not hear of each other
@@ -78,6 +87,7 @@
   7: i64 LastFiguredWindow
   8: i64 TrueMicros           // time of day, by the clocks of the zone
   9: list<upstream_run> Leaving
+  10: list<upstream_limit> Limits
 }
 
 // One record of a keyed feed of the platform's store.
