An ended limit is reported for a while only; limits change among frozen entries

Found in reading: while an upstream without a limit went on answering, its ended limit was refreshed by each answer, and each entry reported it to all others for good. Test Limit_Ended_IsReportedForAWhileOnly; the record goes after limit_report_time now.

--- a/routing/testing/upstream_limit_test.cc
+++ b/routing/testing/upstream_limit_test.cc
@@ -6,6 +6,10 @@
 // requests, from entries that have received such an answer at least half a
 // second before.
 
+#include <array>
+#include <cstdlib>
+#include <limits>
+
 #include "routing/testing/fleet_fixture.h"
 
 namespace monsoonreel {
@@ -15,6 +19,7 @@
 constexpr duration limit_span = 4s;
 constexpr duration contact_time = 4s;
 constexpr duration told_time = 500ms;
+constexpr double no_limit = std::numeric_limits<double>::infinity();
 
 class service_decoder : public fake_decoder {
 public:
@@ -42,9 +47,7 @@
 
 // Upstreams answer after `ServiceTime`. Callers' requests arrive at random
 // entries.
-class upstream_limit_test
-    : public fleet_test,
-      public testing::WithParamInterface<std::pair<int, int>> {
+class limited_fleet : public fleet_test {
 protected:
   struct arrival {
     duration At;
@@ -52,6 +55,7 @@
   };
   struct upstream {
     std::optional<double> Limit;
+    std::vector<std::pair<duration, double>> Stated; // infinity: no limit
     std::optional<duration> StatedAt; // first statement of this limit
     std::vector<arrival> Arrivals;
     std::map<size_t, duration> ToldAt; // by entry
@@ -61,8 +65,8 @@
     return std::make_shared<service_decoder>();
   }
 
-  void startFleet() {
-    start(GetParam().first, GetParam().second);
+  void startFleet(std::pair<int, int> Size) {
+    start(Size.first, Size.second);
     for (int I = 0; I < upstream_count; ++I)
       Upstreams["u" + std::to_string(I)] = {};
     runUntil(12s); // all entries know each other
@@ -75,6 +79,7 @@
   }
   void setLimit(const std::string &Name, std::optional<double> Limit) {
     Upstreams[Name].Limit = Limit;
+    Upstreams[Name].Stated.emplace_back(Now, Limit.value_or(no_limit));
     Upstreams[Name].StatedAt = std::nullopt;
   }
 
@@ -106,7 +111,11 @@
   void serve(size_t Index, const route_dispatch &Dispatch) {
     upstream &Upstream = Upstreams[Dispatch.Upstream.Value];
     auto Told = Upstream.ToldAt.find(Index);
-    Upstream.Arrivals.push_back({Now, Told != Upstream.ToldAt.end() &&
+    auto Thawed = ThawedAt.find(Index);
+    bool IsExcused =
+        Thawed != ThawedAt.end() && Now - Thawed->second < contact_time;
+    Upstream.Arrivals.push_back({Now, !IsExcused &&
+                                          Told != Upstream.ToldAt.end() &&
                                           Now - Told->second >= told_time});
     answer_head Head;
     Head.Attempt = Dispatch.Attempt;
@@ -142,6 +151,47 @@
     }
     return Most;
   }
+  // Returns the highest limit that was in force between From and To.
+  double highestLimit(const std::string &Name, duration From, duration To) {
+    double Highest = 0;
+    double Before = no_limit;
+    for (const auto &[At, Limit] : Upstreams[Name].Stated) {
+      if (At <= From)
+        Before = Limit;
+      else if (At <= To)
+        Highest = std::max(Highest, Limit);
+    }
+    return std::max(Highest, Before);
+  }
+  // Checks the rule for limits that change. Requests of entries that were
+  // frozen within the contact time do not count.
+  void expectChangingLimitsKept(const std::string &Name) {
+    const std::vector<arrival> &All = Upstreams[Name].Arrivals;
+    for (size_t First = 0; First < All.size(); ++First) {
+      duration From = All[First].At;
+      double Limit = highestLimit(Name, From - contact_time, From + limit_span);
+      if (Limit == no_limit)
+        continue;
+      int Told = 0;
+      for (size_t I = First; I < All.size() && All[I].At < From + limit_span;
+           ++I)
+        Told += All[I].WasTold ? 1 : 0;
+      ASSERT_LE(Told, allowed(Limit)) << Name << " from " << From.count();
+    }
+  }
+  // Freezes and thaws entries, and changes limits.
+  void disturb() {
+    size_t Index = draw() % Entries.size();
+    if (draw() % 4 == 0 && Entries.size() > 1)
+      Entries[Index].Frozen = !std::exchange(Entries[Index].Frozen, false);
+    if (!Entries[Index].Frozen)
+      ThawedAt[Index] = Now;
+    constexpr std::array<double, 6> limits = {no_limit, 0, 0.5, 1, 3, 20};
+    double Limit = limits[draw() % limits.size()];
+    setLimit("u" + std::to_string(draw() % upstream_count),
+             Limit == no_limit ? std::nullopt : std::optional(Limit));
+    RefusesAll = draw() % 8 == 0;
+  }
   int arrivals(const std::string &Name, duration From, duration To) {
     int Count = 0;
     for (const arrival &Arrival : Upstreams[Name].Arrivals)
@@ -177,11 +227,20 @@
   int64_t LastRequest = 0;
   std::map<std::string, upstream> Upstreams;
   std::set<size_t> DrainedEntries;
+  std::map<size_t, duration> ThawedAt; // by entry
   bool RefusesAll = false;
   int Answered = 0;
   std::vector<route_refusal> Refusals;
 };
 
+// Numbers of zones and of entries in each.
+class upstream_limit_test
+    : public limited_fleet,
+      public testing::WithParamInterface<std::pair<int, int>> {
+protected:
+  void startFleet() { limited_fleet::startFleet(GetParam()); }
+};
+
 TEST_P(upstream_limit_test, Upstream_StatesALimit_FleetKeepsIt) {
   startFleet();
   setLimit("u0", 1);
@@ -265,5 +324,31 @@
                                          std::pair(3, 5), std::pair(5, 12),
                                          std::pair(5, 59)));
 
+// Limits that change, among entries that freeze. MONSOONREEL_LIMIT_SEEDS sets
+// how many seeds are played.
+class upstream_limit_random_test : public limited_fleet,
+                                   public testing::WithParamInterface<int> {};
+
+TEST_P(upstream_limit_random_test, Limits_Change_FleetKeepsThem) {
+  constexpr std::array<std::pair<int, int>, 3> sizes = {
+      {{4, 2}, {3, 5}, {5, 12}}};
+  startFleet(sizes[static_cast<size_t>(GetParam()) % sizes.size()]);
+  State = static_cast<uint64_t>(GetParam());
+  for (duration End = 13s; End <= 72s; End += 1s) {
+    disturb();
+    runUntil(End);
+  }
+  for (const auto &[Name, Upstream] : Upstreams)
+    expectChangingLimitsKept(Name);
+}
+
+int seedCount() {
+  const char *Text = std::getenv("MONSOONREEL_LIMIT_SEEDS");
+  return Text ? std::stoi(Text) : 6;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, upstream_limit_random_test,
+                         testing::Range(1, 1 + seedCount()));
+
 } // namespace
 } // namespace monsoonreel
--- a/routing/testing/upstream_limits_test.cc
+++ b/routing/testing/upstream_limits_test.cc
@@ -131,6 +131,17 @@
   EXPECT_TRUE(Entries[0].maySend(Upstream, at(3s)));
 }
 
+TEST_F(upstream_limits_test, Limit_Ended_IsReportedForAWhileOnly) {
+  startEntries(1);
+  Entries[0].onAnswer(Upstream, 1, at(0s), at(0s));
+  for (duration Now = 1s; Now < 10s; Now += 100ms) {
+    Entries[0].onAnswer(Upstream, {}, at(Now), at(Now));
+    Entries[0].onTick(at(Now), wall_time(Now));
+    EXPECT_EQ(Entries[0].recent(true, at(Now)).size(),
+              Now < 1s + limit_report_time ? 1u : 0u);
+  }
+}
+
 TEST_F(upstream_limits_test, Report_OfAnotherEntry_Counts) {
   startEntries(2);
   Entries[0].onAnswer(Upstream, 1, at(0s), at(1s));
--- a/routing/upstream_limits.cc
+++ b/routing/upstream_limits.cc
@@ -53,10 +53,10 @@
 bool upstream_limits::onAnswer(const upstream_name &Upstream,
                                std::optional<double> PerSecond,
                                steady_time SentAt, steady_time Now) {
-  auto It = Limits.find(Upstream);
   // An answer without a limit may have been made before one that stated it.
-  bool MayBeOlder = It != Limits.end() && SentAt <= It->second.HeardAt;
-  if (!PerSecond && (It == Limits.end() || MayBeOlder))
+  if (auto It = Limits.find(Upstream);
+      !PerSecond && (It == Limits.end() || !It->second.PerSecond ||
+                     SentAt <= It->second.HeardAt))
     return false;
   limit *Limit = stateOf(Upstream);
   if (!Limit)
