--- a/routing/testing/fleet_fixture.h
+++ b/routing/testing/fleet_fixture.h
@@ -64,6 +64,13 @@
   }
   // Called before the entries' ticks of each step.
   virtual void onStep() {}
+  // Returns whether messages from one entry to another are lost.
+  virtual bool isCut(size_t /*From*/, size_t /*To*/) const { return false; }
+  enum class store_state { Serves, Refuses, Silent };
+  // Returns how the store treats the calls of an entry.
+  virtual store_state storeFor(size_t /*Index*/) const {
+    return StoreIsDown ? store_state::Refuses : store_state::Serves;
+  }
   // Called with each effect, besides what the fixture does for it.
   virtual void onEffect(size_t /*Index*/, const routing_effect & /*Effect*/) {}
 
@@ -87,7 +94,6 @@
   };
 
   void start(int Zones, int InZone) {
-    std::vector<address> Seeds;
     for (int Zone = 0; Zone < Zones; ++Zone)
       for (int I = 0; I < InZone; ++I) {
         entry Entry;
@@ -105,18 +111,27 @@
     append(config_feed, "config", "1");
     for (int I = 0; I < 2 * Zones; ++I)
       append(upstream_feed, "u" + std::to_string(I), "serving");
-    routing_terms Terms;
     Terms.Feeds = {config_feed, "config", upstream_feed};
     Bounds.LeaveDeadline = Bounds.ConfigInForce = 4s;
     Terms.Bounds = Bounds;
     Terms.UsageWindow = UsageWindow;
     Terms.OrdersUpstreams = false;
     for (entry &Entry : Entries)
-      Entry.Node = routing_node_builder(Entry.Identity)
-                       .seeds(Seeds)
-                       .terms(Terms)
-                       .decoder(decoder())
-                       .build();
+      build(Entry);
+  }
+  void build(entry &Entry) {
+    Entry.Node = routing_node_builder(Entry.Identity)
+                     .seeds(Seeds)
+                     .terms(Terms)
+                     .decoder(decoder())
+                     .build();
+  }
+  // Kills the entry's process and starts it again.
+  void restart(entry &Entry) {
+    ++Entry.Identity.Incarnation.Value;
+    Entry.Version = 0;
+    Entry.Draining.clear();
+    build(Entry);
   }
 
   void append(const std::string &Feed, const std::string &Key,
@@ -189,7 +204,7 @@
   void send(size_t From, const address &To, const wire::peer_message &Message) {
     ++Entries[From].Counts.Sent;
     auto It = IndexOf.find(To);
-    if (It != IndexOf.end())
+    if (It != IndexOf.end() && !isCut(From, It->second))
       Queue.push(
           {Now + 2ms, ++Order, It->second,
            peer_message_received{Entries[From].Identity.Name,
@@ -198,10 +213,21 @@
 
   void answer(size_t Index, const read_feed &Call) {
     ++Entries[Index].Counts.Reads;
-    if (StoreIsDown) {
+    store_state Store = storeFor(Index);
+    if (Store == store_state::Refuses) {
       feed_read_failed Failed{Call.Feed, "refused", false};
       return Queue.push({Now + 4ms, ++Order, Index, std::move(Failed)});
     }
+    if (Store == store_state::Silent) {
+      feed_read_failed Failed{Call.Feed, "timeout", false};
+      return Queue.push({Now + Call.Wait + feed_read_timeout, ++Order, Index,
+                         std::move(Failed)});
+    }
+    int64_t Cut = HistoryStart[Call.Feed];
+    if (!Call.Whole && Call.From < Cut) {
+      feed_read_failed Failed{Call.Feed, "history cut", true};
+      return Queue.push({Now + 4ms, ++Order, Index, std::move(Failed)});
+    }
     const std::vector<wire::feed_record> &Log = Logs[Call.Feed];
     feed_read Read;
     Read.Feed = Call.Feed;
@@ -217,7 +243,7 @@
 
   void answer(size_t Index, const append_duty &Call) {
     ++Entries[Index].Counts.DutyCalls;
-    if (StoreIsDown) {
+    if (storeFor(Index) != store_state::Serves) {
       duty_appended Refused{Call.Call, append_outcome::Refused, 0, 0};
       return Queue.push({Now + 4ms, ++Order, Index, Refused});
     }
@@ -234,7 +260,7 @@
     ++Entries[Index].Counts.DutyCalls;
     duty_log_read Read;
     Read.Call = Call.Call;
-    if (StoreIsDown)
+    if (storeFor(Index) != store_state::Serves)
       return Queue.push({Now + 4ms, ++Order, Index, std::move(Read)});
     Read.Ok = true;
     Read.From = Call.From;
@@ -278,9 +304,12 @@
 
   static constexpr duration tick_period = 50ms;
   site_bounds Bounds;
+  routing_terms Terms;
+  std::vector<address> Seeds;
   std::vector<entry> Entries;
   std::map<address, size_t> IndexOf;
   std::map<std::string, std::vector<wire::feed_record>> Logs;
+  std::map<std::string, int64_t> HistoryStart; // oldest offset that is kept
   std::vector<std::string> DutyLog;
   std::priority_queue<delivery> Queue;
   duration Now{};
--- a/routing/testing/upstream_limit_test.cc
+++ b/routing/testing/upstream_limit_test.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdlib>
 #include <limits>
+#include <random>
 
 #include "routing/testing/fleet_fixture.h"
 
@@ -182,10 +183,11 @@
   // Freezes and thaws entries, and changes limits.
   void disturb() {
     size_t Index = draw() % Entries.size();
-    if (draw() % 4 == 0 && Entries.size() > 1)
-      Entries[Index].Frozen = !std::exchange(Entries[Index].Frozen, false);
-    if (!Entries[Index].Frozen)
-      ThawedAt[Index] = Now;
+    if (draw() % 4 == 0) {
+      Entries[Index].Frozen = !Entries[Index].Frozen;
+      if (!Entries[Index].Frozen)
+        ThawedAt[Index] = Now;
+    }
     constexpr std::array<double, 6> limits = {no_limit, 0, 0.5, 1, 3, 20};
     double Limit = limits[draw() % limits.size()];
     setLimit("u" + std::to_string(draw() % upstream_count),
@@ -215,15 +217,12 @@
     EXPECT_LE(Total, allowed(Limit)) << Name;
   }
 
-  uint64_t draw() {
-    State = State * 6364136223846793005 + 1442695040888963407;
-    return State >> 33;
-  }
+  uint64_t draw() { return Source(); }
 
   static constexpr duration ServiceTime = 100ms;
   double CallsPerSecond = 0;
   double Owed = 0;
-  uint64_t State = 1;
+  std::mt19937_64 Source{1};
   int64_t LastRequest = 0;
   std::map<std::string, upstream> Upstreams;
   std::set<size_t> DrainedEntries;
@@ -333,7 +332,7 @@
   constexpr std::array<std::pair<int, int>, 3> sizes = {
       {{4, 2}, {3, 5}, {5, 12}}};
   startFleet(sizes[static_cast<size_t>(GetParam()) % sizes.size()]);
-  State = static_cast<uint64_t>(GetParam());
+  Source.seed(static_cast<uint64_t>(GetParam()));
   for (duration End = 13s; End <= 72s; End += 1s) {
     disturb();
     runUntil(End);
