Logs of limits: age, share and requests turned away; more cases of limits tested

Now: limit_age_ms and event=upstreams-limited with the sums of the service; monsoonreel_upstream_limit_share. Decisions are unchanged.

--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 #include "monsoonreel/http_status.h"
 #include "routing/decision_log.h"
 
@@ -122,8 +124,12 @@
     const char *Why = "no-upstream";
     if (backoffLeft(Request, Context) > duration::zero())
       Why = "upstreams-rest";
-    else if (limitInterval(Request) > duration::zero())
-      Why = "upstreams-limited";
+    upstream_limits::summary Limits = limitsOf(Request, Context);
+    if (Limits.Upstreams > 0) {
+      logLimited(Request, Limits, Effects);
+      if (std::string_view(Why) == "no-upstream")
+        Why = "upstreams-limited";
+    }
     return endWithFailure(Request, Why, Context, Effects);
   }
   const upstream_entry &Entry = Chosen->Upstream->Entry;
@@ -158,6 +164,8 @@
   Dispatch.MaxConnections = std::max<int>(
       1, Request.Service->MaxConnections / static_cast<int>(Context.Entries));
   Effects.push_back(Dispatch);
+  upstream_limits::summary Limit;
+  Services.Limits.addTo(Limit, Entry.Name, Context.Now);
   Effects.push_back(
       decision("dispatched")
           .add("request", Request.Arrived.CallerId)
@@ -175,6 +183,7 @@
           .add("running", Chosen->Use.Running)
           .add("unread_before", Chosen->Use.UnreadTokens)
           .add("limit", Services.Limits.describe(Entry.Name))
+          .add("limit_age", Limit.OldestAge)
           .add("time_left", Dispatch.TimeLeft)
           .line(log_level::Info));
 }
@@ -190,16 +199,27 @@
   return Shortest == duration::max() ? duration::zero() : Shortest;
 }
 
-duration request_router::limitInterval(const active_request &Request) const {
-  double PerSecond = 0;
+upstream_limits::summary
+request_router::limitsOf(const active_request &Request,
+                         const router_context &Context) const {
+  upstream_limits::summary Sum;
   for (const upstream_state *Each :
        Services.Registry.serving(Request.Service->Name))
-    if (auto Limit = Services.Limits.limitOf(Each->Entry.Name))
-      PerSecond += std::max(*Limit, min_request_limit);
-  if (PerSecond == 0)
-    return duration::zero();
-  return std::chrono::ceil<duration>(
-      std::chrono::duration<double>(1 / PerSecond));
+    Services.Limits.addTo(Sum, Each->Entry.Name, Context.Now);
+  return Sum;
+}
+
+void request_router::logLimited(const active_request &Request,
+                                const upstream_limits::summary &Limits,
+                                routing_effects &Effects) {
+  Effects.push_back(
+      decision("upstreams-limited")
+          .add("request", Request.Arrived.CallerId)
+          .add("service", Request.Service->Name)
+          .add("limited", Limits.Upstreams)
+          .add("limit", absl::StrCat(Limits.Share, "/", Limits.PerSecond))
+          .add("limit_age", Limits.OldestAge)
+          .line(log_level::Info));
 }
 
 void request_router::endAttempt(active_request &Request) {
@@ -332,9 +352,13 @@
   if (Why == "upstream-full")
     return full_retry_delay;
   duration Shortest = duration::max();
-  for (duration Wait : {backoffLeft(Request, Context), limitInterval(Request)})
-    if (Wait > duration::zero())
-      Shortest = std::min(Shortest, Wait);
+  if (duration Rest = backoffLeft(Request, Context); Rest > duration::zero())
+    Shortest = Rest;
+  // The mean time until the limited upstreams take one more request.
+  if (double PerSecond = limitsOf(Request, Context).PerSecond; PerSecond > 0)
+    Shortest =
+        std::min(Shortest, std::chrono::ceil<duration>(
+                               std::chrono::duration<double>(1 / PerSecond)));
   return Shortest == duration::max() ? no_upstream_retry_delay : Shortest;
 }
 
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -141,9 +141,12 @@
   // service; zero if none of them has asked for back-off.
   duration backoffLeft(const active_request &Request,
                        const router_context &Context) const;
-  // Returns the mean time between two requests that the upstreams of the
-  // request's service take by their limits; zero if none of them has a limit.
-  duration limitInterval(const active_request &Request) const;
+  // Returns the limits of the upstreams of the request's service.
+  upstream_limits::summary limitsOf(const active_request &Request,
+                                    const router_context &Context) const;
+  static void logLimited(const active_request &Request,
+                         const upstream_limits::summary &Limits,
+                         routing_effects &Effects);
   // Sends the request to another upstream if that is allowed; otherwise ends
   // it.
   void resendOrFail(active_request &Request, bool Arrived, const char *Why,
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -171,11 +171,16 @@
   UpstreamRank = updateReaderRank(UpstreamFeed, Now);
   Duties.setCandidates(entryCount());
   updateLimitShares(Now);
-  if (size_t Count = Limits.size(); Count != LimitedUpstreams) {
-    LimitedUpstreams = Count;
-    Effects.push_back(set_gauge{
-        "monsoonreel_limited_upstreams", {}, static_cast<double>(Count)});
-  }
+  upstream_limits::summary Limited = Limits.total(Now);
+  if (std::exchange(ReportedLimits,
+                    std::pair(Limited.Upstreams, Limited.Share)) ==
+      std::pair(Limited.Upstreams, Limited.Share))
+    return;
+  Effects.push_back(set_gauge{"monsoonreel_limited_upstreams",
+                              {},
+                              static_cast<double>(Limited.Upstreams)});
+  Effects.push_back(
+      set_gauge{"monsoonreel_upstream_limit_share", {}, Limited.Share});
 }
 
 void routing_node::updateLimitShares(steady_time Now) {
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -235,7 +235,7 @@
   std::map<int64_t, steady_time> UsageSent;
   int64_t PeersFiguredWindow = 0;
   std::string LoggedHolder;
-  size_t LimitedUpstreams = 0; // last value of the metric
+  std::pair<int, double> ReportedLimits; // last values of the metrics
   bool StoreFailing = false;
   bool WasReady = false;
   std::optional<steady_time> DrainingSince;
--- a/routing/testing/fleet_fixture.h
+++ b/routing/testing/fleet_fixture.h
@@ -40,6 +40,8 @@
     Entry.Address = address("10.9.0.1:80");
     Entry.Zone = zone_name("z0");
     Entry.Draining = Value == "draining";
+    Entry.StartedAt =
+        std::chrono::milliseconds(Value.ends_with("again") ? 2 : 1);
     return Entry;
   }
   tl::expected<site_config, finding_list>
--- a/routing/testing/request_router_test.cc
+++ b/routing/testing/request_router_test.cc
@@ -204,6 +204,11 @@
   auto Refusal = one<route_refusal>();
   EXPECT_EQ(Refusal.Status, 503);
   EXPECT_EQ(Refusal.Code, "upstreams-limited");
+  std::string Line = all<log_line>().front().Text;
+  EXPECT_NE(Line.find("event=upstreams-limited request=caller-1 service=app "
+                      "limited=3 limit=6/6 limit_age_ms=100"),
+            std::string::npos)
+      << Line;
   EXPECT_EQ(Refusal.Outcome, execution_outcome::NotRun);
   // The three upstreams take a request every 167 ms.
   EXPECT_GE(Refusal.RetryAfter, 166ms);
@@ -228,6 +233,19 @@
   EXPECT_EQ(one<route_refusal>().Outcome, execution_outcome::NotRun);
 }
 
+TEST_F(request_router_test, Stream_ToResume_OtherUpstreamsAtLimits_IsNotSent) {
+  arrive("/resume/x");
+  auto First = one<route_dispatch>();
+  head(First.Attempt, 200, false, true);
+  data(First.Attempt, "id: 1\ndata: x\n\n");
+  for (const char *Name : {"u1", "u2", "u3"})
+    Limits.onAnswer(upstream_name(Name), 1, at(0ms), at(0ms));
+  Now = 100ms;
+  fail(First.Attempt, attempt_failure::Truncated);
+  EXPECT_TRUE(none<route_dispatch>());
+  EXPECT_EQ(all<route_abort>().size(), 1u);
+}
+
 TEST_F(request_router_test, AddressWithNewOwner_StatesALimit_ItIsIgnored) {
   arrive("/safe/x");
   auto First = one<route_dispatch>();
--- a/routing/testing/upstream_limit_test.cc
+++ b/routing/testing/upstream_limit_test.cc
@@ -66,6 +66,11 @@
     return std::make_shared<service_decoder>();
   }
 
+  bool isCut(size_t From, size_t To) const override {
+    return CutZone && (Entries[From].Identity.Zone == *CutZone) !=
+                          (Entries[To].Identity.Zone == *CutZone);
+  }
+
   void startFleet(std::pair<int, int> Size) {
     start(Size.first, Size.second);
     for (int I = 0; I < upstream_count; ++I)
@@ -225,6 +230,7 @@
   std::mt19937_64 Source{1};
   int64_t LastRequest = 0;
   std::map<std::string, upstream> Upstreams;
+  std::optional<zone_name> CutZone;
   std::set<size_t> DrainedEntries;
   std::map<size_t, duration> ThawedAt; // by entry
   bool RefusesAll = false;
@@ -318,11 +324,88 @@
   EXPECT_GE(Total, 16 * 2 * upstream_count / 4);
 }
 
+TEST_P(upstream_limit_test, Zone_IsCutOffAndRejoins_FleetKeepsTheLimit) {
+  startFleet();
+  limitAll(1);
+  runUntil(18s);
+  CutZone = zone_name("z0");
+  runUntil(28s);
+  CutZone.reset();
+  runUntil(40s);
+  for (const auto &[Name, Upstream] : Upstreams)
+    expectKept(Name, 1);
+}
+
+TEST_P(upstream_limit_test, Store_IsDown_FleetKeepsAndUsesTheLimit) {
+  startFleet();
+  StoreIsDown = true;
+  limitAll(2);
+  runUntil(36s);
+  int Total = 0;
+  for (const auto &[Name, Upstream] : Upstreams) {
+    expectKept(Name, 2);
+    Total += arrivals(Name, 20s, 36s);
+  }
+  EXPECT_GE(Total, 16 * 2 * upstream_count / 4);
+}
+
+TEST_P(upstream_limit_test, Entries_AreKilledAndStartAgain_FleetKeepsTheLimit) {
+  startFleet();
+  limitAll(1);
+  runUntil(20s);
+  for (size_t I = 0; I < Entries.size(); I += 2) {
+    restart(Entries[I]);
+    ThawedAt[I] = Now;
+    for (auto &[Name, Upstream] : Upstreams)
+      Upstream.ToldAt.erase(I);
+  }
+  runUntil(40s);
+  for (const auto &[Name, Upstream] : Upstreams) {
+    ASSERT_TRUE(Upstream.StatedAt) << Name;
+    EXPECT_LE(mostInSpan(Name, *Upstream.StatedAt + contact_time).first,
+              allowed(1))
+        << Name;
+    // All of them, once the restarted ones have heard of the limit.
+    EXPECT_LE(mostInSpan(Name, 20s + contact_time).second, allowed(1)) << Name;
+  }
+}
+
+TEST_P(upstream_limit_test, Upstream_RestartsWithAnotherLimit_FleetKeepsIt) {
+  startFleet();
+  Repeats = false;
+  setLimit("u0", 1);
+  setLimit("u1", 4);
+  runUntil(20s);
+  append(upstream_feed, "u0", "serving again");
+  append(upstream_feed, "u1", "serving again");
+  setLimit("u0", 2);
+  setLimit("u1", std::nullopt);
+  runUntil(36s);
+  expectKept("u0", 2);
+  EXPECT_GE(arrivals("u1", 26s, 36s), 10 * 4); // no limit any more
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, upstream_limit_test,
                          testing::Values(std::pair(1, 1), std::pair(4, 2),
                                          std::pair(3, 5), std::pair(5, 12),
                                          std::pair(5, 59)));
 
+TEST_F(limited_fleet, Entry_HasJustStarted_TakesNoShare) {
+  start(1, 1);
+  CallsPerSecond = 200;
+  limitAll(5);
+  for (int I = 0; I < upstream_count; ++I)
+    setLimit("u" + std::to_string(I), 5);
+  runUntil(limit_warmup_time - 500ms);
+  int Told = 0;
+  for (const auto &[Name, Upstream] : Upstreams)
+    for (const arrival &Arrival : Upstream.Arrivals)
+      Told += Arrival.WasTold ? 1 : 0;
+  EXPECT_EQ(Told, 0);
+  runUntil(limit_warmup_time + 5s);
+  EXPECT_GT(arrivals("u0", limit_warmup_time, limit_warmup_time + 5s), 0);
+}
+
 // Limits that change, among entries that freeze. MONSOONREEL_LIMIT_SEEDS sets
 // how many seeds are played.
 class upstream_limit_random_test : public limited_fleet,
--- a/routing/upstream_limits.cc
+++ b/routing/upstream_limits.cc
@@ -183,6 +183,24 @@
       }));
 }
 
+void upstream_limits::addTo(summary &Sum, const upstream_name &Upstream,
+                            steady_time Now) const {
+  auto It = Limits.find(Upstream);
+  if (It == Limits.end() || !It->second.PerSecond)
+    return;
+  ++Sum.Upstreams;
+  Sum.PerSecond += std::max(*It->second.PerSecond, min_request_limit);
+  Sum.Share += It->second.Share;
+  Sum.OldestAge = std::max(Sum.OldestAge, Now - It->second.HeardAt);
+}
+
+upstream_limits::summary upstream_limits::total(steady_time Now) const {
+  summary Sum;
+  for (const auto &[Upstream, Limit] : Limits)
+    addTo(Sum, Upstream, Now);
+  return Sum;
+}
+
 std::vector<wire::upstream_limit>
 upstream_limits::recent(bool OwnOnly, steady_time Now) const {
   std::vector<wire::upstream_limit> List;
--- a/routing/upstream_limits.h
+++ b/routing/upstream_limits.h
@@ -87,6 +87,18 @@
   // Returns the number of upstreams with a limit.
   size_t size() const;
 
+  struct summary {
+    int Upstreams = 0;    // with a limit
+    double PerSecond = 0; // sum of the limits
+    double Share = 0;     // this entry's part of it
+    duration OldestAge{}; // since the answers that stated the limits
+  };
+  // Adds the upstream's limit to Sum, if it has one.
+  void addTo(summary &Sum, const upstream_name &Upstream,
+             steady_time Now) const;
+  // Returns the sum over all upstreams.
+  summary total(steady_time Now) const;
+
   // Returns the limits in recent answers, newest first. With OwnOnly, only
   // those in answers that this entry received.
   std::vector<wire::upstream_limit> recent(bool OwnOnly, steady_time Now) const;
