Log the parts, status and events of attempts that fail

Entries' lines did not name the parts of a request, nor how many events an attempt had delivered when it broke, so they could not tell which requests that broke with an upstream had begun an answer, nor which parts they share.

--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 #include "monsoonreel/http_status.h"
 #include "routing/decision_log.h"
@@ -37,6 +38,19 @@
                    stall_pauses * Route.PauseTarget.value_or(duration{})});
 }
 
+// Returns the ids of a prompt's parts, without the last one, for logs.
+std::string partsText(const std::optional<prompt_info> &Prompt) {
+  constexpr size_t max_logged_parts = 8;
+  if (!Prompt || Prompt->Parts.empty())
+    return "none";
+  size_t Count = std::min(Prompt->Parts.size() - 1, max_logged_parts);
+  return absl::StrJoin(Prompt->Parts.begin(),
+                       Prompt->Parts.begin() + static_cast<ptrdiff_t>(Count),
+                       ",", [](std::string *Text, const prompt_part &Part) {
+                         absl::StrAppend(Text, absl::Hex(Part.Id));
+                       });
+}
+
 // Adds up to half of the delay at random, to spread the retries of callers that
 // are refused together.
 duration addJitter(duration Wait, uint64_t Random) {
@@ -139,6 +153,7 @@
   Request.Upstream = Entry.Name;
   Request.UpstreamZone = Entry.Zone;
   Request.SentAt = Request.ProgressAt = Context.Now;
+  Request.EventsBefore = Request.Events.taken();
   Request.Status = 0;
   Request.Stream = Request.Held = false;
   Request.Tried.push_back(Entry.Name);
@@ -274,6 +289,9 @@
                         .add("reason", Why)
                         .add("ran", outcomeName(Request.Knowledge))
                         .add("after", Context.Now - Request.SentAt)
+                        .add("status", Request.Status)
+                        .add("events", Request.eventsOfAttempt())
+                        .add("parts", partsText(Request.Arrived.Prompt))
                         .line(log_level::Warning));
 }
 
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -106,8 +106,9 @@
     upstream_name Upstream; // upstream of Attempt
     zone_name UpstreamZone;
     steady_time SentAt;
-    steady_time ProgressAt; // when it was sent or the last event arrived
-    int Sent = 0;           // upstreams that may have received it
+    steady_time ProgressAt;   // when it was sent or the last event arrived
+    int64_t EventsBefore = 0; // taken from earlier attempts
+    int Sent = 0;             // upstreams that may have received it
     std::vector<upstream_name> Tried;
     execution_outcome Knowledge = execution_outcome::NotRun;
     // An upstream whose failure is not counted until another upstream has
@@ -118,6 +119,7 @@
     int Status = 0;
     bool Stream = false; // passed on event by event
     bool Held = false;   // its answer is held back until complete
+    int64_t eventsOfAttempt() const { return Events.taken() - EventsBefore; }
     // State of the answer to the caller:
     bool AnswerStarted = false;
     event_splitter Events;
