--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -130,6 +130,15 @@
 void request_router::send(active_request &Request,
                           const router_context &Context,
                           routing_effects &Effects) {
+  if (auto Held = heldBack(Request, Context)) {
+    Effects.push_back(decision("prompt-part-held")
+                          .add("request", Request.Arrived.CallerId)
+                          .add("part", absl::StrCat(absl::Hex(Held->Part)))
+                          .add("round", Held->Round)
+                          .add("left", Held->Left)
+                          .line(log_level::Info));
+    return endWithFailure(Request, "prompt-part-held", Context, Effects);
+  }
   placement_query Query = queryFor(Request, Context);
   std::optional<placement> Chosen =
       choosePlacement(Query, {Services.Load, Services.Cache,
@@ -152,6 +161,9 @@
   Request.Attempt = Attempt;
   Request.Upstream = Entry.Name;
   Request.UpstreamZone = Entry.Zone;
+  Request.UpstreamStartedAt = Entry.StartedAt;
+  Request.BeganAt.reset();
+  Request.SoundRecorded = false;
   Request.SentAt = Request.ProgressAt = Context.Now;
   Request.EventsBefore = Request.Events.taken();
   Request.Status = 0;
@@ -160,6 +172,8 @@
   ++Request.Sent;
   Services.Load.begin(Attempt, Entry.Name, {Chosen->UnreadTokens, Query.Paced});
   Services.Limits.onSent(Entry.Name, Context.Now);
+  if (Request.Arrived.Prompt)
+    Services.Quarantine.onSent(*Request.Arrived.Prompt, Context.TrueTime);
   if (Query.Prompt)
     Services.Cache.onDispatched(Entry.Name, *Query.Prompt, Context.Now);
 
@@ -203,6 +217,30 @@
           .line(log_level::Info));
 }
 
+std::optional<part_quarantine::held_back>
+request_router::heldBack(const active_request &Request,
+                         const router_context &Context) const {
+  if (!Request.Arrived.Prompt)
+    return std::nullopt;
+  return Services.Quarantine.heldBack(*Request.Arrived.Prompt,
+                                      Context.TrueTime);
+}
+
+void request_router::recordBreak(const active_request &Request,
+                                 const router_context &Context) {
+  if (Request.Arrived.Prompt && Request.eventsOfAttempt() < sound_answer_events)
+    Services.Quarantine.onBroken(Request.run(), *Request.Arrived.Prompt,
+                                 Context.Now);
+}
+
+void request_router::recordSound(const active_request &Request,
+                                 const router_context &Context) {
+  if (Request.Arrived.Prompt)
+    Services.Quarantine.onSound(*Request.Arrived.Prompt,
+                                Request.BeganAt.value_or(Context.Now),
+                                Context.Now);
+}
+
 duration request_router::backoffLeft(const active_request &Request,
                                      const router_context &Context) const {
   duration Shortest = duration::max();
@@ -265,8 +303,9 @@
   // A stream whose events carry no ids cannot be resumed at another upstream.
   if (Request.AnswerStarted && !Request.Events.lastId())
     return false;
-  return Repeatable && (!Arrived || Services.Budget.tryResend(
-                                        Request.Service->Name, Context.Now));
+  return Repeatable && !heldBack(Request, Context) &&
+         (!Arrived ||
+          Services.Budget.tryResend(Request.Service->Name, Context.Now));
 }
 
 void request_router::resendOrFail(active_request &Request, bool Arrived,
@@ -369,6 +408,8 @@
                                     const router_context &Context) const {
   if (Why == "upstream-full")
     return full_retry_delay;
+  if (auto Held = heldBack(Request, Context))
+    return Held->Left;
   duration Shortest = duration::max();
   if (duration Rest = backoffLeft(Request, Context); Rest > duration::zero())
     Shortest = Rest;
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -33,6 +33,7 @@
 
 #include "monsoonreel/caller_answer.h"
 #include "routing/event_splitter.h"
+#include "routing/part_quarantine.h"
 #include "routing/placement.h"
 #include "routing/resend_budget.h"
 #include "routing/route_table.h"
@@ -54,6 +55,7 @@
   prompt_cache_view &Cache;
   upstream_failure_tracker &FailureTracker;
   upstream_limits &Limits;
+  part_quarantine &Quarantine;
   resend_budget &Budget;
   usage_windows &Usage;
 };
@@ -105,10 +107,13 @@
     std::optional<attempt_number> Attempt;
     upstream_name Upstream; // upstream of Attempt
     zone_name UpstreamZone;
+    std::chrono::milliseconds UpstreamStartedAt{};
     steady_time SentAt;
     steady_time ProgressAt;   // when it was sent or the last event arrived
     int64_t EventsBefore = 0; // taken from earlier attempts
-    int Sent = 0;             // upstreams that may have received it
+    std::optional<steady_time> BeganAt; // first event
+    bool SoundRecorded = false;
+    int Sent = 0; // upstreams that may have received it
     std::vector<upstream_name> Tried;
     execution_outcome Knowledge = execution_outcome::NotRun;
     // An upstream whose failure is not counted until another upstream has
@@ -119,6 +124,7 @@
     int Status = 0;
     bool Stream = false; // passed on event by event
     bool Held = false;   // its answer is held back until complete
+    upstream_instance run() const { return {Upstream, UpstreamStartedAt}; }
     int64_t eventsOfAttempt() const { return Events.taken() - EventsBefore; }
     // State of the answer to the caller:
     bool AnswerStarted = false;
@@ -146,6 +152,15 @@
   // Returns the limits of the upstreams of the request's service.
   upstream_limits::summary limitsOf(const active_request &Request,
                                     const router_context &Context) const;
+  // Returns the part for which the request must not be sent now, if any.
+  std::optional<part_quarantine::held_back>
+  heldBack(const active_request &Request, const router_context &Context) const;
+  // Records that an attempt broke before its answer went on.
+  void recordBreak(const active_request &Request,
+                   const router_context &Context);
+  // Records that the answer of an attempt goes on or is complete.
+  void recordSound(const active_request &Request,
+                   const router_context &Context);
   static void logLimited(const active_request &Request,
                          const upstream_limits::summary &Limits,
                          routing_effects &Effects);
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "monsoonreel/http_status.h"
 #include "routing/decision_log.h"
 #include "routing/request_router.h"
 
@@ -24,6 +25,8 @@
     return;
   Request->Status = Head.Status;
   applyUpstreamNotices(*Request, Head, Context, Effects);
+  if (!Head.WrongUpstream)
+    Services.Quarantine.onAnswer(Request->run(), Request->SentAt, Context.Now);
   if (Head.WrongUpstream || Head.SaidNotRun) {
     if (Head.WrongUpstream)
       Services.FailureTracker.onUnreachable(Request->Upstream,
@@ -157,6 +160,10 @@
   if (Whole.empty())
     return;
   Request.ProgressAt = Context.Now;
+  Request.BeganAt = Request.BeganAt.value_or(Context.Now);
+  if (Request.eventsOfAttempt() >= sound_answer_events &&
+      !std::exchange(Request.SoundRecorded, true))
+    recordSound(Request, Context);
   Services.Load.onFirstAnswer(*Request.Attempt);
   countUsage(Request, Context);
   if (!std::exchange(Request.AnswerStarted, true)) {
@@ -175,8 +182,13 @@
   active_request *Request = findByAttempt(End.Attempt);
   if (!Request)
     return;
-  if (Request->Stream && Request->Events.hasPartialEvent())
+  if (Request->Stream && Request->Events.hasPartialEvent()) {
+    recordBreak(*Request, Context);
     return resendOrFail(*Request, true, "broken-stream", Context, Effects);
+  }
+  if (Request->Status < http_status::bad_request &&
+      (!Request->Stream || Request->eventsOfAttempt() > 0))
+    recordSound(*Request, Context);
   request_id Id = Request->Arrived.Request;
   if (Request->Held) {
     route_answer Answer{Id, End.Attempt, std::move(Request->Body)};
@@ -218,6 +230,7 @@
   }
   if (Request->Knowledge == execution_outcome::NotRun)
     Request->Knowledge = execution_outcome::Unknown;
+  recordBreak(*Request, Context);
   if (Request->Status == 0)
     Services.FailureTracker.onUnreachable(Request->Upstream,
                                           Request->UpstreamZone, Context.Now);
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <variant>
 
+#include "absl/strings/str_cat.h"
+
 #include "monsoonreel/rendezvous.h"
 #include "routing/decision_log.h"
 
@@ -50,9 +52,10 @@
                     Terms.Bounds.laterReaderDelay(),
                     Terms.Bounds.laterReaderRetryPeriod()}),
       Registry(Terms.Bounds.lapseGrace()), Limits(Identity.Name.Value),
-      Budget(Terms.Resends), Usage(usageTerms(Terms)),
-      Requests({Registry, Load, Cache, FailureTracker, Limits, Budget, Usage},
-               Identity.Zone),
+      Quarantine(Identity.Name.Value), Budget(Terms.Resends),
+      Usage(usageTerms(Terms)), Requests({Registry, Load, Cache, FailureTracker,
+                                          Limits, Quarantine, Budget, Usage},
+                                         Identity.Zone),
       Duties(dutyTerms(Terms), Identity), Capacity(Terms.Bounds.UpstreamReport),
       Relays(Identity) {}
 
@@ -142,6 +145,8 @@
   Registry.onTick(Event.Now, UpstreamFeed.isStoreFailing());
   router_context Context = contextOf(Event);
   Limits.onTick(Event.Now, Context.TrueTime);
+  Quarantine.onTick(Event.Now, Context.TrueTime);
+  logQuarantine(Effects);
   Requests.onTick(Context, Effects);
   if (!DrainingSince && (Terms.ReportsUsage || Terms.OrdersUpstreams))
     performDuties(Event, Effects);
@@ -188,6 +193,7 @@
   Names.reserve(Others.size());
   for (const wire::member &Member : Others)
     Names.push_back(Member.Name);
+  updateQuarantine(Names, Now);
   Limits.setEntries(std::move(Names), Now);
   // Other entries do not count on an entry that drains, and an entry that has
   // just started does not know all others.
@@ -195,6 +201,31 @@
                     Now);
 }
 
+void routing_node::updateQuarantine(const std::vector<std::string> &Names,
+                                    steady_time Now) {
+  Quarantine.setEntries(Names);
+  Quarantine.setTrying(!DrainingSince && Now - *StartedAt >= limit_warmup_time);
+  Quarantine.setReportDelay(Relays.inUse() ? mark_hops * reportInterval()
+                                           : 2 * reportInterval());
+}
+
+void routing_node::logQuarantine(routing_effects &Effects) {
+  std::vector<part_quarantine::change> Changes = Quarantine.takeChanges();
+  for (const part_quarantine::change &Change : Changes)
+    Effects.push_back(decision("prompt-part")
+                          .add("change", Change.What)
+                          .add("part", absl::StrCat(absl::Hex(Change.Part)))
+                          .add("round", Change.Round)
+                          .add("crashes", Change.Crashes)
+                          .add("other_crashes", Change.OtherCrashes)
+                          .add("hold", Change.Hold)
+                          .line(log_level::Warning));
+  if (!Changes.empty())
+    Effects.push_back(set_gauge{"monsoonreel_held_prompt_parts",
+                                {},
+                                static_cast<double>(Quarantine.held())});
+}
+
 // Updates whether this entry is a later reader of the feed, and returns its
 // rank.
 size_t routing_node::updateReaderRank(keyed_feed &Feed, steady_time Now) const {
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -71,8 +71,9 @@
 // After its start an entry does not know yet which entries read before it. It
 // leaves regular reads to others for this time.
 constexpr duration reader_warmup_time = std::chrono::seconds(5);
-// An entry takes no share of the limits of upstreams for this time after its
-// start, because it does not know all other entries yet.
+// An entry takes no share of the limits of upstreams, and tries no prompt part
+// that is held back, for this time after its start, because it does not know
+// all other entries yet.
 constexpr duration limit_warmup_time = std::chrono::seconds(5);
 // Number of entries of each zone that are not later readers, so that a zone
 // that is cut off from the others reads as early as they do.
@@ -148,6 +149,8 @@
   keyed_feed *feedOf(const std::string &Name);
   void refreshEntries(steady_time Now, routing_effects &Effects);
   void updateLimitShares(steady_time Now);
+  void updateQuarantine(const std::vector<std::string> &Names, steady_time Now);
+  void logQuarantine(routing_effects &Effects);
   size_t updateReaderRank(keyed_feed &Feed, steady_time Now) const;
   void logStoreRecovery(steady_time Now, routing_effects &Effects);
   void applyChanges(const keyed_feed &Feed,
@@ -205,6 +208,7 @@
   prompt_cache_view Cache;
   upstream_failure_tracker FailureTracker;
   upstream_limits Limits;
+  part_quarantine Quarantine;
   resend_budget Budget;
   usage_windows Usage;
   request_router Requests;
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -66,6 +66,7 @@
 void routing_node::onSharedParts(const T &Report, steady_time Now,
                                  routing_effects &Effects) {
   onLimits(Report.Limits, Now, Effects);
+  Quarantine.onReport(Report.Parts, Now);
   onLeavingRuns(Report.Leaving, Now);
   PeersFiguredWindow = std::max(PeersFiguredWindow, Report.LastFiguredWindow);
   onMarks(Report.Feeds, Now);
@@ -187,6 +188,7 @@
   Report.Uses = Load.reportOwnUses(Event.Now);
   Report.Leaving = leavingRuns(Event.Now);
   Report.Limits = Limits.recent(true, Event.Now);
+  Report.Parts = Quarantine.report(true, Event.Now);
   if (IsUsageDue && !Relays.inUse())
     Report.Windows = Usage.ownWindows();
   if (Relays.inUse())
@@ -252,6 +254,7 @@
   Report.TrueMicros = toMicros(Clock.at(Event.Now).time_since_epoch());
   Report.Leaving = leavingRuns(Event.Now);
   Report.Limits = Limits.recent(false, Event.Now);
+  Report.Parts = Quarantine.report(false, Event.Now);
   if (++RelayReports % reports_per_zone_exchange == 0) {
     Effects.push_back(
         send_datagrams{Relays.ofOtherZones(), wire::peer_message(Report)});
--- a/routing/testing/request_router_fixture.h
+++ b/routing/testing/request_router_fixture.h
@@ -19,7 +19,8 @@
 protected:
   request_router_test()
       : Budget({0.2, 1000, 10s}), Usage(usage_terms{}),
-        Router({Registry, Load, Cache, FailureTracker, Limits, Budget, Usage},
+        Router({Registry, Load, Cache, FailureTracker, Limits, Quarantine,
+                Budget, Usage},
                zone_name("z")) {
     for (const char *Name : {"u1", "u2", "u3"})
       list(Name);
@@ -137,6 +138,7 @@
   prompt_cache_view Cache;
   upstream_failure_tracker FailureTracker;
   upstream_limits Limits{"e"};
+  part_quarantine Quarantine{"e"};
   resend_budget Budget;
   usage_windows Usage;
   request_router Router;
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -717,6 +717,811 @@
 }
 
 
+crashed_part::~crashed_part() noexcept {
+}
+
+
+void crashed_part::__set_Part(const int64_t val) {
+  this->Part = val;
+}
+
+void crashed_part::__set_Place(const int32_t val) {
+  this->Place = val;
+}
+std::ostream& operator<<(std::ostream& out, const crashed_part& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t crashed_part::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Part);
+          this->__isset.Part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Place);
+          this->__isset.Place = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t crashed_part::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("crashed_part");
+
+  xfer += oprot->writeFieldBegin("Part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Place", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Place);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(crashed_part &a, crashed_part &b) {
+  using ::std::swap;
+  swap(a.Part, b.Part);
+  swap(a.Place, b.Place);
+  swap(a.__isset, b.__isset);
+}
+
+crashed_part::crashed_part(const crashed_part& other26) noexcept {
+  Part = other26.Part;
+  Place = other26.Place;
+  __isset = other26.__isset;
+}
+crashed_part::crashed_part(crashed_part&& other27) noexcept {
+  Part = other27.Part;
+  Place = other27.Place;
+  __isset = other27.__isset;
+}
+crashed_part& crashed_part::operator=(const crashed_part& other28) noexcept {
+  Part = other28.Part;
+  Place = other28.Place;
+  __isset = other28.__isset;
+  return *this;
+}
+crashed_part& crashed_part::operator=(crashed_part&& other29) noexcept {
+  Part = other29.Part;
+  Place = other29.Place;
+  __isset = other29.__isset;
+  return *this;
+}
+void crashed_part::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "crashed_part(";
+  out << "Part=" << to_string(Part);
+  out << ", " << "Place=" << to_string(Place);
+  out << ")";
+}
+
+
+upstream_crash::~upstream_crash() noexcept {
+}
+
+
+void upstream_crash::__set_Run(const upstream_run& val) {
+  this->Run = val;
+}
+
+void upstream_crash::__set_AgeMicros(const int64_t val) {
+  this->AgeMicros = val;
+}
+
+void upstream_crash::__set_Parts(const std::vector<crashed_part> & val) {
+  this->Parts = val;
+}
+
+void upstream_crash::__set_Refuted(const bool val) {
+  this->Refuted = val;
+}
+std::ostream& operator<<(std::ostream& out, const upstream_crash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t upstream_crash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Run.read(iprot);
+          this->__isset.Run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AgeMicros);
+          this->__isset.AgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Parts.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->Parts.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->Parts[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Refuted);
+          this->__isset.Refuted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t upstream_crash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("upstream_crash");
+
+  xfer += oprot->writeFieldBegin("Run", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->Run.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->AgeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Parts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Parts.size()));
+    std::vector<crashed_part> ::const_iterator _iter35;
+    for (_iter35 = this->Parts.begin(); _iter35 != this->Parts.end(); ++_iter35)
+    {
+      xfer += (*_iter35).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Refuted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->Refuted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(upstream_crash &a, upstream_crash &b) {
+  using ::std::swap;
+  swap(a.Run, b.Run);
+  swap(a.AgeMicros, b.AgeMicros);
+  swap(a.Parts, b.Parts);
+  swap(a.Refuted, b.Refuted);
+  swap(a.__isset, b.__isset);
+}
+
+upstream_crash::upstream_crash(const upstream_crash& other36) {
+  Run = other36.Run;
+  AgeMicros = other36.AgeMicros;
+  Parts = other36.Parts;
+  Refuted = other36.Refuted;
+  __isset = other36.__isset;
+}
+upstream_crash::upstream_crash(upstream_crash&& other37) noexcept {
+  Run = std::move(other37.Run);
+  AgeMicros = other37.AgeMicros;
+  Parts = std::move(other37.Parts);
+  Refuted = other37.Refuted;
+  __isset = other37.__isset;
+}
+upstream_crash& upstream_crash::operator=(const upstream_crash& other38) {
+  Run = other38.Run;
+  AgeMicros = other38.AgeMicros;
+  Parts = other38.Parts;
+  Refuted = other38.Refuted;
+  __isset = other38.__isset;
+  return *this;
+}
+upstream_crash& upstream_crash::operator=(upstream_crash&& other39) noexcept {
+  Run = std::move(other39.Run);
+  AgeMicros = other39.AgeMicros;
+  Parts = std::move(other39.Parts);
+  Refuted = other39.Refuted;
+  __isset = other39.__isset;
+  return *this;
+}
+void upstream_crash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "upstream_crash(";
+  out << "Run=" << to_string(Run);
+  out << ", " << "AgeMicros=" << to_string(AgeMicros);
+  out << ", " << "Parts=" << to_string(Parts);
+  out << ", " << "Refuted=" << to_string(Refuted);
+  out << ")";
+}
+
+
+sound_part::~sound_part() noexcept {
+}
+
+
+void sound_part::__set_Part(const int64_t val) {
+  this->Part = val;
+}
+
+void sound_part::__set_AgeMicros(const int64_t val) {
+  this->AgeMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const sound_part& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t sound_part::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Part);
+          this->__isset.Part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AgeMicros);
+          this->__isset.AgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t sound_part::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("sound_part");
+
+  xfer += oprot->writeFieldBegin("Part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->AgeMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(sound_part &a, sound_part &b) {
+  using ::std::swap;
+  swap(a.Part, b.Part);
+  swap(a.AgeMicros, b.AgeMicros);
+  swap(a.__isset, b.__isset);
+}
+
+sound_part::sound_part(const sound_part& other40) noexcept {
+  Part = other40.Part;
+  AgeMicros = other40.AgeMicros;
+  __isset = other40.__isset;
+}
+sound_part::sound_part(sound_part&& other41) noexcept {
+  Part = other41.Part;
+  AgeMicros = other41.AgeMicros;
+  __isset = other41.__isset;
+}
+sound_part& sound_part::operator=(const sound_part& other42) noexcept {
+  Part = other42.Part;
+  AgeMicros = other42.AgeMicros;
+  __isset = other42.__isset;
+  return *this;
+}
+sound_part& sound_part::operator=(sound_part&& other43) noexcept {
+  Part = other43.Part;
+  AgeMicros = other43.AgeMicros;
+  __isset = other43.__isset;
+  return *this;
+}
+void sound_part::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "sound_part(";
+  out << "Part=" << to_string(Part);
+  out << ", " << "AgeMicros=" << to_string(AgeMicros);
+  out << ")";
+}
+
+
+held_part::~held_part() noexcept {
+}
+
+
+void held_part::__set_Part(const int64_t val) {
+  this->Part = val;
+}
+
+void held_part::__set_SinceMicros(const int64_t val) {
+  this->SinceMicros = val;
+}
+
+void held_part::__set_UntilMicros(const int64_t val) {
+  this->UntilMicros = val;
+}
+
+void held_part::__set_Round(const int32_t val) {
+  this->Round = val;
+}
+std::ostream& operator<<(std::ostream& out, const held_part& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t held_part::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Part);
+          this->__isset.Part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->SinceMicros);
+          this->__isset.SinceMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->UntilMicros);
+          this->__isset.UntilMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Round);
+          this->__isset.Round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t held_part::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("held_part");
+
+  xfer += oprot->writeFieldBegin("Part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("SinceMicros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->SinceMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("UntilMicros", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->UntilMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Round", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->Round);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(held_part &a, held_part &b) {
+  using ::std::swap;
+  swap(a.Part, b.Part);
+  swap(a.SinceMicros, b.SinceMicros);
+  swap(a.UntilMicros, b.UntilMicros);
+  swap(a.Round, b.Round);
+  swap(a.__isset, b.__isset);
+}
+
+held_part::held_part(const held_part& other44) noexcept {
+  Part = other44.Part;
+  SinceMicros = other44.SinceMicros;
+  UntilMicros = other44.UntilMicros;
+  Round = other44.Round;
+  __isset = other44.__isset;
+}
+held_part::held_part(held_part&& other45) noexcept {
+  Part = other45.Part;
+  SinceMicros = other45.SinceMicros;
+  UntilMicros = other45.UntilMicros;
+  Round = other45.Round;
+  __isset = other45.__isset;
+}
+held_part& held_part::operator=(const held_part& other46) noexcept {
+  Part = other46.Part;
+  SinceMicros = other46.SinceMicros;
+  UntilMicros = other46.UntilMicros;
+  Round = other46.Round;
+  __isset = other46.__isset;
+  return *this;
+}
+held_part& held_part::operator=(held_part&& other47) noexcept {
+  Part = other47.Part;
+  SinceMicros = other47.SinceMicros;
+  UntilMicros = other47.UntilMicros;
+  Round = other47.Round;
+  __isset = other47.__isset;
+  return *this;
+}
+void held_part::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "held_part(";
+  out << "Part=" << to_string(Part);
+  out << ", " << "SinceMicros=" << to_string(SinceMicros);
+  out << ", " << "UntilMicros=" << to_string(UntilMicros);
+  out << ", " << "Round=" << to_string(Round);
+  out << ")";
+}
+
+
+part_report::~part_report() noexcept {
+}
+
+
+void part_report::__set_Crashes(const std::vector<upstream_crash> & val) {
+  this->Crashes = val;
+}
+
+void part_report::__set_Sound(const std::vector<sound_part> & val) {
+  this->Sound = val;
+}
+
+void part_report::__set_Held(const std::vector<held_part> & val) {
+  this->Held = val;
+}
+std::ostream& operator<<(std::ostream& out, const part_report& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t part_report::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Crashes.clear();
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->Crashes.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
+            {
+              xfer += this->Crashes[_i52].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Sound.clear();
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->Sound.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
+            {
+              xfer += this->Sound[_i57].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Sound = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Held.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->Held.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += this->Held[_i62].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t part_report::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("part_report");
+
+  xfer += oprot->writeFieldBegin("Crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Crashes.size()));
+    std::vector<upstream_crash> ::const_iterator _iter63;
+    for (_iter63 = this->Crashes.begin(); _iter63 != this->Crashes.end(); ++_iter63)
+    {
+      xfer += (*_iter63).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Sound", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Sound.size()));
+    std::vector<sound_part> ::const_iterator _iter64;
+    for (_iter64 = this->Sound.begin(); _iter64 != this->Sound.end(); ++_iter64)
+    {
+      xfer += (*_iter64).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Held", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Held.size()));
+    std::vector<held_part> ::const_iterator _iter65;
+    for (_iter65 = this->Held.begin(); _iter65 != this->Held.end(); ++_iter65)
+    {
+      xfer += (*_iter65).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(part_report &a, part_report &b) {
+  using ::std::swap;
+  swap(a.Crashes, b.Crashes);
+  swap(a.Sound, b.Sound);
+  swap(a.Held, b.Held);
+  swap(a.__isset, b.__isset);
+}
+
+part_report::part_report(const part_report& other66) {
+  Crashes = other66.Crashes;
+  Sound = other66.Sound;
+  Held = other66.Held;
+  __isset = other66.__isset;
+}
+part_report::part_report(part_report&& other67) noexcept {
+  Crashes = std::move(other67.Crashes);
+  Sound = std::move(other67.Sound);
+  Held = std::move(other67.Held);
+  __isset = other67.__isset;
+}
+part_report& part_report::operator=(const part_report& other68) {
+  Crashes = other68.Crashes;
+  Sound = other68.Sound;
+  Held = other68.Held;
+  __isset = other68.__isset;
+  return *this;
+}
+part_report& part_report::operator=(part_report&& other69) noexcept {
+  Crashes = std::move(other69.Crashes);
+  Sound = std::move(other69.Sound);
+  Held = std::move(other69.Held);
+  __isset = other69.__isset;
+  return *this;
+}
+void part_report::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "part_report(";
+  out << "Crashes=" << to_string(Crashes);
+  out << ", " << "Sound=" << to_string(Sound);
+  out << ", " << "Held=" << to_string(Held);
+  out << ")";
+}
+
+
 feed_mark::~feed_mark() noexcept {
 }
 
@@ -860,38 +1665,38 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_mark::feed_mark(const feed_mark& other26) {
-  Feed = other26.Feed;
-  News = other26.News;
-  End = other26.End;
-  AgeMicros = other26.AgeMicros;
-  Reads = other26.Reads;
-  __isset = other26.__isset;
+feed_mark::feed_mark(const feed_mark& other70) {
+  Feed = other70.Feed;
+  News = other70.News;
+  End = other70.End;
+  AgeMicros = other70.AgeMicros;
+  Reads = other70.Reads;
+  __isset = other70.__isset;
 }
-feed_mark::feed_mark(feed_mark&& other27) noexcept {
-  Feed = std::move(other27.Feed);
-  News = other27.News;
-  End = other27.End;
-  AgeMicros = other27.AgeMicros;
-  Reads = other27.Reads;
-  __isset = other27.__isset;
+feed_mark::feed_mark(feed_mark&& other71) noexcept {
+  Feed = std::move(other71.Feed);
+  News = other71.News;
+  End = other71.End;
+  AgeMicros = other71.AgeMicros;
+  Reads = other71.Reads;
+  __isset = other71.__isset;
 }
-feed_mark& feed_mark::operator=(const feed_mark& other28) {
-  Feed = other28.Feed;
-  News = other28.News;
-  End = other28.End;
-  AgeMicros = other28.AgeMicros;
-  Reads = other28.Reads;
-  __isset = other28.__isset;
+feed_mark& feed_mark::operator=(const feed_mark& other72) {
+  Feed = other72.Feed;
+  News = other72.News;
+  End = other72.End;
+  AgeMicros = other72.AgeMicros;
+  Reads = other72.Reads;
+  __isset = other72.__isset;
   return *this;
 }
-feed_mark& feed_mark::operator=(feed_mark&& other29) noexcept {
-  Feed = std::move(other29.Feed);
-  News = other29.News;
-  End = other29.End;
-  AgeMicros = other29.AgeMicros;
-  Reads = other29.Reads;
-  __isset = other29.__isset;
+feed_mark& feed_mark::operator=(feed_mark&& other73) noexcept {
+  Feed = std::move(other73.Feed);
+  News = other73.News;
+  End = other73.End;
+  AgeMicros = other73.AgeMicros;
+  Reads = other73.Reads;
+  __isset = other73.__isset;
   return *this;
 }
 void feed_mark::printTo(std::ostream& out) const {
@@ -961,6 +1766,10 @@
 void entry_report::__set_Limits(const std::vector<upstream_limit> & val) {
   this->Limits = val;
 }
+
+void entry_report::__set_Parts(const part_report& val) {
+  this->Parts = val;
+}
 std::ostream& operator<<(std::ostream& out, const entry_report& obj)
 {
   obj.printTo(out);
@@ -1009,14 +1818,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Uses.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->Uses.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->Uses.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->Uses[_i34].read(iprot);
+              xfer += this->Uses[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1029,14 +1838,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Windows.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->Windows.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->Windows.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->Windows[_i39].read(iprot);
+              xfer += this->Windows[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1097,14 +1906,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leaving.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->Leaving.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->Leaving.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->Leaving[_i44].read(iprot);
+              xfer += this->Leaving[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1117,14 +1926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Feeds.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->Feeds.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->Feeds.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->Feeds[_i49].read(iprot);
+              xfer += this->Feeds[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1137,14 +1946,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Limits.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->Limits.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->Limits.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->Limits[_i54].read(iprot);
+              xfer += this->Limits[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1153,6 +1962,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Parts.read(iprot);
+          this->__isset.Parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1181,10 +1998,10 @@
   xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
-    std::vector<upstream_use> ::const_iterator _iter55;
-    for (_iter55 = this->Uses.begin(); _iter55 != this->Uses.end(); ++_iter55)
+    std::vector<upstream_use> ::const_iterator _iter99;
+    for (_iter99 = this->Uses.begin(); _iter99 != this->Uses.end(); ++_iter99)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1193,10 +2010,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<window_counts> ::const_iterator _iter56;
-    for (_iter56 = this->Windows.begin(); _iter56 != this->Windows.end(); ++_iter56)
+    std::vector<window_counts> ::const_iterator _iter100;
+    for (_iter100 = this->Windows.begin(); _iter100 != this->Windows.end(); ++_iter100)
     {
-      xfer += (*_iter56).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1229,10 +2046,10 @@
   xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaving.size()));
-    std::vector<upstream_run> ::const_iterator _iter57;
-    for (_iter57 = this->Leaving.begin(); _iter57 != this->Leaving.end(); ++_iter57)
+    std::vector<upstream_run> ::const_iterator _iter101;
+    for (_iter101 = this->Leaving.begin(); _iter101 != this->Leaving.end(); ++_iter101)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1241,10 +2058,10 @@
   xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Feeds.size()));
-    std::vector<feed_mark> ::const_iterator _iter58;
-    for (_iter58 = this->Feeds.begin(); _iter58 != this->Feeds.end(); ++_iter58)
+    std::vector<feed_mark> ::const_iterator _iter102;
+    for (_iter102 = this->Feeds.begin(); _iter102 != this->Feeds.end(); ++_iter102)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1253,15 +2070,19 @@
   xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
-    std::vector<upstream_limit> ::const_iterator _iter59;
-    for (_iter59 = this->Limits.begin(); _iter59 != this->Limits.end(); ++_iter59)
+    std::vector<upstream_limit> ::const_iterator _iter103;
+    for (_iter103 = this->Limits.begin(); _iter103 != this->Limits.end(); ++_iter103)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Parts", ::apache::thrift::protocol::T_STRUCT, 14);
+  xfer += this->Parts.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1282,73 +2103,78 @@
   swap(a.Leaving, b.Leaving);
   swap(a.Feeds, b.Feeds);
   swap(a.Limits, b.Limits);
+  swap(a.Parts, b.Parts);
   swap(a.__isset, b.__isset);
 }
 
-entry_report::entry_report(const entry_report& other60) {
-  Incarnation = other60.Incarnation;
-  Sequence = other60.Sequence;
-  Uses = other60.Uses;
-  Windows = other60.Windows;
-  WallMicros = other60.WallMicros;
-  DutyHolder = other60.DutyHolder;
-  DutyFence = other60.DutyFence;
-  DutyClaimOffset = other60.DutyClaimOffset;
-  LastFiguredWindow = other60.LastFiguredWindow;
-  DutyIncarnation = other60.DutyIncarnation;
-  Leaving = other60.Leaving;
-  Feeds = other60.Feeds;
-  Limits = other60.Limits;
-  __isset = other60.__isset;
-}
-entry_report::entry_report(entry_report&& other61) noexcept {
-  Incarnation = other61.Incarnation;
-  Sequence = other61.Sequence;
-  Uses = std::move(other61.Uses);
-  Windows = std::move(other61.Windows);
-  WallMicros = other61.WallMicros;
-  DutyHolder = std::move(other61.DutyHolder);
-  DutyFence = other61.DutyFence;
-  DutyClaimOffset = other61.DutyClaimOffset;
-  LastFiguredWindow = other61.LastFiguredWindow;
-  DutyIncarnation = other61.DutyIncarnation;
-  Leaving = std::move(other61.Leaving);
-  Feeds = std::move(other61.Feeds);
-  Limits = std::move(other61.Limits);
-  __isset = other61.__isset;
-}
-entry_report& entry_report::operator=(const entry_report& other62) {
-  Incarnation = other62.Incarnation;
-  Sequence = other62.Sequence;
-  Uses = other62.Uses;
-  Windows = other62.Windows;
-  WallMicros = other62.WallMicros;
-  DutyHolder = other62.DutyHolder;
-  DutyFence = other62.DutyFence;
-  DutyClaimOffset = other62.DutyClaimOffset;
-  LastFiguredWindow = other62.LastFiguredWindow;
-  DutyIncarnation = other62.DutyIncarnation;
-  Leaving = other62.Leaving;
-  Feeds = other62.Feeds;
-  Limits = other62.Limits;
-  __isset = other62.__isset;
+entry_report::entry_report(const entry_report& other104) {
+  Incarnation = other104.Incarnation;
+  Sequence = other104.Sequence;
+  Uses = other104.Uses;
+  Windows = other104.Windows;
+  WallMicros = other104.WallMicros;
+  DutyHolder = other104.DutyHolder;
+  DutyFence = other104.DutyFence;
+  DutyClaimOffset = other104.DutyClaimOffset;
+  LastFiguredWindow = other104.LastFiguredWindow;
+  DutyIncarnation = other104.DutyIncarnation;
+  Leaving = other104.Leaving;
+  Feeds = other104.Feeds;
+  Limits = other104.Limits;
+  Parts = other104.Parts;
+  __isset = other104.__isset;
+}
+entry_report::entry_report(entry_report&& other105) noexcept {
+  Incarnation = other105.Incarnation;
+  Sequence = other105.Sequence;
+  Uses = std::move(other105.Uses);
+  Windows = std::move(other105.Windows);
+  WallMicros = other105.WallMicros;
+  DutyHolder = std::move(other105.DutyHolder);
+  DutyFence = other105.DutyFence;
+  DutyClaimOffset = other105.DutyClaimOffset;
+  LastFiguredWindow = other105.LastFiguredWindow;
+  DutyIncarnation = other105.DutyIncarnation;
+  Leaving = std::move(other105.Leaving);
+  Feeds = std::move(other105.Feeds);
+  Limits = std::move(other105.Limits);
+  Parts = std::move(other105.Parts);
+  __isset = other105.__isset;
+}
+entry_report& entry_report::operator=(const entry_report& other106) {
+  Incarnation = other106.Incarnation;
+  Sequence = other106.Sequence;
+  Uses = other106.Uses;
+  Windows = other106.Windows;
+  WallMicros = other106.WallMicros;
+  DutyHolder = other106.DutyHolder;
+  DutyFence = other106.DutyFence;
+  DutyClaimOffset = other106.DutyClaimOffset;
+  LastFiguredWindow = other106.LastFiguredWindow;
+  DutyIncarnation = other106.DutyIncarnation;
+  Leaving = other106.Leaving;
+  Feeds = other106.Feeds;
+  Limits = other106.Limits;
+  Parts = other106.Parts;
+  __isset = other106.__isset;
   return *this;
 }
-entry_report& entry_report::operator=(entry_report&& other63) noexcept {
-  Incarnation = other63.Incarnation;
-  Sequence = other63.Sequence;
-  Uses = std::move(other63.Uses);
-  Windows = std::move(other63.Windows);
-  WallMicros = other63.WallMicros;
-  DutyHolder = std::move(other63.DutyHolder);
-  DutyFence = other63.DutyFence;
-  DutyClaimOffset = other63.DutyClaimOffset;
-  LastFiguredWindow = other63.LastFiguredWindow;
-  DutyIncarnation = other63.DutyIncarnation;
-  Leaving = std::move(other63.Leaving);
-  Feeds = std::move(other63.Feeds);
-  Limits = std::move(other63.Limits);
-  __isset = other63.__isset;
+entry_report& entry_report::operator=(entry_report&& other107) noexcept {
+  Incarnation = other107.Incarnation;
+  Sequence = other107.Sequence;
+  Uses = std::move(other107.Uses);
+  Windows = std::move(other107.Windows);
+  WallMicros = other107.WallMicros;
+  DutyHolder = std::move(other107.DutyHolder);
+  DutyFence = other107.DutyFence;
+  DutyClaimOffset = other107.DutyClaimOffset;
+  LastFiguredWindow = other107.LastFiguredWindow;
+  DutyIncarnation = other107.DutyIncarnation;
+  Leaving = std::move(other107.Leaving);
+  Feeds = std::move(other107.Feeds);
+  Limits = std::move(other107.Limits);
+  Parts = std::move(other107.Parts);
+  __isset = other107.__isset;
   return *this;
 }
 void entry_report::printTo(std::ostream& out) const {
@@ -1367,6 +2193,7 @@
   out << ", " << "Leaving=" << to_string(Leaving);
   out << ", " << "Feeds=" << to_string(Feeds);
   out << ", " << "Limits=" << to_string(Limits);
+  out << ", " << "Parts=" << to_string(Parts);
   out << ")";
 }
 
@@ -1422,14 +2249,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Windows.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->Windows.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->Windows.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->Windows[_i68].read(iprot);
+              xfer += this->Windows[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1462,10 +2289,10 @@
   xfer += oprot->writeFieldBegin("Windows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Windows.size()));
-    std::vector<window_counts> ::const_iterator _iter69;
-    for (_iter69 = this->Windows.begin(); _iter69 != this->Windows.end(); ++_iter69)
+    std::vector<window_counts> ::const_iterator _iter113;
+    for (_iter113 = this->Windows.begin(); _iter113 != this->Windows.end(); ++_iter113)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1483,26 +2310,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_report::usage_report(const usage_report& other70) {
-  Incarnation = other70.Incarnation;
-  Windows = other70.Windows;
-  __isset = other70.__isset;
+usage_report::usage_report(const usage_report& other114) {
+  Incarnation = other114.Incarnation;
+  Windows = other114.Windows;
+  __isset = other114.__isset;
 }
-usage_report::usage_report(usage_report&& other71) noexcept {
-  Incarnation = other71.Incarnation;
-  Windows = std::move(other71.Windows);
-  __isset = other71.__isset;
+usage_report::usage_report(usage_report&& other115) noexcept {
+  Incarnation = other115.Incarnation;
+  Windows = std::move(other115.Windows);
+  __isset = other115.__isset;
 }
-usage_report& usage_report::operator=(const usage_report& other72) {
-  Incarnation = other72.Incarnation;
-  Windows = other72.Windows;
-  __isset = other72.__isset;
+usage_report& usage_report::operator=(const usage_report& other116) {
+  Incarnation = other116.Incarnation;
+  Windows = other116.Windows;
+  __isset = other116.__isset;
   return *this;
 }
-usage_report& usage_report::operator=(usage_report&& other73) noexcept {
-  Incarnation = other73.Incarnation;
-  Windows = std::move(other73.Windows);
-  __isset = other73.__isset;
+usage_report& usage_report::operator=(usage_report&& other117) noexcept {
+  Incarnation = other117.Incarnation;
+  Windows = std::move(other117.Windows);
+  __isset = other117.__isset;
   return *this;
 }
 void usage_report::printTo(std::ostream& out) const {
@@ -1569,14 +2396,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Uses.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->Uses.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->Uses.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->Uses[_i78].read(iprot);
+              xfer += this->Uses[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1617,10 +2444,10 @@
   xfer += oprot->writeFieldBegin("Uses", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Uses.size()));
-    std::vector<upstream_use> ::const_iterator _iter79;
-    for (_iter79 = this->Uses.begin(); _iter79 != this->Uses.end(); ++_iter79)
+    std::vector<upstream_use> ::const_iterator _iter123;
+    for (_iter123 = this->Uses.begin(); _iter123 != this->Uses.end(); ++_iter123)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1643,30 +2470,30 @@
   swap(a.__isset, b.__isset);
 }
 
-zone_uses::zone_uses(const zone_uses& other80) {
-  Zone = other80.Zone;
-  Uses = other80.Uses;
-  AgeMicros = other80.AgeMicros;
-  __isset = other80.__isset;
+zone_uses::zone_uses(const zone_uses& other124) {
+  Zone = other124.Zone;
+  Uses = other124.Uses;
+  AgeMicros = other124.AgeMicros;
+  __isset = other124.__isset;
 }
-zone_uses::zone_uses(zone_uses&& other81) noexcept {
-  Zone = std::move(other81.Zone);
-  Uses = std::move(other81.Uses);
-  AgeMicros = other81.AgeMicros;
-  __isset = other81.__isset;
+zone_uses::zone_uses(zone_uses&& other125) noexcept {
+  Zone = std::move(other125.Zone);
+  Uses = std::move(other125.Uses);
+  AgeMicros = other125.AgeMicros;
+  __isset = other125.__isset;
 }
-zone_uses& zone_uses::operator=(const zone_uses& other82) {
-  Zone = other82.Zone;
-  Uses = other82.Uses;
-  AgeMicros = other82.AgeMicros;
-  __isset = other82.__isset;
+zone_uses& zone_uses::operator=(const zone_uses& other126) {
+  Zone = other126.Zone;
+  Uses = other126.Uses;
+  AgeMicros = other126.AgeMicros;
+  __isset = other126.__isset;
   return *this;
 }
-zone_uses& zone_uses::operator=(zone_uses&& other83) noexcept {
-  Zone = std::move(other83.Zone);
-  Uses = std::move(other83.Uses);
-  AgeMicros = other83.AgeMicros;
-  __isset = other83.__isset;
+zone_uses& zone_uses::operator=(zone_uses&& other127) noexcept {
+  Zone = std::move(other127.Zone);
+  Uses = std::move(other127.Uses);
+  AgeMicros = other127.AgeMicros;
+  __isset = other127.__isset;
   return *this;
 }
 void zone_uses::printTo(std::ostream& out) const {
@@ -1722,6 +2549,10 @@
 void relay_report::__set_Limits(const std::vector<upstream_limit> & val) {
   this->Limits = val;
 }
+
+void relay_report::__set_Parts(const part_report& val) {
+  this->Parts = val;
+}
 std::ostream& operator<<(std::ostream& out, const relay_report& obj)
 {
   obj.printTo(out);
@@ -1754,14 +2585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Zones.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->Zones.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->Zones.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->Zones[_i88].read(iprot);
+              xfer += this->Zones[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1774,14 +2605,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Feeds.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->Feeds.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->Feeds.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->Feeds[_i93].read(iprot);
+              xfer += this->Feeds[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1842,14 +2673,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Leaving.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->Leaving.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->Leaving.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->Leaving[_i98].read(iprot);
+              xfer += this->Leaving[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1862,14 +2693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Limits.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->Limits.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->Limits.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->Limits[_i103].read(iprot);
+              xfer += this->Limits[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1878,6 +2709,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->Parts.read(iprot);
+          this->__isset.Parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1898,10 +2737,10 @@
   xfer += oprot->writeFieldBegin("Zones", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Zones.size()));
-    std::vector<zone_uses> ::const_iterator _iter104;
-    for (_iter104 = this->Zones.begin(); _iter104 != this->Zones.end(); ++_iter104)
+    std::vector<zone_uses> ::const_iterator _iter148;
+    for (_iter148 = this->Zones.begin(); _iter148 != this->Zones.end(); ++_iter148)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1910,10 +2749,10 @@
   xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Feeds.size()));
-    std::vector<feed_mark> ::const_iterator _iter105;
-    for (_iter105 = this->Feeds.begin(); _iter105 != this->Feeds.end(); ++_iter105)
+    std::vector<feed_mark> ::const_iterator _iter149;
+    for (_iter149 = this->Feeds.begin(); _iter149 != this->Feeds.end(); ++_iter149)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1946,10 +2785,10 @@
   xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaving.size()));
-    std::vector<upstream_run> ::const_iterator _iter106;
-    for (_iter106 = this->Leaving.begin(); _iter106 != this->Leaving.end(); ++_iter106)
+    std::vector<upstream_run> ::const_iterator _iter150;
+    for (_iter150 = this->Leaving.begin(); _iter150 != this->Leaving.end(); ++_iter150)
     {
-      xfer += (*_iter106).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1958,15 +2797,19 @@
   xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
-    std::vector<upstream_limit> ::const_iterator _iter107;
-    for (_iter107 = this->Limits.begin(); _iter107 != this->Limits.end(); ++_iter107)
+    std::vector<upstream_limit> ::const_iterator _iter151;
+    for (_iter151 = this->Limits.begin(); _iter151 != this->Limits.end(); ++_iter151)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Parts", ::apache::thrift::protocol::T_STRUCT, 11);
+  xfer += this->Parts.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1984,61 +2827,66 @@
   swap(a.TrueMicros, b.TrueMicros);
   swap(a.Leaving, b.Leaving);
   swap(a.Limits, b.Limits);
+  swap(a.Parts, b.Parts);
   swap(a.__isset, b.__isset);
 }
 
-relay_report::relay_report(const relay_report& other108) {
-  Zones = other108.Zones;
-  Feeds = other108.Feeds;
-  DutyHolder = other108.DutyHolder;
-  DutyIncarnation = other108.DutyIncarnation;
-  DutyFence = other108.DutyFence;
-  DutyClaimOffset = other108.DutyClaimOffset;
-  LastFiguredWindow = other108.LastFiguredWindow;
-  TrueMicros = other108.TrueMicros;
-  Leaving = other108.Leaving;
-  Limits = other108.Limits;
-  __isset = other108.__isset;
-}
-relay_report::relay_report(relay_report&& other109) noexcept {
-  Zones = std::move(other109.Zones);
-  Feeds = std::move(other109.Feeds);
-  DutyHolder = std::move(other109.DutyHolder);
-  DutyIncarnation = other109.DutyIncarnation;
-  DutyFence = other109.DutyFence;
-  DutyClaimOffset = other109.DutyClaimOffset;
-  LastFiguredWindow = other109.LastFiguredWindow;
-  TrueMicros = other109.TrueMicros;
-  Leaving = std::move(other109.Leaving);
-  Limits = std::move(other109.Limits);
-  __isset = other109.__isset;
-}
-relay_report& relay_report::operator=(const relay_report& other110) {
-  Zones = other110.Zones;
-  Feeds = other110.Feeds;
-  DutyHolder = other110.DutyHolder;
-  DutyIncarnation = other110.DutyIncarnation;
-  DutyFence = other110.DutyFence;
-  DutyClaimOffset = other110.DutyClaimOffset;
-  LastFiguredWindow = other110.LastFiguredWindow;
-  TrueMicros = other110.TrueMicros;
-  Leaving = other110.Leaving;
-  Limits = other110.Limits;
-  __isset = other110.__isset;
+relay_report::relay_report(const relay_report& other152) {
+  Zones = other152.Zones;
+  Feeds = other152.Feeds;
+  DutyHolder = other152.DutyHolder;
+  DutyIncarnation = other152.DutyIncarnation;
+  DutyFence = other152.DutyFence;
+  DutyClaimOffset = other152.DutyClaimOffset;
+  LastFiguredWindow = other152.LastFiguredWindow;
+  TrueMicros = other152.TrueMicros;
+  Leaving = other152.Leaving;
+  Limits = other152.Limits;
+  Parts = other152.Parts;
+  __isset = other152.__isset;
+}
+relay_report::relay_report(relay_report&& other153) noexcept {
+  Zones = std::move(other153.Zones);
+  Feeds = std::move(other153.Feeds);
+  DutyHolder = std::move(other153.DutyHolder);
+  DutyIncarnation = other153.DutyIncarnation;
+  DutyFence = other153.DutyFence;
+  DutyClaimOffset = other153.DutyClaimOffset;
+  LastFiguredWindow = other153.LastFiguredWindow;
+  TrueMicros = other153.TrueMicros;
+  Leaving = std::move(other153.Leaving);
+  Limits = std::move(other153.Limits);
+  Parts = std::move(other153.Parts);
+  __isset = other153.__isset;
+}
+relay_report& relay_report::operator=(const relay_report& other154) {
+  Zones = other154.Zones;
+  Feeds = other154.Feeds;
+  DutyHolder = other154.DutyHolder;
+  DutyIncarnation = other154.DutyIncarnation;
+  DutyFence = other154.DutyFence;
+  DutyClaimOffset = other154.DutyClaimOffset;
+  LastFiguredWindow = other154.LastFiguredWindow;
+  TrueMicros = other154.TrueMicros;
+  Leaving = other154.Leaving;
+  Limits = other154.Limits;
+  Parts = other154.Parts;
+  __isset = other154.__isset;
   return *this;
 }
-relay_report& relay_report::operator=(relay_report&& other111) noexcept {
-  Zones = std::move(other111.Zones);
-  Feeds = std::move(other111.Feeds);
-  DutyHolder = std::move(other111.DutyHolder);
-  DutyIncarnation = other111.DutyIncarnation;
-  DutyFence = other111.DutyFence;
-  DutyClaimOffset = other111.DutyClaimOffset;
-  LastFiguredWindow = other111.LastFiguredWindow;
-  TrueMicros = other111.TrueMicros;
-  Leaving = std::move(other111.Leaving);
-  Limits = std::move(other111.Limits);
-  __isset = other111.__isset;
+relay_report& relay_report::operator=(relay_report&& other155) noexcept {
+  Zones = std::move(other155.Zones);
+  Feeds = std::move(other155.Feeds);
+  DutyHolder = std::move(other155.DutyHolder);
+  DutyIncarnation = other155.DutyIncarnation;
+  DutyFence = other155.DutyFence;
+  DutyClaimOffset = other155.DutyClaimOffset;
+  LastFiguredWindow = other155.LastFiguredWindow;
+  TrueMicros = other155.TrueMicros;
+  Leaving = std::move(other155.Leaving);
+  Limits = std::move(other155.Limits);
+  Parts = std::move(other155.Parts);
+  __isset = other155.__isset;
   return *this;
 }
 void relay_report::printTo(std::ostream& out) const {
@@ -2054,6 +2902,7 @@
   out << ", " << "TrueMicros=" << to_string(TrueMicros);
   out << ", " << "Leaving=" << to_string(Leaving);
   out << ", " << "Limits=" << to_string(Limits);
+  out << ", " << "Parts=" << to_string(Parts);
   out << ")";
 }
 
@@ -2169,30 +3018,30 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_record::feed_record(const feed_record& other112) {
-  Offset = other112.Offset;
-  Key = other112.Key;
-  Value = other112.Value;
-  __isset = other112.__isset;
+feed_record::feed_record(const feed_record& other156) {
+  Offset = other156.Offset;
+  Key = other156.Key;
+  Value = other156.Value;
+  __isset = other156.__isset;
 }
-feed_record::feed_record(feed_record&& other113) noexcept {
-  Offset = other113.Offset;
-  Key = std::move(other113.Key);
-  Value = std::move(other113.Value);
-  __isset = other113.__isset;
+feed_record::feed_record(feed_record&& other157) noexcept {
+  Offset = other157.Offset;
+  Key = std::move(other157.Key);
+  Value = std::move(other157.Value);
+  __isset = other157.__isset;
 }
-feed_record& feed_record::operator=(const feed_record& other114) {
-  Offset = other114.Offset;
-  Key = other114.Key;
-  Value = other114.Value;
-  __isset = other114.__isset;
+feed_record& feed_record::operator=(const feed_record& other158) {
+  Offset = other158.Offset;
+  Key = other158.Key;
+  Value = other158.Value;
+  __isset = other158.__isset;
   return *this;
 }
-feed_record& feed_record::operator=(feed_record&& other115) noexcept {
-  Offset = other115.Offset;
-  Key = std::move(other115.Key);
-  Value = std::move(other115.Value);
-  __isset = other115.__isset;
+feed_record& feed_record::operator=(feed_record&& other159) noexcept {
+  Offset = other159.Offset;
+  Key = std::move(other159.Key);
+  Value = std::move(other159.Value);
+  __isset = other159.__isset;
   return *this;
 }
 void feed_record::printTo(std::ostream& out) const {
@@ -2293,14 +3142,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Records.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->Records.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->Records.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += this->Records[_i120].read(iprot);
+              xfer += this->Records[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2365,10 +3214,10 @@
   xfer += oprot->writeFieldBegin("Records", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Records.size()));
-    std::vector<feed_record> ::const_iterator _iter121;
-    for (_iter121 = this->Records.begin(); _iter121 != this->Records.end(); ++_iter121)
+    std::vector<feed_record> ::const_iterator _iter165;
+    for (_iter165 = this->Records.begin(); _iter165 != this->Records.end(); ++_iter165)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2404,46 +3253,46 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_news::feed_news(const feed_news& other122) {
-  Feed = other122.Feed;
-  From = other122.From;
-  End = other122.End;
-  Records = other122.Records;
-  Whole = other122.Whole;
-  AfterOutage = other122.AfterOutage;
-  Packed = other122.Packed;
-  __isset = other122.__isset;
-}
-feed_news::feed_news(feed_news&& other123) noexcept {
-  Feed = std::move(other123.Feed);
-  From = other123.From;
-  End = other123.End;
-  Records = std::move(other123.Records);
-  Whole = other123.Whole;
-  AfterOutage = other123.AfterOutage;
-  Packed = std::move(other123.Packed);
-  __isset = other123.__isset;
-}
-feed_news& feed_news::operator=(const feed_news& other124) {
-  Feed = other124.Feed;
-  From = other124.From;
-  End = other124.End;
-  Records = other124.Records;
-  Whole = other124.Whole;
-  AfterOutage = other124.AfterOutage;
-  Packed = other124.Packed;
-  __isset = other124.__isset;
+feed_news::feed_news(const feed_news& other166) {
+  Feed = other166.Feed;
+  From = other166.From;
+  End = other166.End;
+  Records = other166.Records;
+  Whole = other166.Whole;
+  AfterOutage = other166.AfterOutage;
+  Packed = other166.Packed;
+  __isset = other166.__isset;
+}
+feed_news::feed_news(feed_news&& other167) noexcept {
+  Feed = std::move(other167.Feed);
+  From = other167.From;
+  End = other167.End;
+  Records = std::move(other167.Records);
+  Whole = other167.Whole;
+  AfterOutage = other167.AfterOutage;
+  Packed = std::move(other167.Packed);
+  __isset = other167.__isset;
+}
+feed_news& feed_news::operator=(const feed_news& other168) {
+  Feed = other168.Feed;
+  From = other168.From;
+  End = other168.End;
+  Records = other168.Records;
+  Whole = other168.Whole;
+  AfterOutage = other168.AfterOutage;
+  Packed = other168.Packed;
+  __isset = other168.__isset;
   return *this;
 }
-feed_news& feed_news::operator=(feed_news&& other125) noexcept {
-  Feed = std::move(other125.Feed);
-  From = other125.From;
-  End = other125.End;
-  Records = std::move(other125.Records);
-  Whole = other125.Whole;
-  AfterOutage = other125.AfterOutage;
-  Packed = std::move(other125.Packed);
-  __isset = other125.__isset;
+feed_news& feed_news::operator=(feed_news&& other169) noexcept {
+  Feed = std::move(other169.Feed);
+  From = other169.From;
+  End = other169.End;
+  Records = std::move(other169.Records);
+  Whole = other169.Whole;
+  AfterOutage = other169.AfterOutage;
+  Packed = std::move(other169.Packed);
+  __isset = other169.__isset;
   return *this;
 }
 void feed_news::printTo(std::ostream& out) const {
@@ -2586,34 +3435,34 @@
   swap(a.__isset, b.__isset);
 }
 
-duty_claim::duty_claim(const duty_claim& other126) {
-  Holder = other126.Holder;
-  Incarnation = other126.Incarnation;
-  Fence = other126.Fence;
-  Released = other126.Released;
-  __isset = other126.__isset;
-}
-duty_claim::duty_claim(duty_claim&& other127) noexcept {
-  Holder = std::move(other127.Holder);
-  Incarnation = other127.Incarnation;
-  Fence = other127.Fence;
-  Released = other127.Released;
-  __isset = other127.__isset;
-}
-duty_claim& duty_claim::operator=(const duty_claim& other128) {
-  Holder = other128.Holder;
-  Incarnation = other128.Incarnation;
-  Fence = other128.Fence;
-  Released = other128.Released;
-  __isset = other128.__isset;
+duty_claim::duty_claim(const duty_claim& other170) {
+  Holder = other170.Holder;
+  Incarnation = other170.Incarnation;
+  Fence = other170.Fence;
+  Released = other170.Released;
+  __isset = other170.__isset;
+}
+duty_claim::duty_claim(duty_claim&& other171) noexcept {
+  Holder = std::move(other171.Holder);
+  Incarnation = other171.Incarnation;
+  Fence = other171.Fence;
+  Released = other171.Released;
+  __isset = other171.__isset;
+}
+duty_claim& duty_claim::operator=(const duty_claim& other172) {
+  Holder = other172.Holder;
+  Incarnation = other172.Incarnation;
+  Fence = other172.Fence;
+  Released = other172.Released;
+  __isset = other172.__isset;
   return *this;
 }
-duty_claim& duty_claim::operator=(duty_claim&& other129) noexcept {
-  Holder = std::move(other129.Holder);
-  Incarnation = other129.Incarnation;
-  Fence = other129.Fence;
-  Released = other129.Released;
-  __isset = other129.__isset;
+duty_claim& duty_claim::operator=(duty_claim&& other173) noexcept {
+  Holder = std::move(other173.Holder);
+  Incarnation = other173.Incarnation;
+  Fence = other173.Fence;
+  Released = other173.Released;
+  __isset = other173.__isset;
   return *this;
 }
 void duty_claim::printTo(std::ostream& out) const {
@@ -2723,26 +3572,26 @@
   swap(a.__isset, b.__isset);
 }
 
-duty_record::duty_record(const duty_record& other130) {
-  Claim = other130.Claim;
-  Figures = other130.Figures;
-  __isset = other130.__isset;
+duty_record::duty_record(const duty_record& other174) {
+  Claim = other174.Claim;
+  Figures = other174.Figures;
+  __isset = other174.__isset;
 }
-duty_record::duty_record(duty_record&& other131) noexcept {
-  Claim = std::move(other131.Claim);
-  Figures = std::move(other131.Figures);
-  __isset = other131.__isset;
+duty_record::duty_record(duty_record&& other175) noexcept {
+  Claim = std::move(other175.Claim);
+  Figures = std::move(other175.Figures);
+  __isset = other175.__isset;
 }
-duty_record& duty_record::operator=(const duty_record& other132) {
-  Claim = other132.Claim;
-  Figures = other132.Figures;
-  __isset = other132.__isset;
+duty_record& duty_record::operator=(const duty_record& other176) {
+  Claim = other176.Claim;
+  Figures = other176.Figures;
+  __isset = other176.__isset;
   return *this;
 }
-duty_record& duty_record::operator=(duty_record&& other133) noexcept {
-  Claim = std::move(other133.Claim);
-  Figures = std::move(other133.Figures);
-  __isset = other133.__isset;
+duty_record& duty_record::operator=(duty_record&& other177) noexcept {
+  Claim = std::move(other177.Claim);
+  Figures = std::move(other177.Figures);
+  __isset = other177.__isset;
   return *this;
 }
 void duty_record::printTo(std::ostream& out) const {
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -31,6 +31,16 @@
 
 class upstream_limit;
 
+class crashed_part;
+
+class upstream_crash;
+
+class sound_part;
+
+class held_part;
+
+class part_report;
+
 class feed_mark;
 
 class entry_report;
@@ -331,6 +341,296 @@
 
 std::ostream& operator<<(std::ostream& out, const upstream_limit& obj);
 
+typedef struct _crashed_part__isset {
+  _crashed_part__isset() : Part(false), Place(false) {}
+  bool Part :1;
+  bool Place :1;
+} _crashed_part__isset;
+
+class crashed_part : public virtual ::apache::thrift::TBase {
+ public:
+
+  crashed_part(const crashed_part&) noexcept;
+  crashed_part(crashed_part&&) noexcept;
+  crashed_part& operator=(const crashed_part&) noexcept;
+  crashed_part& operator=(crashed_part&&) noexcept;
+  crashed_part() noexcept
+               : Part(0),
+                 Place(0) {
+  }
+
+  virtual ~crashed_part() noexcept;
+  int64_t Part;
+  int32_t Place;
+
+  _crashed_part__isset __isset;
+
+  void __set_Part(const int64_t val);
+
+  void __set_Place(const int32_t val);
+
+  bool operator == (const crashed_part & rhs) const
+  {
+    if (!(Part == rhs.Part))
+      return false;
+    if (!(Place == rhs.Place))
+      return false;
+    return true;
+  }
+  bool operator != (const crashed_part &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const crashed_part & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(crashed_part &a, crashed_part &b);
+
+std::ostream& operator<<(std::ostream& out, const crashed_part& obj);
+
+typedef struct _upstream_crash__isset {
+  _upstream_crash__isset() : Run(false), AgeMicros(false), Parts(false), Refuted(false) {}
+  bool Run :1;
+  bool AgeMicros :1;
+  bool Parts :1;
+  bool Refuted :1;
+} _upstream_crash__isset;
+
+class upstream_crash : public virtual ::apache::thrift::TBase {
+ public:
+
+  upstream_crash(const upstream_crash&);
+  upstream_crash(upstream_crash&&) noexcept;
+  upstream_crash& operator=(const upstream_crash&);
+  upstream_crash& operator=(upstream_crash&&) noexcept;
+  upstream_crash() noexcept
+                 : AgeMicros(0),
+                   Refuted(0) {
+  }
+
+  virtual ~upstream_crash() noexcept;
+  upstream_run Run;
+  int64_t AgeMicros;
+  std::vector<crashed_part>  Parts;
+  bool Refuted;
+
+  _upstream_crash__isset __isset;
+
+  void __set_Run(const upstream_run& val);
+
+  void __set_AgeMicros(const int64_t val);
+
+  void __set_Parts(const std::vector<crashed_part> & val);
+
+  void __set_Refuted(const bool val);
+
+  bool operator == (const upstream_crash & rhs) const
+  {
+    if (!(Run == rhs.Run))
+      return false;
+    if (!(AgeMicros == rhs.AgeMicros))
+      return false;
+    if (!(Parts == rhs.Parts))
+      return false;
+    if (!(Refuted == rhs.Refuted))
+      return false;
+    return true;
+  }
+  bool operator != (const upstream_crash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const upstream_crash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(upstream_crash &a, upstream_crash &b);
+
+std::ostream& operator<<(std::ostream& out, const upstream_crash& obj);
+
+typedef struct _sound_part__isset {
+  _sound_part__isset() : Part(false), AgeMicros(false) {}
+  bool Part :1;
+  bool AgeMicros :1;
+} _sound_part__isset;
+
+class sound_part : public virtual ::apache::thrift::TBase {
+ public:
+
+  sound_part(const sound_part&) noexcept;
+  sound_part(sound_part&&) noexcept;
+  sound_part& operator=(const sound_part&) noexcept;
+  sound_part& operator=(sound_part&&) noexcept;
+  sound_part() noexcept
+             : Part(0),
+               AgeMicros(0) {
+  }
+
+  virtual ~sound_part() noexcept;
+  int64_t Part;
+  int64_t AgeMicros;
+
+  _sound_part__isset __isset;
+
+  void __set_Part(const int64_t val);
+
+  void __set_AgeMicros(const int64_t val);
+
+  bool operator == (const sound_part & rhs) const
+  {
+    if (!(Part == rhs.Part))
+      return false;
+    if (!(AgeMicros == rhs.AgeMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const sound_part &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const sound_part & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(sound_part &a, sound_part &b);
+
+std::ostream& operator<<(std::ostream& out, const sound_part& obj);
+
+typedef struct _held_part__isset {
+  _held_part__isset() : Part(false), SinceMicros(false), UntilMicros(false), Round(false) {}
+  bool Part :1;
+  bool SinceMicros :1;
+  bool UntilMicros :1;
+  bool Round :1;
+} _held_part__isset;
+
+class held_part : public virtual ::apache::thrift::TBase {
+ public:
+
+  held_part(const held_part&) noexcept;
+  held_part(held_part&&) noexcept;
+  held_part& operator=(const held_part&) noexcept;
+  held_part& operator=(held_part&&) noexcept;
+  held_part() noexcept
+            : Part(0),
+              SinceMicros(0),
+              UntilMicros(0),
+              Round(0) {
+  }
+
+  virtual ~held_part() noexcept;
+  int64_t Part;
+  int64_t SinceMicros;
+  int64_t UntilMicros;
+  int32_t Round;
+
+  _held_part__isset __isset;
+
+  void __set_Part(const int64_t val);
+
+  void __set_SinceMicros(const int64_t val);
+
+  void __set_UntilMicros(const int64_t val);
+
+  void __set_Round(const int32_t val);
+
+  bool operator == (const held_part & rhs) const
+  {
+    if (!(Part == rhs.Part))
+      return false;
+    if (!(SinceMicros == rhs.SinceMicros))
+      return false;
+    if (!(UntilMicros == rhs.UntilMicros))
+      return false;
+    if (!(Round == rhs.Round))
+      return false;
+    return true;
+  }
+  bool operator != (const held_part &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const held_part & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(held_part &a, held_part &b);
+
+std::ostream& operator<<(std::ostream& out, const held_part& obj);
+
+typedef struct _part_report__isset {
+  _part_report__isset() : Crashes(false), Sound(false), Held(false) {}
+  bool Crashes :1;
+  bool Sound :1;
+  bool Held :1;
+} _part_report__isset;
+
+class part_report : public virtual ::apache::thrift::TBase {
+ public:
+
+  part_report(const part_report&);
+  part_report(part_report&&) noexcept;
+  part_report& operator=(const part_report&);
+  part_report& operator=(part_report&&) noexcept;
+  part_report() noexcept {
+  }
+
+  virtual ~part_report() noexcept;
+  std::vector<upstream_crash>  Crashes;
+  std::vector<sound_part>  Sound;
+  std::vector<held_part>  Held;
+
+  _part_report__isset __isset;
+
+  void __set_Crashes(const std::vector<upstream_crash> & val);
+
+  void __set_Sound(const std::vector<sound_part> & val);
+
+  void __set_Held(const std::vector<held_part> & val);
+
+  bool operator == (const part_report & rhs) const
+  {
+    if (!(Crashes == rhs.Crashes))
+      return false;
+    if (!(Sound == rhs.Sound))
+      return false;
+    if (!(Held == rhs.Held))
+      return false;
+    return true;
+  }
+  bool operator != (const part_report &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const part_report & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(part_report &a, part_report &b);
+
+std::ostream& operator<<(std::ostream& out, const part_report& obj);
+
 typedef struct _feed_mark__isset {
   _feed_mark__isset() : Feed(false), News(false), End(false), AgeMicros(false), Reads(false) {}
   bool Feed :1;
@@ -405,7 +705,7 @@
 std::ostream& operator<<(std::ostream& out, const feed_mark& obj);
 
 typedef struct _entry_report__isset {
-  _entry_report__isset() : Incarnation(false), Sequence(false), Uses(false), Windows(false), WallMicros(false), DutyHolder(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), DutyIncarnation(false), Leaving(false), Feeds(false), Limits(false) {}
+  _entry_report__isset() : Incarnation(false), Sequence(false), Uses(false), Windows(false), WallMicros(false), DutyHolder(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), DutyIncarnation(false), Leaving(false), Feeds(false), Limits(false), Parts(false) {}
   bool Incarnation :1;
   bool Sequence :1;
   bool Uses :1;
@@ -419,6 +719,7 @@
   bool Leaving :1;
   bool Feeds :1;
   bool Limits :1;
+  bool Parts :1;
 } _entry_report__isset;
 
 class entry_report : public virtual ::apache::thrift::TBase {
@@ -453,6 +754,7 @@
   std::vector<upstream_run>  Leaving;
   std::vector<feed_mark>  Feeds;
   std::vector<upstream_limit>  Limits;
+  part_report Parts;
 
   _entry_report__isset __isset;
 
@@ -482,6 +784,8 @@
 
   void __set_Limits(const std::vector<upstream_limit> & val);
 
+  void __set_Parts(const part_report& val);
+
   bool operator == (const entry_report & rhs) const
   {
     if (!(Incarnation == rhs.Incarnation))
@@ -510,6 +814,8 @@
       return false;
     if (!(Limits == rhs.Limits))
       return false;
+    if (!(Parts == rhs.Parts))
+      return false;
     return true;
   }
   bool operator != (const entry_report &rhs) const {
@@ -638,7 +944,7 @@
 std::ostream& operator<<(std::ostream& out, const zone_uses& obj);
 
 typedef struct _relay_report__isset {
-  _relay_report__isset() : Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false), Limits(false) {}
+  _relay_report__isset() : Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false), Limits(false), Parts(false) {}
   bool Zones :1;
   bool Feeds :1;
   bool DutyHolder :1;
@@ -649,6 +955,7 @@
   bool TrueMicros :1;
   bool Leaving :1;
   bool Limits :1;
+  bool Parts :1;
 } _relay_report__isset;
 
 class relay_report : public virtual ::apache::thrift::TBase {
@@ -678,6 +985,7 @@
   int64_t TrueMicros;
   std::vector<upstream_run>  Leaving;
   std::vector<upstream_limit>  Limits;
+  part_report Parts;
 
   _relay_report__isset __isset;
 
@@ -701,6 +1009,8 @@
 
   void __set_Limits(const std::vector<upstream_limit> & val);
 
+  void __set_Parts(const part_report& val);
+
   bool operator == (const relay_report & rhs) const
   {
     if (!(Zones == rhs.Zones))
@@ -723,6 +1033,8 @@
       return false;
     if (!(Limits == rhs.Limits))
       return false;
+    if (!(Parts == rhs.Parts))
+      return false;
     return true;
   }
   bool operator != (const relay_report &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -36,6 +36,41 @@
   3: i64 AgeMicros             // since the answer was received
 }
 
+// A part of a prompt that was open at an upstream when the upstream crashed.
+struct crashed_part {
+  1: i64 Part
+  2: i32 Place                 // in its prompt; 0 is the first part
+}
+
+// The end of one run of an upstream's process, as seen by requests that broke.
+struct upstream_crash {
+  1: upstream_run Run
+  2: i64 AgeMicros             // since the first of the requests broke
+  3: list<crashed_part> Parts  // of requests whose answer had hardly begun
+  4: bool Refuted              // the run has answered a later request
+}
+
+// A part of a prompt to which an upstream has answered.
+struct sound_part {
+  1: i64 Part
+  2: i64 AgeMicros             // since the answer began
+}
+
+// A part of a prompt that crashes upstreams.
+struct held_part {
+  1: i64 Part
+  2: i64 SinceMicros           // true time
+  3: i64 UntilMicros           // true time
+  4: i32 Round                 // 1, and one more for each try that crashed
+}
+
+// What is known of prompt parts that crash upstreams.
+struct part_report {
+  1: list<upstream_crash> Crashes
+  2: list<sound_part> Sound
+  3: list<held_part> Held
+}
+
 // How far a feed is known.
 struct feed_mark {
   1: string Feed
@@ -60,6 +95,7 @@
   11: list<upstream_run> Leaving // by their own answers, heard not long ago
   12: list<feed_mark> Feeds      // where relays pass them on
   13: list<upstream_limit> Limits // in answers that the sender received recently
+  14: part_report Parts
 }
 
 // Told to whoever has the duties, where entries do not hear of each other
@@ -88,6 +124,7 @@
   8: i64 TrueMicros           // time of day, by the clocks of the zone
   9: list<upstream_run> Leaving
   10: list<upstream_limit> Limits
+  11: part_report Parts
 }
 
 // One record of a keyed feed of the platform's store.
