--- a/io/http_reply_parser.cc
+++ b/io/http_reply_parser.cc
@@ -1,5 +1,6 @@
 #include "io/http_reply_parser.h"
 
+#include <limits>
 #include <utility>
 
 #include <http_parser.h>
@@ -14,6 +15,7 @@
   size_t HeadBytes = 0;
   bool InValue = false;
   bool HeadOnly = false;
+  bool HadAnswer = false;
 
   static state &of(http_parser *Parser) {
     return *static_cast<state *>(Parser->data);
@@ -47,6 +49,12 @@
     state &S = of(Parser);
     S.Head.Status = static_cast<int>(Parser->status_code);
     S.Head.KeepAlive = http_should_keep_alive(Parser) != 0;
+    constexpr int first_final_status = 200;
+    S.Head.IsFirst = !S.HadAnswer;
+    S.HadAnswer = S.HadAnswer || S.Head.Status >= first_final_status;
+    S.Head.EndsWithConnection =
+        (Parser->flags & F_CHUNKED) == 0 &&
+        Parser->content_length == std::numeric_limits<uint64_t>::max();
     S.Events.emplace_back(S.Head);
     return std::exchange(S.HeadOnly, false) ? 1 : 0; // 1: no body follows
   }
--- a/io/http_reply_parser.h
+++ b/io/http_reply_parser.h
@@ -27,6 +27,9 @@
   int Status = 0;
   http_header_list Headers;
   bool KeepAlive = true; // the connection can be used again
+  bool IsFirst = true;   // the first final answer on its connection
+  // The body has neither a length nor chunks.
+  bool EndsWithConnection = false;
 
   const std::string *header(std::string_view Name) const {
     return findHeader(Headers, Name);
--- a/io/testing/channel_pool_test.cc
+++ b/io/testing/channel_pool_test.cc
@@ -27,6 +27,8 @@
     if (*Echo != Id)
       return reply_verdict::Foreign;
     Status = Head.Status;
+    IsFirst = Head.IsFirst;
+    EndsWithConnection = Head.EndsWithConnection;
     return reply_verdict::Own;
   }
   void onData(std::string &&Data) override { Body += Data; }
@@ -39,6 +41,8 @@
   std::string Id;
   int Status = 0;
   std::string Body;
+  bool IsFirst = false;
+  bool EndsWithConnection = false;
   bool Ended = false;
   std::optional<attempt_failure> Failure;
 };
@@ -130,9 +134,19 @@
              [](QTcpSocket *Socket) { Socket->disconnectFromHost(); });
   auto Call = run("a");
   EXPECT_TRUE(Call->Ended);
+  EXPECT_TRUE(Call->EndsWithConnection);
   EXPECT_EQ(Call->Body, "hello");
 }
 
+TEST_F(channel_pool_test, Answers_OnOneConnection_OnlyTheFirstIsFirst) {
+  answerWith(answer("a", "hello", "Keep-Alive: timeout=5\r\n"));
+  EXPECT_TRUE(run("a")->IsFirst);
+  auto Second = run("a");
+  EXPECT_EQ(Server.Connections, 1);
+  EXPECT_FALSE(Second->IsFirst);
+  EXPECT_FALSE(Second->EndsWithConnection);
+}
+
 TEST_F(channel_pool_test, Answer_WithoutLengthAndReset_IsTruncated) {
   answerWith("HTTP/1.1 200 OK\r\nId: a\r\n\r\nhello", [](QTcpSocket *Socket) {
     QTimer::singleShot(50, Socket, [Socket] { reset(Socket); });
--- a/routing/routing_event.h
+++ b/routing/routing_event.h
@@ -70,6 +70,9 @@
   std::optional<duration> BackoffFor;
   // The requests per second that the upstream takes from all entries together.
   std::optional<double> RequestLimit;
+  // The body has neither a length nor chunks; the end of its connection ends
+  // it.
+  bool EndsWithConnection = false;
 };
 
 struct answer_data {
