Do not pass the text of an error on inside a stream

Reported by another operator: a stream broke off, and the next upstream answered with an error.

Cause: events without an id were passed on. An error status of the next upstream was already dropped (now with a test), but not an error written as an event, nor a head written into a stream whose end only its connection tells. After an event with an id, one with content and without an id now ends the attempt as a broken stream; comments and reconnection times go on.

Evidence: Event_WithoutIdAfterOthers_IsAGap, NextRun_ErrorText_IsAGap and ResumableStream_NextAnswersAnError_IsNotPassedOn failed.

--- a/routing/event_splitter.cc
+++ b/routing/event_splitter.cc
@@ -16,11 +16,19 @@
   return std::min(BareEnd, FullEnd);
 }
 
+// Removes the first line from Event, and returns it without its end.
+std::string_view takeLine(std::string_view &Event) {
+  size_t End = std::min(Event.find('\n'), Event.size());
+  std::string_view Line = Event.substr(0, End);
+  Event.remove_prefix(std::min(End + 1, Event.size()));
+  if (Line.ends_with('\r'))
+    Line.remove_suffix(1);
+  return Line;
+}
+
 std::optional<int64_t> idOf(std::string_view Event) {
   while (!Event.empty()) {
-    size_t End = std::min(Event.find('\n'), Event.size());
-    std::string_view Line = Event.substr(0, End);
-    Event.remove_prefix(std::min(End + 1, Event.size()));
+    std::string_view Line = takeLine(Event);
     if (!Line.starts_with("id:"))
       continue;
     Line.remove_prefix(3);
@@ -34,10 +42,22 @@
   return std::nullopt;
 }
 
+// Returns whether an event has only comments and reconnection times.
+bool isWithoutContent(std::string_view Event) {
+  while (!Event.empty()) {
+    std::string_view Line = takeLine(Event);
+    if (!Line.empty() && !Line.starts_with(':') && !Line.starts_with("retry:"))
+      return false;
+  }
+  return true;
+}
+
 } // namespace
 
 bool event_splitter::acceptEvent(std::string_view Event) {
   std::optional<int64_t> Id = idOf(Event);
+  if (!Id && LastId && !isWithoutContent(Event))
+    Gap = true;
   if (Id && LastId && *Id <= *LastId)
     return false;
   if (Id && LastId && *Id > *LastId + 1)
--- a/routing/testing/event_splitter_test.cc
+++ b/routing/testing/event_splitter_test.cc
@@ -53,6 +53,27 @@
   EXPECT_TRUE(Cutter.hasGap());
 }
 
+// Such as the head of another answer.
+TEST_F(event_splitter_test, Event_WithoutIdAfterOthers_IsAGap) {
+  cut("id: 1\n\n");
+  EXPECT_EQ(cut("HTTP/1.1 500 Internal Server Error\r\nA: b\r\n\r\nid: 2\n\n"),
+            "");
+  EXPECT_TRUE(Cutter.hasGap());
+}
+
+TEST_F(event_splitter_test, NextRun_ErrorText_IsAGap) {
+  cut("id: 1\n\n");
+  Cutter.expectNextRun();
+  EXPECT_EQ(cut("event: error\ndata: overloaded\n\n"), "");
+  EXPECT_TRUE(Cutter.hasGap());
+}
+
+TEST_F(event_splitter_test, Comments_BetweenEvents_ArePassedOn) {
+  EXPECT_EQ(cut("id: 1\n\n: still here\n\nretry: 500\n\nid: 2\n\n"),
+            "id: 1\n\n: still here\n\nretry: 500\n\nid: 2\n\n");
+  EXPECT_FALSE(Cutter.hasGap());
+}
+
 TEST_F(event_splitter_test, Event_WithoutEnd_IsOversized) {
   cut(std::string(max_stream_event_bytes + 1, 'x'));
   EXPECT_TRUE(Cutter.isOversized());
--- a/routing/testing/request_router_resends_test.cc
+++ b/routing/testing/request_router_resends_test.cc
@@ -158,6 +158,29 @@
   EXPECT_EQ(all<route_abort>().size(), 1u); // the answer must not look complete
 }
 
+TEST_F(request_router_test, ResumableStream_NextAnswersAnError_IsNotPassedOn) {
+  for (bool EventStream : {false, true}) {
+    arrive("/resume/x");
+    attempt_number First = attempt();
+    head(First, 200, false, true);
+    data(First, "id: 1\ndata: a\n\n");
+    fail(First, attempt_failure::Broken);
+    attempt_number Second = attempt();
+    head(Second, 500, false, EventStream);
+    EXPECT_TRUE(none<route_write>());
+    EXPECT_EQ(one<route_cancel>().Attempt, Second);
+    attempt_number Third = attempt();
+    // Bytes of the second answer that are on their way.
+    data(Second, "data: failed\n\n");
+    EXPECT_TRUE(Effects.empty());
+    head(Third, 200, false, true);
+    data(Third, "event: error\ndata: failed\n\n");
+    EXPECT_TRUE(none<route_write>());
+    EXPECT_EQ(all<route_abort>().size(), 1u);
+    EXPECT_TRUE(none<route_finish>());
+  }
+}
+
 TEST_F(request_router_test, ResumableStream_NextRunLeavesAGap_IsNotPassedOn) {
   arrive("/resume/x");
   attempt_number First = attempt();
