A stream without length that ends before its first event is broken off

Evidence: Stream_WithoutLengthEndsEmpty_IsNotComplete failed (200 and an empty body). A stream with a length or chunks may be empty.

--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -122,8 +122,9 @@
     bool Counted = false; // in the usage of its organisation
     // State of Attempt:
     int Status = 0;
-    bool Stream = false; // passed on event by event
-    bool Held = false;   // its answer is held back until complete
+    bool Stream = false;             // passed on event by event
+    bool Held = false;               // its answer is held back until complete
+    bool EndsWithConnection = false; // its body has no length
     upstream_instance run() const { return {Upstream, UpstreamStartedAt}; }
     int64_t eventsOfAttempt() const { return Events.taken() - EventsBefore; }
     // State of the answer to the caller:
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -41,6 +41,7 @@
   Request->Knowledge = execution_outcome::Run;
   recordAnswer(*Request, Context);
   Request->Stream = Head.EventStream && Head.Status < 300;
+  Request->EndsWithConnection = Head.EndsWithConnection;
   if (Request->AnswerStarted && !Request->Stream) {
     // A stream that has started cannot be continued by an answer of another
     // kind.
@@ -182,7 +183,9 @@
   active_request *Request = findByAttempt(End.Attempt);
   if (!Request)
     return;
-  if (Request->Stream && Request->Events.hasPartialEvent()) {
+  // A stream without a length or events may have ended with its upstream.
+  bool IsEmpty = Request->EndsWithConnection && Request->eventsOfAttempt() == 0;
+  if (Request->Stream && (Request->Events.hasPartialEvent() || IsEmpty)) {
     recordBreak(*Request, Context);
     return resendOrFail(*Request, true, "broken-stream", Context, Effects);
   }
--- a/routing/testing/request_router_test.cc
+++ b/routing/testing/request_router_test.cc
@@ -98,6 +98,33 @@
   EXPECT_EQ(counted(), 1);
 }
 
+// The connection may have ended with the upstream's process.
+TEST_F(request_router_test, Stream_WithoutLengthEndsEmpty_IsNotComplete) {
+  arrive("/stream/x");
+  attempt_number Attempt = attempt();
+  answer_head Head;
+  Head.Attempt = Attempt;
+  Head.Status = 200;
+  Head.EventStream = Head.EndsWithConnection = true;
+  Router.onHead(Head, context(), Effects);
+  end(Attempt);
+  EXPECT_TRUE(none<route_begin>());
+  EXPECT_EQ(one<route_refusal>().Status, 502);
+}
+
+TEST_F(request_router_test, Stream_WithoutLengthEndsAfterAnEvent_IsComplete) {
+  arrive("/stream/x");
+  attempt_number Attempt = attempt();
+  answer_head Head;
+  Head.Attempt = Attempt;
+  Head.Status = 200;
+  Head.EventStream = Head.EndsWithConnection = true;
+  Router.onHead(Head, context(), Effects);
+  data(Attempt, "id: 1\ndata: a\n\n");
+  end(Attempt);
+  EXPECT_EQ(all<route_finish>().size(), 1u);
+}
+
 TEST_F(request_router_test, Stream_EndsInsideAnEvent_IsNotComplete) {
   arrive("/stream/x");
   attempt_number Attempt = attempt();
