--- a/routing/part_quarantine.cc
+++ b/routing/part_quarantine.cc
@@ -89,8 +89,9 @@
       holdAgain(Part, It->second);
     if (!Crash)
       return;
-    Crash->OwnParts.insert(Part);
     addPart(*Crash, Part, Place);
+    if (Crash->Parts.contains(Part))
+      Crash->OwnParts.insert(Part);
   });
 }
 
@@ -298,6 +299,9 @@
       Watched.insert(Part);
   for (const auto &[Part, Hold] : Held)
     Watched.insert(Part);
+  // Entries that still hold a freed part hear of its answers.
+  for (const auto &[Part, At] : FreedAt)
+    Watched.insert(Part);
   absl::erase_if(
       Sound, [&](const auto &Item) { return !Watched.contains(Item.first); });
 }
@@ -371,7 +375,8 @@
   wall_time Since(fromMicros(Report.SinceMicros));
   wall_time Until(fromMicros(Report.UntilMicros));
   uint64_t Part = idOf(Report.Part);
-  bool IsUsable = Report.Round >= 1 && Since <= Until &&
+  bool IsUsable = Report.Round >= 1 && Report.SinceMicros >= 0 &&
+                  Since <= Until &&
                   Until - TrueTime <= max_part_hold + first_part_hold &&
                   TrueTime - Until < max_part_hold;
   auto Freed = FreedAt.find(Part);
--- a/routing/part_quarantine.h
+++ b/routing/part_quarantine.h
@@ -71,7 +71,7 @@
 
 // Bounds of the state and of each report.
 constexpr size_t max_crashes = 256;
-constexpr size_t max_crash_parts = 96;
+constexpr size_t max_crash_parts = 192;
 constexpr size_t max_held_parts = 64;
 constexpr size_t max_sound_parts = 4096;
 constexpr size_t max_reported_crashes = 24;
