--- a/routing/testing/crashing_part_test.cc
+++ b/routing/testing/crashing_part_test.cc
@@ -168,7 +168,8 @@
                     {1'000'000 + static_cast<uint64_t>(LastRequest), 2000}};
     call &Call = Calls[LastRequest];
     Call.At = Now;
-    if (!Deadly.empty() && draw() % 1000 < TaintedShare * 1000) {
+    if (!Deadly.empty() &&
+        static_cast<double>(draw() % 1000) < TaintedShare * 1000) {
       Call.Tainted = true;
       Call.Part = Deadly[draw() % Deadly.size()];
       // Anywhere but at the end.
@@ -318,7 +319,7 @@
       Began += Call.Began ? 1 : 0;
     }
     EXPECT_GE(Asked, 20) << First;
-    return Asked ? double(Began) / Asked : 0;
+    return Asked ? static_cast<double>(Began) / Asked : 0;
   }
   void expectSoundServed(duration From, duration To) {
     for (uint64_t Part = 0; Part < common_parts; ++Part)
--- a/routing/testing/part_quarantine_test.cc
+++ b/routing/testing/part_quarantine_test.cc
@@ -26,7 +26,7 @@
   }
 
   static wall_time trueTime(duration Now) { return wall_time(24h) + Now; }
-  static prompt_info prompt(std::vector<uint64_t> Shared) {
+  static prompt_info prompt(const std::vector<uint64_t> &Shared) {
     prompt_info Prompt;
     for (uint64_t Part : Shared)
       Prompt.Parts.push_back({Part, 100});
@@ -37,9 +37,9 @@
     return {upstream_name(Name), std::chrono::milliseconds(Start)};
   }
   // Each crash ends another run.
-  void crash(duration Now, std::vector<uint64_t> Parts) {
-    Quarantine.onBroken(run("u" + std::to_string(++Crashes)),
-                        prompt(std::move(Parts)), at(Now));
+  void crash(duration Now, const std::vector<uint64_t> &Parts) {
+    Quarantine.onBroken(run("u" + std::to_string(++Crashes)), prompt(Parts),
+                        at(Now));
   }
   void tick(duration Now) { Quarantine.onTick(at(Now), trueTime(Now)); }
   bool isHeld(uint64_t Part, duration Now) const {
@@ -269,9 +269,10 @@
 TEST_F(part_quarantine_test, Crashes_Many_StateAndReportsAreBounded) {
   for (int I = 0; I < 2000; ++I) {
     std::vector<uint64_t> Parts;
+    Parts.reserve(300);
     for (int J = 0; J < 300; ++J)
       Parts.push_back(10'000 + static_cast<uint64_t>(I * 300 + J));
-    crash(1s + I * 1ms, std::move(Parts));
+    crash(1s + I * 1ms, Parts);
   }
   wire::part_report Report = Quarantine.report(true, at(3s));
   EXPECT_EQ(Report.Crashes.size(), max_reported_crashes);
