The HTTP server owns its connections

Cause: a connection that is open when its server is destroyed has no owner. Qt's own server makes its connections its children; now this one does as well.

Nothing changes while a server lives.

--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -200,6 +200,7 @@
       return Wire->abort();
     Wire->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     auto *Gate = new gated_socket(std::move(Wire), Bounds);
+    Gate->setParent(this);
     if (Draining)
       Gate->closeAfterAnswer();
     Open.insert(Gate);
