Parts held back: bound the watched parts; log the age of the evidence

Parts beyond the bound of a crash were still watched, so a crash storm with thousands of new parts a second let the set grow until crashes expired. It is bounded now, as Crashes_Many_StateAndReportsAreBounded checks (not run against the code before). event=prompt-part says how old the first and the last crash are.

--- a/routing/part_quarantine.cc
+++ b/routing/part_quarantine.cc
@@ -76,7 +76,8 @@
   if (Crash.Parts.size() < max_crash_parts)
     Crash.Parts.try_emplace(Part, Place);
   Crash.Explained = Crash.Explained || Held.contains(Part);
-  Watched.insert(Part);
+  if (Crash.Parts.contains(Part) && Watched.size() < max_watched_parts)
+    Watched.insert(Part);
   IsNews = true;
 }
 
@@ -179,16 +180,17 @@
           return std::tuple(A.second.Crashes, A.second.Place, A.first) <
                  std::tuple(B.second.Crashes, B.second.Place, B.first);
         });
-    holdBack(Worst->first, Worst->second);
+    holdBack(Worst->first, Worst->second, Now);
   }
 }
 
-void part_quarantine::holdBack(uint64_t Part, const evidence &Evidence) {
+void part_quarantine::holdBack(uint64_t Part, const evidence &Evidence,
+                               steady_time Now) {
   wall_time Since = trueTimeOf(Evidence.Last);
   Held[Part] = {Since, TrueTime + holdOf(1), 1, -1};
   explainBy(Part);
-  Changes.push_back(
-      {"held", Part, 1, Evidence.Crashes, Evidence.Others, holdOf(1)});
+  Changes.push_back({"held", Part, 1, Evidence.Crashes, Evidence.Others,
+                     holdOf(1), Now - Evidence.First, Now - Evidence.Last});
 }
 
 void part_quarantine::explainBy(uint64_t Part) {
@@ -200,11 +202,12 @@
   ++Hold.Round;
   Hold.Since = TrueTime;
   Hold.Until = TrueTime + holdOf(Hold.Round);
-  Changes.push_back({"held-again", Part, Hold.Round, 0, 0, holdOf(Hold.Round)});
+  Changes.push_back(
+      {"held-again", Part, Hold.Round, 0, 0, holdOf(Hold.Round), {}, {}});
 }
 
 void part_quarantine::free(uint64_t Part) {
-  Changes.push_back({"freed", Part, Held[Part].Round, 0, 0, {}});
+  Changes.push_back({"freed", Part, Held[Part].Round, 0, 0, {}, {}, {}});
   Held.erase(Part);
   FreedAt[Part] = TrueTime;
 }
@@ -256,7 +259,7 @@
     if (It == Held.end())
       return;
     It->second.TriedIn = periodAt(TrueTime);
-    Changes.push_back({"tried", Part, It->second.Round, 0, 0, {}});
+    Changes.push_back({"tried", Part, It->second.Round, 0, 0, {}, {}, {}});
   });
 }
 
@@ -288,10 +291,11 @@
       ++It;
       continue;
     }
-    Changes.push_back({"forgotten", It->first, It->second.Round, 0, 0, {}});
+    Changes.push_back(
+        {"forgotten", It->first, It->second.Round, 0, 0, {}, {}, {}});
     It = Held.erase(It);
   }
-  if (Erased == 0)
+  if (Erased == 0 && Watched.size() < max_watched_parts)
     return;
   Watched.clear();
   for (const auto &[Run, Crash] : Crashes)
@@ -390,7 +394,7 @@
     Watched.insert(Part);
     explainBy(Part);
     Changes.push_back(
-        {"held-by-report", Part, Report.Round, 0, 0, Until - TrueTime});
+        {"held-by-report", Part, Report.Round, 0, 0, Until - TrueTime, {}, {}});
     return;
   }
   hold &Hold = It->second;
--- a/routing/part_quarantine.h
+++ b/routing/part_quarantine.h
@@ -72,6 +72,7 @@
 // Bounds of the state and of each report.
 constexpr size_t max_crashes = 256;
 constexpr size_t max_crash_parts = 192;
+constexpr size_t max_watched_parts = max_crashes * max_crash_parts;
 constexpr size_t max_held_parts = 64;
 constexpr size_t max_sound_parts = 4096;
 constexpr size_t max_reported_crashes = 24;
@@ -114,6 +115,7 @@
   void onReport(const wire::part_report &Report, steady_time Now);
 
   size_t held() const { return Held.size(); }
+  size_t watched() const { return Watched.size(); }
   // A change for the log.
   struct change {
     const char *What = ""; // "held", "tried", "freed" and so on
@@ -122,6 +124,8 @@
     int Crashes = 0;      // evidence of this entry's view, with "held"
     int OtherCrashes = 0; // in the same time, not explained
     duration Hold{};
+    duration FirstAge{}; // since the first of Crashes, with "held"
+    duration LastAge{};  // since the last one
   };
   // Returns the changes since the last call.
   std::vector<change> takeChanges() { return std::exchange(Changes, {}); }
@@ -166,7 +170,7 @@
                    steady_time Now);
   void free(uint64_t Part);
   void holdAgain(uint64_t Part, hold &Hold);
-  void holdBack(uint64_t Part, const evidence &Evidence);
+  void holdBack(uint64_t Part, const evidence &Evidence, steady_time Now);
   // Marks the crashes at which a held part was open.
   void explainBy(uint64_t Part);
   wall_time trueTimeOf(steady_time At) const {
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -219,6 +219,8 @@
                           .add("crashes", Change.Crashes)
                           .add("other_crashes", Change.OtherCrashes)
                           .add("hold", Change.Hold)
+                          .add("first_crash_age", Change.FirstAge)
+                          .add("last_crash_age", Change.LastAge)
                           .line(log_level::Warning));
   if (!Changes.empty())
     Effects.push_back(set_gauge{"monsoonreel_held_prompt_parts",
--- a/routing/testing/part_quarantine_test.cc
+++ b/routing/testing/part_quarantine_test.cc
@@ -274,6 +274,7 @@
       Parts.push_back(10'000 + static_cast<uint64_t>(I * 300 + J));
     crash(1s + I * 1ms, Parts);
   }
+  EXPECT_LE(Quarantine.watched(), max_watched_parts);
   wire::part_report Report = Quarantine.report(true, at(3s));
   EXPECT_EQ(Report.Crashes.size(), max_reported_crashes);
   for (const wire::upstream_crash &Crash : Report.Crashes)
