--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,11 +1,11 @@
-"""The store returns from an older copy, which has lost the usage figures that
-were reported a moment ago. Then the holder of the duties is stopped as planned,
-and its successor reports the same window."""
+"""The store returns from an older copy and turns one machine away for some seconds
+more: the one that holds the duties. A successor takes them over; its claim is the
+last record before the offset at which the former holder expects the log to end.
+When the store serves that machine again, it renews its lease without a conflict
+and acts on, below the successor's generation."""
 
 import asyncio
-import json
 import os
-import signal
 import sys
 import time
 
@@ -13,31 +13,37 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import stage as st  # noqa: E402
 
-KEYS = {"huka270": "xd9dnn2ctnfzs989anu6", "puhu251": "wsjnbanfqasnmgkcuyj8"}
+KEY = "xd9dnn2ctnfzs989anu6"
 AWAY_S = 0.5
 COPY_AGE_S = 3.0
+LONGEST_REJECTION_S = 8.0
+CONTACT_S = st.BOUNDS["contactMs"] / 1000
 
 
 async def traffic(stage):
-    """25 requests a second at all entries, a fifth of them of one tenant."""
-    keys = list(KEYS.values())
     for i in range(1 << 30):
         entry = stage.entries[i % len(stage.entries)]
         if entry.process.poll() is None:
-            asyncio.create_task(
-                st.ask(entry, "GET", "/quote/2f", keys[i % 5 == 0]))
-        await asyncio.sleep(0.04)
+            asyncio.create_task(st.ask(entry, "GET", "/quote/2f", KEY))
+        await asyncio.sleep(0.05)
 
 
-async def window_reported(stage):
-    """Waits for the report of the second window since traffic began."""
-    begin = time.monotonic()
-    before = set(stage.cloud.usage())
-    while len(set(stage.cloud.usage()) - before) < 2:
-        if time.monotonic() - begin > 40:
-            raise st.CannotRun("usage is not reported")
-        await asyncio.sleep(0.05)
-    return max(stage.cloud.usage())
+async def figures_just_written(stage):
+    """Waits until a window was reported, and its figures are the newest record of
+    the duty log, right after a claim. Claims name their holder."""
+    log = stage.store.topic("monsoonreel.duties")
+    for _ in range(5):
+        calls = len(stage.cloud.calls)
+        until = time.monotonic() + 15
+        while len(stage.cloud.calls) == calls:
+            if time.monotonic() > until:
+                raise st.CannotRun("usage is not reported")
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.15)
+        claims = [b"edge-" in record for _, record in log.records[-2:]]
+        if claims == [True, False]:
+            return log.end
+    raise st.CannotRun("the holder renewed its lease right after each report")
 
 
 async def play(record, trouble):
@@ -48,31 +54,38 @@
             await stage.add_server("booking", zone, 0.03)
         stage.configure(st.config_of(
             3, [st.route_of("quote", "/quote/", "idempotent", attempts=2)],
-            [{"name": name, "apiKeys": [key], "priority": 1}
-             for name, key in KEYS.items()]))
+            [{"name": "huka270", "apiKeys": [KEY], "priority": 1}]))
         await stage.start_entries()
         stage.task(traffic(stage))
-        window = await window_reported(stage)
-        holder = stage.cloud.holder()
-        record.add(f"{holder} has reported window {window}")
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(8)
+        end = await figures_just_written(stage)
+        log = stage.store.topic("monsoonreel.duties")
+        first = next(entry for entry in stage.entries
+                     if entry.name == stage.cloud.holder())
+        record.add(f"{first.name} holds the duties; the duty log ends at {end}")
+        stage.store.reject(first.name, True)
+        rejected = time.monotonic()
         if trouble:
             await stage.store.restore(AWAY_S, COPY_AGE_S)
-            # What the operator wrote is written again. Servers report anyway.
-            if "config" not in stage.store.newest("keyed.op"):
-                stage.configure(json.loads(stage.config))
-        await asyncio.sleep(4)
-        next(entry for entry in stage.entries
-             if entry.name == holder).signal(signal.SIGTERM)
-        await asyncio.sleep(16)
-        broken = False
-        for window, reports in sorted(stage.cloud.usage().items()):
-            if any(report[3] != reports[0][3] for report in reports):
-                broken = True
-                record.add(f"ONE: two reports of window {window}: " + "; ".join(
-                    f"{report[1]} generation {report[2]} {report[3]}"
-                    for report in reports))
-        return broken
+        # The store serves the machine again when a successor has claimed.
+        while (log.end < end + (0 if trouble else 1)
+               and time.monotonic() - rejected < LONGEST_REJECTION_S):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.1)
+        record.add(f"the duty log ends at {log.end}")
+        stage.store.reject(first.name, False)
+        served = time.monotonic()
+        await asyncio.sleep(22)
+        highest, lower = -1, []
+        for at, holder, generation, path, body in stage.cloud.calls:
+            if generation < highest and at > served + CONTACT_S:
+                lower.append((at, holder, generation, body["windowNumber"]))
+            highest = max(highest, generation)
+        for at, holder, generation, window in lower:
+            record.add(f"ONE: {at - served:.1f} s after the store served it again, "
+                       f"{holder} reported window {window} with generation "
+                       f"{generation}, below {highest}")
+        return bool(lower)
     finally:
         stage.close()
 
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,10 +1,10 @@
-"""An entry is stopped as planned while consumers send the bodies of bookings
-slowly. It ends although it still reads requests: one that is whole a moment
-before is passed on, runs, and is never answered."""
+"""The store returns from an older copy and gives out offsets again. A version
+that the operator writes afterwards, which takes a key away, gets an offset that
+the entries know already."""
 
 import asyncio
+import json
 import os
-import signal
 import sys
 import time
 
@@ -12,40 +12,19 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import stage as st  # noqa: E402
 
-KEY = "xd9dnn2ctnfzs989anu6"
-WORK_S = 0.3
-UPLOADS = 8
-UPLOAD_SPACING_S = 0.5  # between the ends of two bodies
-BODY = b"b" * 600
-PIECES = 12
+KEPT, REVOKED = "xd9dnn2ctnfzs989anu6", "wsjnbanfqasnmgkcuyj8"
+AWAY_S = 0.5
+COPY_AGE_S = 4.0
+CONTACT_S = st.BOUNDS["contactMs"] / 1000
+APPLY_S = st.BOUNDS["configApplyMs"] / 1000
 
 
-async def upload(entry, record, lasts_s):
-    """Sends a booking whose body leaves its consumer over lasts_s seconds.
-    Returns its id, whether it was sent whole, and its answer."""
-    name = st.request_id()
-    reader, writer = await asyncio.open_connection(*entry.frontend)
-    size = len(BODY) // PIECES
-    begin = time.monotonic()
-    whole = False
-    try:
-        writer.write(st.head_of("POST", "/book/2f", name, KEY, len(BODY), 8000))
-        for i in range(PIECES):
-            due = begin + (i + 1) * lasts_s / PIECES
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            writer.write(BODY[i * size:(i + 1) * size])
-            await writer.drain()
-        whole = True
-        record.add(f"sent {name} to {entry.name}, whole")
-        answer = await asyncio.wait_for(st.read_answer(reader, name), 9)
-    except ConnectionError:
-        answer = st.Answer(name, error="closed before its body was sent")
-    except asyncio.TimeoutError:
-        answer = st.Answer(name, error="no answer")
-    finally:
-        writer.close()
-    record.add(f"answer to {name}: {answer.status or answer.error}")
-    return name, whole, answer
+def version(number, routes, keys):
+    return st.config_of(
+        number,
+        [st.route_of(f"quote-{i}", f"/quote-{i}/", "idempotent", attempts=2)
+         for i in range(routes)],
+        [{"name": "huka270", "apiKeys": keys, "priority": 1}])
 
 
 async def play(record, trouble):
@@ -53,26 +32,32 @@
     try:
         await stage.open()
         for zone in st.ZONES:
-            await stage.add_server("booking", zone, WORK_S)
-        stage.configure(st.config_of(
-            3, [st.route_of("book", "/book/", "non_idempotent")],
-            [{"name": "huka270", "apiKeys": [KEY], "priority": 1}]))
+            await stage.add_server("booking", zone, 0.03)
+        stage.configure(version(3, 1, [KEPT, REVOKED]))
         await stage.start_entries()
-        entry = stage.entries[1]
-        uploads = [asyncio.create_task(
-            upload(entry, record, 2.0 + UPLOAD_SPACING_S * i))
-            for i in range(UPLOADS)]
+        # Two versions in quick succession add a route each.
+        stage.configure(version(4, 2, [KEPT, REVOKED]))
         await asyncio.sleep(1.0)
+        stage.configure(version(7, 3, [KEPT, REVOKED]))
+        await asyncio.sleep(1.5)
         if trouble:
-            entry.signal(signal.SIGTERM)
-        results = await asyncio.gather(*uploads)
-        ran = {run[1] for server in stage.servers for run in server.runs}
-        lost = [name for name, whole, answer in results
-                if whole and name in ran and answer.error]
-        for name in lost:
-            record.add(f"LOST: {name} was passed on and ran, and its channel "
-                       "ended without an answer")
-        return bool(lost)
+            await stage.store.restore(AWAY_S, COPY_AGE_S)
+            # The operator writes its configuration, whole in one record, again.
+            stage.configure(json.loads(stage.config))
+        await asyncio.sleep(CONTACT_S + 1)
+        acknowledged = stage.configure(version(9, 3, [KEPT]))
+        late = 0
+        for i in range(40):
+            await asyncio.sleep(0.5)
+            entry = stage.entries[i % len(stage.entries)]
+            after = time.monotonic() - acknowledged
+            answer = await st.ask(entry, "GET", "/quote-0/2f", REVOKED)
+            record.add(f"{after:5.2f} s after the ack {entry.name} answers "
+                       f"{answer.status} {answer.error} to the key taken away")
+            late += after > APPLY_S and answer.status == 200
+        record.add(f"CONFIG: {late} requests with the key ran later than "
+                   "configApplyMs after the ack")
+        return late > 0
     finally:
         stage.close()
 
--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -145,8 +145,32 @@
         self.topics = {}
         self.era = 1
         self.away = False
+        self.gates = {}        # a machine's own way to the store: name, server
+        self.rejected = set()  # ports of machines that the store turns away
         self.changed = asyncio.Event()
 
+    async def open_gate(self, name):
+        """Opens an address of the store for one machine, so that the store can
+        turn just this machine away."""
+        self.gates[name] = await asyncio.start_server(
+            self._serve, self.host, 0, limit=1 << 20)
+
+    def address_for(self, name):
+        port = self.gates[name].sockets[0].getsockname()[1]
+        return f"{self.host}:{port}"
+
+    def reject(self, name, turned_away):
+        """Turns a machine away with 503, or serves it again."""
+        port = self.gates[name].sockets[0].getsockname()[1]
+        (self.rejected.add if turned_away else self.rejected.discard)(port)
+        self.record.add(f"store {'turns' if turned_away else 'no longer turns'} "
+                        f"{name} away")
+
+    def close(self):
+        super().close()
+        for gate in self.gates.values():
+            gate.close()
+
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
 
@@ -200,7 +224,11 @@
             parts = urlsplit(target)
             query = {k: v[0] for k, v in parse_qs(parts.query).items()}
             era = self.era
-            status, reply, kind = await self.handle(method, parts.path, query, body)
+            if writer.get_extra_info("sockname")[1] in self.rejected:
+                status, reply, kind = 503, b"{}", "application/json"
+            else:
+                status, reply, kind = await self.handle(method, parts.path, query,
+                                                        body)
             if self.away or era != self.era:
                 writer.transport.abort()
                 return
@@ -446,7 +474,7 @@
         if not os.path.exists(path):
             with open(path, "w", encoding="utf-8") as file:
                 file.write(self.settings(self.stage.seeds(),
-                                         self.stage.store.address,
+                                         self.stage.store.address_for(self.name),
                                          self.stage.cloud.address))
         environment = {"PATH": os.environ.get("PATH", "/usr/bin:/bin"),
                        "HOME": os.environ.get("HOME", "/"),
@@ -539,6 +567,8 @@
 
     async def open(self):
         await self.store.open()
+        for entry in self.entries:
+            await self.store.open_gate(entry.name)
         await self.cloud.open()
 
     async def add_server(self, service, zone, work_s, slots=6, kind=Server):
