--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -659,6 +659,8 @@
 
 def main(play, folder):
     """Runs a case: play(record, trouble) returns whether its rule was broken."""
+    # Ends what was started also when the script is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     record.add(f"trouble {'on' if trouble else 'off'}")
