Callers that do not read cannot take an entry's memory and descriptors

Cause: the next pipelined request of a connection was read while the answer before it was still in the write buffer, so unread answers piled up without bound; small bodies, unread input and frames of peers had no bound in all; and the number of callers' connections did not depend on the descriptors.

The readiness and metrics listeners have small bounds, the peer listener has bounds for connections, unfinished frames and waiting frames, and sockets of callers and upstreams have set receive buffers. Other servers keep their bounds.

Without the wait for the write buffer, PipelinedRequests_AnswersUnread_WaitAndAreServed fails; the other new tests were not tried without the change. The memory of a process under such load was not measured.

--- a/io/body_budget.h
+++ b/io/body_budget.h
@@ -22,8 +22,8 @@
 
 namespace monsoonreel {
 
-// Bodies up to this size need no reservation: so many connections are allowed
-// that they fit into memory.
+// Bodies up to this size need no reservation; where the server has a limit for
+// what its connections hold, see `memory_account`, they count towards it.
 constexpr int64_t small_body_bytes = int64_t{64} << 10;
 
 class body_budget {
--- a/io/gated_socket.cc
+++ b/io/gated_socket.cc
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <QHostAddress>
 #include <QTimer>
 
-#include "io/body_budget.h"
 #include "io/chunked_body.h"
 #include "io/clock.h"
 #include "monsoonreel/http_status.h"
@@ -24,6 +25,15 @@
 // error answer in place of a reset connection.
 constexpr duration discard_time = std::chrono::seconds(2);
 
+// The kernel's buffer while a large body comes in: with a small one, its sender
+// waits for each acknowledgement. The kernel's own limit is usually about this.
+constexpr int large_body_receive_buffer = 208 << 10;
+
+void setReceiveBuffer(const QTcpSocket &Wire, int Bytes) {
+  ::setsockopt(static_cast<int>(Wire.socketDescriptor()), SOL_SOCKET, SO_RCVBUF,
+               &Bytes, sizeof(Bytes));
+}
+
 const char *reasonPhrase(int Status) {
   switch (Status) {
   case http_status::bad_request:
@@ -65,30 +75,33 @@
 
 gated_socket::gated_socket(std::unique_ptr<QTcpSocket> Connection,
                            const http_bounds &Limits,
-                           std::shared_ptr<body_budget> Room)
-    : Wire(std::move(Connection)), Bounds(Limits), Budget(std::move(Room)),
-      PhaseStart(steadyNow()), LastWriteProgress(PhaseStart) {
+                           std::shared_ptr<memory_account> Memory)
+    : Wire(std::move(Connection)), Bounds(Limits), Account(std::move(Memory)),
+      Opened(steadyNow()), LastInput(Opened), PhaseStart(Opened),
+      LastWriteProgress(Opened) {
   Wire->setReadBufferSize(wire_buffer_bytes);
+  if (Bounds.ReceiveBuffer > 0)
+    setReceiveBuffer(*Wire, Bounds.ReceiveBuffer);
   setPeerAddress(Wire->peerAddress());
   setPeerPort(Wire->peerPort());
   setLocalAddress(Wire->localAddress());
   setLocalPort(Wire->localPort());
   setSocketState(ConnectedState);
   QIODevice::open(QIODevice::ReadWrite);
-  connect(Wire.get(), &QTcpSocket::readyRead, this, [this] { onInput(); });
+  connect(Wire.get(), &QTcpSocket::readyRead, this, [this] {
+    LastInput = steadyNow();
+    onInput();
+  });
   connect(Wire.get(), &QTcpSocket::disconnected, this,
           [this] { onWireClosed(); });
-  connect(Wire.get(), &QTcpSocket::bytesWritten, this, [this](qint64 Bytes) {
-    LastWriteProgress = steadyNow();
-    if (Phase == phase::Discarding)
-      endOutput();
-    emit bytesWritten(Bytes);
-  });
+  connect(Wire.get(), &QTcpSocket::bytesWritten, this,
+          [this](qint64 Bytes) { onWritten(Bytes); });
 }
 
 gated_socket::~gated_socket() {
   Wire->disconnect(this);
-  Budget->release(this);
+  Account->bodies().release(this);
+  Account->remove(this);
   // The base class would otherwise try to close a connection of its own.
   setSocketState(UnconnectedState);
 }
@@ -107,6 +120,27 @@
     readHead();
   if (Phase == phase::Body)
     readBody();
+  updateAccount();
+}
+
+void gated_socket::onWritten(qint64 Bytes) {
+  LastWriteProgress = steadyNow();
+  if (Phase == phase::Discarding)
+    endOutput();
+  if (Phase == phase::Sending)
+    readNext();
+  updateAccount();
+  emit bytesWritten(Bytes);
+}
+
+// Reads the next request once the kernel has taken the whole answer before it.
+// Otherwise the unread answers of pipelined requests pile up here.
+void gated_socket::readNext() {
+  if (Wire->bytesToWrite() > 0)
+    return;
+  enter(phase::Idle);
+  // Not from within the server's own handling of the request before.
+  QTimer::singleShot(0, this, [this] { onInput(); });
 }
 
 void gated_socket::readHead() {
@@ -164,8 +198,13 @@
 }
 
 bool gated_socket::hasRoom(int64_t Size) {
-  WaitsForRoom = !Budget->reserve(this, Size, [this] { onInput(); });
-  return !WaitsForRoom;
+  if (BodyReserved)
+    return true;
+  BodyReserved = Account->bodies().reserve(this, Size, [this] { onInput(); });
+  WaitsForRoom = !BodyReserved;
+  if (BodyReserved && Bounds.ReceiveBuffer > 0)
+    setReceiveBuffer(*Wire, large_body_receive_buffer);
+  return BodyReserved;
 }
 
 void gated_socket::readBody() {
@@ -181,6 +220,13 @@
 }
 
 void gated_socket::release() {
+  RequestBytes = HeadBytes.size() + (BodyReserved ? 0 : BodyBytes.size());
+  updateAccount();
+  // While there is no memory for it the request is refused here, where it has
+  // not run yet.
+  Account->enforce();
+  if (Phase != phase::Body)
+    return;
   // The server gets the head as it was understood here, so that no second
   // reading of the original bytes can differ from it.
   Readable = QByteArray::fromStdString(Head.Method + " " + Head.target() +
@@ -199,19 +245,27 @@
     return;
   Readable.clear();
   ReadPosition = 0;
-  Budget->release(this);
+  releaseRequest();
   if (closesAfterAnswer())
     return closeWhenWritten();
-  enter(phase::Idle);
-  // Not from within the server's own handling of the request before.
-  QTimer::singleShot(0, this, [this] { onInput(); });
+  enter(phase::Sending);
+  readNext();
+  updateAccount();
+}
+
+void gated_socket::releaseRequest() {
+  RequestBytes = 0;
+  WaitsForRoom = false;
+  if (std::exchange(BodyReserved, false) && Bounds.ReceiveBuffer > 0)
+    setReceiveBuffer(*Wire, Bounds.ReceiveBuffer);
+  Account->bodies().release(this);
 }
 
 void gated_socket::refuse(int Status) {
   HeadBytes.clear();
   BodyBytes.clear();
   Chunks.reset();
-  Budget->release(this);
+  releaseRequest();
   Wire->write(errorAnswer(Status));
   closeWhenWritten();
 }
@@ -221,6 +275,7 @@
   Wire->readAll();
   Wire->flush();
   endOutput();
+  updateAccount();
 }
 
 // Half-closes the connection: closing it whole while input is unread would
@@ -239,13 +294,17 @@
                  SO_LINGER, &Reset, sizeof(Reset));
   }
   Wire->abort();
+  updateAccount();
 }
 
 void gated_socket::checkTimes(steady_time Now) {
+  updateAccount(); // bytes in the kernel's buffer come without an event
   duration InPhase = Now - PhaseStart;
   if (Wire->bytesToWrite() > 0 &&
-      Now - std::max(LastWriteProgress, PhaseStart) > Bounds.StallTime)
+      Now - std::max(LastWriteProgress, PhaseStart) > Bounds.StallTime) {
+    reportShed(shed_reason::Stalled, Account->held());
     return breakOff();
+  }
   switch (Phase) {
   case phase::Idle:
     if (InPhase > Bounds.IdleTime)
@@ -262,6 +321,7 @@
       refuse(http_status::request_timeout);
     return;
   case phase::Answering:
+  case phase::Sending:
     return;
   case phase::Discarding:
     if (InPhase > discard_time)
@@ -272,20 +332,100 @@
 
 bool gated_socket::isReading() const {
   return Phase == phase::Head || Phase == phase::Body ||
-         (Phase == phase::Idle && Wire->bytesAvailable() > 0);
+         ((Phase == phase::Idle || Phase == phase::Sending) &&
+          Wire->bytesAvailable() > 0);
 }
 
-void gated_socket::closeIfIdle() {
+std::optional<steady_time> gated_socket::idleSince() const {
   if (Phase != phase::Idle || Wire->bytesAvailable() > 0)
-    return;
+    return std::nullopt;
+  return PhaseStart;
+}
+
+bool gated_socket::closeIfIdle() {
+  // The rest of a complete answer is still sent.
+  if ((Phase != phase::Idle && Phase != phase::Sending) ||
+      Wire->bytesAvailable() > 0)
+    return false;
   // A request may have arrived that the event loop has not seen yet.
   char Byte = 0;
   ssize_t Waiting = ::recv(static_cast<int>(Wire->socketDescriptor()), &Byte,
                            sizeof(Byte), MSG_PEEK | MSG_DONTWAIT);
-  if (Waiting > 0)
+  if (Waiting > 0) {
     closeAfterAnswer();
-  else
-    Wire->disconnectFromHost();
+    return false;
+  }
+  Wire->disconnectFromHost();
+  return true;
+}
+
+// ------------------------------------------------------------------- account
+
+int64_t gated_socket::unreadInput() const {
+  int64_t Unread = Wire->bytesAvailable();
+  int InKernel = 0;
+  // Below this, Qt empties the kernel's buffer at once.
+  if (Unread >= wire_buffer_bytes &&
+      ::ioctl(static_cast<int>(Wire->socketDescriptor()), FIONREAD,
+              &InKernel) == 0)
+    Unread += InKernel;
+  return Unread;
+}
+
+int64_t gated_socket::heldBytes() const {
+  int64_t Request = RequestBytes * copies_while_answering;
+  if (Request == 0)
+    Request = HeadBytes.size() + (BodyReserved ? 0 : BodyBytes.size());
+  if (Chunks && !BodyReserved)
+    Request += Chunks->size();
+  return unreadInput() + Request + Wire->bytesToWrite();
+}
+
+void gated_socket::updateAccount() {
+  int64_t Held = state() == UnconnectedState ? 0 : heldBytes();
+  if (Held != std::exchange(Reported, Held))
+    Account->update(this, Held);
+}
+
+bool gated_socket::isShedFirst() const {
+  return Phase != phase::Answering || Wire->bytesToWrite() >= min_shed_bytes;
+}
+
+steady_time gated_socket::lastProgress() const {
+  return std::max(LastInput, LastWriteProgress);
+}
+
+void gated_socket::shed(int64_t Total) {
+  reportShed(shed_reason::Memory, Total);
+  if (Phase == phase::Head || Phase == phase::Body)
+    return refuse(http_status::service_unavailable);
+  breakOff();
+}
+
+void gated_socket::reportShed(shed_reason Reason, int64_t Total) {
+  if (!OnShed)
+    return;
+  int64_t Reserved = BodyReserved ? Head.ContentLength : 0;
+  OnShed(
+      {Reason, Reported + Reserved, steadyNow() - Opened, phaseName(), Total});
+}
+
+const char *gated_socket::phaseName() const {
+  switch (Phase) {
+  case phase::Idle:
+    return "idle";
+  case phase::Head:
+    return "head";
+  case phase::Body:
+    return "body";
+  case phase::Answering:
+    return "answering";
+  case phase::Sending:
+    return "sending";
+  case phase::Discarding:
+    return "closing";
+  }
+  return "";
 }
 
 void gated_socket::onWireClosed() {
@@ -331,7 +471,9 @@
 }
 
 qint64 gated_socket::writeData(const char *Data, qint64 Size) {
-  return Wire->write(Data, Size);
+  qint64 Written = Wire->write(Data, Size);
+  updateAccount();
+  return Written;
 }
 
 } // namespace monsoonreel
--- a/io/http_server.cc
+++ b/io/http_server.cc
@@ -15,7 +15,6 @@
 #include "absl/container/flat_hash_set.h"
 #include "spdlog/fmt/fmt.h"
 
-#include "io/body_budget.h"
 #include "io/clock.h"
 #include "monsoonreel/http_status.h"
 
@@ -158,7 +157,7 @@
 public:
   listener(const http_bounds &Limits, QObject *Parent)
       : QTcpServer(Parent), Bounds(Limits),
-        Budget(std::make_shared<body_budget>(Limits.LargeBodyBytes)) {
+        Account(std::make_shared<memory_account>(Limits.memory())) {
     setListenBacklogSize(listen_backlog);
     connect(&Watchdog, &QTimer::timeout, this, [this] { checkTimes(); });
     Watchdog.start(watchdog_period);
@@ -189,11 +188,14 @@
 
   void setBounds(const http_bounds &Changed) {
     Bounds = Changed;
-    Budget->setLimit(Changed.LargeBodyBytes);
+    Account->setLimits(Changed.memory());
     for (gated_socket *Gate : Open)
       Gate->setBounds(Changed);
   }
 
+  void setObserver(http_server_observer &Target) { Observer = &Target; }
+  int64_t bytesHeld() const { return Account->held(); }
+
   void startDraining() {
     Draining = true;
     for (gated_socket *Gate : Open)
@@ -206,26 +208,76 @@
     if (!Wire->setSocketDescriptor(Descriptor))
       return;
     std::string Peer = Wire->peerAddress().toString().toStdString();
-    if (connections() >= Bounds.Connections ||
-        PerAddress[Peer] >= Bounds.ConnectionsPerAddress)
+    if (!hasPlaceFor(Peer))
       return Wire->abort();
     Wire->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    auto *Gate = new gated_socket(std::move(Wire), Bounds, Budget);
+    auto *Gate = new gated_socket(std::move(Wire), Bounds, Account);
     Gate->setParent(this);
+    Gate->setOnShed([this](const shed_connection &Shed) { report(Shed); });
     if (Draining)
       Gate->closeAfterAnswer();
     Open.insert(Gate);
     ++PerAddress[Peer];
-    connect(Gate, &QObject::destroyed, this, [this, Gate, Peer] {
-      Open.erase(Gate);
-      if (--PerAddress[Peer] == 0)
+    // A closed connection has given its descriptor back before it is destroyed.
+    auto Forget = [this, Gate, Peer] {
+      if (Open.erase(Gate) > 0 && --PerAddress[Peer] == 0)
         PerAddress.erase(Peer);
-    });
+    };
+    connect(Gate, &QTcpSocket::disconnected, this, Forget);
+    connect(Gate, &QObject::destroyed, this, Forget);
     connect(Gate, &QTcpSocket::disconnected, Gate, &QObject::deleteLater);
     addPendingConnection(Gate);
   }
 
 private:
+  bool hasPlaceFor(const std::string &Peer) {
+    auto Here = PerAddress.find(Peer);
+    if (Here != PerAddress.end() &&
+        Here->second >= Bounds.ConnectionsPerAddress &&
+        Bounds.ConnectionsPerAddress < Bounds.Connections)
+      return false;
+    if (connections() < Bounds.Connections || replaceIdle())
+      return true;
+    report({shed_reason::Connections, 0, duration::zero(), "new",
+            Account->held()});
+    return false;
+  }
+
+  // Returns whether a connection was closed that had been idle.
+  bool replaceIdle() {
+    if (!Bounds.ReplacesIdle)
+      return false;
+    // A connection on which a request has just arrived is not closed; then the
+    // next one is tried, a few times in all because each takes a walk.
+    constexpr int Attempts = 3;
+    steady_time After = steady_time::min();
+    for (int I = 0; I < Attempts; ++I) {
+      gated_socket *Longest = nullptr;
+      steady_time Since = steady_time::max();
+      for (gated_socket *Gate : Open)
+        if (auto Idle = Gate->idleSince();
+            Idle && *Idle > After && *Idle < Since) {
+          Longest = Gate;
+          Since = *Idle;
+        }
+      if (!Longest)
+        return false;
+      shed_connection Shed{shed_reason::Connections, 0, steadyNow() - Since,
+                           "idle", Account->held()};
+      if (Longest->closeIfIdle()) {
+        report(Shed);
+        return true;
+      }
+      After = Since;
+    }
+    return false;
+  }
+
+  void report(const shed_connection &Shed) {
+    if (Observer)
+      Observer->onConnectionShed(Shed);
+  }
+
   void checkTimes() {
     steady_time Now = steadyNow();
     // A copy, because ending a connection changes the set.
@@ -236,7 +288,8 @@
 
   http_bounds Bounds;
   // Connections outlive the members of this object.
-  std::shared_ptr<body_budget> Budget;
+  std::shared_ptr<memory_account> Account;
+  http_server_observer *Observer = nullptr;
   bool Draining = false;
   QTimer Watchdog;
   absl::flat_hash_set<gated_socket *> Open;
@@ -302,6 +355,12 @@
 
 void http_server::closeIdle() { Listener->closeIdle(); }
 
+void http_server::setObserver(http_server_observer &Observer) {
+  Listener->setObserver(Observer);
+}
+
+int64_t http_server::bytesHeld() const { return Listener->bytesHeld(); }
+
 void http_server::setBounds(const http_bounds &Bounds) {
   Listener->setBounds(Bounds);
 }
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -120,6 +120,13 @@
                 const std::shared_ptr<http_exchange> &Exchange) = 0;
 };
 
+// Is told of what a server does to protect itself. Called from the event loop.
+class http_server_observer {
+public:
+  virtual ~http_server_observer() = default;
+  virtual void onConnectionShed(const shed_connection &Shed) = 0;
+};
+
 class http_server {
 public:
   // Handler has to live longer than the server.
@@ -143,6 +150,10 @@
   void closeIdle();
   // Replaces the bounds for what callers send from now on.
   void setBounds(const http_bounds &Bounds);
+  // Observer has to live longer than the server.
+  void setObserver(http_server_observer &Observer);
+  // Bytes that are held for all connections.
+  int64_t bytesHeld() const;
 
 private:
   class listener;
--- a/io/io.h
+++ b/io/io.h
@@ -2,6 +2,7 @@
 // outside.
 //
 //   http_server      bounded HTTP/1.1 server
+//   memory_account   what a server holds for its connections
 //   upstream_client  requests to upstreams, each sent at most once
 //   http_caller      small calls by HTTP
 //   peer_transport   messages between the system's own processes
--- a/io/peer_transport.cc
+++ b/io/peer_transport.cc
@@ -18,6 +18,9 @@
 constexpr qsizetype length_bytes = 4;
 constexpr std::chrono::milliseconds watchdog_period(200);
 
+// Read from a connection at once. Qt's own buffer has no bound by default.
+constexpr qint64 read_buffer_bytes = 64 << 10;
+
 QByteArray framed(const QByteArray &Payload) {
   QByteArray Frame(length_bytes, Qt::Uninitialized);
   qToBigEndian(static_cast<quint32>(Payload.size()), Frame.data());
@@ -49,6 +52,7 @@
 struct peer_transport::link {
   QTcpSocket *Socket = nullptr; // in use for sending; owned by Connections
   std::deque<QByteArray> Queue;
+  int64_t QueuedBytes = 0;
   duration RedialDelay = first_redial_delay;
   steady_time RedialAt;
 };
@@ -82,18 +86,45 @@
     Slot = std::make_unique<link>();
   link &Link = *Slot;
   if (Link.Queue.size() >= max_queued_frames) {
-    Link.Queue.pop_front();
+    dequeue(Link);
     ++FramesDropped;
   }
   QByteArray Frame = framed(QByteArray::fromStdString(encodeMessage(Message)));
   Traffic[Message.index()].Sent += Frame.size();
-  Link.Queue.push_back(std::move(Frame));
+  enqueue(Link, std::move(Frame));
   if (Link.Socket)
     return flush(Link);
   if (steadyNow() >= Link.RedialAt)
     dial(To, Link);
 }
 
+void peer_transport::enqueue(link &Link, QByteArray Frame) {
+  Link.QueuedBytes += Frame.size();
+  QueuedBytes += Frame.size();
+  Link.Queue.push_back(std::move(Frame));
+  while (QueuedBytes > Limits.HeldBytes) {
+    auto Largest = std::max_element(
+        Links.begin(), Links.end(), [](const auto &A, const auto &B) {
+          return A.second->QueuedBytes < B.second->QueuedBytes;
+        });
+    dequeue(*Largest->second);
+    ++FramesDropped;
+  }
+}
+
+QByteArray peer_transport::dequeue(link &Link) {
+  QByteArray Frame = std::move(Link.Queue.front());
+  Link.Queue.pop_front();
+  Link.QueuedBytes -= Frame.size();
+  QueuedBytes -= Frame.size();
+  return Frame;
+}
+
+void peer_transport::clearQueue(link &Link) {
+  QueuedBytes -= std::exchange(Link.QueuedBytes, 0);
+  Link.Queue.clear();
+}
+
 void peer_transport::resetLink(const address &To) {
   std::vector<QTcpSocket *> Closing;
   for (const auto &[Socket, Connection] : Connections)
@@ -109,6 +140,7 @@
   auto Connection = std::make_unique<connection>();
   Connection->Socket = Socket;
   Connection->Opened = steadyNow();
+  Socket->setReadBufferSize(read_buffer_bytes);
   connection &Tracked = *Connection;
   Connections[Socket] = std::move(Connection);
   QObject::connect(Socket, &QTcpSocket::readyRead, &Server,
@@ -132,7 +164,7 @@
 
 void peer_transport::accept() {
   while (QTcpSocket *Socket = Server.nextPendingConnection()) {
-    if (Connections.size() >= max_incoming_links) {
+    if (Connections.size() >= Limits.Connections && !makePlace()) {
       Socket->abort();
       Socket->deleteLater();
       continue;
@@ -143,10 +175,23 @@
   }
 }
 
+// A connection that has not named its peer yet is dropped for a new one:
+// otherwise connections that send nothing keep peers out.
+bool peer_transport::makePlace() {
+  connection *Oldest = nullptr;
+  for (const auto &[Socket, Connection] : Connections)
+    if (!Connection->Dialled && !Connection->HelloReceived &&
+        (!Oldest || Connection->Opened < Oldest->Opened))
+      Oldest = Connection.get();
+  if (Oldest)
+    drop(Oldest->Socket);
+  return Oldest != nullptr;
+}
+
 void peer_transport::dial(const address &To, link &Link) {
   auto Parts = splitAddress(To);
   if (!Parts) {
-    Link.Queue.clear();
+    clearQueue(Link);
     return;
   }
   auto *Socket = new QTcpSocket(&Server);
@@ -179,6 +224,7 @@
   auto It = Connections.find(Socket);
   std::unique_ptr<connection> Connection = std::move(It->second);
   Connections.erase(It);
+  InputBytes -= Connection->Input.size();
   Socket->disconnect(&Server);
   Socket->abort();
   Socket->deleteLater();
@@ -189,7 +235,7 @@
   Link.Socket = nullptr;
   // What waited is stale by the time that a new connection stands.
   FramesDropped += static_cast<int64_t>(Link.Queue.size());
-  Link.Queue.clear();
+  clearQueue(Link);
   Link.RedialAt = steadyNow() + Link.RedialDelay;
   Link.RedialDelay = std::min(Link.RedialDelay * 2, last_redial_delay);
 }
@@ -201,9 +247,26 @@
   QByteArray Read = Socket->readAll();
   BytesReceived += Read.size();
   It->second->Input += Read;
+  InputBytes += Read.size();
+  takeFrames(Socket);
+  boundInput();
+}
+
+void peer_transport::boundInput() {
+  while (InputBytes > Limits.HeldBytes) {
+    auto Largest = std::max_element(Connections.begin(), Connections.end(),
+                                    [](const auto &A, const auto &B) {
+                                      return A.second->Input.size() <
+                                             B.second->Input.size();
+                                    });
+    drop(Largest->first);
+  }
+}
+
+void peer_transport::takeFrames(QTcpSocket *Socket) {
   while (true) {
     // Taking a frame may close this connection.
-    It = Connections.find(Socket);
+    auto It = Connections.find(Socket);
     if (It == Connections.end())
       return;
     connection &From = *It->second;
@@ -218,6 +281,7 @@
       return;
     QByteArray Frame = From.Input.mid(length_bytes, FrameEnd - length_bytes);
     From.Input.remove(0, FrameEnd);
+    InputBytes -= FrameEnd;
     bool Taken = ExpectsHello ? takeHello(From, Frame) : takeFrame(From, Frame);
     if (!Taken)
       return drop(Socket);
@@ -263,8 +327,7 @@
   while (!Link.Queue.empty() && Link.Socket &&
          Link.Socket->state() == QAbstractSocket::ConnectedState &&
          Link.Socket->bytesToWrite() < max_socket_bytes) {
-    Link.Socket->write(Link.Queue.front());
-    Link.Queue.pop_front();
+    Link.Socket->write(dequeue(Link));
   }
 }
 
--- a/io/peer_transport.h
+++ b/io/peer_transport.h
@@ -19,6 +19,7 @@
 
 #include <array>
 #include <deque>
+#include <limits>
 #include <memory>
 #include <variant>
 
@@ -50,6 +51,15 @@
 // a message makes a new one.
 constexpr duration idle_link_age = std::chrono::minutes(1);
 
+// Bounds on what peers can make a process hold.
+struct peer_limits {
+  size_t Connections = max_incoming_links; // above it none is accepted
+  // Bytes of unfinished frames of all connections, and bytes of frames that
+  // wait to be sent to all peers. What exceeds it costs the connection that
+  // holds most, or the oldest frames of the peer with the most.
+  int64_t HeldBytes = std::numeric_limits<int64_t>::max();
+};
+
 // Bytes of one kind of message since the start, with the frames' lengths.
 struct message_bytes {
   int64_t Sent = 0; // handed over for sending, dropped ones included
@@ -67,6 +77,7 @@
   peer_transport(const peer_transport &) = delete;
   peer_transport &operator=(const peer_transport &) = delete;
 
+  void setLimits(const peer_limits &Changed) { Limits = Changed; }
   // Listens at the node's own address. Returns false when it is taken.
   bool listen();
   void send(const address &To, const wire::peer_message &Message);
@@ -91,16 +102,27 @@
   void onConnected(const address &To);
   void onClosed(QTcpSocket *Socket);
   void onInput(QTcpSocket *Socket);
+  void takeFrames(QTcpSocket *Socket);
   // Returns false when the frame breaks the protocol.
   bool takeFrame(connection &From, const QByteArray &Frame);
   bool takeHello(connection &From, const QByteArray &Frame);
   void flush(link &Link);
+  // Drops the connection with the largest unfinished frame while the limit is
+  // exceeded.
+  void boundInput();
+  void enqueue(link &Link, QByteArray Frame);
+  QByteArray dequeue(link &Link);
+  void clearQueue(link &Link);
+  bool makePlace();
   void drop(QTcpSocket *Socket);
   void checkTimes();
 
   node_identity Self;
   event_sink &Sink;
   duration IdleLinkAge;
+  peer_limits Limits;
+  int64_t InputBytes = 0;  // of unfinished frames
+  int64_t QueuedBytes = 0; // of frames that wait
   QTcpServer Server;
   QTimer Watchdog;
   absl::flat_hash_map<QTcpSocket *, std::unique_ptr<connection>> Connections;
--- a/io/routing_runtime.cc
+++ b/io/routing_runtime.cc
@@ -28,6 +28,34 @@
 // answer that is under way.
 constexpr std::chrono::milliseconds close_linger(300);
 
+// For the platform's readiness checks and for whoever collects the metrics: a
+// few connections with requests without a body. Without bounds of their own,
+// clients of these listeners could take the memory and the descriptors that
+// callers need.
+http_bounds serviceBounds() {
+  http_bounds Bounds;
+  Bounds.Connections = 64;
+  Bounds.ConnectionsPerAddress = Bounds.Connections;
+  Bounds.ReplacesIdle = true;
+  Bounds.HeldBytes = 1 << 20;
+  Bounds.BodyBytes = 64 << 10;
+  Bounds.LargeBodyBytes = Bounds.BodyBytes;
+  Bounds.ReceiveBuffer = 16 << 10;
+  return Bounds;
+}
+
+const char *reasonName(shed_reason Reason) {
+  switch (Reason) {
+  case shed_reason::Memory:
+    return "memory";
+  case shed_reason::Connections:
+    return "connections";
+  case shed_reason::Stalled:
+    return "stalled";
+  }
+  return "";
+}
+
 } // namespace
 
 class routing_runtime::caller_handler : public http_handler {
@@ -63,6 +91,11 @@
   explicit metrics_handler(routing_runtime &Owner) : Runtime(Owner) {}
   void handleRequest(const http_request & /*Request*/,
                      const std::shared_ptr<http_exchange> &Exchange) override {
+    // Only when it is asked for: it changes with almost every packet.
+    Runtime.Metrics.set(
+        {"monsoonreel_caller_bytes_held",
+         {},
+         static_cast<double>(Runtime.CallerServer->bytesHeld())});
     Exchange->answer(http_status::ok,
                      {{"Content-Type", "text/plain; version=0.0.4"}},
                      Runtime.Metrics.text());
@@ -125,8 +158,9 @@
       Readiness(std::make_unique<readiness_handler>(*this)),
       MetricsPage(std::make_unique<metrics_handler>(*this)) {
   CallerServer = std::make_unique<http_server>(*Callers, callerBounds());
-  ReadinessServer = std::make_unique<http_server>(*Readiness, http_bounds());
-  MetricsServer = std::make_unique<http_server>(*MetricsPage, http_bounds());
+  CallerServer->setObserver(*this);
+  ReadinessServer = std::make_unique<http_server>(*Readiness, serviceBounds());
+  MetricsServer = std::make_unique<http_server>(*MetricsPage, serviceBounds());
 }
 
 routing_runtime::~routing_runtime() {
@@ -325,18 +359,55 @@
 http_bounds routing_runtime::callerBounds() const {
   http_bounds Limits;
   Limits.Chunks = chunk_policy::Accept;
+  if (CallerConnections > 0) {
+    Limits.Connections = CallerConnections;
+    Limits.ReplacesIdle = true;
+  }
   Limits.ConnectionsPerAddress = Limits.Connections;
   Limits.HeadBytes = Bounds.HeadBytes;
   Limits.BodyBytes = Bounds.BodyBytes;
   Limits.HeadTime = Bounds.HeadTime;
   Limits.IdleTime = Bounds.IdleTime;
-  Limits.LargeBodyBytes = LargeBodyBytes;
+  Limits.LargeBodyBytes = CallerMemory.LargeBodyBytes;
+  Limits.HeldBytes = CallerMemory.HeldBytes;
+  Limits.ReceiveBuffer = caller_receive_buffer;
   return Limits;
 }
 
 void routing_runtime::setMemoryLimit(int64_t Bytes) {
-  LargeBodyBytes = Bytes / memory_per_large_body_byte;
+  CallerMemory.LargeBodyBytes = Bytes / memory_per_large_body_byte;
+  CallerMemory.HeldBytes = Bytes / memory_per_held_byte;
   CallerServer->setBounds(callerBounds());
+  // A whole frame has to fit in each direction. A sixteenth is enough for the
+  // small frames of several hundred peers.
+  constexpr int64_t PartForPeers = 16;
+  PeerLimits.HeldBytes =
+      std::max(Bytes / PartForPeers, 2 * static_cast<int64_t>(max_frame_bytes));
+  Peers.setLimits(PeerLimits);
+}
+
+void routing_runtime::setDescriptorLimit(int Descriptors) {
+  int ForSockets = std::max(Descriptors - file_descriptors, 0);
+  // The other half is for upstreams, peers and the platform. Peers may have a
+  // quarter, so that connections to their listener can't use up the rest.
+  CallerConnections = std::max(ForSockets / 2, 1);
+  CallerServer->setBounds(callerBounds());
+  PeerLimits.Connections =
+      std::min<size_t>(PeerLimits.Connections, std::max(ForSockets / 4, 1));
+  Peers.setLimits(PeerLimits);
+}
+
+void routing_runtime::onConnectionShed(const shed_connection &Shed) {
+  Metrics.count({"monsoonreel_callers_shed_total",
+                 {{"reason", reasonName(Shed.Reason)}},
+                 1});
+  apply(decision("caller-shed")
+            .add("reason", reasonName(Shed.Reason))
+            .add("held", Shed.Held)
+            .add("age", Shed.Age)
+            .add("phase", Shed.Phase)
+            .add("total", Shed.Total)
+            .line(log_level::Warning));
 }
 
 void routing_runtime::apply(const send_message &Effect) {
--- a/io/routing_runtime.h
+++ b/io/routing_runtime.h
@@ -49,10 +49,24 @@
   platform_port &Platform;
 };
 
+// The part of the memory for what else is held for callers' connections. With
+// large bodies, which may take half of it, and a second time this part for
+// copies and the kernel's buffers, a quarter is left for everything else.
+constexpr int64_t memory_per_held_byte = 8;
+
+// Descriptors that the platform reserves for files.
+constexpr int file_descriptors = 200;
+
+// What the kernel may receive for a caller's connection and is not read yet; it
+// counts as memory of this process.
+constexpr int caller_receive_buffer = 32 << 10;
+
 // Above so many bytes that a caller has not taken, its upstream is not read.
 constexpr int64_t max_unread_answer_bytes = 256 << 10;
 
-class routing_runtime : public event_sink, public routing_event_sink {
+class routing_runtime : public event_sink,
+                        public routing_event_sink,
+                        private http_server_observer {
 public:
   // Parts have to live longer than the runtime. ShutdownTime: from the request
   // to end until the process is killed.
@@ -63,10 +77,13 @@
   // Listens and begins to tick. Returns false, after a log line, when an
   // address can't be had.
   bool start();
-  // Called for every SIGHUP.
-  // Bounds the large bodies of requests by the memory that this process may
-  // use.
+  // Bounds what callers and peers can make this process hold by the memory that
+  // it may use. To be called before `start`.
   void setMemoryLimit(int64_t Bytes);
+  // Bounds the connections by the descriptors that this process may have. To be
+  // called before `start`.
+  void setDescriptorLimit(int Descriptors);
+  // Called for every SIGHUP.
   void setOnReload(std::function<void()> Reload) {
     OnReload = std::move(Reload);
   }
@@ -121,6 +138,7 @@
 
   void onTick();
   http_bounds callerBounds() const;
+  void onConnectionShed(const shed_connection &Shed) override;
   void drain();
   void finish();
   void onSignal(int Signal);
@@ -149,7 +167,9 @@
   std::function<void()> OnReload;
   QTimer Ticks;
   caller_bounds Bounds; // of the configuration in force
-  int64_t LargeBodyBytes = http_bounds().LargeBodyBytes;
+  memory_limits CallerMemory = http_bounds().memory();
+  int CallerConnections = 0; // 0: the server's default
+  peer_limits PeerLimits;
   bool Ready = false;
   bool Handling = false;
   bool Draining = false;
--- a/io/tcp_stream.cc
+++ b/io/tcp_stream.cc
@@ -16,6 +16,11 @@
 
 constexpr size_t read_bytes = 64 << 10;
 
+// While a caller does not read its answer, the upstream is not read either. By
+// default the kernel would then receive several MB for each connection, which
+// count as memory of this process.
+constexpr int receive_buffer_bytes = 64 << 10;
+
 void setOption(int Socket, int Level, int Name, int Value) {
   ::setsockopt(Socket, Level, Name, &Value, sizeof(Value));
 }
@@ -26,6 +31,7 @@
 
 void setOptions(int Socket) {
   setOption(Socket, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Socket, SOL_SOCKET, SO_RCVBUF, receive_buffer_bytes);
   setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, 1);
   int Seconds = inUnits<std::chrono::seconds>(keepalive_interval);
   setOption(Socket, IPPROTO_TCP, TCP_KEEPIDLE, Seconds);
--- a/io/testing/peer_transport_test.cc
+++ b/io/testing/peer_transport_test.cc
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include <QDataStream>
 #include <QtEndian>
 
 #include <gtest/gtest.h>
@@ -137,6 +138,38 @@
   exchangeMessages(1);
 }
 
+// Guards against connections without a hello that keep peers out.
+TEST_F(peer_transport_test, Connections_AtTheLimit_UnnamedOneMakesPlace) {
+  B->setLimits({.Connections = 1});
+  raw_client Silent(portOfB());
+  ASSERT_TRUE(Silent.isConnected());
+  exchangeMessages(1);
+  EXPECT_TRUE(Silent.waitForClose());
+}
+
+// Guards against unfinished frames that exceed the memory together.
+TEST_F(peer_transport_test, Frames_Unfinished_AreBoundedInAll) {
+  constexpr quint32 Half = max_frame_bytes / 2;
+  B->setLimits({.HeldBytes = int64_t{3} * Half / 2});
+  auto Begin = [&](raw_client &Client, const char *Port) {
+    QByteArray Hello;
+    QDataStream Stream(&Hello, QIODevice::WriteOnly);
+    Stream << QByteArray("x") << QByteArray("127.0.0.1:") + Port;
+    std::string Lengths(8, '\0');
+    qToBigEndian(static_cast<quint32>(Hello.size()), Lengths.data());
+    qToBigEndian(Half + 1, Lengths.data() + 4);
+    Client.send(Lengths.substr(0, 4) + Hello.toStdString() + Lengths.substr(4) +
+                std::string(Half, 'x'));
+  };
+  raw_client First(portOfB());
+  raw_client Second(portOfB());
+  Begin(First, "8");
+  Begin(Second, "9");
+  EXPECT_TRUE(
+      waitUntil([&] { return !First.isConnected() || !Second.isConnected(); }));
+  exchangeMessages(1);
+}
+
 TEST_F(peer_transport_test, Queue_OfAnUnreachablePeer_StaysBounded) {
   address Nowhere = identity("nobody").Address;
   for (int64_t I = 0; I < 10 * int64_t{max_queued_frames}; ++I)
--- a/io/testing/raw_client.h
+++ b/io/testing/raw_client.h
@@ -37,6 +37,12 @@
     Socket.setReadBufferSize(1);
   }
 
+  void startReading() {
+    Reading = true;
+    Socket.setReadBufferSize(0);
+    Bytes += Socket.readAll().toStdString();
+  }
+
   bool waitFor(const std::string &Text) {
     return waitUntil([&] { return received(Text); });
   }
