Bounds of unread answers and of the upstream window follow the send buffer's

Cause: with TCP_NOTSENT_LOWAT on callers' sockets, 256 KiB of unread answer in the process is more than a caller needs to read on. The upstream's fixed receive buffer of 64 KiB bounds the window and with it the throughput.

Change: max_unread_answer_bytes is 64 KiB; upstream sockets receive up to 208 KiB. makePlace is renamed to evictUnnamed.

Result: throughput was not measured.

--- a/io/peer_transport.cc
+++ b/io/peer_transport.cc
@@ -164,7 +164,7 @@
 
 void peer_transport::accept() {
   while (QTcpSocket *Socket = Server.nextPendingConnection()) {
-    if (Connections.size() >= Limits.Connections && !makePlace()) {
+    if (Connections.size() >= Limits.Connections && !evictUnnamed()) {
       Socket->abort();
       Socket->deleteLater();
       continue;
@@ -177,7 +177,7 @@
 
 // A connection that has not named its peer yet is dropped for a new one:
 // otherwise connections that send nothing keep peers out.
-bool peer_transport::makePlace() {
+bool peer_transport::evictUnnamed() {
   connection *Oldest = nullptr;
   for (const auto &[Socket, Connection] : Connections)
     if (!Connection->Dialled && !Connection->HelloReceived &&
--- a/io/peer_transport.h
+++ b/io/peer_transport.h
@@ -113,7 +113,7 @@
   void enqueue(link &Link, QByteArray Frame);
   QByteArray dequeue(link &Link);
   void clearQueue(link &Link);
-  bool makePlace();
+  bool evictUnnamed();
   void drop(QTcpSocket *Socket);
   void checkTimes();
 
--- a/io/routing_runtime.h
+++ b/io/routing_runtime.h
@@ -39,8 +39,8 @@
 };
 
 // A byte of a large body takes up to this many of a process' memory limit: it
-// is in the caller's message, in the request, in each attempt and in what is
-// not sent yet, and half of the memory is for everything else.
+// is in the request that is handed on, in the one that is kept, in each attempt
+// and in what is not sent yet, and half of the memory is for everything else.
 constexpr int64_t memory_per_large_body_byte = 8;
 
 struct routing_parts {
@@ -61,8 +61,10 @@
 // counts as memory of this process.
 constexpr int caller_receive_buffer = 32 << 10;
 
-// Above so many bytes that a caller has not taken, its upstream is not read.
-constexpr int64_t max_unread_answer_bytes = 256 << 10;
+// Above this many bytes that a caller has not taken, its upstream is not read.
+// The kernel holds up to 128 KiB more for the connection (TCP_NOTSENT_LOWAT),
+// so the caller has something to read until the upstream's next bytes come.
+constexpr int64_t max_unread_answer_bytes = 64 << 10;
 
 class routing_runtime : public event_sink,
                         public routing_event_sink,
--- a/io/tcp_stream.cc
+++ b/io/tcp_stream.cc
@@ -18,8 +18,9 @@
 
 // While a caller does not read its answer, the upstream is not read either. By
 // default the kernel would then receive several MB for each connection, which
-// count as memory of this process.
-constexpr int receive_buffer_bytes = 64 << 10;
+// count as memory of this process. A fixed size also bounds the window and with
+// it the throughput; this is the largest that Linux permits by default.
+constexpr int receive_buffer_bytes = 208 << 10;
 
 void setOption(int Socket, int Level, int Name, int Value) {
   ::setsockopt(Socket, Level, Name, &Value, sizeof(Value));
