--- a/monsoonreel/wire.cc
+++ b/monsoonreel/wire.cc
@@ -82,7 +82,7 @@
     "usage_held",    "usage_release", "slot_ask",       "slot_grant",
     "slot_refuse",   "slot_release",  "slot_cancel",    "slot_preempt",
     "slot_renew",    "slot_queued",   "entry_report",   "feed_news",
-    "usage_report",  "relay_report"};
+    "usage_report",  "relay_report",  "placement_ask",  "placement_grant"};
 static_assert(MessageNames.size() == std::variant_size_v<wire::peer_message>);
 
 } // namespace
--- /dev/null
+++ b/routing/engine_choice.cc
@@ -0,0 +1,173 @@
+#include "routing/engine_choice.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace monsoonreel {
+
+namespace {
+
+using milliseconds = std::chrono::duration<double, std::milli>;
+
+// Part of an engine's slots that paced streams take before another engine is
+// reserved. The rest serves those that arrive until then.
+constexpr double paced_part_of_slots = 0.7;
+// Part of the engines that may be reserved: long prompts always have some.
+constexpr double most_reserved = 0.8;
+// Parts of a budget between which the chance rises that a stream becomes late.
+// Requests of other zones that are not known yet come on top.
+constexpr double safe_part_of_budget = 0.5;
+constexpr double lost_part_of_budget = 1.1;
+// Cost of reading a part again that another engine has cached, relative to the
+// time that it takes. It also evicts parts of other subjects there.
+constexpr double reread_weight = 4;
+// Cost of a late first event, relative to the delay beyond the target.
+constexpr double lateness_weight = 2;
+// Cost of an engine of the other group, as a part of the request's target.
+constexpr double other_group_part = 0.2;
+// Each request that runs makes the steps of an engine a little longer.
+constexpr double running_cost_ms = 0.5;
+// A network round trip between zones.
+constexpr double other_zone_ms = 2.5;
+// Cost of a failure share of 1. It exceeds any wait that callers accept.
+constexpr double failure_ms = 1000;
+// Typical time for which a request holds a slot.
+constexpr double slot_time_ms = 1200;
+// A less urgent prompt is not worth more late streams than this.
+constexpr double most_delayed_streams = 1;
+// Bounds of the time after which callers may come back.
+constexpr duration shortest_return = std::chrono::milliseconds(400);
+constexpr duration longest_return = std::chrono::seconds(2);
+
+double toMs(duration Value) { return milliseconds(Value).count(); }
+
+// Returns the part of streams that become late on an engine that has to read
+// this many tokens without a break.
+double latePart(double Unread, double Budget) {
+  if (Budget <= 0)
+    return 1;
+  return std::clamp((Unread / Budget - safe_part_of_budget) /
+                        (lost_part_of_budget - safe_part_of_budget),
+                    0.0, 1.0);
+}
+
+// Returns the prompt tokens that an engine reads within a pause, besides making
+// an event.
+double gapBudget(const engine_timing &Timing, duration Pause) {
+  return std::max(0.0, toMs(Pause) - toMs(Timing.EventGap)) *
+         Timing.TokensPerMs;
+}
+
+double slotWait(const upstream_use_sum &Use, int Slots) {
+  int Place = Use.Running + 1 - Slots;
+  return Slots > 0 && Place > 0 ? Place * slot_time_ms / Slots : 0;
+}
+
+struct engine_cost {
+  double FirstEvent = 0;
+  double Total = 0;
+  bool IsLate = false;
+};
+
+engine_cost costOf(const placement_query &Query, const placement &Option,
+                   const engine_timing &Timing, int64_t OwnPart,
+                   bool IsReserved) {
+  double Target = toMs(Query.Target);
+  auto Queue = static_cast<double>(Option.Use.UnreadTokens);
+  auto Own = static_cast<double>(Option.UnreadTokens);
+  engine_cost Cost;
+  double Slot = slotWait(Option.Use, Query.Slots);
+  Cost.FirstEvent =
+      toMs(Timing.FirstEventDelay) + (Queue + Own) / Timing.TokensPerMs + Slot;
+  // Only the most urgent requests wait for slots.
+  Cost.IsLate = Cost.FirstEvent > Target || (Slot > 0 && !Query.Urgent);
+  Cost.Total = Cost.FirstEvent + running_cost_ms * Option.Use.Running +
+               lateness_weight * std::max(0.0, Cost.FirstEvent - Target);
+  if (Query.Pause) {
+    double Late = latePart(Queue + Own, gapBudget(Timing, *Query.Pause));
+    Cost.Total += Target * Late;
+    Cost.IsLate = Cost.IsLate || (Late >= 1 && !Query.Urgent);
+  }
+  if (Query.Paced) {
+    Cost.Total += IsReserved ? 0 : other_group_part * Target;
+    return Cost;
+  }
+  double Reread = std::max(0.0, Own - static_cast<double>(OwnPart));
+  Cost.Total += (reread_weight - 1) * Reread / Timing.TokensPerMs;
+  double Budget = gapBudget(Timing, Query.StrictestPause);
+  double Delayed = Option.Use.PacedStreams *
+                   (latePart(Queue + Own, Budget) - latePart(Queue, Budget));
+  Cost.Total += Target * Delayed;
+  Cost.IsLate =
+      Cost.IsLate || (Delayed > most_delayed_streams && !Query.Urgent);
+  if (IsReserved)
+    Cost.Total += other_group_part * Target;
+  return Cost;
+}
+
+} // namespace
+
+size_t engineCountForPaced(int PacedStreams, int Slots, size_t Engines) {
+  double Each = std::max(1.0, paced_part_of_slots * Slots);
+  auto Wanted =
+      static_cast<size_t>(std::ceil(std::max(1, PacedStreams) / Each));
+  auto Most = static_cast<size_t>(most_reserved * static_cast<double>(Engines));
+  return std::min(Wanted, Most);
+}
+
+std::optional<placement> chooseEngine(const placement_query &Query,
+                                      const placement_inputs &Inputs,
+                                      const engine_candidates &Candidates) {
+  const auto &List = Candidates.List;
+  size_t Home = List.size();
+  for (size_t I = 0; I < List.size(); ++I)
+    if (Candidates.ReservationRank[I] >= Candidates.ReservedCount &&
+        (Home == List.size() ||
+         Candidates.HomeRank[I] < Candidates.HomeRank[Home]))
+      Home = I;
+  int64_t OwnPart = Query.Prompt->PromptTokens - sharedTokens(*Query.Prompt);
+  std::optional<placement> Best;
+  for (size_t I = 0; I < List.size(); ++I) {
+    const upstream_entry &Entry = List[I]->Entry;
+    placement Option;
+    Option.Upstream = List[I];
+    Option.Use = Inputs.Load.at(Entry.Name);
+    Option.UnreadTokens =
+        Inputs.Cache.unreadTokens(Entry.Name, *Query.Prompt, Query.Now);
+    bool Cached = !Query.Paced && Option.UnreadTokens <= OwnPart;
+    if (!Candidates.Sampled[I] && !Cached && (Query.Paced || I != Home))
+      continue;
+    // Other entries send the subject to its home as well, so it is probably
+    // cached there.
+    if (!Query.Paced && I == Home && !Query.CacheIsExact)
+      Option.UnreadTokens = std::min(Option.UnreadTokens, OwnPart);
+    engine_timing Timing = Query.Model->at(Entry.Service, Entry.Name);
+    engine_cost Cost =
+        costOf(Query, Option, Timing, OwnPart,
+               Candidates.ReservationRank[I] < Candidates.ReservedCount);
+    Option.Cost = Cost.Total;
+    Option.IsLate = Cost.IsLate;
+    Option.FirstEvent =
+        std::chrono::duration_cast<duration>(milliseconds(Cost.FirstEvent));
+    if (Entry.Zone != Query.Zone)
+      Option.Cost += other_zone_ms;
+    Option.Cost +=
+        failure_ms * Inputs.FailureTracker.failureShare(Entry.Name, Query.Now);
+    if (!Best || Option.Cost < Best->Cost)
+      Best = Option;
+  }
+  return Best;
+}
+
+bool isHopeless(const placement_query &Query, const placement &Best) {
+  return Query.Model && !Query.LoadIsStale && Best.IsLate;
+}
+
+duration placeExpectedAfter(const placement_query &Query,
+                            const placement &Best) {
+  return std::clamp(2 * (Best.FirstEvent - Query.Target), shortest_return,
+                    longest_return);
+}
+
+} // namespace monsoonreel
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "monsoonreel/rendezvous.h"
+#include "routing/engine_choice.h"
 
 namespace monsoonreel {
 
@@ -105,13 +106,19 @@
                     double{paced_streams_per_engine});
 }
 
+int pacedStreamsAt(const std::vector<const upstream_state *> &List,
+                   const upstream_load &Load) {
+  int Paced = 0;
+  for (const upstream_state *Each : List)
+    Paced += Load.at(Each->Entry.Name).PacedStreams;
+  return Paced;
+}
+
 // Returns how many engines are reserved for paced streams; at most half of
 // them.
 size_t reservedEngineCount(const std::vector<const upstream_state *> &List,
                            int Slots, const upstream_load &Load) {
-  double Paced = 0;
-  for (const upstream_state *Each : List)
-    Paced += Load.at(Each->Entry.Name).PacedStreams;
+  double Paced = pacedStreamsAt(List, Load);
   auto Wanted =
       static_cast<size_t>(std::ceil(Paced / pacedStreamsPerEngine(Slots)));
   return std::min(std::max<size_t>(Wanted, 1), List.size() / 2);
@@ -172,9 +179,18 @@
 std::optional<placement> placeOnEngine(const placement_query &Query,
                                        const placement_inputs &Inputs) {
   auto List = eligible(Query, Inputs);
-  size_t ReservedCount = reservedEngineCount(List, Query.Slots, Inputs.Load);
+  size_t ReservedCount =
+      Query.Model ? engineCountForPaced(pacedStreamsAt(List, Inputs.Load),
+                                        Query.Slots, List.size())
+                  : reservedEngineCount(List, Query.Slots, Inputs.Load);
   std::vector<size_t> ReservationRank = ranksFor("paced streams", List);
   std::vector<size_t> HomeRank = ranksFor(subjectKey(*Query.Prompt), List);
+  if (Query.Model)
+    return chooseEngine(
+        Query, Inputs,
+        {List, ReservationRank, HomeRank,
+         sampleCandidates(Query, ReservationRank, ReservedCount),
+         ReservedCount});
   // The home of a subject is the first engine in its order that is not
   // reserved.
   size_t Home = List.size();
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -37,6 +37,7 @@
 #include <optional>
 #include <vector>
 
+#include "routing/engine_model.h"
 #include "routing/prompt_cache_view.h"
 #include "routing/region_rules.h"
 #include "routing/routing_event.h"
@@ -59,13 +60,23 @@
   int Slots = 0;            // per engine; 0: unknown
   bool LoadIsStale = false; // other entries' load is reported rarely
   const region_rule *Regions = nullptr; // nullptr: all zones are allowed
+  // Set where engines have few slots, with what follows: see engine_choice.h.
+  const engine_model *Model = nullptr;
+  duration Target{};                  // for the first event
+  std::optional<duration> Pause = {}; // longest pause between events
+  duration StrictestPause{};          // of all routes to the service
+  // The own view of the caches includes the requests of other entries.
+  bool CacheIsExact = false;
+  bool Urgent = false; // no route to the service is more urgent
 };
 
 struct placement {
   const upstream_state *Upstream = nullptr;
   int64_t UnreadTokens = 0; // of the request itself
   double Cost = 0;
-  upstream_use_sum Use; // load without this request
+  duration FirstEvent{}; // predicted, if the query has a model
+  bool IsLate = false;   // predicted to miss its targets, or to delay others
+  upstream_use_sum Use;  // load without this request
 };
 
 // State on which placement is based.
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -148,11 +148,18 @@
                             routing_effects &Effects) {
   std::vector<request_id> Expired;
   std::vector<request_id> Stalled;
+  std::vector<request_id> Unanswered;
   for (const auto &[Id, Request] : Requests)
     if (Context.Now >= Request->EndsAt)
       Expired.push_back(Id);
     else if (hasStalled(*Request, Context))
       Stalled.push_back(Id);
+    else if (Request->Ask &&
+             Context.Now - Request->AskedAt >= placement_ask_timeout)
+      Unanswered.push_back(Id);
+  for (request_id Id : Unanswered) {
+    onUnansweredAsk(*Requests.find(Id)->second, Context, Effects);
+  }
   for (request_id Id : Stalled) {
     active_request &Request = *Requests.find(Id)->second;
     // A request that cannot be resumed elsewhere stays at its upstream, which
@@ -235,6 +242,8 @@
 void request_router::close(active_request &Request, const char *Outcome,
                            const router_context &Context,
                            routing_effects &Effects) {
+  if (Request.Ask)
+    Asks.erase(*Request.Ask);
   endAttempt(Request);
   duration Took = Context.Now - Request.ArrivedAt;
   int64_t Version = Request.Table ? Request.Table->config().Version : 0;
@@ -246,6 +255,7 @@
                         .add("upstream", Request.Upstream)
                         .add("sent", Request.Sent)
                         .add("events", Request.Events.taken())
+                        .add("longest_gap", Request.LongestGap)
                         .add("config_version", Version)
                         .add("registry_age", Context.RegistryAge)
                         .add("took", Took)
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -40,6 +40,7 @@
 #include "routing/route_table.h"
 #include "routing/routing_effect.h"
 #include "routing/usage_windows.h"
+#include "routing/zone_relays.h"
 
 namespace monsoonreel {
 
@@ -48,6 +49,11 @@
 // Maximum number of open requests of one entry; further ones are refused. Each
 // takes at most about 20 KB.
 constexpr size_t max_open_requests = 3000;
+// An ask without a grant for this time is given up, and the entry places the
+// request by itself. Answers come within a few milliseconds.
+constexpr duration placement_ask_timeout = std::chrono::milliseconds(25);
+// A relay that has not answered is not asked again for this time.
+constexpr duration silent_relay_pause = std::chrono::seconds(1);
 
 // Shared state that requests read and modify.
 struct router_services {
@@ -56,6 +62,7 @@
   prompt_cache_view &Cache;
   upstream_failure_tracker &FailureTracker;
   upstream_limits &Limits;
+  engine_model &Model;
   part_quarantine &Quarantine;
   resend_budget &Budget;
   usage_windows &Usage;
@@ -69,6 +76,9 @@
   duration RegistryAge{};
   size_t Entries = 1;
   bool LoadIsStale = false; // others' reports are older than most requests last
+  // The relays of the zones, where one of each zone places requests for all
+  // entries, see onAsk; nullptr: there are none.
+  const zone_relays *Relays = nullptr;
 };
 
 class request_router {
@@ -90,6 +100,12 @@
              routing_effects &Effects);
   void onFailed(const route_attempt_failed &Failed,
                 const router_context &Context, routing_effects &Effects);
+  // Places a request of another entry of the zone, which reports it later.
+  void onAsk(const address &From, const wire::placement_ask &Ask,
+             const std::shared_ptr<const route_table> &Table,
+             const router_context &Context, routing_effects &Effects);
+  void onGrant(const wire::placement_grant &Grant,
+               const router_context &Context, routing_effects &Effects);
   // Ends requests whose time limit is reached, and moves stalled streams to
   // other upstreams.
   void onTick(const router_context &Context, routing_effects &Effects);
@@ -109,15 +125,21 @@
     urgency Urgency;
     const service *Service = nullptr;
     steady_time ArrivedAt;
-    steady_time EndsAt; // the caller's deadline or the route's timeout
+    steady_time EndsAt;         // the caller's deadline or the route's timeout
+    std::optional<int64_t> Ask; // a placement that is asked for
+    steady_time AskedAt;
+    address Asked;
     std::optional<attempt_number> Attempt;
     upstream_name Upstream; // upstream of Attempt
     zone_name UpstreamZone;
     std::chrono::milliseconds UpstreamStartedAt{};
     steady_time SentAt;
+    int64_t UnreadWhenSent =
+        0;                    // prompt tokens at the upstream, its own included
     steady_time ProgressAt;   // when it was sent or the last event arrived
     int64_t EventsBefore = 0; // taken from earlier attempts
     std::optional<steady_time> BeganAt; // first event
+    duration LongestGap{};              // between two events
     bool SoundRecorded = false;
     int Sent = 0; // upstreams that may have received it
     std::vector<upstream_name> Tried;
@@ -144,6 +166,29 @@
   active_request *findByAttempt(attempt_number Attempt);
   void send(active_request &Request, const router_context &Context,
             routing_effects &Effects);
+  // Chooses an upstream with what this entry knows.
+  void place(active_request &Request, const router_context &Context,
+             routing_effects &Effects);
+  void dispatch(active_request &Request, const placement_query &Query,
+                const placement &Chosen, const router_context &Context,
+                routing_effects &Effects);
+  // Returns the entry that places the request; empty if this one does.
+  address placerFor(const active_request &Request, const placement_query &Query,
+                    const router_context &Context) const;
+  // Returns the zone of the subject's home.
+  static zone_name homeZone(const placement_query &Query);
+  bool isSilent(const address &Relay, steady_time Now) const;
+  void ask(active_request &Request, const address &Placer,
+           const placement_query &Query, const router_context &Context,
+           routing_effects &Effects);
+  void onUnansweredAsk(active_request &Request, const router_context &Context,
+                       routing_effects &Effects);
+  std::vector<std::string> failingUpstreams(const placement_query &Query) const;
+  // Returns whether the request may be sent to Upstream as was granted.
+  bool isUsable(const active_request &Request, const upstream_state &Upstream,
+                const router_context &Context) const;
+  void refuseForRoom(active_request &Request, duration RetryAfter,
+                     const router_context &Context, routing_effects &Effects);
   void endAttempt(active_request &Request);
   // Records whether the upstream of the current attempt failed.
   void recordAnswer(active_request &Request, const router_context &Context);
@@ -208,6 +253,9 @@
              const router_context &Context, routing_effects &Effects);
   void onStreamData(active_request &Request, const std::string &Data,
                     const router_context &Context, routing_effects &Effects);
+  // Records when an event of an engine has come.
+  void observeTiming(const active_request &Request,
+                     const router_context &Context);
   void countUsage(active_request &Request, const router_context &Context);
   placement_query queryFor(const active_request &Request,
                            const router_context &Context) const;
@@ -226,6 +274,9 @@
   int64_t LastAttempt = 0;
   absl::flat_hash_map<request_id, std::unique_ptr<active_request>> Requests;
   absl::flat_hash_map<attempt_number, request_id> Attempts;
+  int64_t LastAsk = 0;
+  absl::flat_hash_map<int64_t, request_id> Asks;
+  absl::flat_hash_map<address, steady_time> SilentUntil; // relays
 };
 
 } // namespace monsoonreel
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -1,6 +1,7 @@
 // Implements the part of `request_router` that handles the answers of
 // upstreams.
 
+#include <algorithm>
 #include <utility>
 
 #include "monsoonreel/http_status.h"
@@ -148,6 +149,24 @@
       route_write{Request->Arrived.Request, std::exchange(Request->Body, {})});
 }
 
+void request_router::observeTiming(const active_request &Request,
+                                   const router_context &Context) {
+  if (!Request.Arrived.Prompt || !Request.Service->Engine ||
+      !Request.Service->Engine->hasFewSlots())
+    return;
+  const pool_name &Service = Request.Service->Name;
+  if (Request.BeganAt)
+    return Services.Model.onEventGap(Service, Request.Upstream,
+                                     Context.Now - Request.ProgressAt,
+                                     Context.Now);
+  // The queue of other requests is known late, which would make engines look
+  // faster than they are.
+  if (Request.UnreadWhenSent <= 2 * Request.OwnUnread)
+    Services.Model.onFirstEvent(Service, Request.Upstream,
+                                Request.UnreadWhenSent,
+                                Context.Now - Request.SentAt, Context.Now);
+}
+
 void request_router::onStreamData(active_request &Request,
                                   const std::string &Data,
                                   const router_context &Context,
@@ -160,6 +179,10 @@
   }
   if (Whole.empty())
     return;
+  observeTiming(Request, Context);
+  if (Request.BeganAt)
+    Request.LongestGap =
+        std::max(Request.LongestGap, Context.Now - Request.ProgressAt);
   Request.ProgressAt = Context.Now;
   Request.BeganAt = Request.BeganAt.value_or(Context.Now);
   if (Request.eventsOfAttempt() >= sound_answer_events &&
--- /dev/null
+++ b/routing/request_router_asks.cc
@@ -0,0 +1,256 @@
+// Implements the part of `request_router` that lets one entry of each zone
+// place the requests of the zone at engines with few slots.
+//
+// Load pattern: dozens of entries place requests with reports that are older
+// than the time in which an engine with few slots fills up, so some engines
+// queue while others idle. The acting relay of the zone receives the reports of
+// all its entries and counts what it has placed since, so its view is exact for
+// its zone. An entry whose ask is not answered places the request by itself.
+
+#include <algorithm>
+#include <utility>
+
+#include "monsoonreel/http_status.h"
+#include "monsoonreel/rendezvous.h"
+#include "routing/decision_log.h"
+#include "routing/engine_choice.h"
+#include "routing/request_router.h"
+
+namespace monsoonreel {
+
+namespace {
+
+// Bounds of what an ask may list.
+constexpr size_t max_pieces = 64;
+constexpr size_t max_listed_upstreams = 32;
+// Share of failed answers from which on an entry reports an upstream as
+// failing.
+constexpr double reported_failure_share = 0.3;
+// Longest times that an ask may state.
+constexpr duration longest_target = std::chrono::minutes(10);
+
+prompt_info promptOf(const wire::placement_ask &Ask) {
+  prompt_info Prompt;
+  Prompt.PromptTokens = std::max(0, Ask.PromptTokens);
+  Prompt.MaxOutputTokens = std::max(0, Ask.MaxOutputTokens);
+  size_t Count = std::min(Ask.Pieces.size(), max_pieces);
+  for (size_t I = 0; I < Count; ++I)
+    Prompt.Parts.push_back({static_cast<uint64_t>(Ask.Pieces[I].Id),
+                            std::max(0, Ask.Pieces[I].Tokens)});
+  return Prompt;
+}
+
+duration boundedTime(int64_t Micros) {
+  return std::clamp(fromMicros(Micros), duration::zero(), longest_target);
+}
+
+} // namespace
+
+zone_name request_router::homeZone(const placement_query &Query) {
+  uint64_t Subject = subjectOf(*Query.Prompt);
+  std::string_view Key(reinterpret_cast<const char *>(&Subject),
+                       sizeof(Subject));
+  const upstream_state *Home = nullptr;
+  uint64_t Most = 0;
+  for (const upstream_state *Each : Query.Serving) {
+    uint64_t Weight = rendezvousWeight(Key, Each->Entry.Name.Value);
+    if (!Home || Weight > Most) {
+      Home = Each;
+      Most = Weight;
+    }
+  }
+  return Home ? Home->Entry.Zone : zone_name();
+}
+
+bool request_router::isSilent(const address &Relay, steady_time Now) const {
+  auto It = SilentUntil.find(Relay);
+  return It != SilentUntil.end() && Now < It->second;
+}
+
+// A long prompt is placed by the relay of its subject's home zone, which then
+// knows all requests for the subject. Other requests are placed in the own
+// zone.
+address request_router::placerFor(const active_request &Request,
+                                  const placement_query &Query,
+                                  const router_context &Context) const {
+  const zone_relays *Relays = Context.Relays;
+  if (!Query.Model || !Relays || !Relays->inUse() ||
+      Request.Regions.isBinding())
+    return {};
+  if (!Query.Paced) {
+    zone_name Far = homeZone(Query);
+    if (Far != Zone)
+      for (const address &Relay : Relays->ofZone(Far))
+        if (!isSilent(Relay, Context.Now))
+          return Relay;
+  }
+  if (Relays->isActing(Context.Now))
+    return {};
+  address Own = Relays->reportingRelay(Context.Now);
+  return isSilent(Own, Context.Now) ? address() : Own;
+}
+
+void request_router::onUnansweredAsk(active_request &Request,
+                                     const router_context &Context,
+                                     routing_effects &Effects) {
+  Asks.erase(*std::exchange(Request.Ask, std::nullopt));
+  SilentUntil[Request.Asked] = Context.Now + silent_relay_pause;
+  Effects.push_back(count_metric{"monsoonreel_placement_asks_total",
+                                 {{"outcome", "unanswered"}}});
+  place(Request, Context, Effects);
+}
+
+std::vector<std::string>
+request_router::failingUpstreams(const placement_query &Query) const {
+  std::vector<std::string> Names;
+  for (const upstream_state *Each : Query.Serving) {
+    const upstream_entry &Entry = Each->Entry;
+    if (Services.FailureTracker.isPaused(Entry.Name, Entry.Zone, Query.Now) ||
+        Services.FailureTracker.failureShare(Entry.Name, Query.Now) >=
+            reported_failure_share ||
+        !Services.Limits.maySend(Entry.Name, Query.Now))
+      Names.push_back(Entry.Name.Value);
+    if (Names.size() == max_listed_upstreams)
+      break;
+  }
+  return Names;
+}
+
+void request_router::ask(active_request &Request, const address &Placer,
+                         const placement_query &Query,
+                         const router_context &Context,
+                         routing_effects &Effects) {
+  wire::placement_ask Ask;
+  Ask.Ask = ++LastAsk;
+  Ask.Service = Request.Service->Name.Value;
+  Ask.PromptTokens = Query.Prompt->PromptTokens;
+  Ask.MaxOutputTokens = Query.Prompt->MaxOutputTokens;
+  size_t Count = std::min(Query.Prompt->Parts.size(), max_pieces);
+  for (size_t I = 0; I < Count; ++I) {
+    wire::prompt_piece Piece;
+    Piece.Id = static_cast<int64_t>(Query.Prompt->Parts[I].Id);
+    Piece.Tokens = Query.Prompt->Parts[I].Tokens;
+    Ask.Pieces.push_back(Piece);
+  }
+  for (const upstream_name &Name : Request.Tried)
+    Ask.Tried.push_back(Name.Value);
+  Ask.Failing = failingUpstreams(Query);
+  Ask.Urgent = Query.Urgent;
+  Ask.TargetMicros = toMicros(Query.Target);
+  Ask.PauseMicros = toMicros(Query.Pause.value_or(duration{}));
+  Request.Ask = Ask.Ask;
+  Request.AskedAt = Context.Now;
+  Request.Asked = Placer;
+  Asks[Ask.Ask] = Request.Arrived.Request;
+  Effects.push_back(
+      send_datagrams{{Placer}, wire::peer_message(std::move(Ask))});
+}
+
+void request_router::onAsk(const address &From, const wire::placement_ask &Ask,
+                           const std::shared_ptr<const route_table> &Table,
+                           const router_context &Context,
+                           routing_effects &Effects) {
+  wire::placement_grant Grant;
+  Grant.Ask = Ask.Ask;
+  pool_name Service(Ask.Service);
+  const service *Known = Table ? Table->findService(Service) : nullptr;
+  const service_routes *Routes = Table ? Table->routesTo(Service) : nullptr;
+  if (!Known || !Known->Engine || !Routes) {
+    Effects.push_back(
+        send_datagrams{{From}, wire::peer_message(std::move(Grant))});
+    return;
+  }
+  prompt_info Prompt = promptOf(Ask);
+  std::vector<upstream_name> Excluded;
+  for (const auto *Names : {&Ask.Tried, &Ask.Failing})
+    for (const std::string &Name : *Names)
+      if (Excluded.size() < 2 * max_listed_upstreams)
+        Excluded.emplace_back(Name);
+  placement_query Query{Services.Registry.serving(Service),
+                        Zone,
+                        &Prompt,
+                        isPaced(Prompt),
+                        Excluded,
+                        Context.Now,
+                        Context.Random,
+                        Known->Engine->Slots,
+                        false};
+  Query.Model = &Services.Model;
+  Query.Target = boundedTime(Ask.TargetMicros);
+  if (Ask.PauseMicros > 0)
+    Query.Pause = boundedTime(Ask.PauseMicros);
+  Query.StrictestPause = Routes->StrictestPause;
+  Query.Urgent = Ask.Urgent;
+  Query.CacheIsExact = true;
+  std::optional<placement> Chosen =
+      choosePlacement(Query, {Services.Load, Services.Cache,
+                              Services.FailureTracker, Services.Limits});
+  const char *Outcome = "none";
+  if (Chosen) {
+    Grant.PredictedMicros = toMicros(Chosen->FirstEvent);
+    Grant.UnreadTokens = Chosen->UnreadTokens;
+    if (Ask.Tried.empty() && isHopeless(Query, *Chosen)) {
+      Outcome = "refused";
+      Grant.RetryMicros = toMicros(placeExpectedAfter(Query, *Chosen));
+    } else {
+      Outcome = "granted";
+      const upstream_name &Name = Chosen->Upstream->Entry.Name;
+      Grant.Upstream = Name.Value;
+      Services.Load.onGranted(From, Name, {Chosen->UnreadTokens, Query.Paced},
+                              Context.Now);
+      Services.Cache.onDispatched(Name, Prompt, Context.Now);
+    }
+  }
+  Effects.push_back(
+      count_metric{"monsoonreel_placement_asks_total", {{"outcome", Outcome}}});
+  Effects.push_back(
+      send_datagrams{{From}, wire::peer_message(std::move(Grant))});
+}
+
+bool request_router::isUsable(const active_request &Request,
+                              const upstream_state &Upstream,
+                              const router_context &Context) const {
+  const upstream_entry &Entry = Upstream.Entry;
+  const auto &Serving = Services.Registry.serving(Request.Service->Name);
+  return std::find(Serving.begin(), Serving.end(), &Upstream) !=
+             Serving.end() &&
+         std::find(Request.Tried.begin(), Request.Tried.end(), Entry.Name) ==
+             Request.Tried.end() &&
+         !Services.FailureTracker.backoffUntil(Entry.Name, Context.Now) &&
+         !Services.FailureTracker.isPaused(Entry.Name, Entry.Zone,
+                                           Context.Now) &&
+         Services.Limits.maySend(Entry.Name, Context.Now);
+}
+
+void request_router::onGrant(const wire::placement_grant &Grant,
+                             const router_context &Context,
+                             routing_effects &Effects) {
+  auto Node = Asks.extract(Grant.Ask);
+  auto It = Node ? Requests.find(Node.mapped()) : Requests.end();
+  if (It == Requests.end() || It->second->Ask != Grant.Ask)
+    return;
+  active_request &Request = *It->second;
+  Request.Ask.reset();
+  if (Grant.RetryMicros > 0 && Request.Sent == 0)
+    return refuseForRoom(Request, boundedTime(Grant.RetryMicros), Context,
+                         Effects);
+  const upstream_state *Upstream =
+      Services.Registry.find(upstream_name(Grant.Upstream));
+  if (!Upstream || !isUsable(Request, *Upstream, Context))
+    return place(Request, Context, Effects);
+  placement Chosen;
+  Chosen.Upstream = Upstream;
+  Chosen.UnreadTokens = std::max<int64_t>(0, Grant.UnreadTokens);
+  Chosen.FirstEvent = boundedTime(Grant.PredictedMicros);
+  Chosen.Use = Services.Load.at(Upstream->Entry.Name);
+  dispatch(Request, queryFor(Request, Context), Chosen, Context, Effects);
+}
+
+void request_router::refuseForRoom(active_request &Request, duration RetryAfter,
+                                   const router_context &Context,
+                                   routing_effects &Effects) {
+  refuse(Request, http_status::service_unavailable, "no-room", RetryAfter,
+         Context, Effects);
+}
+
+} // namespace monsoonreel
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_join.h"
 
 #include "routing/decision_log.h"
+#include "routing/engine_choice.h"
 #include "routing/request_router.h"
 
 namespace monsoonreel {
@@ -31,16 +32,29 @@
 placement_query request_router::queryFor(const active_request &Request,
                                          const router_context &Context) const {
   bool OnEngine = Request.Service->Engine && Request.Arrived.Prompt;
-  return {Services.Registry.serving(Request.Service->Name),
-          Zone,
-          OnEngine ? &*Request.Arrived.Prompt : nullptr,
-          OnEngine && isPaced(*Request.Arrived.Prompt),
-          Request.Tried,
-          Context.Now,
-          Context.Random,
-          OnEngine ? Request.Service->Engine->Slots : 0,
-          Context.LoadIsStale,
-          &Request.Regions};
+  placement_query Query{Services.Registry.serving(Request.Service->Name),
+                        Zone,
+                        OnEngine ? &*Request.Arrived.Prompt : nullptr,
+                        OnEngine && isPaced(*Request.Arrived.Prompt),
+                        Request.Tried,
+                        Context.Now,
+                        Context.Random,
+                        OnEngine ? Request.Service->Engine->Slots : 0,
+                        Context.LoadIsStale,
+                        &Request.Regions};
+  if (!OnEngine || !Request.Service->Engine->hasFewSlots())
+    return Query;
+  const service_routes &Routes =
+      *Request.Table->routesTo(Request.Service->Name);
+  Query.Model = &Services.Model;
+  Query.Target = Request.Route->Target;
+  Query.Pause = Request.Route->PauseTarget;
+  Query.StrictestPause = Routes.StrictestPause;
+  Query.Urgent = Request.Route->Rank <= Routes.MostUrgentRank;
+  bool IsPlacer = Context.Relays && Context.Relays->isActing(Context.Now);
+  Query.LoadIsStale = Context.LoadIsStale && !IsPlacer;
+  Query.CacheIsExact = IsPlacer;
+  return Query;
 }
 
 void request_router::send(active_request &Request,
@@ -56,6 +70,16 @@
     return endWithFailure(Request, "prompt-part-held", Context, Effects);
   }
   placement_query Query = queryFor(Request, Context);
+  address Placer = placerFor(Request, Query, Context);
+  if (!Placer.empty())
+    return ask(Request, Placer, Query, Context, Effects);
+  place(Request, Context, Effects);
+}
+
+void request_router::place(active_request &Request,
+                           const router_context &Context,
+                           routing_effects &Effects) {
+  placement_query Query = queryFor(Request, Context);
   std::optional<placement> Chosen =
       choosePlacement(Query, {Services.Load, Services.Cache,
                               Services.FailureTracker, Services.Limits});
@@ -63,7 +87,18 @@
     return endWithFailure(Request,
                           reasonForNoUpstream(Request, Context, Effects),
                           Context, Effects);
-  const upstream_entry &Entry = Chosen->Upstream->Entry;
+  if (Request.Sent == 0 && isHopeless(Query, *Chosen))
+    return refuseForRoom(Request, placeExpectedAfter(Query, *Chosen), Context,
+                         Effects);
+  dispatch(Request, Query, *Chosen, Context, Effects);
+}
+
+void request_router::dispatch(active_request &Request,
+                              const placement_query &Query,
+                              const placement &Chosen,
+                              const router_context &Context,
+                              routing_effects &Effects) {
+  const upstream_entry &Entry = Chosen.Upstream->Entry;
   attempt_number Attempt{++LastAttempt};
   Attempts[Attempt] = Request.Arrived.Request;
   Request.Attempt = Attempt;
@@ -73,12 +108,14 @@
   Request.BeganAt.reset();
   Request.SoundRecorded = false;
   Request.SentAt = Request.ProgressAt = Context.Now;
+  Request.OwnUnread = Chosen.UnreadTokens;
+  Request.UnreadWhenSent = Chosen.Use.UnreadTokens + Chosen.UnreadTokens;
   Request.EventsBefore = Request.Events.taken();
   Request.Status = 0;
   Request.Stream = Request.Held = false;
   Request.Tried.push_back(Entry.Name);
   ++Request.Sent;
-  Services.Load.begin(Attempt, Entry.Name, {Chosen->UnreadTokens, Query.Paced});
+  Services.Load.begin(Attempt, Entry.Name, {Chosen.UnreadTokens, Query.Paced});
   Services.Limits.onSent(Entry.Name, Context.Now);
   if (Request.Arrived.Prompt)
     Services.Quarantine.onSent(*Request.Arrived.Prompt, Context.TrueTime);
@@ -103,6 +140,9 @@
   Effects.push_back(Dispatch);
   upstream_limits::summary Limit;
   Services.Limits.addTo(Limit, Entry.Name, Context.Now);
+  engine_timing Timing;
+  if (Query.Model)
+    Timing = Query.Model->at(Entry.Service, Entry.Name);
   Effects.push_back(
       decision("dispatched")
           .add("request", Request.Arrived.CallerId)
@@ -115,10 +155,14 @@
           .add("config_version", Request.Table->config().Version)
           .add("registry_age", Context.RegistryAge)
           .add("candidates", static_cast<int64_t>(Query.Serving.size()))
-          .add("cost", static_cast<int64_t>(Chosen->Cost))
-          .add("unread", Chosen->UnreadTokens)
-          .add("running", Chosen->Use.Running)
-          .add("unread_before", Chosen->Use.UnreadTokens)
+          .add("cost", static_cast<int64_t>(Chosen.Cost))
+          .add("unread", Chosen.UnreadTokens)
+          .add("running", Chosen.Use.Running)
+          .add("unread_before", Chosen.Use.UnreadTokens)
+          .add("predicted", Chosen.FirstEvent)
+          .add("paced_beside", Chosen.Use.PacedStreams)
+          .add("tokens_per_ms", static_cast<int64_t>(Timing.TokensPerMs))
+          .add("event_gap", Timing.EventGap)
           .add("limit", Services.Limits.describe(Entry.Name))
           .add("limit_age", Limit.OldestAge)
           .add("time_left", Dispatch.TimeLeft)
--- a/routing/route_table.cc
+++ b/routing/route_table.cc
@@ -38,6 +38,14 @@
 route_table::route_table(site_config Accepted) : Config(std::move(Accepted)) {
   for (size_t I = 0; I < Config.Routes.size(); ++I)
     ByPrefix.try_emplace({Config.Routes[I].Host, Config.Routes[I].Prefix}, I);
+  for (const host_route &Route : Config.Routes)
+    for (const weighted_service &Choice : Route.Services) {
+      service_routes &Routes = RoutesTo[Choice.Service];
+      Routes.MostUrgentRank = std::min(Routes.MostUrgentRank, Route.Rank);
+      if (Route.PauseTarget)
+        Routes.StrictestPause =
+            std::min(Routes.StrictestPause, *Route.PauseTarget);
+    }
   for (size_t I = 0; I < Config.Services.size(); ++I)
     ByService.try_emplace(Config.Services[I].Name, I);
   for (const service &Service : Config.Services)
@@ -77,6 +85,11 @@
   return It == RanksAt.end() ? nullptr : &It->second;
 }
 
+const service_routes *route_table::routesTo(const pool_name &Service) const {
+  auto It = RoutesTo.find(Service);
+  return It == RoutesTo.end() ? nullptr : &It->second;
+}
+
 const service *route_table::findService(const pool_name &Name) const {
   auto It = ByService.find(Name);
   return It == ByService.end() ? nullptr : &Config.Services[It->second];
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -9,6 +9,7 @@
 #ifndef ROUTING_ROUTE_TABLE_H
 #define ROUTING_ROUTE_TABLE_H
 
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,12 @@
 
 namespace monsoonreel {
 
+// What the routes to a service have in common.
+struct service_routes {
+  int MostUrgentRank = std::numeric_limits<int>::max();
+  duration StrictestPause = duration::max(); // of the streams
+};
+
 class route_table {
 public:
   explicit route_table(site_config Config);
@@ -41,6 +48,10 @@
   // has no engines.
   const engine_ranks *ranksAt(const pool_name &Service) const;
 
+  // Returns what the routes to Service have in common, or nullptr if there are
+  // none.
+  const service_routes *routesTo(const pool_name &Service) const;
+
   // Returns whether callers need keys at all.
   bool hasOrganisations() const { return !Config.Organisations.empty(); }
   const site_config &config() const { return Config; }
@@ -60,6 +71,7 @@
   absl::flat_hash_map<key_hash, size_t> ByKey;
   absl::flat_hash_map<pool_name, size_t> ByService;
   absl::flat_hash_map<pool_name, engine_ranks> RanksAt;
+  absl::flat_hash_map<pool_name, service_routes> RoutesTo;
 };
 
 } // namespace monsoonreel
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -46,9 +46,10 @@
       Evacuations(Terms.Feeds.EvacuationPrefix, Terms.Bounds.lostOrderGrace()),
       Registry(Terms.Bounds.lapseGrace()), Limits(Identity.Name.Value),
       Quarantine(Identity.Name.Value), Budget(Terms.Resends),
-      Usage(usageTerms(Terms)), Requests({Registry, Load, Cache, FailureTracker,
-                                          Limits, Quarantine, Budget, Usage},
-                                         Identity.Zone, Terms.Regions),
+      Usage(usageTerms(Terms)),
+      Requests({Registry, Load, Cache, FailureTracker, Limits, Model,
+                Quarantine, Budget, Usage},
+               Identity.Zone, Terms.Regions),
       Duties(dutyTerms(Terms), Identity), Capacity(Terms.Bounds.UpstreamReport),
       Relays(Identity) {}
 
@@ -110,7 +111,18 @@
           Event.Random,
           UpstreamFeed.isKnown() ? UpstreamFeed.age(Event.Now) : duration{},
           entryCount(),
-          Relays.inUse() || reportInterval() > report_period};
+          Relays.inUse() || reportInterval() > report_period,
+          &Relays};
+}
+
+int64_t routing_node::zoneExchangePeriod() const {
+  bool FewSlots =
+      Table &&
+      std::any_of(Table->config().Services.begin(),
+                  Table->config().Services.end(), [](const service &Service) {
+                    return Service.Engine && Service.Engine->hasFewSlots();
+                  });
+  return FewSlots ? 1 : reports_per_zone_exchange;
 }
 
 duration routing_node::reportInterval() const {
@@ -146,6 +158,7 @@
 
   Load.onTick(Event.Now);
   Cache.onTick(Event.Now);
+  Model.onTick(Event.Now);
   FailureTracker.onTick(Event.Now);
   if (Event.Now >= NextRefresh)
     refreshEntries(Event.Now, Effects);
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -166,6 +166,8 @@
   router_context contextOf(const routing_event &Event) const;
   size_t entryCount() const { return Others.size() + 1; }
   duration reportInterval() const;
+  // Interval, in reports of a relay, at which zones exchange their sums.
+  int64_t zoneExchangePeriod() const;
   keyed_feed *feedOf(const std::string &Name);
   void refreshEntries(steady_time Now, routing_effects &Effects);
   void updateLimitShares(steady_time Now);
@@ -253,6 +255,7 @@
   upstream_registry Registry;
   upstream_load Load;
   prompt_cache_view Cache;
+  engine_model Model;
   upstream_failure_tracker FailureTracker;
   upstream_limits Limits;
   part_quarantine Quarantine;
--- a/routing/routing_node_platform.cc
+++ b/routing/routing_node_platform.cc
@@ -189,6 +189,7 @@
   if (Restarted) {
     Cache.forget(Name);
     FailureTracker.forget(Name);
+    Model.forget(Name);
   }
   if (!(Changed || Restarted) || (!Known && !Listed.Entry))
     return;
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -48,6 +48,11 @@
     return onUsageReport(From, *Report, Event.Now);
   if (const auto *News = std::get_if<wire::feed_news>(&Received.Message))
     return onNews(From, *News, Event.Now, Effects);
+  if (const auto *Ask = std::get_if<wire::placement_ask>(&Received.Message))
+    return Requests.onAsk(From, *Ask, Relays.isRelay() ? Table : nullptr,
+                          contextOf(Event), Effects);
+  if (const auto *Grant = std::get_if<wire::placement_grant>(&Received.Message))
+    return Requests.onGrant(*Grant, contextOf(Event), Effects);
 }
 
 // ---------------------------------------------------------------- receiving
@@ -309,7 +314,7 @@
   Report.Leaving = leavingRuns(Event.Now);
   Report.Limits = Limits.recent(false, Event.Now);
   Report.Parts = Quarantine.report(false, Event.Now);
-  if (++RelayReports % reports_per_zone_exchange == 0) {
+  if (++RelayReports % zoneExchangePeriod() == 0) {
     Effects.push_back(
         send_datagrams{Relays.ofOtherZones(), wire::peer_message(Report)});
     for (const auto &[Zone, Far] : OtherZones) {
--- a/routing/site_config.h
+++ b/routing/site_config.h
@@ -53,10 +53,16 @@
 };
 
 // Configured properties of the engines of a service.
+// Engines with at most this many slots have few: one request is then a large
+// part of an engine.
+constexpr int few_slots = 16;
+
 struct engine_terms {
   int Slots = 1; // concurrent requests
   int64_t CacheTokens = 0;
   int Ranks = 1; // number of scheduling ranks
+
+  bool hasFewSlots() const { return Slots <= few_slots; }
 };
 
 // Limits for orders of upstreams of a service.
--- /dev/null
+++ b/routing/testing/engine_choice_test.cc
@@ -0,0 +1,156 @@
+#include "routing/engine_choice.h"
+
+#include <gtest/gtest.h>
+
+#include "routing/testing/test_time.h"
+
+namespace monsoonreel {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Nine engines of one zone with 16 slots. The model has learned nothing, so an
+// engine reads 60 tokens in a millisecond and makes an event in 40 ms.
+class engine_choice_test : public testing::Test {
+protected:
+  engine_choice_test() {
+    for (int I = 0; I < 9; ++I) {
+      upstream_entry Entry;
+      Entry.Name = engine(I);
+      Entry.Service = Service;
+      Entry.Zone = Zone;
+      Registry.onListed({Entry.Name.Value, Entry, false}, at(0ms));
+    }
+  }
+
+  static upstream_name engine(int I) {
+    return upstream_name("u" + std::to_string(I));
+  }
+  static prompt_info longPrompt(int Tokens, uint64_t Subject = 77) {
+    return {"m", 6300 + Tokens, 60, {{1, 2500}, {Subject, 3800}, {9, Tokens}}};
+  }
+  static prompt_info shortPrompt() {
+    return {"m", 800, 300, {{2, 120}, {3, 680}}};
+  }
+  void load(int I, int Running, int64_t Unread, bool Paced) {
+    for (int R = 0; R < Running; ++R)
+      Load.begin(attempt_number{++Attempts}, engine(I),
+                 {R == 0 ? Unread : 0, Paced});
+  }
+  placement_query query(const prompt_info &Prompt) const {
+    placement_query Query{Registry.serving(Service),
+                          Zone,
+                          &Prompt,
+                          isPaced(Prompt),
+                          Tried,
+                          at(0ms),
+                          1,
+                          16};
+    Query.Model = &Model;
+    Query.Target = 400ms;
+    Query.Pause = 300ms;
+    Query.StrictestPause = 200ms;
+    Query.CacheIsExact = true;
+    Query.Urgent = Query.Paced;
+    return Query;
+  }
+  placement choose(const prompt_info &Prompt) const {
+    return *choosePlacement(query(Prompt),
+                            {Load, Cache, FailureTracker, Limits});
+  }
+  std::string nameFor(const prompt_info &Prompt) const {
+    return choose(Prompt).Upstream->Entry.Name.Value;
+  }
+
+  const pool_name Service{"chat"};
+  const zone_name Zone{"z"};
+  upstream_registry Registry;
+  upstream_load Load;
+  prompt_cache_view Cache;
+  upstream_limits Limits{"e"};
+  upstream_failure_tracker FailureTracker;
+  engine_model Model;
+  std::vector<upstream_name> Tried;
+  int64_t Attempts = 0;
+};
+
+// Guards against streams that pause because a prompt is read beside them:
+// within a pause of 200 ms an engine reads 9,600 tokens.
+TEST_F(engine_choice_test, LongPrompt_StreamsEverywhereButOnOne_GoesToThatOne) {
+  for (int I = 0; I < 9; ++I)
+    load(I, I == 4 ? 0 : 6, 0, true);
+  EXPECT_EQ(nameFor(longPrompt(9000)), "u4");
+}
+
+// Guards against a prompt that is read beside streams although another engine
+// could read it a little later without harm.
+TEST_F(engine_choice_test,
+       LongPrompt_OnlyEngineWithoutStreamsReads_WaitsThere) {
+  for (int I = 0; I < 9; ++I)
+    load(I, I == 4 ? 1 : 6, I == 4 ? 6000 : 0, I != 4);
+  EXPECT_EQ(nameFor(longPrompt(6000)), "u4");
+}
+
+TEST_F(engine_choice_test, PacedStream_EnginesReadPrompts_AvoidsThem) {
+  for (int I = 0; I < 9; ++I)
+    load(I, 1, I == 7 ? 0 : 12000, false);
+  EXPECT_EQ(nameFor(shortPrompt()), "u7");
+}
+
+// Guards against queues at one engine while others have free slots.
+TEST_F(engine_choice_test, PacedStream_SlotsTakenOnAllButOne_GoesThere) {
+  for (int I = 0; I < 9; ++I)
+    load(I, I == 2 ? 12 : 16, 0, true);
+  EXPECT_EQ(nameFor(shortPrompt()), "u2");
+}
+
+// Guards against a subject that leaves the engine that has it cached for a
+// wait that is shorter than reading it again.
+TEST_F(engine_choice_test, Subject_HomeReadsBriefly_IsNotReadAgain) {
+  std::string Home = nameFor(longPrompt(2700));
+  Cache.onDispatched(upstream_name(Home), longPrompt(2700), at(0ms));
+  load(Home[1] - '0', 1, 3000, false);
+  EXPECT_EQ(nameFor(longPrompt(2700)), Home);
+}
+
+TEST_F(engine_choice_test, Subject_HomeReadsForLong_IsReadElsewhere) {
+  std::string Home = nameFor(longPrompt(2700));
+  Cache.onDispatched(upstream_name(Home), longPrompt(2700), at(0ms));
+  load(Home[1] - '0', 1, 40000, false);
+  EXPECT_NE(nameFor(longPrompt(2700)), Home);
+}
+
+// Guards against requests that wait at engines until they are late, and delay
+// those behind them.
+TEST_F(engine_choice_test, EveryEngineReadsForLong_LessUrgentIsHopelessFirst) {
+  prompt_info Long = longPrompt(2700);
+  prompt_info Short = shortPrompt();
+  EXPECT_FALSE(isHopeless(query(Long), choose(Long)));
+  for (int I = 0; I < 9; ++I)
+    load(I, 1, 30000, false); // half a second
+  EXPECT_TRUE(isHopeless(query(Long), choose(Long)));
+  EXPECT_FALSE(isHopeless(query(Short), choose(Short)));
+  for (int I = 0; I < 9; ++I)
+    load(I, 1, 60000, false);
+  EXPECT_TRUE(isHopeless(query(Short), choose(Short)));
+}
+
+// Guards against refusals by entries that know only a part of the load.
+TEST_F(engine_choice_test, LoadIsStale_NoRequestIsHopeless) {
+  prompt_info Long = longPrompt(2700);
+  for (int I = 0; I < 9; ++I)
+    load(I, 1, 90000, false);
+  placement_query Query = query(Long);
+  Query.LoadIsStale = true;
+  EXPECT_FALSE(isHopeless(Query, choose(Long)));
+}
+
+TEST_F(engine_choice_test, EnginesForPaced_ManyStreams_LeaveSomeForPrompts) {
+  EXPECT_EQ(engineCountForPaced(0, 16, 9), 1u);
+  EXPECT_EQ(engineCountForPaced(22, 16, 90), 2u);
+  EXPECT_EQ(engineCountForPaced(5000, 16, 90), 72u);
+  EXPECT_EQ(engineCountForPaced(1, 16, 1), 0u);
+}
+
+} // namespace
+} // namespace monsoonreel
--- a/routing/testing/request_router_fixture.h
+++ b/routing/testing/request_router_fixture.h
@@ -19,8 +19,8 @@
 protected:
   request_router_test()
       : Budget({0.2, 1000, 10s}), Usage(usage_terms{}),
-        Router({Registry, Load, Cache, FailureTracker, Limits, Quarantine,
-                Budget, Usage},
+        Router({Registry, Load, Cache, FailureTracker, Limits, Model,
+                Quarantine, Budget, Usage},
                zone_name("z"),
                {{zone_name("z"), region_name("eu")},
                 {zone_name("far"), region_name("us")}}) {
@@ -141,6 +141,7 @@
   upstream_failure_tracker FailureTracker;
   upstream_limits Limits{"e"};
   part_quarantine Quarantine{"e"};
+  engine_model Model;
   resend_budget Budget;
   usage_windows Usage;
   request_router Router;
--- a/routing/upstream_load.cc
+++ b/routing/upstream_load.cc
@@ -74,6 +74,44 @@
   if (Older)
     return;
   replace(From, {false, Report.Incarnation, Report.Sequence, Now, Report.Uses});
+  removeGranted(From, Now - relay_delay);
+}
+
+void upstream_load::onGranted(const address &To, const upstream_name &Upstream,
+                              const work_size &Size, steady_time Now) {
+  GrantedPlaces.push_back({To, Upstream, Size, Now});
+  upstream_use_sum &Use = Granted[Upstream];
+  ++Use.Running;
+  Use.UnreadTokens += Size.UnreadTokens;
+  Use.PacedStreams += Size.Paced ? 1 : 0;
+}
+
+void upstream_load::subtractGranted(const granted_place &Place) {
+  auto It = Granted.find(Place.Upstream);
+  if (It == Granted.end())
+    return;
+  It->second.UnreadTokens -= Place.Size.UnreadTokens;
+  It->second.PacedStreams -= Place.Size.Paced ? 1 : 0;
+  if (--It->second.Running == 0)
+    Granted.erase(It);
+}
+
+// The list is short: it covers the grants of one report interval.
+void upstream_load::removeGranted(const address &To, steady_time Before) {
+  std::erase_if(GrantedPlaces, [&](const granted_place &Place) {
+    bool IsCovered = Place.At <= Before && Place.To == To;
+    if (IsCovered)
+      subtractGranted(Place);
+    return IsCovered;
+  });
+}
+
+void upstream_load::expireGranted(steady_time Now) {
+  while (!GrantedPlaces.empty() &&
+         Now - GrantedPlaces.front().At >= grant_expiry) {
+    subtractGranted(GrantedPlaces.front());
+    GrantedPlaces.pop_front();
+  }
 }
 
 void upstream_load::onZone(const wire::zone_uses &Uses, bool IsOwn,
@@ -118,6 +156,7 @@
   if (Now < NextExpiry)
     return;
   NextExpiry = Now + expiry_check_period;
+  expireGranted(Now);
   for (auto &[From, Peer] : ByPeer) {
     if (Peer.Uses.empty() || Now - Peer.ReceivedAt < report_expiry)
       continue;
@@ -143,7 +182,7 @@
 
 upstream_use_sum upstream_load::at(const upstream_name &Upstream) const {
   upstream_use_sum Sum;
-  for (const use_map *Uses : {&Own, &Peers})
+  for (const use_map *Uses : {&Own, &Peers, &Granted})
     if (auto It = Uses->find(Upstream); It != Uses->end()) {
       Sum.Running += It->second.Running;
       Sum.UnreadTokens += It->second.UnreadTokens;
--- a/routing/upstream_load.h
+++ b/routing/upstream_load.h
@@ -6,6 +6,7 @@
 //   Load.end(Attempt);
 //   Load.onReport(From, Report, Now);   // from each other entry
 //   Load.onZone(Uses, IsOwn, Age, Now); // sums that a relay sends
+//   Load.onGranted(To, Upstream, Size, Now); // a relay has placed a request
 //   upstream_use_sum Sum = Load.at(Upstream);
 //
 // The reports of the upstreams themselves lag by hundreds of milliseconds, and
@@ -19,6 +20,7 @@
 #define ROUTING_UPSTREAM_LOAD_H
 
 #include <cstdint>
+#include <deque>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -29,6 +31,9 @@
 
 // Reports of an entry expire after this time.
 constexpr duration report_expiry = std::chrono::seconds(2);
+// A granted place that no report of its entry covers expires after this time.
+// The sums of other zones include the places of their entries by then.
+constexpr duration grant_expiry = std::chrono::milliseconds(250);
 
 struct work_size {
   int64_t UnreadTokens = 0; // prompt tokens that the upstream has to read
@@ -55,6 +60,10 @@
   // include what this entry has reported itself.
   void onZone(const wire::zone_uses &Uses, bool IsOwn, duration Age,
               steady_time Now);
+  // Counts a request that an entry was told to send to the upstream, until a
+  // report of that entry includes it.
+  void onGranted(const address &To, const upstream_name &Upstream,
+                 const work_size &Size, steady_time Now);
   void onTick(steady_time Now);
 
   upstream_use_sum at(const upstream_name &Upstream) const;
@@ -79,11 +88,21 @@
     steady_time ReceivedAt;
     std::vector<wire::upstream_use> Uses;
   };
+  struct granted_place {
+    address To;
+    upstream_name Upstream;
+    work_size Size;
+    steady_time At;
+  };
   using use_map = absl::flat_hash_map<upstream_name, upstream_use_sum>;
 
   static std::vector<wire::upstream_use> listOf(const use_map &Uses);
   // Replaces the load that Source has reported.
   void replace(const address &Source, peer_uses New);
+  // Removes the places that were granted to To by Before.
+  void removeGranted(const address &To, steady_time Before);
+  void expireGranted(steady_time Now);
+  void subtractGranted(const granted_place &Place);
   // Returns the own load that is included in a relay's sums that arrive now.
   const std::vector<wire::upstream_use> &
   usesInRelayedSum(steady_time Now) const;
@@ -94,6 +113,8 @@
   use_map Own;
   absl::flat_hash_map<address, peer_uses> ByPeer; // entries and zones
   use_map Peers;                                  // sums over ByPeer
+  std::deque<granted_place> GrantedPlaces;        // in order of time
+  use_map Granted;                                // sums over GrantedPlaces
   steady_time NextExpiry = steady_time::min();
   std::vector<wire::upstream_use> LastReported;
   std::vector<wire::upstream_use> PreviouslyReported;
--- a/routing/zone_relays.cc
+++ b/routing/zone_relays.cc
@@ -23,6 +23,7 @@
   ZoneEntries.clear();
   OwnRelays.clear();
   OtherZoneRelays.clear();
+  RelaysByZone.clear();
   std::map<std::string, std::vector<candidate>> Zones;
   candidate Own = candidateOf(Self.Name.Value, Self.Capacity, Self.Address);
   Zones[Self.Zone.Value].push_back(Own);
@@ -41,9 +42,10 @@
                       Candidates.begin() + static_cast<std::ptrdiff_t>(Count),
                       Candidates.end(), std::greater<>());
     for (size_t Place = 0; Place < Count; ++Place)
-      if (Zone != Self.Zone.Value)
+      if (Zone != Self.Zone.Value) {
         OtherZoneRelays.push_back(Candidates[Place].Address);
-      else if (Candidates[Place] == Own)
+        RelaysByZone[zone_name(Zone)].push_back(Candidates[Place].Address);
+      } else if (Candidates[Place] == Own)
         OwnPlace = Place;
       else
         OwnRelays.push_back(Candidates[Place].Address);
@@ -72,14 +74,32 @@
   return InUse && anyReportedRecently(OwnRelays.size(), Now);
 }
 
+const std::vector<address> &zone_relays::ofZone(const zone_name &Zone) const {
+  static const std::vector<address> None;
+  if (Zone == Self.Zone)
+    return OwnRelays;
+  auto It = RelaysByZone.find(Zone);
+  return It == RelaysByZone.end() ? None : It->second;
+}
+
+address zone_relays::reportingRelay(steady_time Now) const {
+  for (const address &Relay : OwnRelays)
+    if (hasReportedRecently(Relay, Now))
+      return Relay;
+  return {};
+}
+
+bool zone_relays::hasReportedRecently(const address &Relay,
+                                      steady_time Now) const {
+  auto It = ReceivedAt.find(Relay);
+  return It != ReceivedAt.end() && Now - It->second < relay_timeout;
+}
+
 // Returns whether one of the first Count other relays has reported recently.
 bool zone_relays::anyReportedRecently(size_t Count, steady_time Now) const {
   return std::any_of(
       OwnRelays.begin(), OwnRelays.begin() + static_cast<std::ptrdiff_t>(Count),
-      [&](const address &Relay) {
-        auto It = ReceivedAt.find(Relay);
-        return It != ReceivedAt.end() && Now - It->second < relay_timeout;
-      });
+      [&](const address &Relay) { return hasReportedRecently(Relay, Now); });
 }
 
 } // namespace monsoonreel
--- a/routing/zone_relays.h
+++ b/routing/zone_relays.h
@@ -24,6 +24,7 @@
 #ifndef ROUTING_ZONE_RELAYS_H
 #define ROUTING_ZONE_RELAYS_H
 
+#include <map>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -54,10 +55,15 @@
   bool hasReportingRelay(steady_time Now) const;
   // Returns whether this entry is the relay that has to send the zone's sum.
   bool isActing(steady_time Now) const;
+  // Returns the first other relay of the own zone that has reported recently;
+  // empty if there is none.
+  address reportingRelay(steady_time Now) const;
   // The relays of the own zone, without this entry.
   const std::vector<address> &ofOwnZone() const { return OwnRelays; }
   // The relays of all other zones.
   const std::vector<address> &ofOtherZones() const { return OtherZoneRelays; }
+  // Returns the relays of a zone in order of rank, without this entry.
+  const std::vector<address> &ofZone(const zone_name &Zone) const;
   // The other entries of the own zone.
   const std::vector<address> &zoneEntries() const { return ZoneEntries; }
   bool isInOwnZone(const address &Entry) const;
@@ -72,6 +78,7 @@
   static candidate candidateOf(const std::string &Name, int Capacity,
                                const address &Address);
 
+  bool hasReportedRecently(const address &Relay, steady_time Now) const;
   bool anyReportedRecently(size_t Count, steady_time Now) const;
 
   node_identity Self;
@@ -79,7 +86,8 @@
   size_t OwnPlace = relays_in_zone; // rank among the relays of the own zone
   std::vector<address> OwnRelays;   // in order of rank
   std::vector<address> OtherZoneRelays;
-  std::vector<address> ZoneEntries; // sorted
+  std::map<zone_name, std::vector<address>> RelaysByZone; // other zones
+  std::vector<address> ZoneEntries;                       // sorted
   absl::flat_hash_map<address, steady_time> ReceivedAt;
 };
 
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -3884,4 +3884,675 @@
   out << ")";
 }
 
+
+prompt_piece::~prompt_piece() noexcept {
+}
+
+
+void prompt_piece::__set_Id(const int64_t val) {
+  this->Id = val;
+}
+
+void prompt_piece::__set_Tokens(const int32_t val) {
+  this->Tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const prompt_piece& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t prompt_piece::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Id);
+          this->__isset.Id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->Tokens);
+          this->__isset.Tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t prompt_piece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("prompt_piece");
+
+  xfer += oprot->writeFieldBegin("Id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->Tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(prompt_piece &a, prompt_piece &b) {
+  using ::std::swap;
+  swap(a.Id, b.Id);
+  swap(a.Tokens, b.Tokens);
+  swap(a.__isset, b.__isset);
+}
+
+prompt_piece::prompt_piece(const prompt_piece& other190) noexcept {
+  Id = other190.Id;
+  Tokens = other190.Tokens;
+  __isset = other190.__isset;
+}
+prompt_piece::prompt_piece(prompt_piece&& other191) noexcept {
+  Id = other191.Id;
+  Tokens = other191.Tokens;
+  __isset = other191.__isset;
+}
+prompt_piece& prompt_piece::operator=(const prompt_piece& other192) noexcept {
+  Id = other192.Id;
+  Tokens = other192.Tokens;
+  __isset = other192.__isset;
+  return *this;
+}
+prompt_piece& prompt_piece::operator=(prompt_piece&& other193) noexcept {
+  Id = other193.Id;
+  Tokens = other193.Tokens;
+  __isset = other193.__isset;
+  return *this;
+}
+void prompt_piece::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "prompt_piece(";
+  out << "Id=" << to_string(Id);
+  out << ", " << "Tokens=" << to_string(Tokens);
+  out << ")";
+}
+
+
+placement_ask::~placement_ask() noexcept {
+}
+
+
+void placement_ask::__set_Ask(const int64_t val) {
+  this->Ask = val;
+}
+
+void placement_ask::__set_Service(const std::string& val) {
+  this->Service = val;
+}
+
+void placement_ask::__set_PromptTokens(const int32_t val) {
+  this->PromptTokens = val;
+}
+
+void placement_ask::__set_MaxOutputTokens(const int32_t val) {
+  this->MaxOutputTokens = val;
+}
+
+void placement_ask::__set_Pieces(const std::vector<prompt_piece> & val) {
+  this->Pieces = val;
+}
+
+void placement_ask::__set_Tried(const std::vector<std::string> & val) {
+  this->Tried = val;
+}
+
+void placement_ask::__set_Failing(const std::vector<std::string> & val) {
+  this->Failing = val;
+}
+
+void placement_ask::__set_Urgent(const bool val) {
+  this->Urgent = val;
+}
+
+void placement_ask::__set_TargetMicros(const int64_t val) {
+  this->TargetMicros = val;
+}
+
+void placement_ask::__set_PauseMicros(const int64_t val) {
+  this->PauseMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const placement_ask& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t placement_ask::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Ask);
+          this->__isset.Ask = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Service);
+          this->__isset.Service = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->PromptTokens);
+          this->__isset.PromptTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->MaxOutputTokens);
+          this->__isset.MaxOutputTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Pieces.clear();
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->Pieces.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
+            {
+              xfer += this->Pieces[_i198].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Pieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Tried.clear();
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->Tried.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
+            {
+              xfer += iprot->readString(this->Tried[_i203]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Tried = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Failing.clear();
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->Failing.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
+            {
+              xfer += iprot->readString(this->Failing[_i208]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Failing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Urgent);
+          this->__isset.Urgent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->TargetMicros);
+          this->__isset.TargetMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->PauseMicros);
+          this->__isset.PauseMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t placement_ask::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("placement_ask");
+
+  xfer += oprot->writeFieldBegin("Ask", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Ask);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Service", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->Service);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("PromptTokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->PromptTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("MaxOutputTokens", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->MaxOutputTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Pieces", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Pieces.size()));
+    std::vector<prompt_piece> ::const_iterator _iter209;
+    for (_iter209 = this->Pieces.begin(); _iter209 != this->Pieces.end(); ++_iter209)
+    {
+      xfer += (*_iter209).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Tried", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Tried.size()));
+    std::vector<std::string> ::const_iterator _iter210;
+    for (_iter210 = this->Tried.begin(); _iter210 != this->Tried.end(); ++_iter210)
+    {
+      xfer += oprot->writeString((*_iter210));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Failing", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Failing.size()));
+    std::vector<std::string> ::const_iterator _iter211;
+    for (_iter211 = this->Failing.begin(); _iter211 != this->Failing.end(); ++_iter211)
+    {
+      xfer += oprot->writeString((*_iter211));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Urgent", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->Urgent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("TargetMicros", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->TargetMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("PauseMicros", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->PauseMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(placement_ask &a, placement_ask &b) {
+  using ::std::swap;
+  swap(a.Ask, b.Ask);
+  swap(a.Service, b.Service);
+  swap(a.PromptTokens, b.PromptTokens);
+  swap(a.MaxOutputTokens, b.MaxOutputTokens);
+  swap(a.Pieces, b.Pieces);
+  swap(a.Tried, b.Tried);
+  swap(a.Failing, b.Failing);
+  swap(a.Urgent, b.Urgent);
+  swap(a.TargetMicros, b.TargetMicros);
+  swap(a.PauseMicros, b.PauseMicros);
+  swap(a.__isset, b.__isset);
+}
+
+placement_ask::placement_ask(const placement_ask& other212) {
+  Ask = other212.Ask;
+  Service = other212.Service;
+  PromptTokens = other212.PromptTokens;
+  MaxOutputTokens = other212.MaxOutputTokens;
+  Pieces = other212.Pieces;
+  Tried = other212.Tried;
+  Failing = other212.Failing;
+  Urgent = other212.Urgent;
+  TargetMicros = other212.TargetMicros;
+  PauseMicros = other212.PauseMicros;
+  __isset = other212.__isset;
+}
+placement_ask::placement_ask(placement_ask&& other213) noexcept {
+  Ask = other213.Ask;
+  Service = std::move(other213.Service);
+  PromptTokens = other213.PromptTokens;
+  MaxOutputTokens = other213.MaxOutputTokens;
+  Pieces = std::move(other213.Pieces);
+  Tried = std::move(other213.Tried);
+  Failing = std::move(other213.Failing);
+  Urgent = other213.Urgent;
+  TargetMicros = other213.TargetMicros;
+  PauseMicros = other213.PauseMicros;
+  __isset = other213.__isset;
+}
+placement_ask& placement_ask::operator=(const placement_ask& other214) {
+  Ask = other214.Ask;
+  Service = other214.Service;
+  PromptTokens = other214.PromptTokens;
+  MaxOutputTokens = other214.MaxOutputTokens;
+  Pieces = other214.Pieces;
+  Tried = other214.Tried;
+  Failing = other214.Failing;
+  Urgent = other214.Urgent;
+  TargetMicros = other214.TargetMicros;
+  PauseMicros = other214.PauseMicros;
+  __isset = other214.__isset;
+  return *this;
+}
+placement_ask& placement_ask::operator=(placement_ask&& other215) noexcept {
+  Ask = other215.Ask;
+  Service = std::move(other215.Service);
+  PromptTokens = other215.PromptTokens;
+  MaxOutputTokens = other215.MaxOutputTokens;
+  Pieces = std::move(other215.Pieces);
+  Tried = std::move(other215.Tried);
+  Failing = std::move(other215.Failing);
+  Urgent = other215.Urgent;
+  TargetMicros = other215.TargetMicros;
+  PauseMicros = other215.PauseMicros;
+  __isset = other215.__isset;
+  return *this;
+}
+void placement_ask::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "placement_ask(";
+  out << "Ask=" << to_string(Ask);
+  out << ", " << "Service=" << to_string(Service);
+  out << ", " << "PromptTokens=" << to_string(PromptTokens);
+  out << ", " << "MaxOutputTokens=" << to_string(MaxOutputTokens);
+  out << ", " << "Pieces=" << to_string(Pieces);
+  out << ", " << "Tried=" << to_string(Tried);
+  out << ", " << "Failing=" << to_string(Failing);
+  out << ", " << "Urgent=" << to_string(Urgent);
+  out << ", " << "TargetMicros=" << to_string(TargetMicros);
+  out << ", " << "PauseMicros=" << to_string(PauseMicros);
+  out << ")";
+}
+
+
+placement_grant::~placement_grant() noexcept {
+}
+
+
+void placement_grant::__set_Ask(const int64_t val) {
+  this->Ask = val;
+}
+
+void placement_grant::__set_Upstream(const std::string& val) {
+  this->Upstream = val;
+}
+
+void placement_grant::__set_UnreadTokens(const int64_t val) {
+  this->UnreadTokens = val;
+}
+
+void placement_grant::__set_RetryMicros(const int64_t val) {
+  this->RetryMicros = val;
+}
+
+void placement_grant::__set_PredictedMicros(const int64_t val) {
+  this->PredictedMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const placement_grant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t placement_grant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Ask);
+          this->__isset.Ask = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Upstream);
+          this->__isset.Upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->UnreadTokens);
+          this->__isset.UnreadTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->RetryMicros);
+          this->__isset.RetryMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->PredictedMicros);
+          this->__isset.PredictedMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t placement_grant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("placement_grant");
+
+  xfer += oprot->writeFieldBegin("Ask", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Ask);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Upstream", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->Upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("UnreadTokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->UnreadTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("RetryMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->RetryMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("PredictedMicros", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->PredictedMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(placement_grant &a, placement_grant &b) {
+  using ::std::swap;
+  swap(a.Ask, b.Ask);
+  swap(a.Upstream, b.Upstream);
+  swap(a.UnreadTokens, b.UnreadTokens);
+  swap(a.RetryMicros, b.RetryMicros);
+  swap(a.PredictedMicros, b.PredictedMicros);
+  swap(a.__isset, b.__isset);
+}
+
+placement_grant::placement_grant(const placement_grant& other216) {
+  Ask = other216.Ask;
+  Upstream = other216.Upstream;
+  UnreadTokens = other216.UnreadTokens;
+  RetryMicros = other216.RetryMicros;
+  PredictedMicros = other216.PredictedMicros;
+  __isset = other216.__isset;
+}
+placement_grant::placement_grant(placement_grant&& other217) noexcept {
+  Ask = other217.Ask;
+  Upstream = std::move(other217.Upstream);
+  UnreadTokens = other217.UnreadTokens;
+  RetryMicros = other217.RetryMicros;
+  PredictedMicros = other217.PredictedMicros;
+  __isset = other217.__isset;
+}
+placement_grant& placement_grant::operator=(const placement_grant& other218) {
+  Ask = other218.Ask;
+  Upstream = other218.Upstream;
+  UnreadTokens = other218.UnreadTokens;
+  RetryMicros = other218.RetryMicros;
+  PredictedMicros = other218.PredictedMicros;
+  __isset = other218.__isset;
+  return *this;
+}
+placement_grant& placement_grant::operator=(placement_grant&& other219) noexcept {
+  Ask = other219.Ask;
+  Upstream = std::move(other219.Upstream);
+  UnreadTokens = other219.UnreadTokens;
+  RetryMicros = other219.RetryMicros;
+  PredictedMicros = other219.PredictedMicros;
+  __isset = other219.__isset;
+  return *this;
+}
+void placement_grant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "placement_grant(";
+  out << "Ask=" << to_string(Ask);
+  out << ", " << "Upstream=" << to_string(Upstream);
+  out << ", " << "UnreadTokens=" << to_string(UnreadTokens);
+  out << ", " << "RetryMicros=" << to_string(RetryMicros);
+  out << ", " << "PredictedMicros=" << to_string(PredictedMicros);
+  out << ")";
+}
+
 }} // namespace
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -59,6 +59,12 @@
 
 class duty_record;
 
+class prompt_piece;
+
+class placement_ask;
+
+class placement_grant;
+
 typedef struct _upstream_use__isset {
   _upstream_use__isset() : Upstream(false), Running(false), UnreadTokens(false), PacedStreams(false) {}
   bool Upstream :1;
@@ -1397,6 +1403,236 @@
 
 std::ostream& operator<<(std::ostream& out, const duty_record& obj);
 
+typedef struct _prompt_piece__isset {
+  _prompt_piece__isset() : Id(false), Tokens(false) {}
+  bool Id :1;
+  bool Tokens :1;
+} _prompt_piece__isset;
+
+class prompt_piece : public virtual ::apache::thrift::TBase {
+ public:
+
+  prompt_piece(const prompt_piece&) noexcept;
+  prompt_piece(prompt_piece&&) noexcept;
+  prompt_piece& operator=(const prompt_piece&) noexcept;
+  prompt_piece& operator=(prompt_piece&&) noexcept;
+  prompt_piece() noexcept
+               : Id(0),
+                 Tokens(0) {
+  }
+
+  virtual ~prompt_piece() noexcept;
+  int64_t Id;
+  int32_t Tokens;
+
+  _prompt_piece__isset __isset;
+
+  void __set_Id(const int64_t val);
+
+  void __set_Tokens(const int32_t val);
+
+  bool operator == (const prompt_piece & rhs) const
+  {
+    if (!(Id == rhs.Id))
+      return false;
+    if (!(Tokens == rhs.Tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const prompt_piece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const prompt_piece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(prompt_piece &a, prompt_piece &b);
+
+std::ostream& operator<<(std::ostream& out, const prompt_piece& obj);
+
+typedef struct _placement_ask__isset {
+  _placement_ask__isset() : Ask(false), Service(false), PromptTokens(false), MaxOutputTokens(false), Pieces(false), Tried(false), Failing(false), Urgent(false), TargetMicros(false), PauseMicros(false) {}
+  bool Ask :1;
+  bool Service :1;
+  bool PromptTokens :1;
+  bool MaxOutputTokens :1;
+  bool Pieces :1;
+  bool Tried :1;
+  bool Failing :1;
+  bool Urgent :1;
+  bool TargetMicros :1;
+  bool PauseMicros :1;
+} _placement_ask__isset;
+
+class placement_ask : public virtual ::apache::thrift::TBase {
+ public:
+
+  placement_ask(const placement_ask&);
+  placement_ask(placement_ask&&) noexcept;
+  placement_ask& operator=(const placement_ask&);
+  placement_ask& operator=(placement_ask&&) noexcept;
+  placement_ask() noexcept
+                : Ask(0),
+                  Service(),
+                  PromptTokens(0),
+                  MaxOutputTokens(0),
+                  Urgent(0),
+                  TargetMicros(0),
+                  PauseMicros(0) {
+  }
+
+  virtual ~placement_ask() noexcept;
+  int64_t Ask;
+  std::string Service;
+  int32_t PromptTokens;
+  int32_t MaxOutputTokens;
+  std::vector<prompt_piece>  Pieces;
+  std::vector<std::string>  Tried;
+  std::vector<std::string>  Failing;
+  bool Urgent;
+  int64_t TargetMicros;
+  int64_t PauseMicros;
+
+  _placement_ask__isset __isset;
+
+  void __set_Ask(const int64_t val);
+
+  void __set_Service(const std::string& val);
+
+  void __set_PromptTokens(const int32_t val);
+
+  void __set_MaxOutputTokens(const int32_t val);
+
+  void __set_Pieces(const std::vector<prompt_piece> & val);
+
+  void __set_Tried(const std::vector<std::string> & val);
+
+  void __set_Failing(const std::vector<std::string> & val);
+
+  void __set_Urgent(const bool val);
+
+  void __set_TargetMicros(const int64_t val);
+
+  void __set_PauseMicros(const int64_t val);
+
+  bool operator == (const placement_ask & rhs) const
+  {
+    if (!(Ask == rhs.Ask))
+      return false;
+    if (!(Service == rhs.Service))
+      return false;
+    if (!(PromptTokens == rhs.PromptTokens))
+      return false;
+    if (!(MaxOutputTokens == rhs.MaxOutputTokens))
+      return false;
+    if (!(Pieces == rhs.Pieces))
+      return false;
+    if (!(Tried == rhs.Tried))
+      return false;
+    if (!(Failing == rhs.Failing))
+      return false;
+    if (!(Urgent == rhs.Urgent))
+      return false;
+    if (!(TargetMicros == rhs.TargetMicros))
+      return false;
+    if (!(PauseMicros == rhs.PauseMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const placement_ask &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const placement_ask & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(placement_ask &a, placement_ask &b);
+
+std::ostream& operator<<(std::ostream& out, const placement_ask& obj);
+
+typedef struct _placement_grant__isset {
+  _placement_grant__isset() : Ask(false), Upstream(false), UnreadTokens(false), RetryMicros(false), PredictedMicros(false) {}
+  bool Ask :1;
+  bool Upstream :1;
+  bool UnreadTokens :1;
+  bool RetryMicros :1;
+  bool PredictedMicros :1;
+} _placement_grant__isset;
+
+class placement_grant : public virtual ::apache::thrift::TBase {
+ public:
+
+  placement_grant(const placement_grant&);
+  placement_grant(placement_grant&&) noexcept;
+  placement_grant& operator=(const placement_grant&);
+  placement_grant& operator=(placement_grant&&) noexcept;
+  placement_grant() noexcept
+                  : Ask(0),
+                    Upstream(),
+                    UnreadTokens(0),
+                    RetryMicros(0),
+                    PredictedMicros(0) {
+  }
+
+  virtual ~placement_grant() noexcept;
+  int64_t Ask;
+  std::string Upstream;
+  int64_t UnreadTokens;
+  int64_t RetryMicros;
+  int64_t PredictedMicros;
+
+  _placement_grant__isset __isset;
+
+  void __set_Ask(const int64_t val);
+
+  void __set_Upstream(const std::string& val);
+
+  void __set_UnreadTokens(const int64_t val);
+
+  void __set_RetryMicros(const int64_t val);
+
+  void __set_PredictedMicros(const int64_t val);
+
+  bool operator == (const placement_grant & rhs) const
+  {
+    if (!(Ask == rhs.Ask))
+      return false;
+    if (!(Upstream == rhs.Upstream))
+      return false;
+    if (!(UnreadTokens == rhs.UnreadTokens))
+      return false;
+    if (!(RetryMicros == rhs.RetryMicros))
+      return false;
+    if (!(PredictedMicros == rhs.PredictedMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const placement_grant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const placement_grant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(placement_grant &a, placement_grant &b);
+
+std::ostream& operator<<(std::ostream& out, const placement_grant& obj);
+
 }} // namespace
 
 #endif
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -174,3 +174,32 @@
   1: optional duty_claim Claim
   2: optional window_counts Figures
 }
+
+// A part of a prompt, see prompt_part in routing/routing_event.h.
+struct prompt_piece {
+  1: i64 Id
+  2: i32 Tokens
+}
+
+// Asks the acting relay of the sender's zone to place a request at an engine.
+struct placement_ask {
+  1: i64 Ask
+  2: string Service
+  3: i32 PromptTokens
+  4: i32 MaxOutputTokens
+  5: list<prompt_piece> Pieces
+  6: list<string> Tried        // engines that the request was sent to before
+  7: list<string> Failing      // engines that the sender cannot use at present
+  8: bool Urgent               // no other route of the service is more urgent
+  9: i64 TargetMicros          // for the first event
+  10: i64 PauseMicros          // longest pause between events; 0: none
+}
+
+struct placement_grant {
+  1: i64 Ask
+  2: string Upstream           // empty: none
+  3: i64 UnreadTokens          // of the request at that engine
+  4: i64 RetryMicros           // above 0: no engine can serve it in time; the
+                               // caller may come back after this time
+  5: i64 PredictedMicros       // until the first event
+}
