Engines with few slots: one entry of each zone places requests

Each of some sixty entries placed requests by itself with reports that are 100 to 300 ms old, every request went to an engine at once, and prompts were read beside paced streams without a bound.

Change: for services whose engines have at most 16 slots the acting relay of a zone places the requests of its entries, and long prompts are placed by a relay of their subject's home zone. It counts what it has granted until the entries report it. The engine is chosen by predicted times (engine_model, engine_choice): first event, gap budget of the streams there, what is read again. A request that is late at every engine is refused at once with a time to come back. An entry whose ask is not answered places by itself. Other services are placed as before.

--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <tuple>
 
 namespace monsoonreel {
 
@@ -25,13 +26,15 @@
 // Cost of a late first event, relative to the delay beyond the target.
 constexpr double lateness_weight = 2;
 // Cost of an engine of the other group, as a part of the request's target.
-constexpr double other_group_part = 0.2;
+constexpr double other_group_part = 0.1;
 // Each request that runs makes the steps of an engine a little longer.
 constexpr double running_cost_ms = 0.5;
 // A network round trip between zones.
 constexpr double other_zone_ms = 2.5;
 // Cost of a failure share of 1. It exceeds any wait that callers accept.
 constexpr double failure_ms = 1000;
+// Bounds predictions from absurd reports.
+constexpr double longest_prediction_ms = 600000;
 // Typical time for which a request holds a slot.
 constexpr double slot_time_ms = 1200;
 // A less urgent prompt is not worth more late streams than this.
@@ -60,7 +63,7 @@
 }
 
 double slotWait(const upstream_use_sum &Use, int Slots) {
-  int Place = Use.Running + 1 - Slots;
+  double Place = double{1} + Use.Running - Slots;
   return Slots > 0 && Place > 0 ? Place * slot_time_ms / Slots : 0;
 }
 
@@ -76,18 +79,20 @@
   double Target = toMs(Query.Target);
   auto Queue = static_cast<double>(Option.Use.UnreadTokens);
   auto Own = static_cast<double>(Option.UnreadTokens);
-  engine_cost Cost;
   double Slot = slotWait(Option.Use, Query.Slots);
-  Cost.FirstEvent =
-      toMs(Timing.FirstEventDelay) + (Queue + Own) / Timing.TokensPerMs + Slot;
-  // Only the most urgent requests wait for slots.
-  Cost.IsLate = Cost.FirstEvent > Target || (Slot > 0 && !Query.Urgent);
+  engine_cost Cost;
+  Cost.FirstEvent = std::min(toMs(Timing.FirstEventDelay) +
+                                 (Queue + Own) / Timing.TokensPerMs + Slot,
+                             longest_prediction_ms);
   Cost.Total = Cost.FirstEvent + running_cost_ms * Option.Use.Running +
                lateness_weight * std::max(0.0, Cost.FirstEvent - Target);
+  // Only the most urgent requests wait for slots.
+  Cost.IsLate = Cost.FirstEvent > Target || (Slot > 0 && !Query.Urgent);
   if (Query.Pause) {
-    double Late = latePart(Queue + Own, gapBudget(Timing, *Query.Pause));
-    Cost.Total += Target * Late;
-    Cost.IsLate = Cost.IsLate || (Late >= 1 && !Query.Urgent);
+    double Budget = gapBudget(Timing, *Query.Pause);
+    Cost.Total += Target * latePart(Queue + Own, Budget);
+    if (!Query.Urgent && latePart(Queue + Own, Budget) >= 1)
+      Cost.IsLate = true;
   }
   if (Query.Paced) {
     Cost.Total += IsReserved ? 0 : other_group_part * Target;
@@ -99,8 +104,8 @@
   double Delayed = Option.Use.PacedStreams *
                    (latePart(Queue + Own, Budget) - latePart(Queue, Budget));
   Cost.Total += Target * Delayed;
-  Cost.IsLate =
-      Cost.IsLate || (Delayed > most_delayed_streams && !Query.Urgent);
+  if (!Query.Urgent && Delayed > most_delayed_streams)
+    Cost.IsLate = true;
   if (IsReserved)
     Cost.Total += other_group_part * Target;
   return Cost;
@@ -126,7 +131,8 @@
         (Home == List.size() ||
          Candidates.HomeRank[I] < Candidates.HomeRank[Home]))
       Home = I;
-  int64_t OwnPart = Query.Prompt->PromptTokens - sharedTokens(*Query.Prompt);
+  int64_t OwnPart = std::max<int64_t>(0, Query.Prompt->PromptTokens -
+                                             sharedTokens(*Query.Prompt));
   std::optional<placement> Best;
   for (size_t I = 0; I < List.size(); ++I) {
     const upstream_entry &Entry = List[I]->Entry;
@@ -148,20 +154,25 @@
                Candidates.ReservationRank[I] < Candidates.ReservedCount);
     Option.Cost = Cost.Total;
     Option.IsLate = Cost.IsLate;
+    Option.IsIdle = Option.Use.UnreadTokens <= 0 &&
+                    (Query.Slots <= 0 || Option.Use.Running < Query.Slots);
     Option.FirstEvent =
         std::chrono::duration_cast<duration>(milliseconds(Cost.FirstEvent));
     if (Entry.Zone != Query.Zone)
       Option.Cost += other_zone_ms;
     Option.Cost +=
         failure_ms * Inputs.FailureTracker.failureShare(Entry.Name, Query.Now);
-    if (!Best || Option.Cost < Best->Cost)
+    // A request is refused only if it is late at every engine.
+    if (!Best || std::tie(Option.IsLate, Option.Cost) <
+                     std::tie(Best->IsLate, Best->Cost))
       Best = Option;
   }
   return Best;
 }
 
 bool isHopeless(const placement_query &Query, const placement &Best) {
-  return Query.Model && !Query.LoadIsStale && Best.IsLate;
+  // An idle engine is tried, whatever the model has learned.
+  return Query.Model && !Query.LoadIsStale && Best.IsLate && !Best.IsIdle;
 }
 
 duration placeExpectedAfter(const placement_query &Query,
--- a/routing/keyed_feed.cc
+++ b/routing/keyed_feed.cc
@@ -150,8 +150,8 @@
     announceThroughRelays(Read, AfterOutage, Now, Effects);
   else
     announceToAll(Read, AfterOutage, Now, Effects);
-  std::vector<feed_change> Changes =
-      apply(Read.Records, Read.Whole, AfterOutage);
+  std::vector<feed_change> Changes = apply(
+      Read.Records, Read.Whole, positionAt(Read.Era, Read.End), AfterOutage);
   End = std::max(End, positionAt(Read.Era, Read.End));
   Known = true;
   NeedsWhole = false;
@@ -180,7 +180,7 @@
       std::exchange(IsRestored, false) || (Received.AfterOutage && FailedHere);
   ToldAt.reset();
   std::vector<feed_change> Changes =
-      apply(Received.Records, Received.Whole, AfterOutage);
+      apply(Received.Records, Received.Whole, ReceivedEnd, AfterOutage);
   if (ReceivedEnd >= End) {
     End = ReceivedEnd;
     FreshAt = Now;
@@ -236,7 +236,7 @@
 
 std::vector<feed_change>
 keyed_feed::apply(const std::vector<wire::feed_record> &Records, bool Whole,
-                  bool AfterOutage) {
+                  const store_position &RecordsEnd, bool AfterOutage) {
   std::vector<feed_change> Changes;
   absl::flat_hash_set<std::string> Present;
   for (const wire::feed_record &Record : Records) {
@@ -246,6 +246,11 @@
     auto [It, New] = PositionOf.try_emplace(Record.Key, Position);
     if (!New && It->second >= Position)
       continue;
+    // A record that was overtaken by the removal of its key.
+    if (New && !Whole && Position < End) {
+      PositionOf.erase(It);
+      continue;
+    }
     It->second = Position;
     feed_change Change{Record.Key, {}, AfterOutage};
     if (Record.__isset.Value)
@@ -258,8 +263,8 @@
     return Changes;
   std::vector<std::string> Missing;
   for (const auto &[Key, Position] : PositionOf)
-    if (!Present.contains(Key))
-      Missing.push_back(Key);
+    if (!Present.contains(Key) && Position < RecordsEnd)
+      Missing.push_back(Key); // later records are not in a late read
   for (std::string &Key : Missing) {
     PositionOf.erase(Key);
     Changes.push_back({std::move(Key), {}, AfterOutage, true});
--- a/routing/keyed_feed.h
+++ b/routing/keyed_feed.h
@@ -153,8 +153,10 @@
   steady_time lastFailure() const { return FailedAt; }
 
 private:
+  // RecordsEnd: end of the feed as of the read that returned Records.
   std::vector<feed_change> apply(const std::vector<wire::feed_record> &Records,
-                                 bool Whole, bool AfterOutage);
+                                 bool Whole, const store_position &RecordsEnd,
+                                 bool AfterOutage);
   // Positions stated without an era, as older builds do, are of this era.
   store_position positionAt(int64_t Era, int64_t Offset) const;
   wire::feed_news packForSending(wire::feed_news News) const;
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -259,7 +259,7 @@
 } // namespace
 
 bool isPaced(const prompt_info &Prompt) {
-  return Prompt.MaxOutputTokens * 4 > Prompt.PromptTokens;
+  return int64_t{4} * Prompt.MaxOutputTokens > Prompt.PromptTokens;
 }
 
 std::optional<placement> choosePlacement(const placement_query &Query,
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -76,6 +76,7 @@
   double Cost = 0;
   duration FirstEvent{}; // predicted, if the query has a model
   bool IsLate = false;   // predicted to miss its targets, or to delay others
+  bool IsIdle = false;   // no prompts are unread there, and a slot is free
   upstream_use_sum Use;  // load without this request
 };
 
--- a/routing/prompt_cache_view.h
+++ b/routing/prompt_cache_view.h
@@ -4,10 +4,10 @@
 //   Cache.onDispatched(Upstream, Parts, Now);
 //   int64_t Tokens = Cache.unreadTokens(Upstream, Prompt, Now);
 //
-// The estimate is based on the requests that this entry itself sent. An engine
-// reuses a cached part only if it has all preceding parts cached as well, so a
-// part is identified by a hash of itself and all preceding parts. Engines evict
-// the least recently used parts; here a part expires after
+// The estimate is based on the requests that this entry sent or placed. An
+// engine reuses a cached part only if it has all preceding parts cached as
+// well, so a part is identified by a hash of itself and all preceding parts.
+// Engines evict the least recently used parts; here a part expires after
 // `cache_entry_lifetime`.
 
 #ifndef ROUTING_PROMPT_CACHE_VIEW_H
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -100,11 +100,11 @@
              routing_effects &Effects);
   void onFailed(const route_attempt_failed &Failed,
                 const router_context &Context, routing_effects &Effects);
-  // Places a request of another entry of the zone, which reports it later.
+  // Places a request of another entry, which reports it later.
   void onAsk(const address &From, const wire::placement_ask &Ask,
              const std::shared_ptr<const route_table> &Table,
              const router_context &Context, routing_effects &Effects);
-  void onGrant(const wire::placement_grant &Grant,
+  void onGrant(const address &From, const wire::placement_grant &Grant,
                const router_context &Context, routing_effects &Effects);
   // Ends requests whose time limit is reached, and moves stalled streams to
   // other upstreams.
@@ -134,8 +134,8 @@
     zone_name UpstreamZone;
     std::chrono::milliseconds UpstreamStartedAt{};
     steady_time SentAt;
-    int64_t UnreadWhenSent =
-        0;                    // prompt tokens at the upstream, its own included
+    // Prompt tokens at the upstream when it was sent, its own included.
+    int64_t UnreadWhenSent = 0;
     steady_time ProgressAt;   // when it was sent or the last event arrived
     int64_t EventsBefore = 0; // taken from earlier attempts
     std::optional<steady_time> BeganAt; // first event
@@ -166,6 +166,9 @@
   active_request *findByAttempt(attempt_number Attempt);
   void send(active_request &Request, const router_context &Context,
             routing_effects &Effects);
+  // Ends the request if a part of its prompt is held back.
+  bool endIfHeld(active_request &Request, const router_context &Context,
+                 routing_effects &Effects);
   // Chooses an upstream with what this entry knows.
   void place(active_request &Request, const router_context &Context,
              routing_effects &Effects);
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -159,12 +159,8 @@
     return Services.Model.onEventGap(Service, Request.Upstream,
                                      Context.Now - Request.ProgressAt,
                                      Context.Now);
-  // The queue of other requests is known late, which would make engines look
-  // faster than they are.
-  if (Request.UnreadWhenSent <= 2 * Request.OwnUnread)
-    Services.Model.onFirstEvent(Service, Request.Upstream,
-                                Request.UnreadWhenSent,
-                                Context.Now - Request.SentAt, Context.Now);
+  Services.Model.onFirstEvent(Service, Request.Upstream, Request.UnreadWhenSent,
+                              Context.Now - Request.SentAt, Context.Now);
 }
 
 void request_router::onStreamData(active_request &Request,
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -28,6 +28,8 @@
 constexpr double reported_failure_share = 0.3;
 // Longest times that an ask may state.
 constexpr duration longest_target = std::chrono::minutes(10);
+// Longest time after which a grant may ask a caller to come back.
+constexpr duration longest_return_time = std::chrono::seconds(5);
 
 prompt_info promptOf(const wire::placement_ask &Ask) {
   prompt_info Prompt;
@@ -97,7 +99,8 @@
   SilentUntil[Request.Asked] = Context.Now + silent_relay_pause;
   Effects.push_back(count_metric{"monsoonreel_placement_asks_total",
                                  {{"outcome", "unanswered"}}});
-  place(Request, Context, Effects);
+  if (!endIfHeld(Request, Context, Effects))
+    place(Request, Context, Effects);
 }
 
 std::vector<std::string>
@@ -155,7 +158,7 @@
   pool_name Service(Ask.Service);
   const service *Known = Table ? Table->findService(Service) : nullptr;
   const service_routes *Routes = Table ? Table->routesTo(Service) : nullptr;
-  if (!Known || !Known->Engine || !Routes) {
+  if (!Known || !Known->Engine || !Known->Engine->hasFewSlots() || !Routes) {
     Effects.push_back(
         send_datagrams{{From}, wire::peer_message(std::move(Grant))});
     return;
@@ -222,25 +225,34 @@
          Services.Limits.maySend(Entry.Name, Context.Now);
 }
 
-void request_router::onGrant(const wire::placement_grant &Grant,
+void request_router::onGrant(const address &From,
+                             const wire::placement_grant &Grant,
                              const router_context &Context,
                              routing_effects &Effects) {
+  SilentUntil.erase(From);
   auto Node = Asks.extract(Grant.Ask);
   auto It = Node ? Requests.find(Node.mapped()) : Requests.end();
   if (It == Requests.end() || It->second->Ask != Grant.Ask)
     return;
   active_request &Request = *It->second;
   Request.Ask.reset();
+  if (Context.Now >= Request.EndsAt)
+    return endWithFailure(Request, "timeout", Context, Effects);
+  // Other requests with the part may have been sent since the ask.
+  if (endIfHeld(Request, Context, Effects))
+    return;
   if (Grant.RetryMicros > 0 && Request.Sent == 0)
-    return refuseForRoom(Request, boundedTime(Grant.RetryMicros), Context,
-                         Effects);
+    return refuseForRoom(
+        Request, std::min(boundedTime(Grant.RetryMicros), longest_return_time),
+        Context, Effects);
   const upstream_state *Upstream =
       Services.Registry.find(upstream_name(Grant.Upstream));
   if (!Upstream || !isUsable(Request, *Upstream, Context))
     return place(Request, Context, Effects);
   placement Chosen;
   Chosen.Upstream = Upstream;
-  Chosen.UnreadTokens = std::max<int64_t>(0, Grant.UnreadTokens);
+  Chosen.UnreadTokens = std::clamp<int64_t>(
+      Grant.UnreadTokens, 0, Request.Arrived.Prompt->PromptTokens);
   Chosen.FirstEvent = boundedTime(Grant.PredictedMicros);
   Chosen.Use = Services.Load.at(Upstream->Entry.Name);
   dispatch(Request, queryFor(Request, Context), Chosen, Context, Effects);
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -57,18 +57,27 @@
   return Query;
 }
 
+bool request_router::endIfHeld(active_request &Request,
+                               const router_context &Context,
+                               routing_effects &Effects) {
+  auto Held = heldBack(Request, Context);
+  if (!Held)
+    return false;
+  Effects.push_back(decision("prompt-part-held")
+                        .add("request", Request.Arrived.CallerId)
+                        .add("part", absl::StrCat(absl::Hex(Held->Part)))
+                        .add("round", Held->Round)
+                        .add("left", Held->Left)
+                        .line(log_level::Info));
+  endWithFailure(Request, "prompt-part-held", Context, Effects);
+  return true;
+}
+
 void request_router::send(active_request &Request,
                           const router_context &Context,
                           routing_effects &Effects) {
-  if (auto Held = heldBack(Request, Context)) {
-    Effects.push_back(decision("prompt-part-held")
-                          .add("request", Request.Arrived.CallerId)
-                          .add("part", absl::StrCat(absl::Hex(Held->Part)))
-                          .add("round", Held->Round)
-                          .add("left", Held->Left)
-                          .line(log_level::Info));
-    return endWithFailure(Request, "prompt-part-held", Context, Effects);
-  }
+  if (endIfHeld(Request, Context, Effects))
+    return;
   placement_query Query = queryFor(Request, Context);
   address Placer = placerFor(Request, Query, Context);
   if (!Placer.empty())
@@ -108,7 +117,6 @@
   Request.BeganAt.reset();
   Request.SoundRecorded = false;
   Request.SentAt = Request.ProgressAt = Context.Now;
-  Request.OwnUnread = Chosen.UnreadTokens;
   Request.UnreadWhenSent = Chosen.Use.UnreadTokens + Chosen.UnreadTokens;
   Request.EventsBefore = Request.Events.taken();
   Request.Status = 0;
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -52,7 +52,7 @@
     return Requests.onAsk(From, *Ask, Relays.isRelay() ? Table : nullptr,
                           contextOf(Event), Effects);
   if (const auto *Grant = std::get_if<wire::placement_grant>(&Received.Message))
-    return Requests.onGrant(*Grant, contextOf(Event), Effects);
+    return Requests.onGrant(From, *Grant, contextOf(Event), Effects);
 }
 
 // ---------------------------------------------------------------- receiving
@@ -315,6 +315,7 @@
   Report.Limits = Limits.recent(false, Event.Now);
   Report.Parts = Quarantine.report(false, Event.Now);
   if (++RelayReports % zoneExchangePeriod() == 0) {
+    sendUnconfirmedOrders(Relays.ofOtherZones(), Effects);
     Effects.push_back(
         send_datagrams{Relays.ofOtherZones(), wire::peer_message(Report)});
     for (const auto &[Zone, Far] : OtherZones) {
--- a/routing/site_config.h
+++ b/routing/site_config.h
@@ -52,11 +52,11 @@
   }
 };
 
-// Configured properties of the engines of a service.
 // Engines with at most this many slots have few: one request is then a large
 // part of an engine.
 constexpr int few_slots = 16;
 
+// Configured properties of the engines of a service.
 struct engine_terms {
   int Slots = 1; // concurrent requests
   int64_t CacheTokens = 0;
--- a/routing/upstream_load.h
+++ b/routing/upstream_load.h
@@ -61,7 +61,7 @@
   void onZone(const wire::zone_uses &Uses, bool IsOwn, duration Age,
               steady_time Now);
   // Counts a request that an entry was told to send to the upstream, until a
-  // report of that entry includes it.
+  // report of that entry includes it, or for `grant_expiry`.
   void onGranted(const address &To, const upstream_name &Upstream,
                  const work_size &Size, steady_time Now);
   void onTick(steady_time Now);
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -181,7 +181,7 @@
   2: i32 Tokens
 }
 
-// Asks the acting relay of the sender's zone to place a request at an engine.
+// Asks a relay to place a request at an engine.
 struct placement_ask {
   1: i64 Ask
   2: string Service
