--- a/routing/testing/region_rules_test.cc
+++ b/routing/testing/region_rules_test.cc
@@ -8,7 +8,7 @@
 class region_rules_test : public request_router_test {
 protected:
   region_rules_test() { list("far1", "far"); }
-  void restrict(std::optional<region_list> OfRoutes,
+  void restrict(const std::optional<region_list> &OfRoutes,
                 std::optional<region_list> OfOrganisation) {
     for (host_route &Route : Config.Routes)
       Route.AllowedRegions = OfRoutes;
--- a/routing/testing/zone_placement_test.cc
+++ b/routing/testing/zone_placement_test.cc
@@ -189,9 +189,9 @@
   int LongRefused = 0;
   int UrgentRefused = 0;
   runUntil(Now + 2s);
-  for (int Round = 0; Round < 20; ++Round) {
-    int64_t Request = send(static_cast<size_t>(Round), "draft", 500 + Round);
-    int64_t Urgent = send(static_cast<size_t>(Round + 20), "chat", 0);
+  for (size_t Round = 0; Round < 20; ++Round) {
+    int64_t Request = send(Round, "draft", 500 + Round);
+    int64_t Urgent = send(Round + 20, "chat", 0);
     runUntil(Now + 50ms);
     LongRefused += Refused.contains(Request) ? 1 : 0;
     UrgentRefused += Refused.contains(Urgent) ? 1 : 0;
