--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -15,11 +15,11 @@
 // reserved. The rest serves those that arrive until then.
 constexpr double paced_part_of_slots = 0.7;
 // Part of the engines that may be reserved: long prompts always have some.
-constexpr double most_reserved = 0.8;
+constexpr double max_reserved_share = 0.8;
 // Parts of a budget between which the chance rises that a stream becomes late.
 // Requests of other zones that are not known yet come on top.
-constexpr double safe_part_of_budget = 0.5;
-constexpr double lost_part_of_budget = 1.1;
+constexpr double late_share_begins = 0.5;
+constexpr double late_share_ends = 1.1;
 // Cost of reading a part again that another engine has cached, relative to the
 // time that it takes. It also evicts parts of other subjects there.
 constexpr double reread_weight = 4;
@@ -38,7 +38,7 @@
 // Typical time for which a request holds a slot.
 constexpr double slot_time_ms = 1200;
 // A less urgent prompt is not worth more late streams than this.
-constexpr double most_delayed_streams = 1;
+constexpr double max_delayed_streams = 1;
 // Bounds of the time after which callers may come back.
 constexpr duration shortest_return = std::chrono::milliseconds(400);
 constexpr duration longest_return = std::chrono::seconds(2);
@@ -47,11 +47,11 @@
 
 // Returns the part of streams that become late on an engine that has to read
 // this many tokens without a break.
-double latePart(double Unread, double Budget) {
+double lateShare(double Unread, double Budget) {
   if (Budget <= 0)
     return 1;
-  return std::clamp((Unread / Budget - safe_part_of_budget) /
-                        (lost_part_of_budget - safe_part_of_budget),
+  return std::clamp((Unread / Budget - late_share_begins) /
+                        (late_share_ends - late_share_begins),
                     0.0, 1.0);
 }
 
@@ -90,8 +90,8 @@
   Cost.IsLate = Cost.FirstEvent > Target || (Slot > 0 && !Query.Urgent);
   if (Query.Pause) {
     double Budget = gapBudget(Timing, *Query.Pause);
-    Cost.Total += Target * latePart(Queue + Own, Budget);
-    if (!Query.Urgent && latePart(Queue + Own, Budget) >= 1)
+    Cost.Total += Target * lateShare(Queue + Own, Budget);
+    if (!Query.Urgent && lateShare(Queue + Own, Budget) >= 1)
       Cost.IsLate = true;
   }
   if (Query.Paced) {
@@ -102,9 +102,9 @@
   Cost.Total += (reread_weight - 1) * Reread / Timing.TokensPerMs;
   double Budget = gapBudget(Timing, Query.StrictestPause);
   double Delayed = Option.Use.PacedStreams *
-                   (latePart(Queue + Own, Budget) - latePart(Queue, Budget));
+                   (lateShare(Queue + Own, Budget) - lateShare(Queue, Budget));
   Cost.Total += Target * Delayed;
-  if (!Query.Urgent && Delayed > most_delayed_streams)
+  if (!Query.Urgent && Delayed > max_delayed_streams)
     Cost.IsLate = true;
   if (IsReserved)
     Cost.Total += other_group_part * Target;
@@ -117,7 +117,8 @@
   double Each = std::max(1.0, paced_part_of_slots * Slots);
   auto Wanted =
       static_cast<size_t>(std::ceil(std::max(1, PacedStreams) / Each));
-  auto Most = static_cast<size_t>(most_reserved * static_cast<double>(Engines));
+  auto Most =
+      static_cast<size_t>(max_reserved_share * static_cast<double>(Engines));
   return std::min(Wanted, Most);
 }
 
@@ -170,7 +171,7 @@
   return Best;
 }
 
-bool isHopeless(const placement_query &Query, const placement &Best) {
+bool shouldRefuse(const placement_query &Query, const placement &Best) {
   // An idle engine is tried, whatever the model has learned.
   return Query.Model && !Query.LoadIsStale && Best.IsLate && !Best.IsIdle;
 }
--- a/routing/engine_choice.h
+++ b/routing/engine_choice.h
@@ -21,7 +21,7 @@
 // - Subjects that leave the engine that has them cached. The time to read the
 //   subject elsewhere is weighed against the wait at that engine.
 // - More requests than the engines can serve in time. The predicted time to the
-//   first event tells which ones cannot, see `isHopeless`.
+//   first event tells which ones cannot, see `shouldRefuse`.
 //
 // Costs are in milliseconds. The speeds come from engine_model.h.
 
@@ -54,7 +54,7 @@
 
 // Returns whether the best placement is too late for a request that gives way
 // to more urgent ones.
-bool isHopeless(const placement_query &Query, const placement &Best);
+bool shouldRefuse(const placement_query &Query, const placement &Best);
 
 // Returns the time after which a place for the request is expected.
 duration placeExpectedAfter(const placement_query &Query,
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -258,6 +258,11 @@
 
 } // namespace
 
+bool isPlacedByTimes(const service &Service, const service_routes *Routes) {
+  return Service.Engine && Service.Engine->hasFewSlots() && Routes &&
+         Routes->LongestTarget <= longest_tight_target;
+}
+
 bool isPaced(const prompt_info &Prompt) {
   return int64_t{4} * Prompt.MaxOutputTokens > Prompt.PromptTokens;
 }
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -40,6 +40,7 @@
 #include "routing/engine_model.h"
 #include "routing/prompt_cache_view.h"
 #include "routing/region_rules.h"
+#include "routing/route_table.h"
 #include "routing/routing_event.h"
 #include "routing/upstream_failure_tracker.h"
 #include "routing/upstream_limits.h"
@@ -70,6 +71,14 @@
   bool Urgent = false; // no route to the service is more urgent
 };
 
+// Reports of other entries are up to 0.3 s old. Where callers wait longer than
+// twice that for a first event, requests are placed well enough with them.
+constexpr duration longest_tight_target = std::chrono::milliseconds(600);
+
+// Returns whether the engines of a service are chosen by predicted times, see
+// engine_choice.h: they have few slots, and targets leave no time for queues.
+bool isPlacedByTimes(const service &Service, const service_routes *Routes);
+
 struct placement {
   const upstream_state *Upstream = nullptr;
   int64_t UnreadTokens = 0; // of the request itself
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -54,6 +54,9 @@
 constexpr duration placement_ask_timeout = std::chrono::milliseconds(25);
 // A relay that has not answered is not asked again for this time.
 constexpr duration silent_relay_pause = std::chrono::seconds(1);
+// Less urgent requests are refused for this time after a most urgent one had to
+// be: several intervals at which relays tell each other.
+constexpr duration urgent_refusal_time = std::chrono::milliseconds(500);
 
 // Shared state that requests read and modify.
 struct router_services {
@@ -104,6 +107,12 @@
   void onAsk(const address &From, const wire::placement_ask &Ask,
              const std::shared_ptr<const route_table> &Table,
              const router_context &Context, routing_effects &Effects);
+  // Handles that the most urgent requests to a service had to be refused by
+  // another relay. Less urgent ones are refused for a while.
+  void onUrgentRefused(const pool_name &Service, steady_time Now);
+  // Returns the services whose most urgent requests this entry has refused
+  // recently.
+  std::vector<std::string> servicesShortOfRoom(steady_time Now) const;
   void onGrant(const address &From, const wire::placement_grant &Grant,
                const router_context &Context, routing_effects &Effects);
   // Ends requests whose time limit is reached, and moves stalled streams to
@@ -190,6 +199,10 @@
   // Returns whether the request may be sent to Upstream as was granted.
   bool isUsable(const active_request &Request, const upstream_state &Upstream,
                 const router_context &Context) const;
+  // Returns whether a request with this best placement has to be refused, and
+  // remembers it if the request is one of the most urgent.
+  bool mustRefuse(const pool_name &Service, const placement_query &Query,
+                  const placement &Best);
   void refuseForRoom(active_request &Request, duration RetryAfter,
                      const router_context &Context, routing_effects &Effects);
   void endAttempt(active_request &Request);
@@ -280,6 +293,9 @@
   int64_t LastAsk = 0;
   absl::flat_hash_map<int64_t, request_id> Asks;
   absl::flat_hash_map<address, steady_time> SilentUntil; // relays
+  // When most urgent requests were refused by this entry, and by any.
+  absl::flat_hash_map<pool_name, steady_time> OwnUrgentRefusals;
+  absl::flat_hash_map<pool_name, steady_time> UrgentRefusals;
 };
 
 } // namespace monsoonreel
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -151,8 +151,9 @@
 
 void request_router::observeTiming(const active_request &Request,
                                    const router_context &Context) {
-  if (!Request.Arrived.Prompt || !Request.Service->Engine ||
-      !Request.Service->Engine->hasFewSlots())
+  if (!Request.Arrived.Prompt ||
+      !isPlacedByTimes(*Request.Service,
+                       Request.Table->routesTo(Request.Service->Name)))
     return;
   const pool_name &Service = Request.Service->Name;
   if (Request.BeganAt)
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -158,7 +158,7 @@
   pool_name Service(Ask.Service);
   const service *Known = Table ? Table->findService(Service) : nullptr;
   const service_routes *Routes = Table ? Table->routesTo(Service) : nullptr;
-  if (!Known || !Known->Engine || !Known->Engine->hasFewSlots() || !Routes) {
+  if (!Known || !isPlacedByTimes(*Known, Routes)) {
     Effects.push_back(
         send_datagrams{{From}, wire::peer_message(std::move(Grant))});
     return;
@@ -192,7 +192,7 @@
   if (Chosen) {
     Grant.PredictedMicros = toMicros(Chosen->FirstEvent);
     Grant.UnreadTokens = Chosen->UnreadTokens;
-    if (Ask.Tried.empty() && isHopeless(Query, *Chosen)) {
+    if (mustRefuse(Service, Query, *Chosen) && Ask.Tried.empty()) {
       Outcome = "refused";
       Grant.RetryMicros = toMicros(placeExpectedAfter(Query, *Chosen));
     } else {
@@ -210,6 +210,40 @@
       send_datagrams{{From}, wire::peer_message(std::move(Grant))});
 }
 
+void request_router::onUrgentRefused(const pool_name &Service,
+                                     steady_time Now) {
+  UrgentRefusals[Service] = Now;
+}
+
+std::vector<std::string>
+request_router::servicesShortOfRoom(steady_time Now) const {
+  std::vector<std::string> Names;
+  for (const auto &[Service, At] : OwnUrgentRefusals)
+    if (Now - At < urgent_refusal_time)
+      Names.push_back(Service.Value);
+  return Names;
+}
+
+// Less urgent requests give way in all zones, because the places that they take
+// are what the most urgent ones lack.
+bool request_router::mustRefuse(const pool_name &Service,
+                                const placement_query &Query,
+                                const placement &Best) {
+  bool IsLate = shouldRefuse(Query, Best);
+  if (!Query.Model || Query.LoadIsStale)
+    return IsLate;
+  if (Query.Urgent) {
+    if (IsLate) {
+      OwnUrgentRefusals[Service] = Query.Now;
+      UrgentRefusals[Service] = Query.Now;
+    }
+    return IsLate;
+  }
+  auto It = UrgentRefusals.find(Service);
+  return IsLate || (It != UrgentRefusals.end() &&
+                    Query.Now - It->second < urgent_refusal_time);
+}
+
 bool request_router::isUsable(const active_request &Request,
                               const upstream_state &Upstream,
                               const router_context &Context) const {
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -42,15 +42,14 @@
                         OnEngine ? Request.Service->Engine->Slots : 0,
                         Context.LoadIsStale,
                         &Request.Regions};
-  if (!OnEngine || !Request.Service->Engine->hasFewSlots())
+  const service_routes *Known = Request.Table->routesTo(Request.Service->Name);
+  if (!OnEngine || !isPlacedByTimes(*Request.Service, Known))
     return Query;
-  const service_routes &Routes =
-      *Request.Table->routesTo(Request.Service->Name);
   Query.Model = &Services.Model;
   Query.Target = Request.Route->Target;
   Query.Pause = Request.Route->PauseTarget;
-  Query.StrictestPause = Routes.StrictestPause;
-  Query.Urgent = Request.Route->Rank <= Routes.MostUrgentRank;
+  Query.StrictestPause = Known->StrictestPause;
+  Query.Urgent = Request.Route->Rank <= Known->MostUrgentRank;
   bool IsPlacer = Context.Relays && Context.Relays->isActing(Context.Now);
   Query.LoadIsStale = Context.LoadIsStale && !IsPlacer;
   Query.CacheIsExact = IsPlacer;
@@ -96,7 +95,7 @@
     return endWithFailure(Request,
                           reasonForNoUpstream(Request, Context, Effects),
                           Context, Effects);
-  if (Request.Sent == 0 && isHopeless(Query, *Chosen))
+  if (mustRefuse(Request.Service->Name, Query, *Chosen) && Request.Sent == 0)
     return refuseForRoom(Request, placeExpectedAfter(Query, *Chosen), Context,
                          Effects);
   dispatch(Request, Query, *Chosen, Context, Effects);
--- a/routing/route_table.cc
+++ b/routing/route_table.cc
@@ -42,6 +42,8 @@
     for (const weighted_service &Choice : Route.Services) {
       service_routes &Routes = RoutesTo[Choice.Service];
       Routes.MostUrgentRank = std::min(Routes.MostUrgentRank, Route.Rank);
+      if (Route.Kind == repeat_kind::Stream)
+        Routes.LongestTarget = std::max(Routes.LongestTarget, Route.Target);
       if (Route.PauseTarget)
         Routes.StrictestPause =
             std::min(Routes.StrictestPause, *Route.PauseTarget);
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -24,6 +24,7 @@
 struct service_routes {
   int MostUrgentRank = std::numeric_limits<int>::max();
   duration StrictestPause = duration::max(); // of the streams
+  duration LongestTarget{};                  // of the streams
 };
 
 class route_table {
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -116,13 +116,14 @@
 }
 
 int64_t routing_node::zoneExchangePeriod() const {
-  bool FewSlots =
+  bool IsByTimes =
       Table &&
       std::any_of(Table->config().Services.begin(),
-                  Table->config().Services.end(), [](const service &Service) {
-                    return Service.Engine && Service.Engine->hasFewSlots();
+                  Table->config().Services.end(), [&](const service &Service) {
+                    return isPlacedByTimes(Service,
+                                           Table->routesTo(Service.Name));
                   });
-  return FewSlots ? 1 : reports_per_zone_exchange;
+  return IsByTimes ? 1 : reports_per_zone_exchange;
 }
 
 duration routing_node::reportInterval() const {
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -109,6 +109,9 @@
       It->second = {Sums, Now - Age};
   }
   Clock.onPeer(From, Now, wall_time(fromMicros(Report.TrueMicros)));
+  for (const std::string &Service : Report.ShortOfRoom)
+    if (Table && Table->findService(pool_name(Service)))
+      Requests.onUrgentRefused(pool_name(Service), Now);
   onSharedParts(Report, Now, Effects);
 }
 
@@ -314,6 +317,7 @@
   Report.Leaving = leavingRuns(Event.Now);
   Report.Limits = Limits.recent(false, Event.Now);
   Report.Parts = Quarantine.report(false, Event.Now);
+  Report.ShortOfRoom = Requests.servicesShortOfRoom(Event.Now);
   if (++RelayReports % zoneExchangePeriod() == 0) {
     sendUnconfirmedOrders(Relays.ofOtherZones(), Effects);
     Effects.push_back(
--- a/routing/testing/engine_choice_test.cc
+++ b/routing/testing/engine_choice_test.cc
@@ -122,44 +122,44 @@
 
 // Guards against requests that wait at engines until they are late, and delay
 // those behind them.
-TEST_F(engine_choice_test, EveryEngineFull_LessUrgentIsHopelessFirst) {
+TEST_F(engine_choice_test, EveryEngineFull_LessUrgentIsRefusedFirst) {
   prompt_info Long = longPrompt(2700);
   prompt_info Short = shortPrompt();
-  EXPECT_FALSE(isHopeless(query(Long), choose(Long)));
+  EXPECT_FALSE(shouldRefuse(query(Long), choose(Long)));
   for (int I = 0; I < 9; ++I)
     load(I, 16, 0, true);
-  EXPECT_TRUE(isHopeless(query(Long), choose(Long)));
-  EXPECT_FALSE(isHopeless(query(Short), choose(Short)));
+  EXPECT_TRUE(shouldRefuse(query(Long), choose(Long)));
+  EXPECT_FALSE(shouldRefuse(query(Short), choose(Short)));
   for (int I = 0; I < 9; ++I)
     load(I, 8, 0, true);
-  EXPECT_TRUE(isHopeless(query(Short), choose(Short)));
+  EXPECT_TRUE(shouldRefuse(query(Short), choose(Short)));
 }
 
 // Guards against a refusal while other engines are idle: the home, which has
 // the subject cached, is the cheapest one, but has no free slot.
-TEST_F(engine_choice_test, Subject_HomeFullOthersIdle_IsNotHopeless) {
+TEST_F(engine_choice_test, Subject_HomeFullOthersIdle_IsNotRefused) {
   std::string Home = nameFor(longPrompt(2700));
   Cache.onDispatched(upstream_name(Home), longPrompt(2700), at(0ms));
   load(Home[1] - '0', 16, 0, false);
   prompt_info Long = longPrompt(2700);
-  EXPECT_FALSE(isHopeless(query(Long), choose(Long)));
+  EXPECT_FALSE(shouldRefuse(query(Long), choose(Long)));
   EXPECT_NE(nameFor(Long), Home);
 }
 
 // Guards against a model that refuses everything and so learns nothing.
-TEST_F(engine_choice_test, EnginesIdle_HugePrompt_IsNotHopeless) {
+TEST_F(engine_choice_test, EnginesIdle_HugePrompt_IsNotRefused) {
   prompt_info Huge = longPrompt(200000);
-  EXPECT_FALSE(isHopeless(query(Huge), choose(Huge)));
+  EXPECT_FALSE(shouldRefuse(query(Huge), choose(Huge)));
 }
 
 // Guards against refusals by entries that know only a part of the load.
-TEST_F(engine_choice_test, LoadIsStale_NoRequestIsHopeless) {
+TEST_F(engine_choice_test, LoadIsStale_NoRequestIsRefused) {
   prompt_info Long = longPrompt(2700);
   for (int I = 0; I < 9; ++I)
     load(I, 1, 90000, false);
   placement_query Query = query(Long);
   Query.LoadIsStale = true;
-  EXPECT_FALSE(isHopeless(Query, choose(Long)));
+  EXPECT_FALSE(shouldRefuse(Query, choose(Long)));
 }
 
 TEST_F(engine_choice_test, EnginesForPaced_ManyStreams_LeaveSomeForPrompts) {
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -2737,6 +2737,10 @@
 void relay_report::__set_ConfigVersion(const int64_t val) {
   this->ConfigVersion = val;
 }
+
+void relay_report::__set_ShortOfRoom(const std::vector<std::string> & val) {
+  this->ShortOfRoom = val;
+}
 std::ostream& operator<<(std::ostream& out, const relay_report& obj)
 {
   obj.printTo(out);
@@ -2925,6 +2929,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ShortOfRoom.clear();
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->ShortOfRoom.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
+            {
+              xfer += iprot->readString(this->ShortOfRoom[_i164]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ShortOfRoom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2945,10 +2969,10 @@
   xfer += oprot->writeFieldBegin("Zones", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Zones.size()));
-    std::vector<zone_uses> ::const_iterator _iter160;
-    for (_iter160 = this->Zones.begin(); _iter160 != this->Zones.end(); ++_iter160)
+    std::vector<zone_uses> ::const_iterator _iter165;
+    for (_iter165 = this->Zones.begin(); _iter165 != this->Zones.end(); ++_iter165)
     {
-      xfer += (*_iter160).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2957,10 +2981,10 @@
   xfer += oprot->writeFieldBegin("Feeds", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Feeds.size()));
-    std::vector<feed_mark> ::const_iterator _iter161;
-    for (_iter161 = this->Feeds.begin(); _iter161 != this->Feeds.end(); ++_iter161)
+    std::vector<feed_mark> ::const_iterator _iter166;
+    for (_iter166 = this->Feeds.begin(); _iter166 != this->Feeds.end(); ++_iter166)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2993,10 +3017,10 @@
   xfer += oprot->writeFieldBegin("Leaving", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Leaving.size()));
-    std::vector<upstream_run> ::const_iterator _iter162;
-    for (_iter162 = this->Leaving.begin(); _iter162 != this->Leaving.end(); ++_iter162)
+    std::vector<upstream_run> ::const_iterator _iter167;
+    for (_iter167 = this->Leaving.begin(); _iter167 != this->Leaving.end(); ++_iter167)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3005,10 +3029,10 @@
   xfer += oprot->writeFieldBegin("Limits", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Limits.size()));
-    std::vector<upstream_limit> ::const_iterator _iter163;
-    for (_iter163 = this->Limits.begin(); _iter163 != this->Limits.end(); ++_iter163)
+    std::vector<upstream_limit> ::const_iterator _iter168;
+    for (_iter168 = this->Limits.begin(); _iter168 != this->Limits.end(); ++_iter168)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter168).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3030,6 +3054,18 @@
   xfer += oprot->writeI64(this->ConfigVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ShortOfRoom", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->ShortOfRoom.size()));
+    std::vector<std::string> ::const_iterator _iter169;
+    for (_iter169 = this->ShortOfRoom.begin(); _iter169 != this->ShortOfRoom.end(); ++_iter169)
+    {
+      xfer += oprot->writeString((*_iter169));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3051,77 +3087,82 @@
   swap(a.StoreEra, b.StoreEra);
   swap(a.DutyClaimEra, b.DutyClaimEra);
   swap(a.ConfigVersion, b.ConfigVersion);
+  swap(a.ShortOfRoom, b.ShortOfRoom);
   swap(a.__isset, b.__isset);
 }
 
-relay_report::relay_report(const relay_report& other164) {
-  Zones = other164.Zones;
-  Feeds = other164.Feeds;
-  DutyHolder = other164.DutyHolder;
-  DutyIncarnation = other164.DutyIncarnation;
-  DutyFence = other164.DutyFence;
-  DutyClaimOffset = other164.DutyClaimOffset;
-  LastFiguredWindow = other164.LastFiguredWindow;
-  TrueMicros = other164.TrueMicros;
-  Leaving = other164.Leaving;
-  Limits = other164.Limits;
-  Parts = other164.Parts;
-  StoreEra = other164.StoreEra;
-  DutyClaimEra = other164.DutyClaimEra;
-  ConfigVersion = other164.ConfigVersion;
-  __isset = other164.__isset;
-}
-relay_report::relay_report(relay_report&& other165) noexcept {
-  Zones = std::move(other165.Zones);
-  Feeds = std::move(other165.Feeds);
-  DutyHolder = std::move(other165.DutyHolder);
-  DutyIncarnation = other165.DutyIncarnation;
-  DutyFence = other165.DutyFence;
-  DutyClaimOffset = other165.DutyClaimOffset;
-  LastFiguredWindow = other165.LastFiguredWindow;
-  TrueMicros = other165.TrueMicros;
-  Leaving = std::move(other165.Leaving);
-  Limits = std::move(other165.Limits);
-  Parts = std::move(other165.Parts);
-  StoreEra = other165.StoreEra;
-  DutyClaimEra = other165.DutyClaimEra;
-  ConfigVersion = other165.ConfigVersion;
-  __isset = other165.__isset;
-}
-relay_report& relay_report::operator=(const relay_report& other166) {
-  Zones = other166.Zones;
-  Feeds = other166.Feeds;
-  DutyHolder = other166.DutyHolder;
-  DutyIncarnation = other166.DutyIncarnation;
-  DutyFence = other166.DutyFence;
-  DutyClaimOffset = other166.DutyClaimOffset;
-  LastFiguredWindow = other166.LastFiguredWindow;
-  TrueMicros = other166.TrueMicros;
-  Leaving = other166.Leaving;
-  Limits = other166.Limits;
-  Parts = other166.Parts;
-  StoreEra = other166.StoreEra;
-  DutyClaimEra = other166.DutyClaimEra;
-  ConfigVersion = other166.ConfigVersion;
-  __isset = other166.__isset;
+relay_report::relay_report(const relay_report& other170) {
+  Zones = other170.Zones;
+  Feeds = other170.Feeds;
+  DutyHolder = other170.DutyHolder;
+  DutyIncarnation = other170.DutyIncarnation;
+  DutyFence = other170.DutyFence;
+  DutyClaimOffset = other170.DutyClaimOffset;
+  LastFiguredWindow = other170.LastFiguredWindow;
+  TrueMicros = other170.TrueMicros;
+  Leaving = other170.Leaving;
+  Limits = other170.Limits;
+  Parts = other170.Parts;
+  StoreEra = other170.StoreEra;
+  DutyClaimEra = other170.DutyClaimEra;
+  ConfigVersion = other170.ConfigVersion;
+  ShortOfRoom = other170.ShortOfRoom;
+  __isset = other170.__isset;
+}
+relay_report::relay_report(relay_report&& other171) noexcept {
+  Zones = std::move(other171.Zones);
+  Feeds = std::move(other171.Feeds);
+  DutyHolder = std::move(other171.DutyHolder);
+  DutyIncarnation = other171.DutyIncarnation;
+  DutyFence = other171.DutyFence;
+  DutyClaimOffset = other171.DutyClaimOffset;
+  LastFiguredWindow = other171.LastFiguredWindow;
+  TrueMicros = other171.TrueMicros;
+  Leaving = std::move(other171.Leaving);
+  Limits = std::move(other171.Limits);
+  Parts = std::move(other171.Parts);
+  StoreEra = other171.StoreEra;
+  DutyClaimEra = other171.DutyClaimEra;
+  ConfigVersion = other171.ConfigVersion;
+  ShortOfRoom = std::move(other171.ShortOfRoom);
+  __isset = other171.__isset;
+}
+relay_report& relay_report::operator=(const relay_report& other172) {
+  Zones = other172.Zones;
+  Feeds = other172.Feeds;
+  DutyHolder = other172.DutyHolder;
+  DutyIncarnation = other172.DutyIncarnation;
+  DutyFence = other172.DutyFence;
+  DutyClaimOffset = other172.DutyClaimOffset;
+  LastFiguredWindow = other172.LastFiguredWindow;
+  TrueMicros = other172.TrueMicros;
+  Leaving = other172.Leaving;
+  Limits = other172.Limits;
+  Parts = other172.Parts;
+  StoreEra = other172.StoreEra;
+  DutyClaimEra = other172.DutyClaimEra;
+  ConfigVersion = other172.ConfigVersion;
+  ShortOfRoom = other172.ShortOfRoom;
+  __isset = other172.__isset;
   return *this;
 }
-relay_report& relay_report::operator=(relay_report&& other167) noexcept {
-  Zones = std::move(other167.Zones);
-  Feeds = std::move(other167.Feeds);
-  DutyHolder = std::move(other167.DutyHolder);
-  DutyIncarnation = other167.DutyIncarnation;
-  DutyFence = other167.DutyFence;
-  DutyClaimOffset = other167.DutyClaimOffset;
-  LastFiguredWindow = other167.LastFiguredWindow;
-  TrueMicros = other167.TrueMicros;
-  Leaving = std::move(other167.Leaving);
-  Limits = std::move(other167.Limits);
-  Parts = std::move(other167.Parts);
-  StoreEra = other167.StoreEra;
-  DutyClaimEra = other167.DutyClaimEra;
-  ConfigVersion = other167.ConfigVersion;
-  __isset = other167.__isset;
+relay_report& relay_report::operator=(relay_report&& other173) noexcept {
+  Zones = std::move(other173.Zones);
+  Feeds = std::move(other173.Feeds);
+  DutyHolder = std::move(other173.DutyHolder);
+  DutyIncarnation = other173.DutyIncarnation;
+  DutyFence = other173.DutyFence;
+  DutyClaimOffset = other173.DutyClaimOffset;
+  LastFiguredWindow = other173.LastFiguredWindow;
+  TrueMicros = other173.TrueMicros;
+  Leaving = std::move(other173.Leaving);
+  Limits = std::move(other173.Limits);
+  Parts = std::move(other173.Parts);
+  StoreEra = other173.StoreEra;
+  DutyClaimEra = other173.DutyClaimEra;
+  ConfigVersion = other173.ConfigVersion;
+  ShortOfRoom = std::move(other173.ShortOfRoom);
+  __isset = other173.__isset;
   return *this;
 }
 void relay_report::printTo(std::ostream& out) const {
@@ -3141,6 +3182,7 @@
   out << ", " << "StoreEra=" << to_string(StoreEra);
   out << ", " << "DutyClaimEra=" << to_string(DutyClaimEra);
   out << ", " << "ConfigVersion=" << to_string(ConfigVersion);
+  out << ", " << "ShortOfRoom=" << to_string(ShortOfRoom);
   out << ")";
 }
 
@@ -3256,30 +3298,30 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_record::feed_record(const feed_record& other168) {
-  Offset = other168.Offset;
-  Key = other168.Key;
-  Value = other168.Value;
-  __isset = other168.__isset;
+feed_record::feed_record(const feed_record& other174) {
+  Offset = other174.Offset;
+  Key = other174.Key;
+  Value = other174.Value;
+  __isset = other174.__isset;
 }
-feed_record::feed_record(feed_record&& other169) noexcept {
-  Offset = other169.Offset;
-  Key = std::move(other169.Key);
-  Value = std::move(other169.Value);
-  __isset = other169.__isset;
+feed_record::feed_record(feed_record&& other175) noexcept {
+  Offset = other175.Offset;
+  Key = std::move(other175.Key);
+  Value = std::move(other175.Value);
+  __isset = other175.__isset;
 }
-feed_record& feed_record::operator=(const feed_record& other170) {
-  Offset = other170.Offset;
-  Key = other170.Key;
-  Value = other170.Value;
-  __isset = other170.__isset;
+feed_record& feed_record::operator=(const feed_record& other176) {
+  Offset = other176.Offset;
+  Key = other176.Key;
+  Value = other176.Value;
+  __isset = other176.__isset;
   return *this;
 }
-feed_record& feed_record::operator=(feed_record&& other171) noexcept {
-  Offset = other171.Offset;
-  Key = std::move(other171.Key);
-  Value = std::move(other171.Value);
-  __isset = other171.__isset;
+feed_record& feed_record::operator=(feed_record&& other177) noexcept {
+  Offset = other177.Offset;
+  Key = std::move(other177.Key);
+  Value = std::move(other177.Value);
+  __isset = other177.__isset;
   return *this;
 }
 void feed_record::printTo(std::ostream& out) const {
@@ -3384,14 +3426,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Records.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->Records.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->Records.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->Records[_i176].read(iprot);
+              xfer += this->Records[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3464,10 +3506,10 @@
   xfer += oprot->writeFieldBegin("Records", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Records.size()));
-    std::vector<feed_record> ::const_iterator _iter177;
-    for (_iter177 = this->Records.begin(); _iter177 != this->Records.end(); ++_iter177)
+    std::vector<feed_record> ::const_iterator _iter183;
+    for (_iter183 = this->Records.begin(); _iter183 != this->Records.end(); ++_iter183)
     {
-      xfer += (*_iter177).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3508,50 +3550,50 @@
   swap(a.__isset, b.__isset);
 }
 
-feed_news::feed_news(const feed_news& other178) {
-  Feed = other178.Feed;
-  From = other178.From;
-  End = other178.End;
-  Records = other178.Records;
-  Whole = other178.Whole;
-  AfterOutage = other178.AfterOutage;
-  Packed = other178.Packed;
-  Era = other178.Era;
-  __isset = other178.__isset;
-}
-feed_news::feed_news(feed_news&& other179) noexcept {
-  Feed = std::move(other179.Feed);
-  From = other179.From;
-  End = other179.End;
-  Records = std::move(other179.Records);
-  Whole = other179.Whole;
-  AfterOutage = other179.AfterOutage;
-  Packed = std::move(other179.Packed);
-  Era = other179.Era;
-  __isset = other179.__isset;
-}
-feed_news& feed_news::operator=(const feed_news& other180) {
-  Feed = other180.Feed;
-  From = other180.From;
-  End = other180.End;
-  Records = other180.Records;
-  Whole = other180.Whole;
-  AfterOutage = other180.AfterOutage;
-  Packed = other180.Packed;
-  Era = other180.Era;
-  __isset = other180.__isset;
+feed_news::feed_news(const feed_news& other184) {
+  Feed = other184.Feed;
+  From = other184.From;
+  End = other184.End;
+  Records = other184.Records;
+  Whole = other184.Whole;
+  AfterOutage = other184.AfterOutage;
+  Packed = other184.Packed;
+  Era = other184.Era;
+  __isset = other184.__isset;
+}
+feed_news::feed_news(feed_news&& other185) noexcept {
+  Feed = std::move(other185.Feed);
+  From = other185.From;
+  End = other185.End;
+  Records = std::move(other185.Records);
+  Whole = other185.Whole;
+  AfterOutage = other185.AfterOutage;
+  Packed = std::move(other185.Packed);
+  Era = other185.Era;
+  __isset = other185.__isset;
+}
+feed_news& feed_news::operator=(const feed_news& other186) {
+  Feed = other186.Feed;
+  From = other186.From;
+  End = other186.End;
+  Records = other186.Records;
+  Whole = other186.Whole;
+  AfterOutage = other186.AfterOutage;
+  Packed = other186.Packed;
+  Era = other186.Era;
+  __isset = other186.__isset;
   return *this;
 }
-feed_news& feed_news::operator=(feed_news&& other181) noexcept {
-  Feed = std::move(other181.Feed);
-  From = other181.From;
-  End = other181.End;
-  Records = std::move(other181.Records);
-  Whole = other181.Whole;
-  AfterOutage = other181.AfterOutage;
-  Packed = std::move(other181.Packed);
-  Era = other181.Era;
-  __isset = other181.__isset;
+feed_news& feed_news::operator=(feed_news&& other187) noexcept {
+  Feed = std::move(other187.Feed);
+  From = other187.From;
+  End = other187.End;
+  Records = std::move(other187.Records);
+  Whole = other187.Whole;
+  AfterOutage = other187.AfterOutage;
+  Packed = std::move(other187.Packed);
+  Era = other187.Era;
+  __isset = other187.__isset;
   return *this;
 }
 void feed_news::printTo(std::ostream& out) const {
@@ -3712,38 +3754,38 @@
   swap(a.__isset, b.__isset);
 }
 
-duty_claim::duty_claim(const duty_claim& other182) {
-  Holder = other182.Holder;
-  Incarnation = other182.Incarnation;
-  Fence = other182.Fence;
-  Released = other182.Released;
-  Era = other182.Era;
-  __isset = other182.__isset;
-}
-duty_claim::duty_claim(duty_claim&& other183) noexcept {
-  Holder = std::move(other183.Holder);
-  Incarnation = other183.Incarnation;
-  Fence = other183.Fence;
-  Released = other183.Released;
-  Era = other183.Era;
-  __isset = other183.__isset;
-}
-duty_claim& duty_claim::operator=(const duty_claim& other184) {
-  Holder = other184.Holder;
-  Incarnation = other184.Incarnation;
-  Fence = other184.Fence;
-  Released = other184.Released;
-  Era = other184.Era;
-  __isset = other184.__isset;
+duty_claim::duty_claim(const duty_claim& other188) {
+  Holder = other188.Holder;
+  Incarnation = other188.Incarnation;
+  Fence = other188.Fence;
+  Released = other188.Released;
+  Era = other188.Era;
+  __isset = other188.__isset;
+}
+duty_claim::duty_claim(duty_claim&& other189) noexcept {
+  Holder = std::move(other189.Holder);
+  Incarnation = other189.Incarnation;
+  Fence = other189.Fence;
+  Released = other189.Released;
+  Era = other189.Era;
+  __isset = other189.__isset;
+}
+duty_claim& duty_claim::operator=(const duty_claim& other190) {
+  Holder = other190.Holder;
+  Incarnation = other190.Incarnation;
+  Fence = other190.Fence;
+  Released = other190.Released;
+  Era = other190.Era;
+  __isset = other190.__isset;
   return *this;
 }
-duty_claim& duty_claim::operator=(duty_claim&& other185) noexcept {
-  Holder = std::move(other185.Holder);
-  Incarnation = other185.Incarnation;
-  Fence = other185.Fence;
-  Released = other185.Released;
-  Era = other185.Era;
-  __isset = other185.__isset;
+duty_claim& duty_claim::operator=(duty_claim&& other191) noexcept {
+  Holder = std::move(other191.Holder);
+  Incarnation = other191.Incarnation;
+  Fence = other191.Fence;
+  Released = other191.Released;
+  Era = other191.Era;
+  __isset = other191.__isset;
   return *this;
 }
 void duty_claim::printTo(std::ostream& out) const {
@@ -3854,26 +3896,26 @@
   swap(a.__isset, b.__isset);
 }
 
-duty_record::duty_record(const duty_record& other186) {
-  Claim = other186.Claim;
-  Figures = other186.Figures;
-  __isset = other186.__isset;
+duty_record::duty_record(const duty_record& other192) {
+  Claim = other192.Claim;
+  Figures = other192.Figures;
+  __isset = other192.__isset;
 }
-duty_record::duty_record(duty_record&& other187) noexcept {
-  Claim = std::move(other187.Claim);
-  Figures = std::move(other187.Figures);
-  __isset = other187.__isset;
+duty_record::duty_record(duty_record&& other193) noexcept {
+  Claim = std::move(other193.Claim);
+  Figures = std::move(other193.Figures);
+  __isset = other193.__isset;
 }
-duty_record& duty_record::operator=(const duty_record& other188) {
-  Claim = other188.Claim;
-  Figures = other188.Figures;
-  __isset = other188.__isset;
+duty_record& duty_record::operator=(const duty_record& other194) {
+  Claim = other194.Claim;
+  Figures = other194.Figures;
+  __isset = other194.__isset;
   return *this;
 }
-duty_record& duty_record::operator=(duty_record&& other189) noexcept {
-  Claim = std::move(other189.Claim);
-  Figures = std::move(other189.Figures);
-  __isset = other189.__isset;
+duty_record& duty_record::operator=(duty_record&& other195) noexcept {
+  Claim = std::move(other195.Claim);
+  Figures = std::move(other195.Figures);
+  __isset = other195.__isset;
   return *this;
 }
 void duty_record::printTo(std::ostream& out) const {
@@ -3977,26 +4019,26 @@
   swap(a.__isset, b.__isset);
 }
 
-prompt_piece::prompt_piece(const prompt_piece& other190) noexcept {
-  Id = other190.Id;
-  Tokens = other190.Tokens;
-  __isset = other190.__isset;
+prompt_piece::prompt_piece(const prompt_piece& other196) noexcept {
+  Id = other196.Id;
+  Tokens = other196.Tokens;
+  __isset = other196.__isset;
 }
-prompt_piece::prompt_piece(prompt_piece&& other191) noexcept {
-  Id = other191.Id;
-  Tokens = other191.Tokens;
-  __isset = other191.__isset;
+prompt_piece::prompt_piece(prompt_piece&& other197) noexcept {
+  Id = other197.Id;
+  Tokens = other197.Tokens;
+  __isset = other197.__isset;
 }
-prompt_piece& prompt_piece::operator=(const prompt_piece& other192) noexcept {
-  Id = other192.Id;
-  Tokens = other192.Tokens;
-  __isset = other192.__isset;
+prompt_piece& prompt_piece::operator=(const prompt_piece& other198) noexcept {
+  Id = other198.Id;
+  Tokens = other198.Tokens;
+  __isset = other198.__isset;
   return *this;
 }
-prompt_piece& prompt_piece::operator=(prompt_piece&& other193) noexcept {
-  Id = other193.Id;
-  Tokens = other193.Tokens;
-  __isset = other193.__isset;
+prompt_piece& prompt_piece::operator=(prompt_piece&& other199) noexcept {
+  Id = other199.Id;
+  Tokens = other199.Tokens;
+  __isset = other199.__isset;
   return *this;
 }
 void prompt_piece::printTo(std::ostream& out) const {
@@ -4115,14 +4157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Pieces.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->Pieces.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size200;
+            ::apache::thrift::protocol::TType _etype203;
+            xfer += iprot->readListBegin(_etype203, _size200);
+            this->Pieces.resize(_size200);
+            uint32_t _i204;
+            for (_i204 = 0; _i204 < _size200; ++_i204)
             {
-              xfer += this->Pieces[_i198].read(iprot);
+              xfer += this->Pieces[_i204].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4135,14 +4177,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Tried.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readListBegin(_etype202, _size199);
-            this->Tried.resize(_size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->Tried.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += iprot->readString(this->Tried[_i203]);
+              xfer += iprot->readString(this->Tried[_i209]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4155,14 +4197,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->Failing.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->Failing.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size210;
+            ::apache::thrift::protocol::TType _etype213;
+            xfer += iprot->readListBegin(_etype213, _size210);
+            this->Failing.resize(_size210);
+            uint32_t _i214;
+            for (_i214 = 0; _i214 < _size210; ++_i214)
             {
-              xfer += iprot->readString(this->Failing[_i208]);
+              xfer += iprot->readString(this->Failing[_i214]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4231,10 +4273,10 @@
   xfer += oprot->writeFieldBegin("Pieces", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Pieces.size()));
-    std::vector<prompt_piece> ::const_iterator _iter209;
-    for (_iter209 = this->Pieces.begin(); _iter209 != this->Pieces.end(); ++_iter209)
+    std::vector<prompt_piece> ::const_iterator _iter215;
+    for (_iter215 = this->Pieces.begin(); _iter215 != this->Pieces.end(); ++_iter215)
     {
-      xfer += (*_iter209).write(oprot);
+      xfer += (*_iter215).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4243,10 +4285,10 @@
   xfer += oprot->writeFieldBegin("Tried", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Tried.size()));
-    std::vector<std::string> ::const_iterator _iter210;
-    for (_iter210 = this->Tried.begin(); _iter210 != this->Tried.end(); ++_iter210)
+    std::vector<std::string> ::const_iterator _iter216;
+    for (_iter216 = this->Tried.begin(); _iter216 != this->Tried.end(); ++_iter216)
     {
-      xfer += oprot->writeString((*_iter210));
+      xfer += oprot->writeString((*_iter216));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4255,10 +4297,10 @@
   xfer += oprot->writeFieldBegin("Failing", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->Failing.size()));
-    std::vector<std::string> ::const_iterator _iter211;
-    for (_iter211 = this->Failing.begin(); _iter211 != this->Failing.end(); ++_iter211)
+    std::vector<std::string> ::const_iterator _iter217;
+    for (_iter217 = this->Failing.begin(); _iter217 != this->Failing.end(); ++_iter217)
     {
-      xfer += oprot->writeString((*_iter211));
+      xfer += oprot->writeString((*_iter217));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4296,58 +4338,58 @@
   swap(a.__isset, b.__isset);
 }
 
-placement_ask::placement_ask(const placement_ask& other212) {
-  Ask = other212.Ask;
-  Service = other212.Service;
-  PromptTokens = other212.PromptTokens;
-  MaxOutputTokens = other212.MaxOutputTokens;
-  Pieces = other212.Pieces;
-  Tried = other212.Tried;
-  Failing = other212.Failing;
-  Urgent = other212.Urgent;
-  TargetMicros = other212.TargetMicros;
-  PauseMicros = other212.PauseMicros;
-  __isset = other212.__isset;
-}
-placement_ask::placement_ask(placement_ask&& other213) noexcept {
-  Ask = other213.Ask;
-  Service = std::move(other213.Service);
-  PromptTokens = other213.PromptTokens;
-  MaxOutputTokens = other213.MaxOutputTokens;
-  Pieces = std::move(other213.Pieces);
-  Tried = std::move(other213.Tried);
-  Failing = std::move(other213.Failing);
-  Urgent = other213.Urgent;
-  TargetMicros = other213.TargetMicros;
-  PauseMicros = other213.PauseMicros;
-  __isset = other213.__isset;
-}
-placement_ask& placement_ask::operator=(const placement_ask& other214) {
-  Ask = other214.Ask;
-  Service = other214.Service;
-  PromptTokens = other214.PromptTokens;
-  MaxOutputTokens = other214.MaxOutputTokens;
-  Pieces = other214.Pieces;
-  Tried = other214.Tried;
-  Failing = other214.Failing;
-  Urgent = other214.Urgent;
-  TargetMicros = other214.TargetMicros;
-  PauseMicros = other214.PauseMicros;
-  __isset = other214.__isset;
+placement_ask::placement_ask(const placement_ask& other218) {
+  Ask = other218.Ask;
+  Service = other218.Service;
+  PromptTokens = other218.PromptTokens;
+  MaxOutputTokens = other218.MaxOutputTokens;
+  Pieces = other218.Pieces;
+  Tried = other218.Tried;
+  Failing = other218.Failing;
+  Urgent = other218.Urgent;
+  TargetMicros = other218.TargetMicros;
+  PauseMicros = other218.PauseMicros;
+  __isset = other218.__isset;
+}
+placement_ask::placement_ask(placement_ask&& other219) noexcept {
+  Ask = other219.Ask;
+  Service = std::move(other219.Service);
+  PromptTokens = other219.PromptTokens;
+  MaxOutputTokens = other219.MaxOutputTokens;
+  Pieces = std::move(other219.Pieces);
+  Tried = std::move(other219.Tried);
+  Failing = std::move(other219.Failing);
+  Urgent = other219.Urgent;
+  TargetMicros = other219.TargetMicros;
+  PauseMicros = other219.PauseMicros;
+  __isset = other219.__isset;
+}
+placement_ask& placement_ask::operator=(const placement_ask& other220) {
+  Ask = other220.Ask;
+  Service = other220.Service;
+  PromptTokens = other220.PromptTokens;
+  MaxOutputTokens = other220.MaxOutputTokens;
+  Pieces = other220.Pieces;
+  Tried = other220.Tried;
+  Failing = other220.Failing;
+  Urgent = other220.Urgent;
+  TargetMicros = other220.TargetMicros;
+  PauseMicros = other220.PauseMicros;
+  __isset = other220.__isset;
   return *this;
 }
-placement_ask& placement_ask::operator=(placement_ask&& other215) noexcept {
-  Ask = other215.Ask;
-  Service = std::move(other215.Service);
-  PromptTokens = other215.PromptTokens;
-  MaxOutputTokens = other215.MaxOutputTokens;
-  Pieces = std::move(other215.Pieces);
-  Tried = std::move(other215.Tried);
-  Failing = std::move(other215.Failing);
-  Urgent = other215.Urgent;
-  TargetMicros = other215.TargetMicros;
-  PauseMicros = other215.PauseMicros;
-  __isset = other215.__isset;
+placement_ask& placement_ask::operator=(placement_ask&& other221) noexcept {
+  Ask = other221.Ask;
+  Service = std::move(other221.Service);
+  PromptTokens = other221.PromptTokens;
+  MaxOutputTokens = other221.MaxOutputTokens;
+  Pieces = std::move(other221.Pieces);
+  Tried = std::move(other221.Tried);
+  Failing = std::move(other221.Failing);
+  Urgent = other221.Urgent;
+  TargetMicros = other221.TargetMicros;
+  PauseMicros = other221.PauseMicros;
+  __isset = other221.__isset;
   return *this;
 }
 void placement_ask::printTo(std::ostream& out) const {
@@ -4510,38 +4552,38 @@
   swap(a.__isset, b.__isset);
 }
 
-placement_grant::placement_grant(const placement_grant& other216) {
-  Ask = other216.Ask;
-  Upstream = other216.Upstream;
-  UnreadTokens = other216.UnreadTokens;
-  RetryMicros = other216.RetryMicros;
-  PredictedMicros = other216.PredictedMicros;
-  __isset = other216.__isset;
-}
-placement_grant::placement_grant(placement_grant&& other217) noexcept {
-  Ask = other217.Ask;
-  Upstream = std::move(other217.Upstream);
-  UnreadTokens = other217.UnreadTokens;
-  RetryMicros = other217.RetryMicros;
-  PredictedMicros = other217.PredictedMicros;
-  __isset = other217.__isset;
-}
-placement_grant& placement_grant::operator=(const placement_grant& other218) {
-  Ask = other218.Ask;
-  Upstream = other218.Upstream;
-  UnreadTokens = other218.UnreadTokens;
-  RetryMicros = other218.RetryMicros;
-  PredictedMicros = other218.PredictedMicros;
-  __isset = other218.__isset;
+placement_grant::placement_grant(const placement_grant& other222) {
+  Ask = other222.Ask;
+  Upstream = other222.Upstream;
+  UnreadTokens = other222.UnreadTokens;
+  RetryMicros = other222.RetryMicros;
+  PredictedMicros = other222.PredictedMicros;
+  __isset = other222.__isset;
+}
+placement_grant::placement_grant(placement_grant&& other223) noexcept {
+  Ask = other223.Ask;
+  Upstream = std::move(other223.Upstream);
+  UnreadTokens = other223.UnreadTokens;
+  RetryMicros = other223.RetryMicros;
+  PredictedMicros = other223.PredictedMicros;
+  __isset = other223.__isset;
+}
+placement_grant& placement_grant::operator=(const placement_grant& other224) {
+  Ask = other224.Ask;
+  Upstream = other224.Upstream;
+  UnreadTokens = other224.UnreadTokens;
+  RetryMicros = other224.RetryMicros;
+  PredictedMicros = other224.PredictedMicros;
+  __isset = other224.__isset;
   return *this;
 }
-placement_grant& placement_grant::operator=(placement_grant&& other219) noexcept {
-  Ask = other219.Ask;
-  Upstream = std::move(other219.Upstream);
-  UnreadTokens = other219.UnreadTokens;
-  RetryMicros = other219.RetryMicros;
-  PredictedMicros = other219.PredictedMicros;
-  __isset = other219.__isset;
+placement_grant& placement_grant::operator=(placement_grant&& other225) noexcept {
+  Ask = other225.Ask;
+  Upstream = std::move(other225.Upstream);
+  UnreadTokens = other225.UnreadTokens;
+  RetryMicros = other225.RetryMicros;
+  PredictedMicros = other225.PredictedMicros;
+  __isset = other225.__isset;
   return *this;
 }
 void placement_grant::printTo(std::ostream& out) const {
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -990,7 +990,7 @@
 std::ostream& operator<<(std::ostream& out, const zone_uses& obj);
 
 typedef struct _relay_report__isset {
-  _relay_report__isset() : Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false), Limits(false), Parts(false), StoreEra(false), DutyClaimEra(false), ConfigVersion(false) {}
+  _relay_report__isset() : Zones(false), Feeds(false), DutyHolder(false), DutyIncarnation(false), DutyFence(false), DutyClaimOffset(false), LastFiguredWindow(false), TrueMicros(false), Leaving(false), Limits(false), Parts(false), StoreEra(false), DutyClaimEra(false), ConfigVersion(false), ShortOfRoom(false) {}
   bool Zones :1;
   bool Feeds :1;
   bool DutyHolder :1;
@@ -1005,6 +1005,7 @@
   bool StoreEra :1;
   bool DutyClaimEra :1;
   bool ConfigVersion :1;
+  bool ShortOfRoom :1;
 } _relay_report__isset;
 
 class relay_report : public virtual ::apache::thrift::TBase {
@@ -1041,6 +1042,7 @@
   int64_t StoreEra;
   int64_t DutyClaimEra;
   int64_t ConfigVersion;
+  std::vector<std::string>  ShortOfRoom;
 
   _relay_report__isset __isset;
 
@@ -1072,6 +1074,8 @@
 
   void __set_ConfigVersion(const int64_t val);
 
+  void __set_ShortOfRoom(const std::vector<std::string> & val);
+
   bool operator == (const relay_report & rhs) const
   {
     if (!(Zones == rhs.Zones))
@@ -1102,6 +1106,8 @@
       return false;
     if (!(ConfigVersion == rhs.ConfigVersion))
       return false;
+    if (!(ShortOfRoom == rhs.ShortOfRoom))
+      return false;
     return true;
   }
   bool operator != (const relay_report &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -135,6 +135,8 @@
   12: i64 StoreEra             // as in entry_report
   13: i64 DutyClaimEra
   14: i64 ConfigVersion
+  15: list<string> ShortOfRoom // services whose most urgent requests the sender
+                               // has had to refuse recently
 }
 
 // One record of a keyed feed of the platform's store.
