--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -13,7 +13,7 @@
 
 // Part of an engine's slots that paced streams take before another engine is
 // reserved. The rest serves those that arrive until then.
-constexpr double paced_part_of_slots = 0.7;
+constexpr double paced_slot_share = 0.7;
 // Part of the engines that may be reserved: long prompts always have some.
 constexpr double max_reserved_share = 0.8;
 // Parts of a budget between which the chance rises that a stream becomes late.
@@ -114,7 +114,7 @@
 } // namespace
 
 size_t engineCountForPaced(int PacedStreams, int Slots, size_t Engines) {
-  double Each = std::max(1.0, paced_part_of_slots * Slots);
+  double Each = std::max(1.0, paced_slot_share * Slots);
   auto Wanted =
       static_cast<size_t>(std::ceil(std::max(1, PacedStreams) / Each));
   auto Most =
