Wire fields for redirected asks, fetched prompts and ages of orders

Change: placement_ask.Final, placement_grant.Zone and FetchFrom, feed_record.AgeMicros; nothing sets them yet. Measured: nothing yet; no behaviour changes.

--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -3203,6 +3203,11 @@
   this->Value = val;
 __isset.Value = true;
 }
+
+void feed_record::__set_AgeMicros(const int64_t val) {
+  this->AgeMicros = val;
+__isset.AgeMicros = true;
+}
 std::ostream& operator<<(std::ostream& out, const feed_record& obj)
 {
   obj.printTo(out);
@@ -3255,6 +3260,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->AgeMicros);
+          this->__isset.AgeMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3285,6 +3298,11 @@
     xfer += oprot->writeBinary(this->Value);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.AgeMicros) {
+    xfer += oprot->writeFieldBegin("AgeMicros", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->AgeMicros);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3295,6 +3313,7 @@
   swap(a.Offset, b.Offset);
   swap(a.Key, b.Key);
   swap(a.Value, b.Value);
+  swap(a.AgeMicros, b.AgeMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -3302,18 +3321,21 @@
   Offset = other174.Offset;
   Key = other174.Key;
   Value = other174.Value;
+  AgeMicros = other174.AgeMicros;
   __isset = other174.__isset;
 }
 feed_record::feed_record(feed_record&& other175) noexcept {
   Offset = other175.Offset;
   Key = std::move(other175.Key);
   Value = std::move(other175.Value);
+  AgeMicros = other175.AgeMicros;
   __isset = other175.__isset;
 }
 feed_record& feed_record::operator=(const feed_record& other176) {
   Offset = other176.Offset;
   Key = other176.Key;
   Value = other176.Value;
+  AgeMicros = other176.AgeMicros;
   __isset = other176.__isset;
   return *this;
 }
@@ -3321,6 +3343,7 @@
   Offset = other177.Offset;
   Key = std::move(other177.Key);
   Value = std::move(other177.Value);
+  AgeMicros = other177.AgeMicros;
   __isset = other177.__isset;
   return *this;
 }
@@ -3330,6 +3353,7 @@
   out << "Offset=" << to_string(Offset);
   out << ", " << "Key=" << to_string(Key);
   out << ", " << "Value="; (__isset.Value ? (out << to_string(Value)) : (out << "<null>"));
+  out << ", " << "AgeMicros="; (__isset.AgeMicros ? (out << to_string(AgeMicros)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4093,6 +4117,10 @@
 void placement_ask::__set_PauseMicros(const int64_t val) {
   this->PauseMicros = val;
 }
+
+void placement_ask::__set_Final(const bool val) {
+  this->Final = val;
+}
 std::ostream& operator<<(std::ostream& out, const placement_ask& obj)
 {
   obj.printTo(out);
@@ -4237,6 +4265,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Final);
+          this->__isset.Final = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4318,6 +4354,10 @@
   xfer += oprot->writeI64(this->PauseMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Final", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->Final);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4335,6 +4375,7 @@
   swap(a.Urgent, b.Urgent);
   swap(a.TargetMicros, b.TargetMicros);
   swap(a.PauseMicros, b.PauseMicros);
+  swap(a.Final, b.Final);
   swap(a.__isset, b.__isset);
 }
 
@@ -4349,6 +4390,7 @@
   Urgent = other218.Urgent;
   TargetMicros = other218.TargetMicros;
   PauseMicros = other218.PauseMicros;
+  Final = other218.Final;
   __isset = other218.__isset;
 }
 placement_ask::placement_ask(placement_ask&& other219) noexcept {
@@ -4362,6 +4404,7 @@
   Urgent = other219.Urgent;
   TargetMicros = other219.TargetMicros;
   PauseMicros = other219.PauseMicros;
+  Final = other219.Final;
   __isset = other219.__isset;
 }
 placement_ask& placement_ask::operator=(const placement_ask& other220) {
@@ -4375,6 +4418,7 @@
   Urgent = other220.Urgent;
   TargetMicros = other220.TargetMicros;
   PauseMicros = other220.PauseMicros;
+  Final = other220.Final;
   __isset = other220.__isset;
   return *this;
 }
@@ -4389,6 +4433,7 @@
   Urgent = other221.Urgent;
   TargetMicros = other221.TargetMicros;
   PauseMicros = other221.PauseMicros;
+  Final = other221.Final;
   __isset = other221.__isset;
   return *this;
 }
@@ -4405,6 +4450,7 @@
   out << ", " << "Urgent=" << to_string(Urgent);
   out << ", " << "TargetMicros=" << to_string(TargetMicros);
   out << ", " << "PauseMicros=" << to_string(PauseMicros);
+  out << ", " << "Final=" << to_string(Final);
   out << ")";
 }
 
@@ -4432,6 +4478,14 @@
 void placement_grant::__set_PredictedMicros(const int64_t val) {
   this->PredictedMicros = val;
 }
+
+void placement_grant::__set_Zone(const std::string& val) {
+  this->Zone = val;
+}
+
+void placement_grant::__set_FetchFrom(const std::string& val) {
+  this->FetchFrom = val;
+}
 std::ostream& operator<<(std::ostream& out, const placement_grant& obj)
 {
   obj.printTo(out);
@@ -4500,6 +4554,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Zone);
+          this->__isset.Zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->FetchFrom);
+          this->__isset.FetchFrom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4537,6 +4607,14 @@
   xfer += oprot->writeI64(this->PredictedMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Zone", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->Zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("FetchFrom", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->FetchFrom);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4549,6 +4627,8 @@
   swap(a.UnreadTokens, b.UnreadTokens);
   swap(a.RetryMicros, b.RetryMicros);
   swap(a.PredictedMicros, b.PredictedMicros);
+  swap(a.Zone, b.Zone);
+  swap(a.FetchFrom, b.FetchFrom);
   swap(a.__isset, b.__isset);
 }
 
@@ -4558,6 +4638,8 @@
   UnreadTokens = other222.UnreadTokens;
   RetryMicros = other222.RetryMicros;
   PredictedMicros = other222.PredictedMicros;
+  Zone = other222.Zone;
+  FetchFrom = other222.FetchFrom;
   __isset = other222.__isset;
 }
 placement_grant::placement_grant(placement_grant&& other223) noexcept {
@@ -4566,6 +4648,8 @@
   UnreadTokens = other223.UnreadTokens;
   RetryMicros = other223.RetryMicros;
   PredictedMicros = other223.PredictedMicros;
+  Zone = std::move(other223.Zone);
+  FetchFrom = std::move(other223.FetchFrom);
   __isset = other223.__isset;
 }
 placement_grant& placement_grant::operator=(const placement_grant& other224) {
@@ -4574,6 +4658,8 @@
   UnreadTokens = other224.UnreadTokens;
   RetryMicros = other224.RetryMicros;
   PredictedMicros = other224.PredictedMicros;
+  Zone = other224.Zone;
+  FetchFrom = other224.FetchFrom;
   __isset = other224.__isset;
   return *this;
 }
@@ -4583,6 +4669,8 @@
   UnreadTokens = other225.UnreadTokens;
   RetryMicros = other225.RetryMicros;
   PredictedMicros = other225.PredictedMicros;
+  Zone = std::move(other225.Zone);
+  FetchFrom = std::move(other225.FetchFrom);
   __isset = other225.__isset;
   return *this;
 }
@@ -4594,6 +4682,8 @@
   out << ", " << "UnreadTokens=" << to_string(UnreadTokens);
   out << ", " << "RetryMicros=" << to_string(RetryMicros);
   out << ", " << "PredictedMicros=" << to_string(PredictedMicros);
+  out << ", " << "Zone=" << to_string(Zone);
+  out << ", " << "FetchFrom=" << to_string(FetchFrom);
   out << ")";
 }
 
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -1127,10 +1127,11 @@
 std::ostream& operator<<(std::ostream& out, const relay_report& obj);
 
 typedef struct _feed_record__isset {
-  _feed_record__isset() : Offset(false), Key(false), Value(false) {}
+  _feed_record__isset() : Offset(false), Key(false), Value(false), AgeMicros(false) {}
   bool Offset :1;
   bool Key :1;
   bool Value :1;
+  bool AgeMicros :1;
 } _feed_record__isset;
 
 class feed_record : public virtual ::apache::thrift::TBase {
@@ -1143,13 +1144,15 @@
   feed_record() noexcept
               : Offset(0),
                 Key(),
-                Value() {
+                Value(),
+                AgeMicros(0) {
   }
 
   virtual ~feed_record() noexcept;
   int64_t Offset;
   std::string Key;
   std::string Value;
+  int64_t AgeMicros;
 
   _feed_record__isset __isset;
 
@@ -1159,6 +1162,8 @@
 
   void __set_Value(const std::string& val);
 
+  void __set_AgeMicros(const int64_t val);
+
   bool operator == (const feed_record & rhs) const
   {
     if (!(Offset == rhs.Offset))
@@ -1169,6 +1174,10 @@
       return false;
     else if (__isset.Value && !(Value == rhs.Value))
       return false;
+    if (__isset.AgeMicros != rhs.__isset.AgeMicros)
+      return false;
+    else if (__isset.AgeMicros && !(AgeMicros == rhs.AgeMicros))
+      return false;
     return true;
   }
   bool operator != (const feed_record &rhs) const {
@@ -1462,7 +1471,7 @@
 std::ostream& operator<<(std::ostream& out, const prompt_piece& obj);
 
 typedef struct _placement_ask__isset {
-  _placement_ask__isset() : Ask(false), Service(false), PromptTokens(false), MaxOutputTokens(false), Pieces(false), Tried(false), Failing(false), Urgent(false), TargetMicros(false), PauseMicros(false) {}
+  _placement_ask__isset() : Ask(false), Service(false), PromptTokens(false), MaxOutputTokens(false), Pieces(false), Tried(false), Failing(false), Urgent(false), TargetMicros(false), PauseMicros(false), Final(false) {}
   bool Ask :1;
   bool Service :1;
   bool PromptTokens :1;
@@ -1473,6 +1482,7 @@
   bool Urgent :1;
   bool TargetMicros :1;
   bool PauseMicros :1;
+  bool Final :1;
 } _placement_ask__isset;
 
 class placement_ask : public virtual ::apache::thrift::TBase {
@@ -1489,7 +1499,8 @@
                   MaxOutputTokens(0),
                   Urgent(0),
                   TargetMicros(0),
-                  PauseMicros(0) {
+                  PauseMicros(0),
+                  Final(0) {
   }
 
   virtual ~placement_ask() noexcept;
@@ -1503,6 +1514,7 @@
   bool Urgent;
   int64_t TargetMicros;
   int64_t PauseMicros;
+  bool Final;
 
   _placement_ask__isset __isset;
 
@@ -1526,6 +1538,8 @@
 
   void __set_PauseMicros(const int64_t val);
 
+  void __set_Final(const bool val);
+
   bool operator == (const placement_ask & rhs) const
   {
     if (!(Ask == rhs.Ask))
@@ -1548,6 +1562,8 @@
       return false;
     if (!(PauseMicros == rhs.PauseMicros))
       return false;
+    if (!(Final == rhs.Final))
+      return false;
     return true;
   }
   bool operator != (const placement_ask &rhs) const {
@@ -1567,12 +1583,14 @@
 std::ostream& operator<<(std::ostream& out, const placement_ask& obj);
 
 typedef struct _placement_grant__isset {
-  _placement_grant__isset() : Ask(false), Upstream(false), UnreadTokens(false), RetryMicros(false), PredictedMicros(false) {}
+  _placement_grant__isset() : Ask(false), Upstream(false), UnreadTokens(false), RetryMicros(false), PredictedMicros(false), Zone(false), FetchFrom(false) {}
   bool Ask :1;
   bool Upstream :1;
   bool UnreadTokens :1;
   bool RetryMicros :1;
   bool PredictedMicros :1;
+  bool Zone :1;
+  bool FetchFrom :1;
 } _placement_grant__isset;
 
 class placement_grant : public virtual ::apache::thrift::TBase {
@@ -1587,7 +1605,9 @@
                     Upstream(),
                     UnreadTokens(0),
                     RetryMicros(0),
-                    PredictedMicros(0) {
+                    PredictedMicros(0),
+                    Zone(),
+                    FetchFrom() {
   }
 
   virtual ~placement_grant() noexcept;
@@ -1596,6 +1616,8 @@
   int64_t UnreadTokens;
   int64_t RetryMicros;
   int64_t PredictedMicros;
+  std::string Zone;
+  std::string FetchFrom;
 
   _placement_grant__isset __isset;
 
@@ -1609,6 +1631,10 @@
 
   void __set_PredictedMicros(const int64_t val);
 
+  void __set_Zone(const std::string& val);
+
+  void __set_FetchFrom(const std::string& val);
+
   bool operator == (const placement_grant & rhs) const
   {
     if (!(Ask == rhs.Ask))
@@ -1621,6 +1647,10 @@
       return false;
     if (!(PredictedMicros == rhs.PredictedMicros))
       return false;
+    if (!(Zone == rhs.Zone))
+      return false;
+    if (!(FetchFrom == rhs.FetchFrom))
+      return false;
     return true;
   }
   bool operator != (const placement_grant &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -144,6 +144,8 @@
   1: i64 Offset
   2: string Key
   3: optional binary Value       // unset: the key is removed
+  4: optional i64 AgeMicros    // of an unconfirmed evacuation order: since it
+                               // became unconfirmed
 }
 
 // What a reader of a feed passes on to the other entries.
@@ -195,6 +197,8 @@
   8: bool Urgent               // no other route of the service is more urgent
   9: i64 TargetMicros          // for the first event
   10: i64 PauseMicros          // longest pause between events; 0: none
+  11: bool Final               // to be answered with an engine of the receiver's
+                               // zone, or with a refusal
 }
 
 struct placement_grant {
@@ -204,4 +208,7 @@
   4: i64 RetryMicros           // above 0: no engine can serve it in time; the
                                // caller may come back after this time
   5: i64 PredictedMicros       // until the first event
+  6: string Zone               // whose relay is to be asked instead; empty: none
+  7: string FetchFrom          // engine from which Upstream fetches what it lacks
+                               // of the prompt; empty: none
 }
