One placer for each engine; engines that are gone are known to all

Change: the acting relay of an engine's zone alone grants places there. A relay that finds the best engine in another zone names that zone, and the entry asks there. Grants to entries of other zones count until the sums of that zone cover them. Engines are reserved for paced streams in each zone.

--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -31,6 +31,9 @@
 constexpr double running_cost_ms = 0.5;
 // A network round trip between zones.
 constexpr double other_zone_ms = 2.5;
+// The same where the other zone has a placer of its own, as a part of the
+// request's target: its load is known 0.1 to 0.2 s late.
+constexpr double other_zone_target_part = 0.1;
 // Cost of a failure share of 1. It exceeds any wait that callers accept.
 constexpr double failure_ms = 1000;
 // Bounds predictions from absurd reports.
@@ -128,7 +131,7 @@
   const auto &List = Candidates.List;
   size_t Home = List.size();
   for (size_t I = 0; I < List.size(); ++I)
-    if (Candidates.ReservationRank[I] >= Candidates.ReservedCount &&
+    if (!Candidates.IsReserved[I] &&
         (Home == List.size() ||
          Candidates.HomeRank[I] < Candidates.HomeRank[Home]))
       Home = I;
@@ -151,8 +154,7 @@
       Option.UnreadTokens = std::min(Option.UnreadTokens, OwnPart);
     engine_timing Timing = Query.Model->at(Entry.Service, Entry.Name);
     engine_cost Cost =
-        costOf(Query, Option, Timing, OwnPart,
-               Candidates.ReservationRank[I] < Candidates.ReservedCount);
+        costOf(Query, Option, Timing, OwnPart, Candidates.IsReserved[I]);
     Option.Cost = Cost.Total;
     Option.IsLate = Cost.IsLate;
     Option.IsIdle = Option.Use.UnreadTokens <= 0 &&
@@ -160,7 +162,9 @@
     Option.FirstEvent =
         std::chrono::duration_cast<duration>(milliseconds(Cost.FirstEvent));
     if (Entry.Zone != Query.Zone)
-      Option.Cost += other_zone_ms;
+      Option.Cost += Query.PrefersOwnZone
+                         ? other_zone_target_part * toMs(Query.Target)
+                         : other_zone_ms;
     Option.Cost +=
         failure_ms * Inputs.FailureTracker.failureShare(Entry.Name, Query.Now);
     // A request is refused only if it is late at every engine.
--- a/routing/engine_choice.h
+++ b/routing/engine_choice.h
@@ -1,8 +1,7 @@
 // Chooses an engine for a request by predicted times.
 //
 //   std::optional<placement> Chosen =
-//       chooseEngine(Query, Inputs, {List, ReservationRank, HomeRank,
-//       Sampled});
+//       chooseEngine(Query, Inputs, {List, IsReserved, HomeRank, Sampled});
 //
 // Used where engines have few slots (`few_slots`). One request is then a large
 // part of an engine, and a wrong choice shows in the times of all its streams.
@@ -35,14 +34,13 @@
 
 namespace monsoonreel {
 
-// Engines of a service that may be chosen, with their places in the orders of
-// reservation and of the subject's homes.
+// Engines of a service that may be chosen, with their places in the order of
+// the subject's homes.
 struct engine_candidates {
   const std::vector<const upstream_state *> &List;
-  const std::vector<size_t> &ReservationRank;
+  const std::vector<bool> &IsReserved; // for paced streams
   const std::vector<size_t> &HomeRank;
   const std::vector<bool> &Sampled; // those to look at besides homes
-  size_t ReservedCount = 0;
 };
 
 // Returns how many of Engines are reserved for paced streams.
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <map>
 #include <random>
 #include <string>
 
@@ -92,9 +93,10 @@
         FailureTracker.backoffUntil(Name, Query.Now) ||
         !Inputs.Limits.maySend(Name, Query.Now))
       continue;
-    (FailureTracker.isPaused(Name, Candidate->Entry.Zone, Query.Now) ? Paused
-                                                                     : Usable)
-        .push_back(Candidate);
+    bool IsPaused =
+        FailureTracker.isPaused(Name, Candidate->Entry.Zone, Query.Now) ||
+        (Inputs.Reported && Inputs.Reported->isPaused(Name, Query.Now));
+    (IsPaused ? Paused : Usable).push_back(Candidate);
   }
   return Usable.empty() ? Paused : Usable;
 }
@@ -162,45 +164,68 @@
 // Returns which candidates are considered: a sample of the reserved and of the
 // other engines if load reports are stale, else all of them.
 std::vector<bool> sampleCandidates(const placement_query &Query,
-                                   const std::vector<size_t> &ReservationRank,
-                                   size_t ReservedCount) {
-  std::vector<bool> Sampled(ReservationRank.size(), !Query.LoadIsStale);
+                                   const std::vector<bool> &IsReserved) {
+  std::vector<bool> Sampled(IsReserved.size(), !Query.LoadIsStale);
   if (!Query.LoadIsStale)
     return Sampled;
   std::vector<size_t> Reserved;
   std::vector<size_t> Unreserved;
-  for (size_t I = 0; I < ReservationRank.size(); ++I)
-    (ReservationRank[I] < ReservedCount ? Reserved : Unreserved).push_back(I);
+  for (size_t I = 0; I < IsReserved.size(); ++I)
+    (IsReserved[I] ? Reserved : Unreserved).push_back(I);
   sampleFrom(Reserved, Query.Random, Sampled);
   sampleFrom(Unreserved, Query.Random, Sampled);
   return Sampled;
 }
 
+// Marks the engines that are reserved for paced streams. Each zone has its own,
+// because one entry of the zone places the requests there.
+std::vector<bool>
+reservedInEachZone(const std::vector<const upstream_state *> &List, int Slots,
+                   const upstream_load &Load) {
+  std::map<zone_name, std::vector<size_t>> Zones;
+  for (size_t I = 0; I < List.size(); ++I)
+    Zones[List[I]->Entry.Zone].push_back(I);
+  std::vector<bool> IsReserved(List.size());
+  for (const auto &[Zone, Indices] : Zones) {
+    std::vector<const upstream_state *> Engines;
+    for (size_t I : Indices)
+      Engines.push_back(List[I]);
+    size_t Count = engineCountForPaced(pacedStreamsAt(Engines, Load), Slots,
+                                       Engines.size());
+    std::vector<size_t> Ranks = ranksFor("paced streams", Engines);
+    for (size_t I = 0; I < Indices.size(); ++I)
+      IsReserved[Indices[I]] = Ranks[I] < Count;
+  }
+  return IsReserved;
+}
+
+std::vector<bool> firstRanked(const std::vector<size_t> &Ranks, size_t Count) {
+  std::vector<bool> IsFirst;
+  IsFirst.reserve(Ranks.size());
+  for (size_t Rank : Ranks)
+    IsFirst.push_back(Rank < Count);
+  return IsFirst;
+}
+
 std::optional<placement> placeOnEngine(const placement_query &Query,
                                        const placement_inputs &Inputs) {
   auto List = eligible(Query, Inputs);
-  size_t ReservedCount =
-      Query.Model ? engineCountForPaced(pacedStreamsAt(List, Inputs.Load),
-                                        Query.Slots, List.size())
-                  : reservedEngineCount(List, Query.Slots, Inputs.Load);
-  std::vector<size_t> ReservationRank = ranksFor("paced streams", List);
   std::vector<size_t> HomeRank = ranksFor(subjectKey(*Query.Prompt), List);
+  std::vector<bool> IsReserved =
+      Query.Model
+          ? reservedInEachZone(List, Query.Slots, Inputs.Load)
+          : firstRanked(ranksFor("paced streams", List),
+                        reservedEngineCount(List, Query.Slots, Inputs.Load));
+  std::vector<bool> Sampled = sampleCandidates(Query, IsReserved);
   if (Query.Model)
-    return chooseEngine(
-        Query, Inputs,
-        {List, ReservationRank, HomeRank,
-         sampleCandidates(Query, ReservationRank, ReservedCount),
-         ReservedCount});
+    return chooseEngine(Query, Inputs, {List, IsReserved, HomeRank, Sampled});
   // The home of a subject is the first engine in its order that is not
   // reserved.
   size_t Home = List.size();
   for (size_t I = 0; I < List.size(); ++I)
-    if (ReservationRank[I] >= ReservedCount &&
-        (Home == List.size() || HomeRank[I] < HomeRank[Home]))
+    if (!IsReserved[I] && (Home == List.size() || HomeRank[I] < HomeRank[Home]))
       Home = I;
   int64_t OwnPart = Query.Prompt->PromptTokens - sharedTokens(*Query.Prompt);
-  std::vector<bool> Sampled =
-      sampleCandidates(Query, ReservationRank, ReservedCount);
   std::optional<placement> Best;
   for (size_t I = 0; I < List.size(); ++I) {
     const upstream_entry &Entry = List[I]->Entry;
@@ -216,9 +241,8 @@
     // cached there.
     if (!Query.Paced && I == Home)
       Option.UnreadTokens = std::min(Option.UnreadTokens, OwnPart);
-    bool IsReserved = ReservationRank[I] < ReservedCount;
-    Option.Cost = Query.Paced ? pacedCost(Option, IsReserved)
-                              : longPromptCost(Option, OwnPart, IsReserved);
+    Option.Cost = Query.Paced ? pacedCost(Option, IsReserved[I])
+                              : longPromptCost(Option, OwnPart, IsReserved[I]);
     Option.Cost += Option.Use.Running * running_cost;
     Option.Cost += queueCost(Option, Query.Slots);
     if (Entry.Zone != Query.Zone)
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -40,6 +40,7 @@
 #include "routing/engine_model.h"
 #include "routing/prompt_cache_view.h"
 #include "routing/region_rules.h"
+#include "routing/reported_failures.h"
 #include "routing/route_table.h"
 #include "routing/routing_event.h"
 #include "routing/upstream_failure_tracker.h"
@@ -68,6 +69,9 @@
   duration StrictestPause{};          // of all routes to the service
   // The own view of the caches includes the requests of other entries.
   bool CacheIsExact = false;
+  // Engines of other zones have a placer of their own, so they are worth asking
+  // for only if they are better by more than the age of their load explains.
+  bool PrefersOwnZone = false;
   bool Urgent = false; // no route to the service is more urgent
 };
 
@@ -95,6 +99,8 @@
   const prompt_cache_view &Cache;
   const upstream_failure_tracker &FailureTracker;
   const upstream_limits &Limits;
+  // Upstreams that other entries report as failing; nullptr: none.
+  const reported_failures *Reported = nullptr;
 };
 
 std::optional<placement> choosePlacement(const placement_query &Query,
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -146,6 +146,7 @@
 
 void request_router::onTick(const router_context &Context,
                             routing_effects &Effects) {
+  Reported.onTick(Context.Now);
   std::vector<request_id> Expired;
   std::vector<request_id> Stalled;
   std::vector<request_id> Unanswered;
@@ -155,7 +156,7 @@
     else if (hasStalled(*Request, Context))
       Stalled.push_back(Id);
     else if (Request->Ask &&
-             Context.Now - Request->AskedAt >= placement_ask_timeout)
+             Context.Now - Request->AskSentAt >= placement_ask_timeout)
       Unanswered.push_back(Id);
   for (request_id Id : Unanswered) {
     onUnansweredAsk(*Requests.find(Id)->second, Context, Effects);
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -52,6 +52,8 @@
 // An ask without a grant for this time is given up, and the entry places the
 // request by itself. Answers come within a few milliseconds.
 constexpr duration placement_ask_timeout = std::chrono::milliseconds(25);
+// The relay of the own or the home zone, and that of the zone which it names.
+constexpr int max_asks = 2;
 // A relay that has not answered is not asked again for this time.
 constexpr duration silent_relay_pause = std::chrono::seconds(1);
 // Less urgent requests are refused for this time after a most urgent one had to
@@ -136,8 +138,11 @@
     steady_time ArrivedAt;
     steady_time EndsAt;         // the caller's deadline or the route's timeout
     std::optional<int64_t> Ask; // a placement that is asked for
-    steady_time AskedAt;
+    steady_time AskedAt;        // of the first ask for the current attempt
+    steady_time AskSentAt;      // of the last one
     address Asked;
+    int AsksSent = 0;           // for the current attempt
+    const char *Placer = "own"; // of the current attempt, for logs
     std::optional<attempt_number> Attempt;
     upstream_name Upstream; // upstream of Attempt
     zone_name UpstreamZone;
@@ -178,7 +183,12 @@
   // Ends the request if a part of its prompt is held back.
   bool endIfHeld(active_request &Request, const router_context &Context,
                  routing_effects &Effects);
-  // Chooses an upstream with what this entry knows.
+  // Records that the address of the attempt's upstream answers as another one.
+  void recordGone(const active_request &Request, const answer_head &Head,
+                  const router_context &Context, routing_effects &Effects);
+  // Chooses an upstream with what this entry knows. Asks the relay of another
+  // zone if this entry places the requests of its own zone, and engines there
+  // are better.
   void place(active_request &Request, const router_context &Context,
              routing_effects &Effects);
   void dispatch(active_request &Request, const placement_query &Query,
@@ -189,10 +199,20 @@
                     const router_context &Context) const;
   // Returns the zone of the subject's home.
   static zone_name homeZone(const placement_query &Query);
+  // Returns the relay of another zone that places requests at its engines;
+  // empty if none answers.
+  address relayOf(const zone_name &Far, const router_context &Context) const;
   bool isSilent(const address &Relay, steady_time Now) const;
   void ask(active_request &Request, const address &Placer,
-           const placement_query &Query, const router_context &Context,
-           routing_effects &Effects);
+           const placement_query &Query, bool Final,
+           const router_context &Context, routing_effects &Effects);
+  // Fills in the answer to an ask, and returns its outcome for metrics.
+  const char *answerAsk(const address &From, const wire::placement_ask &Ask,
+                        const placement_query &Query, const placement &Chosen,
+                        wire::placement_grant &Grant);
+  // Handles that engines of another zone are better for the request.
+  void onRedirect(active_request &Request, const zone_name &Far,
+                  const router_context &Context, routing_effects &Effects);
   void onUnansweredAsk(active_request &Request, const router_context &Context,
                        routing_effects &Effects);
   std::vector<std::string> failingUpstreams(const placement_query &Query) const;
@@ -293,6 +313,7 @@
   int64_t LastAsk = 0;
   absl::flat_hash_map<int64_t, request_id> Asks;
   absl::flat_hash_map<address, steady_time> SilentUntil; // relays
+  reported_failures Reported; // by the entries for which this one places
   // When most urgent requests were refused by this entry, and by any.
   absl::flat_hash_map<pool_name, steady_time> OwnUrgentRefusals;
   absl::flat_hash_map<pool_name, steady_time> UrgentRefusals;
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -29,6 +29,7 @@
   if (!Head.WrongUpstream)
     Services.Quarantine.onAnswer(Request->run(), Request->SentAt, Context.Now);
   if (Head.WrongUpstream || Head.SaidNotRun) {
+    recordGone(*Request, Head, Context, Effects);
     if (Head.WrongUpstream)
       Services.FailureTracker.onUnreachable(Request->Upstream,
                                             Request->UpstreamZone, Context.Now);
@@ -54,6 +55,27 @@
     countUsage(*Request, Context);
 }
 
+// No other answer proves that the expected run of the upstream is over: one
+// that fails says so itself at most, and others could not tell it from one that
+// is cut off.
+void request_router::recordGone(const active_request &Request,
+                                const answer_head &Head,
+                                const router_context &Context,
+                                routing_effects &Effects) {
+  bool IsOther = Head.WrongUpstream && !Head.AnsweredBy.empty() &&
+                 Head.AnsweredBy != Request.Upstream;
+  if (!IsOther || !Services.Registry.find(Request.Upstream) ||
+      !Services.Registry.onLeaving(
+          {Request.Upstream, Request.UpstreamStartedAt}, Context.Now))
+    return;
+  Effects.push_back(decision("upstream-gone")
+                        .add("request", Request.Arrived.CallerId)
+                        .add("upstream", Request.Upstream)
+                        .add("answered_by", Head.AnsweredBy)
+                        .add("registry_age", Context.RegistryAge)
+                        .line(log_level::Info));
+}
+
 // Some requests fail at every upstream. The failure of a request that may be
 // sent again is therefore counted against its upstream only when another
 // upstream answers the request without a failure.
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -6,6 +6,11 @@
 // queue while others idle. The acting relay of the zone receives the reports of
 // all its entries and counts what it has placed since, so its view is exact for
 // its zone. An entry whose ask is not answered places the request by itself.
+//
+// Each engine has one placer, the acting relay of its zone: relays that place
+// at each other's engines would fill the same one between two exchanges of
+// their sums. A relay that finds the best engine in another zone names that
+// zone, and the relay there places the request.
 
 #include <algorithm>
 #include <utility>
@@ -81,10 +86,8 @@
     return {};
   if (!Query.Paced) {
     zone_name Far = homeZone(Query);
-    if (Far != Zone)
-      for (const address &Relay : Relays->ofZone(Far))
-        if (!isSilent(Relay, Context.Now))
-          return Relay;
+    if (address Relay = relayOf(Far, Context); !Relay.empty())
+      return Relay;
   }
   if (Relays->isActing(Context.Now))
     return {};
@@ -92,6 +95,16 @@
   return isSilent(Own, Context.Now) ? address() : Own;
 }
 
+address request_router::relayOf(const zone_name &Far,
+                                const router_context &Context) const {
+  if (Far == Zone || !Context.Relays)
+    return {};
+  for (const address &Relay : Context.Relays->ofZone(Far))
+    if (!isSilent(Relay, Context.Now))
+      return Relay;
+  return {};
+}
+
 void request_router::onUnansweredAsk(active_request &Request,
                                      const router_context &Context,
                                      routing_effects &Effects) {
@@ -120,10 +133,12 @@
 }
 
 void request_router::ask(active_request &Request, const address &Placer,
-                         const placement_query &Query,
+                         const placement_query &Query, bool Final,
                          const router_context &Context,
                          routing_effects &Effects) {
   wire::placement_ask Ask;
+  Ask.Final = Final;
+  Ask.Zone = Zone.Value;
   Ask.Ask = ++LastAsk;
   Ask.Service = Request.Service->Name.Value;
   Ask.PromptTokens = Query.Prompt->PromptTokens;
@@ -141,8 +156,10 @@
   Ask.Urgent = Query.Urgent;
   Ask.TargetMicros = toMicros(Query.Target);
   Ask.PauseMicros = toMicros(Query.Pause.value_or(duration{}));
+  if (++Request.AsksSent == 1)
+    Request.AskedAt = Context.Now;
   Request.Ask = Ask.Ask;
-  Request.AskedAt = Context.Now;
+  Request.AskSentAt = Context.Now;
   Request.Asked = Placer;
   Asks[Ask.Ask] = Request.Arrived.Request;
   Effects.push_back(
@@ -169,47 +186,73 @@
     for (const std::string &Name : *Names)
       if (Excluded.size() < 2 * max_listed_upstreams)
         Excluded.emplace_back(Name);
-  placement_query Query{Services.Registry.serving(Service),
-                        Zone,
-                        &Prompt,
-                        isPaced(Prompt),
-                        Excluded,
-                        Context.Now,
-                        Context.Random,
-                        Known->Engine->Slots,
-                        false};
-  Query.Model = &Services.Model;
-  Query.Target = boundedTime(Ask.TargetMicros);
-  if (Ask.PauseMicros > 0)
-    Query.Pause = boundedTime(Ask.PauseMicros);
-  Query.StrictestPause = Routes->StrictestPause;
-  Query.Urgent = Ask.Urgent;
-  Query.CacheIsExact = true;
-  std::optional<placement> Chosen =
-      choosePlacement(Query, {Services.Load, Services.Cache,
-                              Services.FailureTracker, Services.Limits});
+  const auto &Serving = Services.Registry.serving(Service);
+  Reported.onReport(From, Ask.Failing, Serving.size(), Context.Now);
+  std::vector<const upstream_state *> OwnEngines;
+  for (const upstream_state *Each : Serving)
+    if (Each->Entry.Zone == Zone)
+      OwnEngines.push_back(Each);
+  auto QueryOver = [&](const std::vector<const upstream_state *> &Engines) {
+    placement_query Query{
+        Engines,  Zone,        &Prompt,        isPaced(Prompt),
+        Excluded, Context.Now, Context.Random, Known->Engine->Slots,
+        false};
+    Query.Model = &Services.Model;
+    Query.Target = boundedTime(Ask.TargetMicros);
+    if (Ask.PauseMicros > 0)
+      Query.Pause = boundedTime(Ask.PauseMicros);
+    Query.StrictestPause = Routes->StrictestPause;
+    Query.Urgent = Ask.Urgent;
+    Query.CacheIsExact = true;
+    Query.PrefersOwnZone = true;
+    return Query;
+  };
+  placement_inputs Inputs{Services.Load, Services.Cache,
+                          Services.FailureTracker, Services.Limits, &Reported};
+  placement_query Query = QueryOver(Ask.Final ? OwnEngines : Serving);
+  std::optional<placement> Chosen = choosePlacement(Query, Inputs);
+  // The relay that named this zone has old sums of it. If another zone has
+  // room, the entry places the request by itself.
+  if (Ask.Final && Chosen && Chosen->IsLate)
+    if (auto Best = choosePlacement(QueryOver(Serving), Inputs);
+        Best && !Best->IsLate)
+      Chosen.reset();
   const char *Outcome = "none";
-  if (Chosen) {
-    Grant.PredictedMicros = toMicros(Chosen->FirstEvent);
-    Grant.UnreadTokens = Chosen->UnreadTokens;
-    if (mustRefuse(Service, Query, *Chosen) && Ask.Tried.empty()) {
-      Outcome = "refused";
-      Grant.RetryMicros = toMicros(placeExpectedAfter(Query, *Chosen));
-    } else {
-      Outcome = "granted";
-      const upstream_name &Name = Chosen->Upstream->Entry.Name;
-      Grant.Upstream = Name.Value;
-      Services.Load.onGranted(From, Name, {Chosen->UnreadTokens, Query.Paced},
-                              Context.Now);
-      Services.Cache.onDispatched(Name, Prompt, Context.Now);
-    }
-  }
+  if (Chosen)
+    Outcome = answerAsk(From, Ask, Query, *Chosen, Grant);
   Effects.push_back(
       count_metric{"monsoonreel_placement_asks_total", {{"outcome", Outcome}}});
   Effects.push_back(
       send_datagrams{{From}, wire::peer_message(std::move(Grant))});
 }
 
+const char *request_router::answerAsk(const address &From,
+                                      const wire::placement_ask &Ask,
+                                      const placement_query &Query,
+                                      const placement &Chosen,
+                                      wire::placement_grant &Grant) {
+  const upstream_entry &Entry = Chosen.Upstream->Entry;
+  zone_name OtherZone(Ask.Zone == Zone.Value ? "" : Ask.Zone);
+  work_size Size{Chosen.UnreadTokens, Query.Paced};
+  if (Entry.Zone != Zone) {
+    // Counted here as well, so that the requests of the next moments are not
+    // all redirected to the same engine.
+    Services.Load.onGranted(From, OtherZone, Entry.Name, Size, Query.Now);
+    Grant.Zone = Entry.Zone.Value;
+    return "redirected";
+  }
+  Grant.PredictedMicros = toMicros(Chosen.FirstEvent);
+  Grant.UnreadTokens = Chosen.UnreadTokens;
+  if (mustRefuse(Entry.Service, Query, Chosen) && Ask.Tried.empty()) {
+    Grant.RetryMicros = toMicros(placeExpectedAfter(Query, Chosen));
+    return "refused";
+  }
+  Grant.Upstream = Entry.Name.Value;
+  Services.Load.onGranted(From, OtherZone, Entry.Name, Size, Query.Now);
+  Services.Cache.onDispatched(Entry.Name, *Query.Prompt, Query.Now);
+  return "granted";
+}
+
 void request_router::onUrgentRefused(const pool_name &Service,
                                      steady_time Now) {
   UrgentRefusals[Service] = Now;
@@ -279,10 +322,13 @@
     return refuseForRoom(
         Request, std::min(boundedTime(Grant.RetryMicros), longest_return_time),
         Context, Effects);
+  if (!Grant.Zone.empty())
+    return onRedirect(Request, zone_name(Grant.Zone), Context, Effects);
   const upstream_state *Upstream =
       Services.Registry.find(upstream_name(Grant.Upstream));
   if (!Upstream || !isUsable(Request, *Upstream, Context))
     return place(Request, Context, Effects);
+  Request.Placer = Upstream->Entry.Zone == Zone ? "relay" : "other-zone";
   placement Chosen;
   Chosen.Upstream = Upstream;
   Chosen.UnreadTokens = std::clamp<int64_t>(
@@ -292,6 +338,19 @@
   dispatch(Request, queryFor(Request, Context), Chosen, Context, Effects);
 }
 
+void request_router::onRedirect(active_request &Request, const zone_name &Far,
+                                const router_context &Context,
+                                routing_effects &Effects) {
+  address Relay = Far == Zone && Context.Relays
+                      ? Context.Relays->reportingRelay(Context.Now)
+                      : relayOf(Far, Context);
+  if (Relay.empty() || isSilent(Relay, Context.Now) ||
+      Request.AsksSent >= max_asks)
+    return place(Request, Context, Effects);
+  ask(Request, Relay, queryFor(Request, Context), /*Final=*/true, Context,
+      Effects);
+}
+
 void request_router::refuseForRoom(active_request &Request, duration RetryAfter,
                                    const router_context &Context,
                                    routing_effects &Effects) {
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -53,6 +53,7 @@
   bool IsPlacer = Context.Relays && Context.Relays->isActing(Context.Now);
   Query.LoadIsStale = Context.LoadIsStale && !IsPlacer;
   Query.CacheIsExact = IsPlacer;
+  Query.PrefersOwnZone = IsPlacer && !Request.Regions.isBinding();
   return Query;
 }
 
@@ -77,10 +78,12 @@
                           routing_effects &Effects) {
   if (endIfHeld(Request, Context, Effects))
     return;
+  Request.AsksSent = 0;
+  Request.Placer = "own";
   placement_query Query = queryFor(Request, Context);
   address Placer = placerFor(Request, Query, Context);
   if (!Placer.empty())
-    return ask(Request, Placer, Query, Context, Effects);
+    return ask(Request, Placer, Query, /*Final=*/false, Context, Effects);
   place(Request, Context, Effects);
 }
 
@@ -88,9 +91,17 @@
                            const router_context &Context,
                            routing_effects &Effects) {
   placement_query Query = queryFor(Request, Context);
-  std::optional<placement> Chosen =
-      choosePlacement(Query, {Services.Load, Services.Cache,
-                              Services.FailureTracker, Services.Limits});
+  std::optional<placement> Chosen = choosePlacement(
+      Query, {Services.Load, Services.Cache, Services.FailureTracker,
+              Services.Limits, &Reported});
+  if (Chosen && Query.PrefersOwnZone && Request.AsksSent < max_asks) {
+    address Relay = relayOf(Chosen->Upstream->Entry.Zone, Context);
+    if (!Relay.empty()) {
+      Services.Load.onGranted(Relay, {}, Chosen->Upstream->Entry.Name,
+                              {Chosen->UnreadTokens, Query.Paced}, Context.Now);
+      return ask(Request, Relay, Query, /*Final=*/true, Context, Effects);
+    }
+  }
   if (!Chosen)
     return endWithFailure(Request,
                           reasonForNoUpstream(Request, Context, Effects),
@@ -168,6 +179,9 @@
           .add("unread_before", Chosen.Use.UnreadTokens)
           .add("predicted", Chosen.FirstEvent)
           .add("paced_beside", Chosen.Use.PacedStreams)
+          .add("placer", Request.Placer)
+          .add("asked", Context.Now - (Request.AsksSent > 0 ? Request.AskedAt
+                                                            : Context.Now))
           .add("tokens_per_ms", static_cast<int64_t>(Timing.TokensPerMs))
           .add("event_gap", Timing.EventGap)
           .add("limit", Services.Limits.describe(Entry.Name))
--- a/routing/routing_event.h
+++ b/routing/routing_event.h
@@ -80,6 +80,8 @@
   // The body has neither a length nor chunks; the end of its connection ends
   // it.
   bool EndsWithConnection = false;
+  // With WrongUpstream: the one that the address belongs to, if it is stated.
+  upstream_name AnsweredBy = {};
 };
 
 struct answer_data {
--- a/routing/upstream_load.cc
+++ b/routing/upstream_load.cc
@@ -74,12 +74,15 @@
   if (Older)
     return;
   replace(From, {false, Report.Incarnation, Report.Sequence, Now, Report.Uses});
-  removeGranted(From, Now - relay_delay);
+  removeGranted([&](const granted_place &Place) {
+    return Place.At <= Now - relay_delay && Place.To == From;
+  });
 }
 
-void upstream_load::onGranted(const address &To, const upstream_name &Upstream,
+void upstream_load::onGranted(const address &To, const zone_name &OtherZone,
+                              const upstream_name &Upstream,
                               const work_size &Size, steady_time Now) {
-  GrantedPlaces.push_back({To, Upstream, Size, Now});
+  GrantedPlaces.push_back({To, OtherZone, Upstream, Size, Now});
   upstream_use_sum &Use = Granted[Upstream];
   ++Use.Running;
   Use.UnreadTokens += Size.UnreadTokens;
@@ -96,24 +99,17 @@
     Granted.erase(It);
 }
 
-// The list is short: it covers the grants of one report interval.
-void upstream_load::removeGranted(const address &To, steady_time Before) {
+// The list is short: it covers the grants of a few report intervals.
+template <typename Predicate>
+void upstream_load::removeGranted(const Predicate &Pred) {
   std::erase_if(GrantedPlaces, [&](const granted_place &Place) {
-    bool IsCovered = Place.At <= Before && Place.To == To;
-    if (IsCovered)
+    bool IsRemoved = Pred(Place);
+    if (IsRemoved)
       subtractGranted(Place);
-    return IsCovered;
+    return IsRemoved;
   });
 }
 
-void upstream_load::expireGranted(steady_time Now) {
-  while (!GrantedPlaces.empty() &&
-         Now - GrantedPlaces.front().At >= grant_expiry) {
-    subtractGranted(GrantedPlaces.front());
-    GrantedPlaces.pop_front();
-  }
-}
-
 void upstream_load::onZone(const wire::zone_uses &Uses, bool IsOwn,
                            duration Age, steady_time Now) {
   if (Age >= report_expiry)
@@ -137,6 +133,10 @@
     New.Uses = listOf(Others);
   }
   replace(Source, std::move(New));
+  removeGranted([&](const granted_place &Place) {
+    return Place.OtherZone.Value == Uses.Zone &&
+           Place.At <= Now - Age - entry_report_delay;
+  });
 }
 
 void upstream_load::replace(const address &Source, peer_uses New) {
@@ -156,7 +156,11 @@
   if (Now < NextExpiry)
     return;
   NextExpiry = Now + expiry_check_period;
-  expireGranted(Now);
+  removeGranted([&](const granted_place &Place) {
+    duration Expiry =
+        Place.OtherZone.empty() ? grant_expiry : other_zone_grant_expiry;
+    return Now - Place.At >= Expiry;
+  });
   for (auto &[From, Peer] : ByPeer) {
     if (Peer.Uses.empty() || Now - Peer.ReceivedAt < report_expiry)
       continue;
--- a/routing/upstream_load.h
+++ b/routing/upstream_load.h
@@ -31,9 +31,13 @@
 
 // Reports of an entry expire after this time.
 constexpr duration report_expiry = std::chrono::seconds(2);
-// A granted place that no report of its entry covers expires after this time.
-// The sums of other zones include the places of their entries by then.
+// A granted place that no report covers expires after this time: two intervals
+// of entries' reports, and two more of relays' reports for an entry of another
+// zone.
 constexpr duration grant_expiry = std::chrono::milliseconds(250);
+constexpr duration other_zone_grant_expiry = std::chrono::milliseconds(500);
+// Sums that a relay sends include what its entries did this long before.
+constexpr duration entry_report_delay = std::chrono::milliseconds(110);
 
 struct work_size {
   int64_t UnreadTokens = 0; // prompt tokens that the upstream has to read
@@ -61,9 +65,11 @@
   void onZone(const wire::zone_uses &Uses, bool IsOwn, duration Age,
               steady_time Now);
   // Counts a request that an entry was told to send to the upstream, until a
-  // report of that entry includes it, or for `grant_expiry`.
-  void onGranted(const address &To, const upstream_name &Upstream,
-                 const work_size &Size, steady_time Now);
+  // report of that entry, or of the relay of its zone, includes it, or until it
+  // expires. OtherZone is empty if the entry is in the own zone.
+  void onGranted(const address &To, const zone_name &OtherZone,
+                 const upstream_name &Upstream, const work_size &Size,
+                 steady_time Now);
   void onTick(steady_time Now);
 
   upstream_use_sum at(const upstream_name &Upstream) const;
@@ -90,6 +96,7 @@
   };
   struct granted_place {
     address To;
+    zone_name OtherZone; // empty: the entry is in the own zone
     upstream_name Upstream;
     work_size Size;
     steady_time At;
@@ -99,9 +106,8 @@
   static std::vector<wire::upstream_use> listOf(const use_map &Uses);
   // Replaces the load that Source has reported.
   void replace(const address &Source, peer_uses New);
-  // Removes the places that were granted to To by Before.
-  void removeGranted(const address &To, steady_time Before);
-  void expireGranted(steady_time Now);
+  // Removes the places for which Pred returns true.
+  template <typename Predicate> void removeGranted(const Predicate &Pred);
   void subtractGranted(const granted_place &Place);
   // Returns the own load that is included in a relay's sums that arrive now.
   const std::vector<wire::upstream_use> &
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -4121,6 +4121,10 @@
 void placement_ask::__set_Final(const bool val) {
   this->Final = val;
 }
+
+void placement_ask::__set_Zone(const std::string& val) {
+  this->Zone = val;
+}
 std::ostream& operator<<(std::ostream& out, const placement_ask& obj)
 {
   obj.printTo(out);
@@ -4273,6 +4277,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Zone);
+          this->__isset.Zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4358,6 +4370,10 @@
   xfer += oprot->writeBool(this->Final);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Zone", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->Zone);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4376,6 +4392,7 @@
   swap(a.TargetMicros, b.TargetMicros);
   swap(a.PauseMicros, b.PauseMicros);
   swap(a.Final, b.Final);
+  swap(a.Zone, b.Zone);
   swap(a.__isset, b.__isset);
 }
 
@@ -4391,6 +4408,7 @@
   TargetMicros = other218.TargetMicros;
   PauseMicros = other218.PauseMicros;
   Final = other218.Final;
+  Zone = other218.Zone;
   __isset = other218.__isset;
 }
 placement_ask::placement_ask(placement_ask&& other219) noexcept {
@@ -4405,6 +4423,7 @@
   TargetMicros = other219.TargetMicros;
   PauseMicros = other219.PauseMicros;
   Final = other219.Final;
+  Zone = std::move(other219.Zone);
   __isset = other219.__isset;
 }
 placement_ask& placement_ask::operator=(const placement_ask& other220) {
@@ -4419,6 +4438,7 @@
   TargetMicros = other220.TargetMicros;
   PauseMicros = other220.PauseMicros;
   Final = other220.Final;
+  Zone = other220.Zone;
   __isset = other220.__isset;
   return *this;
 }
@@ -4434,6 +4454,7 @@
   TargetMicros = other221.TargetMicros;
   PauseMicros = other221.PauseMicros;
   Final = other221.Final;
+  Zone = std::move(other221.Zone);
   __isset = other221.__isset;
   return *this;
 }
@@ -4451,6 +4472,7 @@
   out << ", " << "TargetMicros=" << to_string(TargetMicros);
   out << ", " << "PauseMicros=" << to_string(PauseMicros);
   out << ", " << "Final=" << to_string(Final);
+  out << ", " << "Zone=" << to_string(Zone);
   out << ")";
 }
 
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -1471,7 +1471,7 @@
 std::ostream& operator<<(std::ostream& out, const prompt_piece& obj);
 
 typedef struct _placement_ask__isset {
-  _placement_ask__isset() : Ask(false), Service(false), PromptTokens(false), MaxOutputTokens(false), Pieces(false), Tried(false), Failing(false), Urgent(false), TargetMicros(false), PauseMicros(false), Final(false) {}
+  _placement_ask__isset() : Ask(false), Service(false), PromptTokens(false), MaxOutputTokens(false), Pieces(false), Tried(false), Failing(false), Urgent(false), TargetMicros(false), PauseMicros(false), Final(false), Zone(false) {}
   bool Ask :1;
   bool Service :1;
   bool PromptTokens :1;
@@ -1483,6 +1483,7 @@
   bool TargetMicros :1;
   bool PauseMicros :1;
   bool Final :1;
+  bool Zone :1;
 } _placement_ask__isset;
 
 class placement_ask : public virtual ::apache::thrift::TBase {
@@ -1500,7 +1501,8 @@
                   Urgent(0),
                   TargetMicros(0),
                   PauseMicros(0),
-                  Final(0) {
+                  Final(0),
+                  Zone() {
   }
 
   virtual ~placement_ask() noexcept;
@@ -1515,6 +1517,7 @@
   int64_t TargetMicros;
   int64_t PauseMicros;
   bool Final;
+  std::string Zone;
 
   _placement_ask__isset __isset;
 
@@ -1540,6 +1543,8 @@
 
   void __set_Final(const bool val);
 
+  void __set_Zone(const std::string& val);
+
   bool operator == (const placement_ask & rhs) const
   {
     if (!(Ask == rhs.Ask))
@@ -1564,6 +1569,8 @@
       return false;
     if (!(Final == rhs.Final))
       return false;
+    if (!(Zone == rhs.Zone))
+      return false;
     return true;
   }
   bool operator != (const placement_ask &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -199,6 +199,7 @@
   10: i64 PauseMicros          // longest pause between events; 0: none
   11: bool Final               // to be answered with an engine of the receiver's
                                // zone, or with a refusal
+  12: string Zone              // of the sender
 }
 
 struct placement_grant {
