Engine model: odds of being late, slot times, and no lessons from queues

Change: only first events of requests that found a slot and little ahead teach the rate. A histogram of observed to predicted delays gives the chance that a stream or a first event is late, in place of two constants. The time for which slots are held is learned.

--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -16,10 +16,6 @@
 constexpr double paced_slot_share = 0.7;
 // Part of the engines that may be reserved: long prompts always have some.
 constexpr double max_reserved_share = 0.8;
-// Parts of a budget between which the chance rises that a stream becomes late.
-// Requests of other zones that are not known yet come on top.
-constexpr double late_share_begins = 0.5;
-constexpr double late_share_ends = 1.1;
 // Cost of reading a part again that another engine has cached, relative to the
 // time that it takes. It also evicts parts of other subjects there.
 constexpr double reread_weight = 4;
@@ -38,8 +34,6 @@
 constexpr double failure_ms = 1000;
 // Bounds predictions from absurd reports.
 constexpr double longest_prediction_ms = 600000;
-// Typical time for which a request holds a slot.
-constexpr double slot_time_ms = 1200;
 // A less urgent prompt is not worth more late streams than this.
 constexpr double max_delayed_streams = 1;
 // Bounds of the time after which callers may come back.
@@ -50,12 +44,10 @@
 
 // Returns the part of streams that become late on an engine that has to read
 // this many tokens without a break.
-double lateShare(double Unread, double Budget) {
-  if (Budget <= 0)
-    return 1;
-  return std::clamp((Unread / Budget - late_share_begins) /
-                        (late_share_ends - late_share_begins),
-                    0.0, 1.0);
+double lateShare(double Unread, double Budget, const lateness_odds &Odds) {
+  if (Unread <= 0)
+    return 0;
+  return Budget <= 0 ? 1 : Odds.beyond(Budget / Unread);
 }
 
 // Returns the prompt tokens that an engine reads within a pause, besides making
@@ -65,9 +57,18 @@
          Timing.TokensPerMs;
 }
 
-double slotWait(const upstream_use_sum &Use, int Slots) {
+// Returns the time until a slot is free, by what runs at the engine.
+double slotWait(const upstream_use_sum &Use, int Slots,
+                const engine_timing &Timing) {
   double Place = double{1} + Use.Running - Slots;
-  return Slots > 0 && Place > 0 ? Place * slot_time_ms / Slots : 0;
+  if (Slots <= 0 || Place <= 0)
+    return 0;
+  double Paced = std::clamp(static_cast<double>(Use.PacedStreams) /
+                                std::max(1, Use.Running),
+                            0.0, 1.0);
+  return Place / Slots *
+         (Paced * toMs(Timing.PacedSlotTime) +
+          (1 - Paced) * toMs(Timing.OtherSlotTime));
 }
 
 struct engine_cost {
@@ -77,24 +78,25 @@
 };
 
 engine_cost costOf(const placement_query &Query, const placement &Option,
-                   const engine_timing &Timing, int64_t OwnPart,
-                   bool IsReserved) {
+                   const engine_timing &Timing, const lateness_odds &Odds,
+                   int64_t OwnPart, bool IsReserved) {
   double Target = toMs(Query.Target);
   auto Queue = static_cast<double>(Option.Use.UnreadTokens);
   auto Own = static_cast<double>(Option.UnreadTokens);
-  double Slot = slotWait(Option.Use, Query.Slots);
+  double Slot = slotWait(Option.Use, Query.Slots, Timing);
   engine_cost Cost;
   Cost.FirstEvent = std::min(toMs(Timing.FirstEventDelay) +
                                  (Queue + Own) / Timing.TokensPerMs + Slot,
                              longest_prediction_ms);
   Cost.Total = Cost.FirstEvent + running_cost_ms * Option.Use.Running +
                lateness_weight * std::max(0.0, Cost.FirstEvent - Target);
+  Cost.Total += Target * Odds.beyond(Target / Cost.FirstEvent);
   // Only the most urgent requests wait for slots.
   Cost.IsLate = Cost.FirstEvent > Target || (Slot > 0 && !Query.Urgent);
   if (Query.Pause) {
     double Budget = gapBudget(Timing, *Query.Pause);
-    Cost.Total += Target * lateShare(Queue + Own, Budget);
-    if (!Query.Urgent && lateShare(Queue + Own, Budget) >= 1)
+    Cost.Total += Target * lateShare(Queue + Own, Budget, Odds);
+    if (!Query.Urgent && Queue + Own > Budget)
       Cost.IsLate = true;
   }
   if (Query.Paced) {
@@ -104,8 +106,9 @@
   double Reread = std::max(0.0, Own - static_cast<double>(OwnPart));
   Cost.Total += (reread_weight - 1) * Reread / Timing.TokensPerMs;
   double Budget = gapBudget(Timing, Query.StrictestPause);
-  double Delayed = Option.Use.PacedStreams *
-                   (lateShare(Queue + Own, Budget) - lateShare(Queue, Budget));
+  double Delayed =
+      Option.Use.PacedStreams *
+      (lateShare(Queue + Own, Budget, Odds) - lateShare(Queue, Budget, Odds));
   Cost.Total += Target * Delayed;
   if (!Query.Urgent && Delayed > max_delayed_streams)
     Cost.IsLate = true;
@@ -138,6 +141,9 @@
   int64_t OwnPart = std::max<int64_t>(0, Query.Prompt->PromptTokens -
                                              sharedTokens(*Query.Prompt));
   std::optional<placement> Best;
+  if (List.empty())
+    return Best;
+  const lateness_odds &Odds = Query.Model->oddsOf(List.front()->Entry.Service);
   for (size_t I = 0; I < List.size(); ++I) {
     const upstream_entry &Entry = List[I]->Entry;
     placement Option;
@@ -154,7 +160,7 @@
       Option.UnreadTokens = std::min(Option.UnreadTokens, OwnPart);
     engine_timing Timing = Query.Model->at(Entry.Service, Entry.Name);
     engine_cost Cost =
-        costOf(Query, Option, Timing, OwnPart, Candidates.IsReserved[I]);
+        costOf(Query, Option, Timing, Odds, OwnPart, Candidates.IsReserved[I]);
     Option.Cost = Cost.Total;
     Option.IsLate = Cost.IsLate;
     Option.IsIdle = Option.Use.UnreadTokens <= 0 &&
--- a/routing/engine_model.cc
+++ b/routing/engine_model.cc
@@ -19,6 +19,12 @@
 // large.
 constexpr double prior_gap_micros = 40'000;
 
+// Prior of the time for which a request holds a slot, and the share of a new
+// observation in the mean: 32 observations take a second or two in a burst.
+constexpr double prior_slot_micros = 1'200'000;
+constexpr double slot_time_share = 1.0 / 32;
+constexpr double max_slot_micros = 60'000'000;
+
 // Bounds of the results: 5 to 1,000 tokens per ms, up to 500 ms, and 1 ms to
 // 2 s.
 constexpr double min_micros_per_token = 1;
@@ -112,7 +118,8 @@
 engine_model::service_state::service_state()
     : DelayMicros(prior_delay_micros),
       MicrosPerToken(1000 / prior_tokens_per_ms),
-      LogGapMicros(std::log(prior_gap_micros)) {
+      LogGapMicros(std::log(prior_gap_micros)),
+      PacedSlotMicros(prior_slot_micros), OtherSlotMicros(prior_slot_micros) {
   updateTiming(*this);
 }
 
@@ -120,6 +127,8 @@
   State.Timing.TokensPerMs = 1000 / State.MicrosPerToken;
   State.Timing.FirstEventDelay = roundedMicros(State.DelayMicros);
   State.Timing.EventGap = roundedMicros(std::exp(State.LogGapMicros));
+  State.Timing.PacedSlotTime = roundedMicros(State.PacedSlotMicros);
+  State.Timing.OtherSlotTime = roundedMicros(State.OtherSlotMicros);
   State.Timing.Confidence =
       confidenceOf(std::min(State.FirstEvents, State.Gaps));
 }
@@ -286,6 +295,32 @@
   updateSpeed(EngineState);
 }
 
+void engine_model::onPrediction(const pool_name &Service, duration Predicted,
+                                duration Observed, steady_time Now) {
+  if (Predicted <= duration::zero() || Observed <= duration::zero())
+    return;
+  serviceFor(Service, Now)
+      .Odds.add((double(toMicros(Observed)) + residual_base_micros) /
+                (double(toMicros(Predicted)) + residual_base_micros));
+}
+
+void engine_model::onSlotHeld(const pool_name &Service, bool Paced,
+                              duration Held, steady_time Now) {
+  if (Held <= duration::zero())
+    return;
+  service_state &State = serviceFor(Service, Now);
+  double &Mean = Paced ? State.PacedSlotMicros : State.OtherSlotMicros;
+  Mean += slot_time_share *
+          (std::min(double(toMicros(Held)), max_slot_micros) - Mean);
+  updateTiming(State);
+}
+
+const lateness_odds &engine_model::oddsOf(const pool_name &Service) const {
+  static const lateness_odds Prior;
+  auto It = Services.find(Service);
+  return It == Services.end() ? Prior : It->second.Odds;
+}
+
 void engine_model::forget(const upstream_name &Engine) {
   Engines.erase(Engine);
 }
--- a/routing/engine_model.h
+++ b/routing/engine_model.h
@@ -24,6 +24,7 @@
 #include "absl/container/flat_hash_map.h"
 
 #include "monsoonreel/monsoonreel.h"
+#include "routing/lateness_odds.h"
 
 namespace monsoonreel {
 
@@ -35,8 +36,11 @@
 struct engine_timing {
   double TokensPerMs = 0;     // prompt tokens that the engine reads in 1 ms
   duration FirstEventDelay{}; // of a request without prompt tokens and queue
-  duration EventGap{};   // usual time between two events, without prompts being
-                         // read
+  duration EventGap{}; // usual time between two events, without prompts being
+                       // read
+  // Usual times for which requests hold a slot.
+  duration PacedSlotTime{};
+  duration OtherSlotTime{};
   double Confidence = 0; // 0: prior only, 1: many observations
 };
 
@@ -50,6 +54,13 @@
   // Two successive events of one stream arrived this far apart.
   void onEventGap(const pool_name &Service, const upstream_name &Engine,
                   duration Gap, steady_time Now);
+  // The first event arrived Observed after the request was sent, where
+  // Predicted was expected.
+  void onPrediction(const pool_name &Service, duration Predicted,
+                    duration Observed, steady_time Now);
+  // A request has held a slot for this time.
+  void onSlotHeld(const pool_name &Service, bool Paced, duration Held,
+                  steady_time Now);
   // Handles a restart of the engine.
   void forget(const upstream_name &Engine);
   // Removes services and engines without recent observations.
@@ -59,6 +70,9 @@
   // and its gaps.
   engine_timing at(const pool_name &Service, const upstream_name &Engine) const;
   engine_timing ofService(const pool_name &Service) const;
+  // How much later than predicted the events of a service come. Valid until the
+  // next change.
+  const lateness_odds &oddsOf(const pool_name &Service) const;
 
   size_t serviceCount() const { return Services.size(); }
   size_t engineCount() const { return Engines.size(); }
@@ -81,6 +95,9 @@
     double DelayMicros;
     double MicrosPerToken;
     double LogGapMicros;
+    double PacedSlotMicros;
+    double OtherSlotMicros;
+    lateness_odds Odds;
     engine_timing Timing;
     steady_time UsedAt;
   };
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -179,7 +179,7 @@
       Effects.push_back(route_cancel{*Request.Attempt});
       if (Request.Knowledge == execution_outcome::NotRun)
         Request.Knowledge = execution_outcome::Unknown;
-      endAttempt(Request);
+      endAttempt(Request, Context);
     }
     endWithFailure(Request, "timeout", Context, Effects);
   }
@@ -245,22 +245,25 @@
                            routing_effects &Effects) {
   if (Request.Ask)
     Asks.erase(*Request.Ask);
-  endAttempt(Request);
+  endAttempt(Request, Context);
   duration Took = Context.Now - Request.ArrivedAt;
   int64_t Version = Request.Table ? Request.Table->config().Version : 0;
-  Effects.push_back(decision("ended")
-                        .add("request", Request.Arrived.CallerId)
-                        .add("outcome", Outcome)
-                        .add("status", Request.Status)
-                        .add("ran", outcomeName(Request.Knowledge))
-                        .add("upstream", Request.Upstream)
-                        .add("sent", Request.Sent)
-                        .add("events", Request.Events.taken())
-                        .add("longest_gap", Request.LongestGap)
-                        .add("config_version", Version)
-                        .add("registry_age", Context.RegistryAge)
-                        .add("took", Took)
-                        .line(log_level::Info));
+  Effects.push_back(
+      decision("ended")
+          .add("request", Request.Arrived.CallerId)
+          .add("outcome", Outcome)
+          .add("status", Request.Status)
+          .add("ran", outcomeName(Request.Knowledge))
+          .add("upstream", Request.Upstream)
+          .add("sent", Request.Sent)
+          .add("events", Request.Events.taken())
+          .add("first_event",
+               Request.BeganAt.value_or(Request.ArrivedAt) - Request.ArrivedAt)
+          .add("longest_gap", Request.LongestGap)
+          .add("config_version", Version)
+          .add("registry_age", Context.RegistryAge)
+          .add("took", Took)
+          .line(log_level::Info));
   Effects.push_back(
       count_metric{"monsoonreel_route_requests_total", {{"outcome", Outcome}}});
   Effects.push_back(
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -150,8 +150,11 @@
     steady_time SentAt;
     // Prompt tokens at the upstream when it was sent, its own included.
     int64_t UnreadWhenSent = 0;
-    steady_time ProgressAt;   // when it was sent or the last event arrived
-    int64_t EventsBefore = 0; // taken from earlier attempts
+    // Whether the delay of its first event tells how fast the upstream reads.
+    bool ReadsAtOnce = false;
+    duration PredictedFirst{}; // zero: not predicted
+    steady_time ProgressAt;    // when it was sent or the last event arrived
+    int64_t EventsBefore = 0;  // taken from earlier attempts
     std::optional<steady_time> BeganAt; // first event
     duration LongestGap{};              // between two events
     bool SoundRecorded = false;
@@ -225,7 +228,7 @@
                   const placement &Best);
   void refuseForRoom(active_request &Request, duration RetryAfter,
                      const router_context &Context, routing_effects &Effects);
-  void endAttempt(active_request &Request);
+  void endAttempt(active_request &Request, const router_context &Context);
   // Records whether the upstream of the current attempt failed.
   void recordAnswer(active_request &Request, const router_context &Context);
   // Handles notices about the upstream itself in the head of an answer.
@@ -289,6 +292,8 @@
              const router_context &Context, routing_effects &Effects);
   void onStreamData(active_request &Request, const std::string &Data,
                     const router_context &Context, routing_effects &Effects);
+  // Whether the upstream's times are learned.
+  static bool isTimed(const active_request &Request);
   // Records when an event of an engine has come.
   void observeTiming(const active_request &Request,
                      const router_context &Context);
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -173,17 +173,25 @@
 
 void request_router::observeTiming(const active_request &Request,
                                    const router_context &Context) {
-  if (!Request.Arrived.Prompt ||
-      !isPlacedByTimes(*Request.Service,
-                       Request.Table->routesTo(Request.Service->Name)))
+  if (!isTimed(Request))
     return;
   const pool_name &Service = Request.Service->Name;
   if (Request.BeganAt)
     return Services.Model.onEventGap(Service, Request.Upstream,
                                      Context.Now - Request.ProgressAt,
                                      Context.Now);
-  Services.Model.onFirstEvent(Service, Request.Upstream, Request.UnreadWhenSent,
-                              Context.Now - Request.SentAt, Context.Now);
+  duration Delay = Context.Now - Request.SentAt;
+  Services.Model.onPrediction(Service, Request.PredictedFirst, Delay,
+                              Context.Now);
+  if (Request.ReadsAtOnce)
+    Services.Model.onFirstEvent(Service, Request.Upstream,
+                                Request.UnreadWhenSent, Delay, Context.Now);
+}
+
+bool request_router::isTimed(const active_request &Request) {
+  return Request.Arrived.Prompt && Request.Service &&
+         isPlacedByTimes(*Request.Service,
+                         Request.Table->routesTo(Request.Service->Name));
 }
 
 void request_router::onStreamData(active_request &Request,
@@ -240,7 +248,7 @@
     if (Request->Status >= 500 && Request->Route->mayRepeat() &&
         mayResend(*Request, true, Context)) {
       Request->Fallback = std::move(Answer);
-      endAttempt(*Request);
+      endAttempt(*Request, Context);
       Request->Body.clear();
       Effects.push_back(
           count_metric{"monsoonreel_resends_total", {{"reason", "failure"}}});
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -14,6 +14,10 @@
 
 namespace {
 
+// A first event tells how fast an engine reads only if few tokens were ahead.
+// Their number is known late, and those that wait for slots are not read.
+constexpr double max_unread_ahead = 0.25;
+
 // Returns the ids of a prompt's parts, without the last one, for logs.
 std::string partsText(const std::optional<prompt_info> &Prompt) {
   constexpr size_t max_logged_parts = 8;
@@ -128,6 +132,10 @@
   Request.SoundRecorded = false;
   Request.SentAt = Request.ProgressAt = Context.Now;
   Request.UnreadWhenSent = Chosen.Use.UnreadTokens + Chosen.UnreadTokens;
+  Request.ReadsAtOnce =
+      Chosen.Use.Running < Query.Slots &&
+      Chosen.Use.UnreadTokens <= max_unread_ahead * Chosen.UnreadTokens;
+  Request.PredictedFirst = Chosen.FirstEvent;
   Request.EventsBefore = Request.Events.taken();
   Request.Status = 0;
   Request.Stream = Request.Held = false;
@@ -271,9 +279,14 @@
           .line(log_level::Info));
 }
 
-void request_router::endAttempt(active_request &Request) {
+void request_router::endAttempt(active_request &Request,
+                                const router_context &Context) {
   if (!Request.Attempt)
     return;
+  if (Request.BeganAt && isTimed(Request))
+    Services.Model.onSlotHeld(Request.Service->Name,
+                              isPaced(*Request.Arrived.Prompt),
+                              Context.Now - Request.SentAt, Context.Now);
   Services.Load.end(*Request.Attempt);
   Attempts.erase(*Request.Attempt);
   Request.Attempt.reset();
@@ -308,7 +321,7 @@
                                   const char *Why,
                                   const router_context &Context,
                                   routing_effects &Effects) {
-  endAttempt(Request);
+  endAttempt(Request, Context);
   logFailure(Request, Why, Context, Effects);
   if (!mayResend(Request, Arrived, Context))
     return endWithFailure(Request, Why, Context, Effects);
@@ -333,7 +346,7 @@
 void request_router::resend(active_request &Request, const char *Why,
                             const router_context &Context,
                             routing_effects &Effects) {
-  endAttempt(Request);
+  endAttempt(Request, Context);
   Request.Body.clear();
   Request.Events.expectNextRun();
   Effects.push_back(
