Engines fetch cached beginnings of prompts from each other

Change: where the configuration states kvTokenBytes and linkMbps, a request names the engine that has the beginning of its prompt cached, if copying it is quicker than reading it. Engines that drain can be copied from.

--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -23,6 +23,9 @@
 constexpr double lateness_weight = 2;
 // Cost of an engine of the other group, as a part of the request's target.
 constexpr double other_group_part = 0.1;
+// Cost of a fetch, relative to the time that it takes: it uses the links of two
+// engines, and evicts parts of other subjects.
+constexpr double fetch_weight = 3;
 // Each request that runs makes the steps of an engine a little longer.
 constexpr double running_cost_ms = 0.5;
 // A network round trip between zones.
@@ -71,6 +74,55 @@
           (1 - Paced) * toMs(Timing.OtherSlotTime));
 }
 
+// An engine that others can fetch the beginning of the prompt from.
+struct prompt_holder {
+  const upstream_state *Engine = nullptr;
+  int64_t UnreadTokens = 0; // of the prompt, at that engine
+};
+
+prompt_holder findHolder(const placement_query &Query,
+                         const placement_inputs &Inputs,
+                         const std::vector<const upstream_state *> &List) {
+  prompt_holder Holder;
+  if (!Query.Terms || !Inputs.Fetches)
+    return Holder;
+  auto Consider = [&](const upstream_state *Each, int64_t Unread) {
+    const upstream_name &Name = Each->Entry.Name;
+    if ((!Holder.Engine || Unread < Holder.UnreadTokens) &&
+        !Inputs.FailureTracker.isPaused(Name, Each->Entry.Zone, Query.Now) &&
+        !(Inputs.Reported && Inputs.Reported->isPaused(Name, Query.Now)) &&
+        Inputs.Fetches->mayUse(Name, Query.Now))
+      Holder = {Each, Unread};
+  };
+  for (const auto *Engines : {&List, Inputs.Draining})
+    if (Engines)
+      for (const upstream_state *Each : *Engines)
+        Consider(Each, Inputs.Cache.unreadTokens(Each->Entry.Name,
+                                                 *Query.Prompt, Query.Now));
+  if (Query.KnownHolder && !List.empty() &&
+      Query.KnownHolder->Entry.Service == List.front()->Entry.Service)
+    Consider(Query.KnownHolder,
+             Query.Prompt->PromptTokens - sharedTokens(*Query.Prompt));
+  return Holder;
+}
+
+// Lets the engine fetch what it lacks of the prompt, if that is quicker than
+// reading it. Returns the time of the fetch.
+duration planFetch(const placement_query &Query, const prompt_holder &Holder,
+                   const engine_timing &Timing, placement &Option) {
+  if (!Holder.Engine || Holder.Engine == Option.Upstream)
+    return {};
+  int64_t Tokens = Option.UnreadTokens - Holder.UnreadTokens;
+  auto Time = fetchTime(*Query.Terms, Tokens);
+  if (!Time || fetch_weight * toMs(*Time) >=
+                   static_cast<double>(Tokens) / Timing.TokensPerMs)
+    return {};
+  Option.FetchFrom = Holder.Engine;
+  Option.FetchTokens = Tokens;
+  Option.UnreadTokens = Holder.UnreadTokens;
+  return *Time;
+}
+
 struct engine_cost {
   double FirstEvent = 0;
   double Total = 0;
@@ -79,16 +131,17 @@
 
 engine_cost costOf(const placement_query &Query, const placement &Option,
                    const engine_timing &Timing, const lateness_odds &Odds,
-                   int64_t OwnPart, bool IsReserved) {
+                   int64_t OwnPart, duration Fetch, bool IsReserved) {
   double Target = toMs(Query.Target);
   auto Queue = static_cast<double>(Option.Use.UnreadTokens);
   auto Own = static_cast<double>(Option.UnreadTokens);
   double Slot = slotWait(Option.Use, Query.Slots, Timing);
   engine_cost Cost;
-  Cost.FirstEvent = std::min(toMs(Timing.FirstEventDelay) +
+  Cost.FirstEvent = std::min(toMs(Timing.FirstEventDelay) + toMs(Fetch) +
                                  (Queue + Own) / Timing.TokensPerMs + Slot,
                              longest_prediction_ms);
-  Cost.Total = Cost.FirstEvent + running_cost_ms * Option.Use.Running +
+  Cost.Total = Cost.FirstEvent + (fetch_weight - 1) * toMs(Fetch) +
+               running_cost_ms * Option.Use.Running +
                lateness_weight * std::max(0.0, Cost.FirstEvent - Target);
   Cost.Total += Target * Odds.beyond(Target / Cost.FirstEvent);
   // Only the most urgent requests wait for slots.
@@ -143,6 +196,7 @@
   std::optional<placement> Best;
   if (List.empty())
     return Best;
+  prompt_holder Holder = findHolder(Query, Inputs, List);
   const lateness_odds &Odds = Query.Model->oddsOf(List.front()->Entry.Service);
   for (size_t I = 0; I < List.size(); ++I) {
     const upstream_entry &Entry = List[I]->Entry;
@@ -159,8 +213,9 @@
     if (!Query.Paced && I == Home && !Query.CacheIsExact)
       Option.UnreadTokens = std::min(Option.UnreadTokens, OwnPart);
     engine_timing Timing = Query.Model->at(Entry.Service, Entry.Name);
-    engine_cost Cost =
-        costOf(Query, Option, Timing, Odds, OwnPart, Candidates.IsReserved[I]);
+    duration Fetch = planFetch(Query, Holder, Timing, Option);
+    engine_cost Cost = costOf(Query, Option, Timing, Odds, OwnPart, Fetch,
+                              Candidates.IsReserved[I]);
     Option.Cost = Cost.Total;
     Option.IsLate = Cost.IsLate;
     Option.IsIdle = Option.Use.UnreadTokens <= 0 &&
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -39,6 +39,7 @@
 
 #include "routing/engine_model.h"
 #include "routing/prompt_cache_view.h"
+#include "routing/prompt_fetch.h"
 #include "routing/region_rules.h"
 #include "routing/reported_failures.h"
 #include "routing/route_table.h"
@@ -73,6 +74,10 @@
   // for only if they are better by more than the age of their load explains.
   bool PrefersOwnZone = false;
   bool Urgent = false; // no route to the service is more urgent
+  // Set where engines fetch cached beginnings of prompts from each other.
+  const engine_terms *Terms = nullptr;
+  // An engine that has the beginning cached by the view of another entry.
+  const upstream_state *KnownHolder = nullptr;
 };
 
 // Reports of other entries are up to 0.3 s old. Where callers wait longer than
@@ -90,7 +95,11 @@
   duration FirstEvent{}; // predicted, if the query has a model
   bool IsLate = false;   // predicted to miss its targets, or to delay others
   bool IsIdle = false;   // no prompts are unread there, and a slot is free
-  upstream_use_sum Use;  // load without this request
+  // Engine from which Upstream fetches what it lacks of the prompt, and how
+  // much; nullptr: none.
+  const upstream_state *FetchFrom = nullptr;
+  int64_t FetchTokens = 0;
+  upstream_use_sum Use; // load without this request
 };
 
 // State on which placement is based.
@@ -101,6 +110,10 @@
   const upstream_limits &Limits;
   // Upstreams that other entries report as failing; nullptr: none.
   const reported_failures *Reported = nullptr;
+  // Set where engines fetch from each other, with the upstreams that are
+  // draining and can still be fetched from.
+  const prompt_fetches *Fetches = nullptr;
+  const std::vector<const upstream_state *> *Draining = nullptr;
 };
 
 std::optional<placement> choosePlacement(const placement_query &Query,
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -147,6 +147,7 @@
 void request_router::onTick(const router_context &Context,
                             routing_effects &Effects) {
   Reported.onTick(Context.Now);
+  Fetches.onTick(Context.Now);
   std::vector<request_id> Expired;
   std::vector<request_id> Stalled;
   std::vector<request_id> Unanswered;
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -143,6 +143,7 @@
     address Asked;
     int AsksSent = 0;           // for the current attempt
     const char *Placer = "own"; // of the current attempt, for logs
+    std::string Holder;         // of the prompt's beginning, as was answered
     std::optional<attempt_number> Attempt;
     upstream_name Upstream; // upstream of Attempt
     zone_name UpstreamZone;
@@ -197,6 +198,8 @@
   void dispatch(active_request &Request, const placement_query &Query,
                 const placement &Chosen, const router_context &Context,
                 routing_effects &Effects);
+  // What a choice of the upstream for Service is based on.
+  placement_inputs inputsFor(const pool_name &Service) const;
   // Returns the entry that places the request; empty if this one does.
   address placerFor(const active_request &Request, const placement_query &Query,
                     const router_context &Context) const;
@@ -319,6 +322,7 @@
   absl::flat_hash_map<int64_t, request_id> Asks;
   absl::flat_hash_map<address, steady_time> SilentUntil; // relays
   reported_failures Reported; // by the entries for which this one places
+  prompt_fetches Fetches;     // that this entry has ordered
   // When most urgent requests were refused by this entry, and by any.
   absl::flat_hash_map<pool_name, steady_time> OwnUrgentRefusals;
   absl::flat_hash_map<pool_name, steady_time> UrgentRefusals;
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -139,6 +139,7 @@
   wire::placement_ask Ask;
   Ask.Final = Final;
   Ask.Zone = Zone.Value;
+  Ask.Holder = Request.Holder;
   Ask.Ask = ++LastAsk;
   Ask.Service = Request.Service->Name.Value;
   Ask.PromptTokens = Query.Prompt->PromptTokens;
@@ -205,10 +206,11 @@
     Query.Urgent = Ask.Urgent;
     Query.CacheIsExact = true;
     Query.PrefersOwnZone = true;
+    Query.Terms = &*Known->Engine;
+    Query.KnownHolder = Services.Registry.find(upstream_name(Ask.Holder));
     return Query;
   };
-  placement_inputs Inputs{Services.Load, Services.Cache,
-                          Services.FailureTracker, Services.Limits, &Reported};
+  placement_inputs Inputs = inputsFor(Service);
   placement_query Query = QueryOver(Ask.Final ? OwnEngines : Serving);
   std::optional<placement> Chosen = choosePlacement(Query, Inputs);
   // The relay that named this zone has old sums of it. If another zone has
@@ -232,6 +234,8 @@
                                       const placement &Chosen,
                                       wire::placement_grant &Grant) {
   const upstream_entry &Entry = Chosen.Upstream->Entry;
+  if (Chosen.FetchFrom)
+    Grant.FetchFrom = Chosen.FetchFrom->Entry.Name.Value;
   zone_name OtherZone(Ask.Zone == Zone.Value ? "" : Ask.Zone);
   work_size Size{Chosen.UnreadTokens, Query.Paced};
   if (Entry.Zone != Zone) {
@@ -248,6 +252,8 @@
     return "refused";
   }
   Grant.Upstream = Entry.Name.Value;
+  if (Chosen.FetchFrom)
+    Fetches.onSent(Chosen.FetchFrom->Entry.Name, Query.Now);
   Services.Load.onGranted(From, OtherZone, Entry.Name, Size, Query.Now);
   Services.Cache.onDispatched(Entry.Name, *Query.Prompt, Query.Now);
   return "granted";
@@ -322,6 +328,7 @@
     return refuseForRoom(
         Request, std::min(boundedTime(Grant.RetryMicros), longest_return_time),
         Context, Effects);
+  Request.Holder = Grant.FetchFrom;
   if (!Grant.Zone.empty())
     return onRedirect(Request, zone_name(Grant.Zone), Context, Effects);
   const upstream_state *Upstream =
@@ -335,6 +342,7 @@
       Grant.UnreadTokens, 0, Request.Arrived.Prompt->PromptTokens);
   Chosen.FirstEvent = boundedTime(Grant.PredictedMicros);
   Chosen.Use = Services.Load.at(Upstream->Entry.Name);
+  Chosen.FetchFrom = Services.Registry.find(upstream_name(Grant.FetchFrom));
   dispatch(Request, queryFor(Request, Context), Chosen, Context, Effects);
 }
 
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -50,6 +50,7 @@
   if (!OnEngine || !isPlacedByTimes(*Request.Service, Known))
     return Query;
   Query.Model = &Services.Model;
+  Query.Terms = &*Request.Service->Engine;
   Query.Target = Request.Route->Target;
   Query.Pause = Request.Route->PauseTarget;
   Query.StrictestPause = Known->StrictestPause;
@@ -61,6 +62,16 @@
   return Query;
 }
 
+placement_inputs request_router::inputsFor(const pool_name &Service) const {
+  return {Services.Load,
+          Services.Cache,
+          Services.FailureTracker,
+          Services.Limits,
+          &Reported,
+          &Fetches,
+          &Services.Registry.draining(Service)};
+}
+
 bool request_router::endIfHeld(active_request &Request,
                                const router_context &Context,
                                routing_effects &Effects) {
@@ -83,6 +94,7 @@
   if (endIfHeld(Request, Context, Effects))
     return;
   Request.AsksSent = 0;
+  Request.Holder.clear();
   Request.Placer = "own";
   placement_query Query = queryFor(Request, Context);
   address Placer = placerFor(Request, Query, Context);
@@ -95,9 +107,8 @@
                            const router_context &Context,
                            routing_effects &Effects) {
   placement_query Query = queryFor(Request, Context);
-  std::optional<placement> Chosen = choosePlacement(
-      Query, {Services.Load, Services.Cache, Services.FailureTracker,
-              Services.Limits, &Reported});
+  std::optional<placement> Chosen =
+      choosePlacement(Query, inputsFor(Request.Service->Name));
   if (Chosen && Query.PrefersOwnZone && Request.AsksSent < max_asks) {
     address Relay = relayOf(Chosen->Upstream->Entry.Zone, Context);
     if (!Relay.empty()) {
@@ -134,7 +145,8 @@
   Request.UnreadWhenSent = Chosen.Use.UnreadTokens + Chosen.UnreadTokens;
   Request.ReadsAtOnce =
       Chosen.Use.Running < Query.Slots &&
-      Chosen.Use.UnreadTokens <= max_unread_ahead * Chosen.UnreadTokens;
+      Chosen.Use.UnreadTokens <= max_unread_ahead * Chosen.UnreadTokens &&
+      !Chosen.FetchFrom;
   Request.PredictedFirst = Chosen.FirstEvent;
   Request.EventsBefore = Request.Events.taken();
   Request.Status = 0;
@@ -163,6 +175,11 @@
     Dispatch.ResumeAfter = Request.Events.lastId();
   Dispatch.MaxConnections = std::max<int>(
       1, Request.Service->MaxConnections / static_cast<int>(Context.Entries));
+  if (Chosen.FetchFrom) {
+    Dispatch.FetchFrom = Chosen.FetchFrom->Entry.Address;
+    Fetches.onSent(Chosen.FetchFrom->Entry.Name, Context.Now);
+    Effects.push_back(count_metric{"monsoonreel_prompt_fetches_total", {}});
+  }
   Effects.push_back(Dispatch);
   upstream_limits::summary Limit;
   Services.Limits.addTo(Limit, Entry.Name, Context.Now);
@@ -187,6 +204,10 @@
           .add("unread_before", Chosen.Use.UnreadTokens)
           .add("predicted", Chosen.FirstEvent)
           .add("paced_beside", Chosen.Use.PacedStreams)
+          .add("fetch_from", Chosen.FetchFrom
+                                 ? Chosen.FetchFrom->Entry.Name.Value
+                                 : std::string("none"))
+          .add("fetch_tokens", Chosen.FetchTokens)
           .add("placer", Request.Placer)
           .add("asked", Context.Now - (Request.AsksSent > 0 ? Request.AskedAt
                                                             : Context.Now))
--- a/routing/routing_effect.h
+++ b/routing/routing_effect.h
@@ -67,6 +67,9 @@
   // at another upstream.
   std::optional<int64_t> ResumeAfter;
   int MaxConnections = 0; // connections of this process to the upstream
+  // Engine from which this one copies the cached beginning of the prompt;
+  // empty: none.
+  address FetchFrom = {};
 };
 
 // Closes the connection of an attempt. No event about it follows.
--- a/routing/site_config.h
+++ b/routing/site_config.h
@@ -61,6 +61,10 @@
   int Slots = 1; // concurrent requests
   int64_t CacheTokens = 0;
   int Ranks = 1; // number of scheduling ranks
+  // Size of a cached token, and the rate at which engines copy cached tokens
+  // from each other. 0: they cannot.
+  double TokenBytes = 0;
+  double LinkBytesPerMs = 0;
 
   bool hasFewSlots() const { return Slots <= few_slots; }
 };
--- a/routing/upstream_registry.cc
+++ b/routing/upstream_registry.cc
@@ -135,10 +135,21 @@
 }
 
 const std::vector<const upstream_state *> &
-upstream_registry::serving(const pool_name &Service) const {
+upstream_registry::listOf(const service_index &Index,
+                          const pool_name &Service) {
   static const std::vector<const upstream_state *> None;
-  auto It = ByService.find(Service);
-  return It == ByService.end() ? None : It->second;
+  auto It = Index.find(Service);
+  return It == Index.end() ? None : It->second;
+}
+
+const std::vector<const upstream_state *> &
+upstream_registry::serving(const pool_name &Service) const {
+  return listOf(ByService, Service);
+}
+
+const std::vector<const upstream_state *> &
+upstream_registry::draining(const pool_name &Service) const {
+  return listOf(DrainingByService, Service);
 }
 
 const upstream_state *upstream_registry::find(const upstream_name &Name) const {
@@ -148,9 +159,16 @@
 
 void upstream_registry::reindex() {
   ByService.clear();
-  for (const auto &[Name, State] : Upstreams)
-    if (!isLeaving(State.Entry) && !isEvacuated(State.Entry.Zone))
-      ByService[State.Entry.Service].push_back(&State);
+  DrainingByService.clear();
+  for (const auto &[Name, State] : Upstreams) {
+    const upstream_entry &Entry = State.Entry;
+    if (isEvacuated(Entry.Zone))
+      continue;
+    if (!isLeaving(Entry))
+      ByService[Entry.Service].push_back(&State);
+    else if (Entry.Draining && !Leaving.contains(Name))
+      DrainingByService[Entry.Service].push_back(&State);
+  }
 }
 
 } // namespace monsoonreel
--- a/routing/upstream_registry.h
+++ b/routing/upstream_registry.h
@@ -76,6 +76,10 @@
   // the next change.
   const std::vector<const upstream_state *> &
   serving(const pool_name &Service) const;
+  // Returns the upstreams of a service that are draining: they accept no new
+  // requests, but still run. Valid until the next change.
+  const std::vector<const upstream_state *> &
+  draining(const pool_name &Service) const;
   // Returns whether the upstream accepts no new requests, by its registry entry
   // or by its own notice.
   bool isLeaving(const upstream_entry &Entry) const;
@@ -111,7 +115,12 @@
   std::map<upstream_name, leaving_instance> Leaving;
   std::set<zone_name> Evacuated;
   bool AnyLapsed = false; // some entries may have a LapsedAt
-  std::map<pool_name, std::vector<const upstream_state *>> ByService;
+  using service_index =
+      std::map<pool_name, std::vector<const upstream_state *>>;
+  static const std::vector<const upstream_state *> &
+  listOf(const service_index &Index, const pool_name &Service);
+  service_index ByService;
+  service_index DrainingByService;
 };
 
 } // namespace monsoonreel
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -4125,6 +4125,10 @@
 void placement_ask::__set_Zone(const std::string& val) {
   this->Zone = val;
 }
+
+void placement_ask::__set_Holder(const std::string& val) {
+  this->Holder = val;
+}
 std::ostream& operator<<(std::ostream& out, const placement_ask& obj)
 {
   obj.printTo(out);
@@ -4285,6 +4289,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->Holder);
+          this->__isset.Holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4374,6 +4386,10 @@
   xfer += oprot->writeString(this->Zone);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("Holder", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->Holder);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4393,6 +4409,7 @@
   swap(a.PauseMicros, b.PauseMicros);
   swap(a.Final, b.Final);
   swap(a.Zone, b.Zone);
+  swap(a.Holder, b.Holder);
   swap(a.__isset, b.__isset);
 }
 
@@ -4409,6 +4426,7 @@
   PauseMicros = other218.PauseMicros;
   Final = other218.Final;
   Zone = other218.Zone;
+  Holder = other218.Holder;
   __isset = other218.__isset;
 }
 placement_ask::placement_ask(placement_ask&& other219) noexcept {
@@ -4424,6 +4442,7 @@
   PauseMicros = other219.PauseMicros;
   Final = other219.Final;
   Zone = std::move(other219.Zone);
+  Holder = std::move(other219.Holder);
   __isset = other219.__isset;
 }
 placement_ask& placement_ask::operator=(const placement_ask& other220) {
@@ -4439,6 +4458,7 @@
   PauseMicros = other220.PauseMicros;
   Final = other220.Final;
   Zone = other220.Zone;
+  Holder = other220.Holder;
   __isset = other220.__isset;
   return *this;
 }
@@ -4455,6 +4475,7 @@
   PauseMicros = other221.PauseMicros;
   Final = other221.Final;
   Zone = std::move(other221.Zone);
+  Holder = std::move(other221.Holder);
   __isset = other221.__isset;
   return *this;
 }
@@ -4473,6 +4494,7 @@
   out << ", " << "PauseMicros=" << to_string(PauseMicros);
   out << ", " << "Final=" << to_string(Final);
   out << ", " << "Zone=" << to_string(Zone);
+  out << ", " << "Holder=" << to_string(Holder);
   out << ")";
 }
 
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -1471,7 +1471,7 @@
 std::ostream& operator<<(std::ostream& out, const prompt_piece& obj);
 
 typedef struct _placement_ask__isset {
-  _placement_ask__isset() : Ask(false), Service(false), PromptTokens(false), MaxOutputTokens(false), Pieces(false), Tried(false), Failing(false), Urgent(false), TargetMicros(false), PauseMicros(false), Final(false), Zone(false) {}
+  _placement_ask__isset() : Ask(false), Service(false), PromptTokens(false), MaxOutputTokens(false), Pieces(false), Tried(false), Failing(false), Urgent(false), TargetMicros(false), PauseMicros(false), Final(false), Zone(false), Holder(false) {}
   bool Ask :1;
   bool Service :1;
   bool PromptTokens :1;
@@ -1484,6 +1484,7 @@
   bool PauseMicros :1;
   bool Final :1;
   bool Zone :1;
+  bool Holder :1;
 } _placement_ask__isset;
 
 class placement_ask : public virtual ::apache::thrift::TBase {
@@ -1502,7 +1503,8 @@
                   TargetMicros(0),
                   PauseMicros(0),
                   Final(0),
-                  Zone() {
+                  Zone(),
+                  Holder() {
   }
 
   virtual ~placement_ask() noexcept;
@@ -1518,6 +1520,7 @@
   int64_t PauseMicros;
   bool Final;
   std::string Zone;
+  std::string Holder;
 
   _placement_ask__isset __isset;
 
@@ -1545,6 +1548,8 @@
 
   void __set_Zone(const std::string& val);
 
+  void __set_Holder(const std::string& val);
+
   bool operator == (const placement_ask & rhs) const
   {
     if (!(Ask == rhs.Ask))
@@ -1571,6 +1576,8 @@
       return false;
     if (!(Zone == rhs.Zone))
       return false;
+    if (!(Holder == rhs.Holder))
+      return false;
     return true;
   }
   bool operator != (const placement_ask &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -200,6 +200,9 @@
   11: bool Final               // to be answered with an engine of the receiver's
                                // zone, or with a refusal
   12: string Zone              // of the sender
+  13: string Holder            // engine that has the beginning of the prompt
+                               // cached, as an earlier answer named; empty:
+                               // not known
 }
 
 struct placement_grant {
