Only beginnings that an engine has read are copied from it

Cause: a beginning counted as cached from the moment at which its first request was placed, so engines were told to copy what was still in a queue. Change: a part can be copied from the time of the predicted first event on.

--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -97,8 +97,8 @@
   for (const auto *Engines : {&List, Inputs.Draining})
     if (Engines)
       for (const upstream_state *Each : *Engines)
-        Consider(Each, Inputs.Cache.unreadTokens(Each->Entry.Name,
-                                                 *Query.Prompt, Query.Now));
+        Consider(Each, Inputs.Cache.tokensLeftToFetcher(
+                           Each->Entry.Name, *Query.Prompt, Query.Now));
   if (Query.KnownHolder && !List.empty() &&
       Query.KnownHolder->Entry.Service == List.front()->Entry.Service)
     Consider(Query.KnownHolder,
--- a/routing/prompt_cache_view.cc
+++ b/routing/prompt_cache_view.cc
@@ -31,33 +31,53 @@
 }
 
 void prompt_cache_view::onDispatched(const upstream_name &Upstream,
-                                     const prompt_info &Prompt,
-                                     steady_time Now) {
+                                     const prompt_info &Prompt, steady_time Now,
+                                     duration FirstEvent) {
   uint64_t Chain = 0;
   for (size_t I = 0; I + 1 < Prompt.Parts.size(); ++I) {
     Chain = extendChain(Chain, Prompt.Parts[I].Id);
-    if (UsedAt.size() < max_tracked_parts || UsedAt.contains({Upstream, Chain}))
-      UsedAt[{Upstream, Chain}] = Now;
+    auto It = Parts.find({Upstream, Chain});
+    if (It != Parts.end() && Now - It->second.UsedAt < cache_entry_lifetime)
+      It->second.UsedAt = Now;
+    else if (It != Parts.end() || Parts.size() < max_tracked_parts)
+      Parts[{Upstream, Chain}] = {Now, Now + FirstEvent};
   }
 }
 
-int64_t prompt_cache_view::unreadTokens(const upstream_name &Upstream,
-                                        const prompt_info &Prompt,
-                                        steady_time Now) const {
-  int64_t Unread = Prompt.PromptTokens;
+template <typename Predicate>
+int64_t prompt_cache_view::tokensWithout(const upstream_name &Upstream,
+                                         const prompt_info &Prompt,
+                                         const Predicate &Has) const {
+  int64_t Tokens = Prompt.PromptTokens;
   uint64_t Chain = 0;
   for (size_t I = 0; I + 1 < Prompt.Parts.size(); ++I) {
     Chain = extendChain(Chain, Prompt.Parts[I].Id);
-    auto It = UsedAt.find({Upstream, Chain});
-    if (It == UsedAt.end() || Now - It->second >= cache_entry_lifetime)
+    auto It = Parts.find({Upstream, Chain});
+    if (It == Parts.end() || !Has(It->second))
       break;
-    Unread -= Prompt.Parts[I].Tokens;
+    Tokens -= Prompt.Parts[I].Tokens;
   }
-  return std::max<int64_t>(Unread, 0);
+  return std::max<int64_t>(Tokens, 0);
+}
+
+int64_t prompt_cache_view::unreadTokens(const upstream_name &Upstream,
+                                        const prompt_info &Prompt,
+                                        steady_time Now) const {
+  return tokensWithout(Upstream, Prompt, [&](const part_times &Times) {
+    return Now - Times.UsedAt < cache_entry_lifetime;
+  });
+}
+
+int64_t prompt_cache_view::tokensLeftToFetcher(const upstream_name &Upstream,
+                                               const prompt_info &Prompt,
+                                               steady_time Now) const {
+  return tokensWithout(Upstream, Prompt, [&](const part_times &Times) {
+    return Now - Times.UsedAt < cache_entry_lifetime && Times.ReadAt <= Now;
+  });
 }
 
 void prompt_cache_view::forget(const upstream_name &Upstream) {
-  absl::erase_if(UsedAt, [&](const auto &Entry) {
+  absl::erase_if(Parts, [&](const auto &Entry) {
     return Entry.first.Upstream == Upstream;
   });
 }
@@ -66,8 +86,8 @@
   if (Now < NextSweep)
     return;
   NextSweep = Now + sweep_period;
-  absl::erase_if(UsedAt, [&](const auto &Entry) {
-    return Now - Entry.second >= cache_entry_lifetime;
+  absl::erase_if(Parts, [&](const auto &Entry) {
+    return Now - Entry.second.UsedAt >= cache_entry_lifetime;
   });
 }
 
--- a/routing/prompt_cache_view.h
+++ b/routing/prompt_cache_view.h
@@ -36,15 +36,20 @@
 
 class prompt_cache_view {
 public:
+  // FirstEvent: expected time until the upstream has read the prompt.
   void onDispatched(const upstream_name &Upstream, const prompt_info &Prompt,
-                    steady_time Now);
+                    steady_time Now, duration FirstEvent = {});
   // Returns how many tokens of the prompt the upstream has to read.
   int64_t unreadTokens(const upstream_name &Upstream, const prompt_info &Prompt,
                        steady_time Now) const;
+  // Returns how many tokens of the prompt an upstream would have to read that
+  // copies what this one has read by now.
+  int64_t tokensLeftToFetcher(const upstream_name &Upstream,
+                              const prompt_info &Prompt, steady_time Now) const;
   // Removes all parts of an upstream that was restarted.
   void forget(const upstream_name &Upstream);
   void onTick(steady_time Now);
-  size_t size() const { return UsedAt.size(); }
+  size_t size() const { return Parts.size(); }
 
 private:
   struct cached_part {
@@ -57,7 +62,16 @@
     }
   };
 
-  absl::flat_hash_map<cached_part, steady_time> UsedAt;
+  struct part_times {
+    steady_time UsedAt;
+    steady_time ReadAt; // when the upstream has read it, as expected
+  };
+
+  template <typename Predicate>
+  int64_t tokensWithout(const upstream_name &Upstream,
+                        const prompt_info &Prompt, const Predicate &Has) const;
+
+  absl::flat_hash_map<cached_part, part_times> Parts;
   steady_time NextSweep;
 };
 
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -255,7 +255,8 @@
   if (Chosen.FetchFrom)
     Fetches.onSent(Chosen.FetchFrom->Entry.Name, Query.Now);
   Services.Load.onGranted(From, OtherZone, Entry.Name, Size, Query.Now);
-  Services.Cache.onDispatched(Entry.Name, *Query.Prompt, Query.Now);
+  Services.Cache.onDispatched(Entry.Name, *Query.Prompt, Query.Now,
+                              Chosen.FirstEvent);
   return "granted";
 }
 
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -158,7 +158,8 @@
   if (Request.Arrived.Prompt)
     Services.Quarantine.onSent(*Request.Arrived.Prompt, Context.TrueTime);
   if (Query.Prompt)
-    Services.Cache.onDispatched(Entry.Name, *Query.Prompt, Context.Now);
+    Services.Cache.onDispatched(Entry.Name, *Query.Prompt, Context.Now,
+                                Chosen.FirstEvent);
 
   route_dispatch Dispatch;
   Dispatch.Attempt = Attempt;
