--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -52,8 +52,9 @@
 // An ask without a grant for this time is given up, and the entry places the
 // request by itself. Answers come within a few milliseconds.
 constexpr duration placement_ask_timeout = std::chrono::milliseconds(25);
-// The relay of the own or the home zone, and that of the zone which it names.
-constexpr int max_asks = 2;
+// The relays of three zones. The last one grants an engine of its own zone or
+// refuses, so that a request is not passed on for ever by old sums.
+constexpr int max_asks = 3;
 // A relay that has not answered is not asked again for this time.
 constexpr duration silent_relay_pause = std::chrono::seconds(1);
 // Less urgent requests are refused for this time after a most urgent one had to
@@ -210,8 +211,8 @@
   address relayOf(const zone_name &Far, const router_context &Context) const;
   bool isSilent(const address &Relay, steady_time Now) const;
   void ask(active_request &Request, const address &Placer,
-           const placement_query &Query, bool Final,
-           const router_context &Context, routing_effects &Effects);
+           const placement_query &Query, const router_context &Context,
+           routing_effects &Effects);
   // Fills in the answer to an ask, and returns its outcome for metrics.
   const char *answerAsk(const address &From, const wire::placement_ask &Ask,
                         const placement_query &Query, const placement &Chosen,
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -133,11 +133,11 @@
 }
 
 void request_router::ask(active_request &Request, const address &Placer,
-                         const placement_query &Query, bool Final,
+                         const placement_query &Query,
                          const router_context &Context,
                          routing_effects &Effects) {
   wire::placement_ask Ask;
-  Ask.Final = Final;
+  Ask.Final = Request.AsksSent + 1 >= max_asks;
   Ask.Zone = Zone.Value;
   Ask.Holder = Request.Holder;
   Ask.Ask = ++LastAsk;
@@ -193,32 +193,26 @@
   for (const upstream_state *Each : Serving)
     if (Each->Entry.Zone == Zone)
       OwnEngines.push_back(Each);
-  auto QueryOver = [&](const std::vector<const upstream_state *> &Engines) {
-    placement_query Query{
-        Engines,  Zone,        &Prompt,        isPaced(Prompt),
-        Excluded, Context.Now, Context.Random, Known->Engine->Slots,
-        false};
-    Query.Model = &Services.Model;
-    Query.Target = boundedTime(Ask.TargetMicros);
-    if (Ask.PauseMicros > 0)
-      Query.Pause = boundedTime(Ask.PauseMicros);
-    Query.StrictestPause = Routes->StrictestPause;
-    Query.Urgent = Ask.Urgent;
-    Query.CacheIsExact = true;
-    Query.PrefersOwnZone = true;
-    Query.Terms = &*Known->Engine;
-    Query.KnownHolder = Services.Registry.find(upstream_name(Ask.Holder));
-    return Query;
-  };
-  placement_inputs Inputs = inputsFor(Service);
-  placement_query Query = QueryOver(Ask.Final ? OwnEngines : Serving);
-  std::optional<placement> Chosen = choosePlacement(Query, Inputs);
-  // The relay that named this zone has old sums of it. If another zone has
-  // room, the entry places the request by itself.
-  if (Ask.Final && Chosen && Chosen->IsLate)
-    if (auto Best = choosePlacement(QueryOver(Serving), Inputs);
-        Best && !Best->IsLate)
-      Chosen.reset();
+  placement_query Query{Ask.Final ? OwnEngines : Serving,
+                        Zone,
+                        &Prompt,
+                        isPaced(Prompt),
+                        Excluded,
+                        Context.Now,
+                        Context.Random,
+                        Known->Engine->Slots,
+                        false};
+  Query.Model = &Services.Model;
+  Query.Target = boundedTime(Ask.TargetMicros);
+  if (Ask.PauseMicros > 0)
+    Query.Pause = boundedTime(Ask.PauseMicros);
+  Query.StrictestPause = Routes->StrictestPause;
+  Query.Urgent = Ask.Urgent;
+  Query.CacheIsExact = true;
+  Query.PrefersOwnZone = true;
+  Query.Terms = &*Known->Engine;
+  Query.KnownHolder = Services.Registry.find(upstream_name(Ask.Holder));
+  std::optional<placement> Chosen = choosePlacement(Query, inputsFor(Service));
   const char *Outcome = "none";
   if (Chosen)
     Outcome = answerAsk(From, Ask, Query, *Chosen, Grant);
@@ -356,8 +350,7 @@
   if (Relay.empty() || isSilent(Relay, Context.Now) ||
       Request.AsksSent >= max_asks)
     return place(Request, Context, Effects);
-  ask(Request, Relay, queryFor(Request, Context), /*Final=*/true, Context,
-      Effects);
+  ask(Request, Relay, queryFor(Request, Context), Context, Effects);
 }
 
 void request_router::refuseForRoom(active_request &Request, duration RetryAfter,
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -99,7 +99,7 @@
   placement_query Query = queryFor(Request, Context);
   address Placer = placerFor(Request, Query, Context);
   if (!Placer.empty())
-    return ask(Request, Placer, Query, /*Final=*/false, Context, Effects);
+    return ask(Request, Placer, Query, Context, Effects);
   place(Request, Context, Effects);
 }
 
@@ -114,7 +114,7 @@
     if (!Relay.empty()) {
       Services.Load.onGranted(Relay, {}, Chosen->Upstream->Entry.Name,
                               {Chosen->UnreadTokens, Query.Paced}, Context.Now);
-      return ask(Request, Relay, Query, /*Final=*/true, Context, Effects);
+      return ask(Request, Relay, Query, Context, Effects);
     }
   }
   if (!Chosen)
