--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -216,7 +216,7 @@
   // Fills in the answer to an ask, and returns its outcome for metrics.
   const char *answerAsk(const address &From, const wire::placement_ask &Ask,
                         const placement_query &Query, const placement &Chosen,
-                        wire::placement_grant &Grant);
+                        wire::placement_grant &Grant, routing_effects &Effects);
   // Handles that engines of another zone are better for the request.
   void onRedirect(active_request &Request, const zone_name &Far,
                   const router_context &Context, routing_effects &Effects);
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -215,7 +215,7 @@
   std::optional<placement> Chosen = choosePlacement(Query, inputsFor(Service));
   const char *Outcome = "none";
   if (Chosen)
-    Outcome = answerAsk(From, Ask, Query, *Chosen, Grant);
+    Outcome = answerAsk(From, Ask, Query, *Chosen, Grant, Effects);
   Effects.push_back(
       count_metric{"monsoonreel_placement_asks_total", {{"outcome", Outcome}}});
   Effects.push_back(
@@ -226,7 +226,8 @@
                                       const wire::placement_ask &Ask,
                                       const placement_query &Query,
                                       const placement &Chosen,
-                                      wire::placement_grant &Grant) {
+                                      wire::placement_grant &Grant,
+                                      routing_effects &Effects) {
   const upstream_entry &Entry = Chosen.Upstream->Entry;
   if (Chosen.FetchFrom)
     Grant.FetchFrom = Chosen.FetchFrom->Entry.Name.Value;
@@ -243,6 +244,22 @@
   Grant.UnreadTokens = Chosen.UnreadTokens;
   if (mustRefuse(Entry.Service, Query, Chosen) && Ask.Tried.empty()) {
     Grant.RetryMicros = toMicros(placeExpectedAfter(Query, Chosen));
+    Effects.push_back(
+        decision("placement-refused")
+            .add("service", Entry.Service)
+            .add("from", From)
+            .add("urgent", int64_t{Query.Urgent})
+            .add("final", int64_t{Ask.Final})
+            .add("late", int64_t{Chosen.IsLate})
+            .add("upstream", Entry.Name)
+            .add("running", Chosen.Use.Running)
+            .add("paced_beside", Chosen.Use.PacedStreams)
+            .add("unread_before", Chosen.Use.UnreadTokens)
+            .add("unread", Chosen.UnreadTokens)
+            .add("predicted", Chosen.FirstEvent)
+            .add("target", Query.Target)
+            .add("candidates", static_cast<int64_t>(Query.Serving.size()))
+            .line(log_level::Info));
     return "refused";
   }
   Grant.Upstream = Entry.Name.Value;
