Relays pause only upstreams that fail, in each service

Cause: an entry names the upstreams that it cannot use at present in its asks. These include upstreams whose limit it has used up its share of, so relays paused upstreams that work, cold ones among them. The reports of an entry were also counted for all services together: failures in a large service hid those in a small one. A relay that answered a final ask with all engines of its zone paused granted one of them, although engines of another zone worked. Change: reports on upstreams with a limit do not count as failures, reports are counted for each service, and a final ask is not answered with a paused engine while engines of another zone work.

--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -89,8 +89,7 @@
   auto Consider = [&](const upstream_state *Each, int64_t Unread) {
     const upstream_name &Name = Each->Entry.Name;
     if ((!Holder.Engine || Unread < Holder.UnreadTokens) &&
-        !Inputs.FailureTracker.isPaused(Name, Each->Entry.Zone, Query.Now) &&
-        !(Inputs.Reported && Inputs.Reported->isPaused(Name, Query.Now)) &&
+        !isPaused(Each->Entry, Inputs, Query.Now) &&
         Inputs.Fetches->mayUse(Name, Query.Now))
       Holder = {Each, Unread};
   };
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -93,10 +93,8 @@
         FailureTracker.backoffUntil(Name, Query.Now) ||
         !Inputs.Limits.maySend(Name, Query.Now))
       continue;
-    bool IsPaused =
-        FailureTracker.isPaused(Name, Candidate->Entry.Zone, Query.Now) ||
-        (Inputs.Reported && Inputs.Reported->isPaused(Name, Query.Now));
-    (IsPaused ? Paused : Usable).push_back(Candidate);
+    (isPaused(Candidate->Entry, Inputs, Query.Now) ? Paused : Usable)
+        .push_back(Candidate);
   }
   return Usable.empty() ? Paused : Usable;
 }
@@ -291,6 +289,12 @@
   return int64_t{4} * Prompt.MaxOutputTokens > Prompt.PromptTokens;
 }
 
+bool isPaused(const upstream_entry &Entry, const placement_inputs &Inputs,
+              steady_time Now) {
+  return Inputs.FailureTracker.isPaused(Entry.Name, Entry.Zone, Now) ||
+         (Inputs.Reported && Inputs.Reported->isPaused(Entry.Name, Now));
+}
+
 std::optional<placement> choosePlacement(const placement_query &Query,
                                          const placement_inputs &Inputs) {
   return Query.Prompt ? placeOnEngine(Query, Inputs)
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -116,6 +116,11 @@
   const std::vector<const upstream_state *> *Draining = nullptr;
 };
 
+// Returns whether the upstream or its zone fails, as this entry or others have
+// found.
+bool isPaused(const upstream_entry &Entry, const placement_inputs &Inputs,
+              steady_time Now);
+
 std::optional<placement> choosePlacement(const placement_query &Query,
                                          const placement_inputs &Inputs);
 
--- a/routing/reported_failures.cc
+++ b/routing/reported_failures.cc
@@ -4,7 +4,7 @@
 
 namespace monsoonreel {
 
-void reported_failures::onReport(const address &From,
+void reported_failures::onReport(const address &From, const pool_name &Service,
                                  const std::vector<std::string> &Names,
                                  size_t Upstreams, steady_time Now) {
   if (Names.empty())
@@ -12,7 +12,7 @@
   auto Most =
       std::max<size_t>(1, static_cast<size_t>(max_reported_share *
                                               static_cast<double>(Upstreams)));
-  auto &Known = Reporters[From].Reported;
+  auto &Known = Reporters[{From, Service}].Reported;
   absl::erase_if(Known, [&](const auto &Each) {
     return Now - Each.second >= report_confirmation_window;
   });
--- a/routing/reported_failures.h
+++ b/routing/reported_failures.h
@@ -2,7 +2,7 @@
 // places requests for them.
 //
 //   reported_failures Reported;
-//   Reported.onReport(From, Names, EngineCount, Now);
+//   Reported.onReport(From, Service, Names, EngineCount, Now);
 //   if (Reported.isPaused(Upstream, Now)) ... // try others
 //
 // Load pattern: many upstreams crash at once and stay listed for some seconds.
@@ -10,13 +10,14 @@
 //
 // One report can come from an entry whose own network fails. An upstream is
 // therefore paused only after a second report, and the reports of one entry
-// count for at most `max_reported_share` of the upstreams.
+// count for at most `max_reported_share` of the upstreams of each service.
 
 #ifndef ROUTING_REPORTED_FAILURES_H
 #define ROUTING_REPORTED_FAILURES_H
 
 #include <cstddef>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -34,8 +35,9 @@
 class reported_failures {
 public:
   // Handles that an entry avoids these of the Upstreams of a service.
-  void onReport(const address &From, const std::vector<std::string> &Names,
-                size_t Upstreams, steady_time Now);
+  void onReport(const address &From, const pool_name &Service,
+                const std::vector<std::string> &Names, size_t Upstreams,
+                steady_time Now);
   bool isPaused(const upstream_name &Upstream, steady_time Now) const;
   void forget(const upstream_name &Upstream) { States.erase(Upstream); }
   void onTick(steady_time Now);
@@ -45,13 +47,13 @@
     steady_time ReportedAt = steady_time::min();
     steady_time PausedUntil = steady_time::min();
   };
-  // The upstreams that count as reported by one entry.
+  // The upstreams of a service that count as reported by one entry.
   struct reporter {
     absl::flat_hash_map<upstream_name, steady_time> Reported;
   };
 
   absl::flat_hash_map<upstream_name, state> States;
-  absl::flat_hash_map<address, reporter> Reporters;
+  absl::flat_hash_map<std::pair<address, pool_name>, reporter> Reporters;
   steady_time NextSweep = steady_time::min();
 };
 
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -188,7 +188,13 @@
       if (Excluded.size() < 2 * max_listed_upstreams)
         Excluded.emplace_back(Name);
   const auto &Serving = Services.Registry.serving(Service);
-  Reported.onReport(From, Ask.Failing, Serving.size(), Context.Now);
+  // An entry that has used up its share of an upstream's limit cannot use it
+  // either, but the upstream has not failed.
+  std::vector<std::string> Failing = Ask.Failing;
+  std::erase_if(Failing, [&](const std::string &Name) {
+    return Services.Limits.hasLimit(upstream_name(Name));
+  });
+  Reported.onReport(From, Service, Failing, Serving.size(), Context.Now);
   std::vector<const upstream_state *> OwnEngines;
   for (const upstream_state *Each : Serving)
     if (Each->Entry.Zone == Zone)
@@ -213,11 +219,15 @@
   placement_inputs Inputs = inputsFor(Service);
   placement_query Query = QueryOver(Ask.Final ? OwnEngines : Serving);
   std::optional<placement> Chosen = choosePlacement(Query, Inputs);
-  // The relay that named this zone has old sums of it. If another zone has
-  // room, the entry places the request by itself.
-  if (Ask.Final && Chosen && Chosen->IsLate)
+  auto IsBad = [&](const placement &Each) {
+    return Each.IsLate || isPaused(Each.Upstream->Entry, Inputs, Context.Now);
+  };
+  // The relay that named this zone has old sums of it, and may not know which
+  // engines fail. If another zone has room, the entry places the request by
+  // itself.
+  if (Ask.Final && Chosen && IsBad(*Chosen))
     if (auto Best = choosePlacement(QueryOver(Serving), Inputs);
-        Best && !Best->IsLate)
+        Best && !IsBad(*Best))
       Chosen.reset();
   const char *Outcome = "none";
   if (Chosen)
--- a/routing/upstream_limits.cc
+++ b/routing/upstream_limits.cc
@@ -221,6 +221,11 @@
   return It == Limits.end() ? std::nullopt : It->second.PerSecond;
 }
 
+bool upstream_limits::hasLimit(const upstream_name &Upstream) const {
+  auto It = Limits.find(Upstream);
+  return It != Limits.end() && It->second.rate();
+}
+
 std::string upstream_limits::describe(const upstream_name &Upstream) const {
   auto It = Limits.find(Upstream);
   if (It == Limits.end() || !It->second.rate())
--- a/routing/upstream_limits.h
+++ b/routing/upstream_limits.h
@@ -104,6 +104,8 @@
   bool maySend(const upstream_name &Upstream, steady_time Now) const;
   void onSent(const upstream_name &Upstream, steady_time Now);
 
+  // Returns whether the upstream has a limit of either kind.
+  bool hasLimit(const upstream_name &Upstream) const;
   // Returns the stated limit in requests per second, if there is one.
   std::optional<double> limitOf(const upstream_name &Upstream) const;
   // Returns this entry's share and the rate in requests per second, for logs.
