--- a/routing/testing/request_router_test.cc
+++ b/routing/testing/request_router_test.cc
@@ -321,6 +321,35 @@
   EXPECT_EQ(Registry.serving(pool_name("app")).size(), 3u);
 }
 
+// Guards against entries that each send requests to an engine that is gone.
+TEST_F(request_router_test, AddressWithNewOwner_NamesIt_OldRunIsLeaving) {
+  arrive("/safe/x");
+  auto First = one<route_dispatch>();
+  answer_head Head{First.Attempt, 421, false, true, false, false, {}, {}};
+  Head.AnsweredBy = upstream_name("new-owner");
+  Router.onHead(Head, context(), Effects);
+  EXPECT_EQ(Registry.leavingSince(at(0ms)).size(), 1u);
+  EXPECT_EQ(Registry.serving(pool_name("app")).size(), 2u);
+  // The next run of the same upstream serves.
+  upstream_entry Next = Registry.find(First.Upstream)->Entry;
+  Next.StartedAt += 1ms;
+  Registry.onListed({Next.Name.Value, Next, false}, at(1ms));
+  EXPECT_EQ(Registry.serving(pool_name("app")).size(), 3u);
+}
+
+// Guards against engines that are lost to all without a proof that they end.
+TEST_F(request_router_test, Status421_WithoutAnotherName_RunStays) {
+  for (bool OwnName : {false, true}) {
+    arrive("/safe/x");
+    auto First = one<route_dispatch>();
+    answer_head Head{First.Attempt, 421, false, true, false, false, {}, {}};
+    if (OwnName)
+      Head.AnsweredBy = First.Upstream;
+    Router.onHead(Head, context(), Effects);
+    EXPECT_EQ(Registry.serving(pool_name("app")).size(), 3u) << OwnName;
+  }
+}
+
 TEST_F(request_router_test, Upstream_AsksForBackoff_GetsNothingUntilItIsOver) {
   arrive("/safe/x");
   auto First = one<route_dispatch>();
--- a/routing/testing/upstream_load_test.cc
+++ b/routing/testing/upstream_load_test.cc
@@ -23,6 +23,13 @@
     return Report;
   }
 
+  wire::zone_uses zoneSum(const char *Zone, int32_t Running) const {
+    wire::zone_uses Sum;
+    Sum.Zone = Zone;
+    Sum.Uses = report(1, Running).Uses;
+    return Sum;
+  }
+
   const upstream_name Upstream{"a"};
   const address Peer{"10.0.0.2:70"};
   upstream_load Load;
@@ -132,5 +139,36 @@
   EXPECT_EQ(Sum[0].Running, 4);
 }
 
+// Guards against an engine that gets more requests than it has slots, because
+// a grant no longer counts and is not in the sums of the entry's zone yet.
+TEST_F(upstream_load_test, Grant_ToOtherZone_CountsUntilItsSumCoversIt) {
+  Load.onGranted(Peer, zone_name("far"), Upstream, {500, true}, at(0ms));
+  Load.onZone(zoneSum("third", 0), false, 0ms, at(400ms));
+  EXPECT_EQ(Load.at(Upstream).Running, 1);
+  // Its entries may have reported just before the grant.
+  Load.onZone(zoneSum("far", 0), false, 60ms, at(169ms));
+  EXPECT_EQ(Load.at(Upstream).Running, 1);
+  Load.onZone(zoneSum("far", 1), false, 60ms, at(170ms));
+  EXPECT_EQ(Load.at(Upstream).Running, 1);
+  EXPECT_EQ(Load.at(Upstream).UnreadTokens, 100);
+  EXPECT_EQ(Load.at(Upstream).PacedStreams, 0);
+}
+
+// Guards against sums that arrive after a grant, but were made before it.
+TEST_F(upstream_load_test, Grant_ToOtherZone_OlderSum_StillCounts) {
+  Load.onGranted(Peer, zone_name("far"), Upstream, {0, false}, at(300ms));
+  Load.onZone(zoneSum("far", 3), false, 200ms, at(500ms));
+  EXPECT_EQ(Load.at(Upstream).Running, 4);
+}
+
+// Guards against grants that count for ever because their zone is cut off.
+TEST_F(upstream_load_test, Grant_ToOtherZone_NotCovered_Expires) {
+  Load.onGranted(Peer, zone_name("far"), Upstream, {500, false}, at(0ms));
+  Load.onTick(at(other_zone_grant_expiry - 1ms));
+  EXPECT_EQ(Load.at(Upstream).Running, 1);
+  Load.onTick(at(other_zone_grant_expiry + 100ms));
+  EXPECT_EQ(Load.at(Upstream).Running, 0);
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/routing/testing/zone_placement_test.cc
+++ b/routing/testing/zone_placement_test.cc
@@ -80,12 +80,16 @@
 
   void onStep() override {
     for (int I = 0; I < StreamsPerStep; ++I)
-      send(++Random % Entries.size(), "chat", 0);
+      send(++Random % Senders, "chat", 0);
   }
 
   void onEffect(size_t Index, const routing_effect &Effect) override {
     if (const auto *Refusal = std::get_if<route_refusal>(&Effect))
       Refused.insert(Refusal->Request.Value);
+    // Asks and grants are handled while their request is sent.
+    const auto *Sent = std::get_if<send_datagrams>(&Effect);
+    if (Sent && std::holds_alternative<wire::placement_ask>(Sent->Message))
+      MostAsks = std::max(MostAsks, ++AsksOf[LastRequest]);
     const auto *Dispatch = std::get_if<route_dispatch>(&Effect);
     if (!Dispatch)
       return;
@@ -110,6 +114,7 @@
   static constexpr duration stream_time = 1500ms;
   bool IsCut = false;
   int StreamsPerStep = 0;
+  size_t Senders = 60; // entries that get streams, from the first one on
   int64_t LastRequest = 0;
   std::map<int64_t, duration> SentAt;
   std::map<int64_t, duration> DispatchedAfter;
@@ -117,6 +122,8 @@
   std::set<int64_t> Refused;
   std::map<std::string, std::vector<duration>> EndsAt;
   size_t MostRunning = 0;
+  std::map<int64_t, int> AsksOf; // of a request
+  int MostAsks = 0;
 };
 
 // Guards against entries that fill one engine beyond its slots while others
@@ -130,6 +137,19 @@
   EXPECT_LE(MostRunning, size_t{slots});
 }
 
+// Guards against requests that queue in a full zone while another one has free
+// slots, or are sent from relay to relay: 90 streams at once, 64 slots.
+TEST_F(zone_placement_test, OwnZone_Full_StreamsGoToOtherZones) {
+  startFleet();
+  Senders = 20; // of the first zone
+  StreamsPerStep = 3;
+  runUntil(18s);
+  EXPECT_TRUE(Refused.empty());
+  EXPECT_LE(MostRunning, size_t{slots});
+  EXPECT_EQ(MostAsks, 2);
+  EXPECT_EQ(EngineOf.size(), SentAt.size());
+}
+
 // Guards against a subject that is read by one engine in each zone.
 TEST_F(zone_placement_test, Subject_FromAllZones_HasOneHome) {
   startFleet();
