--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -188,31 +188,46 @@
       if (Excluded.size() < 2 * max_listed_upstreams)
         Excluded.emplace_back(Name);
   const auto &Serving = Services.Registry.serving(Service);
-  Reported.onReport(From, Ask.Failing, Serving.size(), Context.Now);
+  // An entry that has used up its share of an upstream's limit cannot use it
+  // either, but the upstream has not failed.
+  std::vector<std::string> Failing = Ask.Failing;
+  std::erase_if(Failing, [&](const std::string &Name) {
+    return Services.Limits.hasLimit(upstream_name(Name));
+  });
+  Reported.onReport(From, Service, Failing, Serving.size(), Context.Now);
   std::vector<const upstream_state *> OwnEngines;
   for (const upstream_state *Each : Serving)
     if (Each->Entry.Zone == Zone)
       OwnEngines.push_back(Each);
-  placement_query Query{Ask.Final ? OwnEngines : Serving,
-                        Zone,
-                        &Prompt,
-                        isPaced(Prompt),
-                        Excluded,
-                        Context.Now,
-                        Context.Random,
-                        Known->Engine->Slots,
-                        false};
-  Query.Model = &Services.Model;
-  Query.Target = boundedTime(Ask.TargetMicros);
-  if (Ask.PauseMicros > 0)
-    Query.Pause = boundedTime(Ask.PauseMicros);
-  Query.StrictestPause = Routes->StrictestPause;
-  Query.Urgent = Ask.Urgent;
-  Query.CacheIsExact = true;
-  Query.PrefersOwnZone = true;
-  Query.Terms = &*Known->Engine;
-  Query.KnownHolder = Services.Registry.find(upstream_name(Ask.Holder));
-  std::optional<placement> Chosen = choosePlacement(Query, inputsFor(Service));
+  auto QueryOver = [&](const std::vector<const upstream_state *> &Engines) {
+    placement_query Query{
+        Engines,  Zone,        &Prompt,        isPaced(Prompt),
+        Excluded, Context.Now, Context.Random, Known->Engine->Slots,
+        false};
+    Query.Model = &Services.Model;
+    Query.Target = boundedTime(Ask.TargetMicros);
+    if (Ask.PauseMicros > 0)
+      Query.Pause = boundedTime(Ask.PauseMicros);
+    Query.StrictestPause = Routes->StrictestPause;
+    Query.Urgent = Ask.Urgent;
+    Query.CacheIsExact = true;
+    Query.PrefersOwnZone = true;
+    Query.Terms = &*Known->Engine;
+    Query.KnownHolder = Services.Registry.find(upstream_name(Ask.Holder));
+    return Query;
+  };
+  placement_inputs Inputs = inputsFor(Service);
+  placement_query Query = QueryOver(Ask.Final ? OwnEngines : Serving);
+  std::optional<placement> Chosen = choosePlacement(Query, Inputs);
+  // An engine of another zone that works is better than one of this zone that
+  // fails; the entry places the request by itself then.
+  auto IsFailing = [&](const placement &Each) {
+    return isPaused(Each.Upstream->Entry, Inputs, Context.Now);
+  };
+  if (Ask.Final && Chosen && IsFailing(*Chosen))
+    if (auto Best = choosePlacement(QueryOver(Serving), Inputs);
+        Best && !IsFailing(*Best))
+      Chosen.reset();
   const char *Outcome = "none";
   if (Chosen)
     Outcome = answerAsk(From, Ask, Query, *Chosen, Grant, Effects);
