Unconfirmed evacuation orders carry their age; regions apply on public routes

Cause: an entry took up an unconfirmed order of another entry only in its first seconds, so one that had missed the order before the store lost it sent requests to the zone. Each entry that took it up started the grace period again, and one that the store refused did so all the time, so an order could circulate between entries that restart. On public routes no key was read, and the allowed regions of an organisation were not enforced.

Change: the message carries the time since the order became unconfirmed. It never starts again; each entry applies its own outages to its own grace period. An entry takes up an order at any time, unless it has reached the store for a whole grace period since, or the order was removed or has expired here. A new entry holds an older order only while it is told, and does not pass it on. A failed read starts the grace period again only if the feed is old, because other entries may still pass on all changes. A known key on a public route now restricts the regions and nothing else; the organisation is not passed on or counted.

--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -69,16 +69,18 @@
   if (!Request.Route)
     return refuse(Request, http_status::not_found, "no-route", {}, Context,
                   Effects);
-  const organisation_terms *Holder = nullptr;
-  if (!Request.Route->Public && Table->hasOrganisations()) {
-    if (Arrived.Key)
-      Holder = Table->organisationOf(*Arrived.Key);
+  const organisation_terms *Holder =
+      Arrived.Key ? Table->organisationOf(*Arrived.Key) : nullptr;
+  // On public routes a known key only restricts the regions. The organisation
+  // is not passed on, not counted and does not change the urgency.
+  bool NeedsKey = !Request.Route->Public && Table->hasOrganisations();
+  if (NeedsKey) {
     if (!Holder)
       return refuse(Request, http_status::unauthorized, "unknown-key", {},
                     Context, Effects);
     Request.Organisation = Holder->Name;
   }
-  Request.Urgency = urgencyOf(*Request.Route, Holder);
+  Request.Urgency = urgencyOf(*Request.Route, NeedsKey ? Holder : nullptr);
   Request.Regions = region_rule(Regions, Request.Route->AllowedRegions,
                                 Holder ? Holder->AllowedRegions : std::nullopt);
   if (Arrived.CallerId.empty())
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -167,7 +167,8 @@
   UpstreamFeed.onTick(Event.Now, UpstreamRank, Effects);
   logStoreRecovery(Event.Now, Effects);
   Registry.onTick(Event.Now, UpstreamFeed.isStoreFailing());
-  applyEvacuations(Evacuations.onTick(Event.Now, ConfigFeed.isStoreFailing()),
+  applyEvacuations(Evacuations.onTick(Event.Now, ConfigFeed.isStoreFailing(),
+                                      ConfigFeed.age(Event.Now)),
                    Effects);
   router_context Context = contextOf(Event);
   Limits.onTick(Event.Now, Context.TrueTime);
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -190,14 +190,11 @@
   void applyEvacuations(const std::vector<evacuation_change> &Changes,
                         routing_effects &Effects);
   // Tells other entries the evacuation orders that the store may have lost. An
-  // entry that has just started cannot read them.
-  void sendUnconfirmedOrders(const std::vector<address> &To,
+  // entry that missed them cannot read them.
+  void sendUnconfirmedOrders(const std::vector<address> &To, steady_time Now,
                              routing_effects &Effects) const;
   void onUnconfirmedOrders(const wire::feed_news &Orders, steady_time Now,
                            routing_effects &Effects);
-  // Returns whether this entry started so recently that it may not know orders
-  // that the other entries know.
-  bool mayLackOrders(steady_time Now) const;
   void reportGauges(steady_time Now, routing_effects &Effects);
   void applyConfig(const feed_change &Change, steady_time Now,
                    routing_effects &Effects);
--- a/routing/routing_node_platform.cc
+++ b/routing/routing_node_platform.cc
@@ -67,6 +67,7 @@
                           .line(log_level::Warning));
     Effects.push_back(count_metric{"monsoonreel_store_restores_total", {}, 1});
     RestoredAt = Now;
+    Evacuations.onRestore(Now);
   }
   StoreEra = Era;
   PeersFiguredWindow = 0;
@@ -118,35 +119,34 @@
 // Unconfirmed orders are sent as news of a feed that the store does not have.
 // Entries that do not know it ignore them.
 void routing_node::sendUnconfirmedOrders(const std::vector<address> &To,
+                                         steady_time Now,
                                          routing_effects &Effects) const {
-  std::vector<zone_name> Zones = Evacuations.unconfirmed();
-  if (Zones.empty() || To.empty())
+  std::vector<unconfirmed_order> Unconfirmed = Evacuations.unconfirmed(Now);
+  if (Unconfirmed.empty() || To.empty())
     return;
   wire::feed_news Orders;
   Orders.Feed = Terms.Feeds.EvacuationPrefix;
   Orders.Era = StoreEra;
-  for (const zone_name &Zone : Zones) {
+  for (const unconfirmed_order &Order : Unconfirmed) {
     wire::feed_record Record;
-    Record.Key = Zone.Value;
+    Record.Key = Order.Zone.Value;
+    Record.__set_AgeMicros(toMicros(Order.Age));
     Orders.Records.push_back(std::move(Record));
   }
   Effects.push_back(send_datagrams{To, wire::peer_message(std::move(Orders))});
 }
 
-bool routing_node::mayLackOrders(steady_time Now) const {
-  return StartedAt &&
-         Now - *StartedAt < first_report_wait + Terms.Bounds.lostOrderGrace();
-}
-
 void routing_node::onUnconfirmedOrders(const wire::feed_news &Orders,
                                        steady_time Now,
                                        routing_effects &Effects) {
   onStoreEra(Orders.Era, "peer", Now, Effects);
-  if (!mayLackOrders(Now))
-    return;
-  for (const wire::feed_record &Record : Orders.Records)
-    if (auto Change = Evacuations.onUnconfirmed(zone_name(Record.Key), Now))
+  for (const wire::feed_record &Record : Orders.Records) {
+    duration Age =
+        Record.__isset.AgeMicros ? fromMicros(Record.AgeMicros) : duration{};
+    if (auto Change =
+            Evacuations.onUnconfirmed({zone_name(Record.Key), Age}, Now))
       applyEvacuations({*Change}, Effects);
+  }
 }
 
 // ---------------------------------------------------------------- upstreams
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -240,7 +240,7 @@
   std::vector<address> To = Relays.inUse() ? Relays.ofOwnZone() : recipients();
   // Before the report, because an entry that has just started waits only for
   // the first report.
-  sendUnconfirmedOrders(To, Effects);
+  sendUnconfirmedOrders(To, Event.Now, Effects);
   Effects.push_back(
       send_datagrams{std::move(To), wire::peer_message(std::move(Report))});
   if (Relays.isActing(Event.Now))
@@ -319,7 +319,7 @@
   Report.Parts = Quarantine.report(false, Event.Now);
   Report.ShortOfRoom = Requests.servicesShortOfRoom(Event.Now);
   if (++RelayReports % zoneExchangePeriod() == 0) {
-    sendUnconfirmedOrders(Relays.ofOtherZones(), Effects);
+    sendUnconfirmedOrders(Relays.ofOtherZones(), Event.Now, Effects);
     Effects.push_back(
         send_datagrams{Relays.ofOtherZones(), wire::peer_message(Report)});
     for (const auto &[Zone, Far] : OtherZones) {
@@ -330,7 +330,7 @@
       Report.Zones.back().AgeMicros = toMicros(Age);
     }
   }
-  sendUnconfirmedOrders(Relays.zoneEntries(), Effects);
+  sendUnconfirmedOrders(Relays.zoneEntries(), Event.Now, Effects);
   Effects.push_back(send_datagrams{Relays.zoneEntries(),
                                    wire::peer_message(std::move(Report))});
 }
--- a/routing/testing/region_rules_test.cc
+++ b/routing/testing/region_rules_test.cc
@@ -53,6 +53,20 @@
   expectRefused("no-allowed-region");
 }
 
+// Guards against a public route on which an organisation's requests leave its
+// regions, and against names of organisations that get out there.
+TEST_F(region_rules_test, Route_Public_KeepsRegionsOfKnownOrganisation) {
+  restrict(std::nullopt, region_list{Us});
+  arrive("/open/");
+  EXPECT_EQ(one<route_dispatch>().Upstream.Value, "far1");
+  EXPECT_TRUE(one<route_dispatch>().Organisation.empty());
+  restrict(std::nullopt, region_list{});
+  arrive("/open/");
+  expectRefused("no-allowed-region");
+  arrive("/open/", "unknown");
+  EXPECT_FALSE(none<route_dispatch>());
+}
+
 // Guards against a zone that is missing from the settings being used.
 TEST_F(region_rules_test, Zone_WithoutRegion_IsInNoAllowedRegion) {
   region_rule Rule({{zone_name("z"), Eu}}, region_list{Eu}, std::nullopt);
--- a/routing/testing/zone_evacuation_test.cc
+++ b/routing/testing/zone_evacuation_test.cc
@@ -10,6 +10,9 @@
   void order(int Zone) {
     append(config_feed, "evacuate/z" + std::to_string(Zone), "{}");
   }
+  bool isCut(size_t From, size_t To) const override {
+    return Cut.contains(From) != Cut.contains(To);
+  }
   void withdraw(int Zone) {
     remove(config_feed, "evacuate/z" + std::to_string(Zone));
   }
@@ -22,6 +25,15 @@
     runUntil(Now + Time + 1s);
     EXPECT_GT(arrivalsInZone(0, Now - 1s, Now), 0);
   }
+  void onEffect(size_t Index, const routing_effect &Effect) override {
+    if (const auto *Line = std::get_if<log_line>(&Effect))
+      if (Line->Text.find("reason=unconfirmed-by-peer") != std::string::npos)
+        LastTold = Now;
+    pressure_fleet::onEffect(Index, Effect);
+  }
+
+  std::set<size_t> Cut; // entries that hear only each other
+  duration LastTold{};  // when an entry last took up another one's order
 };
 
 // Guards against entries that learn of orders too late, also without the store,
@@ -107,6 +119,38 @@
   expectUsedWithin(Bounds.EvacuationInForce);
 }
 
+// Guards against an order that an entry which has run for long cannot learn
+// once the store has lost it.
+TEST_P(zone_evacuation_test, Entry_MissedTheLostOrder_LearnsItFromOthers) {
+  startFleet();
+  if (Entries.size() > 1)
+    Cut = Refused = {Entries.size() - 1};
+  order(0);
+  runUntil(14s);
+  restoreStore(3s);
+  runUntil(15s);
+  Cut = Refused = {};
+  expectNoneUntil(21s, 12s + Bounds.EvacuationInForce);
+  expectUsedWithin(Bounds.lostOrderGrace());
+}
+
+// Guards against entries that keep a lost order in force by telling each other,
+// as those do that have just started, and one that the store refuses.
+TEST_P(zone_evacuation_test, Order_LostForever_DoesNotCirculate) {
+  startFleet();
+  order(0);
+  runUntil(18s);
+  restoreStore(7s);
+  runUntil(20s);
+  if (Entries.size() > 1)
+    Refused = {0};
+  for (size_t Round = 0; Round < 6; ++Round, runUntil(Now + 3s))
+    if (Entries.size() > 1)
+      restart(Entries[1 + Round % 3]);
+  EXPECT_LT(LastTold, 18s + Bounds.lostOrderGrace() + 1s);
+  expectUsedWithin(0s);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, zone_evacuation_test, pressure_sizes);
 
 } // namespace
