Tests of the learned odds of being late and of the slot times

Cause: the histogram, the slot times and the rule that requests which wait teach nothing about the rate had no tests. The load patterns fail with the former two-point ramp and with one constant slot time.

--- a/routing/testing/engine_choice_test.cc
+++ b/routing/testing/engine_choice_test.cc
@@ -104,6 +104,26 @@
   EXPECT_EQ(nameFor(shortPrompt()), "u2");
 }
 
+// Guards against streams that are late if the engine is slow for a moment: the
+// budget for a pause of 200 ms, 9,600 tokens, is twice the prompt.
+TEST_F(engine_choice_test, LongPrompt_ManyStreamsWithinBudget_GoesElsewhere) {
+  for (int I = 0; I < 9; ++I)
+    load(I, I == 4 ? 1 : 14, I == 4 ? 4000 : 0, I != 4);
+  EXPECT_EQ(nameFor({"m", 4500, 60, {{1, 800}, {77, 800}, {9, 2900}}}), "u4");
+}
+
+// Guards against a wait for prompts to end while streams end sooner elsewhere.
+TEST_F(engine_choice_test, PacedStream_SlotsFull_GoesWhereStreamsEndSoon) {
+  for (int I = 0; I < 400; ++I)
+    Model.onSlotHeld(Service, I % 2 == 0, I % 2 == 0 ? 400ms : 3s, at(0ms));
+  for (int Soon = 0; Soon < 9; ++Soon) {
+    Load = upstream_load();
+    for (int I = 0; I < 9; ++I)
+      load(I, 16, 0, I == Soon);
+    EXPECT_EQ(nameFor(shortPrompt()), engine(Soon).Value);
+  }
+}
+
 // Guards against a subject that leaves the engine that has it cached for a
 // wait that is shorter than reading it again.
 TEST_F(engine_choice_test, Subject_HomeReadsBriefly_IsNotReadAgain) {
--- a/routing/testing/engine_model_test.cc
+++ b/routing/testing/engine_model_test.cc
@@ -168,6 +168,25 @@
   EXPECT_EQ(Model.at(Service, engine(0)).TokensPerMs, Usual);
 }
 
+// Guards against one mean for both kinds, and one value that outweighs others.
+TEST_F(engine_model_test, SlotTimes_OfBothKinds_AreLearnedSeparately) {
+  EXPECT_EQ(Model.ofService(Service).PacedSlotTime, 1200ms);
+  for (int I = 0; I < 400; ++I)
+    Model.onSlotHeld(Service, I % 2 == 0, I % 2 == 0 ? 400ms : 3s, at(0ms));
+  EXPECT_NEAR(millis(Model.at(Service, engine(0)).PacedSlotTime), 400, 10);
+  EXPECT_NEAR(millis(Model.at(Service, engine(0)).OtherSlotTime), 3000, 10);
+  Model.onSlotHeld(Service, true, duration::max(), at(0ms));
+  EXPECT_LT(Model.ofService(Service).PacedSlotTime, 3s);
+}
+
+// Guards against a slow service that makes streams of another look late.
+TEST_F(engine_model_test, Odds_OneServiceLate_OthersKeepThePrior) {
+  for (int I = 0; I < 300; ++I)
+    Model.onPrediction(Service, 100ms, 300ms, at(0ms));
+  EXPECT_GT(Model.oddsOf(Service).beyond(2), 0.8);
+  EXPECT_LT(Model.oddsOf(pool_name("other")).beyond(2), 0.15);
+}
+
 // Guards against memory that grows with each name that was ever observed.
 TEST_F(engine_model_test, Tables_ManyNames_AreBoundedAndExpire) {
   for (int I = 0; I < 3000; ++I, Elapsed += 1ms)
