Slot times leave out waits, and the odds accept 0/0

Cause: a request that waited for its slot counted as if it had held it since it was sent, so predicted waits grew with the waits before them. A target of 0 at a prediction of 0 gave NaN, whose conversion to a bucket is undefined. Change: only requests that found a free slot count for the slot times, and NaN counts as the lowest ratio. The comments on the budgets, the slot times and the memory per service say what the code does.

--- a/routing/engine_choice.h
+++ b/routing/engine_choice.h
@@ -10,9 +10,10 @@
 //
 // - Long prompts beside paced streams. While an engine reads prompts without a
 //   break, its streams pause. Each engine therefore has a budget of unread
-//   prompt tokens, which it reads within the pause that the streams allow. A
-//   prompt goes where no budget is exceeded, or where the fewest streams
-//   become late.
+//   prompt tokens, which it reads within the pause that the streams allow if it
+//   is as fast as usual. Engines are slow for short periods, so streams may be
+//   late within the budget as well. lateness_odds.h tells how many are; a
+//   prompt goes where the expected delay and the late streams cost least.
 // - Paced streams spread over all engines, so that a very long prompt finds no
 //   engine without them. The first engines, in an order that all entries share,
 //   are reserved for paced streams, as many as these need; they take long
@@ -21,8 +22,11 @@
 //   subject elsewhere is weighed against the wait at that engine.
 // - More requests than the engines can serve in time. The predicted time to the
 //   first event tells which ones cannot, see `shouldRefuse`.
+// - Engines without free slots. The wait for one is predicted from the learned
+//   times for which streams and other requests hold slots.
 //
-// Costs are in milliseconds. The speeds come from engine_model.h.
+// Costs are in milliseconds. The speeds, the odds and the slot times come from
+// engine_model.h.
 
 #ifndef ROUTING_ENGINE_CHOICE_H
 #define ROUTING_ENGINE_CHOICE_H
--- a/routing/engine_model.h
+++ b/routing/engine_model.h
@@ -28,7 +28,7 @@
 
 namespace monsoonreel {
 
-// Limits of memory: about 2 KB per service and 200 bytes per engine. The one
+// Limits of memory: about 2.5 KB per service and 200 bytes per engine. The one
 // that has been unused for the longest is dropped in favour of a new one.
 constexpr size_t max_modelled_services = 64;
 constexpr size_t max_modelled_engines = 2048;
--- a/routing/lateness_odds.cc
+++ b/routing/lateness_odds.cc
@@ -35,7 +35,8 @@
 } // namespace
 
 double lateness_odds::positionOf(double Ratio) {
-  double Octaves = std::log2(std::max(Ratio, 1e-6) / lowest_ratio);
+  // In this order, std::max turns NaN into the first argument.
+  double Octaves = std::log2(std::max(1e-6, Ratio) / lowest_ratio);
   return std::clamp(1 + Octaves * buckets_per_octave, 0.0,
                     static_cast<double>(bucket_count));
 }
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -151,6 +151,7 @@
     steady_time SentAt;
     // Prompt tokens at the upstream when it was sent, its own included.
     int64_t UnreadWhenSent = 0;
+    bool FoundSlot = false; // a slot was free, as far as was known
     // Whether the delay of its first event tells how fast the upstream reads.
     bool ReadsAtOnce = false;
     duration PredictedFirst{}; // zero: not predicted
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -143,8 +143,9 @@
   Request.SoundRecorded = false;
   Request.SentAt = Request.ProgressAt = Context.Now;
   Request.UnreadWhenSent = Chosen.Use.UnreadTokens + Chosen.UnreadTokens;
+  Request.FoundSlot = Chosen.Use.Running < Query.Slots;
   Request.ReadsAtOnce =
-      Chosen.Use.Running < Query.Slots &&
+      Request.FoundSlot &&
       Chosen.Use.UnreadTokens <= max_unread_ahead * Chosen.UnreadTokens &&
       !Chosen.FetchFrom;
   Request.PredictedFirst = Chosen.FirstEvent;
@@ -305,7 +306,8 @@
                                 const router_context &Context) {
   if (!Request.Attempt)
     return;
-  if (Request.BeganAt && isTimed(Request))
+  // The time of a request that waited for its slot includes the wait.
+  if (Request.FoundSlot && Request.BeganAt && isTimed(Request))
     Services.Model.onSlotHeld(Request.Service->Name,
                               isPaced(*Request.Arrived.Prompt),
                               Context.Now - Request.SentAt, Context.Now);
--- a/routing/testing/engine_burst_test.cc
+++ b/routing/testing/engine_burst_test.cc
@@ -52,5 +52,17 @@
   }
 }
 
+// Guards against predicted waits that grow with the waits of earlier requests.
+TEST_F(engine_burst_test, SlotTimes_RequestsWaited_StayAsWithoutTheWait) {
+  Config.Services.front().Engine = engine_terms{.Slots = 4};
+  run(60s, 60ms); // long enough for the prior to lose its weight
+  engine_timing Before = Model.ofService(pool_name("app"));
+  run(6s, 10ms);
+  EXPECT_GT(Waited, 20);
+  engine_timing After = Model.ofService(pool_name("app"));
+  EXPECT_LT(After.PacedSlotTime, Before.PacedSlotTime * 1.1);
+  EXPECT_LT(After.OtherSlotTime, Before.OtherSlotTime * 1.1);
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/routing/testing/lateness_odds_test.cc
+++ b/routing/testing/lateness_odds_test.cc
@@ -39,6 +39,7 @@
     observe(30, Observed, 2.5);
     for (double Ratio = -0.1; Ratio < 20; Ratio += 0.01)
       ASSERT_LE(Odds.beyond(Ratio + 0.01), Odds.beyond(Ratio)) << Ratio;
+    EXPECT_EQ(Odds.beyond(std::nan("")), 1) << "as late as possible";
     EXPECT_EQ(Odds.beyond(-HUGE_VAL) - Odds.beyond(HUGE_VAL), 1);
   }
 }
