monsoonreel explain: where a request would go now, and why

Cause: the decision log tells where a request went, but nothing tells where one would go at present, or why an upstream is not chosen.

Change: `POST /explain` of the metrics listener answers with the choice for a request, the entry that would be asked to place it, the costs of up to 32 upstreams and the reasons of those that are excluded. `request_router::explain` is const. It uses the admission, the query and the choice of real requests: `admit` is taken out of `onArrival`, `isRefused` out of `mustRefuse`, and `choosePlacement` can list the placements that it compares. The dialect hashes the key. An entry answers at most 5 times in a second. `monsoonreel explain` prints a table or the JSON.

--- a/cli/commands.h
+++ b/cli/commands.h
@@ -35,6 +35,20 @@
 int showStatus(const options &Options);
 int drainNode(const options &Options, const std::string &Admin);
 
+// Where a request would go.
+struct explain_options {
+  std::string Entry; // address of its metrics listener
+  std::string Host;
+  std::string Path;
+  std::string Key;    // empty: none
+  std::string Tokens; // PROMPT,OUTPUT; empty: none
+  std::string Parts;  // ID:TOKENS,...; empty: none
+  bool Json = false;
+};
+// Asks an entry where it would send a request, and prints why. Exit status: 1
+// if there is no explanation, 2 if the arguments are wrong.
+int explainRequest(const explain_options &Asked);
+
 } // namespace monsoonreel::cli
 
 #endif // CLI_COMMANDS_H
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -39,6 +39,14 @@
 ABSL_FLAG(std::string, objective, "",
           "report: 0.99 for all classes, or chat=0.95,booking=0.99");
 ABSL_FLAG(std::string, html, "", "report: file to write the page to");
+ABSL_FLAG(std::string, entry, "",
+          "explain: address of an entry's metrics, host:port");
+ABSL_FLAG(std::string, host, "", "explain: host of the request");
+ABSL_FLAG(std::string, path, "", "explain: path of the request");
+ABSL_FLAG(std::string, key, "", "explain: key of the caller");
+ABSL_FLAG(std::string, tokens, "", "explain: PROMPT,OUTPUT");
+ABSL_FLAG(std::string, parts, "", "explain: ID:TOKENS,...");
+ABSL_FLAG(bool, json, false, "explain: print the answer as JSON");
 
 namespace {
 
@@ -61,10 +69,13 @@
   drain ADMIN          let a node end what it runs, and end
   report [FOLDER...]   service-level burn by class and organisation, from saved
                        metrics or from --entries
+  explain              where an entry would send a request now, and why; see
+                       --entry, --host, --path, --key, --tokens and --parts
   reference            print the page of all keys of configuration and settings
 
 Exit status: 0 done, 1 wrong use, 2 findings, 3 conflict, 4 platform or node not
-reached, 5 done but not in force everywhere in time.)";
+reached, 5 done but not in force everywhere in time. For explain: 1 not
+explained, 2 wrong use.)";
 
 int usage() {
   std::cerr << help << "\n";
@@ -96,6 +107,18 @@
   return Report;
 }
 
+explain_options readExplainOptions(bool Json) {
+  explain_options Asked;
+  Asked.Entry = absl::GetFlag(FLAGS_entry);
+  Asked.Host = absl::GetFlag(FLAGS_host);
+  Asked.Path = absl::GetFlag(FLAGS_path);
+  Asked.Key = absl::GetFlag(FLAGS_key);
+  Asked.Tokens = absl::GetFlag(FLAGS_tokens);
+  Asked.Parts = absl::GetFlag(FLAGS_parts);
+  Asked.Json = Json || absl::GetFlag(FLAGS_json);
+  return Asked;
+}
+
 options readOptions() {
   options Options;
   Options.Platform = address(absl::GetFlag(FLAGS_platform));
@@ -146,6 +169,8 @@
     return showStatus(Options);
   if (Words[0] == "drain" && Words.size() > 1)
     return drainNode(Options, Words[1]);
+  if (Words[0] == "explain")
+    return explainRequest(readExplainOptions(Options.Json));
   if (Words[0] == "reference")
     return printReference();
   if (Words[0] == "report")
--- a/io/routing_runtime.cc
+++ b/io/routing_runtime.cc
@@ -12,6 +12,7 @@
 
 #include "io/clock.h"
 #include "io/daemon_log.h"
+#include "io/explain_handler.h"
 #include "monsoonreel/http_status.h"
 #include "routing/decision_log.h"
 
@@ -88,9 +89,12 @@
 
 class routing_runtime::metrics_handler : public http_handler {
 public:
-  explicit metrics_handler(routing_runtime &Owner) : Runtime(Owner) {}
-  void handleRequest(const http_request & /*Request*/,
+  explicit metrics_handler(routing_runtime &Owner)
+      : Runtime(Owner), Explanations(Owner.Node, Owner.Dialect) {}
+  void handleRequest(const http_request &Request,
                      const std::shared_ptr<http_exchange> &Exchange) override {
+    if (Request.Path == "/explain")
+      return Explanations.handleRequest(Request, Exchange);
     // Only when it is asked for: it changes with almost every packet.
     Runtime.Metrics.set(
         {"monsoonreel_caller_bytes_held",
@@ -103,6 +107,7 @@
 
 private:
   routing_runtime &Runtime;
+  explain_handler Explanations;
 };
 
 // Turns the answer of one attempt into events.
--- a/io/wire_dialect.h
+++ b/io/wire_dialect.h
@@ -7,6 +7,7 @@
 #ifndef IO_WIRE_DIALECT_H
 #define IO_WIRE_DIALECT_H
 
+#include <optional>
 #include <string>
 
 #include "io/channel_pool.h"
@@ -15,6 +16,16 @@
 
 namespace monsoonreel {
 
+// A request of which an operator asks where it would go. Tokens and parts of
+// the prompt are texts as in callers' requests.
+struct explained_request {
+  std::string Host;
+  std::string Path;
+  std::optional<std::string> Key;
+  std::optional<std::string> Tokens;
+  std::optional<std::string> Parts;
+};
+
 class wire_dialect {
 public:
   virtual ~wire_dialect() = default;
@@ -23,6 +34,10 @@
   virtual route_request decodeRequest(request_id Request,
                                       const http_request &Message) const = 0;
 
+  // The request as it would arrive from a caller. The key is hashed.
+  virtual route_request
+  decodeExplained(const explained_request &Asked) const = 0;
+
   // The bytes of one attempt at an upstream.
   virtual std::string encodeAttempt(const http_request &Message,
                                     const route_dispatch &Dispatch) const = 0;
--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -183,7 +183,8 @@
 
 std::optional<placement> chooseEngine(const placement_query &Query,
                                       const placement_inputs &Inputs,
-                                      const engine_candidates &Candidates) {
+                                      const engine_candidates &Candidates,
+                                      std::vector<placement> *Options) {
   const auto &List = Candidates.List;
   size_t Home = List.size();
   for (size_t I = 0; I < List.size(); ++I)
@@ -228,6 +229,8 @@
                          : other_zone_ms;
     Option.Cost +=
         failure_ms * Inputs.FailureTracker.failureShare(Entry.Name, Query.Now);
+    if (Options)
+      Options->push_back(Option);
     // A request is refused only if it is late at every engine.
     if (!Best || std::tie(Option.IsLate, Option.Cost) <
                      std::tie(Best->IsLate, Best->Cost))
--- a/routing/engine_choice.h
+++ b/routing/engine_choice.h
@@ -46,9 +46,11 @@
 // Returns how many of Engines are reserved for paced streams.
 size_t engineCountForPaced(int PacedStreams, int Slots, size_t Engines);
 
+// Adds every placement that was compared to Options, if that is set.
 std::optional<placement> chooseEngine(const placement_query &Query,
                                       const placement_inputs &Inputs,
-                                      const engine_candidates &Candidates);
+                                      const engine_candidates &Candidates,
+                                      std::vector<placement> *Options);
 
 // Returns whether the best placement is too late for a request that gives way
 // to more urgent ones.
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -208,7 +208,8 @@
 }
 
 std::optional<placement> placeOnEngine(const placement_query &Query,
-                                       const placement_inputs &Inputs) {
+                                       const placement_inputs &Inputs,
+                                       std::vector<placement> *Options) {
   auto List = eligible(Query, Inputs);
   std::vector<size_t> HomeRank = ranksFor(subjectKey(*Query.Prompt), List);
   std::vector<bool> IsReserved =
@@ -218,7 +219,8 @@
                         reservedEngineCount(List, Query.Slots, Inputs.Load));
   std::vector<bool> Sampled = sampleCandidates(Query, IsReserved);
   if (Query.Model)
-    return chooseEngine(Query, Inputs, {List, IsReserved, HomeRank, Sampled});
+    return chooseEngine(Query, Inputs, {List, IsReserved, HomeRank, Sampled},
+                        Options);
   // The home of a subject is the first engine in its order that is not
   // reserved.
   size_t Home = List.size();
@@ -249,6 +251,8 @@
       Option.Cost += other_zone_cost;
     Option.Cost += failure_cost *
                    Inputs.FailureTracker.failureShare(Entry.Name, Query.Now);
+    if (Options)
+      Options->push_back(Option);
     if (!Best || Option.Cost < Best->Cost)
       Best = Option;
   }
@@ -256,7 +260,8 @@
 }
 
 std::optional<placement> placeOnService(const placement_query &Query,
-                                        const placement_inputs &Inputs) {
+                                        const placement_inputs &Inputs,
+                                        std::vector<placement> *Options) {
   auto List = eligible(Query, Inputs);
   std::optional<placement> Best;
   // A random start distributes requests over candidates of equal cost.
@@ -274,6 +279,8 @@
       Option.Cost += other_zone_plain_cost;
     Option.Cost += plain_failure_cost *
                    Inputs.FailureTracker.failureShare(Entry.Name, Query.Now);
+    if (Options)
+      Options->push_back(Option);
     if (!Best || Option.Cost < Best->Cost)
       Best = Option;
   }
@@ -292,9 +299,10 @@
 }
 
 std::optional<placement> choosePlacement(const placement_query &Query,
-                                         const placement_inputs &Inputs) {
-  return Query.Prompt ? placeOnEngine(Query, Inputs)
-                      : placeOnService(Query, Inputs);
+                                         const placement_inputs &Inputs,
+                                         std::vector<placement> *Options) {
+  return Query.Prompt ? placeOnEngine(Query, Inputs, Options)
+                      : placeOnService(Query, Inputs, Options);
 }
 
 } // namespace monsoonreel
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -116,8 +116,11 @@
   const std::vector<const upstream_state *> *Draining = nullptr;
 };
 
-std::optional<placement> choosePlacement(const placement_query &Query,
-                                         const placement_inputs &Inputs);
+// Returns the best placement. Adds every placement that was compared to
+// Options, if that is set.
+std::optional<placement>
+choosePlacement(const placement_query &Query, const placement_inputs &Inputs,
+                std::vector<placement> *Options = nullptr);
 
 // Whether a prompt's answer is long in relation to the prompt, so that pauses
 // between its events matter more than the time to its first event.
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -65,42 +65,50 @@
   if (Requests.size() > max_open_requests)
     return refuse(Request, http_status::service_unavailable, "too-many-open",
                   full_retry_delay, Context, Effects);
-  Request.Route = Table->find(Arrived.Host, Arrived.Path);
+  if (auto Refused = admit(Request, Context))
+    return refuse(Request, Refused->Status, Refused->Code, Refused->RetryAfter,
+                  Context, Effects);
+  duration Limit = Request.Route->Timeout;
+  if (Arrived.TimeLeft)
+    Limit = std::min(Limit, *Arrived.TimeLeft);
+  Request.EndsAt = Context.Now + Limit;
+  if (comesTooLate(Request, Context))
+    return refuse(Request, http_status::service_unavailable, "draining",
+                  full_retry_delay, Context, Effects);
+  if (Drain)
+    Request.EndsAt = std::min(Request.EndsAt, Drain->End);
+  Services.Budget.onRequest(Request.Service->Name, Context.Now);
+  send(Request, Context, Effects);
+}
+
+std::optional<request_router::admission_refusal>
+request_router::admit(active_request &Request,
+                      const router_context &Context) const {
+  const route_request &Arrived = Request.Arrived;
+  const route_table &Table = *Request.Table;
+  Request.Route = Table.find(Arrived.Host, Arrived.Path);
   if (!Request.Route)
-    return refuse(Request, http_status::not_found, "no-route", {}, Context,
-                  Effects);
+    return admission_refusal{http_status::not_found, "no-route"};
   const organisation_terms *Holder = nullptr;
-  if (!Request.Route->Public && Table->hasOrganisations()) {
+  if (!Request.Route->Public && Table.hasOrganisations()) {
     if (Arrived.Key)
-      Holder = Table->organisationOf(*Arrived.Key);
+      Holder = Table.organisationOf(*Arrived.Key);
     if (!Holder)
-      return refuse(Request, http_status::unauthorized, "unknown-key", {},
-                    Context, Effects);
+      return admission_refusal{http_status::unauthorized, "unknown-key"};
     Request.Organisation = Holder->Name;
   }
   Request.Urgency = urgencyOf(*Request.Route, Holder);
   Request.Regions = region_rule(Regions, Request.Route->AllowedRegions,
                                 Holder ? Holder->AllowedRegions : std::nullopt);
   if (Arrived.CallerId.empty())
-    return refuse(Request, http_status::bad_request, "no-request-id", {},
-                  Context, Effects);
+    return admission_refusal{http_status::bad_request, "no-request-id"};
   const pool_name *Service =
       route_table::chooseService(*Request.Route, Context.Random);
-  Request.Service = Service ? Table->findService(*Service) : nullptr;
+  Request.Service = Service ? Table.findService(*Service) : nullptr;
   if (!Request.Service)
-    return refuse(Request, http_status::service_unavailable, "no-service",
-                  no_upstream_retry_delay, Context, Effects);
-  duration Limit = Request.Route->Timeout;
-  if (Arrived.TimeLeft)
-    Limit = std::min(Limit, *Arrived.TimeLeft);
-  Request.EndsAt = Context.Now + Limit;
-  if (comesTooLate(Request, Context))
-    return refuse(Request, http_status::service_unavailable, "draining",
-                  full_retry_delay, Context, Effects);
-  if (Drain)
-    Request.EndsAt = std::min(Request.EndsAt, Drain->End);
-  Services.Budget.onRequest(Request.Service->Name, Context.Now);
-  send(Request, Context, Effects);
+    return admission_refusal{http_status::service_unavailable, "no-service",
+                             no_upstream_retry_delay};
+  return std::nullopt;
 }
 
 // A request that is cut by the end of the process may have run. One that may be
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -33,6 +33,7 @@
 
 #include "monsoonreel/caller_answer.h"
 #include "routing/event_splitter.h"
+#include "routing/explain.h"
 #include "routing/part_quarantine.h"
 #include "routing/placement.h"
 #include "routing/region_rules.h"
@@ -121,6 +122,12 @@
   // other upstreams.
   void onTick(const router_context &Context, routing_effects &Effects);
 
+  // Returns where the request would go if it arrived now, and why. Sends,
+  // counts and changes nothing.
+  explanation explain(const route_request &Asked,
+                      const std::shared_ptr<const route_table> &Table,
+                      const router_context &Context) const;
+
   size_t open() const { return Requests.size(); }
   // Ends every request by End, before the process ends. From NoLateWorkFrom on,
   // refuses new requests that may not be repeated and might not end by then.
@@ -181,6 +188,15 @@
     std::optional<route_answer> Fallback;
   };
 
+  struct admission_refusal {
+    int Status = 0;
+    const char *Code = "";
+    duration RetryAfter{};
+  };
+  // Fills in the terms under which the request is admitted. Returns why it is
+  // refused, if it is.
+  std::optional<admission_refusal> admit(active_request &Request,
+                                         const router_context &Context) const;
   active_request *findByAttempt(attempt_number Attempt);
   void send(active_request &Request, const router_context &Context,
             routing_effects &Effects);
@@ -225,8 +241,10 @@
   // Returns whether the request may be sent to Upstream as was granted.
   bool isUsable(const active_request &Request, const upstream_state &Upstream,
                 const router_context &Context) const;
-  // Returns whether a request with this best placement has to be refused, and
-  // remembers it if the request is one of the most urgent.
+  // Returns whether a request with this best placement has to be refused.
+  bool isRefused(const pool_name &Service, const placement_query &Query,
+                 const placement &Best) const;
+  // The same, and remembers it if the request is one of the most urgent.
   bool mustRefuse(const pool_name &Service, const placement_query &Query,
                   const placement &Best);
   void refuseForRoom(active_request &Request, duration RetryAfter,
@@ -304,6 +322,25 @@
   placement_query queryFor(const active_request &Request,
                            const router_context &Context) const;
 
+  // Returns why the admitted request would be refused now; empty if it would
+  // not. Chosen is unset if there is no upstream for it.
+  std::string explainRefusal(const active_request &Request,
+                             const placement_query &Query,
+                             const std::optional<placement> &Chosen,
+                             const router_context &Context) const;
+  // Returns the entry that would be asked to place the request.
+  address explainPlacer(const active_request &Request,
+                        const placement_query &Query,
+                        const std::optional<placement> &Chosen,
+                        const router_context &Context) const;
+  std::vector<explained_upstream>
+  explainUpstreams(const active_request &Request, const placement_query &Query,
+                   const router_context &Context) const;
+  // Returns why an upstream was not compared.
+  const char *exclusionOf(const active_request &Request,
+                          const upstream_state &Upstream,
+                          steady_time Now) const;
+
   bool comesTooLate(const active_request &Request,
                     const router_context &Context) const;
 
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -276,24 +276,28 @@
 
 // Less urgent requests give way in all zones, because the places that they take
 // are what the most urgent ones lack.
-bool request_router::mustRefuse(const pool_name &Service,
-                                const placement_query &Query,
-                                const placement &Best) {
+bool request_router::isRefused(const pool_name &Service,
+                               const placement_query &Query,
+                               const placement &Best) const {
   bool IsLate = shouldRefuse(Query, Best);
-  if (!Query.Model || Query.LoadIsStale)
+  if (!Query.Model || Query.LoadIsStale || Query.Urgent)
     return IsLate;
-  if (Query.Urgent) {
-    if (IsLate) {
-      OwnUrgentRefusals[Service] = Query.Now;
-      UrgentRefusals[Service] = Query.Now;
-    }
-    return IsLate;
-  }
   auto It = UrgentRefusals.find(Service);
   return IsLate || (It != UrgentRefusals.end() &&
                     Query.Now - It->second < urgent_refusal_time);
 }
 
+bool request_router::mustRefuse(const pool_name &Service,
+                                const placement_query &Query,
+                                const placement &Best) {
+  bool Refused = isRefused(Service, Query, Best);
+  if (Refused && Query.Model && !Query.LoadIsStale && Query.Urgent) {
+    OwnUrgentRefusals[Service] = Query.Now;
+    UrgentRefusals[Service] = Query.Now;
+  }
+  return Refused;
+}
+
 bool request_router::isUsable(const active_request &Request,
                               const upstream_state &Upstream,
                               const router_context &Context) const {
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -296,11 +296,22 @@
 void routing_node::onEvent(const route_request &Arrived,
                            const routing_event &Event,
                            routing_effects &Effects) {
-  bool IsUsable = UpstreamFeed.isKnown() && !mayHaveOldConfig(Event.Now);
-  Requests.onArrival(Arrived, IsUsable ? Table : nullptr, contextOf(Event),
+  Requests.onArrival(Arrived, usableTable(Event.Now), contextOf(Event),
                      Effects);
 }
 
+std::shared_ptr<const route_table>
+routing_node::usableTable(steady_time Now) const {
+  bool IsUsable = UpstreamFeed.isKnown() && !mayHaveOldConfig(Now);
+  return IsUsable ? Table : nullptr;
+}
+
+explanation routing_node::explain(const route_request &Asked, steady_time Now,
+                                  wall_time Wall, uint64_t Random) const {
+  routing_event Event{Now, Wall, Random, Asked};
+  return Requests.explain(Asked, usableTable(Now), contextOf(Event));
+}
+
 void routing_node::onEvent(const route_caller_gone &Gone,
                            const routing_event &Event,
                            routing_effects &Effects) {
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -119,6 +119,10 @@
   routing_node &operator=(const routing_node &) = delete;
 
   void handle(const routing_event &Event, routing_effects &Effects);
+  // Returns where the request would go if it arrived now, and why. Sends,
+  // counts and changes nothing. Random: as in a routing_event.
+  explanation explain(const route_request &Asked, steady_time Now,
+                      wall_time Wall, uint64_t Random) const;
   bool isReady() const;
   size_t openRequests() const { return Requests.open(); }
 
@@ -162,6 +166,8 @@
   // older configuration than other entries have. Ends after a while, in case
   // that the operator does not write the newest one again.
   bool mayHaveOldConfig(steady_time Now) const;
+  // Returns the table under which requests are admitted; nullptr if none is.
+  std::shared_ptr<const route_table> usableTable(steady_time Now) const;
   int64_t configVersion() const;
   router_context contextOf(const routing_event &Event) const;
   size_t entryCount() const { return Others.size() + 1; }
--- a/routing/upstream_load.cc
+++ b/routing/upstream_load.cc
@@ -217,6 +217,20 @@
   return listOf(Sums);
 }
 
+std::optional<duration> upstream_load::reportAge(const upstream_name &Upstream,
+                                                 steady_time Now) const {
+  std::optional<duration> Oldest;
+  for (const auto &[Source, Peer] : ByPeer) {
+    bool Covers = std::any_of(Peer.Uses.begin(), Peer.Uses.end(),
+                              [&](const wire::upstream_use &Use) {
+                                return Use.Upstream == Upstream.Value;
+                              });
+    if (Covers)
+      Oldest = std::max(Oldest.value_or(duration{}), Now - Peer.ReceivedAt);
+  }
+  return Oldest;
+}
+
 int upstream_load::ownRunning(const upstream_name &Upstream) const {
   auto It = Own.find(Upstream);
   return It == Own.end() ? 0 : It->second.Running;
--- a/routing/upstream_load.h
+++ b/routing/upstream_load.h
@@ -21,6 +21,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -80,6 +81,10 @@
   std::vector<wire::upstream_use> reportOwnUses(steady_time Now);
   // Returns the load by this entry and the entries that report to it.
   std::vector<wire::upstream_use> sumOfEntries() const;
+  // Returns the age of the oldest report that counts requests at the upstream;
+  // nothing if there is none.
+  std::optional<duration> reportAge(const upstream_name &Upstream,
+                                    steady_time Now) const;
   int ownRunning(const upstream_name &Upstream) const;
 
 private:
