--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -206,7 +206,8 @@
 }
 
 std::optional<placement> placeOnEngine(const placement_query &Query,
-                                       const placement_inputs &Inputs) {
+                                       const placement_inputs &Inputs,
+                                       std::vector<placement> *Options) {
   auto List = eligible(Query, Inputs);
   std::vector<size_t> HomeRank = ranksFor(subjectKey(*Query.Prompt), List);
   std::vector<bool> IsReserved =
@@ -216,7 +217,8 @@
                         reservedEngineCount(List, Query.Slots, Inputs.Load));
   std::vector<bool> Sampled = sampleCandidates(Query, IsReserved);
   if (Query.Model)
-    return chooseEngine(Query, Inputs, {List, IsReserved, HomeRank, Sampled});
+    return chooseEngine(Query, Inputs, {List, IsReserved, HomeRank, Sampled},
+                        Options);
   // The home of a subject is the first engine in its order that is not
   // reserved.
   size_t Home = List.size();
@@ -247,6 +249,8 @@
       Option.Cost += other_zone_cost;
     Option.Cost += failure_cost *
                    Inputs.FailureTracker.failureShare(Entry.Name, Query.Now);
+    if (Options)
+      Options->push_back(Option);
     if (!Best || Option.Cost < Best->Cost)
       Best = Option;
   }
@@ -254,7 +258,8 @@
 }
 
 std::optional<placement> placeOnService(const placement_query &Query,
-                                        const placement_inputs &Inputs) {
+                                        const placement_inputs &Inputs,
+                                        std::vector<placement> *Options) {
   auto List = eligible(Query, Inputs);
   std::optional<placement> Best;
   // A random start distributes requests over candidates of equal cost.
@@ -272,6 +277,8 @@
       Option.Cost += other_zone_plain_cost;
     Option.Cost += plain_failure_cost *
                    Inputs.FailureTracker.failureShare(Entry.Name, Query.Now);
+    if (Options)
+      Options->push_back(Option);
     if (!Best || Option.Cost < Best->Cost)
       Best = Option;
   }
@@ -296,9 +303,10 @@
 }
 
 std::optional<placement> choosePlacement(const placement_query &Query,
-                                         const placement_inputs &Inputs) {
-  return Query.Prompt ? placeOnEngine(Query, Inputs)
-                      : placeOnService(Query, Inputs);
+                                         const placement_inputs &Inputs,
+                                         std::vector<placement> *Options) {
+  return Query.Prompt ? placeOnEngine(Query, Inputs, Options)
+                      : placeOnService(Query, Inputs, Options);
 }
 
 } // namespace monsoonreel
