Tests: when and from where engines fetch cached prompts

Cause: no test covered the choice of a source, the times of fetches, the bound per source, the terms in the configuration or the Kv-Fetch header. A local prompt in three tests of engine_choice became a member.

--- a/routing/testing/engine_choice_test.cc
+++ b/routing/testing/engine_choice_test.cc
@@ -52,15 +52,24 @@
     Query.StrictestPause = 200ms;
     Query.CacheIsExact = true;
     Query.Urgent = Query.Paced;
+    Query.Terms = &Terms;
     return Query;
   }
   placement choose(const prompt_info &Prompt) const {
     return *choosePlacement(query(Prompt),
-                            {Load, Cache, FailureTracker, Limits});
+                            {Load, Cache, FailureTracker, Limits, nullptr,
+                             &Fetches, &Registry.draining(Service)});
   }
   std::string nameFor(const prompt_info &Prompt) const {
     return choose(Prompt).Upstream->Entry.Name.Value;
   }
+  // Lets the engines fetch. Returns the home of a subject, which has read it.
+  const upstream_state *readAtHome() {
+    Terms = {16, 0, 1, 18432, 22.5e6};
+    const upstream_state *Home = choose(Long).Upstream;
+    Cache.onDispatched(Home->Entry.Name, Long, at(0ms));
+    return Home;
+  }
 
   const pool_name Service{"chat"};
   const zone_name Zone{"z"};
@@ -70,6 +79,9 @@
   upstream_limits Limits{"e"};
   upstream_failure_tracker FailureTracker;
   engine_model Model;
+  const prompt_info Long = longPrompt(2700);
+  engine_terms Terms; // engines cannot fetch
+  prompt_fetches Fetches;
   std::vector<upstream_name> Tried;
   int64_t Attempts = 0;
 };
@@ -123,7 +135,6 @@
 // Guards against requests that wait at engines until they are late, and delay
 // those behind them.
 TEST_F(engine_choice_test, EveryEngineFull_LessUrgentIsRefusedFirst) {
-  prompt_info Long = longPrompt(2700);
   prompt_info Short = shortPrompt();
   EXPECT_FALSE(shouldRefuse(query(Long), choose(Long)));
   for (int I = 0; I < 9; ++I)
@@ -141,7 +152,6 @@
   std::string Home = nameFor(longPrompt(2700));
   Cache.onDispatched(upstream_name(Home), longPrompt(2700), at(0ms));
   load(Home[1] - '0', 16, 0, false);
-  prompt_info Long = longPrompt(2700);
   EXPECT_FALSE(shouldRefuse(query(Long), choose(Long)));
   EXPECT_NE(nameFor(Long), Home);
 }
@@ -154,7 +164,6 @@
 
 // Guards against refusals by entries that know only a part of the load.
 TEST_F(engine_choice_test, LoadIsStale_NoRequestIsRefused) {
-  prompt_info Long = longPrompt(2700);
   for (int I = 0; I < 9; ++I)
     load(I, 1, 90000, false);
   placement_query Query = query(Long);
@@ -162,6 +171,32 @@
   EXPECT_FALSE(shouldRefuse(Query, choose(Long)));
 }
 
+// Guards against a subject that is read again, against a fetch although its
+// home has room, and against one that takes longer than prefill (105 ms).
+TEST_F(engine_choice_test, Subject_HomeFull_IsFetchedIfThatIsQuicker) {
+  const upstream_state *Home = readAtHome();
+  EXPECT_EQ(choose(Long).FetchFrom, nullptr);
+  load(Home->Entry.Name.Value[1] - '0', 16, 0, false);
+  EXPECT_NE(choose(Long).Upstream, Home);
+  EXPECT_EQ(choose(Long).FetchFrom, Home);
+  EXPECT_EQ(choose(Long).FetchTokens, 6300);
+  EXPECT_EQ(choose(Long).UnreadTokens, 2700);
+  Terms.LinkBytesPerMs = 1e6;
+  EXPECT_EQ(choose(Long).FetchFrom, nullptr);
+}
+
+// Guards against the loss of what a draining engine has read, and against a
+// wait for one that cannot be reached.
+TEST_F(engine_choice_test, Subject_HomeDrains_IsFetchedUnlessItIsPaused) {
+  const upstream_state *Home = readAtHome();
+  upstream_entry Entry = Home->Entry;
+  Entry.Draining = true;
+  Registry.onListed({Entry.Name.Value, Entry, false}, at(0ms));
+  ASSERT_EQ(choose(Long).FetchFrom, Home);
+  FailureTracker.onUnreachable(Entry.Name, Zone, at(0ms));
+  EXPECT_EQ(choose(Long).FetchFrom, nullptr);
+}
+
 TEST_F(engine_choice_test, EnginesForPaced_ManyStreams_LeaveSomeForPrompts) {
   EXPECT_EQ(engineCountForPaced(0, 16, 9), 1u);
   EXPECT_EQ(engineCountForPaced(22, 16, 90), 2u);
