Sources of cached prompts that others name are checked

Cause: an engine named by another entry was used as a source of a cached prompt although it was of another service, evacuated, gone, paused or the fetcher itself. A draining engine in a region that is not allowed, or at which the request had just failed, was a source too. A prompt that states fewer tokens than its parts gave a load below zero. A source could serve 15 fetches within 1 ms, where two periods of 100 ms met. A very slow link in the configuration overflowed the time. A relay that asked another zone for its own request did not name the holder. A notice about an earlier run kept a draining engine from being a source. Change: namedSource checks names in grants and asks, and without the fetch the whole prompt counts as load. Sources outside the list of candidates follow its rules. The bound per source holds for any 100 ms. Caches are not searched where nothing can be fetched.

--- a/routing/engine_choice.cc
+++ b/routing/engine_choice.cc
@@ -74,6 +74,12 @@
           (1 - Paced) * toMs(Timing.OtherSlotTime));
 }
 
+// Returns the tokens of the last part, which no other prompt shares. Callers
+// may state fewer tokens of the prompt than of its parts.
+int64_t ownTokens(const prompt_info &Prompt) {
+  return std::max<int64_t>(0, Prompt.PromptTokens - sharedTokens(Prompt));
+}
+
 // An engine that others can fetch the beginning of the prompt from.
 struct prompt_holder {
   const upstream_state *Engine = nullptr;
@@ -84,7 +90,9 @@
                          const placement_inputs &Inputs,
                          const std::vector<const upstream_state *> &List) {
   prompt_holder Holder;
-  if (!Query.Terms || !Inputs.Fetches)
+  // No engine's cache is looked up where nothing can be fetched.
+  if (!Query.Terms || !Query.Terms->canFetch() || !Inputs.Fetches ||
+      sharedTokens(*Query.Prompt) < min_fetch_tokens)
     return Holder;
   auto Consider = [&](const upstream_state *Each, int64_t Unread) {
     const upstream_name &Name = Each->Entry.Name;
@@ -94,15 +102,25 @@
         Inputs.Fetches->mayUse(Name, Query.Now))
       Holder = {Each, Unread};
   };
-  for (const auto *Engines : {&List, Inputs.Draining})
-    if (Engines)
-      for (const upstream_state *Each : *Engines)
-        Consider(Each, Inputs.Cache.tokensLeftToFetcher(
-                           Each->Entry.Name, *Query.Prompt, Query.Now));
-  if (Query.KnownHolder && !List.empty() &&
+  auto ConsiderByView = [&](const upstream_state *Each) {
+    Consider(Each, Inputs.Cache.tokensLeftToFetcher(Each->Entry.Name,
+                                                    *Query.Prompt, Query.Now));
+  };
+  for (const upstream_state *Each : List)
+    ConsiderByView(Each);
+  // The rules that List follows apply to others as well.
+  auto IsAllowed = [&](const upstream_state *Each) {
+    return (!Query.Regions || Query.Regions->allows(Each->Entry.Zone)) &&
+           std::find(Query.Tried.begin(), Query.Tried.end(),
+                     Each->Entry.Name) == Query.Tried.end();
+  };
+  if (Inputs.Draining)
+    for (const upstream_state *Each : *Inputs.Draining)
+      if (IsAllowed(Each))
+        ConsiderByView(Each);
+  if (Query.KnownHolder && IsAllowed(Query.KnownHolder) &&
       Query.KnownHolder->Entry.Service == List.front()->Entry.Service)
-    Consider(Query.KnownHolder,
-             Query.Prompt->PromptTokens - sharedTokens(*Query.Prompt));
+    Consider(Query.KnownHolder, ownTokens(*Query.Prompt));
   return Holder;
 }
 
@@ -191,8 +209,7 @@
         (Home == List.size() ||
          Candidates.HomeRank[I] < Candidates.HomeRank[Home]))
       Home = I;
-  int64_t OwnPart = std::max<int64_t>(0, Query.Prompt->PromptTokens -
-                                             sharedTokens(*Query.Prompt));
+  int64_t OwnPart = ownTokens(*Query.Prompt);
   std::optional<placement> Best;
   if (List.empty())
     return Best;
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -74,7 +74,7 @@
   // for only if they are better by more than the age of their load explains.
   bool PrefersOwnZone = false;
   bool Urgent = false; // no route to the service is more urgent
-  // Set where engines fetch cached beginnings of prompts from each other.
+  // Tell whether engines fetch cached beginnings of prompts from each other.
   const engine_terms *Terms = nullptr;
   // An engine that has the beginning cached by the view of another entry.
   const upstream_state *KnownHolder = nullptr;
@@ -110,7 +110,7 @@
   const upstream_limits &Limits;
   // Upstreams that other entries report as failing; nullptr: none.
   const reported_failures *Reported = nullptr;
-  // Set where engines fetch from each other, with the upstreams that are
+  // Set where engines may fetch from each other, with the upstreams that are
   // draining and can still be fetched from.
   const prompt_fetches *Fetches = nullptr;
   const std::vector<const upstream_state *> *Draining = nullptr;
--- a/routing/prompt_fetch.h
+++ b/routing/prompt_fetch.h
@@ -16,6 +16,8 @@
 #ifndef ROUTING_PROMPT_FETCH_H
 #define ROUTING_PROMPT_FETCH_H
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -29,8 +31,8 @@
 constexpr int64_t min_fetch_tokens = 512;
 // Time to prepare a transfer. Engines take 4 to 8 ms.
 constexpr duration fetch_setup_time = std::chrono::milliseconds(10);
-// At most this many fetches use one source in each such time.
-constexpr int max_fetches_per_source = 8;
+// At most this many fetches use one source in any such time.
+constexpr size_t max_fetches_per_source = 8;
 constexpr duration fetch_window = std::chrono::milliseconds(100);
 
 // Returns how long it takes to fetch this many tokens; nothing if the engines
@@ -45,11 +47,11 @@
   void onTick(steady_time Now);
 
 private:
-  struct window {
-    steady_time BegunAt;
-    int Fetches = 0;
+  struct last_fetches {
+    std::array<steady_time, max_fetches_per_source> SentAt; // a ring
+    size_t Count = 0;                                       // of all fetches
   };
-  absl::flat_hash_map<upstream_name, window> Windows;
+  absl::flat_hash_map<upstream_name, last_fetches> Sources;
 };
 
 } // namespace monsoonreel
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -200,6 +200,11 @@
                 routing_effects &Effects);
   // What a choice of the upstream for Service is based on.
   placement_inputs inputsFor(const pool_name &Service) const;
+  // Returns the engine that another entry names as a source of a cached prompt;
+  // nullptr if engines of the service may not fetch from it.
+  const upstream_state *namedSource(const std::string &Name,
+                                    const service &Service,
+                                    steady_time Now) const;
   // Returns the entry that places the request; empty if this one does.
   address placerFor(const active_request &Request, const placement_query &Query,
                     const router_context &Context) const;
--- a/routing/request_router_asks.cc
+++ b/routing/request_router_asks.cc
@@ -207,7 +207,7 @@
     Query.CacheIsExact = true;
     Query.PrefersOwnZone = true;
     Query.Terms = &*Known->Engine;
-    Query.KnownHolder = Services.Registry.find(upstream_name(Ask.Holder));
+    Query.KnownHolder = namedSource(Ask.Holder, *Known, Context.Now);
     return Query;
   };
   placement_inputs Inputs = inputsFor(Service);
@@ -294,6 +294,23 @@
                     Query.Now - It->second < urgent_refusal_time);
 }
 
+// A name from another entry may be wrong: its registry may be older, and a
+// message may be damaged.
+const upstream_state *request_router::namedSource(const std::string &Name,
+                                                  const service &Service,
+                                                  steady_time Now) const {
+  if (Name.empty() || !Service.Engine || !Service.Engine->canFetch())
+    return nullptr;
+  const upstream_state *Source =
+      Services.Registry.findRunning(upstream_name(Name), Service.Name);
+  bool IsUsable = Source &&
+                  !Services.FailureTracker.isPaused(Source->Entry.Name,
+                                                    Source->Entry.Zone, Now) &&
+                  !Reported.isPaused(Source->Entry.Name, Now) &&
+                  Fetches.mayUse(Source->Entry.Name, Now);
+  return IsUsable ? Source : nullptr;
+}
+
 bool request_router::isUsable(const active_request &Request,
                               const upstream_state &Upstream,
                               const router_context &Context) const {
@@ -343,7 +360,14 @@
       Grant.UnreadTokens, 0, Request.Arrived.Prompt->PromptTokens);
   Chosen.FirstEvent = boundedTime(Grant.PredictedMicros);
   Chosen.Use = Services.Load.at(Upstream->Entry.Name);
-  Chosen.FetchFrom = Services.Registry.find(upstream_name(Grant.FetchFrom));
+  Chosen.FetchFrom =
+      namedSource(Grant.FetchFrom, *Request.Service, Context.Now);
+  if (Chosen.FetchFrom == Upstream)
+    Chosen.FetchFrom = nullptr;
+  // The granted count assumes the fetch.
+  if (!Chosen.FetchFrom && !Grant.FetchFrom.empty())
+    Chosen.UnreadTokens = Services.Cache.unreadTokens(
+        Upstream->Entry.Name, *Request.Arrived.Prompt, Context.Now);
   dispatch(Request, queryFor(Request, Context), Chosen, Context, Effects);
 }
 
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -114,6 +114,8 @@
     if (!Relay.empty()) {
       Services.Load.onGranted(Relay, {}, Chosen->Upstream->Entry.Name,
                               {Chosen->UnreadTokens, Query.Paced}, Context.Now);
+      Request.Holder =
+          Chosen->FetchFrom ? Chosen->FetchFrom->Entry.Name.Value : "";
       return ask(Request, Relay, Query, /*Final=*/true, Context, Effects);
     }
   }
--- a/routing/site_config.h
+++ b/routing/site_config.h
@@ -67,6 +67,7 @@
   double LinkBytesPerMs = 0;
 
   bool hasFewSlots() const { return Slots <= few_slots; }
+  bool canFetch() const { return TokenBytes > 0 && LinkBytesPerMs > 0; }
 };
 
 // Limits for orders of upstreams of a service.
--- a/routing/testing/engine_choice_test.cc
+++ b/routing/testing/engine_choice_test.cc
@@ -197,6 +197,41 @@
   EXPECT_EQ(choose(Long).FetchFrom, nullptr);
 }
 
+// Guards against a source in a region that the caller's organisation does not
+// allow, and against one that has just failed for this request.
+TEST_F(engine_choice_test, Subject_HomeDrainsAndIsExcluded_IsNotFetched) {
+  upstream_entry Entry = readAtHome()->Entry;
+  Entry.Draining = true;
+  Entry.Zone = zone_name("far");
+  Registry.onListed({Entry.Name.Value, Entry, false}, at(0ms));
+  region_rule Regions({{Zone, region_name("eu")}}, {{region_name("eu")}}, {});
+  placement_query Query = query(Long);
+  const auto &Draining = Registry.draining(Service);
+  placement_inputs Inputs{Load,    Cache,    FailureTracker, Limits,
+                          nullptr, &Fetches, &Draining};
+  ASSERT_TRUE(choosePlacement(Query, Inputs)->FetchFrom);
+  Query.Regions = &Regions;
+  EXPECT_FALSE(choosePlacement(Query, Inputs)->FetchFrom);
+  Query.Regions = nullptr;
+  Tried.push_back(Entry.Name);
+  EXPECT_FALSE(choosePlacement(Query, Inputs)->FetchFrom);
+}
+
+// Guards against load counts below zero: the caller states fewer tokens of the
+// prompt than of its parts, and another entry names a holder.
+TEST_F(engine_choice_test, Subject_PartsExceedThePrompt_LeavesNoTokens) {
+  const upstream_state *Home = readAtHome();
+  load(Home->Entry.Name.Value[1] - '0', 16, 0, false);
+  Cache.forget(Home->Entry.Name);
+  prompt_info Prompt{"m", 6000, 60, {{1, 5000}, {2, 3800}, {9, 2700}}};
+  placement_query Query = query(Prompt);
+  Query.KnownHolder = Home;
+  placement Chosen = *choosePlacement(
+      Query, {Load, Cache, FailureTracker, Limits, nullptr, &Fetches});
+  EXPECT_EQ(Chosen.FetchFrom, Home);
+  EXPECT_EQ(Chosen.UnreadTokens, 0);
+}
+
 TEST_F(engine_choice_test, EnginesForPaced_ManyStreams_LeaveSomeForPrompts) {
   EXPECT_EQ(engineCountForPaced(0, 16, 9), 1u);
   EXPECT_EQ(engineCountForPaced(22, 16, 90), 2u);
--- a/routing/testing/prompt_fetch_test.cc
+++ b/routing/testing/prompt_fetch_test.cc
@@ -36,6 +36,11 @@
   EXPECT_FALSE(timeOf(4000, 18000, 0));
 }
 
+// Guards against a time below zero, which a very slow link would give.
+TEST_F(prompt_fetch_test, Time_OfATransferWithoutEnd_IsBounded) {
+  EXPECT_GT(timeOf(4000, 1e9, 1e-9), 1h);
+}
+
 // Guards against a queue at the link of an engine whose subject is suddenly
 // popular, also after a tick.
 TEST_F(prompt_fetch_test, Source_Hot_IsUsedEightTimesInAWindow) {
@@ -47,5 +52,18 @@
   EXPECT_EQ(orderAll(Hot, 100ms), 8);
 }
 
+// Guards against 15 fetches at once where one period of 100 ms ends and the
+// next one begins.
+TEST_F(prompt_fetch_test, Source_UsedLateInAWindow_IsBoundedInTheNext) {
+  upstream_name Hot("u1");
+  Fetches.onSent(Hot, at(0ms));
+  Fetches.onTick(at(50ms));
+  EXPECT_EQ(orderAll(Hot, 99ms), 7);
+  EXPECT_EQ(orderAll(Hot, 100ms), 1);
+  Fetches.onTick(at(150ms));
+  EXPECT_EQ(orderAll(Hot, 198ms), 0);
+  EXPECT_EQ(orderAll(Hot, 199ms), 7);
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/routing/testing/request_router_fixture.h
+++ b/routing/testing/request_router_fixture.h
@@ -83,7 +83,7 @@
     Router.onArrival(Arrived, Table, context(), Effects);
   }
   router_context context() const {
-    return {at(Now), wall_time(Now), 1, 100ms, 8};
+    return {at(Now), wall_time(Now), 1, 100ms, 8, false, Relays};
   }
 
   template <typename T> std::vector<T> all() const {
@@ -145,6 +145,7 @@
   resend_budget Budget;
   usage_windows Usage;
   request_router Router;
+  const zone_relays *Relays = nullptr;
   routing_effects Effects;
   duration Now = 0ms;
   int64_t Requests = 0;
--- a/routing/testing/upstream_registry_test.cc
+++ b/routing/testing/upstream_registry_test.cc
@@ -52,6 +52,22 @@
   EXPECT_EQ(serving(), 1u);
 }
 
+// Guards against the loss of a source of cached prompts because an earlier run
+// of the same name has left.
+TEST_F(upstream_registry_test, Entry_DrainsAfterAnEarlierRunLeft_IsDraining) {
+  Registry.onListed(listed("a"), at(0ms));
+  Registry.onLeaving({upstream_name("a"), 1000ms}, at(1ms));
+  upstream_listed Later = draining("a", 2);
+  EXPECT_TRUE(Registry.draining(Service).empty());
+  Later.Entry->StartedAt = 2000ms;
+  Later.Entry->Draining = false;
+  Registry.onListed(Later, at(2ms));
+  EXPECT_EQ(serving(), 1u);
+  Later.Entry->Draining = true;
+  Registry.onListed(Later, at(3ms));
+  EXPECT_EQ(Registry.draining(Service).size(), 1u);
+}
+
 // Guards against requests to an upstream that has left: a store that was
 // restored from a backup lists it again.
 TEST_F(upstream_registry_test, Removed_ListedAgainByAnOldReport_StaysRemoved) {
--- a/routing/upstream_registry.cc
+++ b/routing/upstream_registry.cc
@@ -1,5 +1,6 @@
 #include "routing/upstream_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace monsoonreel {
@@ -91,9 +92,14 @@
 }
 
 bool upstream_registry::isLeaving(const upstream_entry &Entry) const {
+  return Entry.Draining || hasNotice(Entry);
+}
+
+// Returns whether a notice says that this run is leaving. A notice about an
+// earlier run says nothing about this one.
+bool upstream_registry::hasNotice(const upstream_entry &Entry) const {
   auto It = Leaving.find(Entry.Name);
-  return Entry.Draining ||
-         (It != Leaving.end() && Entry.StartedAt <= It->second.StartedAt);
+  return It != Leaving.end() && Entry.StartedAt <= It->second.StartedAt;
 }
 
 // The notice is kept for a while after the entry was removed, because an older
@@ -152,6 +158,16 @@
   return listOf(DrainingByService, Service);
 }
 
+const upstream_state *
+upstream_registry::findRunning(const upstream_name &Name,
+                               const pool_name &Service) const {
+  const upstream_state *State = find(Name);
+  for (const auto *List : {&serving(Service), &draining(Service)})
+    if (std::find(List->begin(), List->end(), State) != List->end())
+      return State;
+  return nullptr;
+}
+
 const upstream_state *upstream_registry::find(const upstream_name &Name) const {
   auto It = Upstreams.find(Name);
   return It == Upstreams.end() ? nullptr : &It->second;
@@ -166,7 +182,7 @@
       continue;
     if (!isLeaving(Entry))
       ByService[Entry.Service].push_back(&State);
-    else if (Entry.Draining && !Leaving.contains(Name))
+    else if (!hasNotice(Entry))
       DrainingByService[Entry.Service].push_back(&State);
   }
 }
--- a/routing/upstream_registry.h
+++ b/routing/upstream_registry.h
@@ -80,6 +80,10 @@
   // requests, but still run. Valid until the next change.
   const std::vector<const upstream_state *> &
   draining(const pool_name &Service) const;
+  // Returns an upstream that is in one of these two lists; nullptr if it is in
+  // neither.
+  const upstream_state *findRunning(const upstream_name &Name,
+                                    const pool_name &Service) const;
   // Returns whether the upstream accepts no new requests, by its registry entry
   // or by its own notice.
   bool isLeaving(const upstream_entry &Entry) const;
@@ -104,6 +108,7 @@
   };
   using upstream_map = std::map<upstream_name, upstream_state>;
 
+  bool hasNotice(const upstream_entry &Entry) const;
   void expireLeaving(steady_time Now);
   bool isStale(const upstream_entry &Entry) const;
   upstream_map::iterator remove(upstream_map::iterator It, steady_time Now);
