Odd ages of evacuation orders; findings of the linter

Cause: the review of unconfirmed orders found that a damaged age overflows and holds a zone for ever, that messages of older builds, which contain no age, start the grace period again at any time, that told orders are not bounded, and that a frozen entry ends an order before it reads that it was written again. The linter refused a conversion and a loop over floating point numbers. Change: ages are bounded to an hour, a missing one is taken only by an entry that has just started, at most 64 zones are taken up from others, and a pause starts the grace period again. Tokens ahead are compared as whole numbers.

--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -16,7 +16,7 @@
 
 // A first event tells how fast an engine reads only if few tokens were ahead.
 // Their number is known late, and those that wait for slots are not read.
-constexpr double max_unread_ahead = 0.25;
+constexpr int64_t min_own_share = 4; // own tokens to those ahead
 
 // Returns the ids of a prompt's parts, without the last one, for logs.
 std::string partsText(const std::optional<prompt_info> &Prompt) {
@@ -148,7 +148,7 @@
   Request.FoundSlot = Chosen.Use.Running < Query.Slots;
   Request.ReadsAtOnce =
       Request.FoundSlot &&
-      Chosen.Use.UnreadTokens <= max_unread_ahead * Chosen.UnreadTokens &&
+      min_own_share * Chosen.Use.UnreadTokens <= Chosen.UnreadTokens &&
       !Chosen.FetchFrom;
   Request.PredictedFirst = Chosen.FirstEvent;
   Request.EventsBefore = Request.Events.taken();
--- a/routing/routing_node_platform.cc
+++ b/routing/routing_node_platform.cc
@@ -130,7 +130,7 @@
   for (const unconfirmed_order &Order : Unconfirmed) {
     wire::feed_record Record;
     Record.Key = Order.Zone.Value;
-    Record.__set_AgeMicros(toMicros(Order.Age));
+    Record.__set_AgeMicros(toMicros(Order.Age.value_or(duration{})));
     Orders.Records.push_back(std::move(Record));
   }
   Effects.push_back(send_datagrams{To, wire::peer_message(std::move(Orders))});
@@ -141,8 +141,9 @@
                                        routing_effects &Effects) {
   onStoreEra(Orders.Era, "peer", Now, Effects);
   for (const wire::feed_record &Record : Orders.Records) {
-    duration Age =
-        Record.__isset.AgeMicros ? fromMicros(Record.AgeMicros) : duration{};
+    std::optional<duration> Age;
+    if (Record.__isset.AgeMicros)
+      Age = fromMicros(Record.AgeMicros);
     if (auto Change =
             Evacuations.onUnconfirmed({zone_name(Record.Key), Age}, Now))
       applyEvacuations({*Change}, Effects);
--- a/routing/testing/lateness_odds_test.cc
+++ b/routing/testing/lateness_odds_test.cc
@@ -37,8 +37,10 @@
 TEST_F(lateness_odds_test, Beyond_AnyRatiosObserved_NeverRises) {
   for (double Observed : {0.9, -HUGE_VAL, 0.0, 1e-300, 1e300, HUGE_VAL}) {
     observe(30, Observed, 2.5);
-    for (double Ratio = -0.1; Ratio < 20; Ratio += 0.01)
-      ASSERT_LE(Odds.beyond(Ratio + 0.01), Odds.beyond(Ratio)) << Ratio;
+    for (int Hundredths = -10; Hundredths < 2000; ++Hundredths)
+      ASSERT_LE(Odds.beyond((Hundredths + 1) / 100.0),
+                Odds.beyond(Hundredths / 100.0))
+          << Hundredths;
     EXPECT_EQ(Odds.beyond(std::nan("")), 1) << "as late as possible";
     EXPECT_EQ(Odds.beyond(-HUGE_VAL) - Odds.beyond(HUGE_VAL), 1);
   }
--- a/routing/testing/zone_evacuations_test.cc
+++ b/routing/testing/zone_evacuations_test.cc
@@ -15,7 +15,7 @@
     Entry.onChange({"evacuate/z0", std::move(Value), IsLost, IsLost}, at(Now));
   }
   // Returns whether the zone is evacuated after another entry told the order.
-  bool tell(duration Age) {
+  bool tell(std::optional<duration> Age) {
     Entry.onUnconfirmed({zone_name("z0"), Age}, at(Now));
     return isEvacuated();
   }
@@ -44,6 +44,30 @@
   EXPECT_FALSE(isEvacuated());
 }
 
+// Guards against ages that overflow or are absent, as in damaged messages and
+// in those of older builds, and keep the zone evacuated for ever.
+TEST_F(zone_evacuations_test, Order_OddAge_DoesNotHoldTheZone) {
+  EXPECT_FALSE(tell(std::nullopt));
+  EXPECT_FALSE(tell(duration::max()));
+  Entry = zone_evacuations("evacuate/", 8s);
+  EXPECT_TRUE(tell(duration::max()));
+  EXPECT_TRUE(tell(duration::min()));
+  runUntil(75s);
+  EXPECT_FALSE(isEvacuated());
+  Entry = zone_evacuations("evacuate/", 8s);
+  EXPECT_TRUE(tell(std::nullopt));
+}
+
+// Guards against an entry that wakes after the grace period and ends an order
+// that was written again meanwhile, before it has read it.
+TEST_F(zone_evacuations_test, Entry_Frozen_KeepsTheOrderUntilItHasRead) {
+  change("{}");
+  change(std::nullopt, true);
+  Now += 9s;
+  runUntil(Now + 1s);
+  EXPECT_TRUE(isEvacuated());
+}
+
 // Guards against an ended order that another entry brings back, also after an
 // outage, and against an end that hides a later order.
 TEST_F(zone_evacuations_test, Order_Ended_IsNotTakenUpAgain) {
--- a/routing/zone_evacuations.cc
+++ b/routing/zone_evacuations.cc
@@ -56,11 +56,16 @@
 std::optional<evacuation_change>
 zone_evacuations::onUnconfirmed(const unconfirmed_order &Told,
                                 steady_time Now) {
-  steady_time Since = Now - std::max(Told.Age, duration::zero());
+  if (!Told.Age && !isNew(Now))
+    return std::nullopt;
+  steady_time Since = Now - std::clamp(Told.Age.value_or(duration::zero()),
+                                       duration::zero(), longest_told_age);
   bool IsOver = !isWithinGrace(Since, Now);
   if (Told.Zone.empty() || Since <= ExpiredBy || (IsOver && ReachedForGrace) ||
       isEnded(Told.Zone, Since))
     return std::nullopt;
+  if (Orders.size() >= max_told_orders && !Orders.contains(Told.Zone))
+    return std::nullopt;
   auto [It, New] = Orders.try_emplace(Told.Zone, order{Since});
   order &Order = It->second;
   if (!Order.Since)
@@ -77,8 +82,11 @@
 // may refuse one entry that learns of all changes from the others.
 std::vector<evacuation_change>
 zone_evacuations::onTick(steady_time Now, bool StoreFailing, duration FeedAge) {
-  if (!LastTick || Now - *LastTick >= shortest_outage)
+  bool WasFrozen = LastTick && Now - *LastTick >= shortest_outage;
+  if (!LastTick || WasFrozen)
     RunningSince = Now;
+  if (WasFrozen)
+    UnreachableAt = Now;
   LastTick = Now;
   std::vector<evacuation_change> Changes;
   ReachedForGrace = false;
--- a/routing/zone_evacuations.h
+++ b/routing/zone_evacuations.h
@@ -28,7 +28,12 @@
 // - An order that was removed or has expired here is not taken up again, unless
 //   the store has been restored since and the order is younger than its end.
 //   Ends are forgotten when the age alone rejects such orders.
-// - Messages of older builds contain no age. They are taken as age zero.
+// - Messages of older builds contain no age. Only an entry that has just
+// started
+//   takes them up, with age zero: an older build tells an order for as long as
+//   the store refuses it, and each message would start the grace period again.
+// - An entry that was frozen starts its grace period again, because it may not
+//   have read yet that the order was written again.
 
 #ifndef ROUTING_ZONE_EVACUATIONS_H
 #define ROUTING_ZONE_EVACUATIONS_H
@@ -46,8 +51,12 @@
 // How long a new entry holds an order that is older than the grace period after
 // it was last told: several reports, so that lost ones do not matter.
 constexpr duration told_order_time = std::chrono::seconds(2);
-// Maximum number of zones whose ended orders are remembered.
+// Maximum number of zones whose ended orders are remembered, and of zones whose
+// orders are taken up from other entries.
 constexpr size_t max_ended_orders = 64;
+constexpr size_t max_told_orders = 64;
+// A longer age, which only a damaged message has, is taken as this one.
+constexpr duration longest_told_age = std::chrono::hours(1);
 
 struct evacuation_change {
   zone_name Zone;
@@ -57,7 +66,8 @@
 
 struct unconfirmed_order {
   zone_name Zone;
-  duration Age{}; // since it became unconfirmed
+  // Since it became unconfirmed; unset in messages of older builds.
+  std::optional<duration> Age;
 };
 
 class zone_evacuations {
