--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,6 @@
 """LOST: a burst of short requests ends long ones that servers are working on.
 
-102 callers send a prompt of 57 to 60 KB each, which engines read for three
+102 callers send a prompt of 57 to 60 KB each, which engines read for five
 seconds and then answer by a stream. Beside them, 60 callers send short prompts
 of 9.5 KB all the time; in a burst, 2.1 times as many. Each caller sends a short
 request on its channel first and keeps the channel. The servers are sound and
@@ -20,7 +20,7 @@
 
 LONG_CALLERS = 102
 LONG = 60_000       # bytes of a prompt, less up to 3,000
-LONG_READ_S = 3.0   # until the first event
+LONG_READ_S = 5.0   # until the first event
 SHORT_CALLERS = 60
 SHORT = 9_500
 BURST = 2.1
@@ -121,14 +121,18 @@
         stage.start_entries()
         time.sleep(st.BOUNDS["contactMs"] / 1000)
         count = round(SHORT_CALLERS * (BURST if trouble else 1))
-        begin = time.monotonic()
         long = [Caller(stage, LONG - random.randrange(3000), 0)
                 for _ in range(LONG_CALLERS)]
-        short = [Caller(stage, SHORT, begin + 1 + BURST_S) for _ in range(count)]
         for caller in long:
             caller.start()
             time.sleep(0.005)
-        time.sleep(max(0, begin + 1 - time.monotonic()))
+        end = time.monotonic() + 3
+        while sum(len(engine.runs) for engine in engines) < LONG_CALLERS:
+            if time.monotonic() > end:
+                raise st.CannotRun("the long requests don't reach the servers")
+            time.sleep(0.01)
+        short = [Caller(stage, SHORT, time.monotonic() + BURST_S)
+                 for _ in range(count)]
         record.add(f"{count} callers with short prompts begin")
         for caller in short:
             caller.start()
