--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,9 @@
-"""MIXED: a stream without a length that is reset on the way passes as complete.
+"""MIXED: a booking that the server failed is answered as a success.
 
-Callers send long prompts. The server begins its stream before it has read the
-whole prompt, without a length. With TROUBLE=0 it sends the whole stream, reads
-the rest of the prompt and ends the channel in order; else it breaks off between
-two events, and the channel is reset.
+One server answers bookings on kept channels; every second one fails, with the
+server's own 500. After a success the server begins to write that answer once
+more and stops after a few bytes, within the status line. With TROUBLE=0 it adds
+nothing.
 """
 
 import os
@@ -15,94 +15,77 @@
                                 "..", "lib2"))
 import stage2 as st  # noqa: E402
 
-REQUESTS = 40
-PROMPT = 110_000  # bytes, the largest of the site
-EVENTS = 40
-PART = 12         # events before the server breaks off
-# "Links have ... small windows, so a peer that does not read blocks the writer."
-WINDOW = 4096
-SEGMENT = 1448    # as on Ethernet; loopback's segments have 64 KB
-PARTS = "5c1e07a2:2520,91bd3f06:3780,%s:2890"
+PAIRS = 30
+EXTRA = (13, 14, 15)  # "HTTP/1.1 200 ", with none, one or two bytes of "OK"
+FAILURE = b'{"error":"no survey was booked"}'
 
 
-class EarlyServer(st.Server):
-    """Answers long requests early and without a length."""
-
+class StutteringServer(st.Server):
     trouble = False
+    extras = 0
 
-    def serve(self, conn):
-        head, rest = st.read_until(conn, b"\r\n\r\n", b"")
-        if head is None:
-            return
-        _, headers = st.parse_head(head)
+    def handle(self, conn, method, target, headers, body):
         ident = headers["x-monsoonreel-attempt-id"]
         self.runs.append((time.monotonic(), ident))
-        head = ("HTTP/1.1 200 OK\r\nX-Monsoonreel-Attempt-Id: " + ident +
-                "\r\nX-Monsoonreel-Server-Signature: 3e1b.07.5a2.600.0.c9f2a4d1"
-                "\r\nX-Monsoonreel-Weight-Versions: 1"
-                "\r\nContent-Type: text/event-stream\r\n\r\n").encode()
-        events = [f"id: {number}\ndata: {'x' * 50}\n\n".encode()
-                  for number in range(1, EVENTS + 1)]
-        conn.sendall(head + b"".join(events[:2]))
-        time.sleep(0.03)
+        time.sleep(self.work_s)
+        if len(self.runs) % 2 == 0:
+            head = ("HTTP/1.1 500 Internal Server Error\r\n"
+                    f"X-Monsoonreel-Attempt-Id: {ident}\r\n"
+                    "X-Monsoonreel-Server-Signature: 3e1b.07.5a2.600.0.c9f2a4d2"
+                    "\r\nContent-Type: application/json\r\nKeep-Alive: timeout=5"
+                    f"\r\nContent-Length: {len(FAILURE)}\r\n\r\n")
+            conn.sendall(head.encode() + FAILURE)
+            self.record.add(f"server: {ident} failed, status 500")
+            return True
+        answer = self.head(headers, self.size) + b"a" * self.size
+        extra = b""
         if self.trouble:
-            conn.sendall(b"".join(events[2:PART]))
-            conn.close()  # with unread input, so the channel is reset
-            self.record.add(f"server: {ident} broken off after {PART} of "
-                            f"{EVENTS} events, channel reset")
-            return
-        conn.sendall(b"".join(events[2:]))
-        left = int(headers["content-length"]) - len(rest)
-        while left > 0:
-            data = conn.recv(min(left, 1 << 20))
-            if not data:
-                return
-            left -= len(data)
-        conn.shutdown(socket.SHUT_WR)
-        self.record.add(f"server: {ident} answered in full, {EVENTS} events")
-        conn.recv(1)
+            extra = answer[:EXTRA[self.extras % len(EXTRA)]]
+            self.extras += 1
+        conn.sendall(answer + extra)
+        self.record.add(f"server: {ident} answered 200, and {extra!r} after it")
+        return True
 
 
 def case(record, trouble):
     stage = st.Stage(record)
     try:
-        server = EarlyServer(stage.host, "cocina", "i-7f3a91c2", record,
-                             receive_buffer=WINDOW)
-        server.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT)
+        server = StutteringServer(stage.host, "conteo-app", "i-7f3a91c2", record,
+                                  work_s=0.01)
         server.trouble = trouble
         stage.add_server(server)
-        route = st.route_of("pronostico", "cocina", "streaming",
-                            timeout_ms=5000, attempts=1)
-        route.update(sticky=True, itlTargetMs=400, latencyTargetMs=600)
         stage.configure(st.config_of(
-            3, [{"name": "cocina", "healthPath": "/healthz",
-                 "maxConnections": 500,
-                 "runtime": {"slots": 96, "kvCapacity": 380704}}], [route]))
+            3, [{"name": "conteo-app", "healthPath": "/healthz",
+                 "maxConnections": 110}],
+            [st.route_of("pedido", "conteo-app", "non_idempotent",
+                         timeout_ms=800, attempts=1)]))
         stage.start_entries()
-        broken, whole = 0, 0
-        for _ in range(REQUESTS):
+        failed, wrong, other = 0, 0, 0
+        for _ in range(2 * PAIRS):
             ident = st.new_id()
-            prompt = ("X-Monsoonreel-Model: m\r\n"
-                      "X-Monsoonreel-Token-Usage: 9190,40\r\n"
-                      f"X-Monsoonreel-Prompt-Prefix: {PARTS % ident[-8:]}\r\n")
+            before = len(server.runs)
             with socket.create_connection(
                     (stage.entries[0].host, st.FRONTEND), 5) as conn:
-                conn.settimeout(20)
-                conn.sendall(st.request_bytes(
-                    "/pronostico/x", ident, b"q" * PROMPT, deadline_ms=5000,
-                    extra=prompt))
+                conn.settimeout(5)
+                conn.sendall(st.request_bytes("/pedido/x", ident, b"q",
+                                              deadline_ms=1500))
                 answer = st.read_answer(conn)
-            events = answer.body.count(b"id: ")
-            record.add(f"caller: {ident} status {answer.status}, {events} of "
-                       f"{EVENTS} events, complete={answer.complete} "
+            record.add(f"caller: {ident} status {answer.status}, "
+                       f"{answer.body[:40]!r}, complete={answer.complete} "
                        f"{answer.why}")
-            if answer.status == 200 and answer.complete:
-                broken += events < EVENTS
-                whole += events == EVENTS
-        if not trouble and whole != REQUESTS:
-            raise st.CannotRun(f"only {whole} of {REQUESTS} were answered")
-        return (f"{broken} of {REQUESTS} callers got a part of a stream as a "
-                "complete answer" if broken else "")
+            if len(server.runs) == before:
+                other += 1
+            elif len(server.runs) % 2 == 0:
+                failed += 1
+                wrong += answer.status == 200 and answer.complete
+            else:
+                other += answer.status != 200
+        record.add(f"{failed} bookings failed at the server, {wrong} of them "
+                   f"were answered 200; {other} other answers")
+        if not trouble and (failed != PAIRS or other):
+            raise st.CannotRun(f"{failed} failed, {other} other answers")
+        return (f"{wrong} of {failed} bookings that the server had failed were "
+                "answered as successes" if wrong else "")
     finally:
         stage.close()
 
