--- a/review/lib2/stage2.py
+++ b/review/lib2/stage2.py
@@ -660,11 +660,11 @@
     record.add(f"TROUBLE={int(trouble)}")
     try:
         broken = case(record, trouble)
-    except CannotRun as error:
-        record.add(f"could not run: {error}")
-        print("could not run:", error)
+    except Exception as error:  # what isn't the rule's own check is no verdict
+        record.add(f"could not run: {error!r}")
+        print("could not run:", error, flush=True)
         os._exit(2)
     text = f"BROKEN: {broken}" if broken else "held"
     record.add(text)
-    print(text)
+    print(text, flush=True)
     os._exit(1 if broken else 0)
