io: a connection with bytes behind an answer is not used again

Behind a whole answer the server had sent the first bytes of that answer once more. They make no event, so the end of the answer was the last event of the read and the connection went back to the pool, with its parser within a status line. The next status line was read as the rest of the reason phrase.

The parser now states whether it has read a byte behind the last whole answer, and only a connection where it has not is used again.

channel_pool_test.Answer_BegunAgain_NextCallHasAnotherConnection cuts the repeated answer at every byte.

--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -185,10 +185,12 @@
       Phase = phase::Waiting;
       return;
     }
-    // The rest of a request that was answered early would be read as the next
-    // one's beginning.
-    bool Reusable = KeepAlive && Last && Foreign == 0 &&
-                    !Stream.hasUnwritten() && Stream.isConnected();
+    // Bytes behind the answer, however few, would become a part of the next
+    // one. The rest of a request that was answered early would be read as the
+    // next one's beginning.
+    bool Reusable = KeepAlive && Last && Parser.isBetweenAnswers() &&
+                    Foreign == 0 && !Stream.hasUnwritten() &&
+                    Stream.isConnected();
     CallOpen = false;
     auto Kept = std::exchange(Handler, nullptr);
     Pool.settle(this, Reusable);
--- a/io/channel_pool.h
+++ b/io/channel_pool.h
@@ -12,8 +12,8 @@
 // if it is a whole answer to an earlier call of the same connection, and the
 // connection is not used again. Any other answer to another request, a head in
 // which two answers run into each other, and bytes on an idle connection or
-// after a complete answer end the connection: the order of its bytes cannot be
-// trusted any more.
+// after a complete answer, also the beginning of a further one, end the
+// connection: the order of its bytes cannot be trusted any more.
 
 #ifndef IO_CHANNEL_POOL_H
 #define IO_CHANNEL_POOL_H
--- a/io/http_reply_parser.cc
+++ b/io/http_reply_parser.cc
@@ -14,6 +14,7 @@
   http_reply_head Head;
   size_t HeadBytes = 0;
   bool InValue = false;
+  bool InAnswer = false;
   bool HeadOnly = false;
   bool HadAnswer = false;
 
@@ -30,6 +31,7 @@
     S.Head = {};
     S.HeadBytes = 0;
     S.InValue = false;
+    S.InAnswer = true;
     return 0;
   }
   static int onField(http_parser *Parser, const char *At, size_t Size) {
@@ -63,6 +65,7 @@
     return 0;
   }
   static int onComplete(http_parser *Parser) {
+    of(Parser).InAnswer = false;
     of(Parser).Events.emplace_back(reply_end{});
     return 0;
   }
@@ -100,4 +103,6 @@
   return std::move(State->Events);
 }
 
+bool http_reply_parser::isBetweenAnswers() const { return !State->InAnswer; }
+
 } // namespace monsoonreel
--- a/io/testing/channel_pool_test.cc
+++ b/io/testing/channel_pool_test.cc
@@ -61,6 +61,11 @@
     return "HTTP/1.1 200 OK\r\nId: " + Id + "\r\n" + Fields +
            "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
   }
+  // Its connection is not kept.
+  static std::string failure(const std::string &Id) {
+    return "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nId: " +
+           Id + "\r\nContent-Length: 6\r\n\r\nfailed";
+  }
   std::shared_ptr<recorder> start(const std::string &Id,
                                   call_options Options = {}) {
     auto Call = std::make_shared<recorder>(Id);
@@ -216,6 +221,21 @@
   }
 }
 
+// Guards against a failure that reaches the caller as a success: the beginning
+// of a repeated answer became a part of the next status line (review/6).
+TEST_F(channel_pool_test, Answer_BegunAgain_NextCallHasAnotherConnection) {
+  std::string First = answer("a", "first", "Keep-Alive: timeout=5\r\n");
+  for (size_t Cut = 1; Cut < First.size(); ++Cut) {
+    answerWith(First + First.substr(0, Cut));
+    EXPECT_TRUE(run("a")->Ended) << Cut;
+    EXPECT_EQ(Pool.idleConnections(), 0u) << Cut;
+    answerWith(failure("b"));
+    auto Call = run("b");
+    EXPECT_EQ(Call->Status, 500) << Cut;
+    EXPECT_EQ(Call->Body, "failed") << Cut;
+  }
+}
+
 // The same within the body: the end of the answer follows as garbage.
 TEST_F(channel_pool_test, Answer_WithAnotherOneWithin_IsNotWhole) {
   runFirst("old");
