io: answers follow the grammar of request heads

Callers got a 200 with a body that was not the server's, or with a line that is no field, when a server's head was spoilt in one place: its length, a blank or a control byte in a field's name, a line that is no field (seen by the users on their machines). Statuses outside 100 to 599, other versions and bytes behind a chunk passed too.

Heads of requests went through a strict grammar of our own, answers and bodies in chunks through a lenient parser, for which an unreadable length means that the body ends with the connection. Both directions now share one grammar (http_fields) and one decoder of chunks (chunk_decoder); what frames a body is decided in one place, and several lengths are refused also if they are equal.

On the code before, six of the eight tests of http_reply_parser_test failed, and channel_pool_test.Answer_HeadIsSpoilt_FailsTheCall and LateBytes_BeforeTheNextAnswer_AreNoSuccess.

--- a/fuzz/targets.cc
+++ b/fuzz/targets.cc
@@ -3,6 +3,7 @@
 #include "fuzz/input_mutator.h"
 #include "fuzz/peer_target.h"
 #include "io/http_head.h"
+#include "io/http_reply_parser.h"
 #include "io/load_poller.h"
 #include "io/platform_client.h"
 #include "monsoonreel/monsoonreel.h"
@@ -33,6 +34,18 @@
     "12\r\nAuthorization: Bearer k\r\nX-Transfer-Encoding: "
     "chunked\r\n\r\n";
 
+const char answer_sample[] =
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\nhello"
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nhel\r\n2\r\nlo\r\n0\r\nX-Sum: 1\r\n\r\n";
+
+// Returns whether no byte of the answers is refused.
+bool areAnswers(const std::string &In) {
+  http_reply_parser Parser;
+  std::vector<reply_event> Events = Parser.read(In);
+  return Events.empty() || !std::holds_alternative<reply_error>(Events.back());
+}
+
 std::string recordSample() {
   wire::config_edit Edit;
   Edit.Base = 1;
@@ -106,6 +119,7 @@
       {"request-head",
        [](const std::string &In) { return parseRequestHead(In).has_value(); },
        {head_sample}},
+      {"answers", areAnswers, {answer_sample}},
   };
 }
 
--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -4,10 +4,6 @@
 #include <charconv>
 #include <utility>
 
-#include <QRegularExpression>
-
-#include "absl/strings/match.h"
-
 #include "io/clock.h"
 #include "io/tcp_stream.h"
 
@@ -32,17 +28,6 @@
                   std::chrono::duration_cast<duration>(Stated));
 }
 
-// Returns whether a field's value contains a status line, as "ab1HTTP/1.1 200"
-// does: a server has begun an answer within the head of another one.
-bool isMergedHead(const http_reply_head &Head) {
-  static const QRegularExpression StatusLine("HTTP/1\\.[01] [1-5][0-9]{2}\\b");
-  return std::any_of(
-      Head.Headers.begin(), Head.Headers.end(), [](const http_header &Field) {
-        return absl::StrContains(Field.Value, "HTTP/1.") &&
-               QString::fromStdString(Field.Value).contains(StatusLine);
-      });
-}
-
 } // namespace
 
 // One connection, and the call that uses it.
@@ -155,8 +140,6 @@
       Phase = phase::Skipping;
       return;
     }
-    if (isMergedHead(Head))
-      return fail("a head with two answers");
     KeepAlive = Head.KeepAlive;
     IdleLimit = statedIdleLimit(Head);
     switch (Handler->onHead(Head)) {
--- a/io/chunked_body.h
+++ b/io/chunked_body.h
@@ -13,27 +13,31 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <string_view>
 
+#include "io/chunk_decoder.h"
+
 namespace monsoonreel {
 
 class chunked_body {
 public:
-  explicit chunked_body(int64_t MaxBytes);
-  ~chunked_body();
+  explicit chunked_body(int64_t MaxBytes)
+      : MaxBytes(static_cast<size_t>(MaxBytes)) {}
 
   size_t read(std::string_view Bytes);
-  bool isComplete() const;
-  bool isTooLarge() const;
-  bool isBroken() const;
-  int64_t size() const; // bytes of the body so far
+  bool isComplete() const { return Chunks.isComplete(); }
+  bool isTooLarge() const { return TooLarge; }
+  bool isBroken() const { return !Chunks.error().empty(); }
+  // Bytes of the body so far.
+  int64_t size() const { return static_cast<int64_t>(Body.size()); }
   std::string takeBody();
 
 private:
-  struct state;
-  std::unique_ptr<state> State;
+  size_t MaxBytes;
+  chunk_decoder Chunks;
+  std::string Body;
+  bool TooLarge = false;
 };
 
 } // namespace monsoonreel
--- a/io/http_head.h
+++ b/io/http_head.h
@@ -15,22 +15,12 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include <tl/expected.hpp>
 
-namespace monsoonreel {
-
-struct http_header {
-  std::string Name;
-  std::string Value;
-};
+#include "io/http_fields.h"
 
-using http_header_list = std::vector<http_header>;
-
-// The value of the first field called Name, whatever its case, or nullptr.
-const std::string *findHeader(const http_header_list &Headers,
-                              std::string_view Name);
+namespace monsoonreel {
 
 struct http_head {
   std::string Method;
--- a/io/http_reply_parser.h
+++ b/io/http_reply_parser.h
@@ -6,6 +6,11 @@
 //
 // The parser accepts any number of answers in a row; who asked for them is the
 // caller's matter. After a `reply_error` the connection is of no more use.
+//
+// Heads follow the grammar of `http_fields.h`, and anything else in their place
+// is an error, because a body whose end is guessed may be another one than the
+// server's. So is a status line within a head: there, a server has begun
+// another answer.
 
 #ifndef IO_HTTP_REPLY_PARSER_H
 #define IO_HTTP_REPLY_PARSER_H
@@ -16,7 +21,7 @@
 #include <variant>
 #include <vector>
 
-#include "io/http_head.h"
+#include "io/http_fields.h"
 
 namespace monsoonreel {
 
--- a/io/testing/channel_pool_test.cc
+++ b/io/testing/channel_pool_test.cc
@@ -236,6 +236,34 @@
   }
 }
 
+// The same with bytes that come when the next request is already on its way.
+TEST_F(channel_pool_test, LateBytes_BeforeTheNextAnswer_AreNoSuccess) {
+  std::string First = answer("a", "first", "Keep-Alive: timeout=5\r\n");
+  for (size_t Cut = 1; Cut < First.size(); ++Cut) {
+    answerWith(First);
+    EXPECT_TRUE(run("a")->Ended) << Cut;
+    answerWith(First.substr(0, Cut) + failure("b"));
+    auto Call = run("b");
+    EXPECT_FALSE(Call->Ended && Call->Status != 500) << Cut;
+    EXPECT_EQ(Pool.idleConnections(), 0u) << Cut;
+  }
+}
+
+// Guards against a head with a line that is no field, which reached the caller
+// as an answer.
+TEST_F(channel_pool_test, Answer_HeadIsSpoilt_FailsTheCall) {
+  for (const char *Line :
+       {"Content-Length : 5", "a b: c", "no field", "Transfer-Encoding: chunke",
+        "Content-Length: 5,5"}) {
+    answerWith("HTTP/1.1 200 OK\r\nId: a\r\n" + std::string(Line) +
+                   "\r\n\r\nhello",
+               [](QTcpSocket *Socket) { Socket->disconnectFromHost(); });
+    auto Call = run("a");
+    EXPECT_EQ(Call->Failure, attempt_failure::Broken) << Line;
+    EXPECT_EQ(Call->Status, 0) << Line;
+  }
+}
+
 // The same within the body: the end of the answer follows as garbage.
 TEST_F(channel_pool_test, Answer_WithAnotherOneWithin_IsNotWhole) {
   runFirst("old");
