io: a reset behind an early answer is not an orderly end

The kernel states the error of a reset once, to the first call. That was the write of the upload's rest, which dropped it, and the next read saw an orderly end.

tcp_stream keeps the first error of any call. Where an end would complete the answer, it is reported only when the request is acknowledged: a server may end its side first, and reset the connection when the rest of the upload arrives.

--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -86,6 +86,10 @@
     fail(Reason);
   }
 
+  bool isCompletedByEnd() const override {
+    return Handler && Phase == phase::Body && Parser.endsWithConnection();
+  }
+
   void fail(const std::string &Reason) {
     attempt_failure Failure = attempt_failure::NeverSent;
     if (WroteSome)
--- a/io/http_reply_parser.cc
+++ b/io/http_reply_parser.cc
@@ -196,11 +196,15 @@
 
 std::vector<reply_event> http_reply_parser::finish() {
   State->Events.clear();
-  if (State->Step == state::step::UntilEnd)
+  if (endsWithConnection())
     State->endAnswer();
   return std::move(State->Events);
 }
 
+bool http_reply_parser::endsWithConnection() const {
+  return State->Step == state::step::UntilEnd;
+}
+
 bool http_reply_parser::isBetweenAnswers() const {
   return State->Step == state::step::StatusLine && State->Line.isEmpty();
 }
--- a/io/http_reply_parser.h
+++ b/io/http_reply_parser.h
@@ -62,6 +62,8 @@
   // The connection has ended in an orderly way. Completes an answer whose
   // length its end tells.
   std::vector<reply_event> finish();
+  // Returns whether the end of the connection would complete the answer.
+  bool endsWithConnection() const;
   // Returns whether no byte was read behind the last whole answer.
   bool isBetweenAnswers() const;
 
--- a/io/tcp_stream.cc
+++ b/io/tcp_stream.cc
@@ -5,8 +5,10 @@
 #include <cstring>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -44,6 +46,14 @@
 
 } // namespace
 
+tcp_stream::tcp_stream(tcp_stream_listener &Listener) : Listener(Listener) {
+  EndCheck.setSingleShot(true);
+  EndCheck.setInterval(std::chrono::duration_cast<std::chrono::milliseconds>(
+      end_check_interval));
+  QObject::connect(&EndCheck, &QTimer::timeout, &EndCheck,
+                   [this] { onPeerEnd(); });
+}
+
 tcp_stream::~tcp_stream() { closeSocket(); }
 
 bool tcp_stream::open(const address &To) {
@@ -93,9 +103,7 @@
 
 void tcp_stream::onWritable() {
   if (!Connected) {
-    int Error = 0;
-    socklen_t Size = sizeof(Error);
-    ::getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size);
+    takeSocketError();
     if (Error != 0)
       return end(stream_end::Broken, std::strerror(Error));
     Connected = true;
@@ -106,17 +114,23 @@
     flush();
 }
 
-// An error is left to the next read, which sees what came before it.
+// After an error, what came before it is still read.
 void tcp_stream::flush() {
-  while (!Unwritten.empty()) {
+  while (!Unwritten.empty() && Error == 0) {
     ssize_t Size =
         ::send(Socket, Unwritten.data(), Unwritten.size(), MSG_NOSIGNAL);
-    if (Size <= 0)
+    if (Size < 0 && errno == EINTR)
+      continue;
+    if (Size < 0 && errno == EAGAIN)
+      break;
+    if (Size < 0) {
+      Error = errno;
       break;
+    }
     Sent = true;
     Unwritten.erase(0, static_cast<size_t>(Size));
   }
-  Writable->setEnabled(!Unwritten.empty() && errno == EAGAIN);
+  Writable->setEnabled(!Unwritten.empty() && Error == 0);
 }
 
 void tcp_stream::onReadable() {
@@ -125,9 +139,39 @@
   if (Size > 0)
     return Listener.onStreamBytes({Buffer.data(), static_cast<size_t>(Size)});
   if (Size == 0)
+    return onPeerEnd();
+  if (errno == EAGAIN || errno == EINTR)
+    return;
+  Error = errno;
+  end(stream_end::Broken, std::strerror(Error));
+}
+
+void tcp_stream::onPeerEnd() {
+  Readable->setEnabled(false);
+  // A reset that came before the acknowledgement is found by the second call.
+  bool IsAcknowledged = isAcknowledged();
+  takeSocketError();
+  if (Error != 0)
+    return end(stream_end::Broken, std::strerror(Error));
+  if (IsAcknowledged || !Listener.isCompletedByEnd())
     return end(stream_end::Orderly, "closed");
-  if (errno != EAGAIN && errno != EINTR)
-    end(stream_end::Broken, std::strerror(errno));
+  EndCheck.start();
+}
+
+void tcp_stream::takeSocketError() {
+  int Pending = 0;
+  socklen_t Size = sizeof(Pending);
+  ::getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Pending, &Size);
+  if (Error == 0)
+    Error = Pending;
+}
+
+// Where the kernel does not count them, bytes that it took are taken for
+// acknowledged.
+bool tcp_stream::isAcknowledged() const {
+  int Unacknowledged = 0;
+  bool IsCounted = ::ioctl(Socket, SIOCOUTQ, &Unacknowledged) == 0;
+  return Unwritten.empty() && (!IsCounted || Unacknowledged == 0);
 }
 
 void tcp_stream::end(stream_end How, const std::string &Reason) {
@@ -135,6 +179,7 @@
     return;
   Readable->setEnabled(false);
   Writable->setEnabled(false);
+  EndCheck.stop();
   Connected = false;
   Listener.onStreamEnd(How, Reason);
 }
@@ -147,6 +192,7 @@
 }
 
 void tcp_stream::closeSocket() {
+  EndCheck.stop();
   // Not deleted at once: this may run within a notifier's signal.
   for (auto *Notifier : {&Readable, &Writable})
     if (*Notifier) {
--- a/io/tcp_stream.h
+++ b/io/tcp_stream.h
@@ -9,6 +9,10 @@
 // reset as an orderly end, and an answer without a length that was reset must
 // not pass for a complete one.
 //
+// A stream that has failed in any of its calls never ends in an orderly way:
+// the kernel states an error once, to the call that comes first, and reports
+// the end of the received bytes to those after it.
+//
 // Silent connections are noticed by keep-alive probes and by data that is not
 // acknowledged in time. Nothing is called from within `write` or `open`.
 
@@ -20,6 +24,7 @@
 #include <string_view>
 
 #include <QSocketNotifier>
+#include <QTimer>
 
 #include "monsoonreel/monsoonreel.h"
 
@@ -33,6 +38,8 @@
 // ones end it.
 constexpr duration keepalive_interval = std::chrono::seconds(1);
 constexpr int keepalive_probes = 2;
+// Between two looks at whether the peer has acknowledged the rest of a request.
+constexpr duration end_check_interval = std::chrono::milliseconds(5);
 
 enum class stream_end {
   Orderly, // the peer has sent everything
@@ -45,13 +52,17 @@
   virtual void onStreamConnected() = 0;
   virtual void onStreamBytes(std::string_view Bytes) = 0;
   virtual void onStreamEnd(stream_end End, const std::string &Reason) = 0;
+  // Returns whether an orderly end would complete what was received. The stream
+  // then reports the end only when the peer has acknowledged all that was
+  // written, because a peer that has ended before it may still reset.
+  virtual bool isCompletedByEnd() const = 0;
 };
 
 class tcp_stream {
 public:
   // Listener has to live longer than the stream. From within its callbacks it
   // may close the stream, but not destroy it.
-  explicit tcp_stream(tcp_stream_listener &Listener) : Listener(Listener) {}
+  explicit tcp_stream(tcp_stream_listener &Listener);
   ~tcp_stream();
   tcp_stream(const tcp_stream &) = delete;
   tcp_stream &operator=(const tcp_stream &) = delete;
@@ -75,7 +86,10 @@
 private:
   void onWritable();
   void onReadable();
+  void onPeerEnd();
   void flush();
+  void takeSocketError();
+  bool isAcknowledged() const;
   void end(stream_end How, const std::string &Reason);
   void closeSocket();
 
@@ -84,7 +98,9 @@
   bool Connected = false;
   bool Sent = false;
   bool Reading = true;
+  int Error = 0; // first error of any call
   std::string Unwritten;
+  QTimer EndCheck;
   std::unique_ptr<QSocketNotifier> Readable;
   std::unique_ptr<QSocketNotifier> Writable;
 };
