routing: figures of a window are kept by other entries before they are reported

The store returned from a copy some seconds old and the holder of the duties was lost at the same time. Only the log and the holder had the figures of a reported window, so the next holder summed the window up again. Fleets without relays told figures to all entries, but after the report and without a confirmation.

The holder now sends written figures to other entries (to the relays of all zones in large fleets) and reports a window when two of them, one in another zone, have confirmed a digest of the figures. A new holder asks every live entry for figures before it sums up, and a window of which nobody knows figures is not summed up when a later one has some.

--- a/fault_matrix/steps.cc
+++ b/fault_matrix/steps.cc
@@ -36,7 +36,7 @@
 #undef MONSOONREEL_RECORD
 
 // The last kinds are of routing nodes, which are not in the matrix.
-constexpr size_t routing_message_kinds = 6;
+constexpr size_t routing_message_kinds = 8;
 constexpr size_t message_kinds =
     std::variant_size_v<wire::peer_message> - routing_message_kinds;
 static_assert(std::is_same_v<
--- a/monsoonreel/wire.cc
+++ b/monsoonreel/wire.cc
@@ -76,13 +76,14 @@
 // Thrift's generated types don't contain their names, so the names are listed
 // here in the order of the variant. The static_assert detects a missing one.
 constexpr std::array MessageNames = {
-    "heartbeat",     "heartbeat_ack", "probe_request",  "state_pull",
-    "state_push",    "claim_ask",     "claim_answer",   "claim_settle",
-    "claim_settled", "usage_offer",   "usage_accepted", "usage_hold",
-    "usage_held",    "usage_release", "slot_ask",       "slot_grant",
-    "slot_refuse",   "slot_release",  "slot_cancel",    "slot_preempt",
-    "slot_renew",    "slot_queued",   "entry_report",   "feed_news",
-    "usage_report",  "relay_report",  "placement_ask",  "placement_grant"};
+    "heartbeat",      "heartbeat_ack", "probe_request",  "state_pull",
+    "state_push",     "claim_ask",     "claim_answer",   "claim_settle",
+    "claim_settled",  "usage_offer",   "usage_accepted", "usage_hold",
+    "usage_held",     "usage_release", "slot_ask",       "slot_grant",
+    "slot_refuse",    "slot_release",  "slot_cancel",    "slot_preempt",
+    "slot_renew",     "slot_queued",   "entry_report",   "feed_news",
+    "usage_report",   "relay_report",  "placement_ask",  "placement_grant",
+    "figure_request", "figure_reply"};
 static_assert(MessageNames.size() == std::variant_size_v<wire::peer_message>);
 
 } // namespace
--- a/monsoonreel/wire.h
+++ b/monsoonreel/wire.h
@@ -26,14 +26,13 @@
 
 // A message's number on the wire is its index in this list, so new types are
 // added at the end.
-using peer_message =
-    std::variant<heartbeat, heartbeat_ack, probe_request, state_pull,
-                 state_push, claim_ask, claim_answer, claim_settle,
-                 claim_settled, usage_offer, usage_accepted, usage_hold,
-                 usage_held, usage_release, slot_ask, slot_grant, slot_refuse,
-                 slot_release, slot_cancel, slot_preempt, slot_renew,
-                 slot_queued, entry_report, feed_news, usage_report,
-                 relay_report, placement_ask, placement_grant>;
+using peer_message = std::variant<
+    heartbeat, heartbeat_ack, probe_request, state_pull, state_push, claim_ask,
+    claim_answer, claim_settle, claim_settled, usage_offer, usage_accepted,
+    usage_hold, usage_held, usage_release, slot_ask, slot_grant, slot_refuse,
+    slot_release, slot_cancel, slot_preempt, slot_renew, slot_queued,
+    entry_report, feed_news, usage_report, relay_report, placement_ask,
+    placement_grant, figure_request, figure_reply>;
 
 } // namespace wire
 
--- a/routing/duty_log.cc
+++ b/routing/duty_log.cc
@@ -303,9 +303,12 @@
       [&](const wire::window_counts &W) { return W.Window == Sum.Window; });
   if (Waiting || Figures.contains(Sum.Window))
     return;
-  // Lost figures may have been reported already.
-  auto Lost = LostFigures.find(Sum.Window);
-  UnwrittenFigures.push_back(Lost == LostFigures.end() ? Sum : Lost->second);
+  // Lost figures may have been reported already. Windows are summed up in
+  // order, so this one was, if a later one has figures.
+  if (auto Lost = LostFigures.find(Sum.Window); Lost != LostFigures.end())
+    UnwrittenFigures.push_back(Lost->second);
+  else if (!hasLaterFigures(Sum.Window))
+    UnwrittenFigures.push_back(Sum);
 }
 
 const wire::window_counts *duty_log::figures(int64_t Window) const {
@@ -313,20 +316,46 @@
   return It == Figures.end() ? nullptr : &It->second;
 }
 
-void duty_log::rememberFigures(
-    const std::vector<wire::window_counts> &Reported) {
+std::vector<wire::window_counts>
+duty_log::rememberFigures(const std::vector<wire::window_counts> &Reported) {
+  std::vector<wire::window_counts> New;
   for (const wire::window_counts &Each : Reported)
+    if (!Figures.contains(Each.Window) &&
+        LostFigures.try_emplace(Each.Window, Each).second)
+      New.push_back(Each);
+  trimLostFigures();
+  return New;
+}
+
+void duty_log::keepFigures(const std::vector<wire::window_counts> &Written) {
+  for (const wire::window_counts &Each : Written)
     if (!Figures.contains(Each.Window))
-      LostFigures.try_emplace(Each.Window, Each);
+      LostFigures.insert_or_assign(Each.Window, Each);
+  trimLostFigures();
+}
+
+void duty_log::trimLostFigures() {
   while (LostFigures.size() > Terms.KeptFigures)
     LostFigures.erase(LostFigures.begin());
 }
 
-std::vector<wire::window_counts> duty_log::lostFigures(int64_t First) const {
-  std::vector<wire::window_counts> Lost;
-  for (auto It = LostFigures.lower_bound(First); It != LostFigures.end(); ++It)
-    Lost.push_back(It->second);
-  return Lost;
+std::vector<wire::window_counts> duty_log::knownFigures(int64_t First) const {
+  std::vector<wire::window_counts> All;
+  for (const auto *Known : {&Figures, &LostFigures})
+    for (auto It = Known->lower_bound(First); It != Known->end(); ++It)
+      All.push_back(It->second);
+  return All;
+}
+
+// Returns whether figures of a later window are known. Those of a window far
+// ahead stem from a wrong clock.
+bool duty_log::hasLaterFigures(int64_t Window) const {
+  auto Kept = static_cast<int64_t>(Terms.KeptFigures);
+  auto HasLater = [&](const auto &Known) {
+    auto Next = Known.upper_bound(Window);
+    return Next != Known.end() && Next->first <= Window + Kept;
+  };
+  return HasLater(Figures) || HasLater(LostFigures);
 }
 
 int64_t duty_log::lastFiguredWindow() const {
--- a/routing/duty_log.h
+++ b/routing/duty_log.h
@@ -35,7 +35,8 @@
 // Only claims that were made for the current era let their holder act. An entry
 // whose lease was valid until then claims at once, because no other entry can
 // have claimed after it. The others wait as after a claim. The new holder
-// writes figures again that it remembers and the log has lost.
+// writes figures again that it or a peer remembers and the log has lost, see
+// `figure_copies`.
 //
 // The other entries do not read the log while peers report renewals.
 
@@ -118,20 +119,31 @@
   void setCandidates(size_t Count) { Candidates = Count; }
 
   // Queues figures to be appended to the log. They are ignored when the window
-  // has figures already, and dropped when another entry claims the lease.
+  // has figures already, or had some that nobody knows any more, and dropped
+  // when another entry claims the lease.
   void queueFigures(const wire::window_counts &Sum);
   const wire::window_counts *figures(int64_t Window) const;
-  // Remembers figures that a peer has found in the log.
-  void rememberFigures(const std::vector<wire::window_counts> &Reported);
-  // Returns the remembered figures from this window on that have not been found
-  // in the log. Peers may need them to write them again.
-  std::vector<wire::window_counts> lostFigures(int64_t First) const;
+  // Remembers figures that a peer knows, unless others are known. Returns those
+  // that were not known.
+  std::vector<wire::window_counts>
+  rememberFigures(const std::vector<wire::window_counts> &Reported);
+  // Remembers figures that the holder has written, in place of others.
+  void keepFigures(const std::vector<wire::window_counts> &Written);
+  // Figures that are in the log, by window.
+  const std::map<int64_t, wire::window_counts> &writtenFigures() const {
+    return Figures;
+  }
+  // Returns all known figures from this window on, also those that have not
+  // been found in the log. Peers may need them to write them again.
+  std::vector<wire::window_counts> knownFigures(int64_t First) const;
   int64_t lastFiguredWindow() const;
 
   // Returns whether the lease covers a call that is made now.
   bool mayAct(steady_time Now) const;
   steady_time notAfter() const { return ValidUntil - Terms.Flight; }
   int64_t fence() const { return Claim.Fence; }
+  // The highest fencing token of all known claims; -1: none.
+  int64_t highestFence() const { return HighestFence; }
   const duty_claim_view &claim() const { return Claim; }
   bool isMine() const;
   // Releases the lease, so that a successor need not wait until it expires.
@@ -158,6 +170,8 @@
   int64_t nextFence() const;
   bool mayLackClaims() const;
   void queueLostFigures();
+  void trimLostFigures();
+  bool hasLaterFigures(int64_t Window) const;
 
   duty_terms Terms;
   size_t Candidates = 1;
@@ -180,7 +194,7 @@
 
   std::map<int64_t, wire::window_counts> Figures;
   // Figures that were in the log, as found before the store was restored or by
-  // a peer, and have not been found in it since.
+  // a peer, and that this entry has not found in it since.
   std::map<int64_t, wire::window_counts> LostFigures;
   std::deque<wire::window_counts> UnwrittenFigures;
 
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -50,8 +50,9 @@
       Requests({Registry, Load, Cache, FailureTracker, Limits, Model,
                 Quarantine, Budget, Usage},
                Identity.Zone, Terms.Regions),
-      Duties(dutyTerms(Terms), Identity), Capacity(Terms.Bounds.UpstreamReport),
-      Relays(Identity) {}
+      Duties(dutyTerms(Terms), Identity),
+      Copies(Identity.Zone, Terms.Bounds.maxUsageWait()),
+      Capacity(Terms.Bounds.UpstreamReport), Relays(Identity) {}
 
 routing_node::~routing_node() = default;
 
@@ -191,6 +192,7 @@
     return Member.Name == Identity.Name.Value;
   });
   Relays.setEntries(Others);
+  updateFigureKeepers();
   Budget.setEntries(entryCount());
   for (keyed_feed *Feed : {&ConfigFeed, &UpstreamFeed}) {
     Feed->setRecipientCount(Relays.inUse() ? Relays.zoneEntries().size()
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -24,6 +24,7 @@
 #include "monsoonreel/membership.h"
 #include "routing/capacity_policy.h"
 #include "routing/duty_log.h"
+#include "routing/figure_copies.h"
 #include "routing/keyed_feed.h"
 #include "routing/listing_decoder.h"
 #include "routing/median_clock.h"
@@ -55,9 +56,8 @@
 constexpr duration usage_report_period = std::chrono::milliseconds(500);
 // Time after the end of a window in which its last counts arrive.
 constexpr duration usage_settle_time = std::chrono::milliseconds(1200);
-// Number of reports in which the holder shares new figures, so that lost
-// reports do not matter.
-constexpr int figure_shares = 3;
+// Larger messages with figures are sent over a connection.
+constexpr size_t max_figure_datagram_bytes = size_t{32} << 10;
 // How long an entry reports an upstream that is leaving: several report
 // intervals, so that lost reports do not matter, but not longer, so that
 // entries do not repeat the notice to each other indefinitely.
@@ -221,15 +221,7 @@
   void onLeavingRuns(const std::vector<wire::upstream_run> &Runs,
                      steady_time Now);
   void sendOwnReport(const routing_event &Event, routing_effects &Effects);
-  void sendUsageReport(int64_t FirstReported, steady_time Now,
-                       routing_effects &Effects);
-  // Returns figures that other entries have to remember.
-  std::vector<wire::window_counts> figuresToShare(int64_t FirstReported,
-                                                  steady_time Now);
-  // Returns the figures that the log may have lost, for a while after the store
-  // was restored.
-  std::vector<wire::window_counts> lostFigures(int64_t FirstReported,
-                                               steady_time Now) const;
+  void sendUsageReport(routing_effects &Effects);
   void sendZoneReport(const routing_event &Event, routing_effects &Effects);
   std::vector<wire::feed_mark> marks(steady_time Now) const;
   std::vector<wire::upstream_run> leavingRuns(steady_time Now) const;
@@ -243,6 +235,18 @@
   void reportUsage(const routing_event &Event, routing_effects &Effects);
   std::string missingReport(int64_t Window, steady_time Now) const;
   void logHolder(routing_effects &Effects);
+  // As the holder: lets other entries keep figures, and asks for theirs.
+  void exchangeFigures(steady_time Now, routing_effects &Effects);
+  void updateFigureKeepers();
+  void onFigureRequest(const address &From, const wire::figure_request &Request,
+                       steady_time Now, routing_effects &Effects);
+  void onFigureReply(const address &From, const wire::figure_reply &Reply,
+                     routing_effects &Effects);
+  // Logs once that no entry confirms a window's figures for long.
+  void logMissingCopies(int64_t Window, duration SinceEnd,
+                        routing_effects &Effects);
+  static void sendFigures(std::vector<address> To, wire::peer_message Message,
+                          routing_effects &Effects);
   void checkDrain(const routing_event &Event, routing_effects &Effects);
   // Replaces each message to all entries by one message per recipient.
   void expandBroadcasts(size_t From, routing_effects &Effects);
@@ -266,6 +270,7 @@
   usage_windows Usage;
   request_router Requests;
   duty_log Duties;
+  figure_copies Copies;
   capacity_policy Capacity;
   std::shared_ptr<const route_table> Table;
   std::vector<wire::member> Others; // live entries without this one
@@ -294,11 +299,9 @@
   int64_t PeersConfigVersion = 0; // highest one in force at another entry
   bool HasServed = false;         // was ready before
   steady_time LastEvent;
-  int64_t StoreEra = 0;                  // newest known era of the store
-  std::optional<steady_time> RestoredAt; // start of the current era
-  int64_t SharedWindow = 0; // newest window whose figures were shared
-  int SharesLeft = 0;       // reports that repeat them
+  int64_t StoreEra = 0; // newest known era of the store
   std::string LoggedHolder;
+  int64_t LoggedUncopied = -1; // newest window whose lack of copies was logged
   std::pair<int, double> ReportedLimits; // last values of the metrics
   int64_t ReportedCold = 0;
   bool StoreFailing = false;
--- a/routing/routing_node_duties.cc
+++ b/routing/routing_node_duties.cc
@@ -39,6 +39,8 @@
 void routing_node::performDuties(const routing_event &Event,
                                  routing_effects &Effects) {
   Duties.onTick(Event.Now, Event.Random, Effects);
+  if (Terms.ReportsUsage)
+    exchangeFigures(Event.Now, Effects);
   if (Terms.ReportsUsage && Duties.mayAct(Event.Now))
     reportUsage(Event, Effects);
   bool Known = Table && UpstreamFeed.isKnown();
@@ -63,6 +65,83 @@
   }
 }
 
+// ------------------------------------------------------------------- figures
+
+void routing_node::exchangeFigures(steady_time Now, routing_effects &Effects) {
+  std::optional<int64_t> Fence;
+  if (Duties.isMine())
+    Fence = Duties.fence();
+  if (Copies.setTerm(Fence, StoreEra, Now))
+    updateFigureKeepers();
+  int64_t First = Usage.windowAt(Clock.at(Now)) - Usage.terms().reported();
+  for (figure_message &Each :
+       Copies.takeMessages(Duties.writtenFigures(), First, Now))
+    sendFigures(std::move(Each.To), std::move(Each.Request), Effects);
+}
+
+void routing_node::updateFigureKeepers() {
+  if (!Duties.isMine())
+    return;
+  std::vector<address> Keepers;
+  if (Relays.inUse()) {
+    Keepers = Relays.ofOwnZone();
+    const std::vector<address> &Far = Relays.ofOtherZones();
+    Keepers.insert(Keepers.end(), Far.begin(), Far.end());
+  }
+  Copies.setEntries(Others, Keepers);
+}
+
+void routing_node::onFigureRequest(const address &From,
+                                   const wire::figure_request &Request,
+                                   steady_time Now, routing_effects &Effects) {
+  onStoreEra(Request.Era, "peer", Now, Effects);
+  // A former holder must not count on entries that know a newer one.
+  if (Request.Era != StoreEra || Request.Fence < Duties.highestFence())
+    return;
+  Duties.keepFigures(Request.Figures);
+  int64_t First = Request.First;
+  for (const wire::window_counts &Figures : Request.Figures)
+    First = std::min(First, Figures.Window);
+  sendFigures({From}, replyTo(Request, Duties.knownFigures(First)), Effects);
+}
+
+void routing_node::onFigureReply(const address &From,
+                                 const wire::figure_reply &Reply,
+                                 routing_effects &Effects) {
+  if (!Copies.onReply(From, Reply))
+    return;
+  for (const wire::window_counts &Figures :
+       Duties.rememberFigures(Reply.Figures))
+    Effects.push_back(
+        decision("usage-figures-recovered")
+            .add("window", Figures.Window)
+            .add("from", From)
+            .add("organisations", static_cast<int64_t>(Figures.Counts.size()))
+            .line(log_level::Warning));
+}
+
+void routing_node::logMissingCopies(int64_t Window, duration SinceEnd,
+                                    routing_effects &Effects) {
+  if (SinceEnd < Terms.Bounds.maxUsageWait() || Window <= LoggedUncopied)
+    return;
+  LoggedUncopied = Window;
+  Effects.push_back(decision("usage-copies-missing")
+                        .add("window", Window)
+                        .add("after_end", SinceEnd)
+                        .line(log_level::Warning));
+}
+
+// Lost datagrams are repeated, but those that are too large are never sent.
+void routing_node::sendFigures(std::vector<address> To,
+                               wire::peer_message Message,
+                               routing_effects &Effects) {
+  if (encodeMessage(Message).size() > max_figure_datagram_bytes)
+    return sendTo(To, Message, Effects);
+  Effects.push_back(send_datagrams{std::move(To), std::move(Message)});
+}
+
+// ------------------------------------------------------------------- reports
+
 // Returns the name of a live entry that has sent no report later than
 // `usage_report_period` after the end of the window; empty if there is none.
 std::string routing_node::missingReport(int64_t Window, steady_time Now) const {
@@ -85,7 +164,7 @@
     const wire::window_counts *Figures = Duties.figures(Window);
     duration SinceEnd = TrueTime - Usage.endOf(Window);
     if (!Figures) {
-      if (SinceEnd < usage_settle_time)
+      if (SinceEnd < usage_settle_time || !Copies.hasAsked(Event.Now))
         continue;
       std::string Missing = missingReport(Window, Event.Now);
       if (!Missing.empty() && SinceEnd < Terms.Bounds.maxUsageWait())
@@ -99,6 +178,10 @@
       Duties.queueFigures(Usage.sum(Window));
       continue;
     }
+    if (!Copies.areEnough(Window, Event.Now)) {
+      logMissingCopies(Window, SinceEnd, Effects);
+      continue;
+    }
     steady_time &NextSend =
         UsageSent.try_emplace(Window, steady_time::min()).first->second;
     if (Event.Now < NextSend)
--- a/routing/routing_node_platform.cc
+++ b/routing/routing_node_platform.cc
@@ -66,7 +66,6 @@
                           .add("duties_end", Duties.end().Offset)
                           .line(log_level::Warning));
     Effects.push_back(count_metric{"monsoonreel_store_restores_total", {}, 1});
-    RestoredAt = Now;
     Evacuations.onRestore(Now);
   }
   StoreEra = Era;
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -46,6 +46,10 @@
     return onRelayReport(From, *Report, Event.Now, Effects);
   if (const auto *Report = std::get_if<wire::usage_report>(&Received.Message))
     return onUsageReport(From, *Report, Event.Now);
+  if (const auto *Asked = std::get_if<wire::figure_request>(&Received.Message))
+    return onFigureRequest(From, *Asked, Event.Now, Effects);
+  if (const auto *Reply = std::get_if<wire::figure_reply>(&Received.Message))
+    return onFigureReply(From, *Reply, Effects);
   if (const auto *News = std::get_if<wire::feed_news>(&Received.Message))
     return onNews(From, *News, Event.Now, Effects);
   if (const auto *Ask = std::get_if<wire::placement_ask>(&Received.Message))
@@ -215,10 +219,8 @@
   Report.Leaving = leavingRuns(Event.Now);
   Report.Limits = Limits.recent(true, Event.Now);
   Report.Parts = Quarantine.report(true, Event.Now);
-  if (IsUsageDue && !Relays.inUse()) {
-    Report.Figures = figuresToShare(FirstReported, Event.Now);
+  if (IsUsageDue && !Relays.inUse())
     Report.Windows = Usage.ownWindows(PeersFiguredWindow + 1);
-  }
   if (Relays.inUse())
     Report.Feeds = marks(Event.Now);
   Report.WallMicros = toMicros(Event.Wall.time_since_epoch());
@@ -230,7 +232,7 @@
     Report.LastFiguredWindow = Duties.lastFiguredWindow();
   }
   if (Relays.inUse() && IsUsageDue)
-    sendUsageReport(FirstReported, Event.Now, Effects);
+    sendUsageReport(Effects);
   // The last report is not repeated, so it is not sent as a datagram.
   if (Finished) {
     Effects.push_back(
@@ -247,33 +249,6 @@
     sendZoneReport(Event, Effects);
 }
 
-// A fleet without relays is small enough for every entry to remember the
-// figures, so that one of them is left after a restore of the store.
-std::vector<wire::window_counts>
-routing_node::figuresToShare(int64_t FirstReported, steady_time Now) {
-  if (!Duties.isMine())
-    return lostFigures(FirstReported, Now);
-  if (Duties.lastFiguredWindow() > SharedWindow) {
-    SharedWindow = Duties.lastFiguredWindow();
-    SharesLeft = figure_shares;
-  }
-  std::vector<wire::window_counts> Shared;
-  if (SharesLeft == 0)
-    return Shared;
-  --SharesLeft;
-  for (int64_t Window : {SharedWindow - 1, SharedWindow})
-    if (const wire::window_counts *Written = Duties.figures(Window))
-      Shared.push_back(*Written);
-  return Shared;
-}
-
-std::vector<wire::window_counts>
-routing_node::lostFigures(int64_t FirstReported, steady_time Now) const {
-  bool MayBeLost = RestoredAt && Now - *RestoredAt < 2 * Terms.Bounds.UsageDue;
-  return MayBeLost ? Duties.lostFigures(FirstReported)
-                   : std::vector<wire::window_counts>();
-}
-
 const wire::member *routing_node::dutyHolder() const {
   auto It = std::find_if(Others.begin(), Others.end(),
                          [&](const wire::member &Member) {
@@ -284,14 +259,12 @@
 
 // Only the holder of the lease needs the counts. A new holder gets all counts
 // that have not been reported yet as soon as it is known.
-void routing_node::sendUsageReport(int64_t FirstReported, steady_time Now,
-                                   routing_effects &Effects) {
+void routing_node::sendUsageReport(routing_effects &Effects) {
   const wire::member *Holder = dutyHolder();
   if (!Holder)
     return;
   wire::usage_report Report;
   Report.Incarnation = Identity.Incarnation.Value;
-  Report.Figures = lostFigures(FirstReported, Now);
   Report.Windows = Usage.ownWindows(PeersFiguredWindow + 1);
   if (Finished)
     return sendTo({address(Holder->Address)},
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -4731,4 +4731,565 @@
   out << ")";
 }
 
+
+figure_request::~figure_request() noexcept {
+}
+
+
+void figure_request::__set_Era(const int64_t val) {
+  this->Era = val;
+}
+
+void figure_request::__set_Fence(const int64_t val) {
+  this->Fence = val;
+}
+
+void figure_request::__set_Figures(const std::vector<window_counts> & val) {
+  this->Figures = val;
+}
+
+void figure_request::__set_Asks(const bool val) {
+  this->Asks = val;
+}
+
+void figure_request::__set_First(const int64_t val) {
+  this->First = val;
+}
+std::ostream& operator<<(std::ostream& out, const figure_request& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t figure_request::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Era);
+          this->__isset.Era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Fence);
+          this->__isset.Fence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Figures.clear();
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->Figures.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
+            {
+              xfer += this->Figures[_i230].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Figures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Asks);
+          this->__isset.Asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->First);
+          this->__isset.First = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t figure_request::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("figure_request");
+
+  xfer += oprot->writeFieldBegin("Era", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Fence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Fence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
+    std::vector<window_counts> ::const_iterator _iter231;
+    for (_iter231 = this->Figures.begin(); _iter231 != this->Figures.end(); ++_iter231)
+    {
+      xfer += (*_iter231).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Asks", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->Asks);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("First", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->First);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(figure_request &a, figure_request &b) {
+  using ::std::swap;
+  swap(a.Era, b.Era);
+  swap(a.Fence, b.Fence);
+  swap(a.Figures, b.Figures);
+  swap(a.Asks, b.Asks);
+  swap(a.First, b.First);
+  swap(a.__isset, b.__isset);
+}
+
+figure_request::figure_request(const figure_request& other232) {
+  Era = other232.Era;
+  Fence = other232.Fence;
+  Figures = other232.Figures;
+  Asks = other232.Asks;
+  First = other232.First;
+  __isset = other232.__isset;
+}
+figure_request::figure_request(figure_request&& other233) noexcept {
+  Era = other233.Era;
+  Fence = other233.Fence;
+  Figures = std::move(other233.Figures);
+  Asks = other233.Asks;
+  First = other233.First;
+  __isset = other233.__isset;
+}
+figure_request& figure_request::operator=(const figure_request& other234) {
+  Era = other234.Era;
+  Fence = other234.Fence;
+  Figures = other234.Figures;
+  Asks = other234.Asks;
+  First = other234.First;
+  __isset = other234.__isset;
+  return *this;
+}
+figure_request& figure_request::operator=(figure_request&& other235) noexcept {
+  Era = other235.Era;
+  Fence = other235.Fence;
+  Figures = std::move(other235.Figures);
+  Asks = other235.Asks;
+  First = other235.First;
+  __isset = other235.__isset;
+  return *this;
+}
+void figure_request::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "figure_request(";
+  out << "Era=" << to_string(Era);
+  out << ", " << "Fence=" << to_string(Fence);
+  out << ", " << "Figures=" << to_string(Figures);
+  out << ", " << "Asks=" << to_string(Asks);
+  out << ", " << "First=" << to_string(First);
+  out << ")";
+}
+
+
+figure_copy::~figure_copy() noexcept {
+}
+
+
+void figure_copy::__set_Window(const int64_t val) {
+  this->Window = val;
+}
+
+void figure_copy::__set_Digest(const int64_t val) {
+  this->Digest = val;
+}
+std::ostream& operator<<(std::ostream& out, const figure_copy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t figure_copy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Window);
+          this->__isset.Window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Digest);
+          this->__isset.Digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t figure_copy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("figure_copy");
+
+  xfer += oprot->writeFieldBegin("Window", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Digest", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(figure_copy &a, figure_copy &b) {
+  using ::std::swap;
+  swap(a.Window, b.Window);
+  swap(a.Digest, b.Digest);
+  swap(a.__isset, b.__isset);
+}
+
+figure_copy::figure_copy(const figure_copy& other236) noexcept {
+  Window = other236.Window;
+  Digest = other236.Digest;
+  __isset = other236.__isset;
+}
+figure_copy::figure_copy(figure_copy&& other237) noexcept {
+  Window = other237.Window;
+  Digest = other237.Digest;
+  __isset = other237.__isset;
+}
+figure_copy& figure_copy::operator=(const figure_copy& other238) noexcept {
+  Window = other238.Window;
+  Digest = other238.Digest;
+  __isset = other238.__isset;
+  return *this;
+}
+figure_copy& figure_copy::operator=(figure_copy&& other239) noexcept {
+  Window = other239.Window;
+  Digest = other239.Digest;
+  __isset = other239.__isset;
+  return *this;
+}
+void figure_copy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "figure_copy(";
+  out << "Window=" << to_string(Window);
+  out << ", " << "Digest=" << to_string(Digest);
+  out << ")";
+}
+
+
+figure_reply::~figure_reply() noexcept {
+}
+
+
+void figure_reply::__set_Era(const int64_t val) {
+  this->Era = val;
+}
+
+void figure_reply::__set_Fence(const int64_t val) {
+  this->Fence = val;
+}
+
+void figure_reply::__set_Kept(const std::vector<figure_copy> & val) {
+  this->Kept = val;
+}
+
+void figure_reply::__set_Answers(const bool val) {
+  this->Answers = val;
+}
+
+void figure_reply::__set_Figures(const std::vector<window_counts> & val) {
+  this->Figures = val;
+}
+std::ostream& operator<<(std::ostream& out, const figure_reply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t figure_reply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Era);
+          this->__isset.Era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->Fence);
+          this->__isset.Fence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Kept.clear();
+            uint32_t _size240;
+            ::apache::thrift::protocol::TType _etype243;
+            xfer += iprot->readListBegin(_etype243, _size240);
+            this->Kept.resize(_size240);
+            uint32_t _i244;
+            for (_i244 = 0; _i244 < _size240; ++_i244)
+            {
+              xfer += this->Kept[_i244].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Kept = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->Answers);
+          this->__isset.Answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->Figures.clear();
+            uint32_t _size245;
+            ::apache::thrift::protocol::TType _etype248;
+            xfer += iprot->readListBegin(_etype248, _size245);
+            this->Figures.resize(_size245);
+            uint32_t _i249;
+            for (_i249 = 0; _i249 < _size245; ++_i249)
+            {
+              xfer += this->Figures[_i249].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.Figures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t figure_reply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("figure_reply");
+
+  xfer += oprot->writeFieldBegin("Era", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->Era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Fence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->Fence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Kept", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Kept.size()));
+    std::vector<figure_copy> ::const_iterator _iter250;
+    for (_iter250 = this->Kept.begin(); _iter250 != this->Kept.end(); ++_iter250)
+    {
+      xfer += (*_iter250).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Answers", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->Answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("Figures", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->Figures.size()));
+    std::vector<window_counts> ::const_iterator _iter251;
+    for (_iter251 = this->Figures.begin(); _iter251 != this->Figures.end(); ++_iter251)
+    {
+      xfer += (*_iter251).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(figure_reply &a, figure_reply &b) {
+  using ::std::swap;
+  swap(a.Era, b.Era);
+  swap(a.Fence, b.Fence);
+  swap(a.Kept, b.Kept);
+  swap(a.Answers, b.Answers);
+  swap(a.Figures, b.Figures);
+  swap(a.__isset, b.__isset);
+}
+
+figure_reply::figure_reply(const figure_reply& other252) {
+  Era = other252.Era;
+  Fence = other252.Fence;
+  Kept = other252.Kept;
+  Answers = other252.Answers;
+  Figures = other252.Figures;
+  __isset = other252.__isset;
+}
+figure_reply::figure_reply(figure_reply&& other253) noexcept {
+  Era = other253.Era;
+  Fence = other253.Fence;
+  Kept = std::move(other253.Kept);
+  Answers = other253.Answers;
+  Figures = std::move(other253.Figures);
+  __isset = other253.__isset;
+}
+figure_reply& figure_reply::operator=(const figure_reply& other254) {
+  Era = other254.Era;
+  Fence = other254.Fence;
+  Kept = other254.Kept;
+  Answers = other254.Answers;
+  Figures = other254.Figures;
+  __isset = other254.__isset;
+  return *this;
+}
+figure_reply& figure_reply::operator=(figure_reply&& other255) noexcept {
+  Era = other255.Era;
+  Fence = other255.Fence;
+  Kept = std::move(other255.Kept);
+  Answers = other255.Answers;
+  Figures = std::move(other255.Figures);
+  __isset = other255.__isset;
+  return *this;
+}
+void figure_reply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "figure_reply(";
+  out << "Era=" << to_string(Era);
+  out << ", " << "Fence=" << to_string(Fence);
+  out << ", " << "Kept=" << to_string(Kept);
+  out << ", " << "Answers=" << to_string(Answers);
+  out << ", " << "Figures=" << to_string(Figures);
+  out << ")";
+}
+
 }} // namespace
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -65,6 +65,12 @@
 
 class placement_grant;
 
+class figure_request;
+
+class figure_copy;
+
+class figure_reply;
+
 typedef struct _upstream_use__isset {
   _upstream_use__isset() : Upstream(false), Running(false), UnreadTokens(false), PacedStreams(false) {}
   bool Upstream :1;
@@ -1683,6 +1689,201 @@
 
 std::ostream& operator<<(std::ostream& out, const placement_grant& obj);
 
+typedef struct _figure_request__isset {
+  _figure_request__isset() : Era(false), Fence(false), Figures(false), Asks(false), First(false) {}
+  bool Era :1;
+  bool Fence :1;
+  bool Figures :1;
+  bool Asks :1;
+  bool First :1;
+} _figure_request__isset;
+
+class figure_request : public virtual ::apache::thrift::TBase {
+ public:
+
+  figure_request(const figure_request&);
+  figure_request(figure_request&&) noexcept;
+  figure_request& operator=(const figure_request&);
+  figure_request& operator=(figure_request&&) noexcept;
+  figure_request() noexcept
+                 : Era(0),
+                   Fence(0),
+                   Asks(0),
+                   First(0) {
+  }
+
+  virtual ~figure_request() noexcept;
+  int64_t Era;
+  int64_t Fence;
+  std::vector<window_counts>  Figures;
+  bool Asks;
+  int64_t First;
+
+  _figure_request__isset __isset;
+
+  void __set_Era(const int64_t val);
+
+  void __set_Fence(const int64_t val);
+
+  void __set_Figures(const std::vector<window_counts> & val);
+
+  void __set_Asks(const bool val);
+
+  void __set_First(const int64_t val);
+
+  bool operator == (const figure_request & rhs) const
+  {
+    if (!(Era == rhs.Era))
+      return false;
+    if (!(Fence == rhs.Fence))
+      return false;
+    if (!(Figures == rhs.Figures))
+      return false;
+    if (!(Asks == rhs.Asks))
+      return false;
+    if (!(First == rhs.First))
+      return false;
+    return true;
+  }
+  bool operator != (const figure_request &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const figure_request & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(figure_request &a, figure_request &b);
+
+std::ostream& operator<<(std::ostream& out, const figure_request& obj);
+
+typedef struct _figure_copy__isset {
+  _figure_copy__isset() : Window(false), Digest(false) {}
+  bool Window :1;
+  bool Digest :1;
+} _figure_copy__isset;
+
+class figure_copy : public virtual ::apache::thrift::TBase {
+ public:
+
+  figure_copy(const figure_copy&) noexcept;
+  figure_copy(figure_copy&&) noexcept;
+  figure_copy& operator=(const figure_copy&) noexcept;
+  figure_copy& operator=(figure_copy&&) noexcept;
+  figure_copy() noexcept
+              : Window(0),
+                Digest(0) {
+  }
+
+  virtual ~figure_copy() noexcept;
+  int64_t Window;
+  int64_t Digest;
+
+  _figure_copy__isset __isset;
+
+  void __set_Window(const int64_t val);
+
+  void __set_Digest(const int64_t val);
+
+  bool operator == (const figure_copy & rhs) const
+  {
+    if (!(Window == rhs.Window))
+      return false;
+    if (!(Digest == rhs.Digest))
+      return false;
+    return true;
+  }
+  bool operator != (const figure_copy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const figure_copy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(figure_copy &a, figure_copy &b);
+
+std::ostream& operator<<(std::ostream& out, const figure_copy& obj);
+
+typedef struct _figure_reply__isset {
+  _figure_reply__isset() : Era(false), Fence(false), Kept(false), Answers(false), Figures(false) {}
+  bool Era :1;
+  bool Fence :1;
+  bool Kept :1;
+  bool Answers :1;
+  bool Figures :1;
+} _figure_reply__isset;
+
+class figure_reply : public virtual ::apache::thrift::TBase {
+ public:
+
+  figure_reply(const figure_reply&);
+  figure_reply(figure_reply&&) noexcept;
+  figure_reply& operator=(const figure_reply&);
+  figure_reply& operator=(figure_reply&&) noexcept;
+  figure_reply() noexcept
+               : Era(0),
+                 Fence(0),
+                 Answers(0) {
+  }
+
+  virtual ~figure_reply() noexcept;
+  int64_t Era;
+  int64_t Fence;
+  std::vector<figure_copy>  Kept;
+  bool Answers;
+  std::vector<window_counts>  Figures;
+
+  _figure_reply__isset __isset;
+
+  void __set_Era(const int64_t val);
+
+  void __set_Fence(const int64_t val);
+
+  void __set_Kept(const std::vector<figure_copy> & val);
+
+  void __set_Answers(const bool val);
+
+  void __set_Figures(const std::vector<window_counts> & val);
+
+  bool operator == (const figure_reply & rhs) const
+  {
+    if (!(Era == rhs.Era))
+      return false;
+    if (!(Fence == rhs.Fence))
+      return false;
+    if (!(Kept == rhs.Kept))
+      return false;
+    if (!(Answers == rhs.Answers))
+      return false;
+    if (!(Figures == rhs.Figures))
+      return false;
+    return true;
+  }
+  bool operator != (const figure_reply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const figure_reply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(figure_reply &a, figure_reply &b);
+
+std::ostream& operator<<(std::ostream& out, const figure_reply& obj);
+
 }} // namespace
 
 #endif
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -99,8 +99,7 @@
   14: part_report Parts
   15: i64 StoreEra               // newest era of the store that is known; 0: unknown
   16: i64 DutyClaimEra           // of DutyClaimOffset; 0: unknown
-  17: list<window_counts> Figures // as written to the duty log: new ones, by the
-                                 // holder, and ones that the log may have lost
+  17: list<window_counts> Figures // only from older builds, see figure_request
   18: i64 ConfigVersion          // in force at the sender; 0: none or unknown
 }
 
@@ -109,7 +108,7 @@
 struct usage_report {
   1: i64 Incarnation
   2: list<window_counts> Windows
-  3: list<window_counts> Figures // as written, which the log may have lost
+  3: list<window_counts> Figures // only from older builds
 }
 
 // What the entries of a zone have under way together.
@@ -216,3 +215,28 @@
   7: string FetchFrom          // engine from which Upstream fetches what it lacks
                                // of the prompt; empty: none
 }
+
+// Sent by the holder of the duties. Figures are written to the duty log, and the
+// receiver keeps them; the holder reports a window when enough entries do.
+struct figure_request {
+  1: i64 Era                     // of the store
+  2: i64 Fence                   // of the holder's lease
+  3: list<window_counts> Figures
+  4: bool Asks                   // for the figures that the receiver knows, which
+                                 // the log may have lost
+  5: i64 First                   // oldest window that is asked for
+}
+
+// Figures of a window, as known to the sender.
+struct figure_copy {
+  1: i64 Window
+  2: i64 Digest                  // of the encoded figures
+}
+
+struct figure_reply {
+  1: i64 Era                     // as in the request
+  2: i64 Fence
+  3: list<figure_copy> Kept      // those of the request
+  4: bool Answers                // Figures are all that was asked for
+  5: list<window_counts> Figures
+}
