io: all answers are read by one parser

The product's own entry read answers with Qt's network client, which takes a head whose length it can't read for one without a length, drops lines that are no field, and passes the rest on as a whole answer. The steward, the poller and the command line used it for small calls.

upstream_client and http_caller now call through channel_pool. The mends for Qt's client (no second send, six connections to an address, managers with threads) go with it. tcp_stream takes IPv6 addresses, as Qt did.

--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -59,6 +59,8 @@
     WroteSome = Stream.isConnected();
     if (Options.HeadOnly)
       Parser.expectHeadOnly();
+    // The call before may have ended while it was not read.
+    Stream.setReading(true);
     Stream.write(Bytes);
   }
 
@@ -216,7 +218,8 @@
   duration IdleLimit = unstated_idle_limit;
 };
 
-channel_pool::channel_pool() {
+channel_pool::channel_pool(duration ConnectTimeout)
+    : ConnectTimeout(ConnectTimeout) {
   QObject::connect(&Watchdog, &QTimer::timeout, &Watchdog,
                    [this] { checkTimes(); });
   Watchdog.setInterval(watchdog_period);
@@ -242,7 +245,7 @@
                             std::shared_ptr<call_handler> Handler) {
   call_id Call{++LastCall};
   site &Site = Sites[To];
-  std::unique_ptr<channel> Channel = takeIdle(Site);
+  std::unique_ptr<channel> Channel = Options.Fresh ? nullptr : takeIdle(Site);
   if (!Channel) {
     if (Site.Open >= Options.MaxConnections) {
       failLater(Call, std::move(Handler), "too many connections");
@@ -323,7 +326,7 @@
   steady_time Now = steadyNow();
   std::vector<channel *> Late;
   for (auto &[Call, Channel] : Active)
-    if (Channel->isConnecting() && Now - Channel->openedAt() > connect_timeout)
+    if (Channel->isConnecting() && Now - Channel->openedAt() > ConnectTimeout)
       Late.push_back(Channel.get());
   for (channel *Channel : Late)
     Channel->fail("connect timeout");
--- a/io/channel_pool.h
+++ b/io/channel_pool.h
@@ -73,11 +73,12 @@
   int MaxConnections = 1000; // to this address
   bool HeadOnly = false;     // the answer has no body
   std::string Id = {};       // as returned by call_handler::requestIdOf
+  bool Fresh = false;        // on a connection that was not used before
 };
 
 class channel_pool {
 public:
-  channel_pool();
+  explicit channel_pool(duration ConnectTimeout = connect_timeout);
   ~channel_pool();
   channel_pool(const channel_pool &) = delete;
   channel_pool &operator=(const channel_pool &) = delete;
@@ -109,6 +110,7 @@
   void checkTimes();
   void bury(std::unique_ptr<channel> Channel);
 
+  duration ConnectTimeout;
   absl::flat_hash_map<address, site> Sites;
   absl::flat_hash_map<call_id, std::unique_ptr<channel>> Active;
   // Channels that ended within their own callbacks.
--- a/io/http_call.h
+++ b/io/http_call.h
@@ -13,9 +13,7 @@
 #include <functional>
 #include <string>
 
-#include <QObject>
-
-#include "io/network_request.h"
+#include "io/timed_call.h"
 #include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
@@ -36,7 +34,9 @@
   std::string Error;
 };
 
-constexpr qint64 max_result_bytes = 32 << 20;
+constexpr size_t max_result_bytes = size_t{32} << 20;
+// Calls may cross regions and lost packets; each has its own timeout.
+constexpr duration call_connect_timeout = std::chrono::seconds(5);
 
 class http_caller {
 public:
@@ -45,9 +45,7 @@
   void call(const http_call &Call, callback Callback);
 
 private:
-  manager_pool Managers;
-  // Receives the replies' signals; destroyed first.
-  QObject Receiver;
+  timed_caller Caller{max_result_bytes, call_connect_timeout};
 };
 
 } // namespace monsoonreel
--- a/io/tcp_stream.cc
+++ b/io/tcp_stream.cc
@@ -44,6 +44,25 @@
             inUnits<std::chrono::milliseconds>(unacknowledged_timeout));
 }
 
+// Returns the size of the socket address, or 0 if there is none.
+socklen_t socketAddress(const address &To, sockaddr_storage &Peer) {
+  auto Parts = splitAddress(To);
+  if (!Parts)
+    return 0;
+  auto &Four = reinterpret_cast<sockaddr_in &>(Peer);
+  if (::inet_pton(AF_INET, Parts->Host.c_str(), &Four.sin_addr) == 1) {
+    Four.sin_family = AF_INET;
+    Four.sin_port = htons(Parts->Port);
+    return sizeof(Four);
+  }
+  auto &Six = reinterpret_cast<sockaddr_in6 &>(Peer);
+  if (::inet_pton(AF_INET6, Parts->Host.c_str(), &Six.sin6_addr) != 1)
+    return 0;
+  Six.sin6_family = AF_INET6;
+  Six.sin6_port = htons(Parts->Port);
+  return sizeof(Six);
+}
+
 } // namespace
 
 tcp_stream::tcp_stream(tcp_stream_listener &Listener) : Listener(Listener) {
@@ -57,18 +76,16 @@
 tcp_stream::~tcp_stream() { closeSocket(); }
 
 bool tcp_stream::open(const address &To) {
-  auto Parts = splitAddress(To);
-  sockaddr_in Peer{};
-  Peer.sin_family = AF_INET;
-  if (!Parts || ::inet_pton(AF_INET, Parts->Host.c_str(), &Peer.sin_addr) != 1)
+  sockaddr_storage Peer{};
+  socklen_t Size = socketAddress(To, Peer);
+  if (Size == 0)
     return false;
-  Peer.sin_port = htons(Parts->Port);
-  Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  Socket =
+      ::socket(Peer.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (Socket < 0)
     return false;
   setOptions(Socket);
-  int Result =
-      ::connect(Socket, reinterpret_cast<sockaddr *>(&Peer), sizeof(Peer));
+  int Result = ::connect(Socket, reinterpret_cast<sockaddr *>(&Peer), Size);
   if (Result != 0 && errno != EINPROGRESS) {
     closeSocket();
     return false;
--- a/io/testing/channel_pool_test.cc
+++ b/io/testing/channel_pool_test.cc
@@ -36,13 +36,18 @@
   std::string requestIdOf(const http_reply_head &Head) const override {
     return *Head.header("Id");
   }
-  void onData(std::string &&Data) override { Body += Data; }
+  void onData(std::string &&Data) override {
+    Body += Data;
+    if (OnBody)
+      OnBody();
+  }
   void onEnd() override { Ended = true; }
   void onFailed(attempt_failure How, const std::string & /*Why*/) override {
     Failure = How;
   }
   bool isOver() const { return Ended || Failure; }
 
+  std::function<void()> OnBody;
   std::string Id;
   int Status = 0;
   std::string Body;
@@ -380,6 +385,42 @@
   EXPECT_TRUE(waitUntil([&] { return Pool.idleConnections() == 0; }));
 }
 
+// Guards against an answer that is never read: the call before had ended while
+// its reading was stopped.
+TEST_F(channel_pool_test, Connection_OfACallThatWasPaused_IsReadAgain) {
+  answerWith(answer("a", "one", "Keep-Alive: timeout=5\r\n"));
+  auto First = start("a");
+  First->OnBody = [&] { Pool.setReading(LastCall, false); };
+  EXPECT_TRUE(waitUntil([&] { return First->isOver(); }));
+  EXPECT_EQ(Pool.idleConnections(), 1u);
+  EXPECT_TRUE(run("a")->Ended);
+  EXPECT_EQ(Server.Connections, 1);
+}
+
+TEST_F(channel_pool_test, Call_Fresh_HasAConnectionOfItsOwn) {
+  runFirst("a");
+  call_options Options;
+  Options.Fresh = true;
+  auto Call = start("a", Options);
+  EXPECT_TRUE(waitUntil([&] { return Call->Ended; }));
+  EXPECT_EQ(Server.Connections, 2);
+}
+
+TEST_F(channel_pool_test, Address_OfIpV6_IsCalled) {
+  QTcpServer Six;
+  if (!Six.listen(QHostAddress::LocalHostIPv6, 0))
+    GTEST_SKIP() << "no IPv6 on this machine";
+  QObject::connect(&Six, &QTcpServer::newConnection, [&] {
+    std::string Bytes = answer("a", "six");
+    Six.nextPendingConnection()->write(Bytes.data(), std::ssize(Bytes));
+  });
+  auto Call = std::make_shared<recorder>("a");
+  Pool.start(address("[::1]:" + std::to_string(Six.serverPort())), request("a"),
+             {}, Call);
+  EXPECT_TRUE(waitUntil([&] { return Call->isOver(); }));
+  EXPECT_EQ(Call->Body, "six");
+}
+
 TEST_F(channel_pool_test, Connection_ClosedWhileIdle_IsNotUsedAgain) {
   answerWith(answer("a", "one", "Keep-Alive: timeout=5\r\n"),
              [](QTcpSocket *Socket) { Socket->disconnectFromHost(); });
--- a/io/testing/upstream_client_test.cc
+++ b/io/testing/upstream_client_test.cc
@@ -8,6 +8,8 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+
 #include "io/clock.h"
 #include "io/testing/raw_server.h"
 #include "io/testing/wait.h"
@@ -207,6 +209,60 @@
   EXPECT_EQ(Failure->Failure, attempt_failure::Truncated);
 }
 
+// Guards against a body that is not the upstream's, and against a part of an
+// answer that passes for a whole one.
+TEST_F(upstream_client_test, Answer_HeadIsSpoilt_IsNoAnswer) {
+  for (const char *Line :
+       {"Content-Length : 5", "Content-Length: 5a", "Content-Length: 5, 5",
+        "Transfer-Encoding: chunke", "Transfer-Encoding: gzip", "a b: c",
+        "a\x01: b", "no field"}) {
+    Server.OnRequest = [Line](QTcpSocket *Socket) {
+      Socket->write(("HTTP/1.1 200 OK\r\n" + std::string(Line) +
+                     "\r\n\r\nhello, and more")
+                        .c_str());
+      Socket->disconnectFromHost();
+    };
+    Failure.reset();
+    Finished = 0;
+    Client.start(request("GET"));
+    ASSERT_TRUE(waitForEnd()) << Line;
+    EXPECT_TRUE(Failure) << Line;
+    EXPECT_EQ(Finished, 0) << Line;
+  }
+}
+
+TEST_F(upstream_client_test, StatusLine_Spoilt_IsNoAnswer) {
+  for (const char *Line : {"HTTP/1.1 000 OK", "HTTP/1.1 600 OK",
+                           "HTTP/3.1 200 OK", "HTTP/1.1 2000 OK"}) {
+    Server.OnRequest = [Line](QTcpSocket *Socket) {
+      Socket->write(
+          (std::string(Line) + "\r\nContent-Length: 5\r\n\r\nhello").c_str());
+      Socket->disconnectFromHost();
+    };
+    Failure.reset();
+    Finished = 0;
+    Client.start(request("GET"));
+    ASSERT_TRUE(waitForEnd()) << Line;
+    EXPECT_TRUE(Failure) << Line;
+  }
+}
+
+TEST_F(upstream_client_test, Answer_WithoutLengthAndReset_IsTruncated) {
+  Server.OnRequest = [](QTcpSocket *Socket) {
+    Socket->write("HTTP/1.1 200 OK\r\n\r\npart");
+    QTimer::singleShot(50, Socket, [Socket] {
+      linger Now{1, 0};
+      ::setsockopt(static_cast<int>(Socket->socketDescriptor()), SOL_SOCKET,
+                   SO_LINGER, &Now, sizeof(Now));
+      Socket->abort();
+    });
+  };
+  Client.start(request("GET"));
+  ASSERT_TRUE(waitForEnd());
+  EXPECT_TRUE(Failure);
+  EXPECT_EQ(Finished, 0);
+}
+
 TEST_F(upstream_client_test, Answer_EndsWithinAChunk_IsTruncated) {
   Server.OnRequest = [](QTcpSocket *Socket) {
     Socket->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/io/timed_call.cc
+++ b/io/timed_call.cc
@@ -8,7 +8,8 @@
 
 class timed_caller::handler : public call_handler {
 public:
-  explicit handler(callback Then) : Callback(std::move(Then)) {
+  handler(callback Then, size_t MaxBytes)
+      : Callback(std::move(Then)), MaxBytes(MaxBytes) {
     Timer.setSingleShot(true);
   }
 
@@ -23,13 +24,13 @@
     return reply_verdict::Own;
   }
   void onData(std::string &&Data) override {
-    if (Result.Body.size() + Data.size() <= max_timed_answer_bytes)
+    if (Result.Body.size() + Data.size() <= MaxBytes)
       Result.Body += Data;
     else
-      TooLarge = true;
+      Result.TooLarge = true;
   }
   void onEnd() override {
-    if (TooLarge)
+    if (Result.TooLarge)
       return fail("answer too large");
     finish();
   }
@@ -54,13 +55,13 @@
 
   callback Callback;
   timed_result Result;
-  bool TooLarge = false;
+  size_t MaxBytes;
   QTimer Timer;
 };
 
 call_id timed_caller::call(const address &To, std::string_view Bytes,
                            duration Timeout, callback Callback) {
-  auto Handler = std::make_shared<handler>(std::move(Callback));
+  auto Handler = std::make_shared<handler>(std::move(Callback), MaxAnswerBytes);
   call_id Call = Channels.start(To, Bytes, call_options(), Handler);
   std::weak_ptr<handler> Weak = Handler;
   Handler->startTimer(Timeout, [this, Call, Weak] {
--- a/io/timed_call.h
+++ b/io/timed_call.h
@@ -5,8 +5,7 @@
 //   call_id Call = Caller.call(Address, Bytes, seconds(1),
 //                              [](const timed_result &R) { use(R.Body); });
 //
-// Unlike `http_caller`, it knows whether a call without an answer may have
-// taken effect, and never uses a connection again that has been silent. The
+// The result tells whether a call without an answer may have taken effect. The
 // callback comes once, unless the call is cancelled.
 
 #ifndef IO_TIMED_CALL_H
@@ -19,7 +18,7 @@
 
 namespace monsoonreel {
 
-// Larger answers are refused.
+// Larger answers are refused, unless another limit is chosen.
 constexpr size_t max_timed_answer_bytes = size_t{16} << 20;
 
 struct timed_result {
@@ -28,6 +27,7 @@
   std::string Body;
   // Without an answer: nothing of the call was sent.
   bool NeverSent = false;
+  bool TooLarge = false; // the answer exceeded the limit
   std::string Error;
 };
 
@@ -35,12 +35,17 @@
 public:
   using callback = std::function<void(const timed_result &)>;
 
+  explicit timed_caller(size_t MaxAnswerBytes = max_timed_answer_bytes,
+                        duration ConnectTimeout = connect_timeout)
+      : MaxAnswerBytes(MaxAnswerBytes), Channels(ConnectTimeout) {}
+
   call_id call(const address &To, std::string_view Bytes, duration Timeout,
                callback Callback);
   void cancel(call_id Call) { Channels.cancel(Call); }
 
 private:
   class handler;
+  size_t MaxAnswerBytes;
   channel_pool Channels;
 };
 
--- a/io/upstream_client.h
+++ b/io/upstream_client.h
@@ -16,13 +16,9 @@
 #include <memory>
 #include <string>
 
-#include <QObject>
-
 #include "absl/container/flat_hash_map.h"
 
-#include "io/event_stream.h"
-#include "io/http_head.h"
-#include "io/network_request.h"
+#include "io/channel_pool.h"
 #include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel {
@@ -65,23 +61,15 @@
   size_t running() const { return Exchanges.size(); }
 
 private:
-  struct exchange;
+  class exchange;
 
-  void fail(attempt_number Attempt, attempt_failure Failure,
-            std::string Detail);
-  void onInput(attempt_number Attempt);
-  void onFinished(attempt_number Attempt);
-  void sendHeaders(exchange &Exchange);
-  // Returns false when the attempt has ended or has no room.
-  bool readSome(attempt_number Attempt);
+  // Passes on what the listener has room for, and the end once all is.
+  void deliver(attempt_number Attempt);
   void conclude(attempt_number Attempt);
-  void remove(attempt_number Attempt);
 
   upstream_listener &Listener;
-  manager_pool Managers;
-  // Parent of the managers of single connections whose requests have ended.
-  QObject Retired;
-  absl::flat_hash_map<attempt_number, std::unique_ptr<exchange>> Exchanges;
+  channel_pool Channels;
+  absl::flat_hash_map<attempt_number, std::shared_ptr<exchange>> Exchanges;
 };
 
 } // namespace monsoonreel
