io: bytes that begin another answer leave the one before them whole

Callers got 502 for a whole answer that a blank line or a spoilt second answer followed in the same read.

The parser now says whether the bytes may be the rest of the body. Those that begin with HTTP/ and blank lines are not; other bytes still fail the call, because a length that is too small leaves such a rest. In both cases the connection ends.

The test of IPv6 addresses is not skipped any more where there is no IPv6.

--- a/io/channel_pool.cc
+++ b/io/channel_pool.cc
@@ -119,10 +119,11 @@
   enum class phase { Waiting, Skipping, Body };
 
   void deliver(std::vector<reply_event> Events) {
-    // Bytes that are no answer and follow one directly may be a part of it,
-    // with bytes of another answer in their place.
-    bool IsDamaged =
-        !Events.empty() && std::holds_alternative<reply_error>(Events.back());
+    // Bytes that follow an answer directly and do not begin another one may be
+    // a part of it: its length is wrong, or bytes of another answer are in it.
+    const auto *Error =
+        Events.empty() ? nullptr : std::get_if<reply_error>(&Events.back());
+    bool IsDamaged = Error && Error->MayBeBody;
     for (reply_event &Event : Events) {
       if (!Handler)
         return; // the call has ended meanwhile
--- a/io/http_reply_parser.cc
+++ b/io/http_reply_parser.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::string_view protocol = "HTTP/1.";
+constexpr std::string_view protocol_name = "HTTP/";
+constexpr int first_status = 100;
 constexpr int first_final_status = 200;
 constexpr int last_status = 599;
 
@@ -27,6 +29,12 @@
          QString::fromStdString(Text).contains(StatusLine);
 }
 
+// Returns whether Text begins with Prefix, as far as it goes.
+bool beginsWith(std::string_view Text, std::string_view Prefix) {
+  size_t Size = std::min(Text.size(), Prefix.size());
+  return Text.substr(0, Size) == Prefix.substr(0, Size);
+}
+
 struct status_line {
   bool Http10 = false;
   int Status = 0;
@@ -49,7 +57,7 @@
     return tl::unexpected<std::string>("malformed status line");
   for (char Digit : Digits)
     Parsed.Status = Parsed.Status * decimal + (Digit - '0');
-  if (Parsed.Status < http_status::first || Parsed.Status > last_status)
+  if (Parsed.Status < first_status || Parsed.Status > last_status)
     return tl::unexpected<std::string>("status out of range");
   if (containsStatusLine(std::string(Phrase)))
     return tl::unexpected<std::string>("a head with two status lines");
@@ -71,27 +79,38 @@
   chunk_decoder Chunks;
   bool HeadOnly = false;
   bool HadAnswer = false;
+  bool HadBlankLine = false; // behind an answer
 
-  void fail(std::string Why) {
+  // MayBeBody: see reply_error.
+  void fail(std::string Why, bool MayBeBody = false) {
     Step = step::Failed;
-    Events.emplace_back(reply_error{std::move(Why)});
+    Events.emplace_back(reply_error{std::move(Why), MayBeBody});
   }
   void endAnswer() {
     Step = step::StatusLine;
     Events.emplace_back(reply_end{});
   }
 
+  void skipBlankLines(std::string_view &Bytes) {
+    size_t Size = std::min(Bytes.find_first_not_of("\r\n"), Bytes.size());
+    HadBlankLine = HadBlankLine || Size > 0;
+    Bytes.remove_prefix(Size);
+  }
+
   void readLine(std::string_view &Bytes) {
+    if (Step == step::StatusLine && HadAnswer && Line.isEmpty())
+      skipBlankLines(Bytes);
     size_t Given = Bytes.size();
     line_status Status = Line.read(Bytes);
     HeadBytes += Given - Bytes.size();
     if (HeadBytes > max_reply_head_bytes)
       return fail("head too large");
-    if (Status == line_status::Invalid)
-      return fail("malformed line in a head");
-    if (Step == step::StatusLine && Line.text().substr(0, protocol.size()) !=
-                                        protocol.substr(0, Line.text().size()))
-      return fail("bytes that are no answer");
+    std::string_view Text = Line.text();
+    bool IsStatusLine = Step == step::StatusLine;
+    if (Status == line_status::Invalid ||
+        (IsStatusLine && !beginsWith(Text, protocol)))
+      return fail("malformed line in a head",
+                  IsStatusLine && !Text.starts_with(protocol_name));
     if (Status == line_status::Incomplete)
       return;
     onLine();
@@ -175,6 +194,10 @@
 http_reply_parser::http_reply_parser() : State(std::make_unique<state>()) {}
 
 http_reply_parser::~http_reply_parser() = default;
+http_reply_parser::http_reply_parser(http_reply_parser &&Other) noexcept =
+    default;
+http_reply_parser &
+http_reply_parser::operator=(http_reply_parser &&Other) noexcept = default;
 
 void http_reply_parser::expectHeadOnly() { State->HeadOnly = true; }
 
@@ -206,7 +229,8 @@
 }
 
 bool http_reply_parser::isBetweenAnswers() const {
-  return State->Step == state::step::StatusLine && State->Line.isEmpty();
+  return State->Step == state::step::StatusLine && State->Line.isEmpty() &&
+         !State->HadBlankLine;
 }
 
 } // namespace monsoonreel
--- a/io/http_reply_parser.h
+++ b/io/http_reply_parser.h
@@ -7,6 +7,9 @@
 // The parser accepts any number of answers in a row; who asked for them is the
 // caller's matter. After a `reply_error` the connection is of no more use.
 //
+// Blank lines behind an answer are skipped, as some servers send them there;
+// the connection is not used again all the same.
+//
 // Heads follow the grammar of `http_fields.h`, and anything else in their place
 // is an error, because a body whose end is guessed may be another one than the
 // server's. So is a status line within a head: there, a server has begun
@@ -47,6 +50,9 @@
 struct reply_end {};
 struct reply_error {
   std::string Reason;
+  // The bytes do not begin an answer, so they may be the rest of the body
+  // before them, whose length was wrong.
+  bool MayBeBody = false;
 };
 using reply_event =
     std::variant<http_reply_head, reply_data, reply_end, reply_error>;
@@ -55,6 +61,8 @@
 public:
   http_reply_parser();
   ~http_reply_parser();
+  http_reply_parser(http_reply_parser &&Other) noexcept;
+  http_reply_parser &operator=(http_reply_parser &&Other) noexcept;
 
   // The next answer has no body, whatever its head says.
   void expectHeadOnly();
--- a/io/testing/channel_pool_test.cc
+++ b/io/testing/channel_pool_test.cc
@@ -243,6 +243,26 @@
   }
 }
 
+// Guards against a whole answer that fails for what follows it.
+TEST_F(channel_pool_test, Answer_FollowedByExcess_IsWhole) {
+  for (const char *Excess :
+       {"\r\n", "\r\n\r\n", "HTTP/1.1 500 x\r\nno field\r\n",
+        "HTTP/1.1 000 x\r\n", "HTTP/2.0 200 OK\r\n"}) {
+    answerWith(answer("a", "whole", "Keep-Alive: timeout=5\r\n") + Excess);
+    auto Call = run("a");
+    EXPECT_TRUE(Call->Ended) << Excess;
+    EXPECT_EQ(Call->Body, "whole") << Excess;
+    EXPECT_EQ(Pool.idleConnections(), 0u) << Excess;
+  }
+}
+
+// Guards against a part of a body that passes for the whole one, because its
+// length is too small.
+TEST_F(channel_pool_test, Answer_LongerThanItsLength_IsNotWhole) {
+  answerWith("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nwhole");
+  EXPECT_EQ(run("a")->Failure, attempt_failure::Truncated);
+}
+
 // The same with bytes that come when the next request is already on its way.
 TEST_F(channel_pool_test, LateBytes_BeforeTheNextAnswer_AreNoSuccess) {
   std::string First = answer("a", "first", "Keep-Alive: timeout=5\r\n");
@@ -408,17 +428,19 @@
 
 TEST_F(channel_pool_test, Address_OfIpV6_IsCalled) {
   QTcpServer Six;
-  if (!Six.listen(QHostAddress::LocalHostIPv6, 0))
-    GTEST_SKIP() << "no IPv6 on this machine";
+  bool HasIpV6 = Six.listen(QHostAddress::LocalHostIPv6, 0);
   QObject::connect(&Six, &QTcpServer::newConnection, [&] {
     std::string Bytes = answer("a", "six");
     Six.nextPendingConnection()->write(Bytes.data(), std::ssize(Bytes));
   });
   auto Call = std::make_shared<recorder>("a");
-  Pool.start(address("[::1]:" + std::to_string(Six.serverPort())), request("a"),
-             {}, Call);
+  uint16_t Port = HasIpV6 ? Six.serverPort() : 1;
+  Pool.start(address("[::1]:" + std::to_string(Port)), request("a"), {}, Call);
   EXPECT_TRUE(waitUntil([&] { return Call->isOver(); }));
-  EXPECT_EQ(Call->Body, "six");
+  if (HasIpV6)
+    EXPECT_EQ(Call->Body, "six");
+  else
+    EXPECT_EQ(Call->Failure, attempt_failure::NeverSent);
 }
 
 TEST_F(channel_pool_test, Connection_ClosedWhileIdle_IsNotUsedAgain) {
--- a/io/testing/http_reply_parser_test.cc
+++ b/io/testing/http_reply_parser_test.cc
@@ -219,6 +219,22 @@
   }
 }
 
+// Guards against a whole answer that is refused for what follows it.
+TEST_F(http_reply_parser_test, Excess_BeginsAnAnswer_IsNoPartOfTheBody) {
+  for (const char *Excess :
+       {"\r\n", "\r\n\r\n", "\n", "\r\nHTTP/1.1 2",
+        "HTTP/1.1 200 OK\r\nbad line", "HTTP/2.0 200 OK\r\n",
+        "HTTP/1.1 000 x\r\n", "HTTP/1.1 200 O\x01"})
+    for (bool MayBeBody : {false, true}) {
+      http_reply_parser Parser;
+      std::string More = MayBeBody ? "rest" : Excess;
+      auto Events = Parser.read(withLine("Content-Length: 5") + More);
+      const auto *Error = std::get_if<reply_error>(&Events.back());
+      EXPECT_EQ(Error && Error->MayBeBody, MayBeBody) << More;
+      EXPECT_FALSE(Parser.isBetweenAnswers()) << More;
+    }
+}
+
 TEST_F(http_reply_parser_test, Answers_InARow_AreRead) {
   std::string Two = withLine("Content-Length: 5") + withStatusLine("HTTP/1.1 "
                                                                    "500 No");
--- a/monsoonreel/http_status.h
+++ b/monsoonreel/http_status.h
@@ -5,7 +5,6 @@
 
 namespace monsoonreel::http_status {
 
-constexpr int first = 100; // lowest status that there is
 constexpr int switching_protocols = 101;
 constexpr int ok = 200;
 constexpr int accepted = 202;
