load: answers are read by the parser of the entries

The load tool took 1a for a length of 1, 200x for a status of 200, lines that are no field, and bytes in the place of a chunk's end, so it could count an entry's broken answer as complete. Its reader was a second parser of answers; it now uses http_reply_parser.

load_test.Answer_Hostile_IsMalformed has these four answers; all four failed before.

--- a/load/answer_reader.h
+++ b/load/answer_reader.h
@@ -11,12 +11,12 @@
 #ifndef LOAD_ANSWER_READER_H
 #define LOAD_ANSWER_READER_H
 
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "io/http_reply_parser.h"
 #include "monsoonreel/monsoonreel.h"
 
 namespace monsoonreel::load {
@@ -28,8 +28,8 @@
   void feed(std::string_view Bytes, steady_time Now);
 
   progress state() const { return State; }
-  int status() const { return Status; }
-  // Empty when the header did not come. Names are lower case.
+  int status() const { return Head.Status; }
+  // Empty when the header did not come.
   std::string header(const std::string &Name) const;
   // The body without chunk framing.
   const std::string &body() const { return Body; }
@@ -42,19 +42,14 @@
   const std::vector<steady_time> &tokenTimes() const { return TokenTimes; }
 
 private:
-  void readHead();
-  void readSizedBody(steady_time Now);
-  void readChunks(steady_time Now);
+  void onHead(const http_reply_head &Reply);
   void takeBody(std::string_view Part, steady_time Now);
   void readEvents(steady_time Now);
   void readEvent(std::string_view Event, steady_time Now);
 
   progress State = progress::Head;
-  std::string Pending; // bytes not looked at yet
-  int Status = 0;
-  std::map<std::string, std::string> Headers;
-  bool Chunked = false;
-  size_t BodyLength = 0;
+  http_reply_parser Parser;
+  http_reply_head Head;
   std::string Body;
   bool EventStream = false;
   size_t EventsRead = 0; // bytes of Body
--- a/load/testing/load_test.cc
+++ b/load/testing/load_test.cc
@@ -117,7 +117,11 @@
   for (const char *Wire :
        {"rubbish\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nab",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n"}) {
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1a\r\n\r\na",
+        "HTTP/1.1 200x OK\r\nContent-Length: 1\r\n\r\na",
+        "HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 1\r\n\r\na",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\naXX0\r\n"}) {
     answer_reader Reader;
     Reader.feed(Wire, steady_time{});
     EXPECT_EQ(Reader.state(), progress::Malformed) << Wire;
