routing: attempt-failed states what was wrong with the connection

The log could not tell a reset from a spoilt head or a time limit: reason is broken or truncated for all of them. The field detail has the error of the connection or of the parser, such as "malformed Content-Length".

--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -180,6 +180,7 @@
     bool Stream = false;             // passed on event by event
     bool Held = false;               // its answer is held back until complete
     bool EndsWithConnection = false; // its body has no length
+    std::string FailureDetail;       // of its connection, for the log
     upstream_instance run() const { return {Upstream, UpstreamStartedAt}; }
     int64_t eventsOfAttempt() const { return Events.taken() - EventsBefore; }
     // State of the answer to the caller:
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -279,6 +279,7 @@
     --Request->Sent;
     Services.FailureTracker.onUnreachable(Request->Upstream,
                                           Request->UpstreamZone, Context.Now);
+    Request->FailureDetail = Failed.Detail;
     return resendOrFail(*Request, false, "unreachable", Context, Effects);
   }
   if (Request->Knowledge == execution_outcome::NotRun)
@@ -287,6 +288,7 @@
   if (Request->Status == 0)
     Services.FailureTracker.onUnreachable(Request->Upstream,
                                           Request->UpstreamZone, Context.Now);
+  Request->FailureDetail = Failed.Detail;
   resendOrFail(*Request, true,
                Failed.Failure == attempt_failure::Truncated ? "truncated"
                                                             : "broken",
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -349,6 +349,7 @@
                                   routing_effects &Effects) {
   endAttempt(Request, Context);
   logFailure(Request, Why, Context, Effects);
+  Request.FailureDetail.clear();
   if (!mayResend(Request, Arrived, Context))
     return endWithFailure(Request, Why, Context, Effects);
   resend(Request, Why, Context, Effects);
@@ -361,6 +362,7 @@
                         .add("request", Request.Arrived.CallerId)
                         .add("upstream", Request.Upstream)
                         .add("reason", Why)
+                        .add("detail", Request.FailureDetail)
                         .add("ran", outcomeName(Request.Knowledge))
                         .add("after", Context.Now - Request.SentAt)
                         .add("status", Request.Status)
