--- a/routing/testing/figure_copies_test.cc
+++ b/routing/testing/figure_copies_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "routing/testing/test_time.h"
+#include "routing/testing/usage_figures.h"
 
 namespace monsoonreel {
 namespace {
@@ -15,15 +16,6 @@
   static constexpr int64_t era = 2;
   static constexpr duration max_wait = 6s;
 
-  static wire::window_counts figures(int64_t Window, int64_t Requests) {
-    wire::organisation_count Count;
-    Count.Organisation = "kitchen";
-    Count.Requests = Requests;
-    wire::window_counts Figures;
-    Figures.Window = Window;
-    Figures.Counts = {Count};
-    return Figures;
-  }
   static wire::member member(const std::string &Address,
                              const std::string &Zone) {
     wire::member Member;
--- a/routing/testing/store_restore_test.cc
+++ b/routing/testing/store_restore_test.cc
@@ -4,6 +4,7 @@
 // store.
 
 #include "routing/testing/fleet_fixture.h"
+#include "routing/testing/usage_figures.h"
 
 namespace monsoonreel {
 namespace {
@@ -67,18 +68,10 @@
 
   // Has the entry, and no other one, learn of requests that an entry counted
   // which has left since.
-  void countAt(size_t Index, const std::vector<int64_t> &Windows) {
+  void countAt(size_t Index, int64_t Window) {
     wire::usage_report Report;
     Report.Incarnation = 1;
-    for (int64_t Window : Windows) {
-      wire::organisation_count Count;
-      Count.Organisation = "kitchen";
-      Count.Requests = 7;
-      wire::window_counts Counts;
-      Counts.Window = Window;
-      Counts.Counts = {Count};
-      Report.Windows.push_back(Counts);
-    }
+    Report.Windows = {figures(Window, 7)};
     handle(Index, peer_message_received{node_name("e-left"),
                                         address("10.99.0.1:7"), Report});
   }
@@ -94,7 +87,7 @@
     runUntil(24s);
     int64_t Window = Now / UsageWindow;
     if (Holder)
-      countAt(*Holder, {Window});
+      countAt(*Holder, Window);
     while (!Reported.contains(Window) && Now < 40s)
       runUntil(Now + 50ms);
     EXPECT_EQ(Reported[Window].Counts.size(), 1u);
