--- a/review/11/scenario.py
+++ b/review/11/scenario.py
@@ -1,4 +1,5 @@
-"""A machine is stopped while consumers still read whole answers from it."""
+"""The store turns the holder of the duties away. Its successor is stopped, and the
+store forgets its history."""
 
 import asyncio
 import os
@@ -10,60 +11,72 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib3"))
 import stage3 as st  # noqa: E402
 
-ANSWER_BYTES = 900_000
-RATE = 150_000      # bytes a second that a consumer reads: 6 s for an answer
-DEADLINE_MS = 15_000
-CONSUMERS = 4
-STOP_AFTER_S = 1.0
+TURNED_AWAY_S = 9.0   # the longest on the site's days
+WATCH_S = 25.0
+REQUEST_S = 0.1
 
 
 async def scenario(record, trouble):
-    stage = st.Stage(record)
-    finished = {}
+    stage = st.Stage(record, entries=2)
+    store = stage.store
 
-    async def work(server, run, reader, writer):
-        attempt = run["attempt"]
-        await server.reply(writer, 200, bytes(ANSWER_BYTES), server.fields(attempt))
-        finished[attempt] = time.monotonic()
-        record("server", server.name, "has handed over the whole answer", attempt)
+    def reports(holder=None):
+        return [c for c in stage.cloud.calls
+                if c["path"] == "/usage" and holder in (None, c["holder"])]
 
     try:
         await stage.start_platform()
-        stage.configure([st.route("lookup", "/puxa403/", "idempotent", "app", timeout=DEADLINE_MS)],
-                        [st.service("app")])
-        for i in range(3):
-            await stage.add_server(f"i-{i}", "app", slots=6, work=work)
+        # Each entry has an address of its own for the same store.
+        for entry in stage.entries:
+            listener = await asyncio.start_server(store.on_connection, stage.host, 0, limit=1 << 22)
+            entry.store_address = "%s:%d" % listener.sockets[0].getsockname()[:2]
+        stage.configure([st.route("lookup", "/puxa403/", "idempotent", "app")], [st.service("app")])
+        for i in range(2):
+            await stage.add_server(f"i-{i}", "app", slots=6)
         await stage.start_entries()
-        await asyncio.sleep(st.BOUNDS["contactMs"] / 1000 + 0.5)
-        entry = stage.entries[0]
 
-        async def consume(attempt):
-            client = await st.Client(entry, rcvbuf=32768).open()
-            sent = time.monotonic()
-            client.send(attempt, "GET", "/puxa403/2f", deadline=DEADLINE_MS)
-            answer = await client.receive(DEADLINE_MS / 1000, rate=RATE)
-            client.close()
-            record("client", attempt, answer, f"took={time.monotonic() - sent:.2f}s")
-            return attempt, sent, time.monotonic(), answer
-
-        tasks = [asyncio.create_task(consume(f"lookup{i}")) for i in range(CONSUMERS)]
-        await asyncio.sleep(STOP_AFTER_S)
-        stopped = time.monotonic()
+        async def load():
+            number = 0
+            while True:
+                number += 1
+                try:
+                    client = await st.Client(stage.entries[number % 2]).open()
+                    client.send(f"lookup{number}", "GET", "/puxa403/2f")
+                    await client.receive(3)
+                    client.close()
+                except OSError:
+                    pass
+                await asyncio.sleep(REQUEST_S)
+        stage.tasks.append(asyncio.create_task(load()))
+        while not reports():
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(7)
+        former = next(e for e in stage.entries if e.name == reports()[-1]["holder"])
+        successor = next(e for e in stage.entries if e is not former)
         if trouble:
-            entry.signal(signal.SIGTERM)
-
-            async def watch():
-                status = await entry.ended(st.BOUNDS["graceS"] + 1)
-                record("exit", entry.name, "status", status,
-                       f"after {time.monotonic() - stopped:.2f} s of graceS")
-            tasks.append(asyncio.create_task(watch()))
-        breaches = []
-        for attempt, sent, ended, answer in (await asyncio.gather(*tasks))[:CONSUMERS]:
-            whole = answer.whole and answer.status == 200 and len(answer.body) == ANSWER_BYTES
-            within = ended < stopped + st.BOUNDS["graceS"] + 1 and ended < sent + DEADLINE_MS / 1000
-            # Passed on, and answered in full by its server before the stop.
-            if not whole and within and finished.get(attempt, stopped) < stopped:
-                breaches.append(f"LOST {attempt} {answer}")
+            record("store", "turns away", former.name, "the holder")
+            store.turned_away.add(former.store_address)
+            until = time.monotonic() + TURNED_AWAY_S
+            while not reports(successor.name) and time.monotonic() < until - 1:
+                await asyncio.sleep(0.02)
+            record("platform", "has had", len(reports(successor.name)), "reports of", successor.name)
+        successor.signal(signal.SIGTERM)  # planned, and for good
+        if trouble:
+            await asyncio.sleep(max(0.0, until - 0.3 - time.monotonic()))
+            record("store", "forgets its history")
+            store.forget_history()
+            await asyncio.sleep(max(0.0, until - time.monotonic()))
+            record("store", "serves", former.name, "again")
+            store.turned_away.clear()
+        calm = time.monotonic() + st.BOUNDS["contactMs"] / 1000
+        await asyncio.sleep(WATCH_S)
+        record("exit", successor.name, successor.process.poll())
+        breaches, highest = [], -1
+        for call in stage.cloud.calls:
+            if call["fence"] < highest and call["at"] > calm:
+                breaches.append(f"ONE {call['path']} from {call['holder']} with {call['fence']}, "
+                                f"below {highest}: {call['body']}")
+            highest = max(highest, call["fence"])
         return breaches
     finally:
         stage.stop()
--- a/review/lib3/stage3.py
+++ b/review/lib3/stage3.py
@@ -111,6 +111,12 @@
     def __init__(self, record):
         self.record, self.topics, self.news = record, {}, asyncio.Event()
         self.era = 0
+        self.turned_away = set()  # addresses of the store at which it answers 503
+
+    def forget_history(self):
+        for topic in self.topics.values():
+            topic["start"] += len(topic["records"])
+            topic["records"] = []
 
     def topic(self, name):
         return self.topics.setdefault(name, dict(start=0, records=[], newest={}))
@@ -149,6 +155,8 @@
         self.trim()
         topic = self.topic(name)
         extra = [("Store-Era", self.era)] if self.era else []
+        if "%s:%d" % writer.get_extra_info("sockname")[:2] in self.turned_away:
+            return await self.reply(writer, 503, b"{}", extra)
         end = topic["start"] + len(topic["records"])
 
         async def send(status, document):
@@ -253,6 +261,7 @@
         self.stage, self.host, self.zone, self.index = stage, host, zone, index
         self.name = f"edge-{zone}-{index + 1}"
         self.path = os.path.join(stage.folder, self.name + ".yaml")
+        self.store_address = None  # of the store, as this entry sees it
         self.process, self.log = None, os.path.join(stage.folder, self.name + ".log")
 
     def settings(self):
@@ -295,14 +304,14 @@
 {bounds}  strictRevocation: false
   fencingRequired: false
 platform:
-  address: "{s.store_address or s.store.address}"
+  address: "{self.store_address or s.store.address}"
   form: "log"
   writesPerS: 400
   readsPerS: 2000
   parts: 12
   keep_s: 20
 cloudApi:
-  address: "{s.cloud_address or s.cloud.address}"
+  address: "{s.cloud.address}"
   ratePerS: 50.0
   duties:
     - "metering"
@@ -443,7 +452,6 @@
         hosts = free_block(entries + 1)
         self.host = hosts[-1]
         self.store, self.cloud = Store(record), Cloud(record)
-        self.store_address = self.cloud_address = None
         self.entries = [Entry(self, i, hosts[i], zones[i % len(zones)]) for i in range(entries)]
         self.servers, self.tasks, self.version = [], [], 0
 
