routing: a claim behind deleted history no longer counts

The store turned the holder of the duties away, its successor reported and was stopped, and the store deleted the log's history. A read of deleted records only moved the place in the log, so the former holder's own claim still counted: it renewed at the end of the log, with the old token, and ignored what its successor had told it.

A claim counts only if all records after it were read. After a gap in which the newest claim may have been, an entry waits as after a claim; a holder whose lease is still valid claims at once with a higher token. A later claim told by a peer ends the own one, and a token is not renewed once a higher one is known. A gap before the newest claim changes nothing, so takeovers are not delayed by the usual deletion of old records. The fix works because the conditional append proves that nobody wrote after the read, and the new rule that nobody can have written before it.

--- a/routing/duty_log.cc
+++ b/routing/duty_log.cc
@@ -26,12 +26,16 @@
 
 bool duty_log::isMine() const {
   return Claim.Holder == Self && Claim.Incarnation == Incarnation &&
-         !Claim.Released && Claim.At.Era == End.Era &&
-         Claim.MadeInEra == End.Era;
+         !Claim.Released && isClaimCurrent() && Claim.MadeInEra == End.Era;
+}
+
+bool duty_log::isClaimCurrent() const {
+  return Claim.At.Era == End.Era && Claim.At.Offset >= GapEnd;
 }
 
 bool duty_log::mayAct(steady_time Now) const {
-  return isMine() && !Releasing && Now >= ActFrom && Now < notAfter();
+  return isMine() && !hasLowerFence() && !Releasing && Now >= ActFrom &&
+         Now < notAfter();
 }
 
 // -------------------------------------------------------------------- calls
@@ -67,7 +71,7 @@
 }
 
 bool duty_log::isRenewalDue(steady_time Now) const {
-  return Now >= ValidUntil - Terms.Duration * 5 / 8;
+  return hasLowerFence() || Now >= ValidUntil - Terms.Duration * 5 / 8;
 }
 
 bool duty_log::isClaimDue(steady_time Now, uint64_t Random) {
@@ -94,7 +98,7 @@
   wire::duty_claim New;
   New.Holder = Self;
   New.Incarnation = Incarnation;
-  New.Fence = isMine() ? Claim.Fence : nextFence();
+  New.Fence = isMine() && !hasLowerFence() ? Claim.Fence : nextFence();
   New.Released = Releasing;
   New.Era = End.Era;
   wire::duty_record Record;
@@ -145,14 +149,12 @@
 }
 
 void duty_log::onRead(const duty_log_read &Read, steady_time Now,
-                      routing_effects & /*Effects*/) {
+                      routing_effects &Effects) {
   if (Open != call::Read || Read.Call != OpenId)
     return;
   Open = call::None;
-  if (Read.HistoryCut) {
-    End.Offset = Read.Start;
-    return;
-  }
+  if (Read.HistoryCut)
+    return onHistoryCut(Read.Start, Now, Effects);
   if (!Read.Ok)
     return onCallFailed(Now);
   bool First = !std::exchange(Known, true);
@@ -165,8 +167,42 @@
   }
   End.Offset = std::max(End.Offset, Read.End);
   MustRead = false;
-  if (First && (Claim.Holder.empty() || Claim.isOutdated()))
+  bool IsUnknown = std::exchange(IsGapNew, false) && !isClaimCurrent();
+  if (IsUnknown)
+    IsReclaiming = IsReclaiming && Now < ReclaimableUntil;
+  if (IsUnknown && !IsReclaiming) {
+    HeldUntil = Now + Terms.Duration + Terms.Margin;
+    ClaimAt.reset();
+  } else if (First && (Claim.Holder.empty() || Claim.isOutdated())) {
     HeldUntil = mayLackClaims() ? Now + Terms.Duration + Terms.Margin : Now;
+  }
+}
+
+void duty_log::onHistoryCut(int64_t Start, steady_time Now,
+                            routing_effects &Effects) {
+  bool WasMine = isMine();
+  bool WasValid = WasMine && !Releasing && Now < ValidUntil;
+  End.Offset = GapEnd = Start;
+  IsGapNew = true;
+  if (!WasMine)
+    return;
+  // The log is read on at once, as by a candidate whose turn has come. Nobody
+  // else has claimed while the lease was valid.
+  IsReclaiming = WasValid;
+  ReclaimableUntil = ValidUntil;
+  HeldUntil = Now;
+  ClaimAt = Now;
+  ValidUntil = {};
+  UnwrittenFigures.clear();
+  Effects.push_back(decision("duty-claim-outdated")
+                        .add("reason", "history-cut")
+                        .add("fence", Claim.Fence)
+                        .add("claim_offset", Claim.At.Offset)
+                        .add("history_start", Start)
+                        .add("reclaims", IsReclaiming ? 1 : 0)
+                        .line(log_level::Warning));
+  Effects.push_back(
+      count_metric{"monsoonreel_duty_claims_outdated_total", {}, 1});
 }
 
 // A store that was restored may have lost a claim that is still valid.
@@ -180,6 +216,7 @@
     return;
   }
   IsReclaiming = isMine() && !Releasing && Now < ValidUntil;
+  ReclaimableUntil = ValidUntil;
   HeldUntil = IsReclaiming ? Now : Now + Terms.Duration + Terms.Margin;
   ClaimAt.reset();
   if (IsReclaiming)
@@ -200,6 +237,8 @@
           .add("figures", static_cast<int64_t>(LostFigures.size()))
           .line(log_level::Warning));
   End = {Era, 0};
+  GapEnd = 0;
+  IsGapNew = false;
   MustRead = true;
   // An open call was sent for the previous era, so its answer is ignored.
   Open = call::None;
@@ -279,11 +318,13 @@
 
 void duty_log::onPeerClaim(duty_claim_view Received, steady_time Now) {
   HighestFence = std::max(HighestFence, Received.Fence);
-  // Older builds do not state the era.
-  if (Received.At.Era == 0)
+  // Older builds do not state the era. Their claims may be of an earlier one,
+  // so they do not end this entry's own claim.
+  bool StatesEra = Received.At.Era != 0;
+  if (!StatesEra)
     Received.At.Era = End.Era;
   Received.MadeInEra = Received.At.Era;
-  if (Received.At <= Claim.At || isMine())
+  if (Received.At <= Claim.At || (isMine() && !StatesEra))
     return;
   // The figures that precede the claim are not known yet. They are read before
   // this entry claims.
@@ -292,6 +333,10 @@
   Claim = std::move(Received);
   if (IsReclaiming)
     return;
+  if (!isMine()) {
+    UnwrittenFigures.clear();
+    ValidUntil = {};
+  }
   HeldUntil = Now + Terms.Duration + Terms.Margin;
   ClaimAt.reset();
   MustRead = true;
--- a/routing/duty_log.h
+++ b/routing/duty_log.h
@@ -39,6 +39,11 @@
 // `figure_copies`.
 //
 // The other entries do not read the log while peers report renewals.
+//
+// The store deletes old records, so a read may reveal a gap. Records in a gap
+// are unknown, and other entries may have claimed the lease in them. A claim
+// before a gap therefore no longer counts, not even for its own holder: unless
+// there is a claim behind the gap, the entry waits as after a claim.
 
 #ifndef ROUTING_DUTY_LOG_H
 #define ROUTING_DUTY_LOG_H
@@ -174,6 +179,12 @@
   bool mayLackClaims() const;
   void queueLostFigures();
   void trimLostFigures();
+  // Handles that the records before Start, which were not read, are deleted.
+  void onHistoryCut(int64_t Start, steady_time Now, routing_effects &Effects);
+  // Returns whether every record since the newest known claim was read.
+  bool isClaimCurrent() const;
+  // Returns whether an entry has claimed with a higher token than this one.
+  bool hasLowerFence() const { return Claim.Fence < HighestFence; }
   bool hasLaterFigures(int64_t Window) const;
 
   duty_terms Terms;
@@ -184,12 +195,16 @@
 
   bool Known = false; // the log was read to its end at least once
   store_position End;
+  int64_t GapEnd = 0; // end of the last gap in the current era; 0: none
+  // Records behind the gap have not been read yet.
+  bool IsGapNew = false;
   duty_claim_view Claim;
   int64_t HighestFence = -1; // of all known claims
-  // This entry's lease was valid when it learned that the store was restored,
-  // and no claim of the new era is known.
+  // This entry's lease was valid when it learned that the store was restored or
+  // that records are missing, and no later claim is known.
   bool IsReclaiming = false;
-  steady_time HeldUntil; // end of the lease as assumed by other entries
+  steady_time ReclaimableUntil; // end of that lease
+  steady_time HeldUntil;        // end of the lease as assumed by other entries
   // End of the time for which this entry's own claim lets it act. The clock's
   // zero, which is in the distant past, means that it may not act at all.
   steady_time ValidUntil;
--- a/routing/testing/duty_log_fixture.h
+++ b/routing/testing/duty_log_fixture.h
@@ -31,8 +31,12 @@
   // Plays the return from a backup that has only the first records.
   void restore(size_t Kept) {
     Records.resize(std::min(Kept, Records.size()));
+    Start = std::min(Start, static_cast<int64_t>(Records.size()));
     ++Era;
   }
+  // Deletes all records, or those before an offset. Offsets go on.
+  void forget() { forgetBefore(static_cast<int64_t>(Records.size())); }
+  void forgetBefore(int64_t Offset) { Start = std::max(Start, Offset); }
   size_t size() const { return Records.size(); }
   duty_log_read read(const read_duty_log &Call) const {
     duty_log_read Read;
@@ -40,7 +44,8 @@
     Read.Era = Era;
     Read.From = Call.From;
     Read.End = static_cast<int64_t>(Records.size());
-    Read.HistoryCut = Call.From > Read.End;
+    Read.Start = Start;
+    Read.HistoryCut = Call.From < Start || Call.From > Read.End;
     Read.Ok = !Read.HistoryCut;
     for (int64_t Offset = Call.From; Offset < Read.End; ++Offset) {
       wire::stored_record Stored;
@@ -53,6 +58,7 @@
 
 private:
   int64_t Era = first_store_era;
+  int64_t Start = 0; // oldest record that is kept
   std::vector<std::string> Records;
 };
 
--- a/routing/testing/duty_log_random_test.cc
+++ b/routing/testing/duty_log_random_test.cc
@@ -19,20 +19,34 @@
     duration Due{};
     bool AnswerLost = false;
   };
-  // AreRestores: the store also returns from backups that are up to 7 s old.
-  static void play(uint64_t Seed, bool AreRestores);
+  // Troubles besides the late and lost calls.
+  struct troubles {
+    bool Restores = false; // from backups that are up to 7 s old
+    // The store forgets its history, and turns away single entries.
+    bool Deletions = false;
+    duration Length = 120s;
+  };
+  static void play(uint64_t Seed, troubles Troubles);
   static constexpr size_t node_count = 4;
 };
 
 TEST_P(duty_log_random_test, Calls_LateLostAndFrozen_OneActsAtATime) {
-  play(GetParam(), false);
+  play(GetParam(), {});
 }
 
 TEST_P(duty_log_random_test, Store_RestoredAmongTroubles_OneActsAtATime) {
-  play(GetParam(), true);
+  play(GetParam(), {.Restores = true});
+}
+
+TEST_P(duty_log_random_test, History_DeletedAmongTroubles_OneActsAtATime) {
+  play(GetParam(), {.Deletions = true});
+}
+
+TEST_P(duty_log_random_test, History_DeletedAmongRestores_OneActsAtATime) {
+  play(GetParam(), {.Restores = true, .Deletions = true, .Length = 240s});
 }
 
-void duty_log_random_test::play(uint64_t Seed, bool AreRestores) {
+void duty_log_random_test::play(uint64_t Seed, troubles Troubles) {
   std::mt19937_64 Random(Seed);
   auto Chance = [&](int Percent) {
     return static_cast<int>(Random() % 100) < Percent;
@@ -45,13 +59,19 @@
                                             zone_name("z"), address("x"),
                                             incarnation{1}});
   std::vector<duration> FrozenUntil(node_count, 0ms);
+  std::vector<duration> TurnedAwayUntil(node_count, 0ms);
   std::vector<pending_call> Calls;
   std::vector<std::pair<duration, size_t>> Acts; // times and actors
   int64_t HighestFence = -1;
   std::deque<std::pair<duration, size_t>> Sizes; // of the log, by time
-  for (duration Now = 0ms; Now < 120s; Now += 20ms) {
+  for (duration Now = 0ms; Now < Troubles.Length; Now += 20ms) {
     Sizes.emplace_back(Now, Store.size());
-    if (AreRestores && Random() % 500 == 0) {
+    if (Troubles.Deletions && Random() % 300 == 0)
+      Store.forget();
+    if (Troubles.Deletions && Random() % 500 == 0)
+      TurnedAwayUntil[Random() % node_count] =
+          Now + duration(Random() % 31000000);
+    if (Troubles.Restores && Random() % 500 == 0) {
       duration Backup = Now - duration(Random() % 7000000);
       auto Copied =
           std::find_if(Sizes.begin(), Sizes.end(),
@@ -67,6 +87,8 @@
       pending_call Call = std::move(Calls[I]);
       Calls.erase(Calls.begin() + static_cast<std::ptrdiff_t>(I));
       duty_log &Node = Nodes[Call.Node];
+      if (Now < TurnedAwayUntil[Call.Node])
+        continue; // the call times out
       if (auto *Append = std::get_if<append_duty>(&Call.Call)) {
         duty_appended Done = Store.append(*Append);
         if (!Call.AnswerLost && Now >= FrozenUntil[Call.Node])
--- a/routing/testing/fleet_fixture.h
+++ b/routing/testing/fleet_fixture.h
@@ -168,8 +168,17 @@
     }
     DutyLog.resize(SizeOfBackup(DutyAppendedAt));
     DutyAppendedAt.resize(DutyLog.size());
+    DutyForgotten = std::min(DutyForgotten, std::ssize(DutyLog));
     ++Era;
   }
+  // Deletes all records of the duty log; its offsets go on.
+  void forgetDutyHistory() { DutyForgotten = std::ssize(DutyLog); }
+  // Returns the offset of the oldest record of the duty log that is kept.
+  int64_t dutyStart() const {
+    auto It = std::upper_bound(DutyAppendedAt.begin(), DutyAppendedAt.end(),
+                               Now - DutyHistory);
+    return std::max<int64_t>(DutyForgotten, It - DutyAppendedAt.begin());
+  }
   // Writes the newest values that were lost again, as their owners do.
   void writeLostAgain() {
     for (const auto &[Place, Value] : std::exchange(LostRecords, {}))
@@ -308,7 +317,8 @@
     Read.Era = Era;
     Read.From = Call.From;
     Read.End = static_cast<int64_t>(DutyLog.size());
-    Read.HistoryCut = Read.From > Read.End;
+    Read.Start = dutyStart();
+    Read.HistoryCut = Read.From < Read.Start || Read.From > Read.End;
     Read.Ok = !Read.HistoryCut;
     for (int64_t Offset = Read.From; Offset < Read.End; ++Offset) {
       wire::stored_record Record;
@@ -359,6 +369,8 @@
   int64_t Era = first_store_era;
   std::map<std::string, std::vector<duration>> AppendedAt;
   std::vector<duration> DutyAppendedAt;
+  std::ptrdiff_t DutyForgotten = 0; // oldest record that was not deleted
+  duration DutyHistory = 1000000s;  // how long records are kept
   std::map<std::pair<std::string, std::string>, std::string> LostRecords;
   std::priority_queue<delivery> Queue;
   duration Now{};
