routing: a usage window that may have been reported is left out

That nobody knows figures of a window proved that there were none, also when the log was incomplete and no entry had run in the window. A holder now sums a window up only if its figures would be known: the log would show them (the window ended after the store's era was known to have begun, and after the last gap in the log or behind figures of an earlier window), or at most one entry was lost since the window ended and another has run since then. Entries state with their figures since when they run and since when they know the era. A holder that reclaims its valid lease has missed nothing. Other windows are left out, with event=usage-left-out and monsoonreel_usage_windows_left_out_total. This works because a report needs one confirmed copy at least, so with one loss the holder or a keeper is left.

--- a/monsoonreel/membership.cc
+++ b/monsoonreel/membership.cc
@@ -347,6 +347,17 @@
   });
 }
 
+size_t membership::countLostSince(wire::member_role::type Role,
+                                  steady_time Since) const {
+  return static_cast<size_t>(
+      std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
+        const known_member &Known = Entry.second;
+        bool IsLost = Known.Member.State == wire::member_state::Leaving ||
+                      Known.Member.State == wire::member_state::Dead;
+        return IsLost && Known.Member.Role == Role && Known.ChangedAt >= Since;
+      }));
+}
+
 size_t membership::liveCount() const {
   return 1 + static_cast<size_t>(std::count_if(
                  Members.begin(), Members.end(), [](const auto &Entry) {
--- a/monsoonreel/membership.h
+++ b/monsoonreel/membership.h
@@ -166,6 +166,9 @@
   const log_freshness &freshness() const { return Freshness; }
 
   const wire::member &self() const { return Self; }
+  // The number of other members of Role that died or began to leave at Since or
+  // later, as far as this node knows.
+  size_t countLostSince(wire::member_role::type Role, steady_time Since) const;
   // The number of members that are not dead, including this node.
   size_t liveCount() const;
 
--- a/routing/duty_log.cc
+++ b/routing/duty_log.cc
@@ -184,6 +184,10 @@
   bool WasValid = WasMine && !Releasing && Now < ValidUntil;
   End.Offset = GapEnd = Start;
   IsGapNew = true;
+  if (WasMine)
+    HistoryToReclaim = History;
+  History.GapFoundAt = Now;
+  FirstReadFigures.reset();
   if (!WasMine)
     return;
   // The log is read on at once, as by a candidate whose turn has come. Nobody
@@ -211,6 +215,9 @@
 void duty_log::onEra(int64_t Era, steady_time Now, routing_effects &Effects) {
   if (Era <= End.Era)
     return;
+  HistoryToReclaim = History;
+  if (Era > first_store_era)
+    History.EraSince = Now;
   if (!Known && End.Era == 0) {
     End.Era = Era;
     return;
@@ -239,6 +246,8 @@
   End = {Era, 0};
   GapEnd = 0;
   IsGapNew = false;
+  History.GapFoundAt = steady_time::min();
+  FirstReadFigures.reset();
   MustRead = true;
   // An open call was sent for the previous era, so its answer is ignored.
   Open = call::None;
@@ -282,7 +291,8 @@
   // the new one.
   if (Claim.isOutdated())
     return;
-  IsReclaiming = false;
+  if (std::exchange(IsReclaiming, false) && isMine())
+    History = HistoryToReclaim;
   HeldUntil = Received.Released ? Now : Now + Terms.Duration + Terms.Margin;
   ClaimAt.reset();
   if (!isMine()) {
@@ -307,6 +317,7 @@
 }
 
 void duty_log::applyFigures(const wire::window_counts &Received) {
+  FirstReadFigures = FirstReadFigures.value_or(Received.Window);
   Figures.try_emplace(Received.Window, Received);
   LostFigures.erase(Received.Window);
   while (Figures.size() > Terms.KeptFigures)
@@ -361,6 +372,15 @@
   return It == Figures.end() ? nullptr : &It->second;
 }
 
+bool duty_log::hasFigures(int64_t Window) const {
+  return Figures.contains(Window) || LostFigures.contains(Window);
+}
+
+bool duty_log::wouldHaveRead(int64_t Window, steady_time EndedAt) const {
+  return EndedAt >= History.GapFoundAt ||
+         (FirstReadFigures && *FirstReadFigures < Window);
+}
+
 std::vector<wire::window_counts>
 duty_log::rememberFigures(const std::vector<wire::window_counts> &Reported) {
   std::vector<wire::window_counts> New;
--- a/routing/duty_log.h
+++ b/routing/duty_log.h
@@ -145,6 +145,15 @@
   // that peers may need to write them again.
   std::vector<wire::window_counts> knownFigures(int64_t First) const;
   int64_t lastFiguredWindow() const;
+  // Returns whether figures of a window are in the log, or are remembered.
+  bool hasFigures(int64_t Window) const;
+  // Returns whether figures of a window that ended at EndedAt would have been
+  // read, if they were written in the current era. They may be among records
+  // that were deleted.
+  bool wouldHaveRead(int64_t Window, steady_time EndedAt) const;
+  // Returns since when the store is known to be in the current era. Figures of
+  // windows that ended later cannot have been lost by a restore.
+  steady_time eraKnownSince() const { return History.EraSince; }
 
   // Returns whether the lease covers a call that is made now.
   bool mayAct(steady_time Now) const;
@@ -210,6 +219,19 @@
   steady_time ValidUntil;
   steady_time ActFrom;
 
+  // From when on this entry knows all figures that were written. Before the
+  // first restore, and without a gap, it knows all.
+  struct known_history {
+    steady_time EraSince = steady_time::min();
+    steady_time GapFoundAt = steady_time::min();
+  };
+  known_history History;
+  // As of before the event for which this entry reclaims the lease. A holder
+  // that reclaims it has missed nothing.
+  known_history HistoryToReclaim;
+  // Window of the first figures behind the last gap. Later windows have their
+  // figures behind them.
+  std::optional<int64_t> FirstReadFigures;
   std::map<int64_t, wire::window_counts> Figures;
   // Figures that were in the log, as found before the store was restored or by
   // a peer, and that this entry has not found in it since.
--- a/routing/figure_copies.cc
+++ b/routing/figure_copies.cc
@@ -18,6 +18,12 @@
   return static_cast<int64_t>(XXH3_64bits(Bytes.data(), Bytes.size()));
 }
 
+// Any number may come from a peer.
+duration toAge(int64_t Micros) {
+  constexpr duration longest_age = std::chrono::hours(24 * 365);
+  return std::clamp(fromMicros(Micros), duration::zero(), longest_age);
+}
+
 } // namespace
 
 figure_copies::figure_copies(zone_name Zone, duration MaxWait)
@@ -102,11 +108,16 @@
 }
 
 bool figure_copies::onReply(const address &From,
-                            const wire::figure_reply &Reply) {
+                            const wire::figure_reply &Reply, steady_time Now) {
   if (!Fence || Reply.Fence != *Fence || Reply.Era != Era)
     return false;
-  if (Reply.Answers)
-    Answered.insert(From);
+  if (Reply.Answers) {
+    answer &Answer = Answered[From];
+    if (Reply.__isset.UpMicros)
+      Answer.StartedAt = Now - toAge(Reply.UpMicros);
+    if (Reply.__isset.EraMicros)
+      Answer.EraKnownSince = Now - toAge(Reply.EraMicros);
+  }
   for (const wire::figure_copy &Kept : Reply.Kept)
     if (auto It = Windows.find(Kept.Window);
         It != Windows.end() && It->second.Digest == Kept.Digest)
@@ -123,6 +134,21 @@
          });
 }
 
+size_t figure_copies::countUnaware(steady_time Since) const {
+  return static_cast<size_t>(
+      std::count_if(Others.begin(), Others.end(), [&](const auto &Entry) {
+        auto It = Answered.find(Entry.first);
+        return It == Answered.end() || It->second.StartedAt > Since;
+      }));
+}
+
+steady_time figure_copies::eraKnownSince() const {
+  steady_time Earliest = steady_time::max();
+  for (const auto &[Entry, Answer] : Answered)
+    Earliest = std::min(Earliest, Answer.EraKnownSince);
+  return Earliest;
+}
+
 bool figure_copies::areEnough(int64_t Number, steady_time Now) const {
   if (!Fence)
     return false;
--- a/routing/figure_copies.h
+++ b/routing/figure_copies.h
@@ -11,6 +11,7 @@
 //     Copies.setEntries(Others, Keepers);
 //   for (figure_message &Each : Copies.takeMessages(Written, First, Now)) ...
 //   if (Copies.hasAsked(Now)) ... sum up ...
+//   Copies.countUnaware(EndedAt) ... entries that may never have had copies ...
 //   if (Copies.areEnough(Window, Now)) ... report ...
 //
 // Load pattern: figures are sent once per window to each keeper. In large
@@ -63,11 +64,18 @@
   takeMessages(const std::map<int64_t, wire::window_counts> &Written,
                int64_t First, steady_time Now);
   // Returns whether the reply belongs to this term.
-  bool onReply(const address &From, const wire::figure_reply &Reply);
+  bool onReply(const address &From, const wire::figure_reply &Reply,
+               steady_time Now);
 
   // Returns whether each live entry has told the figures that it knows, or has
   // had the time to.
   bool hasAsked(steady_time Now) const;
+  // Returns the number of live entries that cannot tell whether figures were
+  // written after Since: they have started later, or have not answered.
+  size_t countUnaware(steady_time Since) const;
+  // Returns the earliest time at which an entry that has answered knew the
+  // store to be in the current era; steady_time::max() if none did.
+  steady_time eraKnownSince() const;
   // Returns whether enough entries keep the figures of a window.
   bool areEnough(int64_t Window, steady_time Now) const;
   // Returns whether copies were asked for at least `figure_copies_wait` ago.
@@ -91,7 +99,13 @@
   steady_time TermStart;
   std::map<address, zone_name> Others;
   std::set<address> Keepers;
-  std::set<address> Answered; // entries that have told their figures
+  // What entries that have told their figures said about themselves. Older
+  // builds say nothing.
+  struct answer {
+    steady_time StartedAt = steady_time::max();
+    steady_time EraKnownSince = steady_time::max();
+  };
+  std::map<address, answer> Answered;
   std::map<int64_t, window> Windows;
   std::map<address, steady_time> NextSend;
 };
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -62,6 +62,10 @@
 // intervals, so that lost reports do not matter, but not longer, so that
 // entries do not repeat the notice to each other indefinitely.
 constexpr duration leaving_report_time = std::chrono::seconds(3);
+// Number of entries that may be lost while at least one copy of each reported
+// window is sure to be left: the holder reports a window with one copy if other
+// entries do not answer.
+constexpr size_t safe_entry_losses = 1;
 // A usage report without an answer is repeated after this time.
 constexpr duration usage_retry_period = std::chrono::milliseconds(1500);
 // Interval at which the list of live entries is updated. A new entry receives
@@ -234,6 +238,14 @@
   void performDuties(const routing_event &Event, routing_effects &Effects);
   void reportUsage(const routing_event &Event, routing_effects &Effects);
   std::string missingReport(int64_t Window, steady_time Now) const;
+  // Returns why a window of which nobody knows figures may have been reported
+  // all the same; empty if it cannot have been. Has to be called after all
+  // entries were asked.
+  std::string reasonToLeaveOut(int64_t Window, steady_time EndedAt) const;
+  // Logs and counts once that a window is not reported, because it may have
+  // been.
+  void logLeftOut(int64_t Window, const std::string &Reason,
+                  steady_time EndedAt, routing_effects &Effects);
   void logHolder(routing_effects &Effects);
   // As the holder: lets other entries keep figures, and asks for theirs.
   void exchangeFigures(steady_time Now, routing_effects &Effects);
@@ -241,7 +253,7 @@
   void onFigureRequest(const address &From, const wire::figure_request &Request,
                        steady_time Now, routing_effects &Effects);
   void onFigureReply(const address &From, const wire::figure_reply &Reply,
-                     routing_effects &Effects);
+                     steady_time Now, routing_effects &Effects);
   // Logs once that no entry confirms a window's figures for long.
   void logMissingCopies(int64_t Window, steady_time Now,
                         routing_effects &Effects);
@@ -301,6 +313,7 @@
   steady_time LastEvent;
   int64_t StoreEra = 0; // newest known era of the store
   std::string LoggedHolder;
+  int64_t LoggedLeftOut = -1;  // newest window that was logged as left out
   int64_t LoggedUncopied = -1; // newest window whose lack of copies was logged
   std::pair<int, double> ReportedLimits; // last values of the metrics
   int64_t ReportedCold = 0;
--- a/routing/routing_node_duties.cc
+++ b/routing/routing_node_duties.cc
@@ -102,13 +102,19 @@
   int64_t First = Request.First;
   for (const wire::window_counts &Figures : Request.Figures)
     First = std::min(First, Figures.Window);
-  sendFigures({From}, replyTo(Request, Duties.knownFigures(First)), Effects);
+  wire::figure_reply Reply = replyTo(Request, Duties.knownFigures(First));
+  if (Request.Asks) {
+    Reply.__set_UpMicros(toMicros(Now - StartedAt.value_or(Now)));
+    if (steady_time Since = Duties.eraKnownSince(); Since != steady_time::min())
+      Reply.__set_EraMicros(toMicros(Now - Since));
+  }
+  sendFigures({From}, wire::peer_message(std::move(Reply)), Effects);
 }
 
 void routing_node::onFigureReply(const address &From,
                                  const wire::figure_reply &Reply,
-                                 routing_effects &Effects) {
-  if (!Copies.onReply(From, Reply))
+                                 steady_time Now, routing_effects &Effects) {
+  if (!Copies.onReply(From, Reply, Now))
     return;
   for (const wire::window_counts &Figures :
        Duties.rememberFigures(Reply.Figures))
@@ -155,6 +161,44 @@
   return {};
 }
 
+// Figures that nobody knows were not written, if the log would show them. A
+// restore or deleted history may have taken them from the log. They are then
+// known to entries that keep copies, unless the holder and all keepers were
+// lost.
+std::string routing_node::reasonToLeaveOut(int64_t Window,
+                                           steady_time EndedAt) const {
+  steady_time EraSince =
+      std::min(Duties.eraKnownSince(), Copies.eraKnownSince());
+  bool MayBeRestored = EndedAt < EraSince;
+  if (!MayBeRestored && Duties.wouldHaveRead(Window, EndedAt))
+    return {};
+  bool IsUnaware = StartedAt && *StartedAt > EndedAt;
+  size_t Unaware = Copies.countUnaware(EndedAt) + (IsUnaware ? 1 : 0);
+  size_t Lost =
+      Members.countLostSince(wire::member_role::Entry, EndedAt) + Unaware;
+  if (Lost <= safe_entry_losses && Unaware < entryCount())
+    return {};
+  return MayBeRestored ? "store-restored" : "history-cut";
+}
+
+void routing_node::logLeftOut(int64_t Window, const std::string &Reason,
+                              steady_time EndedAt, routing_effects &Effects) {
+  if (Window <= LoggedLeftOut)
+    return;
+  LoggedLeftOut = Window;
+  Effects.push_back(
+      decision("usage-left-out")
+          .add("window", Window)
+          .add("reason", Reason)
+          .add("entries", static_cast<int64_t>(entryCount()))
+          .add("unaware", static_cast<int64_t>(Copies.countUnaware(EndedAt)))
+          .add("lost", static_cast<int64_t>(Members.countLostSince(
+                           wire::member_role::Entry, EndedAt)))
+          .line(log_level::Warning));
+  Effects.push_back(count_metric{
+      "monsoonreel_usage_windows_left_out_total", {{"reason", Reason}}, 1});
+}
+
 void routing_node::reportUsage(const routing_event &Event,
                                routing_effects &Effects) {
   wall_time TrueTime = Clock.at(Event.Now);
@@ -169,6 +213,13 @@
       std::string Missing = missingReport(Window, Event.Now);
       if (!Missing.empty() && SinceEnd < Terms.Bounds.maxUsageWait())
         continue;
+      std::string Reason;
+      if (!Duties.hasFigures(Window))
+        Reason = reasonToLeaveOut(Window, Event.Now - SinceEnd);
+      if (!Reason.empty()) {
+        logLeftOut(Window, Reason, Event.Now - SinceEnd, Effects);
+        continue;
+      }
       if (!Missing.empty())
         Effects.push_back(decision("usage-incomplete")
                               .add("window", Window)
--- a/routing/routing_node_reports.cc
+++ b/routing/routing_node_reports.cc
@@ -49,7 +49,7 @@
   if (const auto *Asked = std::get_if<wire::figure_request>(&Received.Message))
     return onFigureRequest(From, *Asked, Event.Now, Effects);
   if (const auto *Reply = std::get_if<wire::figure_reply>(&Received.Message))
-    return onFigureReply(From, *Reply, Effects);
+    return onFigureReply(From, *Reply, Event.Now, Effects);
   if (const auto *News = std::get_if<wire::feed_news>(&Received.Message))
     return onNews(From, *News, Event.Now, Effects);
   if (const auto *Ask = std::get_if<wire::placement_ask>(&Received.Message))
--- a/routing/testing/figure_copies_test.cc
+++ b/routing/testing/figure_copies_test.cc
@@ -33,7 +33,7 @@
   }
   void reply(const std::string &From, const wire::figure_request &Request,
              const std::vector<wire::window_counts> &Known) {
-    Copies.onReply(address(From), replyTo(Request, Known));
+    Copies.onReply(address(From), replyTo(Request, Known), at(1s));
   }
 
   const std::vector<wire::member> Others = {
@@ -130,5 +130,31 @@
   EXPECT_TRUE(Copies.areEnough(7, at(0s)));
 }
 
+// Entries that started later, or have not answered, tell nothing about figures.
+TEST_F(figure_copies_test, Entries_StartedLaterOrSilent_AreUnaware) {
+  std::vector<figure_message> Sent = send(0s);
+  EXPECT_EQ(Copies.countUnaware(at(-10s)), 3u);
+  wire::figure_reply Reply = replyTo(Sent[0].Request, {});
+  Reply.__set_UpMicros(30000000);
+  Reply.__set_EraMicros(20000000);
+  Copies.onReply(address("b:1"), Reply, at(1s));
+  Reply.__set_UpMicros(5000000);
+  Reply.__set_EraMicros(4000000);
+  Copies.onReply(address("c:1"), Reply, at(1s));
+  EXPECT_EQ(Copies.countUnaware(at(-10s)), 2u);
+  EXPECT_EQ(Copies.eraKnownSince(), at(-19s));
+}
+
+// Any number may come from a peer.
+TEST_F(figure_copies_test, Reply_ImpossibleTimes_AreLimited) {
+  std::vector<figure_message> Sent = send(0s);
+  wire::figure_reply Reply = replyTo(Sent[0].Request, {});
+  Reply.__set_UpMicros(std::numeric_limits<int64_t>::min());
+  Reply.__set_EraMicros(std::numeric_limits<int64_t>::max());
+  Copies.onReply(address("b:1"), Reply, at(1s));
+  EXPECT_EQ(Copies.countUnaware(at(0s)), 3u);
+  EXPECT_LT(Copies.eraKnownSince(), at(-1h));
+}
+
 } // namespace
 } // namespace monsoonreel
--- a/wire/gen/routing_types.cpp
+++ b/wire/gen/routing_types.cpp
@@ -5087,6 +5087,16 @@
 void figure_reply::__set_Figures(const std::vector<window_counts> & val) {
   this->Figures = val;
 }
+
+void figure_reply::__set_UpMicros(const int64_t val) {
+  this->UpMicros = val;
+__isset.UpMicros = true;
+}
+
+void figure_reply::__set_EraMicros(const int64_t val) {
+  this->EraMicros = val;
+__isset.EraMicros = true;
+}
 std::ostream& operator<<(std::ostream& out, const figure_reply& obj)
 {
   obj.printTo(out);
@@ -5179,6 +5189,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->UpMicros);
+          this->__isset.UpMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->EraMicros);
+          this->__isset.EraMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5232,6 +5258,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.UpMicros) {
+    xfer += oprot->writeFieldBegin("UpMicros", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->UpMicros);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.EraMicros) {
+    xfer += oprot->writeFieldBegin("EraMicros", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->EraMicros);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5244,6 +5280,8 @@
   swap(a.Kept, b.Kept);
   swap(a.Answers, b.Answers);
   swap(a.Figures, b.Figures);
+  swap(a.UpMicros, b.UpMicros);
+  swap(a.EraMicros, b.EraMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -5253,6 +5291,8 @@
   Kept = other252.Kept;
   Answers = other252.Answers;
   Figures = other252.Figures;
+  UpMicros = other252.UpMicros;
+  EraMicros = other252.EraMicros;
   __isset = other252.__isset;
 }
 figure_reply::figure_reply(figure_reply&& other253) noexcept {
@@ -5261,6 +5301,8 @@
   Kept = std::move(other253.Kept);
   Answers = other253.Answers;
   Figures = std::move(other253.Figures);
+  UpMicros = other253.UpMicros;
+  EraMicros = other253.EraMicros;
   __isset = other253.__isset;
 }
 figure_reply& figure_reply::operator=(const figure_reply& other254) {
@@ -5269,6 +5311,8 @@
   Kept = other254.Kept;
   Answers = other254.Answers;
   Figures = other254.Figures;
+  UpMicros = other254.UpMicros;
+  EraMicros = other254.EraMicros;
   __isset = other254.__isset;
   return *this;
 }
@@ -5278,6 +5322,8 @@
   Kept = std::move(other255.Kept);
   Answers = other255.Answers;
   Figures = std::move(other255.Figures);
+  UpMicros = other255.UpMicros;
+  EraMicros = other255.EraMicros;
   __isset = other255.__isset;
   return *this;
 }
@@ -5289,6 +5335,8 @@
   out << ", " << "Kept=" << to_string(Kept);
   out << ", " << "Answers=" << to_string(Answers);
   out << ", " << "Figures=" << to_string(Figures);
+  out << ", " << "UpMicros="; (__isset.UpMicros ? (out << to_string(UpMicros)) : (out << "<null>"));
+  out << ", " << "EraMicros="; (__isset.EraMicros ? (out << to_string(EraMicros)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/routing_types.h
+++ b/wire/gen/routing_types.h
@@ -1814,12 +1814,14 @@
 std::ostream& operator<<(std::ostream& out, const figure_copy& obj);
 
 typedef struct _figure_reply__isset {
-  _figure_reply__isset() : Era(false), Fence(false), Kept(false), Answers(false), Figures(false) {}
+  _figure_reply__isset() : Era(false), Fence(false), Kept(false), Answers(false), Figures(false), UpMicros(false), EraMicros(false) {}
   bool Era :1;
   bool Fence :1;
   bool Kept :1;
   bool Answers :1;
   bool Figures :1;
+  bool UpMicros :1;
+  bool EraMicros :1;
 } _figure_reply__isset;
 
 class figure_reply : public virtual ::apache::thrift::TBase {
@@ -1832,7 +1834,9 @@
   figure_reply() noexcept
                : Era(0),
                  Fence(0),
-                 Answers(0) {
+                 Answers(0),
+                 UpMicros(0),
+                 EraMicros(0) {
   }
 
   virtual ~figure_reply() noexcept;
@@ -1841,6 +1845,8 @@
   std::vector<figure_copy>  Kept;
   bool Answers;
   std::vector<window_counts>  Figures;
+  int64_t UpMicros;
+  int64_t EraMicros;
 
   _figure_reply__isset __isset;
 
@@ -1854,6 +1860,10 @@
 
   void __set_Figures(const std::vector<window_counts> & val);
 
+  void __set_UpMicros(const int64_t val);
+
+  void __set_EraMicros(const int64_t val);
+
   bool operator == (const figure_reply & rhs) const
   {
     if (!(Era == rhs.Era))
@@ -1866,6 +1876,14 @@
       return false;
     if (!(Figures == rhs.Figures))
       return false;
+    if (__isset.UpMicros != rhs.__isset.UpMicros)
+      return false;
+    else if (__isset.UpMicros && !(UpMicros == rhs.UpMicros))
+      return false;
+    if (__isset.EraMicros != rhs.__isset.EraMicros)
+      return false;
+    else if (__isset.EraMicros && !(EraMicros == rhs.EraMicros))
+      return false;
     return true;
   }
   bool operator != (const figure_reply &rhs) const {
--- a/wire/routing.thrift
+++ b/wire/routing.thrift
@@ -239,4 +239,7 @@
   3: list<figure_copy> Kept      // those of the request
   4: bool Answers                // Figures are all that was asked for
   5: list<window_counts> Figures
+  // With Answers:
+  6: optional i64 UpMicros       // how long the sender's process has run
+  7: optional i64 EraMicros      // how long it has known the store to be in Era
 }
