routing: a silent stream is given up only for an upstream that would take it

The router cancelled the attempt when attempts, time and budget allowed a resend, and looked for an upstream afterwards. Time in which it did not read from the upstream itself, because the caller was slow, counted as silence. reasonToStay is now asked first: another upstream must be open, sound and not recently full, and the upstream must have been read. If the other one refuses all the same, the request returns to the upstream that ran it, within the budget, so no guess can end a sound stream. On related paths a resend is taken from the budget only if there is an upstream for it, and a continuation that ends in order without events is complete.

--- a/io/routing_runtime.cc
+++ b/io/routing_runtime.cc
@@ -251,7 +251,7 @@
   });
   Exchange->setOnRoom([this, Id] {
     if (open_request *Request = find(Id))
-      holdBackUpstream(*Request);
+      holdBackUpstream(Id, *Request);
   });
   Requests[Id] = std::move(Open);
   post(routing_event_body(std::move(Arrived)));
@@ -274,9 +274,11 @@
 }
 
 // A caller that reads slowly slows its upstream, not this process.
-void routing_runtime::holdBackUpstream(open_request &Request) {
-  bool Room = Request.Exchange->bytesToWrite() < max_unread_answer_bytes;
-  Upstreams.setReading(Request.Call, Room);
+void routing_runtime::holdBackUpstream(request_id Id, open_request &Request) {
+  bool Lags = Request.Exchange->bytesToWrite() >= max_unread_answer_bytes;
+  Upstreams.setReading(Request.Call, !Lags);
+  if (std::exchange(Request.Lags, Lags) != Lags)
+    post(routing_event_body(caller_lags{Id, Lags}));
 }
 
 void routing_runtime::apply(const route_refusal &Effect) {
@@ -305,7 +307,7 @@
     return;
   Request->Exchange->write(Effect.Data);
   if (Request->Exchange->bytesToWrite() >= max_unread_answer_bytes)
-    holdBackUpstream(*Request);
+    holdBackUpstream(Effect.Request, *Request);
 }
 
 void routing_runtime::apply(const route_finish &Effect) {
--- a/io/routing_runtime.h
+++ b/io/routing_runtime.h
@@ -105,7 +105,8 @@
     std::string CallerId;
     http_request Message;
     std::shared_ptr<http_exchange> Exchange;
-    call_id Call; // of the newest attempt
+    call_id Call;      // of the newest attempt
+    bool Lags = false; // the upstream is not read, as the caller is slow
     // Heads of the attempts that have answered.
     absl::flat_hash_map<attempt_number, http_reply_head> Heads;
   };
@@ -146,7 +147,7 @@
   void onSignal(int Signal);
   open_request *find(request_id Request);
   void forget(request_id Request);
-  void holdBackUpstream(open_request &Request);
+  void holdBackUpstream(request_id Id, open_request &Request);
 
   node_identity Identity;
   routing_addresses Addresses;
--- a/routing/placement.cc
+++ b/routing/placement.cc
@@ -77,21 +77,26 @@
   return Ranks;
 }
 
+// Returns whether a candidate is in an allowed region, not backing off, not at
+// its limit and not tried already.
+bool isEligible(const upstream_entry &Entry, const placement_query &Query,
+                const placement_inputs &Inputs) {
+  const upstream_name &Name = Entry.Name;
+  return (!Query.Regions || Query.Regions->allows(Entry.Zone)) &&
+         std::find(Query.Tried.begin(), Query.Tried.end(), Name) ==
+             Query.Tried.end() &&
+         !Inputs.FailureTracker.backoffUntil(Name, Query.Now) &&
+         Inputs.Limits.maySend(Name, Query.Now);
+}
+
 // Returns the candidates in allowed regions that are not backing off, at their
 // limit, paused or tried already; if there are none, those that are paused.
 std::vector<const upstream_state *> eligible(const placement_query &Query,
                                              const placement_inputs &Inputs) {
-  const upstream_failure_tracker &FailureTracker = Inputs.FailureTracker;
   std::vector<const upstream_state *> Usable;
   std::vector<const upstream_state *> Paused;
   for (const upstream_state *Candidate : Query.Serving) {
-    if (Query.Regions && !Query.Regions->allows(Candidate->Entry.Zone))
-      continue;
-    const upstream_name &Name = Candidate->Entry.Name;
-    if (std::find(Query.Tried.begin(), Query.Tried.end(), Name) !=
-            Query.Tried.end() ||
-        FailureTracker.backoffUntil(Name, Query.Now) ||
-        !Inputs.Limits.maySend(Name, Query.Now))
+    if (!isEligible(Candidate->Entry, Query, Inputs))
       continue;
     (isPaused(Candidate->Entry, Inputs, Query.Now) ? Paused : Usable)
         .push_back(Candidate);
@@ -302,6 +307,28 @@
          (Inputs.Reported && Inputs.Reported->isPaused(Entry.Name, Now));
 }
 
+bool hasEligibleUpstream(const placement_query &Query,
+                         const placement_inputs &Inputs) {
+  return std::any_of(Query.Serving.begin(), Query.Serving.end(),
+                     [&](const upstream_state *Candidate) {
+                       return isEligible(Candidate->Entry, Query, Inputs);
+                     });
+}
+
+bool hasOpenUpstream(const placement_query &Query,
+                     const placement_inputs &Inputs, steady_time FullSince) {
+  return std::any_of(
+      Query.Serving.begin(), Query.Serving.end(),
+      [&](const upstream_state *Candidate) {
+        const upstream_entry &Entry = Candidate->Entry;
+        bool HasSlot = Query.Slots <= 0 ||
+                       Inputs.Load.at(Entry.Name).Running < Query.Slots;
+        return isEligible(Entry, Query, Inputs) &&
+               !isPaused(Entry, Inputs, Query.Now) && HasSlot &&
+               !Inputs.FailureTracker.wasFullSince(Entry.Name, FullSince);
+      });
+}
+
 std::optional<placement> choosePlacement(const placement_query &Query,
                                          const placement_inputs &Inputs,
                                          std::vector<placement> *Options) {
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -121,6 +121,16 @@
 bool isPaused(const upstream_entry &Entry, const placement_inputs &Inputs,
               steady_time Now);
 
+// Returns whether there is an upstream to which the request may be sent.
+bool hasEligibleUpstream(const placement_query &Query,
+                         const placement_inputs &Inputs);
+
+// Returns whether an upstream is known that would probably take the request: it
+// may be sent to, does not fail, has a free slot as far as is known, and has
+// not been full since FullSince.
+bool hasOpenUpstream(const placement_query &Query,
+                     const placement_inputs &Inputs, steady_time FullSince);
+
 // Returns the best placement. Adds every placement that was compared to
 // Options, if that is set.
 std::optional<placement>
--- a/routing/request_router.cc
+++ b/routing/request_router.cc
@@ -24,17 +24,6 @@
 // abandons it more than this long after it was sent.
 constexpr duration assumed_start_delay = std::chrono::milliseconds(20);
 
-// A stream without a complete event for the longest of these times has stalled:
-// half of the time after which callers time out.
-constexpr duration shortest_stall = std::chrono::seconds(1);
-constexpr int stall_targets = 2;
-constexpr int stall_pauses = 4;
-
-duration stallTime(const host_route &Route) {
-  return std::max({shortest_stall, stall_targets * Route.Target,
-                   stall_pauses * Route.PauseTarget.value_or(duration{})});
-}
-
 // Adds up to half of the delay at random, to spread the retries of callers that
 // are refused together.
 duration addJitter(duration Wait, uint64_t Random) {
@@ -147,43 +136,31 @@
   close(Request, "caller-gone", Context, Effects);
 }
 
-bool request_router::hasStalled(const active_request &Request,
-                                const router_context &Context) const {
-  return Request.Attempt && Request.Route->Kind == repeat_kind::Stream &&
-         Request.Route->Resumable &&
-         Context.Now - Request.ProgressAt >= stallTime(*Request.Route);
-}
-
 void request_router::onTick(const router_context &Context,
                             routing_effects &Effects) {
   Reported.onTick(Context.Now);
   Fetches.onTick(Context.Now);
   std::vector<request_id> Expired;
   std::vector<request_id> Stalled;
+  std::vector<request_id> Returning;
   std::vector<request_id> Unanswered;
   for (const auto &[Id, Request] : Requests)
     if (Context.Now >= Request->EndsAt)
       Expired.push_back(Id);
     else if (hasStalled(*Request, Context))
       Stalled.push_back(Id);
+    else if (Request->ReturnAt && Context.Now >= *Request->ReturnAt)
+      Returning.push_back(Id);
     else if (Request->Ask &&
              Context.Now - Request->AskSentAt >= placement_ask_timeout)
       Unanswered.push_back(Id);
   for (request_id Id : Unanswered) {
     onUnansweredAsk(*Requests.find(Id)->second, Context, Effects);
   }
-  for (request_id Id : Stalled) {
-    active_request &Request = *Requests.find(Id)->second;
-    // A request that cannot be resumed elsewhere stays at its upstream, which
-    // may recover.
-    Request.ProgressAt = Context.Now;
-    if (!mayResend(Request, true, Context))
-      continue;
-    Effects.push_back(route_cancel{*Request.Attempt});
-    Request.Knowledge = execution_outcome::Unknown;
-    logFailure(Request, "stalled", Context, Effects);
-    resend(Request, "stalled", Context, Effects);
-  }
+  for (request_id Id : Stalled)
+    onStalled(*Requests.find(Id)->second, Context, Effects);
+  for (request_id Id : Returning)
+    returnToFormer(*Requests.find(Id)->second, Context, Effects);
   for (request_id Id : Expired) {
     active_request &Request = *Requests.find(Id)->second;
     if (Request.Attempt) {
@@ -217,6 +194,8 @@
 void request_router::endWithFailure(active_request &Request, const char *Why,
                                     const router_context &Context,
                                     routing_effects &Effects) {
+  if (awaitReturn(Request, Why, Context, Effects))
+    return;
   if (Request.AnswerStarted) {
     Effects.push_back(route_abort{Request.Arrived.Request, Why});
     return close(Request, "aborted", Context, Effects);
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -119,6 +119,8 @@
   std::vector<std::string> servicesShortOfRoom(steady_time Now) const;
   void onGrant(const address &From, const wire::placement_grant &Grant,
                const router_context &Context, routing_effects &Effects);
+  // Handles that a caller reads its answer too slowly, or has caught up.
+  void onCallerLags(const caller_lags &Lag, steady_time Now);
   // Ends requests whose time limit is reached, and moves stalled streams to
   // other upstreams.
   void onTick(const router_context &Context, routing_effects &Effects);
@@ -167,6 +169,15 @@
     int64_t EventsBefore = 0;  // taken from earlier attempts
     std::optional<steady_time> BeganAt; // first event
     duration LongestGap{};              // between two events
+    // Nothing is read from the upstream, because the caller reads too slowly.
+    bool CallerLags = false;
+    steady_time NextStallCheck = steady_time::min();
+    bool StallLogged = false; // since the last progress
+    // The upstream whose silent run was given up for the current attempt, until
+    // that attempt has an event.
+    std::optional<upstream_instance> Former;
+    // When the request is sent to Former again, as no other upstream took it.
+    std::optional<steady_time> ReturnAt;
     bool SoundRecorded = false;
     int Sent = 0; // upstreams that may have received it
     std::vector<upstream_name> Tried;
@@ -306,6 +317,30 @@
   // complete an event are not progress.
   bool hasStalled(const active_request &Request,
                   const router_context &Context) const;
+  // Moves a stalled stream to another upstream, if one would probably take it.
+  // Otherwise it stays at its upstream, which may recover.
+  void onStalled(active_request &Request, const router_context &Context,
+                 routing_effects &Effects);
+  // Returns why a stalled stream stays where it is; empty if it is given up.
+  // Takes a resend from the budget in that case.
+  std::string reasonToStay(const active_request &Request,
+                           const router_context &Context);
+  // Has a request, whose silent run was given up for an upstream that did not
+  // take it, wait for its return. Returns false if it cannot return.
+  bool awaitReturn(active_request &Request, const char *Why,
+                   const router_context &Context, routing_effects &Effects);
+  // Sends the request to the upstream that it was given up at.
+  void returnToFormer(active_request &Request, const router_context &Context,
+                      routing_effects &Effects);
+  // Returns the upstream that ran the request before; nullptr if it has gone.
+  const upstream_state *formerUpstream(const active_request &Request) const;
+  // Returns whether the request may be sent once more, apart from the budget.
+  bool mayRepeat(const active_request &Request,
+                 const router_context &Context) const;
+  bool hasEligibleUpstream(const active_request &Request,
+                           const router_context &Context) const;
+  // Returns whether the request may be sent once more now, and there is an
+  // upstream for it. Takes a resend from the budget if an upstream received it.
   bool mayResend(const active_request &Request, bool Arrived,
                  const router_context &Context);
   void endWithFailure(active_request &Request, const char *Why,
--- a/routing/request_router_answers.cc
+++ b/routing/request_router_answers.cc
@@ -211,6 +211,8 @@
     Request.LongestGap =
         std::max(Request.LongestGap, Context.Now - Request.ProgressAt);
   Request.ProgressAt = Context.Now;
+  Request.StallLogged = false;
+  Request.Former.reset();
   Request.BeganAt = Request.BeganAt.value_or(Context.Now);
   if (Request.eventsOfAttempt() >= sound_answer_events &&
       !std::exchange(Request.SoundRecorded, true))
@@ -233,8 +235,10 @@
   active_request *Request = findByAttempt(End.Attempt);
   if (!Request)
     return;
-  // A stream without a length or events may have ended with its upstream.
-  bool IsEmpty = Request->EndsWithConnection && Request->eventsOfAttempt() == 0;
+  // A stream without a length or events may have ended with its upstream. The
+  // continuation of a stream has none if the stream was complete.
+  bool IsEmpty = Request->EndsWithConnection && !Request->AnswerStarted &&
+                 Request->eventsOfAttempt() == 0;
   if (Request->Stream && (Request->Events.hasPartialEvent() || IsEmpty)) {
     recordBreak(*Request, Context);
     return resendOrFail(*Request, true, "broken-stream", Context, Effects);
--- a/routing/request_router_attempts.cc
+++ b/routing/request_router_attempts.cc
@@ -327,8 +327,8 @@
   return Found == Requests.end() ? nullptr : Found->second.get();
 }
 
-bool request_router::mayResend(const active_request &Request, bool Arrived,
-                               const router_context &Context) {
+bool request_router::mayRepeat(const active_request &Request,
+                               const router_context &Context) const {
   if (Request.EndsAt - Context.Now < min_resend_time)
     return false;
   if (Request.Sent >= Request.Route->MaxAttempts)
@@ -338,7 +338,18 @@
   // A stream whose events carry no ids cannot be resumed at another upstream.
   if (Request.AnswerStarted && !Request.Events.lastId())
     return false;
-  return Repeatable && !heldBack(Request, Context) &&
+  return Repeatable && !heldBack(Request, Context);
+}
+
+bool request_router::hasEligibleUpstream(const active_request &Request,
+                                         const router_context &Context) const {
+  return monsoonreel::hasEligibleUpstream(queryFor(Request, Context),
+                                          inputsFor(Request.Service->Name));
+}
+
+bool request_router::mayResend(const active_request &Request, bool Arrived,
+                               const router_context &Context) {
+  return mayRepeat(Request, Context) && hasEligibleUpstream(Request, Context) &&
          (!Arrived ||
           Services.Budget.tryResend(Request.Service->Name, Context.Now));
 }
@@ -350,6 +361,10 @@
   endAttempt(Request, Context);
   logFailure(Request, Why, Context, Effects);
   Request.FailureDetail.clear();
+  if (mayRepeat(Request, Context) && !hasEligibleUpstream(Request, Context))
+    return endWithFailure(Request,
+                          reasonForNoUpstream(Request, Context, Effects),
+                          Context, Effects);
   if (!mayResend(Request, Arrived, Context))
     return endWithFailure(Request, Why, Context, Effects);
   resend(Request, Why, Context, Effects);
--- a/routing/routing_event.h
+++ b/routing/routing_event.h
@@ -53,6 +53,13 @@
   request_id Request;
 };
 
+// The caller reads its answer more slowly than it arrives, so that this node
+// has stopped reading from the upstream, or it has caught up.
+struct caller_lags {
+  request_id Request;
+  bool Lags = false;
+};
+
 // ---------------------------------------------------------------- upstreams
 
 // While the node drains: number of connections on which a caller's request is
@@ -207,10 +214,10 @@
 };
 
 using routing_event_body =
-    std::variant<tick, route_request, route_caller_gone, callers_reading,
-                 answer_head, answer_data, answer_end, route_attempt_failed,
-                 peer_message_received, feed_read, feed_read_failed,
-                 duty_appended, duty_log_read, usage_answered,
+    std::variant<tick, route_request, route_caller_gone, caller_lags,
+                 callers_reading, answer_head, answer_data, answer_end,
+                 route_attempt_failed, peer_message_received, feed_read,
+                 feed_read_failed, duty_appended, duty_log_read, usage_answered,
                  capacity_answered, drain_requested>;
 
 struct routing_event {
--- a/routing/routing_node.cc
+++ b/routing/routing_node.cc
@@ -321,6 +321,11 @@
   Requests.onCallerGone(Gone.Request, contextOf(Event), Effects);
 }
 
+void routing_node::onEvent(const caller_lags &Lag, const routing_event &Event,
+                           routing_effects & /*Effects*/) {
+  Requests.onCallerLags(Lag, Event.Now);
+}
+
 void routing_node::onEvent(const callers_reading &Reading,
                            const routing_event & /*Event*/,
                            routing_effects & /*Effects*/) {
--- a/routing/routing_node.h
+++ b/routing/routing_node.h
@@ -137,6 +137,8 @@
                routing_effects &Effects);
   void onEvent(const route_caller_gone &Gone, const routing_event &Event,
                routing_effects &Effects);
+  void onEvent(const caller_lags &Lag, const routing_event &Event,
+               routing_effects &Effects);
   void onEvent(const callers_reading &Reading, const routing_event &Event,
                routing_effects &Effects);
   void onEvent(const answer_head &Head, const routing_event &Event,
--- a/routing/upstream_failure_tracker.cc
+++ b/routing/upstream_failure_tracker.cc
@@ -67,6 +67,13 @@
                                       steady_time Now) {
   state &State = States[Upstream];
   State.PausedUntil = std::max(State.PausedUntil, Now + full_pause);
+  State.FullAt = Now;
+}
+
+bool upstream_failure_tracker::wasFullSince(const upstream_name &Upstream,
+                                            steady_time Since) const {
+  auto It = States.find(Upstream);
+  return It != States.end() && It->second.FullAt >= Since;
 }
 
 void upstream_failure_tracker::onBackoffRequested(const upstream_name &Upstream,
--- a/routing/upstream_failure_tracker.h
+++ b/routing/upstream_failure_tracker.h
@@ -61,6 +61,9 @@
   // upstream is left.
   std::optional<steady_time> backoffUntil(const upstream_name &Upstream,
                                           steady_time Now) const;
+  // Returns whether the upstream was full at Since or later, as far as is
+  // known.
+  bool wasFullSince(const upstream_name &Upstream, steady_time Since) const;
   // Share of recent answers that were failures, 0 to 1.
   double failureShare(const upstream_name &Upstream, steady_time Now) const;
   void onTick(steady_time Now);
@@ -72,6 +75,7 @@
     steady_time PausedUntil = steady_time::min();
     double Failures = 0;
     steady_time FailedAt = steady_time::min();
+    steady_time FullAt = steady_time::min();
   };
 
   struct zone_state {
