routing: crashes at one moment count when nobody has answered the part

The quarantine took crashes within 200 ms as one moment and asked for three, so that a failing rack holds back no sound part, and dropped crashes that another part explained.

What tells the two apart is whether anybody answered the part. Entries remember answers for 30 s and report them once a part was open at a crash. A part without an answer is held back from the fifth crash on, or from the third if it was open at most of them; explained crashes count besides one that is not. Crashes have to be 1.5 s old, by when an upstream that lost only connections has answered, so the hold comes within the contact time of 3 s. On such evidence the first hold is 10 s, which makes a wrong one cheap.

part_quarantine_test.Crashes_AtOneMoment_SuspectNoPart asked that ten crashes at once on a part that nobody answered hold nothing back, against the rule; tests of racks that fail with parts answered here, answered elsewhere, and of unlike requests replace it.

--- a/routing/part_quarantine.cc
+++ b/routing/part_quarantine.cc
@@ -41,17 +41,31 @@
   List.resize(std::min(List.size(), Most));
 }
 
-bool isSuspect(int Crashes, int Moments, int Others) {
-  if (Moments >= certain_moments)
-    return true;
-  return Moments >= suspect_moments &&
-         Crashes >= suspect_crash_share * (Crashes + Others);
-}
-
 } // namespace
 
 // ----------------------------------------------------------------- evidence
 
+bool part_quarantine::isSuspect(const evidence &Evidence) {
+  // Sound parts that are always open beside a held one have no other crashes.
+  if (Evidence.Unexplained == 0)
+    return false;
+  if (Evidence.UnexplainedMoments >= certain_moments)
+    return true;
+  bool IsOpenAtMost = Evidence.Crashes >=
+                      own_crash_share * (Evidence.Crashes + Evidence.Others);
+  int Needed =
+      IsOpenAtMost ? unanswered_part_own_crashes : unanswered_part_crashes;
+  if (!Evidence.WasAnswered && Evidence.SettledCrashes >= Needed)
+    return true;
+  return Evidence.Moments >= suspect_moments &&
+         Evidence.Crashes >= suspect_crash_share * (Evidence.Crashes +
+                                                    Evidence.UnexplainedOthers);
+}
+
+duration part_quarantine::settleTime() const {
+  return std::max<duration>(min_crash_downtime, 2 * ReportDelay);
+}
+
 part_quarantine::crash *part_quarantine::crashOf(const run_key &Run,
                                                  steady_time At) {
   auto It = Crashes.find(Run);
@@ -72,12 +86,15 @@
   return &It->second;
 }
 
-void part_quarantine::addPart(crash &Crash, uint64_t Part, int Place) {
+void part_quarantine::addPart(crash &Crash, uint64_t Part, int Place,
+                              steady_time Now) {
   if (Crash.Parts.size() < max_crash_parts)
     Crash.Parts.try_emplace(Part, Place);
   Crash.Explained = Crash.Explained || Held.contains(Part);
-  if (Crash.Parts.contains(Part) && Watched.size() < max_watched_parts)
-    Watched.insert(Part);
+  if (Crash.Parts.contains(Part) && Watched.size() < max_watched_parts &&
+      Watched.insert(Part).second)
+    if (auto It = Answered.find(Part); It != Answered.end())
+      recordSound(Part, It->second, true, Now);
   IsNews = true;
 }
 
@@ -90,7 +107,7 @@
       holdAgain(Part, It->second);
     if (!Crash)
       return;
-    addPart(*Crash, Part, Place);
+    addPart(*Crash, Part, Place, Now);
     if (Crash->Parts.contains(Part))
       Crash->OwnParts.insert(Part);
   });
@@ -108,10 +125,16 @@
 void part_quarantine::onSound(const prompt_info &Prompt, steady_time BeganAt,
                               steady_time Now) {
   forSharedParts(Prompt, [&](uint64_t Part, int) {
+    rememberAnswer(Part, BeganAt);
     recordSound(Part, BeganAt, true, Now);
   });
 }
 
+void part_quarantine::rememberAnswer(uint64_t Part, steady_time BeganAt) {
+  if (Answered.size() < max_sound_parts || Answered.contains(Part))
+    Answered[Part] = BeganAt;
+}
+
 void part_quarantine::recordSound(uint64_t Part, steady_time BeganAt, bool Own,
                                   steady_time Now) {
   if (!Watched.contains(Part))
@@ -132,53 +155,68 @@
 
 // ----------------------------------------------------------------- judgement
 
+void part_quarantine::addTo(evidence &Evidence, const crash &Crash) {
+  if (Evidence.Crashes++ == 0)
+    Evidence.First = Crash.At;
+  if (Evidence.Moments == 0 || Crash.At - Evidence.Last >= crash_moment) {
+    ++Evidence.Moments;
+    Evidence.Last = Crash.At;
+  }
+  if (Crash.Explained)
+    return;
+  if (Evidence.Unexplained++ == 0 ||
+      Crash.At - Evidence.LastUnexplained >= crash_moment) {
+    ++Evidence.UnexplainedMoments;
+    Evidence.LastUnexplained = Crash.At;
+  }
+}
+
 absl::flat_hash_map<uint64_t, part_quarantine::evidence>
 part_quarantine::collect(steady_time Now) const {
-  std::vector<const crash *> Open;
+  std::vector<const crash *> Known;
   for (const auto &[Run, Crash] : Crashes)
-    if (!Crash.Refuted && !Crash.Explained && Now - Crash.At >= ReportDelay)
-      Open.push_back(&Crash);
-  std::sort(Open.begin(), Open.end(),
+    if (!Crash.Refuted && Now - Crash.At >= ReportDelay)
+      Known.push_back(&Crash);
+  std::sort(Known.begin(), Known.end(),
             [](const crash *A, const crash *B) { return A->At < B->At; });
   absl::flat_hash_map<uint64_t, evidence> Found;
-  for (const crash *Crash : Open)
+  for (const crash *Crash : Known)
     for (const auto &[Part, Place] : Crash->Parts) {
       auto Answer = Sound.find(Part);
       if (Answer != Sound.end() && Answer->second.BeganAt >= Crash->At)
         continue;
       evidence &Evidence = Found[Part];
-      if (Evidence.Crashes++ == 0)
-        Evidence.First = Crash->At;
-      if (Evidence.Moments == 0 || Crash->At - Evidence.Last >= crash_moment) {
-        ++Evidence.Moments;
-        Evidence.Last = Crash->At;
-      }
+      addTo(Evidence, *Crash);
+      Evidence.WasAnswered =
+          Answer != Sound.end() &&
+          Evidence.First - Answer->second.BeganAt < answer_memory;
+      Evidence.SettledCrashes += Now - Crash->At >= settleTime() ? 1 : 0;
       Evidence.Place = std::max(Evidence.Place, Place);
     }
-  for (auto &[Part, Evidence] : Found)
-    Evidence.Others = static_cast<int>(std::count_if(
-                          Open.begin(), Open.end(),
-                          [&Evidence = Evidence](const crash *Crash) {
-                            return Crash->At >= Evidence.First;
-                          })) -
-                      Evidence.Crashes;
+  for (auto &[Part, Evidence] : Found) {
+    for (const crash *Crash : Known)
+      if (Crash->At > Evidence.First - crash_moment) {
+        ++Evidence.Others;
+        Evidence.UnexplainedOthers += Crash->Explained ? 0 : 1;
+      }
+    Evidence.Others -= Evidence.Crashes;
+    Evidence.UnexplainedOthers -= Evidence.Unexplained;
+  }
   return Found;
 }
 
 void part_quarantine::judge(steady_time Now) {
   while (Held.size() < max_held_parts) {
     absl::flat_hash_map<uint64_t, evidence> Found = collect(Now);
-    absl::erase_if(Found, [](const auto &Item) {
-      const evidence &Evidence = Item.second;
-      return !isSuspect(Evidence.Crashes, Evidence.Moments, Evidence.Others);
-    });
+    absl::erase_if(Found,
+                   [](const auto &Item) { return !isSuspect(Item.second); });
     if (Found.empty())
       return;
     // Of parts that were always together, the last one is the most specific.
     auto Worst = std::max_element(
         Found.begin(), Found.end(), [](const auto &A, const auto &B) {
-          return std::tuple(A.second.Crashes, A.second.Place, A.first) <
-                 std::tuple(B.second.Crashes, B.second.Place, B.first);
+          return std::tuple(A.second.Unexplained, A.second.Place, A.first) <
+                 std::tuple(B.second.Unexplained, B.second.Place, B.first);
         });
     holdBack(Worst->first, Worst->second, Now);
   }
@@ -187,10 +225,14 @@
 void part_quarantine::holdBack(uint64_t Part, const evidence &Evidence,
                                steady_time Now) {
   wall_time Since = trueTimeOf(Evidence.Last);
-  Held[Part] = {Since, TrueTime + holdOf(1), 1, -1};
+  duration Hold = Evidence.UnexplainedMoments < suspect_moments
+                      ? duration(weak_part_hold)
+                      : holdOf(1);
+  Held[Part] = {Since, TrueTime + Hold, 1, -1};
   explainBy(Part);
-  Changes.push_back({"held", Part, 1, Evidence.Crashes, Evidence.Others,
-                     holdOf(1), Now - Evidence.First, Now - Evidence.Last});
+  Changes.push_back({"held", Part, 1, Evidence.Crashes,
+                     Evidence.UnexplainedOthers, Hold, Now - Evidence.First,
+                     Now - Evidence.Last});
 }
 
 void part_quarantine::explainBy(uint64_t Part) {
@@ -271,7 +313,7 @@
   NextJudgement = Now + judgement_period;
   expire(Now);
   if (std::exchange(IsNews, false))
-    JudgedUntil = Now + ReportDelay + judgement_period;
+    JudgedUntil = Now + settleTime() + 2 * judgement_period;
   if (Now <= JudgedUntil)
     judge(Now);
 }
@@ -279,10 +321,15 @@
 void part_quarantine::expire(steady_time Now) {
   size_t Erased = std::erase_if(Crashes, [&](const auto &Item) {
     const crash &Crash = Item.second;
-    return Now - Crash.At >= (Crash.Explained || Crash.Refuted
-                                  ? duration(part_report_time)
-                                  : crash_memory);
+    return Now - Crash.At >=
+           (Crash.Refuted ? duration(part_report_time) : crash_memory);
   });
+  if (Now >= NextForgetting) {
+    NextForgetting = Now + answer_memory / 4;
+    absl::erase_if(Answered, [&](const auto &Item) {
+      return Now - Item.second >= answer_memory;
+    });
+  }
   std::erase_if(FreedAt, [&](const auto &Item) {
     return TrueTime - Item.second >= max_part_hold;
   });
@@ -367,7 +414,7 @@
       continue;
     Crash->Refuted = Crash->Refuted || Each.Refuted;
     for (const wire::crashed_part &Part : Each.Parts)
-      addPart(*Crash, idOf(Part.Part), std::max(Part.Place, 0));
+      addPart(*Crash, idOf(Part.Part), std::max(Part.Place, 0), Now);
   }
   for (const wire::sound_part &Each : Report.Sound)
     recordSound(idOf(Each.Part),
--- a/routing/part_quarantine.h
+++ b/routing/part_quarantine.h
@@ -19,13 +19,21 @@
 // of the crashes since its last answer. It is held back from the third moment
 // with a crash on, if it was open at a fair share of all crashes in that time,
 // else from the fifth on. The part with the most crashes goes first and
-// explains its crashes, so sound parts that were open beside it are not
-// suspected of them.
+// explains its crashes. Sound parts that were open only at explained crashes
+// are not suspected of them.
 //
-// A part is held back for `first_part_hold`, counted in the true time on which
-// all entries agree. After that, one entry at a time, chosen by rendezvous
-// hashing, sends a single request with it. An answer ends the hold everywhere;
-// another crash renews it for twice the time.
+// Requests with the part may also come in groups and crash several upstreams at
+// one moment. A failing rack does so, too, but the parts that its requests
+// share were answered shortly before or are answered elsewhere. A part that
+// nobody has answered is therefore held back from the fifth crash on, however
+// few the moments are, or from the third on if it was open at most of the
+// crashes. With fewer than three moments that are not explained the evidence is
+// weaker, and the first hold is short.
+//
+// Otherwise a part is first held back for `first_part_hold`, counted in the
+// true time on which all entries agree. After that, one entry at a time, chosen
+// by rendezvous hashing, sends a single request with it. An answer ends the
+// hold everywhere; another crash renews it for twice the time.
 
 #ifndef ROUTING_PART_QUARANTINE_H
 #define ROUTING_PART_QUARANTINE_H
@@ -57,7 +65,15 @@
 constexpr double suspect_crash_share = 0.2;
 // The same for any share.
 constexpr int certain_moments = 5;
-// An unexplained crash is forgotten after this time.
+// Crashes from which on a part that nobody has answered is held back. Those of
+// the last `min_crash_downtime` do not count, as they may turn out to be none.
+constexpr int unanswered_part_crashes = 5;
+// The same if it was open at most of the crashes in that time.
+constexpr int unanswered_part_own_crashes = 3;
+constexpr double own_crash_share = 0.5;
+// An answer this long before the first crash is forgotten.
+constexpr duration answer_memory = std::chrono::seconds(30);
+// A crash is forgotten after this time.
 constexpr duration crash_memory = std::chrono::minutes(2);
 // A crashed upstream is away for longer. An earlier answer to a new request
 // shows that only connections were lost.
@@ -65,6 +81,8 @@
 // How long crashes and answers are reported: several report intervals.
 constexpr duration part_report_time = std::chrono::seconds(3);
 constexpr duration first_part_hold = std::chrono::minutes(1);
+// First hold if there were fewer than `suspect_moments`.
+constexpr duration weak_part_hold = std::chrono::seconds(10);
 constexpr duration max_part_hold = std::chrono::minutes(10);
 // After a hold, the entry that may try the part changes at this interval.
 constexpr duration part_trial_period = std::chrono::seconds(20);
@@ -116,6 +134,7 @@
 
   size_t held() const { return Held.size(); }
   size_t watched() const { return Watched.size(); }
+  size_t answered() const { return Answered.size(); }
   // A change for the log.
   struct change {
     const char *What = ""; // "held", "tried", "freed" and so on
@@ -153,19 +172,32 @@
   };
   // What speaks against a part.
   struct evidence {
-    int Crashes = 0;
+    int Crashes = 0; // explained or not
     int Moments = 0;
-    int Others = 0; // other crashes since First
+    int Unexplained = 0; // of Crashes
+    int UnexplainedMoments = 0;
+    int SettledCrashes = 0; // of Crashes, those old enough to be certain
+    int Others = 0;         // other crashes from the first moment on
+    int UnexplainedOthers = 0;
+    bool WasAnswered = false; // shortly before First
     int Place = 0;
     steady_time First;
     steady_time Last; // start of the last moment
+    steady_time LastUnexplained;
   };
 
   static int64_t periodAt(wall_time TrueTime);
   bool isChosen(uint64_t Part, wall_time TrueTime) const;
   bool mayTry(uint64_t Part, const hold &Hold, wall_time TrueTime) const;
   crash *crashOf(const run_key &Run, steady_time At);
-  void addPart(crash &Crash, uint64_t Part, int Place);
+  void addPart(crash &Crash, uint64_t Part, int Place, steady_time Now);
+  static bool isSuspect(const evidence &Evidence);
+  // Adds a crash at which the part was open; in the order of their times.
+  static void addTo(evidence &Evidence, const crash &Crash);
+  // Age from which on it is known whether a crash was one, and which of its
+  // parts other entries have answered.
+  duration settleTime() const;
+  void rememberAnswer(uint64_t Part, steady_time BeganAt);
   void recordSound(uint64_t Part, steady_time BeganAt, bool Own,
                    steady_time Now);
   void free(uint64_t Part);
@@ -190,6 +222,9 @@
   std::map<run_key, crash> Crashes;
   absl::flat_hash_set<uint64_t> Watched;       // parts of Crashes and of Held
   absl::flat_hash_map<uint64_t, answer> Sound; // those that were answered
+  // Last answer to this entry's requests with a part, watched or not.
+  absl::flat_hash_map<uint64_t, steady_time> Answered;
+  steady_time NextForgetting = steady_time::min();
   std::map<uint64_t, hold> Held;
   std::map<uint64_t, wall_time> FreedAt;
   std::vector<change> Changes;
--- a/routing/testing/crashing_part_fleet.h
+++ b/routing/testing/crashing_part_fleet.h
@@ -152,7 +152,21 @@
   static std::string firstOf(uint64_t Part) { return std::to_string(Part); }
 
   void arrive() {
-    size_t Index = draw() % Entries.size();
+    arriveAt(draw() % Entries.size(), [this]() -> std::optional<uint64_t> {
+      if (Deadly.empty() ||
+          static_cast<double>(draw() % 1000) >= TaintedShare * 1000)
+        return std::nullopt;
+      return Deadly[draw() % Deadly.size()];
+    });
+  }
+  // Requests with a deadly part, at different entries at the same time.
+  void arriveTogether(uint64_t Part, int Count) {
+    for (int I = 0; I < Count; ++I)
+      arriveAt(static_cast<size_t>(I) % Entries.size(),
+               [Part] { return std::optional(Part); });
+  }
+
+  template <typename F> void arriveAt(size_t Index, F ChoosePart) {
     if (Entries[Index].Frozen)
       return;
     route_request Arrived;
@@ -170,10 +184,9 @@
                     {1'000'000 + static_cast<uint64_t>(LastRequest), 2000}};
     call &Call = Calls[LastRequest];
     Call.At = Now;
-    if (!Deadly.empty() &&
-        static_cast<double>(draw() % 1000) < TaintedShare * 1000) {
+    if (std::optional<uint64_t> Part = ChoosePart()) {
       Call.Tainted = true;
-      Call.Part = Deadly[draw() % Deadly.size()];
+      Call.Part = *Part;
       // Anywhere but at the end.
       Prompt.Parts.insert(Prompt.Parts.begin() + DeadlyPlace, {Call.Part, 500});
     }
@@ -309,6 +322,15 @@
     }
     return Late;
   }
+  // The same from the fifth crash on, where one part causes all crashes.
+  int64_t arrivalsAfterFifthCrash() const {
+    if (Crashes.size() < known_crashes)
+      return 0;
+    duration From = Crashes[known_crashes - 1].first + contact_time;
+    return std::count_if(
+        Arrivals.begin(), Arrivals.end(),
+        [&](const arrival &Arrival) { return Arrival.At > From; });
+  }
   // Share of the sound requests with this first part that got an event.
   double soundShare(const std::string &First, duration From, duration To) {
     int Asked = 0;
--- a/routing/testing/crashing_part_test.cc
+++ b/routing/testing/crashing_part_test.cc
@@ -11,6 +11,12 @@
   void startFleet() {
     crashing_part_fleet::startFleet(GetParam().first, GetParam().second);
   }
+  void sendGroups(int Size, duration Gap) {
+    for (int Group = 0; Group < 6; ++Group) {
+      arriveTogether(deadly_part, Size);
+      runUntil(Now + Gap);
+    }
+  }
 };
 
 TEST_P(crashing_part_test, Part_CrashesEngines_FleetHoldsItBack) {
@@ -58,6 +64,33 @@
   expectSoundServed(26s, 38s);
 }
 
+// Guards against groups of requests whose crashes count as one (review/14).
+TEST_P(crashing_part_test, Requests_ComeInFives_FleetHoldsThePartBack) {
+  startFleet();
+  sendGroups(5, 5s);
+  EXPECT_LE(arrivalsAfterFifthCrash(), allowed_after_contact);
+  EXPECT_EQ(heldSound(), 0);
+}
+
+TEST_P(crashing_part_test, Requests_ComeInEights_FleetHoldsThePartBack) {
+  startFleet();
+  sendGroups(8, 8s);
+  EXPECT_LE(arrivalsAfterFifthCrash(), allowed_after_contact);
+  EXPECT_EQ(heldSound(), 0);
+}
+
+// Upstreams of one zone fail together; their requests are unlike.
+TEST_P(crashing_part_test, Engines_FailTogether_NothingIsHeldBack) {
+  startFleet();
+  for (int Round = 0; Round < 3; ++Round) {
+    size_t Failing = Engines.size() / 3;
+    for (auto It = Engines.begin(); Failing > 0; ++It, --Failing)
+      crash(It->first);
+    runUntil(Now + 10s);
+  }
+  EXPECT_EQ(heldSound(), 0);
+}
+
 // New processes hear of the part from the others.
 TEST_P(crashing_part_test, Entries_AreKilledAndStartAgain_HoldThePartBack) {
   startFleet();
--- a/routing/testing/part_quarantine_test.cc
+++ b/routing/testing/part_quarantine_test.cc
@@ -45,6 +45,17 @@
   bool isHeld(uint64_t Part, duration Now) const {
     return Quarantine.heldBack(prompt({Part}), trueTime(Now)).has_value();
   }
+  // Ten upstreams at one moment, all with requests with these parts.
+  void failRack(const std::vector<uint64_t> &Parts) {
+    for (int I = 0; I < 10; ++I)
+      crash(1s + I * 10ms, Parts);
+  }
+  void expectNothingHeld() {
+    for (duration Now = 1200ms; Now < 6s; Now += 100ms) {
+      tick(Now);
+      ASSERT_EQ(Quarantine.held(), 0u) << Now / 1ms;
+    }
+  }
   // Three crashes, one a second, from 1 s on.
   void convict() {
     for (duration Now : {1s, 2s, 3s})
@@ -103,11 +114,74 @@
   EXPECT_EQ(Quarantine.held(), 1u);
 }
 
-TEST_F(part_quarantine_test, Crashes_AtOneMoment_SuspectNoPart) {
-  for (int I = 0; I < 10; ++I)
+// A rack fails, and requests with a part that was answered before are open at
+// each of its upstreams.
+TEST_F(part_quarantine_test, Crashes_AtOneMoment_AnsweredPartIsNotSuspected) {
+  Quarantine.onSound(prompt({common}), at(500ms), at(600ms));
+  failRack({common});
+  expectNothingHeld();
+}
+
+// Only another entry has had the answer.
+TEST_F(part_quarantine_test, Crashes_AtOneMoment_PartAnsweredElsewhereIsNot) {
+  Other.onSound(prompt({common}), at(500ms), at(600ms));
+  failRack({common});
+  Other.onReport(Quarantine.report(true, at(1200ms)), at(1200ms));
+  Quarantine.onReport(Other.report(true, at(1400ms)), at(1400ms));
+  expectNothingHeld();
+}
+
+// Unlike requests: none of their new parts was open at five of the upstreams.
+TEST_F(part_quarantine_test, Crashes_AtOneMoment_OfUnlikeRequests_SuspectNone) {
+  for (uint64_t I = 0; I < 12; ++I)
+    crash(1s + static_cast<int>(I) * 10ms, {500 + I / 4, 600 + I});
+  expectNothingHeld();
+}
+
+// Guards against groups of requests whose crashes count as one (review/14).
+TEST_F(part_quarantine_test, Group_CrashesFiveUpstreams_PartIsHeldBackSoon) {
+  for (int I = 0; I < 5; ++I)
+    crash(1s + I * 10ms, {600u + static_cast<uint64_t>(I), deadly});
+  tick(2s);
+  EXPECT_EQ(Quarantine.held(), 0u) << "the connections may have been lost only";
+  tick(1040ms + min_crash_downtime);
+  EXPECT_TRUE(isHeld(deadly, 3s));
+  EXPECT_EQ(Quarantine.held(), 1u);
+  EXPECT_EQ(Quarantine.heldBack(prompt({deadly}), trueTime(2540ms))->Left,
+            weak_part_hold);
+}
+
+// All connections of an entry were lost, and the upstreams answer afterwards.
+TEST_F(part_quarantine_test, Group_UpstreamsAnswerAfterwards_NothingIsHeld) {
+  for (int I = 0; I < 9; ++I)
     crash(1s + I * 10ms, {deadly});
-  tick(4s);
-  EXPECT_EQ(Quarantine.held(), 0u);
+  for (int I = 1; I <= 9; ++I)
+    Quarantine.onAnswer(run("u" + std::to_string(I)), at(1200ms), at(2300ms));
+  expectNothingHeld();
+}
+
+// Several parts crash upstreams, and requests with both are open at some.
+TEST_F(part_quarantine_test, Crashes_ExplainedByAnother_StillCountInPart) {
+  constexpr uint64_t second = 88;
+  for (int I = 1; I <= 4; ++I)
+    crash(I * 1s, {deadly, second});
+  for (duration Now = 4100ms; Now < 5s; Now += 100ms)
+    tick(Now);
+  ASSERT_EQ(Quarantine.held(), 1u);
+  uint64_t Open = isHeld(deadly, 5s) ? second : deadly;
+  crash(5s, {Open});
+  for (duration Now = 5s; Now < 7s; Now += 100ms)
+    tick(Now);
+  EXPECT_TRUE(isHeld(Open, 7s));
+}
+
+TEST_F(part_quarantine_test, Answers_Many_MemoryIsBounded) {
+  for (uint64_t I = 0; I < 3 * max_sound_parts; ++I)
+    Quarantine.onSound(prompt({10'000 + I}), at(1s), at(1s));
+  EXPECT_LE(Quarantine.answered(), max_sound_parts);
+  tick(1s);
+  tick(1s + 2 * answer_memory);
+  EXPECT_EQ(Quarantine.answered(), 0u);
 }
 
 TEST_F(part_quarantine_test, Part_OpenAtFewOfManyCrashes_NeedsMoreOfThem) {
